Workspace, interfaces and the ownership design

Cause: the packages need settled interfaces before they can be built side by side. Conclusion: one ownership page for each service holds units and terms, so that one compare-and-swap decides between a move and a change of grantor.

--- /dev/null
+++ b/event/config.go
@@ -0,0 +1,4 @@
+package event
+
+// configEvents is the catalogue of the config area.
+var configEvents = []Definition{}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,78 @@
+// Package event holds the catalogue of numbered events.
+//
+// Every log line that an operator may act on has a number that never changes
+// its meaning. The catalogue is one table per area, each in its own file:
+// control (100-199), traffic (200-299), fleet (300-399), configuration and
+// operators (400-499), platform (500-599), daemon life cycle (600-699).
+// docs/EVENTS.md lists the same numbers; a test compares the two.
+package event
+
+// Number identifies one kind of event. Numbers are never reused.
+type Number uint16
+
+// Level is the severity of an event.
+type Level uint8
+
+// Severities, least severe first.
+const (
+	Debug Level = iota
+	Info
+	Warn
+	Error
+)
+
+// Definition describes one numbered event.
+type Definition struct {
+	// Number is the event's identity.
+	Number Number
+	// Name is a short kebab-case name.
+	Name string
+	// Level is the severity at which the event is logged.
+	Level Level
+	// Meaning says what happened and what an operator may do, in one or two sentences.
+	Meaning string
+}
+
+// Field is one named value attached to an event, such as a server's name.
+type Field struct {
+	Name  string
+	Value string
+}
+
+// Event is one occurrence of a numbered event.
+type Event struct {
+	Number Number
+	Cause  string
+	Fields []Field
+}
+
+// New returns an event with a cause and alternating field names and values.
+func New(number Number, cause string, nameValue ...string) Event {
+	fields := make([]Field, 0, len(nameValue)/2)
+	for i := 0; i+1 < len(nameValue); i += 2 {
+		fields = append(fields, Field{Name: nameValue[i], Value: nameValue[i+1]})
+	}
+	return Event{Number: number, Cause: cause, Fields: fields}
+}
+
+// Catalogue returns every definition in ascending order of number.
+func Catalogue() []Definition {
+	var all []Definition
+	all = append(all, controlEvents...)
+	all = append(all, trafficEvents...)
+	all = append(all, fleetEvents...)
+	all = append(all, configEvents...)
+	all = append(all, platformEvents...)
+	all = append(all, daemonEvents...)
+	return all
+}
+
+// Lookup returns the definition of a number and whether it exists.
+func Lookup(number Number) (Definition, bool) {
+	for _, definition := range Catalogue() {
+		if definition.Number == number {
+			return definition, true
+		}
+	}
+	return Definition{}, false
+}
--- /dev/null
+++ b/event/fleet.go
@@ -0,0 +1,4 @@
+package event
+
+// fleetEvents is the catalogue of the fleet area.
+var fleetEvents = []Definition{}
--- /dev/null
+++ b/event/platform.go
@@ -0,0 +1,4 @@
+package event
+
+// platformEvents is the catalogue of the platform area.
+var platformEvents = []Definition{}
--- /dev/null
+++ b/event/traffic.go
@@ -0,0 +1,4 @@
+package event
+
+// trafficEvents is the catalogue of the traffic area.
+var trafficEvents = []Definition{}
--- /dev/null
+++ b/traffic/route/snapshot.go
@@ -0,0 +1,63 @@
+// Package route is the immutable picture of the fleet that traffic reads.
+//
+// Control publishes a new Snapshot through an atomic pointer at each change;
+// traffic goroutines never share a lock with control.
+package route
+
+import (
+	"time"
+
+	"guavacrank.example/config"
+)
+
+// Snapshot is one immutable picture. It must not be changed once published.
+type Snapshot struct {
+	Revision config.Revision
+	// Self is the name of this VM.
+	Self     string
+	Services map[string]*Service
+	// Peers maps VM names to their IP:port for forwarded requests.
+	Peers map[string]string
+}
+
+// Service is the routing of one service.
+type Service struct {
+	Name         string
+	DividedByKey bool
+	Shards       uint32
+	// PageVersion is the store's version of the ownership page, zero without one.
+	PageVersion uint64
+	Classes     map[string]config.Class
+	// Units is indexed by shard; Overrides is looked up first.
+	Units     []Unit
+	Overrides map[string]Unit
+	// Servers are all servers of the service, sorted by name.
+	Servers []*Server
+	// Settings are the defaults with the exceptions that apply to the service.
+	Settings config.Defaults
+}
+
+// Unit is the routing of one ownership unit.
+type Unit struct {
+	ID    uint32
+	Epoch uint64
+	// Server is nil while the unit has no owner that may serve it.
+	Server *Server
+}
+
+// Server is one backend server as traffic sees it.
+type Server struct {
+	Name         string
+	Address      string
+	Region       string
+	Zone         string
+	Slots        int
+	Connections  int
+	ChecksGrants bool
+	Draining     bool
+	// Home is the VM whose queue admits requests to the server; empty: none known.
+	Home string
+	// HomeUntil limits this VM's own right to send to a server that does not
+	// check grants, on the clock of elapsed time including suspend.
+	HomeUntil time.Duration
+}
