fleet: spreading, membership, manager and roles over connect-go

Cause: the daemon needs documents, members, direct messages and roles from a working fleet. Change: pure machines for spreading (tree, acknowledged pushes, deltas, digest repair, sums of what is in force) and membership (heartbeats to three watchers, accusations in own records, judging), put together by node; the manager with client streams over HTTP/2, the store's feed, limits and token; the role elector; a fake network on a virtual clock for checks and benches.

--- /dev/null
+++ b/fleet/document/delta.go
@@ -0,0 +1,109 @@
+package document
+
+import (
+	"encoding/binary"
+	"errors"
+
+	"guavacrank.example/platform"
+)
+
+// ErrDelta says that a delta is malformed or gives too large a value.
+var ErrDelta = errors.New("document: malformed delta")
+
+// blockBytes is the length of the runs that Diff looks up in the old value.
+const blockBytes = 16
+
+// Diff returns a delta that turns old into changed. A delta is a sequence of
+// operations: an unsigned variable-length integer n, where an even n is
+// followed by n/2 literal bytes and an odd n by the offset in old from which
+// n/2 bytes are copied.
+func Diff(old, changed []byte) []byte {
+	blocks := make(map[string]int, len(old)/blockBytes)
+	for offset := 0; offset+blockBytes <= len(old); offset += blockBytes {
+		block := string(old[offset : offset+blockBytes])
+		if _, present := blocks[block]; !present {
+			blocks[block] = offset
+		}
+	}
+	var delta []byte
+	literal := 0
+	position := 0
+	for position+blockBytes <= len(changed) {
+		offset, found := blocks[string(changed[position:position+blockBytes])]
+		if !found {
+			position++
+			continue
+		}
+		start, from := extendBackward(old, changed, literal, position, offset)
+		length := commonPrefix(old[from:], changed[start:])
+		delta = appendLiteral(delta, changed[literal:start])
+		delta = appendCopy(delta, from, length)
+		position = start + length
+		literal = position
+	}
+	return appendLiteral(delta, changed[literal:])
+}
+
+// extendBackward moves a match towards the start while the bytes before it agree.
+func extendBackward(old, changed []byte, limit, position, offset int) (start, from int) {
+	for position > limit && offset > 0 && changed[position-1] == old[offset-1] {
+		position--
+		offset--
+	}
+	return position, offset
+}
+
+func commonPrefix(a, b []byte) int {
+	limit := min(len(a), len(b))
+	for i := range limit {
+		if a[i] != b[i] {
+			return i
+		}
+	}
+	return limit
+}
+
+func appendLiteral(delta, literal []byte) []byte {
+	if len(literal) == 0 {
+		return delta
+	}
+	delta = binary.AppendUvarint(delta, uint64(len(literal))<<1)
+	return append(delta, literal...)
+}
+
+func appendCopy(delta []byte, offset, length int) []byte {
+	delta = binary.AppendUvarint(delta, uint64(length)<<1|1)
+	return binary.AppendUvarint(delta, uint64(offset))
+}
+
+// Patch applies a delta of Diff to old. A malformed delta, or one whose result
+// exceeds platform.MaxValueBytes, is ErrDelta.
+func Patch(old, delta []byte) ([]byte, error) {
+	var value []byte
+	for len(delta) > 0 {
+		operation, width := binary.Uvarint(delta)
+		if width <= 0 {
+			return nil, ErrDelta
+		}
+		delta = delta[width:]
+		length := operation >> 1
+		if length > platform.MaxValueBytes || uint64(len(value))+length > platform.MaxValueBytes {
+			return nil, ErrDelta
+		}
+		if operation&1 == 0 {
+			if length > uint64(len(delta)) {
+				return nil, ErrDelta
+			}
+			value = append(value, delta[:length]...)
+			delta = delta[length:]
+			continue
+		}
+		offset, width := binary.Uvarint(delta)
+		if width <= 0 || offset > uint64(len(old)) || length > uint64(len(old))-offset {
+			return nil, ErrDelta
+		}
+		delta = delta[width:]
+		value = append(value, old[offset:offset+length]...)
+	}
+	return value, nil
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -10,59 +10,35 @@
 package fleet
 
 import (
+	"net/netip"
 	"time"
 
 	"guavacrank.example/event"
+	"guavacrank.example/fleet/document"
+	"guavacrank.example/fleet/membership"
+	"guavacrank.example/fleet/spread"
 	"guavacrank.example/platform"
 )
 
 // Document is one key of the store at a version. A higher version always
 // replaces a lower one; a VM never goes back.
-type Document struct {
-	Key     string
-	Version uint64
-	Value   []byte
-	// Deleted marks a removal at Version; Value is then empty.
-	Deleted bool
-}
+type Document = document.Document
 
 // Member is what this VM knows of one VM of the fleet.
-type Member struct {
-	Name   string
-	Region string
-	Zone   string
-	Peer   string // IP:port of the fleet listener.
-	// Alive is false when the VM was never heard, or when one observer
-	// suspects it. A wrong suspicion is possible and must be cheap.
-	Alive bool
-	// Condemned is true when at least two observers agree that the VM is silent.
-	Condemned bool
-	// Leaving is the VM's own word, or that of the platform's list.
-	Leaving bool
-}
+type Member = membership.Member
 
-// InForce is what this VM has in force.
-type InForce struct {
-	Revision uint64 // The configuration's revision.
-}
+// Status is the fleet's state as any VM sees it, added up along the tree.
+type Status = spread.Status
 
 // Lagging is one VM that does not have the newest revision in force.
-type Lagging struct {
-	Name     string
-	Revision uint64 // Zero: nothing in force, or not heard.
-}
+type Lagging = spread.Lagging
 
-// Status is the fleet's state as any VM sees it, added up along the tree.
-type Status struct {
-	Revision uint64 // Highest revision in force anywhere.
-	InForce  int    // VMs that have Revision in force.
-	Total    int    // VMs of the fleet, those that do not answer included.
-	Lagging  []Lagging
-}
+// InForce is what this VM has in force.
+type InForce = spread.InForce
 
 // Listener is told what changed. The calls come one at a time from the
-// manager's goroutine and must not block or call back into the manager, but
-// for Publish, Send, Report and the read-only methods.
+// manager's goroutine and must not block. They may call Publish, Send, Report,
+// Leave, Members, Document and Ready.
 type Listener interface {
 	// DocumentChanged brings a higher version of a document.
 	DocumentChanged(Document)
@@ -90,6 +66,42 @@
 	Seeds []string
 	// Clock is nil for the VM's own clock.
 	Clock Clock
+	// Policy is spread.Tree; the others are baselines for comparison.
+	Policy spread.Policy
 	// OnEvent receives numbered events; nil discards them.
 	OnEvent func(event.Event)
 }
+
+// Error is a fault in the options.
+type Error struct {
+	Field  string
+	Reason string
+}
+
+// Error implements error.
+func (e *Error) Error() string { return "fleet: " + e.Field + ": " + e.Reason }
+
+// check returns an *Error for the first option that can't work.
+func (o Options) check() error {
+	switch {
+	case o.Self.Name == "":
+		return &Error{Field: "Self.Name", Reason: "must not be empty"}
+	case o.Self.Region == "" || o.Self.Zone == "":
+		return &Error{Field: "Self", Reason: "region and availability zone must not be empty"}
+	case o.Store == nil:
+		return &Error{Field: "Store", Reason: "must be set"}
+	case o.Listener == nil:
+		return &Error{Field: "Listener", Reason: "must be set"}
+	case o.Token == "":
+		return &Error{Field: "Token", Reason: "must not be empty"}
+	}
+	if _, err := netip.ParseAddrPort(o.Self.Peer); err != nil {
+		return &Error{Field: "Self.Peer", Reason: err.Error()}
+	}
+	for _, seed := range o.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			return &Error{Field: "Seeds", Reason: err.Error()}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/fleettest/sites.go
@@ -0,0 +1,80 @@
+package fleettest
+
+import (
+	"fmt"
+	"time"
+
+	"guavacrank.example/platform"
+)
+
+// Site is one deployment: two regions of two availability zones.
+type Site struct {
+	Name       string
+	Regions    [2]string
+	ZoneDelay  time.Duration // One way, between availability zones.
+	LinkDelay  time.Duration // One way, between regions.
+	StoreIn    string        // Region of the store.
+	LocalDelay time.Duration // One way, within an availability zone.
+}
+
+// Verhaegen is the deployment in Flanders and Wallonia.
+var Verhaegen = Site{
+	Name: "verhaegen", Regions: [2]string{"flanders", "wallonia"}, StoreIn: "flanders",
+	ZoneDelay: time.Millisecond, LinkDelay: 12 * time.Millisecond, LocalDelay: 200 * time.Microsecond,
+}
+
+// Chikushi is the deployment in Fukuoka and Kagoshima.
+var Chikushi = Site{
+	Name: "chikushi", Regions: [2]string{"fukuoka", "kagoshima"}, StoreIn: "fukuoka",
+	ZoneDelay: 500 * time.Microsecond, LinkDelay: 12 * time.Millisecond, LocalDelay: 200 * time.Microsecond,
+}
+
+// VMs returns count VMs spread evenly over the zones of the site.
+func (s Site) VMs(count int) []platform.VM {
+	vms := make([]platform.VM, 0, count)
+	for i := range count {
+		region := s.Regions[i%2]
+		vms = append(vms, platform.VM{
+			Name:   fmt.Sprintf("vm-%03d", i+1),
+			Region: region,
+			Zone:   fmt.Sprintf("%s-%c", region, 'a'+rune(i/2%2)),
+			Peer:   fmt.Sprintf("10.0.%d.%d:7000", i/200, i%200+1),
+		})
+	}
+	return vms
+}
+
+// Delay is the one-way delay between two VMs.
+func (s Site) Delay(from, to platform.VM) time.Duration {
+	switch {
+	case from.Region != to.Region:
+		return s.LinkDelay
+	case from.Zone != to.Zone:
+		return s.ZoneDelay
+	default:
+		return s.LocalDelay
+	}
+}
+
+// StoreDelay is the one-way delay between a VM and the store.
+func (s Site) StoreDelay(vm platform.VM) time.Duration {
+	if vm.Region != s.StoreIn {
+		return s.LinkDelay
+	}
+	return s.ZoneDelay
+}
+
+// NewWorld returns a world with the site's delays and count running VMs.
+func (s Site) NewWorld(count int) *World {
+	w := New()
+	w.Delay, w.StoreDelay = s.Delay, s.StoreDelay
+	w.StartAll(s.VMs(count))
+	return w
+}
+
+// StartAll starts a process on each VM, all of which are listed.
+func (w *World) StartAll(vms []platform.VM) {
+	for _, vm := range vms {
+		w.Start(vm, vms)
+	}
+}
--- /dev/null
+++ b/fleet/membership/machine.go
@@ -0,0 +1,266 @@
+// Package membership tells which VMs of the fleet answer. It is a pure state
+// machine: no I/O, no clock, no goroutine, no dependence on map order.
+//
+// Candidates come from the platform's lagging list and from the records that
+// VMs publish about themselves (documents under member/). Each VM sends
+// heartbeats to a few watchers (watch.go). A watcher that hears nothing
+// accuses the VM in its own record; all VMs judge by the accusations they know
+// (judge.go): one observer suspects, two condemn.
+//
+// Invariants: an observer that was paused or hears nobody accuses nobody; one
+// observer alone condemns nobody; a VM that answers all its watchers is alive.
+package membership
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"guavacrank.example/event"
+	"guavacrank.example/fleet/document"
+	fleetv1 "guavacrank.example/fleet/gen/fleet/v1"
+	"guavacrank.example/platform"
+)
+
+// RecordPrefix starts the keys of the VMs' own records.
+const RecordPrefix = "member/"
+
+// SeedPrefix starts the names of VMs of which only the address is known.
+const SeedPrefix = "seed/"
+
+const (
+	// nameConflictInterval is the least time between two claims of one name.
+	nameConflictInterval = 2 * time.Second
+	// announceAgain is when a starting VM repeats its record, once it knows peers.
+	announceAgain = 300 * time.Millisecond
+	startDuration = 10 * time.Second
+)
+
+// Mutations switch off single rules, to show that a check can fail.
+type Mutations struct {
+	CondemnAlone bool // One observer is enough to condemn.
+	AccuseBlind  bool // Accuse although this VM was paused or hears nobody.
+}
+
+// Options configures a Machine.
+type Options struct {
+	Self platform.VM
+	// Boot identifies this process; nonzero and random.
+	Boot      uint64
+	Mutations Mutations
+}
+
+// member is one VM of the table.
+type member struct {
+	vm            platform.VM
+	listed        bool
+	listedLeaving bool
+	record        *fleetv1.MemberRecord // Nil until the VM was heard of.
+	version       uint64                // Of record.
+	zoneSilent    bool
+	suspected     bool
+	condemned     bool
+	condemnedAt   time.Duration
+	clearedAt     time.Duration // When it was last no longer condemned.
+	goneSince     time.Duration // Since when it may be forgotten; zero: not gone.
+	heardAt       time.Duration
+	heard         bool
+}
+
+func (m *member) leaving() bool { return m.listedLeaving || m.record.GetLeaving() }
+
+// usable reports whether the member may watch others and relay.
+func (m *member) usable() bool {
+	return m.record != nil && !m.suspected && !m.condemned && !m.leaving()
+}
+
+// Machine is the membership as one VM sees it.
+type Machine struct {
+	options Options
+	members map[string]*member
+	names   []string // Sorted keys of members.
+	ready   Ready
+
+	started  time.Duration
+	running  bool
+	lastTick time.Duration
+
+	version       uint64 // Of this VM's own record.
+	leaving       bool
+	storeFailing  bool
+	recordChanged bool
+	announceAt    time.Duration // Zero: no repeated announcement is due.
+	claimedAt     time.Duration
+
+	heartbeatAt  time.Duration
+	watchers     []string // VMs that this VM sends heartbeats to.
+	watched      map[string]*watch
+	watchesStale bool
+
+	counted   map[vote]time.Duration
+	overruled map[vote]time.Duration
+}
+
+// New returns a machine that knows only itself.
+func New(options Options) *Machine {
+	m := &Machine{
+		options:       options,
+		members:       make(map[string]*member),
+		recordChanged: true,
+		watched:       make(map[string]*watch),
+		counted:       make(map[vote]time.Duration),
+		overruled:     make(map[vote]time.Duration),
+	}
+	m.add(options.Self.Name).vm = options.Self
+	return m
+}
+
+// Step takes one input at elapsed time now.
+func (m *Machine) Step(now time.Duration, input Input) {
+	m.start(now)
+	switch in := input.(type) {
+	case Listed:
+		m.takeList(in.VMs)
+	case Heard:
+		m.hear(now, in)
+	case RecordChanged:
+		m.takeRecord(now, in.Document)
+	case ZoneHeard:
+		m.takeZone(in)
+	case StoreFailing:
+		m.recordChanged = m.recordChanged || m.storeFailing != in.Failing
+		m.storeFailing = in.Failing
+	case Leave:
+		m.recordChanged = m.recordChanged || !m.leaving
+		m.leaving = true
+	}
+}
+
+// Tick lets time pass. It is due every few tens of milliseconds.
+func (m *Machine) Tick(now time.Duration) {
+	m.start(now)
+	m.noticePause(now)
+	m.lastTick = now
+	if m.announceAt != 0 && now >= m.announceAt {
+		m.announceAt = 0
+		m.recordChanged = true
+	}
+	m.judge(now)
+	m.refreshWatches(now)
+	m.sendHeartbeats(now)
+	m.checkWatched(now)
+	m.publishRecord()
+	m.forgetGone(now)
+}
+
+// Ready returns and clears what is to be done.
+func (m *Machine) Ready() Ready {
+	ready := m.ready
+	m.ready = Ready{}
+	return ready
+}
+
+// Members returns all members sorted by name, this VM included.
+func (m *Machine) Members() []Member {
+	members := make([]Member, 0, len(m.names))
+	for _, name := range m.names {
+		if strings.HasPrefix(name, SeedPrefix) {
+			continue
+		}
+		row := m.members[name]
+		self := name == m.options.Self.Name
+		answers := row.record != nil && !row.suspected && !row.condemned && !row.zoneSilent
+		members = append(members, Member{
+			Name:         name,
+			Region:       row.vm.Region,
+			Zone:         row.vm.Zone,
+			Peer:         row.vm.Peer,
+			Alive:        self || answers,
+			Condemned:    row.condemned && !self,
+			Suspected:    row.suspected && !self,
+			Leaving:      row.leaving() || (self && m.leaving),
+			Known:        self || row.record != nil,
+			StoreFailing: row.record.GetStoreFailing(),
+		})
+	}
+	return members
+}
+
+// Candidates returns every VM that may be asked for documents, those that
+// were never heard and the seeds included, sorted by name.
+func (m *Machine) Candidates() []platform.VM {
+	candidates := make([]platform.VM, 0, len(m.names))
+	for _, name := range m.names {
+		candidates = append(candidates, m.members[name].vm)
+	}
+	return candidates
+}
+
+func (m *Machine) start(now time.Duration) {
+	if m.running {
+		return
+	}
+	m.running = true
+	m.started = now
+	m.lastTick = now
+	m.watchesStale = true
+}
+
+// add returns the row of a name, created if it is new.
+func (m *Machine) add(name string) *member {
+	if row, present := m.members[name]; present {
+		return row
+	}
+	row := &member{vm: platform.VM{Name: name}}
+	m.members[name] = row
+	i, _ := slices.BinarySearch(m.names, name)
+	m.names = slices.Insert(m.names, i, name)
+	m.changed()
+	return row
+}
+
+func (m *Machine) remove(name string) {
+	delete(m.members, name)
+	if i, present := slices.BinarySearch(m.names, name); present {
+		m.names = slices.Delete(m.names, i, i+1)
+	}
+	m.changed()
+}
+
+// changed notes that members or their states differ from what was told.
+func (m *Machine) changed() {
+	m.ready.MembersChanged = true
+	m.watchesStale = true
+}
+
+func (m *Machine) event(number event.Number, cause string, nameValue ...string) {
+	m.ready.Events = append(m.ready.Events, event.New(number, cause, nameValue...))
+}
+
+func (m *Machine) send(to string, message *fleetv1.ExchangeRequest) {
+	m.ready.Messages = append(m.ready.Messages, Outbound{To: to, Message: message})
+}
+
+// publishRecord writes this VM's own record when it changed.
+func (m *Machine) publishRecord() {
+	if !m.recordChanged {
+		return
+	}
+	m.recordChanged = false
+	m.version++
+	self := m.options.Self
+	record := &fleetv1.MemberRecord{
+		Name: self.Name, Region: self.Region, Zone: self.Zone, Peer: self.Peer,
+		Boot: m.options.Boot, Leaving: m.leaving, StoreFailing: m.storeFailing,
+		Accusations: m.accusations(),
+	}
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(record)
+	if err != nil {
+		return
+	}
+	m.ready.Publish = append(m.ready.Publish, document.Document{
+		Key: RecordPrefix + self.Name, Version: m.version, Value: value,
+	})
+}
--- a/fleet/role/role.go
+++ b/fleet/role/role.go
@@ -5,17 +5,27 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"guavacrank.example/platform"
 )
 
+const (
+	// DefaultTimeToLive is the life of a role's lease.
+	DefaultTimeToLive = 10 * time.Second
+	// callTimeout bounds one call to the store.
+	callTimeout = 2 * time.Second
+)
+
 // Options configures an Elector.
 type Options struct {
 	Store platform.Store
 	// Role is the role's name; the key is platform.RolePrefix + Role.
 	Role string
-	// Holder is this VM's name.
+	// Holder is this VM's name; it becomes the key's value.
 	Holder string
 	// TimeToLive is the life of the lease; zero takes DefaultTimeToLive.
 	TimeToLive time.Duration
@@ -25,22 +35,151 @@
 	OnChange func(held bool)
 }
 
-// DefaultTimeToLive is the life of a role's lease.
-const DefaultTimeToLive = 10 * time.Second
-
 // Elector competes for one role.
 type Elector struct {
 	options Options
+
+	mu      sync.Mutex
+	machine *Machine
+	lease   platform.LeaseID
+	told    bool
 }
 
 // New returns an elector; nothing runs until Run.
-func New(options Options) *Elector { return &Elector{options: options} }
+func New(options Options) *Elector {
+	if options.TimeToLive == 0 {
+		options.TimeToLive = DefaultTimeToLive
+	}
+	seed := xxhash.Sum64String(options.Role + "|" + options.Holder)
+	return &Elector{options: options, machine: NewMachine(options.TimeToLive, seed)}
+}
 
 // Run competes for the role until ctx ends, then gives it up.
 func (e *Elector) Run(ctx context.Context) error {
-	<-ctx.Done()
+	defer e.release()
+	for ctx.Err() == nil {
+		action, until := e.next()
+		switch action {
+		case Claim:
+			e.claim(ctx)
+		case KeepAlive:
+			e.keepAlive(ctx)
+		case Wait:
+			wait(ctx, until-e.options.Clock())
+		}
+		e.tell()
+	}
 	return nil
 }
 
 // Held reports whether this VM holds the role at this instant.
-func (e *Elector) Held() bool { return false }
+func (e *Elector) Held() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.machine.Held(e.options.Clock())
+}
+
+func (e *Elector) next() (Action, time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.machine.Next(e.options.Clock())
+}
+
+// claim takes the role if its key is free. A write whose outcome is unknown
+// is settled by reading back the lease, which is unique.
+func (e *Elector) claim(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key := platform.RolePrefix + e.options.Role
+	if _, err := e.options.Store.Get(ctx, key); !platform.IsKind(err, platform.KindNotFound) {
+		e.claimed(0, false)
+		return
+	}
+	sentAt := e.options.Clock()
+	lease, err := e.options.Store.GrantLease(ctx, e.options.TimeToLive)
+	if err != nil {
+		e.claimed(sentAt, false)
+		return
+	}
+	_, err = e.options.Store.CompareAndSwap(ctx, key, 0, []byte(e.options.Holder), lease)
+	won := err == nil || (platform.IsUnknown(err) && e.ownsKey(ctx, key, lease))
+	if won {
+		e.setLease(lease)
+	} else {
+		_ = e.options.Store.Revoke(ctx, lease)
+	}
+	e.claimed(sentAt, won)
+}
+
+func (e *Elector) ownsKey(ctx context.Context, key string, lease platform.LeaseID) bool {
+	entry, err := e.options.Store.Get(ctx, key)
+	return err == nil && entry.Lease == lease
+}
+
+func (e *Elector) claimed(sentAt time.Duration, won bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.machine.Claimed(sentAt, e.options.Clock(), won)
+}
+
+func (e *Elector) setLease(lease platform.LeaseID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lease = lease
+}
+
+func (e *Elector) keepAlive(ctx context.Context) {
+	sentAt := e.options.Clock()
+	ctx, cancel := context.WithTimeout(ctx, min(callTimeout, e.remaining(sentAt)))
+	defer cancel()
+	err := e.options.Store.KeepAlive(ctx, e.lease)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	lost := platform.IsKind(err, platform.KindNotFound)
+	e.machine.KeptAlive(sentAt, e.options.Clock(), err == nil, lost)
+}
+
+// remaining returns how long the role is still held without a renewal.
+func (e *Elector) remaining(now time.Duration) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.machine.Until() - now
+}
+
+// tell reports a change to the owner.
+func (e *Elector) tell() {
+	held := e.Held()
+	if held == e.told {
+		return
+	}
+	e.told = held
+	if e.options.OnChange != nil {
+		e.options.OnChange(held)
+	}
+}
+
+// release gives the role up and frees its key for others.
+func (e *Elector) release() {
+	held := e.Held()
+	e.mu.Lock()
+	e.machine.Release()
+	lease := e.lease
+	e.mu.Unlock()
+	e.tell()
+	if !held {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_ = e.options.Store.Revoke(ctx, lease)
+}
+
+// wait waits for a duration or until ctx ends.
+func wait(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/fleet/spread/topology.go
@@ -0,0 +1,119 @@
+package spread
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// relay is the VM that brings documents into one availability zone.
+type relay struct {
+	region, zone string
+	peer         Peer
+	weight       uint64
+}
+
+// topology is the membership as a tree: regions, zones, VMs.
+type topology struct {
+	self  Peer
+	peers []Peer // Sorted by name, self included.
+	index map[string]int
+	// zoneRelay and regionRelay are those of this VM's zone and region.
+	zoneRelay, regionRelay string
+}
+
+func newTopology(self Peer, peers []Peer) *topology {
+	t := &topology{self: self, peers: peers, index: make(map[string]int, len(peers))}
+	for i, peer := range peers {
+		t.index[peer.Name] = i
+		if peer.Name == self.Name {
+			t.self = peer
+		}
+	}
+	relays := t.relays(func(string) bool { return false })
+	t.zoneRelay = zoneRelay(relays, t.self.Region, t.self.Zone)
+	t.regionRelay = regionRelay(relays, t.self.Region)
+	return t
+}
+
+func (t *topology) peer(name string) (Peer, bool) {
+	i, present := t.index[name]
+	if !present {
+		return Peer{}, false
+	}
+	return t.peers[i], true
+}
+
+// relays returns one relay for each zone that has a usable VM, sorted by
+// region and zone. It is the first in rendezvous order, so that VMs with the
+// same view agree without an election.
+func (t *topology) relays(skip func(name string) bool) []relay {
+	var found []relay
+	for _, peer := range t.peers {
+		if !peer.Usable || skip(peer.Name) {
+			continue
+		}
+		candidate := relay{region: peer.Region, zone: peer.Zone, peer: peer, weight: rendezvous(peer.Zone, peer.Name)}
+		i, present := slices.BinarySearchFunc(found, candidate, compareZones)
+		if !present {
+			found = slices.Insert(found, i, candidate)
+			continue
+		}
+		if candidate.weight > found[i].weight {
+			found[i] = candidate
+		}
+	}
+	return found
+}
+
+func compareZones(a, b relay) int {
+	if order := strings.Compare(a.region, b.region); order != 0 {
+		return order
+	}
+	return strings.Compare(a.zone, b.zone)
+}
+
+// zoneRelay returns the name of the zone's relay, or "".
+func zoneRelay(relays []relay, region, zone string) string {
+	for _, r := range relays {
+		if r.region == region && r.zone == zone {
+			return r.peer.Name
+		}
+	}
+	return ""
+}
+
+// regionRelay returns the name of the zone relay that also crosses the link
+// and watches the store for its region, or "".
+func regionRelay(relays []relay, region string) string {
+	best, bestWeight, bestFailing := "", uint64(0), true
+	for _, r := range relays {
+		if r.region != region {
+			continue
+		}
+		weight := rendezvous(region, r.peer.Name)
+		better := best == "" || (bestFailing && !r.peer.StoreFailing) ||
+			(bestFailing == r.peer.StoreFailing && weight > bestWeight)
+		if better {
+			best, bestWeight, bestFailing = r.peer.Name, weight, r.peer.StoreFailing
+		}
+	}
+	return best
+}
+
+// regions returns the names of all regions, sorted.
+func (t *topology) regions() []string {
+	var names []string
+	for _, peer := range t.peers {
+		if i, present := slices.BinarySearch(names, peer.Region); !present {
+			names = slices.Insert(names, i, peer.Region)
+		}
+	}
+	return names
+}
+
+// rendezvous is the weight of a VM within a scope.
+func rendezvous(scope, name string) uint64 {
+	return xxhash.Sum64String(scope + "|" + name)
+}
