--- a/control/input.go
+++ b/control/input.go
@@ -23,6 +23,10 @@
 // Lower versions than the known one are ignored.
 type PageRead struct {
 	Service string
+	// Request is the Request of the PageReadRequest that this read of the store
+	// answers. It is zero for a page that came by a watch or from a peer, which
+	// may be out of date and confirms nothing.
+	Request uint64
 	Version uint64
 	Page    ownership.Page
 }
@@ -46,7 +50,8 @@
 	Version  uint64 // The new version, with WriteApplied.
 }
 
-// GrantAnswered answers a GrantSend. Reached is false when no answer came.
+// GrantAnswered answers a GrantSend. Reached is false when no answer came. Of
+// a server that does not check grants only Reached counts.
 type GrantAnswered struct {
 	Server   string
 	Sequence uint64
@@ -99,6 +104,17 @@
 	HotKeys []KeyLoad
 }
 
+// SendsFinished is the word of this VM's traffic that it has no request in
+// flight to Server for the given units, and that it starts none under any
+// routing of Generation or later. It matters for servers that do not check
+// grants; without it the machine waits until the longest deadline has passed.
+type SendsFinished struct {
+	Service    string
+	Server     string
+	Units      []ownership.UnitID
+	Generation uint64 // Routing.Generation that traffic had adopted before it counted.
+}
+
 // StopRequested starts the graceful hand-over of every term this VM holds.
 type StopRequested struct{}
 
@@ -110,4 +126,5 @@
 func (RoleChanged) isInput()           {}
 func (MessageReceived) isInput()       {}
 func (LoadMeasured) isInput()          {}
+func (SendsFinished) isInput()         {}
 func (StopRequested) isInput()         {}
--- a/control/output.go
+++ b/control/output.go
@@ -20,8 +20,12 @@
 	Released bool
 }
 
-// PageReadRequest asks for a fresh read of a page from the store, answered by PageRead.
-type PageReadRequest struct{ Service string }
+// PageReadRequest asks for a fresh read of a page from the store, answered by
+// PageRead with the same Request. Nothing is fed back when the read fails.
+type PageReadRequest struct {
+	Service string
+	Request uint64
+}
 
 // PageWrite asks for a compare-and-swap of a page, answered by PageWritten.
 type PageWrite struct {
@@ -31,10 +35,13 @@
 }
 
 // GrantSend asks for an order to a backend server, answered by GrantAnswered.
+// Of a server that does not check grants only whether it answers at all is
+// asked: the caller may use the health path instead of the grant path.
 type GrantSend struct {
-	Server  string
-	Address string
-	Order   backend.GrantOrder
+	Server       string
+	Address      string
+	ChecksGrants bool
+	Order        backend.GrantOrder
 }
 
 // Outbound is a message to another VM. It may be lost, delayed or repeated.
@@ -46,10 +53,40 @@
 // Message is what the machines of two VMs say to each other directly. Exactly
 // one field is set.
 type Message struct {
-	Stopped  *Stopped      `json:"stopped,omitempty"`
-	Query    *TermQuery    `json:"query,omitempty"`
-	Released *TermReleased `json:"released,omitempty"`
-	Load     *LoadMeasured `json:"load,omitempty"`
+	Stopped   *Stopped      `json:"stopped,omitempty"`
+	Query     *TermQuery    `json:"query,omitempty"`
+	Released  *TermReleased `json:"released,omitempty"`
+	Load      *LoadMeasured `json:"load,omitempty"`
+	LoadQuery *LoadQuery    `json:"load_query,omitempty"`
+	Heartbeat *Heartbeat    `json:"heartbeat,omitempty"`
+	HandOver  *HandOver     `json:"hand_over,omitempty"`
+	Notice    *PageNotice   `json:"notice,omitempty"`
+}
+
+// Heartbeat is what a grantor sends to the VM that is next to hold its terms.
+// Last says that no more follow, so that silence is no sign of a loss.
+type Heartbeat struct {
+	Last bool `json:"last,omitempty"`
+}
+
+// HandOver is the word of a grantor that is leaving: the receiver takes the
+// term above Term of Server while the sender still renews.
+type HandOver struct {
+	Service string         `json:"service"`
+	Server  string         `json:"server"`
+	Term    ownership.Term `json:"term"`
+}
+
+// PageNotice says that the store confirmed Version of a service's page, which
+// concerns the receiver.
+type PageNotice struct {
+	Service string `json:"service"`
+	Version uint64 `json:"version"`
+}
+
+// LoadQuery is the planner's request for the load that the receiver measured.
+type LoadQuery struct {
+	Service string `json:"service"`
 }
 
 // Stopped is the grantor's word that Server will never again serve Unit at an
