control/placement: policies as pure functions

Cause: planner, loss reassignment and benchmarks need one interface to choose owners. Conclusion: control can call Policy.Plan for losses, drains and rebalancing.

--- /dev/null
+++ b/control/placement/balanced.go
@@ -0,0 +1,137 @@
+package placement
+
+import "cmp"
+
+const (
+	// startImbalance is the imbalance from which Balanced moves units by choice.
+	startImbalance = 1.08
+	// stopImbalance is the imbalance at which it stops.
+	stopImbalance = 1.03
+	// noiseFactor is the number of standard errors that an imbalance must
+	// exceed before it causes a move.
+	noiseFactor = 3.0
+	// leastGain is the least share of the mean load by which a move by choice
+	// must lower the pair's greater load.
+	leastGain = 0.002
+)
+
+// Balanced moves the fewest units that bring the imbalance down. It does
+// nothing below a threshold (hysteresis) or within the noise of measurement.
+type Balanced struct{}
+
+// Name implements Policy.
+func (Balanced) Name() string { return "balanced" }
+
+// Plan implements Policy.
+func (Balanced) Plan(servers []Server, units []Unit, limits Limits) []Move {
+	t := newTable(servers, units)
+	moves := placeHomeless(t, units, t.lightest)
+	start := max(startImbalance, 1+noiseFactor*limits.Noise)
+	if t.imbalance() <= start {
+		return moves
+	}
+	for range limits.Moves {
+		if t.imbalance() <= stopImbalance {
+			break
+		}
+		move, found := t.bestMove()
+		if !found {
+			break
+		}
+		moves = append(moves, move)
+	}
+	return moves
+}
+
+// placeHomeless gives each unit without a place to the server that choose
+// returns, heaviest unit first. Units stay where they are if no server accepts.
+func placeHomeless(t *table, units []Unit, choose func(Unit) (int, bool)) []Move {
+	var moves []Move
+	for _, unit := range t.homeless(units) {
+		to, found := choose(unit)
+		if !found {
+			break
+		}
+		moves = append(moves, Move{Unit: unit.ID, From: unit.Owner, To: t.servers[to].Name})
+		t.add(to, unit)
+	}
+	return moves
+}
+
+// lightest returns the receiver that would be lightest with the unit; of equal
+// ones the one with fewer units for its capacity, then the first by position.
+func (t *table) lightest(unit Unit) (int, bool) {
+	best := -1
+	for _, i := range t.receivers() {
+		if best < 0 || t.lighterWith(unit, i, best) {
+			best = i
+		}
+	}
+	return best, best >= 0
+}
+
+func (t *table) lighterWith(unit Unit, a, b int) bool {
+	loadA := (t.load[a] + unit.Load) / t.servers[a].Capacity
+	loadB := (t.load[b] + unit.Load) / t.servers[b].Capacity
+	if byLoad := cmp.Compare(loadA, loadB); byLoad != 0 {
+		return byLoad < 0
+	}
+	countA := float64(t.count[a]) / t.servers[a].Capacity
+	countB := float64(t.count[b]) / t.servers[b].Capacity
+	return countA < countB
+}
+
+// bestMove carries out the move off the heaviest server with a movable unit
+// that leaves the heavier of the pair lightest.
+func (t *table) bestMove() (Move, bool) {
+	from, found := t.heaviest()
+	if !found {
+		return Move{}, false
+	}
+	bestTo, bestPosition := -1, -1
+	bestLoad := t.relative(from) - leastGain*t.mean()
+	for _, to := range t.receivers() {
+		if to == from || t.relative(to) >= t.relative(from) {
+			continue
+		}
+		position, heavier := t.bestUnit(from, to)
+		if position >= 0 && heavier < bestLoad {
+			bestTo, bestPosition, bestLoad = to, position, heavier
+		}
+	}
+	if bestTo < 0 {
+		return Move{}, false
+	}
+	unit := t.remove(from, bestPosition)
+	t.add(bestTo, unit)
+	return Move{Unit: unit.ID, From: t.servers[from].Name, To: t.servers[bestTo].Name}, true
+}
+
+// heaviest returns the server with the greatest relative load.
+func (t *table) heaviest() (int, bool) {
+	best := -1
+	for i, server := range t.servers {
+		if server.Keeps && (best < 0 || t.relative(i) > t.relative(best)) {
+			best = i
+		}
+	}
+	return best, best >= 0
+}
+
+// bestUnit returns the position of the unit of server from whose move to
+// server to leaves the heavier of the two lightest, and that load.
+func (t *table) bestUnit(from, to int) (position int, heavier float64) {
+	position = -1
+	for i, unit := range t.units[from] {
+		if unit.Fixed || unit.Load <= 0 {
+			continue
+		}
+		left := (t.load[from] - unit.Load) / t.servers[from].Capacity
+		right := (t.load[to] + unit.Load) / t.servers[to].Capacity
+		load := max(left, right)
+		if position < 0 || load < heavier {
+			position, heavier = i, load
+		}
+	}
+	return position, heavier
+}
