control/load: estimates of unit loads and hot keys

Cause: placement needs measured loads with a known error. Change: windowed counts with exponential smoothing, the relative standard error of a server's load, and a tracker of hot and cold keys with hysteresis. Conclusion: the planner can bound its moves by the noise of its own measurement.

--- /dev/null
+++ b/control/load/hotkeys.go
@@ -0,0 +1,104 @@
+package load
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// windowsToIsolate is how many windows in a row a key must be hot.
+	windowsToIsolate = 2
+	// windowsToMerge is how many windows in a row an isolated key must be cold.
+	windowsToMerge = 60
+	// coldFraction is the part of the hot share below which a key is cold.
+	coldFraction = 0.25
+	// maxTracked bounds the keys that are tracked, most frequent first.
+	maxTracked = 4096
+	// minRequests is the least requests of a key in a window that say anything.
+	minRequests = 20
+)
+
+// HotKeys tracks frequent keys of one service over windows.
+type HotKeys struct {
+	counts map[string]uint64 // Requests in the open window.
+	keys   map[string]*keyState
+}
+
+type keyState struct {
+	hotWindows  int
+	coldWindows int
+	share       float64 // Of the service's requests in the last window.
+}
+
+// NewHotKeys returns an empty tracker.
+func NewHotKeys() *HotKeys {
+	return &HotKeys{counts: make(map[string]uint64), keys: make(map[string]*keyState)}
+}
+
+// Add counts requests of a frequent key in the open window.
+func (h *HotKeys) Add(key string, requests uint32) {
+	if _, known := h.counts[key]; !known && len(h.counts) >= maxTracked {
+		return
+	}
+	h.counts[key] += uint64(requests)
+}
+
+// Roll closes a window of the given length in which the service had
+// requestsPerSecond, and judges every key by the hot share (0 to 1).
+func (h *HotKeys) Roll(length time.Duration, requestsPerSecond, hotShare float64) {
+	total := requestsPerSecond * length.Seconds()
+	for key := range h.counts {
+		if h.keys[key] == nil {
+			h.keys[key] = &keyState{}
+		}
+	}
+	for key, state := range h.keys {
+		state.roll(h.counts[key], total, hotShare)
+		if state.coldWindows > windowsToMerge {
+			delete(h.keys, key)
+		}
+	}
+	clear(h.counts)
+}
+
+func (s *keyState) roll(requests uint64, total, hotShare float64) {
+	s.share = 0
+	if total > 0 {
+		s.share = float64(requests) / total
+	}
+	if requests >= minRequests && s.share >= hotShare {
+		s.hotWindows++
+	} else {
+		s.hotWindows = 0
+	}
+	if s.share < hotShare*coldFraction {
+		s.coldWindows++
+	} else {
+		s.coldWindows = 0
+	}
+}
+
+// Hot returns the keys that have been hot long enough to be isolated, hottest first.
+func (h *HotKeys) Hot() []string {
+	var found []string
+	for key, state := range h.keys {
+		if state.hotWindows >= windowsToIsolate {
+			found = append(found, key)
+		}
+	}
+	slices.SortFunc(found, func(a, b string) int {
+		if byShare := cmp.Compare(h.keys[b].share, h.keys[a].share); byShare != 0 {
+			return byShare
+		}
+		return cmp.Compare(a, b)
+	})
+	return found
+}
+
+// Cold reports whether an isolated key has been cold long enough to return to
+// its shard. A key that was never reported is cold.
+func (h *HotKeys) Cold(key string) bool {
+	state := h.keys[key]
+	return state == nil || state.coldWindows >= windowsToMerge
+}
--- /dev/null
+++ b/control/load/table.go
@@ -0,0 +1,100 @@
+// Package load estimates the work of units and frequent keys from what the
+// VMs' own traffic counted. Reports of backend servers are not used: they lag
+// and may mislead.
+//
+// Counts are added up over windows of fixed length and smoothed over several
+// windows. The package is pure: the caller passes the time in.
+package load
+
+import (
+	"math"
+	"time"
+
+	"guavacrank.example/control/ownership"
+)
+
+const (
+	// Window is the length of one counting window.
+	Window = 5 * time.Second
+	// smoothing is the weight of the newest window in the estimate.
+	smoothing = 0.4
+)
+
+// Table estimates the requests a second of each unit of one service.
+type Table struct {
+	windowEnd time.Duration
+	counts    []uint64  // Requests in the open window, by unit.
+	rates     []float64 // Smoothed requests a second, by unit.
+	windows   int       // Closed windows.
+}
+
+// NewTable returns an empty table whose first window opens at now.
+func NewTable(now time.Duration) *Table {
+	return &Table{windowEnd: now + Window}
+}
+
+// Add counts requests of a unit in the open window.
+func (t *Table) Add(unit ownership.UnitID, requests uint32) {
+	t.grow(int(unit) + 1)
+	t.counts[unit] += uint64(requests)
+}
+
+// Roll closes the window if it has ended, and reports whether it did. A
+// window that ended long ago counts once.
+func (t *Table) Roll(now time.Duration) bool {
+	if now < t.windowEnd {
+		return false
+	}
+	length := Window + now - t.windowEnd
+	weight := smoothing
+	if t.windows == 0 {
+		weight = 1
+	}
+	for unit, count := range t.counts {
+		rate := float64(count) / length.Seconds()
+		t.rates[unit] += weight * (rate - t.rates[unit])
+		t.counts[unit] = 0
+	}
+	t.windows++
+	t.windowEnd = now + Window
+	return true
+}
+
+// Known reports whether at least one window was closed.
+func (t *Table) Known() bool { return t.windows > 0 }
+
+// Rate returns the unit's estimated requests a second.
+func (t *Table) Rate(unit ownership.UnitID) float64 {
+	if int(unit) >= len(t.rates) {
+		return 0
+	}
+	return t.rates[unit]
+}
+
+// Total returns the service's estimated requests a second.
+func (t *Table) Total() float64 {
+	total := 0.0
+	for _, rate := range t.rates {
+		total += rate
+	}
+	return total
+}
+
+// Noise returns the relative standard error of the estimated load of one of
+// servers equally loaded servers, for arrivals that are independent.
+func (t *Table) Noise(servers int) float64 {
+	// Exponential smoothing with weight w averages over (2-w)/w windows.
+	const windowsAveraged = (2 - smoothing) / smoothing
+	requests := t.Total() * Window.Seconds() * windowsAveraged / float64(max(servers, 1))
+	if requests <= 0 {
+		return math.Inf(1)
+	}
+	return 1 / math.Sqrt(requests)
+}
+
+func (t *Table) grow(length int) {
+	for len(t.counts) < length {
+		t.counts = append(t.counts, 0)
+		t.rates = append(t.rates, 0)
+	}
+}
