--- /dev/null
+++ b/control/inputs.go
@@ -0,0 +1,217 @@
+package control
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"guavacrank.example/config"
+	"guavacrank.example/control/load"
+	"guavacrank.example/control/ownership"
+	"guavacrank.example/event"
+)
+
+// PlannerRole returns the name of the role whose holder plans for a service.
+func PlannerRole(service string) string { return "planner/" + service }
+
+func (m *Machine) acceptConfiguration(in ConfigurationAccepted) {
+	if in.Configuration == nil || in.Revision <= m.revision {
+		return
+	}
+	m.revision = in.Revision
+	m.defaults = in.Configuration.Defaults
+	m.acceptLost(in.Configuration.Lost)
+	for _, s := range m.services {
+		s.configured = false
+		for _, sv := range s.servers {
+			sv.configured = false
+		}
+	}
+	for _, declared := range in.Configuration.Services {
+		if declared.DividedByKey {
+			m.acceptService(declared, in.Configuration.Servers)
+		}
+	}
+	m.ready.RoutingChanged = true
+}
+
+func (m *Machine) acceptLost(declared []config.Lost) {
+	next := make(lostTable, len(declared))
+	for _, lost := range declared {
+		what := config.Lost{Kind: lost.Kind, Name: lost.Name}
+		next[what] = m.now
+		if at, known := m.lost[what]; known {
+			next[what] = at
+		}
+	}
+	m.lost = next
+}
+
+func (m *Machine) acceptService(declared config.Service, servers []config.Server) {
+	i, found := m.serviceIndex(declared.Name)
+	if !found {
+		m.services = slices.Insert(m.services, i, newService(declared.Name, m.now))
+		m.services[i].planner = m.roles[PlannerRole(declared.Name)]
+	}
+	s := m.services[i]
+	s.configured = true
+	s.config = declared
+	s.plan.due = true
+	for _, configured := range servers {
+		if configured.Service == declared.Name {
+			sv := s.ensureServer(configured.Name)
+			sv.config = configured
+			sv.configured = true
+		}
+	}
+	if s.version != 0 && declared.Shards != int(s.page.Shards) {
+		m.emit(event.ShardsChangeRefused, "the page was created with another number of shards",
+			"service", s.name, "page", strconv.Itoa(int(s.page.Shards)), "configuration", strconv.Itoa(declared.Shards))
+	}
+}
+
+func newService(name string, now time.Duration) *service {
+	return &service{
+		name:       name,
+		owned:      make(map[string][]ownership.UnitID),
+		leaving:    make(map[string][]ownership.UnitID),
+		seen:       make(map[ownership.UnitID]departure),
+		told:       make(map[ownership.UnitID]notification),
+		stopped:    make(map[ownership.UnitID]ownership.Epoch),
+		localUnits: make(map[ownership.UnitID]uint32),
+		localKeys:  make(map[string]uint32),
+		localSince: now,
+		loadTable:  load.NewTable(now),
+		hotKeys:    load.NewHotKeys(),
+	}
+}
+
+func (m *Machine) readPage(in PageRead) {
+	s := m.service(in.Service)
+	if s == nil {
+		return
+	}
+	if in.Request != 0 && in.Request == s.readPending {
+		m.readAnswered(s)
+	}
+	if in.Version > s.version {
+		m.adoptPage(s, in.Version, in.Page)
+	}
+}
+
+// adoptPage takes a newer page in, unless it is unsound.
+func (m *Machine) adoptPage(s *service, version uint64, page ownership.Page) {
+	err := page.Check()
+	if err == nil && s.version != 0 {
+		err = s.page.CheckSuccessor(&page)
+	}
+	if err != nil {
+		if s.fault == "" {
+			m.emit(event.PageRefused, err.Error(), "service", s.name, "version", strconv.FormatUint(version, 10))
+		}
+		s.fault = err.Error()
+		return
+	}
+	previous := s.page
+	s.fault = ""
+	s.version = version
+	s.page = page.Clone()
+	s.plan.due = true
+	m.settleByPage(s, &previous)
+	m.indexPage(s)
+	m.ready.RoutingChanged = true
+}
+
+// indexPage rebuilds what is derived from the page.
+func (m *Machine) indexPage(s *service) {
+	clear(s.owned)
+	clear(s.leaving)
+	for id, told := range s.told {
+		if unit := s.page.Unit(id); unit == nil || unit.Previous == "" || unit.Epoch != told.epoch {
+			delete(s.told, id)
+		}
+	}
+	for _, unit := range s.page.Units {
+		s.owned[unit.Owner] = append(s.owned[unit.Owner], unit.ID)
+		if unit.Previous != "" {
+			s.leaving[unit.Previous] = append(s.leaving[unit.Previous], unit.ID)
+			m.noteDeparture(s, unit)
+			continue
+		}
+		delete(s.seen, unit.ID)
+		delete(s.stopped, unit.ID)
+	}
+	for _, entry := range s.page.Servers {
+		m.noteTerm(s, s.ensureServer(entry.Name), entry)
+	}
+	for _, sv := range s.servers {
+		sv.set.valid = false
+	}
+}
+
+func (m *Machine) noteDeparture(s *service, unit ownership.Unit) {
+	if s.seen[unit.ID].epoch == unit.Epoch {
+		return
+	}
+	s.seen[unit.ID] = departure{epoch: unit.Epoch, version: s.version, at: m.now, generation: m.routing.Generation + 1}
+}
+
+// noteTerm follows which terms this VM holds.
+func (m *Machine) noteTerm(s *service, sv *server, entry ownership.Server) {
+	held := entry.Grantor == m.options.Self
+	switch {
+	case held && sv.heldTerm != entry.Term:
+		if sv.heldTerm == 0 {
+			sv.heldSince = m.now
+		}
+		sv.heldTerm = entry.Term
+		sv.handOver = 0
+		m.emit(event.TermTaken, s.page.Cause, "service", s.name, "server", sv.name, "term", strconv.FormatUint(uint64(entry.Term), 10))
+	case !held && sv.heldTerm != 0:
+		m.emit(event.TermLost, s.page.Cause, "service", s.name, "server", sv.name, "grantor", entry.Grantor)
+		sv.heldTerm = 0
+		sv.lostTerm = true
+		sv.lostAt = m.now
+		sv.homeUntil = 0
+		sv.sendsStopped = false
+		sv.successor = ""
+	}
+	if sv.seenTerm != entry.Term {
+		sv.seenTerm = entry.Term
+		sv.suspected = false
+	}
+}
+
+func (m *Machine) changeRole(in RoleChanged) {
+	m.roles[in.Role] = in.Held
+	name, isPlanner := strings.CutPrefix(in.Role, PlannerRole(""))
+	if !isPlanner {
+		return
+	}
+	if s := m.service(name); s != nil {
+		s.planner = in.Held
+		s.plan.due = true
+	}
+}
+
+func (m *Machine) finishSends(in SendsFinished) {
+	s := m.service(in.Service)
+	if s == nil {
+		return
+	}
+	sv := s.server(in.Server)
+	if sv == nil {
+		return
+	}
+	if len(in.Units) == 0 && sv.sendsStopped && in.Generation >= sv.stopGeneration {
+		sv.sendsIdle = true
+	}
+	for _, id := range s.leaving[in.Server] {
+		seen := s.seen[id]
+		if in.Generation >= seen.generation && (len(in.Units) == 0 || slices.Contains(in.Units, id)) {
+			seen.idle = true
+			s.seen[id] = seen
+		}
+	}
+}
--- /dev/null
+++ b/control/machine.go
@@ -0,0 +1,174 @@
+package control
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"guavacrank.example/config"
+	"guavacrank.example/event"
+)
+
+// Options set up a Machine.
+type Options struct {
+	// Self is the name of this VM; at most one running daemon has it.
+	Self   string
+	Region string
+	Zone   string
+	// Incarnation is unique for each start of the process. It makes the change
+	// identifiers of page writes unique.
+	Incarnation string
+}
+
+// Machine is the control plane of one VM. It is not safe for concurrent use.
+type Machine struct {
+	options Options
+	now     time.Duration
+	started bool
+	// startedAt is the time of the first call; grants of an earlier process on
+	// this VM rest on answers received before it.
+	startedAt time.Duration
+	// resumedAt is the start or the end of the newest pause. A page confirmed
+	// before it is not acted on.
+	resumedAt time.Duration
+	revision  config.Revision
+	defaults  config.Defaults
+	services  []*service // Sorted by name.
+	members   memberTable
+	lost      lostTable
+	roles     map[string]bool
+	stopping  bool
+	requests  uint64
+	changes   uint64
+	ready     Ready
+	routing   Routing
+	disabled  rules
+}
+
+// New returns a Machine that knows nothing yet.
+func New(options Options) *Machine {
+	m := &Machine{options: options, roles: make(map[string]bool)}
+	m.members.init()
+	return m
+}
+
+// Step takes in one input that arrived at now. The systems run on the next Tick.
+func (m *Machine) Step(now time.Duration, in Input) {
+	m.advance(now)
+	switch in := in.(type) {
+	case ConfigurationAccepted:
+		m.acceptConfiguration(in)
+	case PageRead:
+		m.readPage(in)
+	case PageWritten:
+		m.settleWrite(in)
+	case GrantAnswered:
+		m.receiveAnswer(in)
+	case MembersChanged:
+		m.members.replace(in.Members)
+	case RoleChanged:
+		m.changeRole(in)
+	case MessageReceived:
+		m.receiveMessage(in)
+	case LoadMeasured:
+		m.addLocalLoad(in)
+	case SendsFinished:
+		m.finishSends(in)
+	case StopRequested:
+		m.stopping = true
+	}
+}
+
+// systems run over the tables in this order on each tick.
+var systems = []func(*Machine){
+	(*Machine).runReads,
+	(*Machine).runBootstrap,
+	(*Machine).runRenewal,
+	(*Machine).runHomes,
+	(*Machine).runStopConfirmation,
+	(*Machine).runLoss,
+	(*Machine).runTakeover,
+	(*Machine).runTermQueries,
+	(*Machine).runHandOver,
+	(*Machine).runServers,
+	(*Machine).runPlanner,
+	(*Machine).runHeartbeats,
+	(*Machine).runWrites,
+	(*Machine).runRouting,
+}
+
+// Tick runs the systems at now. Call it after each batch of inputs, and at
+// least every TickInterval.
+func (m *Machine) Tick(now time.Duration) {
+	m.advance(now)
+	for _, run := range systems {
+		run(m)
+	}
+}
+
+// Ready returns what is to be done since the last call.
+func (m *Machine) Ready() Ready {
+	ready := m.ready
+	m.ready = Ready{}
+	return ready
+}
+
+// advance moves the clock, and notices a pause of the process or the VM.
+func (m *Machine) advance(now time.Duration) {
+	if !m.started {
+		m.started = true
+		m.startedAt = now
+		m.resumedAt = now
+		m.now = now
+		return
+	}
+	if now <= m.now {
+		return
+	}
+	paused := now-m.now >= m.timeToLive()
+	previous := m.now
+	m.now = now
+	if paused {
+		m.resume(now - previous)
+	}
+}
+
+// resume makes every page and every server unconfirmed after a pause.
+func (m *Machine) resume(length time.Duration) {
+	m.resumedAt = m.now
+	m.members.resume(m.now)
+	for _, s := range m.services {
+		for _, sv := range s.servers {
+			sv.unconfirmed = true
+			sv.homeUntil = 0
+		}
+	}
+	m.emit(event.Paused, "gap between two ticks", "length", length.String())
+}
+
+// service returns the table of a service divided by key, or nil.
+func (m *Machine) service(name string) *service {
+	i, found := m.serviceIndex(name)
+	if !found {
+		return nil
+	}
+	return m.services[i]
+}
+
+func (m *Machine) serviceIndex(name string) (int, bool) {
+	return slices.BinarySearchFunc(m.services, name, func(s *service, name string) int {
+		return strings.Compare(s.name, name)
+	})
+}
+
+func (m *Machine) emit(number event.Number, cause string, nameValue ...string) {
+	if len(m.ready.Events) < maxEvents {
+		m.ready.Events = append(m.ready.Events, event.New(number, cause, nameValue...))
+	}
+}
+
+func (m *Machine) send(to string, message Message) {
+	if to != "" && to != m.options.Self {
+		m.ready.Messages = append(m.ready.Messages, Outbound{To: to, Message: message})
+	}
+}
--- /dev/null
+++ b/control/settings.go
@@ -0,0 +1,102 @@
+package control
+
+import (
+	"time"
+
+	"guavacrank.example/backend"
+)
+
+// TickInterval is the longest time between two calls of Tick.
+const TickInterval = 20 * time.Millisecond
+
+const (
+	// defaultClockMargin is the rate error of a clock in parts of a million.
+	defaultClockMargin = 1000
+	// clockRounding covers the rounding of two clock readings to milliseconds.
+	clockRounding = 2 * time.Millisecond
+	// resendInterval is the time after which a changed set is sent again.
+	resendInterval = 100 * time.Millisecond
+	// helloInterval is the time between two hellos to a server before its term
+	// is taken.
+	helloInterval = 100 * time.Millisecond
+	// helloValid is how long an answered hello shows that a server is in reach.
+	helloValid = time.Second
+	// lostInterval is the time between two hellos to a server found lost.
+	lostInterval = 500 * time.Millisecond
+	// takeoverStagger separates the VMs that are next to hold a term.
+	takeoverStagger = 150 * time.Millisecond
+	// regainHold keeps a VM from taking back a term that it just lost.
+	regainHold = 10 * time.Second
+	// heartbeatInterval and heartbeatTimeout bound the detection of a lost
+	// grantor by the VM that is next, within the remaining life of its grants.
+	heartbeatInterval = 150 * time.Millisecond
+	heartbeatTimeout  = 480 * time.Millisecond
+	// queryInterval is the time between two term queries.
+	queryInterval = 300 * time.Millisecond
+	// handOverInterval is the time between two requests to take a term over.
+	handOverInterval = 200 * time.Millisecond
+	// handOverPatience is the time after which another VM is asked.
+	handOverPatience = time.Second
+	// misplacedHold is how long a better VM must have been alive before a term
+	// is handed over to it.
+	misplacedHold = 30 * time.Second
+	// storeFresh is the age up to which a read shows that the store answers.
+	storeFresh = time.Second
+	// readTimeout is the time after which an unanswered read is repeated.
+	readTimeout = 500 * time.Millisecond
+	// writeTimeout is the time after which the outcome of a write is unknown.
+	writeTimeout = time.Second
+	// minBackoff and maxBackoff bound the delay of a repeated write or read.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 2 * time.Second
+	// refreshInterval is the least time between two reads that nothing asked for.
+	refreshInterval = 5 * time.Second
+	// refreshPerMember lengthens refreshInterval, so that the rate of reads at
+	// the store does not grow with the fleet.
+	refreshPerMember = 20 * time.Millisecond
+	// tidyDelay is how long changes without urgency are collected for one write.
+	tidyDelay = 100 * time.Millisecond
+	// formerTidyDelay is the same for the names of former grantors.
+	formerTidyDelay = 5 * time.Second
+	// loadInterval is the time between two load queries of a planner.
+	loadInterval = 2500 * time.Millisecond
+)
+
+const (
+	maxEvents         = 1000 // Events between two calls of Ready.
+	maxOrders         = 16   // Unanswered orders remembered for each server.
+	maxLoadEntries    = 4096 // Units or keys in one load message.
+	maxOverrides      = 2048 // Overrides of one page.
+	maxSplitsPerWrite = 64   // Keys isolated by one page write.
+	defaultMoves      = 60   // Planned moves a minute by choice.
+)
+
+// timeToLive is the life of a grant on the server's clock.
+func (m *Machine) timeToLive() time.Duration {
+	if m.defaults.GrantTimeToLive > 0 {
+		return m.defaults.GrantTimeToLive
+	}
+	return backend.GrantTimeToLive
+}
+
+// sendInterval is the time between two orders to a server. An order rests on
+// the clock reading of the answer before it, so two orders are sent in each
+// renewal interval.
+func (m *Machine) sendInterval() time.Duration {
+	if m.defaults.RenewInterval > 0 {
+		return m.defaults.RenewInterval / 2
+	}
+	return m.timeToLive() / 6
+}
+
+// grantLife is the longest time, on this VM's clock, from the receipt of the
+// answer that an order rests on to the end of the grant at the server.
+func (m *Machine) grantLife() time.Duration {
+	margin := m.defaults.ClockRateMargin
+	if margin == 0 {
+		margin = defaultClockMargin
+	}
+	life := m.timeToLive()
+	// Both clocks may be off, in opposite directions.
+	return life + life*time.Duration(2*margin)/1_000_000 + clockRounding
+}
--- /dev/null
+++ b/control/system_handover.go
@@ -0,0 +1,194 @@
+package control
+
+import (
+	"time"
+
+	"guavacrank.example/control/ownership"
+	"guavacrank.example/event"
+)
+
+// runHandOver asks other VMs to take the terms of this VM: all of them before
+// it stops, and those of servers for which a better placed VM is there. This
+// VM renews until the server refuses its term, so nothing is unavailable.
+func (m *Machine) runHandOver() {
+	held := false
+	for _, s := range m.services {
+		for _, sv := range s.servers {
+			if !m.holds(s, sv) {
+				held = held || m.wordAwaited(s, sv)
+				continue
+			}
+			if m.stopping {
+				held = held || !m.nothingToHandOver(s, sv)
+				m.askSuccessor(s, sv)
+			} else if m.misplaced(sv) {
+				m.askSuccessor(s, sv)
+			} else {
+				sv.successor = ""
+			}
+		}
+	}
+	m.ready.Released = m.ready.Released || (m.stopping && !held)
+}
+
+// nothingToHandOver reports whether a server is lost and owns nothing.
+func (m *Machine) nothingToHandOver(s *service, sv *server) bool {
+	return len(s.owned[sv.name]) == 0 && len(s.leaving[sv.name]) == 0 &&
+		(m.silent(sv, m.timeToLive()) || !sv.configured) && m.now >= sv.grantEnd
+}
+
+// wordAwaited reports whether the holder of a server that does not check grants
+// still needs this VM's word.
+func (m *Machine) wordAwaited(s *service, sv *server) bool {
+	entry := s.entry(sv)
+	if !m.stopping || entry == nil || sv.config.ChecksGrants || entry.Grantor == m.options.Self {
+		return false
+	}
+	for _, former := range entry.Former {
+		if former == m.options.Self && sv.lastHomeUntil != 0 {
+			return sv.releasedBelow < entry.Term
+		}
+	}
+	return false
+}
+
+// misplaced reports whether this VM is in the zone or out of the region of a
+// server for which a better placed VM has been alive for some time.
+func (m *Machine) misplaced(sv *server) bool {
+	self := Member{Name: m.options.Self, Region: m.options.Region, Zone: m.options.Zone}
+	tier := tierOf(self, sv.config)
+	if tier == tierOtherZone || !sv.configured {
+		return false
+	}
+	candidates := m.members.candidates(sv.config, m.options.Self)
+	if len(candidates) == 0 || candidates[0].tier >= tier {
+		return false
+	}
+	since, alive := m.members.aliveSince[candidates[0].member.Name]
+	return alive && m.now-since >= misplacedHold
+}
+
+// askSuccessor asks the next VM in order to take a term, and another one when
+// it does not.
+func (m *Machine) askSuccessor(s *service, sv *server) {
+	if m.now-sv.askedAt < handOverInterval && sv.successor != "" {
+		return
+	}
+	candidates := m.members.candidates(sv.config, m.options.Self)
+	if len(candidates) == 0 {
+		return
+	}
+	place := rank(candidates, sv.successor)
+	if sv.successor == "" || place < 0 {
+		m.chooseSuccessor(s, sv, candidates[0])
+	} else if m.now-sv.askedSince >= handOverPatience {
+		m.chooseSuccessor(s, sv, candidates[(place+1)%len(candidates)])
+	}
+	sv.askedAt = m.now
+	m.send(sv.successor, Message{HandOver: &HandOver{Service: s.name, Server: sv.name, Term: sv.heldTerm}})
+}
+
+func (m *Machine) chooseSuccessor(s *service, sv *server, next candidate) {
+	sv.successor = next.member.Name
+	sv.askedSince = m.now
+	m.emit(event.HandOverRequested, "this VM stops or is not well placed", "service", s.name,
+		"server", sv.name, "successor", sv.successor)
+}
+
+// acceptHandOver notes a request to take a term over.
+func (m *Machine) acceptHandOver(from string, request *HandOver) {
+	s := m.service(request.Service)
+	if s == nil || s.version == 0 {
+		return
+	}
+	sv := s.server(request.Server)
+	if sv == nil {
+		return
+	}
+	entry := s.entry(sv)
+	if entry == nil || entry.Grantor != from || entry.Term != request.Term {
+		if entry == nil || entry.Term < request.Term {
+			m.wantSince(s, m.now)
+		}
+		return
+	}
+	sv.handOver = request.Term
+}
+
+// receiveMessage takes in a message of another VM's machine.
+func (m *Machine) receiveMessage(in MessageReceived) {
+	message := in.Message
+	switch {
+	case message.Heartbeat != nil:
+		m.members.heard[in.From] = heard{at: m.now, last: message.Heartbeat.Last}
+	case message.Stopped != nil:
+		m.acceptStopped(message.Stopped)
+	case message.Query != nil:
+		m.answerQuery(in.From, message.Query)
+	case message.Released != nil:
+		m.takeWord(in.From, message.Released)
+	case message.HandOver != nil:
+		m.acceptHandOver(in.From, message.HandOver)
+	case message.Notice != nil:
+		if s := m.service(message.Notice.Service); s != nil && message.Notice.Version > s.version {
+			m.wantSince(s, m.now)
+		}
+	case message.LoadQuery != nil:
+		m.reportLoad(in.From, message.LoadQuery)
+	case message.Load != nil:
+		m.addFleetLoad(message.Load)
+	}
+}
+
+func (m *Machine) acceptStopped(stopped *Stopped) {
+	s := m.service(stopped.Service)
+	if s == nil {
+		return
+	}
+	unit := s.page.Unit(stopped.Unit)
+	if s.version == 0 || unit == nil || unit.Epoch < stopped.Epoch {
+		// The page that shows the move has not arrived; the word is repeated.
+		m.wantSince(s, m.now)
+		s.early[stopped.Unit] = max(s.early[stopped.Unit], stopped.Epoch)
+		return
+	}
+	if unit.Epoch == stopped.Epoch && unit.Previous == stopped.Server {
+		m.markStopped(s, stopped.Unit, stopped.Epoch)
+	}
+}
+
+// applyEarly takes in words that arrived before the page that they concern.
+func (m *Machine) applyEarly(s *service) {
+	for id, epoch := range s.early {
+		unit := s.page.Unit(id)
+		if unit == nil || unit.Epoch < epoch {
+			continue
+		}
+		if unit.Epoch == epoch && unit.Previous != "" {
+			m.markStopped(s, id, epoch)
+		}
+		delete(s.early, id)
+	}
+	if len(s.early) > maxEarly {
+		s.early = make(map[ownership.UnitID]ownership.Epoch)
+	}
+}
+
+// runHeartbeats tells the two VMs that are next to hold each of this VM's terms
+// that it is alive.
+func (m *Machine) runHeartbeats() {
+	if m.now-m.members.heartbeatAt < heartbeatInterval && m.members.heartbeatAt != 0 {
+		return
+	}
+	m.members.heartbeatAt = max(m.now, time.Nanosecond)
+	targets := m.heartbeatTargets()
+	for _, former := range m.members.targets {
+		if !containsSorted(targets, former) {
+			m.send(former, Message{Heartbeat: &Heartbeat{Last: true}})
+		}
+	}
+	for _, target := range targets {
+		m.send(target, Message{Heartbeat: &Heartbeat{}})
+	}
+	m.members.targets = targets
+}
--- /dev/null
+++ b/control/system_renewal.go
@@ -0,0 +1,256 @@
+package control
+
+import (
+	"encoding/binary"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"guavacrank.example/backend"
+	"guavacrank.example/control/ownership"
+	"guavacrank.example/event"
+)
+
+// runRenewal sends orders to the servers that this VM is the grantor of.
+func (m *Machine) runRenewal() {
+	for _, s := range m.services {
+		for _, sv := range s.servers {
+			if m.holds(s, sv) {
+				m.renew(s, sv)
+			}
+		}
+	}
+}
+
+func (m *Machine) renew(s *service, sv *server) {
+	if s.blockedByLoss(sv.name) || sv.config.Address == "" {
+		return
+	}
+	if !m.mayGrant(s, sv) {
+		m.sendHello(s, sv, m.helloDelay(s, sv))
+		return
+	}
+	set := s.grantSet(sv, m.disabled.previous)
+	order := sentOrder{boot: sv.boot, term: sv.heldTerm, version: s.version, digest: set.digest}
+	if !m.orderDue(s, sv, order) {
+		return
+	}
+	m.sendOrder(s, sv, order, set)
+}
+
+// mayGrant reports whether an order to a server may carry a grant. To a server
+// that restarted, only on a page confirmed since: the one that it ran before
+// may have accepted a higher term, which its new process does not know.
+func (m *Machine) mayGrant(s *service, sv *server) bool {
+	if !sv.config.ChecksGrants || sv.boot == "" || sv.unconfirmed || m.serverDeclaredLost(sv) {
+		return false
+	}
+	if sv.highestTerm > sv.heldTerm || m.needsOwnTerm(sv) {
+		m.wantSince(s, sv.clockAt)
+		return false
+	}
+	if !s.confirmedSince(sv.bootAt) {
+		m.wantSince(s, sv.bootAt)
+		return false
+	}
+	expires := sv.clockAt + m.timeToLive()
+	return m.now < expires
+}
+
+// needsOwnTerm reports whether the server knows this VM's term from an earlier
+// process, so that orders of this process would be refused as repeated.
+func (m *Machine) needsOwnTerm(sv *server) bool {
+	return sv.highestTerm == sv.heldTerm && sv.accepted.term != sv.heldTerm && sv.grantEnd == 0
+}
+
+func (m *Machine) helloDelay(s *service, sv *server) time.Duration {
+	entry := s.entry(sv)
+	switch {
+	case entry != nil && entry.Down:
+		return lostInterval
+	case !sv.config.ChecksGrants:
+		return m.sendInterval()
+	default:
+		return helloInterval
+	}
+}
+
+// orderDue reports whether an order is to be sent now: at the interval, or at
+// once when it says something new.
+func (m *Machine) orderDue(s *service, sv *server, order sentOrder) bool {
+	if !sv.sent {
+		return true
+	}
+	elapsed := m.now - sv.lastSent
+	if elapsed >= m.sendInterval() {
+		return true
+	}
+	awaited := len(s.leaving[sv.name]) > 0 && sv.accepted.version < order.version
+	if sameOrder(sv.accepted, order) && !awaited {
+		return false
+	}
+	last := sv.lastOrder()
+	if last == nil || last.hello || !sameOrder(*last, order) || (awaited && last.version < order.version) {
+		return true
+	}
+	return elapsed >= resendInterval
+}
+
+// sameOrder reports whether two orders grant the same set under the same
+// process and term. The page's version may differ.
+func sameOrder(a, b sentOrder) bool {
+	return a.boot == b.boot && a.term == b.term && a.digest == b.digest
+}
+
+func (sv *server) lastOrder() *sentOrder {
+	if len(sv.orders) == 0 {
+		return nil
+	}
+	return &sv.orders[len(sv.orders)-1]
+}
+
+func (m *Machine) sendOrder(s *service, sv *server, order sentOrder, set *setCache) {
+	full := !sameOrder(sv.accepted, order)
+	message := backend.GrantOrder{
+		Term: uint64(order.term), PageVersion: order.version, Boot: order.boot,
+		ExpiresAt: sv.clock + m.timeToLive().Milliseconds(),
+		Full:      full, Digest: set.digest,
+	}
+	if full {
+		message.Units = slices.Clone(set.units)
+	}
+	sv.grantEnd = max(sv.grantEnd, sv.clockAt+m.grantLife())
+	m.emitOrder(sv, order, message)
+}
+
+// sendHello asks a server for its clock and boot identifier; it grants nothing.
+func (m *Machine) sendHello(s *service, sv *server, interval time.Duration) {
+	if sv.config.Address == "" || (sv.sent && m.now-sv.lastSent < interval) {
+		return
+	}
+	var term ownership.Term
+	if entry := s.entry(sv); entry != nil {
+		term = entry.Term
+	}
+	m.emitOrder(sv, sentOrder{hello: true, term: term}, backend.GrantOrder{})
+}
+
+func (m *Machine) emitOrder(sv *server, order sentOrder, message backend.GrantOrder) {
+	sv.sequence++
+	order.sequence = sv.sequence
+	message.Sequence = sv.sequence
+	message.Grantor = m.options.Self
+	sv.orders = append(sv.orders, order)
+	if len(sv.orders) > maxOrders {
+		sv.orders = slices.Delete(sv.orders, 0, len(sv.orders)-maxOrders)
+	}
+	sv.sent = true
+	sv.lastSent = m.now
+	m.ready.Grants = append(m.ready.Grants, GrantSend{
+		Server: sv.name, Address: sv.config.Address, ChecksGrants: sv.config.ChecksGrants, Order: message,
+	})
+}
+
+// grantSet returns the units that may be granted to a server under the page.
+func (s *service) grantSet(sv *server, ignorePrevious bool) *setCache {
+	if sv.set.valid {
+		return &sv.set
+	}
+	units := make([]backend.UnitGrant, 0, len(s.owned[sv.name]))
+	for _, id := range s.owned[sv.name] {
+		unit := s.page.Unit(id)
+		if unit.Previous == "" || s.stopped[id] >= unit.Epoch || ignorePrevious {
+			units = append(units, backend.UnitGrant{Unit: uint32(id), Epoch: uint64(unit.Epoch)})
+		}
+	}
+	sv.set = setCache{valid: true, units: units, digest: Digest(units)}
+	return &sv.set
+}
+
+// Digest returns the digest of a granted set that is sorted by unit.
+func Digest(units []backend.UnitGrant) uint64 {
+	const entryBytes = 12
+	buffer := make([]byte, 0, len(units)*entryBytes)
+	for _, unit := range units {
+		buffer = binary.LittleEndian.AppendUint32(buffer, unit.Unit)
+		buffer = binary.LittleEndian.AppendUint64(buffer, unit.Epoch)
+	}
+	return xxhash.Sum64(buffer)
+}
+
+// receiveAnswer takes in a server's answer to an order or a hello.
+func (m *Machine) receiveAnswer(in GrantAnswered) {
+	if !in.Reached {
+		return
+	}
+	for _, s := range m.services {
+		if sv := s.server(in.Server); sv != nil && sv.sent {
+			m.answer(s, sv, in)
+		}
+	}
+}
+
+func (m *Machine) answer(s *service, sv *server, in GrantAnswered) {
+	sv.lastAnswer = m.now
+	sv.answered = true
+	if !sv.config.ChecksGrants {
+		return
+	}
+	m.readClock(sv, in.Answer)
+	order, known := sv.takeOrder(in.Sequence)
+	switch in.Answer.Result {
+	case backend.GrantAccepted:
+		if known && !order.hello && order.sequence > sv.accepted.sequence {
+			sv.accepted = order
+			sv.finishing = slices.Clone(in.Answer.Finishing)
+		}
+	case backend.GrantStaleTerm:
+		m.wantSince(s, m.now)
+	case backend.GrantNeedFull, backend.GrantWrongBoot:
+		sv.accepted.digest = 0
+		sv.accepted.boot = ""
+	}
+	m.noteReturn(s, sv)
+}
+
+// readClock takes in the clock, the boot identifier and the highest term.
+func (m *Machine) readClock(sv *server, answer backend.GrantAnswer) {
+	if answer.Boot == "" {
+		return
+	}
+	if answer.Boot != sv.boot {
+		sv.boot = answer.Boot
+		sv.bootAt = m.now
+		sv.clock = 0
+		sv.highestTerm = 0
+		sv.accepted.boot = ""
+	}
+	sv.unconfirmed = false
+	if answer.Clock > sv.clock {
+		sv.clock = answer.Clock
+		sv.clockAt = m.now
+	}
+	sv.highestTerm = max(sv.highestTerm, ownership.Term(answer.HighestTerm))
+}
+
+func (sv *server) takeOrder(sequence uint64) (sentOrder, bool) {
+	for i, order := range sv.orders {
+		if order.sequence == sequence {
+			sv.orders = slices.Delete(sv.orders, i, i+1)
+			return order, true
+		}
+	}
+	return sentOrder{}, false
+}
+
+// noteReturn reports that a server that was found lost answers again.
+func (m *Machine) noteReturn(s *service, sv *server) {
+	entry := s.entry(sv)
+	if entry != nil && entry.Down && sv.heldTerm != 0 && !sv.returned {
+		sv.returned = true
+		m.emit(event.ServerReturned, "the server answers again", "service", s.name, "server", sv.name,
+			"boot", sv.boot, "term", strconv.FormatUint(uint64(sv.heldTerm), 10))
+	}
+}
--- /dev/null
+++ b/control/system_servers.go
@@ -0,0 +1,64 @@
+package control
+
+import (
+	"slices"
+
+	"guavacrank.example/control/ownership"
+)
+
+// runServers keeps the page's notes on the servers that this VM is the grantor of.
+func (m *Machine) runServers() {
+	for _, s := range m.services {
+		if s.version == 0 || s.fault != "" {
+			continue
+		}
+		for _, sv := range s.servers {
+			if m.holds(s, sv) {
+				m.tidyServer(s, sv)
+			}
+		}
+	}
+}
+
+// tidyServer clears notes of the page that its holder knows to be over.
+func (m *Machine) tidyServer(s *service, sv *server) {
+	entry := s.entry(sv)
+	if entry.Down && m.inForce(sv) && !m.silent(sv, m.sendInterval()+resendInterval) && !m.serverDeclaredLost(sv) {
+		if d := m.edit(s, "server "+sv.name+" returned"); d != nil {
+			d.page.Server(sv.name).Down = false
+		}
+	}
+	if len(entry.Former) == 0 || m.now-sv.heldSince < formerTidyDelay {
+		return
+	}
+	if cleared := m.formerCleared(s, sv, entry); len(cleared) > 0 {
+		if d := m.edit(s, "former grantors of "+sv.name+" are done"); d != nil {
+			row := d.page.Server(sv.name)
+			row.Former = slices.DeleteFunc(row.Former, func(vm string) bool { return slices.Contains(cleared, vm) })
+		}
+	}
+}
+
+// inForce reports whether a server accepted this VM's present term.
+func (m *Machine) inForce(sv *server) bool {
+	if !sv.config.ChecksGrants {
+		return sv.answered
+	}
+	return sv.accepted.term == sv.heldTerm && sv.accepted.boot == sv.boot && sv.boot != ""
+}
+
+// formerCleared returns the former grantors whose earlier terms can do nothing more.
+func (m *Machine) formerCleared(s *service, sv *server, entry *ownership.Server) []string {
+	if sv.config.ChecksGrants && sv.accepted.term == entry.Term {
+		return entry.Former
+	}
+	var cleared []string
+	for _, former := range entry.Former {
+		given := sv.words[former]
+		own := former == m.options.Self && m.now >= m.startedAt+m.longestDeadline(s)+m.grantLife()
+		if own || (given.term >= entry.Term && m.now >= given.until) {
+			cleared = append(cleared, former)
+		}
+	}
+	return cleared
+}
--- /dev/null
+++ b/control/system_stop.go
@@ -0,0 +1,149 @@
+package control
+
+import (
+	"slices"
+	"strconv"
+
+	"guavacrank.example/control/ownership"
+	"guavacrank.example/event"
+)
+
+// runStopConfirmation finds the units whose previous owner has stopped, tells
+// the grantors of the new owners, and clears the page's note of it.
+func (m *Machine) runStopConfirmation() {
+	for _, s := range m.services {
+		if len(s.leaving) == 0 {
+			continue
+		}
+		for _, sv := range s.servers {
+			if m.holds(s, sv) {
+				m.confirmStops(s, sv)
+			}
+		}
+		m.clearStopped(s)
+	}
+}
+
+func (m *Machine) confirmStops(s *service, sv *server) {
+	for _, id := range s.leaving[sv.name] {
+		unit := s.page.Unit(id)
+		told := s.told[id]
+		if told.epoch != unit.Epoch {
+			if !m.unitStopped(s, sv, id) {
+				continue
+			}
+			told = notification{epoch: unit.Epoch, first: m.now}
+			m.emit(event.UnitStopped, "the previous owner no longer serves it", "service", s.name,
+				"unit", strconv.Itoa(int(id)), "server", sv.name)
+		} else if m.now-told.last < resendInterval {
+			continue
+		}
+		told.last = m.now
+		s.told[id] = told
+		m.markStopped(s, id, unit.Epoch)
+		m.send(s.grantorOf(unit.Owner), Message{Stopped: &Stopped{
+			Service: s.name, Unit: id, Epoch: unit.Epoch, Server: sv.name,
+		}})
+	}
+}
+
+// markStopped notes that a unit may be granted to its owner at an epoch.
+func (m *Machine) markStopped(s *service, id ownership.UnitID, epoch ownership.Epoch) {
+	if s.stopped[id] >= epoch {
+		return
+	}
+	s.stopped[id] = epoch
+	if unit := s.page.Unit(id); unit != nil {
+		if owner := s.server(unit.Owner); owner != nil {
+			owner.set.valid = false
+		}
+	}
+	m.ready.RoutingChanged = true
+}
+
+// unitStopped reports whether a server provably serves a unit no more.
+func (m *Machine) unitStopped(s *service, sv *server, id ownership.UnitID) bool {
+	if m.serverDeclaredLost(sv) {
+		return m.now >= sv.grantEnd
+	}
+	if !sv.config.ChecksGrants {
+		return m.sendsEnded(s, sv, id)
+	}
+	seen := s.seen[id]
+	accepted := sv.accepted
+	if accepted.term != sv.heldTerm || accepted.boot != sv.boot || accepted.version < seen.version || sv.unconfirmed {
+		return false
+	}
+	return !m.finishingUnit(s, sv, id)
+}
+
+// finishingUnit reports whether the server may still run a request for a key of
+// the unit: under the unit, under the shard that an override was taken from, or
+// under an override that returned to its shard.
+func (m *Machine) finishingUnit(s *service, sv *server, id ownership.UnitID) bool {
+	for _, running := range sv.finishing {
+		other := ownership.UnitID(running)
+		if other == id || s.page.Unit(other) == nil {
+			return true
+		}
+		if uint32(id) >= s.page.Shards && uint32(other) < s.page.Shards && s.shardOfUnit(id) == other {
+			return true
+		}
+	}
+	return false
+}
+
+// shardOfUnit returns the shard that an override's key hashes to.
+func (s *service) shardOfUnit(id ownership.UnitID) ownership.UnitID {
+	i := slices.IndexFunc(s.page.Overrides, func(o ownership.Override) bool { return o.Unit == id })
+	if i < 0 {
+		return id
+	}
+	return ownership.ShardOf(s.page.Overrides[i].Key, s.page.Shards)
+}
+
+// clearStopped writes to the page, once for several units, that their previous
+// owners have stopped.
+func (m *Machine) clearStopped(s *service) {
+	due := false
+	for id, told := range s.told {
+		due = due || (told.epoch == s.page.Unit(id).Epoch && m.now-told.first >= tidyDelay)
+	}
+	if !due {
+		return
+	}
+	d := m.edit(s, "previous owners have stopped")
+	if d == nil {
+		return
+	}
+	for i := range d.page.Units {
+		unit := &d.page.Units[i]
+		if unit.Previous != "" && s.stopped[unit.ID] >= unit.Epoch {
+			unit.Previous = ""
+		}
+	}
+}
+
+// sendsEnded reports whether no request that this VM or a former home sent for
+// a unit can still run at a server that does not check grants.
+func (m *Machine) sendsEnded(s *service, sv *server, id ownership.UnitID) bool {
+	wordsEnd, given := m.wordsEnd(s, sv, m.longestDeadline(s))
+	if !given || m.now < wordsEnd || sv.heldTerm == 0 {
+		return false
+	}
+	seen := s.seen[id]
+	if seen.idle {
+		return true
+	}
+	since := max(seen.at, sv.heldSince)
+	return m.now >= since+m.timeToLive()+m.longestDeadline(s)
+}
+
+// longestDeadline is the longest time for which a request of the service may run.
+func (m *Machine) longestDeadline(s *service) time.Duration {
+	longest := time.Duration(0)
+	for _, class := range s.config.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return longest
+}
--- /dev/null
+++ b/control/system_takeover.go
@@ -0,0 +1,167 @@
+package control
+
+import (
+	"time"
+
+	"guavacrank.example/control/ownership"
+	"guavacrank.example/event"
+)
+
+// runTakeover takes the terms of grantors that are lost, that hand over, or
+// that were an earlier process on this VM.
+func (m *Machine) runTakeover() {
+	for _, s := range m.services {
+		if s.version == 0 || s.fault != "" {
+			continue
+		}
+		for _, sv := range s.servers {
+			entry := s.entry(sv)
+			if entry == nil {
+				continue
+			}
+			if entry.Grantor == m.options.Self {
+				m.takeOwnTerm(s, sv, entry)
+				continue
+			}
+			m.considerTakeover(s, sv, entry)
+		}
+	}
+}
+
+// takeOwnTerm takes a new term where an earlier process on this VM used the
+// present one, or where this VM gave its word on it.
+func (m *Machine) takeOwnTerm(s *service, sv *server, entry *ownership.Server) {
+	released := entry.Term < sv.releasedBelow
+	if m.stopping || (!released && !(sv.config.ChecksGrants && sv.boot != "" && m.needsOwnTerm(sv))) {
+		return
+	}
+	m.takeTerm(s, sv, "new process of the grantor")
+}
+
+func (m *Machine) considerTakeover(s *service, sv *server, entry *ownership.Server) {
+	asked := sv.handOver != 0 && sv.handOver == entry.Term
+	_, declared := m.vmDeclaredLost(entry.Grantor)
+	suspected := entry.Grantor == "" || declared || m.members.suspects(entry.Grantor, m.now)
+	if !suspected {
+		sv.suspected = false
+	}
+	if m.stopping || (!asked && !suspected) {
+		return
+	}
+	if !asked && !m.myTurn(sv, entry) {
+		return
+	}
+	if declared && m.serverDeclaredLost(sv) {
+		m.takeTerm(s, sv, "server and grantor are declared lost")
+		return
+	}
+	if !sv.answered || m.now-sv.lastAnswer > helloValid {
+		m.sendHello(s, sv, helloInterval)
+		return
+	}
+	cause := "grantor " + entry.Grantor + " is lost"
+	if asked {
+		cause = "grantor " + entry.Grantor + " hands over"
+	}
+	m.takeTerm(s, sv, cause)
+}
+
+// myTurn reports whether this VM is next to take a term, after the time that
+// those before it in order are given.
+func (m *Machine) myTurn(sv *server, entry *ownership.Server) bool {
+	if sv.lostTerm && m.now-sv.lostAt < regainHold {
+		return false
+	}
+	place := rank(m.members.candidates(sv.config, entry.Grantor), m.options.Self)
+	if place < 0 {
+		return false
+	}
+	if !sv.suspected {
+		sv.suspected = true
+		sv.suspectedAt = m.now
+	}
+	return m.now-sv.suspectedAt >= time.Duration(place)*takeoverStagger
+}
+
+func (m *Machine) takeTerm(s *service, sv *server, cause string) {
+	if d := m.edit(s, cause); d != nil {
+		if err := d.page.TakeTerm(sv.name, m.options.Self); err != nil {
+			m.emit(event.InvariantViolated, err.Error(), "service", s.name)
+		}
+	}
+}
+
+// runTermQueries asks former grantors for their word where a server has not
+// accepted this VM's term, or does not check grants.
+func (m *Machine) runTermQueries() {
+	for _, s := range m.services {
+		for _, sv := range s.servers {
+			if m.holds(s, sv) && m.now-sv.queriedAt >= queryInterval {
+				m.queryFormer(s, sv)
+			}
+		}
+	}
+}
+
+func (m *Machine) queryFormer(s *service, sv *server) {
+	entry := s.entry(sv)
+	if sv.config.ChecksGrants && sv.accepted.term == sv.heldTerm {
+		return
+	}
+	for _, former := range entry.Former {
+		if sv.words[former].term < entry.Term {
+			sv.queriedAt = m.now
+			m.send(former, Message{Query: &TermQuery{Service: s.name, Server: sv.name, Term: entry.Term}})
+		}
+	}
+}
+
+// answerQuery gives this VM's word that it acts on no term below the query's.
+func (m *Machine) answerQuery(from string, query *TermQuery) {
+	s := m.service(query.Service)
+	if s == nil {
+		return
+	}
+	sv := s.ensureServer(query.Server)
+	entry := s.entry(sv)
+	if entry != nil && entry.Grantor == m.options.Self && entry.Term >= query.Term {
+		return
+	}
+	sv.releasedBelow = max(sv.releasedBelow, query.Term)
+	sv.homeUntil = 0
+	m.stopSends(sv)
+	m.wantSince(s, m.now)
+	m.ready.RoutingChanged = true
+	life := max(0, max(sv.grantEnd, m.startedAt+m.grantLife())-m.now)
+	if !sv.config.ChecksGrants {
+		life = m.sendsLife(s, sv)
+	}
+	m.send(from, Message{Released: &TermReleased{
+		Service: s.name, Server: sv.name, Term: query.Term,
+		GrantLife: int64((life + time.Millisecond - 1) / time.Millisecond),
+	}})
+}
+
+// takeWord notes a former grantor's word. The earliest end of repeated words of
+// one term counts, as each of them is true.
+func (m *Machine) takeWord(from string, released *TermReleased) {
+	s := m.service(released.Service)
+	if s == nil {
+		return
+	}
+	sv := s.server(released.Server)
+	if sv == nil || released.GrantLife < 0 {
+		return
+	}
+	life := time.Duration(released.GrantLife) * time.Millisecond
+	// The clocks of the two VMs may run at different rates.
+	until := m.now + life + (m.grantLife() - m.timeToLive())
+	earlier, known := sv.words[from]
+	switch {
+	case known && earlier.term > released.Term:
+		return
+	case known && earlier.term == released.Term:
+		until = min(until, earlier.until)
+	}
+	sv.words[from] = word{term: released.Term, until: until}
+}
--- /dev/null
+++ b/control/writes.go
@@ -0,0 +1,223 @@
+package control
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"guavacrank.example/control/ownership"
+	"guavacrank.example/event"
+)
+
+// draft is the next page of a service while the systems of one tick edit it.
+type draft struct {
+	page   ownership.Page
+	causes []string
+	// losses are the servers whose units the draft moves away because they stopped.
+	losses []string
+}
+
+// pendingWrite is a page write whose outcome is not settled.
+//
+// It is settled once the page's version is known to be above the expected one:
+// while it is not, the write may still be on its way to the store, also when a
+// read shows the page unchanged. The same page is then written again.
+type pendingWrite struct {
+	page     ownership.Page
+	expected uint64
+	losses   []string
+	issuedAt time.Duration
+	firstAt  time.Duration
+	unknown  bool // No answer, or an unclear one.
+	conflict bool // Somebody else wrote first: the page is being read.
+}
+
+// edit returns the draft of the service's next page, or nil while an earlier
+// write is not settled or the page is not confirmed. Call it only to change it.
+func (m *Machine) edit(s *service, cause string) *draft {
+	if s.pending != nil || s.fault != "" || !s.confirmedSince(m.resumedAt) || m.now < s.retryAt {
+		return nil
+	}
+	if s.draft == nil {
+		s.draft = &draft{page: s.page.Clone()}
+	}
+	if !slices.Contains(s.draft.causes, cause) {
+		s.draft.causes = append(s.draft.causes, cause)
+	}
+	return s.draft
+}
+
+// blockedByLoss reports whether a write that moves a server's units away, or
+// the draft of one, is not settled: the server must get no orders.
+func (s *service) blockedByLoss(name string) bool {
+	if s.pending != nil && slices.Contains(s.pending.losses, name) {
+		return true
+	}
+	return s.draft != nil && slices.Contains(s.draft.losses, name)
+}
+
+// runWrites issues the drafts of this tick and repeats writes that are not settled.
+func (m *Machine) runWrites() {
+	for _, s := range m.services {
+		if s.pending != nil {
+			m.retryWrite(s)
+			continue
+		}
+		if s.draft != nil {
+			m.issueDraft(s)
+		}
+	}
+}
+
+func (m *Machine) issueDraft(s *service) {
+	d := s.draft
+	s.draft = nil
+	m.changes++
+	d.page.ChangeID = m.options.Self + "/" + m.options.Incarnation + "/" + strconv.FormatUint(m.changes, 10)
+	d.page.ChangedBy = m.options.Self
+	d.page.Cause = strings.Join(d.causes, "; ")
+	if !m.soundSuccessor(s, &d.page) {
+		s.retryAt = m.now + maxBackoff
+		return
+	}
+	s.pending = &pendingWrite{
+		page: d.page, expected: s.version, losses: d.losses,
+		issuedAt: m.now, firstAt: m.now,
+	}
+	m.writeOut(s)
+}
+
+// soundSuccessor asserts that a page that is about to be written is sound.
+func (m *Machine) soundSuccessor(s *service, page *ownership.Page) bool {
+	err := page.Check()
+	if err == nil && s.version != 0 {
+		err = s.page.CheckSuccessor(page)
+	}
+	if err != nil {
+		m.emit(event.InvariantViolated, err.Error(), "service", s.name)
+	}
+	return err == nil
+}
+
+func (m *Machine) writeOut(s *service) {
+	s.pending.issuedAt = m.now
+	s.pending.unknown = false
+	m.ready.Writes = append(m.ready.Writes, PageWrite{
+		Service: s.name, Expected: s.pending.expected, Page: s.pending.page.Clone(),
+	})
+}
+
+// retryWrite repeats a write of unknown outcome with growing delay.
+func (m *Machine) retryWrite(s *service) {
+	if s.pending.conflict {
+		return
+	}
+	if !s.pending.unknown && m.now-s.pending.issuedAt >= writeTimeout {
+		m.outcomeUnknown(s)
+	}
+	if s.pending.unknown && m.now >= s.retryAt {
+		m.writeOut(s)
+	}
+}
+
+func (m *Machine) outcomeUnknown(s *service) {
+	s.pending.unknown = true
+	s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
+	s.retryAt = m.now + s.backoff
+	m.wantSince(s, m.now)
+	if m.disabled.readBack {
+		s.pending = nil
+	}
+}
+
+func (m *Machine) settleWrite(in PageWritten) {
+	s := m.service(in.Service)
+	if s == nil || s.pending == nil || s.pending.page.ChangeID != in.ChangeID {
+		return
+	}
+	switch in.Outcome {
+	case WriteApplied:
+		s.confirmed = true
+		s.confirmedAt = max(s.confirmedAt, s.pending.issuedAt)
+		s.backoff = 0
+		if in.Version > s.version {
+			m.adoptPage(s, in.Version, s.pending.page)
+		}
+	case WriteConflict:
+		s.pending.conflict = true
+		m.wantSince(s, m.now)
+	case WriteFailed:
+		m.failWrite(s)
+	default:
+		m.outcomeUnknown(s)
+	}
+}
+
+// failWrite drops a write that was proved not applied, unless an earlier try of
+// the same write may yet be.
+func (m *Machine) failWrite(s *service) {
+	if s.pending.firstAt != s.pending.issuedAt {
+		m.outcomeUnknown(s)
+		return
+	}
+	s.pending = nil
+	s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
+	s.retryAt = m.now + s.backoff
+}
+
+// settleByPage ends a pending write when a newer page shows its outcome.
+func (m *Machine) settleByPage(s *service, previous *ownership.Page) {
+	if s.pending == nil || s.version <= s.pending.expected {
+		return
+	}
+	applied := s.page.ChangeID == s.pending.page.ChangeID
+	s.pending = nil
+	s.retryAt = 0
+	if applied {
+		m.announce(s, previous)
+	}
+}
+
+// announce tells the grantors that a confirmed change concerns.
+func (m *Machine) announce(s *service, previous *ownership.Page) {
+	var concerned []string
+	moved := 0
+	for i := range s.page.Units {
+		unit := &s.page.Units[i]
+		before := previous.Unit(unit.ID)
+		if before != nil && *before == *unit {
+			continue
+		}
+		if before == nil || before.Owner != unit.Owner {
+			moved++
+		}
+		concerned = append(concerned, s.grantorOf(unit.Owner), s.grantorOf(unit.Previous))
+	}
+	for i := range s.page.Servers {
+		entry := &s.page.Servers[i]
+		before := previous.Server(entry.Name)
+		if before == nil || before.Term != entry.Term {
+			concerned = append(concerned, entry.Grantor)
+		}
+		if before != nil && before.Term != entry.Term {
+			concerned = append(concerned, before.Grantor)
+		}
+	}
+	slices.Sort(concerned)
+	for _, vm := range slices.Compact(concerned) {
+		m.send(vm, Message{Notice: &PageNotice{Service: s.name, Version: s.version}})
+	}
+	if moved > 0 {
+		m.emit(event.UnitsMoved, s.page.Cause, "service", s.name, "units", strconv.Itoa(moved),
+			"version", strconv.FormatUint(s.version, 10))
+	}
+}
+
+// grantorOf returns the VM that holds a server's term, or "".
+func (s *service) grantorOf(name string) string {
+	if entry := s.page.Server(name); entry != nil {
+		return entry.Grantor
+	}
+	return ""
+}
