control/planner: what should move, and which keys leave their shard

Cause: the control plane's planner system needs one pure component that turns measured loads, servers and declarations into a plan. Change: Planner with hold time, a budget of moves by choice, gradual warming of joining servers, isolation of hot and declared keys and their return. The policy leaves receivers below the mean by the noise of measurement and also acts on a nearly idle server.

--- a/control/placement/balanced.go
+++ b/control/placement/balanced.go
@@ -6,10 +6,17 @@
 	// startImbalance is the imbalance from which Balanced moves units by choice.
 	startImbalance = 1.08
 	// stopImbalance is the imbalance at which it stops.
-	stopImbalance = 1.03
+	stopImbalance = 1.06
+	// startLightest is the load of the lightest receiver, over the mean, below
+	// which Balanced moves units by choice: a server that joined.
+	startLightest = 0.75
 	// noiseFactor is the number of standard errors that an imbalance must
 	// exceed before it causes a move.
 	noiseFactor = 3.0
+	// receiverMargin is the number of standard errors by which a move by choice
+	// must leave its receiver below the mean, so that no server is filled above
+	// its fair share.
+	receiverMargin = 2.0
 	// leastGain is the least share of the mean load by which a move by choice
 	// must lower the pair's greater load.
 	leastGain = 0.002
@@ -26,15 +33,14 @@
 func (Balanced) Plan(servers []Server, units []Unit, limits Limits) []Move {
 	t := newTable(servers, units)
 	moves := placeHomeless(t, units, t.lightest)
-	start := max(startImbalance, 1+noiseFactor*limits.Noise)
-	if t.imbalance() <= start {
+	if !t.needsBalancing(limits.Noise) {
 		return moves
 	}
 	for range limits.Moves {
 		if t.imbalance() <= stopImbalance {
 			break
 		}
-		move, found := t.bestMove()
+		move, found := t.bestMove(t.mean() * (1 - receiverMargin*limits.Noise))
 		if !found {
 			break
 		}
@@ -43,6 +49,22 @@
 	return moves
 }
 
+// needsBalancing reports whether the imbalance is above the threshold, or a
+// receiver nearly idle, by more than noise explains.
+func (t *table) needsBalancing(noise float64) bool {
+	margin := noiseFactor * noise
+	if t.imbalance() > max(startImbalance, 1+margin) {
+		return true
+	}
+	mean := t.mean()
+	for _, i := range t.receivers() {
+		if t.relative(i) < min(startLightest, 1-margin)*mean {
+			return true
+		}
+	}
+	return false
+}
+
 // placeHomeless gives each unit without a place to the server that choose
 // returns, heaviest unit first. Units stay where they are if no server accepts.
 func placeHomeless(t *table, units []Unit, choose func(Unit) (int, bool)) []Move {
@@ -81,9 +103,9 @@
 	return countA < countB
 }
 
-// bestMove carries out the move off the heaviest server with a movable unit
-// that leaves the heavier of the pair lightest.
-func (t *table) bestMove() (Move, bool) {
+// bestMove carries out the move off the heaviest server that leaves the heavier
+// of the pair lightest and the receiver at most at receiverLimit.
+func (t *table) bestMove(receiverLimit float64) (Move, bool) {
 	from, found := t.heaviest()
 	if !found {
 		return Move{}, false
@@ -94,7 +116,7 @@
 		if to == from || t.relative(to) >= t.relative(from) {
 			continue
 		}
-		position, heavier := t.bestUnit(from, to)
+		position, heavier := t.bestUnit(from, to, receiverLimit)
 		if position >= 0 && heavier < bestLoad {
 			bestTo, bestPosition, bestLoad = to, position, heavier
 		}
@@ -119,8 +141,9 @@
 }
 
 // bestUnit returns the position of the unit of server from whose move to
-// server to leaves the heavier of the two lightest, and that load.
-func (t *table) bestUnit(from, to int) (position int, heavier float64) {
+// server to leaves the heavier of the two lightest, and that load. The position
+// is negative if no unit keeps the receiver at receiverLimit or below.
+func (t *table) bestUnit(from, to int, receiverLimit float64) (position int, heavier float64) {
 	position = -1
 	for i, unit := range t.units[from] {
 		if unit.Fixed || unit.Load <= 0 {
@@ -128,6 +151,9 @@
 		}
 		left := (t.load[from] - unit.Load) / t.servers[from].Capacity
 		right := (t.load[to] + unit.Load) / t.servers[to].Capacity
+		if right > receiverLimit {
+			continue
+		}
 		load := max(left, right)
 		if position < 0 || load < heavier {
 			position, heavier = i, load
--- /dev/null
+++ b/control/planner/planner.go
@@ -0,0 +1,173 @@
+// Package planner decides which units of one service should move, which keys
+// should leave their shard, and which should return to it.
+//
+// A Planner is pure: the caller passes in the time, the page and the servers,
+// and writes the plan to the page. Plans are proposals. Safety never depends
+// on them: two planners at once cost moves, never a promise.
+package planner
+
+import (
+	"time"
+
+	"guavacrank.example/control/load"
+	"guavacrank.example/control/ownership"
+	"guavacrank.example/control/placement"
+)
+
+const (
+	// maxOverrides bounds the keys that stand outside their shard.
+	maxOverrides = 2048
+	// maxIsolations bounds the keys isolated by one plan.
+	maxIsolations = 16
+	// permille converts the configured share of a hot key.
+	permille = 1000
+	// untrustedNoise is the relative error above which loads say nothing.
+	untrustedNoise = 0.25
+)
+
+// Settings bound what a planner does.
+type Settings struct {
+	// HoldTime is the least time between two moves of one unit by choice.
+	HoldTime time.Duration
+	// MovesPerMinute is the greatest rate of moves by choice.
+	MovesPerMinute int
+	// HotKeyShare is the share of the service's load, in permille, from which
+	// a key is isolated. Zero isolates none.
+	HotKeyShare int
+}
+
+// Server is a backend server as the planner sees it.
+type Server struct {
+	Name  string
+	Slots int
+	// Accepts says that the server answers and may be given further units.
+	Accepts bool
+	// Keeps is false for a server that is leaving or lost.
+	Keeps bool
+}
+
+// Declaration is a key that an operator pinned to a server.
+type Declaration struct {
+	Key    string
+	Server string
+}
+
+// View is what a plan is made for.
+type View struct {
+	Page         ownership.Page
+	Servers      []Server // Sorted by name.
+	Declarations []Declaration
+}
+
+// Plan is what should change. Moves by choice and moves that are needed stand
+// in one list; Isolate and Merge name keys.
+type Plan struct {
+	Moves   []placement.Move
+	Isolate []string
+	Merge   []string
+}
+
+// Empty reports whether nothing should change.
+func (p Plan) Empty() bool {
+	return len(p.Moves) == 0 && len(p.Isolate) == 0 && len(p.Merge) == 0
+}
+
+// Planner plans for one service.
+type Planner struct {
+	policy   placement.Policy
+	settings Settings
+	loads    *load.Table
+	keys     *load.HotKeys
+	moved    map[ownership.UnitID]time.Duration // Time of the last planned move.
+	budget   budget
+	warmth   warmth
+	judged   bool // The closed window was already judged.
+}
+
+// New returns a planner whose first counting window opens at now.
+func New(policy placement.Policy, settings Settings, now time.Duration) *Planner {
+	return &Planner{
+		policy:   policy,
+		settings: settings,
+		loads:    load.NewTable(now),
+		keys:     load.NewHotKeys(),
+		moved:    make(map[ownership.UnitID]time.Duration),
+		budget:   newBudget(settings.MovesPerMinute, now),
+		warmth:   newWarmth(),
+		judged:   true,
+	}
+}
+
+// SetSettings replaces the settings.
+func (p *Planner) SetSettings(settings Settings) {
+	p.settings = settings
+	p.budget.setRate(settings.MovesPerMinute)
+}
+
+// AddUnit counts requests of a unit, as reported by one VM.
+func (p *Planner) AddUnit(unit ownership.UnitID, requests uint32) { p.loads.Add(unit, requests) }
+
+// AddKey counts requests of a frequent key, as reported by one VM.
+func (p *Planner) AddKey(key string, requests uint32) { p.keys.Add(key, requests) }
+
+// Plan returns what should change now. Needed moves (off servers that can't
+// keep their units, and to declared servers) are planned at every call; moves
+// by choice, isolations and merges once for each closed counting window.
+func (p *Planner) Plan(now time.Duration, view View) Plan {
+	p.warmth.observe(now, view)
+	if p.loads.Roll(now) {
+		hotShare := float64(p.settings.HotKeyShare) / permille
+		p.keys.Roll(load.Window, p.loads.Total(), hotShare)
+		p.judged = false
+	}
+	plan := Plan{Moves: p.planMoves(now, view)}
+	if p.judged {
+		return plan
+	}
+	p.judged = true
+	plan.Isolate = p.planIsolations(view)
+	plan.Merge = p.planMerges(view)
+	return plan
+}
+
+// planMoves plans needed moves, and moves by choice within the budget.
+func (p *Planner) planMoves(now time.Duration, view View) []placement.Move {
+	servers := p.placementServers(now, view)
+	units, pinned := p.placementUnits(now, view)
+	limits := placement.Limits{Noise: p.loads.Noise(len(servers))}
+	if !p.judged && limits.Noise < untrustedNoise {
+		limits.Moves = p.budget.available(now)
+	}
+	needed := len(pinned)
+	moves := append(pinned, p.policy.Plan(servers, units, limits)...)
+	for i, move := range moves {
+		if i >= needed && p.isByChoice(servers, move) {
+			p.budget.take()
+		}
+		p.moved[move.Unit] = now
+	}
+	return moves
+}
+
+// isByChoice reports whether the move's source could have kept the unit.
+func (p *Planner) isByChoice(servers []placement.Server, move placement.Move) bool {
+	for _, server := range servers {
+		if server.Name == move.From {
+			return server.Keeps
+		}
+	}
+	return false
+}
+
+func (p *Planner) placementServers(now time.Duration, view View) []placement.Server {
+	servers := make([]placement.Server, 0, len(view.Servers))
+	for _, server := range view.Servers {
+		servers = append(servers, placement.Server{
+			Name:     server.Name,
+			Capacity: float64(max(server.Slots, 1)) * p.warmth.factor(now, server.Name),
+			Accepts:  server.Accepts && server.Keeps,
+			Keeps:    server.Keeps,
+		})
+	}
+	return servers
+}
