--- /dev/null
+++ b/traffic/front/answer.go
@@ -0,0 +1,158 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"guavacrank.example/traffic/upstream"
+	"guavacrank.example/traffic/verdict"
+)
+
+// heldAnswerBytes is the size up to which an answer is read whole before its
+// head goes to the caller. A lost connection then gives a clean error, and the
+// server's slot does not wait for a slow caller.
+const heldAnswerBytes = 16 << 10
+
+var answerBuffers = sync.Pool{New: func() any { return new([heldAnswerBytes]byte) }}
+
+// answer is a server's answer on its way to the caller.
+type answer struct {
+	status int
+	header http.Header
+	buffer *[heldAnswerBytes]byte
+	start  []byte    // The first bytes, in buffer.
+	rest   io.Reader // What follows; nil when start is the whole body.
+	source io.Closer
+	end    func(whole bool) // Gives back the server's slot; nil when that is done.
+}
+
+// hold reads the start of an answer, and all of a small one.
+func hold(received *upstream.Answer) (*answer, *upstream.Failure) {
+	a := &answer{
+		status: received.StatusCode,
+		header: received.Header,
+		buffer: answerBuffers.Get().(*[heldAnswerBytes]byte),
+	}
+	n, err := io.ReadFull(received.Body, a.buffer[:])
+	a.start = a.buffer[:n]
+	switch {
+	case err == nil:
+		a.rest, a.source = received.Body, received.Body
+		return a, nil
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF) && !isFailure(err):
+		received.Body.Close()
+		return a, nil
+	default:
+		received.Body.Close()
+		a.free()
+		return nil, asFailure(err)
+	}
+}
+
+func isFailure(err error) bool {
+	var failure *upstream.Failure
+	return errors.As(err, &failure)
+}
+
+func asFailure(err error) *upstream.Failure {
+	var failure *upstream.Failure
+	if errors.As(err, &failure) {
+		return failure
+	}
+	return &upstream.Failure{Stage: upstream.StageTruncate, Sent: true, Err: err}
+}
+
+// free gives back the buffer.
+func (a *answer) free() {
+	answerBuffers.Put(a.buffer)
+	a.buffer, a.start = nil, nil
+}
+
+// close ends the answer; whole says that its end was reached.
+func (a *answer) close(whole bool) {
+	if a.source != nil {
+		a.source.Close()
+	}
+	if a.end != nil {
+		a.end(whole)
+	}
+	a.free()
+}
+
+// writeOutcome gives the outcome to the caller, or to the VM that forwarded.
+func (h *Handler) writeOutcome(ctx context.Context, w http.ResponseWriter, c *call, out outcome) {
+	if out.answer == nil {
+		writeFailure(w, out)
+		return
+	}
+	control := http.NewResponseController(w)
+	until, _ := ctx.Deadline()
+	control.SetWriteDeadline(until.Add(deadlineSlack))
+	writeHead(w, out)
+	whole, truncated := out.answer.copyTo(w, control)
+	out.answer.close(whole)
+	if truncated {
+		panic(http.ErrAbortHandler) // Ends the connection: no part passes as whole.
+	}
+	control.SetWriteDeadline(time.Time{})
+}
+
+func writeHead(w http.ResponseWriter, out outcome) {
+	header := w.Header()
+	copyHeaders(header, out.answer.header)
+	header[verdict.Header] = []string{out.verdict.String()}
+	header[verdict.HeaderCode] = []string{string(out.code)}
+	w.WriteHeader(out.answer.status)
+}
+
+// copyTo writes the body. whole says that the server's answer was read to its
+// end, truncated that it ended before.
+func (a *answer) copyTo(w io.Writer, control *http.ResponseController) (whole, truncated bool) {
+	if _, err := w.Write(a.start); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		return a.rest == nil, false
+	}
+	if a.rest == nil {
+		return true, false
+	}
+	buffer := a.buffer[:]
+	for {
+		n, err := a.rest.Read(buffer)
+		if n > 0 {
+			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
+				return false, true
+			}
+			control.Flush()
+		}
+		if errors.Is(err, io.EOF) && !isFailure(err) {
+			return true, false
+		}
+		if err != nil {
+			return false, true
+		}
+	}
+}
+
+// writeFailure tells the verdict of a request without an answer.
+func writeFailure(w http.ResponseWriter, out outcome) {
+	header := w.Header()
+	header[verdict.Header] = []string{out.verdict.String()}
+	header[verdict.HeaderCode] = []string{string(out.code)}
+	if out.retryAfter > 0 {
+		seconds := (out.retryAfter + time.Second - 1) / time.Second
+		header["Retry-After"] = []string{strconv.FormatInt(int64(seconds), 10)}
+		header[HeaderRetryAfter] = []string{strconv.FormatInt(max(out.retryAfter.Milliseconds(), 1), 10)}
+	}
+	header["Content-Type"] = []string{"text/plain; charset=utf-8"}
+	w.WriteHeader(out.code.Status())
+	io.WriteString(w, string(out.code)+": "+out.detail+"\n")
+}
+
+// writeRefusal refuses a request that was not taken.
+func writeRefusal(w http.ResponseWriter, refused refusal) {
+	writeFailure(w, notRun(refused.code, refused.detail))
+}
--- /dev/null
+++ b/traffic/front/call.go
@@ -0,0 +1,64 @@
+package front
+
+import (
+	"net/http"
+	"time"
+
+	"guavacrank.example/config"
+	"guavacrank.example/traffic/verdict"
+)
+
+// call is one caller's request on its way through this VM.
+type call struct {
+	service *service
+	class   config.Class
+	key     string
+	// path is the escaped path that the server gets: the key's, with a leading slash.
+	path string
+	// once is the caller's idempotency key, empty without one.
+	once string
+	// id is unique for each caller's request.
+	id string
+	// attempt numbers the sends of this request, from 1.
+	attempt int
+	// deadline is on the elapsed clock.
+	deadline time.Duration
+	request  *http.Request
+	header   http.Header
+	body     body
+}
+
+// target is where an attempt goes.
+type target struct {
+	server *server
+	// epoch and unit identify the ownership; they are zero in a service not divided by key.
+	unit  uint32
+	epoch uint64
+	// peer is the VM that sends; nil means this one.
+	peer *peer
+}
+
+// outcome is the end of one attempt, or of the whole request.
+type outcome struct {
+	verdict verdict.Verdict
+	code    verdict.Code
+	detail  string
+	// retryAfter is a hint when to come again, zero without one.
+	retryAfter time.Duration
+	// answer is set with verdict Answered only; it must be closed.
+	answer *answer
+}
+
+func notRun(code verdict.Code, detail string) outcome {
+	return outcome{verdict: verdict.NotRun, code: code, detail: detail}
+}
+
+func mayHaveRun(code verdict.Code, detail string) outcome {
+	return outcome{verdict: verdict.MayHaveRun, code: code, detail: detail}
+}
+
+// remaining returns the time left until the call's deadline.
+func (c *call) remaining(now time.Duration) time.Duration { return c.deadline - now }
+
+// settings returns the settings of the call's service.
+func (c *call) settings() config.Defaults { return c.service.settings }
--- /dev/null
+++ b/traffic/front/fakes_test.go
@@ -0,0 +1,254 @@
+package front
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/config"
+	"guavacrank.example/traffic/limit"
+	"guavacrank.example/traffic/route"
+)
+
+// fakeServer is a backend server on a real TCP socket whose behaviour towards
+// each request is a function on the raw connection.
+type fakeServer struct {
+	listener net.Listener
+	behave   func(conn net.Conn, request *http.Request)
+
+	mu       sync.Mutex
+	requests []*http.Request
+	conns    []net.Conn
+	opened   int
+}
+
+func newFakeServer(behave func(net.Conn, *http.Request)) *fakeServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &fakeServer{listener: listener, behave: behave}
+	go s.accept()
+	DeferCleanup(s.close)
+	return s
+}
+
+func (s *fakeServer) address() string { return s.listener.Addr().String() }
+
+func (s *fakeServer) close() {
+	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, conn := range s.conns {
+		conn.Close()
+	}
+}
+
+func (s *fakeServer) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns = append(s.conns, conn)
+		s.opened++
+		s.mu.Unlock()
+		go s.serve(conn)
+	}
+}
+
+func (s *fakeServer) serve(conn net.Conn) {
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.requests = append(s.requests, request)
+		s.mu.Unlock()
+		s.behave(conn, request)
+	}
+}
+
+// seen returns the requests whose head arrived.
+func (s *fakeServer) seen() []*http.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*http.Request(nil), s.requests...)
+}
+
+// say answers with raw bytes.
+func say(raw string) func(net.Conn, *http.Request) {
+	return func(conn net.Conn, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(conn, raw)
+	}
+}
+
+// sayAndClose answers with raw bytes and ends the connection.
+func sayAndClose(raw string) func(net.Conn, *http.Request) {
+	return func(conn net.Conn, r *http.Request) {
+		say(raw)(conn, r)
+		conn.Close()
+	}
+}
+
+// reset ends the connection with a reset.
+func reset(conn net.Conn, _ *http.Request) {
+	conn.(*net.TCPConn).SetLinger(0)
+	conn.Close()
+}
+
+// stay never answers.
+func stay(net.Conn, *http.Request) {}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func refuse(reason string) func(net.Conn, *http.Request) {
+	return say("HTTP/1.1 503 Service Unavailable\r\nGuavacrank-Refused: " + reason + "\r\nContent-Length: 0\r\n\r\n")
+}
+
+// fleet is a few VMs over one set of routes.
+type fleet struct {
+	vms map[string]*vm
+}
+
+// vm is one handler behind real listeners.
+type vm struct {
+	*Handler
+	routes *route.Publisher
+	caller *httptest.Server
+	peer   *httptest.Server
+	stale  chan string
+}
+
+func newVM(options Options) *vm {
+	v := &vm{routes: route.NewPublisher(), stale: make(chan string, 100)}
+	options.Routes = v.routes
+	options.OnStale = func(service string) {
+		select {
+		case v.stale <- service:
+		default:
+		}
+	}
+	v.Handler = New(options)
+	v.caller = httptest.NewServer(v.Handler)
+	v.peer = httptest.NewServer(v.Handler.Peer())
+	DeferCleanup(func() {
+		v.caller.CloseClientConnections()
+		v.peer.CloseClientConnections()
+		v.caller.Close()
+		v.peer.Close()
+		v.Handler.Close()
+	})
+	return v
+}
+
+// newFleet starts VMs of the given names.
+func newFleet(options Options, names ...string) *fleet {
+	f := &fleet{vms: make(map[string]*vm)}
+	for _, name := range names {
+		f.vms[name] = newVM(options)
+	}
+	return f
+}
+
+// publish gives every VM the service, which build makes afresh for each.
+func (f *fleet) publish(build func() *route.Service) {
+	peers := make(map[string]string)
+	for name, v := range f.vms {
+		peers[name] = v.peer.Listener.Addr().String()
+	}
+	for name, v := range f.vms {
+		s := build()
+		v.routes.Publish(&route.Snapshot{
+			Self:     name,
+			Services: map[string]*route.Service{s.Name: s},
+			Peers:    peers,
+		})
+	}
+}
+
+// testClasses are the classes of the test service; "look" is its first.
+var testClasses = map[string]config.Class{
+	"look":  {Name: "look", Idempotent: true, Priority: config.Interactive, Deadline: 2 * time.Second},
+	"order": {Name: "order", Priority: config.Patient, Deadline: 2 * time.Second},
+	"bulk":  {Name: "bulk", Idempotent: true, Priority: config.Bulk, Deadline: 2 * time.Second},
+}
+
+// divided returns a service with one shard that server owns.
+func divided(server *route.Server, epoch uint64) *route.Service {
+	return &route.Service{
+		Name: "cards", DividedByKey: true, Shards: 1,
+		Classes: testClasses, DefaultClass: "look",
+		Units:   []route.Unit{{ID: 0, Epoch: epoch, Server: server}},
+		Servers: serversOf(server),
+	}
+}
+
+// testServer declares a fake as a server that checks grants.
+func testServer(s *fakeServer, home string) *route.Server {
+	return &route.Server{
+		Name: "s1", Address: s.address(), Slots: 4, Connections: 55,
+		ChecksGrants: true, Home: home, HomeUntil: 1 << 62,
+	}
+}
+
+// oneVM starts a VM "a" that is the home of the server.
+func oneVM(s *fakeServer) *vm {
+	f := newFleet(Options{Sharing: limit.Home}, "a")
+	f.publish(func() *route.Service { return divided(testServer(s, "a"), 7) })
+	return f.vms["a"]
+}
+
+// reply is what a caller got.
+type reply struct {
+	status        int
+	verdict, code string
+	body          string
+	err           error
+	header        http.Header
+}
+
+// ask sends a caller's request; headers alternate names and values.
+func (v *vm) ask(method, path, body string, headers ...string) reply {
+	request, err := http.NewRequest(method, v.caller.URL+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	for i := 0; i+1 < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := v.caller.Client().Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return reply{
+		status:  response.StatusCode,
+		verdict: response.Header.Get("Guavacrank-Verdict"),
+		code:    response.Header.Get("Guavacrank-Code"),
+		body:    string(text),
+		err:     err,
+		header:  response.Header,
+	}
+}
+
+// order sends a non-idempotent request.
+func (v *vm) order(headers ...string) reply {
+	return v.ask("POST", "/v1/cards/k", "one pallet", append(headers, HeaderClass, "order")...)
+}
+
+func serversOf(server *route.Server) []*route.Server {
+	if server == nil {
+		return nil
+	}
+	return []*route.Server{server}
+}
--- /dev/null
+++ b/traffic/front/fleet_test.go
@@ -0,0 +1,190 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/traffic/limit"
+	"guavacrank.example/traffic/route"
+)
+
+var _ = Describe("several VMs", func() {
+	var options = Options{Sharing: limit.Home}
+
+	It("send through the server's home", func() {
+		server := newFakeServer(say(okAnswer))
+		f := newFleet(options, "a", "b")
+		f.publish(func() *route.Service { return divided(testServer(server, "b"), 7) })
+		got := f.vms["a"].ask("GET", "/v1/cards/a%2Fb?q=1", "")
+		Expect(got.body).To(Equal("ok"))
+		Expect(got.verdict).To(Equal("answered"))
+		Expect(server.seen()[0].RequestURI).To(Equal("/a%2Fb?q=1"))
+		Expect(f.vms["a"].TakeLoad("cards", 1).Units).To(BeEmpty())
+		Expect(f.vms["b"].TakeLoad("cards", 1).Units).To(HaveLen(1))
+	})
+
+	It("pass the home's verdict on", func() {
+		server := newFakeServer(reset)
+		f := newFleet(options, "a", "b")
+		f.publish(func() *route.Service { return divided(testServer(server, "b"), 7) })
+		got := f.vms["a"].order()
+		Expect([]any{got.status, got.verdict, got.code}).To(Equal([]any{502, "may_have_run", "reset"}))
+		Expect(server.seen()).To(HaveLen(1))
+	})
+
+	It("go direct to a server that checks grants when its home does not answer", func() {
+		server := newFakeServer(say(okAnswer))
+		f := newFleet(options, "a", "b")
+		f.publish(func() *route.Service { return divided(testServer(server, "b"), 7) })
+		f.vms["b"].peer.Close()
+		Expect(f.vms["a"].order().verdict).To(Equal("answered"))
+		Expect(f.vms["a"].order().verdict).To(Equal("answered"))
+		Expect(server.seen()).To(HaveLen(2))
+	})
+
+	Context("with a server that does not check grants", func() {
+		unchecking := func(server *fakeServer, home string, until time.Duration) func() *route.Service {
+			return func() *route.Service {
+				declared := testServer(server, home)
+				declared.ChecksGrants = false
+				declared.HomeUntil = until
+				return divided(declared, 7)
+			}
+		}
+
+		It("never go around its home", func() {
+			server := newFakeServer(say(okAnswer))
+			f := newFleet(options, "a", "b")
+			f.publish(unchecking(server, "b", 1<<62))
+			f.vms["b"].peer.Close()
+			got := f.vms["a"].order(HeaderDeadline, "200")
+			Expect(got.verdict).To(Equal("not_run"))
+			Expect(server.seen()).To(BeEmpty())
+		})
+
+		It("send nothing once the home's right has ended", func() {
+			server := newFakeServer(say(okAnswer))
+			f := newFleet(options, "a")
+			f.publish(unchecking(server, "a", time.Nanosecond))
+			got := f.vms["a"].order(HeaderDeadline, "100")
+			Expect([]any{got.verdict, got.code}).To(Equal([]any{"not_run", "no_owner"}))
+			Expect(server.seen()).To(BeEmpty())
+		})
+
+		It("check the right again after waiting in the queue", func() {
+			var clock atomic.Int64
+			began, release := make(chan struct{}, 8), make(chan struct{})
+			server := newFakeServer(func(conn net.Conn, r *http.Request) {
+				began <- struct{}{}
+				<-release
+				io.WriteString(conn, okAnswer)
+			})
+			f := newFleet(Options{Elapsed: func() time.Duration { return time.Duration(clock.Load()) }}, "a")
+			f.publish(func() *route.Service {
+				s := unchecking(server, "a", time.Second)()
+				s.Servers[0].Slots = 1
+				return s
+			})
+			ends := make(chan reply, 2)
+			for range 2 {
+				go func() { defer GinkgoRecover(); ends <- f.vms["a"].order(HeaderDeadline, "1500") }()
+			}
+			<-began
+			Eventually(f.vms["a"].InFlight).Should(Equal(2))
+			Eventually(f.vms["a"].queued).Should(Equal(1))
+			clock.Store(int64(time.Second))
+			close(release)
+			got := []string{(<-ends).verdict, (<-ends).verdict}
+			Expect(got).To(ConsistOf("answered", "not_run"))
+			Expect(server.seen()).To(HaveLen(1))
+		})
+
+		It("keep a unit as finishing until the deadline of a request without an answer", func() {
+			server := newFakeServer(reset)
+			f := newFleet(options, "a")
+			f.publish(unchecking(server, "a", 1<<62))
+			Expect(f.vms["a"].order(HeaderDeadline, "300").code).To(Equal("reset"))
+			Expect(f.vms["a"].Finishing("cards")).To(Equal([]uint32{0}))
+			Eventually(func() []uint32 { return f.vms["a"].Finishing("cards") }).Should(BeEmpty())
+		})
+	})
+})
+
+// queued returns the number of requests that wait for servers.
+func (v *vm) queued() int {
+	total := 0
+	for _, held := range v.current().services["cards"].servers {
+		total += held.gate.State().Queued
+	}
+	return total
+}
+
+var _ = Describe("a route that changes", func() {
+	It("asks for a newer page after a fence refusal and follows it", func() {
+		old, fresh := newFakeServer(refuse("fence")), newFakeServer(say(okAnswer))
+		f := newFleet(Options{}, "a")
+		f.publish(func() *route.Service { return divided(testServer(old, "a"), 7) })
+		ends := make(chan reply, 1)
+		go func() { defer GinkgoRecover(); ends <- f.vms["a"].order() }()
+		Eventually(f.vms["a"].stale).Should(Receive(Equal("cards")))
+		f.publish(func() *route.Service { return divided(testServer(fresh, "a"), 8) })
+		Expect((<-ends).verdict).To(Equal("answered"))
+		Expect(fresh.seen()[0].Header.Get("Guavacrank-Epoch")).To(Equal("8"))
+		Expect(fresh.seen()[0].Header.Get("Guavacrank-Attempt")).NotTo(Equal("1"))
+	})
+
+	It("makes requests wait while a unit has no server", func() {
+		server := newFakeServer(say(okAnswer))
+		f := newFleet(Options{}, "a")
+		f.publish(func() *route.Service { return divided(nil, 7) })
+		ends := make(chan reply, 1)
+		go func() { defer GinkgoRecover(); ends <- f.vms["a"].order() }()
+		Eventually(f.vms["a"].InFlight).Should(Equal(1))
+		f.publish(func() *route.Service { return divided(testServer(server, "a"), 8) })
+		Expect((<-ends).verdict).To(Equal("answered"))
+	})
+
+	It("tells not_run when no server came before the deadline", func() {
+		f := newFleet(Options{}, "a")
+		f.publish(func() *route.Service { return divided(nil, 7) })
+		got := f.vms["a"].order(HeaderDeadline, "50")
+		Expect([]any{got.status, got.verdict, got.code}).To(Equal([]any{503, "not_run", "no_owner"}))
+	})
+})
+
+var _ = Describe("a stop", func() {
+	It("finishes what is in flight and refuses the rest with not_run", func() {
+		release := make(chan struct{})
+		server := newFakeServer(func(conn net.Conn, r *http.Request) {
+			<-release
+			io.WriteString(conn, okAnswer)
+		})
+		v := oneVM(server)
+		ends, stopped := make(chan reply, 1), make(chan error, 1)
+		go func() { defer GinkgoRecover(); ends <- v.order() }()
+		Eventually(func() int { return len(server.seen()) }).Should(Equal(1))
+		go func() { stopped <- v.Stop(context.Background()) }()
+		Eventually(func() string { return v.order().code }).Should(Equal("stopping"))
+		Expect(v.order().verdict).To(Equal("not_run"))
+		Consistently(stopped, "20ms").ShouldNot(Receive())
+		close(release)
+		Expect((<-ends).verdict).To(Equal("answered"))
+		Expect(<-stopped).To(Succeed())
+	})
+
+	It("gives up at its limit", func() {
+		v := oneVM(newFakeServer(stay))
+		go func() { defer GinkgoRecover(); v.order(HeaderDeadline, "500") }()
+		Eventually(v.InFlight).Should(Equal(1))
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		Expect(v.Stop(ctx)).To(MatchError(context.Canceled))
+	})
+})
--- /dev/null
+++ b/traffic/front/handler.go
@@ -0,0 +1,153 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"guavacrank.example/traffic/load"
+	"guavacrank.example/traffic/verdict"
+)
+
+// Handler serves callers' requests. Peer returns the handler for the requests
+// that other VMs forward.
+type Handler struct {
+	options Options
+	ids     *ids
+	view    atomic.Pointer[view]
+
+	refreshing sync.Mutex // Guards the maps below, off the path of requests.
+	states     map[string]*serviceState
+	servers    map[serverID]*server
+	peers      map[peerID]*peer
+
+	inFlight atomic.Int64
+	stopping atomic.Bool
+	ended    chan struct{} // Receives when a request ends while stopping.
+}
+
+// New returns a handler.
+func New(options Options) *Handler {
+	return &Handler{
+		options: options.withDefaults(),
+		ids:     newIDs(),
+		states:  make(map[string]*serviceState),
+		servers: make(map[serverID]*server),
+		peers:   make(map[peerID]*peer),
+		ended:   make(chan struct{}, 1),
+	}
+}
+
+// ServeHTTP serves one caller's request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if refused := h.enter(); refused != nil {
+		writeRefusal(w, *refused)
+		return
+	}
+	defer h.leave()
+	c, refused := h.parseCaller(r)
+	if refused != nil {
+		writeRefusal(w, *refused)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), c.remaining(h.options.Elapsed()))
+	defer cancel()
+	until, _ := ctx.Deadline()
+	if c.body, refused = readBody(w, r, c.settings().MaxBodyBytes, until); refused != nil {
+		writeRefusal(w, *refused)
+		return
+	}
+	h.writeOutcome(ctx, w, c, h.run(ctx, c))
+}
+
+// enter takes a request in, or refuses it.
+func (h *Handler) enter() *refusal {
+	if h.inFlight.Add(1) > int64(h.options.Limits.Concurrent) {
+		h.leave()
+		return &refusal{verdict.CodeTooMany, "too many requests at once"}
+	}
+	if h.stopping.Load() {
+		h.leave()
+		return &refusal{verdict.CodeStopping, "this VM is stopping"}
+	}
+	return nil
+}
+
+func (h *Handler) leave() {
+	h.inFlight.Add(-1)
+	if h.stopping.Load() {
+		select {
+		case h.ended <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Stop refuses new requests, of callers and of other VMs, and waits for those
+// in flight. It returns the context's error when it ends first. The daemon
+// hands over its servers before it calls Stop.
+func (h *Handler) Stop(ctx context.Context) error {
+	h.stopping.Store(true)
+	for h.inFlight.Load() > 0 {
+		select {
+		case <-h.ended:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// Close closes every idle connection; others close as their requests end.
+func (h *Handler) Close() {
+	h.refreshing.Lock()
+	defer h.refreshing.Unlock()
+	for _, held := range h.servers {
+		held.pool.Close()
+	}
+	for _, held := range h.peers {
+		held.pool.Close()
+	}
+}
+
+// InFlight returns the number of requests in this VM, its own and forwarded ones.
+func (h *Handler) InFlight() int { return int(h.inFlight.Load()) }
+
+// Load is the work of one service since the last Take.
+type Load struct {
+	Units []load.UnitCount
+	Keys  []load.KeyCount
+}
+
+// TakeLoad returns what was counted for a service since the last call, with at
+// most keys frequent keys. Only requests that this VM sent to a server count.
+func (h *Handler) TakeLoad(service string, keys int) Load {
+	state := h.stateOf(service)
+	if state == nil {
+		return Load{}
+	}
+	return Load{Units: state.units.Take(), Keys: state.keys.Take(keys)}
+}
+
+// Finishing returns the units of a service with requests that this VM sent and
+// that may still run. A server that does not check grants has stopped a unit
+// once its home published a snapshot without the unit and does not list it here.
+func (h *Handler) Finishing(service string) []uint32 {
+	state := h.stateOf(service)
+	if state == nil {
+		return nil
+	}
+	return state.units.InFlight()
+}
+
+func (h *Handler) stateOf(service string) *serviceState {
+	h.refreshing.Lock()
+	defer h.refreshing.Unlock()
+	return h.states[service]
+}
+
+// deadlineSlack is how long after a request's deadline a server may need to
+// notice that it passed.
+const deadlineSlack = 100 * time.Millisecond
--- /dev/null
+++ b/traffic/front/peer.go
@@ -0,0 +1,65 @@
+package front
+
+import (
+	"sync/atomic"
+	"time"
+
+	"guavacrank.example/traffic/route"
+	"guavacrank.example/traffic/upstream"
+)
+
+// peer is this VM's own state of another VM.
+type peer struct {
+	name string
+	pool *upstream.Pool
+	// avoidUntil is the reading of the elapsed clock until which the peer is
+	// passed over, because connecting to it failed.
+	avoidUntil atomic.Int64
+}
+
+const (
+	// peerConnectTimeout bounds a connect to another VM: several round trips
+	// between regions.
+	peerConnectTimeout = 150 * time.Millisecond
+	// peerAvoidance is how long a VM that did not accept a connection is passed over.
+	peerAvoidance = time.Second
+)
+
+// peersOf returns the state of every other VM, keeping what is still valid.
+func (h *Handler) peersOf(snapshot *route.Snapshot) map[string]*peer {
+	peers := make(map[string]*peer, len(snapshot.Peers))
+	for name, address := range snapshot.Peers {
+		if name == snapshot.Self {
+			continue
+		}
+		id := peerID{name, address}
+		held := h.peers[id]
+		if held == nil {
+			held = &peer{name: name, pool: upstream.NewPool(upstream.Options{
+				Address:        address,
+				Connections:    h.options.Limits.PeerConnections,
+				ConnectTimeout: peerConnectTimeout,
+			})}
+			h.peers[id] = held
+		}
+		peers[name] = held
+	}
+	for id, held := range h.peers {
+		if peers[id.name] != held {
+			held.pool.Close()
+			delete(h.peers, id)
+		}
+	}
+	return peers
+}
+
+type peerID struct{ name, address string }
+
+// avoided says whether connecting to the peer failed just now.
+func (p *peer) avoided(now time.Duration) bool {
+	return int64(now) < p.avoidUntil.Load()
+}
+
+func (p *peer) avoid(now time.Duration) {
+	p.avoidUntil.Store(int64(now + peerAvoidance))
+}
--- /dev/null
+++ b/traffic/front/verdict_test.go
@@ -0,0 +1,122 @@
+package front
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("verdict of a non-idempotent request", func() {
+	DescribeTable("follows from what was provably sent",
+		func(behave func(net.Conn, *http.Request), status int, verdict, code string) {
+			server := newFakeServer(behave)
+			got := oneVM(server).order(HeaderDeadline, "300")
+			Expect(got.err).NotTo(HaveOccurred())
+			Expect([]any{got.status, got.verdict, got.code}).To(Equal([]any{status, verdict, code}))
+			Expect(server.seen()).To(HaveLen(1), "sent once")
+		},
+		Entry("answer", say(okAnswer), 200, "answered", "answered"),
+		Entry("answer after an informational one", say("HTTP/1.1 103 Early Hints\r\n\r\n"+okAnswer), 200, "answered", "answered"),
+		Entry("the server's own 503", say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"), 503, "answered", "answered"),
+		Entry("undocumented refusal", refuse("mood"), 503, "answered", "answered"),
+		Entry("deadline refusal", refuse("deadline"), 503, "not_run", "too_late"),
+		Entry("reset before an answer", reset, 502, "may_have_run", "reset"),
+		Entry("end before an answer", sayAndClose(""), 502, "may_have_run", "reset"),
+		Entry("end within the head", sayAndClose("HTTP/1.1 200 OK\r\nCont"), 502, "may_have_run", "reset"),
+		Entry("no answer in time", stay, 504, "may_have_run", "timeout"),
+		Entry("small answer truncated", sayAndClose("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), 502, "may_have_run", "truncated"),
+		Entry("chunked answer truncated", sayAndClose("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"), 502, "may_have_run", "truncated"),
+		Entry("answer without an end of its own", sayAndClose("HTTP/1.1 200 OK\r\n\r\nok"), 502, "may_have_run", "unframed"),
+		Entry("answer that is not HTTP", say("hello\r\n\r\n"), 502, "may_have_run", "reset"),
+		Entry("answer that stops in the middle", say("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), 504, "may_have_run", "timeout"),
+	)
+
+	It("is not_run when the server refuses the connection", func() {
+		server := newFakeServer(stay)
+		server.close()
+		got := oneVM(server).order(HeaderDeadline, "200")
+		Expect([]any{got.status, got.verdict, got.code}).To(Equal([]any{502, "not_run", "connect"}))
+	})
+
+	It("ends the caller's connection when a large answer is truncated", func() {
+		server := newFakeServer(sayAndClose("HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n" + strings.Repeat("x", 50000)))
+		got := oneVM(server).order()
+		Expect(got.verdict).To(Equal("answered"))
+		Expect(got.err).To(MatchError(io.ErrUnexpectedEOF))
+	})
+
+	It("ends the caller's connection when a large chunked answer is truncated", func() {
+		part := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8000\r\n" + strings.Repeat("x", 0x8000) + "\r\n"
+		got := oneVM(newFakeServer(sayAndClose(part))).order()
+		Expect(got.err).To(HaveOccurred())
+	})
+
+	It("drops a late answer and gives the next request its own", func() {
+		late := make(chan struct{})
+		server := newFakeServer(func(conn net.Conn, r *http.Request) {
+			if r.Header.Get("Name") == "first" {
+				<-late
+			}
+			body := r.Header.Get("Name")
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: "+string(rune('0'+len(body)))+"\r\n\r\n"+body)
+		})
+		v := oneVM(server)
+		Expect(v.order("Name", "first", HeaderDeadline, "100").code).To(Equal("timeout"))
+		close(late)
+		Expect(v.order("Name", "second").body).To(Equal("second"))
+	})
+})
+
+var _ = Describe("the way through one VM", func() {
+	It("passes method, path, query, body and headers, and adds its own", func() {
+		var body []byte
+		server := newFakeServer(func(conn net.Conn, r *http.Request) {
+			body, _ = io.ReadAll(r.Body)
+			io.WriteString(conn, okAnswer)
+		})
+		got := oneVM(server).ask("PUT", "/v1/cards/a%2Fb/c%20d?x=1&y=%20", "text", "Custom", "yes",
+			"Guavacrank-Epoch", "99", "Guavacrank-Attempt", "8", "Guavacrank-Request-Id", "forged")
+		Expect(got.body).To(Equal("ok"))
+		request := server.seen()[0]
+		Expect(request.Method + " " + request.RequestURI).To(Equal("PUT /a%2Fb/c%20d?x=1&y=%20"))
+		Expect(string(body)).To(Equal("text"))
+		Expect(request.Header.Get("Custom")).To(Equal("yes"))
+		Expect(request.Header.Get("Guavacrank-Key")).To(Equal("a%2Fb%2Fc%20d"))
+		Expect(request.Header.Values("Guavacrank-Epoch")).To(Equal([]string{"7"}))
+		Expect(request.Header.Values("Guavacrank-Attempt")).To(Equal([]string{"1"}))
+		Expect(request.Header.Values("Guavacrank-Unit")).To(Equal([]string{"0"}))
+		Expect(request.Header.Get("Guavacrank-Request-Id")).NotTo(Equal("forged"))
+	})
+
+	It("passes a large body of unknown length", func() {
+		var received int64
+		server := newFakeServer(func(conn net.Conn, r *http.Request) {
+			received, _ = io.Copy(io.Discard, r.Body)
+			io.WriteString(conn, okAnswer)
+		})
+		v := oneVM(server)
+		request, _ := http.NewRequest("POST", v.caller.URL+"/v1/cards/k", io.MultiReader(strings.NewReader(strings.Repeat("x", 300000))))
+		response, err := v.caller.Client().Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		response.Body.Close()
+		Expect(response.StatusCode).To(Equal(200))
+		Expect(received).To(BeEquivalentTo(300000))
+	})
+
+	It("counts the work of the unit and the key", func() {
+		v := oneVM(newFakeServer(say(okAnswer)))
+		for range 32 {
+			v.ask("GET", "/v1/cards/k", "")
+		}
+		taken := v.TakeLoad("cards", 4)
+		Expect(taken.Units).To(HaveLen(1))
+		Expect(taken.Units[0].Requests).To(BeEquivalentTo(32))
+		Expect(taken.Keys).To(HaveLen(1))
+		Expect(taken.Keys[0].Key).To(Equal("k"))
+		Expect(v.Finishing("cards")).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/traffic/limit/shares.go
@@ -0,0 +1,40 @@
+// Package limit divides a server's slots and connections among the VMs.
+package limit
+
+// Sharing is the way in which VMs share a server's slots.
+type Sharing uint8
+
+// Ways of sharing. docs/design/requests.md gives the figures of each.
+const (
+	// Home queues exactly at one VM for each server, at one more hop. VMs go
+	// direct, within their share, while the home does not answer.
+	Home Sharing = iota
+	// Direct lets every VM send within a local adaptive limit.
+	Direct
+	// Subset lets a few VMs for each server send within a local adaptive limit.
+	Subset
+)
+
+// String returns the name of the way.
+func (s Sharing) String() string {
+	return [...]string{"home", "direct", "subset"}[s]
+}
+
+// controlConnections are kept free for grants and reports.
+const controlConnections = 4
+
+// Shares is the number of connections that one VM may open to a server.
+type Shares struct {
+	Home   int // While it is the server's home.
+	Direct int // Otherwise.
+}
+
+// Divide splits the connections that a server accepts. Two homes are counted,
+// because a former home may still have requests in flight, and every VM has
+// its direct share at the same time; the sum never exceeds the declared number.
+func Divide(connections, slots, vms int) Shares {
+	usable := max(connections-controlConnections, 2)
+	home := min(slots, usable/2)
+	direct := (usable - 2*home) / max(vms, 1)
+	return Shares{Home: home, Direct: min(direct, slots)}
+}
--- /dev/null
+++ b/traffic/load/load.go
@@ -0,0 +1,105 @@
+// Package load counts the work of ownership units and finds frequent keys,
+// with memory that does not grow with the number of keys.
+package load
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// chunkUnits is the number of units whose counters are allocated together.
+const chunkUnits = 256
+
+// unitCounter is one unit's counters.
+type unitCounter struct {
+	requests atomic.Uint32
+	inFlight atomic.Int32
+}
+
+type chunk [chunkUnits]unitCounter
+
+// Units counts requests by ownership unit. The zero value is ready for use.
+type Units struct {
+	chunks atomic.Pointer[[]*chunk]
+	grow   sync.Mutex
+}
+
+// counter returns the counter of a unit, allocating its chunk when it is the first.
+func (u *Units) counter(unit uint32) *unitCounter {
+	index := int(unit / chunkUnits)
+	chunks := u.chunks.Load()
+	if chunks == nil || index >= len(*chunks) || (*chunks)[index] == nil {
+		chunks = u.extend(index)
+	}
+	return &(*chunks)[index][unit%chunkUnits]
+}
+
+func (u *Units) extend(index int) *[]*chunk {
+	u.grow.Lock()
+	defer u.grow.Unlock()
+	var old []*chunk
+	if held := u.chunks.Load(); held != nil {
+		old = *held
+	}
+	next := make([]*chunk, max(index+1, len(old)))
+	copy(next, old)
+	if next[index] == nil {
+		next[index] = new(chunk)
+	}
+	u.chunks.Store(&next)
+	return &next
+}
+
+// Count adds one request of a unit.
+func (u *Units) Count(unit uint32) { u.counter(unit).requests.Add(1) }
+
+// Enter notes that a request of the unit is about to be sent. It must come
+// before the check that the unit may still be sent: control removes the right
+// first and reads InFlight afterwards, so one of the two sees the other.
+func (u *Units) Enter(unit uint32) { u.counter(unit).inFlight.Add(1) }
+
+// Leave ends what Enter began.
+func (u *Units) Leave(unit uint32) { u.counter(unit).inFlight.Add(-1) }
+
+// UnitCount is the work of one unit.
+type UnitCount struct {
+	Unit     uint32
+	Requests uint32
+}
+
+// Take returns the units with requests since the last Take, by unit.
+func (u *Units) Take() []UnitCount {
+	var counts []UnitCount
+	u.each(func(unit uint32, counter *unitCounter) {
+		if requests := counter.requests.Swap(0); requests > 0 {
+			counts = append(counts, UnitCount{Unit: unit, Requests: requests})
+		}
+	})
+	return counts
+}
+
+// InFlight returns the units with requests sent and not yet known to be over.
+func (u *Units) InFlight() []uint32 {
+	var units []uint32
+	u.each(func(unit uint32, counter *unitCounter) {
+		if counter.inFlight.Load() > 0 {
+			units = append(units, unit)
+		}
+	})
+	return units
+}
+
+func (u *Units) each(visit func(uint32, *unitCounter)) {
+	chunks := u.chunks.Load()
+	if chunks == nil {
+		return
+	}
+	for index, held := range *chunks {
+		if held == nil {
+			continue
+		}
+		for offset := range held {
+			visit(uint32(index*chunkUnits+offset), &held[offset])
+		}
+	}
+}
--- /dev/null
+++ b/traffic/queue/gate.go
@@ -0,0 +1,100 @@
+package queue
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"guavacrank.example/config"
+)
+
+// Gate makes requests wait in a Queue. It is safe for concurrent use.
+type Gate struct {
+	now   func() time.Duration
+	mu    sync.Mutex
+	queue *Queue
+}
+
+var tickets = sync.Pool{New: func() any { return &Ticket{decided: make(chan Decision, 1)} }}
+
+// NewGate returns a gate over an empty queue. now is the clock of deadlines;
+// options.Decide is not used.
+func NewGate(now func() time.Duration, options Options) *Gate {
+	options.Decide = func(t *Ticket, d Decision) { t.decided <- d }
+	return &Gate{now: now, queue: New(options)}
+}
+
+// Enter waits for a slot. Only after Admitted the ticket is not nil, and Leave
+// must be called with it.
+func (g *Gate) Enter(ctx context.Context, priority config.Priority, deadline time.Duration) (*Ticket, Decision) {
+	t := tickets.Get().(*Ticket)
+	t.Priority, t.Deadline = priority, deadline
+	g.mu.Lock()
+	decision := g.queue.Offer(g.now(), t)
+	g.mu.Unlock()
+	if decision == Waiting {
+		decision = g.wait(ctx, t)
+	}
+	if decision != Admitted {
+		tickets.Put(t)
+		return nil, decision
+	}
+	return t, Admitted
+}
+
+// wait returns the decision, or withdraws the ticket when the context ends.
+func (g *Gate) wait(ctx context.Context, t *Ticket) Decision {
+	select {
+	case decision := <-t.decided:
+		return decision
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	withdrawn := g.queue.Cancel(t)
+	g.mu.Unlock()
+	if withdrawn {
+		return Canceled
+	}
+	decision := <-t.decided
+	if decision == Admitted {
+		g.leave(t, false)
+	}
+	return Canceled
+}
+
+// Leave frees the slot of an admitted ticket. ran says that the request was
+// run, so that its time counts as service time.
+func (g *Gate) Leave(t *Ticket, ran bool) {
+	g.leave(t, ran)
+	tickets.Put(t)
+}
+
+func (g *Gate) leave(t *Ticket, ran bool) {
+	g.mu.Lock()
+	g.queue.Done(g.now(), t, ran)
+	g.mu.Unlock()
+}
+
+// Configure sets the slots, the number that may wait, and the floor.
+func (g *Gate) Configure(slots, limit, floor int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.SetLimits(limit, floor)
+	if slots != g.queue.Slots() {
+		g.queue.SetSlots(g.now(), slots)
+	}
+}
+
+// State is what a gate holds at the moment.
+type State struct {
+	Slots, Busy, Queued int
+	Backlog             time.Duration
+}
+
+// State returns what the gate holds at the moment.
+func (g *Gate) State() State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	q := g.queue
+	return State{Slots: q.slots, Busy: q.busy, Queued: q.queued, Backlog: q.Backlog()}
+}
--- /dev/null
+++ b/traffic/queue/queue.go
@@ -0,0 +1,271 @@
+// Package queue admits requests to a server's slots by class and deadline.
+//
+// Interactive requests go before patient ones and those before bulk, with a
+// floor for the lower classes. A request that could not finish within its
+// deadline is refused when it arrives, or dropped before it is started.
+//
+// Queue is pure: the caller passes the time. Gate makes requests wait on it.
+package queue
+
+import (
+	"time"
+
+	"guavacrank.example/config"
+)
+
+// priorities is the number of classes.
+const priorities = int(config.Bulk) + 1
+
+// Decision is what the queue decided about a ticket.
+type Decision uint8
+
+// Decisions.
+const (
+	Waiting  Decision = iota
+	Admitted          // The ticket holds a slot until Done.
+	Full              // Refused: too many wait.
+	Late              // Refused: it could not finish within its deadline.
+	Canceled          // Its caller left.
+)
+
+// Ticket is one request in a queue. A ticket is in one queue at a time.
+type Ticket struct {
+	Priority config.Priority
+	// Deadline is on the clock that is passed to the queue.
+	Deadline time.Duration
+	// Value belongs to the queue's user.
+	Value int
+
+	decision   Decision
+	startedAt  time.Duration
+	prev, next *Ticket
+	list       *list
+	decided    chan Decision
+}
+
+// Options configure a Queue.
+type Options struct {
+	// Slots is the number of requests that the server runs at once.
+	Slots int
+	// Limit is the number of requests that may wait.
+	Limit int
+	// Floor is the least share of starts for each lower class that waits, in percent.
+	Floor int
+	// Decide is called when a waiting ticket is admitted or dropped.
+	Decide func(*Ticket, Decision)
+}
+
+// Queue is the queue of one server. It is not safe for concurrent use.
+type Queue struct {
+	options  Options
+	slots    int
+	busy     int
+	bulkBusy int
+	queued   int
+	waiting  [priorities]list
+	credit   [priorities]int
+	service  [priorities]Estimate
+}
+
+// New returns an empty queue.
+func New(options Options) *Queue {
+	return &Queue{options: options, slots: options.Slots}
+}
+
+// SetSlots changes the number of slots; it takes effect as requests end.
+func (q *Queue) SetSlots(now time.Duration, slots int) {
+	q.slots = slots
+	q.start(now)
+}
+
+// SetLimits changes how many may wait, and the floor.
+func (q *Queue) SetLimits(limit, floor int) {
+	q.options.Limit = limit
+	q.options.Floor = floor
+}
+
+// Slots returns the number of slots.
+func (q *Queue) Slots() int { return q.slots }
+
+// Busy returns the number of admitted tickets.
+func (q *Queue) Busy() int { return q.busy }
+
+// Queued returns the number of waiting tickets.
+func (q *Queue) Queued() int { return q.queued }
+
+// Offer admits the ticket, makes it wait, or refuses it.
+func (q *Queue) Offer(now time.Duration, t *Ticket) Decision {
+	t.decision = Waiting
+	if t.Deadline <= now {
+		return q.settle(t, Late)
+	}
+	if q.mayStart(t.Priority) && !q.waitsBefore(t.Priority) {
+		q.admit(now, t)
+		return Admitted
+	}
+	wait := q.expectedWait(t.Priority)
+	if wait > 0 && now+wait+q.service[t.Priority].High() > t.Deadline {
+		return q.settle(t, Late)
+	}
+	if q.queued >= q.options.Limit && !q.displace(t.Priority) {
+		return q.settle(t, Full)
+	}
+	q.waiting[t.Priority].pushBack(t)
+	q.queued++
+	return Waiting
+}
+
+// Done frees the slot of an admitted ticket. Only a request that ran tells
+// something about the service time.
+func (q *Queue) Done(now time.Duration, t *Ticket, ran bool) {
+	if ran {
+		q.service[t.Priority].Add(now - t.startedAt)
+	}
+	q.busy--
+	if t.Priority == config.Bulk {
+		q.bulkBusy--
+	}
+	q.start(now)
+}
+
+// Cancel removes a waiting ticket. It returns false if the ticket was decided before.
+func (q *Queue) Cancel(t *Ticket) bool {
+	if t.list == nil {
+		return false
+	}
+	q.remove(t)
+	t.decision = Canceled
+	return true
+}
+
+// Backlog estimates how long the waiting requests keep the server busy: the
+// hint for a refused caller when to come again.
+func (q *Queue) Backlog() time.Duration {
+	return q.expectedWait(config.Bulk)
+}
+
+func (q *Queue) settle(t *Ticket, d Decision) Decision {
+	t.decision = d
+	return d
+}
+
+func (q *Queue) admit(now time.Duration, t *Ticket) {
+	t.decision = Admitted
+	t.startedAt = now
+	q.busy++
+	if t.Priority == config.Bulk {
+		q.bulkBusy++
+	}
+}
+
+func (q *Queue) remove(t *Ticket) {
+	t.list.remove(t)
+	q.queued--
+}
+
+// mayStart says whether a slot is free for the class. Bulk leaves a quarter
+// of the slots, at least one, to the others: a bulk run is long.
+func (q *Queue) mayStart(p config.Priority) bool {
+	if q.busy >= q.slots {
+		return false
+	}
+	if p != config.Bulk || q.slots == 1 {
+		return true
+	}
+	return q.bulkBusy < q.slots-max(1, q.slots/4)
+}
+
+// waitsBefore says whether somebody waits who goes before a new ticket.
+func (q *Queue) waitsBefore(p config.Priority) bool {
+	for class := 0; class <= int(p); class++ {
+		if q.waiting[class].first != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// expectedWait estimates how long a new ticket of the class would wait.
+func (q *Queue) expectedWait(p config.Priority) time.Duration {
+	if q.slots <= 0 {
+		return 0
+	}
+	var work time.Duration
+	for class := 0; class <= int(p); class++ {
+		work += time.Duration(q.waiting[class].length) * q.service[class].Mean()
+	}
+	if q.busy >= q.slots {
+		work += q.service[p].Mean()
+	}
+	return work / time.Duration(q.slots)
+}
+
+// displace drops the newest ticket of the least urgent class below p.
+func (q *Queue) displace(p config.Priority) bool {
+	for class := priorities - 1; class > int(p); class-- {
+		if t := q.waiting[class].last; t != nil {
+			q.remove(t)
+			q.decide(t, Full)
+			return true
+		}
+	}
+	return false
+}
+
+func (q *Queue) decide(t *Ticket, d Decision) {
+	t.decision = d
+	q.options.Decide(t, d)
+}
+
+// start gives free slots to waiting tickets.
+func (q *Queue) start(now time.Duration) {
+	for {
+		class, ok := q.nextClass()
+		if !ok {
+			return
+		}
+		t := q.waiting[class].first
+		q.remove(t)
+		if now+q.service[class].Mean() > t.Deadline {
+			q.decide(t, Late)
+			continue
+		}
+		q.charge(class)
+		q.admit(now, t)
+		q.options.Decide(t, Admitted)
+	}
+}
+
+// nextClass returns the class whose first ticket is started next.
+func (q *Queue) nextClass() (int, bool) {
+	for class := priorities - 1; class > 0; class-- {
+		if q.credit[class] >= 100 && q.ready(class) {
+			return class, true
+		}
+	}
+	for class := range priorities {
+		if q.ready(class) {
+			return class, true
+		}
+	}
+	return 0, false
+}
+
+func (q *Queue) ready(class int) bool {
+	return q.waiting[class].first != nil && q.mayStart(config.Priority(class))
+}
+
+// charge accounts for one start: the lower classes that wait gain their
+// floor, and the class that starts spends what it had gained.
+func (q *Queue) charge(started int) {
+	for class := 1; class < priorities; class++ {
+		if q.waiting[class].first == nil {
+			q.credit[class] = 0
+			continue
+		}
+		q.credit[class] += q.options.Floor
+	}
+	if started > 0 {
+		q.credit[started] = max(0, q.credit[started]-100)
+	}
+}
--- /dev/null
+++ b/traffic/retry/budget.go
@@ -0,0 +1,45 @@
+// Package retry decides whether a request may be sent again.
+package retry
+
+import "sync/atomic"
+
+// Budget is a token bucket that successes fill: retries stay a share of what
+// the service answers, so that a service that is down is not stormed. It is
+// safe for concurrent use.
+type Budget struct {
+	tokens atomic.Int64 // In hundredths of a retry.
+}
+
+// Sizes of the bucket, in hundredths of a retry.
+const (
+	retryCost   = 100
+	bucketFull  = 100 * retryCost
+	bucketStart = 10 * retryCost
+)
+
+// NewBudget returns a budget with a few retries in hand.
+func NewBudget() *Budget {
+	b := &Budget{}
+	b.tokens.Store(bucketStart)
+	return b
+}
+
+// Succeeded adds the given share of one retry, in percent.
+func (b *Budget) Succeeded(percent int) {
+	if b.tokens.Add(int64(percent)) > bucketFull {
+		b.tokens.Store(bucketFull)
+	}
+}
+
+// Spend takes one retry and reports whether there was one.
+func (b *Budget) Spend() bool {
+	for {
+		held := b.tokens.Load()
+		if held < retryCost {
+			return false
+		}
+		if b.tokens.CompareAndSwap(held, held-retryCost) {
+			return true
+		}
+	}
+}
--- a/traffic/route/snapshot.go
+++ b/traffic/route/snapshot.go
@@ -28,6 +28,8 @@
 	// PageVersion is the store's version of the ownership page, zero without one.
 	PageVersion uint64
 	Classes     map[string]config.Class
+	// DefaultClass names the class of requests that name none: the first declared.
+	DefaultClass string
 	// Units is indexed by shard; Overrides is looked up first.
 	Units     []Unit
 	Overrides map[string]Unit
--- /dev/null
+++ b/traffic/upstream/conn.go
@@ -0,0 +1,105 @@
+package upstream
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"time"
+)
+
+// bufferBytes is the size of a connection's read and write buffers.
+const bufferBytes = 4 << 10
+
+// errHeadersTooLarge reports an answer whose headers exceed the limit.
+var errHeadersTooLarge = errors.New("answer headers too large")
+
+// conn is one connection with its buffers. One request uses it at a time.
+type conn struct {
+	net.Conn
+	reader    *bufio.Reader
+	writer    *bufio.Writer
+	idleSince time.Time
+	reused    bool
+	// sent says that a byte of the current request was handed to the kernel.
+	sent bool
+	// headerBytes limits what may be read until the headers are complete.
+	headerBytes int64
+	limited     bool
+}
+
+func newConn(raw net.Conn) *conn {
+	c := &conn{Conn: raw}
+	c.reader = bufio.NewReaderSize((*connReader)(c), bufferBytes)
+	c.writer = bufio.NewWriterSize((*connWriter)(c), bufferBytes)
+	return c
+}
+
+type connReader conn
+
+// Read reads from the connection, at most headerBytes while limited.
+func (r *connReader) Read(p []byte) (int, error) {
+	if !r.limited {
+		return r.Conn.Read(p)
+	}
+	if r.headerBytes <= 0 {
+		return 0, errHeadersTooLarge
+	}
+	if int64(len(p)) > r.headerBytes {
+		p = p[:r.headerBytes]
+	}
+	n, err := r.Conn.Read(p)
+	r.headerBytes -= int64(n)
+	return n, err
+}
+
+type connWriter conn
+
+// Write writes to the connection and notes whether a byte was taken.
+func (w *connWriter) Write(p []byte) (int, error) {
+	n, err := w.Conn.Write(p)
+	if n > 0 {
+		w.sent = true
+	}
+	return n, err
+}
+
+// begin prepares the connection for one request.
+func (c *conn) begin(maxHeaderBytes int64) {
+	c.sent = false
+	c.limited = true
+	c.headerBytes = maxHeaderBytes
+}
+
+// alive looks, without waiting, whether the server has closed an idle
+// connection or sent something that nobody asked for.
+func (c *conn) alive() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	source, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var probe [1]byte
+		_, _, errno := syscall.Recvfrom(int(fd), probe[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(errno, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// unexpected turns a clean end of the connection into an unexpected one.
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
--- /dev/null
+++ b/traffic/upstream/exchange.go
@@ -0,0 +1,207 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+)
+
+// past is a deadline that ends every operation of a connection at once.
+var past = time.Unix(1, 0)
+
+// answerGrace is how long an answer is awaited after sending the request
+// failed: a server that refuses early closes the connection after its answer.
+const answerGrace = 50 * time.Millisecond
+
+// Answer is the head of an answer and its body. Body must be closed.
+type Answer struct {
+	*http.Response
+	exchange *exchange
+}
+
+// exchange is one request and its answer on one connection.
+type exchange struct {
+	pool    *Pool
+	conn    *conn
+	ctx     context.Context
+	request *http.Request
+	stop    func() bool
+	written chan error // Receives the end of a body sent beside reading the answer.
+	over    bool
+}
+
+// run sends the request and reads the answer's head.
+func (x *exchange) run() (*Answer, *Failure) {
+	c := x.conn
+	c.begin(x.pool.options.MaxHeaderBytes)
+	deadline, _ := x.ctx.Deadline()
+	c.SetDeadline(deadline) // The zero time means none.
+	x.stop = context.AfterFunc(x.ctx, func() { c.SetDeadline(past) })
+
+	writeErr := x.send()
+	if writeErr != nil && !c.sent {
+		x.abandon()
+		return nil, &Failure{Stage: StageWrite, Timeout: x.ended(writeErr), Err: writeErr}
+	}
+	if writeErr != nil && x.ctx.Err() == nil {
+		c.SetReadDeadline(time.Now().Add(answerGrace))
+	}
+	response, err := readHead(c, x.request)
+	if err != nil {
+		return nil, x.fail(writeErr, err)
+	}
+	c.limited = false
+	if !framed(response) {
+		x.abandon()
+		return nil, &Failure{Stage: StageUnframed, Sent: true, Err: errors.New("neither Content-Length nor chunked")}
+	}
+	answer := &Answer{Response: response, exchange: x}
+	response.Body = &body{source: response.Body, exchange: x, reusable: writeErr == nil && !response.Close}
+	return answer, nil
+}
+
+// framed says whether the answer carries its own end.
+func framed(response *http.Response) bool {
+	return response.ContentLength >= 0 ||
+		len(response.TransferEncoding) > 0 ||
+		response.Request.Method == http.MethodHead
+}
+
+// send writes the request. A body of unknown or great length is sent beside
+// reading the answer, so that an early answer is seen.
+func (x *exchange) send() error {
+	c := x.conn
+	write := func() error {
+		if err := x.request.Write(c.writer); err != nil {
+			return err
+		}
+		return c.writer.Flush()
+	}
+	if _, streamed := x.request.Body.(Streamed); !streamed {
+		return write()
+	}
+	x.written = make(chan error, 1)
+	go func() { x.written <- write() }()
+	return nil
+}
+
+// Streamed marks a request body that is sent beside reading the answer. It
+// must end a waiting Read when Close is called.
+type Streamed interface {
+	io.ReadCloser
+	// Streamed has no effect.
+	Streamed()
+}
+
+// readHead reads the answer's head and passes over informational answers.
+func readHead(c *conn, request *http.Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, unexpected(err)
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("unexpected switch of protocols")
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
+
+// fail ends the exchange without an answer.
+func (x *exchange) fail(writeErr, readErr error) *Failure {
+	x.abandon()
+	failure := &Failure{Stage: StageAnswer, Sent: x.conn.sent, Timeout: x.ended(readErr), Err: readErr}
+	if writeErr != nil {
+		failure.Stage, failure.Err = StageWrite, writeErr
+		failure.Timeout = x.ended(writeErr)
+	}
+	return failure
+}
+
+// ended says whether err comes from the end of the context or its deadline.
+func (x *exchange) ended(err error) bool {
+	return x.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// abandon closes the connection, which cancels the run at the server, and
+// waits until nobody reads the request's body.
+func (x *exchange) abandon() {
+	if x.over {
+		return
+	}
+	x.over = true
+	x.stop()
+	x.conn.SetDeadline(past)
+	x.awaitBody()
+	x.pool.discard(x.conn)
+}
+
+func (x *exchange) awaitBody() {
+	if x.written == nil {
+		return
+	}
+	x.request.Body.Close()
+	<-x.written
+	x.written = nil
+}
+
+// finish ends an exchange whose answer was read whole.
+func (x *exchange) finish(reusable bool) {
+	if x.over {
+		return
+	}
+	if !reusable || x.written != nil && !x.bodySent() || !x.stop() {
+		x.abandon()
+		return
+	}
+	x.over = true
+	x.pool.release(x.conn)
+}
+
+// bodySent says, without waiting, whether the request's body was sent whole.
+func (x *exchange) bodySent() bool {
+	select {
+	case err := <-x.written:
+		x.written = nil
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// body is an answer's body. It frees the connection at its end.
+type body struct {
+	source   io.ReadCloser
+	exchange *exchange
+	reusable bool
+	whole    bool
+}
+
+// Read returns a *Failure when the answer ends early.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.source.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	if errors.Is(err, io.EOF) {
+		b.whole = true
+		b.exchange.finish(b.reusable)
+		return n, io.EOF
+	}
+	failure := &Failure{Stage: StageTruncate, Sent: true, Timeout: b.exchange.ended(err), Err: err}
+	b.exchange.abandon()
+	return n, failure
+}
+
+// Close ends the exchange; an answer that was not read to its end costs the connection.
+func (b *body) Close() error {
+	if !b.whole {
+		b.exchange.abandon()
+	}
+	return nil
+}
