Strict parsing of configuration and settings, examples of both

Change: config parses YAML trees by hand, collects every fault of a file, and checks the parts against each other; one table of fields drives defaults, bounds, exceptions and their units. Conclusion: the daemon can read both files; applying them comes next.

--- a/config/config.go
+++ b/config/config.go
@@ -53,6 +53,16 @@
 	Bulk
 )
 
+// String returns the priority's name in YAML.
+func (p Priority) String() string {
+	if int(p) < len(priorityNames) {
+		return priorityNames[p]
+	}
+	return fmt.Sprintf("priority %d", uint8(p))
+}
+
+var priorityNames = [...]string{"interactive", "patient", "bulk"}
+
 // Class is one kind of traffic of a service.
 type Class struct {
 	Name       string
@@ -127,11 +137,60 @@
 	Service string
 	Class   string
 	Server  string
-	Set     map[string]string // Names of Defaults fields in YAML form.
+	Set     []Assignment
 	Reason  string
-	Until   time.Time // Zero: no end.
+	// Until is when the operator wants to look at the exception again; zero: no
+	// end. An exception past it stays in force until an operator removes it.
+	Until time.Time
+}
+
+// Assignment is the value that an exception gives to one field of Defaults.
+type Assignment struct {
+	Field Field
+	// Value is in the unit of Field.Kind.
+	Value int64
+}
+
+// Settings are what one process is told.
+type Settings struct {
+	VM     string
+	Region string
+	Zone   string
+	// CallerAddress is the IP:port that the balancer sends callers to.
+	CallerAddress string
+	// PeerAddress is the IP:port that other VMs speak to.
+	PeerAddress string
+	// OperatorAddress is the IP:port of the operator interface.
+	OperatorAddress string
+	// OperatorToken is the shared secret of the operator interface.
+	OperatorToken string
+	// PlatformAddress is the IP:port of the platform's service.
+	PlatformAddress string
+	Limits          Limits
+	LogLevel        LogLevel
 }
 
+// Limits bound what one process accepts on each of its listeners.
+type Limits struct {
+	MaxBodyBytes       int64
+	ConcurrentRequests int
+	HeaderBytes        int
+	ReadHeaderTimeout  time.Duration
+	ReadTimeout        time.Duration
+	IdleTimeout        time.Duration
+}
+
+// LogLevel is the least severity that a process logs.
+type LogLevel string
+
+// Levels, most detailed first.
+const (
+	LogDebug LogLevel = "debug"
+	LogInfo  LogLevel = "info"
+	LogWarn  LogLevel = "warn"
+	LogError LogLevel = "error"
+)
+
 // Error is a fault in a file. Line is 0 where the whole file is meant.
 type Error struct {
 	File   string
