--- a/traffic/front/call.go
+++ b/traffic/front/call.go
@@ -24,7 +24,6 @@
 	// deadline is on the elapsed clock.
 	deadline time.Duration
 	request  *http.Request
-	header   http.Header
 	body     body
 }
 
