--- a/control/inputs.go
+++ b/control/inputs.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"guavacrank.example/config"
-	"guavacrank.example/control/load"
 	"guavacrank.example/control/ownership"
 	"guavacrank.example/event"
 )
@@ -52,7 +51,7 @@
 	i, found := m.serviceIndex(declared.Name)
 	if !found {
 		m.services = slices.Insert(m.services, i, newService(declared.Name, m.now))
-		m.services[i].planner = m.roles[PlannerRole(declared.Name)]
+		m.services[i].planning = m.roles[PlannerRole(declared.Name)]
 	}
 	s := m.services[i]
 	s.configured = true
@@ -77,13 +76,12 @@
 		owned:      make(map[string][]ownership.UnitID),
 		leaving:    make(map[string][]ownership.UnitID),
 		seen:       make(map[ownership.UnitID]departure),
+		early:      make(map[ownership.UnitID]ownership.Epoch),
 		told:       make(map[ownership.UnitID]notification),
 		stopped:    make(map[ownership.UnitID]ownership.Epoch),
 		localUnits: make(map[ownership.UnitID]uint32),
 		localKeys:  make(map[string]uint32),
 		localSince: now,
-		loadTable:  load.NewTable(now),
-		hotKeys:    load.NewHotKeys(),
 	}
 }
 
@@ -118,11 +116,29 @@
 	s.version = version
 	s.page = page.Clone()
 	s.plan.due = true
-	m.settleByPage(s, &previous)
+	m.noteHistory(s, &previous)
 	m.indexPage(s)
+	m.applyEarly(s)
+	m.settleByPage(s, &previous)
 	m.ready.RoutingChanged = true
 }
 
+// noteHistory remembers the newest changes of owners.
+func (m *Machine) noteHistory(s *service, previous *ownership.Page) {
+	for _, unit := range s.page.Units {
+		before := previous.Unit(unit.ID)
+		if before != nil && before.Epoch == unit.Epoch {
+			continue
+		}
+		s.history = append(s.history, unitChange{unit: unit.ID, at: m.now, OwnershipHistory: OwnershipHistory{
+			Version: s.version, Owner: unit.Owner, Epoch: unit.Epoch, By: s.page.ChangedBy, Cause: s.page.Cause,
+		}})
+	}
+	if excess := len(s.history) - maxHistory; excess > 0 {
+		s.history = slices.Delete(s.history, 0, excess)
+	}
+}
+
 // indexPage rebuilds what is derived from the page.
 func (m *Machine) indexPage(s *service) {
 	clear(s.owned)
@@ -190,7 +206,7 @@
 		return
 	}
 	if s := m.service(name); s != nil {
-		s.planner = in.Held
+		s.planning = in.Held
 		s.plan.due = true
 	}
 }
--- a/control/ownership/check.go
+++ b/control/ownership/check.go
@@ -115,6 +115,16 @@
 	if next.NextUnit < p.NextUnit {
 		return fault(p, "next_unit", "fell from %d to %d", p.NextUnit, next.NextUnit)
 	}
+	if next.LastTerm < p.LastTerm {
+		return fault(p, "last_term", "fell from %d to %d", p.LastTerm, next.LastTerm)
+	}
+	if err := p.checkUnitSuccessors(next); err != nil {
+		return err
+	}
+	return p.checkServerSuccessors(next)
+}
+
+func (p *Page) checkUnitSuccessors(next *Page) error {
 	for i := range next.Units {
 		unit := &next.Units[i]
 		before := p.Unit(unit.ID)
@@ -129,11 +139,23 @@
 			return fault(p, field+".owner", "changed at epoch %d", unit.Epoch)
 		}
 	}
+	return nil
+}
+
+func (p *Page) checkServerSuccessors(next *Page) error {
+	for i := range p.Servers {
+		before := &p.Servers[i]
+		if next.Server(before.Name) == nil && next.LastTerm < before.Term {
+			return fault(p, "last_term", "%d is below term %d of removed server %q", next.LastTerm, before.Term, before.Name)
+		}
+	}
 	for i := range next.Servers {
 		server := &next.Servers[i]
 		before := p.Server(server.Name)
 		field := fmt.Sprintf("servers[%d]", i)
 		switch {
+		case before == nil && server.Term <= p.LastTerm:
+			return fault(p, field+".term", "%d was used by a removed server", server.Term)
 		case before == nil:
 		case server.Term < before.Term:
 			return fault(p, field+".term", "fell from %d to %d", before.Term, server.Term)
--- a/control/ownership/codec.go
+++ b/control/ownership/codec.go
@@ -16,6 +16,7 @@
 	Cause     string           `json:"cause"`
 	Shards    uint32           `json:"shards"`
 	NextUnit  UnitID           `json:"next_unit"`
+	LastTerm  Term             `json:"last_term,omitempty"`
 	Servers   []serverRecord   `json:"servers"`
 	Units     [][]uint64       `json:"units"`
 	Overrides []overrideRecord `json:"overrides,omitempty"`
@@ -49,7 +50,7 @@
 	}
 	record := pageRecord{
 		Service: page.Service, ChangeID: page.ChangeID, ChangedBy: page.ChangedBy, Cause: page.Cause,
-		Shards: page.Shards, NextUnit: page.NextUnit,
+		Shards: page.Shards, NextUnit: page.NextUnit, LastTerm: page.LastTerm,
 		Units: make([][]uint64, len(page.Units)),
 	}
 	for _, server := range page.Servers {
@@ -85,7 +86,7 @@
 	}
 	page = Page{
 		Service: record.Service, ChangeID: record.ChangeID, ChangedBy: record.ChangedBy, Cause: record.Cause,
-		Shards: record.Shards, NextUnit: record.NextUnit,
+		Shards: record.Shards, NextUnit: record.NextUnit, LastTerm: record.LastTerm,
 		Units: make([]Unit, len(record.Units)),
 	}
 	for _, server := range record.Servers {
--- a/control/ownership/page.go
+++ b/control/ownership/page.go
@@ -27,6 +27,9 @@
 	Cause     string
 	Shards    uint32
 	NextUnit  UnitID
+	// LastTerm is the highest term of the servers that were removed, so that a
+	// server that returns to the page starts above it.
+	LastTerm  Term
 	Servers   []Server
 	Units     []Unit
 	Overrides []Override
--- a/control/ownership/transition.go
+++ b/control/ownership/transition.go
@@ -113,7 +113,24 @@
 	if found {
 		return fault(p, "servers", "%q exists", name)
 	}
-	p.Servers = slices.Insert(p.Servers, i, Server{Name: name, Term: 1, Grantor: grantor})
+	p.Servers = slices.Insert(p.Servers, i, Server{Name: name, Term: p.LastTerm + 1, Grantor: grantor})
+	return nil
+}
+
+// RemoveServer removes a backend server that owns nothing and that no unit
+// waits for.
+func (p *Page) RemoveServer(name string) error {
+	i, found := p.serverIndex(name)
+	if !found {
+		return fault(p, "servers", "%q is unknown", name)
+	}
+	for _, unit := range p.Units {
+		if unit.Owner == name || unit.Previous == name {
+			return fault(p, "servers", "%q is still needed by unit %d", name, unit.ID)
+		}
+	}
+	p.LastTerm = max(p.LastTerm, p.Servers[i].Term)
+	p.Servers = slices.Delete(p.Servers, i, i+1)
 	return nil
 }
 
--- a/control/settings.go
+++ b/control/settings.go
@@ -60,15 +60,18 @@
 	formerTidyDelay = 5 * time.Second
 	// loadInterval is the time between two load queries of a planner.
 	loadInterval = 2500 * time.Millisecond
+	// planInterval is the longest time between two plans.
+	planInterval = time.Second
 )
 
 const (
-	maxEvents         = 1000 // Events between two calls of Ready.
-	maxOrders         = 16   // Unanswered orders remembered for each server.
-	maxLoadEntries    = 4096 // Units or keys in one load message.
-	maxOverrides      = 2048 // Overrides of one page.
-	maxSplitsPerWrite = 64   // Keys isolated by one page write.
-	defaultMoves      = 60   // Planned moves a minute by choice.
+	maxEvents      = 1000 // Events between two calls of Ready.
+	maxOrders      = 16   // Unanswered orders remembered for each server.
+	maxLoadEntries = 4096 // Units or keys in one load message.
+	maxOverrides   = 2048 // Overrides of one page.
+	maxEarly       = 4096 // Words of stops that wait for their page.
+	maxHistory     = 4096 // Changes of units remembered for Explain.
+	defaultMoves   = 60   // Planned moves a minute by choice.
 )
 
 // timeToLive is the life of a grant on the server's clock.
--- /dev/null
+++ b/control/status.go
@@ -0,0 +1,183 @@
+package control
+
+import (
+	"time"
+
+	"guavacrank.example/config"
+	"guavacrank.example/control/ownership"
+)
+
+// Status is what an operator sees of this VM's control plane.
+type Status struct {
+	Self     string          `json:"self"`
+	Revision config.Revision `json:"revision"`
+	Services []ServiceStatus `json:"services"`
+}
+
+// ServiceStatus is the ownership of one service as this VM sees it.
+type ServiceStatus struct {
+	Name        string `json:"name"`
+	PageVersion uint64 `json:"page_version"`
+	Planner     bool   `json:"planner"` // This VM plans for the service.
+	// Confirmed says that the page was read from the store since the last pause.
+	Confirmed    bool           `json:"confirmed"`
+	StoreSilent  bool           `json:"store_silent"`
+	WritePending bool           `json:"write_pending"` // A write of the page is not settled.
+	Fault        string         `json:"fault,omitempty"`
+	LastChange   string         `json:"last_change"`
+	ChangedBy    string         `json:"changed_by"`
+	Units        int            `json:"units"`
+	Overrides    int            `json:"overrides"`
+	Moving       int            `json:"moving"` // Units whose previous owner has yet to stop.
+	Servers      []ServerStatus `json:"servers"`
+	// Unsatisfied are declared keys that can't be pinned, on the planner's VM only.
+	Unsatisfied []UnsatisfiedKey `json:"unsatisfied,omitempty"`
+}
+
+// ServerStatus is one backend server as this VM sees it.
+type ServerStatus struct {
+	Name         string         `json:"name"`
+	Grantor      string         `json:"grantor"`
+	Term         ownership.Term `json:"term"`
+	Units        int            `json:"units"`
+	ChecksGrants bool           `json:"checks_grants"`
+	Draining     bool           `json:"draining"`
+	Down         bool           `json:"down"`
+	Former       []string       `json:"former,omitempty"`
+	// Held says that this VM is the grantor; the rest is known to it only.
+	Held         bool          `json:"held"`
+	Silent       time.Duration `json:"silent_ns,omitempty"`
+	OutOfReach   bool          `json:"both_out_of_reach,omitempty"`
+	GrantsEndsIn time.Duration `json:"grants_end_in_ns,omitempty"`
+}
+
+// UnsatisfiedKey is a declared key that can't be at its server, and why.
+type UnsatisfiedKey struct {
+	Key    string `json:"key"`
+	Server string `json:"server"`
+	Reason string `json:"reason"`
+}
+
+// Status returns the present state.
+func (m *Machine) Status() Status {
+	status := Status{Self: m.options.Self, Revision: m.revision}
+	for _, s := range m.services {
+		status.Services = append(status.Services, m.serviceStatus(s))
+	}
+	return status
+}
+
+func (m *Machine) serviceStatus(s *service) ServiceStatus {
+	status := ServiceStatus{
+		Name: s.name, PageVersion: s.version, Planner: s.planning,
+		Confirmed: s.confirmedSince(m.resumedAt), StoreSilent: s.readFails > 0,
+		WritePending: s.pending != nil, Fault: s.fault,
+		LastChange: s.page.Cause, ChangedBy: s.page.ChangedBy,
+		Units: len(s.page.Units), Overrides: len(s.page.Overrides),
+	}
+	for _, ids := range s.leaving {
+		status.Moving += len(ids)
+	}
+	for _, sv := range s.servers {
+		status.Servers = append(status.Servers, m.serverStatus(s, sv))
+	}
+	for _, declared := range s.config.Keys {
+		if reason := s.plan.complaints[declared.Key]; reason != "" && s.planning {
+			status.Unsatisfied = append(status.Unsatisfied, UnsatisfiedKey{declared.Key, declared.Server, reason})
+		}
+	}
+	return status
+}
+
+func (m *Machine) serverStatus(s *service, sv *server) ServerStatus {
+	status := ServerStatus{
+		Name: sv.name, Units: len(s.owned[sv.name]),
+		ChecksGrants: sv.config.ChecksGrants, Draining: sv.config.Draining,
+	}
+	entry := s.entry(sv)
+	if entry == nil {
+		return status
+	}
+	status.Grantor = entry.Grantor
+	status.Term = entry.Term
+	status.Down = entry.Down
+	status.Former = entry.Former
+	if !m.holds(s, sv) {
+		return status
+	}
+	status.Held = true
+	status.OutOfReach = sv.unreachable
+	status.GrantsEndsIn = max(0, sv.grantEnd-m.now)
+	if sv.answered {
+		status.Silent = m.now - sv.lastAnswer
+	}
+	return status
+}
+
+// Explanation says who owns a key and why.
+type Explanation struct {
+	Service     string             `json:"service"`
+	Key         string             `json:"key"`
+	Known       bool               `json:"known"` // False: no page of the service is known.
+	Unit        ownership.UnitID   `json:"unit"`
+	Isolated    bool               `json:"isolated"` // The key stands outside its shard.
+	Declared    bool               `json:"declared"` // An operator pinned it.
+	Unsatisfied string             `json:"unsatisfied,omitempty"`
+	Owner       string             `json:"owner"`
+	Epoch       ownership.Epoch    `json:"epoch"`
+	Waits       string             `json:"waits_for,omitempty"` // Previous owner that has yet to stop.
+	Servable    bool               `json:"servable"`
+	Grantor     string             `json:"grantor"`
+	Term        ownership.Term     `json:"term"`
+	PageVersion uint64             `json:"page_version"`
+	Changes     []OwnershipHistory `json:"changes,omitempty"` // Newest last.
+}
+
+// OwnershipHistory is one change of a unit that this VM saw.
+type OwnershipHistory struct {
+	Version uint64          `json:"page_version"`
+	Owner   string          `json:"owner"`
+	Epoch   ownership.Epoch `json:"epoch"`
+	By      string          `json:"by"`
+	Cause   string          `json:"cause"`
+	Ago     time.Duration   `json:"ago_ns"`
+}
+
+// Explain returns who owns a key and why, as far as this VM knows.
+func (m *Machine) Explain(serviceName, key string) Explanation {
+	explanation := Explanation{Service: serviceName, Key: key}
+	s := m.service(serviceName)
+	if s == nil || s.version == 0 {
+		return explanation
+	}
+	unit := s.page.UnitOf(key)
+	entry := s.page.Server(unit.Owner)
+	explanation.Known = true
+	explanation.PageVersion = s.version
+	explanation.Unit = unit.ID
+	explanation.Owner = unit.Owner
+	explanation.Epoch = unit.Epoch
+	explanation.Servable = s.servable(*unit)
+	explanation.Grantor = entry.Grantor
+	explanation.Term = entry.Term
+	if !explanation.Servable {
+		explanation.Waits = unit.Previous
+	}
+	if override := s.page.Override(key); override != nil {
+		explanation.Isolated = true
+		explanation.Declared = override.Declared
+	}
+	for _, declared := range s.config.Keys {
+		if declared.Key == key {
+			explanation.Unsatisfied = m.whyNotPinned(s, declared)
+		}
+	}
+	for _, change := range s.history {
+		if change.unit == unit.ID {
+			past := change.OwnershipHistory
+			past.Ago = m.now - change.at
+			explanation.Changes = append(explanation.Changes, past)
+		}
+	}
+	return explanation
+}
--- a/control/system_keys.go
+++ b/control/system_keys.go
@@ -1,138 +1,89 @@
 package control
 
 import (
+	"cmp"
 	"slices"
-	"time"
+	"strings"
 
 	"guavacrank.example/config"
-	"guavacrank.example/control/load"
 	"guavacrank.example/control/ownership"
 	"guavacrank.example/event"
 )
 
-// permille is the number of parts in which HotKeyShare is given.
-const permille = 1000
-
-// planKeys pins declared keys to their servers, isolates hot keys, and returns
-// keys to their shards that are neither.
-func (m *Machine) planKeys(s *service) {
-	splits := 0
-	complain := make(map[string]string)
+// reportDeclared reports declared keys that can't be pinned to their servers.
+func (m *Machine) reportDeclared(s *service) {
+	complaints := make(map[string]string)
 	for _, declared := range s.config.Keys {
-		if reason := m.pinKey(s, declared, &splits); reason != "" {
-			complain[declared.Key] = reason
+		reason := m.whyNotPinned(s, declared)
+		if reason == "" {
+			continue
+		}
+		complaints[declared.Key] = reason
+		if s.plan.complaints[declared.Key] != reason {
+			m.emit(event.KeyUnsatisfiable, reason, "service", s.name, "key", declared.Key, "server", declared.Server)
 		}
 	}
-	m.reportComplaints(s, complain)
-	for _, key := range s.hotKeys.Hot() {
-		m.isolate(s, key, &splits)
-	}
-	m.mergeKeys(s)
+	s.plan.complaints = complaints
 }
 
-// pinKey makes a declared key an override at its server, and returns why that
-// is not possible now, or "".
-func (m *Machine) pinKey(s *service, declared config.KeyDeclaration, splits *int) string {
-	page := s.draftPage()
-	target := page.Server(declared.Server)
+// whyNotPinned returns why a declared key can't be at its server now, or "".
+func (m *Machine) whyNotPinned(s *service, declared config.KeyDeclaration) string {
+	sv := s.server(declared.Server)
 	switch {
-	case target == nil || !m.configuredHere(s, declared.Server):
+	case sv == nil || !sv.configured:
 		return "server " + declared.Server + " does not serve " + s.name
 	case !m.keepsUnits(s, declared.Server):
 		return "server " + declared.Server + " is leaving or lost"
-	case target.Down:
-		return "server " + declared.Server + " does not answer"
-	}
-	override := page.Override(declared.Key)
-	if override == nil {
-		if len(page.Overrides) >= maxOverrides {
-			return "the page has too many overrides"
-		}
-		m.split(s, declared.Key, true, splits)
-		return ""
-	}
-	if !override.Declared {
-		if d := m.edit(s, "declared key"); d != nil {
-			d.page.Override(declared.Key).Declared = true
-		}
 	}
-	unit := page.Unit(override.Unit)
-	if unit.Owner == declared.Server || unit.Previous != "" {
-		return ""
+	if entry := s.entry(sv); entry != nil && entry.Down {
+		return "server " + declared.Server + " does not answer"
 	}
-	if d := m.edit(s, "declared key"); d != nil {
-		if err := d.page.Move(override.Unit, declared.Server); err != nil {
-			return err.Error()
-		}
+	if len(s.page.Overrides) >= maxOverrides && s.page.Override(declared.Key) == nil {
+		return "the page has too many overrides"
 	}
 	return ""
 }
 
-func (m *Machine) configuredHere(s *service, name string) bool {
-	sv := s.server(name)
-	return sv != nil && sv.configured
+func (s *service) declares(key string) bool {
+	return slices.ContainsFunc(s.config.Keys, func(declared config.KeyDeclaration) bool { return declared.Key == key })
 }
 
-func (m *Machine) reportComplaints(s *service, complain map[string]string) {
-	for _, declared := range s.config.Keys {
-		reason := complain[declared.Key]
-		if reason != "" && s.plan.complain[declared.Key] != reason {
-			m.emit(event.KeyUnsatisfiable, reason, "service", s.name, "key", declared.Key, "server", declared.Server)
+// markDeclared makes the overrides' marks agree with the configuration.
+func (m *Machine) markDeclared(s *service) {
+	for _, override := range slices.Clone(s.draftPage().Overrides) {
+		declared := s.declares(override.Key)
+		if declared == override.Declared {
+			continue
+		}
+		if d := m.edit(s, "declared keys"); d != nil {
+			d.page.Override(override.Key).Declared = declared
 		}
-	}
-	s.plan.complain = complain
-}
-
-func (m *Machine) isolate(s *service, key string, splits *int) {
-	page := s.draftPage()
-	if page.Override(key) != nil || len(page.Overrides) >= maxOverrides {
-		return
-	}
-	if m.split(s, key, false, splits) {
-		m.emit(event.KeyIsolated, "its share of the load is above the bound", "service", s.name, "key", key)
 	}
 }
 
-func (m *Machine) split(s *service, key string, declared bool, splits *int) bool {
-	if *splits >= maxSplitsPerWrite {
-		s.plan.due = true
-		return false
-	}
+// split takes a key out of its shard.
+func (m *Machine) split(s *service, key string) {
 	d := m.edit(s, "keys isolated")
-	if d == nil {
-		return false
-	}
-	if _, err := d.page.Split(key, declared); err != nil {
-		s.plan.due = true // The shard is moving; try again.
-		return false
+	if d == nil || len(d.page.Overrides) >= maxOverrides {
+		return
 	}
-	*splits++
-	return true
-}
-
-// mergeKeys returns overrides to their shards that are neither declared nor hot.
-func (m *Machine) mergeKeys(s *service) {
-	for _, override := range slices.Clone(s.draftPage().Overrides) {
-		declared := slices.ContainsFunc(s.config.Keys, func(k config.KeyDeclaration) bool { return k.Key == override.Key })
-		if declared {
-			continue
-		}
-		if override.Declared {
-			if d := m.edit(s, "key no longer declared"); d != nil {
-				d.page.Override(override.Key).Declared = false
-			}
-		}
-		if s.hotKeys.Cold(override.Key) && (override.Declared || s.loadTable.Known()) {
-			m.merge(s, override)
-		}
+	if _, err := d.page.Split(key, s.declares(key)); err != nil {
+		s.plan.due = true // The shard is moving.
+		return
 	}
+	s.plan.due = true // A declared key may have to move next.
+	m.emit(event.KeyIsolated, "it is declared, or its share of the load is above the bound", "service", s.name, "key", key)
 }
 
 // merge moves an override to the owner of its shard, or ends it there.
-func (m *Machine) merge(s *service, override ownership.Override) {
+func (m *Machine) merge(s *service, key string) {
 	page := s.draftPage()
+	override := page.Override(key)
+	if override == nil {
+		return
+	}
 	unit := page.Unit(override.Unit)
-	shard := page.Unit(ownership.ShardOf(override.Key, page.Shards))
+	shard := page.Unit(ownership.ShardOf(key, page.Shards))
 	if unit.Previous != "" || shard.Previous != "" {
 		return
 	}
@@ -141,11 +92,13 @@
 		return
 	}
 	if unit.Owner != shard.Owner {
-		_ = d.page.Move(override.Unit, shard.Owner)
+		if err := d.page.Move(unit.ID, shard.Owner); err != nil {
+			s.plan.due = true
+		}
 		return
 	}
-	if d.page.Merge(override.Key) == nil {
-		m.emit(event.KeyMerged, "it is neither declared nor hot", "service", s.name, "key", override.Key)
+	if d.page.Merge(key) == nil {
+		m.emit(event.KeyMerged, "it is neither declared nor hot", "service", s.name, "key", key)
 	}
 }
 
@@ -176,7 +129,8 @@
 	for key, requests := range s.localKeys {
 		report.HotKeys = append(report.HotKeys, KeyLoad{Key: key, Requests: requests})
 	}
-	sortLoad(report)
+	slices.SortFunc(report.Units, func(a, b UnitLoad) int { return cmp.Compare(a.Unit, b.Unit) })
+	slices.SortFunc(report.HotKeys, func(a, b KeyLoad) int { return strings.Compare(a.Key, b.Key) })
 	clear(s.localUnits)
 	clear(s.localKeys)
 	s.localSince = m.now
@@ -193,21 +147,21 @@
 // addFleetLoad adds one VM's count to the planner's estimate.
 func (m *Machine) addFleetLoad(report *LoadMeasured) {
 	s := m.service(report.Service)
-	if s == nil || s.version == 0 {
+	if s == nil || s.plan.planner == nil {
 		return
 	}
 	for _, unit := range report.Units {
 		if s.page.Unit(unit.Unit) != nil {
-			s.loadTable.Add(unit.Unit, unit.Requests)
+			s.plan.planner.AddUnit(unit.Unit, unit.Requests)
 		}
 	}
 	for _, key := range report.HotKeys {
-		s.hotKeys.Add(key.Key, key.Requests)
+		s.plan.planner.AddKey(key.Key, key.Requests)
 	}
 }
 
-// queryLoads asks the VMs whose traffic reaches the service's servers for what
-// they counted. Those are the homes: every request passes one.
+// queryLoads asks the homes of the service's servers for what their traffic
+// counted; every request to a server passes its home or is counted there.
 func (m *Machine) queryLoads(s *service) {
 	if m.now-s.plan.queryAt < loadInterval {
 		return
@@ -223,16 +177,3 @@
 	}
 	m.addFleetLoad(m.localLoad(s))
 }
-
-// rollLoad closes a window of the load estimate, and reports whether it did.
-func (m *Machine) rollLoad(s *service) bool {
-	if !s.loadTable.Roll(m.now) {
-		return false
-	}
-	share := float64(m.defaults.HotKeyShare) / permille
-	if share <= 0 {
-		share = defaultHotKeyShare
-	}
-	s.hotKeys.Roll(max(load.Window, time.Nanosecond), s.loadTable.Total(), share)
-	return true
-}
--- a/control/system_stop.go
+++ b/control/system_stop.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strconv"
+	"time"
 
 	"guavacrank.example/control/ownership"
 	"guavacrank.example/event"
--- a/control/tables.go
+++ b/control/tables.go
@@ -7,7 +7,6 @@
 
 	"guavacrank.example/backend"
 	"guavacrank.example/config"
-	"guavacrank.example/control/load"
 	"guavacrank.example/control/ownership"
 )
 
@@ -17,7 +16,7 @@
 	config     config.Service
 	configured bool
 	servers    []*server // Sorted by name: those of the configuration and of the page.
-	planner    bool      // This VM holds the planner's role.
+	planning   bool      // This VM holds the planner's role.
 
 	// version and page are the newest confirmed state; version zero: none known.
 	version uint64
@@ -54,12 +53,21 @@
 	// told holds the stops of previous owners that this VM found as their grantor.
 	told map[ownership.UnitID]notification
 
-	plan       plan
+	// early holds words of stops that arrived before the page of the move.
+	early map[ownership.UnitID]ownership.Epoch
+
+	plan       planState
+	history    []unitChange // Newest last.
 	localUnits map[ownership.UnitID]uint32
 	localKeys  map[string]uint32
 	localSince time.Duration
-	loadTable  *load.Table
-	hotKeys    *load.HotKeys
+}
+
+// unitChange is one change of a unit that this VM saw.
+type unitChange struct {
+	OwnershipHistory
+	unit ownership.UnitID
+	at   time.Duration
 }
 
 // departure is the first sight of a unit that leaves its previous owner.
--- a/control/writes.go
+++ b/control/writes.go
@@ -36,7 +36,7 @@
 // edit returns the draft of the service's next page, or nil while an earlier
 // write is not settled or the page is not confirmed. Call it only to change it.
 func (m *Machine) edit(s *service, cause string) *draft {
-	if s.pending != nil || s.fault != "" || !s.confirmedSince(m.resumedAt) || m.now < s.retryAt {
+	if !m.mayEdit(s) {
 		return nil
 	}
 	if s.draft == nil {
@@ -48,6 +48,11 @@
 	return s.draft
 }
 
+// mayEdit reports whether a change of the page can be written now.
+func (m *Machine) mayEdit(s *service) bool {
+	return s.pending == nil && s.fault == "" && s.confirmedSince(m.resumedAt) && m.now >= s.retryAt
+}
+
 // blockedByLoss reports whether a write that moves a server's units away, or
 // the draft of one, is not settled: the server must get no orders.
 func (s *service) blockedByLoss(name string) bool {
