control: bootstrap, renewal, loss and takeover run against fakes

Change: package controltest (virtual clock, store, servers, network) and tests of a start, the loss of a server, a grantor, a zone, and of both.

--- /dev/null
+++ b/control/controltest/store.go
@@ -0,0 +1,107 @@
+package controltest
+
+import (
+	"time"
+
+	"guavacrank.example/control"
+	"guavacrank.example/control/ownership"
+)
+
+// Store is a fake of the platform's store with one page for each service.
+type Store struct {
+	fleet   *Fleet
+	version uint64
+	pages   map[string]storedPage
+	// Down makes every call fail without an answer.
+	Down bool
+	// LoseReply is the share of writes, in percent, whose answer is lost.
+	LoseReply int
+	// Late is the share of writes, in percent, that reach the store only after
+	// their caller was told that nothing is known.
+	Late int
+}
+
+type storedPage struct {
+	version uint64
+	page    ownership.Page
+}
+
+const lateWrite = 700 * time.Millisecond
+
+// Page returns the stored page of a service.
+func (s *Store) Page(service string) (ownership.Page, uint64) {
+	stored := s.pages[service]
+	return stored.page, stored.version
+}
+
+func (s *Store) read(vm *VM, request control.PageReadRequest) {
+	f := s.fleet
+	f.travel(vm.Name, storeName, func() {
+		if s.Down {
+			return
+		}
+		stored := s.pages[request.Service]
+		f.travel(storeName, vm.Name, func() {
+			vm.step(control.PageRead{
+				Service: request.Service, Request: request.Request,
+				Version: stored.version, Page: stored.page.Clone(),
+			})
+		})
+	})
+}
+
+func (s *Store) write(vm *VM, write control.PageWrite) {
+	f := s.fleet
+	answer := func(outcome control.WriteOutcome, version uint64) {
+		vm.step(control.PageWritten{
+			Service: write.Service, ChangeID: write.Page.ChangeID, Outcome: outcome, Version: version,
+		})
+	}
+	if f.chance(s.Late) {
+		f.clock.After(f.callTimeout, func() { answer(control.WriteUnknown, 0) })
+		f.clock.After(lateWrite, func() {
+			if !s.Down {
+				s.apply(write)
+			}
+		})
+		return
+	}
+	answered := false
+	f.clock.After(f.callTimeout, func() {
+		if !answered {
+			answer(control.WriteUnknown, 0)
+		}
+	})
+	f.travel(vm.Name, storeName, func() {
+		if s.Down {
+			return
+		}
+		applied, version := s.apply(write)
+		if f.chance(s.LoseReply) {
+			return
+		}
+		f.travel(storeName, vm.Name, func() {
+			if answered {
+				return
+			}
+			answered = true
+			if applied {
+				answer(control.WriteApplied, version)
+				return
+			}
+			answer(control.WriteConflict, 0)
+		})
+	})
+}
+
+func (s *Store) apply(write control.PageWrite) (bool, uint64) {
+	stored := s.pages[write.Service]
+	if stored.version != write.Expected {
+		return false, 0
+	}
+	s.version++
+	s.fleet.checker.pageWritten(&stored.page, stored.version, &write.Page)
+	s.pages[write.Service] = storedPage{version: s.version, page: write.Page.Clone()}
+	s.fleet.spread(write.Service)
+	return true, s.version
+}
--- /dev/null
+++ b/control/loss_test.go
@@ -0,0 +1,84 @@
+package control_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/control/ownership"
+)
+
+const servedAgain = 2 * time.Second
+
+var _ = Describe("a loss", func() {
+	It("starts with every shard served", func() {
+		f := started(smallFleet(1, 4, 16, allCheck))
+		page, _ := f.Store.Page(recipes)
+		Expect(page.Units).To(HaveLen(16))
+		for _, entry := range page.Servers {
+			Expect(f.VM(entry.Grantor).Region).To(Equal("r1"))
+			Expect(f.VM(entry.Grantor).Zone).NotTo(Equal(f.Server(entry.Name).Config.Zone))
+		}
+	})
+
+	It("of a server is over within 2 s and moves only its units", func() {
+		f := started(smallFleet(1, 4, 16, allCheck))
+		before, _ := f.Store.Page(recipes)
+		f.Server("s1").Lost = true
+		f.Run(5 * time.Second)
+		expectSound(f)
+		Expect(worst(f)).To(BeNumerically("<=", servedAgain))
+		after, _ := f.Store.Page(recipes)
+		for _, unit := range before.Units {
+			if unit.Owner != "s1" {
+				Expect(*after.Unit(unit.ID)).To(Equal(unit))
+			}
+		}
+	})
+
+	It("of a grantor leaves every unit served throughout", func() {
+		f := started(smallFleet(2, 4, 16, allCheck))
+		lost := f.Grantor(recipes, "s1")
+		f.VM(lost).Kill()
+		f.Run(5 * time.Second)
+		expectSound(f)
+		Expect(worst(f)).To(BeZero())
+		Expect(f.Grantor(recipes, "s1")).NotTo(Equal(lost))
+	})
+
+	It("of a zone is over within 2 s", func() {
+		f := started(smallFleet(2, 6, 24, allCheck))
+		for _, vm := range f.VMs {
+			if vm.Zone == "r1a" {
+				vm.Kill()
+			}
+		}
+		for _, server := range f.Servers {
+			server.Lost = server.Lost || server.Config.Zone == "r1a"
+		}
+		f.Run(6 * time.Second)
+		expectSound(f)
+		Expect(worst(f)).To(BeNumerically("<=", servedAgain))
+	})
+
+	It("of a server and its grantor moves nothing before an operator's word", func() {
+		f := started(smallFleet(2, 4, 16, allCheck))
+		grantor := f.Grantor(recipes, "s1")
+		f.VM(grantor).Kill()
+		f.Server("s1").Lost = true
+		f.Run(10 * time.Second)
+		Expect(f.Violations()).To(BeEmpty())
+		page, _ := f.Store.Page(recipes)
+		owned := func(page ownership.Page) int {
+			count := 0
+			for _, unit := range page.Units {
+				if unit.Owner == "s1" {
+					count++
+				}
+			}
+			return count
+		}
+		Expect(owned(page)).To(Equal(4))
+	})
+})
--- a/control/settings.go
+++ b/control/settings.go
@@ -60,6 +60,9 @@
 	formerTidyDelay = 5 * time.Second
 	// loadInterval is the time between two load queries of a planner.
 	loadInterval = 2500 * time.Millisecond
+	// bootstrapDelay is how long a planner waits for the other VMs to be listed
+	// before it spreads the first terms over them.
+	bootstrapDelay = time.Second
 	// planInterval is the longest time between two plans.
 	planInterval = time.Second
 )
--- a/control/system_planner.go
+++ b/control/system_planner.go
@@ -26,7 +26,7 @@
 		if !s.configured || !s.planning || s.version != 0 || s.pending != nil || s.config.Shards <= 0 {
 			continue
 		}
-		if s.confirmedSince(m.resumedAt) && m.members.known && m.now >= s.retryAt {
+		if s.confirmedSince(m.resumedAt) && m.members.known && m.now >= max(s.retryAt, m.startedAt+bootstrapDelay) {
 			m.createPage(s)
 		}
 	}
