--- /dev/null
+++ b/control/system_keys.go
@@ -0,0 +1,179 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"guavacrank.example/config"
+	"guavacrank.example/control/ownership"
+	"guavacrank.example/event"
+)
+
+// reportDeclared reports declared keys that can't be pinned to their servers.
+func (m *Machine) reportDeclared(s *service) {
+	complaints := make(map[string]string)
+	for _, declared := range s.config.Keys {
+		reason := m.whyNotPinned(s, declared)
+		if reason == "" {
+			continue
+		}
+		complaints[declared.Key] = reason
+		if s.plan.complaints[declared.Key] != reason {
+			m.emit(event.KeyUnsatisfiable, reason, "service", s.name, "key", declared.Key, "server", declared.Server)
+		}
+	}
+	s.plan.complaints = complaints
+}
+
+// whyNotPinned returns why a declared key can't be at its server now, or "".
+func (m *Machine) whyNotPinned(s *service, declared config.KeyDeclaration) string {
+	sv := s.server(declared.Server)
+	switch {
+	case sv == nil || !sv.configured:
+		return "server " + declared.Server + " does not serve " + s.name
+	case !m.keepsUnits(s, declared.Server):
+		return "server " + declared.Server + " is leaving or lost"
+	}
+	if entry := s.entry(sv); entry != nil && entry.Down {
+		return "server " + declared.Server + " does not answer"
+	}
+	if len(s.page.Overrides) >= maxOverrides && s.page.Override(declared.Key) == nil {
+		return "the page has too many overrides"
+	}
+	return ""
+}
+
+func (s *service) declares(key string) bool {
+	return slices.ContainsFunc(s.config.Keys, func(declared config.KeyDeclaration) bool { return declared.Key == key })
+}
+
+// markDeclared makes the overrides' marks agree with the configuration.
+func (m *Machine) markDeclared(s *service) {
+	for _, override := range slices.Clone(s.draftPage().Overrides) {
+		declared := s.declares(override.Key)
+		if declared == override.Declared {
+			continue
+		}
+		if d := m.edit(s, "declared keys"); d != nil {
+			d.page.Override(override.Key).Declared = declared
+		}
+	}
+}
+
+// split takes a key out of its shard.
+func (m *Machine) split(s *service, key string) {
+	d := m.edit(s, "keys isolated")
+	if d == nil || len(d.page.Overrides) >= maxOverrides {
+		return
+	}
+	if _, err := d.page.Split(key, s.declares(key)); err != nil {
+		s.plan.due = true // The shard is moving.
+		return
+	}
+	s.plan.due = true // A declared key may have to move next.
+	m.emit(event.KeyIsolated, "it is declared, or its share of the load is above the bound", "service", s.name, "key", key)
+}
+
+// merge moves an override to the owner of its shard, or ends it there.
+func (m *Machine) merge(s *service, key string) {
+	page := s.draftPage()
+	override := page.Override(key)
+	if override == nil {
+		return
+	}
+	unit := page.Unit(override.Unit)
+	shard := page.Unit(ownership.ShardOf(key, page.Shards))
+	if unit.Previous != "" || shard.Previous != "" {
+		return
+	}
+	d := m.edit(s, "keys return to their shards")
+	if d == nil {
+		return
+	}
+	if unit.Owner != shard.Owner {
+		if err := d.page.Move(unit.ID, shard.Owner); err != nil {
+			s.plan.due = true
+		}
+		return
+	}
+	if d.page.Merge(key) == nil {
+		m.emit(event.KeyMerged, "it is neither declared nor hot", "service", s.name, "key", key)
+	}
+}
+
+// addLocalLoad takes in what this VM's own traffic counted.
+func (m *Machine) addLocalLoad(in LoadMeasured) {
+	s := m.service(in.Service)
+	if s == nil {
+		return
+	}
+	for _, unit := range in.Units {
+		if len(s.localUnits) < maxLoadEntries || s.localUnits[unit.Unit] > 0 {
+			s.localUnits[unit.Unit] += unit.Requests
+		}
+	}
+	for _, key := range in.HotKeys {
+		if len(s.localKeys) < maxLoadEntries || s.localKeys[key.Key] > 0 {
+			s.localKeys[key.Key] += key.Requests
+		}
+	}
+}
+
+// localLoad returns what was counted since the last call, sorted.
+func (m *Machine) localLoad(s *service) *LoadMeasured {
+	report := &LoadMeasured{Service: s.name, Period: m.now - s.localSince}
+	for unit, requests := range s.localUnits {
+		report.Units = append(report.Units, UnitLoad{Unit: unit, Requests: requests})
+	}
+	for key, requests := range s.localKeys {
+		report.HotKeys = append(report.HotKeys, KeyLoad{Key: key, Requests: requests})
+	}
+	slices.SortFunc(report.Units, func(a, b UnitLoad) int { return cmp.Compare(a.Unit, b.Unit) })
+	slices.SortFunc(report.HotKeys, func(a, b KeyLoad) int { return strings.Compare(a.Key, b.Key) })
+	clear(s.localUnits)
+	clear(s.localKeys)
+	s.localSince = m.now
+	return report
+}
+
+// reportLoad answers a planner's load query.
+func (m *Machine) reportLoad(from string, query *LoadQuery) {
+	if s := m.service(query.Service); s != nil {
+		m.send(from, Message{Load: m.localLoad(s)})
+	}
+}
+
+// addFleetLoad adds one VM's count to the planner's estimate.
+func (m *Machine) addFleetLoad(report *LoadMeasured) {
+	s := m.service(report.Service)
+	if s == nil || s.plan.planner == nil {
+		return
+	}
+	for _, unit := range report.Units {
+		if s.page.Unit(unit.Unit) != nil {
+			s.plan.planner.AddUnit(unit.Unit, unit.Requests)
+		}
+	}
+	for _, key := range report.HotKeys {
+		s.plan.planner.AddKey(key.Key, key.Requests)
+	}
+}
+
+// queryLoads asks the homes of the service's servers for what their traffic
+// counted; every request to a server passes its home or is counted there.
+func (m *Machine) queryLoads(s *service) {
+	if m.now-s.plan.queryAt < loadInterval {
+		return
+	}
+	s.plan.queryAt = m.now
+	var homes []string
+	for _, entry := range s.page.Servers {
+		homes = append(homes, entry.Grantor)
+	}
+	slices.Sort(homes)
+	for _, vm := range slices.Compact(homes) {
+		m.send(vm, Message{LoadQuery: &LoadQuery{Service: s.name}})
+	}
+	m.addFleetLoad(m.localLoad(s))
+}
--- /dev/null
+++ b/control/system_planner.go
@@ -0,0 +1,240 @@
+package control
+
+import (
+	"strconv"
+	"time"
+
+	"guavacrank.example/control/ownership"
+	"guavacrank.example/control/placement"
+	"guavacrank.example/control/planner"
+	"guavacrank.example/event"
+)
+
+// planState is the state of a service's planner on this VM.
+type planState struct {
+	planner   *planner.Planner
+	due       bool // Something changed: plan on this tick.
+	plannedAt time.Duration
+	queryAt   time.Duration
+	// complaints are declared keys that can't be satisfied, with the reason.
+	complaints map[string]string
+}
+
+// runBootstrap creates the page of a service that has none.
+func (m *Machine) runBootstrap() {
+	for _, s := range m.services {
+		if !s.configured || !s.planning || s.version != 0 || s.pending != nil || s.config.Shards <= 0 {
+			continue
+		}
+		if s.confirmedSince(m.resumedAt) && m.members.known && m.now >= s.retryAt {
+			m.createPage(s)
+		}
+	}
+}
+
+func (m *Machine) createPage(s *service) {
+	terms := make(map[string]int)
+	var servers []ownership.Server
+	for _, sv := range s.servers {
+		if !sv.configured {
+			continue
+		}
+		grantor := m.leastLoaded(sv, terms)
+		if grantor == "" {
+			return
+		}
+		terms[grantor]++
+		servers = append(servers, ownership.Server{Name: sv.name, Term: 1, Grantor: grantor})
+	}
+	units := make([]placement.Unit, s.config.Shards)
+	for i := range units {
+		units[i] = placement.Unit{ID: ownership.UnitID(i), Load: 1}
+	}
+	owners := make([]string, s.config.Shards)
+	first := ownership.Page{Service: s.name, Servers: servers}
+	for _, move := range (placement.Balanced{}).Plan(m.placementServers(s, &first), units, placement.Limits{}) {
+		owners[move.Unit] = move.To
+	}
+	page, err := ownership.New(s.name, servers, owners)
+	if err != nil {
+		return // No server accepts units yet.
+	}
+	s.draft = &draft{page: page, causes: []string{"first page"}}
+	m.emit(event.PageCreated, "the store has no page", "service", s.name, "shards", strconv.Itoa(s.config.Shards))
+}
+
+// leastLoaded returns the VM with the fewest terms in the best tier.
+func (m *Machine) leastLoaded(sv *server, terms map[string]int) string {
+	candidates := m.members.candidates(sv.config, "")
+	if len(candidates) == 0 {
+		return ""
+	}
+	best := candidates[0]
+	for _, next := range candidates {
+		if next.tier == best.tier && terms[next.member.Name] < terms[best.member.Name] {
+			best = next
+		}
+	}
+	return best.member.Name
+}
+
+// runPlanner plans for the services whose planner this VM is.
+func (m *Machine) runPlanner() {
+	for _, s := range m.services {
+		if !s.planning || !s.configured || s.version == 0 || s.fault != "" {
+			s.plan.planner = nil
+			continue
+		}
+		if s.plan.planner == nil {
+			s.plan.planner = planner.New(placement.Balanced{}, m.planSettings(), m.now)
+			s.plan.due = true
+		}
+		m.queryLoads(s)
+		if !s.plan.due && m.now-s.plan.plannedAt < planInterval {
+			continue
+		}
+		if m.mayEdit(s) {
+			m.planService(s)
+		}
+	}
+}
+
+func (m *Machine) planSettings() planner.Settings {
+	settings := planner.Settings{
+		HoldTime:       m.defaults.HoldTime,
+		MovesPerMinute: m.defaults.MovesPerMinute,
+		HotKeyShare:    m.defaults.HotKeyShare,
+	}
+	if settings.MovesPerMinute == 0 {
+		settings.MovesPerMinute = defaultMoves
+	}
+	return settings
+}
+
+// planService writes one plan. Whatever it can't write now is planned again.
+func (m *Machine) planService(s *service) {
+	s.plan.due = false
+	s.plan.plannedAt = m.now
+	s.plan.planner.SetSettings(m.planSettings())
+	m.planServers(s)
+	m.reportDeclared(s)
+	plan := s.plan.planner.Plan(m.now, m.planView(s))
+	if plan.Empty() {
+		return
+	}
+	m.applyMoves(s, plan.Moves)
+	for _, key := range plan.Isolate {
+		m.split(s, key)
+	}
+	for _, key := range plan.Merge {
+		m.merge(s, key)
+	}
+	m.markDeclared(s)
+}
+
+func (m *Machine) planView(s *service) planner.View {
+	page := s.draftPage()
+	view := planner.View{Page: page.Clone()}
+	for i := range page.Servers {
+		entry := &page.Servers[i]
+		sv := s.ensureServer(entry.Name)
+		view.Servers = append(view.Servers, planner.Server{
+			Name: entry.Name, Slots: sv.config.Slots,
+			Accepts: m.acceptsUnits(s, entry), Keeps: m.keepsUnits(s, entry.Name),
+		})
+	}
+	for _, declared := range s.config.Keys {
+		view.Declarations = append(view.Declarations, planner.Declaration{Key: declared.Key, Server: declared.Server})
+	}
+	return view
+}
+
+// planServers adds configured servers to the page, and removes those that the
+// configuration no longer names once they own nothing.
+func (m *Machine) planServers(s *service) {
+	terms := make(map[string]int)
+	for _, entry := range s.page.Servers {
+		terms[entry.Grantor]++
+	}
+	for _, sv := range s.servers {
+		entry := s.entry(sv)
+		switch {
+		case entry == nil && sv.configured:
+			m.addServer(s, sv, terms)
+		case entry != nil && !sv.configured && m.ownsNothing(s, sv.name):
+			if d := m.edit(s, "server "+sv.name+" removed"); d != nil && d.page.RemoveServer(sv.name) == nil {
+				m.emit(event.ServerRemoved, "the configuration does not name it", "service", s.name, "server", sv.name)
+			}
+		}
+	}
+}
+
+func (m *Machine) addServer(s *service, sv *server, terms map[string]int) {
+	grantor := m.leastLoaded(sv, terms)
+	if grantor == "" {
+		return
+	}
+	terms[grantor]++
+	if d := m.edit(s, "server "+sv.name+" added"); d != nil && d.page.AddServer(sv.name, grantor) == nil {
+		m.emit(event.ServerAdded, "the configuration names it", "service", s.name, "server", sv.name)
+	}
+}
+
+func (m *Machine) ownsNothing(s *service, name string) bool {
+	return len(s.owned[name]) == 0 && len(s.leaving[name]) == 0
+}
+
+// draftPage is the page as the systems of this tick have edited it so far.
+func (s *service) draftPage() *ownership.Page {
+	if s.draft != nil {
+		return &s.draft.page
+	}
+	return &s.page
+}
+
+func (m *Machine) applyMoves(s *service, moves []placement.Move) {
+	for _, move := range moves {
+		d := m.edit(s, "planned moves")
+		if d == nil {
+			return
+		}
+		if err := d.page.Move(move.Unit, move.To); err != nil {
+			s.plan.due = true // It waits for an earlier move.
+		}
+	}
+}
+
+// acceptsUnits reports whether a server may be given units.
+func (m *Machine) acceptsUnits(s *service, entry *ownership.Server) bool {
+	return m.keepsUnits(s, entry.Name) && !entry.Down
+}
+
+// keepsUnits reports whether a server may keep the units it owns.
+func (m *Machine) keepsUnits(s *service, name string) bool {
+	sv := s.server(name)
+	return sv != nil && sv.configured && !sv.config.Draining && !m.serverDeclaredLost(sv)
+}
+
+// placementServers is a page's servers as a placement policy sees them.
+func (m *Machine) placementServers(s *service, page *ownership.Page) []placement.Server {
+	servers := make([]placement.Server, 0, len(page.Servers))
+	for i := range page.Servers {
+		entry := &page.Servers[i]
+		servers = append(servers, placement.Server{
+			Name:     entry.Name,
+			Capacity: float64(max(s.ensureServer(entry.Name).config.Slots, 1)),
+			Accepts:  m.acceptsUnits(s, entry),
+			Keeps:    m.keepsUnits(s, entry.Name),
+		})
+	}
+	return servers
+}
+
+// placementUnits is a page's units as a placement policy sees them after a loss.
+func (m *Machine) placementUnits(s *service, page *ownership.Page) []placement.Unit {
+	units := make([]placement.Unit, len(page.Units))
+	for i, unit := range page.Units {
+		units[i] = placement.Unit{ID: unit.ID, Owner: unit.Owner, Load: 1, Fixed: true}
+	}
+	return units
+}
