--- a/config/defaults.go
+++ b/config/defaults.go
@@ -40,7 +40,7 @@
 		BulkFloor:       10,
 		StopLimit:       30 * time.Second,
 		HoldTime:        30 * time.Second,
-		MovesPerMinute:  60,
+		MovesPerMinute:  12,
 		HotKeyShare:     20,
 		MaxBodyBytes:    1 << 20,
 		LinkBulkRate:    300 << 10,
--- a/control/load/table.go
+++ b/control/load/table.go
@@ -2,8 +2,10 @@
 // VMs' own traffic counted. Reports of backend servers are not used: they lag
 // and may mislead.
 //
-// Counts are added up over windows of fixed length and smoothed over several
-// windows. The package is pure: the caller passes the time in.
+// Counts are added up over windows of fixed length. A long average keeps the
+// error small; where a short average differs from it by more than chance
+// explains, the load has changed and the short one takes its place. The package
+// is pure: the caller passes the time in.
 package load
 
 import (
@@ -16,15 +18,21 @@
 const (
 	// Window is the length of one counting window.
 	Window = 5 * time.Second
-	// smoothing is the weight of the newest window in the estimate.
-	smoothing = 0.4
+	// shortWeight is the weight of the newest window in the short average.
+	shortWeight = 0.5
+	// longWindows is the number of windows that the long average covers.
+	longWindows = 20
+	// changeErrors is the number of standard errors by which the averages must
+	// differ for the load to count as changed.
+	changeErrors = 4.5
 )
 
 // Table estimates the requests a second of each unit of one service.
 type Table struct {
 	windowEnd time.Duration
 	counts    []uint64  // Requests in the open window, by unit.
-	rates     []float64 // Smoothed requests a second, by unit.
+	short     []float64 // Short average of requests a second, by unit.
+	rates     []float64 // Long average of requests a second, by unit.
 	windows   int       // Closed windows.
 }
 
@@ -46,13 +54,8 @@
 		return false
 	}
 	length := Window + now - t.windowEnd
-	weight := smoothing
-	if t.windows == 0 {
-		weight = 1
-	}
 	for unit, count := range t.counts {
-		rate := float64(count) / length.Seconds()
-		t.rates[unit] += weight * (rate - t.rates[unit])
+		t.rollUnit(unit, float64(count)/length.Seconds())
 		t.counts[unit] = 0
 	}
 	t.windows++
@@ -60,6 +63,26 @@
 	return true
 }
 
+// rollUnit takes the rate of one closed window into the unit's averages.
+func (t *Table) rollUnit(unit int, rate float64) {
+	if t.windows == 0 {
+		t.short[unit] = rate
+		t.rates[unit] = rate
+		return
+	}
+	t.short[unit] += shortWeight * (rate - t.short[unit])
+	t.rates[unit] += (rate - t.rates[unit]) / float64(min(t.windows+1, longWindows))
+	greater := max(t.short[unit], t.rates[unit])
+	standardError := math.Sqrt(greater / (Window.Seconds() * averagedWindows(shortWeight)))
+	if math.Abs(t.short[unit]-t.rates[unit]) > changeErrors*standardError {
+		t.rates[unit] = t.short[unit]
+	}
+}
+
+// averagedWindows is the number of windows that exponential smoothing with a
+// weight averages over.
+func averagedWindows(weight float64) float64 { return (2 - weight) / weight }
+
 // Known reports whether at least one window was closed.
 func (t *Table) Known() bool { return t.windows > 0 }
 
@@ -83,9 +106,8 @@
 // Noise returns the relative standard error of the estimated load of one of
 // servers equally loaded servers, for arrivals that are independent.
 func (t *Table) Noise(servers int) float64 {
-	// Exponential smoothing with weight w averages over (2-w)/w windows.
-	const windowsAveraged = (2 - smoothing) / smoothing
-	requests := t.Total() * Window.Seconds() * windowsAveraged / float64(max(servers, 1))
+	windows := float64(min(t.windows, longWindows))
+	requests := t.Total() * Window.Seconds() * windows / float64(max(servers, 1))
 	if requests <= 0 {
 		return math.Inf(1)
 	}
@@ -95,6 +117,7 @@
 func (t *Table) grow(length int) {
 	for len(t.counts) < length {
 		t.counts = append(t.counts, 0)
+		t.short = append(t.short, 0)
 		t.rates = append(t.rates, 0)
 	}
 }
--- a/control/placement/balanced.go
+++ b/control/placement/balanced.go
@@ -6,7 +6,7 @@
 	// startImbalance is the imbalance from which Balanced moves units by choice.
 	startImbalance = 1.08
 	// stopImbalance is the imbalance at which it stops.
-	stopImbalance = 1.06
+	stopImbalance = 1.02
 	// startLightest is the load of the lightest receiver, over the mean, below
 	// which Balanced moves units by choice: a server that joined.
 	startLightest = 0.75
@@ -40,7 +40,7 @@
 		if t.imbalance() <= stopImbalance {
 			break
 		}
-		move, found := t.bestMove(t.mean() * (1 - receiverMargin*limits.Noise))
+		move, found := t.bestMove(limits.Noise)
 		if !found {
 			break
 		}
@@ -103,30 +103,71 @@
 	return countA < countB
 }
 
-// bestMove carries out the move off the heaviest server that leaves the heavier
-// of the pair lightest and the receiver at most at receiverLimit.
-func (t *table) bestMove(receiverLimit float64) (Move, bool) {
+// bestMove carries out the best move off the heaviest server. Receivers are
+// first kept below their fair share; if that leaves a server above the
+// threshold they may be filled to the mean and a little more.
+func (t *table) bestMove(noise float64) (Move, bool) {
 	from, found := t.heaviest()
 	if !found {
 		return Move{}, false
 	}
-	bestTo, bestPosition := -1, -1
-	bestLoad := t.relative(from) - leastGain*t.mean()
+	mean := t.mean()
+	chosen, found := t.bestChoice(from, mean*(1-receiverMargin*noise))
+	if !found && t.relative(from) > startImbalance*mean {
+		chosen, found = t.bestChoice(from, mean*stopImbalance)
+	}
+	if !found {
+		return Move{}, false
+	}
+	unit := t.remove(from, chosen.position)
+	t.add(chosen.to, unit)
+	return Move{Unit: unit.ID, From: t.servers[from].Name, To: t.servers[chosen.to].Name}, true
+}
+
+// choice is one possible move off a server.
+type choice struct {
+	to       int
+	position int     // Of the unit among the source's units.
+	heavier  float64 // Relative load of the heavier server after the move.
+	receiver float64 // Relative load of the receiver after the move.
+}
+
+// better reports whether c leaves the heavier server lighter than d, or the
+// same and the receiver lighter.
+func (c choice) better(d choice) bool {
+	if c.heavier != d.heavier {
+		return c.heavier < d.heavier
+	}
+	return c.receiver < d.receiver
+}
+
+// bestChoice returns the best move off a server that leaves the receiver at
+// receiverLimit or below.
+func (t *table) bestChoice(from int, receiverLimit float64) (choice, bool) {
+	best := choice{to: -1, heavier: t.relative(from) - leastGain*t.mean()}
 	for _, to := range t.receivers() {
-		if to == from || t.relative(to) >= t.relative(from) {
+		if to == from {
 			continue
 		}
-		position, heavier := t.bestUnit(from, to, receiverLimit)
-		if position >= 0 && heavier < bestLoad {
-			bestTo, bestPosition, bestLoad = to, position, heavier
+		for position, unit := range t.units[from] {
+			if unit.Fixed || unit.Load <= 0 {
+				continue
+			}
+			candidate := t.after(from, to, position)
+			if candidate.receiver <= receiverLimit && candidate.better(best) {
+				best = candidate
+			}
 		}
 	}
-	if bestTo < 0 {
-		return Move{}, false
-	}
-	unit := t.remove(from, bestPosition)
-	t.add(bestTo, unit)
-	return Move{Unit: unit.ID, From: t.servers[from].Name, To: t.servers[bestTo].Name}, true
+	return best, best.to >= 0
+}
+
+// after returns the choice of moving a unit, with the loads that follow.
+func (t *table) after(from, to, position int) choice {
+	unit := t.units[from][position]
+	left := (t.load[from] - unit.Load) / t.servers[from].Capacity
+	right := (t.load[to] + unit.Load) / t.servers[to].Capacity
+	return choice{to: to, position: position, heavier: max(left, right), receiver: right}
 }
 
 // heaviest returns the server with the greatest relative load.
@@ -139,25 +180,3 @@
 	}
 	return best, best >= 0
 }
-
-// bestUnit returns the position of the unit of server from whose move to
-// server to leaves the heavier of the two lightest, and that load. The position
-// is negative if no unit keeps the receiver at receiverLimit or below.
-func (t *table) bestUnit(from, to int, receiverLimit float64) (position int, heavier float64) {
-	position = -1
-	for i, unit := range t.units[from] {
-		if unit.Fixed || unit.Load <= 0 {
-			continue
-		}
-		left := (t.load[from] - unit.Load) / t.servers[from].Capacity
-		right := (t.load[to] + unit.Load) / t.servers[to].Capacity
-		if right > receiverLimit {
-			continue
-		}
-		load := max(left, right)
-		if position < 0 || load < heavier {
-			position, heavier = i, load
-		}
-	}
-	return position, heavier
-}
