--- a/event/fleet.go
+++ b/event/fleet.go
@@ -18,6 +18,7 @@
 	PeerRefused        Number = 313
 	PeerTooFast        Number = 314
 	ReadyWithoutStore  Number = 315
+	ObserverIsolated   Number = 316
 )
 
 // fleetEvents is the catalogue of the fleet area.
@@ -38,4 +39,5 @@
 	{PeerRefused, "peer-refused", Warn, "A connection to the fleet listener was refused: wrong token, wrong VM name, or a malformed message. Check the settings of the VM that it came from."},
 	{PeerTooFast, "peer-too-fast", Warn, "A VM sent messages faster than the limit; the excess was dropped, and digests repair it."},
 	{ReadyWithoutStore, "ready-without-store", Warn, "This VM started while the store was out and took the configuration from other VMs."},
+	{ObserverIsolated, "observer-isolated", Warn, "This VM hears no other VM. It counts all others as not alive, but accuses none. Look at its network."},
 }
--- a/fleet/fleettest/world.go
+++ b/fleet/fleettest/world.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"guavacrank.example/event"
 	"guavacrank.example/fleet/document"
 	fleetv1 "guavacrank.example/fleet/gen/fleet/v1"
 	"guavacrank.example/fleet/membership"
@@ -22,8 +23,8 @@
 // the envelope of connect and the frame of HTTP/2.
 const frameBytes = 5 + 9
 
-// relistInterval is the time between two listings of a VM that watches the store.
-const relistInterval = 30 * time.Second
+// RelistInterval is the time between two listings of a VM that watches the store.
+const RelistInterval = 30 * time.Second
 
 // Process is one running VM.
 type Process struct {
@@ -39,6 +40,7 @@
 	paused   bool
 	backlog  []func()
 	watching bool
+	lists    int
 }
 
 // World is the fake network and store.
@@ -56,6 +58,8 @@
 	StoreOut func(vm platform.VM) bool
 	// WatchBroken reports whether a VM's watch is silent; nil: never.
 	WatchBroken func(vm platform.VM) bool
+	// OnEvent is told the VMs' events; nil: nobody.
+	OnEvent func(vm string, happened event.Event)
 	// Options are those of the VMs that start from now on.
 	Options node.Options
 
@@ -119,6 +123,9 @@
 	}
 }
 
+// Watching reports whether the VM watches the store.
+func (p *Process) Watching() bool { return p.watching }
+
 // Process returns the last process of a VM.
 func (w *World) Process(name string) *Process { return w.processes[name] }
 
@@ -145,14 +152,22 @@
 	written := document.Document{Key: key, Version: w.version, Value: value}
 	w.store[key] = written
 	for _, p := range w.Running() {
-		broken := w.WatchBroken != nil && w.WatchBroken(p.VM)
-		if p.watching && !broken && !w.storeOut(p) {
-			w.after(w.StoreDelay(p.VM), func() { w.fromStore(p, []document.Document{written}) })
-		}
+		w.notify(p, written)
 	}
 	return written
 }
 
+// notify has a VM's watch return a change, or fail.
+func (w *World) notify(p *Process, written document.Document) {
+	switch {
+	case !p.watching:
+	case w.storeOut(p):
+		w.list(p)
+	case w.WatchBroken == nil || !w.WatchBroken(p.VM):
+		w.after(w.StoreDelay(p.VM), func() { w.fromStore(p, []document.Document{written}) })
+	}
+}
+
 // WriteAndPublish changes the store on behalf of a VM, which then publishes.
 func (w *World) WriteAndPublish(name, key string, value []byte) document.Document {
 	written := w.Write(key, value)
@@ -192,6 +207,11 @@
 	for _, out := range ready.Messages {
 		w.deliver(p, out)
 	}
+	for _, happened := range ready.Events {
+		if w.OnEvent != nil {
+			w.OnEvent(p.VM.Name, happened)
+		}
+	}
 	started := ready.WatchStore && !p.watching
 	p.watching = ready.WatchStore
 	if started {
@@ -236,6 +256,8 @@
 	if p.stopped {
 		return
 	}
+	p.lists++
+	lists := p.lists
 	failing := w.storeOut(p)
 	w.act(p, func() { p.Node.Member(w.Now, membership.StoreFailing{Failing: failing}) })
 	if !failing {
@@ -246,12 +268,12 @@
 		slices.SortFunc(all, func(a, b document.Document) int { return int(a.Version) - int(b.Version) })
 		w.after(2*w.StoreDelay(p.VM), func() { w.fromStore(p, all) })
 	}
-	interval := relistInterval
+	interval := RelistInterval
 	if failing {
 		interval = time.Second
 	}
 	w.after(interval, func() {
-		if p.watching || failing {
+		if (p.watching || failing) && lists == p.lists {
 			w.list(p)
 		}
 	})
--- a/fleet/membership/judge.go
+++ b/fleet/membership/judge.go
@@ -20,6 +20,8 @@
 	observerClear = time.Second
 	// condemnedVoteLife is how long the votes of a condemned observer count.
 	condemnedVoteLife = 2 * time.Second
+	// hearingLife is how long this VM's own hearing outweighs earlier votes.
+	hearingLife = 3 * time.Second
 )
 
 // vote is one observer's accusation of one process of a VM.
@@ -35,7 +37,8 @@
 	return strings.Compare(a.observer, b.observer)
 }
 
-// judge works out who is suspected and who is condemned.
+// judge works out who is suspected and who is condemned. A vote has no weight
+// here while this VM itself has heard the subject since.
 func (m *Machine) judge(now time.Duration) {
 	m.countVotes(now)
 	tally := make(map[string][]vote)
@@ -95,6 +98,9 @@
 
 func (m *Machine) judgeMember(now time.Duration, name string, votes []vote) {
 	row := m.members[name]
+	if row.heard && now-row.heardAt <= hearingLife {
+		votes = slices.DeleteFunc(votes, func(v vote) bool { return row.heardAt > m.counted[v] })
+	}
 	needed := 2
 	if m.options.Mutations.CondemnAlone {
 		needed = 1
--- a/fleet/membership/machine.go
+++ b/fleet/membership/machine.go
@@ -86,6 +86,10 @@
 	started  time.Duration
 	running  bool
 	lastTick time.Duration
+	// lastHeard is when any other VM was last heard, isolated says that this
+	// is long ago.
+	lastHeard time.Duration
+	isolated  bool
 
 	version       uint64 // Of this VM's own record.
 	leaving       bool
@@ -143,6 +147,7 @@
 	m.start(now)
 	m.noticePause(now)
 	m.lastTick = now
+	m.noticeIsolation(now)
 	if m.announceAt != 0 && now >= m.announceAt {
 		m.announceAt = 0
 		m.recordChanged = true
@@ -171,7 +176,7 @@
 		}
 		row := m.members[name]
 		self := name == m.options.Self.Name
-		answers := row.record != nil && !row.suspected && !row.condemned && !row.zoneSilent
+		answers := row.record != nil && !row.suspected && !row.condemned && !row.zoneSilent && !m.isolated
 		members = append(members, Member{
 			Name:         name,
 			Region:       row.vm.Region,
@@ -188,6 +193,9 @@
 	return members
 }
 
+// Isolated reports whether this VM has heard nobody for long.
+func (m *Machine) Isolated() bool { return m.isolated }
+
 // Candidates returns every VM that may be asked for documents, those that
 // were never heard and the seeds included, sorted by name.
 func (m *Machine) Candidates() []platform.VM {
@@ -205,6 +213,7 @@
 	m.running = true
 	m.started = now
 	m.lastTick = now
+	m.lastHeard = now
 	m.watchesStale = true
 }
 
--- a/fleet/membership/watch.go
+++ b/fleet/membership/watch.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -9,6 +10,7 @@
 
 	"guavacrank.example/event"
 	fleetv1 "guavacrank.example/fleet/gen/fleet/v1"
+	"guavacrank.example/platform"
 )
 
 const (
@@ -30,6 +32,8 @@
 	pauseGap = 250 * time.Millisecond
 	// witnessWindow is how recently another VM must have been heard to accuse one.
 	witnessWindow = 250 * time.Millisecond
+	// isolatedAfter is how long a VM that hears nobody keeps its last view.
+	isolatedAfter = 3 * time.Second
 	// helperCount is the number of other VMs that are pinged with a silent one.
 	helperCount = 2
 )
@@ -49,34 +53,48 @@
 	zone     string
 }
 
-// ring returns the usable VMs of a region, or of the whole fleet where the
-// region has too few, in the order of their hashed names.
-func (m *Machine) ring(region string) []ringEntry {
-	var own, all []ringEntry
+// rings are the usable VMs in the order of their hashed names, for the whole
+// fleet and for each region.
+type rings struct {
+	fleet   []ringEntry
+	regions map[string][]ringEntry
+}
+
+func (m *Machine) rings() rings {
+	r := rings{regions: make(map[string][]ringEntry)}
 	for _, name := range m.names {
 		row := m.members[name]
 		if !row.usable() && (name != m.options.Self.Name || m.leaving) {
 			continue
 		}
-		e := ringEntry{position: xxhash.Sum64String(name), name: name, zone: row.vm.Zone}
-		all = append(all, e)
-		if row.vm.Region == region {
-			own = append(own, e)
-		}
+		r.fleet = append(r.fleet, ringEntry{position: xxhash.Sum64String(name), name: name, zone: row.vm.Zone})
 	}
-	if len(own) <= WatcherCount {
-		own = all
-	}
-	slices.SortFunc(own, func(a, b ringEntry) int {
+	slices.SortFunc(r.fleet, func(a, b ringEntry) int {
 		if a.position != b.position {
-			if a.position < b.position {
-				return -1
-			}
-			return 1
+			return cmp.Compare(a.position, b.position)
 		}
 		return strings.Compare(a.name, b.name)
 	})
-	return own
+	for _, e := range r.fleet {
+		region := m.members[e.name].vm.Region
+		r.regions[region] = append(r.regions[region], e)
+	}
+	return r
+}
+
+// watchersOf returns the successors of a VM on the ring of its region, or of
+// the fleet where the region has too few others. The VM's own state, and so
+// whether it is on the ring, has no influence.
+func (r rings) watchersOf(vm platform.VM, onRing bool) []string {
+	ring := r.regions[vm.Region]
+	others := len(ring)
+	if onRing {
+		others--
+	}
+	if others < WatcherCount {
+		ring = r.fleet
+	}
+	return watchersOf(ring, vm.Name, vm.Zone)
 }
 
 // watchersOf returns the successors of a VM on the ring; at least one of them
@@ -84,13 +102,7 @@
 func watchersOf(ring []ringEntry, name, zone string) []string {
 	position := xxhash.Sum64String(name)
 	start, _ := slices.BinarySearchFunc(ring, position, func(e ringEntry, p uint64) int {
-		if e.position < p {
-			return -1
-		}
-		if e.position > p {
-			return 1
-		}
-		return 0
+		return cmp.Compare(e.position, p)
 	})
 	var watchers []string
 	otherZone := false
@@ -122,31 +134,25 @@
 	return false
 }
 
-// refreshWatches works out who watches whom after the membership changed.
+// refreshWatches works out who watches whom after the membership changed. A
+// watcher that accuses goes on until it hears the VM: its vote must not lapse
+// because the VM's silence changed who watches.
 func (m *Machine) refreshWatches(now time.Duration) {
 	if !m.watchesStale {
 		return
 	}
 	m.watchesStale = false
 	self := m.options.Self
-	rings := make(map[string][]ringEntry)
-	ringOf := func(region string) []ringEntry {
-		if _, present := rings[region]; !present {
-			rings[region] = m.ring(region)
-		}
-		return rings[region]
-	}
-	m.watchers = watchersOf(ringOf(self.Region), self.Name, self.Zone)
+	rings := m.rings()
+	m.watchers = rings.watchersOf(self, !m.leaving)
 	for _, name := range m.names {
 		row := m.members[name]
-		mine := name != self.Name && row.record != nil &&
-			slices.Contains(watchersOf(ringOf(row.vm.Region), name, row.vm.Zone), self.Name)
+		mine := name != self.Name && row.record != nil && slices.Contains(rings.watchersOf(row.vm, row.usable()), self.Name)
 		old, watched := m.watched[name]
 		switch {
 		case mine && !watched:
 			m.watched[name] = &watch{lastHeard: now + watchGrace}
-		case !mine && watched:
-			m.recordChanged = m.recordChanged || old.accused
+		case !mine && watched && !old.accused:
 			delete(m.watched, name)
 		}
 	}
@@ -167,6 +173,7 @@
 	if _, ping := in.Message.GetBody().(*fleetv1.ExchangeRequest_Ping); ping {
 		m.send(in.From, &fleetv1.ExchangeRequest{Body: &fleetv1.ExchangeRequest_Pong{Pong: &fleetv1.Pong{}}})
 	}
+	m.lastHeard = now
 	if row, present := m.members[in.From]; present {
 		row.heardAt = now
 		row.heard = true
@@ -180,6 +187,7 @@
 	if w.accused {
 		w.accused = false
 		m.recordChanged = true
+		m.watchesStale = true
 	}
 }
 
@@ -189,12 +197,26 @@
 		return
 	}
 	m.event(event.ObserverPaused, "this VM stood still", "gap", (now - m.lastTick).String())
+	m.lastHeard = now
 	for _, w := range m.watched {
 		w.lastHeard = max(w.lastHeard, now)
 		w.pingedAt = 0
 	}
 }
 
+// noticeIsolation notes whether this VM has heard nobody for long.
+func (m *Machine) noticeIsolation(now time.Duration) {
+	isolated := now-m.lastHeard > isolatedAfter
+	if isolated == m.isolated {
+		return
+	}
+	m.isolated = isolated
+	m.ready.MembersChanged = true
+	if isolated && len(m.names) > 1 {
+		m.event(event.ObserverIsolated, "no other VM was heard", "for", (now - m.lastHeard).String())
+	}
+}
+
 func (m *Machine) sendHeartbeats(now time.Duration) {
 	if now < m.heartbeatAt {
 		return
@@ -260,13 +282,13 @@
 	others := false
 	for _, name := range m.names {
 		row := m.members[name]
-		if name == suspect || name == m.options.Self.Name || row.record == nil || row.condemned {
+		if name == suspect || name == m.options.Self.Name || row.record == nil {
 			continue
 		}
-		others = true
 		if row.heard && now-row.heardAt <= witnessWindow {
 			return true
 		}
+		others = others || !row.condemned
 	}
 	return !others
 }
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -170,10 +170,11 @@
 	peers := make([]spread.Peer, 0, len(members))
 	for _, m := range members {
 		self := m.Name == n.self.Name
+		answers := m.Known && !m.Suspected && !n.members.Isolated()
 		peers = append(peers, spread.Peer{
 			Name: m.Name, Region: m.Region, Zone: m.Zone,
 			Reachable:    self || (m.Known && !m.Condemned),
-			Usable:       (self || (m.Known && !m.Suspected && !m.Condemned)) && !m.Leaving,
+			Usable:       (self || (answers && !m.Condemned)) && !m.Leaving,
 			StoreFailing: m.StoreFailing,
 		})
 	}
