control: random and staged faults against the invariants, with mutations

Change: rapid scenarios of up to eight faults at once; staged races for the fence and the read-back; each safety rule switched off must break an invariant.

--- a/control/controltest/fleet.go
+++ b/control/controltest/fleet.go
@@ -13,7 +13,8 @@
 	"guavacrank.example/event"
 )
 
-const storeName = "store"
+// StoreName is the host name of the store, for Cut.
+const StoreName = "store"
 
 // Options set up a Fleet.
 type Options struct {
@@ -82,7 +83,7 @@
 	}
 	f.checker = newChecker(f)
 	f.Store = &Store{fleet: f, pages: make(map[string]storedPage)}
-	f.places[storeName] = place{options.StoreRegion, options.StoreZone}
+	f.places[StoreName] = place{options.StoreRegion, options.StoreZone}
 	for _, declared := range options.Configuration.Servers {
 		f.Servers = append(f.Servers, &Server{fleet: f, Config: declared, clock: f.newClock()})
 		f.places[declared.Name] = place{declared.Region, declared.Zone}
@@ -194,7 +195,7 @@
 	f.options.Configuration = next
 	f.revision++
 	for _, vm := range f.VMs {
-		f.travel(storeName, vm.Name, func() { vm.step(f.accepted()) })
+		f.travel(StoreName, vm.Name, func() { vm.step(f.accepted()) })
 	}
 }
 
@@ -236,8 +237,8 @@
 // spread brings a changed page to every VM by the fleet's own way.
 func (f *Fleet) spread(service string) {
 	for _, vm := range f.VMs {
-		f.clock.After(f.options.Spread+f.delay(storeName, vm.Name), func() {
-			if f.isCut(storeName, vm.Name) || f.Store.Down {
+		f.clock.After(f.options.Spread+f.delay(StoreName, vm.Name), func() {
+			if f.isCut(StoreName, vm.Name) || f.Store.Down {
 				return
 			}
 			page, version := f.Store.Page(service)
@@ -287,3 +288,16 @@
 	}
 	return text.String()
 }
+
+// AddPlanner gives a VM the role of a planner beside the present one.
+func (f *Fleet) AddPlanner(service, vm string) {
+	f.VM(vm).step(control.RoleChanged{Role: control.PlannerRole(service), Held: true})
+}
+
+// Suspect makes the fleet's probes report a live VM as lost, or end that.
+func (f *Fleet) Suspect(name string, suspected bool) {
+	if vm := f.VM(name); !vm.dead {
+		vm.Alive = !suspected
+		f.spreadMembers()
+	}
+}
--- a/control/controltest/store.go
+++ b/control/controltest/store.go
@@ -36,12 +36,12 @@
 
 func (s *Store) read(vm *VM, request control.PageReadRequest) {
 	f := s.fleet
-	f.travel(vm.Name, storeName, func() {
+	f.travel(vm.Name, StoreName, func() {
 		if s.Down {
 			return
 		}
 		stored := s.pages[request.Service]
-		f.travel(storeName, vm.Name, func() {
+		f.travel(StoreName, vm.Name, func() {
 			vm.step(control.PageRead{
 				Service: request.Service, Request: request.Request,
 				Version: stored.version, Page: stored.page.Clone(),
@@ -72,7 +72,7 @@
 			answer(control.WriteUnknown, 0)
 		}
 	})
-	f.travel(vm.Name, storeName, func() {
+	f.travel(vm.Name, StoreName, func() {
 		if s.Down {
 			return
 		}
@@ -80,7 +80,7 @@
 		if f.chance(s.LoseReply) {
 			return
 		}
-		f.travel(storeName, vm.Name, func() {
+		f.travel(StoreName, vm.Name, func() {
 			if answered {
 				return
 			}
--- /dev/null
+++ b/control/model_test.go
@@ -0,0 +1,323 @@
+package control_test
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"guavacrank.example/config"
+	"guavacrank.example/control"
+	"guavacrank.example/control/controltest"
+)
+
+// Go sets no -rapid.* flag by itself: CI runs the same few cases each time.
+// By hand: go test ./control -run TestModel -rapid.seed=0 -rapid.checks=20000
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+type faultKind int
+
+const (
+	serverLost faultKind = iota
+	serverRestart
+	serverFreeze
+	vmKill
+	vmPause
+	vmStop
+	storeDown
+	storeLosesReplies
+	storeIsLate
+	cutZones
+	cutRegions
+	cutHosts
+	zoneLost
+	messagesLost
+	messagesRepeated
+	messagesLate
+	drain
+	declareKey
+	secondPlanner
+	suspectVM
+	cutVMs
+	faultKinds
+)
+
+// fault is one thing that goes wrong, and for how long.
+type fault struct {
+	at, length    time.Duration
+	kind          faultKind
+	target, other int
+}
+
+func (f fault) String() string {
+	return fmt.Sprintf("%v+%v kind %d target %d/%d", f.at, f.length, f.kind, f.target, f.other)
+}
+
+type scenario struct {
+	seed     uint64
+	checking int // Of four servers, how many check grants.
+	faults   []fault
+}
+
+func (s scenario) String() string {
+	lines := []string{fmt.Sprintf("seed %d, %d of 4 servers check grants", s.seed, s.checking)}
+	for _, f := range s.faults {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Faults begin within a period, most of it after the first page.
+const (
+	firstFault = 500   // Milliseconds.
+	lastFault  = 12000 // Milliseconds.
+)
+
+var scenarios = rapid.Custom(func(t *rapid.T) scenario {
+	drawn := scenario{
+		seed:     rapid.Uint64().Draw(t, "seed"),
+		checking: rapid.SampledFrom([]int{4, 4, 3, 2, 0}).Draw(t, "checking"),
+	}
+	count := rapid.IntRange(1, 8).Draw(t, "faults")
+	for range count {
+		drawn.faults = append(drawn.faults, fault{
+			at:     time.Duration(rapid.IntRange(firstFault, lastFault).Draw(t, "at")) * time.Millisecond,
+			length: time.Duration(rapid.IntRange(20, 6000).Draw(t, "length")) * time.Millisecond,
+			kind:   faultKind(rapid.IntRange(0, int(faultKinds)-1).Draw(t, "kind")),
+			target: rapid.IntRange(0, 7).Draw(t, "target"),
+			other:  rapid.IntRange(0, 7).Draw(t, "other"),
+		})
+	}
+	return drawn
+})
+
+// apply begins a fault and schedules its end.
+func (x fault) apply(f *controltest.Fleet) {
+	server := f.Servers[x.target%len(f.Servers)]
+	vm := f.VMs[x.target%len(f.VMs)]
+	zones := []string{"r1a", "r1b", "r2a", "r2b"}
+	zone := zones[x.target%len(zones)]
+	end := func(run func()) { f.At(x.length, run) }
+	switch x.kind {
+	case serverLost:
+		server.Lost = true
+		end(server.Restart)
+	case serverRestart:
+		server.Restart()
+	case serverFreeze:
+		server.Freeze()
+		end(server.Thaw)
+	case vmKill:
+		vm.Kill()
+		end(vm.Start)
+	case vmPause:
+		vm.Pause()
+		end(vm.Resume)
+	case vmStop:
+		vm.Stop()
+		end(func() {
+			vm.Kill()
+			vm.Start()
+		})
+	case storeDown:
+		f.Store.Down = true
+		end(func() { f.Store.Down = false })
+	case storeLosesReplies:
+		f.Store.LoseReply = 50
+		end(func() { f.Store.LoseReply = 0 })
+	case storeIsLate:
+		f.Store.Late = 50
+		end(func() { f.Store.Late = 0 })
+	case cutZones:
+		f.Cut(zone, zones[x.other%len(zones)])
+		end(f.Heal)
+	case cutRegions:
+		f.Cut("r1", "r2")
+		end(f.Heal)
+	case cutHosts:
+		f.Cut(vm.Name, f.Servers[x.other%len(f.Servers)].Config.Name)
+		end(f.Heal)
+	case zoneLost:
+		loseZone(f, zone, end)
+	case messagesLost:
+		f.DropPercent = 20
+		end(func() { f.DropPercent = 0 })
+	case messagesRepeated:
+		f.RepeatPercent = 30
+		end(func() { f.RepeatPercent = 0 })
+	case messagesLate:
+		f.JitterMax = 300 * time.Millisecond
+		end(func() { f.JitterMax = 0 })
+	case drain:
+		setDraining(f, server.Config.Name, true)
+		end(func() { setDraining(f, server.Config.Name, false) })
+	case declareKey:
+		f.Configure(func(c *config.Configuration) {
+			c.Services = []config.Service{c.Services[0]}
+			c.Services[0].Keys = []config.KeyDeclaration{{Key: fmt.Sprintf("key-%d", x.other), Server: server.Config.Name}}
+		})
+	case suspectVM:
+		f.Suspect(vm.Name, true)
+		end(func() { f.Suspect(vm.Name, false) })
+	case cutVMs:
+		f.Cut(vm.Name, f.VMs[x.other%len(f.VMs)].Name)
+		end(f.Heal)
+	case secondPlanner:
+		f.AddPlanner(recipes, vm.Name)
+	}
+}
+
+func loseZone(f *controltest.Fleet, zone string, end func(func())) {
+	for _, vm := range f.VMs {
+		if vm.Zone == zone {
+			vm.Kill()
+			end(vm.Start)
+		}
+	}
+	for _, server := range f.Servers {
+		if server.Config.Zone == zone {
+			server.Lost = true
+			end(server.Restart)
+		}
+	}
+}
+
+func setDraining(f *controltest.Fleet, name string, draining bool) {
+	f.Configure(func(c *config.Configuration) {
+		for i := range c.Servers {
+			if c.Servers[i].Name == name {
+				c.Servers[i].Draining = draining
+			}
+		}
+	})
+}
+
+// recovery is the time after the last fault's end in which every unit must be
+// served again; it covers a takeover by the fleet's probes after a wait-out.
+const recovery = 20 * time.Second
+
+// run plays a scenario and returns what broke an invariant.
+func (s scenario) run(mutate func(*control.Machine)) (*controltest.Fleet, []string) {
+	options := smallFleet(1, 4, 8, func(i int) bool { return i < s.checking })
+	options.Seed = s.seed
+	options.Mutate = mutate
+	f := controltest.New(options)
+	last := time.Duration(0)
+	for _, x := range s.faults {
+		f.At(x.at, func() { x.apply(f) })
+		last = max(last, x.at+x.length)
+	}
+	f.Run(last + 10*time.Millisecond)
+	f.Run(recovery)
+	problems := f.Violations()
+	if unserved := f.Unserved(recipes); len(unserved) > 0 {
+		problems = append(problems, fmt.Sprintf("served-again: units %v are not served %v after the last fault", unserved, recovery))
+	}
+	return f, problems
+}
+
+// TestModel plays random faults, up to eight at once, and asserts the invariants.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		drawn := scenarios.Draw(t, "scenario")
+		f, problems := drawn.run(nil)
+		if len(problems) > 0 {
+			t.Fatalf("%v\n%s\n%s", drawn, strings.Join(problems, "\n"), f.Describe())
+		}
+	})
+}
+
+// staged is a race that random faults seldom hit, swept over its timing.
+type staged struct {
+	rule             control.Rule
+	first, last, gap time.Duration
+	play             func(f *controltest.Fleet, delay time.Duration)
+}
+
+var stagedRaces = []staged{
+	// A former grantor that is wrongly suspected renews a server, while the
+	// new one loses its way to the server before it presented its term.
+	{control.RuleFence, 460 * time.Millisecond, 620 * time.Millisecond, 4 * time.Millisecond, func(f *controltest.Fleet, delay time.Duration) {
+		grantor := f.Grantor(recipes, "s0")
+		f.JitterMax = 30 * time.Millisecond // Widens the window.
+		for _, vm := range f.VMs {
+			if vm.Name != grantor {
+				f.Cut(grantor, vm.Name)
+			}
+		}
+		f.Cut(grantor, controltest.StoreName)
+		f.At(delay, func() {
+			for _, vm := range f.VMs {
+				if vm.Name != grantor {
+					f.Cut(vm.Name, "s0")
+				}
+			}
+		})
+	}},
+	// A frozen server thaws after its grantor was told nothing of the write
+	// that moves its units, and before that write reaches the store.
+	{control.RuleReadBack, 1400 * time.Millisecond, 2500 * time.Millisecond, 50 * time.Millisecond, func(f *controltest.Fleet, delay time.Duration) {
+		f.Store.Late = 100
+		f.Server("s0").Freeze()
+		f.At(delay, f.Server("s0").Thaw)
+	}},
+}
+
+func (s staged) run(delay time.Duration, mutate func(*control.Machine)) *controltest.Fleet {
+	options := smallFleet(1, 4, 8, allCheck)
+	options.Mutate = mutate
+	f := controltest.New(options)
+	f.Run(4 * time.Second)
+	s.play(f, delay)
+	f.Run(6 * time.Second)
+	f.Heal()
+	f.Store.Late = 0
+	f.Run(4 * time.Second)
+	return f
+}
+
+// TestStagedRaces sweeps the timing of each staged race.
+func TestStagedRaces(t *testing.T) {
+	for _, race := range stagedRaces {
+		t.Run(string(race.rule), func(t *testing.T) {
+			broken := 0
+			for delay := race.first; delay <= race.last; delay += race.gap {
+				f := race.run(delay, nil)
+				if problems := f.Violations(); len(problems) > 0 || len(f.Unserved(recipes)) > 0 {
+					t.Fatalf("delay %v: %v, not served %v\n%s", delay, problems, f.Unserved(recipes), f.Describe())
+				}
+				broken += min(1, len(race.run(delay, func(m *control.Machine) { m.Disable(race.rule) }).Violations()))
+			}
+			if broken == 0 {
+				t.Fatalf("without the rule %q nothing is broken: the race is not staged", race.rule)
+			}
+		})
+	}
+}
+
+// TestMutations switches off a safety rule; random faults must then break an
+// invariant.
+func TestMutations(t *testing.T) {
+	for _, rule := range []control.Rule{control.RuleWaitOut, control.RulePrevious} {
+		t.Run(string(rule), func(t *testing.T) {
+			const tries = 100
+			for seed := range tries {
+				drawn := scenarios.Example(seed)
+				f, _ := drawn.run(func(m *control.Machine) { m.Disable(rule) })
+				if len(f.Violations()) > 0 {
+					return
+				}
+			}
+			t.Fatalf("no scenario of %d broke an invariant without the rule", tries)
+		})
+	}
+}
