control: tests of planned moves, hand-over, outages and declarations

Change: specs for drains, hand-over, rolling replacement, joining and removed servers, declared keys, both lost, store outage, servers without a fence, a stale grantor, a cut region.

--- a/control/controltest/fleet.go
+++ b/control/controltest/fleet.go
@@ -31,6 +31,9 @@
 	Seed   uint64
 	// ClockError is the greatest rate error of a clock in parts of a million.
 	ClockError int64
+	// Joining are backend servers that exist but that the configuration does
+	// not name yet.
+	Joining []config.Server
 	// Mutate, when set, is called with each new Machine.
 	Mutate func(*control.Machine)
 }
@@ -84,7 +87,7 @@
 	f.checker = newChecker(f)
 	f.Store = &Store{fleet: f, pages: make(map[string]storedPage)}
 	f.places[StoreName] = place{options.StoreRegion, options.StoreZone}
-	for _, declared := range options.Configuration.Servers {
+	for _, declared := range slices.Concat(options.Configuration.Servers, options.Joining) {
 		f.Servers = append(f.Servers, &Server{fleet: f, Config: declared, clock: f.newClock()})
 		f.places[declared.Name] = place{declared.Region, declared.Zone}
 	}
--- /dev/null
+++ b/control/moves_test.go
@@ -0,0 +1,301 @@
+package control_test
+
+import (
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/config"
+	"guavacrank.example/control/controltest"
+	"guavacrank.example/control/ownership"
+	"guavacrank.example/event"
+)
+
+// moveBound is two control round trips between zones, plus the ticks and the
+// checks in between.
+const moveBound = 60 * time.Millisecond
+
+// owned counts the units of a server in the store's page.
+func owned(f *controltest.Fleet, server string) int {
+	page, _ := f.Store.Page(recipes)
+	count := 0
+	for _, unit := range page.Units {
+		if unit.Owner == server {
+			count++
+		}
+	}
+	return count
+}
+
+func saw(f *controltest.Fleet, number event.Number) bool {
+	for _, vm := range f.VMs {
+		if slices.ContainsFunc(vm.Events, func(e event.Event) bool { return e.Number == number }) {
+			return true
+		}
+	}
+	return false
+}
+
+func declareLost(f *controltest.Fleet, kind config.LostKind, name string) {
+	f.Configure(func(c *config.Configuration) {
+		c.Lost = append(c.Lost, config.Lost{Kind: kind, Name: name, Reason: "test"})
+	})
+}
+
+var _ = Describe("a planned change", func() {
+	It("empties a draining server within 3 s at one move's cost", func() {
+		f := started(smallFleet(1, 4, 16, allCheck))
+		setDraining(f, "s1", true)
+		f.Run(3 * time.Second)
+		expectSound(f)
+		Expect(owned(f, "s1")).To(BeZero())
+		Expect(worst(f)).To(BeNumerically("<=", moveBound))
+	})
+
+	It("hands every term over before a VM stops", func() {
+		f := started(smallFleet(2, 4, 16, allCheck))
+		leaving := f.VM(f.Grantor(recipes, "s0"))
+		leaving.Stop()
+		f.Run(2 * time.Second)
+		Expect(leaving.Released).To(BeTrue())
+		leaving.Kill()
+		f.Run(5 * time.Second)
+		expectSound(f)
+		Expect(worst(f)).To(BeZero())
+	})
+
+	It("replaces every VM in turn without an outage", func() {
+		f := started(smallFleet(3, 8, 32, allCheck))
+		for _, vm := range f.VMs {
+			vm.Stop()
+			f.Run(2 * time.Second)
+			Expect(vm.Released).To(BeTrue(), vm.Name)
+			vm.Kill()
+			f.Run(time.Second)
+			vm.Start()
+			f.Run(time.Second)
+		}
+		expectSound(f)
+		Expect(worst(f)).To(BeZero())
+	})
+
+	It("adds a server of the configuration and removes one", func() {
+		options := smallFleet(1, 4, 16, allCheck)
+		joining := options.Configuration.Servers[3]
+		options.Configuration.Servers = options.Configuration.Servers[:3]
+		options.Joining = []config.Server{joining}
+		f := started(options)
+		f.Configure(func(c *config.Configuration) { c.Servers = append(c.Servers[1:], joining) })
+		f.Run(5 * time.Second)
+		expectSound(f)
+		page, _ := f.Store.Page(recipes)
+		Expect(page.Server("s3")).NotTo(BeNil())
+		Expect(page.Server("s0")).To(BeNil())
+		Expect(worst(f)).To(BeNumerically("<=", moveBound))
+	})
+
+	It("pins a declared key, and says why it can't", func() {
+		f := started(smallFleet(1, 4, 16, allCheck))
+		f.Configure(func(c *config.Configuration) {
+			c.Services = slices.Clone(c.Services)
+			c.Services[0].Keys = []config.KeyDeclaration{{Key: "tonkotsu", Server: "s2"}, {Key: "shoyu", Server: "s9"}}
+		})
+		f.Run(12 * time.Second)
+		expectSound(f)
+		explained := f.VMs[0].Explain(recipes, "tonkotsu")
+		Expect(explained.Owner).To(Equal("s2"))
+		Expect(explained.Declared).To(BeTrue())
+		Expect(saw(f, event.KeyUnsatisfiable)).To(BeTrue())
+		Expect(f.VMs[0].Explain(recipes, "shoyu").Unsatisfied).To(ContainSubstring("does not serve"))
+	})
+
+	It("refuses another number of shards and serves on", func() {
+		f := started(smallFleet(1, 4, 16, allCheck))
+		f.Configure(func(c *config.Configuration) {
+			c.Services = slices.Clone(c.Services)
+			c.Services[0].Shards = 32
+		})
+		f.Run(3 * time.Second)
+		expectSound(f)
+		Expect(saw(f, event.ShardsChangeRefused)).To(BeTrue())
+		Expect(worst(f)).To(BeZero())
+	})
+})
+
+var _ = Describe("a server and its grantor both lost", func() {
+	var f *controltest.Fleet
+	var grantor string
+	BeforeEach(func() {
+		f = started(smallFleet(2, 4, 16, allCheck))
+		grantor = f.Grantor(recipes, "s1")
+		f.VM(grantor).Kill()
+		f.Server("s1").Lost = true
+		f.Run(10 * time.Second)
+		Expect(owned(f, "s1")).To(Equal(4))
+	})
+
+	It("moves its units after both are declared lost", func() {
+		declareLost(f, config.LostServer, "s1")
+		declareLost(f, config.LostVM, grantor)
+		f.Run(6 * time.Second)
+		expectSound(f)
+		Expect(owned(f, "s1")).To(BeZero())
+	})
+
+	It("serves again when the server returns", func() {
+		f.Server("s1").Restart()
+		f.Run(3 * time.Second)
+		expectSound(f)
+	})
+
+	It("serves again when the grantor's VM returns", func() {
+		f.VM(grantor).Start()
+		f.Run(5 * time.Second)
+		expectSound(f)
+		Expect(owned(f, "s1")).To(BeZero())
+	})
+})
+
+var _ = Describe("a store outage", func() {
+	var f *controltest.Fleet
+	BeforeEach(func() {
+		f = started(smallFleet(2, 4, 16, allCheck))
+		f.Store.Down = true
+	})
+
+	It("alone leaves everything served", func() {
+		f.Run(60 * time.Second)
+		expectSound(f)
+		Expect(worst(f)).To(BeZero())
+	})
+
+	It("does not bar a server that froze and thaws during it", func() {
+		f.Run(3 * time.Second)
+		f.Server("s1").Freeze()
+		f.Run(4 * time.Second)
+		f.Server("s1").Thaw()
+		f.Run(time.Second)
+		expectSound(f)
+	})
+
+	It("with the loss of a server acknowledges nothing until it ends", func() {
+		f.Server("s1").Lost = true
+		f.Run(20 * time.Second)
+		Expect(owned(f, "s1")).To(Equal(4))
+		f.Store.Down = false
+		f.Run(4 * time.Second)
+		expectSound(f)
+		Expect(owned(f, "s1")).To(BeZero())
+	})
+})
+
+var _ = Describe("servers that do not check grants", func() {
+	none := func(int) bool { return false }
+
+	It("are served through the loss of their home", func() {
+		f := started(smallFleet(2, 4, 16, none))
+		f.VM(f.Grantor(recipes, "s1")).Kill()
+		f.Run(5 * time.Second)
+		expectSound(f)
+		Expect(worst(f)).To(BeNumerically("<=", servedAgain))
+	})
+
+	It("lose their units by the word of their home", func() {
+		f := started(smallFleet(2, 4, 16, none))
+		f.Server("s1").Lost = true
+		f.Run(5 * time.Second)
+		expectSound(f)
+		Expect(owned(f, "s1")).To(BeZero())
+		Expect(worst(f)).To(BeNumerically("<=", servedAgain))
+	})
+
+	It("are drained", func() {
+		f := started(smallFleet(2, 4, 16, none))
+		setDraining(f, "s1", true)
+		f.Run(3 * time.Second)
+		expectSound(f)
+		Expect(owned(f, "s1")).To(BeZero())
+	})
+
+	It("keep their units when a former home gives no word, until it is declared lost", func() {
+		f := started(smallFleet(2, 4, 16, none))
+		former := f.Grantor(recipes, "s1")
+		f.VM(former).Kill()
+		f.Run(5 * time.Second)
+		f.Server("s1").Lost = true
+		f.Run(10 * time.Second)
+		Expect(owned(f, "s1")).To(Equal(4))
+		Expect(saw(f, event.BothOutOfReach)).To(BeTrue())
+		declareLost(f, config.LostVM, former)
+		f.Run(5 * time.Second)
+		expectSound(f)
+		Expect(owned(f, "s1")).To(BeZero())
+	})
+})
+
+var _ = Describe("a stale grantor", func() {
+	It("does not grant to a restarted server that accepted a higher term before", func() {
+		f := started(smallFleet(2, 4, 16, allCheck))
+		stale := f.VM(f.Grantor(recipes, "s1"))
+		stale.Pause()
+		f.Run(3 * time.Second)
+		Expect(f.Grantor(recipes, "s1")).NotTo(Equal(stale.Name))
+		f.Server("s1").Lost = true
+		f.Run(4 * time.Second)
+		Expect(owned(f, "s1")).To(BeZero())
+		for _, vm := range f.VMs {
+			f.Cut(vm.Name, stale.Name)
+			if vm != stale {
+				f.Cut(vm.Name, "s1")
+			}
+		}
+		f.Cut(stale.Name, controltest.StoreName)
+		f.Server("s1").Restart()
+		stale.Resume()
+		f.Run(10 * time.Second)
+		Expect(f.Violations()).To(BeEmpty())
+		f.Heal()
+		f.Run(10 * time.Second)
+		expectSound(f)
+	})
+})
+
+var _ = Describe("a region that is cut off", func() {
+	It("keeps serving its own keys", func() {
+		options := smallFleet(2, 8, 32, allCheck)
+		for i := range options.Configuration.Servers {
+			zone := []string{"r1a", "r1b", "r2a", "r2b"}[i%4]
+			options.Configuration.Servers[i].Zone = zone
+			options.Configuration.Servers[i].Region = zone[:2]
+		}
+		f := started(options)
+		before, _ := f.Store.Page(recipes)
+		f.Cut("r1", "r2")
+		f.Run(60 * time.Second)
+		expectSound(f)
+		Expect(worst(f)).To(BeZero())
+		after, _ := f.Store.Page(recipes)
+		Expect(after.Units).To(Equal(before.Units))
+		f.Heal()
+		f.Run(10 * time.Second)
+		expectSound(f)
+	})
+})
+
+var _ = Describe("an override", func() {
+	It("is isolated and returns to its shard", func() {
+		page, err := ownership.New(recipes, []ownership.Server{{Name: "b", Term: 1}, {Name: "a", Term: 1}}, []string{"a", "b"})
+		Expect(err).NotTo(HaveOccurred())
+		shard := page.UnitOf("key")
+		owner, epoch := shard.Owner, shard.Epoch
+		id, err := page.Split("key", false)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(page.UnitOf("key")).To(HaveValue(Equal(ownership.Unit{ID: id, Owner: owner, Epoch: epoch + 1})))
+		Expect(page.Check()).To(Succeed())
+		Expect(page.Merge("key")).To(Succeed())
+		Expect(page.UnitOf("key").Epoch).To(Equal(epoch + 2))
+		Expect(page.Check()).To(Succeed())
+	})
+})
