--- a/control/export_test.go
+++ b/control/export_test.go
@@ -9,6 +9,7 @@
 	RuleWaitOut  Rule = "wait-out"
 	RuleReadBack Rule = "read-back"
 	RulePrevious Rule = "previous"
+	RuleConfirm  Rule = "confirm"
 )
 
 // Disable switches a safety rule off.
@@ -20,6 +21,8 @@
 		m.disabled.waitOut = true
 	case RuleReadBack:
 		m.disabled.readBack = true
+	case RuleConfirm:
+		m.disabled.confirm = true
 	case RulePrevious:
 		m.disabled.previous = true
 	}
--- a/control/members.go
+++ b/control/members.go
@@ -20,6 +20,9 @@
 	// targets are the VMs that get this VM's heartbeats, sorted.
 	targets     []string
 	heartbeatAt time.Duration
+	targetsAt   time.Duration
+	// rebalancedAt is when this VM last handed over a term for a better spread.
+	rebalancedAt time.Duration
 }
 
 // heard is the newest heartbeat of a VM.
--- a/control/ownership/transition.go
+++ b/control/ownership/transition.go
@@ -53,8 +53,9 @@
 }
 
 // TakeTerm makes grantor the holder of the next term of a server. The earlier
-// holder is added to Former.
-func (p *Page) TakeTerm(name, grantor string) error {
+// holder is added to Former. The new term is above the given one too, which the
+// server may know although the page does not.
+func (p *Page) TakeTerm(name, grantor string, above Term) error {
 	server := p.Server(name)
 	if server == nil {
 		return fault(p, "servers", "%q is unknown", name)
@@ -63,7 +64,7 @@
 		server.Former = append(server.Former, server.Grantor)
 		slices.Sort(server.Former)
 	}
-	server.Term++
+	server.Term = max(server.Term, above) + 1
 	server.Grantor = grantor
 	return nil
 }
--- a/control/rules.go
+++ b/control/rules.go
@@ -6,5 +6,6 @@
 	fence    bool // Units leave a server without its accepting the new term.
 	waitOut  bool // Units leave a silent server before its grant has run out.
 	readBack bool // A write of unknown outcome is taken as not applied.
+	confirm  bool // A restarted server is granted without reading the page again.
 	previous bool // A unit is granted before its previous owner has stopped.
 }
--- a/control/settings.go
+++ b/control/settings.go
@@ -31,15 +31,20 @@
 	// grantor by the VM that is next, within the remaining life of its grants.
 	heartbeatInterval = 150 * time.Millisecond
 	heartbeatTimeout  = 480 * time.Millisecond
+	// targetsInterval is the time between two choices of the VMs that get
+	// heartbeats.
+	targetsInterval = 300 * time.Millisecond
 	// queryInterval is the time between two term queries.
 	queryInterval = 300 * time.Millisecond
 	// handOverInterval is the time between two requests to take a term over.
 	handOverInterval = 200 * time.Millisecond
 	// handOverPatience is the time after which another VM is asked.
 	handOverPatience = time.Second
-	// misplacedHold is how long a better VM must have been alive before a term
-	// is handed over to it.
-	misplacedHold = 30 * time.Second
+	// rebalanceHold is how long a VM must have been alive before a term is
+	// handed over to it for a better spread.
+	rebalanceHold = 30 * time.Second
+	// rebalanceInterval is the least time between two such terms of one VM.
+	rebalanceInterval = 5 * time.Second
 	// storeFresh is the age up to which a read shows that the store answers.
 	storeFresh = time.Second
 	// readTimeout is the time after which an unanswered read is repeated.
--- a/control/system_handover.go
+++ b/control/system_handover.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"guavacrank.example/control/ownership"
@@ -12,19 +14,27 @@
 // VM renews until the server refuses its term, so nothing is unavailable.
 func (m *Machine) runHandOver() {
 	held := false
+	rebalancing := m.now-m.members.rebalancedAt >= rebalanceInterval
+	if rebalancing {
+		m.members.rebalancedAt = m.now
+	}
 	for _, s := range m.services {
 		for _, sv := range s.servers {
 			if !m.holds(s, sv) {
 				held = held || m.wordAwaited(s, sv)
 				continue
 			}
-			if m.stopping {
+			switch {
+			case m.stopping:
 				held = held || !m.nothingToHandOver(s, sv)
-				m.askSuccessor(s, sv)
-			} else if m.misplaced(sv) {
-				m.askSuccessor(s, sv)
-			} else {
+				m.askSuccessor(s, sv, m.members.candidates(sv.config, m.options.Self))
+			case sv.successor != "" && m.now-sv.askedSince < handOverPatience:
+				m.askSuccessor(s, sv, m.betterPlaced(sv))
+			default:
 				sv.successor = ""
+				if rebalancing {
+					rebalancing = !m.rebalance(s, sv)
+				}
 			}
 		}
 	}
@@ -52,29 +62,57 @@
 	return false
 }
 
-// misplaced reports whether this VM is in the zone or out of the region of a
-// server for which a better placed VM has been alive for some time.
-func (m *Machine) misplaced(sv *server) bool {
-	self := Member{Name: m.options.Self, Region: m.options.Region, Zone: m.options.Zone}
-	tier := tierOf(self, sv.config)
-	if tier == tierOtherZone || !sv.configured {
+// rebalance hands one term at a time over to a VM that is better placed for the
+// server, or as well placed and holds at least two terms fewer. It reports
+// whether it did.
+func (m *Machine) rebalance(s *service, sv *server) bool {
+	if !sv.configured || !m.inForce(sv) {
 		return false
 	}
-	candidates := m.members.candidates(sv.config, m.options.Self)
-	if len(candidates) == 0 || candidates[0].tier >= tier {
+	better := m.betterPlaced(sv)
+	if len(better) == 0 {
 		return false
 	}
-	since, alive := m.members.aliveSince[candidates[0].member.Name]
-	return alive && m.now-since >= misplacedHold
+	m.askSuccessor(s, sv, better)
+	return true
+}
+
+// betterPlaced returns the VMs that this VM should hand a server's term to, the
+// one with the fewest terms first. They have been alive for some time.
+func (m *Machine) betterPlaced(sv *server) []candidate {
+	tier := tierOf(Member{Region: m.options.Region, Zone: m.options.Zone}, sv.config)
+	terms := m.termCounts()
+	own := terms[m.options.Self]
+	better := slices.DeleteFunc(m.members.candidates(sv.config, m.options.Self), func(c candidate) bool {
+		since, alive := m.members.aliveSince[c.member.Name]
+		if !alive || m.now-since < rebalanceHold || c.tier > tier {
+			return true
+		}
+		return c.tier == tier && terms[c.member.Name] > own-2
+	})
+	slices.SortStableFunc(better, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(terms[a.member.Name], terms[b.member.Name]))
+	})
+	return better
+}
+
+// termCounts returns the number of terms of each VM in the known pages.
+func (m *Machine) termCounts() map[string]int {
+	terms := make(map[string]int)
+	for _, s := range m.services {
+		for _, entry := range s.page.Servers {
+			terms[entry.Grantor]++
+		}
+	}
+	return terms
 }
 
-// askSuccessor asks the next VM in order to take a term, and another one when
-// it does not.
-func (m *Machine) askSuccessor(s *service, sv *server) {
+// askSuccessor asks the next of several VMs to take a term, and another one
+// when it does not.
+func (m *Machine) askSuccessor(s *service, sv *server, candidates []candidate) {
 	if m.now-sv.askedAt < handOverInterval && sv.successor != "" {
 		return
 	}
-	candidates := m.members.candidates(sv.config, m.options.Self)
 	if len(candidates) == 0 {
 		return
 	}
@@ -181,7 +219,11 @@
 		return
 	}
 	m.members.heartbeatAt = max(m.now, time.Nanosecond)
-	targets := m.heartbeatTargets()
+	targets := m.members.targets
+	if m.now-m.members.targetsAt >= targetsInterval {
+		m.members.targetsAt = m.now
+		targets = m.heartbeatTargets()
+	}
 	for _, former := range m.members.targets {
 		if !containsSorted(targets, former) {
 			m.send(former, Message{Heartbeat: &Heartbeat{Last: true}})
--- a/control/system_homes.go
+++ b/control/system_homes.go
@@ -11,7 +11,7 @@
 func (m *Machine) runHomes() {
 	for _, s := range m.services {
 		for _, sv := range s.servers {
-			if !sv.config.ChecksGrants && sv.configured {
+			if !sv.config.ChecksGrants && sv.config.Address != "" {
 				m.renewHome(s, sv)
 			}
 		}
@@ -54,7 +54,7 @@
 // sendsLife is how long requests that this VM sent to a server that does not
 // check grants may still run, if it sends no more from now on.
 func (m *Machine) sendsLife(s *service, sv *server) time.Duration {
-	end := max(sv.lastHomeUntil, m.startedAt) + m.longestDeadline(s)
+	end := max(sv.lastHomeUntil+m.longestDeadline(s), m.startedAt+m.sendsBound(s))
 	if sv.sendsIdle {
 		return 0
 	}
--- a/control/system_loss.go
+++ b/control/system_loss.go
@@ -92,11 +92,11 @@
 	if !sv.sendsStopped {
 		return 0, false
 	}
-	end := max(sv.lastHomeUntil, m.startedAt) + m.longestDeadline(s)
+	end := max(sv.lastHomeUntil+m.longestDeadline(s), m.startedAt+m.sendsBound(s))
 	if sv.sendsIdle {
 		end = m.now
 	}
-	wordsEnd, given := m.wordsEnd(s, sv, m.longestDeadline(s))
+	wordsEnd, given := m.wordsEnd(s, sv, m.sendsBound(s))
 	return max(end, wordsEnd), given
 }
 
--- a/control/system_planner.go
+++ b/control/system_planner.go
@@ -171,7 +171,7 @@
 
 func (m *Machine) addServer(s *service, sv *server, terms map[string]int) {
 	grantor := m.leastLoaded(sv, terms)
-	if grantor == "" {
+	if grantor == "" || m.ownedElsewhere(s, sv.name) {
 		return
 	}
 	terms[grantor]++
@@ -180,6 +180,17 @@
 	}
 }
 
+// ownedElsewhere reports whether a server that changed its service is, or may
+// be, still in the page of another one. Its fence knows one page only.
+func (m *Machine) ownedElsewhere(here *service, name string) bool {
+	for _, s := range m.services {
+		if s != here && (!s.confirmed || s.entry(&server{name: name}) != nil) {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Machine) ownsNothing(s *service, name string) bool {
 	return len(s.owned[name]) == 0 && len(s.leaving[name]) == 0
 }
--- a/control/system_renewal.go
+++ b/control/system_renewal.go
@@ -47,11 +47,11 @@
 	if !sv.config.ChecksGrants || sv.boot == "" || sv.unconfirmed || m.serverDeclaredLost(sv) {
 		return false
 	}
-	if sv.highestTerm > sv.heldTerm || m.needsOwnTerm(sv) {
+	if m.needsOwnTerm(sv) {
 		m.wantSince(s, sv.clockAt)
 		return false
 	}
-	if !s.confirmedSince(sv.bootAt) {
+	if !m.disabled.confirm && !s.confirmedSince(sv.bootAt) {
 		m.wantSince(s, sv.bootAt)
 		return false
 	}
@@ -59,9 +59,13 @@
 	return m.now < expires
 }
 
-// needsOwnTerm reports whether the server knows this VM's term from an earlier
-// process, so that orders of this process would be refused as repeated.
+// needsOwnTerm reports whether the server knows a higher term than this VM's,
+// or this VM's term from an earlier process, so that orders of this process
+// would be refused.
 func (m *Machine) needsOwnTerm(sv *server) bool {
+	if sv.highestTerm > sv.heldTerm {
+		return true
+	}
 	return sv.highestTerm == sv.heldTerm && sv.accepted.term != sv.heldTerm && sv.grantEnd == 0
 }
 
--- a/control/system_stop.go
+++ b/control/system_stop.go
@@ -128,7 +128,7 @@
 // sendsEnded reports whether no request that this VM or a former home sent for
 // a unit can still run at a server that does not check grants.
 func (m *Machine) sendsEnded(s *service, sv *server, id ownership.UnitID) bool {
-	wordsEnd, given := m.wordsEnd(s, sv, m.longestDeadline(s))
+	wordsEnd, given := m.wordsEnd(s, sv, m.sendsBound(s))
 	if !given || m.now < wordsEnd || sv.heldTerm == 0 {
 		return false
 	}
@@ -137,7 +137,13 @@
 		return true
 	}
 	since := max(seen.at, sv.heldSince)
-	return m.now >= since+m.timeToLive()+m.longestDeadline(s)
+	return m.now >= since+m.sendsBound(s)
+}
+
+// sendsBound is the longest time from the last confirmation of a home's right
+// to send to the end of the last request sent under it.
+func (m *Machine) sendsBound(s *service) time.Duration {
+	return m.grantLife() + m.longestDeadline(s)
 }
 
 // longestDeadline is the longest time for which a request of the service may run.
--- a/control/system_takeover.go
+++ b/control/system_takeover.go
@@ -32,10 +32,10 @@
 // present one, or where this VM gave its word on it.
 func (m *Machine) takeOwnTerm(s *service, sv *server, entry *ownership.Server) {
 	released := entry.Term < sv.releasedBelow
-	if m.stopping || (!released && !(sv.config.ChecksGrants && sv.boot != "" && m.needsOwnTerm(sv))) {
-		return
+	refused := sv.config.ChecksGrants && sv.boot != "" && m.needsOwnTerm(sv) && s.confirmedSince(sv.clockAt)
+	if !m.stopping && (released || refused) {
+		m.takeTerm(s, sv, "new process of the grantor")
 	}
-	m.takeTerm(s, sv, "new process of the grantor")
 }
 
 func (m *Machine) considerTakeover(s *service, sv *server, entry *ownership.Server) {
@@ -85,7 +85,7 @@
 
 func (m *Machine) takeTerm(s *service, sv *server, cause string) {
 	if d := m.edit(s, cause); d != nil {
-		if err := d.page.TakeTerm(sv.name, m.options.Self); err != nil {
+		if err := d.page.TakeTerm(sv.name, m.options.Self, sv.highestTerm); err != nil {
 			m.emit(event.InvariantViolated, err.Error(), "service", s.name)
 		}
 	}
@@ -109,7 +109,7 @@
 		return
 	}
 	for _, former := range entry.Former {
-		if sv.words[former].term < entry.Term {
+		if given := sv.words[former]; given.term < entry.Term || given.until > m.now {
 			sv.queriedAt = m.now
 			m.send(former, Message{Query: &TermQuery{Service: s.name, Server: sv.name, Term: entry.Term}})
 		}
