--- a/traffic/front/answer.go
+++ b/traffic/front/answer.go
@@ -28,7 +28,11 @@
 	start  []byte    // The first bytes, in buffer.
 	rest   io.Reader // What follows; nil when start is the whole body.
 	source io.Closer
-	end    func(whole bool) // Gives back the server's slot; nil when that is done.
+	server string // Name of the server, empty when another VM sent.
+	bytes  int64  // Written to the caller.
+	// recorded is the status of a recorded answer, empty for a fresh one.
+	recorded string
+	end      func(whole bool) // Gives back the server's slot; nil when that is done.
 }
 
 // hold reads the start of an answer, and all of a small one.
@@ -94,47 +98,77 @@
 	until, _ := ctx.Deadline()
 	control.SetWriteDeadline(until.Add(deadlineSlack))
 	writeHead(w, out)
-	whole, truncated := out.answer.copyTo(w, control)
-	out.answer.close(whole)
-	if truncated {
+	pass := h.passAnswer(ctx, c)
+	err := out.answer.copyTo(w, control, pass)
+	c.seen.AnswerBytes = out.answer.bytes
+	out.answer.close(err == nil)
+	if err != nil {
 		panic(http.ErrAbortHandler) // Ends the connection: no part passes as whole.
 	}
 	control.SetWriteDeadline(time.Time{})
 }
 
+// passAnswer returns what holds the answer back to the link's rate: at the VM
+// from which it crosses, or here when this VM read it from a server elsewhere.
+func (h *Handler) passAnswer(ctx context.Context, c *call) func(int) error {
+	if !c.crossing {
+		return func(int) error { return nil }
+	}
+	pacer := c.service.state.in
+	if c.forwarded {
+		pacer = c.service.state.out
+	}
+	return func(count int) error { return pacer.Pass(ctx, c.class.Priority, count) }
+}
+
 func writeHead(w http.ResponseWriter, out outcome) {
 	header := w.Header()
 	copyHeaders(header, out.answer.header)
 	header[verdict.Header] = []string{out.verdict.String()}
 	header[verdict.HeaderCode] = []string{string(out.code)}
+	if out.answer.recorded != "" {
+		header[HeaderRecordedStatus] = []string{out.answer.recorded}
+	}
 	w.WriteHeader(out.answer.status)
 }
 
-// copyTo writes the body. whole says that the server's answer was read to its
-// end, truncated that it ended before.
-func (a *answer) copyTo(w io.Writer, control *http.ResponseController) (whole, truncated bool) {
-	if _, err := w.Write(a.start); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-		return a.rest == nil, false
-	}
-	if a.rest == nil {
-		return true, false
+// copyTo writes the body. It fails when the server's answer ended early, or the
+// caller did not take all of it.
+func (a *answer) copyTo(w io.Writer, control *http.ResponseController, pass func(int) error) error {
+	if err := a.write(w, a.start, pass); err != nil {
+		return err
 	}
-	buffer := a.buffer[:]
-	for {
-		n, err := a.rest.Read(buffer)
+	for a.rest != nil {
+		n, err := a.rest.Read(a.buffer[:])
 		if n > 0 {
-			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
-				return false, true
+			if writeErr := a.write(w, a.buffer[:n], pass); writeErr != nil {
+				return writeErr
 			}
 			control.Flush()
 		}
-		if errors.Is(err, io.EOF) && !isFailure(err) {
-			return true, false
+		if errors.Is(err, io.EOF) {
+			return nil
 		}
 		if err != nil {
-			return false, true
+			return err
 		}
 	}
+	return nil
+}
+
+func (a *answer) write(w io.Writer, part []byte, pass func(int) error) error {
+	if len(part) == 0 {
+		return nil
+	}
+	if err := pass(len(part)); err != nil {
+		return err
+	}
+	n, err := w.Write(part)
+	a.bytes += int64(n)
+	if errors.Is(err, http.ErrBodyNotAllowed) {
+		return nil
+	}
+	return err
 }
 
 // writeFailure tells the verdict of a request without an answer.
--- a/traffic/front/body.go
+++ b/traffic/front/body.go
@@ -75,6 +75,9 @@
 	control *http.ResponseController
 	length  int64 // -1 when unknown.
 	left    int64
+	// pass holds the body back to the rate of a link; nil lets it through.
+	pass    func(count int) error
+	passed  atomic.Int64
 	started atomic.Bool
 	ended   atomic.Bool
 }
@@ -87,9 +90,15 @@
 	s.started.Store(true)
 	n, err := s.source.Read(p)
 	s.left -= int64(n)
+	s.passed.Add(int64(n))
 	if s.left < 0 {
 		return 0, errBodyTooLarge
 	}
+	if s.pass != nil {
+		if passErr := s.pass(n); passErr != nil {
+			return 0, passErr
+		}
+	}
 	if errors.Is(err, io.EOF) {
 		s.ended.Store(true)
 		s.control.SetReadDeadline(time.Time{})
--- a/traffic/front/call.go
+++ b/traffic/front/call.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"guavacrank.example/config"
+	"guavacrank.example/traffic/metric"
 	"guavacrank.example/traffic/verdict"
 )
 
@@ -25,16 +26,31 @@
 	deadline time.Duration
 	request  *http.Request
 	body     body
+
+	// forwarded says that another VM sent the request here; crossing that the
+	// answer goes over the link between regions from here.
+	forwarded bool
+	crossing  bool
+	// noWait refuses the request rather than make it wait; refusedBy are the
+	// groups that did.
+	noWait    bool
+	refusedBy []*groupState
+	// tried are the servers that failed this request.
+	tried []string
+	seen  metric.Observation
 }
 
 // target is where an attempt goes.
 type target struct {
-	server *server
-	// epoch and unit identify the ownership; they are zero in a service not divided by key.
+	server *server     // In a service divided by key.
+	group  *groupState // In another one.
+	// epoch and unit identify the ownership.
 	unit  uint32
 	epoch uint64
 	// peer is the VM that sends; nil means this one.
 	peer *peer
+	// crossing says that the server stands in another region.
+	crossing bool
 }
 
 // outcome is the end of one attempt, or of the whole request.
--- a/traffic/front/fleet_test.go
+++ b/traffic/front/fleet_test.go
@@ -120,7 +120,7 @@
 // queued returns the number of requests that wait for servers.
 func (v *vm) queued() int {
 	total := 0
-	for _, held := range v.current().services["cards"].servers {
+	for _, held := range v.current().services["cards"].members {
 		total += held.gate.State().Queued
 	}
 	return total
--- a/traffic/front/forward.go
+++ b/traffic/front/forward.go
@@ -5,61 +5,128 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"guavacrank.example/backend"
+	"guavacrank.example/traffic/pick"
 	"guavacrank.example/traffic/upstream"
 	"guavacrank.example/traffic/verdict"
 )
 
+// Headers between VMs. They are only believed on the peer listener.
+const (
+	// HeaderPeerServer names the server that the home shall send to, and in an
+	// answer the one that it sent to.
+	HeaderPeerServer = "Guavacrank-Peer-Server"
+	// HeaderPeerZone names the group, as region/zone, in a service not divided by key.
+	HeaderPeerZone = "Guavacrank-Peer-Zone"
+	// HeaderPeerRegion names the region of the VM that forwards.
+	HeaderPeerRegion = "Guavacrank-Peer-Region"
+	// HeaderPeerNoWait asks the home to refuse rather than queue the request.
+	HeaderPeerNoWait = "Guavacrank-Peer-No-Wait"
+	// HeaderPeerTried names servers that failed the request, separated by commas.
+	HeaderPeerTried = "Guavacrank-Peer-Tried"
+	// HeaderPeerQueue gives the time in the home's queue in microseconds.
+	HeaderPeerQueue = "Guavacrank-Peer-Queue-Us"
+	// HeaderPeerHeld gives how many requests the home holds for the server or group.
+	HeaderPeerHeld = "Guavacrank-Peer-Held"
+)
+
 // HeaderRetryAfter carries the hint of Retry-After in milliseconds.
 const HeaderRetryAfter = "Guavacrank-Retry-After-Ms"
 
 // maxDetailBytes limits the explanation that another VM sends.
 const maxDetailBytes = 1 << 10
 
-// forward sends the request to the server's home.
+// forward sends the request to the home of the server or group.
 func (h *Handler) forward(ctx context.Context, c *call, to target) outcome {
+	if err := h.passOut(ctx, c, to.crossing); err != nil {
+		return notRun(endCode(c), "waited for the link between regions")
+	}
+	began := h.options.Elapsed()
+	if to.group != nil {
+		to.group.seen.Started()
+	}
+	received, failure := to.peer.pool.Do(ctx, h.peerRequest(c, to, began), !c.class.Idempotent)
 	now := h.options.Elapsed()
-	received, failure := to.peer.pool.Do(ctx, c.peerRequest(to, now), !c.class.Idempotent)
+	c.seen.Backend += now - began
 	if failure != nil {
 		if failure.Stage == upstream.StageConnect && !failure.Timeout {
 			to.peer.avoid(now)
 		}
+		to.learn(now, began, resultOf(c, failure))
 		return classify(c, failure)
 	}
+	c.noteHome(received.Header)
+	to.noteHeld(now, received.Header)
 	switch received.Header.Get(verdict.Header) {
 	case verdict.Answered.String():
-		return h.takeForwarded(c, received)
+		return h.takeForwarded(c, to, began, received)
 	case verdict.NotRun.String():
-		return h.refusedByHome(to, verdict.NotRun, received)
+		to.learn(now, began, pick.Withdrawn)
+		return h.refusedByHome(c, to, verdict.NotRun, received)
 	case verdict.MayHaveRun.String():
-		return h.refusedByHome(to, verdict.MayHaveRun, received)
+		to.learn(now, began, pick.Withdrawn)
+		return h.refusedByHome(c, to, verdict.MayHaveRun, received)
 	default:
+		to.learn(now, began, pick.Failed)
 		received.Body.Close()
 		return mayHaveRun(verdict.CodePeer, "the home answered without a verdict")
 	}
 }
 
-func (h *Handler) takeForwarded(c *call, received *upstream.Answer) outcome {
+// learn notes how the home took a request for a group.
+func (t target) learn(now, began time.Duration, result pick.Result) {
+	if t.group != nil {
+		t.group.seen.Ended(now, result, now-began)
+	}
+}
+
+// noteHeld takes the home's word on its queue.
+func (t target) noteHeld(now time.Duration, header http.Header) {
+	held, err := strconv.Atoi(header.Get(HeaderPeerHeld))
+	if t.group != nil && err == nil {
+		t.group.seen.Backlog(now, held)
+	}
+}
+
+// noteHome moves the time in the home's queue from the time at the backend.
+func (c *call) noteHome(header http.Header) {
+	waited, err := strconv.ParseInt(header.Get(HeaderPeerQueue), 10, 64)
+	if err != nil {
+		return
+	}
+	queued := min(time.Duration(waited)*time.Microsecond, c.seen.Backend)
+	c.seen.Queue += queued
+	c.seen.Backend -= queued
+}
+
+func (h *Handler) takeForwarded(c *call, to target, began time.Duration, received *upstream.Answer) outcome {
 	held, failure := hold(received)
+	now := h.options.Elapsed()
 	if failure != nil {
+		to.learn(now, began, resultOf(c, failure))
 		return classify(c, failure)
 	}
+	to.learn(now, began, pick.Succeeded)
 	return outcome{verdict: verdict.Answered, code: verdict.CodeAnswered, answer: held}
 }
 
 // refusedByHome reads the home's explanation.
-func (h *Handler) refusedByHome(to target, v verdict.Verdict, received *upstream.Answer) outcome {
-	detail, _ := io.ReadAll(io.LimitReader(received.Body, maxDetailBytes))
+func (h *Handler) refusedByHome(c *call, to target, v verdict.Verdict, received *upstream.Answer) outcome {
+	detail, _ := io.ReadAll(io.LimitReader(received.Body, maxDetailBytes)) // An explanation cut short is still one.
 	received.Body.Close()
 	out := outcome{verdict: v, code: verdict.Code(received.Header.Get(verdict.HeaderCode)), detail: string(detail)}
 	if hint, err := strconv.ParseInt(received.Header.Get(HeaderRetryAfter), 10, 32); err == nil {
 		out.retryAfter = time.Duration(hint) * time.Millisecond
 	}
-	if out.code == verdict.CodeStopping {
+	if out.code == verdict.CodeStopping || out.code == verdict.CodeNotHome {
 		to.peer.avoid(h.options.Elapsed())
 	}
+	if server := received.Header.Get(HeaderPeerServer); server != "" && to.group != nil {
+		c.tried = append(c.tried, server)
+	}
 	return out
 }
 
@@ -73,13 +140,11 @@
 		return
 	}
 	defer h.leave()
-	c, refused := h.parse(r, PeerPrefix)
+	c, refused := h.parsePeer(r)
 	if refused != nil {
 		writeRefusal(w, *refused)
 		return
 	}
-	c.id = r.Header.Get(backend.HeaderRequestID)
-	c.attempt, _ = strconv.Atoi(r.Header.Get(backend.HeaderAttempt))
 	ctx, cancel := context.WithTimeout(r.Context(), c.remaining(h.options.Elapsed()))
 	defer cancel()
 	until, _ := ctx.Deadline()
@@ -87,32 +152,70 @@
 		writeRefusal(w, *refused)
 		return
 	}
-	to, refused := h.homeTarget(c, r.Header.Get(HeaderPeerServer))
+	to, refused := h.homeTarget(c, r.Header)
 	if refused != nil {
 		writeRefusal(w, *refused)
 		return
 	}
-	h.writeOutcome(ctx, w, c, h.send(ctx, c, to))
+	out := h.send(ctx, c, to)
+	h.tellPeer(w.Header(), c, to, out)
+	h.writeOutcome(ctx, w, c, out)
 }
 
-// homeTarget checks that this VM is the home of the named server, and that the
-// server is the one that this VM's own snapshot names for the key.
-func (h *Handler) homeTarget(c *call, name string) (target, *refusal) {
+// parsePeer parses a request that another VM forwards.
+func (h *Handler) parsePeer(r *http.Request) (*call, *refusal) {
+	c, refused := h.parse(r, PeerPrefix)
+	if refused != nil {
+		return nil, refused
+	}
+	c.forwarded = true
+	c.crossing = h.elsewhere(r.Header.Get(HeaderPeerRegion))
+	c.id = r.Header.Get(backend.HeaderRequestID)
+	c.attempt, _ = strconv.Atoi(r.Header.Get(backend.HeaderAttempt)) // Another VM's own number.
+	c.noWait = r.Header.Get(HeaderPeerNoWait) != ""
+	if tried := r.Header.Get(HeaderPeerTried); tried != "" {
+		c.tried = strings.Split(tried, ",")
+	}
+	return c, nil
+}
+
+// tellPeer adds what the VM that forwarded learns from.
+func (h *Handler) tellPeer(header http.Header, c *call, to target, out outcome) {
+	state := gateOf(to).State()
+	header[HeaderPeerHeld] = []string{strconv.Itoa(state.Busy + state.Queued)}
+	header[HeaderPeerQueue] = []string{strconv.FormatInt(c.seen.Queue.Microseconds(), 10)}
+	if out.answer == nil && len(c.tried) > 0 {
+		header[HeaderPeerServer] = []string{c.tried[len(c.tried)-1]}
+	}
+}
+
+// homeTarget checks that this VM is the home of what the request names, and
+// that this VM's own snapshot routes the key there.
+func (h *Handler) homeTarget(c *call, header http.Header) (target, *refusal) {
 	v := h.current()
 	s := v.services[c.service.Name]
 	if s == nil {
 		return target{}, &refusal{verdict.CodeUnknownService, "the service was removed"}
 	}
-	declared := s.Server(name)
-	if declared == nil || declared.Home != v.snapshot.Self {
-		return target{}, &refusal{verdict.CodeNotHome, "this VM is not the server's home"}
-	}
 	if !s.DividedByKey {
-		return target{server: s.servers[declared]}, nil
+		return homeGroup(v, s, header.Get(HeaderPeerZone))
+	}
+	declared := s.Server(header.Get(HeaderPeerServer))
+	if declared == nil || s.members[declared].home != v.snapshot.Self {
+		return target{}, &refusal{verdict.CodeNotHome, "this VM is not the server's home"}
 	}
 	unit, ok := s.Lookup(c.key)
 	if !ok || unit.Server != declared {
 		return target{}, &refusal{verdict.CodeMoved, "the key is served elsewhere"}
 	}
-	return target{server: s.servers[declared], unit: unit.ID, epoch: unit.Epoch}, nil
+	return target{server: s.members[declared].server, unit: unit.ID, epoch: unit.Epoch}, nil
+}
+
+func homeGroup(v *view, s *service, zone string) (target, *refusal) {
+	for _, g := range s.groups {
+		if g.place() == zone && g.home == v.snapshot.Self {
+			return target{group: g.groupState}, nil
+		}
+	}
+	return target{}, &refusal{verdict.CodeNotHome, "this VM is not the group's home"}
 }
--- a/traffic/front/handler.go
+++ b/traffic/front/handler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"guavacrank.example/traffic/load"
+	"guavacrank.example/traffic/metric"
 	"guavacrank.example/traffic/verdict"
 )
 
@@ -21,7 +22,9 @@
 	refreshing sync.Mutex // Guards the maps below, off the path of requests.
 	states     map[string]*serviceState
 	servers    map[serverID]*server
+	groups     map[groupID]*groupState
 	peers      map[peerID]*peer
+	metrics    metric.Table
 
 	inFlight atomic.Int64
 	stopping atomic.Bool
@@ -35,6 +38,7 @@
 		ids:     newIDs(),
 		states:  make(map[string]*serviceState),
 		servers: make(map[serverID]*server),
+		groups:  make(map[groupID]*groupState),
 		peers:   make(map[peerID]*peer),
 		ended:   make(chan struct{}, 1),
 	}
@@ -47,6 +51,7 @@
 		return
 	}
 	defer h.leave()
+	began := h.options.Elapsed()
 	c, refused := h.parseCaller(r)
 	if refused != nil {
 		writeRefusal(w, *refused)
@@ -59,7 +64,20 @@
 		writeRefusal(w, *refused)
 		return
 	}
-	h.writeOutcome(ctx, w, c, h.run(ctx, c))
+	out := h.runOnce(ctx, c)
+	defer h.record(c, began, out.verdict, out.code) // Also when the answer is cut off.
+	h.writeOutcome(ctx, w, c, out)
+}
+
+// record counts what became of a request.
+func (h *Handler) record(c *call, began time.Duration, v verdict.Verdict, code verdict.Code) {
+	c.seen.Total = h.options.Elapsed() - began
+	c.seen.Attempts = c.attempt
+	c.seen.RequestBytes = int64(len(c.body.held))
+	if c.body.stream != nil {
+		c.seen.RequestBytes = c.body.stream.passed.Load()
+	}
+	c.service.metrics[c.class.Name].Record(v, code, c.seen)
 }
 
 // enter takes a request in, or refuses it.
--- a/traffic/front/headers.go
+++ b/traffic/front/headers.go
@@ -66,13 +66,23 @@
 	return c.outgoing(header, &url.URL{Path: "/" + c.key, RawPath: c.path, RawQuery: c.request.URL.RawQuery})
 }
 
-// HeaderPeerServer names, between VMs, the server that the home shall send to.
-const HeaderPeerServer = "Guavacrank-Peer-Server"
-
-// peerRequest returns the request for the server's home.
-func (c *call) peerRequest(to target, now time.Duration) *http.Request {
+// peerRequest returns the request for the home of a server or group.
+func (h *Handler) peerRequest(c *call, to target, now time.Duration) *http.Request {
 	header := c.outgoingHeader(now)
-	header[HeaderPeerServer] = []string{to.server.name}
+	if h.options.Region != "" {
+		header[HeaderPeerRegion] = []string{h.options.Region}
+	}
+	if to.group != nil {
+		header[HeaderPeerZone] = []string{to.group.place()}
+	} else {
+		header[HeaderPeerServer] = []string{to.server.name}
+	}
+	if c.noWait {
+		header[HeaderPeerNoWait] = []string{"1"}
+	}
+	if len(c.tried) > 0 {
+		header[HeaderPeerTried] = []string{strings.Join(c.tried, ",")}
+	}
 	prefix := PeerPrefix + url.PathEscape(c.service.Name)
 	return c.outgoing(header, &url.URL{
 		Path:     PeerPrefix + c.service.Name + "/" + c.key,
--- a/traffic/front/options.go
+++ b/traffic/front/options.go
@@ -12,6 +12,7 @@
 	"guavacrank.example/event"
 	"guavacrank.example/traffic/elapsed"
 	"guavacrank.example/traffic/limit"
+	"guavacrank.example/traffic/once"
 	"guavacrank.example/traffic/route"
 )
 
@@ -29,6 +30,9 @@
 	OnStale func(service string)
 	// Events receives numbered events. It must not block. Nil drops them.
 	Events func(event.Event)
+	// Once keeps the records of idempotency keys. Without it, non-idempotent
+	// requests with an idempotency key are refused.
+	Once *once.Records
 	// Sharing is the way in which VMs share a server's slots.
 	Sharing limit.Sharing
 	// Limits bound what a caller may ask for. Zero fields take defaults.
--- a/traffic/front/run.go
+++ b/traffic/front/run.go
@@ -13,8 +13,20 @@
 	lastPause  = 200 * time.Millisecond
 )
 
-// run sends the request until it is answered, or may not be sent again.
+// run sends the request until it is answered, or may not be sent again. It is
+// not_run only if every attempt was.
 func (h *Handler) run(ctx context.Context, c *call) outcome {
+	ran := false
+	end := h.attempts(ctx, c, &ran)
+	if ran && end.verdict == verdict.NotRun {
+		end.verdict = verdict.MayHaveRun
+		end.detail = "an earlier attempt may have run; the last one: " + end.detail
+	}
+	return end
+}
+
+// attempts makes attempts, and notes whether one of them may have run.
+func (h *Handler) attempts(ctx context.Context, c *call, ran *bool) outcome {
 	pause := firstPause
 	for {
 		to, out := h.resolve(ctx, c)
@@ -22,7 +34,14 @@
 			return *out
 		}
 		c.attempt++
+		c.crossing = to.crossing && to.peer == nil // Otherwise the home holds it back.
 		end := h.try(ctx, c, to)
+		if end.code == verdict.CodeBusy {
+			c.attempt-- // Nothing was sent to a server.
+			c.refusedBy = append(c.refusedBy, to.group)
+			continue
+		}
+		*ran = *ran || end.verdict == verdict.MayHaveRun
 		if end.verdict == verdict.Answered {
 			c.service.state.budget.Succeeded(c.settings().RetryBudget)
 			return end
--- a/traffic/front/send.go
+++ b/traffic/front/send.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"guavacrank.example/backend"
+	"guavacrank.example/traffic/pick"
 	"guavacrank.example/traffic/queue"
 	"guavacrank.example/traffic/upstream"
 	"guavacrank.example/traffic/verdict"
@@ -17,110 +19,214 @@
 	handler *Handler
 	call    *call
 	to      target
+	gate    *queue.Gate
 	ticket  *queue.Ticket
-	checks  bool // The server checks grants.
-}
-
-// send admits the request to the server's queue and sends it.
-func (h *Handler) send(ctx context.Context, c *call, to target) outcome {
-	ticket, decision := to.server.gate.Enter(ctx, c.class.Priority, c.deadline)
-	if decision != queue.Admitted {
-		return h.refused(c, to, decision)
-	}
-	a := &admission{handler: h, call: c, to: to, ticket: ticket}
-	state := c.service.state
-	state.units.Enter(to.unit)
-	if !h.confirm(a) {
-		a.end(false, false)
-		return notRun(verdict.CodeMoved, "the key's unit moved while the request waited")
-	}
-	state.units.Count(to.unit)
-	state.keys.Count(c.key)
-	now := h.options.Elapsed()
-	received, failure := to.server.pool.Do(ctx, c.serverRequest(a.to, now), !c.class.Idempotent)
+	member  *member // Set by confirm.
+	group   *group  // Set by confirm in a service not divided by key.
+	sentAt  time.Duration
+}
+
+// send admits the request to the queue of a server or a group, and sends it. A
+// request that the server sheds goes back to the queue's front once, if the
+// retry budget pays for it.
+func (h *Handler) send(ctx context.Context, c *call, to target) (out outcome) {
+	a := &admission{handler: h, call: c, to: to, gate: gateOf(to)}
+	arrived := h.options.Elapsed()
+	if to.group != nil && !c.forwarded {
+		to.group.seen.Started()
+		defer func() { to.group.seen.Ended(h.options.Elapsed(), groupResult(out), h.options.Elapsed()-arrived) }()
+	}
+	var decision queue.Decision
+	waiting := arrived
+	a.ticket, decision = a.gate.Enter(ctx, queue.Want{Priority: c.class.Priority, Deadline: c.deadline, NoWait: c.noWait})
+	for requeued := false; ; requeued = true {
+		c.seen.Queue += h.options.Elapsed() - waiting
+		if decision != queue.Admitted {
+			return h.refused(c, a.gate, decision)
+		}
+		out = a.once(ctx)
+		if out.code != verdict.CodeShed || requeued || ctx.Err() != nil ||
+			!c.body.replayable() || !c.service.state.budget.Spend() {
+			if out.answer == nil {
+				a.gate.Leave(a.ticket, false)
+			}
+			return out
+		}
+		waiting = h.options.Elapsed()
+		c.attempt++
+		a.ticket, decision = a.gate.Again(ctx, a.ticket)
+	}
+}
+
+// groupResult tells how a group took a request: only answers say how fast it is.
+func groupResult(out outcome) pick.Result {
+	if out.verdict == verdict.Answered {
+		return pick.Succeeded
+	}
+	return pick.Withdrawn
+}
+
+func gateOf(to target) *queue.Gate {
+	if to.group != nil {
+		return to.group.gate
+	}
+	return to.server.gate
+}
+
+// once makes one send. Without an answer the slot is still held afterwards.
+func (a *admission) once(ctx context.Context) outcome {
+	h, c := a.handler, a.call
+	units := c.service.state.units
+	units.Enter(a.to.unit)
+	if code := a.confirm(); code != "" {
+		units.Leave(a.to.unit)
+		return notRun(code, "the route changed, or the deadline passed, while the request waited")
+	}
+	units.Count(a.to.unit)
+	c.service.state.keys.Count(c.key)
+	if err := h.passOut(ctx, c, a.to.crossing && !c.forwarded); err != nil {
+		units.Leave(a.to.unit)
+		return notRun(endCode(c), "waited for the link between regions")
+	}
+	a.sentAt = h.options.Elapsed()
+	a.member.seen.Started()
+	received, failure := a.member.pool.Do(ctx, c.serverRequest(a.to, a.sentAt), !c.class.Idempotent)
+	c.seen.Backend += h.options.Elapsed() - a.sentAt
 	if failure != nil {
-		a.end(false, failure.Sent)
+		a.learn(resultOf(c, failure))
+		a.release(failure.Sent)
 		return classify(c, failure)
 	}
-	return h.take(c, received, a)
+	return a.take(received)
 }
 
 // confirm checks, after the request was noted in flight, that this VM may
-// still send it, and takes over the newest epoch.
-func (h *Handler) confirm(a *admission) bool {
+// still send it, and takes over the newest epoch. A VM that was paused finds
+// here that its right, or the deadline, has passed.
+func (a *admission) confirm() verdict.Code {
+	h, c := a.handler, a.call
+	if c.remaining(h.options.Elapsed()) <= 0 {
+		return verdict.CodeTimeout
+	}
 	v := h.current()
-	s := v.services[a.call.service.Name]
+	s := v.services[c.service.Name]
 	if s == nil {
-		return false
+		return verdict.CodeUnknownService
 	}
 	if !s.DividedByKey {
-		a.checks = true
-		return true
+		if a.group = groupFor(s, a.to.group); a.group == nil {
+			return verdict.CodeMoved
+		}
+		a.member = h.pickMember(a.group, c)
+		return ""
+	}
+	unit, ok := s.Lookup(c.key)
+	if !ok || unit.ID != a.to.unit || unit.Server == nil {
+		return verdict.CodeMoved
 	}
-	unit, ok := s.Lookup(a.call.key)
-	if !ok || unit.ID != a.to.unit || unit.Server == nil || s.servers[unit.Server] != a.to.server {
-		return false
+	a.member = s.members[unit.Server]
+	if a.member == nil || a.member.server != a.to.server {
+		return verdict.CodeMoved
 	}
 	a.to.epoch = unit.Epoch
-	a.checks = unit.Server.ChecksGrants
-	return a.checks || unit.Server.Home == v.snapshot.Self && h.options.Elapsed() < unit.Server.HomeUntil
+	declared := a.member.declared
+	if !declared.ChecksGrants && (declared.Home != v.snapshot.Self || h.options.Elapsed() >= declared.HomeUntil) {
+		return verdict.CodeMoved
+	}
+	return ""
 }
 
-// end gives back what the admission holds. sent says that the request may have
-// reached the server without a whole answer: a server that does not check
-// grants may then still run it until its deadline.
-func (a *admission) end(answered, sent bool) {
-	a.to.server.gate.Leave(a.ticket, answered)
-	units := a.call.service.state.units
-	if sent && !a.checks {
+// release ends the note that the unit has a request in flight. sent says that
+// the request may have reached the server without a whole answer: a server
+// that does not check grants may then still run it until its deadline.
+func (a *admission) release(sent bool) {
+	units, unit := a.call.service.state.units, a.to.unit
+	if sent && a.group == nil && !a.member.declared.ChecksGrants {
 		left := a.call.remaining(a.handler.options.Elapsed()) + deadlineSlack
-		time.AfterFunc(left, func() { units.Leave(a.to.unit) })
+		time.AfterFunc(left, func() { units.Leave(unit) })
 		return
 	}
-	units.Leave(a.to.unit)
+	units.Leave(unit)
 }
 
-// refused turns the queue's decision into an outcome.
-func (h *Handler) refused(c *call, to target, decision queue.Decision) outcome {
-	switch decision {
-	case queue.Canceled:
-		return notRun(endCode(c), "waited in the server's queue")
-	case queue.Late:
-		out := notRun(verdict.CodeTooLate, "could not have finished within the deadline")
-		out.retryAfter = to.server.gate.State().Backlog
-		return out
+// learn notes how the server took the request.
+func (a *admission) learn(result pick.Result) {
+	now := a.handler.options.Elapsed()
+	before := a.member.seen.Well(now)
+	a.member.seen.Ended(now, result, now-a.sentAt)
+	changed := false
+	if result == pick.Refused || result == pick.Succeeded {
+		changed = a.member.adapt(result == pick.Refused)
+	}
+	if a.group != nil && (changed || before != a.member.seen.Well(now)) {
+		s := a.call.service
+		a.group.configure(now, limits{s.settings.QueueLimit * len(a.group.members), s.settings.BulkFloor})
+	}
+	if result == pick.Failed || result == pick.Refused {
+		a.call.tried = append(a.call.tried, a.member.name)
+	}
+}
+
+func resultOf(c *call, failure *upstream.Failure) pick.Result {
+	switch {
+	case failure.Stage == upstream.StageLimit:
+		return pick.Refused
+	case failure.Timeout && endCode(c) == verdict.CodeCallerGone:
+		return pick.Withdrawn
 	default:
-		out := notRun(verdict.CodeQueueFull, "the server's queue is full")
-		out.retryAfter = to.server.gate.State().Backlog
-		return out
+		return pick.Failed
 	}
 }
 
 // take reads an answer's head: a documented refusal proves that the request
 // was not run, anything else is the server's answer.
-func (h *Handler) take(c *call, received *upstream.Answer, a *admission) outcome {
+func (a *admission) take(received *upstream.Answer) outcome {
 	if refusal := received.Header.Get(backend.HeaderRefused); refusal != "" {
 		if code, ok := refusalCodes[backend.Refusal(refusal)]; ok {
 			received.Body.Close()
-			a.to.server.adapt(code == verdict.CodeShed)
-			a.end(false, false)
+			a.learn(refusalResult(code))
+			a.release(false)
 			return notRun(code, "the server refused: "+refusal)
 		}
 	}
 	held, failure := hold(received)
 	if failure != nil {
-		a.end(false, true)
-		return classify(c, failure)
+		a.learn(resultOf(a.call, failure))
+		a.release(true)
+		return classify(a.call, failure)
+	}
+	held.server = a.member.name
+	end := func(whole bool) {
+		a.learn(answerResult(received.StatusCode))
+		a.gate.Leave(a.ticket, whole)
+		a.release(!whole)
 	}
-	a.to.server.adapt(false)
 	if held.rest == nil {
-		a.end(true, false)
+		end(true)
 	} else {
-		held.end = func(whole bool) { a.end(whole, !whole) }
+		held.end = end
 	}
 	return outcome{verdict: verdict.Answered, code: verdict.CodeAnswered, answer: held}
 }
 
+func answerResult(status int) pick.Result {
+	if status >= http.StatusInternalServerError {
+		return pick.Faulty
+	}
+	return pick.Succeeded
+}
+
+// refusalResult says what a refusal tells about the server: one for want of
+// room says that it is busy, one about the route says nothing.
+func refusalResult(code verdict.Code) pick.Result {
+	switch code {
+	case verdict.CodeShed, verdict.CodeConnections, verdict.CodeDraining:
+		return pick.Refused
+	default:
+		return pick.Withdrawn
+	}
+}
+
 // refusalCodes gives the code of each documented refusal.
 var refusalCodes = map[backend.Refusal]verdict.Code{
 	backend.RefusedFence:       verdict.CodeFence,
@@ -130,6 +236,23 @@
 	backend.RefusedConnections: verdict.CodeConnections,
 }
 
+// refused turns the queue's decision into an outcome.
+func (h *Handler) refused(c *call, gate *queue.Gate, decision queue.Decision) outcome {
+	var out outcome
+	switch decision {
+	case queue.Canceled:
+		return notRun(endCode(c), "waited in the server's queue")
+	case queue.Busy:
+		return notRun(verdict.CodeBusy, "every slot is busy")
+	case queue.Late:
+		out = notRun(verdict.CodeTooLate, "could not have finished within the deadline")
+	default:
+		out = notRun(verdict.CodeQueueFull, "the server's queue is full")
+	}
+	out.retryAfter = max(gate.State().Backlog, time.Millisecond)
+	return out
+}
+
 // classify derives the verdict of a failed attempt from what was sent.
 func classify(c *call, failure *upstream.Failure) outcome {
 	if !failure.Sent {
@@ -165,3 +288,17 @@
 	}
 	return verdict.CodeTimeout
 }
+
+// passOut holds a held body of bulk back to the link's rate. A streamed body
+// is held back as it is read.
+func (h *Handler) passOut(ctx context.Context, c *call, crossing bool) error {
+	if !crossing {
+		return nil
+	}
+	out := c.service.state.out
+	if c.body.stream != nil {
+		c.body.stream.pass = func(count int) error { return out.Pass(ctx, c.class.Priority, count) }
+		return nil
+	}
+	return out.Pass(ctx, c.class.Priority, len(c.body.held))
+}
--- a/traffic/front/view.go
+++ b/traffic/front/view.go
@@ -1,16 +1,14 @@
 package front
 
 import (
-	"sync"
 	"time"
 
 	"guavacrank.example/config"
-	"guavacrank.example/traffic/limit"
+	"guavacrank.example/traffic/link"
 	"guavacrank.example/traffic/load"
-	"guavacrank.example/traffic/queue"
+	"guavacrank.example/traffic/metric"
 	"guavacrank.example/traffic/retry"
 	"guavacrank.example/traffic/route"
-	"guavacrank.example/traffic/upstream"
 )
 
 // view pairs a snapshot with this VM's own state of its services and servers.
@@ -26,8 +24,22 @@
 type service struct {
 	*route.Service
 	settings config.Defaults
-	servers  map[*route.Server]*server
-	state    *serviceState
+	// members are the service's servers; groups are those of each zone, in a
+	// service not divided by key.
+	members map[*route.Server]*member
+	groups  []*group
+	metrics map[string]*metric.Class
+	state   *serviceState
+}
+
+// member is one server in one snapshot.
+type member struct {
+	*server
+	declared *route.Server
+	// home is the VM that queues for the server; empty means every VM itself.
+	home string
+	// share is how many requests this VM may have there at once.
+	share int
 }
 
 // serviceState is what outlives snapshots for one service.
@@ -35,22 +47,10 @@
 	budget *retry.Budget
 	units  *load.Units
 	keys   *load.Sketch
+	// out and in pace the service's bulk over the link between regions.
+	out, in *link.Pacer
 }
 
-// server is this VM's own state of one backend server.
-type server struct {
-	name string
-	pool *upstream.Pool
-	gate *queue.Gate
-
-	mu    sync.Mutex
-	limit *limit.Adaptive
-	limits
-}
-
-// limits are the settings that a server's gate follows.
-type limits struct{ queue, floor int }
-
 // frequentKeys is the number of keys that each service's sketch holds.
 const frequentKeys = 512
 
@@ -77,114 +77,83 @@
 		services: make(map[string]*service, len(snapshot.Services)),
 		peers:    h.peersOf(snapshot),
 	}
-	vms := len(next.peers) + 1
 	used := make(map[serverID]bool)
 	for name, routing := range snapshot.Services {
-		next.services[name] = h.serviceOf(routing, snapshot.Self, vms, used)
+		next.services[name] = h.serviceOf(next, routing, used)
 	}
 	h.forget(used)
 	h.view.Store(next)
 	return next
 }
 
-// serverID names a server's state: a server with a new address is another one.
-type serverID struct{ service, name, address string }
-
-func (h *Handler) serviceOf(routing *route.Service, self string, vms int, used map[serverID]bool) *service {
+func (h *Handler) serviceOf(v *view, routing *route.Service, used map[serverID]bool) *service {
 	state := h.states[routing.Name]
 	if state == nil {
 		state = &serviceState{
 			budget: retry.NewBudget(),
 			units:  &load.Units{},
 			keys:   load.NewSketch(frequentKeys),
+			out:    link.NewPacer(),
+			in:     link.NewPacer(),
 		}
 		h.states[routing.Name] = state
 	}
 	s := &service{
 		Service:  routing,
 		settings: settingsOf(routing),
-		servers:  make(map[*route.Server]*server, len(routing.Servers)),
+		members:  make(map[*route.Server]*member, len(routing.Servers)),
+		metrics:  make(map[string]*metric.Class, len(routing.Classes)),
 		state:    state,
 	}
-	for _, declared := range routing.Servers {
-		id := serverID{routing.Name, declared.Name, declared.Address}
-		used[id] = true
-		s.servers[declared] = h.serverOf(id, declared, s.settings, self, vms)
+	state.out.SetRate(s.settings.LinkBulkRate)
+	state.in.SetRate(s.settings.LinkBulkRate)
+	for name := range routing.Classes {
+		s.metrics[name] = h.metrics.Class(routing.Name, name)
 	}
-	return s
-}
-
-func (h *Handler) serverOf(id serverID, declared *route.Server, settings config.Defaults, self string, vms int) *server {
-	most := h.shareOf(declared, self, vms)
-	held := h.servers[id]
-	if held == nil {
-		held = &server{
-			name:  declared.Name,
-			pool:  upstream.NewPool(upstream.Options{Address: declared.Address, Connections: most}),
-			gate:  queue.NewGate(h.options.Elapsed, queue.Options{Slots: most}),
-			limit: limit.NewAdaptive(most),
-		}
-		h.servers[id] = held
+	for _, declared := range routing.Servers {
+		s.members[declared] = h.memberOf(v, s, declared, used)
 	}
-	held.configure(most, limits{settings.QueueLimit, settings.BulkFloor})
-	return held
-}
-
-// shareOf returns how many requests this VM may have at the server at once.
-func (h *Handler) shareOf(declared *route.Server, self string, vms int) int {
-	shares := limit.Divide(declared.Connections, declared.Slots, vms)
-	if h.options.Sharing == limit.Home && declared.Home == self {
-		return shares.Home
+	if !s.DividedByKey {
+		s.groups = h.groupsOf(v, s)
 	}
-	return shares.Direct
+	return s
 }
 
-// configure brings new limits into force.
-func (s *server) configure(most int, l limits) {
-	s.mu.Lock()
-	s.limit.SetMax(most)
-	s.limits = l
-	slots := s.limit.Current()
-	s.mu.Unlock()
-	s.pool.SetLimit(most)
-	s.gate.Configure(slots, l.queue, l.floor)
+func (h *Handler) memberOf(v *view, s *service, declared *route.Server, used map[serverID]bool) *member {
+	id := serverID{s.Name, declared.Name, declared.Address}
+	used[id] = true
+	m := &member{declared: declared, home: h.homeOf(v, s, declared)}
+	m.share = h.shareOf(v, m)
+	m.server = h.serverOf(id, m.share)
+	m.configure(m.share, limits{s.settings.QueueLimit, s.settings.BulkFloor})
+	return m
 }
 
-// adapt notes how the server took a request.
-func (s *server) adapt(shed bool) {
-	s.mu.Lock()
-	before := s.limit.Current()
-	if shed {
-		s.limit.Shed()
-	} else {
-		s.limit.Succeeded()
+// homeOf returns the VM that queues for a server. Of a server that does not
+// check grants it is the home that control names. Otherwise it is a VM in the
+// server's zone: a slot stays unused while an answer and the next request
+// travel, so that the distance between queue and server costs capacity.
+func (h *Handler) homeOf(v *view, s *service, declared *route.Server) string {
+	if s.DividedByKey && !declared.ChecksGrants || len(v.snapshot.Places) == 0 {
+		return declared.Home
 	}
-	after, l := s.limit.Current(), s.limits
-	s.mu.Unlock()
-	if after != before {
-		s.gate.Configure(after, l.queue, l.floor)
+	subject := s.Name
+	if s.DividedByKey {
+		subject += "/" + declared.Name
 	}
+	return v.snapshot.QueueVM(subject, declared.Region, declared.Zone)
 }
 
-// forget closes the pools of servers that are no longer declared.
-func (h *Handler) forget(used map[serverID]bool) {
-	for id, held := range h.servers {
-		if !used[id] {
-			held.pool.Close()
-			delete(h.servers, id)
-		}
-	}
-}
-
-// Sweep closes connections that were unused for long. The daemon calls it
-// about once a second.
+// Sweep closes connections that were unused for long, and turns the windows of
+// the histograms. The daemon calls it about once a second.
 func (h *Handler) Sweep(now time.Time) {
+	h.metrics.Turn(now)
 	h.refreshing.Lock()
 	defer h.refreshing.Unlock()
 	for _, held := range h.servers {
 		held.pool.CloseIdle(now)
 	}
-	for _, p := range h.peers {
-		p.pool.CloseIdle(now)
+	for _, held := range h.peers {
+		held.pool.CloseIdle(now)
 	}
 }
--- a/traffic/limit/shares.go
+++ b/traffic/limit/shares.go
@@ -6,18 +6,16 @@
 
 // Ways of sharing. docs/design/requests.md gives the figures of each.
 const (
-	// Home queues exactly at one VM for each server, at one more hop. VMs go
-	// direct, within their share, while the home does not answer.
+	// Home queues exactly at one VM, at one more hop. VMs go direct, within
+	// their share, while the home does not answer.
 	Home Sharing = iota
 	// Direct lets every VM send within a local adaptive limit.
 	Direct
-	// Subset lets a few VMs for each server send within a local adaptive limit.
-	Subset
 )
 
 // String returns the name of the way.
 func (s Sharing) String() string {
-	return [...]string{"home", "direct", "subset"}[s]
+	return [...]string{"home", "direct"}[s]
 }
 
 // controlConnections are kept free for grants and reports.
--- /dev/null
+++ b/traffic/metric/histogram.go
@@ -0,0 +1,111 @@
+// Package metric counts what becomes of requests, for each service and class,
+// and publishes it through expvar. docs/operators/traffic.md lists the names.
+package metric
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of the recorded times, in microseconds.
+const (
+	leastMicros = 1
+	mostMicros  = 600_000_000
+	digits      = 2
+)
+
+// window is a histogram of the running minute, of the last full one, and of
+// all time. It is not safe for concurrent use.
+type window struct {
+	running, last, all *hdrhistogram.Histogram
+}
+
+func newWindow() window {
+	create := func() *hdrhistogram.Histogram { return hdrhistogram.New(leastMicros, mostMicros, digits) }
+	return window{running: create(), last: create(), all: create()}
+}
+
+// record adds one value; values out of bounds count as the nearest bound.
+func (w *window) record(value int64) {
+	value = min(max(value, leastMicros), mostMicros)
+	w.running.RecordValue(value) // Fails only out of bounds.
+}
+
+// turn ends the running minute.
+func (w *window) turn() {
+	w.all.Merge(w.running)
+	w.running, w.last = w.last, w.running
+	w.running.Reset()
+}
+
+// Quantiles summarise a histogram. Times are in microseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean"`
+	P50   int64   `json:"p50"`
+	P90   int64   `json:"p90"`
+	P99   int64   `json:"p99"`
+	P999  int64   `json:"p999"`
+	Max   int64   `json:"max"`
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	return Quantiles{
+		Count: h.TotalCount(),
+		Mean:  h.Mean(),
+		P50:   h.ValueAtQuantile(50),
+		P90:   h.ValueAtQuantile(90),
+		P99:   h.ValueAtQuantile(99),
+		P999:  h.ValueAtQuantile(99.9),
+		Max:   h.Max(),
+	}
+}
+
+// stripes is the number of parts into which a class's histograms are divided,
+// so that requests on different cores seldom wait for each other.
+const stripes = 4
+
+// stripe is one part of a class's histograms.
+type stripe struct {
+	mu      sync.Mutex
+	windows [kinds]window
+	_       [64]byte // Keeps stripes on different cache lines.
+}
+
+func (s *stripe) record(o Observation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.windows[total].record(o.Total.Microseconds())
+	if o.Attempts > 0 {
+		s.windows[queue].record(o.Queue.Microseconds())
+		s.windows[backend].record(o.Backend.Microseconds())
+		s.windows[attempts].record(int64(o.Attempts))
+	}
+}
+
+// Kinds of histograms.
+const (
+	total = iota
+	queue
+	backend
+	attempts
+	kinds
+)
+
+var kindNames = [kinds]string{"total_us", "queue_us", "backend_us", "attempts"}
+
+// Observation is what became of one request.
+type Observation struct {
+	// Total runs from the request's arrival to the last byte of the answer.
+	Total time.Duration
+	// Queue is the time in servers' queues, over all attempts.
+	Queue time.Duration
+	// Backend is the time from sending to the answer's head, over all attempts.
+	Backend time.Duration
+	// Attempts is the number of sends, zero when none was made.
+	Attempts int
+	// RequestBytes and AnswerBytes are the sizes of the bodies.
+	RequestBytes, AnswerBytes int64
+}
--- /dev/null
+++ b/traffic/metric/table.go
@@ -0,0 +1,164 @@
+package metric
+
+import (
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"guavacrank.example/traffic/verdict"
+)
+
+// minute is the length of a histogram's window.
+const minute = time.Minute
+
+// Table holds the counts of every service and class. It is an expvar.Var.
+type Table struct {
+	classes sync.Map // classKey to *Class.
+	mu      sync.Mutex
+	turnAt  time.Time
+}
+
+type classKey struct{ service, class string }
+
+// Class holds the counts of one class of a service. It is safe for concurrent use.
+type Class struct {
+	stripes  [stripes]stripe
+	next     atomic.Uint32
+	outcomes sync.Map // outcome to *atomic.Int64.
+	received atomic.Int64
+	sent     atomic.Int64
+}
+
+type outcome struct {
+	verdict verdict.Verdict
+	code    verdict.Code
+}
+
+// Class returns the counts of a class. Callers keep the pointer.
+func (t *Table) Class(service, class string) *Class {
+	key := classKey{service, class}
+	if held, ok := t.classes.Load(key); ok {
+		return held.(*Class)
+	}
+	fresh := &Class{}
+	for i := range fresh.stripes {
+		for kind := range fresh.stripes[i].windows {
+			fresh.stripes[i].windows[kind] = newWindow()
+		}
+	}
+	held, _ := t.classes.LoadOrStore(key, fresh)
+	return held.(*Class)
+}
+
+// Record counts one request.
+func (c *Class) Record(v verdict.Verdict, code verdict.Code, o Observation) {
+	c.stripes[c.next.Add(1)%stripes].record(o)
+	c.received.Add(o.RequestBytes)
+	c.sent.Add(o.AnswerBytes)
+	key := outcome{v, code}
+	count, ok := c.outcomes.Load(key)
+	if !ok {
+		count, _ = c.outcomes.LoadOrStore(key, new(atomic.Int64))
+	}
+	count.(*atomic.Int64).Add(1)
+}
+
+// Turn ends the running minute when it is over.
+func (t *Table) Turn(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(t.turnAt) < minute {
+		return
+	}
+	t.turnAt = now
+	t.classes.Range(func(_, held any) bool {
+		held.(*Class).turn()
+		return true
+	})
+}
+
+func (c *Class) turn() {
+	for i := range c.stripes {
+		s := &c.stripes[i]
+		s.mu.Lock()
+		for kind := range s.windows {
+			s.windows[kind].turn()
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Histograms are the quantiles of one kind of value.
+type Histograms struct {
+	LastMinute Quantiles `json:"last_minute"`
+	All        Quantiles `json:"all"`
+}
+
+// Report is the state of one class.
+type Report struct {
+	// Outcomes counts requests by "verdict/code".
+	Outcomes      map[string]int64      `json:"outcomes"`
+	RequestBytes  int64                 `json:"request_bytes"`
+	AnswerBytes   int64                 `json:"answer_bytes"`
+	Distributions map[string]Histograms `json:"distributions"`
+}
+
+// Report returns the state of the class.
+func (c *Class) Report() Report {
+	r := Report{
+		Outcomes:      make(map[string]int64),
+		RequestBytes:  c.received.Load(),
+		AnswerBytes:   c.sent.Load(),
+		Distributions: make(map[string]Histograms, kinds),
+	}
+	c.outcomes.Range(func(key, count any) bool {
+		o := key.(outcome)
+		r.Outcomes[o.verdict.String()+"/"+string(o.code)] = count.(*atomic.Int64).Load()
+		return true
+	})
+	for kind, name := range kindNames {
+		r.Distributions[name] = c.histograms(kind)
+	}
+	return r
+}
+
+// histograms adds up the stripes of one kind.
+func (c *Class) histograms(kind int) Histograms {
+	last := hdrhistogram.New(leastMicros, mostMicros, digits)
+	all := hdrhistogram.New(leastMicros, mostMicros, digits)
+	for i := range c.stripes {
+		s := &c.stripes[i]
+		s.mu.Lock()
+		last.Merge(s.windows[kind].last)
+		all.Merge(s.windows[kind].all)
+		all.Merge(s.windows[kind].running)
+		s.mu.Unlock()
+	}
+	return Histograms{LastMinute: quantiles(last), All: quantiles(all)}
+}
+
+// Reports returns the state of every class, by service and class.
+func (t *Table) Reports() map[string]map[string]Report {
+	reports := make(map[string]map[string]Report)
+	t.classes.Range(func(key, held any) bool {
+		k := key.(classKey)
+		if reports[k.service] == nil {
+			reports[k.service] = make(map[string]Report)
+		}
+		reports[k.service][k.class] = held.(*Class).Report()
+		return true
+	})
+	return reports
+}
+
+// String implements expvar.Var.
+func (t *Table) String() string {
+	text, err := json.Marshal(t.Reports())
+	if err != nil {
+		panic("metric: " + err.Error()) // A Report holds nothing that fails to encode.
+	}
+	return string(text)
+}
--- /dev/null
+++ b/traffic/once/records_test.go
@@ -0,0 +1,147 @@
+package once
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("records", func() {
+	var (
+		ctx   = context.Background()
+		store *fakeStore
+		a, b  *Records
+	)
+
+	BeforeEach(func() {
+		store = newFakeStore()
+		a = New(Options{Store: store, VM: "a"})
+		b = New(Options{Store: store, VM: "b"})
+	})
+
+	begin := func(r *Records) (*Claim, *Record, error) { return r.Begin(ctx, "cards", "k", "f") }
+
+	It("give one claim among racing VMs", func() {
+		var group sync.WaitGroup
+		claims := make(chan *Claim, 20)
+		for i := range 20 {
+			records := []*Records{a, b}[i%2]
+			group.Go(func() {
+				defer GinkgoRecover()
+				claim, earlier, err := begin(records)
+				Expect(err).NotTo(HaveOccurred())
+				Expect((claim == nil) != (earlier == nil)).To(BeTrue())
+				if claim != nil {
+					claims <- claim
+				}
+			})
+		}
+		group.Wait()
+		Expect(claims).To(HaveLen(1))
+	})
+
+	It("tell a repeat through another VM what was answered", func() {
+		claim, _, _ := begin(a)
+		claim.Finish(NewAnswer(201, "text/plain", []byte("done"), true))
+		a.Wait()
+		_, earlier, err := begin(b)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(earlier.State).To(Equal(Finished))
+		Expect(*earlier.Answer).To(Equal(Answer{Status: 201, ContentType: "text/plain", Whole: true, Body: []byte("done")}))
+	})
+
+	It("forbid a run while the first is under way, or its VM was lost", func() {
+		begin(a)
+		claim, earlier, _ := begin(b)
+		Expect(claim).To(BeNil())
+		Expect(earlier.State).To(Equal(Begun))
+	})
+
+	It("keep an end without proof", func() {
+		claim, _, _ := begin(a)
+		claim.Unknown()
+		a.Wait()
+		_, earlier, _ := begin(b)
+		Expect(earlier.State).To(Equal(Unknown))
+	})
+
+	It("let a repeat run after a release", func() {
+		claim, _, _ := begin(a)
+		Expect(claim.Release(ctx)).To(Succeed())
+		claim, _, err := begin(b)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(claim).NotTo(BeNil())
+	})
+
+	It("settle a lost reply by reading back", func() {
+		store.lose = 1
+		claim, earlier, err := begin(a)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(earlier).To(BeNil())
+		claim.Finish(NewAnswer(200, "", nil, true))
+		a.Wait()
+		_, earlier, _ = begin(b)
+		Expect(earlier.State).To(Equal(Finished))
+	})
+
+	It("forbid the run when a lost reply can't be settled, and every repeat", func() {
+		store.lose, store.unread = 1, true
+		claim, earlier, err := begin(a)
+		Expect(claim).To(BeNil())
+		Expect(earlier).To(BeNil())
+		Expect(err).To(MatchError(ErrUnclear))
+		store.unread = false
+		_, earlier, _ = begin(b)
+		Expect(earlier.State).To(Equal(Begun))
+	})
+
+	It("forbid the run while the store is down", func() {
+		store.down = true
+		claim, _, err := begin(a)
+		Expect(claim).To(BeNil())
+		Expect(err).To(MatchError(ErrUnclear))
+	})
+
+	It("leave a record begun when the end can't be written", func() {
+		claim, _, _ := begin(a)
+		store.down = true
+		claim.Finish(NewAnswer(200, "", nil, true))
+		a.Wait()
+		store.down = false
+		_, earlier, _ := begin(b)
+		Expect(earlier.State).To(Equal(Begun))
+	})
+
+	It("bound the ends written each second, never the beginnings", func() {
+		now := time.Unix(1000, 0)
+		r := New(Options{Store: store, VM: "a", EndsPerSecond: 1, Now: func() time.Time { return now }})
+		for _, key := range []string{"1", "2"} {
+			claim, _, err := r.Begin(ctx, "cards", key, "f")
+			Expect(err).NotTo(HaveOccurred())
+			claim.Finish(NewAnswer(200, "", nil, true))
+		}
+		r.Wait()
+		_, first, _ := b.Begin(ctx, "cards", "1", "f")
+		_, second, _ := b.Begin(ctx, "cards", "2", "f")
+		Expect([]State{first.State, second.State}).To(Equal([]State{Finished, Begun}))
+	})
+
+	It("use one lease for the records of a turn", func() {
+		now := time.Unix(1000, 0)
+		r := New(Options{Store: store, VM: "a", Now: func() time.Time { return now }})
+		r.Begin(ctx, "cards", "1", "f")
+		r.Begin(ctx, "cards", "2", "f")
+		Expect(store.leases).To(BeEquivalentTo(1))
+		now = now.Add(leaseTurn)
+		r.Begin(ctx, "cards", "3", "f")
+		Expect(store.leases).To(BeEquivalentTo(2))
+	})
+
+	It("leave out a large body", func() {
+		Expect(NewAnswer(200, "", make([]byte, MaxBodyBytes+1), true).Whole).To(BeFalse())
+		Expect(NewAnswer(200, "", nil, false).Whole).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/traffic/pick/choose.go
@@ -0,0 +1,96 @@
+package pick
+
+import "time"
+
+// Candidate is a server that may be chosen.
+type Candidate struct {
+	*Server
+	// Slots is the number of requests that the server runs at once.
+	Slots int
+	// Local says that the server stands in this VM's region.
+	Local bool
+	// Limit is the number of requests that this VM may have there at once;
+	// zero means no limit.
+	Limit int
+	// Excluded keeps a server out that this request has tried already.
+	Excluded bool
+}
+
+// regionPenalty is what the link between regions adds to a request: a round
+// trip, and a volume that is paid for.
+const regionPenalty = 100 * time.Millisecond
+
+// Choose returns the index of the candidate with the least expected time to an
+// answer, or -1 without candidates. random spreads equal ones.
+//
+// It prefers usable servers; then those that are busy warming up or paused;
+// and takes ejected ones only when more than half are ejected, since a fault
+// that everybody seems to have is more likely to be this VM's.
+func Choose(now time.Duration, candidates []Candidate, random uint64) int {
+	count := len(candidates)
+	if count == 0 {
+		return -1
+	}
+	offset := int(random % uint64(count))
+	best, bestRank, bestCost := -1, rankNone, time.Duration(0)
+	ejected := 0
+	for i := range count {
+		at := (offset + i) % count
+		candidate := &candidates[at]
+		st := candidate.standing(now, candidate.Slots)
+		if !st.well {
+			ejected++
+		}
+		rank, cost := rankOf(candidate, st), st.cost
+		if !candidate.Local {
+			cost += regionPenalty
+		}
+		if rank < bestRank || rank == bestRank && cost < bestCost {
+			best, bestRank, bestCost = at, rank, cost
+		}
+	}
+	if bestRank >= rankEjected || 2*ejected > count {
+		return leastOutstanding(candidates, offset)
+	}
+	return best
+}
+
+// Ranks of candidates, best first.
+const (
+	rankUsable = iota
+	rankBusy
+	rankEjected
+	rankNone
+)
+
+func rankOf(candidate *Candidate, st standing) int {
+	switch {
+	case candidate.Excluded:
+		return rankNone
+	case st.usable && !full(candidate, st):
+		return rankUsable
+	case st.well && !full(candidate, st):
+		return rankBusy
+	default:
+		return rankEjected
+	}
+}
+
+func full(candidate *Candidate, st standing) bool {
+	return candidate.Limit > 0 && st.outstanding >= candidate.Limit
+}
+
+// leastOutstanding ignores what was learned from failures.
+func leastOutstanding(candidates []Candidate, offset int) int {
+	best, least := -1, 0
+	for i := range candidates {
+		at := (offset + i) % len(candidates)
+		if candidates[at].Excluded {
+			continue
+		}
+		if held := candidates[at].Outstanding(); best < 0 || held < least {
+			best, least = at, held
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/traffic/pick/choose_test.go
@@ -0,0 +1,157 @@
+package pick
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// world is a set of servers on a virtual clock.
+type world struct {
+	now        time.Duration
+	candidates []Candidate
+	random     uint64
+}
+
+func newWorld(count int) *world {
+	w := &world{}
+	for range count {
+		w.candidates = append(w.candidates, Candidate{Server: NewServer(), Slots: 4, Local: true})
+	}
+	return w
+}
+
+// send lets requests arrive one after the other, a millisecond apart, and end
+// after the latency and with the result that behave gives for the server.
+func (w *world) send(count int, behave func(server int) (Result, time.Duration)) []int {
+	chosen := make([]int, len(w.candidates))
+	type end struct {
+		at      time.Duration
+		server  int
+		result  Result
+		latency time.Duration
+	}
+	var ends []end
+	for range count {
+		w.now += time.Millisecond
+		w.random = w.random*6364136223846793005 + 1442695040888963407
+		kept := ends[:0]
+		for _, e := range ends {
+			if e.at <= w.now {
+				w.candidates[e.server].Ended(w.now, e.result, e.latency)
+			} else {
+				kept = append(kept, e)
+			}
+		}
+		ends = kept
+		server := Choose(w.now, w.candidates, w.random>>33)
+		chosen[server]++
+		w.candidates[server].Started()
+		result, latency := behave(server)
+		ends = append(ends, end{w.now + latency, server, result, latency})
+	}
+	for _, e := range ends {
+		w.candidates[e.server].Ended(e.at, e.result, e.latency)
+	}
+	return chosen
+}
+
+func healthy(int) (Result, time.Duration) { return Succeeded, 5 * time.Millisecond }
+
+// oddOne lets server 0 behave differently.
+func oddOne(result Result, latency time.Duration) func(int) (Result, time.Duration) {
+	return func(server int) (Result, time.Duration) {
+		if server == 0 {
+			return result, latency
+		}
+		return healthy(server)
+	}
+}
+
+func TestChoose(t *testing.T) {
+	const servers, requests = 5, 5000
+	share := requests / servers
+
+	t.Run("healthy servers get equal shares", func(t *testing.T) {
+		g := NewWithT(t)
+		for _, count := range newWorld(servers).send(requests, healthy) {
+			g.Expect(count).To(BeNumerically("~", share, share/5))
+		}
+	})
+	t.Run("a slow server gets less", func(t *testing.T) {
+		NewWithT(t).Expect(newWorld(servers).send(requests, oddOne(Succeeded, 100*time.Millisecond))[0]).To(BeNumerically("<", share/4))
+	})
+	t.Run("a server that fails fast attracts nothing", func(t *testing.T) {
+		NewWithT(t).Expect(newWorld(servers).send(requests, oddOne(Failed, time.Millisecond))[0]).To(BeNumerically("<", share/20))
+	})
+	t.Run("a server that answers faults fast attracts nothing", func(t *testing.T) {
+		NewWithT(t).Expect(newWorld(servers).send(requests, oddOne(Faulty, time.Millisecond))[0]).To(BeNumerically("<", share/20))
+	})
+	t.Run("a server that sheds is passed over for a while", func(t *testing.T) {
+		NewWithT(t).Expect(newWorld(servers).send(requests, oddOne(Refused, time.Millisecond))[0]).To(BeNumerically("<", share/5))
+	})
+	t.Run("a cold server warms up before it gets its share", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(servers)
+		w.send(requests, healthy)
+		w.candidates[0].Server = NewServer()
+		g.Expect(w.send(20, oddOne(Succeeded, 500*time.Millisecond))[0]).To(Equal(1))
+	})
+	t.Run("a server that recovers gets its share again", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(servers)
+		w.send(requests, oddOne(Failed, time.Millisecond))
+		w.now += lastEjection
+		w.send(requests, healthy)
+		g.Expect(w.send(requests, healthy)[0]).To(BeNumerically("~", share, share/4))
+	})
+	t.Run("wrong reports do not empty the service", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(servers)
+		w.send(requests, healthy)
+		for _, c := range w.candidates {
+			c.Report(w.now, false)
+		}
+		for _, count := range w.send(requests, healthy) {
+			g.Expect(count).To(BeNumerically(">", share/2))
+		}
+	})
+	t.Run("failures everywhere leave every server in use", func(t *testing.T) {
+		g := NewWithT(t)
+		for _, count := range newWorld(servers).send(requests, func(int) (Result, time.Duration) { return Failed, time.Millisecond }) {
+			g.Expect(count).To(BeNumerically(">", share/4))
+		}
+	})
+	t.Run("the own region comes first", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(servers)
+		w.candidates[3].Local, w.candidates[4].Local = false, false
+		chosen := w.send(requests, healthy)
+		g.Expect(chosen[3] + chosen[4]).To(BeNumerically("<", requests/100))
+	})
+	t.Run("the other region serves when the own fails", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(servers)
+		w.candidates[0].Local, w.candidates[1].Local = true, true
+		for i := 2; i < servers; i++ {
+			w.candidates[i].Local = false
+		}
+		chosen := w.send(requests, func(server int) (Result, time.Duration) {
+			if server < 2 {
+				return Failed, time.Millisecond
+			}
+			return healthy(server)
+		})
+		g.Expect(chosen[0] + chosen[1]).To(BeNumerically("<", requests/20))
+	})
+	t.Run("a tried server is left out", func(t *testing.T) {
+		g := NewWithT(t)
+		w := newWorld(2)
+		w.candidates[0].Excluded = true
+		g.Expect(Choose(0, w.candidates, 0)).To(Equal(1))
+		w.candidates[1].Excluded = true
+		g.Expect(Choose(0, w.candidates, 0)).To(Equal(-1))
+		g.Expect(Choose(0, nil, 0)).To(Equal(-1))
+	})
+}
--- a/traffic/queue/gate.go
+++ b/traffic/queue/gate.go
@@ -24,11 +24,20 @@
 	return &Gate{now: now, queue: New(options)}
 }
 
+// Want is what a request asks of a gate.
+type Want struct {
+	Priority config.Priority
+	// Deadline is on the gate's clock.
+	Deadline time.Duration
+	// NoWait asks for a refusal instead of a wait.
+	NoWait bool
+}
+
 // Enter waits for a slot. Only after Admitted the ticket is not nil, and Leave
 // must be called with it.
-func (g *Gate) Enter(ctx context.Context, priority config.Priority, deadline time.Duration) (*Ticket, Decision) {
+func (g *Gate) Enter(ctx context.Context, want Want) (*Ticket, Decision) {
 	t := tickets.Get().(*Ticket)
-	t.Priority, t.Deadline = priority, deadline
+	t.Priority, t.Deadline, t.NoWait = want.Priority, want.Deadline, want.NoWait
 	g.mu.Lock()
 	decision := g.queue.Offer(g.now(), t)
 	g.mu.Unlock()
@@ -69,6 +78,20 @@
 	tickets.Put(t)
 }
 
+// Again puts an admitted ticket, whose request the server shed, back to the
+// front of the queue, and waits for a slot as Enter does.
+func (g *Gate) Again(ctx context.Context, t *Ticket) (*Ticket, Decision) {
+	g.mu.Lock()
+	g.queue.Return(g.now(), t)
+	g.mu.Unlock()
+	decision := g.wait(ctx, t)
+	if decision != Admitted {
+		tickets.Put(t)
+		return nil, decision
+	}
+	return t, Admitted
+}
+
 func (g *Gate) leave(t *Ticket, ran bool) {
 	g.mu.Lock()
 	g.queue.Done(g.now(), t, ran)
--- a/traffic/queue/list.go
+++ b/traffic/queue/list.go
@@ -18,6 +18,17 @@
 	l.length++
 }
 
+func (l *list) pushFront(t *Ticket) {
+	t.list, t.prev, t.next = l, nil, l.first
+	if l.first == nil {
+		l.last = t
+	} else {
+		l.first.prev = t
+	}
+	l.first = t
+	l.length++
+}
+
 func (l *list) remove(t *Ticket) {
 	if t.prev == nil {
 		l.first = t.next
--- a/traffic/queue/queue.go
+++ b/traffic/queue/queue.go
@@ -26,6 +26,7 @@
 	Full              // Refused: too many wait.
 	Late              // Refused: it could not finish within its deadline.
 	Canceled          // Its caller left.
+	Busy              // Refused: it would have had to wait, and must not.
 )
 
 // Ticket is one request in a queue. A ticket is in one queue at a time.
@@ -33,8 +34,8 @@
 	Priority config.Priority
 	// Deadline is on the clock that is passed to the queue.
 	Deadline time.Duration
-	// Value belongs to the queue's user.
-	Value int
+	// NoWait refuses the ticket instead of making it wait.
+	NoWait bool
 
 	decision   Decision
 	startedAt  time.Duration
@@ -103,6 +104,9 @@
 		q.admit(now, t)
 		return Admitted
 	}
+	if t.NoWait {
+		return q.settle(t, Busy)
+	}
 	wait := q.expectedWait(t.Priority)
 	if wait > 0 && now+wait+q.service[t.Priority].High() > t.Deadline {
 		return q.settle(t, Late)
@@ -128,6 +132,19 @@
 	q.start(now)
 }
 
+// Return puts an admitted ticket, whose request the server shed, back to the
+// front of its class.
+func (q *Queue) Return(now time.Duration, t *Ticket) {
+	q.busy--
+	if t.Priority == config.Bulk {
+		q.bulkBusy--
+	}
+	t.decision = Waiting
+	q.waiting[t.Priority].pushFront(t)
+	q.queued++
+	q.start(now)
+}
+
 // Cancel removes a waiting ticket. It returns false if the ticket was decided before.
 func (q *Queue) Cancel(t *Ticket) bool {
 	if t.list == nil {
--- a/traffic/verdict/code.go
+++ b/traffic/verdict/code.go
@@ -17,6 +17,7 @@
 	CodeStopping       Code = "stopping"       // This VM is stopping.
 	CodeTooMany        Code = "too_many"       // Too many requests in this VM at once.
 	CodeQueueFull      Code = "queue_full"     // The server's queue is full.
+	CodeBusy           Code = "busy"           // Every slot is busy, and the request was not to wait.
 	CodeTooLate        Code = "too_late"       // It could not have finished within its deadline.
 	CodeNoOwner        Code = "no_owner"       // No server may serve the key at the moment.
 	CodeNoServer       Code = "no_server"      // The service has no server that takes work.
@@ -35,7 +36,7 @@
 	CodeCallerGone     Code = "caller_gone"    // The caller ended the connection.
 	CodeOnceRunning    Code = "once_running"   // An earlier request with the same idempotency key is under way.
 	CodeOnceFinished   Code = "once_finished"  // An earlier request with the same idempotency key was answered.
-	CodeOnceUnknown    Code = "once_unknown"   // An earlier request with the same idempotency key may have run.
+	CodeOnceUnknown    Code = "once_unknown"   // An earlier request with the same idempotency key ended without proof.
 	CodeOnceDifferent  Code = "once_different" // The idempotency key was used for another request.
 	CodeStore          Code = "store"          // The record of the idempotency key could not be written.
 	CodePeer           Code = "peer"           // The home's answer was not understood.
