--- a/config/check.go
+++ b/config/check.go
@@ -14,7 +14,6 @@
 	d.checkLost(configuration)
 	d.checkExceptions(configuration)
 	d.checkGrants("defaults", configuration.Defaults)
-	d.checkEffectiveGrants(configuration)
 }
 
 // unique reports a name that stands at two places.
@@ -158,7 +157,7 @@
 		}
 		for _, assignment := range exception.Set {
 			at := path + ".set." + string(assignment.Field)
-			d.unique(assigned, exception.selector()+" "+string(assignment.Field), at)
+			d.unique(assigned, exception.Selector()+" "+string(assignment.Field), at)
 			d.checkScope(exception, assignment, at)
 		}
 	}
@@ -201,7 +200,7 @@
 func (d *decoder) checkScope(exception Exception, assignment Assignment, path string) {
 	definition, _ := LookupField(assignment.Field)
 	if definition.Scopes&exception.scope() == 0 {
-		d.fault(path, "can't be set for %s", exception.selector())
+		d.fault(path, "can't be set for %s, only %s", exception.Selector(), definition.Scopes)
 	}
 }
 
@@ -213,19 +212,6 @@
 	}
 }
 
-// checkEffectiveGrants repeats checkGrants for each server with exceptions.
-func (d *decoder) checkEffectiveGrants(configuration *Configuration) {
-	if len(configuration.Exceptions) == 0 {
-		return
-	}
-	for i, server := range configuration.Servers {
-		effective := configuration.SettingsFor(server.Service, "", server.Name)
-		if effective != configuration.Defaults {
-			d.checkGrants(fmt.Sprintf("servers[%d]", i), effective)
-		}
-	}
-}
-
 // checkSettings reports the faults between the parts of settings.
 func (d *decoder) checkSettings(settings *Settings) {
 	if len(settings.OperatorToken) < MinTokenBytes {
--- a/config/field.go
+++ b/config/field.go
@@ -1,6 +1,9 @@
 package config
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Scope says for what an exception may set a field.
 type Scope uint8
@@ -12,6 +15,20 @@
 	ForServer
 )
 
+// String lists what the scope allows.
+func (s Scope) String() string {
+	if s == 0 {
+		return "in defaults"
+	}
+	var names []string
+	for bit, name := range []string{"for a service", "for a class", "for a server"} {
+		if s&(1<<bit) != 0 {
+			names = append(names, name)
+		}
+	}
+	return strings.Join(names, ", ")
+}
+
 // Field is the name in YAML of one field of Defaults.
 type Field string
 
@@ -73,13 +90,13 @@
 func seconds(count int64) int64 { return count * int64(time.Second) }
 
 var fieldTable = []FieldDefinition{
-	define("grant_time_to_live", KindDuration, milliseconds(300), seconds(10), ForService|ForServer,
+	define("grant_time_to_live", KindDuration, milliseconds(300), seconds(10), 0,
 		func(d *Defaults) *time.Duration { return &d.GrantTimeToLive },
 		"Life of a grant to a backend server. After a loss a key waits at most this long."),
-	define("renew_interval", KindDuration, milliseconds(50), seconds(3), ForService|ForServer,
+	define("renew_interval", KindDuration, milliseconds(50), seconds(3), 0,
 		func(d *Defaults) *time.Duration { return &d.RenewInterval },
 		"Time between two renewals of a grant. At least three fit into the life of a grant."),
-	define("clock_rate_margin", KindPartsPerMillion, 10, 100_000, ForService|ForServer,
+	define("clock_rate_margin", KindPartsPerMillion, 10, 100_000, 0,
 		func(d *Defaults) *int { return &d.ClockRateMargin },
 		"Greatest rate error of a clock. Waits for the end of a grant grow by it."),
 	define("max_attempts", KindCount, 1, 10, ForService|ForClass,
--- a/config/lookup.go
+++ b/config/lookup.go
@@ -74,8 +74,8 @@
 	}
 }
 
-// selector names what the exception is for.
-func (e Exception) selector() string {
+// Selector names what the exception is for.
+func (e Exception) Selector() string {
 	switch e.scope() {
 	case ForServer:
 		return "server " + e.Server
--- a/config/parse.go
+++ b/config/parse.go
@@ -9,6 +9,12 @@
 // ParseConfiguration reads a configuration. It returns every fault of the file
 // at once, joined; each is an *Error.
 func ParseConfiguration(file string, data []byte) (*Configuration, error) {
+	return ParseChange(file, data, nil)
+}
+
+// ParseChange reads a configuration that is to replace the one in force, and
+// reports also what a running fleet can't change at once. A nil inForce is none.
+func ParseChange(file string, data []byte, inForce *Configuration) (*Configuration, error) {
 	d := newDecoder(file)
 	configuration := &Configuration{Defaults: DefaultDefaults()}
 	d.document(data, []member{
@@ -21,6 +27,9 @@
 	if len(d.faults) == 0 {
 		d.check(configuration)
 	}
+	if len(d.faults) == 0 && inForce != nil {
+		d.checkTransition(inForce, configuration)
+	}
 	if err := d.err(); err != nil {
 		return nil, err
 	}
--- a/config/parse_test.go
+++ b/config/parse_test.go
@@ -124,7 +124,7 @@
 	It("applies an exception to what it names and to nothing else", func() {
 		Expect(parsed.SettingsFor("catalogue", "reprint", "").MaxAttempts).To(Equal(1))
 		Expect(parsed.SettingsFor("catalogue", "lookup", "").MaxAttempts).To(Equal(3))
-		Expect(parsed.SettingsFor("", "", "cat-2").GrantTimeToLive).To(Equal(2 * time.Second))
+		Expect(parsed.SettingsFor("", "", "cat-2").QueueLimit).To(Equal(16))
 		Expect(parsed.SettingsFor("", "", "cat-2").HoldTime).To(Equal(time.Minute))
 		Expect(parsed.SettingsFor("stock", "", "")).To(Equal(parsed.Defaults))
 		Expect(parsed.Defaults.HotKeyShare).To(Equal(25))
