Revisions in the store, the operator interface and guavacrankctl

Change: daemon/revision applies by compare-and-swap, settles lost replies by writing again under the change's identifier, archives each record before it is replaced and bounds the history; daemon/operator is HTTP and JSON behind a token; cmd/internal/command holds one file for each subcommand and a table. The keeper stands in daemon and not in config, because control and traffic import config and must not depend on the platform. Conclusion: the daemon can implement operator.Source and mount the handler.

--- /dev/null
+++ b/cmd/internal/command/history.go
@@ -0,0 +1,72 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"io"
+	"time"
+
+	"guavacrank.example/config"
+	"guavacrank.example/daemon/operator"
+	"guavacrank.example/daemon/operator/client"
+)
+
+func historyCommand() Command {
+	return Command{
+		Name:     "history",
+		Summary:  "List the kept revisions with author, time and reason, newest first",
+		Examples: []string{"guavacrankctl history", "guavacrankctl history -output json"},
+		Setup: func(flags *flag.FlagSet) Run {
+			return reading(flags, nil, func(ctx context.Context, caller *client.Client, _ []string) (operator.History, error) {
+				return caller.History(ctx)
+			}, printHistory)
+		},
+	}
+}
+
+func printHistory(w io.Writer, history operator.History) {
+	row(w, "REVISION", "TIME", "AUTHOR", "BYTES", "REASON")
+	for _, one := range history.Revisions {
+		row(w, one.Revision, one.Time.Format(time.RFC3339), one.Author, one.Bytes, one.Reason)
+	}
+}
+
+func rollbackCommand() Command {
+	return Command{
+		Name:    "rollback",
+		Summary: "Put the text of an earlier revision into force as a new revision",
+		Examples: []string{
+			"guavacrankctl history",
+			"guavacrankctl rollback -to 7 -reason \"late stock checks since revision 8\"",
+		},
+		Setup: func(flags *flag.FlagSet) Run {
+			shared := addChangeCommand(flags)
+			to := flags.Uint64("to", 0, "`revision` to go back to; required")
+			base := flags.Uint64("base", 0, "`revision` that must be in force (default: the one in force now)")
+			return func(ctx context.Context, env *Environment, args []string) error {
+				if err := arguments(args); err != nil {
+					return err
+				}
+				if *to == 0 {
+					return badUse("no revision to go back to: give -to N")
+				}
+				return shared.run(ctx, env, func(caller *client.Client) (operator.Applied, error) {
+					expected := config.Revision(*base)
+					if expected == 0 {
+						var err error
+						if expected, err = currentRevision(ctx, caller); err != nil {
+							return operator.Applied{}, err
+						}
+					}
+					return caller.Rollback(ctx, operator.RollbackRequest{
+						ChangeID: shared.change.changeID,
+						Base:     expected,
+						To:       config.Revision(*to),
+						Author:   shared.change.author,
+						Reason:   shared.change.reason,
+					})
+				})
+			}
+		},
+	}
+}
--- /dev/null
+++ b/cmd/internal/command/read.go
@@ -0,0 +1,35 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"io"
+
+	"guavacrank.example/daemon/operator/client"
+)
+
+// reading returns the Run of a command that asks a daemon one thing.
+func reading[Answer any](
+	flags *flag.FlagSet,
+	names []string,
+	ask func(ctx context.Context, caller *client.Client, args []string) (Answer, error),
+	text func(w io.Writer, answer Answer),
+) Run {
+	output := addOutput(flags)
+	daemon := addDaemon(flags)
+	return func(ctx context.Context, env *Environment, args []string) error {
+		if err := arguments(args, names...); err != nil {
+			return err
+		}
+		caller, err := daemon.connect(env)
+		if err != nil {
+			return err
+		}
+		defer caller.Close()
+		answer, err := ask(ctx, caller, args)
+		if err != nil {
+			return err
+		}
+		return output.print(env.Stdout, answer, func(w io.Writer) { text(w, answer) })
+	}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -193,10 +193,10 @@
 
 // Error is a fault in a file. Line is 0 where the whole file is meant.
 type Error struct {
-	File   string
-	Line   int
-	Field  string
-	Reason string
+	File   string `json:"file"`
+	Line   int    `json:"line"`
+	Field  string `json:"field"`
+	Reason string `json:"reason"`
 }
 
 // Error implements error.
--- /dev/null
+++ b/daemon/revision/errors.go
@@ -0,0 +1,74 @@
+package revision
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"guavacrank.example/config"
+	"guavacrank.example/config/diff"
+)
+
+// ConflictError says that somebody else changed the configuration first.
+// Nothing was applied.
+type ConflictError struct {
+	// Base is the revision that the refused change was made from.
+	Base config.Revision `json:"base"`
+	// InForce is what stands in its place.
+	InForce Summary `json:"in_force"`
+	// Changes leads from Base to InForce. Compared is false where Base is no
+	// longer kept.
+	Changes  []diff.Change `json:"changes"`
+	Compared bool          `json:"compared"`
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "revision %d is in force instead of %d: applied by %s at %s (%s)",
+		e.InForce.Revision, e.Base, e.InForce.Author, e.InForce.Time.Format(time.RFC3339), e.InForce.Reason)
+	for _, change := range e.Changes {
+		text.WriteString("\n  " + change.String())
+	}
+	if !e.Compared {
+		fmt.Fprintf(&text, "\n  revision %d is no longer kept, so the difference is not known", e.Base)
+	}
+	return text.String()
+}
+
+// UnknownError says that a change may or may not be in force. Calling Apply
+// again with the same ChangeID settles it.
+type UnknownError struct {
+	ChangeID string
+	Err      error
+}
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("the outcome of change %s is unknown: %s", e.ChangeID, e.Err)
+}
+
+// Unwrap returns the failure of the store.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// NotKeptError says that a revision is not in the store.
+type NotKeptError struct{ Revision config.Revision }
+
+// Error implements error.
+func (e *NotKeptError) Error() string {
+	return fmt.Sprintf("revision %d is not kept in the history", e.Revision)
+}
+
+// DamagedError says that a value in the store can't be read.
+type DamagedError struct {
+	Key string
+	Err error
+}
+
+// Error implements error.
+func (e *DamagedError) Error() string {
+	return fmt.Sprintf("the store's value of %q can't be read: %s", e.Key, e.Err)
+}
+
+// Unwrap returns the fault of the value.
+func (e *DamagedError) Unwrap() error { return e.Err }
--- a/event/event.go
+++ b/event/event.go
@@ -21,6 +21,15 @@
 	Error
 )
 
+// String returns the severity's name.
+func (l Level) String() string {
+	names := [...]string{"debug", "info", "warn", "error"}
+	if int(l) < len(names) {
+		return names[l]
+	}
+	return "unknown"
+}
+
 // Definition describes one numbered event.
 type Definition struct {
 	// Number is the event's identity.
