--- a/traffic/front/fleet_test.go
+++ b/traffic/front/fleet_test.go
@@ -39,6 +39,23 @@
 		Expect(server.seen()).To(HaveLen(1))
 	})
 
+	It("refuse a forwarded request without the fleet's token", func() {
+		server := newFakeServer(say(okAnswer))
+		withToken := options
+		withToken.PeerToken = "secret of the fleet"
+		f := newFleet(withToken, "a", "b")
+		f.publish(func() *route.Service { return divided(testServer(server, "b"), 7) })
+		Expect(f.vms["a"].ask("GET", "/v1/cards/k", "").verdict).To(Equal("answered"))
+		forged, err := http.NewRequest(http.MethodGet, f.vms["b"].peer.URL+PeerPrefix+"cards/k", nil)
+		Expect(err).NotTo(HaveOccurred())
+		forged.Header.Set(HeaderPeerServer, "one")
+		answer, err := http.DefaultClient.Do(forged)
+		Expect(err).NotTo(HaveOccurred())
+		answer.Body.Close()
+		Expect(answer.StatusCode).To(Equal(http.StatusForbidden))
+		Expect(server.seen()).To(HaveLen(1))
+	})
+
 	It("go direct to a server that checks grants when its home does not answer", func() {
 		server := newFakeServer(say(okAnswer))
 		f := newFleet(options, "a", "b")
