traffic/front: the forged request names the real server

Change: the forged request names the server that the VM is home of. Conclusion: the test now fails for the fault it is meant for.

--- a/traffic/front/fleet_test.go
+++ b/traffic/front/fleet_test.go
@@ -48,7 +48,7 @@
 		Expect(f.vms["a"].ask("GET", "/v1/cards/k", "").verdict).To(Equal("answered"))
 		forged, err := http.NewRequest(http.MethodGet, f.vms["b"].peer.URL+PeerPrefix+"cards/k", nil)
 		Expect(err).NotTo(HaveOccurred())
-		forged.Header.Set(HeaderPeerServer, "one")
+		forged.Header.Set(HeaderPeerServer, "s1")
 		answer, err := http.DefaultClient.Do(forged)
 		Expect(err).NotTo(HaveOccurred())
 		answer.Body.Close()
