--- a/config/field.go
+++ b/config/field.go
@@ -92,7 +92,7 @@
 var fieldTable = []FieldDefinition{
 	define("grant_time_to_live", KindDuration, milliseconds(300), seconds(10), 0,
 		func(d *Defaults) *time.Duration { return &d.GrantTimeToLive },
-		"Life of a grant to a backend server. After a loss a key waits at most this long."),
+		"Life of a grant to a backend server. After the loss of a server its keys wait until its last grant has run out."),
 	define("renew_interval", KindDuration, milliseconds(50), seconds(3), 0,
 		func(d *Defaults) *time.Duration { return &d.RenewInterval },
 		"Time between two renewals of a grant. At least three fit into the life of a grant."),
