--- a/traffic/front/forward.go
+++ b/traffic/front/forward.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"crypto/subtle"
 	"io"
 	"net/http"
 	"strconv"
@@ -16,6 +18,8 @@
 
 // Headers between VMs. They are only believed on the peer listener.
 const (
+	// HeaderPeerToken carries the secret that the fleet shares.
+	HeaderPeerToken = "Guavacrank-Peer-Token"
 	// HeaderPeerServer names the server that the home shall send to, and in an
 	// answer the one that it sent to.
 	HeaderPeerServer = "Guavacrank-Peer-Server"
@@ -135,6 +139,10 @@
 func (h *Handler) Peer() http.Handler { return http.HandlerFunc(h.servePeer) }
 
 func (h *Handler) servePeer(w http.ResponseWriter, r *http.Request) {
+	if !sameToken(r.Header.Get(HeaderPeerToken), h.options.PeerToken) {
+		http.Error(w, "wrong peer token", http.StatusForbidden)
+		return
+	}
 	if refused := h.enter(); refused != nil {
 		writeRefusal(w, *refused)
 		return
@@ -162,6 +170,13 @@
 	h.writeOutcome(ctx, w, c, out)
 }
 
+// sameToken compares two secrets in a time that does not tell where they differ.
+func sameToken(got, want string) bool {
+	gotSum := sha256.Sum256([]byte(got))
+	wantSum := sha256.Sum256([]byte(want))
+	return subtle.ConstantTimeCompare(gotSum[:], wantSum[:]) == 1
+}
+
 // parsePeer parses a request that another VM forwards.
 func (h *Handler) parsePeer(r *http.Request) (*call, *refusal) {
 	c, refused := h.parse(r, PeerPrefix)
--- a/traffic/front/headers.go
+++ b/traffic/front/headers.go
@@ -69,6 +69,7 @@
 // peerRequest returns the request for the home of a server or group.
 func (h *Handler) peerRequest(c *call, to target, now time.Duration) *http.Request {
 	header := c.outgoingHeader(now)
+	header[HeaderPeerToken] = []string{h.options.PeerToken}
 	if h.options.Region != "" {
 		header[HeaderPeerRegion] = []string{h.options.Region}
 	}
