--- a/bench/limits/gates.go
+++ b/bench/limits/gates.go
@@ -55,6 +55,12 @@
 // held returns the requests that the gate holds.
 func (g *gate) held() int { return g.queue.Busy() + g.queue.Queued() }
 
+// wait estimates the wait of a new request.
+func (g *gate) wait() time.Duration {
+	slots := g.queue.Slots()
+	return time.Duration(g.held()-slots+1) * Service / time.Duration(slots)
+}
+
 // request admits and sends a request until it ran.
 func (g *gate) request(service time.Duration, done func()) {
 	ticket := &queue.Ticket{Priority: config.Interactive, Deadline: far}
--- a/traffic/front/call.go
+++ b/traffic/front/call.go
@@ -31,9 +31,9 @@
 	// answer goes over the link between regions from here.
 	forwarded bool
 	crossing  bool
-	// noWait refuses the request rather than make it wait; refusedBy are the
-	// groups that did.
-	noWait    bool
+	// maxWait has the request refused rather than wait longer; zero accepts
+	// any wait. refusedBy are the groups that refused.
+	maxWait   time.Duration
 	refusedBy []*groupState
 	// tried are the servers that failed this request.
 	tried []string
--- a/traffic/front/choose.go
+++ b/traffic/front/choose.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"guavacrank.example/traffic/limit"
 	"guavacrank.example/traffic/pick"
@@ -70,16 +71,23 @@
 	return p
 }
 
-// homeRefusals is how many groups may refuse a request that would wait there
-// before it waits at the best of them.
-const homeRefusals = 2
+const (
+	// homeRefusals is how many groups may refuse a request that would wait
+	// there before it waits at the best of them.
+	homeRefusals = 2
+	// homeMaxWait is the expected wait from which a way to another zone pays.
+	homeMaxWait = 1500 * time.Microsecond
+)
 
 // chooseGroup chooses a group of servers of a service that is not divided by key.
 func (h *Handler) chooseGroup(v *view, s *service, c *call) (target, verdict.Code) {
 	if len(s.groups) == 0 {
 		return target{}, verdict.CodeNoServer
 	}
-	c.noWait = len(s.groups) > 1 && len(c.refusedBy) < homeRefusals
+	c.maxWait = 0
+	if len(s.groups) > 1 && len(c.refusedBy) < homeRefusals {
+		c.maxWait = homeMaxWait
+	}
 	var buffer [8]pick.Candidate
 	candidates := buffer[:0]
 	for _, g := range s.groups {
@@ -91,13 +99,13 @@
 			Server:   g.seen,
 			Slots:    g.slots,
 			Local:    g.local,
-			Excluded: c.noWait && slices.Contains(c.refusedBy, g.groupState),
+			Excluded: c.maxWait > 0 && slices.Contains(c.refusedBy, g.groupState),
 		})
 	}
 	at := pick.Choose(h.options.Elapsed(), candidates, rand.Uint64())
-	if at < 0 || c.noWait && !s.groups[at].local && len(c.refusedBy) > 0 {
+	if at < 0 || c.maxWait > 0 && !s.groups[at].local && len(c.refusedBy) > 0 {
 		// Every group of the region would make it wait: it waits at the best.
-		c.noWait = false
+		c.maxWait = 0
 		for i := range candidates {
 			candidates[i].Excluded = false
 		}
--- a/traffic/front/forward.go
+++ b/traffic/front/forward.go
@@ -27,8 +27,9 @@
 	HeaderPeerZone = "Guavacrank-Peer-Zone"
 	// HeaderPeerRegion names the region of the VM that forwards.
 	HeaderPeerRegion = "Guavacrank-Peer-Region"
-	// HeaderPeerNoWait asks the home to refuse rather than queue the request.
-	HeaderPeerNoWait = "Guavacrank-Peer-No-Wait"
+	// HeaderPeerMaxWait asks the home to refuse a request that is expected to
+	// wait longer, in microseconds.
+	HeaderPeerMaxWait = "Guavacrank-Peer-Max-Wait-Us"
 	// HeaderPeerTried names servers that failed the request, separated by commas.
 	HeaderPeerTried = "Guavacrank-Peer-Tried"
 	// HeaderPeerQueue gives the time in the home's queue in microseconds.
@@ -187,7 +188,9 @@
 	c.crossing = h.elsewhere(r.Header.Get(HeaderPeerRegion))
 	c.id = r.Header.Get(backend.HeaderRequestID)
 	c.attempt, _ = strconv.Atoi(r.Header.Get(backend.HeaderAttempt)) // Another VM's own number.
-	c.noWait = r.Header.Get(HeaderPeerNoWait) != ""
+	if wait, err := strconv.ParseInt(r.Header.Get(HeaderPeerMaxWait), 10, 32); err == nil {
+		c.maxWait = time.Duration(wait) * time.Microsecond
+	}
 	if tried := r.Header.Get(HeaderPeerTried); tried != "" {
 		c.tried = strings.Split(tried, ",")
 	}
--- a/traffic/front/headers.go
+++ b/traffic/front/headers.go
@@ -78,8 +78,8 @@
 	} else {
 		header[HeaderPeerServer] = []string{to.server.name}
 	}
-	if c.noWait {
-		header[HeaderPeerNoWait] = []string{"1"}
+	if c.maxWait > 0 {
+		header[HeaderPeerMaxWait] = []string{strconv.FormatInt(c.maxWait.Microseconds(), 10)}
 	}
 	if len(c.tried) > 0 {
 		header[HeaderPeerTried] = []string{strings.Join(c.tried, ",")}
--- a/traffic/front/send.go
+++ b/traffic/front/send.go
@@ -38,7 +38,7 @@
 	}
 	var decision queue.Decision
 	waiting := arrived
-	a.ticket, decision = a.gate.Enter(ctx, queue.Want{Priority: c.class.Priority, Deadline: c.deadline, NoWait: c.noWait})
+	a.ticket, decision = a.gate.Enter(ctx, queue.Want{Priority: c.class.Priority, Deadline: c.deadline, MaxWait: c.maxWait})
 	for requeued := false; ; requeued = true {
 		c.seen.Queue += h.options.Elapsed() - waiting
 		if decision != queue.Admitted {
@@ -243,7 +243,7 @@
 	case queue.Canceled:
 		return notRun(endCode(c), "waited in the server's queue")
 	case queue.Busy:
-		return notRun(verdict.CodeBusy, "every slot is busy")
+		return notRun(verdict.CodeBusy, "the wait in this zone would be long")
 	case queue.Late:
 		out = notRun(verdict.CodeTooLate, "could not have finished within the deadline")
 	default:
--- a/traffic/queue/gate.go
+++ b/traffic/queue/gate.go
@@ -29,15 +29,15 @@
 	Priority config.Priority
 	// Deadline is on the gate's clock.
 	Deadline time.Duration
-	// NoWait asks for a refusal instead of a wait.
-	NoWait bool
+	// MaxWait asks for a refusal instead of a longer wait; zero accepts any.
+	MaxWait time.Duration
 }
 
 // Enter waits for a slot. Only after Admitted the ticket is not nil, and Leave
 // must be called with it.
 func (g *Gate) Enter(ctx context.Context, want Want) (*Ticket, Decision) {
 	t := tickets.Get().(*Ticket)
-	t.Priority, t.Deadline, t.NoWait = want.Priority, want.Deadline, want.NoWait
+	t.Priority, t.Deadline, t.MaxWait = want.Priority, want.Deadline, want.MaxWait
 	g.mu.Lock()
 	decision := g.queue.Offer(g.now(), t)
 	g.mu.Unlock()
--- a/traffic/queue/queue.go
+++ b/traffic/queue/queue.go
@@ -26,7 +26,7 @@
 	Full              // Refused: too many wait.
 	Late              // Refused: it could not finish within its deadline.
 	Canceled          // Its caller left.
-	Busy              // Refused: it would have had to wait, and must not.
+	Busy              // Refused: it would have had to wait longer than MaxWait.
 )
 
 // Ticket is one request in a queue. A ticket is in one queue at a time.
@@ -34,8 +34,9 @@
 	Priority config.Priority
 	// Deadline is on the clock that is passed to the queue.
 	Deadline time.Duration
-	// NoWait refuses the ticket instead of making it wait.
-	NoWait bool
+	// MaxWait refuses the ticket if it is expected to wait longer; zero means
+	// that it waits as long as its deadline allows.
+	MaxWait time.Duration
 
 	decision   Decision
 	startedAt  time.Duration
@@ -104,10 +105,10 @@
 		q.admit(now, t)
 		return Admitted
 	}
-	if t.NoWait {
+	wait := q.expectedWait(t.Priority)
+	if t.MaxWait > 0 && wait > t.MaxWait {
 		return q.settle(t, Busy)
 	}
-	wait := q.expectedWait(t.Priority)
 	if wait > 0 && now+wait+q.service[t.Priority].High() > t.Deadline {
 		return q.settle(t, Late)
 	}
