revision: edits need an identifier, and an identifier names one change

Cause: a fuzz run found that declare-lost without a change identifier, before any configuration, was answered as applied while nothing was: the empty identifier matched the absent record. An identifier used for another text was answered as applied as well. Change: Edit validates first; Apply refuses an identifier of another text. Conclusion: an answer of 200 means that the sent change is in force.

--- a/daemon/revision/revision.go
+++ b/daemon/revision/revision.go
@@ -125,7 +125,11 @@
 	if err != nil {
 		return config.Record{}, err
 	}
-	if applied, done, err := k.alreadyApplied(ctx, change.ChangeID, found); done || err != nil {
+	applied, done, err := k.alreadyApplied(ctx, change.ChangeID, found)
+	if done && applied.YAML != change.YAML {
+		return config.Record{}, usedBefore(applied)
+	}
+	if done || err != nil {
 		return applied, err
 	}
 	if change.Base != found.record.Revision && !k.disabled.base {
@@ -161,6 +165,9 @@
 // returns the new one. It is tried again on what another operator put into
 // force meanwhile. Change.Base and Change.YAML are ignored.
 func (k *Keeper) Edit(ctx context.Context, change Change, edit func(text string) (string, error)) (config.Record, error) {
+	if err := change.validate(); err != nil {
+		return config.Record{}, err
+	}
 	for attempt := 1; ; attempt++ {
 		found, err := k.current(ctx)
 		if err != nil {
@@ -213,6 +220,12 @@
 	return nil
 }
 
+// usedBefore is the fault of a change identifier that names another change.
+func usedBefore(applied config.Record) error {
+	reason := fmt.Sprintf("%q is revision %d already, with another text", applied.ChangeID, applied.Revision)
+	return &config.Error{File: "request", Field: "change_id", Reason: reason}
+}
+
 // check parses the text of a change against the record in force.
 func check(change Change, inForce config.Record) error {
 	_, err := config.ParseChange(change.File, []byte(change.YAML), configurationOf(inForce))
