control: the planner follows exceptions for its service

Cause: exceptions for hold_time, moves_per_minute and hot_key_share were accepted and had no effect, because the planner read the fleet's defaults. Change: each service keeps its defaults with the exceptions applied.

--- /dev/null
+++ b/control/exceptions_test.go
@@ -0,0 +1,27 @@
+package control
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/config"
+)
+
+var _ = Describe("an exception for a service", func() {
+	It("sets the planner of that service and of no other", func() {
+		m := New(Options{Self: "v1", Region: "r1", Zone: "r1a", Incarnation: "1"})
+		hold := config.Assignment{Field: "hold_time", Value: int64(time.Hour)}
+		m.Step(0, ConfigurationAccepted{Revision: 1, Configuration: &config.Configuration{
+			Defaults: config.DefaultDefaults(),
+			Services: []config.Service{
+				{Name: "cards", DividedByKey: true, Shards: 4},
+				{Name: "recipes", DividedByKey: true, Shards: 4},
+			},
+			Exceptions: []config.Exception{{Service: "cards", Set: []config.Assignment{hold}, Reason: "slow warm-up"}},
+		}})
+		Expect(m.service("cards").planSettings().HoldTime).To(Equal(time.Hour))
+		Expect(m.service("recipes").planSettings().HoldTime).To(Equal(config.DefaultDefaults().HoldTime))
+	})
+})
--- a/control/inputs.go
+++ b/control/inputs.go
@@ -29,7 +29,7 @@
 	}
 	for _, declared := range in.Configuration.Services {
 		if declared.DividedByKey {
-			m.acceptService(declared, in.Configuration.Servers)
+			m.acceptService(declared, in.Configuration)
 		}
 	}
 	m.ready.RoutingChanged = true
@@ -47,7 +47,7 @@
 	m.lost = next
 }
 
-func (m *Machine) acceptService(declared config.Service, servers []config.Server) {
+func (m *Machine) acceptService(declared config.Service, configuration *config.Configuration) {
 	i, found := m.serviceIndex(declared.Name)
 	if !found {
 		m.services = slices.Insert(m.services, i, newService(declared.Name, m.now))
@@ -56,8 +56,9 @@
 	s := m.services[i]
 	s.configured = true
 	s.config = declared
+	s.defaults = configuration.SettingsFor(declared.Name, "", "")
 	s.plan.due = true
-	for _, configured := range servers {
+	for _, configured := range configuration.Servers {
 		if configured.Service == declared.Name {
 			sv := s.ensureServer(configured.Name)
 			sv.config = configured
--- a/control/system_planner.go
+++ b/control/system_planner.go
@@ -86,7 +86,7 @@
 			continue
 		}
 		if s.plan.planner == nil {
-			s.plan.planner = planner.New(placement.Balanced{}, m.planSettings(), m.now)
+			s.plan.planner = planner.New(placement.Balanced{}, s.planSettings(), m.now)
 			s.plan.due = true
 		}
 		m.queryLoads(s)
@@ -99,11 +99,11 @@
 	}
 }
 
-func (m *Machine) planSettings() planner.Settings {
+func (s *service) planSettings() planner.Settings {
 	settings := planner.Settings{
-		HoldTime:       m.defaults.HoldTime,
-		MovesPerMinute: m.defaults.MovesPerMinute,
-		HotKeyShare:    m.defaults.HotKeyShare,
+		HoldTime:       s.defaults.HoldTime,
+		MovesPerMinute: s.defaults.MovesPerMinute,
+		HotKeyShare:    s.defaults.HotKeyShare,
 	}
 	if settings.MovesPerMinute == 0 {
 		settings.MovesPerMinute = defaultMoves
@@ -115,7 +115,7 @@
 func (m *Machine) planService(s *service) {
 	s.plan.due = false
 	s.plan.plannedAt = m.now
-	s.plan.planner.SetSettings(m.planSettings())
+	s.plan.planner.SetSettings(s.planSettings())
 	m.planServers(s)
 	m.reportDeclared(s)
 	plan := s.plan.planner.Plan(m.now, m.planView(s))
--- a/control/tables.go
+++ b/control/tables.go
@@ -14,6 +14,7 @@
 type service struct {
 	name       string
 	config     config.Service
+	defaults   config.Defaults // With the exceptions for the service.
 	configured bool
 	servers    []*server // Sorted by name: those of the configuration and of the page.
 	planning   bool      // This VM holds the planner's role.
