--- a/config/field.go
+++ b/config/field.go
@@ -1,6 +1,9 @@
 package config
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Scope says for what an exception may set a field.
 type Scope uint8
@@ -12,6 +15,20 @@
 	ForServer
 )
 
+// String lists what the scope allows.
+func (s Scope) String() string {
+	if s == 0 {
+		return "in defaults"
+	}
+	var names []string
+	for bit, name := range []string{"for a service", "for a class", "for a server"} {
+		if s&(1<<bit) != 0 {
+			names = append(names, name)
+		}
+	}
+	return strings.Join(names, ", ")
+}
+
 // Field is the name in YAML of one field of Defaults.
 type Field string
 
@@ -73,25 +90,25 @@
 func seconds(count int64) int64 { return count * int64(time.Second) }
 
 var fieldTable = []FieldDefinition{
-	define("grant_time_to_live", KindDuration, milliseconds(300), seconds(10), ForService|ForServer,
+	define("grant_time_to_live", KindDuration, milliseconds(300), seconds(10), 0,
 		func(d *Defaults) *time.Duration { return &d.GrantTimeToLive },
-		"Life of a grant to a backend server. After a loss a key waits at most this long."),
-	define("renew_interval", KindDuration, milliseconds(50), seconds(3), ForService|ForServer,
+		"Life of a grant to a backend server. After the loss of a server its keys wait until its last grant has run out."),
+	define("renew_interval", KindDuration, milliseconds(50), seconds(3), 0,
 		func(d *Defaults) *time.Duration { return &d.RenewInterval },
 		"Time between two renewals of a grant. At least three fit into the life of a grant."),
-	define("clock_rate_margin", KindPartsPerMillion, 10, 100_000, ForService|ForServer,
+	define("clock_rate_margin", KindPartsPerMillion, 10, 100_000, 0,
 		func(d *Defaults) *int { return &d.ClockRateMargin },
 		"Greatest rate error of a clock. Waits for the end of a grant grow by it."),
 	define("max_attempts", KindCount, 1, 10, ForService|ForClass,
 		func(d *Defaults) *int { return &d.MaxAttempts },
 		"Attempts of one request, the first included."),
-	define("retry_budget", KindPercent, 0, 100, ForService,
+	define("retry_budget", KindPercent, 1, 100, ForService,
 		func(d *Defaults) *int { return &d.RetryBudget },
 		"Share of recent successes that may be spent on retries."),
 	define("queue_limit", KindCount, 1, 100_000, ForService|ForServer,
 		func(d *Defaults) *int { return &d.QueueLimit },
 		"Requests queued for each backend server."),
-	define("bulk_floor", KindPercent, 0, 50, ForService|ForServer,
+	define("bulk_floor", KindPercent, 1, 50, ForService|ForServer,
 		func(d *Defaults) *int { return &d.BulkFloor },
 		"Least share of a backend server's slots for bulk classes while they have work."),
 	define("stop_limit", KindDuration, seconds(1), seconds(600), 0,
@@ -100,7 +117,7 @@
 	define("hold_time", KindDuration, seconds(1), seconds(3600), ForService,
 		func(d *Defaults) *time.Duration { return &d.HoldTime },
 		"Least time between two planned moves of one shard or key."),
-	define("moves_per_minute", KindCount, 0, 10_000, ForService,
+	define("moves_per_minute", KindCount, 1, 10_000, ForService,
 		func(d *Defaults) *int { return &d.MovesPerMinute },
 		"Most planned moves a minute for each service. Moves after a loss are not counted."),
 	define("hot_key_share", KindPermille, 1, 1000, ForService,
