fleet: broadcasts through the zone's relay in large regions, fewer connections

Cause: a benchmark with 200 managers in one process ran out of files: every VM pushed its record over connections of its own; at shutdown a handler's read deadline was set after the handler had returned (panic). Change: in a region of more than 16 VMs a broadcast starts at the zone's relay and goes on by groups that are the same for all writers; a starting VM compares with three fixed VMs; unused streams and connections end after 10 s; the handler waits for the goroutine that sets its deadline; a watcher that heard nobody counts silence anew; judging rests while nobody accuses.

--- a/fleet/fleettest/world.go
+++ b/fleet/fleettest/world.go
@@ -63,6 +63,9 @@
 	// Options are those of the VMs that start from now on.
 	Options node.Options
 
+	// LinkBytes counts what was sent from one region to another.
+	LinkBytes int
+
 	processes map[string]*Process
 	names     []string
 	store     map[string]document.Document
@@ -237,6 +240,9 @@
 	size := proto.Size(out.Message) + frameBytes
 	from.SentBytes += size
 	from.SentMessages++
+	if from.VM.Region != to.VM.Region {
+		w.LinkBytes += size
+	}
 	delays := []time.Duration{0}
 	if w.Deliveries != nil {
 		delays = w.Deliveries(from.VM, to.VM)
--- a/fleet/membership/candidates.go
+++ b/fleet/membership/candidates.go
@@ -18,6 +18,8 @@
 	forgetUnlisted = time.Minute
 	// forgetLeft is how long a VM that announced its stop is kept after it fell silent.
 	forgetLeft = 10 * time.Second
+	// forgetInterval is the time between two looks for VMs that are gone.
+	forgetInterval = time.Second
 )
 
 // takeList takes the platform's list. It may lag or be wrong: it adds
@@ -101,6 +103,7 @@
 	}
 	row.record = record
 	row.version = changed.Version
+	m.noteAccusing(name, len(record.GetAccusations()) > 0)
 	row.vm = platform.VM{Name: name, Region: record.GetRegion(), Zone: record.GetZone(), Peer: record.GetPeer()}
 	m.changed()
 }
@@ -145,7 +148,11 @@
 // forgetGone removes VMs that are gone for good. One VM does it for all, by
 // publishing a removal; two at once do no harm.
 func (m *Machine) forgetGone(now time.Duration) {
-	for _, name := range append([]string(nil), m.names...) {
+	if now < m.forgetAt {
+		return
+	}
+	m.forgetAt = now + forgetInterval
+	for _, name := range m.names {
 		row := m.members[name]
 		left := row.record.GetLeaving() && row.condemned
 		unlisted := row.condemned && !row.listed
@@ -189,6 +196,7 @@
 	}
 	m.event(event.MemberForgotten, "record removed", "vm", name)
 	delete(m.watched, name)
+	m.noteAccusing(name, false)
 	if !row.listed {
 		m.remove(name)
 		return
--- a/fleet/membership/judge.go
+++ b/fleet/membership/judge.go
@@ -40,13 +40,20 @@
 // judge works out who is suspected and who is condemned. A vote has no weight
 // here while this VM itself has heard the subject since.
 func (m *Machine) judge(now time.Duration) {
+	if len(m.accusing) == 0 && len(m.counted) == 0 && len(m.overruled) == 0 && m.doubted == 0 {
+		return
+	}
 	m.countVotes(now)
 	tally := make(map[string][]vote)
 	for _, v := range slices.SortedFunc(maps.Keys(m.counted), compareVotes) {
 		tally[v.subject] = append(tally[v.subject], v)
 	}
+	m.doubted = 0
 	for _, name := range m.names {
 		m.judgeMember(now, name, tally[name])
+		if m.members[name].suspected {
+			m.doubted++
+		}
 	}
 }
 
@@ -54,7 +61,7 @@
 // withdrawn ones and those of observers that are condemned themselves.
 func (m *Machine) countVotes(now time.Duration) {
 	current := make(map[vote]bool)
-	for _, name := range m.names {
+	for _, name := range slices.Sorted(maps.Keys(m.accusing)) {
 		row := m.members[name]
 		for _, accusation := range m.accusationsOf(name, row) {
 			v := vote{observer: name, subject: accusation.GetName(), boot: accusation.GetBoot()}
--- a/fleet/membership/machine.go
+++ b/fleet/membership/machine.go
@@ -101,7 +101,12 @@
 	heartbeatAt  time.Duration
 	watchers     []string // VMs that this VM sends heartbeats to.
 	watched      map[string]*watch
+	watchedNames []string // Sorted keys of watched.
 	watchesStale bool
+	forgetAt     time.Duration
+
+	accusing map[string]bool // VMs whose records, or whose watches, accuse.
+	doubted  int             // Members that are suspected or condemned.
 
 	counted   map[vote]time.Duration
 	overruled map[vote]time.Duration
@@ -114,6 +119,7 @@
 		members:       make(map[string]*member),
 		recordChanged: true,
 		watched:       make(map[string]*watch),
+		accusing:      make(map[string]bool),
 		counted:       make(map[vote]time.Duration),
 		overruled:     make(map[vote]time.Duration),
 	}
@@ -152,10 +158,10 @@
 		m.announceAt = 0
 		m.recordChanged = true
 	}
-	m.judge(now)
 	m.refreshWatches(now)
-	m.sendHeartbeats(now)
 	m.checkWatched(now)
+	m.judge(now)
+	m.sendHeartbeats(now)
 	m.publishRecord()
 	m.forgetGone(now)
 }
@@ -232,12 +238,23 @@
 
 func (m *Machine) remove(name string) {
 	delete(m.members, name)
+	delete(m.accusing, name)
 	if i, present := slices.BinarySearch(m.names, name); present {
 		m.names = slices.Delete(m.names, i, i+1)
 	}
 	m.changed()
 }
 
+// noteAccusing keeps which VMs accuse anybody, so that judging is idle
+// while none does.
+func (m *Machine) noteAccusing(name string, accuses bool) {
+	if accuses {
+		m.accusing[name] = true
+		return
+	}
+	delete(m.accusing, name)
+}
+
 // changed notes that members or their states differ from what was told.
 func (m *Machine) changed() {
 	m.ready.MembersChanged = true
@@ -258,12 +275,14 @@
 		return
 	}
 	m.recordChanged = false
+	accusations := m.accusations()
+	m.noteAccusing(m.options.Self.Name, len(accusations) > 0)
 	m.version++
 	self := m.options.Self
 	record := &fleetv1.MemberRecord{
 		Name: self.Name, Region: self.Region, Zone: self.Zone, Peer: self.Peer,
 		Boot: m.options.Boot, Leaving: m.leaving, StoreFailing: m.storeFailing,
-		Accusations: m.accusations(),
+		Accusations: accusations,
 	}
 	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(record)
 	if err != nil {
--- a/fleet/membership/watch.go
+++ b/fleet/membership/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -34,6 +35,9 @@
 	witnessWindow = 250 * time.Millisecond
 	// isolatedAfter is how long a VM that hears nobody keeps its last view.
 	isolatedAfter = 3 * time.Second
+	// deafAfter is how long this VM may hear nobody before the silence of the
+	// others counts anew.
+	deafAfter = 450 * time.Millisecond
 	// helperCount is the number of other VMs that are pinged with a silent one.
 	helperCount = 2
 )
@@ -156,6 +160,7 @@
 			delete(m.watched, name)
 		}
 	}
+	m.watchedNames = slices.Sorted(maps.Keys(m.watched))
 }
 
 // resetWatch starts the observation of a VM anew.
@@ -173,6 +178,9 @@
 	if _, ping := in.Message.GetBody().(*fleetv1.ExchangeRequest_Ping); ping {
 		m.send(in.From, &fleetv1.ExchangeRequest{Body: &fleetv1.ExchangeRequest_Pong{Pong: &fleetv1.Pong{}}})
 	}
+	if now-m.lastHeard > deafAfter && !m.options.Mutations.AccuseBlind {
+		m.restartWatches(now)
+	}
 	m.lastHeard = now
 	if row, present := m.members[in.From]; present {
 		row.heardAt = now
@@ -191,13 +199,19 @@
 	}
 }
 
-// noticePause starts all observations anew when this VM itself stood still.
+// noticePause notes that this VM itself stood still.
 func (m *Machine) noticePause(now time.Duration) {
 	if now-m.lastTick <= pauseGap || m.options.Mutations.AccuseBlind {
 		return
 	}
 	m.event(event.ObserverPaused, "this VM stood still", "gap", (now - m.lastTick).String())
 	m.lastHeard = now
+	m.restartWatches(now)
+}
+
+// restartWatches starts all observations anew: the silence was, or may have
+// been, this VM's own.
+func (m *Machine) restartWatches(now time.Duration) {
 	for _, w := range m.watched {
 		w.lastHeard = max(w.lastHeard, now)
 		w.pingedAt = 0
@@ -229,11 +243,8 @@
 
 // checkWatched pings silent VMs, and accuses those that stay silent.
 func (m *Machine) checkWatched(now time.Duration) {
-	for _, name := range m.names {
-		w, watched := m.watched[name]
-		if !watched {
-			continue
-		}
+	for _, name := range m.watchedNames {
+		w := m.watched[name]
 		silence := now - w.lastHeard
 		interval := pingInterval
 		if w.accused {
@@ -246,6 +257,7 @@
 		if silence >= SuspectAfter && !w.accused && (m.hasWitness(now, name) || m.options.Mutations.AccuseBlind) {
 			w.accused = true
 			w.boot = m.members[name].record.GetBoot()
+			m.noteAccusing(m.options.Self.Name, true)
 			m.recordChanged = true
 		}
 	}
@@ -296,8 +308,8 @@
 // accusations returns this VM's accusations in the order of names.
 func (m *Machine) accusations() []*fleetv1.Accusation {
 	var all []*fleetv1.Accusation
-	for _, name := range m.names {
-		if w, watched := m.watched[name]; watched && w.accused {
+	for _, name := range slices.Sorted(maps.Keys(m.watched)) {
+		if w := m.watched[name]; w.accused {
 			all = append(all, &fleetv1.Accusation{Name: name, Boot: w.boot})
 		}
 	}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -88,19 +89,23 @@
 	})
 }
 
-// serveUntilDone ends the stream's reads when the manager stops.
+// serveUntilDone ends the stream's reads when the manager stops. The response
+// writer must not be touched after the handler has returned, so it waits for
+// the goroutine that may do so.
 func (s *server) serveUntilDone(w http.ResponseWriter, r *http.Request, exchange http.Handler) {
 	controller := http.NewResponseController(w)
-	finished := make(chan struct{})
-	defer close(finished)
-	go func() {
+	served := make(chan struct{})
+	var watching sync.WaitGroup
+	watching.Go(func() {
 		select {
-		case <-finished:
+		case <-served:
 		case <-s.manager.done:
 			_ = controller.SetReadDeadline(time.Now())
 		}
-	}()
+	})
 	exchange.ServeHTTP(w, r)
+	close(served)
+	watching.Wait()
 }
 
 func (s *server) refused(cause, address string) {
--- a/fleet/spread/broadcast.go
+++ b/fleet/spread/broadcast.go
@@ -87,10 +87,29 @@
 		m.gossip(now, keys, "")
 		return
 	}
+	if relay := m.startingRelay(now); relay != "" {
+		m.push(now, relay, keys, &fleetv1.Scope{Fleet: !regionOnly, Region: regionOnly}, nil)
+		return
+	}
+	m.pushAll(now, keys, regionOnly, "")
+}
+
+// startingRelay returns the relay of this zone if a broadcast starts there:
+// in a large region, where only relays keep connections to many VMs.
+func (m *Machine) startingRelay(now time.Duration) string {
+	relay := m.topology.zoneRelay
+	if relay == m.topology.self.Name || m.isSilent(now)(relay) || m.topology.regionSize <= fanOut {
+		return ""
+	}
+	return relay
+}
+
+// pushAll sends to all VMs, or to those of this region, but the one it came from.
+func (m *Machine) pushAll(now time.Duration, keys []string, regionOnly bool, from string) {
 	if !regionOnly {
 		m.pushOtherRegions(now, keys)
 	}
-	m.pushRegion(now, keys, "")
+	m.pushRegion(now, keys, from)
 }
 
 // pushOtherRegions sends one copy over the link into each other region.
@@ -127,10 +146,26 @@
 	m.pushZone(now, keys, from)
 }
 
-// pushZone sends to the VMs of this zone but the one it came from.
+// pushZone sends to the VMs of this zone but the one it came from: directly to
+// a few, through one VM of each of fanOut groups to many. The groups are the
+// same for all writers, so that their connections are few.
 func (m *Machine) pushZone(now time.Duration, keys []string, from string) {
 	self := m.topology.self
-	m.pushNames(now, keys, m.reachable(from, func(p Peer) bool { return p.Region == self.Region && p.Zone == self.Zone }))
+	names := m.reachable(from, func(p Peer) bool { return p.Region == self.Region && p.Zone == self.Zone })
+	if len(names) <= fanOut {
+		m.pushNames(now, keys, names)
+		return
+	}
+	var groups [fanOut][]string
+	for _, name := range names {
+		group := rendezvous("group", name) % fanOut
+		groups[group] = append(groups[group], name)
+	}
+	for _, group := range groups {
+		if len(group) > 0 {
+			m.pushPart(now, keys, group, nil)
+		}
+	}
 }
 
 // pushNames sends to the named VMs, through the first of each of fanOut parts
@@ -215,6 +250,10 @@
 		m.push(now, p.to, p.keys, nil, p.tried)
 		return
 	}
+	if p.scope.GetFleet() {
+		m.pushAll(now, p.keys, false, "")
+		return
+	}
 	if names := p.scope.GetNames(); len(names) > 0 {
 		m.pushPart(now, p.keys, names, p.tried)
 		return
@@ -327,6 +366,8 @@
 		return
 	}
 	switch {
+	case scope.GetFleet():
+		m.pushAll(now, keys, false, from)
 	case scope.GetRegion():
 		m.pushRegion(now, keys, from)
 	case scope.GetZone():
--- a/fleet/spread/machine.go
+++ b/fleet/spread/machine.go
@@ -47,7 +47,8 @@
 	minDigestInterval = 200 * time.Millisecond
 	startDuration     = 5 * time.Second // While digests are frequent and go to more VMs.
 	startInterval     = 300 * time.Millisecond
-	startTargets      = 3
+	startTargets      = 3 // VMs picked at random that a starting VM compares with.
+	startAgreed       = 4 // VMs with equal documents, after which the start is over.
 	randomRound       = 4 // Every n-th digest also goes to a VM picked at random.
 	unansweredPenalty = 5 * time.Second
 )
@@ -69,6 +70,8 @@
 	asked map[string]time.Duration
 	// silent are the VMs that did not answer a digest, until when to skip them.
 	silent map[string]time.Duration
+	// startPeers are the VMs that this VM compares with while it starts.
+	startPeers []string
 	// agreed are the VMs whose documents were once equal to this VM's.
 	agreed map[string]bool
 
--- a/fleet/spread/repair.go
+++ b/fleet/spread/repair.go
@@ -89,25 +89,35 @@
 	default:
 		add(zoneRelay(relays, self.Region, self.Zone))
 	}
-	for range m.randomTargets(now) {
-		add(m.randomPeer(func(p Peer) bool { return p.Region == self.Region }))
+	if m.starting(now) {
+		for _, name := range m.pickStartPeers(now) {
+			add(name)
+		}
+	} else if m.round%randomRound == 0 {
+		add(m.randomPeer(m.inOwnRegion))
 	}
 	return targets
 }
 
-// randomTargets is the number of VMs picked at random for this round.
-func (m *Machine) randomTargets(now time.Duration) int {
-	switch {
-	case m.starting(now):
-		return startTargets
-	case m.round%randomRound == 0:
-		return 1
-	default:
-		return 0
+func (m *Machine) inOwnRegion(p Peer) bool { return p.Region == m.topology.self.Region }
+
+// pickStartPeers returns some VMs of this region that are the same in each
+// round, but for those that do not answer.
+func (m *Machine) pickStartPeers(now time.Duration) []string {
+	m.startPeers = slices.DeleteFunc(m.startPeers, m.isSilent(now))
+	for range startTargets {
+		name := m.randomPeer(m.inOwnRegion)
+		if len(m.startPeers) < startTargets && name != "" && !slices.Contains(m.startPeers, name) {
+			m.startPeers = append(m.startPeers, name)
+		}
 	}
+	return m.startPeers
 }
 
-func (m *Machine) starting(now time.Duration) bool { return now-m.started < startDuration }
+// starting reports whether this VM still looks for VMs to compare with.
+func (m *Machine) starting(now time.Duration) bool {
+	return now-m.started < startDuration && len(m.agreed) < startAgreed
+}
 
 // randomPeer picks one of the other VMs that match, those that were never
 // heard included.
--- a/fleet/spread/topology.go
+++ b/fleet/spread/topology.go
@@ -21,6 +21,8 @@
 	index map[string]int
 	// zoneRelay and regionRelay are those of this VM's zone and region.
 	zoneRelay, regionRelay string
+	// regionSize is the number of other reachable VMs in this VM's region.
+	regionSize int
 }
 
 func newTopology(self Peer, peers []Peer) *topology {
@@ -31,6 +33,11 @@
 			t.self = peer
 		}
 	}
+	for _, peer := range peers {
+		if peer.Reachable && peer.Region == t.self.Region && peer.Name != t.self.Name {
+			t.regionSize++
+		}
+	}
 	relays := t.relays(func(string) bool { return false })
 	t.zoneRelay = zoneRelay(relays, t.self.Region, t.self.Zone)
 	t.regionRelay = regionRelay(relays, t.self.Region)
--- a/fleet/transport.go
+++ b/fleet/transport.go
@@ -19,7 +19,7 @@
 
 const (
 	dialTimeout      = time.Second
-	streamIdle       = 30 * time.Second // After which an unused stream is closed.
+	streamIdle       = 10 * time.Second // After which an unused stream or connection is closed.
 	peerQueueSize    = 256
 	connectionPing   = 2 * time.Second // Silence after which a connection is tested.
 	pingTimeout      = time.Second
@@ -75,9 +75,10 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	t.base = &http.Transport{
-		Protocols:   protocols,
-		DialContext: t.dial,
-		HTTP2:       &http.HTTP2Config{SendPingTimeout: connectionPing, PingTimeout: pingTimeout},
+		Protocols:       protocols,
+		DialContext:     t.dial,
+		IdleConnTimeout: streamIdle,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: connectionPing, PingTimeout: pingTimeout},
 	}
 	t.client = &http.Client{Transport: t.base}
 	return t
