--- /dev/null
+++ b/daemon/revision/revision_test.go
@@ -0,0 +1,266 @@
+package revision_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/config"
+	"guavacrank.example/daemon/revision"
+	"guavacrank.example/platform"
+	"guavacrank.example/platform/memstore"
+)
+
+func TestRevision(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "revision")
+}
+
+// text returns a small configuration that differs by its queue limit.
+func text(number int) string {
+	return fmt.Sprintf(`defaults: {queue_limit: %d}
+services:
+  - name: s
+    classes: [{name: q, idempotent: true, priority: bulk, deadline: 1s}]
+servers:
+  - {name: a, service: s, address: "127.0.0.1:1", region: r, zone: z, slots: 1, connections: 1, checks_grants: true}
+`, number+1)
+}
+
+// change returns a change that is made from base.
+func change(id string, base config.Revision, number int) revision.Change {
+	return revision.Change{ChangeID: id, Base: base, Author: "an", Reason: "why " + id, File: "c.yaml", YAML: text(number)}
+}
+
+// newStore returns a store without limits of its rate.
+func newStore() *memstore.Store {
+	return memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+}
+
+// newKeeper returns a keeper that never pauses, but gives up after 20 pauses.
+func newKeeper(store platform.Store) *revision.Keeper {
+	var mu sync.Mutex
+	pauses := 0
+	return revision.New(revision.Options{
+		Store: store,
+		Now:   func() time.Time { return time.Unix(0, 0) },
+		Wait: func(context.Context, time.Duration) error {
+			mu.Lock()
+			defer mu.Unlock()
+			if pauses++; pauses > 20 {
+				return context.DeadlineExceeded
+			}
+			return nil
+		},
+	})
+}
+
+// interposed runs a function before the next swap of the record in force.
+type interposed struct {
+	platform.Store
+	before func()
+}
+
+func (s *interposed) CompareAndSwap(ctx context.Context, key string, expected platform.Version, value []byte, lease platform.LeaseID) (platform.Version, error) {
+	if before := s.before; before != nil && key == platform.ConfigKey {
+		s.before = nil
+		before()
+	}
+	return s.Store.CompareAndSwap(ctx, key, expected, value, lease)
+}
+
+var _ = Describe("Keeper", func() {
+	ctx := context.Background()
+	var store *memstore.Store
+	var keeper *revision.Keeper
+	BeforeEach(func() {
+		store = newStore()
+		keeper = newKeeper(store)
+	})
+	apply := func(id string, base config.Revision) {
+		GinkgoHelper()
+		record, err := keeper.Apply(ctx, change(id, base, int(base)+1))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(record.Revision).To(Equal(base + 1))
+	}
+
+	It("numbers revisions from one and keeps what it replaced", func() {
+		apply("a", 0)
+		apply("b", 1)
+		apply("c", 2)
+		history, err := keeper.History(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(history).To(HaveLen(3))
+		Expect(history[0].ChangeID).To(Equal("c"))
+		earlier, err := keeper.Revision(ctx, 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(earlier.YAML).To(Equal(text(1)))
+		_, err = keeper.Revision(ctx, 9)
+		Expect(err).To(MatchError(&revision.NotKeptError{Revision: 9}))
+	})
+
+	It("tells the loser of a race who won, when and with what", func() {
+		apply("a", 0)
+		racing := &interposed{Store: store, before: func() { apply("b", 1) }}
+		_, err := newKeeper(racing).Apply(ctx, change("c", 1, 7))
+		var conflict *revision.ConflictError
+		Expect(errors.As(err, &conflict)).To(BeTrue(), "%v", err)
+		Expect(conflict.InForce.ChangeID).To(Equal("b"))
+		Expect(err.Error()).To(ContainSubstring("revision 2 is in force instead of 1: applied by an at 1970-01-01T00:00:00Z (why b)"))
+		Expect(err.Error()).To(ContainSubstring("~ defaults: queue_limit: 2 -> 3"))
+		current, _ := keeper.Current(ctx)
+		Expect(current.ChangeID).To(Equal("b"))
+	})
+
+	It("refuses a faulty file, a missing reason and an old base, and keeps what is in force", func() {
+		apply("a", 0)
+		faulty := change("b", 1, 2)
+		faulty.YAML = strings.Replace(faulty.YAML, "deadline: 1s", "deadline: 1", 1)
+		_, err := keeper.Apply(ctx, faulty)
+		Expect(err).To(MatchError(ContainSubstring("c.yaml:4: services[0].classes[0].deadline")))
+		silent := change("c", 1, 2)
+		silent.Reason = " "
+		_, err = keeper.Apply(ctx, silent)
+		Expect(err).To(MatchError("request:0: reason: is missing"))
+		_, err = keeper.Apply(ctx, change("d", 0, 2))
+		Expect(err).To(BeAssignableToTypeOf(&revision.ConflictError{}))
+		_, err = keeper.Apply(ctx, change("a", 1, 2))
+		Expect(err).To(MatchError(ContainSubstring(`"a" is revision 1 already, with another text`)))
+		current, _ := keeper.Current(ctx)
+		Expect(current.ChangeID).To(Equal("a"))
+	})
+
+	It("settles a lost reply and a lost request", func() {
+		for _, faults := range []memstore.Faults{
+			{LostReplies: memstore.LostCalls{Count: 1, Prefix: platform.ConfigKey}},
+			{LostRequests: memstore.LostCalls{Count: 3, Prefix: platform.ConfigKey}},
+			{LostReplies: memstore.LostCalls{Count: 2, Prefix: platform.HistoryPrefix}},
+		} {
+			current, _ := keeper.Current(ctx)
+			store.SetFaults(faults)
+			apply(fmt.Sprint("lost", current.Revision), current.Revision)
+		}
+		history, _ := keeper.History(ctx)
+		Expect(history).To(HaveLen(3))
+	})
+
+	It("finds its lost reply below what another operator applied on top", func() {
+		apply("a", 0)
+		store.SetFaults(memstore.Faults{LostReplies: memstore.LostCalls{Count: 1, Prefix: platform.ConfigKey}})
+		other := newKeeper(store)
+		waited := revision.New(revision.Options{Store: store, Wait: func(context.Context, time.Duration) error {
+			_, err := other.Apply(ctx, change("c", 2, 9))
+			return err
+		}})
+		record, err := waited.Apply(ctx, change("b", 1, 5))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(record.Revision).To(Equal(config.Revision(2)))
+		current, _ := keeper.Current(ctx)
+		Expect(current.ChangeID).To(Equal("c"))
+	})
+
+	It("says that the outcome is unknown when the store stays away, and settles it later", func() {
+		apply("a", 0)
+		store.SetFaults(memstore.Faults{LostReplies: memstore.LostCalls{Count: 1, Prefix: platform.ConfigKey}})
+		gone := revision.New(revision.Options{Store: store, Wait: func(context.Context, time.Duration) error {
+			store.SetFaults(memstore.Faults{Outage: true})
+			return context.DeadlineExceeded
+		}})
+		_, err := gone.Apply(ctx, change("b", 1, 5))
+		Expect(err).To(BeAssignableToTypeOf(&revision.UnknownError{}))
+		store.SetFaults(memstore.Faults{})
+		record, err := keeper.Apply(ctx, change("b", 1, 5))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(record.Revision).To(Equal(config.Revision(2)))
+	})
+
+	It("applies nothing during an outage", func() {
+		apply("a", 0)
+		store.SetFaults(memstore.Faults{Outage: true})
+		_, err := keeper.Apply(ctx, change("b", 1, 5))
+		Expect(platform.IsKind(err, platform.KindUnavailable)).To(BeTrue())
+		Expect(platform.IsUnknown(err)).To(BeFalse())
+	})
+
+	It("bounds the history by count and by bytes", func() {
+		bounded := map[string]revision.Options{
+			"count": {Store: newStore(), MaxHistory: 3},
+			"bytes": {Store: newStore(), MaxHistoryBytes: 3*len(text(10)) + 1},
+		}
+		for name, options := range bounded {
+			keeper := revision.New(options)
+			for base := range config.Revision(8) {
+				_, err := keeper.Apply(ctx, change(fmt.Sprint(base), base, 10+int(base)))
+				Expect(err).NotTo(HaveOccurred(), name)
+			}
+			entries, err := options.Store.List(ctx, platform.HistoryPrefix)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(entries).To(HaveLen(4), name) // Three records and the index.
+			_, err = keeper.Revision(ctx, 5)
+			Expect(err).NotTo(HaveOccurred(), name)
+			_, err = keeper.Revision(ctx, 4)
+			Expect(err).To(BeAssignableToTypeOf(&revision.NotKeptError{}), name)
+		}
+	})
+
+	It("changes a configuration with few calls of the store, also when it prunes", func() {
+		keeper := revision.New(revision.Options{Store: store, MaxHistory: 2})
+		for base := range config.Revision(6) {
+			before := store.Counts()
+			_, err := keeper.Apply(ctx, change(fmt.Sprint(base), base, int(base)))
+			Expect(err).NotTo(HaveOccurred())
+			counts := store.Counts()
+			Expect(counts.Writes() - before.Writes()).To(BeNumerically("<=", 4))
+			Expect(counts.Reads() - before.Reads()).To(BeNumerically("<=", 4))
+		}
+	})
+
+	It("rolls back as a new revision", func() {
+		apply("a", 0)
+		apply("b", 1)
+		record, err := keeper.Rollback(ctx, 1, revision.Change{ChangeID: "r", Base: 2, Author: "an", Reason: "late stock checks"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(record.Revision).To(Equal(config.Revision(3)))
+		Expect(record.YAML).To(Equal(text(1)))
+		Expect(record.Reason).To(Equal("rollback to revision 1: late stock checks"))
+	})
+
+	It("makes an edit again on top of what won the race", func() {
+		apply("a", 0)
+		racing := &interposed{Store: store, before: func() { apply("b", 1) }}
+		edited, err := newKeeper(racing).Edit(ctx, change("e", 0, 0), func(text string) (string, error) {
+			return "# edited\n" + text, nil
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(edited.Revision).To(Equal(config.Revision(3)))
+		Expect(edited.YAML).To(Equal("# edited\n" + text(2)))
+	})
+
+	It("lets exactly one of many racing operators win each revision", func() {
+		const operators = 8
+		for base := range config.Revision(5) {
+			var group sync.WaitGroup
+			results := make([]error, operators)
+			for i := range operators {
+				group.Go(func() {
+					_, results[i] = newKeeper(store).Apply(ctx, change(fmt.Sprint(base, "-", i), base, i))
+				})
+			}
+			group.Wait()
+			winners := 0
+			for _, err := range results {
+				if err == nil {
+					winners++
+				}
+			}
+			Expect(winners).To(Equal(1))
+		}
+	})
+})
