--- a/control/ownership/page.go
+++ b/control/ownership/page.go
@@ -27,6 +27,9 @@
 	Cause     string
 	Shards    uint32
 	NextUnit  UnitID
+	// LastTerm is the highest term of the servers that were removed, so that a
+	// server that returns to the page starts above it.
+	LastTerm  Term
 	Servers   []Server
 	Units     []Unit
 	Overrides []Override
@@ -37,6 +40,13 @@
 	Name    string
 	Term    Term
 	Grantor string // Name of the VM that holds the term.
+	// Former are the VMs that held an earlier term and may still act on it, as
+	// far as the page knows: each must give its word, or the server must have
+	// accepted the present term, before a unit leaves the server.
+	Former []string
+	// Down says that the grantor found the server lost, so that nobody gives it
+	// units until its grantor reaches it again.
+	Down bool
 }
 
 // Unit is the ownership of one unit. Until Previous is cleared the unit may
--- /dev/null
+++ b/traffic/front/view.go
@@ -0,0 +1,159 @@
+package front
+
+import (
+	"time"
+
+	"guavacrank.example/config"
+	"guavacrank.example/traffic/link"
+	"guavacrank.example/traffic/load"
+	"guavacrank.example/traffic/metric"
+	"guavacrank.example/traffic/retry"
+	"guavacrank.example/traffic/route"
+)
+
+// view pairs a snapshot with this VM's own state of its services and servers.
+// It is immutable and replaced with the snapshot.
+type view struct {
+	snapshot *route.Snapshot
+	services map[string]*service
+	peers    map[string]*peer
+}
+
+// service is one service as this VM serves it. What outlives a snapshot is
+// behind pointers.
+type service struct {
+	*route.Service
+	settings config.Defaults
+	// members are the service's servers; groups are those of each zone, in a
+	// service not divided by key.
+	members map[*route.Server]*member
+	groups  []*group
+	metrics map[string]*metric.Class
+	state   *serviceState
+}
+
+// member is one server in one snapshot.
+type member struct {
+	*server
+	declared *route.Server
+	// home is the VM that queues for the server; empty means every VM itself.
+	home string
+	// share is how many requests this VM may have there at once.
+	share int
+}
+
+// serviceState is what outlives snapshots for one service.
+type serviceState struct {
+	budget *retry.Budget
+	units  *load.Units
+	keys   *load.Sketch
+	// out and in pace the service's bulk over the link between regions.
+	out, in *link.Pacer
+}
+
+// frequentKeys is the number of keys that each service's sketch holds.
+const frequentKeys = 512
+
+// current returns the view of the newest snapshot.
+func (h *Handler) current() *view {
+	v := h.view.Load()
+	if snapshot := h.options.Routes.Load(); v == nil || v.snapshot != snapshot {
+		return h.refresh()
+	}
+	return v
+}
+
+// refresh builds the view of the newest snapshot, once.
+func (h *Handler) refresh() *view {
+	h.refreshing.Lock()
+	defer h.refreshing.Unlock()
+	snapshot := h.options.Routes.Load()
+	old := h.view.Load()
+	if old != nil && old.snapshot == snapshot {
+		return old
+	}
+	next := &view{
+		snapshot: snapshot,
+		services: make(map[string]*service, len(snapshot.Services)),
+		peers:    h.peersOf(snapshot),
+	}
+	used := make(map[serverID]bool)
+	for name, routing := range snapshot.Services {
+		next.services[name] = h.serviceOf(next, routing, used)
+	}
+	h.forget(used)
+	h.view.Store(next)
+	return next
+}
+
+func (h *Handler) serviceOf(v *view, routing *route.Service, used map[serverID]bool) *service {
+	state := h.states[routing.Name]
+	if state == nil {
+		state = &serviceState{
+			budget: retry.NewBudget(),
+			units:  &load.Units{},
+			keys:   load.NewSketch(frequentKeys),
+			out:    link.NewPacer(),
+			in:     link.NewPacer(),
+		}
+		h.states[routing.Name] = state
+	}
+	s := &service{
+		Service:  routing,
+		settings: settingsOf(routing),
+		members:  make(map[*route.Server]*member, len(routing.Servers)),
+		metrics:  make(map[string]*metric.Class, len(routing.Classes)),
+		state:    state,
+	}
+	state.out.SetRate(s.settings.LinkBulkRate)
+	state.in.SetRate(s.settings.LinkBulkRate)
+	for name := range routing.Classes {
+		s.metrics[name] = h.metrics.Class(routing.Name, name)
+	}
+	for _, declared := range routing.Servers {
+		s.members[declared] = h.memberOf(v, s, declared, used)
+	}
+	if !s.DividedByKey {
+		s.groups = h.groupsOf(v, s)
+	}
+	return s
+}
+
+func (h *Handler) memberOf(v *view, s *service, declared *route.Server, used map[serverID]bool) *member {
+	id := serverID{s.Name, declared.Name, declared.Address}
+	used[id] = true
+	m := &member{declared: declared, home: h.homeOf(v, s, declared)}
+	m.share = h.shareOf(v, m)
+	m.server = h.serverOf(id, m.share)
+	m.configure(m.share, limits{s.settings.QueueLimit, s.settings.BulkFloor})
+	return m
+}
+
+// homeOf returns the VM that queues for a server. Of a server that does not
+// check grants it is the home that control names. Otherwise it is a VM in the
+// server's zone: a slot stays unused while an answer and the next request
+// travel, so that the distance between queue and server costs capacity.
+func (h *Handler) homeOf(v *view, s *service, declared *route.Server) string {
+	if s.DividedByKey && !declared.ChecksGrants || len(v.snapshot.Places) == 0 {
+		return declared.Home
+	}
+	subject := s.Name
+	if s.DividedByKey {
+		subject += "/" + declared.Name
+	}
+	return v.snapshot.QueueVM(subject, declared.Region, declared.Zone)
+}
+
+// Sweep closes connections that were unused for long, and turns the windows of
+// the histograms. The daemon calls it about once a second.
+func (h *Handler) Sweep(now time.Time) {
+	h.metrics.Turn(now)
+	h.refreshing.Lock()
+	defer h.refreshing.Unlock()
+	for _, held := range h.servers {
+		held.pool.CloseIdle(now)
+	}
+	for _, held := range h.peers {
+		held.pool.CloseIdle(now)
+	}
+}
--- a/traffic/route/snapshot.go
+++ b/traffic/route/snapshot.go
@@ -18,8 +18,14 @@
 	Services map[string]*Service
 	// Peers maps VM names to their IP:port for forwarded requests.
 	Peers map[string]string
+	// Places tells where each VM stands that takes forwarded requests, this
+	// one included; VMs that leave are not in it.
+	Places map[string]Place
 }
 
+// Place is where a VM stands.
+type Place struct{ Region, Zone string }
+
 // Service is the routing of one service.
 type Service struct {
 	Name         string
@@ -28,6 +34,8 @@
 	// PageVersion is the store's version of the ownership page, zero without one.
 	PageVersion uint64
 	Classes     map[string]config.Class
+	// DefaultClass names the class of requests that name none: the first declared.
+	DefaultClass string
 	// Units is indexed by shard; Overrides is looked up first.
 	Units     []Unit
 	Overrides map[string]Unit
