revision: one revision an hour beyond the newest hundred

Two tests also used a freed port, which another process may take. Change: pruning keeps the last revision of each hour, 48 of them; the tests use an address that stays in use; clocks in tests stand still.

--- a/cmd/internal/command/command_test.go
+++ b/cmd/internal/command/command_test.go
@@ -87,6 +87,19 @@
 	return result{status: status, out: out.String(), err: errs.String()}
 }
 
+// deafAddress returns an address that is in use, so that nobody else takes it,
+// and on which nothing listens: the near end of a connection.
+func deafAddress() string {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	DeferCleanup(connection.Close)
+	return connection.LocalAddr().String()
+}
+
 var _ = Describe("guavacrankctl", func() {
 	var store *memstore.Store
 	var address, file string
@@ -204,10 +217,7 @@
 	})
 
 	It("exits with 1 and one line when nothing answers", func() {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		gone := listener.Addr().String()
-		Expect(listener.Close()).To(Succeed())
+		gone := deafAddress()
 		for _, args := range [][]string{{"status"}, {"events", "-follow"}, {"apply", verhaegen, "-reason", "r"}} {
 			got := run(gone, args...)
 			Expect(got.status).To(Equal(command.Failed))
--- a/daemon/operator/operator_test.go
+++ b/daemon/operator/operator_test.go
@@ -100,6 +100,19 @@
 	return problem
 }
 
+// deafAddress returns an address that is in use, so that nobody else takes it,
+// and on which nothing listens: the near end of a connection.
+func deafAddress() string {
+	GinkgoHelper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	connection, err := net.Dial("tcp", listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	DeferCleanup(connection.Close)
+	return connection.LocalAddr().String()
+}
+
 var _ = Describe("Server", func() {
 	ctx := context.Background()
 	var (
@@ -297,12 +310,9 @@
 	}
 
 	It("says in one line that nothing answers", func() {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		address := listener.Addr().String()
-		Expect(listener.Close()).To(Succeed())
+		address := deafAddress()
 		call := client.New(client.Options{Address: address, Token: token})
-		_, err = call.Status(context.Background())
+		_, err := call.Status(context.Background())
 		Expect(kindOf(err)).To(Equal(client.KindUnreachable))
 		Expect(err.Error()).To(Equal("no daemon answers at " + address + ": connect: connection refused"))
 		_, err = call.Apply(context.Background(), operator.ApplyRequest{ChangeID: "a"})
--- a/daemon/revision/history.go
+++ b/daemon/revision/history.go
@@ -164,17 +164,37 @@
 	return total
 }
 
-// prune removes the oldest revisions beyond the bounds.
+// prune removes what is beyond the bounds.
 func (k *Keeper) prune(ctx context.Context, kept *index) error {
-	for len(kept.Entries) > k.options.MaxHistory || kept.bytes() > k.options.MaxHistoryBytes {
-		if err := k.remove(ctx, historyKey(kept.Entries[0].Revision)); err != nil {
+	for {
+		victim, found := k.victim(*kept)
+		if !found {
+			return nil
+		}
+		if err := k.remove(ctx, historyKey(kept.Entries[victim].Revision)); err != nil {
 			return err
 		}
-		kept.Entries = kept.Entries[1:]
+		kept.Entries = slices.Delete(kept.Entries, victim, victim+1)
 	}
-	return nil
 }
 
+// victim chooses the revision to remove. The newest MaxHistory are kept, and
+// before them the last of each hour, MaxHourly of those; all within
+// MaxHistoryBytes. The hours are those of the records and decide nothing else.
+func (k *Keeper) victim(kept index) (int, bool) {
+	entries := kept.Entries
+	older := len(entries) - k.options.MaxHistory
+	for i := range older {
+		if hour(entries[i]).Equal(hour(entries[i+1])) {
+			return i, true
+		}
+	}
+	return 0, older > k.options.MaxHourly || kept.bytes() > k.options.MaxHistoryBytes
+}
+
+// hour returns the hour of a revision.
+func hour(entry Summary) time.Time { return entry.Time.Truncate(time.Hour) }
+
 // remove deletes a key that may be gone already.
 func (k *Keeper) remove(ctx context.Context, key string) error {
 	entry, err := k.options.Store.Get(ctx, key)
--- a/daemon/revision/revision.go
+++ b/daemon/revision/revision.go
@@ -31,15 +31,18 @@
 	Now func() time.Time
 	// Wait pauses between two attempts at the store. Nil takes a timer.
 	Wait func(ctx context.Context, pause time.Duration) error
-	// MaxHistory bounds the kept earlier revisions, MaxHistoryBytes their size.
+	// MaxHistory bounds the newest earlier revisions, MaxHourly those before
+	// them, of which one an hour is kept, and MaxHistoryBytes the size of all.
 	// Zero takes the defaults.
 	MaxHistory      int
+	MaxHourly       int
 	MaxHistoryBytes int
 }
 
 // Defaults of Options.
 const (
 	DefaultMaxHistory      = 100
+	DefaultMaxHourly       = 48
 	DefaultMaxHistoryBytes = 16 << 20
 )
 
@@ -80,6 +83,9 @@
 	if options.MaxHistory == 0 {
 		options.MaxHistory = DefaultMaxHistory
 	}
+	if options.MaxHourly == 0 {
+		options.MaxHourly = DefaultMaxHourly
+	}
 	if options.MaxHistoryBytes == 0 {
 		options.MaxHistoryBytes = DefaultMaxHistoryBytes
 	}
--- a/daemon/revision/revision_test.go
+++ b/daemon/revision/revision_test.go
@@ -195,6 +195,7 @@
 			"bytes": {Store: newStore(), MaxHistoryBytes: 3*len(text(10)) + 1},
 		}
 		for name, options := range bounded {
+			options.Now = func() time.Time { return time.Unix(0, 0) }
 			keeper := revision.New(options)
 			for base := range config.Revision(8) {
 				_, err := keeper.Apply(ctx, change(fmt.Sprint(base), base, 10+int(base)))
@@ -211,7 +212,7 @@
 	})
 
 	It("changes a configuration with few calls of the store, also when it prunes", func() {
-		keeper := revision.New(revision.Options{Store: store, MaxHistory: 2})
+		keeper := revision.New(revision.Options{Store: store, MaxHistory: 2, Now: func() time.Time { return time.Unix(0, 0) }})
 		for base := range config.Revision(6) {
 			before := store.Counts()
 			_, err := keeper.Apply(ctx, change(fmt.Sprint(base), base, int(base)))
@@ -222,6 +223,23 @@
 		}
 	})
 
+	It("keeps one revision an hour before the newest ones", func() {
+		now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+		keeper := revision.New(revision.Options{Store: store, MaxHistory: 2, MaxHourly: 3, Now: func() time.Time { return now }})
+		for base := range config.Revision(36) {
+			_, err := keeper.Apply(ctx, change(fmt.Sprint(base), base, int(base)))
+			Expect(err).NotTo(HaveOccurred())
+			now = now.Add(10 * time.Minute)
+		}
+		history, err := keeper.History(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		var kept []config.Revision
+		for _, entry := range history {
+			kept = append(kept, entry.Revision)
+		}
+		Expect(kept).To(Equal([]config.Revision{36, 35, 34, 30, 24, 18}))
+	})
+
 	It("rolls back as a new revision", func() {
 		apply("a", 0)
 		apply("b", 1)
