--- a/fleet/membership/machine.go
+++ b/fleet/membership/machine.go
@@ -36,6 +36,10 @@
 	// announceAgain is when a starting VM repeats its record, once it knows peers.
 	announceAgain = 300 * time.Millisecond
 	startDuration = 10 * time.Second
+	// recordBurst and recordInterval bound the versions of this VM's record: so
+	// many at once, then one in each interval.
+	recordBurst    = 4
+	recordInterval = 2 * time.Second
 )
 
 // Mutations switch off single rules, to show that a check can fail.
@@ -95,8 +99,11 @@
 	leaving       bool
 	storeFailing  bool
 	recordChanged bool
-	announceAt    time.Duration // Zero: no repeated announcement is due.
-	claimedAt     time.Duration
+	// publishCredit is how much time the record's versions may still take up.
+	publishCredit   time.Duration
+	publishCreditAt time.Duration
+	announceAt      time.Duration // Zero: no repeated announcement is due.
+	claimedAt       time.Duration
 
 	heartbeatAt  time.Duration
 	watchers     []string // VMs that this VM sends heartbeats to.
@@ -162,7 +169,7 @@
 	m.checkWatched(now)
 	m.judge(now)
 	m.sendHeartbeats(now)
-	m.publishRecord()
+	m.publishRecord(now)
 	m.forgetGone(now)
 }
 
@@ -220,6 +227,7 @@
 	m.started = now
 	m.lastTick = now
 	m.lastHeard = now
+	m.publishCredit, m.publishCreditAt = recordBurst*recordInterval, now
 	m.watchesStale = true
 }
 
@@ -269,9 +277,20 @@
 	m.ready.Messages = append(m.ready.Messages, Outbound{To: to, Message: message})
 }
 
+// mayPublish takes one version of the record from what the rate allows.
+func (m *Machine) mayPublish(now time.Duration) bool {
+	m.publishCredit = min(m.publishCredit+now-m.publishCreditAt, recordBurst*recordInterval)
+	m.publishCreditAt = now
+	if m.publishCredit < recordInterval {
+		return false
+	}
+	m.publishCredit -= recordInterval
+	return true
+}
+
 // publishRecord writes this VM's own record when it changed.
-func (m *Machine) publishRecord() {
-	if !m.recordChanged {
+func (m *Machine) publishRecord(now time.Duration) {
+	if !m.recordChanged || !m.mayPublish(now) {
 		return
 	}
 	m.recordChanged = false
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -56,6 +56,8 @@
 	spread      *spread.Machine
 	ready       Ready
 	zoneCheckAt time.Duration
+	// membersChanged waits for the next tick: many VMs may change at once.
+	membersChanged bool
 }
 
 // New returns a node that knows only itself.
@@ -97,7 +99,7 @@
 func (n *Node) Tick(now time.Duration) {
 	n.checkZones(now)
 	n.members.Tick(now)
-	n.settle(now)
+	n.settleTick(now)
 	n.spread.Tick(now)
 	n.settle(now)
 }
@@ -124,6 +126,19 @@
 // Agreed returns how many other VMs had the same documents as this VM.
 func (n *Node) Agreed() int { return n.spread.Agreed() }
 
+// settleTick tells the spreading who is there before it gets the records that
+// this VM publishes.
+func (n *Node) settleTick(now time.Duration) {
+	ready := n.members.Ready()
+	if ready.MembersChanged || n.membersChanged {
+		n.membersChanged = false
+		n.ready.MembersChanged = true
+		n.spread.Step(now, spread.PeersChanged{Peers: n.peers()})
+	}
+	n.takeMembers(now, ready)
+	n.settle(now)
+}
+
 // settle carries outputs of one machine to the other until both are at rest.
 func (n *Node) settle(now time.Duration) {
 	for moved := true; moved; {
@@ -134,18 +149,19 @@
 
 func (n *Node) settleMembers(now time.Duration) bool {
 	ready := n.members.Ready()
+	n.membersChanged = n.membersChanged || ready.MembersChanged
+	n.takeMembers(now, ready)
+	return len(ready.Publish) > 0
+}
+
+func (n *Node) takeMembers(now time.Duration, ready membership.Ready) {
 	for _, out := range ready.Messages {
 		n.ready.Messages = append(n.ready.Messages, Outbound(out))
 	}
 	n.ready.Events = append(n.ready.Events, ready.Events...)
-	if ready.MembersChanged {
-		n.ready.MembersChanged = true
-		n.spread.Step(now, spread.PeersChanged{Peers: n.peers()})
-	}
 	for _, record := range ready.Publish {
 		n.spread.Step(now, spread.Published{Document: record})
 	}
-	return ready.MembersChanged || len(ready.Publish) > 0
 }
 
 func (n *Node) settleSpread(now time.Duration) bool {
--- a/fleet/spread/machine.go
+++ b/fleet/spread/machine.go
@@ -49,7 +49,7 @@
 	startInterval     = 300 * time.Millisecond
 	startTargets      = 3 // VMs picked at random that a starting VM compares with.
 	startAgreed       = 4 // VMs with equal documents, after which the start is over.
-	randomRound       = 4 // Every n-th digest also goes to a VM picked at random.
+	randomRound       = 8 // Every n-th digest also goes to a VM picked at random.
 	unansweredPenalty = 5 * time.Second
 )
 
--- a/fleet/transport.go
+++ b/fleet/transport.go
@@ -18,13 +18,12 @@
 )
 
 const (
-	dialTimeout      = time.Second
-	streamIdle       = 10 * time.Second // After which an unused stream or connection is closed.
-	peerQueueSize    = 256
-	connectionPing   = 2 * time.Second // Silence after which a connection is tested.
-	pingTimeout      = time.Second
-	reopenDelay      = 100 * time.Millisecond
-	compressMinBytes = 1024
+	dialTimeout    = time.Second
+	streamIdle     = 10 * time.Second // After which an unused stream or connection is closed.
+	peerQueueSize  = 256
+	connectionPing = 2 * time.Second // Silence after which a connection is tested.
+	pingTimeout    = time.Second
+	reopenDelay    = 100 * time.Millisecond
 )
 
 // Traffic counts what one VM's connections to others have carried.
@@ -215,8 +214,7 @@
 	}
 	s.reopenAt = time.Now().Add(reopenDelay)
 	streamContext, cancel := context.WithCancel(ctx)
-	client := fleetv1connect.NewPeerServiceClient(s.transport.client, "http://"+address,
-		connect.WithSendGzip(), connect.WithCompressMinBytes(compressMinBytes))
+	client := fleetv1connect.NewPeerServiceClient(s.transport.client, "http://"+address)
 	stream := client.Exchange(streamContext)
 	stream.RequestHeader().Set(authorizationHeader, bearerPrefix+s.transport.token)
 	s.stream, s.cancel, s.address = stream, cancel, address
