control: a home holds back while a write that moves its units is not settled

Cause: a random run (0 of 4 servers check grants, a frozen server, a late write) found two servers serving one unit: the home of a server that thawed sent to it again before the outcome of the loss write was known. Change: the loss system leaves such a server alone until the page is settled; the renewal interval is used as configured. Conclusion: the rule of the pending loss write holds for homes too.

--- a/control/model_test.go
+++ b/control/model_test.go
@@ -285,15 +285,17 @@
 	}},
 	// A frozen server thaws after its grantor was told nothing of the write
 	// that moves its units, and before that write reaches the store.
-	{control.RuleReadBack, 1400 * time.Millisecond, 2500 * time.Millisecond, 50 * time.Millisecond, func(f *controltest.Fleet, delay time.Duration) {
-		f.Store.Late = 100
-		f.Server("s0").Freeze()
-		f.At(delay, f.Server("s0").Thaw)
-	}},
+	{control.RuleReadBack, 1400 * time.Millisecond, 2500 * time.Millisecond, 50 * time.Millisecond, thawDuringLateWrite},
+}
+
+func thawDuringLateWrite(f *controltest.Fleet, delay time.Duration) {
+	f.Store.Late = 100
+	f.Server("s0").Freeze()
+	f.At(delay, f.Server("s0").Thaw)
 }
 
-func (s staged) run(delay time.Duration, mutate func(*control.Machine)) *controltest.Fleet {
-	options := smallFleet(1, 4, 8, allCheck)
+func (s staged) run(delay time.Duration, checks func(int) bool, mutate func(*control.Machine)) *controltest.Fleet {
+	options := smallFleet(1, 4, 8, checks)
 	options.Mutate = mutate
 	f := controltest.New(options)
 	f.Run(4 * time.Second)
@@ -311,11 +313,11 @@
 		t.Run(string(race.rule), func(t *testing.T) {
 			broken := 0
 			for delay := race.first; delay <= race.last; delay += race.gap {
-				f := race.run(delay, nil)
+				f := race.run(delay, allCheck, nil)
 				if problems := f.Violations(); len(problems) > 0 || len(f.Unserved(recipes)) > 0 {
 					t.Fatalf("delay %v: %v, not served %v\n%s", delay, problems, f.Unserved(recipes), f.Describe())
 				}
-				broken += min(1, len(race.run(delay, func(m *control.Machine) { m.Disable(race.rule) }).Violations()))
+				broken += min(1, len(race.run(delay, allCheck, func(m *control.Machine) { m.Disable(race.rule) }).Violations()))
 			}
 			if broken == 0 {
 				t.Fatalf("without the rule %q nothing is broken: the race is not staged", race.rule)
@@ -324,6 +326,19 @@
 	}
 }
 
+// TestHomeHoldsBackDuringLateWrite plays the race of the read-back with servers
+// that do not check grants: their home must not send to them again while a
+// write that moves their units is not settled.
+func TestHomeHoldsBackDuringLateWrite(t *testing.T) {
+	race := staged{play: thawDuringLateWrite}
+	for delay := 1400 * time.Millisecond; delay <= 2500*time.Millisecond; delay += 25 * time.Millisecond {
+		f := race.run(delay, func(int) bool { return false }, nil)
+		if problems := f.Violations(); len(problems) > 0 || len(f.Unserved(recipes)) > 0 {
+			t.Fatalf("delay %v: %v, not served %v\n%s", delay, problems, f.Unserved(recipes), f.Describe())
+		}
+	}
+}
+
 // TestMutations switches off a safety rule; random faults must then break an
 // invariant.
 func TestMutations(t *testing.T) {
--- a/control/settings.go
+++ b/control/settings.go
@@ -91,11 +91,12 @@
 }
 
 // sendInterval is the time between two orders to a server. An order rests on
-// the clock reading of the answer before it, so two orders are sent in each
-// renewal interval.
+// the clock reading of the answer before it, so a server that was just renewed
+// has one interval less than the life of a grant, and another one passes until
+// the next order: the rest is what a takeover has without an outage.
 func (m *Machine) sendInterval() time.Duration {
 	if m.defaults.RenewInterval > 0 {
-		return m.defaults.RenewInterval / 2
+		return m.defaults.RenewInterval
 	}
 	return m.timeToLive() / 6
 }
--- a/control/system_loss.go
+++ b/control/system_loss.go
@@ -32,6 +32,9 @@
 	if len(s.owned[sv.name]) == 0 && len(s.leaving[sv.name]) == 0 {
 		return false
 	}
+	if s.blockedByLoss(sv.name) {
+		return false
+	}
 	declared := m.serverDeclaredLost(sv)
 	if !declared && !m.silent(sv, m.timeToLive()/2) {
 		m.resumeSends(sv)
