--- a/bench/suite/suite.go
+++ b/bench/suite/suite.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 
+	"guavacrank.example/bench/failover"
 	"guavacrank.example/bench/placement"
 	"guavacrank.example/bench/report"
 )
@@ -28,5 +29,12 @@
 				return placement.Run(ctx, placement.Options{Seed: seed})
 			},
 		},
+		{
+			Name:    "failover",
+			Summary: "unavailable time at each kind of loss and planned change, on a virtual clock",
+			Run: func(ctx context.Context, seed uint64) (report.Report, error) {
+				return failover.Run(ctx, failover.Options{Seed: seed})
+			},
+		},
 	}
 }
--- a/control/controltest/check.go
+++ b/control/controltest/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"guavacrank.example/control/ownership"
@@ -114,80 +115,84 @@
 	if version == 0 {
 		return
 	}
-	serving := make(map[ownership.UnitID]string)
+	serving := make(map[ownership.UnitID]string, len(page.Units))
+	served := make([]bool, len(page.Units))
 	for _, server := range c.fleet.Servers {
-		if server.Config.Service != name {
-			continue
-		}
-		for _, unit := range page.Units {
-			c.checkUnit(server, name, unit, serving)
+		if server.Config.Service == name {
+			c.checkServer(server, &page, serving, served)
 		}
 	}
-	for _, unit := range page.Units {
-		c.measure(name, unit)
+	for i, unit := range page.Units {
+		c.measure(name, unit.ID, served[i])
 	}
 }
 
-func (c *checker) checkUnit(server *Server, name string, unit ownership.Unit, serving map[ownership.UnitID]string) {
-	key := serviceUnit{name, unit.ID}
-	epoch, serves := server.serves(unit.ID)
-	if serves && c.owners[unitEpoch{key, epoch}] != server.Config.Name {
-		c.violate(OnlyAcknowledged, "%s serves unit %d at epoch %d", server.Config.Name, unit.ID, epoch)
-	}
-	if !serves {
-		serves = c.homeSends(server, key)
-	}
-	if from, isOverride := c.splits[key]; !serves && isOverride {
-		shardEpoch, holdsShard := server.serves(from.shard)
-		serves = holdsShard && shardEpoch < from.epoch
-	}
-	if !serves {
-		return
-	}
-	if other := serving[unit.ID]; other != "" {
-		c.violate(OneOwner, "%s and %s may both serve unit %d of %s", other, server.Config.Name, unit.ID, name)
+// checkServer notes which units a server may serve, and which of them it does
+// serve as their confirmed owner.
+func (c *checker) checkServer(server *Server, page *ownership.Page, serving map[ownership.UnitID]string, served []bool) {
+	name := server.Config.Name
+	held := server.held()
+	homes := c.homes(server)
+	works := !server.Lost && !server.frozen
+	for i, unit := range page.Units {
+		key := serviceUnit{page.Service, unit.ID}
+		epoch, may := held[unit.ID]
+		if may && c.owners[unitEpoch{key, epoch}] != name {
+			c.violate(OnlyAcknowledged, "%s serves unit %d at epoch %d", name, unit.ID, epoch)
+		}
+		if unit.Owner == name && works {
+			served[i] = may && epoch == unit.Epoch || sendsNow(server, unit.ID, homes)
+		}
+		if from, isOverride := c.splits[key]; !may && isOverride {
+			shardEpoch, holdsShard := held[from.shard]
+			may = holdsShard && shardEpoch < from.epoch
+		}
+		if !may && !c.homeSends(server, key, homes) {
+			continue
+		}
+		if other := serving[unit.ID]; other != "" {
+			c.violate(OneOwner, "%s and %s may both serve unit %d of %s", other, name, unit.ID, page.Service)
+		}
+		serving[unit.ID] = name
 	}
-	serving[unit.ID] = server.Config.Name
 }
 
-// homeSends reports whether a request may run at a server that does not check
-// grants: a home may send one, or one that it sent may still run.
-func (c *checker) homeSends(server *Server, key serviceUnit) bool {
+// homes returns the VMs that may send to a server that does not check grants.
+func (c *checker) homes(server *Server) []*VM {
 	if server.Config.ChecksGrants {
-		return false
+		return nil
 	}
-	now := c.fleet.clock.now
-	send := sendKey{key, server.Config.Name}
+	var homes []*VM
 	for _, vm := range c.fleet.VMs {
-		if vm.maySend(server, key.unit) {
-			c.sentAt[send] = now
+		if vm.isHome(server) {
+			homes = append(homes, vm)
 		}
 	}
-	at, sent := c.sentAt[send]
-	return sent && now-at < runTime && !server.Lost
+	return homes
 }
 
-// served reports whether the confirmed owner of a unit serves it.
-func (c *checker) served(name string, unit ownership.Unit) bool {
-	server := c.fleet.Server(unit.Owner)
-	if server.Lost || server.frozen {
+func sendsNow(server *Server, id ownership.UnitID, homes []*VM) bool {
+	return slices.ContainsFunc(homes, func(vm *VM) bool { return vm.maySend(server, id) })
+}
+
+// homeSends reports whether a request may run at a server that does not check
+// grants: a home may send one, or one that it sent may still run.
+func (c *checker) homeSends(server *Server, key serviceUnit, homes []*VM) bool {
+	if server.Config.ChecksGrants || server.Lost {
 		return false
 	}
-	if server.Config.ChecksGrants {
-		epoch, serves := server.serves(unit.ID)
-		return serves && epoch == unit.Epoch
-	}
-	for _, vm := range c.fleet.VMs {
-		if vm.maySend(server, unit.ID) {
-			return true
-		}
+	now := c.fleet.clock.now
+	send := sendKey{key, server.Config.Name}
+	if sendsNow(server, key.unit, homes) {
+		c.sentAt[send] = now
 	}
-	return false
+	at, sent := c.sentAt[send]
+	return sent && now-at < runTime
 }
 
-func (c *checker) measure(name string, unit ownership.Unit) {
-	key := serviceUnit{name, unit.ID}
-	if c.served(name, unit) {
+func (c *checker) measure(name string, id ownership.UnitID, served bool) {
+	key := serviceUnit{name, id}
+	if served {
 		delete(c.since, key)
 		return
 	}
@@ -197,14 +202,15 @@
 	if c.outages[name] == nil {
 		c.outages[name] = make(map[ownership.UnitID]time.Duration)
 	}
-	c.outages[name][unit.ID] = max(c.outages[name][unit.ID], c.fleet.clock.now-c.since[key])
+	c.outages[name][id] = max(c.outages[name][id], c.fleet.clock.now-c.since[key])
 }
 
+// unserved returns the units that were not served at the last check.
 func (c *checker) unserved(name string) []ownership.UnitID {
 	page, _ := c.fleet.Store.Page(name)
 	var found []ownership.UnitID
 	for _, unit := range page.Units {
-		if !c.served(name, unit) {
+		if _, open := c.since[serviceUnit{name, unit.ID}]; open {
 			found = append(found, unit.ID)
 		}
 	}
--- a/control/controltest/server.go
+++ b/control/controltest/server.go
@@ -117,11 +117,11 @@
 	return backend.GrantAccepted
 }
 
-// serves returns the epoch at which the server would run a request for a unit.
-func (s *Server) serves(id ownership.UnitID) (ownership.Epoch, bool) {
+// held returns the units for which the server would run requests, with their
+// epochs.
+func (s *Server) held() map[ownership.UnitID]ownership.Epoch {
 	if s.Lost || !s.Config.ChecksGrants || s.milliseconds() >= s.fence.expires {
-		return 0, false
+		return nil
 	}
-	epoch, held := s.fence.units[id]
-	return epoch, held
+	return s.fence.units
 }
--- a/control/controltest/vm.go
+++ b/control/controltest/vm.go
@@ -1,6 +1,7 @@
 package controltest
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -161,26 +162,38 @@
 	})
 }
 
-// maySend reports whether traffic on the VM sends requests for a unit to a
-// server that does not check grants.
-func (vm *VM) maySend(server *Server, id ownership.UnitID) bool {
-	if vm.dead || vm.paused {
+// isHome reports whether traffic on the VM may send to a server that does not
+// check grants.
+func (vm *VM) isHome(server *Server) bool {
+	routed := vm.routed(server.Config.Service)
+	if routed == nil {
 		return false
 	}
-	for _, service := range vm.routing.Services {
-		if service.Name != server.Config.Service {
-			continue
-		}
-		for _, entry := range service.Servers {
-			if entry.Name == server.Config.Name && vm.local() >= entry.HomeUntil {
-				return false
-			}
-		}
-		for _, unit := range service.Units {
-			if unit.ID == id {
-				return unit.Owner == server.Config.Name && unit.Servable
-			}
+	for _, entry := range routed.Servers {
+		if entry.Name == server.Config.Name {
+			return vm.local() < entry.HomeUntil
 		}
 	}
 	return false
 }
+
+// maySend reports whether a home sends requests for a unit to a server.
+func (vm *VM) maySend(server *Server, id ownership.UnitID) bool {
+	units := vm.routed(server.Config.Service).Units
+	i, found := slices.BinarySearchFunc(units, id, func(unit control.UnitRouting, id ownership.UnitID) int {
+		return int(int64(unit.ID) - int64(id))
+	})
+	return found && units[i].Owner == server.Config.Name && units[i].Servable
+}
+
+// routed returns what traffic on the VM knows of a service, nil while it rests.
+func (vm *VM) routed(service string) *control.ServiceRouting {
+	if vm.dead || vm.paused {
+		return nil
+	}
+	i := slices.IndexFunc(vm.routing.Services, func(r control.ServiceRouting) bool { return r.Name == service })
+	if i < 0 {
+		return nil
+	}
+	return &vm.routing.Services[i]
+}
--- a/control/settings.go
+++ b/control/settings.go
@@ -53,7 +53,10 @@
 	writeTimeout = time.Second
 	// minBackoff and maxBackoff bound the delay of a repeated write or read.
 	minBackoff = 50 * time.Millisecond
-	maxBackoff = 2 * time.Second
+	maxBackoff = time.Second
+	// backoffPerMember raises maxBackoff, so that a store that returns is not
+	// met by more calls than it takes.
+	backoffPerMember = time.Millisecond
 	// refreshInterval is the least time between two reads that nothing asked for.
 	refreshInterval = 5 * time.Second
 	// refreshPerMember lengthens refreshInterval, so that the rate of reads at
@@ -90,6 +93,11 @@
 	return backend.GrantTimeToLive
 }
 
+// maxBackoff is the longest delay of a repeated write or read.
+func (m *Machine) maxBackoff() time.Duration {
+	return max(maxBackoff, time.Duration(len(m.members.list))*backoffPerMember)
+}
+
 // sendInterval is the time between two orders to a server. An order rests on
 // the clock reading of the answer before it, so a server that was just renewed
 // has one interval less than the life of a grant, and another one passes until
--- a/control/system_reads.go
+++ b/control/system_reads.go
@@ -53,7 +53,7 @@
 	if s.readFails == 1 {
 		m.emit(event.StoreSilent, "a read of the page was not answered", "service", s.name)
 	}
-	s.readRetryAt = m.now + min(minBackoff<<min(s.readFails, 6), maxBackoff)
+	s.readRetryAt = m.now + min(minBackoff<<min(s.readFails, 6), m.maxBackoff())
 }
 
 // readAnswered notes that the store answers.
--- a/control/writes.go
+++ b/control/writes.go
@@ -83,7 +83,7 @@
 	d.page.ChangedBy = m.options.Self
 	d.page.Cause = strings.Join(d.causes, "; ")
 	if !m.soundSuccessor(s, &d.page) {
-		s.retryAt = m.now + maxBackoff
+		s.retryAt = m.now + m.maxBackoff()
 		return
 	}
 	s.pending = &pendingWrite{
@@ -128,7 +128,7 @@
 
 func (m *Machine) outcomeUnknown(s *service) {
 	s.pending.unknown = true
-	s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
+	s.backoff = min(max(2*s.backoff, minBackoff), m.maxBackoff())
 	s.retryAt = m.now + s.backoff
 	m.wantSince(s, m.now)
 	if m.disabled.readBack {
@@ -167,7 +167,7 @@
 		return
 	}
 	s.pending = nil
-	s.backoff = min(max(2*s.backoff, minBackoff), maxBackoff)
+	s.backoff = min(max(2*s.backoff, minBackoff), m.maxBackoff())
 	s.retryAt = m.now + s.backoff
 }
 
