backend/fence, control: a run under an earlier epoch of a shard counts as finishing

Cause: a key that left its shard was moved while a run of it, begun under the shard's earlier epoch, went on at the old owner: the fence listed only units outside the granted set. Change: the fence counts runs by unit and epoch and lists every unit that runs at an epoch that is not granted; the fakes run the published fence and requests that take time; grants use backend.Digest (control's own differed).

--- a/backend/fence/fence.go
+++ b/backend/fence/fence.go
@@ -21,7 +21,7 @@
 	units   map[uint32]uint64 // Granted epoch by unit.
 	digest  uint64
 	expires int64
-	running map[uint32]int // Runs in flight by unit.
+	running map[backend.UnitGrant]int // Runs in flight by unit and epoch.
 }
 
 // position orders the accepted orders.
@@ -38,7 +38,7 @@
 		boot:    boot,
 		units:   make(map[uint32]uint64),
 		digest:  backend.Digest(nil),
-		running: make(map[uint32]int),
+		running: make(map[backend.UnitGrant]int),
 	}
 }
 
@@ -99,16 +99,18 @@
 	f.digest = backend.Digest(order.Units)
 }
 
-// finishing returns the units outside the granted set that have runs in flight, sorted.
+// finishing returns the units that have runs in flight at an epoch that is not
+// granted, sorted. A shard at a lower epoch is among them: a key that has left
+// it since may be running.
 func (f *Fence) finishing() []uint32 {
 	var units []uint32
-	for unit := range f.running {
-		if _, granted := f.units[unit]; !granted {
-			units = append(units, unit)
+	for run := range f.running {
+		if epoch, granted := f.units[run.Unit]; !granted || epoch != run.Epoch {
+			units = append(units, run.Unit)
 		}
 	}
 	slices.Sort(units)
-	return units
+	return slices.Compact(units)
 }
 
 // Serve reports whether the server holds a valid grant for unit at epoch.
@@ -127,15 +129,16 @@
 	if !f.Serve(unit, epoch, clock) {
 		return false
 	}
-	f.running[unit]++
+	f.running[backend.UnitGrant{Unit: unit, Epoch: epoch}]++
 	return true
 }
 
-// End ends a run that Begin started.
-func (f *Fence) End(unit uint32) {
-	f.running[unit]--
-	if f.running[unit] <= 0 {
-		delete(f.running, unit)
+// End ends a run that Begin started for the unit at the epoch.
+func (f *Fence) End(unit uint32, epoch uint64) {
+	run := backend.UnitGrant{Unit: unit, Epoch: epoch}
+	f.running[run]--
+	if f.running[run] <= 0 {
+		delete(f.running, run)
 	}
 }
 
--- a/backend/fence/fence_test.go
+++ b/backend/fence/fence_test.go
@@ -94,11 +94,21 @@
 		Expect(server.Begin(7, 3, 1)).To(BeTrue())
 		Expect(server.Step(full(1, 2, 2, 1000, other), 2).Finishing).To(Equal([]uint32{7}))
 		Expect(server.Begin(7, 3, 3)).To(BeFalse())
-		server.End(7)
+		server.End(7, 3)
 		Expect(server.Step(full(1, 2, 3, 1000, other), 4).Finishing).To(Equal([]uint32{7}))
-		server.End(7)
+		server.End(7, 3)
 		Expect(server.Step(full(1, 2, 4, 1000, other), 5).Finishing).To(BeEmpty())
 	})
+
+	It("lists a unit that is granted at a higher epoch than a run began at", func() {
+		server.Step(full(1, 1, 1, 1000, unit), 0)
+		Expect(server.Begin(7, 3, 1)).To(BeTrue())
+		higher := backend.UnitGrant{Unit: 7, Epoch: 4}
+		Expect(server.Step(full(1, 2, 2, 1000, higher), 2).Finishing).To(Equal([]uint32{7}))
+		Expect(server.Begin(7, 4, 3)).To(BeTrue())
+		server.End(7, 3)
+		Expect(server.Step(full(1, 2, 3, 1000, higher), 4).Finishing).To(BeEmpty())
+	})
 })
 
 // TestOrderOfArrival checks that whatever order repeated and reordered orders
--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -102,9 +102,9 @@
 	// runs on while the process is frozen or the VM is suspended.
 	Clock       int64  `json:"clock_ms"`
 	HighestTerm uint64 `json:"highest_term"`
-	// Finishing lists units outside the granted set that still have runs in
-	// flight. A unit is stopped once the server accepted a set without it and
-	// does not list it here.
+	// Finishing lists units that still have runs in flight which began at an
+	// epoch that is not granted. A unit is stopped once the server accepted a
+	// set without it and lists neither it nor a shard that its key was in.
 	Finishing []uint32 `json:"finishing,omitempty"`
 }
 
--- a/backend/standin/run.go
+++ b/backend/standin/run.go
@@ -52,7 +52,7 @@
 	defer p.mu.Unlock()
 	p.busy--
 	if p.options.ChecksGrants {
-		p.fence.End(request.unit)
+		p.fence.End(request.unit, request.epoch)
 	}
 }
 
--- a/control/controltest/check.go
+++ b/control/controltest/check.go
@@ -133,6 +133,7 @@
 	name := server.Config.Name
 	held := server.held()
 	homes := c.homes(server)
+	runs := server.running()
 	works := !server.Lost && !server.frozen
 	for i, unit := range page.Units {
 		key := serviceUnit{page.Service, unit.ID}
@@ -146,7 +147,9 @@
 		if from, isOverride := c.splits[key]; !may && isOverride {
 			shardEpoch, holdsShard := held[from.shard]
 			may = holdsShard && shardEpoch < from.epoch
+			may = may || runs[from.shard] != 0 && runs[from.shard] < from.epoch
 		}
+		may = may || runs[unit.ID] != 0
 		if !may && !c.homeSends(server, key, homes) {
 			continue
 		}
--- a/control/controltest/fleet.go
+++ b/control/controltest/fleet.go
@@ -34,6 +34,8 @@
 	// Joining are backend servers that exist but that the configuration does
 	// not name yet.
 	Joining []config.Server
+	// Work makes the servers that check grants run requests, which takes time.
+	Work bool
 	// Mutate, when set, is called with each new Machine.
 	Mutate func(*control.Machine)
 }
@@ -88,7 +90,9 @@
 	f.Store = &Store{fleet: f, pages: make(map[string]storedPage)}
 	f.places[StoreName] = place{options.StoreRegion, options.StoreZone}
 	for _, declared := range slices.Concat(options.Configuration.Servers, options.Joining) {
-		f.Servers = append(f.Servers, &Server{fleet: f, Config: declared, clock: f.newClock()})
+		server := &Server{fleet: f, Config: declared, clock: f.newClock()}
+		server.Restart()
+		f.Servers = append(f.Servers, server)
 		f.places[declared.Name] = place{declared.Region, declared.Zone}
 	}
 	for _, member := range options.VMs {
@@ -138,10 +142,28 @@
 const checkInterval = 5 * time.Millisecond
 
 func (f *Fleet) check() {
+	if f.options.Work {
+		f.work()
+	}
 	f.checker.check()
 	f.clock.After(checkInterval, f.check)
 }
 
+// longestRun is the longest time that a run of Work takes.
+const longestRun = 400 * time.Millisecond
+
+// work begins a run at a unit of each server that checks grants.
+func (f *Fleet) work() {
+	for _, server := range f.Servers {
+		server.endRuns()
+		page, version := f.Store.Page(server.Config.Service)
+		if version != 0 {
+			unit := page.Units[f.random.IntN(len(page.Units))]
+			server.work(unit.ID, time.Duration(f.random.Int64N(int64(longestRun))))
+		}
+	}
+}
+
 // travel carries a call from one host to another, if the network lets it.
 func (f *Fleet) travel(from, to string, arrive func()) {
 	if f.isCut(from, to) || f.chance(f.DropPercent) {
--- a/control/controltest/server.go
+++ b/control/controltest/server.go
@@ -1,16 +1,19 @@
 package controltest
 
 import (
+	"slices"
 	"strconv"
+	"time"
 
 	"guavacrank.example/backend"
+	"guavacrank.example/backend/fence"
 	"guavacrank.example/config"
 	"guavacrank.example/control"
 	"guavacrank.example/control/ownership"
 )
 
-// Server is a fake backend server. One that checks grants keeps the fence of
-// the published protocol.
+// Server is a fake backend server. One that checks grants runs the published
+// fence.
 type Server struct {
 	fleet  *Fleet
 	Config config.Server
@@ -20,16 +23,17 @@
 	frozen   bool
 	buffered []func()
 	boots    int
-	fence    fence
+	fence    *fence.Fence
+	// granted are the units of the newest accepted set.
+	granted map[ownership.UnitID]ownership.Epoch
+	runs    []run
 }
 
-// fence is the state of a server that checks grants.
-type fence struct {
-	term, version, sequence uint64
-	digest                  uint64
-	held                    bool
-	units                   map[ownership.UnitID]ownership.Epoch
-	expires                 int64
+// run is a request in flight.
+type run struct {
+	unit  ownership.UnitID
+	epoch ownership.Epoch
+	ends  time.Duration
 }
 
 func (s *Server) boot() string { return s.Config.Name + "#" + strconv.Itoa(s.boots) }
@@ -41,7 +45,9 @@
 // Restart ends the server's process and starts another that knows nothing.
 func (s *Server) Restart() {
 	s.boots++
-	s.fence = fence{}
+	s.fence = fence.New(s.boot())
+	s.granted = nil
+	s.runs = nil
 	s.buffered = nil
 	s.Lost = false
 	s.frozen = false
@@ -83,45 +89,57 @@
 	if !s.Config.ChecksGrants {
 		return backend.GrantAnswer{}
 	}
-	answer := backend.GrantAnswer{Boot: s.boot(), Clock: s.milliseconds(), HighestTerm: s.fence.term}
-	answer.Result = s.fence.decide(order, answer)
-	answer.HighestTerm = s.fence.term
+	s.endRuns()
+	answer := s.fence.Step(order, s.milliseconds())
+	if answer.Result == backend.GrantAccepted && order.Full {
+		s.granted = make(map[ownership.UnitID]ownership.Epoch, len(order.Units))
+		for _, unit := range order.Units {
+			s.granted[ownership.UnitID(unit.Unit)] = ownership.Epoch(unit.Epoch)
+		}
+	}
 	return answer
 }
 
-func (f *fence) decide(order backend.GrantOrder, now backend.GrantAnswer) backend.GrantResult {
-	switch {
-	case order.Boot == "":
-		return backend.GrantHello
-	case order.Boot != now.Boot:
-		return backend.GrantWrongBoot
-	case order.Term < f.term:
-		return backend.GrantStaleTerm
-	case order.Term == f.term && (order.PageVersion < f.version || order.PageVersion == f.version && order.Sequence < f.sequence):
-		return backend.GrantStale
-	case order.ExpiresAt <= now.Clock:
-		return backend.GrantExpired
-	case !order.Full && (!f.held || order.Digest != f.digest):
-		return backend.GrantNeedFull
+// work begins a run of a unit, as traffic would.
+func (s *Server) work(id ownership.UnitID, length time.Duration) {
+	epoch, held := s.held()[id]
+	if held && !s.frozen && s.fence.Begin(uint32(id), uint64(epoch), s.milliseconds()) {
+		s.runs = append(s.runs, run{id, epoch, s.fleet.clock.now + length})
 	}
-	f.term, f.version, f.sequence = order.Term, order.PageVersion, order.Sequence
-	f.expires = order.ExpiresAt
-	if order.Full {
-		f.held = true
-		f.digest = order.Digest
-		f.units = make(map[ownership.UnitID]ownership.Epoch, len(order.Units))
-		for _, unit := range order.Units {
-			f.units[ownership.UnitID(unit.Unit)] = ownership.Epoch(unit.Epoch)
+}
+
+// endRuns ends the runs that are over, and cancels all when the grant has lapsed.
+func (s *Server) endRuns() {
+	lapsed := s.Lost || !s.fence.Valid(s.milliseconds())
+	s.runs = slices.DeleteFunc(s.runs, func(r run) bool {
+		over := lapsed || r.ends <= s.fleet.clock.now
+		if over {
+			s.fence.End(uint32(r.unit), uint64(r.epoch))
 		}
-	}
-	return backend.GrantAccepted
+		return over
+	})
 }
 
 // held returns the units for which the server would run requests, with their
 // epochs.
 func (s *Server) held() map[ownership.UnitID]ownership.Epoch {
-	if s.Lost || !s.Config.ChecksGrants || s.milliseconds() >= s.fence.expires {
+	if s.Lost || !s.Config.ChecksGrants || !s.fence.Valid(s.milliseconds()) {
 		return nil
 	}
-	return s.fence.units
+	return s.granted
+}
+
+// running returns the lowest epoch at which each unit has a run in flight.
+func (s *Server) running() map[ownership.UnitID]ownership.Epoch {
+	if len(s.runs) == 0 {
+		return nil
+	}
+	s.endRuns()
+	lowest := make(map[ownership.UnitID]ownership.Epoch)
+	for _, r := range s.runs {
+		if epoch, known := lowest[r.unit]; !known || r.epoch < epoch {
+			lowest[r.unit] = r.epoch
+		}
+	}
+	return lowest
 }
--- a/control/inputs.go
+++ b/control/inputs.go
@@ -126,6 +126,11 @@
 
 // noteHistory remembers the newest changes of owners.
 func (m *Machine) noteHistory(s *service, previous *ownership.Page) {
+	for _, override := range previous.Overrides {
+		if s.page.Override(override.Key) == nil {
+			s.mergedUntil = m.now + m.sendsBound(s)
+		}
+	}
 	for _, unit := range s.page.Units {
 		before := previous.Unit(unit.ID)
 		if before != nil && before.Epoch == unit.Epoch {
@@ -226,9 +231,16 @@
 	}
 	for _, id := range s.leaving[in.Server] {
 		seen := s.seen[id]
-		if in.Generation >= seen.generation && (len(in.Units) == 0 || slices.Contains(in.Units, id)) {
+		if in.Generation >= seen.generation && (len(in.Units) == 0 || m.listedIdle(s, id, in.Units)) {
 			seen.idle = true
 			s.seen[id] = seen
 		}
 	}
 }
+
+// listedIdle reports whether idle units show that no request for a key of a
+// unit is in flight. One may have been sent under the shard that the key was
+// in, or under an override that has returned to the shard.
+func (m *Machine) listedIdle(s *service, id ownership.UnitID, idle []ownership.UnitID) bool {
+	return m.now >= s.mergedUntil && slices.Contains(idle, id) && slices.Contains(idle, s.shardOfUnit(id))
+}
--- a/control/model_test.go
+++ b/control/model_test.go
@@ -209,6 +209,7 @@
 func (s scenario) run(mutate func(*control.Machine)) (*controltest.Fleet, []string) {
 	options := smallFleet(1, 4, 8, func(i int) bool { return i < s.checking })
 	options.Seed = s.seed
+	options.Work = true
 	options.Mutate = mutate
 	f := controltest.New(options)
 	last := time.Duration(0)
--- a/control/moves_test.go
+++ b/control/moves_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -121,6 +122,24 @@
 		Expect(f.VMs[0].Explain(recipes, "shoyu").Unsatisfied).To(ContainSubstring("does not serve"))
 	})
 
+	It("moves keys that just left their shards only when no run of them is left", func() {
+		options := smallFleet(1, 4, 8, allCheck)
+		options.Work = true
+		f := started(options)
+		for round := range 4 {
+			f.Configure(func(c *config.Configuration) {
+				c.Services = slices.Clone(c.Services)
+				c.Services[0].Keys = nil
+				for i := range 12 {
+					declared := config.KeyDeclaration{Key: fmt.Sprintf("key-%d", i), Server: fmt.Sprintf("s%d", (round+i)%4)}
+					c.Services[0].Keys = append(c.Services[0].Keys, declared)
+				}
+			})
+			f.Run(3 * time.Second)
+		}
+		expectSound(f)
+	})
+
 	It("refuses another number of shards and serves on", func() {
 		f := started(smallFleet(1, 4, 16, allCheck))
 		f.Configure(func(c *config.Configuration) {
--- a/control/system_renewal.go
+++ b/control/system_renewal.go
@@ -1,13 +1,10 @@
 package control
 
 import (
-	"encoding/binary"
 	"slices"
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"guavacrank.example/backend"
 	"guavacrank.example/control/ownership"
 	"guavacrank.example/event"
@@ -169,21 +166,10 @@
 			units = append(units, backend.UnitGrant{Unit: uint32(id), Epoch: uint64(unit.Epoch)})
 		}
 	}
-	sv.set = setCache{valid: true, units: units, digest: Digest(units)}
+	sv.set = setCache{valid: true, units: units, digest: backend.Digest(units)}
 	return &sv.set
 }
 
-// Digest returns the digest of a granted set that is sorted by unit.
-func Digest(units []backend.UnitGrant) uint64 {
-	const entryBytes = 12
-	buffer := make([]byte, 0, len(units)*entryBytes)
-	for _, unit := range units {
-		buffer = binary.LittleEndian.AppendUint32(buffer, unit.Unit)
-		buffer = binary.LittleEndian.AppendUint64(buffer, unit.Epoch)
-	}
-	return xxhash.Sum64(buffer)
-}
-
 // receiveAnswer takes in a server's answer to an order or a hello.
 func (m *Machine) receiveAnswer(in GrantAnswered) {
 	if !in.Reached {
--- a/control/tables.go
+++ b/control/tables.go
@@ -54,6 +54,9 @@
 	// told holds the stops of previous owners that this VM found as their grantor.
 	told map[ownership.UnitID]notification
 
+	// mergedUntil is until when a request may run under an override that has
+	// returned to its shard.
+	mergedUntil time.Duration
 	// early holds words of stops that arrived before the page of the move.
 	early map[ownership.UnitID]ownership.Epoch
 
