--- /dev/null
+++ b/daemon/pages/pages.go
@@ -0,0 +1,93 @@
+// Package pages reads and writes ownership pages in the platform's store for
+// the control plane, and turns the store's errors into outcomes.
+package pages
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"guavacrank.example/control"
+	"guavacrank.example/control/ownership"
+	"guavacrank.example/platform"
+)
+
+// callTimeout bounds one call of the store. The outcome of a write that takes
+// longer is unknown and settled by reading back.
+const callTimeout = 2 * time.Second
+
+// Client reads and writes pages. It is safe for concurrent use.
+type Client struct {
+	store platform.Store
+}
+
+// New returns a client of the store.
+func New(store platform.Store) *Client {
+	return &Client{store: store}
+}
+
+// Read returns the newest page of a service as an input of the control plane.
+// A page that does not exist has version zero. It fails with a
+// *platform.Error, or with the error of decoding.
+func (c *Client) Read(ctx context.Context, service string) (control.PageRead, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry, err := c.store.Get(ctx, platform.PagePrefix+service)
+	if platform.IsKind(err, platform.KindNotFound) {
+		return control.PageRead{Service: service}, nil
+	}
+	if err != nil {
+		return control.PageRead{}, err
+	}
+	return Decode(service, uint64(entry.Version), entry.Value)
+}
+
+// Decode turns a stored value into an input of the control plane.
+func Decode(service string, version uint64, value []byte) (control.PageRead, error) {
+	page, err := ownership.Decode(value)
+	if err != nil {
+		return control.PageRead{}, fmt.Errorf("page of service %q at version %d: %w", service, version, err)
+	}
+	return control.PageRead{Service: service, Version: version, Page: page}, nil
+}
+
+// Written is the result of a write: the answer for the control plane and, if
+// the store confirmed it, the stored value for the other VMs.
+type Written struct {
+	Answer control.PageWritten
+	Value  []byte
+}
+
+// Write carries out a compare-and-swap of a page.
+func (c *Client) Write(ctx context.Context, write control.PageWrite) Written {
+	answer := control.PageWritten{Service: write.Service, ChangeID: write.Page.ChangeID}
+	value, err := ownership.Encode(write.Page)
+	if err != nil {
+		answer.Outcome = control.WriteFailed
+		return Written{Answer: answer}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key := platform.PagePrefix + write.Service
+	version, err := c.store.CompareAndSwap(ctx, key, platform.Version(write.Expected), value, 0)
+	answer.Outcome = outcome(err)
+	answer.Version = uint64(version)
+	return Written{Answer: answer, Value: value}
+}
+
+// outcome classifies the error of a write. An error that is not the store's
+// own proves nothing.
+func outcome(err error) control.WriteOutcome {
+	switch {
+	case err == nil:
+		return control.WriteApplied
+	case platform.IsUnknown(err):
+		return control.WriteUnknown
+	case platform.IsKind(err, platform.KindConflict):
+		return control.WriteConflict
+	case platform.IsNotApplied(err):
+		return control.WriteFailed
+	default:
+		return control.WriteUnknown
+	}
+}
