config: peer_token, the shared secret between the VMs of a fleet

Cause: peers and operators must not share a secret. Change: a required setting with the same checks as operator_token.

--- a/config/check.go
+++ b/config/check.go
@@ -228,12 +228,18 @@
 
 // checkSettings reports the faults between the parts of settings.
 func (d *decoder) checkSettings(settings *Settings) {
-	if len(settings.OperatorToken) < MinTokenBytes {
-		d.fault("operator_token", "has %d bytes, fewer than %d", len(settings.OperatorToken), MinTokenBytes)
-	}
+	d.checkToken("operator_token", settings.OperatorToken)
+	d.checkToken("peer_token", settings.PeerToken)
 	addresses := make(map[string]string)
 	d.unique(addresses, settings.CallerAddress, "caller_address")
 	d.unique(addresses, settings.PeerAddress, "peer_address")
 	d.unique(addresses, settings.OperatorAddress, "operator_address")
 	d.unique(addresses, settings.PlatformAddress, "platform_address")
 }
+
+// checkToken reports a shared secret that is too short.
+func (d *decoder) checkToken(field, token string) {
+	if len(token) < MinTokenBytes {
+		d.fault(field, "has %d bytes, fewer than %d", len(token), MinTokenBytes)
+	}
+}
--- a/config/config.go
+++ b/config/config.go
@@ -164,6 +164,8 @@
 	OperatorAddress string
 	// OperatorToken is the shared secret of the operator interface.
 	OperatorToken string
+	// PeerToken is the shared secret between the VMs of the fleet.
+	PeerToken string
 	// PlatformAddress is the IP:port of the platform's service.
 	PlatformAddress string
 	Limits          Limits
--- a/config/parse.go
+++ b/config/parse.go
@@ -40,6 +40,7 @@
 		{name: "peer_address", required: true, decode: d.address(&settings.PeerAddress)},
 		{name: "operator_address", required: true, decode: d.address(&settings.OperatorAddress)},
 		{name: "operator_token", required: true, decode: d.text(&settings.OperatorToken, MaxReasonBytes)},
+		{name: "peer_token", required: true, decode: d.text(&settings.PeerToken, MaxReasonBytes)},
 		{name: "platform_address", required: true, decode: d.address(&settings.PlatformAddress)},
 		{name: "limits", decode: d.limits(&settings.Limits)},
 		{name: "log_level", decode: oneOf(d, &settings.LogLevel, LogDebug, LogInfo, LogWarn, LogError)},
