--- /dev/null
+++ b/daemon/snapshot.go
@@ -0,0 +1,102 @@
+package daemon
+
+import (
+	"guavacrank.example/config"
+	"guavacrank.example/control"
+	"guavacrank.example/fleet"
+	"guavacrank.example/traffic/route"
+)
+
+// buildSnapshot joins the configuration, the control plane's routing and the
+// members into the picture that traffic reads.
+func buildSnapshot(self string, revision config.Revision, configuration *config.Configuration, routing control.Routing, members []fleet.Member) *route.Snapshot {
+	snapshot := &route.Snapshot{
+		Revision: revision,
+		Self:     self,
+		Services: make(map[string]*route.Service, len(configuration.Services)),
+		Peers:    make(map[string]string, len(members)),
+	}
+	for _, member := range members {
+		if member.Alive || member.Name == self {
+			snapshot.Peers[member.Name] = member.Peer
+		}
+	}
+	divided := make(map[string]*control.ServiceRouting, len(routing.Services))
+	for i := range routing.Services {
+		divided[routing.Services[i].Name] = &routing.Services[i]
+	}
+	for _, service := range configuration.Services {
+		snapshot.Services[service.Name] = buildService(configuration, service, divided[service.Name])
+	}
+	return snapshot
+}
+
+func buildService(configuration *config.Configuration, service config.Service, routing *control.ServiceRouting) *route.Service {
+	built := &route.Service{
+		Name:         service.Name,
+		DividedByKey: service.DividedByKey,
+		Shards:       uint32(service.Shards),
+		Classes:      make(map[string]config.Class, len(service.Classes)),
+		Overrides:    make(map[string]route.Unit),
+		Settings:     configuration.SettingsFor(service.Name, "", ""),
+	}
+	for i, class := range service.Classes {
+		if i == 0 {
+			built.DefaultClass = class.Name
+		}
+		built.Classes[class.Name] = class
+	}
+	for _, server := range configuration.Servers {
+		if server.Service == service.Name {
+			built.Servers = append(built.Servers, buildServer(server))
+		}
+	}
+	sortServers(built.Servers)
+	if routing != nil {
+		addOwnership(built, routing)
+	}
+	return built
+}
+
+func buildServer(server config.Server) *route.Server {
+	return &route.Server{
+		Name:         server.Name,
+		Address:      server.Address,
+		Region:       server.Region,
+		Zone:         server.Zone,
+		Slots:        server.Slots,
+		Connections:  server.Connections,
+		ChecksGrants: server.ChecksGrants,
+		Draining:     server.Draining,
+	}
+}
+
+// addOwnership adds homes, units and overrides of a service divided by key.
+func addOwnership(built *route.Service, routing *control.ServiceRouting) {
+	built.PageVersion = routing.PageVersion
+	for _, server := range routing.Servers {
+		if found := built.Server(server.Name); found != nil {
+			found.Home = server.Home
+			found.HomeUntil = server.HomeUntil
+		}
+	}
+	units := make(map[uint32]route.Unit, len(routing.Units))
+	for _, unit := range routing.Units {
+		routed := route.Unit{ID: uint32(unit.ID), Epoch: uint64(unit.Epoch)}
+		if unit.Servable {
+			routed.Server = built.Server(unit.Owner)
+		}
+		units[routed.ID] = routed
+		if uint32(unit.ID) < routing.Shards {
+			built.Units = append(built.Units, routed)
+		}
+	}
+	if routing.Shards != 0 {
+		built.Shards = routing.Shards
+	}
+	for _, override := range routing.Overrides {
+		if unit, known := units[uint32(override.Unit)]; known {
+			built.Overrides[override.Key] = unit
+		}
+	}
+}
