--- a/daemon/eventlog/eventlog.go
+++ b/daemon/eventlog/eventlog.go
@@ -145,3 +145,10 @@
 		return zapcore.InfoLevel
 	}
 }
+
+// Next returns the cursor of the next event.
+func (l *Log) Next() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.next
+}
--- a/traffic/front/forward.go
+++ b/traffic/front/forward.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"crypto/subtle"
 	"io"
 	"net/http"
 	"strconv"
@@ -21,7 +23,7 @@
 // forward sends the request to the server's home.
 func (h *Handler) forward(ctx context.Context, c *call, to target) outcome {
 	now := h.options.Elapsed()
-	received, failure := to.peer.pool.Do(ctx, c.peerRequest(to, now), !c.class.Idempotent)
+	received, failure := to.peer.pool.Do(ctx, c.peerRequest(to, h.options.PeerToken, now), !c.class.Idempotent)
 	if failure != nil {
 		if failure.Stage == upstream.StageConnect && !failure.Timeout {
 			to.peer.avoid(now)
@@ -68,6 +70,10 @@
 func (h *Handler) Peer() http.Handler { return http.HandlerFunc(h.servePeer) }
 
 func (h *Handler) servePeer(w http.ResponseWriter, r *http.Request) {
+	if !sameToken(r.Header.Get(HeaderPeerToken), h.options.PeerToken) {
+		http.Error(w, "wrong peer token", http.StatusForbidden)
+		return
+	}
 	if refused := h.enter(); refused != nil {
 		writeRefusal(w, *refused)
 		return
@@ -95,6 +101,13 @@
 	h.writeOutcome(ctx, w, c, h.send(ctx, c, to))
 }
 
+// sameToken compares two secrets in a time that does not tell where they differ.
+func sameToken(got, want string) bool {
+	gotSum := sha256.Sum256([]byte(got))
+	wantSum := sha256.Sum256([]byte(want))
+	return subtle.ConstantTimeCompare(gotSum[:], wantSum[:]) == 1
+}
+
 // homeTarget checks that this VM is the home of the named server, and that the
 // server is the one that this VM's own snapshot names for the key.
 func (h *Handler) homeTarget(c *call, name string) (target, *refusal) {
--- a/traffic/front/headers.go
+++ b/traffic/front/headers.go
@@ -69,10 +69,14 @@
 // HeaderPeerServer names, between VMs, the server that the home shall send to.
 const HeaderPeerServer = "Guavacrank-Peer-Server"
 
+// HeaderPeerToken carries, between VMs, the secret that the fleet shares.
+const HeaderPeerToken = "Guavacrank-Peer-Token"
+
 // peerRequest returns the request for the server's home.
-func (c *call) peerRequest(to target, now time.Duration) *http.Request {
+func (c *call) peerRequest(to target, token string, now time.Duration) *http.Request {
 	header := c.outgoingHeader(now)
 	header[HeaderPeerServer] = []string{to.server.name}
+	header[HeaderPeerToken] = []string{token}
 	prefix := PeerPrefix + url.PathEscape(c.service.Name)
 	return c.outgoing(header, &url.URL{
 		Path:     PeerPrefix + c.service.Name + "/" + c.key,
--- a/traffic/front/options.go
+++ b/traffic/front/options.go
@@ -31,6 +31,9 @@
 	Events func(event.Event)
 	// Sharing is the way in which VMs share a server's slots.
 	Sharing limit.Sharing
+	// PeerToken is the secret that the VMs of the fleet share; forwarded
+	// requests without it are refused.
+	PeerToken string
 	// Limits bound what a caller may ask for. Zero fields take defaults.
 	Limits Limits
 }
