--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"guavacrank.example/control"
 	"guavacrank.example/daemon/clock"
 	"guavacrank.example/daemon/eventlog"
+	"guavacrank.example/daemon/metrics"
 	"guavacrank.example/daemon/operator"
 	"guavacrank.example/daemon/pages"
 	"guavacrank.example/daemon/revision"
@@ -197,19 +198,24 @@
 		return
 	}
 	routing := machine.Routing()
-	status := machine.Status()
+	d.keepStatus(machine)
 	members := *d.peers.Load()
 	snapshot := buildSnapshot(d.options.Settings.VM, accepted.revision, accepted.configuration, routing, members)
 	d.publisher.Publish(snapshot)
 	d.routing.Store(&routing)
-	d.status.Store(&status)
 	d.fleet.Report(fleet.InForce{Revision: uint64(accepted.revision)})
 }
 
-// republish publishes again soon, after a change outside the control plane.
-func (d *Daemon) republish() {
+// keepStatus stores what operators see. It runs on the control goroutine.
+func (d *Daemon) keepStatus(machine *control.Machine) {
+	status := machine.Status()
+	d.status.Store(&status)
+}
+
+// inspect runs a function on the control goroutine soon, unless many wait.
+func (d *Daemon) inspect(see func(*control.Machine)) {
 	select {
-	case d.loop.inspect <- d.publish:
+	case d.loop.inspect <- see:
 	default:
 	}
 }
@@ -228,6 +234,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	inner, cancel := context.WithCancel(d.killed)
 	defer cancel()
+	defer metrics.Register(d.options.Settings.VM, func() any { return d.figures() })()
 	group, running := errgroup.WithContext(inner)
 	d.start(group, running)
 	d.events.Add(event.New(event.DaemonStarted, "start", "vm", d.options.Settings.VM))
@@ -281,3 +288,6 @@
 		return false
 	})
 }
+
+// InFlight returns the number of requests in this VM.
+func (d *Daemon) InFlight() int { return d.front.InFlight() }
--- /dev/null
+++ b/daemon/figures.go
@@ -0,0 +1,61 @@
+package daemon
+
+import (
+	"guavacrank.example/config"
+	"guavacrank.example/event"
+)
+
+// Figures are a daemon's metrics, published under the expvar variable
+// "guavacrank". docs/operators/metrics.md explains them.
+type Figures struct {
+	Ready    bool            `json:"ready"`
+	Stopping bool            `json:"stopping"`
+	Revision config.Revision `json:"revision"`
+	// InFlight is the number of requests in this VM, forwarded ones included.
+	InFlight int `json:"in_flight"`
+	// Events counts the numbered events since the process started.
+	Events map[event.Number]uint64 `json:"events"`
+	// Services are the services divided by key.
+	Services []ServiceFigures `json:"services"`
+}
+
+// ServiceFigures are the ownership figures of one service divided by key.
+type ServiceFigures struct {
+	Name        string `json:"name"`
+	PageVersion uint64 `json:"page_version"`
+	Units       int    `json:"units"`
+	// Waiting is the number of units that no server may serve at this moment.
+	Waiting int `json:"waiting"`
+	// TermsHeld is the number of backend servers that this VM is the grantor of.
+	TermsHeld int `json:"terms_held"`
+}
+
+// figures returns the newest metrics.
+func (d *Daemon) figures() Figures {
+	figures := Figures{
+		Ready:    d.Ready(),
+		Stopping: d.stopping.Load(),
+		InFlight: d.front.InFlight(),
+		Events:   d.events.Counts(),
+	}
+	if accepted := d.accepted.Load(); accepted != nil {
+		figures.Revision = accepted.revision
+	}
+	routing := d.routing.Load()
+	for i := range routing.Services {
+		service := &routing.Services[i]
+		counted := ServiceFigures{Name: service.Name, PageVersion: service.PageVersion, Units: len(service.Units)}
+		for _, unit := range service.Units {
+			if !unit.Servable {
+				counted.Waiting++
+			}
+		}
+		for _, server := range service.Servers {
+			if server.Home == d.options.Settings.VM {
+				counted.TermsHeld++
+			}
+		}
+		figures.Services = append(figures.Services, counted)
+	}
+	return figures
+}
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -51,7 +51,7 @@
 	}
 	accepted := control.ConfigurationAccepted{Revision: record.Revision, Configuration: configuration}
 	f.daemon.loop.feed(f.ctx, accepted)
-	f.daemon.fleet.Report(fleet.InForce{Revision: uint64(record.Revision)})
+	f.daemon.inspect(f.daemon.publish)
 	return nil
 }
 
@@ -78,6 +78,7 @@
 	}
 	f.daemon.peers.Store(&members)
 	f.daemon.loop.feed(f.ctx, changed)
+	f.daemon.inspect(f.daemon.publish)
 }
 
 // MessageReceived implements fleet.Listener.
--- a/daemon/pages/pages.go
+++ b/daemon/pages/pages.go
@@ -61,7 +61,7 @@
 // Write carries out a compare-and-swap of a page.
 func (c *Client) Write(ctx context.Context, write control.PageWrite) Written {
 	answer := control.PageWritten{Service: write.Service, ChangeID: write.Page.ChangeID}
-	value, err := ownership.Encode(write.Page)
+	value, err := ownership.Encode(&write.Page)
 	if err != nil {
 		answer.Outcome = control.WriteFailed
 		return Written{Answer: answer}
--- a/daemon/reports.go
+++ b/daemon/reports.go
@@ -35,10 +35,11 @@
 	}
 }
 
-// sweep closes idle connections.
+// sweep closes idle connections and refreshes what operators see.
 func (d *Daemon) sweep(ctx context.Context) {
 	every(ctx, sweepInterval, func() bool {
 		d.front.Sweep(time.Now())
+		d.inspect(d.keepStatus)
 		return true
 	})
 }
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"net"
 	"net/http"
-	"time"
 
 	"guavacrank.example/config"
+	"guavacrank.example/daemon/operator"
 	"guavacrank.example/fleet"
 	"guavacrank.example/traffic/front"
 )
@@ -67,14 +67,7 @@
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
 	}
-	operators := &http.Server{
-		Handler:           d.operator,
-		ReadHeaderTimeout: limits.ReadHeaderTimeout,
-		ReadTimeout:       limits.ReadTimeout,
-		WriteTimeout:      operatorWriteTimeout,
-		IdleTimeout:       limits.IdleTimeout,
-		MaxHeaderBytes:    limits.HeaderBytes,
-	}
+	operators := operator.NewHTTPServer(d.operator.Handler())
 	return []boundServer{
 		{callers, d.listeners.caller},
 		{fleet.NewServer(d.peerHandler()), d.listeners.peer},
@@ -82,9 +75,6 @@
 	}
 }
 
-// operatorWriteTimeout bounds one answer to an operator.
-const operatorWriteTimeout = 30 * time.Second
-
 func (d *Daemon) callerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(PathHealth, d.serveHealth)
