--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,6 +31,7 @@
 	"guavacrank.example/fleet"
 	"guavacrank.example/platform"
 	"guavacrank.example/traffic/front"
+	"guavacrank.example/traffic/once"
 	"guavacrank.example/traffic/route"
 )
 
@@ -121,6 +122,7 @@
 		OnStale:   d.refreshPage,
 		Events:    func(e event.Event) { d.events.Add(e) },
 		PeerToken: d.options.Settings.PeerToken,
+		Once:      once.New(once.Options{Store: d.options.Store, VM: d.options.Settings.VM}),
 		Limits: front.Limits{
 			Concurrent:  d.options.Settings.Limits.ConcurrentRequests,
 			HeaderBytes: d.options.Settings.Limits.HeaderBytes,
--- a/daemon/figures.go
+++ b/daemon/figures.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"encoding/json"
+
 	"guavacrank.example/config"
 	"guavacrank.example/event"
 )
@@ -17,6 +19,8 @@
 	Events map[event.Number]uint64 `json:"events"`
 	// Services are the services divided by key.
 	Services []ServiceFigures `json:"services"`
+	// Traffic is front.Status.
+	Traffic json.RawMessage `json:"traffic"`
 }
 
 // ServiceFigures are the ownership figures of one service divided by key.
@@ -37,6 +41,7 @@
 		Stopping: d.stopping.Load(),
 		InFlight: d.front.InFlight(),
 		Events:   d.events.Counts(),
+		Traffic:  json.RawMessage(d.front.String()),
 	}
 	if accepted := d.accepted.Load(); accepted != nil {
 		figures.Revision = accepted.revision
--- a/daemon/snapshot.go
+++ b/daemon/snapshot.go
@@ -14,13 +14,8 @@
 		Revision: revision,
 		Self:     self,
 		Services: make(map[string]*route.Service, len(configuration.Services)),
-		Peers:    make(map[string]string, len(members)),
-	}
-	for _, member := range members {
-		if member.Alive || member.Name == self {
-			snapshot.Peers[member.Name] = member.Peer
-		}
 	}
+	addMembers(snapshot, members)
 	divided := make(map[string]*control.ServiceRouting, len(routing.Services))
 	for i := range routing.Services {
 		divided[routing.Services[i].Name] = &routing.Services[i]
@@ -31,6 +26,22 @@
 	return snapshot
 }
 
+// addMembers adds the VMs that answer. VMs that leave get no forwarded
+// requests of services that have a choice.
+func addMembers(snapshot *route.Snapshot, members []fleet.Member) {
+	snapshot.Peers = make(map[string]string, len(members))
+	snapshot.Places = make(map[string]route.Place, len(members))
+	for _, member := range members {
+		if !member.Alive && member.Name != snapshot.Self {
+			continue
+		}
+		snapshot.Peers[member.Name] = member.Peer
+		if !member.Leaving {
+			snapshot.Places[member.Name] = route.Place{Region: member.Region, Zone: member.Zone}
+		}
+	}
+}
+
 func buildService(configuration *config.Configuration, service config.Service, routing *control.ServiceRouting) *route.Service {
 	built := &route.Service{
 		Name:         service.Name,
