--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -50,6 +50,9 @@
 	Build string
 	// Incarnation is unique for each start of the process.
 	Incarnation string
+	// Listeners are bound already; nil binds the addresses of the settings.
+	// The daemon closes them.
+	Listeners *Listeners
 	// StopNotice is DefaultStopNotice if zero.
 	StopNotice time.Duration
 }
@@ -63,7 +66,7 @@
 	fleet     *fleet.Manager
 	loop      *loop
 	operator  *operator.Server
-	listeners listeners
+	listeners *Listeners
 
 	accepted  atomic.Pointer[inForce]
 	peers     atomic.Pointer[[]fleet.Member]
@@ -107,10 +110,10 @@
 	if d.operator, err = d.newOperator(); err != nil {
 		return nil, err
 	}
-	if d.listeners, err = listen(options.Settings); err != nil {
-		return nil, err
+	if d.listeners = options.Listeners; d.listeners == nil {
+		d.listeners, err = Listen(options.Settings)
 	}
-	return d, nil
+	return d, err
 }
 
 func (d *Daemon) newFront() *front.Handler {
@@ -247,7 +250,7 @@
 	case <-running.Done():
 	}
 	cancel()
-	d.listeners.close()
+	d.listeners.Close()
 	d.front.Close()
 	d.loop.servers.Close()
 	runErr := group.Wait()
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -51,11 +50,25 @@
 	ended  chan error
 }
 
-func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// boundSettings are settings whose addresses are bound already, so that no
+// other socket can take them before the daemon starts.
+type boundSettings struct {
+	config.Settings
+	listeners *daemon.Listeners
+}
+
+// bind binds free ports and notes them in the settings.
+func bind(settings *config.Settings) *daemon.Listeners {
+	const anyPort = "127.0.0.1:0"
+	settings.CallerAddress = anyPort
+	settings.PeerAddress = anyPort
+	settings.OperatorAddress = anyPort
+	listeners, err := daemon.Listen(*settings)
 	Expect(err).NotTo(HaveOccurred())
-	defer listener.Close()
-	return listener.Addr().String()
+	settings.CallerAddress = listeners.Caller.Addr().String()
+	settings.PeerAddress = listeners.Peer.Addr().String()
+	settings.OperatorAddress = listeners.Operator.Addr().String()
+	return listeners
 }
 
 // newWorld starts daemons and servers and applies a configuration with one
@@ -81,18 +94,16 @@
 			server.Name(), server.Address(), i%2, i > 0)
 	}
 	var list []platform.VM
-	var all []config.Settings
+	var all []boundSettings
 	for i := range vms {
 		settings := config.DefaultSettings()
 		settings.VM = fmt.Sprintf("vm-%d", i)
 		settings.Region = "r"
 		settings.Zone = fmt.Sprintf("z%d", i%2)
-		settings.CallerAddress = freeAddress()
-		settings.PeerAddress = freeAddress()
-		settings.OperatorAddress = freeAddress()
 		settings.OperatorToken = "operator-token-of-the-test"
 		settings.PeerToken = "peer-token-of-the-test"
-		all = append(all, settings)
+		listeners := bind(&settings)
+		all = append(all, boundSettings{settings, listeners})
 		list = append(list, platform.VM{Name: settings.VM, Region: "r", Zone: settings.Zone, Peer: settings.PeerAddress})
 	}
 	w.store.SetVMs(list)
@@ -100,17 +111,19 @@
 		ChangeID: "first", Author: "test", Reason: "test", File: "test.yaml", YAML: text,
 	})
 	Expect(err).NotTo(HaveOccurred())
-	for _, settings := range all {
-		w.vms = append(w.vms, w.startVM(settings))
+	for _, bound := range all {
+		w.vms = append(w.vms, w.startVM(bound))
 	}
 	return w
 }
 
-func (w *world) startVM(settings config.Settings) *vm {
+func (w *world) startVM(bound boundSettings) *vm {
+	settings := bound.Settings
 	d, err := daemon.New(daemon.Options{
 		Settings:    settings,
 		Store:       w.store,
 		Logger:      zap.NewNop(),
+		Listeners:   bound.listeners,
 		Incarnation: settings.VM + "-1",
 		StopNotice:  100 * time.Millisecond,
 	})
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -14,37 +14,38 @@
 // PathHealth is the balancer's health check on the caller address.
 const PathHealth = "/healthz"
 
-// listeners are the daemon's bound addresses.
-type listeners struct {
-	caller   net.Listener
-	peer     net.Listener
-	operator net.Listener
+// Listeners are a daemon's bound addresses.
+type Listeners struct {
+	Caller   net.Listener
+	Peer     net.Listener
+	Operator net.Listener
 }
 
-// listen binds the addresses of the settings.
-func listen(settings config.Settings) (listeners, error) {
-	var bound listeners
+// Listen binds the addresses of the settings.
+func Listen(settings config.Settings) (*Listeners, error) {
+	bound := &Listeners{}
 	for _, want := range []struct {
-		name    string
+		field   string
 		address string
 		target  *net.Listener
 	}{
-		{"caller_address", settings.CallerAddress, &bound.caller},
-		{"peer_address", settings.PeerAddress, &bound.peer},
-		{"operator_address", settings.OperatorAddress, &bound.operator},
+		{"caller_address", settings.CallerAddress, &bound.Caller},
+		{"peer_address", settings.PeerAddress, &bound.Peer},
+		{"operator_address", settings.OperatorAddress, &bound.Operator},
 	} {
 		listener, err := net.Listen("tcp", want.address)
 		if err != nil {
-			bound.close()
-			return listeners{}, fmt.Errorf("settings: %s: %w", want.name, err)
+			bound.Close()
+			return nil, fmt.Errorf("settings: %s: %w", want.field, err)
 		}
 		*want.target = listener
 	}
 	return bound, nil
 }
 
-func (l listeners) close() {
-	for _, listener := range []net.Listener{l.caller, l.peer, l.operator} {
+// Close closes every listener that is bound.
+func (l *Listeners) Close() {
+	for _, listener := range []net.Listener{l.Caller, l.Peer, l.Operator} {
 		if listener != nil {
 			listener.Close()
 		}
@@ -69,9 +70,9 @@
 	}
 	operators := operator.NewHTTPServer(d.operator.Handler())
 	return []boundServer{
-		{callers, d.listeners.caller},
-		{fleet.NewServer(d.peerHandler()), d.listeners.peer},
-		{operators, d.listeners.operator},
+		{callers, d.listeners.Caller},
+		{fleet.NewServer(d.peerHandler()), d.listeners.Peer},
+		{operators, d.listeners.Operator},
 	}
 }
 
