daemon: a lost or stopped daemon ends its callers' connections

Change: the servers are closed at a loss, and shut down at a graceful stop once nothing is in flight; answers end their connections during the stop's notice.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -241,15 +241,19 @@
 	defer cancel()
 	defer metrics.Register(d.options.Settings.VM, func() any { return d.figures() })()
 	group, running := errgroup.WithContext(inner)
-	d.start(group, running)
+	servers := d.newServers()
+	d.start(group, running, servers)
 	d.events.Add(event.New(event.DaemonStarted, "start", "vm", d.options.Settings.VM))
 	var stopErr error
 	select {
 	case <-ctx.Done():
-		stopErr = d.stop(running)
+		stopErr = d.stop(running, servers)
+		cancel()
+		servers.shutdown()
 	case <-running.Done():
+		cancel()
+		servers.close()
 	}
-	cancel()
 	d.listeners.Close()
 	d.front.Close()
 	d.loop.servers.Close()
@@ -261,7 +265,7 @@
 }
 
 // start starts every goroutine of the daemon.
-func (d *Daemon) start(group *errgroup.Group, ctx context.Context) {
+func (d *Daemon) start(group *errgroup.Group, ctx context.Context, servers httpServers) {
 	group.Go(func() error { d.loop.run(ctx); return nil })
 	group.Go(func() error { return d.fleet.Run(ctx) })
 	group.Go(func() error { d.reportLoads(ctx); return nil })
@@ -269,7 +273,7 @@
 	group.Go(func() error { d.sweep(ctx); return nil })
 	group.Go(func() error { return d.roles.run(ctx, d) })
 	group.Go(func() error { d.awaitReady(ctx); return nil })
-	for _, server := range d.servers() {
+	for _, server := range servers {
 		group.Go(func() error { return serve(server.server, server.listener) })
 	}
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -197,6 +197,14 @@
 		w.expectNoBrokenPromise()
 	})
 
+	It("end their callers' connections when they are lost", func() {
+		w := newWorld(3, 3)
+		w.eventuallyServed(w.vms[0])
+		w.vms[0].daemon.Kill()
+		Eventually(w.vms[0].ended, settleTime).Should(Receive(BeNil()))
+		Expect(w.vms[0].ask("card", "key-1")).To(Equal(reply{}))
+	})
+
 	It("stop gracefully with nothing cut off", func() {
 		w := newWorld(3, 3)
 		w.eventuallyServed(w.vms...)
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -1,9 +1,11 @@
 package daemon
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 
 	"guavacrank.example/config"
 	"guavacrank.example/daemon/operator"
@@ -58,8 +60,14 @@
 	listener net.Listener
 }
 
-// servers returns the daemon's HTTP servers.
-func (d *Daemon) servers() []boundServer {
+// callerServer is the index of the callers' server in httpServers.
+const callerServer = 0
+
+// httpServers are the servers of one run.
+type httpServers []boundServer
+
+// newServers returns the daemon's HTTP servers.
+func (d *Daemon) newServers() httpServers {
 	limits := d.options.Settings.Limits
 	callers := &http.Server{
 		Handler:           d.callerHandler(),
@@ -69,13 +77,35 @@
 		MaxHeaderBytes:    limits.HeaderBytes,
 	}
 	operators := operator.NewHTTPServer(d.operator.Handler())
-	return []boundServer{
+	return httpServers{
 		{callers, d.listeners.Caller},
 		{fleet.NewServer(d.peerHandler()), d.listeners.Peer},
 		{operators, d.listeners.Operator},
 	}
 }
 
+// closeGrace bounds the wait for the last answers of other VMs' requests to be
+// written.
+const closeGrace = time.Second
+
+// shutdown ends the connections once their last answer is written, and those
+// that take longer than closeGrace at once.
+func (s httpServers) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeGrace)
+	defer cancel()
+	for _, bound := range s {
+		_ = bound.server.Shutdown(ctx)
+	}
+	s.close()
+}
+
+// close ends every connection at once.
+func (s httpServers) close() {
+	for _, bound := range s {
+		bound.server.Close()
+	}
+}
+
 func (d *Daemon) callerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(PathHealth, d.serveHealth)
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -22,7 +22,7 @@
 
 // stop is the graceful shutdown. Terms are handed over while callers are still
 // served; only then are new requests refused and those in flight finished.
-func (d *Daemon) stop(ctx context.Context) error {
+func (d *Daemon) stop(ctx context.Context, servers httpServers) error {
 	d.stopping.Store(true)
 	d.events.Add(event.New(event.DaemonStopRequested, "stop signal"))
 	ctx, cancel := context.WithTimeout(ctx, d.stopLimit())
@@ -32,6 +32,7 @@
 	notice := time.NewTimer(d.options.StopNotice)
 	defer notice.Stop()
 	d.awaitRelease(ctx)
+	servers[callerServer].server.SetKeepAlivesEnabled(false)
 	select {
 	case <-notice.C:
 	case <-ctx.Done():
@@ -41,6 +42,9 @@
 		d.events.Add(event.New(event.DaemonStopCutOff, err.Error(), "in_flight", strconv.Itoa(left)))
 		return &CutOffError{InFlight: left}
 	}
+	if err := servers[callerServer].server.Shutdown(ctx); err != nil {
+		return err
+	}
 	d.events.Add(event.New(event.DaemonStopped, "nothing in flight"))
 	return nil
 }
