--- a/bench/limits/gates.go
+++ b/bench/limits/gates.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"guavacrank.example/bench/virtual"
 	"guavacrank.example/config"
 	"guavacrank.example/traffic/limit"
 	"guavacrank.example/traffic/queue"
@@ -11,7 +12,7 @@
 // gate is one VM's queue for one server, or for a group of servers of which
 // any may serve a request, with an adaptive limit.
 type gate struct {
-	clock *Clock
+	clock *virtual.Clock
 	vm    int
 	group []*simServer
 	queue *queue.Queue
@@ -32,11 +33,11 @@
 	lastPause  = 25 * time.Millisecond
 )
 
-func newGate(clock *Clock, vm int, server *simServer, most int, delay time.Duration) *gate {
+func newGate(clock *virtual.Clock, vm int, server *simServer, most int, delay time.Duration) *gate {
 	return newGroupGate(clock, vm, []*simServer{server}, most, delay)
 }
 
-func newGroupGate(clock *Clock, vm int, group []*simServer, most int, delay time.Duration) *gate {
+func newGroupGate(clock *virtual.Clock, vm int, group []*simServer, most int, delay time.Duration) *gate {
 	g := &gate{
 		clock: clock, vm: vm, group: group, delay: delay,
 		limit:  limit.NewAdaptive(most),
@@ -65,7 +66,7 @@
 func (g *gate) request(service time.Duration, done func()) {
 	ticket := &queue.Ticket{Priority: config.Interactive, Deadline: far}
 	g.starts[ticket] = func() { g.send(ticket, service, firstPause, done) }
-	if g.queue.Offer(g.clock.now, ticket) == queue.Admitted {
+	if g.queue.Offer(g.clock.Now(), ticket) == queue.Admitted {
 		g.decide(ticket, queue.Admitted)
 	}
 }
@@ -85,13 +86,13 @@
 	g.least().handle(g.vm, g.delay, service, func(ran bool) {
 		if ran {
 			g.limit.Succeeded()
-			g.queue.Done(g.clock.now, ticket, true)
-			g.queue.SetSlots(g.clock.now, g.limit.Current())
+			g.queue.Done(g.clock.Now(), ticket, true)
+			g.queue.SetSlots(g.clock.Now(), g.limit.Current())
 			done()
 			return
 		}
 		g.limit.Shed()
-		g.queue.SetSlots(g.clock.now, g.limit.Current())
+		g.queue.SetSlots(g.clock.Now(), g.limit.Current())
 		g.starts[ticket] = func() { g.send(ticket, service, min(2*pause, lastPause), done) }
 		g.again(ticket, pause)
 	})
@@ -101,9 +102,9 @@
 // queue admits everything, else after a pause, since other VMs hold the slots.
 func (g *gate) again(ticket *queue.Ticket, pause time.Duration) {
 	if g.exact {
-		g.queue.Return(g.clock.now, ticket)
+		g.queue.Return(g.clock.Now(), ticket)
 		return
 	}
-	wait := pause + time.Duration(g.clock.random.Int64N(int64(pause)))
-	g.clock.After(wait, func() { g.queue.Return(g.clock.now, ticket) })
+	wait := pause + time.Duration(g.clock.Random().Int64N(int64(pause)))
+	g.clock.After(wait, func() { g.queue.Return(g.clock.Now(), ticket) })
 }
--- a/bench/limits/keyed.go
+++ b/bench/limits/keyed.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"guavacrank.example/bench/report"
+	"guavacrank.example/bench/virtual"
 )
 
 // subsetSize is the number of VMs that send to one server under the subset policy.
@@ -12,8 +13,8 @@
 // keyed measures one server, in zone 0, of a service divided by key: nobody
 // else may serve its keys, so the ideal is one exact queue at the server.
 func keyed(site Site, options Options) []report.Row {
-	run := func(policy func(*Clock, Site, *simServer) asker) measurement {
-		clock := NewClock(options.Seed)
+	run := func(policy func(*virtual.Clock, Site, *simServer) asker) measurement {
+		clock := virtual.NewClock(options.Seed)
 		server := newSimServer(clock, 0, site.Slots, VMs)
 		waits := arrivals(clock, site.Slots, options.Requests, allVMs(), policy(clock, site, server))
 		return measurement{waits: waits, connections: server.open(), sheds: server.sheds, requests: options.Requests}
@@ -38,13 +39,13 @@
 }
 
 // idealKeyed is one queue at the server that every VM shares.
-func idealKeyed(clock *Clock, site Site, server *simServer) asker {
+func idealKeyed(clock *virtual.Clock, site Site, server *simServer) asker {
 	shared := newGate(clock, 0, server, site.Slots, 0)
 	return through(clock, site, server, func(int) *gate { return shared }, func(int) int { return server.zone })
 }
 
 // through sends each request to a gate that stands in a zone.
-func through(clock *Clock, site Site, server *simServer, gateOf func(vm int) *gate, zone func(vm int) int) asker {
+func through(clock *virtual.Clock, site Site, server *simServer, gateOf func(vm int) *gate, zone func(vm int) int) asker {
 	return func(vm int, service time.Duration, done func(time.Duration)) {
 		hop := site.delay(zoneOf(vm), zone(vm))
 		if zone(vm) == zoneOf(vm) && gateOf(vm).vm == vm && gateOf(vm).delay > 0 {
@@ -58,7 +59,7 @@
 }
 
 // directKeyed lets each VM send within a local adaptive limit.
-func directKeyed(clock *Clock, site Site, server *simServer) asker {
+func directKeyed(clock *virtual.Clock, site Site, server *simServer) asker {
 	gates := make([]*gate, VMs)
 	for vm := range gates {
 		gates[vm] = newGate(clock, vm, server, site.shares().Direct, site.delay(zoneOf(vm), server.zone))
@@ -68,7 +69,7 @@
 
 // subsetKeyed lets a few VMs of the server's region send, each with its part
 // of the slots; the others forward to them.
-func subsetKeyed(clock *Clock, site Site, server *simServer) asker {
+func subsetKeyed(clock *virtual.Clock, site Site, server *simServer) asker {
 	members := []int{0, 1, 4}
 	gates := make(map[int]*gate)
 	for _, vm := range members {
@@ -86,8 +87,8 @@
 }
 
 // homeKeyed lets one VM of a zone queue exactly; the others forward to it.
-func homeKeyed(home int) func(*Clock, Site, *simServer) asker {
-	return func(clock *Clock, site Site, server *simServer) asker {
+func homeKeyed(home int) func(*virtual.Clock, Site, *simServer) asker {
+	return func(clock *virtual.Clock, site Site, server *simServer) asker {
 		only := newGate(clock, home, server, site.shares().Home, site.delay(zoneOf(home), server.zone))
 		only.exact = true
 		return through(clock, site, server, func(int) *gate { return only }, func(int) int { return zoneOf(home) })
--- a/bench/limits/limits.go
+++ b/bench/limits/limits.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"guavacrank.example/bench/report"
+	"guavacrank.example/bench/virtual"
 	"guavacrank.example/traffic/limit"
 )
 
@@ -107,7 +108,7 @@
 type asker func(vm int, service time.Duration, done func(network time.Duration))
 
 // arrivals lets callers send requests at the given load to some of the VMs.
-func arrivals(clock *Clock, slots, requests int, vms []int, ask asker) []time.Duration {
+func arrivals(clock *virtual.Clock, slots, requests int, vms []int, ask asker) []time.Duration {
 	interval := time.Duration(float64(Service) / (loadShare * float64(slots)))
 	waits := make([]time.Duration, 0, requests)
 	var next func(left int)
@@ -115,9 +116,9 @@
 		if left == 0 {
 			return
 		}
-		began, service := clock.now, clock.Exponential(Service)
-		ask(vms[clock.random.IntN(len(vms))], service, func(network time.Duration) {
-			waits = append(waits, clock.now-began-service-network)
+		began, service := clock.Now(), clock.Exponential(Service)
+		ask(vms[clock.Random().IntN(len(vms))], service, func(network time.Duration) {
+			waits = append(waits, clock.Now()-began-service-network)
 		})
 		clock.After(clock.Exponential(interval), func() { next(left - 1) })
 	}
@@ -135,7 +136,7 @@
 )
 
 func rows(prefix string, site Site, policy string, m, ideal measurement, b bound) []report.Row {
-	p99, best := Quantile(m.waits, 0.99), Quantile(ideal.waits, 0.99)
+	p99, best := virtual.Quantile(m.waits, 0.99), virtual.Quantile(ideal.waits, 0.99)
 	ratio := report.Row{Name: prefix + ".wait_p99_ratio", Policy: policy, Value: float64(p99) / float64(best), Unit: "x"}
 	open := report.Row{Name: prefix + ".connections", Policy: policy, Value: float64(m.connections), Unit: "connections"}
 	if b == chosen {
--- a/bench/limits/server.go
+++ b/bench/limits/server.go
@@ -1,10 +1,14 @@
 package limits
 
-import "time"
+import (
+	"time"
+
+	"guavacrank.example/bench/virtual"
+)
 
 // simServer is a backend server: it runs requests in its slots and sheds the rest.
 type simServer struct {
-	clock *Clock
+	clock *virtual.Clock
 	zone  int
 	slots int
 	busy  int
@@ -14,7 +18,7 @@
 	inFlight, connections []int
 }
 
-func newSimServer(clock *Clock, zone, slots, vms int) *simServer {
+func newSimServer(clock *virtual.Clock, zone, slots, vms int) *simServer {
 	return &simServer{clock: clock, zone: zone, slots: slots, inFlight: make([]int, vms), connections: make([]int, vms)}
 }
 
--- a/bench/limits/unkeyed.go
+++ b/bench/limits/unkeyed.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"guavacrank.example/bench/report"
+	"guavacrank.example/bench/virtual"
 	"guavacrank.example/traffic/pick"
 )
 
@@ -42,13 +43,13 @@
 // pool is the servers of one service in the first region, and its VMs.
 type pool struct {
 	site    Site
-	clock   *Clock
+	clock   *virtual.Clock
 	servers []*simServer
 	vms     []int
 }
 
 func newPool(site Site, seed uint64) *pool {
-	p := &pool{site: site, clock: NewClock(seed)}
+	p := &pool{site: site, clock: virtual.NewClock(seed)}
 	for i := range site.Servers / 2 {
 		p.servers = append(p.servers, newSimServer(p.clock, i%2, site.Slots, VMs))
 	}
@@ -102,21 +103,21 @@
 	for i := range candidates {
 		candidates[i].Excluded = r.tried[i]
 	}
-	at := pick.Choose(clock.now, candidates, clock.random.Uint64())
+	at := pick.Choose(clock.Now(), candidates, clock.Random().Uint64())
 	if at < 0 { // Every home refused: wait at the one that seems best.
 		clear(r.tried)
 		r.send(0)
 		return
 	}
-	began, server, hop := clock.now, r.candidates[at].Server, r.hops[at]
+	began, server, hop := clock.Now(), r.candidates[at].Server, r.hops[at]
 	server.Started()
 	clock.After(hop, func() {
 		g := r.gates[at]
 		if refusals > 0 && g.wait() > maxWait {
 			held := g.held()
 			clock.After(hop, func() {
-				server.Ended(clock.now, pick.Withdrawn, 0)
-				server.Backlog(clock.now, held)
+				server.Ended(clock.Now(), pick.Withdrawn, 0)
+				server.Backlog(clock.Now(), held)
 				r.tried[at] = true
 				r.send(refusals - 1)
 			})
@@ -125,9 +126,9 @@
 		g.request(r.service, func() {
 			held := g.held()
 			clock.After(hop, func() {
-				server.Ended(clock.now, pick.Succeeded, clock.now-began)
+				server.Ended(clock.Now(), pick.Succeeded, clock.Now()-began)
 				if hop > 0 {
-					server.Backlog(clock.now, held)
+					server.Backlog(clock.Now(), held)
 				}
 				r.done(2 * r.pool.site.delay(zoneOf(r.vm), g.group[0].zone))
 			})
--- a/bench/limits/sim.go
+++ b/bench/virtual/clock.go
@@ -1,4 +1,6 @@
-package limits
+// Package virtual is a clock for simulations: events happen in the order of
+// their time, and nothing sleeps.
+package virtual
 
 import (
 	"container/heap"
--- /dev/null
+++ b/traffic/front/once_test.go
@@ -0,0 +1,117 @@
+package front
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/traffic/once"
+	"guavacrank.example/traffic/once/oncetest"
+	"guavacrank.example/traffic/route"
+)
+
+var _ = Describe("a non-idempotent request with an idempotency key", func() {
+	var store *oncetest.Store
+
+	// pair starts two VMs over one store; each sends to the server itself.
+	pair := func(behave func(net.Conn, *http.Request)) (*fakeServer, *vm, *vm) {
+		store = oncetest.NewStore()
+		server := newFakeServer(behave)
+		f := &fleet{vms: map[string]*vm{}}
+		for _, name := range []string{"a", "b"} {
+			f.vms[name] = newVM(Options{Once: once.New(once.Options{Store: store, VM: name})})
+		}
+		f.publish(func() *route.Service { return divided(testServer(server, ""), 7) })
+		return server, f.vms["a"], f.vms["b"]
+	}
+	key := []string{HeaderIdempotencyKey, "k1"}
+
+	It("is answered from the record when repeated through another VM", func() {
+		server, a, b := pair(say("HTTP/1.1 201 Created\r\nContent-Type: text/x\r\nContent-Length: 2\r\n\r\nok"))
+		Expect(a.order(key...).status).To(Equal(201))
+		a.options.Once.Wait()
+		got := b.order(key...)
+		Expect([]any{got.status, got.verdict, got.code, got.body}).To(Equal([]any{201, "answered", "once_finished", "ok"}))
+		Expect(got.header.Get("Content-Type")).To(Equal("text/x"))
+		Expect(got.header.Get(HeaderRecordedStatus)).To(Equal("201"))
+		Expect(server.seen()).To(HaveLen(1))
+	})
+
+	It("tells the status when the answer was too large to keep", func() {
+		body := strings.Repeat("x", once.MaxBodyBytes+1)
+		server, a, b := pair(say("HTTP/1.1 200 OK\r\nContent-Length: 4097\r\n\r\n" + body))
+		Expect(a.order(key...).body).To(Equal(body))
+		a.options.Once.Wait()
+		got := b.order(key...)
+		Expect([]any{got.status, got.verdict, got.code, got.header.Get(HeaderRecordedStatus)}).To(Equal([]any{409, "answered", "once_finished", "200"}))
+		Expect(server.seen()).To(HaveLen(1))
+	})
+
+	It("does not run again while the first is under way", func() {
+		release := make(chan struct{})
+		server, a, b := pair(func(conn net.Conn, r *http.Request) { <-release; io.WriteString(conn, okAnswer) })
+		ends := make(chan reply, 1)
+		go func() { defer GinkgoRecover(); ends <- a.order(key...) }()
+		Eventually(func() int { return len(server.seen()) }).Should(Equal(1))
+		got := b.order(key...)
+		Expect([]any{got.status, got.verdict, got.code}).To(Equal([]any{409, "may_have_run", "once_running"}))
+		close(release)
+		Expect((<-ends).verdict).To(Equal("answered"))
+		Expect(server.seen()).To(HaveLen(1))
+	})
+
+	It("does not run again after an attempt without proof, such as at a frozen server", func() {
+		server, a, b := pair(stay)
+		Expect(a.order(append(key, HeaderDeadline, "100")...).verdict).To(Equal("may_have_run"))
+		a.options.Once.Wait()
+		got := b.order(key...)
+		Expect([]any{got.verdict, got.code}).To(Equal([]any{"may_have_run", "once_unknown"}))
+		Expect(server.seen()).To(HaveLen(1))
+	})
+
+	It("may run when the first attempt was proved not to have run", func() {
+		server, a, b := pair(say(okAnswer))
+		server.close()
+		Expect(a.order(append(key, HeaderDeadline, "100")...).verdict).To(Equal("not_run"))
+		revived := newFakeServer(say(okAnswer))
+		for _, v := range []*vm{a, b} {
+			v.routes.Publish(&route.Snapshot{Services: map[string]*route.Service{"cards": divided(testServer(revived, ""), 8)}})
+		}
+		Expect(b.order(key...).verdict).To(Equal("answered"))
+	})
+
+	It("is refused with not_run while the store is down", func() {
+		server, a, _ := pair(say(okAnswer))
+		store.SetDown(true)
+		got := a.order(key...)
+		Expect([]any{got.status, got.verdict, got.code}).To(Equal([]any{503, "not_run", "store"}))
+		Expect(server.seen()).To(BeEmpty())
+	})
+
+	It("is refused when the key belongs to another request", func() {
+		server, a, b := pair(say(okAnswer))
+		a.order(key...)
+		got := b.ask("POST", "/v1/cards/k", "another body", append(key, HeaderClass, "order")...)
+		Expect([]any{got.status, got.verdict, got.code}).To(Equal([]any{422, "not_run", "once_different"}))
+		Expect(server.seen()).To(HaveLen(1))
+	})
+
+	It("runs once among many repeats at the same time", func() {
+		server, a, b := pair(say(okAnswer))
+		var group sync.WaitGroup
+		for i := range 20 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				got := []*vm{a, b}[i%2].order(key...)
+				Expect(got.verdict).NotTo(Equal("not_run"))
+			})
+		}
+		group.Wait()
+		Expect(server.seen()).To(HaveLen(1))
+	})
+})
--- a/traffic/front/unkeyed_test.go
+++ b/traffic/front/unkeyed_test.go
@@ -97,21 +97,22 @@
 		slow := newFakeServer(func(conn net.Conn, r *http.Request) { <-release; io.WriteString(conn, okAnswer) })
 		quick := newFakeServer(say(okAnswer))
 		f := newFleet(Options{Region: "r"}, "a")
-		f.publish(func() *route.Service {
-			s := undivided("a", slow, quick)()
-			s.Servers[1].Zone = "other"
-			s.Servers[0].Slots, s.Servers[0].Connections = 1, 6
-			return s
-		})
-		ends := make(chan reply, 1)
-		ask := func() reply { return f.vms["a"].ask("GET", "/v1/cards/", "") }
-		for len(slow.seen()) == 0 {
-			go func() { defer GinkgoRecover(); ends <- ask() }()
-			Eventually(func() int { return len(slow.seen()) + len(ends) }).Should(Equal(1))
-			if len(slow.seen()) == 0 {
-				<-ends
+		near := func(servers ...*fakeServer) func() *route.Service {
+			return func() *route.Service {
+				s := undivided("a", servers...)()
+				s.Servers[0].Slots, s.Servers[0].Connections = 1, 6
+				for _, other := range s.Servers[1:] {
+					other.Zone = "other"
+				}
+				return s
 			}
 		}
+		ends := make(chan reply, 1)
+		ask := func() reply { return f.vms["a"].ask("GET", "/v1/cards/", "") }
+		f.publish(near(slow))
+		go func() { defer GinkgoRecover(); ends <- ask() }()
+		Eventually(func() int { return len(slow.seen()) }).Should(Equal(1))
+		f.publish(near(slow, quick))
 		for range 10 {
 			Expect(ask().verdict).To(Equal("answered"))
 		}
--- a/traffic/once/fake_test.go
+++ b/traffic/once/oncetest/store.go
@@ -1,4 +1,6 @@
-package once
+// Package oncetest is a small fake of the store that idempotency records need,
+// whose calls can fail before or after their effect.
+package oncetest
 
 import (
 	"context"
@@ -8,27 +10,48 @@
 	"guavacrank.example/platform"
 )
 
-// fakeStore is a store of versioned values whose calls can fail before or
-// after their effect.
-type fakeStore struct {
+// Store is a store of versioned values in memory.
+type Store struct {
 	mu      sync.Mutex
 	version platform.Version
 	entries map[string]platform.Entry
 	leases  platform.LeaseID
-	// down makes every call fail without effect; lose makes that many changes
-	// take effect and lose their reply; unread makes reads fail.
-	down   bool
-	lose   int
-	unread bool
+	down    bool
+	lose    int
+	unread  bool
 }
 
-func newFakeStore() *fakeStore { return &fakeStore{entries: map[string]platform.Entry{}} }
+// NewStore returns an empty store.
+func NewStore() *Store { return &Store{entries: map[string]platform.Entry{}} }
 
-func (s *fakeStore) fail(op, key string, kind platform.Kind, outcome platform.Outcome) error {
+// SetDown makes every call fail without effect, or ends that.
+func (s *Store) SetDown(down bool) { s.set(func() { s.down = down }) }
+
+// Lose makes the next changes take effect and lose their replies.
+func (s *Store) Lose(changes int) { s.set(func() { s.lose = changes }) }
+
+// SetUnread makes every read fail, or ends that.
+func (s *Store) SetUnread(unread bool) { s.set(func() { s.unread = unread }) }
+
+// Leases returns how many leases were granted.
+func (s *Store) Leases() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int(s.leases)
+}
+
+func (s *Store) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func (s *Store) fail(op, key string, kind platform.Kind, outcome platform.Outcome) error {
 	return &platform.Error{Op: op, Key: key, Kind: kind, Outcome: outcome}
 }
 
-func (s *fakeStore) Get(_ context.Context, key string) (platform.Entry, error) {
+// Get implements once.Store.
+func (s *Store) Get(_ context.Context, key string) (platform.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down || s.unread {
@@ -41,7 +64,8 @@
 	return entry, nil
 }
 
-func (s *fakeStore) CompareAndSwap(_ context.Context, key string, expected platform.Version, value []byte, lease platform.LeaseID) (platform.Version, error) {
+// CompareAndSwap implements once.Store.
+func (s *Store) CompareAndSwap(_ context.Context, key string, expected platform.Version, value []byte, lease platform.LeaseID) (platform.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -62,7 +86,8 @@
 	return s.version, nil
 }
 
-func (s *fakeStore) Delete(_ context.Context, key string, expected platform.Version) error {
+// Delete implements once.Store.
+func (s *Store) Delete(_ context.Context, key string, expected platform.Version) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -75,7 +100,8 @@
 	return nil
 }
 
-func (s *fakeStore) GrantLease(context.Context, time.Duration) (platform.LeaseID, error) {
+// GrantLease implements once.Store.
+func (s *Store) GrantLease(context.Context, time.Duration) (platform.LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
--- a/traffic/once/records_test.go
+++ b/traffic/once/records_test.go
@@ -7,17 +7,19 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"guavacrank.example/traffic/once/oncetest"
 )
 
 var _ = Describe("records", func() {
 	var (
 		ctx   = context.Background()
-		store *fakeStore
+		store *oncetest.Store
 		a, b  *Records
 	)
 
 	BeforeEach(func() {
-		store = newFakeStore()
+		store = oncetest.NewStore()
 		a = New(Options{Store: store, VM: "a"})
 		b = New(Options{Store: store, VM: "b"})
 	})
@@ -77,7 +79,7 @@
 	})
 
 	It("settle a lost reply by reading back", func() {
-		store.lose = 1
+		store.Lose(1)
 		claim, earlier, err := begin(a)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(earlier).To(BeNil())
@@ -88,18 +90,19 @@
 	})
 
 	It("forbid the run when a lost reply can't be settled, and every repeat", func() {
-		store.lose, store.unread = 1, true
+		store.Lose(1)
+		store.SetUnread(true)
 		claim, earlier, err := begin(a)
 		Expect(claim).To(BeNil())
 		Expect(earlier).To(BeNil())
 		Expect(err).To(MatchError(ErrUnclear))
-		store.unread = false
+		store.SetUnread(false)
 		_, earlier, _ = begin(b)
 		Expect(earlier.State).To(Equal(Begun))
 	})
 
 	It("forbid the run while the store is down", func() {
-		store.down = true
+		store.SetDown(true)
 		claim, _, err := begin(a)
 		Expect(claim).To(BeNil())
 		Expect(err).To(MatchError(ErrUnclear))
@@ -107,10 +110,10 @@
 
 	It("leave a record begun when the end can't be written", func() {
 		claim, _, _ := begin(a)
-		store.down = true
+		store.SetDown(true)
 		claim.Finish(NewAnswer(200, "", nil, true))
 		a.Wait()
-		store.down = false
+		store.SetDown(false)
 		_, earlier, _ := begin(b)
 		Expect(earlier.State).To(Equal(Begun))
 	})
@@ -134,10 +137,10 @@
 		r := New(Options{Store: store, VM: "a", Now: func() time.Time { return now }})
 		r.Begin(ctx, "cards", "1", "f")
 		r.Begin(ctx, "cards", "2", "f")
-		Expect(store.leases).To(BeEquivalentTo(1))
+		Expect(store.Leases()).To(Equal(1))
 		now = now.Add(leaseTurn)
 		r.Begin(ctx, "cards", "3", "f")
-		Expect(store.leases).To(BeEquivalentTo(2))
+		Expect(store.Leases()).To(Equal(2))
 	})
 
 	It("leave out a large body", func() {
--- a/traffic/queue/estimate.go
+++ b/traffic/queue/estimate.go
@@ -19,6 +19,13 @@
 	e.mean += (d - e.mean) / 8
 }
 
+// AddAtLeast takes into account that a duration would have been at least d.
+func (e *Estimate) AddAtLeast(d time.Duration) {
+	if d > e.mean {
+		e.Add(d)
+	}
+}
+
 // Mean returns the smoothed mean, zero without observations.
 func (e *Estimate) Mean() time.Duration { return e.mean }
 
--- a/traffic/queue/gate.go
+++ b/traffic/queue/gate.go
@@ -98,7 +98,7 @@
 	g.mu.Unlock()
 }
 
-// Configure sets the slots, the number that may wait, and the floor.
+// Configure sets the slots, the number that may wait in each class, and the floor.
 func (g *Gate) Configure(slots, limit, floor int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/traffic/queue/queue.go
+++ b/traffic/queue/queue.go
@@ -49,9 +49,10 @@
 type Options struct {
 	// Slots is the number of requests that the server runs at once.
 	Slots int
-	// Limit is the number of requests that may wait.
+	// Limit is the number of requests that may wait in each class.
 	Limit int
-	// Floor is the least share of starts for each lower class that waits, in percent.
+	// Floor is the least share of the slots' time for each lower class that
+	// waits, in percent.
 	Floor int
 	// Decide is called when a waiting ticket is admitted or dropped.
 	Decide func(*Ticket, Decision)
@@ -59,14 +60,14 @@
 
 // Queue is the queue of one server. It is not safe for concurrent use.
 type Queue struct {
-	options  Options
-	slots    int
-	busy     int
-	bulkBusy int
-	queued   int
-	waiting  [priorities]list
-	credit   [priorities]int
-	service  [priorities]Estimate
+	options Options
+	slots   int
+	busy    int
+	running [priorities]int
+	queued  int
+	waiting [priorities]list
+	credit  [priorities]time.Duration
+	service [priorities]Estimate
 }
 
 // New returns an empty queue.
@@ -80,7 +81,7 @@
 	q.start(now)
 }
 
-// SetLimits changes how many may wait, and the floor.
+// SetLimits changes how many may wait in each class, and the floor.
 func (q *Queue) SetLimits(limit, floor int) {
 	q.options.Limit = limit
 	q.options.Floor = floor
@@ -112,7 +113,7 @@
 	if wait > 0 && now+wait+q.service[t.Priority].High() > t.Deadline {
 		return q.settle(t, Late)
 	}
-	if q.queued >= q.options.Limit && !q.displace(t.Priority) {
+	if q.waiting[t.Priority].length >= q.options.Limit {
 		return q.settle(t, Full)
 	}
 	q.waiting[t.Priority].pushBack(t)
@@ -120,16 +121,16 @@
 	return Waiting
 }
 
-// Done frees the slot of an admitted ticket. Only a request that ran tells
-// something about the service time.
-func (q *Queue) Done(now time.Duration, t *Ticket, ran bool) {
-	if ran {
+// Done frees the slot of an admitted ticket. A request that was answered tells
+// its service time, and one that was cut off that it would have taken longer.
+func (q *Queue) Done(now time.Duration, t *Ticket, answered bool) {
+	if answered {
 		q.service[t.Priority].Add(now - t.startedAt)
+	} else {
+		q.service[t.Priority].AddAtLeast(now - t.startedAt)
 	}
 	q.busy--
-	if t.Priority == config.Bulk {
-		q.bulkBusy--
-	}
+	q.running[t.Priority]--
 	q.start(now)
 }
 
@@ -137,9 +138,7 @@
 // front of its class.
 func (q *Queue) Return(now time.Duration, t *Ticket) {
 	q.busy--
-	if t.Priority == config.Bulk {
-		q.bulkBusy--
-	}
+	q.running[t.Priority]--
 	t.decision = Waiting
 	q.waiting[t.Priority].pushFront(t)
 	q.queued++
@@ -171,9 +170,7 @@
 	t.decision = Admitted
 	t.startedAt = now
 	q.busy++
-	if t.Priority == config.Bulk {
-		q.bulkBusy++
-	}
+	q.running[t.Priority]++
 }
 
 func (q *Queue) remove(t *Ticket) {
@@ -190,7 +187,7 @@
 	if p != config.Bulk || q.slots == 1 {
 		return true
 	}
-	return q.bulkBusy < q.slots-max(1, q.slots/4)
+	return q.running[config.Bulk] < q.slots-max(1, q.slots/4)
 }
 
 // waitsBefore says whether somebody waits who goes before a new ticket.
@@ -213,21 +210,18 @@
 		work += time.Duration(q.waiting[class].length) * q.service[class].Mean()
 	}
 	if q.busy >= q.slots {
-		work += q.service[p].Mean()
+		work += q.runningMean()
 	}
 	return work / time.Duration(q.slots)
 }
 
-// displace drops the newest ticket of the least urgent class below p.
-func (q *Queue) displace(p config.Priority) bool {
-	for class := priorities - 1; class > int(p); class-- {
-		if t := q.waiting[class].last; t != nil {
-			q.remove(t)
-			q.decide(t, Full)
-			return true
-		}
+// runningMean is the mean service time of what runs at the moment.
+func (q *Queue) runningMean() time.Duration {
+	var sum time.Duration
+	for class, count := range q.running {
+		sum += time.Duration(count) * q.service[class].Mean()
 	}
-	return false
+	return sum / time.Duration(max(q.busy, 1))
 }
 
 func (q *Queue) decide(t *Ticket, d Decision) {
@@ -244,7 +238,7 @@
 		}
 		t := q.waiting[class].first
 		q.remove(t)
-		if now+q.service[class].Mean() > t.Deadline {
+		if now+q.needed(class) > t.Deadline {
 			q.decide(t, Late)
 			continue
 		}
@@ -254,10 +248,19 @@
 	}
 }
 
+// needed is the time that a request must still have when it is started. While
+// others wait behind it, a slot goes to one that will very likely finish.
+func (q *Queue) needed(class int) time.Duration {
+	if q.waiting[class].first != nil {
+		return q.service[class].High()
+	}
+	return q.service[class].Mean()
+}
+
 // nextClass returns the class whose first ticket is started next.
 func (q *Queue) nextClass() (int, bool) {
 	for class := priorities - 1; class > 0; class-- {
-		if q.credit[class] >= 100 && q.ready(class) {
+		if q.credit[class] >= q.cost(class) && q.ready(class) {
 			return class, true
 		}
 	}
@@ -273,17 +276,24 @@
 	return q.waiting[class].first != nil && q.mayStart(config.Priority(class))
 }
 
-// charge accounts for one start: the lower classes that wait gain their
-// floor, and the class that starts spends what it had gained.
+// leastCost is what a start is taken to cost before the class is known.
+const leastCost = time.Millisecond
+
+// cost is the slot time that a start of the class is expected to take.
+func (q *Queue) cost(class int) time.Duration {
+	return max(q.service[class].Mean(), leastCost)
+}
+
+// charge accounts for one start: the lower classes that wait gain their floor
+// of its slot time, and the class that starts spends what it had gained.
 func (q *Queue) charge(started int) {
+	spent := q.cost(started)
 	for class := 1; class < priorities; class++ {
 		if q.waiting[class].first == nil {
 			q.credit[class] = 0
 			continue
 		}
-		q.credit[class] += q.options.Floor
-	}
-	if started > 0 {
-		q.credit[started] = max(0, q.credit[started]-100)
+		q.credit[class] += spent * time.Duration(q.options.Floor) / 100
 	}
+	q.credit[started] = max(0, q.credit[started]-spent)
 }
