--- a/control/system_loss.go
+++ b/control/system_loss.go
@@ -32,6 +32,9 @@
 	if len(s.owned[sv.name]) == 0 && len(s.leaving[sv.name]) == 0 {
 		return false
 	}
+	if s.blockedByLoss(sv.name) {
+		return false
+	}
 	declared := m.serverDeclaredLost(sv)
 	if !declared && !m.silent(sv, m.timeToLive()/2) {
 		m.resumeSends(sv)
@@ -92,11 +95,11 @@
 	if !sv.sendsStopped {
 		return 0, false
 	}
-	end := max(sv.lastHomeUntil, m.startedAt) + m.longestDeadline(s)
+	end := max(sv.lastHomeUntil+m.longestDeadline(s), m.startedAt+m.sendsBound(s))
 	if sv.sendsIdle {
 		end = m.now
 	}
-	wordsEnd, given := m.wordsEnd(s, sv, m.longestDeadline(s))
+	wordsEnd, given := m.wordsEnd(s, sv, m.sendsBound(s))
 	return max(end, wordsEnd), given
 }
 
