--- a/config/check.go
+++ b/config/check.go
@@ -193,6 +193,8 @@
 		d.fault(path, "server %q is not declared", exception.Server)
 	case exception.Service != "" && server.Service != exception.Service:
 		d.fault(path, "server %q serves %q, not %q", server.Name, server.Service, exception.Service)
+	case !configuration.divided(server.Service):
+		d.fault(path, "%q is not divided by key, so its servers share their queues; set it for the service", server.Service)
 	}
 }
 
--- a/config/defaults.go
+++ b/config/defaults.go
@@ -43,7 +43,7 @@
 		MovesPerMinute:  12,
 		HotKeyShare:     20,
 		MaxBodyBytes:    1 << 20,
-		LinkBulkRate:    300 << 10,
+		LinkBulkRate:    100 << 10,
 	}
 }
 
--- a/config/field.go
+++ b/config/field.go
@@ -126,7 +126,7 @@
 	define("max_body", KindBytes, 1<<10, 64<<20, ForService|ForClass,
 		func(d *Defaults) *int64 { return &d.MaxBodyBytes },
 		"Largest body of a caller's request."),
-	define("link_bulk_rate", KindByteRate, 1<<10, 1<<30, 0,
+	define("link_bulk_rate", KindByteRate, 1<<10, 1<<30, ForService,
 		func(d *Defaults) *int64 { return &d.LinkBulkRate },
-		"Bytes a second of bulk classes that each daemon sends over the link between regions."),
+		"Bytes a second of one service's bulk classes that each daemon sends over the link between regions, and receives."),
 }
--- a/config/lookup.go
+++ b/config/lookup.go
@@ -25,6 +25,12 @@
 	return Server{}, false
 }
 
+// divided reports whether a service is divided by key.
+func (c *Configuration) divided(service string) bool {
+	declared, _ := c.Service(service)
+	return declared.DividedByKey
+}
+
 // SettingsFor returns the defaults with the exceptions that apply. An empty
 // class or server asks without it; an empty service is taken from the server.
 // An exception for a server goes before one for a class, and both go before
--- a/daemon/snapshot.go
+++ b/daemon/snapshot.go
@@ -44,22 +44,26 @@
 
 func buildService(configuration *config.Configuration, service config.Service, routing *control.ServiceRouting) *route.Service {
 	built := &route.Service{
-		Name:         service.Name,
-		DividedByKey: service.DividedByKey,
-		Shards:       uint32(service.Shards),
-		Classes:      make(map[string]config.Class, len(service.Classes)),
-		Overrides:    make(map[string]route.Unit),
-		Settings:     configuration.SettingsFor(service.Name, "", ""),
+		Name:          service.Name,
+		DividedByKey:  service.DividedByKey,
+		Shards:        uint32(service.Shards),
+		Classes:       make(map[string]config.Class, len(service.Classes)),
+		Overrides:     make(map[string]route.Unit),
+		Settings:      configuration.SettingsFor(service.Name, "", ""),
+		ClassSettings: make(map[string]config.Defaults),
 	}
 	for i, class := range service.Classes {
 		if i == 0 {
 			built.DefaultClass = class.Name
 		}
 		built.Classes[class.Name] = class
+		if own := configuration.SettingsFor(service.Name, class.Name, ""); own != built.Settings {
+			built.ClassSettings[class.Name] = own
+		}
 	}
 	for _, server := range configuration.Servers {
 		if server.Service == service.Name {
-			built.Servers = append(built.Servers, buildServer(server))
+			built.Servers = append(built.Servers, buildServer(configuration, server, built.Settings))
 		}
 	}
 	sortServers(built.Servers)
@@ -69,8 +73,8 @@
 	return built
 }
 
-func buildServer(server config.Server) *route.Server {
-	return &route.Server{
+func buildServer(configuration *config.Configuration, server config.Server, ofService config.Defaults) *route.Server {
+	built := &route.Server{
 		Name:         server.Name,
 		Address:      server.Address,
 		Region:       server.Region,
@@ -80,6 +84,10 @@
 		ChecksGrants: server.ChecksGrants,
 		Draining:     server.Draining,
 	}
+	if own := configuration.SettingsFor(server.Service, "", server.Name); own != ofService {
+		built.Settings = &own
+	}
+	return built
 }
 
 // addOwnership adds homes, units and overrides of a service divided by key.
--- a/traffic/front/call.go
+++ b/traffic/front/call.go
@@ -75,5 +75,5 @@
 // remaining returns the time left until the call's deadline.
 func (c *call) remaining(now time.Duration) time.Duration { return c.deadline - now }
 
-// settings returns the settings of the call's service.
-func (c *call) settings() config.Defaults { return c.service.settings }
+// settings returns the settings of the call's class.
+func (c *call) settings() config.Defaults { return c.service.settingsOf(c.class.Name) }
--- a/traffic/front/options.go
+++ b/traffic/front/options.go
@@ -86,9 +86,8 @@
 	return o
 }
 
-// settingsOf returns the service's settings with defaults for zero fields.
-func settingsOf(s *route.Service) config.Defaults {
-	settings := s.Settings
+// filled returns settings with defaults for zero fields.
+func filled(settings config.Defaults) config.Defaults {
 	settings.MaxAttempts = orDefault(settings.MaxAttempts, defaultMaxAttempts)
 	settings.RetryBudget = orDefault(settings.RetryBudget, defaultRetryBudget)
 	settings.QueueLimit = orDefault(settings.QueueLimit, defaultQueueLimit)
--- a/traffic/front/parse.go
+++ b/traffic/front/parse.go
@@ -88,8 +88,8 @@
 	if refused != nil {
 		return nil, refused
 	}
-	if r.ContentLength > s.settings.MaxBodyBytes {
-		return nil, &refusal{verdict.CodeBodyTooLarge, "the body is larger than " + strconv.FormatInt(s.settings.MaxBodyBytes, 10) + " bytes"}
+	if most := s.settingsOf(class.Name).MaxBodyBytes; r.ContentLength > most {
+		return nil, &refusal{verdict.CodeBodyTooLarge, "the body is larger than " + strconv.FormatInt(most, 10) + " bytes"}
 	}
 	allowed, refused := deadlineOf(r.Header, class)
 	if refused != nil {
--- a/traffic/front/view.go
+++ b/traffic/front/view.go
@@ -100,7 +100,7 @@
 	}
 	s := &service{
 		Service:  routing,
-		settings: settingsOf(routing),
+		settings: filled(routing.Settings),
 		members:  make(map[*route.Server]*member, len(routing.Servers)),
 		metrics:  make(map[string]*metric.Class, len(routing.Classes)),
 		state:    state,
@@ -125,10 +125,22 @@
 	m := &member{declared: declared, home: h.homeOf(v, s, declared)}
 	m.share = h.shareOf(v, m)
 	m.server = h.serverOf(id, m.share)
-	m.configure(m.share, limits{s.settings.QueueLimit, s.settings.BulkFloor})
+	settings := s.settings
+	if declared.Settings != nil {
+		settings = filled(*declared.Settings)
+	}
+	m.configure(m.share, limits{settings.QueueLimit, settings.BulkFloor})
 	return m
 }
 
+// settingsOf returns the settings of one class.
+func (s *service) settingsOf(class string) config.Defaults {
+	if own, excepted := s.ClassSettings[class]; excepted {
+		return filled(own)
+	}
+	return s.settings
+}
+
 // homeOf returns the VM that queues for a server. Of a server that does not
 // check grants it is the home that control names. Otherwise it is a VM in the
 // server's zone: a slot stays unused while an answer and the next request
--- a/traffic/route/snapshot.go
+++ b/traffic/route/snapshot.go
@@ -43,6 +43,8 @@
 	Servers []*Server
 	// Settings are the defaults with the exceptions that apply to the service.
 	Settings config.Defaults
+	// ClassSettings holds the settings of classes that have exceptions of their own.
+	ClassSettings map[string]config.Defaults
 }
 
 // Unit is the routing of one ownership unit.
@@ -68,4 +70,6 @@
 	// HomeUntil limits this VM's own right to send to a server that does not
 	// check grants, on the clock of elapsed time including suspend.
 	HomeUntil time.Duration
+	// Settings is set for a server that has exceptions of its own.
+	Settings *config.Defaults
 }
