--- a/bench/suite/suite.go
+++ b/bench/suite/suite.go
@@ -5,8 +5,11 @@
 	"context"
 
 	"guavacrank.example/bench/failover"
+	"guavacrank.example/bench/limits"
+	"guavacrank.example/bench/overload"
 	"guavacrank.example/bench/placement"
 	"guavacrank.example/bench/report"
+	"guavacrank.example/bench/traffic"
 )
 
 // Benchmark is one row of the list.
@@ -36,5 +39,26 @@
 				return failover.Run(ctx, failover.Options{Seed: seed})
 			},
 		},
+		{
+			Name:    "limits",
+			Summary: "ways of sharing a server's slots and connections among 12 VMs, on a virtual clock",
+			Run: func(ctx context.Context, seed uint64) (report.Report, error) {
+				return limits.Run(ctx, limits.Options{Seed: seed})
+			},
+		},
+		{
+			Name:    "overload",
+			Summary: "goodput, latency and floors at twice the capacity, on a virtual clock",
+			Run: func(ctx context.Context, seed uint64) (report.Report, error) {
+				return overload.Run(ctx, overload.Options{Seed: seed})
+			},
+		},
+		{
+			Name:    "traffic",
+			Summary: "latency and processor time of the router against a plain relay, on this machine",
+			Run: func(ctx context.Context, _ uint64) (report.Report, error) {
+				return traffic.Run(ctx, traffic.Options{})
+			},
+		},
 	}
 }
--- a/traffic/front/call.go
+++ b/traffic/front/call.go
@@ -22,10 +22,13 @@
 	id string
 	// attempt numbers the sends of this request, from 1.
 	attempt int
-	// deadline is on the elapsed clock.
+	// deadline is on the handler's clock.
 	deadline time.Duration
-	request  *http.Request
-	body     body
+	// mayRunUntil is the deadline of a non-idempotent request on the clock that
+	// runs on while the VM is suspended, zero for another one.
+	mayRunUntil time.Duration
+	request     *http.Request
+	body        body
 
 	// forwarded says that another VM sent the request here; crossing that the
 	// answer goes over the link between regions from here.
--- a/traffic/front/choose.go
+++ b/traffic/front/choose.go
@@ -65,7 +65,7 @@
 		return nil
 	}
 	p := v.peers[home]
-	if p == nil || share > 0 && p.avoided(h.options.Elapsed()) {
+	if p == nil || share > 0 && p.avoided(h.now()) {
 		return nil
 	}
 	return p
@@ -93,7 +93,7 @@
 	for _, g := range s.groups {
 		if g.home == v.snapshot.Self {
 			state := g.gate.State()
-			g.seen.Backlog(h.options.Elapsed(), state.Busy+state.Queued)
+			g.seen.Backlog(h.now(), state.Busy+state.Queued)
 		}
 		candidates = append(candidates, pick.Candidate{
 			Server:   g.seen,
@@ -102,14 +102,14 @@
 			Excluded: c.maxWait > 0 && slices.Contains(c.refusedBy, g.groupState),
 		})
 	}
-	at := pick.Choose(h.options.Elapsed(), candidates, rand.Uint64())
+	at := pick.Choose(h.now(), candidates, rand.Uint64())
 	if at < 0 || c.maxWait > 0 && !s.groups[at].local && len(c.refusedBy) > 0 {
 		// Every group of the region would make it wait: it waits at the best.
 		c.maxWait = 0
 		for i := range candidates {
 			candidates[i].Excluded = false
 		}
-		at = pick.Choose(h.options.Elapsed(), candidates, rand.Uint64())
+		at = pick.Choose(h.now(), candidates, rand.Uint64())
 	}
 	g := s.groups[at]
 	share := 0
@@ -138,10 +138,10 @@
 func (h *Handler) pickMember(g *group, c *call) *member {
 	var buffer [16]pick.Candidate
 	candidates := g.candidates(buffer[:0], c.tried)
-	at := pick.Choose(h.options.Elapsed(), candidates, rand.Uint64())
+	at := pick.Choose(h.now(), candidates, rand.Uint64())
 	if at < 0 { // Every server failed it.
 		c.tried = nil
-		at = pick.Choose(h.options.Elapsed(), g.candidates(buffer[:0], nil), rand.Uint64())
+		at = pick.Choose(h.now(), g.candidates(buffer[:0], nil), rand.Uint64())
 	}
 	return g.members[at]
 }
--- a/traffic/front/expvar.go
+++ b/traffic/front/expvar.go
@@ -47,7 +47,7 @@
 
 func (h *Handler) serverStatus(v *view, s *service) map[string]ServerStatus {
 	all := make(map[string]ServerStatus)
-	now := h.options.Elapsed()
+	now := h.now()
 	for _, m := range s.members {
 		state := m.gate.State()
 		all[m.name] = ServerStatus{
--- a/traffic/front/forward.go
+++ b/traffic/front/forward.go
@@ -49,12 +49,12 @@
 	if err := h.passOut(ctx, c, to.crossing); err != nil {
 		return notRun(endCode(c), "waited for the link between regions")
 	}
-	began := h.options.Elapsed()
+	began := h.now()
 	if to.group != nil {
 		to.group.seen.Started()
 	}
 	received, failure := to.peer.pool.Do(ctx, h.peerRequest(c, to, began), !c.class.Idempotent)
-	now := h.options.Elapsed()
+	now := h.now()
 	c.seen.Backend += now - began
 	if failure != nil {
 		if failure.Stage == upstream.StageConnect && !failure.Timeout {
@@ -109,7 +109,7 @@
 
 func (h *Handler) takeForwarded(c *call, to target, began time.Duration, received *upstream.Answer) outcome {
 	held, failure := hold(received)
-	now := h.options.Elapsed()
+	now := h.now()
 	if failure != nil {
 		to.learn(now, began, resultOf(c, failure))
 		return classify(c, failure)
@@ -127,7 +127,7 @@
 		out.retryAfter = time.Duration(hint) * time.Millisecond
 	}
 	if out.code == verdict.CodeStopping || out.code == verdict.CodeNotHome {
-		to.peer.avoid(h.options.Elapsed())
+		to.peer.avoid(h.now())
 	}
 	if server := received.Header.Get(HeaderPeerServer); server != "" && to.group != nil {
 		c.tried = append(c.tried, server)
@@ -154,7 +154,7 @@
 		writeRefusal(w, *refused)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), c.remaining(h.options.Elapsed()))
+	ctx, cancel := context.WithTimeout(r.Context(), c.remaining(h.now()))
 	defer cancel()
 	until, _ := ctx.Deadline()
 	if c.body, refused = readBody(w, r, c.settings().MaxBodyBytes, until); refused != nil {
--- a/traffic/front/handler.go
+++ b/traffic/front/handler.go
@@ -16,6 +16,7 @@
 // that other VMs forward.
 type Handler struct {
 	options Options
+	started time.Time
 	ids     *ids
 	view    atomic.Pointer[view]
 
@@ -35,6 +36,7 @@
 func New(options Options) *Handler {
 	return &Handler{
 		options: options.withDefaults(),
+		started: time.Now(),
 		ids:     newIDs(),
 		states:  make(map[string]*serviceState),
 		servers: make(map[serverID]*server),
@@ -44,6 +46,10 @@
 	}
 }
 
+// now is the handler's clock for queues and deadlines. It is cheaper to read
+// than the clock of elapsed time, which limits the right to send.
+func (h *Handler) now() time.Duration { return time.Since(h.started) }
+
 // ServeHTTP serves one caller's request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if refused := h.enter(); refused != nil {
@@ -51,13 +57,13 @@
 		return
 	}
 	defer h.leave()
-	began := h.options.Elapsed()
+	began := h.now()
 	c, refused := h.parseCaller(r)
 	if refused != nil {
 		writeRefusal(w, *refused)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), c.remaining(h.options.Elapsed()))
+	ctx, cancel := context.WithTimeout(r.Context(), c.remaining(h.now()))
 	defer cancel()
 	until, _ := ctx.Deadline()
 	if c.body, refused = readBody(w, r, c.settings().MaxBodyBytes, until); refused != nil {
@@ -71,7 +77,7 @@
 
 // record counts what became of a request.
 func (h *Handler) record(c *call, began time.Duration, v verdict.Verdict, code verdict.Code) {
-	c.seen.Total = h.options.Elapsed() - began
+	c.seen.Total = h.now() - began
 	c.seen.Attempts = c.attempt
 	c.seen.RequestBytes = int64(len(c.body.held))
 	if c.body.stream != nil {
--- a/traffic/front/parse.go
+++ b/traffic/front/parse.go
@@ -95,14 +95,18 @@
 	if refused != nil {
 		return nil, refused
 	}
-	return &call{
+	c := &call{
 		service:  s,
 		class:    class,
 		key:      where.key,
 		path:     where.path,
-		deadline: h.options.Elapsed() + allowed,
+		deadline: h.now() + allowed,
 		request:  r,
-	}, nil
+	}
+	if !class.Idempotent {
+		c.mayRunUntil = h.options.Elapsed() + allowed
+	}
+	return c, nil
 }
 
 // parseCaller adds what only a caller's own request has.
--- a/traffic/front/peer.go
+++ b/traffic/front/peer.go
@@ -12,7 +12,7 @@
 type peer struct {
 	name string
 	pool *upstream.Pool
-	// avoidUntil is the reading of the elapsed clock until which the peer is
+	// avoidUntil is the reading of the handler's clock until which the peer is
 	// passed over, because connecting to it failed.
 	avoidUntil atomic.Int64
 }
--- a/traffic/front/send.go
+++ b/traffic/front/send.go
@@ -31,16 +31,16 @@
 // retry budget pays for it.
 func (h *Handler) send(ctx context.Context, c *call, to target) (out outcome) {
 	a := &admission{handler: h, call: c, to: to, gate: gateOf(to)}
-	arrived := h.options.Elapsed()
+	arrived := h.now()
 	if to.group != nil && !c.forwarded {
 		to.group.seen.Started()
-		defer func() { to.group.seen.Ended(h.options.Elapsed(), groupResult(out), h.options.Elapsed()-arrived) }()
+		defer func() { to.group.seen.Ended(h.now(), groupResult(out), h.now()-arrived) }()
 	}
 	var decision queue.Decision
 	waiting := arrived
 	a.ticket, decision = a.gate.Enter(ctx, queue.Want{Priority: c.class.Priority, Deadline: c.deadline, MaxWait: c.maxWait})
 	for requeued := false; ; requeued = true {
-		c.seen.Queue += h.options.Elapsed() - waiting
+		c.seen.Queue += h.now() - waiting
 		if decision != queue.Admitted {
 			return h.refused(c, a.gate, decision)
 		}
@@ -52,7 +52,7 @@
 			}
 			return out
 		}
-		waiting = h.options.Elapsed()
+		waiting = h.now()
 		c.attempt++
 		a.ticket, decision = a.gate.Again(ctx, a.ticket)
 	}
@@ -88,10 +88,10 @@
 		units.Leave(a.to.unit)
 		return notRun(endCode(c), "waited for the link between regions")
 	}
-	a.sentAt = h.options.Elapsed()
+	a.sentAt = h.now()
 	a.member.seen.Started()
 	received, failure := a.member.pool.Do(ctx, c.serverRequest(a.to, a.sentAt), !c.class.Idempotent)
-	c.seen.Backend += h.options.Elapsed() - a.sentAt
+	c.seen.Backend += h.now() - a.sentAt
 	if failure != nil {
 		a.learn(resultOf(c, failure))
 		a.release(failure.Sent)
@@ -105,7 +105,7 @@
 // here that its right, or the deadline, has passed.
 func (a *admission) confirm() verdict.Code {
 	h, c := a.handler, a.call
-	if c.remaining(h.options.Elapsed()) <= 0 {
+	if c.remaining(h.now()) <= 0 || c.mayRunUntil > 0 && h.options.Elapsed() >= c.mayRunUntil {
 		return verdict.CodeTimeout
 	}
 	v := h.current()
@@ -142,7 +142,7 @@
 func (a *admission) release(sent bool) {
 	units, unit := a.call.service.state.units, a.to.unit
 	if sent && a.group == nil && !a.member.declared.ChecksGrants {
-		left := a.call.remaining(a.handler.options.Elapsed()) + deadlineSlack
+		left := a.call.remaining(a.handler.now()) + deadlineSlack
 		time.AfterFunc(left, func() { units.Leave(unit) })
 		return
 	}
@@ -151,7 +151,7 @@
 
 // learn notes how the server took the request.
 func (a *admission) learn(result pick.Result) {
-	now := a.handler.options.Elapsed()
+	now := a.handler.now()
 	before := a.member.seen.Well(now)
 	a.member.seen.Ended(now, result, now-a.sentAt)
 	changed := false
--- a/traffic/front/server.go
+++ b/traffic/front/server.go
@@ -36,7 +36,7 @@
 		held = &server{
 			name:  id.name,
 			pool:  upstream.NewPool(upstream.Options{Address: id.address, Connections: share}),
-			gate:  queue.NewGate(h.options.Elapsed, queue.Options{Slots: share}),
+			gate:  queue.NewGate(h.now, queue.Options{Slots: share}),
 			seen:  pick.NewServer(),
 			limit: limit.NewAdaptive(share),
 		}
@@ -145,7 +145,7 @@
 		g.slots += declared.Slots
 	}
 	for _, g := range groups {
-		g.configure(h.options.Elapsed(), limits{s.settings.QueueLimit * len(g.members), s.settings.BulkFloor})
+		g.configure(h.now(), limits{s.settings.QueueLimit * len(g.members), s.settings.BulkFloor})
 	}
 	return groups
 }
@@ -155,7 +155,7 @@
 	if held == nil {
 		held = &groupState{
 			id:   id,
-			gate: queue.NewGate(h.options.Elapsed, queue.Options{}),
+			gate: queue.NewGate(h.now, queue.Options{}),
 			seen: pick.NewServer(),
 		}
 		h.groups[id] = held
