--- a/cmd/internal/command/bench.go
+++ b/cmd/internal/command/bench.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 
+	"guavacrank.example/bench/plot"
 	"guavacrank.example/bench/report"
 	"guavacrank.example/bench/suite"
 )
@@ -23,17 +24,27 @@
 		Examples: []string{
 			"guavacrankctl bench placement",
 			"guavacrankctl bench all -output json",
+			"guavacrankctl bench placement -plot plots",
 		},
 		Setup: func(flags *flag.FlagSet) Run {
 			output := addOutput(flags)
-			seed := flags.Uint64("seed", 1, "`number` from which the benchmarks draw")
+			options := benchOptions{output: output}
+			flags.Uint64Var(&options.seed, "seed", 1, "`number` from which the benchmarks draw")
+			flags.StringVar(&options.plots, "plot", "", "`directory` for SVG plots of the figures")
 			return func(ctx context.Context, env *Environment, args []string) error {
-				return runBenchmarks(ctx, env, args, *seed, output)
+				return runBenchmarks(ctx, env, args, options)
 			}
 		},
 	}
 }
 
+// benchOptions are the flags of bench.
+type benchOptions struct {
+	output *outputFlag
+	seed   uint64
+	plots  string // Directory; empty: none.
+}
+
 func benchmarkNames() []string {
 	var names []string
 	for _, benchmark := range suite.All() {
@@ -44,7 +55,7 @@
 
 // runBenchmarks runs what the argument names and prints the reports. It fails
 // if a target was missed.
-func runBenchmarks(ctx context.Context, env *Environment, args []string, seed uint64, output *outputFlag) error {
+func runBenchmarks(ctx context.Context, env *Environment, args []string, options benchOptions) error {
 	if err := arguments(args, "NAME"); err != nil {
 		return err
 	}
@@ -56,14 +67,17 @@
 	missed := 0
 	for i, benchmark := range chosen {
 		fmt.Fprintf(env.Stderr, "bench %s (%d of %d)\n", benchmark.Name, i+1, len(chosen))
-		result, err := benchmark.Run(ctx, seed)
+		result, err := benchmark.Run(ctx, options.seed)
 		if err != nil {
 			return fmt.Errorf("bench %s: %w", benchmark.Name, err)
 		}
 		reports = append(reports, result)
 		missed += len(result.Missed())
 	}
-	if err := output.print(env.Stdout, reports, func(w io.Writer) { printReports(w, reports) }); err != nil {
+	if err := options.output.print(env.Stdout, reports, func(w io.Writer) { printReports(w, reports) }); err != nil {
+		return err
+	}
+	if err := drawPlots(env, options.plots, reports); err != nil {
 		return err
 	}
 	if missed > 0 {
@@ -72,6 +86,18 @@
 	return nil
 }
 
+// drawPlots draws the reports into a directory, if one was given.
+func drawPlots(env *Environment, dir string, reports []report.Report) error {
+	if dir == "" {
+		return nil
+	}
+	files, err := plot.Write(dir, reports)
+	for _, file := range files {
+		fmt.Fprintln(env.Stderr, "plot", file)
+	}
+	return err
+}
+
 func chooseBenchmarks(name string) []suite.Benchmark {
 	var chosen []suite.Benchmark
 	for _, benchmark := range suite.All() {
