--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -24,7 +24,7 @@
 	HeaderDeadline = "Guavacrank-Deadline-Ms"
 	// HeaderClass carries the traffic class.
 	HeaderClass = "Guavacrank-Class"
-	// HeaderKey carries the key.
+	// HeaderKey carries the key, percent-encoded as in the path of a URL.
 	HeaderKey = "Guavacrank-Key"
 )
 
--- a/backend/standin/records.go
+++ b/backend/standin/records.go
@@ -13,6 +13,7 @@
 	Service   string `json:"service"`
 	Boot      string `json:"boot"`
 	RequestID string `json:"request_id"`
+	CallerID  string `json:"caller_id"`
 	Attempt   int    `json:"attempt"`
 	Unit      uint32 `json:"unit"`
 	// HasUnit is false for a request without an ownership unit.
--- a/backend/standin/request.go
+++ b/backend/standin/request.go
@@ -4,16 +4,22 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
 	"guavacrank.example/backend"
 )
 
+// HeaderCallerID carries the caller's own identifier of a request through the
+// router to the record of the run.
+const HeaderCallerID = "Standin-Caller-Id"
+
 // Answer is the body of a stand-in's answer. It names the request, so that an
 // answer to another request is seen.
 type Answer struct {
 	RequestID string `json:"request_id"`
+	CallerID  string `json:"caller_id,omitempty"`
 	Key       string `json:"key"`
 	Server    string `json:"server"`
 	Attempt   int    `json:"attempt"`
@@ -24,13 +30,14 @@
 
 // request is a forwarded request as its headers give it.
 type request struct {
-	id      string
-	attempt int
-	unit    uint32
-	hasUnit bool
-	epoch   uint64
-	key     string
-	class   string
+	id       string
+	callerID string
+	attempt  int
+	unit     uint32
+	hasUnit  bool
+	epoch    uint64
+	key      string
+	class    string
 	// deadline is a reading of the server's clock; zero: none.
 	deadline time.Duration
 }
@@ -38,11 +45,16 @@
 // parseRequest reads the headers. A header that is no number is an error.
 func parseRequest(header http.Header, now time.Duration) (request, error) {
 	parsed := request{
-		id:      header.Get(backend.HeaderRequestID),
-		key:     header.Get(backend.HeaderKey),
-		class:   header.Get(backend.HeaderClass),
-		hasUnit: header.Get(backend.HeaderUnit) != "",
+		id:       header.Get(backend.HeaderRequestID),
+		callerID: header.Get(HeaderCallerID),
+		class:    header.Get(backend.HeaderClass),
+		hasUnit:  header.Get(backend.HeaderUnit) != "",
+	}
+	key, err := url.PathUnescape(header.Get(backend.HeaderKey))
+	if err != nil {
+		return request{}, fmt.Errorf("header %s: %w", backend.HeaderKey, err)
 	}
+	parsed.key = key
 	attempt, err := number(header, backend.HeaderAttempt, 32)
 	if err != nil {
 		return request{}, err
--- a/backend/standin/run.go
+++ b/backend/standin/run.go
@@ -18,6 +18,7 @@
 		Service:   p.options.Service,
 		Boot:      p.fence.Boot(),
 		RequestID: request.id,
+		CallerID:  request.callerID,
 		Attempt:   request.attempt,
 		Unit:      request.unit,
 		HasUnit:   request.hasUnit,
@@ -149,6 +150,7 @@
 	var body bytes.Buffer
 	_ = json.NewEncoder(&body).Encode(Answer{ // Strings and numbers always encode.
 		RequestID: request.id,
+		CallerID:  request.callerID,
 		Key:       request.key,
 		Server:    p.options.Name,
 		Attempt:   request.attempt,
--- /dev/null
+++ b/bench/demo/balancer.go
@@ -0,0 +1,74 @@
+package demo
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+)
+
+// checkInterval is the time between two health checks of a VM.
+const checkInterval = 100 * time.Millisecond
+
+// balancer is the stand-in of the platform's balancer: it names the VMs in
+// turn, without those whose health check failed.
+type balancer struct {
+	vms     []*vm
+	healthy []atomic.Bool
+	next    atomic.Uint64
+	client  *http.Client
+}
+
+func newBalancer(vms []*vm) *balancer {
+	b := &balancer{
+		vms:     vms,
+		healthy: make([]atomic.Bool, len(vms)),
+		client:  &http.Client{Transport: &http.Transport{}, Timeout: checkInterval},
+	}
+	for i := range b.healthy {
+		b.healthy[i].Store(true)
+	}
+	return b
+}
+
+// pick returns the next healthy VM, or the next one if none is.
+func (b *balancer) pick() *vm {
+	first := int(b.next.Add(1))
+	for i := range b.vms {
+		at := (first + i) % len(b.vms)
+		if b.healthy[at].Load() {
+			return b.vms[at]
+		}
+	}
+	return b.vms[first%len(b.vms)]
+}
+
+// run checks the VMs until the context ends.
+func (b *balancer) run(ctx context.Context) {
+	defer b.client.CloseIdleConnections()
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		for i, v := range b.vms {
+			b.healthy[i].Store(b.check(ctx, v))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (b *balancer) check(ctx context.Context, v *vm) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.settings.CallerAddress+"/healthz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := b.client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/bench/demo/inject.go
@@ -0,0 +1,131 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"guavacrank.example/platform"
+	"guavacrank.example/platform/memstore"
+)
+
+// injector causes the faults of a run at their times.
+type injector struct {
+	world *world
+	note  func(format string, arguments ...any)
+	// hit names the servers that a fault was caused at.
+	hit map[string]bool
+}
+
+// step is one action of a fault at a time from the start of the load.
+type step struct {
+	at  time.Duration
+	run func() error
+	say string
+}
+
+// plan resolves the targets of the faults and returns their steps in order of time.
+func (i *injector) plan(faults []Fault) ([]step, error) {
+	var steps []step
+	for n := range faults {
+		fault := &faults[n]
+		begin, end, err := i.actions(fault)
+		if err != nil {
+			return nil, err
+		}
+		steps = append(steps, step{fault.Start, begin, fault.String() + " begins"})
+		if fault.End != 0 {
+			steps = append(steps, step{fault.End, end, fault.String() + " ends"})
+		}
+	}
+	slices.SortStableFunc(steps, func(a, b step) int { return int(a.at - b.at) })
+	return steps, nil
+}
+
+func (i *injector) actions(fault *Fault) (begin, end func() error, err error) {
+	switch fault.Kind {
+	case FaultStore:
+		begin = func() error { i.world.store.SetFaults(memstore.Faults{Outage: true, VMListLag: vmListLag}); return nil }
+		end = func() error { i.world.store.SetFaults(memstore.Faults{VMListLag: vmListLag}); return nil }
+		return begin, end, nil
+	case FaultVM:
+		return i.vmActions(fault)
+	default:
+		return i.serverActions(fault)
+	}
+}
+
+func (i *injector) vmActions(fault *Fault) (begin, end func() error, err error) {
+	if fault.Target == "" {
+		fault.Target = i.world.vms[len(i.world.vms)-1].settings.VM
+	}
+	target := i.world.vm(fault.Target)
+	if target == nil {
+		return nil, nil, &FaultError{fault.String(), "there is no such VM"}
+	}
+	begin = func() error { target.kill(); i.listVMs(fault.Target, true); return nil }
+	end = func() error { i.listVMs(fault.Target, false); return target.start() }
+	return begin, end, nil
+}
+
+// listVMs changes the platform's list: a lost VM disappears from it.
+func (i *injector) listVMs(name string, lost bool) {
+	var listed []platform.VM
+	for _, v := range i.world.vms {
+		if lost && v.settings.VM == name {
+			continue
+		}
+		listed = append(listed, platformVM(v.settings))
+	}
+	i.world.store.SetVMs(listed)
+}
+
+func (i *injector) serverActions(fault *Fault) (begin, end func() error, err error) {
+	if fault.Target == "" {
+		fault.Target = i.chooseServer()
+	}
+	target := i.world.server(fault.Target)
+	if target == nil {
+		return nil, nil, &FaultError{fault.String(), "there is no such server"}
+	}
+	i.hit[fault.Target] = true
+	if fault.Kind == FaultFreeze {
+		begin = func() error { target.Freeze(); return nil }
+		end = func() error { target.Thaw(); return nil }
+		return begin, end, nil
+	}
+	begin = func() error { target.Kill(); return nil }
+	return begin, target.Start, nil
+}
+
+// chooseServer returns the first server of a service divided by key that
+// checks grants and that no fault has hit yet.
+func (i *injector) chooseServer() string {
+	divided := dividedServices(i.world.configuration)
+	for _, server := range i.world.configuration.Servers {
+		if divided[server.Service] && server.ChecksGrants && !i.hit[server.Name] {
+			return server.Name
+		}
+	}
+	return ""
+}
+
+// run carries out the steps.
+func (i *injector) run(ctx context.Context, steps []step) error {
+	begin := time.Now()
+	for _, next := range steps {
+		timer := time.NewTimer(time.Until(begin.Add(next.at)))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-timer.C:
+		}
+		i.note("%s", next.say)
+		if err := next.run(); err != nil {
+			return fmt.Errorf("%s: %w", next.say, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/demo/world.go
@@ -0,0 +1,199 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"guavacrank.example/backend/standin"
+	"guavacrank.example/config"
+	"guavacrank.example/daemon/operator"
+	"guavacrank.example/daemon/operator/client"
+	"guavacrank.example/platform"
+	"guavacrank.example/platform/httpstore"
+	"guavacrank.example/platform/memstore"
+)
+
+// pollInterval is the time between two looks at a state that is waited for.
+const pollInterval = 50 * time.Millisecond
+
+// world is everything that runs in a demo.
+type world struct {
+	options       Options
+	configuration *config.Configuration
+	pages         *history
+	store         *memstore.Store
+	platform      *http.Server
+	records       *standin.Records
+	servers       []*standin.Server
+	vms           []*vm
+	storeAddress  string
+}
+
+// newWorld starts everything and applies the configuration. The caller must
+// close the world, also after an error.
+func newWorld(ctx context.Context, options Options) (*world, error) {
+	w := &world{options: options, pages: newHistory(), records: &standin.Records{}}
+	w.store = memstore.New(memstore.Options{OnChange: w.pages.changed})
+	w.store.SetFaults(memstore.Faults{VMListLag: vmListLag})
+	var err error
+	if w.configuration, err = config.ParseConfiguration(options.Name, options.Configuration); err != nil {
+		return w, err
+	}
+	if err = w.startPlatform(); err != nil {
+		return w, err
+	}
+	servers := ServersOptions{Configuration: w.configuration, Records: w.records}
+	if w.servers, err = StartServers(servers); err != nil {
+		return w, err
+	}
+	if err = w.startVMs(); err != nil {
+		return w, err
+	}
+	return w, w.apply(ctx)
+}
+
+func (w *world) startPlatform() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	w.storeAddress = listener.Addr().String()
+	w.platform = &http.Server{Handler: httpstore.NewFaultHandler(w.store), ReadHeaderTimeout: time.Minute}
+	go func() { _ = w.platform.Serve(listener) }() // Always http.ErrServerClosed.
+	return nil
+}
+
+func (w *world) startVMs() error {
+	all, err := newSettings(w.options.VMs, places(w.configuration), w.storeAddress)
+	if err != nil {
+		return err
+	}
+	var listed []platform.VM
+	for _, settings := range all {
+		listed = append(listed, platformVM(settings))
+	}
+	w.store.SetVMs(listed)
+	for _, settings := range all {
+		started := &vm{settings: settings, store: w.storeAddress, logger: w.options.Logger}
+		w.vms = append(w.vms, started)
+		if err := started.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// apply puts the configuration into force as an operator does.
+func (w *world) apply(ctx context.Context) error {
+	addresses := make(map[string]string)
+	for _, server := range w.servers {
+		addresses[server.Name()] = server.Address()
+	}
+	text, err := rewriteAddresses(string(w.options.Configuration), addresses)
+	if err != nil {
+		return err
+	}
+	caller := w.operator(w.vms[0])
+	defer caller.Close()
+	_, err = caller.Apply(ctx, operator.ApplyRequest{
+		ChangeID: fmt.Sprintf("demo-%d", w.options.Seed),
+		Author:   "demo",
+		Reason:   "first configuration of the demo",
+		File:     w.options.Name,
+		YAML:     text,
+	})
+	if err != nil {
+		return fmt.Errorf("applying %s: %w", w.options.Name, err)
+	}
+	return nil
+}
+
+func (w *world) operator(v *vm) *client.Client {
+	return client.New(client.Options{Address: v.settings.OperatorAddress, Token: operatorToken})
+}
+
+// errNotServed says that the fleet did not come up in time.
+var errNotServed = errors.New("not every unit is served")
+
+// awaitServed waits until every VM is ready and sees every unit of every
+// service divided by key at a server that may serve it.
+func (w *world) awaitServed(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, warmUp)
+	defer cancel()
+	missing := "nothing was seen yet"
+	for {
+		if missing = w.missing(ctx); missing == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %s", errNotServed, missing)
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+// missing returns what is not served yet, or nothing.
+func (w *world) missing(ctx context.Context) string {
+	for _, v := range w.vms {
+		if !v.ready() {
+			return v.settings.VM + " is not ready"
+		}
+		caller := w.operator(v)
+		status, err := caller.Status(ctx)
+		caller.Close()
+		if err != nil {
+			return err.Error()
+		}
+		for _, service := range status.Services {
+			if service.DividedByKey && (service.Units == 0 || service.Waiting > 0) {
+				return fmt.Sprintf("%s sees %d of %d units of %s waiting", v.settings.VM, service.Waiting, service.Units, service.Name)
+			}
+		}
+	}
+	return ""
+}
+
+// server returns the stand-in of a name, or nil.
+func (w *world) server(name string) *standin.Server {
+	i := slices.IndexFunc(w.servers, func(s *standin.Server) bool { return s.Name() == name })
+	if i < 0 {
+		return nil
+	}
+	return w.servers[i]
+}
+
+// vm returns the VM of a name, or nil.
+func (w *world) vm(name string) *vm {
+	i := slices.IndexFunc(w.vms, func(v *vm) bool { return v.settings.VM == name })
+	if i < 0 {
+		return nil
+	}
+	return w.vms[i]
+}
+
+// close stops the daemons gracefully and everything else at once. It returns
+// what the daemons' stops reported.
+func (w *world) close() error {
+	for _, server := range w.servers {
+		server.Thaw()
+	}
+	stops := make(chan error, len(w.vms))
+	for _, v := range w.vms {
+		go func() { stops <- v.shutdown() }()
+	}
+	var all []error
+	for range w.vms {
+		all = append(all, <-stops)
+	}
+	StopServers(w.servers)
+	if w.platform != nil {
+		_ = w.platform.Close() // The process ends.
+	}
+	return errors.Join(all...)
+}
