--- a/bench/demo/balancer.go
+++ b/bench/demo/balancer.go
@@ -7,8 +7,14 @@
 	"time"
 )
 
-// checkInterval is the time between two health checks of a VM.
-const checkInterval = 100 * time.Millisecond
+const (
+	// checkInterval is the time between two health checks of a VM.
+	checkInterval = 500 * time.Millisecond
+	// checkOffset keeps the checks from falling together with faults at whole seconds.
+	checkOffset = 170 * time.Millisecond
+	// checkTimeout limits one check.
+	checkTimeout = 100 * time.Millisecond
+)
 
 // balancer is the stand-in of the platform's balancer: it names the VMs in
 // turn, without those whose health check failed.
@@ -23,7 +29,7 @@
 	b := &balancer{
 		vms:     vms,
 		healthy: make([]atomic.Bool, len(vms)),
-		client:  &http.Client{Transport: &http.Transport{}, Timeout: checkInterval},
+		client:  &http.Client{Transport: &http.Transport{}, Timeout: checkTimeout},
 	}
 	for i := range b.healthy {
 		b.healthy[i].Store(true)
@@ -46,6 +52,7 @@
 // run checks the VMs until the context ends.
 func (b *balancer) run(ctx context.Context) {
 	defer b.client.CloseIdleConnections()
+	time.Sleep(checkOffset)
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
--- a/bench/demo/caller.go
+++ b/bench/demo/caller.go
@@ -9,10 +9,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"guavacrank.example/backend"
@@ -105,9 +107,11 @@
 		result.Verdict, result.Code = verdict.NotRun, codeNoConnection
 		return result
 	}
-	response, err := c.client.Do(request)
+	var wrote atomic.Bool // net/http may send a GET again by itself.
+	trace := &httptrace.ClientTrace{WroteHeaders: func() { wrote.Store(true) }}
+	response, err := c.client.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		result.Verdict, result.Code = withoutAnswer(err)
+		result.Verdict, result.Code = withoutAnswer(err, wrote.Load())
 	} else {
 		result.read(response)
 	}
@@ -135,9 +139,9 @@
 }
 
 // withoutAnswer returns what a caller knows when no answer came.
-func withoutAnswer(err error) (verdict.Verdict, string) {
+func withoutAnswer(err error, wrote bool) (verdict.Verdict, string) {
 	var opErr *net.OpError
-	if errors.As(err, &opErr) && opErr.Op == "dial" {
+	if !wrote && errors.As(err, &opErr) && opErr.Op == "dial" {
 		return verdict.NotRun, codeNoConnection
 	}
 	return verdict.MayHaveRun, codeNoAnswer
--- a/bench/demo/fault.go
+++ b/bench/demo/fault.go
@@ -13,14 +13,43 @@
 
 // Kinds of faults.
 const (
-	FaultServer FaultKind = "server" // A backend server is lost.
-	FaultVM     FaultKind = "vm"     // An entry VM is lost.
-	FaultStore  FaultKind = "store"  // The platform's service is out.
-	FaultFreeze FaultKind = "freeze" // A backend server freezes and returns as if nothing had happened.
+	FaultServer  FaultKind = "server"  // A backend server is lost.
+	FaultVM      FaultKind = "vm"      // An entry VM is lost.
+	FaultStore   FaultKind = "store"   // The platform's service is out.
+	FaultSlow    FaultKind = "slow"    // The platform's service takes storeDelay longer.
+	FaultReplies FaultKind = "replies" // The platform's service applies changes and loses the replies.
+	FaultLapse   FaultKind = "lapse"   // Every lease at the platform's service lapses, once.
+	FaultFreeze  FaultKind = "freeze"  // A backend server freezes and returns as if nothing had happened.
 )
 
-// faultKinds are all kinds; those that must end have true.
-var faultKinds = map[FaultKind]bool{FaultServer: false, FaultVM: false, FaultStore: true, FaultFreeze: true}
+// storeDelay is the delay of a slow service.
+const storeDelay = time.Second
+
+// ending says whether a fault ends.
+type ending uint8
+
+const (
+	mayEnd ending = iota
+	mustEnd
+	neverEnds
+)
+
+// faultKind is what the list may say of a kind.
+type faultKind struct {
+	kind   FaultKind
+	ending ending
+	named  bool // It may name a server or VM.
+}
+
+var faultKinds = []faultKind{
+	{FaultServer, mayEnd, true},
+	{FaultVM, mayEnd, true},
+	{FaultStore, mustEnd, false},
+	{FaultSlow, mustEnd, false},
+	{FaultReplies, mustEnd, false},
+	{FaultLapse, neverEnds, false},
+	{FaultFreeze, mustEnd, true},
+}
 
 // Fault is one fault of a run.
 type Fault struct {
@@ -83,13 +112,14 @@
 	if !ok {
 		return Fault{}, &FaultError{item, "no time after @"}
 	}
-	kind, target, named := strings.Cut(what, ":")
+	kind, target, hasName := strings.Cut(what, ":")
 	fault := Fault{Kind: FaultKind(kind), Target: target}
-	mustEnd, known := faultKinds[fault.Kind]
-	if !known {
-		return Fault{}, &FaultError{item, fmt.Sprintf("unknown kind %q: there are server, vm, store and freeze", kind)}
+	row := slices.IndexFunc(faultKinds, func(k faultKind) bool { return k.kind == fault.Kind })
+	if row < 0 {
+		return Fault{}, &FaultError{item, fmt.Sprintf("unknown kind %q: there are %s", kind, kindNames())}
 	}
-	if named && (target == "" || fault.Kind == FaultStore) {
+	allowed := faultKinds[row]
+	if hasName && (target == "" || !allowed.named) {
 		return Fault{}, &FaultError{item, "no name belongs after the colon"}
 	}
 	start, end, hasEnd := strings.Cut(when, "-")
@@ -102,13 +132,24 @@
 			return Fault{}, &FaultError{item, fmt.Sprintf("%q is no time such as 5s", end)}
 		}
 	}
-	return fault, fault.check(item, mustEnd, hasEnd, length)
+	return fault, fault.check(item, allowed.ending, hasEnd, length)
+}
+
+// kindNames lists the kinds for an error.
+func kindNames() string {
+	var names []string
+	for _, row := range faultKinds {
+		names = append(names, string(row.kind))
+	}
+	return strings.Join(names, ", ")
 }
 
-func (f Fault) check(item string, mustEnd, hasEnd bool, length time.Duration) error {
+func (f Fault) check(item string, ends ending, hasEnd bool, length time.Duration) error {
 	switch {
-	case mustEnd && !hasEnd:
+	case ends == mustEnd && !hasEnd:
 		return &FaultError{item, "a fault of this kind needs an end"}
+	case ends == neverEnds && hasEnd:
+		return &FaultError{item, "a fault of this kind has no end"}
 	case hasEnd && f.End <= f.Start:
 		return &FaultError{item, "it ends before it begins"}
 	case f.Start >= length:
--- a/bench/demo/inject.go
+++ b/bench/demo/inject.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -46,9 +47,13 @@
 func (i *injector) actions(fault *Fault) (begin, end func() error, err error) {
 	switch fault.Kind {
 	case FaultStore:
-		begin = func() error { i.world.store.SetFaults(memstore.Faults{Outage: true, VMListLag: vmListLag}); return nil }
-		end = func() error { i.world.store.SetFaults(memstore.Faults{VMListLag: vmListLag}); return nil }
-		return begin, end, nil
+		return i.storeActions(func(f *memstore.Faults, on bool) { f.Outage = on })
+	case FaultSlow:
+		return i.storeActions(func(f *memstore.Faults, on bool) { f.ReplyDelay = onlyIf(on, storeDelay) })
+	case FaultReplies:
+		return i.storeActions(func(f *memstore.Faults, on bool) { f.LostReplies.Count = onlyIf(on, math.MaxInt) })
+	case FaultLapse:
+		return func() error { i.world.store.LapseAll(); return nil }, nil, nil
 	case FaultVM:
 		return i.vmActions(fault)
 	default:
@@ -56,6 +61,28 @@
 	}
 }
 
+// storeActions change one fault of the store and leave the others.
+func (i *injector) storeActions(set func(faults *memstore.Faults, on bool)) (begin, end func() error, err error) {
+	change := func(on bool) func() error {
+		return func() error {
+			faults := i.world.store.Faults()
+			set(&faults, on)
+			i.world.store.SetFaults(faults)
+			return nil
+		}
+	}
+	return change(true), change(false), nil
+}
+
+// onlyIf returns the value if on, else zero.
+func onlyIf[T any](on bool, value T) T {
+	var zero T
+	if on {
+		return value
+	}
+	return zero
+}
+
 func (i *injector) vmActions(fault *Fault) (begin, end func() error, err error) {
 	if fault.Target == "" {
 		fault.Target = i.world.vms[len(i.world.vms)-1].settings.VM
--- a/bench/demo/judge.go
+++ b/bench/demo/judge.go
@@ -92,7 +92,11 @@
 		report(late, "ran after a later owner of the unit had begun")
 	}
 	for _, overlap := range standin.Overlaps(owned, now) {
-		report(overlap.Second, "the key ran at "+overlap.First.Server+" at the same time")
+		late, other := overlap.Second, overlap.First
+		if other.Unit == late.Unit && other.Epoch < late.Epoch {
+			late, other = other, late
+		}
+		report(late, "the key ran at "+other.Server+" at the same time")
 	}
 	return found
 }
--- a/bench/demo/judge_test.go
+++ b/bench/demo/judge_test.go
@@ -41,6 +41,7 @@
 		Entry("reversed", "store@8s-5s", "ends before it begins"),
 		Entry("too late", "vm@10s", "begins after the run"),
 		Entry("name of the store", "store:x@1s-2s", "no name belongs"),
+		Entry("end of a moment", "lapse@1s-2s", "has no end"),
 		Entry("empty item", "server@2s,", "no time after @"),
 	)
 })
@@ -161,7 +162,8 @@
 			unit, err = p.Split("k", false)
 			Expect(err).NotTo(HaveOccurred())
 		})
-		apart := run("r", "b", uint64(pages.last["cards"].Unit(unit).Epoch), 0, 1)
+		last := pages.last["cards"]
+		apart := run("r", "b", uint64(last.Unit(unit).Epoch), 0, 1)
 		apart.Unit = uint32(unit)
 		Expect(misrouted([]standin.Run{apart}, pages, divided, 20)).To(BeEmpty())
 		apart.Key = "other"
--- a/bench/demo/world.go
+++ b/bench/demo/world.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
-	"net/http"
 	"slices"
 	"time"
 
@@ -27,7 +25,7 @@
 	configuration *config.Configuration
 	pages         *history
 	store         *memstore.Store
-	platform      *http.Server
+	stopPlatform  func()
 	records       *standin.Records
 	servers       []*standin.Server
 	vms           []*vm
@@ -58,14 +56,12 @@
 }
 
 func (w *world) startPlatform() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	var err error
+	if w.storeAddress, err = freeAddress(); err != nil {
 		return err
 	}
-	w.storeAddress = listener.Addr().String()
-	w.platform = &http.Server{Handler: httpstore.NewFaultHandler(w.store), ReadHeaderTimeout: time.Minute}
-	go func() { _ = w.platform.Serve(listener) }() // Always http.ErrServerClosed.
-	return nil
+	w.stopPlatform, err = serveHTTP(w.storeAddress, httpstore.NewFaultHandler(w.store))
+	return err
 }
 
 func (w *world) startVMs() error {
@@ -192,8 +188,8 @@
 		all = append(all, <-stops)
 	}
 	StopServers(w.servers)
-	if w.platform != nil {
-		_ = w.platform.Close() // The process ends.
+	if w.stopPlatform != nil {
+		w.stopPlatform()
 	}
 	return errors.Join(all...)
 }
--- a/cmd/internal/command/table.go
+++ b/cmd/internal/command/table.go
@@ -18,5 +18,7 @@
 		declareLostCommand(),
 		eventsCommand(),
 		benchCommand(),
+		demoCommand(),
+		standinCommand(),
 	}
 }
