fleet: a stream's handler waits for its deadline goroutine

Cause: demo -for 10s -load -fault slow@1s-8s,server@2s,vm@4s (trial) panicked in http2responseWriter.SetReadDeadline: the goroutine touched the response after its handler had returned, when manager and stream ended together. Conclusion: a stop or loss of a VM can no longer bring down the process so.

--- a/fleet/server.go
+++ b/fleet/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -88,18 +89,21 @@
 	})
 }
 
-// serveUntilDone ends the stream's reads when the manager stops.
+// serveUntilDone ends the stream's reads when the manager stops. It returns only
+// once nothing uses the response any more.
 func (s *server) serveUntilDone(w http.ResponseWriter, r *http.Request, exchange http.Handler) {
 	controller := http.NewResponseController(w)
 	finished := make(chan struct{})
+	var watching sync.WaitGroup
+	defer watching.Wait()
 	defer close(finished)
-	go func() {
+	watching.Go(func() {
 		select {
 		case <-finished:
 		case <-s.manager.done:
 			_ = controller.SetReadDeadline(time.Now())
 		}
-	}()
+	})
 	exchange.ServeHTTP(w, r)
 }
 
