--- a/bench/demo/demo.go
+++ b/bench/demo/demo.go
@@ -9,6 +9,7 @@
 
 	"guavacrank.example/backend/standin"
 	"guavacrank.example/config"
+	"guavacrank.example/event"
 )
 
 // progressInterval is the time between two lines about the load.
@@ -30,6 +31,7 @@
 		return Summary{}, errors.Join(err, running.close())
 	}
 	running.printAddresses()
+	running.events.Add(event.New(event.StandinStarted, "start of the demo", "store", running.storeAddress))
 	if !options.Load {
 		running.stayUp(ctx)
 		return Summary{}, running.close()
@@ -59,7 +61,7 @@
 	movedBefore, _ := w.pages.totals()
 	ctx, cancel := context.WithTimeout(ctx, w.options.Length)
 	defer cancel()
-	injector := &injector{world: w, note: w.note, hit: make(map[string]bool)}
+	injector := &injector{world: w, hit: make(map[string]bool)}
 	faults := w.options.Faults
 	steps, err := injector.plan(faults)
 	if err != nil {
@@ -120,6 +122,13 @@
 	fmt.Fprintf(w.options.Progress, format+"\n", arguments...)
 }
 
+// tell reports a step of a fault.
+func (w *world) tell(next step) {
+	definition, _ := event.Lookup(next.event)
+	w.events.Add(event.New(next.event, "asked for on the command line", "fault", next.fault))
+	w.note("%s: %s", definition.Name, next.fault)
+}
+
 // dividedServers returns the names of the servers of each service divided by key.
 func (w *world) dividedServers() map[string][]string {
 	divided := dividedServices(w.configuration)
--- a/bench/demo/history.go
+++ b/bench/demo/history.go
@@ -115,19 +115,6 @@
 	return ""
 }
 
-// grantors returns the grantor of each server of the newest pages.
-func (h *history) grantors() map[string]string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	grantors := make(map[string]string)
-	for _, page := range h.last {
-		for _, server := range page.Servers {
-			grantors[server.Name] = server.Grantor
-		}
-	}
-	return grantors
-}
-
 // totals returns the number of moves and the rules that pages broke.
 func (h *history) totals() (moves int, unsound []string) {
 	h.mu.Lock()
--- a/bench/demo/inject.go
+++ b/bench/demo/inject.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"guavacrank.example/event"
 	"guavacrank.example/platform"
 	"guavacrank.example/platform/memstore"
 )
@@ -14,16 +15,16 @@
 // injector causes the faults of a run at their times.
 type injector struct {
 	world *world
-	note  func(format string, arguments ...any)
 	// hit names the servers that a fault was caused at.
 	hit map[string]bool
 }
 
 // step is one action of a fault at a time from the start of the load.
 type step struct {
-	at  time.Duration
-	run func() error
-	say string
+	at    time.Duration
+	run   func() error
+	event event.Number
+	fault string
 }
 
 // plan resolves the targets of the faults and returns their steps in order of time.
@@ -35,9 +36,9 @@
 		if err != nil {
 			return nil, err
 		}
-		steps = append(steps, step{fault.Start, begin, fault.String() + " begins"})
+		steps = append(steps, step{fault.Start, begin, event.StandinFault, fault.String()})
 		if fault.End != 0 {
-			steps = append(steps, step{fault.End, end, fault.String() + " ends"})
+			steps = append(steps, step{fault.End, end, event.StandinFaultEnded, fault.String()})
 		}
 	}
 	slices.SortStableFunc(steps, func(a, b step) int { return int(a.at - b.at) })
@@ -149,9 +150,9 @@
 			return nil
 		case <-timer.C:
 		}
-		i.note("%s", next.say)
+		i.world.tell(next)
 		if err := next.run(); err != nil {
-			return fmt.Errorf("%s: %w", next.say, err)
+			return fmt.Errorf("fault %s: %w", next.fault, err)
 		}
 	}
 	return nil
--- a/bench/demo/serve.go
+++ b/bench/demo/serve.go
@@ -49,12 +49,12 @@
 	defer StopServers(servers)
 	store := memstore.New(memstore.Options{})
 	store.SetVMs(listedVMs(options.VMs, places(configuration)))
-	stopStore, err := serveHTTP(options.StoreAddress, httpstore.NewFaultHandler(store))
+	_, stopStore, err := serveHTTP(options.StoreAddress, httpstore.NewFaultHandler(store))
 	if err != nil {
 		return err
 	}
 	defer stopStore()
-	stopControl, err := serveHTTP(options.ControlAddress, standin.NewController(servers, records))
+	_, stopControl, err := serveHTTP(options.ControlAddress, standin.NewController(servers, records))
 	if err != nil {
 		return err
 	}
@@ -78,15 +78,15 @@
 	return listed
 }
 
-// serveHTTP serves a handler and returns what ends it.
-func serveHTTP(address string, handler http.Handler) (stop func(), err error) {
+// serveHTTP serves a handler and returns where, and what ends it.
+func serveHTTP(address string, handler http.Handler) (bound string, stop func(), err error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return nil, err
+		return "", nil, err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }() // Always http.ErrServerClosed.
-	return func() { _ = server.Close() }, nil
+	return listener.Addr().String(), func() { _ = server.Close() }, nil
 }
 
 func printServed(options ServeOptions, configuration *config.Configuration, servers int) {
--- a/bench/demo/vm.go
+++ b/bench/demo/vm.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -20,11 +19,16 @@
 // stopNotice is the time that a stopping daemon gives the balancer.
 const stopNotice = 300 * time.Millisecond
 
+// anyAddress is a free loopback port.
+const anyAddress = "127.0.0.1:0"
+
 // vm is one entry VM with its daemon.
 type vm struct {
 	settings config.Settings
 	store    string // The platform's address.
-	logger   *zap.Logger
+	// listeners hold the addresses until the first start.
+	listeners *daemon.Listeners
+	logger    *zap.Logger
 
 	mu      sync.Mutex
 	starts  int
@@ -58,39 +62,32 @@
 	return all
 }
 
-// newSettings returns the settings of count VMs on free loopback ports.
-func newSettings(count int, at []place, platformAddress string) ([]config.Settings, error) {
-	var all []config.Settings
+// newVMs returns VMs that are down, with their addresses bound.
+func newVMs(count int, at []place, platformAddress string, logger *zap.Logger) ([]*vm, error) {
+	var all []*vm
 	for i := range count {
 		settings := config.DefaultSettings()
 		settings.VM = fmt.Sprintf("entry-%d", i+1)
 		settings.Region = at[i%len(at)].region
 		settings.Zone = at[i%len(at)].zone
+		settings.CallerAddress = anyAddress
+		settings.PeerAddress = anyAddress
+		settings.OperatorAddress = anyAddress
 		settings.PlatformAddress = platformAddress
 		settings.OperatorToken = operatorToken
 		settings.PeerToken = peerToken
-		for _, address := range []*string{&settings.CallerAddress, &settings.PeerAddress, &settings.OperatorAddress} {
-			free, err := freeAddress()
-			if err != nil {
-				return nil, err
-			}
-			*address = free
+		listeners, err := daemon.Listen(settings)
+		if err != nil {
+			return all, err
 		}
-		all = append(all, settings)
+		settings.CallerAddress = listeners.Caller.Addr().String()
+		settings.PeerAddress = listeners.Peer.Addr().String()
+		settings.OperatorAddress = listeners.Operator.Addr().String()
+		all = append(all, &vm{settings: settings, store: platformAddress, listeners: listeners, logger: logger})
 	}
 	return all, nil
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
 // platformVM returns the VM's row in the platform's list.
 func platformVM(settings config.Settings) platform.VM {
 	return platform.VM{
@@ -108,6 +105,7 @@
 		Settings:    v.settings,
 		Store:       client,
 		Logger:      v.logger,
+		Listeners:   v.listeners,
 		Build:       "demo",
 		Incarnation: fmt.Sprintf("%s-%d", v.settings.VM, v.starts),
 		StopNotice:  stopNotice,
@@ -116,6 +114,7 @@
 		client.Close()
 		return fmt.Errorf("starting %s: %w", v.settings.VM, err)
 	}
+	v.listeners = nil
 	ctx, stop := context.WithCancel(context.Background())
 	v.process = &process{daemon: started, client: client, stop: stop, ended: make(chan error, 1)}
 	go v.process.run(ctx)
@@ -149,12 +148,22 @@
 func (v *vm) shutdown() error {
 	stopped := v.take()
 	if stopped == nil {
+		v.release()
 		return nil
 	}
 	stopped.stop()
 	return <-stopped.ended
 }
 
+// release frees the addresses of a VM that never started.
+func (v *vm) release() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.listeners != nil {
+		v.listeners.Close()
+	}
+}
+
 // ready reports whether the VM takes callers' requests.
 func (v *vm) ready() bool {
 	v.mu.Lock()
--- a/bench/demo/world.go
+++ b/bench/demo/world.go
@@ -9,6 +9,7 @@
 
 	"guavacrank.example/backend/standin"
 	"guavacrank.example/config"
+	"guavacrank.example/daemon/eventlog"
 	"guavacrank.example/daemon/operator"
 	"guavacrank.example/daemon/operator/client"
 	"guavacrank.example/platform"
@@ -23,6 +24,7 @@
 type world struct {
 	options       Options
 	configuration *config.Configuration
+	events        *eventlog.Log
 	pages         *history
 	store         *memstore.Store
 	stopPlatform  func()
@@ -36,6 +38,7 @@
 // close the world, also after an error.
 func newWorld(ctx context.Context, options Options) (*world, error) {
 	w := &world{options: options, pages: newHistory(), records: &standin.Records{}}
+	w.events = eventlog.New(options.Logger)
 	w.store = memstore.New(memstore.Options{OnChange: w.pages.changed})
 	w.store.SetFaults(memstore.Faults{VMListLag: vmListLag})
 	var err error
@@ -57,27 +60,22 @@
 
 func (w *world) startPlatform() error {
 	var err error
-	if w.storeAddress, err = freeAddress(); err != nil {
-		return err
-	}
-	w.stopPlatform, err = serveHTTP(w.storeAddress, httpstore.NewFaultHandler(w.store))
+	w.storeAddress, w.stopPlatform, err = serveHTTP(anyAddress, httpstore.NewFaultHandler(w.store))
 	return err
 }
 
 func (w *world) startVMs() error {
-	all, err := newSettings(w.options.VMs, places(w.configuration), w.storeAddress)
-	if err != nil {
+	var err error
+	if w.vms, err = newVMs(w.options.VMs, places(w.configuration), w.storeAddress, w.options.Logger); err != nil {
 		return err
 	}
 	var listed []platform.VM
-	for _, settings := range all {
-		listed = append(listed, platformVM(settings))
+	for _, v := range w.vms {
+		listed = append(listed, platformVM(v.settings))
 	}
 	w.store.SetVMs(listed)
-	for _, settings := range all {
-		started := &vm{settings: settings, store: w.storeAddress, logger: w.options.Logger}
-		w.vms = append(w.vms, started)
-		if err := started.start(); err != nil {
+	for _, v := range w.vms {
+		if err := v.start(); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/daemon/servers.go
@@ -0,0 +1,103 @@
+package daemon
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+
+	"guavacrank.example/config"
+	"guavacrank.example/daemon/operator"
+	"guavacrank.example/fleet"
+	"guavacrank.example/traffic/front"
+)
+
+// PathHealth is the balancer's health check on the caller address.
+const PathHealth = "/healthz"
+
+// Listeners are a daemon's bound addresses.
+type Listeners struct {
+	Caller   net.Listener
+	Peer     net.Listener
+	Operator net.Listener
+}
+
+// Listen binds the addresses of the settings.
+func Listen(settings config.Settings) (*Listeners, error) {
+	bound := &Listeners{}
+	for _, want := range []struct {
+		field   string
+		address string
+		target  *net.Listener
+	}{
+		{"caller_address", settings.CallerAddress, &bound.Caller},
+		{"peer_address", settings.PeerAddress, &bound.Peer},
+		{"operator_address", settings.OperatorAddress, &bound.Operator},
+	} {
+		listener, err := net.Listen("tcp", want.address)
+		if err != nil {
+			bound.Close()
+			return nil, fmt.Errorf("settings: %s: %w", want.field, err)
+		}
+		*want.target = listener
+	}
+	return bound, nil
+}
+
+// Close closes every listener that is bound.
+func (l *Listeners) Close() {
+	for _, listener := range []net.Listener{l.Caller, l.Peer, l.Operator} {
+		if listener != nil {
+			listener.Close()
+		}
+	}
+}
+
+// boundServer is an HTTP server with its listener.
+type boundServer struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+// servers returns the daemon's HTTP servers.
+func (d *Daemon) servers() []boundServer {
+	limits := d.options.Settings.Limits
+	callers := &http.Server{
+		Handler:           d.callerHandler(),
+		ReadHeaderTimeout: limits.ReadHeaderTimeout,
+		ReadTimeout:       limits.ReadTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    limits.HeaderBytes,
+	}
+	operators := operator.NewHTTPServer(d.operator.Handler())
+	return []boundServer{
+		{callers, d.listeners.Caller},
+		{fleet.NewServer(d.peerHandler()), d.listeners.Peer},
+		{operators, d.listeners.Operator},
+	}
+}
+
+func (d *Daemon) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(PathHealth, d.serveHealth)
+	mux.Handle("/", d.front)
+	return mux
+}
+
+// serveHealth answers the balancer: 200 while the daemon takes requests.
+func (d *Daemon) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if !d.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+// peerHandler serves the fleet's protocol and forwarded requests, both only
+// with the fleet's token.
+func (d *Daemon) peerHandler() http.Handler {
+	path, handler := d.fleet.Handler()
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	mux.Handle(front.PeerPrefix, d.front.Peer())
+	return mux
+}
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -89,17 +89,18 @@
 	})
 }
 
-// serveUntilDone ends the stream's reads when the manager stops. It returns only
-// once nothing uses the response any more.
+// serveUntilDone ends the stream's reads when the manager stops. The response
+// writer must not be touched after the handler has returned, so it waits for
+// the goroutine that may do so.
 func (s *server) serveUntilDone(w http.ResponseWriter, r *http.Request, exchange http.Handler) {
 	controller := http.NewResponseController(w)
-	finished := make(chan struct{})
+	served := make(chan struct{})
 	var watching sync.WaitGroup
-	defer watching.Wait()
-	defer close(finished)
+	defer watching.Wait() // Also when the exchange panics.
+	defer close(served)
 	watching.Go(func() {
 		select {
-		case <-finished:
+		case <-served:
 		case <-s.manager.done:
 			_ = controller.SetReadDeadline(time.Now())
 		}
--- a/fleet/server_test.go
+++ b/fleet/server_test.go
@@ -3,18 +3,12 @@
 import (
 	"net/http"
 	"net/http/httptest"
-	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
-func TestFleet(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "fleet")
-}
-
 // slowDeadline is a response whose SetReadDeadline waits until release.
 type slowDeadline struct {
 	*httptest.ResponseRecorder
