--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -241,18 +241,18 @@
 	defer cancel()
 	defer metrics.Register(d.options.Settings.VM, func() any { return d.figures() })()
 	group, running := errgroup.WithContext(inner)
-	servers := d.servers()
+	servers := d.newServers()
 	d.start(group, running, servers)
 	d.events.Add(event.New(event.DaemonStarted, "start", "vm", d.options.Settings.VM))
 	var stopErr error
 	select {
 	case <-ctx.Done():
-		stopErr = d.stop(running)
+		stopErr = d.stop(running, servers)
+		cancel()
+		servers.shutdown()
 	case <-running.Done():
-	}
-	cancel()
-	for _, bound := range servers {
-		bound.server.Close() // Accepted connections too: a VM that ended answers nothing.
+		cancel()
+		servers.close()
 	}
 	d.listeners.Close()
 	d.front.Close()
@@ -265,7 +265,7 @@
 }
 
 // start starts every goroutine of the daemon.
-func (d *Daemon) start(group *errgroup.Group, ctx context.Context, servers []boundServer) {
+func (d *Daemon) start(group *errgroup.Group, ctx context.Context, servers httpServers) {
 	group.Go(func() error { d.loop.run(ctx); return nil })
 	group.Go(func() error { return d.fleet.Run(ctx) })
 	group.Go(func() error { d.reportLoads(ctx); return nil })
--- a/traffic/front/parse.go
+++ b/traffic/front/parse.go
@@ -88,21 +88,25 @@
 	if refused != nil {
 		return nil, refused
 	}
-	if r.ContentLength > s.settings.MaxBodyBytes {
-		return nil, &refusal{verdict.CodeBodyTooLarge, "the body is larger than " + strconv.FormatInt(s.settings.MaxBodyBytes, 10) + " bytes"}
+	if most := s.settingsOf(class.Name).MaxBodyBytes; r.ContentLength > most {
+		return nil, &refusal{verdict.CodeBodyTooLarge, "the body is larger than " + strconv.FormatInt(most, 10) + " bytes"}
 	}
 	allowed, refused := deadlineOf(r.Header, class)
 	if refused != nil {
 		return nil, refused
 	}
-	return &call{
+	c := &call{
 		service:  s,
 		class:    class,
 		key:      where.key,
 		path:     where.path,
-		deadline: h.options.Elapsed() + allowed,
+		deadline: h.now() + allowed,
 		request:  r,
-	}, nil
+	}
+	if !class.Idempotent {
+		c.mayRunUntil = h.options.Elapsed() + allowed
+	}
+	return c, nil
 }
 
 // parseCaller adds what only a caller's own request has.
