diff: a new service is summed up in one consequence

Cause: the first configuration of a fleet printed 39 lines of servers that get work, which hid the declared keys. Change: services that start are one line each; apply polls each 50 ms. Conclusion: what follows from a change fits on a screen.

--- a/cmd/internal/command/apply.go
+++ b/cmd/internal/command/apply.go
@@ -19,7 +19,7 @@
 const defaultWait = 6 * time.Second
 
 // pollInterval is the time between two looks at the state of the fleet.
-const pollInterval = 100 * time.Millisecond
+const pollInterval = 50 * time.Millisecond
 
 // applyResult is the result of every command that changes the configuration.
 type applyResult struct {
--- a/config/diff/consequence.go
+++ b/config/diff/consequence.go
@@ -56,6 +56,32 @@
 			a.add("service "+service.Name, "requests for it are refused as not run")
 		}
 	}
+	for _, service := range a.after.Services {
+		if !a.declaredBefore(service.Name) {
+			a.starts(service)
+		}
+	}
+}
+
+// declaredBefore reports whether a service was declared already.
+func (a *assessment) declaredBefore(service string) bool {
+	_, known := a.before.Service(service)
+	return known
+}
+
+// starts records a new service.
+func (a *assessment) starts(service config.Service) {
+	serving := 0
+	for _, server := range a.after.Servers {
+		if server.Service == service.Name && !server.Draining {
+			serving++
+		}
+	}
+	if service.DividedByKey {
+		a.add("service "+service.Name, "its %d shards are given to %d servers", service.Shards, serving)
+		return
+	}
+	a.add("service "+service.Name, "its requests are answered by %d servers", serving)
 }
 
 func (a *assessment) servers() {
@@ -76,7 +102,8 @@
 		}
 	}
 	for _, server := range a.after.Servers {
-		if _, known := a.before.Server(server.Name); !known && !server.Draining {
+		_, known := a.before.Server(server.Name)
+		if !known && !server.Draining && a.declaredBefore(server.Service) {
 			a.gains(server)
 		}
 	}
--- a/config/diff/diff_test.go
+++ b/config/diff/diff_test.go
@@ -77,6 +77,20 @@
 		))
 	})
 
+	It("sums up a service that starts or ends", func() {
+		Expect(diff.Assess(nil, read(text), nil)).To(ContainElements(
+			diff.Consequence{Entity: "service catalogue", Effect: "its 256 shards are given to 11 servers"},
+			diff.Consequence{Entity: "service stock", Effect: "its requests are answered by 10 servers"},
+		))
+		Expect(diff.Assess(nil, read(text), nil)).To(HaveLen(6)) // Four services and two declared keys.
+		gone := strings.ReplaceAll(text, "name: stock\n", "name: supply\n")
+		gone = strings.ReplaceAll(gone, "service: stock,", "service: supply,")
+		Expect(diff.Assess(read(text), read(gone), nil)).To(ContainElements(
+			diff.Consequence{Entity: "service stock", Effect: "requests for it are refused as not run"},
+			diff.Consequence{Entity: "service supply", Effect: "its requests are answered by 10 servers"},
+		))
+	})
+
 	It("tells the share of a server that comes back", func() {
 		drained := strings.Replace(text, "{name: cat-3, ", "{name: cat-3, draining: true, ", 1)
 		found := diff.Assess(read(drained), read(text), nil)
