demo: graceful stops, cut-off VMs, drains; load through real processes

Cause: the demo could not show a planned stop, a VM without the store or a leaving server, and paused daemons need processes of their own.

--- a/bench/demo/caller.go
+++ b/bench/demo/caller.go
@@ -96,7 +96,7 @@
 	through := c.balancer.pick()
 	result := Sent{
 		ID: id, Order: what.id, Service: what.service, Class: what.class.Name, Key: what.key,
-		Idempotent: what.class.Idempotent, VM: through.settings.VM, Probe: what.probe,
+		Idempotent: what.class.Idempotent, VM: through.Name, Probe: what.probe,
 		Start: standin.BootTime(),
 	}
 	wait := min(what.class.Deadline, longestWait)
@@ -119,12 +119,12 @@
 	return result
 }
 
-func newRequest(ctx context.Context, through *vm, what order, id string, wait time.Duration) (*http.Request, error) {
+func newRequest(ctx context.Context, through Endpoint, what order, id string, wait time.Duration) (*http.Request, error) {
 	method, body := http.MethodGet, io.Reader(nil)
 	if !what.class.Idempotent {
 		method, body = http.MethodPost, strings.NewReader(what.id)
 	}
-	target := "http://" + through.settings.CallerAddress + front.CallerPrefix + what.service + "/" + url.PathEscape(what.key)
+	target := "http://" + through.Address + front.CallerPrefix + what.service + "/" + url.PathEscape(what.key)
 	request, err := http.NewRequestWithContext(ctx, method, target, body)
 	if err != nil {
 		return nil, err
--- a/bench/demo/fault.go
+++ b/bench/demo/fault.go
@@ -19,6 +19,9 @@
 	FaultSlow    FaultKind = "slow"    // The platform's service takes storeDelay longer.
 	FaultReplies FaultKind = "replies" // The platform's service applies changes and loses the replies.
 	FaultLapse   FaultKind = "lapse"   // Every lease at the platform's service lapses, once.
+	FaultStop    FaultKind = "stop"    // An entry VM stops gracefully.
+	FaultCutOff  FaultKind = "cutoff"  // An entry VM does not reach the platform's service.
+	FaultDrain   FaultKind = "drain"   // An operator drains a backend server.
 	FaultFreeze  FaultKind = "freeze"  // A backend server freezes and returns as if nothing had happened.
 )
 
@@ -48,6 +51,9 @@
 	{FaultSlow, mustEnd, false},
 	{FaultReplies, mustEnd, false},
 	{FaultLapse, neverEnds, false},
+	{FaultStop, mayEnd, true},
+	{FaultCutOff, mustEnd, true},
+	{FaultDrain, mayEnd, true},
 	{FaultFreeze, mustEnd, true},
 }
 
--- a/bench/demo/summary.go
+++ b/bench/demo/summary.go
@@ -29,6 +29,9 @@
 	RanButReportedNotRun int `json:"ran_but_reported_not_run"`
 	// WrongAnswer counts answers that were not the whole answer to the request.
 	WrongAnswer int `json:"wrong_answer"`
+	// WorkAtLeavingServer counts runs that began at a server more than leaveTime
+	// after an operator had drained it.
+	WorkAtLeavingServer int `json:"work_at_leaving_server"`
 	// Unavailable is the longest time that any key was not answered, by fault,
 	// in milliseconds.
 	Unavailable map[string]int64 `json:"unavailable_ms"`
@@ -54,10 +57,19 @@
 	add(s.Doubled, "non-idempotent requests ran more than once")
 	add(s.Misrouted, "runs at a server that did not own the key")
 	add(s.RanButReportedNotRun, "requests ran although the caller was told \"not run\"")
+	add(s.WorkAtLeavingServer, "runs began at a server that had been leaving for more than 3 s")
 	add(s.WrongAnswer, "answers were not the whole answer to the request")
 	return broken
 }
 
+// broken returns ErrBroken if a promise was broken.
+func (s Summary) broken() error {
+	if len(s.Broken()) > 0 {
+		return ErrBroken
+	}
+	return nil
+}
+
 // summarise counts what callers saw.
 func summarise(sent []Sent, found judgement) Summary {
 	summary := Summary{
@@ -105,6 +117,7 @@
 	row("runs at a server that did not own the key", s.Misrouted)
 	row("requests that ran, caller told \"not run\"", s.RanButReportedNotRun)
 	row("answers to the wrong caller, or cut short", s.WrongAnswer)
+	row("runs begun at a server leaving for more than 3 s", s.WorkAtLeavingServer)
 	for _, fault := range sortedKeys(s.Unavailable) {
 		row("longest time a key was unavailable, "+fault, fmt.Sprintf("%d ms", s.Unavailable[fault]))
 	}
@@ -196,6 +209,24 @@
 	return byKey
 }
 
+// workAtLeaving counts the runs that began at a draining server too late.
+func workAtLeaving(runs []standin.Run, faults []Fault, begin time.Duration) int {
+	count := 0
+	for _, fault := range faults {
+		if fault.Kind != FaultDrain {
+			continue
+		}
+		from, until := begin+fault.Start+leaveTime, begin+fault.End
+		for _, run := range runs {
+			ended := fault.End != 0 && run.Start >= until
+			if run.Server == fault.Target && run.Start > from && !ended {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // imbalance returns the greatest ratio, over the services divided by key, of
 // the busiest server's runs to the mean over servers that no fault hit.
 func imbalance(runs []standin.Run, servers map[string][]string, hit map[string]bool) float64 {
--- a/cmd/internal/command/demo.go
+++ b/cmd/internal/command/demo.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -43,7 +44,7 @@
 			flags.StringVar(&options.file, "config", defaultDemoFile, "configuration `FILE` to apply; addresses are replaced by loopback ports")
 			flags.DurationVar(&options.length, "for", 0, "how long to run (default: until Ctrl-C, with -load 10s)")
 			flags.BoolVar(&options.load, "load", false, "drive requests, and judge the outcome by the stand-ins' records")
-			flags.StringVar(&options.faults, "fault", "", "`LIST` of KIND[:NAME]@START[-END], KIND being server, vm, store, slow, replies, lapse or freeze; needs -load")
+			flags.StringVar(&options.faults, "fault", "", "`LIST` of KIND[:NAME]@START[-END], KIND being server, vm, store, slow, replies, lapse, stop, cutoff, drain or freeze; needs -load")
 			flags.IntVar(&options.rate, "rate", demo.DefaultRate, "requests a second")
 			flags.IntVar(&options.vms, "vms", demo.DefaultVMs, "number of entry VMs")
 			flags.Uint64Var(&options.seed, "seed", 1, "`number` from which the load draws")
@@ -65,13 +66,17 @@
 		return err
 	}
 	summary, err := demo.Run(ctx, options)
-	if !f.load || summary.Requests == 0 {
+	return printSummary(env, f.output, summary, err)
+}
+
+// printSummary prints the summary of a load, if there was one, and returns the
+// error of the run.
+func printSummary(env *Environment, output *outputFlag, summary demo.Summary, err error) error {
+	if summary.Requests == 0 {
 		return err
 	}
-	if printErr := f.output.print(env.Stdout, summary, func(w io.Writer) { summary.Print(w) }); printErr != nil {
-		return printErr
-	}
-	return err
+	printErr := output.print(env.Stdout, summary, func(w io.Writer) { summary.Print(w) })
+	return errors.Join(err, printErr)
 }
 
 func (f *demoFlags) options(env *Environment) (demo.Options, error) {
@@ -94,8 +99,8 @@
 		return demo.Options{}, fmt.Errorf("%w: give a configuration with -config", err)
 	}
 	return demo.Options{
-		Name: f.file, Configuration: data, VMs: f.vms, Length: length, Load: f.load, Rate: f.rate,
-		Faults: faults, Seed: f.seed, Progress: env.Stderr, Logger: f.logger(env),
+		Name: f.file, Configuration: data, VMs: f.vms, Length: length, Load: f.load,
+		LoadOptions: demo.LoadOptions{Rate: f.rate, Seed: f.seed}, Faults: faults, Progress: env.Stderr, Logger: f.logger(env),
 	}, nil
 }
 
