control, bench/tick: ticks visit only the servers that concern this VM

Change: servers are indexed by grantor when a page arrives; bench/tick measures time and memory by servers and shards.

--- a/bench/suite/suite.go
+++ b/bench/suite/suite.go
@@ -9,6 +9,7 @@
 	"guavacrank.example/bench/overload"
 	"guavacrank.example/bench/placement"
 	"guavacrank.example/bench/report"
+	"guavacrank.example/bench/tick"
 	"guavacrank.example/bench/traffic"
 )
 
@@ -60,5 +61,12 @@
 				return traffic.Run(ctx, traffic.Options{})
 			},
 		},
+		{
+			Name:    "tick",
+			Summary: "processor time and memory of one VM's control plane by servers and shards, on this machine",
+			Run: func(ctx context.Context, _ uint64) (report.Report, error) {
+				return tick.Run(ctx, tick.Options{})
+			},
+		},
 	}
 }
--- a/control/inputs.go
+++ b/control/inputs.go
@@ -167,11 +167,36 @@
 	for _, entry := range s.page.Servers {
 		m.noteTerm(s, s.ensureServer(entry.Name), entry)
 	}
+	m.indexGrantors(s)
 	for _, sv := range s.servers {
 		sv.set.valid = false
 	}
 }
 
+// indexGrantors groups the page's servers by grantor.
+func (m *Machine) indexGrantors(s *service) {
+	s.mine = s.mine[:0]
+	s.groups = s.groups[:0]
+	s.asked = false
+	groups := make(map[string]int)
+	for _, entry := range s.page.Servers {
+		sv := s.server(entry.Name)
+		s.asked = s.asked || sv.handOver != 0
+		if entry.Grantor == m.options.Self {
+			s.mine = append(s.mine, sv)
+			continue
+		}
+		i, known := groups[entry.Grantor]
+		if !known {
+			i = len(s.groups)
+			groups[entry.Grantor] = i
+			s.groups = append(s.groups, grantorGroup{grantor: entry.Grantor})
+		}
+		s.groups[i].servers = append(s.groups[i].servers, sv)
+		s.groups[i].suspected = s.groups[i].suspected || sv.suspected
+	}
+}
+
 func (m *Machine) noteDeparture(s *service, unit ownership.Unit) {
 	if s.seen[unit.ID].epoch == unit.Epoch {
 		return
--- a/control/members.go
+++ b/control/members.go
@@ -64,12 +64,13 @@
 }
 
 func (t *memberTable) find(name string) (Member, bool) {
-	for _, member := range t.list {
-		if member.Name == name {
-			return member, true
-		}
+	i, found := slices.BinarySearchFunc(t.list, name, func(member Member, name string) int {
+		return strings.Compare(member.Name, name)
+	})
+	if !found {
+		return Member{}, false
 	}
-	return Member{}, false
+	return t.list[i], true
 }
 
 // suspects reports whether a VM is believed lost. Its own heartbeats outweigh
--- a/control/system_handover.go
+++ b/control/system_handover.go
@@ -19,9 +19,9 @@
 		m.members.rebalancedAt = m.now
 	}
 	for _, s := range m.services {
-		for _, sv := range s.servers {
+		held = held || m.wordsAwaited(s)
+		for _, sv := range s.mine {
 			if !m.holds(s, sv) {
-				held = held || m.wordAwaited(s, sv)
 				continue
 			}
 			switch {
@@ -47,11 +47,15 @@
 		(m.silent(sv, m.timeToLive()) || !sv.configured) && m.now >= sv.grantEnd
 }
 
-// wordAwaited reports whether the holder of a server that does not check grants
-// still needs this VM's word.
+// wordsAwaited reports whether a holder of a server that does not check grants
+// still needs this VM's word before this VM stops.
+func (m *Machine) wordsAwaited(s *service) bool {
+	return m.stopping && slices.ContainsFunc(s.servers, func(sv *server) bool { return m.wordAwaited(s, sv) })
+}
+
 func (m *Machine) wordAwaited(s *service, sv *server) bool {
 	entry := s.entry(sv)
-	if !m.stopping || entry == nil || sv.config.ChecksGrants || entry.Grantor == m.options.Self {
+	if entry == nil || sv.config.ChecksGrants || entry.Grantor == m.options.Self {
 		return false
 	}
 	for _, former := range entry.Former {
@@ -151,6 +155,7 @@
 		return
 	}
 	sv.handOver = request.Term
+	s.asked = true
 }
 
 // receiveMessage takes in a message of another VM's machine.
--- a/control/system_heartbeat.go
+++ b/control/system_heartbeat.go
@@ -12,7 +12,7 @@
 func (m *Machine) heartbeatTargets() []string {
 	var targets []string
 	for _, s := range m.services {
-		for _, sv := range s.servers {
+		for _, sv := range s.mine {
 			if !m.holds(s, sv) {
 				continue
 			}
--- a/control/system_homes.go
+++ b/control/system_homes.go
@@ -10,7 +10,7 @@
 // again before it sends.
 func (m *Machine) runHomes() {
 	for _, s := range m.services {
-		for _, sv := range s.servers {
+		for _, sv := range s.mine {
 			if !sv.config.ChecksGrants && sv.config.Address != "" {
 				m.renewHome(s, sv)
 			}
--- a/control/system_loss.go
+++ b/control/system_loss.go
@@ -17,7 +17,7 @@
 			continue
 		}
 		var lost []*server
-		for _, sv := range s.servers {
+		for _, sv := range s.mine {
 			if m.holds(s, sv) && m.lostAndStopped(s, sv) {
 				lost = append(lost, sv)
 			}
@@ -221,7 +221,7 @@
 // servers or more and reaches none.
 func (m *Machine) doubtfulZones(s *service, lost []string) []string {
 	silentServers := make(map[string]int)
-	for _, sv := range s.servers {
+	for _, sv := range s.mine {
 		if !m.holds(s, sv) {
 			continue
 		}
--- a/control/system_renewal.go
+++ b/control/system_renewal.go
@@ -13,7 +13,7 @@
 // runRenewal sends orders to the servers that this VM is the grantor of.
 func (m *Machine) runRenewal() {
 	for _, s := range m.services {
-		for _, sv := range s.servers {
+		for _, sv := range s.mine {
 			if m.holds(s, sv) {
 				m.renew(s, sv)
 			}
--- a/control/system_servers.go
+++ b/control/system_servers.go
@@ -12,7 +12,7 @@
 		if s.version == 0 || s.fault != "" {
 			continue
 		}
-		for _, sv := range s.servers {
+		for _, sv := range s.mine {
 			if m.holds(s, sv) {
 				m.tidyServer(s, sv)
 			}
--- a/control/system_stop.go
+++ b/control/system_stop.go
@@ -16,7 +16,7 @@
 		if len(s.leaving) == 0 {
 			continue
 		}
-		for _, sv := range s.servers {
+		for _, sv := range s.mine {
 			if m.holds(s, sv) {
 				m.confirmStops(s, sv)
 			}
--- a/control/system_takeover.go
+++ b/control/system_takeover.go
@@ -14,18 +14,25 @@
 		if s.version == 0 || s.fault != "" {
 			continue
 		}
-		for _, sv := range s.servers {
-			entry := s.entry(sv)
-			if entry == nil {
-				continue
-			}
-			if entry.Grantor == m.options.Self {
-				m.takeOwnTerm(s, sv, entry)
-				continue
-			}
-			m.considerTakeover(s, sv, entry)
+		for _, sv := range s.mine {
+			m.takeOwnTerm(s, sv, s.entry(sv))
+		}
+		for i := range s.groups {
+			m.considerGrantor(s, &s.groups[i])
+		}
+	}
+}
+
+// considerGrantor considers the terms of another grantor.
+func (m *Machine) considerGrantor(s *service, group *grantorGroup) {
+	_, declared := m.vmDeclaredLost(group.grantor)
+	suspected := group.grantor == "" || declared || m.members.suspects(group.grantor, m.now)
+	if suspected || group.suspected || s.asked {
+		for _, sv := range group.servers {
+			m.considerTakeover(s, sv, suspected, declared)
 		}
 	}
+	group.suspected = suspected
 }
 
 // takeOwnTerm takes a new term where an earlier process on this VM used the
@@ -38,10 +45,9 @@
 	}
 }
 
-func (m *Machine) considerTakeover(s *service, sv *server, entry *ownership.Server) {
+func (m *Machine) considerTakeover(s *service, sv *server, suspected, declared bool) {
+	entry := s.entry(sv)
 	asked := sv.handOver != 0 && sv.handOver == entry.Term
-	_, declared := m.vmDeclaredLost(entry.Grantor)
-	suspected := entry.Grantor == "" || declared || m.members.suspects(entry.Grantor, m.now)
 	if !suspected {
 		sv.suspected = false
 	}
@@ -95,7 +101,7 @@
 // accepted this VM's term, or does not check grants.
 func (m *Machine) runTermQueries() {
 	for _, s := range m.services {
-		for _, sv := range s.servers {
+		for _, sv := range s.mine {
 			if m.holds(s, sv) && m.now-sv.queriedAt >= queryInterval {
 				m.queryFormer(s, sv)
 			}
--- a/control/tables.go
+++ b/control/tables.go
@@ -42,6 +42,11 @@
 	backoff time.Duration
 	retryAt time.Duration
 
+	// mine are the servers whose grantor this VM is; groups are the others.
+	mine   []*server
+	groups []grantorGroup
+	// asked says that a grantor asked this VM to take a term.
+	asked bool
 	// owned and leaving index the page's units by owner and by the previous
 	// owner that has yet to stop.
 	owned   map[string][]ownership.UnitID
@@ -67,6 +72,13 @@
 	localSince time.Duration
 }
 
+// grantorGroup is the servers of one other grantor.
+type grantorGroup struct {
+	grantor   string
+	servers   []*server
+	suspected bool // The grantor was suspected on the last tick.
+}
+
 // unitChange is one change of a unit that this VM saw.
 type unitChange struct {
 	OwnershipHistory
