--- a/fleet/server.go
+++ b/fleet/server.go
@@ -96,6 +96,8 @@
 	controller := http.NewResponseController(w)
 	served := make(chan struct{})
 	var watching sync.WaitGroup
+	defer watching.Wait() // Also when the exchange panics.
+	defer close(served)
 	watching.Go(func() {
 		select {
 		case <-served:
@@ -104,8 +106,6 @@
 		}
 	})
 	exchange.ServeHTTP(w, r)
-	close(served)
-	watching.Wait()
 }
 
 func (s *server) refused(cause, address string) {
