control: a leaving server is closed 2.5 s after a VM learnt of it

Change: empty sets and no routing from then on; wider random scenarios (servers in both regions, removed servers, hot keys, merged keys).

--- a/control/control_suite_test.go
+++ b/control/control_suite_test.go
@@ -74,3 +74,12 @@
 	f.ResetOutages()
 	return f
 }
+
+// spreadServers places the servers in the zones of both regions.
+func spreadServers(options *controltest.Options) {
+	for i := range options.Configuration.Servers {
+		zone := []string{"r1a", "r1b", "r2a", "r2b"}[i%4]
+		options.Configuration.Servers[i].Zone = zone
+		options.Configuration.Servers[i].Region = zone[:2]
+	}
+}
--- a/control/controltest/fleet.go
+++ b/control/controltest/fleet.go
@@ -326,3 +326,16 @@
 		f.spreadMembers()
 	}
 }
+
+// Load feeds a VM's count of requests of a frequent key.
+func (f *Fleet) Load(vm, service, key string, requests uint32) {
+	page, version := f.Store.Page(service)
+	if version == 0 {
+		return
+	}
+	f.VM(vm).step(control.LoadMeasured{
+		Service: service, Period: time.Second,
+		Units:   []control.UnitLoad{{Unit: page.UnitOf(key).ID, Requests: requests}},
+		HotKeys: []control.KeyLoad{{Key: key, Requests: requests}},
+	})
+}
--- a/control/inputs.go
+++ b/control/inputs.go
@@ -56,13 +56,13 @@
 	s := m.services[i]
 	s.configured = true
 	s.config = declared
+	s.draining = false
 	s.defaults = configuration.SettingsFor(declared.Name, "", "")
 	s.plan.due = true
 	for _, configured := range configuration.Servers {
 		if configured.Service == declared.Name {
 			sv := s.ensureServer(configured.Name)
-			sv.config = configured
-			sv.configured = true
+			m.acceptServer(s, sv, configured)
 		}
 	}
 	if s.version != 0 && declared.Shards != int(s.page.Shards) {
@@ -71,6 +71,19 @@
 	}
 }
 
+func (m *Machine) acceptServer(s *service, sv *server, configured config.Server) {
+	if configured.Draining && !sv.config.Draining {
+		sv.drainingAt = m.now
+	}
+	if !configured.Draining && sv.closed {
+		sv.closed = false
+		sv.set.valid = false
+	}
+	sv.config = configured
+	sv.configured = true
+	s.draining = s.draining || configured.Draining
+}
+
 func newService(name string, now time.Duration) *service {
 	return &service{
 		name:       name,
--- a/control/machine.go
+++ b/control/machine.go
@@ -83,6 +83,7 @@
 var systems = []func(*Machine){
 	(*Machine).runReads,
 	(*Machine).runBootstrap,
+	(*Machine).runDrain,
 	(*Machine).runRenewal,
 	(*Machine).runHomes,
 	(*Machine).runStopConfirmation,
--- a/control/model_test.go
+++ b/control/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -48,6 +49,9 @@
 	secondPlanner
 	suspectVM
 	cutVMs
+	undeclareKeys
+	removeServer
+	hotKey
 	faultKinds
 )
 
@@ -64,12 +68,13 @@
 
 type scenario struct {
 	seed     uint64
-	checking int // Of four servers, how many check grants.
+	checking int  // Of four servers, how many check grants.
+	wide     bool // The servers stand in both regions.
 	faults   []fault
 }
 
 func (s scenario) String() string {
-	lines := []string{fmt.Sprintf("seed %d, %d of 4 servers check grants", s.seed, s.checking)}
+	lines := []string{fmt.Sprintf("seed %d, %d of 4 servers check grants, wide %v", s.seed, s.checking, s.wide)}
 	for _, f := range s.faults {
 		lines = append(lines, f.String())
 	}
@@ -85,6 +90,7 @@
 var scenarios = rapid.Custom(func(t *rapid.T) scenario {
 	drawn := scenario{
 		seed:     rapid.Uint64().Draw(t, "seed"),
+		wide:     rapid.Bool().Draw(t, "wide"),
 		checking: rapid.SampledFrom([]int{4, 4, 3, 2, 0}).Draw(t, "checking"),
 	}
 	count := rapid.IntRange(1, 8).Draw(t, "faults")
@@ -171,6 +177,29 @@
 	case cutVMs:
 		f.Cut(vm.Name, f.VMs[x.other%len(f.VMs)].Name)
 		end(f.Heal)
+	case undeclareKeys:
+		f.Configure(func(c *config.Configuration) {
+			c.Services = []config.Service{c.Services[0]}
+			c.Services[0].Keys = nil
+		})
+	case removeServer:
+		removed := server.Config
+		f.Configure(func(c *config.Configuration) {
+			c.Servers = slices.DeleteFunc(c.Servers, func(s config.Server) bool { return s.Name == removed.Name })
+		})
+		end(func() {
+			f.Configure(func(c *config.Configuration) {
+				if !slices.ContainsFunc(c.Servers, func(s config.Server) bool { return s.Name == removed.Name }) {
+					c.Servers = append(c.Servers, removed)
+				}
+			})
+		})
+	case hotKey:
+		for i := range 8 {
+			f.At(time.Duration(i)*time.Second, func() {
+				f.Load(vm.Name, recipes, fmt.Sprintf("key-%d", x.other), 10_000)
+			})
+		}
 	case secondPlanner:
 		f.AddPlanner(recipes, vm.Name)
 	}
@@ -210,6 +239,9 @@
 	options := smallFleet(1, 4, 8, func(i int) bool { return i < s.checking })
 	options.Seed = s.seed
 	options.Work = true
+	if s.wide {
+		spreadServers(&options)
+	}
 	options.Mutate = mutate
 	f := controltest.New(options)
 	last := time.Duration(0)
--- a/control/moves_test.go
+++ b/control/moves_test.go
@@ -209,6 +209,16 @@
 		expectSound(f)
 	})
 
+	It("does not give a leaving server new work after 3 s", func() {
+		setDraining(f, "s1", true)
+		f.Run(3 * time.Second)
+		Expect(f.Unserved(recipes)).To(HaveLen(owned(f, "s1")))
+		f.Store.Down = false
+		f.Run(3 * time.Second)
+		expectSound(f)
+		Expect(owned(f, "s1")).To(BeZero())
+	})
+
 	It("with the loss of a server acknowledges nothing until it ends", func() {
 		f.Server("s1").Lost = true
 		f.Run(20 * time.Second)
@@ -267,11 +277,7 @@
 var _ = Describe("a region that is cut off", func() {
 	It("keeps serving its own keys", func() {
 		options := smallFleet(2, 8, 32, allCheck)
-		for i := range options.Configuration.Servers {
-			zone := []string{"r1a", "r1b", "r2a", "r2b"}[i%4]
-			options.Configuration.Servers[i].Zone = zone
-			options.Configuration.Servers[i].Region = zone[:2]
-		}
+		spreadServers(&options)
 		f := started(options)
 		before, _ := f.Store.Page(recipes)
 		f.Cut("r1", "r2")
--- a/control/settings.go
+++ b/control/settings.go
@@ -34,6 +34,9 @@
 	// targetsInterval is the time between two choices of the VMs that get
 	// heartbeats.
 	targetsInterval = 300 * time.Millisecond
+	// drainLimit is the time after which a server that is leaving gets no new
+	// work. The orders that say so follow at once.
+	drainLimit = 2500 * time.Millisecond
 	// queryInterval is the time between two term queries.
 	queryInterval = 300 * time.Millisecond
 	// handOverInterval is the time between two requests to take a term over.
--- a/control/system_renewal.go
+++ b/control/system_renewal.go
@@ -161,6 +161,9 @@
 	}
 	units := make([]backend.UnitGrant, 0, len(s.owned[sv.name]))
 	for _, id := range s.owned[sv.name] {
+		if sv.closed {
+			break
+		}
 		unit := s.page.Unit(id)
 		if unit.Previous == "" || s.stopped[id] >= unit.Epoch || ignorePrevious {
 			units = append(units, backend.UnitGrant{Unit: uint32(id), Epoch: uint64(unit.Epoch)})
--- a/control/system_routing.go
+++ b/control/system_routing.go
@@ -46,6 +46,9 @@
 	if unit.Previous != "" && s.stopped[unit.ID] < unit.Epoch {
 		return false
 	}
+	if owner := s.server(unit.Owner); owner != nil && owner.closed {
+		return false
+	}
 	return !s.page.Server(unit.Owner).Down
 }
 
--- a/control/system_servers.go
+++ b/control/system_servers.go
@@ -6,6 +6,23 @@
 	"guavacrank.example/control/ownership"
 )
 
+// runDrain ends the work of servers that are leaving, also of those whose units
+// could not be moved in time, as during an outage of the store.
+func (m *Machine) runDrain() {
+	for _, s := range m.services {
+		if !s.draining {
+			continue
+		}
+		for _, sv := range s.servers {
+			if sv.config.Draining && !sv.closed && m.now-sv.drainingAt >= drainLimit {
+				sv.closed = true
+				sv.set.valid = false
+				m.ready.RoutingChanged = true
+			}
+		}
+	}
+}
+
 // runServers keeps the page's notes on the servers that this VM is the grantor of.
 func (m *Machine) runServers() {
 	for _, s := range m.services {
--- a/control/tables.go
+++ b/control/tables.go
@@ -45,6 +45,8 @@
 	// mine are the servers whose grantor this VM is; groups are the others.
 	mine   []*server
 	groups []grantorGroup
+	// draining says that a server of the service is leaving.
+	draining bool
 	// asked says that a grantor asked this VM to take a term.
 	asked bool
 	// owned and leaving index the page's units by owner and by the previous
@@ -106,6 +108,10 @@
 	name       string
 	config     config.Server
 	configured bool
+	// drainingAt is when this VM learnt that the server is leaving; closed is
+	// set once it may get no new work, whether its units have moved or not.
+	drainingAt time.Duration
+	closed     bool
 
 	boot        string // Empty: not known.
 	bootAt      time.Duration
