operator: consequences count what servers owned before the change

Cause: seen in the walk through the getting-started page: drain answered that 0 shards move, because the moves were done before the answer counted them; and a drain that was sent again listed the whole configuration as added. Change: holdings are taken before the change; a change that is in force already shows no difference. Conclusion: the answer tells what the change moved.

--- a/daemon/operator/change.go
+++ b/daemon/operator/change.go
@@ -29,8 +29,9 @@
 	if request.DryRun {
 		return s.preview(ctx, change, before)
 	}
+	replaced := s.snapshot(before)
 	record, err := s.options.Keeper.Apply(ctx, change)
-	return s.applied(before, record, err)
+	return s.applied(replaced, record, err)
 }
 
 // preview checks a change against the record in force and applies nothing.
@@ -38,7 +39,7 @@
 	if err := s.options.Keeper.Check(ctx, change, before); err != nil {
 		return Applied{}, err
 	}
-	answer := s.compare(before, config.Record{Revision: before.Revision, YAML: change.YAML})
+	answer := s.snapshot(before).compare(config.Record{Revision: before.Revision, YAML: change.YAML})
 	answer.DryRun = true
 	return answer, nil
 }
@@ -50,8 +51,9 @@
 		return Applied{}, err
 	}
 	change := revision.Change{ChangeID: request.ChangeID, Base: request.Base, Author: request.Author, Reason: request.Reason}
+	replaced := s.snapshot(before)
 	record, err := s.options.Keeper.Rollback(ctx, request.To, change)
-	return s.applied(before, record, err)
+	return s.applied(replaced, record, err)
 }
 
 // drain starts or ends the draining of a backend server.
@@ -83,45 +85,59 @@
 
 // edit changes single facts of the text in force.
 func (s *Server) edit(ctx context.Context, change revision.Change, run func(string) (string, error)) (Applied, error) {
-	var before config.Record
+	var replaced *replacement
 	record, err := s.options.Keeper.Edit(ctx, change, func(text string) (string, error) {
-		before = config.Record{YAML: text}
+		before := s.snapshot(config.Record{YAML: text})
+		replaced = &before
 		return run(text)
 	})
-	return s.applied(before, record, err)
+	if replaced == nil { // The change was in force already.
+		before := s.snapshot(record)
+		replaced = &before
+	}
+	return s.applied(*replaced, record, err)
 }
 
 // applied reports an accepted change.
-func (s *Server) applied(before, record config.Record, err error) (Applied, error) {
+func (s *Server) applied(replaced replacement, record config.Record, err error) (Applied, error) {
 	if err != nil {
 		return Applied{}, err
 	}
 	s.options.OnEvent(event.New(event.ConfigurationApplied, record.Reason,
 		"revision", fmt.Sprint(record.Revision), "author", record.Author, "change", record.ChangeID))
-	return s.compare(before, record), nil
+	return replaced.compare(record), nil
+}
+
+// replacement is what a change replaces. Holdings are taken before the change
+// is applied, since it moves them within milliseconds.
+type replacement struct {
+	configuration *config.Configuration
+	holdings      []diff.Holding
+}
+
+// snapshot notes what a change is about to replace.
+func (s *Server) snapshot(before config.Record) replacement {
+	configuration, err := config.ParseConfiguration("before", []byte(before.YAML))
+	if err != nil {
+		return replacement{} // None, or one that only an earlier version accepts.
+	}
+	return replacement{configuration: configuration, holdings: s.holdings(configuration)}
 }
 
 // compare tells what a record changes and what follows from it.
-func (s *Server) compare(before, after config.Record) Applied {
+func (r replacement) compare(after config.Record) Applied {
 	answer := Applied{Revision: after.Revision, ChangeID: after.ChangeID}
 	current, err := config.ParseConfiguration("after", []byte(after.YAML))
 	if err != nil {
 		return answer
 	}
-	old, err := config.ParseConfiguration("before", []byte(before.YAML))
-	if err != nil {
-		old = nil
-	}
-	answer.Changes = diff.Compare(old, current)
-	answer.Consequences = diff.Assess(old, current, s.holdings(old))
+	answer.Changes = diff.Compare(r.configuration, current)
+	answer.Consequences = diff.Assess(r.configuration, current, r.holdings)
 	return answer
 }
 
 // holdings counts what each server owns now.
 func (s *Server) holdings(c *config.Configuration) []diff.Holding {
-	if c == nil {
-		return nil
-	}
 	counts := make(map[string]int)
 	for _, service := range c.Services {
 		owners, known := s.options.Source.Owners(service.Name)
--- a/daemon/operator/operator_test.go
+++ b/daemon/operator/operator_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,6 +39,8 @@
 type source struct {
 	inForce *config.Configuration
 	log     []operator.LoggedEvent
+	// moved says that the units went elsewhere.
+	moved atomic.Bool
 }
 
 func (s *source) Status() operator.Status {
@@ -46,6 +49,9 @@
 
 func (s *source) Owners(service string) (operator.Owners, bool) {
 	units := []operator.Owner{{Unit: 0, Server: "cat-3"}, {Unit: 1, Server: "cat-3"}}
+	if s.moved.Load() {
+		units = nil
+	}
 	return operator.Owners{Service: service, DividedByKey: true, Units: units}, service == "catalogue"
 }
 
@@ -130,7 +136,7 @@
 		server, err := operator.New(operator.Options{
 			Token:   token,
 			Source:  data,
-			Keeper:  revision.New(revision.Options{Store: store, Wait: noWait}),
+			Keeper:  revision.New(revision.Options{Store: store, Wait: noWait, OnWritten: func(platform.Entry) { data.moved.Store(true) }}),
 			Now:     func() time.Time { return time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC) },
 			OnEvent: log.add,
 		})
@@ -148,10 +154,15 @@
 		applied, err := apply("a", 0, verhaegen())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(applied.Revision).To(Equal(config.Revision(1)))
+		data.moved.Store(false)
 		applied, err = call.Drain(ctx, operator.DrainRequest{ChangeID: "b", Server: "cat-3", Draining: true, Author: "an", Reason: "kernel"})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(applied.Changes).To(HaveLen(1))
 		Expect(applied.Consequences[0].Effect).To(Equal("drains: 2 shards and keys of catalogue move to other servers"))
+		applied, err = call.Drain(ctx, operator.DrainRequest{ChangeID: "b", Server: "cat-3", Draining: true, Author: "an", Reason: "kernel"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(applied.Revision).To(Equal(config.Revision(2)), "sent again, it is the same change")
+		Expect(applied.Changes).To(BeEmpty())
 		_, err = call.DeclareLost(ctx, operator.LostRequest{ChangeID: "c", Kind: config.LostVM, Name: "entry-4", Author: "an", Reason: "burnt"})
 		Expect(err).NotTo(HaveOccurred())
 		applied, err = call.Rollback(ctx, operator.RollbackRequest{ChangeID: "d", Base: 3, To: 1, Author: "an", Reason: "oops"})
