--- /dev/null
+++ b/traffic/front/limits_test.go
@@ -0,0 +1,161 @@
+package front
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/traffic/route"
+)
+
+var _ = Describe("limits of a caller's request", func() {
+	DescribeTable("are refused with not_run and a clear code",
+		func(path string, headers []string, body string, status int, code string) {
+			server := newFakeServer(say(okAnswer))
+			v := newVM(Options{Limits: Limits{KeyBytes: 8, HeaderBytes: 2000}})
+			s := divided(testServer(server, ""), 7)
+			s.Settings.MaxBodyBytes = 4
+			v.routes.Publish(&route.Snapshot{Services: map[string]*route.Service{"cards": s}})
+			got := v.ask("POST", path, body, headers...)
+			Expect([]any{got.status, got.verdict, got.code}).To(Equal([]any{status, "not_run", code}))
+			Expect(got.body).To(HavePrefix(code + ": "))
+			Expect(server.seen()).To(BeEmpty())
+		},
+		Entry("no service", "/v1/", nil, "", 400, "bad_request"),
+		Entry("another path", "/other", nil, "", 400, "bad_request"),
+		Entry("unknown service", "/v1/none/k", nil, "", 404, "unknown_service"),
+		Entry("unknown class", "/v1/cards/k", []string{HeaderClass, "none"}, "", 400, "unknown_class"),
+		Entry("long key", "/v1/cards/123456789", nil, "", 414, "key_too_long"),
+		Entry("large header fields", "/v1/cards/k", []string{"Large", strings.Repeat("x", 2000)}, "", 431, "headers_too_large"),
+		Entry("large body", "/v1/cards/k", nil, "12345", 413, "body_too_large"),
+		Entry("deadline that is no number", "/v1/cards/k", []string{HeaderDeadline, "soon"}, "", 400, "bad_request"),
+		Entry("deadline in the past", "/v1/cards/k", []string{HeaderDeadline, "-1"}, "", 400, "bad_request"),
+		Entry("long idempotency key", "/v1/cards/k", []string{HeaderIdempotencyKey, strings.Repeat("x", 129)}, "", 400, "bad_request"),
+	)
+
+	It("bound the requests at once", func() {
+		server := newFakeServer(stay)
+		v := newVM(Options{Limits: Limits{Concurrent: 1}})
+		v.routes.Publish(&route.Snapshot{Services: map[string]*route.Service{"cards": divided(testServer(server, ""), 7)}})
+		go func() { defer GinkgoRecover(); v.order(HeaderDeadline, "500") }()
+		Eventually(v.InFlight).Should(Equal(1))
+		got := v.order()
+		Expect([]any{got.status, got.verdict, got.code}).To(Equal([]any{503, "not_run", "too_many"}))
+	})
+
+	It("end a streamed body that grows past its limit, without calling it not_run", func() {
+		server := newFakeServer(func(conn net.Conn, r *http.Request) { io.Copy(io.Discard, r.Body); conn.Close() })
+		v := newVM(Options{})
+		s := divided(testServer(server, ""), 7)
+		s.Settings.MaxBodyBytes = 100_000
+		v.routes.Publish(&route.Snapshot{Services: map[string]*route.Service{"cards": s}})
+		request, _ := http.NewRequest("POST", v.caller.URL+"/v1/cards/k", io.MultiReader(strings.NewReader(strings.Repeat("x", 200_000))))
+		request.Header.Set(HeaderClass, "order")
+		response, err := v.caller.Client().Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		response.Body.Close()
+		Expect(response.Header.Get("Guavacrank-Verdict")).To(Equal("may_have_run"))
+	})
+})
+
+var _ = Describe("a server without room", func() {
+	It("gets a shed request again once, from the front of the queue", func() {
+		first := true
+		server := newFakeServer(func(conn net.Conn, r *http.Request) {
+			if first {
+				first = false
+				refuse("shed")(conn, r)
+				return
+			}
+			say(okAnswer)(conn, r)
+		})
+		Expect(oneVM(server).order().verdict).To(Equal("answered"))
+		Expect(server.seen()).To(HaveLen(2))
+	})
+
+	It("leads to not_run, never to may_have_run", func() {
+		got := oneVM(newFakeServer(refuse("shed"))).order(HeaderDeadline, "200")
+		Expect([]any{got.status, got.verdict, got.code}).To(Equal([]any{503, "not_run", "shed"}))
+	})
+
+	It("is not sent what could not finish, and the caller hears when to come again", func() {
+		release := make(chan struct{})
+		server := newFakeServer(func(conn net.Conn, r *http.Request) {
+			select {
+			case <-release:
+			case <-time.After(100 * time.Millisecond):
+			}
+			io.WriteString(conn, okAnswer)
+		})
+		v := oneVM(server)
+		Expect(v.ask("GET", "/v1/cards/k", "").verdict).To(Equal("answered")) // The queue learns 100 ms.
+		ends := make(chan reply, 8)
+		for range 8 {
+			go func() { defer GinkgoRecover(); ends <- v.ask("GET", "/v1/cards/k", "") }()
+		}
+		Eventually(v.queued).Should(Equal(4))
+		got := v.ask("GET", "/v1/cards/k", "", HeaderDeadline, "60")
+		Expect([]any{got.verdict, got.code}).To(Equal([]any{"not_run", "too_late"}))
+		Expect(got.header.Get("Retry-After")).To(Equal("1"))
+		close(release)
+		for range 8 {
+			Expect((<-ends).verdict).To(Equal("answered"))
+		}
+	})
+})
+
+// FuzzParse checks that no caller's path or header makes the parser panic or
+// pass on what it must not.
+func FuzzParse(f *testing.F) {
+	f.Add("/v1/cards/a%2Fb?x=1", "look", "100", "k")
+	f.Add("/v1/cards", "", "", "")
+	f.Add("/v1//%zz", "order", "-1", strings.Repeat("k", 200))
+	v := New(Options{Routes: route.NewPublisher()})
+	server := &route.Server{Name: "s1", Address: "127.0.0.1:1", Slots: 4, Connections: 55, ChecksGrants: true}
+	v.options.Routes.Publish(&route.Snapshot{Services: map[string]*route.Service{"cards": divided(server, 7)}})
+	f.Fuzz(func(t *testing.T, target, class, deadline, once string) {
+		where, err := url.ParseRequestURI(target)
+		if err != nil {
+			return
+		}
+		r := httptest.NewRequest("POST", "/", bytes.NewReader(nil))
+		r.URL = where
+		r.Header[HeaderClass] = []string{class}
+		r.Header[HeaderDeadline] = []string{deadline}
+		r.Header[HeaderIdempotencyKey] = []string{once}
+		r.Header["Guavacrank-Epoch"] = []string{"99"}
+		c, refused := v.parseCaller(r)
+		if refused != nil {
+			if refused.code.Status() < 400 || refused.code.Status() >= 500 {
+				t.Fatalf("%q refused with status %d", target, refused.code.Status())
+			}
+			return
+		}
+		to := target0(v, c)
+		out := c.serverRequest(to, v.now())
+		var wire bytes.Buffer
+		if err := out.Write(&wire); err != nil {
+			t.Fatalf("%q cannot be passed on: %v", target, err)
+		}
+		if out.Header.Get("Guavacrank-Epoch") != "7" || out.Header.Get(HeaderIdempotencyKey) != "" {
+			t.Fatalf("%q passed forged headers on", target)
+		}
+		if key, err := url.PathUnescape(out.Header.Get("Guavacrank-Key")); err != nil || key != c.key {
+			t.Fatalf("%q: key %q became %q", target, c.key, key)
+		}
+	})
+}
+
+func target0(h *Handler, c *call) target {
+	to, _ := h.choose(h.current(), c)
+	return to
+}
