--- a/bench/suite/suite.go
+++ b/bench/suite/suite.go
@@ -6,6 +6,7 @@
 
 	"guavacrank.example/bench/failover"
 	"guavacrank.example/bench/limits"
+	"guavacrank.example/bench/link"
 	"guavacrank.example/bench/overload"
 	"guavacrank.example/bench/placement"
 	"guavacrank.example/bench/report"
@@ -53,6 +54,13 @@
 				return overload.Run(ctx, overload.Options{Seed: seed})
 			},
 		},
+		{
+			Name:    "link",
+			Summary: "interactive answers beside bulk over the link between regions, on a virtual clock",
+			Run: func(ctx context.Context, seed uint64) (report.Report, error) {
+				return link.Run(ctx, link.Options{Seed: seed})
+			},
+		},
 		{
 			Name:    "traffic",
 			Summary: "latency and processor time of the router against a plain relay, on this machine",
--- a/traffic/front/answer.go
+++ b/traffic/front/answer.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"guavacrank.example/traffic/link"
 	"guavacrank.example/traffic/upstream"
 	"guavacrank.example/traffic/verdict"
 )
@@ -110,9 +111,10 @@
 
 // passAnswer returns what holds the answer back to the link's rate: at the VM
 // from which it crosses, or here when this VM read it from a server elsewhere.
+// It is nil when the answer does not cross.
 func (h *Handler) passAnswer(ctx context.Context, c *call) func(int) error {
 	if !c.crossing {
-		return func(int) error { return nil }
+		return nil
 	}
 	pacer := c.service.state.in
 	if c.forwarded {
@@ -157,18 +159,25 @@
 }
 
 func (a *answer) write(w io.Writer, part []byte, pass func(int) error) error {
-	if len(part) == 0 {
-		return nil
-	}
-	if err := pass(len(part)); err != nil {
-		return err
-	}
-	n, err := w.Write(part)
-	a.bytes += int64(n)
-	if errors.Is(err, http.ErrBodyNotAllowed) {
-		return nil
+	step := len(part)
+	if pass != nil {
+		step = link.Burst
+	}
+	for len(part) > 0 {
+		next := part[:min(step, len(part))]
+		part = part[len(next):]
+		if pass != nil {
+			if err := pass(len(next)); err != nil {
+				return err
+			}
+		}
+		n, err := w.Write(next)
+		a.bytes += int64(n)
+		if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+			return err
+		}
 	}
-	return err
+	return nil
 }
 
 // writeFailure tells the verdict of a request without an answer.
--- a/traffic/front/fleet_test.go
+++ b/traffic/front/fleet_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -205,3 +206,23 @@
 		Expect(v.Stop(ctx)).To(MatchError(context.Canceled))
 	})
 })
+
+var _ = Describe("the link between regions", func() {
+	It("is paced for bulk at the home from which the answer crosses, and counted for all", func() {
+		body := strings.Repeat("x", 60_000)
+		server := newFakeServer(say("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + body))
+		f := &fleet{vms: map[string]*vm{"a": newVM(Options{Region: "north"}), "b": newVM(Options{Region: "south"})}}
+		f.publish(func() *route.Service {
+			declared := testServer(server, "b")
+			declared.Region = "south"
+			s := divided(declared, 7)
+			s.Settings.LinkBulkRate = 200_000
+			return s
+		})
+		began := time.Now()
+		Expect(f.vms["a"].ask("GET", "/v1/cards/k", "").body).To(Equal(body))
+		Expect(f.vms["a"].ask("GET", "/v1/cards/k", "", HeaderClass, "bulk").body).To(Equal(body))
+		Expect(time.Since(began)).To(BeNumerically(">=", 200*time.Millisecond), "60 kB at 200 kB/s, less a burst")
+		Expect(f.vms["b"].Status().Link["cards"]["out"]).To(Equal(map[string]int64{"interactive": 60_000, "patient": 0, "bulk": 60_000}))
+	})
+})
--- a/traffic/link/link.go
+++ b/traffic/link/link.go
@@ -11,8 +11,9 @@
 	"guavacrank.example/config"
 )
 
-// Burst is the number of bytes of bulk that may be sent at once.
-const Burst = 32 << 10
+// Burst is the number of bytes of bulk that may be sent at once: about a
+// millisecond of the link, so that an interactive answer waits little behind it.
+const Burst = 4 << 10
 
 // Pacer is one VM's share of the link in one direction. It is safe for
 // concurrent use.
