control: two VMs watch each grantor, whatever the number of its servers

Cause: heartbeats went to two VMs for each server; a daemon may spend 3 KB a second on control at the two-year size. Change: the order of the VMs that are next hashes the grantor's name; a VM that stops spreads its terms over the VMs with the fewest. Conclusion: heartbeats no longer grow with the servers of a grantor.

--- a/control/members.go
+++ b/control/members.go
@@ -113,16 +113,18 @@
 }
 
 // candidates returns the VMs that may hold a server's term, best first: by
-// tier, then by rendezvous hash. The second one is from another availability
-// zone than the first where there is one, so that the loss of a zone leaves
-// one of the two. The VM named except, and VMs dead or leaving, are left out.
-func (t *memberTable) candidates(sv config.Server, except string) []candidate {
+// tier, then by rendezvous hash with the present grantor, so that few VMs are
+// next for all of its terms. The second one is from another availability zone
+// than the first where there is one, so that the loss of a zone leaves one of
+// the two. The present grantor, and VMs dead or leaving, are left out.
+func (t *memberTable) candidates(sv config.Server, grantor string) []candidate {
+	hashed := cmp.Or(grantor, sv.Name)
 	found := make([]candidate, 0, len(t.list))
 	for _, member := range t.list {
-		if member.Name == except || !member.Alive || member.Leaving {
+		if member.Name == grantor || !member.Alive || member.Leaving {
 			continue
 		}
-		found = append(found, candidate{member, tierOf(member, sv), rendezvous(sv.Name, member.Name)})
+		found = append(found, candidate{member, tierOf(member, sv), rendezvous(hashed, member.Name)})
 	}
 	slices.SortFunc(found, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(b.hash, a.hash), strings.Compare(a.member.Name, b.member.Name))
@@ -144,8 +146,8 @@
 	return slices.IndexFunc(candidates, func(c candidate) bool { return c.member.Name == name })
 }
 
-func rendezvous(serverName, vm string) uint64 {
-	return xxhash.Sum64String(serverName + "\x00" + vm)
+func rendezvous(name, vm string) uint64 {
+	return xxhash.Sum64String(name + "\x00" + vm)
 }
 
 // lostTable holds what operators declared lost, and when this VM learnt it.
--- a/control/system_handover.go
+++ b/control/system_handover.go
@@ -27,7 +27,7 @@
 			switch {
 			case m.stopping:
 				held = held || !m.nothingToHandOver(s, sv)
-				m.askSuccessor(s, sv, m.members.candidates(sv.config, m.options.Self))
+				m.askSuccessor(s, sv, m.spreadCandidates(sv))
 			case sv.successor != "" && m.now-sv.askedSince < handOverPatience:
 				m.askSuccessor(s, sv, m.betterPlaced(sv))
 			default:
@@ -66,6 +66,30 @@
 	return false
 }
 
+// spreadCandidates returns the VMs that may take a server's term, those with
+// the fewest terms, and fewest requests of this VM to take one, first.
+func (m *Machine) spreadCandidates(sv *server) []candidate {
+	if sv.successor != "" {
+		return m.members.candidates(sv.config, m.options.Self)
+	}
+	terms := m.termCounts()
+	for _, s := range m.services {
+		for _, other := range s.mine {
+			terms[other.successor]++
+		}
+	}
+	candidates := m.members.candidates(sv.config, m.options.Self)
+	sortByTerms(candidates, terms)
+	return candidates
+}
+
+// sortByTerms sorts candidates by tier, then by the number of their terms.
+func sortByTerms(candidates []candidate, terms map[string]int) {
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(terms[a.member.Name], terms[b.member.Name]))
+	})
+}
+
 // rebalance hands one term at a time over to a VM that is better placed for the
 // server, or as well placed and holds at least two terms fewer. It reports
 // whether it did.
@@ -94,9 +118,7 @@
 		}
 		return c.tier == tier && terms[c.member.Name] > own-2
 	})
-	slices.SortStableFunc(better, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(terms[a.member.Name], terms[b.member.Name]))
-	})
+	sortByTerms(better, terms)
 	return better
 }
 
