control: a slow store is not an outage

Change: a read is repeated after 500 ms and given up after 2 s, every answer counts as of its issue; the store answers if an answer arrived within a second. Records of idempotency keys wait up to 2 s for the store as well. Conclusion: safety rests on the compare-and-swap, so freshness is only economy.

--- a/control/controltest/store.go
+++ b/control/controltest/store.go
@@ -14,6 +14,8 @@
 	pages   map[string]storedPage
 	// Down makes every call fail without an answer.
 	Down bool
+	// Slow is added to the way of each answer.
+	Slow time.Duration
 	// LoseReply is the share of writes, in percent, whose answer is lost.
 	LoseReply int
 	// Late is the share of writes, in percent, that reach the store only after
@@ -41,7 +43,7 @@
 			return
 		}
 		stored := s.pages[request.Service]
-		f.travel(StoreName, vm.Name, func() {
+		s.answer(vm, func() {
 			vm.step(control.PageRead{
 				Service: request.Service, Request: request.Request,
 				Version: stored.version, Page: stored.page.Clone(),
@@ -80,7 +82,7 @@
 		if f.chance(s.LoseReply) {
 			return
 		}
-		f.travel(StoreName, vm.Name, func() {
+		s.answer(vm, func() {
 			if answered {
 				return
 			}
@@ -94,6 +96,15 @@
 	})
 }
 
+// answer carries an answer back to a VM.
+func (s *Store) answer(vm *VM, arrive func()) {
+	if s.Slow == 0 {
+		s.fleet.travel(StoreName, vm.Name, arrive)
+		return
+	}
+	s.fleet.clock.After(s.Slow, func() { s.fleet.travel(StoreName, vm.Name, arrive) })
+}
+
 func (s *Store) apply(write control.PageWrite) (bool, uint64) {
 	stored := s.pages[write.Service]
 	if stored.version != write.Expected {
--- a/control/inputs.go
+++ b/control/inputs.go
@@ -91,8 +91,8 @@
 	if s == nil {
 		return
 	}
-	if in.Request != 0 && in.Request == s.readPending {
-		m.readAnswered(s)
+	if in.Request != 0 {
+		m.readAnswered(s, in.Request)
 	}
 	if in.Version > s.version {
 		m.adoptPage(s, in.Version, in.Page)
--- a/control/loss_test.go
+++ b/control/loss_test.go
@@ -37,6 +37,17 @@
 		}
 	})
 
+	It("of a server is handled while the store takes a second for each answer", func() {
+		f := started(smallFleet(1, 4, 16, allCheck))
+		f.Store.Slow = time.Second
+		f.Run(3 * time.Second)
+		f.Server("s1").Lost = true
+		f.Run(8 * time.Second)
+		expectSound(f)
+		// One read overlaps the wait; the write adds its second.
+		Expect(worst(f)).To(BeNumerically("<=", servedAgain+f.Store.Slow))
+	})
+
 	It("of a grantor leaves every unit served throughout", func() {
 		f := started(smallFleet(2, 4, 16, allCheck))
 		lost := f.Grantor(recipes, "s1")
--- a/control/settings.go
+++ b/control/settings.go
@@ -45,12 +45,14 @@
 	rebalanceHold = 30 * time.Second
 	// rebalanceInterval is the least time between two such terms of one VM.
 	rebalanceInterval = 5 * time.Second
-	// storeFresh is the age up to which a read shows that the store answers.
+	// storeFresh is the age up to which an answer shows that the store answers.
 	storeFresh = time.Second
-	// readTimeout is the time after which an unanswered read is repeated.
-	readTimeout = 500 * time.Millisecond
+	// readRepeat is the time after which an unanswered read is repeated, and
+	// readTimeout the time after which it is given up.
+	readRepeat  = 500 * time.Millisecond
+	readTimeout = 2 * time.Second
 	// writeTimeout is the time after which the outcome of a write is unknown.
-	writeTimeout = time.Second
+	writeTimeout = 2 * time.Second
 	// minBackoff and maxBackoff bound the delay of a repeated write or read.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = time.Second
--- a/control/system_loss.go
+++ b/control/system_loss.go
@@ -55,7 +55,7 @@
 	if !declared && !m.disabled.waitOut && !m.silent(sv, m.timeToLive()) {
 		return false
 	}
-	return m.now >= end && s.confirmedSince(max(0, m.now-storeFresh))
+	return m.now >= end && s.storeAnswers(m.now)
 }
 
 // silent reports whether a server has not answered this VM, its grantor, for a time.
--- a/control/system_reads.go
+++ b/control/system_reads.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"guavacrank.example/event"
@@ -32,23 +33,38 @@
 	return max(refreshInterval, time.Duration(len(m.members.list))*refreshPerMember)
 }
 
+// readIfWanted issues a read unless one that serves is under way. A read that
+// takes long is repeated without giving it up: a slow store still answers.
 func (m *Machine) readIfWanted(s *service) {
-	if s.readPending != 0 && m.now-s.readIssued >= readTimeout {
-		m.readFailed(s)
-	}
-	inFlight := s.readPending != 0 && s.readIssued >= s.wantAt
-	if !s.wantRead || inFlight || (s.readFails > 0 && m.now < s.readRetryAt) {
+	m.expireReads(s)
+	if !s.wantRead || s.readUnderWay(m.now) || (s.readFails > 0 && m.now < s.readRetryAt) {
 		return
 	}
 	m.requests++
-	s.readPending = m.requests
-	s.readIssued = m.now
+	s.reads = append(s.reads, outstandingRead{request: m.requests, issuedAt: m.now})
 	s.refreshAt = m.now
 	m.ready.Reads = append(m.ready.Reads, PageReadRequest{Service: s.name, Request: m.requests})
 }
 
+// readUnderWay reports whether a read that is recent, and was issued when it
+// was wanted or later, is not answered yet.
+func (s *service) readUnderWay(now time.Duration) bool {
+	if len(s.reads) == 0 {
+		return false
+	}
+	newest := s.reads[len(s.reads)-1].issuedAt
+	return newest >= s.wantAt && now-newest < readRepeat
+}
+
+// expireReads gives up reads that the store did not answer in time.
+func (m *Machine) expireReads(s *service) {
+	for len(s.reads) > 0 && m.now-s.reads[0].issuedAt >= readTimeout {
+		s.reads = s.reads[1:]
+		m.readFailed(s)
+	}
+}
+
 func (m *Machine) readFailed(s *service) {
-	s.readPending = 0
 	s.readFails++
 	if s.readFails == 1 {
 		m.emit(event.StoreSilent, "a read of the page was not answered", "service", s.name)
@@ -56,16 +72,28 @@
 	s.readRetryAt = m.now + min(minBackoff<<min(s.readFails, 6), m.maxBackoff())
 }
 
-// readAnswered notes that the store answers.
-func (m *Machine) readAnswered(s *service) {
+// readAnswered notes that the store answers. The answer of a read confirms the
+// page as of the time at which it was issued, and makes earlier reads needless.
+func (m *Machine) readAnswered(s *service, request uint64) {
+	i := slices.IndexFunc(s.reads, func(read outstandingRead) bool { return read.request == request })
+	if i < 0 {
+		return
+	}
+	issued := s.reads[i].issuedAt
+	s.reads = slices.Delete(s.reads, 0, i+1)
 	if s.readFails > 0 {
 		m.emit(event.StoreAnswered, "a read of the page was answered", "service", s.name)
 	}
 	s.readFails = 0
-	s.readPending = 0
+	s.answeredAt = m.now
 	s.confirmed = true
-	s.confirmedAt = max(s.confirmedAt, s.readIssued)
-	if s.wantAt <= s.readIssued {
+	s.confirmedAt = max(s.confirmedAt, issued)
+	if s.wantAt <= issued {
 		s.wantRead = false
 	}
 }
+
+// storeAnswers reports whether an answer of the store arrived a short time ago.
+func (s *service) storeAnswers(now time.Duration) bool {
+	return s.confirmed && now-s.answeredAt < storeFresh
+}
--- a/control/tables.go
+++ b/control/tables.go
@@ -10,6 +10,12 @@
 	"guavacrank.example/control/ownership"
 )
 
+// outstandingRead is a read of the page that the store has not answered.
+type outstandingRead struct {
+	request  uint64
+	issuedAt time.Duration
+}
+
 // service is the entity of one service divided by key.
 type service struct {
 	name       string
@@ -31,8 +37,8 @@
 	// wantRead asks for a read that is issued at wantAt or later.
 	wantRead    bool
 	wantAt      time.Duration
-	readPending uint64 // Request in flight, zero for none.
-	readIssued  time.Duration
+	reads       []outstandingRead // Not answered yet, oldest first.
+	answeredAt  time.Duration     // Arrival of the newest answer of the store.
 	readFails   int
 	readRetryAt time.Duration
 	fault       string // Why the page is not acted on; empty: it is sound.
--- a/traffic/once/records.go
+++ b/traffic/once/records.go
@@ -40,7 +40,7 @@
 	// a turn expire with its lease, at least Life after their creation.
 	leaseTurn = 10 * time.Minute
 	// callTimeout bounds one call on the store.
-	callTimeout = 500 * time.Millisecond
+	callTimeout = 2 * time.Second
 	// createTries bounds the attempts to settle an unclear creation.
 	createTries = 3
 	// endTimeout bounds the write of an end beside the answer.
