--- a/cmd/internal/command/status.go
+++ b/cmd/internal/command/status.go
@@ -28,7 +28,7 @@
 	fmt.Fprintf(w, "%s (%s, %s), %s\n", status.VM, status.Region, status.Zone, stateOf(status))
 	fmt.Fprintf(w, "revision %d in force on %d of %d VMs; here revision %d\n", status.FleetRevision, status.InForce, status.VMCount, status.Revision)
 	if !status.StoreAnswers {
-		fmt.Fprintf(w, "the platform's service does not answer%s\n", silence(status))
+		fmt.Fprintln(w, "the platform's service does not answer")
 	}
 	printVMs(w, status.VMs)
 	printServices(w, status.Services)
@@ -41,14 +41,6 @@
 	}
 }
 
-// silence says for how long the platform's service has been silent, if known.
-func silence(status operator.Status) string {
-	if status.StoreSilentMs == 0 {
-		return ""
-	}
-	return fmt.Sprintf(", for %s so far", time.Duration(status.StoreSilentMs)*time.Millisecond)
-}
-
 // stateOf says whether the daemon takes requests.
 func stateOf(status operator.Status) string {
 	switch {
--- a/daemon/operator/types.go
+++ b/daemon/operator/types.go
@@ -29,14 +29,12 @@
 	FleetRevision config.Revision `json:"fleet_revision"`
 	InForce       int             `json:"in_force"`
 	VMCount       int             `json:"vm_count"`
-	// StoreAnswers is false while the platform's service can't be reached, for
-	// StoreSilentMs milliseconds so far.
-	StoreAnswers  bool            `json:"store_answers"`
-	StoreSilentMs int64           `json:"store_silent_ms"`
-	VMs           []VMStatus      `json:"vms"`
-	Services      []ServiceStatus `json:"services"`
-	Servers       []ServerStatus  `json:"servers"`
-	Lost          []LostStatus    `json:"lost"`
+	// StoreAnswers is false while the platform's service can't be reached.
+	StoreAnswers bool            `json:"store_answers"`
+	VMs          []VMStatus      `json:"vms"`
+	Services     []ServiceStatus `json:"services"`
+	Servers      []ServerStatus  `json:"servers"`
+	Lost         []LostStatus    `json:"lost"`
 	// Expired lists the exceptions past their date; they are still in force.
 	Expired []ExceptionStatus `json:"expired_exceptions"`
 }
