--- a/bench/suite/suite.go
+++ b/bench/suite/suite.go
@@ -6,9 +6,11 @@
 
 	"guavacrank.example/bench/failover"
 	"guavacrank.example/bench/limits"
+	"guavacrank.example/bench/link"
 	"guavacrank.example/bench/overload"
 	"guavacrank.example/bench/placement"
 	"guavacrank.example/bench/report"
+	"guavacrank.example/bench/tick"
 	"guavacrank.example/bench/traffic"
 )
 
@@ -53,6 +55,13 @@
 				return overload.Run(ctx, overload.Options{Seed: seed})
 			},
 		},
+		{
+			Name:    "link",
+			Summary: "interactive answers beside bulk over the link between regions, on a virtual clock",
+			Run: func(ctx context.Context, seed uint64) (report.Report, error) {
+				return link.Run(ctx, link.Options{Seed: seed})
+			},
+		},
 		{
 			Name:    "traffic",
 			Summary: "latency and processor time of the router against a plain relay, on this machine",
@@ -60,5 +69,12 @@
 				return traffic.Run(ctx, traffic.Options{})
 			},
 		},
+		{
+			Name:    "tick",
+			Summary: "processor time and memory of one VM's control plane by servers and shards, on this machine",
+			Run: func(ctx context.Context, _ uint64) (report.Report, error) {
+				return tick.Run(ctx, tick.Options{})
+			},
+		},
 	}
 }
--- a/control/inputs.go
+++ b/control/inputs.go
@@ -56,13 +56,13 @@
 	s := m.services[i]
 	s.configured = true
 	s.config = declared
+	s.draining = false
 	s.defaults = configuration.SettingsFor(declared.Name, "", "")
 	s.plan.due = true
 	for _, configured := range configuration.Servers {
 		if configured.Service == declared.Name {
 			sv := s.ensureServer(configured.Name)
-			sv.config = configured
-			sv.configured = true
+			m.acceptServer(s, sv, configured)
 		}
 	}
 	if s.version != 0 && declared.Shards != int(s.page.Shards) {
@@ -71,6 +71,19 @@
 	}
 }
 
+func (m *Machine) acceptServer(s *service, sv *server, configured config.Server) {
+	if configured.Draining && !sv.config.Draining {
+		sv.drainingAt = m.now
+	}
+	if !configured.Draining && sv.closed {
+		sv.closed = false
+		sv.set.valid = false
+	}
+	sv.config = configured
+	sv.configured = true
+	s.draining = s.draining || configured.Draining
+}
+
 func newService(name string, now time.Duration) *service {
 	return &service{
 		name:       name,
@@ -91,8 +104,8 @@
 	if s == nil {
 		return
 	}
-	if in.Request != 0 && in.Request == s.readPending {
-		m.readAnswered(s)
+	if in.Request != 0 {
+		m.readAnswered(s, in.Request)
 	}
 	if in.Version > s.version {
 		m.adoptPage(s, in.Version, in.Page)
@@ -167,11 +180,36 @@
 	for _, entry := range s.page.Servers {
 		m.noteTerm(s, s.ensureServer(entry.Name), entry)
 	}
+	m.indexGrantors(s)
 	for _, sv := range s.servers {
 		sv.set.valid = false
 	}
 }
 
+// indexGrantors groups the page's servers by grantor.
+func (m *Machine) indexGrantors(s *service) {
+	s.mine = s.mine[:0]
+	s.groups = s.groups[:0]
+	s.asked = false
+	groups := make(map[string]int)
+	for _, entry := range s.page.Servers {
+		sv := s.server(entry.Name)
+		s.asked = s.asked || sv.handOver != 0
+		if entry.Grantor == m.options.Self {
+			s.mine = append(s.mine, sv)
+			continue
+		}
+		i, known := groups[entry.Grantor]
+		if !known {
+			i = len(s.groups)
+			groups[entry.Grantor] = i
+			s.groups = append(s.groups, grantorGroup{grantor: entry.Grantor})
+		}
+		s.groups[i].servers = append(s.groups[i].servers, sv)
+		s.groups[i].suspected = s.groups[i].suspected || sv.suspected
+	}
+}
+
 func (m *Machine) noteDeparture(s *service, unit ownership.Unit) {
 	if s.seen[unit.ID].epoch == unit.Epoch {
 		return
--- a/control/system_handover.go
+++ b/control/system_handover.go
@@ -19,15 +19,15 @@
 		m.members.rebalancedAt = m.now
 	}
 	for _, s := range m.services {
-		for _, sv := range s.servers {
+		held = held || m.wordsAwaited(s)
+		for _, sv := range s.mine {
 			if !m.holds(s, sv) {
-				held = held || m.wordAwaited(s, sv)
 				continue
 			}
 			switch {
 			case m.stopping:
 				held = held || !m.nothingToHandOver(s, sv)
-				m.askSuccessor(s, sv, m.members.candidates(sv.config, m.options.Self))
+				m.askSuccessor(s, sv, m.spreadCandidates(sv))
 			case sv.successor != "" && m.now-sv.askedSince < handOverPatience:
 				m.askSuccessor(s, sv, m.betterPlaced(sv))
 			default:
@@ -47,11 +47,15 @@
 		(m.silent(sv, m.timeToLive()) || !sv.configured) && m.now >= sv.grantEnd
 }
 
-// wordAwaited reports whether the holder of a server that does not check grants
-// still needs this VM's word.
+// wordsAwaited reports whether a holder of a server that does not check grants
+// still needs this VM's word before this VM stops.
+func (m *Machine) wordsAwaited(s *service) bool {
+	return m.stopping && slices.ContainsFunc(s.servers, func(sv *server) bool { return m.wordAwaited(s, sv) })
+}
+
 func (m *Machine) wordAwaited(s *service, sv *server) bool {
 	entry := s.entry(sv)
-	if !m.stopping || entry == nil || sv.config.ChecksGrants || entry.Grantor == m.options.Self {
+	if entry == nil || sv.config.ChecksGrants || entry.Grantor == m.options.Self {
 		return false
 	}
 	for _, former := range entry.Former {
@@ -62,6 +66,30 @@
 	return false
 }
 
+// spreadCandidates returns the VMs that may take a server's term, those with
+// the fewest terms, and fewest requests of this VM to take one, first.
+func (m *Machine) spreadCandidates(sv *server) []candidate {
+	if sv.successor != "" {
+		return m.members.candidates(sv.config, m.options.Self)
+	}
+	terms := m.termCounts()
+	for _, s := range m.services {
+		for _, other := range s.mine {
+			terms[other.successor]++
+		}
+	}
+	candidates := m.members.candidates(sv.config, m.options.Self)
+	sortByTerms(candidates, terms)
+	return candidates
+}
+
+// sortByTerms sorts candidates by tier, then by the number of their terms.
+func sortByTerms(candidates []candidate, terms map[string]int) {
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(terms[a.member.Name], terms[b.member.Name]))
+	})
+}
+
 // rebalance hands one term at a time over to a VM that is better placed for the
 // server, or as well placed and holds at least two terms fewer. It reports
 // whether it did.
@@ -90,9 +118,7 @@
 		}
 		return c.tier == tier && terms[c.member.Name] > own-2
 	})
-	slices.SortStableFunc(better, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(terms[a.member.Name], terms[b.member.Name]))
-	})
+	sortByTerms(better, terms)
 	return better
 }
 
@@ -151,6 +177,7 @@
 		return
 	}
 	sv.handOver = request.Term
+	s.asked = true
 }
 
 // receiveMessage takes in a message of another VM's machine.
--- a/control/system_loss.go
+++ b/control/system_loss.go
@@ -17,7 +17,7 @@
 			continue
 		}
 		var lost []*server
-		for _, sv := range s.servers {
+		for _, sv := range s.mine {
 			if m.holds(s, sv) && m.lostAndStopped(s, sv) {
 				lost = append(lost, sv)
 			}
@@ -55,7 +55,7 @@
 	if !declared && !m.disabled.waitOut && !m.silent(sv, m.timeToLive()) {
 		return false
 	}
-	return m.now >= end && s.confirmedSince(max(0, m.now-storeFresh))
+	return m.now >= end && s.storeAnswers(m.now)
 }
 
 // silent reports whether a server has not answered this VM, its grantor, for a time.
@@ -221,7 +221,7 @@
 // servers or more and reaches none.
 func (m *Machine) doubtfulZones(s *service, lost []string) []string {
 	silentServers := make(map[string]int)
-	for _, sv := range s.servers {
+	for _, sv := range s.mine {
 		if !m.holds(s, sv) {
 			continue
 		}
--- a/control/tables.go
+++ b/control/tables.go
@@ -10,6 +10,12 @@
 	"guavacrank.example/control/ownership"
 )
 
+// outstandingRead is a read of the page that the store has not answered.
+type outstandingRead struct {
+	request  uint64
+	issuedAt time.Duration
+}
+
 // service is the entity of one service divided by key.
 type service struct {
 	name       string
@@ -31,8 +37,8 @@
 	// wantRead asks for a read that is issued at wantAt or later.
 	wantRead    bool
 	wantAt      time.Duration
-	readPending uint64 // Request in flight, zero for none.
-	readIssued  time.Duration
+	reads       []outstandingRead // Not answered yet, oldest first.
+	answeredAt  time.Duration     // Arrival of the newest answer of the store.
 	readFails   int
 	readRetryAt time.Duration
 	fault       string // Why the page is not acted on; empty: it is sound.
@@ -42,6 +48,13 @@
 	backoff time.Duration
 	retryAt time.Duration
 
+	// mine are the servers whose grantor this VM is; groups are the others.
+	mine   []*server
+	groups []grantorGroup
+	// draining says that a server of the service is leaving.
+	draining bool
+	// asked says that a grantor asked this VM to take a term.
+	asked bool
 	// owned and leaving index the page's units by owner and by the previous
 	// owner that has yet to stop.
 	owned   map[string][]ownership.UnitID
@@ -67,6 +80,13 @@
 	localSince time.Duration
 }
 
+// grantorGroup is the servers of one other grantor.
+type grantorGroup struct {
+	grantor   string
+	servers   []*server
+	suspected bool // The grantor was suspected on the last tick.
+}
+
 // unitChange is one change of a unit that this VM saw.
 type unitChange struct {
 	OwnershipHistory
@@ -94,6 +114,10 @@
 	name       string
 	config     config.Server
 	configured bool
+	// drainingAt is when this VM learnt that the server is leaving; closed is
+	// set once it may get no new work, whether its units have moved or not.
+	drainingAt time.Duration
+	closed     bool
 
 	boot        string // Empty: not known.
 	bootAt      time.Duration
