standin: the test of a restart does not use a connection of before

Cause: "loses its grant and its runs when killed" failed once under load: the test's own client had an idle connection to the killed server and got EOF. Change: the test closes idle connections after the restart; what it expects of the server is unchanged. Conclusion: a fault of the test's set-up, not of the server.

--- a/backend/standin/standin_test.go
+++ b/backend/standin/standin_test.go
@@ -227,6 +227,7 @@
 		Eventually(cut).Should(Receive(HaveField("Err", HaveOccurred())))
 		Expect(runs()[0].Cancelled).To(Equal(standin.CancelledKill))
 		Expect(server.Start()).To(Succeed())
+		grantor.Close() // Its idle connection ended with the server.
 		after, err := grantor.Grant(ctx, server.Address(), backend.GrantOrder{
 			Term: 9, Boot: before.Boot, ExpiresAt: before.Clock + expired.Milliseconds(), Full: true,
 		})
