Costs of a change as a benchmark; VMs lost in the middle of a change

Cause: the bounds of the two-year size were checked by hand, and the model check had no VM that dies between two calls of the store.

--- a/bench/suite/suite.go
+++ b/bench/suite/suite.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 
+	"guavacrank.example/bench/change"
 	"guavacrank.example/bench/failover"
 	"guavacrank.example/bench/limits"
 	"guavacrank.example/bench/link"
@@ -62,6 +63,13 @@
 				return link.Run(ctx, link.Options{Seed: seed})
 			},
 		},
+		{
+			Name:    "change",
+			Summary: "parsing, delta and store calls of one change of the configuration, on this machine",
+			Run: func(ctx context.Context, _ uint64) (report.Report, error) {
+				return change.Run(ctx, change.Options{})
+			},
+		},
 		{
 			Name:    "traffic",
 			Summary: "latency and processor time of the router against a plain relay, on this machine",
--- a/daemon/revision/model_test.go
+++ b/daemon/revision/model_test.go
@@ -37,7 +37,7 @@
 // the operator is told. It returns the invariant that was broken.
 func (m *model) step(t *rapid.T) error {
 	ctx := context.Background()
-	keeper := newKeeper(m.store)
+	keeper := newKeeper(&dying{Store: m.store, left: rapid.IntRange(0, 12).Draw(t, "calls before its VM is lost")})
 	if m.mutate != nil {
 		m.mutate(keeper)
 	}
@@ -62,10 +62,52 @@
 		m.accepted[id] = record.Revision
 	case !errors.As(err, &unknown):
 		m.refused[id] = true
+	default:
+		return m.settle(ctx, id, base)
 	}
 	return m.verify(ctx)
 }
 
+// settle sends a change of unknown outcome again, through another VM.
+func (m *model) settle(ctx context.Context, id string, base config.Revision) error {
+	record, err := newKeeper(m.store).Apply(ctx, change(id, base, m.changes%100))
+	if err == nil {
+		m.highest = max(m.highest, record.Revision)
+		m.accepted[id] = record.Revision
+	} else {
+		m.refused[id] = true
+	}
+	return m.verify(ctx)
+}
+
+// dying is the store as a VM sees it that is lost after some calls: no later
+// call goes out.
+type dying struct {
+	platform.Store
+	left int
+}
+
+var errLost = &platform.Error{Op: "any", Kind: platform.KindUnavailable, Outcome: platform.OutcomeUnknown}
+
+func (s *dying) alive() bool {
+	s.left--
+	return s.left >= 0
+}
+
+func (s *dying) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if !s.alive() {
+		return platform.Entry{}, errLost
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *dying) CompareAndSwap(ctx context.Context, key string, expected platform.Version, value []byte, lease platform.LeaseID) (platform.Version, error) {
+	if !s.alive() {
+		return 0, errLost
+	}
+	return s.Store.CompareAndSwap(ctx, key, expected, value, lease)
+}
+
 // lostCalls draws which calls lose a message.
 func lostCalls(t *rapid.T, label string) memstore.LostCalls {
 	prefix := rapid.SampledFrom([]string{platform.ConfigKey, platform.HistoryPrefix}).Draw(t, label+" of")
