control: each order is checked against the page before it goes out

Change: system_invariants drops an order that a page forbids (term not held, word given, loss write under way, unit not owned) and says so (event 118); random runs fail when any machine reports one. Conclusion: a fault in the systems costs a grant, not a promise.

--- a/control/loss_test.go
+++ b/control/loss_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -9,6 +10,16 @@
 	"guavacrank.example/control/ownership"
 )
 
+// keyOf returns a key that a server owns in a page.
+func keyOf(page ownership.Page, server string) string {
+	for i := 0; ; i++ {
+		key := fmt.Sprintf("key-%d", i)
+		if page.UnitOf(key).Owner == server {
+			return key
+		}
+	}
+}
+
 const servedAgain = 2 * time.Second
 
 var _ = Describe("a loss", func() {
@@ -29,6 +40,9 @@
 		f.Run(5 * time.Second)
 		expectSound(f)
 		Expect(worst(f)).To(BeNumerically("<=", servedAgain))
+		explained := f.VMs[0].Explain(recipes, keyOf(before, "s1"))
+		Expect(explained.Servable).To(BeTrue())
+		Expect(explained.Changes[len(explained.Changes)-1].Cause).To(Equal("lost s1"))
 		after, _ := f.Store.Page(recipes)
 		for _, unit := range before.Units {
 			if unit.Owner != "s1" {
--- a/control/machine.go
+++ b/control/machine.go
@@ -95,6 +95,7 @@
 	(*Machine).runPlanner,
 	(*Machine).runHeartbeats,
 	(*Machine).runWrites,
+	(*Machine).runInvariants,
 	(*Machine).runRouting,
 }
 
@@ -107,7 +108,7 @@
 	}
 }
 
-// Ready returns what is to be done since the last call.
+// Ready returns what is to be done since the last call. Call it after each Tick.
 func (m *Machine) Ready() Ready {
 	ready := m.ready
 	m.ready = Ready{}
--- a/control/model_test.go
+++ b/control/model_test.go
@@ -13,6 +13,7 @@
 	"guavacrank.example/config"
 	"guavacrank.example/control"
 	"guavacrank.example/control/controltest"
+	"guavacrank.example/event"
 )
 
 // Go sets no -rapid.* flag by itself: CI runs the same few cases each time.
@@ -252,6 +253,9 @@
 	f.Run(last + 10*time.Millisecond)
 	f.Run(recovery)
 	problems := f.Violations()
+	if mutate == nil && saw(f, event.InvariantViolated) {
+		problems = append(problems, "a machine's own check failed")
+	}
 	if unserved := f.Unserved(recipes); len(unserved) > 0 {
 		problems = append(problems, fmt.Sprintf("served-again: units %v are not served %v after the last fault", unserved, recovery))
 	}
--- a/control/moves_test.go
+++ b/control/moves_test.go
@@ -173,6 +173,14 @@
 		Expect(owned(f, "s1")).To(BeZero())
 	})
 
+	It("moves its units after its region is declared lost", func() {
+		declareLost(f, config.LostRegion, "r1")
+		f.Run(2 * time.Second)
+		page, _ := f.Store.Page(recipes)
+		Expect(page.Server("s1").Term).To(BeNumerically(">", 1))
+		Expect(f.Violations()).To(BeEmpty())
+	})
+
 	It("serves again when the server returns", func() {
 		f.Server("s1").Restart()
 		f.Run(3 * time.Second)
--- /dev/null
+++ b/control/system_invariants.go
@@ -0,0 +1,64 @@
+package control
+
+import (
+	"slices"
+
+	"guavacrank.example/backend"
+	"guavacrank.example/control/ownership"
+	"guavacrank.example/event"
+)
+
+// runInvariants checks every order of this tick against the page, apart from
+// the systems that made it. An order that must not be sent is dropped, with an
+// event; the grant then runs out.
+func (m *Machine) runInvariants() {
+	m.ready.Grants = slices.DeleteFunc(m.ready.Grants, func(send GrantSend) bool {
+		if send.Order.Boot == "" {
+			return false
+		}
+		broken := m.brokenBy(send)
+		if broken != "" {
+			m.emit(event.InvariantViolated, broken, "server", send.Server, "grantor", m.options.Self)
+		}
+		return broken != ""
+	})
+}
+
+// brokenBy returns why an order must not be sent, or "".
+func (m *Machine) brokenBy(send GrantSend) string {
+	for _, s := range m.services {
+		entry := s.page.Server(send.Server)
+		if entry == nil {
+			continue
+		}
+		sv := s.server(send.Server)
+		switch {
+		case entry.Grantor != m.options.Self || uint64(entry.Term) != send.Order.Term:
+			return "an order under a term that this VM does not hold"
+		case entry.Term < sv.releasedBelow:
+			return "an order under a term that this VM gave its word on"
+		case s.blockedByLoss(send.Server):
+			return "an order to a server whose units a write moves away"
+		}
+		return m.brokenSet(s, send)
+	}
+	return "an order to a server that no page names"
+}
+
+func (m *Machine) brokenSet(s *service, send GrantSend) string {
+	for _, granted := range send.Order.Units {
+		if !m.mayOwn(s, send.Server, granted) {
+			return "an order for a unit that the server may not serve"
+		}
+	}
+	return ""
+}
+
+// mayOwn reports whether the page lets a server serve a unit at an epoch.
+func (m *Machine) mayOwn(s *service, name string, granted backend.UnitGrant) bool {
+	unit := s.page.Unit(ownership.UnitID(granted.Unit))
+	if unit == nil || unit.Owner != name || uint64(unit.Epoch) != granted.Epoch {
+		return false
+	}
+	return unit.Previous == "" || s.stopped[unit.ID] >= unit.Epoch || m.disabled.previous
+}
