--- a/backend/protocol.go
+++ b/backend/protocol.go
@@ -24,7 +24,7 @@
 	HeaderDeadline = "Guavacrank-Deadline-Ms"
 	// HeaderClass carries the traffic class.
 	HeaderClass = "Guavacrank-Class"
-	// HeaderKey carries the key.
+	// HeaderKey carries the key, percent-encoded as in the path of a URL.
 	HeaderKey = "Guavacrank-Key"
 )
 
@@ -102,9 +102,9 @@
 	// runs on while the process is frozen or the VM is suspended.
 	Clock       int64  `json:"clock_ms"`
 	HighestTerm uint64 `json:"highest_term"`
-	// Finishing lists units outside the granted set that still have runs in
-	// flight. A unit is stopped once the server accepted a set without it and
-	// does not list it here.
+	// Finishing lists units that still have runs in flight which began at an
+	// epoch that is not granted. A unit is stopped once the server accepted a
+	// set without it and lists neither it nor a shard that its key was in.
 	Finishing []uint32 `json:"finishing,omitempty"`
 }
 
--- a/config/check.go
+++ b/config/check.go
@@ -193,6 +193,8 @@
 		d.fault(path, "server %q is not declared", exception.Server)
 	case exception.Service != "" && server.Service != exception.Service:
 		d.fault(path, "server %q serves %q, not %q", server.Name, server.Service, exception.Service)
+	case !configuration.divided(server.Service):
+		d.fault(path, "%q is not divided by key, so its servers share their queues; set it for the service", server.Service)
 	}
 }
 
@@ -214,12 +216,18 @@
 
 // checkSettings reports the faults between the parts of settings.
 func (d *decoder) checkSettings(settings *Settings) {
-	if len(settings.OperatorToken) < MinTokenBytes {
-		d.fault("operator_token", "has %d bytes, fewer than %d", len(settings.OperatorToken), MinTokenBytes)
-	}
+	d.checkToken("operator_token", settings.OperatorToken)
+	d.checkToken("peer_token", settings.PeerToken)
 	addresses := make(map[string]string)
 	d.unique(addresses, settings.CallerAddress, "caller_address")
 	d.unique(addresses, settings.PeerAddress, "peer_address")
 	d.unique(addresses, settings.OperatorAddress, "operator_address")
 	d.unique(addresses, settings.PlatformAddress, "platform_address")
 }
+
+// checkToken reports a shared secret that is too short.
+func (d *decoder) checkToken(field, token string) {
+	if len(token) < MinTokenBytes {
+		d.fault(field, "has %d bytes, fewer than %d", len(token), MinTokenBytes)
+	}
+}
--- a/control/inputs.go
+++ b/control/inputs.go
@@ -56,13 +56,13 @@
 	s := m.services[i]
 	s.configured = true
 	s.config = declared
+	s.draining = false
 	s.defaults = configuration.SettingsFor(declared.Name, "", "")
 	s.plan.due = true
 	for _, configured := range configuration.Servers {
 		if configured.Service == declared.Name {
 			sv := s.ensureServer(configured.Name)
-			sv.config = configured
-			sv.configured = true
+			m.acceptServer(s, sv, configured)
 		}
 	}
 	if s.version != 0 && declared.Shards != int(s.page.Shards) {
@@ -71,6 +71,19 @@
 	}
 }
 
+func (m *Machine) acceptServer(s *service, sv *server, configured config.Server) {
+	if configured.Draining && !sv.config.Draining {
+		sv.drainingAt = m.now
+	}
+	if !configured.Draining && sv.closed {
+		sv.closed = false
+		sv.set.valid = false
+	}
+	sv.config = configured
+	sv.configured = true
+	s.draining = s.draining || configured.Draining
+}
+
 func newService(name string, now time.Duration) *service {
 	return &service{
 		name:       name,
@@ -91,8 +104,8 @@
 	if s == nil {
 		return
 	}
-	if in.Request != 0 && in.Request == s.readPending {
-		m.readAnswered(s)
+	if in.Request != 0 {
+		m.readAnswered(s, in.Request)
 	}
 	if in.Version > s.version {
 		m.adoptPage(s, in.Version, in.Page)
@@ -126,6 +139,11 @@
 
 // noteHistory remembers the newest changes of owners.
 func (m *Machine) noteHistory(s *service, previous *ownership.Page) {
+	for _, override := range previous.Overrides {
+		if s.page.Override(override.Key) == nil {
+			s.mergedUntil = m.now + m.sendsBound(s)
+		}
+	}
 	for _, unit := range s.page.Units {
 		before := previous.Unit(unit.ID)
 		if before != nil && before.Epoch == unit.Epoch {
@@ -162,11 +180,36 @@
 	for _, entry := range s.page.Servers {
 		m.noteTerm(s, s.ensureServer(entry.Name), entry)
 	}
+	m.indexGrantors(s)
 	for _, sv := range s.servers {
 		sv.set.valid = false
 	}
 }
 
+// indexGrantors groups the page's servers by grantor.
+func (m *Machine) indexGrantors(s *service) {
+	s.mine = s.mine[:0]
+	s.groups = s.groups[:0]
+	s.asked = false
+	groups := make(map[string]int)
+	for _, entry := range s.page.Servers {
+		sv := s.server(entry.Name)
+		s.asked = s.asked || sv.handOver != 0
+		if entry.Grantor == m.options.Self {
+			s.mine = append(s.mine, sv)
+			continue
+		}
+		i, known := groups[entry.Grantor]
+		if !known {
+			i = len(s.groups)
+			groups[entry.Grantor] = i
+			s.groups = append(s.groups, grantorGroup{grantor: entry.Grantor})
+		}
+		s.groups[i].servers = append(s.groups[i].servers, sv)
+		s.groups[i].suspected = s.groups[i].suspected || sv.suspected
+	}
+}
+
 func (m *Machine) noteDeparture(s *service, unit ownership.Unit) {
 	if s.seen[unit.ID].epoch == unit.Epoch {
 		return
@@ -226,9 +269,16 @@
 	}
 	for _, id := range s.leaving[in.Server] {
 		seen := s.seen[id]
-		if in.Generation >= seen.generation && (len(in.Units) == 0 || slices.Contains(in.Units, id)) {
+		if in.Generation >= seen.generation && (len(in.Units) == 0 || m.listedIdle(s, id, in.Units)) {
 			seen.idle = true
 			s.seen[id] = seen
 		}
 	}
 }
+
+// listedIdle reports whether idle units show that no request for a key of a
+// unit is in flight. One may have been sent under the shard that the key was
+// in, or under an override that has returned to the shard.
+func (m *Machine) listedIdle(s *service, id ownership.UnitID, idle []ownership.UnitID) bool {
+	return m.now >= s.mergedUntil && slices.Contains(idle, id) && slices.Contains(idle, s.shardOfUnit(id))
+}
--- a/control/machine.go
+++ b/control/machine.go
@@ -83,6 +83,7 @@
 var systems = []func(*Machine){
 	(*Machine).runReads,
 	(*Machine).runBootstrap,
+	(*Machine).runDrain,
 	(*Machine).runRenewal,
 	(*Machine).runHomes,
 	(*Machine).runStopConfirmation,
@@ -94,6 +95,7 @@
 	(*Machine).runPlanner,
 	(*Machine).runHeartbeats,
 	(*Machine).runWrites,
+	(*Machine).runInvariants,
 	(*Machine).runRouting,
 }
 
@@ -106,7 +108,7 @@
 	}
 }
 
-// Ready returns what is to be done since the last call.
+// Ready returns what is to be done since the last call. Call it after each Tick.
 func (m *Machine) Ready() Ready {
 	ready := m.ready
 	m.ready = Ready{}
--- a/control/model_test.go
+++ b/control/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"guavacrank.example/config"
 	"guavacrank.example/control"
 	"guavacrank.example/control/controltest"
+	"guavacrank.example/event"
 )
 
 // Go sets no -rapid.* flag by itself: CI runs the same few cases each time.
@@ -48,6 +50,9 @@
 	secondPlanner
 	suspectVM
 	cutVMs
+	undeclareKeys
+	removeServer
+	hotKey
 	faultKinds
 )
 
@@ -64,12 +69,13 @@
 
 type scenario struct {
 	seed     uint64
-	checking int // Of four servers, how many check grants.
+	checking int  // Of four servers, how many check grants.
+	wide     bool // The servers stand in both regions.
 	faults   []fault
 }
 
 func (s scenario) String() string {
-	lines := []string{fmt.Sprintf("seed %d, %d of 4 servers check grants", s.seed, s.checking)}
+	lines := []string{fmt.Sprintf("seed %d, %d of 4 servers check grants, wide %v", s.seed, s.checking, s.wide)}
 	for _, f := range s.faults {
 		lines = append(lines, f.String())
 	}
@@ -85,6 +91,7 @@
 var scenarios = rapid.Custom(func(t *rapid.T) scenario {
 	drawn := scenario{
 		seed:     rapid.Uint64().Draw(t, "seed"),
+		wide:     rapid.Bool().Draw(t, "wide"),
 		checking: rapid.SampledFrom([]int{4, 4, 3, 2, 0}).Draw(t, "checking"),
 	}
 	count := rapid.IntRange(1, 8).Draw(t, "faults")
@@ -171,6 +178,29 @@
 	case cutVMs:
 		f.Cut(vm.Name, f.VMs[x.other%len(f.VMs)].Name)
 		end(f.Heal)
+	case undeclareKeys:
+		f.Configure(func(c *config.Configuration) {
+			c.Services = []config.Service{c.Services[0]}
+			c.Services[0].Keys = nil
+		})
+	case removeServer:
+		removed := server.Config
+		f.Configure(func(c *config.Configuration) {
+			c.Servers = slices.DeleteFunc(c.Servers, func(s config.Server) bool { return s.Name == removed.Name })
+		})
+		end(func() {
+			f.Configure(func(c *config.Configuration) {
+				if !slices.ContainsFunc(c.Servers, func(s config.Server) bool { return s.Name == removed.Name }) {
+					c.Servers = append(c.Servers, removed)
+				}
+			})
+		})
+	case hotKey:
+		for i := range 8 {
+			f.At(time.Duration(i)*time.Second, func() {
+				f.Load(vm.Name, recipes, fmt.Sprintf("key-%d", x.other), 10_000)
+			})
+		}
 	case secondPlanner:
 		f.AddPlanner(recipes, vm.Name)
 	}
@@ -209,6 +239,10 @@
 func (s scenario) run(mutate func(*control.Machine)) (*controltest.Fleet, []string) {
 	options := smallFleet(1, 4, 8, func(i int) bool { return i < s.checking })
 	options.Seed = s.seed
+	options.Work = true
+	if s.wide {
+		spreadServers(&options)
+	}
 	options.Mutate = mutate
 	f := controltest.New(options)
 	last := time.Duration(0)
@@ -219,6 +253,9 @@
 	f.Run(last + 10*time.Millisecond)
 	f.Run(recovery)
 	problems := f.Violations()
+	if mutate == nil && saw(f, event.InvariantViolated) {
+		problems = append(problems, "a machine's own check failed")
+	}
 	if unserved := f.Unserved(recipes); len(unserved) > 0 {
 		problems = append(problems, fmt.Sprintf("served-again: units %v are not served %v after the last fault", unserved, recovery))
 	}
@@ -285,15 +322,17 @@
 	}},
 	// A frozen server thaws after its grantor was told nothing of the write
 	// that moves its units, and before that write reaches the store.
-	{control.RuleReadBack, 1400 * time.Millisecond, 2500 * time.Millisecond, 50 * time.Millisecond, func(f *controltest.Fleet, delay time.Duration) {
-		f.Store.Late = 100
-		f.Server("s0").Freeze()
-		f.At(delay, f.Server("s0").Thaw)
-	}},
+	{control.RuleReadBack, 1400 * time.Millisecond, 2500 * time.Millisecond, 50 * time.Millisecond, thawDuringLateWrite},
+}
+
+func thawDuringLateWrite(f *controltest.Fleet, delay time.Duration) {
+	f.Store.Late = 100
+	f.Server("s0").Freeze()
+	f.At(delay, f.Server("s0").Thaw)
 }
 
-func (s staged) run(delay time.Duration, mutate func(*control.Machine)) *controltest.Fleet {
-	options := smallFleet(1, 4, 8, allCheck)
+func (s staged) run(delay time.Duration, checks func(int) bool, mutate func(*control.Machine)) *controltest.Fleet {
+	options := smallFleet(1, 4, 8, checks)
 	options.Mutate = mutate
 	f := controltest.New(options)
 	f.Run(4 * time.Second)
@@ -311,11 +350,11 @@
 		t.Run(string(race.rule), func(t *testing.T) {
 			broken := 0
 			for delay := race.first; delay <= race.last; delay += race.gap {
-				f := race.run(delay, nil)
+				f := race.run(delay, allCheck, nil)
 				if problems := f.Violations(); len(problems) > 0 || len(f.Unserved(recipes)) > 0 {
 					t.Fatalf("delay %v: %v, not served %v\n%s", delay, problems, f.Unserved(recipes), f.Describe())
 				}
-				broken += min(1, len(race.run(delay, func(m *control.Machine) { m.Disable(race.rule) }).Violations()))
+				broken += min(1, len(race.run(delay, allCheck, func(m *control.Machine) { m.Disable(race.rule) }).Violations()))
 			}
 			if broken == 0 {
 				t.Fatalf("without the rule %q nothing is broken: the race is not staged", race.rule)
@@ -324,6 +363,19 @@
 	}
 }
 
+// TestHomeHoldsBackDuringLateWrite plays the race of the read-back with servers
+// that do not check grants: their home must not send to them again while a
+// write that moves their units is not settled.
+func TestHomeHoldsBackDuringLateWrite(t *testing.T) {
+	race := staged{play: thawDuringLateWrite}
+	for delay := 1400 * time.Millisecond; delay <= 2500*time.Millisecond; delay += 25 * time.Millisecond {
+		f := race.run(delay, func(int) bool { return false }, nil)
+		if problems := f.Violations(); len(problems) > 0 || len(f.Unserved(recipes)) > 0 {
+			t.Fatalf("delay %v: %v, not served %v\n%s", delay, problems, f.Unserved(recipes), f.Describe())
+		}
+	}
+}
+
 // TestMutations switches off a safety rule; random faults must then break an
 // invariant.
 func TestMutations(t *testing.T) {
--- a/control/moves_test.go
+++ b/control/moves_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -121,6 +122,24 @@
 		Expect(f.VMs[0].Explain(recipes, "shoyu").Unsatisfied).To(ContainSubstring("does not serve"))
 	})
 
+	It("moves keys that just left their shards only when no run of them is left", func() {
+		options := smallFleet(1, 4, 8, allCheck)
+		options.Work = true
+		f := started(options)
+		for round := range 4 {
+			f.Configure(func(c *config.Configuration) {
+				c.Services = slices.Clone(c.Services)
+				c.Services[0].Keys = nil
+				for i := range 12 {
+					declared := config.KeyDeclaration{Key: fmt.Sprintf("key-%d", i), Server: fmt.Sprintf("s%d", (round+i)%4)}
+					c.Services[0].Keys = append(c.Services[0].Keys, declared)
+				}
+			})
+			f.Run(3 * time.Second)
+		}
+		expectSound(f)
+	})
+
 	It("refuses another number of shards and serves on", func() {
 		f := started(smallFleet(1, 4, 16, allCheck))
 		f.Configure(func(c *config.Configuration) {
@@ -154,6 +173,14 @@
 		Expect(owned(f, "s1")).To(BeZero())
 	})
 
+	It("moves its units after its region is declared lost", func() {
+		declareLost(f, config.LostRegion, "r1")
+		f.Run(2 * time.Second)
+		page, _ := f.Store.Page(recipes)
+		Expect(page.Server("s1").Term).To(BeNumerically(">", 1))
+		Expect(f.Violations()).To(BeEmpty())
+	})
+
 	It("serves again when the server returns", func() {
 		f.Server("s1").Restart()
 		f.Run(3 * time.Second)
@@ -190,6 +217,16 @@
 		expectSound(f)
 	})
 
+	It("does not give a leaving server new work after 3 s", func() {
+		setDraining(f, "s1", true)
+		f.Run(3 * time.Second)
+		Expect(f.Unserved(recipes)).To(HaveLen(owned(f, "s1")))
+		f.Store.Down = false
+		f.Run(3 * time.Second)
+		expectSound(f)
+		Expect(owned(f, "s1")).To(BeZero())
+	})
+
 	It("with the loss of a server acknowledges nothing until it ends", func() {
 		f.Server("s1").Lost = true
 		f.Run(20 * time.Second)
@@ -248,11 +285,7 @@
 var _ = Describe("a region that is cut off", func() {
 	It("keeps serving its own keys", func() {
 		options := smallFleet(2, 8, 32, allCheck)
-		for i := range options.Configuration.Servers {
-			zone := []string{"r1a", "r1b", "r2a", "r2b"}[i%4]
-			options.Configuration.Servers[i].Zone = zone
-			options.Configuration.Servers[i].Region = zone[:2]
-		}
+		spreadServers(&options)
 		f := started(options)
 		before, _ := f.Store.Page(recipes)
 		f.Cut("r1", "r2")
--- a/control/settings.go
+++ b/control/settings.go
@@ -34,6 +34,9 @@
 	// targetsInterval is the time between two choices of the VMs that get
 	// heartbeats.
 	targetsInterval = 300 * time.Millisecond
+	// drainLimit is the time after which a server that is leaving gets no new
+	// work. The orders that say so follow at once.
+	drainLimit = 2500 * time.Millisecond
 	// queryInterval is the time between two term queries.
 	queryInterval = 300 * time.Millisecond
 	// handOverInterval is the time between two requests to take a term over.
@@ -45,15 +48,20 @@
 	rebalanceHold = 30 * time.Second
 	// rebalanceInterval is the least time between two such terms of one VM.
 	rebalanceInterval = 5 * time.Second
-	// storeFresh is the age up to which a read shows that the store answers.
+	// storeFresh is the age up to which an answer shows that the store answers.
 	storeFresh = time.Second
-	// readTimeout is the time after which an unanswered read is repeated.
-	readTimeout = 500 * time.Millisecond
+	// readRepeat is the time after which an unanswered read is repeated, and
+	// readTimeout the time after which it is given up.
+	readRepeat  = 500 * time.Millisecond
+	readTimeout = 2 * time.Second
 	// writeTimeout is the time after which the outcome of a write is unknown.
-	writeTimeout = time.Second
+	writeTimeout = 2 * time.Second
 	// minBackoff and maxBackoff bound the delay of a repeated write or read.
 	minBackoff = 50 * time.Millisecond
-	maxBackoff = 2 * time.Second
+	maxBackoff = time.Second
+	// backoffPerMember raises maxBackoff, so that a store that returns is not
+	// met by more calls than it takes.
+	backoffPerMember = time.Millisecond
 	// refreshInterval is the least time between two reads that nothing asked for.
 	refreshInterval = 5 * time.Second
 	// refreshPerMember lengthens refreshInterval, so that the rate of reads at
@@ -90,12 +98,18 @@
 	return backend.GrantTimeToLive
 }
 
+// maxBackoff is the longest delay of a repeated write or read.
+func (m *Machine) maxBackoff() time.Duration {
+	return max(maxBackoff, time.Duration(len(m.members.list))*backoffPerMember)
+}
+
 // sendInterval is the time between two orders to a server. An order rests on
-// the clock reading of the answer before it, so two orders are sent in each
-// renewal interval.
+// the clock reading of the answer before it, so a server that was just renewed
+// has one interval less than the life of a grant, and another one passes until
+// the next order: the rest is what a takeover has without an outage.
 func (m *Machine) sendInterval() time.Duration {
 	if m.defaults.RenewInterval > 0 {
-		return m.defaults.RenewInterval / 2
+		return m.defaults.RenewInterval
 	}
 	return m.timeToLive() / 6
 }
