guavacrankctl: flags of apply and rollback in types of their own

Change: options structs with short methods; no change of behaviour. Conclusion: each step reads on its own.

--- a/cmd/internal/command/apply.go
+++ b/cmd/internal/command/apply.go
@@ -113,40 +113,50 @@
 			"guavacrankctl apply verhaegen.yaml -base 7 -dry-run",
 		},
 		Setup: func(flags *flag.FlagSet) Run {
-			shared := addChangeCommand(flags)
-			base := flags.String("base", "", "`revision` that the file was made from, or \"current\" to replace whatever is in force (default: the file's first line \"# revision: N\", else 0)")
-			dryRun := flags.Bool("dry-run", false, "show the difference and what follows, and apply nothing")
-			return func(ctx context.Context, env *Environment, args []string) error {
-				if err := arguments(args, "FILE"); err != nil {
-					return err
-				}
-				if *dryRun {
-					shared.change.reason = firstOf(shared.change.reason, "dry run")
-				}
-				data, err := readFile(env, args[0])
-				if err != nil {
-					return err
-				}
-				return shared.run(ctx, env, func(caller *client.Client) (operator.Applied, error) {
-					revision, err := baseOf(ctx, caller, *base, data)
-					if err != nil {
-						return operator.Applied{}, err
-					}
-					return caller.Apply(ctx, operator.ApplyRequest{
-						ChangeID: shared.change.changeID,
-						Base:     revision,
-						Author:   shared.change.author,
-						Reason:   shared.change.reason,
-						File:     args[0],
-						YAML:     string(data),
-						DryRun:   *dryRun,
-					})
-				})
-			}
+			apply := &applyOptions{changeCommand: addChangeCommand(flags)}
+			flags.StringVar(&apply.base, "base", "", "`revision` that the file was made from, or \"current\" to replace whatever is in force (default: the file's first line \"# revision: N\", else 0)")
+			flags.BoolVar(&apply.dryRun, "dry-run", false, "show the difference and what follows, and apply nothing")
+			return apply.apply
 		},
 	}
 }
 
+// applyOptions are the flags of apply.
+type applyOptions struct {
+	*changeCommand
+	base   string
+	dryRun bool
+}
+
+// apply puts a file into force.
+func (o *applyOptions) apply(ctx context.Context, env *Environment, args []string) error {
+	if err := arguments(args, "FILE"); err != nil {
+		return err
+	}
+	if o.dryRun {
+		o.change.reason = firstOf(o.change.reason, "dry run")
+	}
+	data, err := readFile(env, args[0])
+	if err != nil {
+		return err
+	}
+	return o.run(ctx, env, func(caller *client.Client) (operator.Applied, error) {
+		base, err := baseOf(ctx, caller, o.base, data)
+		if err != nil {
+			return operator.Applied{}, err
+		}
+		return caller.Apply(ctx, operator.ApplyRequest{
+			ChangeID: o.change.changeID,
+			Base:     base,
+			Author:   o.change.author,
+			Reason:   o.change.reason,
+			File:     args[0],
+			YAML:     string(data),
+			DryRun:   o.dryRun,
+		})
+	})
+}
+
 // revisionLine is the first line of a file that get wrote.
 var revisionLine = regexp.MustCompile(`^# revision: ([0-9]{1,19})\r?\n`)
 
--- a/cmd/internal/command/history.go
+++ b/cmd/internal/command/history.go
@@ -40,33 +40,48 @@
 			"guavacrankctl rollback -to 7 -reason \"late stock checks since revision 8\"",
 		},
 		Setup: func(flags *flag.FlagSet) Run {
-			shared := addChangeCommand(flags)
-			to := flags.Uint64("to", 0, "`revision` to go back to; required")
-			base := flags.Uint64("base", 0, "`revision` that must be in force (default: the one in force now)")
-			return func(ctx context.Context, env *Environment, args []string) error {
-				if err := arguments(args); err != nil {
-					return err
-				}
-				if *to == 0 {
-					return badUse("no revision to go back to: give -to N")
-				}
-				return shared.run(ctx, env, func(caller *client.Client) (operator.Applied, error) {
-					expected := config.Revision(*base)
-					if expected == 0 {
-						var err error
-						if expected, err = currentRevision(ctx, caller); err != nil {
-							return operator.Applied{}, err
-						}
-					}
-					return caller.Rollback(ctx, operator.RollbackRequest{
-						ChangeID: shared.change.changeID,
-						Base:     expected,
-						To:       config.Revision(*to),
-						Author:   shared.change.author,
-						Reason:   shared.change.reason,
-					})
-				})
-			}
+			rollback := &rollbackOptions{changeCommand: addChangeCommand(flags)}
+			flags.Uint64Var(&rollback.to, "to", 0, "`revision` to go back to; required")
+			flags.Uint64Var(&rollback.base, "base", 0, "`revision` that must be in force (default: the one in force now)")
+			return rollback.rollback
 		},
 	}
 }
+
+// rollbackOptions are the flags of rollback.
+type rollbackOptions struct {
+	*changeCommand
+	to   uint64
+	base uint64
+}
+
+// rollback puts an earlier text into force.
+func (o *rollbackOptions) rollback(ctx context.Context, env *Environment, args []string) error {
+	if err := arguments(args); err != nil {
+		return err
+	}
+	if o.to == 0 {
+		return badUse("no revision to go back to: give -to N")
+	}
+	return o.run(ctx, env, func(caller *client.Client) (operator.Applied, error) {
+		base, err := o.baseOf(ctx, caller)
+		if err != nil {
+			return operator.Applied{}, err
+		}
+		return caller.Rollback(ctx, operator.RollbackRequest{
+			ChangeID: o.change.changeID,
+			Base:     base,
+			To:       config.Revision(o.to),
+			Author:   o.change.author,
+			Reason:   o.change.reason,
+		})
+	})
+}
+
+// baseOf returns the revision that must be in force.
+func (o *rollbackOptions) baseOf(ctx context.Context, caller *client.Client) (config.Revision, error) {
+	if o.base != 0 {
+		return config.Revision(o.base), nil
+	}
+	return currentRevision(ctx, caller)
+}
--- a/daemon/operator/change.go
+++ b/daemon/operator/change.go
@@ -29,7 +29,7 @@
 	if request.DryRun {
 		return s.preview(ctx, change, before)
 	}
-	replaced := s.snapshot(before)
+	replaced := s.replacing(before)
 	record, err := s.options.Keeper.Apply(ctx, change)
 	return s.applied(replaced, record, err)
 }
@@ -39,7 +39,7 @@
 	if err := s.options.Keeper.Check(ctx, change, before); err != nil {
 		return Applied{}, err
 	}
-	answer := s.snapshot(before).compare(config.Record{Revision: before.Revision, YAML: change.YAML})
+	answer := s.replacing(before).compare(config.Record{Revision: before.Revision, YAML: change.YAML})
 	answer.DryRun = true
 	return answer, nil
 }
@@ -51,7 +51,7 @@
 		return Applied{}, err
 	}
 	change := revision.Change{ChangeID: request.ChangeID, Base: request.Base, Author: request.Author, Reason: request.Reason}
-	replaced := s.snapshot(before)
+	replaced := s.replacing(before)
 	record, err := s.options.Keeper.Rollback(ctx, request.To, change)
 	return s.applied(replaced, record, err)
 }
@@ -87,12 +87,12 @@
 func (s *Server) edit(ctx context.Context, change revision.Change, run func(string) (string, error)) (Applied, error) {
 	var replaced *replacement
 	record, err := s.options.Keeper.Edit(ctx, change, func(text string) (string, error) {
-		before := s.snapshot(config.Record{YAML: text})
+		before := s.replacing(config.Record{YAML: text})
 		replaced = &before
 		return run(text)
 	})
 	if replaced == nil { // The change was in force already.
-		before := s.snapshot(record)
+		before := s.replacing(record)
 		replaced = &before
 	}
 	return s.applied(*replaced, record, err)
@@ -115,8 +115,8 @@
 	holdings      []diff.Holding
 }
 
-// snapshot notes what a change is about to replace.
-func (s *Server) snapshot(before config.Record) replacement {
+// replacing notes what a change is about to replace.
+func (s *Server) replacing(before config.Record) replacement {
 	configuration, err := config.ParseConfiguration("before", []byte(before.YAML))
 	if err != nil {
 		return replacement{} // None, or one that only an earlier version accepts.
