daemon: ready only when owners are known; a stop leaves idle connections alone

Cause: in a rolling replacement of 12 daemon processes under load 9 lookups got 503 no_owner from daemons that were ready with a configuration but no ownership page yet; and connections were closed while requests were on their way. Change: ready needs the page of every service divided by key (latched); while stopping, answers end their connections and idle ones are left until the end. status names the planner.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -75,8 +75,10 @@
 	roles     roles
 	refreshes refresher
 	stopping  atomic.Bool
-	kill      context.CancelFunc
-	killed    context.Context
+	// routed is set once the daemon could route, and stays.
+	routed atomic.Bool
+	kill   context.CancelFunc
+	killed context.Context
 }
 
 // inForce is the configuration that this VM has in force.
@@ -227,7 +229,31 @@
 
 // Ready reports whether the daemon takes callers' requests.
 func (d *Daemon) Ready() bool {
-	return d.accepted.Load() != nil && d.fleet.Ready() && !d.stopping.Load()
+	if d.stopping.Load() {
+		return false
+	}
+	if !d.routed.Load() && d.canRoute() {
+		d.routed.Store(true)
+	}
+	return d.routed.Load()
+}
+
+// canRoute reports whether a configuration is in force and the owners of every
+// service divided by key are known.
+func (d *Daemon) canRoute() bool {
+	if d.accepted.Load() == nil || !d.fleet.Ready() {
+		return false
+	}
+	known := make(map[string]bool)
+	for _, service := range d.routing.Load().Services {
+		known[service.Name] = service.PageVersion != 0
+	}
+	for _, name := range d.dividedServices() {
+		if !known[name] {
+			return false
+		}
+	}
+	return true
 }
 
 // Kill ends the daemon at once, without any hand-over, as a lost VM would.
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -110,7 +110,19 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(PathHealth, d.serveHealth)
 	mux.Handle("/", d.front)
-	return mux
+	return d.endConnections(mux)
+}
+
+// endConnections lets the answers of a stopping daemon end their connections,
+// so that the balancer opens its next one to another VM. Idle connections stay
+// open meanwhile: closing one can meet a request that is on its way.
+func (d *Daemon) endConnections(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // serveHealth answers the balancer: 200 while the daemon takes requests.
--- a/daemon/source.go
+++ b/daemon/source.go
@@ -10,6 +10,7 @@
 	"guavacrank.example/daemon/eventlog"
 	"guavacrank.example/daemon/operator"
 	"guavacrank.example/fleet"
+	"guavacrank.example/platform"
 )
 
 // explainTimeout bounds the wait for the control goroutine.
@@ -44,7 +45,7 @@
 	status.Revision = accepted.revision
 	divided := serviceStatuses(d.status.Load())
 	for _, service := range accepted.configuration.Services {
-		status.Services = append(status.Services, serviceStatus(service, divided[service.Name]))
+		status.Services = append(status.Services, d.serviceStatus(service, divided[service.Name]))
 	}
 	for _, server := range accepted.configuration.Servers {
 		status.Servers = append(status.Servers, serverStatus(server, divided[server.Service]))
@@ -86,11 +87,14 @@
 	return byName
 }
 
-func serviceStatus(service config.Service, divided *control.ServiceStatus) operator.ServiceStatus {
+func (d *Daemon) serviceStatus(service config.Service, divided *control.ServiceStatus) operator.ServiceStatus {
 	status := operator.ServiceStatus{Name: service.Name, DividedByKey: service.DividedByKey}
 	if divided != nil {
 		status.Units = divided.Units
 		status.Waiting = divided.Moving
+		if holder, known := d.fleet.Document(platform.RolePrefix + control.PlannerRole(service.Name)); known {
+			status.Planner = string(holder.Value)
+		}
 	}
 	return status
 }
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -32,7 +32,6 @@
 	notice := time.NewTimer(d.options.StopNotice)
 	defer notice.Stop()
 	d.awaitRelease(ctx)
-	servers[callerServer].server.SetKeepAlivesEnabled(false)
 	select {
 	case <-notice.C:
 	case <-ctx.Done():
