guavacrankctl: apply names the VMs that are behind

Change: the names from the state of the fleet, in text and JSON. Conclusion: an operator sees at once where to look.

--- a/cmd/internal/command/apply.go
+++ b/cmd/internal/command/apply.go
@@ -8,6 +8,7 @@
 	"io"
 	"regexp"
 	"strconv"
+	"strings"
 	"time"
 
 	"guavacrank.example/config"
@@ -27,6 +28,8 @@
 	InForce   int   `json:"in_force"`
 	VMCount   int   `json:"vm_count"`
 	InForceMs int64 `json:"in_force_ms"` // From the acceptance; -1: not everywhere in time.
+	// Behind names the VMs that do not have the revision in force yet.
+	Behind []string `json:"behind"`
 }
 
 // changeCommand is what the commands that change the configuration share.
@@ -69,18 +72,23 @@
 	return c.output.print(env.Stdout, result, func(w io.Writer) { printApplied(w, result) })
 }
 
-// awaitInForce asks for the state of the fleet until every VM has the revision.
+// awaitInForce asks for the state of the fleet, at least once, until every VM
+// has the revision.
 func awaitInForce(ctx context.Context, caller *client.Client, result *applyResult, limit time.Duration) {
 	start := time.Now()
-	for time.Since(start) <= limit {
+	for {
 		status, err := caller.Status(ctx)
 		if err == nil && status.FleetRevision >= result.Revision {
 			result.InForce, result.VMCount = status.InForce, status.VMCount
+			result.Behind = behind(status, result.Revision)
 		}
 		if result.VMCount > 0 && result.InForce == result.VMCount {
 			result.InForceMs = time.Since(start).Milliseconds()
 			return
 		}
+		if time.Since(start) > limit {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -89,6 +97,17 @@
 	}
 }
 
+// behind names the VMs that do not have a revision in force.
+func behind(status operator.Status, revision config.Revision) []string {
+	names := []string{}
+	for _, vm := range status.VMs {
+		if vm.Revision < revision {
+			names = append(names, vm.Name)
+		}
+	}
+	return names
+}
+
 // printApplied prints the result of a change.
 func printApplied(w io.Writer, result applyResult) {
 	printChanges(w, result.Applied)
@@ -98,7 +117,8 @@
 	case result.InForceMs >= 0:
 		fmt.Fprintf(w, "\nrevision %d is in force on %d of %d VMs after %d ms\n", result.Revision, result.InForce, result.VMCount, result.InForceMs)
 	default:
-		fmt.Fprintf(w, "\nrevision %d is accepted and in force on %d of %d VMs so far; see guavacrankctl status\n", result.Revision, result.InForce, result.VMCount)
+		fmt.Fprintf(w, "\nrevision %d is accepted and in force on %d of %d VMs so far; not yet on %s\n",
+			result.Revision, result.InForce, result.VMCount, strings.Join(result.Behind, ", "))
 	}
 }
 
--- a/cmd/internal/command/command_test.go
+++ b/cmd/internal/command/command_test.go
@@ -35,14 +35,23 @@
 )
 
 // source is a daemon on which every revision is in force everywhere at once.
-type source struct{ keeper *revision.Keeper }
+type source struct {
+	keeper *revision.Keeper
+	// silent says that one VM never gets a revision.
+	silent bool
+}
 
 func (s *source) Status() operator.Status {
 	record, _ := s.keeper.Current(context.Background())
+	inForce, vms := 12, []operator.VMStatus{{Name: "entry-1", Alive: true, Revision: record.Revision}}
+	if s.silent {
+		inForce = 11
+		vms = append(vms, operator.VMStatus{Name: "entry-9"})
+	}
 	return operator.Status{
 		VM: "entry-1", Region: "flanders", Zone: "flanders-a", Ready: true,
-		Revision: record.Revision, FleetRevision: record.Revision, InForce: 12, VMCount: 12,
-		VMs:     []operator.VMStatus{{Name: "entry-1", Alive: true, Revision: record.Revision}},
+		Revision: record.Revision, FleetRevision: record.Revision, InForce: inForce, VMCount: 12,
+		VMs:     vms,
 		Servers: []operator.ServerStatus{{Name: "cat-10", Service: "catalogue", Units: 23}},
 	}
 }
@@ -102,6 +111,7 @@
 
 var _ = Describe("guavacrankctl", func() {
 	var store *memstore.Store
+	var daemon *source
 	var address, file string
 	BeforeEach(func() {
 		store = memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
@@ -111,7 +121,8 @@
 			return context.DeadlineExceeded
 		}
 		keeper := revision.New(revision.Options{Store: store, Wait: goesOut})
-		server, err := operator.New(operator.Options{Token: token, Source: &source{keeper}, Keeper: keeper})
+		daemon = &source{keeper: keeper}
+		server, err := operator.New(operator.Options{Token: token, Source: daemon, Keeper: keeper})
 		Expect(err).NotTo(HaveOccurred())
 		web := httptest.NewServer(server.Handler())
 		DeferCleanup(web.Close)
@@ -152,6 +163,13 @@
 		Expect(history).To(ContainSubstring("rollback to revision 1: oops"))
 	})
 
+	It("names the VMs on which a revision is not in force in time", func() {
+		daemon.silent = true
+		applied := run(address, "apply", verhaegen, "-reason", "first", "-wait", "1ms")
+		Expect(applied.status).To(Equal(command.Done))
+		Expect(applied.out).To(ContainSubstring("in force on 11 of 12 VMs so far; not yet on entry-9\n"))
+	})
+
 	It("drains, undrains, declares lost, and shows the state", func() {
 		Expect(run(address, "apply", verhaegen, "-reason", "first").status).To(Equal(command.Done))
 		drained := run(address, "drain", "cat-3", "-reason", "kernel")
