control: a VM that gets no heartbeats goes by the fleet's probes

Cause: a grantor's last heartbeat may be lost when its watchers change; its former watcher would take its terms for nothing.

--- a/control/members.go
+++ b/control/members.go
@@ -83,8 +83,13 @@
 	if !t.known {
 		return false
 	}
+	return !t.listedAlive(name)
+}
+
+// listedAlive reports whether the fleet's probes reach a VM.
+func (t *memberTable) listedAlive(name string) bool {
 	member, listed := t.find(name)
-	return !listed || !member.Alive
+	return listed && member.Alive
 }
 
 // Tiers of the VMs that may hold a server's term, best first.
--- a/control/system_takeover.go
+++ b/control/system_takeover.go
@@ -79,7 +79,9 @@
 		return false
 	}
 	place := rank(m.members.candidates(sv.config, entry.Grantor), m.options.Self)
-	if place < 0 {
+	if place < 0 || (place >= standbys && m.members.listedAlive(entry.Grantor)) {
+		// This VM is not among those that get the grantor's heartbeats; the
+		// grantor's word that they end may have been lost.
 		return false
 	}
 	if !sv.suspected {
