--- a/traffic/front/forward.go
+++ b/traffic/front/forward.go
@@ -58,7 +58,7 @@
 	c.seen.Backend += now - began
 	if failure != nil {
 		if failure.Stage == upstream.StageConnect && !failure.Timeout {
-			to.peer.avoid(now)
+			h.avoid(to.peer, "connect: "+failure.Error())
 		}
 		to.learn(now, began, resultOf(c, failure))
 		return classify(c, failure)
@@ -127,7 +127,7 @@
 		out.retryAfter = time.Duration(hint) * time.Millisecond
 	}
 	if out.code == verdict.CodeStopping || out.code == verdict.CodeNotHome {
-		to.peer.avoid(h.now())
+		h.avoid(to.peer, "refused: "+string(out.code))
 	}
 	if server := received.Header.Get(HeaderPeerServer); server != "" && to.group != nil {
 		c.tried = append(c.tried, server)
--- a/traffic/front/handler.go
+++ b/traffic/front/handler.go
@@ -27,6 +27,8 @@
 	peers      map[peerID]*peer
 	metrics    metric.Table
 
+	recordsTold atomic.Int64 // The second in which an event told of a failed record.
+
 	inFlight atomic.Int64
 	stopping atomic.Bool
 	ended    chan struct{} // Receives when a request ends while stopping.
--- a/traffic/front/once.go
+++ b/traffic/front/once.go
@@ -7,7 +7,9 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
+	"guavacrank.example/event"
 	"guavacrank.example/traffic/once"
 	"guavacrank.example/traffic/verdict"
 )
@@ -27,6 +29,7 @@
 	}
 	claim, earlier, err := h.options.Once.Begin(ctx, c.service.Name, c.once, c.fingerprint())
 	if err != nil {
+		h.tellRecords(c, err)
 		return notRun(verdict.CodeStore, "the idempotency key could not be recorded: "+err.Error())
 	}
 	if earlier != nil {
@@ -35,6 +38,14 @@
 	return conclude(ctx, claim, h.run(ctx, c))
 }
 
+// tellRecords logs that a record could not be created, at most once a second.
+func (h *Handler) tellRecords(c *call, err error) {
+	second := int64(h.now()/time.Second) + 1
+	if h.recordsTold.Swap(second) != second {
+		h.options.Events(event.New(event.RecordsUnavailable, err.Error(), "service", c.service.Name))
+	}
+}
+
 // conclude records the end of a request that held a claim.
 func conclude(ctx context.Context, claim *once.Claim, out outcome) outcome {
 	switch {
--- a/traffic/front/peer.go
+++ b/traffic/front/peer.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"guavacrank.example/event"
 	"guavacrank.example/traffic/route"
 	"guavacrank.example/traffic/upstream"
 )
@@ -60,6 +61,11 @@
 	return int64(now) < p.avoidUntil.Load()
 }
 
-func (p *peer) avoid(now time.Duration) {
-	p.avoidUntil.Store(int64(now + peerAvoidance))
+// avoid passes the peer over for a while, and tells so when it begins.
+func (h *Handler) avoid(p *peer, cause string) {
+	now := h.now()
+	before := p.avoidUntil.Swap(int64(now + peerAvoidance))
+	if before <= int64(now) {
+		h.options.Events(event.New(event.HomeUnreachable, cause, "vm", p.name))
+	}
 }
--- a/traffic/front/send.go
+++ b/traffic/front/send.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"guavacrank.example/backend"
+	"guavacrank.example/event"
 	"guavacrank.example/traffic/pick"
 	"guavacrank.example/traffic/queue"
 	"guavacrank.example/traffic/upstream"
@@ -154,11 +155,16 @@
 	now := a.handler.now()
 	before := a.member.seen.Well(now)
 	a.member.seen.Ended(now, result, now-a.sentAt)
+	well := a.member.seen.Well(now)
+	if before && !well {
+		a.handler.options.Events(event.New(event.ServerLeftOut, "failed several requests in a row",
+			"service", a.call.service.Name, "server", a.member.name))
+	}
 	changed := false
 	if result == pick.Refused || result == pick.Succeeded {
 		changed = a.member.adapt(result == pick.Refused)
 	}
-	if a.group != nil && (changed || before != a.member.seen.Well(now)) {
+	if a.group != nil && (changed || before != well) {
 		s := a.call.service
 		a.group.configure(now, limits{s.settings.QueueLimit * len(a.group.members), s.settings.BulkFloor})
 	}
