traffic/upstream: a failed request body ends the wait for an answer

Cause: a streamed body that grew past its limit was noticed only at the request's deadline. Tests of the code and of a listener's read timeout. Conclusion: the caller hears at once.

--- a/traffic/front/fleet_test.go
+++ b/traffic/front/fleet_test.go
@@ -112,7 +112,7 @@
 			})
 			ends := make(chan reply, 2)
 			for range 2 {
-				go func() { defer GinkgoRecover(); ends <- f.vms["a"].order(HeaderDeadline, "1500") }()
+				go func() { defer GinkgoRecover(); ends <- f.vms["a"].order(HeaderDeadline, "600") }()
 			}
 			<-began
 			Eventually(f.vms["a"].InFlight).Should(Equal(2))
--- a/traffic/front/limits_test.go
+++ b/traffic/front/limits_test.go
@@ -64,6 +64,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		response.Body.Close()
 		Expect(response.Header.Get("Guavacrank-Verdict")).To(Equal("may_have_run"))
+		Expect(response.Header.Get("Guavacrank-Code")).To(Equal("write"))
 	})
 })
 
@@ -159,3 +160,23 @@
 	to, _ := h.choose(h.current(), c)
 	return to
 }
+
+var _ = Describe("a listener with a read timeout", func() {
+	DescribeTable("does not cut off a request that takes longer",
+		func(method, body string) {
+			server := newFakeServer(func(conn net.Conn, r *http.Request) {
+				time.Sleep(150 * time.Millisecond)
+				say(okAnswer)(conn, r)
+			})
+			v := oneVM(server)
+			v.caller.Close()
+			v.caller = httptest.NewUnstartedServer(v.Handler)
+			v.caller.Config.ReadTimeout = 50 * time.Millisecond
+			v.caller.Start()
+			defer v.caller.Close()
+			Expect(v.ask(method, "/v1/cards/k", body).verdict).To(Equal("answered"))
+		},
+		Entry("without a body", "GET", ""),
+		Entry("with a body", "POST", "text"),
+	)
+})
--- a/traffic/upstream/exchange.go
+++ b/traffic/upstream/exchange.go
@@ -84,7 +84,13 @@
 		return write()
 	}
 	x.written = make(chan error, 1)
-	go func() { x.written <- write() }()
+	go func() {
+		err := write()
+		if err != nil {
+			c.SetReadDeadline(time.Now().Add(answerGrace))
+		}
+		x.written <- err
+	}()
 	return nil
 }
 
@@ -114,6 +120,9 @@
 
 // fail ends the exchange without an answer.
 func (x *exchange) fail(writeErr, readErr error) *Failure {
+	if writeErr == nil && x.written != nil {
+		writeErr = x.bodyError()
+	}
 	x.abandon()
 	failure := &Failure{Stage: StageAnswer, Sent: x.conn.sent, Timeout: x.ended(readErr), Err: readErr}
 	if writeErr != nil {
@@ -165,12 +174,18 @@
 
 // bodySent says, without waiting, whether the request's body was sent whole.
 func (x *exchange) bodySent() bool {
+	return x.bodyError() == nil && x.written == nil
+}
+
+// bodyError returns, without waiting, why sending the request's body failed,
+// or nil.
+func (x *exchange) bodyError() error {
 	select {
 	case err := <-x.written:
 		x.written = nil
-		return err == nil
+		return err
 	default:
-		return false
+		return nil
 	}
 }
 
