--- a/bench/traffic/traffic.go
+++ b/bench/traffic/traffic.go
@@ -22,12 +22,18 @@
 	Rounds int
 	// RoundTime is the length of one measurement; zero means DefaultRoundTime.
 	RoundTime time.Duration
+	// Callers is the number of callers at once whose memory is measured; zero
+	// means DefaultCallers.
+	Callers int
 }
 
 // Defaults of Options.
 const (
 	DefaultRounds    = 5
 	DefaultRoundTime = 400 * time.Millisecond
+	// DefaultCallers keeps both ends of each connection, which stand in one
+	// process here, below a limit of 20000 descriptors.
+	DefaultCallers = 9_800
 )
 
 const (
@@ -49,6 +55,9 @@
 	if options.RoundTime == 0 {
 		options.RoundTime = DefaultRoundTime
 	}
+	if options.Callers == 0 {
+		options.Callers = DefaultCallers
+	}
 	ways, stop, err := startWays()
 	if err != nil {
 		return report.Report{}, err
@@ -64,7 +73,16 @@
 			samples[i] = append(samples[i], s)
 		}
 	}
-	return result(ways, samples), nil
+	r := result(ways, samples)
+	held, err := memory(options.Callers)
+	if err != nil {
+		return r, err
+	}
+	r.Rows = append(r.Rows,
+		report.Row{Name: "traffic.memory_per_request", Policy: "router", Value: held.bytesEach / 1024, Unit: "KiB"},
+		report.Row{Name: "traffic.answers_lost", Policy: "router", Value: float64(held.lost), Unit: "answers", Bound: "max"},
+	)
+	return r, nil
 }
 
 // way is one way to the server.
@@ -99,7 +117,7 @@
 	if err != nil {
 		return nil, stop, err
 	}
-	router, err := serve(newRouter(backend))
+	router, err := serve(newRouter(backend, 0))
 	if err != nil {
 		return nil, stop, err
 	}
@@ -121,7 +139,7 @@
 
 // newRouter returns a router with one service, one shard and one server, whose
 // home it is.
-func newRouter(address string) http.Handler {
+func newRouter(address string, queueLimit int) *front.Handler {
 	server := &route.Server{
 		Name: "s1", Address: address, Slots: slots, Connections: 4 * slots,
 		ChecksGrants: true, Home: "a",
@@ -133,6 +151,7 @@
 		DefaultClass: "look",
 		Units:        []route.Unit{{ID: 0, Epoch: 1, Server: server}},
 		Servers:      []*route.Server{server},
+		Settings:     config.Defaults{QueueLimit: queueLimit},
 	}}})
 	return front.New(front.Options{Routes: routes})
 }
--- a/traffic/front/fleet_test.go
+++ b/traffic/front/fleet_test.go
@@ -67,6 +67,47 @@
 		Expect(server.seen()).To(HaveLen(2))
 	})
 
+	It("go direct when the home is frozen", func() {
+		server, frozen := newFakeServer(say(okAnswer)), newFakeServer(stay)
+		v := newVM(Options{})
+		v.routes.Publish(&route.Snapshot{
+			Self:     "a",
+			Services: map[string]*route.Service{"cards": divided(testServer(server, "b"), 7)},
+			Peers:    map[string]string{"b": frozen.address()},
+		})
+		for range mostSilences {
+			Expect(v.order(HeaderDeadline, "50").code).To(Equal("timeout"))
+		}
+		Expect(v.order(HeaderDeadline, "500").verdict).To(Equal("answered"))
+	})
+
+	It("give the home less time, so that they hear that a request only waited", func() {
+		Expect(homeDeadline(time.Second)).To(BeEquivalentTo(985))
+		Expect(homeDeadline(100 * time.Millisecond)).To(BeEquivalentTo(90))
+		Expect(homeDeadline(time.Microsecond)).To(BeEquivalentTo(1))
+		server := newFakeServer(stay)
+		f := newFleet(options, "a", "b")
+		f.publish(func() *route.Service {
+			declared := testServer(server, "b")
+			declared.Slots = 1
+			return divided(declared, 7)
+		})
+		ends := make(chan reply, 1)
+		go func() { defer GinkgoRecover(); ends <- f.vms["a"].order(HeaderDeadline, "400") }()
+		Eventually(func() int { return len(server.seen()) }).Should(Equal(1))
+		got := f.vms["b"].order(HeaderDeadline, "200")
+		Expect([]any{got.verdict, got.code}).To(Equal([]any{"not_run", "timeout"}))
+		Expect((<-ends).verdict).To(Equal("may_have_run"))
+	})
+
+	It("send each for itself when told to", func() {
+		server := newFakeServer(say(okAnswer))
+		f := newFleet(Options{Sharing: limit.Direct}, "a", "b")
+		f.publish(func() *route.Service { return divided(testServer(server, "b"), 7) })
+		Expect(f.vms["a"].order().verdict).To(Equal("answered"))
+		Expect(f.vms["a"].TakeLoad("cards", 1).Units).To(HaveLen(1))
+	})
+
 	Context("with a server that does not check grants", func() {
 		unchecking := func(server *fakeServer, home string, until time.Duration) func() *route.Service {
 			return func() *route.Service {
--- a/traffic/front/forward.go
+++ b/traffic/front/forward.go
@@ -57,12 +57,11 @@
 	now := h.now()
 	c.seen.Backend += now - began
 	if failure != nil {
-		if failure.Stage == upstream.StageConnect && !failure.Timeout {
-			h.avoid(to.peer, "connect: "+failure.Error())
-		}
+		h.noteSilence(c, to.peer, failure)
 		to.learn(now, began, resultOf(c, failure))
 		return classify(c, failure)
 	}
+	to.peer.silences.Store(0)
 	c.noteHome(received.Header)
 	to.noteHeld(now, received.Header)
 	switch received.Header.Get(verdict.Header) {
@@ -81,6 +80,20 @@
 	}
 }
 
+// noteSilence avoids a home that can't be reached, or that left several requests
+// in a row without any answer: it may be frozen.
+func (h *Handler) noteSilence(c *call, p *peer, failure *upstream.Failure) {
+	if failure.Stage == upstream.StageConnect && !failure.Timeout {
+		h.avoid(p, "connect: "+failure.Error())
+		return
+	}
+	silent := failure.Stage == upstream.StageAnswer && failure.Timeout && endCode(c) == verdict.CodeTimeout
+	if silent && p.silences.Add(1) >= mostSilences {
+		p.silences.Store(0)
+		h.avoid(p, "no answer to several requests in a row")
+	}
+}
+
 // learn notes how the home took a request for a group.
 func (t target) learn(now, began time.Duration, result pick.Result) {
 	if t.group != nil {
--- a/traffic/front/headers.go
+++ b/traffic/front/headers.go
@@ -70,6 +70,7 @@
 func (h *Handler) peerRequest(c *call, to target, now time.Duration) *http.Request {
 	header := c.outgoingHeader(now)
 	header[HeaderPeerToken] = []string{h.options.PeerToken}
+	header[backend.HeaderDeadline] = []string{strconv.FormatInt(homeDeadline(c.remaining(now)), 10)}
 	if h.options.Region != "" {
 		header[HeaderPeerRegion] = []string{h.options.Region}
 	}
@@ -92,6 +93,15 @@
 	})
 }
 
+// homeMargin is the most by which a home's deadline is shorter.
+const homeMargin = 15 * time.Millisecond
+
+// homeDeadline returns the time in milliseconds that a home is given, so that
+// its verdict arrives before the caller's deadline.
+func homeDeadline(remaining time.Duration) int64 {
+	return max((remaining - min(remaining/10, homeMargin)).Milliseconds(), 1)
+}
+
 // outgoingHeader returns the caller's header fields with those that every
 // attempt carries.
 func (c *call) outgoingHeader(now time.Duration) http.Header {
--- a/traffic/front/peer.go
+++ b/traffic/front/peer.go
@@ -16,6 +16,8 @@
 	// avoidUntil is the reading of the handler's clock until which the peer is
 	// passed over, because connecting to it failed.
 	avoidUntil atomic.Int64
+	// silences counts the requests in a row that got no answer in time.
+	silences atomic.Int32
 }
 
 const (
@@ -24,6 +26,8 @@
 	peerConnectTimeout = 150 * time.Millisecond
 	// peerAvoidance is how long a VM that did not accept a connection is passed over.
 	peerAvoidance = time.Second
+	// mostSilences is how many requests in a row a VM may leave without any answer.
+	mostSilences = 3
 )
 
 // peersOf returns the state of every other VM, keeping what is still valid.
--- /dev/null
+++ b/traffic/upstream/pool_test.go
@@ -0,0 +1,131 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func get() *http.Request {
+	return &http.Request{Method: "GET", URL: &url.URL{Path: "/"}, Host: "h", Header: http.Header{}}
+}
+
+// ask sends a request and reads its answer to the end.
+func ask(p *Pool, once bool) *Failure {
+	answer, failure := p.Do(context.Background(), get(), once)
+	if failure != nil {
+		return failure
+	}
+	defer answer.Body.Close()
+	io.Copy(io.Discard, answer.Body)
+	return nil
+}
+
+// countingServer counts connections and requests.
+func countingServer(t *testing.T, handler http.HandlerFunc) (address string, connections func() int) {
+	var mu sync.Mutex
+	opened := 0
+	server := httptest.NewUnstartedServer(handler)
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		mu.Lock()
+		defer mu.Unlock()
+		if state == http.StateNew {
+			opened++
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return opened
+	}
+}
+
+func TestConnectionsAreReusedAndBounded(t *testing.T) {
+	g := NewWithT(t)
+	entered, release := make(chan struct{}), make(chan struct{})
+	address, connections := countingServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			close(entered)
+			<-release
+		}
+		w.Header().Set("Content-Length", "0")
+	})
+	p := NewPool(Options{Address: address, Connections: 1})
+	defer p.Close()
+	for range 10 {
+		g.Expect(ask(p, false)).To(BeNil())
+	}
+	g.Expect(connections()).To(Equal(1))
+
+	waiting := make(chan *Failure, 1)
+	go func() {
+		request := get()
+		request.URL.Path = "/wait"
+		answer, failure := p.Do(context.Background(), request, false)
+		if failure == nil {
+			io.Copy(io.Discard, answer.Body)
+		}
+		waiting <- failure
+	}()
+	<-entered
+	g.Expect(ask(p, false).Stage).To(Equal(StageLimit))
+	close(release)
+	g.Expect(<-waiting).To(BeNil())
+	p.SetLimit(0)
+	g.Expect(p.Open()).To(BeZero())
+	g.Expect(ask(p, false).Sent).To(BeFalse())
+}
+
+func TestClosedConnectionIsNotReused(t *testing.T) {
+	g := NewWithT(t)
+	address, connections := countingServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "0")
+	})
+	p := NewPool(Options{Address: address, Connections: 2})
+	defer p.Close()
+	g.Expect(ask(p, true)).To(BeNil())
+	p.mu.Lock()
+	idle := p.idle[0]
+	p.mu.Unlock()
+	idle.Conn.(*net.TCPConn).CloseWrite() // The server ends its side too.
+	g.Eventually(idle.alive).Should(BeFalse())
+	g.Expect(ask(p, true)).To(BeNil())
+	g.Expect(connections()).To(Equal(2))
+
+	p.mu.Lock()
+	p.idle[0].idleSince = time.Now().Add(-2 * freshAfter)
+	p.mu.Unlock()
+	g.Expect(ask(p, false)).To(BeNil(), "an idempotent request may use an older connection")
+	g.Expect(connections()).To(Equal(2))
+	p.mu.Lock()
+	p.idle[0].idleSince = time.Now().Add(-2 * freshAfter)
+	p.mu.Unlock()
+	g.Expect(ask(p, true)).To(BeNil(), "another one gets a new connection")
+	g.Expect(connections()).To(Equal(3))
+	g.Expect(p.Open()).To(Equal(1))
+	p.CloseIdle(time.Now().Add(time.Hour))
+	g.Expect(p.Open()).To(BeZero())
+}
+
+func TestEndedContextSendsNothing(t *testing.T) {
+	g := NewWithT(t)
+	address, _ := countingServer(t, func(http.ResponseWriter, *http.Request) {})
+	p := NewPool(Options{Address: address, Connections: 1})
+	defer p.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, failure := p.Do(ctx, get(), false)
+	g.Expect(failure.Sent).To(BeFalse())
+	g.Expect(failure.Timeout).To(BeTrue())
+	g.Expect(p.Open()).To(BeZero())
+}
