traffic/front: health reports as a hint, counts of refused requests

Cause: pick took a server's own word as a hint, but nobody asked for it; and requests that were not taken were not counted. Change: the queue home asks the servers of services not divided by key for their health each second over one connection of its own (daemon calls Probe); Status gains refused. Tests of answers of every form over reused connections.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -271,6 +271,7 @@
 	group.Go(func() error { d.reportLoads(ctx); return nil })
 	group.Go(func() error { d.reportSends(ctx); return nil })
 	group.Go(func() error { d.sweep(ctx); return nil })
+	group.Go(func() error { d.probe(ctx); return nil })
 	group.Go(func() error { return d.roles.run(ctx, d) })
 	group.Go(func() error { d.awaitReady(ctx); return nil })
 	for _, server := range servers {
--- a/daemon/reports.go
+++ b/daemon/reports.go
@@ -18,6 +18,8 @@
 	sendsInterval = 20 * time.Millisecond
 	// sweepInterval is how often idle connections are closed.
 	sweepInterval = time.Second
+	// probeInterval is how often servers are asked for their health.
+	probeInterval = time.Second
 	// readyInterval is how often the daemon looks whether it is ready.
 	readyInterval = 20 * time.Millisecond
 )
@@ -44,6 +46,14 @@
 	})
 }
 
+// probe takes the backend servers' own word on their health as a hint.
+func (d *Daemon) probe(ctx context.Context) {
+	every(ctx, probeInterval, func() bool {
+		d.front.Probe(ctx)
+		return true
+	})
+}
+
 // reportLoads hands what traffic counted to the control plane.
 func (d *Daemon) reportLoads(ctx context.Context) {
 	every(ctx, loadInterval, func() bool {
--- a/traffic/front/answer.go
+++ b/traffic/front/answer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"guavacrank.example/traffic/link"
@@ -195,7 +196,12 @@
 	io.WriteString(w, string(out.code)+": "+out.detail+"\n")
 }
 
-// writeRefusal refuses a request that was not taken.
-func writeRefusal(w http.ResponseWriter, refused refusal) {
+// refuse refuses a request that was not taken.
+func (h *Handler) refuse(w http.ResponseWriter, refused *refusal) {
+	count, ok := h.refusals.Load(refused.code)
+	if !ok {
+		count, _ = h.refusals.LoadOrStore(refused.code, new(atomic.Int64))
+	}
+	count.(*atomic.Int64).Add(1)
 	writeFailure(w, notRun(refused.code, refused.detail))
 }
--- a/traffic/front/expvar.go
+++ b/traffic/front/expvar.go
@@ -2,13 +2,18 @@
 
 import (
 	"encoding/json"
+	"sync/atomic"
 
 	"guavacrank.example/traffic/metric"
+	"guavacrank.example/traffic/verdict"
 )
 
 // Status is what the handler publishes through expvar.
 type Status struct {
 	InFlight int `json:"in_flight"`
+	// Refused counts requests that were not taken, by code: they belong to no
+	// class.
+	Refused map[string]int64 `json:"refused"`
 	// Services holds the counts and distributions, by service and class.
 	Services map[string]map[string]metric.Report `json:"services"`
 	// Servers holds this VM's queues, by service and server or zone.
@@ -34,10 +39,15 @@
 	v := h.current()
 	status := Status{
 		InFlight: h.InFlight(),
+		Refused:  make(map[string]int64),
 		Services: h.metrics.Reports(),
 		Servers:  make(map[string]map[string]ServerStatus),
 		Link:     make(map[string]map[string]map[string]int64),
 	}
+	h.refusals.Range(func(code, count any) bool {
+		status.Refused[string(code.(verdict.Code))] = count.(*atomic.Int64).Load()
+		return true
+	})
 	for name, s := range v.services {
 		status.Servers[name] = h.serverStatus(v, s)
 		status.Link[name] = map[string]map[string]int64{"out": s.state.out.Bytes(), "in": s.state.in.Bytes()}
--- a/traffic/front/forward.go
+++ b/traffic/front/forward.go
@@ -158,25 +158,25 @@
 		return
 	}
 	if refused := h.enter(); refused != nil {
-		writeRefusal(w, *refused)
+		h.refuse(w, refused)
 		return
 	}
 	defer h.leave()
 	c, refused := h.parsePeer(r)
 	if refused != nil {
-		writeRefusal(w, *refused)
+		h.refuse(w, refused)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.remaining(h.now()))
 	defer cancel()
 	until, _ := ctx.Deadline()
 	if c.body, refused = readBody(w, r, c.settings().MaxBodyBytes, until); refused != nil {
-		writeRefusal(w, *refused)
+		h.refuse(w, refused)
 		return
 	}
 	to, refused := h.homeTarget(c, r.Header)
 	if refused != nil {
-		writeRefusal(w, *refused)
+		h.refuse(w, refused)
 		return
 	}
 	out := h.send(ctx, c, to)
--- a/traffic/front/handler.go
+++ b/traffic/front/handler.go
@@ -27,6 +27,7 @@
 	peers      map[peerID]*peer
 	metrics    metric.Table
 
+	refusals    sync.Map     // verdict.Code to *atomic.Int64, of requests that were not taken.
 	recordsTold atomic.Int64 // The second in which an event told of a failed record.
 
 	inFlight atomic.Int64
@@ -55,21 +56,21 @@
 // ServeHTTP serves one caller's request.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if refused := h.enter(); refused != nil {
-		writeRefusal(w, *refused)
+		h.refuse(w, refused)
 		return
 	}
 	defer h.leave()
 	began := h.now()
 	c, refused := h.parseCaller(r)
 	if refused != nil {
-		writeRefusal(w, *refused)
+		h.refuse(w, refused)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), c.remaining(h.now()))
 	defer cancel()
 	until, _ := ctx.Deadline()
 	if c.body, refused = readBody(w, r, c.settings().MaxBodyBytes, until); refused != nil {
-		writeRefusal(w, *refused)
+		h.refuse(w, refused)
 		return
 	}
 	out := h.runOnce(ctx, c)
@@ -131,7 +132,7 @@
 	h.refreshing.Lock()
 	defer h.refreshing.Unlock()
 	for _, held := range h.servers {
-		held.pool.Close()
+		held.close()
 	}
 	for _, held := range h.peers {
 		held.pool.Close()
--- a/traffic/front/limits_test.go
+++ b/traffic/front/limits_test.go
@@ -28,6 +28,7 @@
 			got := v.ask("POST", path, body, headers...)
 			Expect([]any{got.status, got.verdict, got.code}).To(Equal([]any{status, "not_run", code}))
 			Expect(got.body).To(HavePrefix(code + ": "))
+			Expect(v.Status().Refused).To(Equal(map[string]int64{code: 1}))
 			Expect(server.seen()).To(BeEmpty())
 		},
 		Entry("no service", "/v1/", nil, "", 400, "bad_request"),
--- a/traffic/front/server.go
+++ b/traffic/front/server.go
@@ -17,6 +17,8 @@
 type server struct {
 	name string
 	pool *upstream.Pool
+	// reports is the connection for the server's own reports.
+	reports *upstream.Pool
 	// gate admits requests to a server of a service divided by key. In other
 	// services the gate of the server's group does.
 	gate *queue.Gate
@@ -34,11 +36,12 @@
 	held := h.servers[id]
 	if held == nil {
 		held = &server{
-			name:  id.name,
-			pool:  upstream.NewPool(upstream.Options{Address: id.address, Connections: share}),
-			gate:  queue.NewGate(h.now, queue.Options{Slots: share}),
-			seen:  pick.NewServer(),
-			limit: limit.NewAdaptive(share),
+			name:    id.name,
+			reports: newReports(id.address),
+			pool:    upstream.NewPool(upstream.Options{Address: id.address, Connections: share}),
+			gate:    queue.NewGate(h.now, queue.Options{Slots: share}),
+			seen:    pick.NewServer(),
+			limit:   limit.NewAdaptive(share),
 		}
 		h.servers[id] = held
 	}
@@ -83,6 +86,12 @@
 	return true
 }
 
+// close closes the server's connections as they become idle.
+func (s *server) close() {
+	s.pool.Close()
+	s.reports.Close()
+}
+
 // slots returns the server's limit at the moment.
 func (s *server) slots() int {
 	s.mu.Lock()
@@ -94,7 +103,7 @@
 func (h *Handler) forget(used map[serverID]bool) {
 	for id, held := range h.servers {
 		if !used[id] {
-			held.pool.Close()
+			held.close()
 			delete(h.servers, id)
 		}
 	}
--- a/traffic/front/unkeyed_test.go
+++ b/traffic/front/unkeyed_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -78,6 +79,15 @@
 		Expect(float64(attempts) / requests).To(BeNumerically("<=", 1.1))
 	})
 
+	It("takes a server's own word on its health as a hint that cannot empty the service", func() {
+		unwell := newFakeServer(say("HTTP/1.1 200 OK\r\nContent-Length: 17\r\n\r\n{\"healthy\":false}"))
+		f := newFleet(Options{}, "a")
+		f.publish(undivided("a", unwell))
+		f.vms["a"].Probe(context.Background())
+		Expect(unwell.seen()).To(HaveLen(1))
+		Expect(f.vms["a"].order().verdict).To(Equal("answered"))
+	})
+
 	It("gives no new work to a server that is leaving", func() {
 		leaving, staying := newFakeServer(say(okAnswer)), newFakeServer(say(okAnswer))
 		f := newFleet(Options{}, "a")
--- a/traffic/front/verdict_test.go
+++ b/traffic/front/verdict_test.go
@@ -107,6 +107,27 @@
 		Expect(received).To(BeEquivalentTo(300000))
 	})
 
+	DescribeTable("passes answers of every form whole",
+		func(method, raw string, status int, body string) {
+			v := oneVM(newFakeServer(say(raw)))
+			for range 2 { // The second over the same connection.
+				got := v.ask(method, "/v1/cards/k", "")
+				Expect(got.err).NotTo(HaveOccurred())
+				Expect([]any{got.status, got.verdict}).To(Equal([]any{status, "answered"}))
+				Expect(got.body == body).To(BeTrue(), "%d bytes", len(got.body))
+			}
+		},
+		Entry("empty", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 200, ""),
+		Entry("no content", "GET", "HTTP/1.1 204 No Content\r\n\r\n", 204, ""),
+		Entry("not modified", "GET", "HTTP/1.1 304 Not Modified\r\nEtag: x\r\n\r\n", 304, ""),
+		Entry("HEAD with a length", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n", 200, ""),
+		Entry("HEAD without a length", "HEAD", "HTTP/1.1 200 OK\r\n\r\n", 200, ""),
+		Entry("small chunked", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 200, "ok"),
+		Entry("of exactly the held size", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 16384\r\n\r\n"+strings.Repeat("x", 16384), 200, strings.Repeat("x", 16384)),
+		Entry("large", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 1000000), 200, strings.Repeat("x", 1000000)),
+		Entry("large chunked", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nF4240\r\n"+strings.Repeat("x", 1000000)+"\r\n0\r\n\r\n", 200, strings.Repeat("x", 1000000)),
+	)
+
 	It("counts the work of the unit and the key", func() {
 		v := oneVM(newFakeServer(say(okAnswer)))
 		for range 32 {
--- a/traffic/front/view.go
+++ b/traffic/front/view.go
@@ -164,6 +164,7 @@
 	defer h.refreshing.Unlock()
 	for _, held := range h.servers {
 		held.pool.CloseIdle(now)
+		held.reports.CloseIdle(now)
 	}
 	for _, held := range h.peers {
 		held.pool.CloseIdle(now)
