--- a/cmd/internal/command/apply.go
+++ b/cmd/internal/command/apply.go
@@ -8,6 +8,7 @@
 	"io"
 	"regexp"
 	"strconv"
+	"strings"
 	"time"
 
 	"guavacrank.example/config"
@@ -27,6 +28,8 @@
 	InForce   int   `json:"in_force"`
 	VMCount   int   `json:"vm_count"`
 	InForceMs int64 `json:"in_force_ms"` // From the acceptance; -1: not everywhere in time.
+	// Behind names the VMs that do not have the revision in force yet.
+	Behind []string `json:"behind"`
 }
 
 // changeCommand is what the commands that change the configuration share.
@@ -69,18 +72,23 @@
 	return c.output.print(env.Stdout, result, func(w io.Writer) { printApplied(w, result) })
 }
 
-// awaitInForce asks for the state of the fleet until every VM has the revision.
+// awaitInForce asks for the state of the fleet, at least once, until every VM
+// has the revision.
 func awaitInForce(ctx context.Context, caller *client.Client, result *applyResult, limit time.Duration) {
 	start := time.Now()
-	for time.Since(start) <= limit {
+	for {
 		status, err := caller.Status(ctx)
 		if err == nil && status.FleetRevision >= result.Revision {
 			result.InForce, result.VMCount = status.InForce, status.VMCount
+			result.Behind = behind(status, result.Revision)
 		}
 		if result.VMCount > 0 && result.InForce == result.VMCount {
 			result.InForceMs = time.Since(start).Milliseconds()
 			return
 		}
+		if time.Since(start) > limit {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -89,6 +97,17 @@
 	}
 }
 
+// behind names the VMs that do not have a revision in force.
+func behind(status operator.Status, revision config.Revision) []string {
+	names := []string{}
+	for _, vm := range status.VMs {
+		if vm.Revision < revision {
+			names = append(names, vm.Name)
+		}
+	}
+	return names
+}
+
 // printApplied prints the result of a change.
 func printApplied(w io.Writer, result applyResult) {
 	printChanges(w, result.Applied)
@@ -98,7 +117,8 @@
 	case result.InForceMs >= 0:
 		fmt.Fprintf(w, "\nrevision %d is in force on %d of %d VMs after %d ms\n", result.Revision, result.InForce, result.VMCount, result.InForceMs)
 	default:
-		fmt.Fprintf(w, "\nrevision %d is accepted and in force on %d of %d VMs so far; see guavacrankctl status\n", result.Revision, result.InForce, result.VMCount)
+		fmt.Fprintf(w, "\nrevision %d is accepted and in force on %d of %d VMs so far; not yet on %s\n",
+			result.Revision, result.InForce, result.VMCount, strings.Join(result.Behind, ", "))
 	}
 }
 
@@ -113,40 +133,50 @@
 			"guavacrankctl apply verhaegen.yaml -base 7 -dry-run",
 		},
 		Setup: func(flags *flag.FlagSet) Run {
-			shared := addChangeCommand(flags)
-			base := flags.String("base", "", "`revision` that the file was made from, or \"current\" to replace whatever is in force (default: the file's first line \"# revision: N\", else 0)")
-			dryRun := flags.Bool("dry-run", false, "show the difference and what follows, and apply nothing")
-			return func(ctx context.Context, env *Environment, args []string) error {
-				if err := arguments(args, "FILE"); err != nil {
-					return err
-				}
-				if *dryRun {
-					shared.change.reason = firstOf(shared.change.reason, "dry run")
-				}
-				data, err := readFile(env, args[0])
-				if err != nil {
-					return err
-				}
-				return shared.run(ctx, env, func(caller *client.Client) (operator.Applied, error) {
-					revision, err := baseOf(ctx, caller, *base, data)
-					if err != nil {
-						return operator.Applied{}, err
-					}
-					return caller.Apply(ctx, operator.ApplyRequest{
-						ChangeID: shared.change.changeID,
-						Base:     revision,
-						Author:   shared.change.author,
-						Reason:   shared.change.reason,
-						File:     args[0],
-						YAML:     string(data),
-						DryRun:   *dryRun,
-					})
-				})
-			}
+			apply := &applyOptions{changeCommand: addChangeCommand(flags)}
+			flags.StringVar(&apply.base, "base", "", "`revision` that the file was made from, or \"current\" to replace whatever is in force (default: the file's first line \"# revision: N\", else 0)")
+			flags.BoolVar(&apply.dryRun, "dry-run", false, "show the difference and what follows, and apply nothing")
+			return apply.apply
 		},
 	}
 }
 
+// applyOptions are the flags of apply.
+type applyOptions struct {
+	*changeCommand
+	base   string
+	dryRun bool
+}
+
+// apply puts a file into force.
+func (o *applyOptions) apply(ctx context.Context, env *Environment, args []string) error {
+	if err := arguments(args, "FILE"); err != nil {
+		return err
+	}
+	if o.dryRun {
+		o.change.reason = firstOf(o.change.reason, "dry run")
+	}
+	data, err := readFile(env, args[0])
+	if err != nil {
+		return err
+	}
+	return o.run(ctx, env, func(caller *client.Client) (operator.Applied, error) {
+		base, err := baseOf(ctx, caller, o.base, data)
+		if err != nil {
+			return operator.Applied{}, err
+		}
+		return caller.Apply(ctx, operator.ApplyRequest{
+			ChangeID: o.change.changeID,
+			Base:     base,
+			Author:   o.change.author,
+			Reason:   o.change.reason,
+			File:     args[0],
+			YAML:     string(data),
+			DryRun:   o.dryRun,
+		})
+	})
+}
+
 // revisionLine is the first line of a file that get wrote.
 var revisionLine = regexp.MustCompile(`^# revision: ([0-9]{1,19})\r?\n`)
 
