--- a/bench/control/managers.go
+++ b/bench/control/managers.go
@@ -22,6 +22,8 @@
 const (
 	// startPeriod is how long a fleet runs before it is measured.
 	startPeriod = 10 * time.Second
+	// stopPeriod is how long what ran before gets to free its memory.
+	stopPeriod = 2 * time.Second
 	// startSpacing, times the size of the fleet, is the time between the starts
 	// of two VMs: all of them share this machine's cores.
 	startSpacing = time.Millisecond
@@ -177,6 +179,9 @@
 }
 
 func measureFleet(ctx context.Context, p policy, size int, period time.Duration) (costs, error) {
+	if err := sleep(ctx, stopPeriod); err != nil {
+		return costs{}, err
+	}
 	heapBefore := heapBytes()
 	f, err := startFleet(ctx, p, size)
 	if err != nil {
--- a/bench/suite/suite.go
+++ b/bench/suite/suite.go
@@ -5,6 +5,7 @@
 	"context"
 
 	"guavacrank.example/bench/change"
+	"guavacrank.example/bench/control"
 	"guavacrank.example/bench/failover"
 	"guavacrank.example/bench/limits"
 	"guavacrank.example/bench/link"
@@ -35,6 +36,13 @@
 				return placement.Run(ctx, placement.Options{Seed: seed})
 			},
 		},
+		{
+			Name:    "control",
+			Summary: "time to in force, bytes, processor time and store calls of the fleet's protocol by its size",
+			Run: func(ctx context.Context, seed uint64) (report.Report, error) {
+				return control.Run(ctx, control.Options{Seed: seed})
+			},
+		},
 		{
 			Name:    "failover",
 			Summary: "unavailable time at each kind of loss and planned change, on a virtual clock",
