--- a/traffic/front/peer.go
+++ b/traffic/front/peer.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"guavacrank.example/event"
 	"guavacrank.example/traffic/route"
 	"guavacrank.example/traffic/upstream"
 )
@@ -15,6 +16,8 @@
 	// avoidUntil is the reading of the handler's clock until which the peer is
 	// passed over, because connecting to it failed.
 	avoidUntil atomic.Int64
+	// silences counts the requests in a row that got no answer in time.
+	silences atomic.Int32
 }
 
 const (
@@ -23,6 +26,8 @@
 	peerConnectTimeout = 150 * time.Millisecond
 	// peerAvoidance is how long a VM that did not accept a connection is passed over.
 	peerAvoidance = time.Second
+	// mostSilences is how many requests in a row a VM may leave without any answer.
+	mostSilences = 3
 )
 
 // peersOf returns the state of every other VM, keeping what is still valid.
@@ -60,6 +65,11 @@
 	return int64(now) < p.avoidUntil.Load()
 }
 
-func (p *peer) avoid(now time.Duration) {
-	p.avoidUntil.Store(int64(now + peerAvoidance))
+// avoid passes the peer over for a while, and tells so when it begins.
+func (h *Handler) avoid(p *peer, cause string) {
+	now := h.now()
+	before := p.avoidUntil.Swap(int64(now + peerAvoidance))
+	if before <= int64(now) {
+		h.options.Events(event.New(event.HomeUnreachable, cause, "vm", p.name))
+	}
 }
