--- a/control/controltest/fleet.go
+++ b/control/controltest/fleet.go
@@ -107,6 +107,7 @@
 	f.electPlanners()
 	f.clock.After(control.TickInterval, f.tick)
 	f.clock.After(checkInterval, f.check)
+	f.clock.After(repairInterval, f.repair)
 	return f
 }
 
@@ -149,6 +150,17 @@
 	f.clock.After(checkInterval, f.check)
 }
 
+// repairInterval is the time between two exchanges by which a VM that missed
+// the configuration in force gets it.
+const repairInterval = time.Second
+
+func (f *Fleet) repair() {
+	for _, vm := range f.VMs {
+		f.travel(StoreName, vm.Name, func() { vm.step(f.accepted()) })
+	}
+	f.clock.After(repairInterval, f.repair)
+}
+
 // longestRun is the longest time that a run of Work takes.
 const longestRun = 400 * time.Millisecond
 
