--- a/traffic/front/random_test.go
+++ b/traffic/front/random_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -80,43 +81,54 @@
 	}
 }
 
+var long = flag.Duration("long", 0, "how long to run many callers on fresh seeds")
+
 var _ = Describe("many callers through several VMs and faulty servers", func() {
-	DescribeTable("get their own answers, true verdicts and at most one run",
-		func(seed uint64) {
-			record := &runs{random: rand.New(rand.NewPCG(seed, seed)), counts: map[string]int{}}
-			store := oncetest.NewStore()
-			f := &fleet{vms: map[string]*vm{}}
-			names := []string{"a", "b", "c"}
-			for _, name := range names {
-				f.vms[name] = newVM(Options{Once: once.New(once.Options{Store: store, VM: name, EndsPerSecond: 1000})})
-			}
-			keyed, shared := newFakeServer(record.behave), newFakeServer(record.behave)
-			f.publish(func() *route.Service { return divided(testServer(keyed, "b"), 7) })
-			for _, v := range f.vms {
-				s := undivided("c", keyed, shared)()
-				s.Name = "shared"
-				old := v.routes.Load()
-				v.routes.Publish(&route.Snapshot{Self: old.Self, Peers: old.Peers, Services: map[string]*route.Service{
-					"cards": old.Services["cards"], "shared": s,
-				}})
-			}
-			var group sync.WaitGroup
-			for caller := range 12 {
-				group.Go(func() {
-					defer GinkgoRecover()
-					for i := range 40 {
-						name := fmt.Sprintf("caller-%d-%d", caller, i)
-						f.converse(record, names, name, caller+i)
-					}
-				})
-			}
-			group.Wait()
-		},
+	DescribeTable("get their own answers, true verdicts and at most one run", manyCallers,
 		Entry("seed 1", uint64(1)),
 		Entry("seed 2", uint64(2)),
 	)
+
+	It("do so on fresh seeds (go test ./traffic/front -long 1m)", func() {
+		for end := time.Now().Add(*long); time.Now().Before(end); {
+			seed := rand.Uint64()
+			AddReportEntry("seed", seed)
+			manyCallers(seed)
+		}
+	})
 })
 
+func manyCallers(seed uint64) {
+	record := &runs{random: rand.New(rand.NewPCG(seed, seed)), counts: map[string]int{}}
+	store := oncetest.NewStore()
+	f := &fleet{vms: map[string]*vm{}}
+	names := []string{"a", "b", "c"}
+	for _, name := range names {
+		f.vms[name] = newVM(Options{Once: once.New(once.Options{Store: store, VM: name, EndsPerSecond: 1000})})
+	}
+	keyed, shared := newFakeServer(record.behave), newFakeServer(record.behave)
+	f.publish(func() *route.Service { return divided(testServer(keyed, "b"), 7) })
+	for _, v := range f.vms {
+		s := undivided("c", keyed, shared)()
+		s.Name = "shared"
+		old := v.routes.Load()
+		v.routes.Publish(&route.Snapshot{Self: old.Self, Peers: old.Peers, Services: map[string]*route.Service{
+			"cards": old.Services["cards"], "shared": s,
+		}})
+	}
+	var group sync.WaitGroup
+	for caller := range 12 {
+		group.Go(func() {
+			defer GinkgoRecover()
+			for i := range 40 {
+				name := fmt.Sprintf("caller-%d-%d", caller, i)
+				f.converse(record, names, name, caller+i)
+			}
+		})
+	}
+	group.Wait()
+}
+
 // converse sends one request, and repeats it through other VMs until it is
 // answered or its fate stays open.
 func (f *fleet) converse(record *runs, vms []string, name string, number int) {
