bench/traffic: the way through the home

Cause: with 12 VMs most requests take one more hop, which was not measured. Change: a fourth way, VM b to home a; rows without a target of their own.

--- a/bench/traffic/memory.go
+++ b/bench/traffic/memory.go
@@ -33,7 +33,7 @@
 		answer.ServeHTTP(w, r)
 	}))
 	defer backend.Close()
-	handler := newRouter(backend.Listener.Addr().String(), callers)
+	handler := newRouter("a", backend.Listener.Addr().String(), "", callers)
 	router := httptest.NewServer(handler)
 	defer router.Close()
 
--- a/bench/traffic/traffic.go
+++ b/bench/traffic/traffic.go
@@ -117,7 +117,16 @@
 	if err != nil {
 		return nil, stop, err
 	}
-	router, err := serve(newRouter(backend, 0))
+	home := newRouter("a", backend, "", 0)
+	router, err := serve(home)
+	if err != nil {
+		return nil, stop, err
+	}
+	peer, err := serve(home.Peer())
+	if err != nil {
+		return nil, stop, err
+	}
+	other, err := serve(newRouter("b", backend, peer, 0))
 	if err != nil {
 		return nil, stop, err
 	}
@@ -125,6 +134,7 @@
 		{"direct", "http://" + backend + "/key"},
 		{"relay", "http://" + plain + "/key"},
 		{"router", "http://" + router + front.CallerPrefix + "cards/key"},
+		{"router-and-home", "http://" + other + front.CallerPrefix + "cards/key"},
 	}, stop, nil
 }
 
@@ -137,15 +147,19 @@
 	})
 }
 
-// newRouter returns a router with one service, one shard and one server, whose
-// home it is.
-func newRouter(address string, queueLimit int) *front.Handler {
+// newRouter returns the router of a VM with one service, one shard and one
+// server, whose home is VM "a".
+func newRouter(self, address, home string, queueLimit int) *front.Handler {
 	server := &route.Server{
 		Name: "s1", Address: address, Slots: slots, Connections: 4 * slots,
 		ChecksGrants: true, Home: "a",
 	}
 	routes := route.NewPublisher()
-	routes.Publish(&route.Snapshot{Self: "a", Services: map[string]*route.Service{"cards": {
+	peers := map[string]string{}
+	if home != "" {
+		peers["a"] = home
+	}
+	routes.Publish(&route.Snapshot{Self: self, Peers: peers, Services: map[string]*route.Service{"cards": {
 		Name: "cards", DividedByKey: true, Shards: 1,
 		Classes:      map[string]config.Class{"look": {Name: "look", Idempotent: true, Deadline: time.Minute}},
 		DefaultClass: "look",
@@ -167,13 +181,15 @@
 			report.Row{Name: "traffic.requests_per_second", Policy: w.name, Value: median(samples[i], sample.throughput), Unit: "1/s"},
 		)
 	}
-	direct, relay, router := samples[0], samples[1], samples[2]
+	direct, relay, router, twoHops := samples[0], samples[1], samples[2], samples[3]
 	added := func(of []sample) float64 {
 		return median(of, sample.cpuPerRequest) - median(direct, sample.cpuPerRequest)
 	}
 	r.Rows = append(r.Rows,
 		report.Row{Name: "traffic.p50_ratio", Policy: "router/relay", Value: median(router, sample.p50) / median(relay, sample.p50), Unit: "x", Target: latencyTarget, Bound: "max"},
 		report.Row{Name: "traffic.throughput_per_core_ratio", Policy: "router/relay", Value: added(relay) / added(router), Unit: "x", Target: throughputTarget, Bound: "min"},
+		report.Row{Name: "traffic.p50_ratio", Policy: "router-and-home/relay", Value: median(twoHops, sample.p50) / median(relay, sample.p50), Unit: "x"},
+		report.Row{Name: "traffic.throughput_per_core_ratio", Policy: "router-and-home/relay", Value: added(relay) / added(twoHops), Unit: "x"},
 	)
 	return r
 }
