control: a VM that begins does not take the terms of VMs it has not heard

Cause: in a rolling replacement of 12 processes each new daemon saw every other VM as not alive until the first heartbeat, and took all eleven terms at once; they were then taken back, and units of servers that do not check grants waited for the words of former homes (6 lookups of 76367 answered 503 no_owner). Change: a VM that was never heard alive is suspected only after 2 s. Conclusion: a slow observer does not condemn the others.

--- a/control/members.go
+++ b/control/members.go
@@ -17,6 +17,11 @@
 	list       []Member
 	aliveSince map[string]time.Duration
 	heard      map[string]heard
+	// met holds the VMs that were alive at least once since this process began.
+	met map[string]bool
+	// settledAt is when VMs that were never met may be suspected: a VM that just
+	// began has not heard anybody yet.
+	settledAt time.Duration
 	// targets are the VMs that get this VM's heartbeats, sorted.
 	targets     []string
 	heartbeatAt time.Duration
@@ -34,6 +39,7 @@
 func (t *memberTable) init() {
 	t.aliveSince = make(map[string]time.Duration)
 	t.heard = make(map[string]heard)
+	t.met = make(map[string]bool)
 }
 
 func (t *memberTable) replace(members []Member) {
@@ -44,11 +50,15 @@
 
 // observe notes since when each VM has been alive without a break.
 func (t *memberTable) observe(now time.Duration) {
+	if t.known && t.settledAt == 0 {
+		t.settledAt = now + strangerGrace
+	}
 	for _, member := range t.list {
 		_, alive := t.aliveSince[member.Name]
 		switch {
 		case member.Alive && !member.Leaving && !alive:
 			t.aliveSince[member.Name] = now
+			t.met[member.Name] = true
 		case (!member.Alive || member.Leaving) && alive:
 			delete(t.aliveSince, member.Name)
 		}
@@ -80,10 +90,10 @@
 	if any && !last.last {
 		return now-last.at >= heartbeatTimeout
 	}
-	if !t.known {
+	if !t.known || t.listedAlive(name) {
 		return false
 	}
-	return !t.listedAlive(name)
+	return t.met[name] || now >= t.settledAt
 }
 
 // listedAlive reports whether the fleet's probes reach a VM.
--- a/control/settings.go
+++ b/control/settings.go
@@ -31,6 +31,9 @@
 	// grantor by the VM that is next, within the remaining life of its grants.
 	heartbeatInterval = 150 * time.Millisecond
 	heartbeatTimeout  = 480 * time.Millisecond
+	// strangerGrace is how long a VM that began hears others before it suspects
+	// those that it never heard.
+	strangerGrace = 2 * time.Second
 	// targetsInterval is the time between two choices of the VMs that get
 	// heartbeats.
 	targetsInterval = 300 * time.Millisecond
