--- a/traffic/front/handler.go
+++ b/traffic/front/handler.go
@@ -9,6 +9,7 @@
 
 	"guavacrank.example/traffic/load"
 	"guavacrank.example/traffic/metric"
+	"guavacrank.example/traffic/route"
 	"guavacrank.example/traffic/verdict"
 )
 
@@ -25,6 +26,7 @@
 	servers    map[serverID]*server
 	groups     map[groupID]*groupState
 	peers      map[peerID]*peer
+	homes      *route.Homes
 	metrics    metric.Table
 
 	refusals    sync.Map     // verdict.Code to *atomic.Int64, of requests that were not taken.
--- a/traffic/front/view.go
+++ b/traffic/front/view.go
@@ -77,6 +77,7 @@
 		services: make(map[string]*service, len(snapshot.Services)),
 		peers:    h.peersOf(snapshot),
 	}
+	h.homes = h.homes.For(snapshot.Places)
 	used := make(map[serverID]bool)
 	for name, routing := range snapshot.Services {
 		next.services[name] = h.serviceOf(next, routing, used)
@@ -146,14 +147,14 @@
 // server's zone: a slot stays unused while an answer and the next request
 // travel, so that the distance between queue and server costs capacity.
 func (h *Handler) homeOf(v *view, s *service, declared *route.Server) string {
-	if s.DividedByKey && !declared.ChecksGrants || len(v.snapshot.Places) == 0 {
+	if s.DividedByKey && !declared.ChecksGrants || h.homes.Empty() {
 		return declared.Home
 	}
 	subject := s.Name
 	if s.DividedByKey {
 		subject += "/" + declared.Name
 	}
-	return v.snapshot.QueueVM(subject, declared.Region, declared.Zone)
+	return h.homes.QueueVM(subject, declared.Region, declared.Zone)
 }
 
 // Sweep closes connections that were unused for long, and turns the windows of
--- a/traffic/route/home.go
+++ b/traffic/route/home.go
@@ -1,38 +1,92 @@
 package route
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Homes chooses the VMs that queue for backend servers, by rendezvous hash
+// over the places of the VMs. It remembers its choices, so that a new snapshot
+// with the same places costs no more than comparing them. It is not safe for
+// concurrent use.
+type Homes struct {
+	places  map[string]Place
+	zones   map[Place][]string
+	regions map[string][]string
+	chosen  map[homeKey]string
+}
+
+type homeKey struct {
+	subject string
+	place   Place
+}
+
+// NewHomes returns the homes for the given places, which must not be changed.
+func NewHomes(places map[string]Place) *Homes {
+	h := &Homes{
+		places:  places,
+		zones:   make(map[Place][]string),
+		regions: make(map[string][]string),
+		chosen:  make(map[homeKey]string),
+	}
+	names := make([]string, 0, len(places))
+	for name := range places {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		place := places[name]
+		h.zones[place] = append(h.zones[place], name)
+		h.regions[place.Region] = append(h.regions[place.Region], name)
+	}
+	return h
+}
+
+// For returns h if the places are still the same, or else new homes.
+func (h *Homes) For(places map[string]Place) *Homes {
+	if h == nil || len(places) != len(h.places) {
+		return NewHomes(places)
+	}
+	for name, place := range places {
+		if h.places[name] != place {
+			return NewHomes(places)
+		}
+	}
+	return h
+}
+
+// Empty says whether no VM has a place.
+func (h *Homes) Empty() bool { return len(h.places) == 0 }
 
 // QueueVM returns the VM that queues for a server, or for a group of servers,
 // in a zone: the first in rendezvous order among the VMs of the zone, or else
 // of the region. Every VM with the same places gets the same answer; a
 // different one costs a detour, never a promise. It is empty when the region
 // has no VM.
-func (s *Snapshot) QueueVM(subject, region, zone string) string {
-	best, bestInZone, bestWeight := "", false, uint64(0)
-	for name, place := range s.Places {
-		if place.Region != region {
-			continue
-		}
-		inZone := place.Zone == zone
-		weight := xxhash.Sum64String(subject + "\x00" + name)
-		if better(inZone, weight, name, bestInZone, bestWeight, best) {
-			best, bestInZone, bestWeight = name, inZone, weight
-		}
+func (h *Homes) QueueVM(subject, region, zone string) string {
+	key := homeKey{subject, Place{region, zone}}
+	if vm, ok := h.chosen[key]; ok {
+		return vm
 	}
-	return best
+	names := h.zones[key.place]
+	if len(names) == 0 {
+		names = h.regions[region]
+	}
+	vm := heaviest(subject, names)
+	h.chosen[key] = vm
+	return vm
 }
 
-// better compares two VMs: the one in the zone, of the greater weight, of the
-// lesser name.
-func better(inZone bool, weight uint64, name string, thanInZone bool, thanWeight uint64, than string) bool {
-	switch {
-	case than == "":
-		return true
-	case inZone != thanInZone:
-		return inZone
-	case weight != thanWeight:
-		return weight > thanWeight
-	default:
-		return name < than
+// heaviest returns the name with the greatest weight for the subject; of equal
+// ones the first.
+func heaviest(subject string, names []string) string {
+	best, bestWeight := "", uint64(0)
+	for _, name := range names {
+		weight := xxhash.Sum64String(subject + "\x00" + name)
+		if best == "" || weight > bestWeight {
+			best, bestWeight = name, weight
+		}
 	}
+	return best
 }
--- a/traffic/route/route_test.go
+++ b/traffic/route/route_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"maps"
 	"strconv"
 	"testing"
 
@@ -32,32 +33,36 @@
 
 func TestQueueVM(t *testing.T) {
 	g := NewWithT(t)
-	s := &Snapshot{Places: map[string]Place{}}
+	places := map[string]Place{}
 	for i := range 12 {
-		s.Places["vm"+strconv.Itoa(i)] = Place{Region: "r" + strconv.Itoa(i%2), Zone: "z" + strconv.Itoa(i%4)}
+		places["vm"+strconv.Itoa(i)] = Place{Region: "r" + strconv.Itoa(i%2), Zone: "z" + strconv.Itoa(i%4)}
 	}
+	homes := NewHomes(places)
+	before := map[string]string{}
 	used := map[string]int{}
 	for i := range 300 {
-		vm := s.QueueVM("server"+strconv.Itoa(i), "r0", "z0")
-		g.Expect(s.Places[vm]).To(Equal(Place{Region: "r0", Zone: "z0"}))
-		used[vm]++
+		server := strconv.Itoa(i)
+		before[server] = homes.QueueVM(server, "r0", "z0")
+		used[before[server]]++
+		g.Expect(places[before[server]]).To(Equal(Place{Region: "r0", Zone: "z0"}))
 	}
 	g.Expect(used).To(HaveLen(3), "every VM of the zone gets its part")
-	g.Expect(s.Places[s.QueueVM("x", "r0", "none")].Region).To(Equal("r0"), "else one of the region")
-	g.Expect(s.QueueVM("x", "none", "z0")).To(BeEmpty())
+	g.Expect(places[homes.QueueVM("x", "r0", "none")].Region).To(Equal("r0"), "else one of the region")
+	g.Expect(homes.QueueVM("x", "none", "z0")).To(BeEmpty())
 
-	gone := s.QueueVM("x", "r0", "z0")
-	before := map[string]string{}
-	for i := range 100 {
-		name := strconv.Itoa(i)
-		before[name] = s.QueueVM(name, "r0", "z0")
-	}
-	delete(s.Places, gone)
-	for name, vm := range before {
+	g.Expect(homes.For(maps.Clone(places))).To(BeIdenticalTo(homes), "the same places")
+	gone := before["0"]
+	fewer := maps.Clone(places)
+	delete(fewer, gone)
+	homes = homes.For(fewer)
+	for server, vm := range before {
 		if vm != gone {
-			g.Expect(s.QueueVM(name, "r0", "z0")).To(Equal(vm), "only what the lost VM had moves")
+			g.Expect(homes.QueueVM(server, "r0", "z0")).To(Equal(vm), "only what the lost VM had moves")
 		}
 	}
+	moved := maps.Clone(fewer)
+	moved["vm1"] = Place{Region: "r0", Zone: "z0"}
+	g.Expect(homes.For(moved)).NotTo(BeIdenticalTo(homes))
 }
 
 func TestPublisherWakesWaiters(t *testing.T) {
