--- a/control/system_handover.go
+++ b/control/system_handover.go
@@ -3,9 +3,7 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
-	"guavacrank.example/control/ownership"
 	"guavacrank.example/event"
 )
 
@@ -158,106 +156,3 @@
 	m.emit(event.HandOverRequested, "this VM stops or is not well placed", "service", s.name,
 		"server", sv.name, "successor", sv.successor)
 }
-
-// acceptHandOver notes a request to take a term over.
-func (m *Machine) acceptHandOver(from string, request *HandOver) {
-	s := m.service(request.Service)
-	if s == nil || s.version == 0 {
-		return
-	}
-	sv := s.server(request.Server)
-	if sv == nil {
-		return
-	}
-	entry := s.entry(sv)
-	if entry == nil || entry.Grantor != from || entry.Term != request.Term {
-		if entry == nil || entry.Term < request.Term {
-			m.wantSince(s, m.now)
-		}
-		return
-	}
-	sv.handOver = request.Term
-	s.asked = true
-}
-
-// receiveMessage takes in a message of another VM's machine.
-func (m *Machine) receiveMessage(in MessageReceived) {
-	message := in.Message
-	switch {
-	case message.Heartbeat != nil:
-		m.members.heard[in.From] = heard{at: m.now, last: message.Heartbeat.Last}
-	case message.Stopped != nil:
-		m.acceptStopped(message.Stopped)
-	case message.Query != nil:
-		m.answerQuery(in.From, message.Query)
-	case message.Released != nil:
-		m.takeWord(in.From, message.Released)
-	case message.HandOver != nil:
-		m.acceptHandOver(in.From, message.HandOver)
-	case message.Notice != nil:
-		if s := m.service(message.Notice.Service); s != nil && message.Notice.Version > s.version {
-			m.wantSince(s, m.now)
-		}
-	case message.LoadQuery != nil:
-		m.reportLoad(in.From, message.LoadQuery)
-	case message.Load != nil:
-		m.addFleetLoad(message.Load)
-	}
-}
-
-func (m *Machine) acceptStopped(stopped *Stopped) {
-	s := m.service(stopped.Service)
-	if s == nil {
-		return
-	}
-	unit := s.page.Unit(stopped.Unit)
-	if s.version == 0 || unit == nil || unit.Epoch < stopped.Epoch {
-		// The page that shows the move has not arrived; the word is repeated.
-		m.wantSince(s, m.now)
-		s.early[stopped.Unit] = max(s.early[stopped.Unit], stopped.Epoch)
-		return
-	}
-	if unit.Epoch == stopped.Epoch && unit.Previous == stopped.Server {
-		m.markStopped(s, stopped.Unit, stopped.Epoch)
-	}
-}
-
-// applyEarly takes in words that arrived before the page that they concern.
-func (m *Machine) applyEarly(s *service) {
-	for id, epoch := range s.early {
-		unit := s.page.Unit(id)
-		if unit == nil || unit.Epoch < epoch {
-			continue
-		}
-		if unit.Epoch == epoch && unit.Previous != "" {
-			m.markStopped(s, id, epoch)
-		}
-		delete(s.early, id)
-	}
-	if len(s.early) > maxEarly {
-		s.early = make(map[ownership.UnitID]ownership.Epoch)
-	}
-}
-
-// runHeartbeats tells the two VMs that are next to hold each of this VM's terms
-// that it is alive.
-func (m *Machine) runHeartbeats() {
-	if m.now-m.members.heartbeatAt < heartbeatInterval && m.members.heartbeatAt != 0 {
-		return
-	}
-	m.members.heartbeatAt = max(m.now, time.Nanosecond)
-	targets := m.members.targets
-	if m.now-m.members.targetsAt >= targetsInterval {
-		m.members.targetsAt = m.now
-		targets = m.heartbeatTargets()
-	}
-	for _, former := range m.members.targets {
-		if !containsSorted(targets, former) {
-			m.send(former, Message{Heartbeat: &Heartbeat{Last: true}})
-		}
-	}
-	for _, target := range targets {
-		m.send(target, Message{Heartbeat: &Heartbeat{}})
-	}
-	m.members.targets = targets
-}
--- a/control/system_heartbeat.go
+++ b/control/system_heartbeat.go
@@ -3,11 +3,35 @@
 import (
 	"slices"
 	"strings"
+	"time"
 )
 
 // standbys is the number of VMs that watch each server's grantor.
 const standbys = 2
 
+// runHeartbeats tells the two VMs that are next to hold each of this VM's terms
+// that it is alive.
+func (m *Machine) runHeartbeats() {
+	if m.now-m.members.heartbeatAt < heartbeatInterval && m.members.heartbeatAt != 0 {
+		return
+	}
+	m.members.heartbeatAt = max(m.now, time.Nanosecond)
+	targets := m.members.targets
+	if m.now-m.members.targetsAt >= targetsInterval {
+		m.members.targetsAt = m.now
+		targets = m.heartbeatTargets()
+	}
+	for _, former := range m.members.targets {
+		if !containsSorted(targets, former) {
+			m.send(former, Message{Heartbeat: &Heartbeat{Last: true}})
+		}
+	}
+	for _, target := range targets {
+		m.send(target, Message{Heartbeat: &Heartbeat{}})
+	}
+	m.members.targets = targets
+}
+
 // heartbeatTargets returns the VMs that are next to hold this VM's terms, sorted.
 func (m *Machine) heartbeatTargets() []string {
 	var targets []string
