--- a/control/settings.go
+++ b/control/settings.go
@@ -31,6 +31,9 @@
 	// grantor by the VM that is next, within the remaining life of its grants.
 	heartbeatInterval = 150 * time.Millisecond
 	heartbeatTimeout  = 480 * time.Millisecond
+	// strangerGrace is how long a VM that began hears others before it suspects
+	// those that it never heard.
+	strangerGrace = 2 * time.Second
 	// targetsInterval is the time between two choices of the VMs that get
 	// heartbeats.
 	targetsInterval = 300 * time.Millisecond
@@ -68,7 +71,7 @@
 	// the store does not grow with the fleet.
 	refreshPerMember = 20 * time.Millisecond
 	// tidyDelay is how long changes without urgency are collected for one write.
-	tidyDelay = 100 * time.Millisecond
+	tidyDelay = 20 * time.Millisecond
 	// formerTidyDelay is the same for the names of former grantors.
 	formerTidyDelay = 5 * time.Second
 	// loadInterval is the time between two load queries of a planner.
