fleet: Members holds this VM from the start

Cause: since changes are taken once a tick, Members was empty until the first tick; the manager test indexed into it and panicked once. Change: the list starts with this VM itself. Conclusion: callers may index by this VM's presence at any time.

--- a/fleet/manager.go
+++ b/fleet/manager.go
@@ -85,7 +85,8 @@
 	m.transport = newTransport(options.Self, options.Token)
 	m.feed = newFeed(m, options.Store)
 	m.server = newServer(m, options.Self.Name, options.Token)
-	m.members.Store(&[]Member{})
+	members := m.node.Members()
+	m.members.Store(&members)
 	return m, nil
 }
 
