traffic/front: bodies that are streamed when the server refuses or resets

Cause: two ends of an attempt had no test. Change: tests only: a refusal before the body's end is not_run, a reset may_have_run. Conclusion: both verdicts hold, each with one send.

--- a/traffic/front/limits_test.go
+++ b/traffic/front/limits_test.go
@@ -181,3 +181,40 @@
 		Entry("with a body", "POST", "text"),
 	)
 })
+
+var _ = Describe("a body that is streamed", func() {
+	// upload sends a non-idempotent request with a body of unknown length that
+	// does not end before the answer.
+	upload := func(v *vm) *http.Response {
+		reader, writer := io.Pipe()
+		go func() {
+			writer.Write(make([]byte, 200_000)) // Fails when the client gives up.
+		}()
+		DeferCleanup(writer.Close)
+		request, err := http.NewRequest("POST", v.caller.URL+"/v1/cards/k", reader)
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set(HeaderClass, "order")
+		response, err := v.caller.Client().Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		response.Body.Close()
+		return response
+	}
+
+	It("is refused with not_run when the server refuses before its end", func() {
+		server := newFakeServer(func(conn net.Conn, _ *http.Request) {
+			io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nGuavacrank-Refused: shed\r\nContent-Length: 0\r\n\r\n")
+		})
+		response := upload(oneVM(server))
+		Expect(response.Header.Get("Guavacrank-Verdict")).To(Equal("not_run"))
+		Expect(response.Header.Get("Guavacrank-Code")).To(Equal("shed"))
+		Expect(server.seen()).To(HaveLen(1), "it can't be sent again")
+	})
+
+	It("may have run when the server resets the connection before its end", func() {
+		server := newFakeServer(reset)
+		response := upload(oneVM(server))
+		Expect(response.Header.Get("Guavacrank-Verdict")).To(Equal("may_have_run"))
+		Expect(response.Header.Get("Guavacrank-Code")).To(Or(Equal("write"), Equal("reset")))
+		Expect(server.seen()).To(HaveLen(1))
+	})
+})
