traffic/once: leases by the clock that counts suspend; a stop writes the ends

Cause: a VM suspended for long could give a new record a lease that was about to lapse, and so a life shorter than stated; a stopping VM could exit before the ends of its requests were written. Change: the lease's turn is measured on the clock of elapsed time including suspend; Handler.Stop waits for the ends that are being written.

--- a/traffic/front/handler.go
+++ b/traffic/front/handler.go
@@ -115,8 +115,9 @@
 }
 
 // Stop refuses new requests, of callers and of other VMs, and waits for those
-// in flight. It returns the context's error when it ends first. The daemon
-// hands over its servers before it calls Stop.
+// in flight, and for the ends of records that are being written. It returns
+// the context's error when it ends first. The daemon hands over its servers
+// before it calls Stop.
 func (h *Handler) Stop(ctx context.Context) error {
 	h.stopping.Store(true)
 	for h.inFlight.Load() > 0 {
@@ -126,7 +127,10 @@
 			return ctx.Err()
 		}
 	}
-	return nil
+	if h.options.Once == nil {
+		return nil
+	}
+	return h.options.Once.Wait(ctx)
 }
 
 // Close closes every idle connection; others close as their requests end.
--- a/traffic/front/once_test.go
+++ b/traffic/front/once_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -34,7 +35,7 @@
 	It("is answered from the record when repeated through another VM", func() {
 		server, a, b := pair(say("HTTP/1.1 201 Created\r\nContent-Type: text/x\r\nContent-Length: 2\r\n\r\nok"))
 		Expect(a.order(key...).status).To(Equal(201))
-		a.options.Once.Wait()
+		Expect(a.options.Once.Wait(context.Background())).To(Succeed())
 		got := b.order(key...)
 		Expect([]any{got.status, got.verdict, got.code, got.body}).To(Equal([]any{201, "answered", "once_finished", "ok"}))
 		Expect(got.header.Get("Content-Type")).To(Equal("text/x"))
@@ -46,7 +47,7 @@
 		body := strings.Repeat("x", once.MaxBodyBytes+1)
 		server, a, b := pair(say("HTTP/1.1 200 OK\r\nContent-Length: 4097\r\n\r\n" + body))
 		Expect(a.order(key...).body).To(Equal(body))
-		a.options.Once.Wait()
+		Expect(a.options.Once.Wait(context.Background())).To(Succeed())
 		got := b.order(key...)
 		Expect([]any{got.status, got.verdict, got.code, got.header.Get(HeaderRecordedStatus)}).To(Equal([]any{409, "answered", "once_finished", "200"}))
 		Expect(server.seen()).To(HaveLen(1))
@@ -68,7 +69,7 @@
 	It("does not run again after an attempt without proof, such as at a frozen server", func() {
 		server, a, b := pair(stay)
 		Expect(a.order(append(key, HeaderDeadline, "100")...).verdict).To(Equal("may_have_run"))
-		a.options.Once.Wait()
+		Expect(a.options.Once.Wait(context.Background())).To(Succeed())
 		got := b.order(key...)
 		Expect([]any{got.verdict, got.code}).To(Equal([]any{"may_have_run", "once_unknown"}))
 		Expect(server.seen()).To(HaveLen(1))
--- a/traffic/once/records.go
+++ b/traffic/once/records.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"guavacrank.example/platform"
+	"guavacrank.example/traffic/elapsed"
 )
 
 // Store is the part of platform.Store that records need.
@@ -28,8 +29,9 @@
 	// EndsPerSecond bounds how many ends of requests this VM writes to the
 	// store each second; ends beyond it stay Begun. Zero means DefaultEnds.
 	EndsPerSecond int
-	// Now is the clock; nil means time.Now.
-	Now func() time.Time
+	// Elapsed is a clock that runs on while the VM is suspended, so that a
+	// lease is not used for longer than its turn. Nil means elapsed.Now.
+	Elapsed func() time.Duration
 }
 
 // Defaults of Options, and bounds of the calls on the store.
@@ -53,7 +55,7 @@
 
 	mu         sync.Mutex
 	lease      platform.LeaseID
-	leaseUntil time.Time
+	leaseUntil time.Duration
 	ends       int // Ends written in the second of endsAt.
 	endsAt     int64
 	writing    sync.WaitGroup
@@ -67,8 +69,8 @@
 	if options.EndsPerSecond == 0 {
 		options.EndsPerSecond = DefaultEnds
 	}
-	if options.Now == nil {
-		options.Now = time.Now
+	if options.Elapsed == nil {
+		options.Elapsed = elapsed.Now
 	}
 	return &Records{options: options}
 }
@@ -186,7 +188,7 @@
 
 // mayEnd says whether one more end may be written in this second.
 func (r *Records) mayEnd() bool {
-	second := r.options.Now().Unix()
+	second := int64(r.options.Elapsed() / time.Second)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.endsAt != second {
@@ -199,27 +201,40 @@
 	return true
 }
 
-// Wait returns when every end that is being written is settled.
-func (r *Records) Wait() { r.writing.Wait() }
+// Wait returns when every end that is being written is settled, or with the
+// context's error when that ends first. No end may begin meanwhile.
+func (r *Records) Wait(ctx context.Context) error {
+	settled := make(chan struct{})
+	go func() {
+		r.writing.Wait()
+		close(settled)
+	}()
+	select {
+	case <-settled:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
 
 // currentLease returns the lease of this turn, and asks for one when it is due.
 func (r *Records) currentLease(ctx context.Context) (platform.LeaseID, error) {
 	r.mu.Lock()
 	lease, until := r.lease, r.leaseUntil
 	r.mu.Unlock()
-	if lease != 0 && r.options.Now().Before(until) {
+	if lease != 0 && r.options.Elapsed() < until {
 		return lease, nil
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	began := r.options.Now()
+	began := r.options.Elapsed()
 	lease, err := r.options.Store.GrantLease(callCtx, r.options.Life+leaseTurn)
 	if err != nil {
 		return 0, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lease, r.leaseUntil = lease, began.Add(leaseTurn)
+	r.lease, r.leaseUntil = lease, began+leaseTurn
 	return lease, nil
 }
 
--- a/traffic/once/records_test.go
+++ b/traffic/once/records_test.go
@@ -48,7 +48,7 @@
 	It("tell a repeat through another VM what was answered", func() {
 		claim, _, _ := begin(a)
 		claim.Finish(NewAnswer(201, "text/plain", []byte("done"), true))
-		a.Wait()
+		Expect(a.Wait(context.Background())).To(Succeed())
 		_, earlier, err := begin(b)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(earlier.State).To(Equal(Finished))
@@ -65,7 +65,7 @@
 	It("keep an end without proof", func() {
 		claim, _, _ := begin(a)
 		claim.Unknown()
-		a.Wait()
+		Expect(a.Wait(context.Background())).To(Succeed())
 		_, earlier, _ := begin(b)
 		Expect(earlier.State).To(Equal(Unknown))
 	})
@@ -84,7 +84,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(earlier).To(BeNil())
 		claim.Finish(NewAnswer(200, "", nil, true))
-		a.Wait()
+		Expect(a.Wait(context.Background())).To(Succeed())
 		_, earlier, _ = begin(b)
 		Expect(earlier.State).To(Equal(Finished))
 	})
@@ -112,33 +112,33 @@
 		claim, _, _ := begin(a)
 		store.SetDown(true)
 		claim.Finish(NewAnswer(200, "", nil, true))
-		a.Wait()
+		Expect(a.Wait(context.Background())).To(Succeed())
 		store.SetDown(false)
 		_, earlier, _ := begin(b)
 		Expect(earlier.State).To(Equal(Begun))
 	})
 
 	It("bound the ends written each second, never the beginnings", func() {
-		now := time.Unix(1000, 0)
-		r := New(Options{Store: store, VM: "a", EndsPerSecond: 1, Now: func() time.Time { return now }})
+		now := 1000 * time.Second
+		r := New(Options{Store: store, VM: "a", EndsPerSecond: 1, Elapsed: func() time.Duration { return now }})
 		for _, key := range []string{"1", "2"} {
 			claim, _, err := r.Begin(ctx, "cards", key, "f")
 			Expect(err).NotTo(HaveOccurred())
 			claim.Finish(NewAnswer(200, "", nil, true))
 		}
-		r.Wait()
+		Expect(r.Wait(context.Background())).To(Succeed())
 		_, first, _ := b.Begin(ctx, "cards", "1", "f")
 		_, second, _ := b.Begin(ctx, "cards", "2", "f")
 		Expect([]State{first.State, second.State}).To(Equal([]State{Finished, Begun}))
 	})
 
 	It("use one lease for the records of a turn", func() {
-		now := time.Unix(1000, 0)
-		r := New(Options{Store: store, VM: "a", Now: func() time.Time { return now }})
+		now := 1000 * time.Second
+		r := New(Options{Store: store, VM: "a", Elapsed: func() time.Duration { return now }})
 		r.Begin(ctx, "cards", "1", "f")
 		r.Begin(ctx, "cards", "2", "f")
 		Expect(store.Leases()).To(Equal(1))
-		now = now.Add(leaseTurn)
+		now += leaseTurn // Suspend counts.
 		r.Begin(ctx, "cards", "3", "f")
 		Expect(store.Leases()).To(Equal(2))
 	})
