--- a/bench/control/managers.go
+++ b/bench/control/managers.go
@@ -22,8 +22,11 @@
 const (
 	// startPeriod is how long a fleet runs before it is measured.
 	startPeriod = 10 * time.Second
-	// startSpacing is the time between the starts of two VMs.
-	startSpacing = 20 * time.Millisecond
+	// stopPeriod is how long what ran before gets to free its memory.
+	stopPeriod = 2 * time.Second
+	// startSpacing, times the size of the fleet, is the time between the starts
+	// of two VMs: all of them share this machine's cores.
+	startSpacing = time.Millisecond
 )
 
 // discard is a Listener that does nothing.
@@ -73,7 +76,7 @@
 			f.stop()
 			return nil, err
 		}
-		if err := sleep(ctx, startSpacing); err != nil {
+		if err := sleep(ctx, time.Duration(size)*startSpacing); err != nil {
 			f.stop()
 			return nil, err
 		}
@@ -176,6 +179,9 @@
 }
 
 func measureFleet(ctx context.Context, p policy, size int, period time.Duration) (costs, error) {
+	if err := sleep(ctx, stopPeriod); err != nil {
+		return costs{}, err
+	}
 	heapBefore := heapBytes()
 	f, err := startFleet(ctx, p, size)
 	if err != nil {
--- a/bench/control/virtual.go
+++ b/bench/control/virtual.go
@@ -15,8 +15,6 @@
 
 const (
 	settle       = 10 * time.Second
-	changes      = 200
-	faultRuns    = 20
 	waitLimit    = time.Minute
 	betweenWrite = 1500 * time.Millisecond
 	// regionCut is how long the regions lose each other in a run.
@@ -58,12 +56,12 @@
 }
 
 // timeToInForce measures one policy on one site.
-func timeToInForce(site fleettest.Site, p policy, seed uint64) []report.Row {
-	random := rand.New(rand.NewPCG(seed, uint64(len(site.Name))))
+func timeToInForce(site fleettest.Site, p policy, options Options) []report.Row {
+	random := rand.New(rand.NewPCG(options.Seed, uint64(len(site.Name))))
 	prefix := "control." + site.Name + "."
-	rows := healthyRows(site, p, random, prefix)
-	relayLost := worst(func() time.Duration { return relayLostRun(site, p, random) })
-	linkLost := worst(func() time.Duration { return linkLostRun(site, p, random) })
+	rows := healthyRows(site, p, random, options.Changes)
+	relayLost := worst(options.FaultRuns, func() time.Duration { return relayLostRun(site, p, random) })
+	linkLost := worst(options.FaultRuns, func() time.Duration { return linkLostRun(site, p, random) })
 	return append(rows,
 		maxRow(prefix+"relay_lost.max", p, milliseconds(relayLost), "ms", faultTarget),
 		maxRow(prefix+"link_lost_and_returned.max", p, milliseconds(linkLost), "ms", faultTarget),
@@ -79,16 +77,17 @@
 	return row
 }
 
-func worst(run func() time.Duration) time.Duration {
+func worst(runs int, run func() time.Duration) time.Duration {
 	var longest time.Duration
-	for range faultRuns {
+	for range runs {
 		longest = max(longest, run())
 	}
 	return longest
 }
 
 // healthyRows measures changes that a VM writes and publishes.
-func healthyRows(site fleettest.Site, p policy, random *rand.Rand, prefix string) []report.Row {
+func healthyRows(site fleettest.Site, p policy, random *rand.Rand, changes int) []report.Row {
+	prefix := "control." + site.Name + "."
 	world := newWorld(site, p, fleetSize)
 	restStart, restBytes := world.Now, world.LinkBytes
 	world.Run(settle)
@@ -103,7 +102,7 @@
 	}
 	slices.Sort(times)
 	atRest := restRate * (world.Now - began).Seconds()
-	perChange := (float64(world.LinkBytes-linkBytes) - atRest) / changes
+	perChange := (float64(world.LinkBytes-linkBytes) - atRest) / float64(changes)
 	return []report.Row{
 		{Name: prefix + "healthy.p50", Policy: p.name, Value: milliseconds(times[changes/2]), Unit: "ms"},
 		maxRow(prefix+"healthy.max", p, milliseconds(times[changes-1]), "ms", healthyTarget),
@@ -157,9 +156,8 @@
 }
 
 // virtualCosts counts messages and bytes of the state machines by fleet size.
-func virtualCosts() []report.Row {
+func virtualCosts(sizes []int) []report.Row {
 	const measured = 20 * time.Second
-	sizes := DefaultSizes()
 	var rows []report.Row
 	for _, p := range policies() {
 		var bytesPerSecond []float64
@@ -169,18 +167,36 @@
 			world.Run(measured)
 			bytesAfter, messagesAfter := sent(world)
 			share := measured.Seconds() * float64(size)
-			rate := float64(bytesAfter-bytes) / share
+			rate := 2 * float64(bytesAfter-bytes) / share
 			bytesPerSecond = append(bytesPerSecond, rate)
 			rows = append(rows,
-				report.Row{Name: sizedName("control.machine.sent", size), Policy: p.name, Value: rate, Unit: "bytes/s"},
+				maxRow(sizedName("control.machine.bytes", size), p, rate, "bytes/s", bytesTarget),
 				report.Row{Name: sizedName("control.machine.messages", size), Policy: p.name,
 					Value: float64(messagesAfter-messages) / share, Unit: "messages/s"})
 		}
-		rows = append(rows, slopeRow("control.machine.sent", p.name, "bytes/s", sizes, bytesPerSecond))
+		rows = append(rows, slopeRow("control.machine.bytes", p.name, "bytes/s", sizes, bytesPerSecond))
 	}
 	return rows
 }
 
+// machineTime measures the processor time of the state machines alone, by
+// fleet size. It is this machine's time and differs from run to run.
+func machineTime(sizes []int) []report.Row {
+	const measured = 10 * time.Second
+	tree := policies()[0]
+	var rows []report.Row
+	var shares []float64
+	for _, size := range sizes {
+		world := newWorld(fleettest.Verhaegen, tree, size)
+		before := processorTime()
+		world.Run(measured)
+		share := 100 * (processorTime() - before).Seconds() / measured.Seconds() / float64(size)
+		shares = append(shares, share)
+		rows = append(rows, maxRow(sizedName("control.machine.processor", size), tree, share, "% of a core", processorTarget))
+	}
+	return append(rows, slopeRow("control.machine.processor", tree.name, "% of a core", sizes, shares))
+}
+
 func sent(world *fleettest.World) (bytes, messages int) {
 	for _, process := range world.Running() {
 		bytes += process.SentBytes
