control/planner: a planner that just began, and a quiet service

Cause: each new planner moved 12 units (seen at every planner change of the rolling replacement): its first counting window lacked the reports of some VMs, whose servers looked idle. And a server that returned while nothing was asked got no units, as loads without requests were never trusted (seen: cat-3 and cat-4 with 0 of 256 units 18 s after their return). Change: the first window does not count and moves by choice need two; after six windows without enough requests units are balanced by number.

--- a/control/load/table.go
+++ b/control/load/table.go
@@ -33,7 +33,8 @@
 	counts    []uint64  // Requests in the open window, by unit.
 	short     []float64 // Short average of requests a second, by unit.
 	rates     []float64 // Long average of requests a second, by unit.
-	windows   int       // Closed windows.
+	windows   int       // Closed windows that count.
+	primed    bool      // The first window has ended.
 }
 
 // NewTable returns an empty table whose first window opens at now.
@@ -47,19 +48,25 @@
 	t.counts[unit] += uint64(requests)
 }
 
-// Roll closes the window if it has ended, and reports whether it did. A
-// window that ended long ago counts once.
+// Roll closes the window if it has ended, and reports whether it counts. The
+// first one does not: it began before every VM reported, and what is missing
+// would look like idle servers. A window that ended long ago counts once.
 func (t *Table) Roll(now time.Duration) bool {
 	if now < t.windowEnd {
 		return false
 	}
 	length := Window + now - t.windowEnd
+	t.windowEnd = now + Window
+	if !t.primed {
+		t.primed = true
+		clear(t.counts)
+		return false
+	}
 	for unit, count := range t.counts {
 		t.rollUnit(unit, float64(count)/length.Seconds())
 		t.counts[unit] = 0
 	}
 	t.windows++
-	t.windowEnd = now + Window
 	return true
 }
 
@@ -83,8 +90,8 @@
 // weight averages over.
 func averagedWindows(weight float64) float64 { return (2 - weight) / weight }
 
-// Known reports whether at least one window was closed.
-func (t *Table) Known() bool { return t.windows > 0 }
+// Windows returns the number of closed windows that count.
+func (t *Table) Windows() int { return t.windows }
 
 // Rate returns the unit's estimated requests a second.
 func (t *Table) Rate(unit ownership.UnitID) float64 {
--- a/control/planner/planner.go
+++ b/control/planner/planner.go
@@ -23,6 +23,11 @@
 	permille = 1000
 	// untrustedNoise is the relative error above which loads say nothing.
 	untrustedNoise = 0.25
+	// leastWindows is the number of counting windows before moves by choice.
+	leastWindows = 2
+	// quietWindows is the number of windows after which loads that say nothing
+	// mean a quiet service, whose units are balanced by number.
+	quietWindows = 6
 )
 
 // Settings bound what a planner does.
@@ -133,9 +138,14 @@
 // planMoves plans needed moves, and moves by choice within the budget.
 func (p *Planner) planMoves(now time.Duration, view View) []placement.Move {
 	servers := p.placementServers(now, view)
-	units, pinned := p.placementUnits(now, view)
-	limits := placement.Limits{Noise: p.loads.Noise(len(servers))}
-	if !p.judged && limits.Noise < untrustedNoise {
+	noise := p.loads.Noise(len(servers))
+	trusted := noise < untrustedNoise
+	units, pinned := p.placementUnits(now, view, trusted)
+	var limits placement.Limits
+	if trusted {
+		limits.Noise = noise
+	}
+	if !p.judged && p.mayChoose(trusted) {
 		limits.Moves = p.budget.available(now)
 	}
 	needed := len(pinned)
@@ -149,6 +159,14 @@
 	return moves
 }
 
+// mayChoose reports whether enough is known for moves by choice.
+func (p *Planner) mayChoose(trusted bool) bool {
+	if trusted {
+		return p.loads.Windows() >= leastWindows
+	}
+	return p.loads.Windows() >= quietWindows
+}
+
 // isByChoice reports whether the move's source could have kept the unit.
 func (p *Planner) isByChoice(servers []placement.Server, move placement.Move) bool {
 	for _, server := range servers {
--- /dev/null
+++ b/control/planner/planner_test.go
@@ -0,0 +1,100 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/control/load"
+	"guavacrank.example/control/ownership"
+	"guavacrank.example/control/placement"
+)
+
+var settings = Settings{HoldTime: 30 * time.Second, MovesPerMinute: 12, HotKeyShare: 20}
+
+// view has units spread in turn over the first owners of the servers.
+func view(units, owners, servers int) View {
+	v := View{Page: ownership.Page{Shards: uint32(units)}}
+	for i := range servers {
+		v.Servers = append(v.Servers, Server{Name: string(rune('a' + i)), Slots: 4, Accepts: true, Keeps: true})
+	}
+	for id := range units {
+		owner := v.Servers[id%owners].Name
+		v.Page.Units = append(v.Page.Units, ownership.Unit{ID: ownership.UnitID(id), Owner: owner, Epoch: 1})
+	}
+	return v
+}
+
+// plans runs the planner over windows and returns the number of moves. count
+// returns the requests of a unit in a window.
+func plans(p *Planner, v View, windows int, count func(window int, unit ownership.UnitID) uint32) int {
+	moves := 0
+	for window := range windows {
+		for _, unit := range v.Page.Units {
+			p.AddUnit(unit.ID, count(window, unit.ID))
+		}
+		now := time.Duration(window+1) * load.Window
+		moves += len(p.Plan(now, v).Moves)
+	}
+	return moves
+}
+
+func TestReportsThatAreMissingAtFirstMoveNothing(t *testing.T) {
+	g := NewWithT(t)
+	p := New(placement.Balanced{}, settings, 0)
+	v := view(64, 4, 4)
+	moves := plans(p, v, 20, func(window int, unit ownership.UnitID) uint32 {
+		if window == 0 && v.Page.Units[unit].Owner != "a" {
+			return 0
+		}
+		return 200
+	})
+	g.Expect(moves).To(BeZero())
+}
+
+func TestAReturnedServerGetsUnitsOfAQuietService(t *testing.T) {
+	g := NewWithT(t)
+	p := New(placement.Balanced{}, settings, 0)
+	quiet := func(int, ownership.UnitID) uint32 { return 0 }
+	g.Expect(plans(p, view(64, 3, 4), quietWindows, quiet)).To(BeZero())
+	moves := p.Plan((quietWindows+1)*load.Window, view(64, 3, 4)).Moves
+	g.Expect(moves).NotTo(BeEmpty())
+	for _, move := range moves {
+		g.Expect(move.To).To(Equal("d"))
+	}
+}
+
+func TestNeededMovesAreNotBounded(t *testing.T) {
+	g := NewWithT(t)
+	p := New(placement.Balanced{}, settings, 0)
+	v := view(64, 2, 3)
+	v.Servers[0].Keeps = false
+	moves := p.Plan(0, v).Moves
+	g.Expect(moves).To(HaveLen(32))
+	for _, move := range moves {
+		g.Expect(move.From).To(Equal("a"))
+	}
+}
+
+func TestMovesByChoiceStayWithinTheBudgetOfAnyMinute(t *testing.T) {
+	g := NewWithT(t)
+	p := New(placement.Balanced{}, settings, 0)
+	v := view(256, 3, 4)
+	const windowsOfAMinute = int(time.Minute / load.Window)
+	busy := func(int, ownership.UnitID) uint32 { return 100 }
+	g.Expect(plans(p, v, windowsOfAMinute, busy)).To(And(BeNumerically(">", 0), BeNumerically("<=", settings.MovesPerMinute)))
+}
+
+func TestDeclaredKeysAreIsolatedAndMovedToTheirServer(t *testing.T) {
+	g := NewWithT(t)
+	p := New(placement.Balanced{}, settings, 0)
+	v := view(8, 2, 2)
+	v.Declarations = []Declaration{{Key: "k", Server: "b"}}
+	quiet := func(int, ownership.UnitID) uint32 { return 0 }
+	plans(p, v, 1, quiet)
+	g.Expect(p.Plan(2*load.Window, v).Isolate).To(Equal([]string{"k"}))
+	v.Page.Units = append(v.Page.Units, ownership.Unit{ID: 8, Owner: "a", Epoch: 1})
+	v.Page.Overrides = []ownership.Override{{Key: "k", Unit: 8, Declared: true}}
+	g.Expect(p.Plan(2*load.Window, v).Moves).To(Equal([]placement.Move{{Unit: 8, From: "a", To: "b"}}))
+}
--- a/control/planner/units.go
+++ b/control/planner/units.go
@@ -14,7 +14,8 @@
 // placementUnits returns the units for the policy, and the moves of declared
 // keys to their servers. Units that are moving are fixed. Units still waiting
 // for their previous owner are left out of needed moves by being owned already.
-func (p *Planner) placementUnits(now time.Duration, view View) ([]placement.Unit, []placement.Move) {
+// Loads that are not trusted count the same for every unit.
+func (p *Planner) placementUnits(now time.Duration, view View, trusted bool) ([]placement.Unit, []placement.Move) {
 	targets := declaredTargets(view)
 	base := p.baseLoad(len(view.Page.Units))
 	var pinned []placement.Move
@@ -23,9 +24,12 @@
 		entry := placement.Unit{
 			ID:    unit.ID,
 			Owner: unit.Owner,
-			Load:  p.loads.Rate(unit.ID) + base,
+			Load:  base,
 			Fixed: unit.Previous != "" || p.held(now, unit.ID),
 		}
+		if trusted {
+			entry.Load += p.loads.Rate(unit.ID)
+		}
 		if target, declared := targets[unit.ID]; declared {
 			entry.Fixed = true
 			if target != unit.Owner && unit.Previous == "" {
