traffic: the answer to a request whose body is given up

Cause: a test of a streamed body failed now and then: (1) giving up the body ended the request's context, so that a reset was told as caller_gone; (2) the caller's connection was closed with unread data, which resets it, and the caller lost the verdict. Change: the cause of a failure is settled before the body is given up, and whether a byte was sent afterwards, when nobody sends any more; such a connection stays open for 200 ms after the answer (RFC 9112, section 9.6).

--- a/traffic/front/answer.go
+++ b/traffic/front/answer.go
@@ -92,11 +92,18 @@
 
 // writeOutcome gives the outcome to the caller, or to the VM that forwarded.
 func (h *Handler) writeOutcome(ctx context.Context, w http.ResponseWriter, c *call, out outcome) {
+	control := http.NewResponseController(w)
+	if c.body.isCut() {
+		w.Header()["Connection"] = []string{"close"}
+		defer func() {
+			control.Flush()
+			time.Sleep(linger)
+		}()
+	}
 	if out.answer == nil {
 		writeFailure(w, out)
 		return
 	}
-	control := http.NewResponseController(w)
 	until, _ := ctx.Deadline()
 	control.SetWriteDeadline(until.Add(deadlineSlack))
 	writeHead(w, out)
--- a/traffic/front/body.go
+++ b/traffic/front/body.go
@@ -30,6 +30,14 @@
 	return b.stream == nil || !b.stream.started.Load()
 }
 
+// linger is how long a connection whose request body was not read stays open
+// after the answer. Closing it at once would reset it, and the caller might
+// lose the answer (RFC 9112, section 9.6).
+const linger = 200 * time.Millisecond
+
+// isCut says that the body was given up before its end.
+func (b *body) isCut() bool { return b.stream != nil && b.stream.cut.Load() }
+
 // attach sets the body of an outgoing request.
 func (b *body) attach(request *http.Request) {
 	switch {
@@ -80,6 +88,7 @@
 	passed  atomic.Int64
 	started atomic.Bool
 	ended   atomic.Bool
+	cut     atomic.Bool // Closed before its end.
 }
 
 // Streamed implements upstream.Streamed.
@@ -112,5 +121,6 @@
 	if s.ended.Load() {
 		return nil
 	}
+	s.cut.Store(true)
 	return s.control.SetReadDeadline(time.Unix(1, 0))
 }
--- a/traffic/upstream/exchange.go
+++ b/traffic/upstream/exchange.go
@@ -43,8 +43,9 @@
 
 	writeErr := x.send()
 	if writeErr != nil && !c.sent {
+		failure := &Failure{Stage: StageWrite, Timeout: x.ended(writeErr), Err: writeErr}
 		x.abandon()
-		return nil, &Failure{Stage: StageWrite, Timeout: x.ended(writeErr), Err: writeErr}
+		return nil, failure
 	}
 	if writeErr != nil && x.ctx.Err() == nil {
 		c.SetReadDeadline(time.Now().Add(answerGrace))
@@ -123,12 +124,15 @@
 	if writeErr == nil && x.written != nil {
 		writeErr = x.bodyError()
 	}
-	x.abandon()
-	failure := &Failure{Stage: StageAnswer, Sent: x.conn.sent, Timeout: x.ended(readErr), Err: readErr}
+	failure := &Failure{Stage: StageAnswer, Timeout: x.ended(readErr), Err: readErr}
 	if writeErr != nil {
 		failure.Stage, failure.Err = StageWrite, writeErr
 		failure.Timeout = x.ended(writeErr)
 	}
+	// Giving up a streamed body ends the context, so that Timeout is settled
+	// before; whether a byte was sent is known only once nobody sends any more.
+	x.abandon()
+	failure.Sent = x.conn.sent
 	return failure
 }
 
