--- a/control/load/table.go
+++ b/control/load/table.go
@@ -21,7 +21,7 @@
 	// shortWeight is the weight of the newest window in the short average.
 	shortWeight = 0.5
 	// longWindows is the number of windows that the long average covers.
-	longWindows = 20
+	longWindows = 60
 	// changeErrors is the number of standard errors by which the averages must
 	// differ for the load to count as changed.
 	changeErrors = 4.5
--- a/control/placement/balanced.go
+++ b/control/placement/balanced.go
@@ -19,7 +19,9 @@
 	// receiverMargin is the number of standard errors by which a move by choice
 	// must leave its receiver below the mean, so that no server is filled above
 	// its fair share.
-	receiverMargin = 2.0
+	receiverMargin = 3.0
+	// tightMargin takes its place where no receiver has that much room.
+	tightMargin = 1.0
 	// leastGain is the least share of the mean load by which a move by choice
 	// must lower the pair's greater load.
 	leastGain = 0.002
@@ -36,7 +38,7 @@
 func (Balanced) Plan(servers []Server, units []Unit, limits Limits) []Move {
 	t := newTable(servers, units)
 	moves := placeHomeless(t, units, t.lightest)
-	if !t.needsBalancing(limits.Noise) {
+	if !limits.Continue && !t.needsBalancing(limits.Noise) {
 		return moves
 	}
 	for range limits.Moves {
@@ -130,6 +132,9 @@
 		return t.bestChoice(from, full)
 	}
 	chosen, found := t.bestChoice(from, mean*(1-receiverMargin*noise))
+	if !found {
+		chosen, found = t.bestChoice(from, mean*(1-tightMargin*noise))
+	}
 	if !found && t.relative(from) > startImbalance*mean {
 		return t.bestChoice(from, full)
 	}
--- a/control/placement/placement.go
+++ b/control/placement/placement.go
@@ -53,6 +53,9 @@
 	// Noise is the relative standard error of a server's measured load. An
 	// imbalance that noise explains causes no move.
 	Noise float64
+	// Continue goes on with moves that an earlier plan's limit cut short, also
+	// where the imbalance left would not start any.
+	Continue bool
 }
 
 // Policy plans moves.
--- a/control/planner/planner.go
+++ b/control/planner/planner.go
@@ -25,6 +25,10 @@
 	untrustedNoise = 0.25
 	// leastWindows is the number of counting windows before moves by choice.
 	leastWindows = 2
+	// settledWindows is the number of windows from which a slight imbalance is
+	// acted on; before, unsettledNoise lets only a severe one cause moves.
+	settledWindows = 12
+	unsettledNoise = 0.08
 	// quietWindows is the number of windows after which loads that say nothing
 	// mean a quiet service, whose units are balanced by number.
 	quietWindows = 6
@@ -87,6 +91,7 @@
 	budget   budget
 	warmth   warmth
 	judged   bool // The closed window was already judged.
+	cutShort bool // The budget ended the last moves by choice early.
 }
 
 // New returns a planner whose first counting window opens at now.
@@ -144,18 +149,27 @@
 	var limits placement.Limits
 	if trusted {
 		limits.Noise = noise
+		if p.loads.Windows() < settledWindows {
+			limits.Noise = max(noise, unsettledNoise)
+		}
 	}
 	if !p.judged && p.mayChoose(trusted) {
 		limits.Moves = p.budget.available(now)
+		limits.Continue = p.cutShort
 	}
 	needed := len(pinned)
 	moves := append(pinned, p.policy.Plan(servers, units, limits)...)
+	chosen := 0
 	for i, move := range moves {
 		if i >= needed && p.isByChoice(servers, move) {
 			p.budget.take(now)
+			chosen++
 		}
 		p.moved[move.Unit] = now
 	}
+	if limits.Moves > 0 {
+		p.cutShort = chosen == limits.Moves
+	}
 	return moves
 }
 
