demo: drains in the background, counted from their acceptance

Cause: a random run (drain, slow store, VM lost) failed as the demo asked a dead VM to drain, and counted 3 s from the asking while the store took seconds. Change: the operator's calls go to a ready VM, in the background; the 3 s count from the acceptance. A misrouted run tells whether and why it was cut off.

--- a/bench/demo/judge.go
+++ b/bench/demo/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -85,7 +86,7 @@
 	report := func(run standin.Run, reason string) {
 		if !reported[run.CallerID] {
 			reported[run.CallerID] = true
-			found = append(found, run.CallerID+" at "+run.Server+": "+reason)
+			found = append(found, run.CallerID+" at "+run.Server+": "+reason+howEnded(run))
 		}
 	}
 	for _, late := range superseded(owned, now) {
@@ -101,6 +102,14 @@
 	return found
 }
 
+// howEnded says how a run was cut off, if it was.
+func howEnded(run standin.Run) string {
+	if run.Cancelled == "" {
+		return ""
+	}
+	return fmt.Sprintf(" (cut off after %v: %s)", run.End-run.Start, run.Cancelled)
+}
+
 // notOwner returns why the run's server did not own the key, or nothing.
 func notOwner(run standin.Run, pages *history) string {
 	unit := ownership.UnitID(run.Unit)
--- a/bench/demo/judge_test.go
+++ b/bench/demo/judge_test.go
@@ -188,6 +188,19 @@
 	})
 })
 
+var _ = Describe("workAtLeaving", func() {
+	It("counts runs that begin more than 3 s after a drain was accepted and before its end", func() {
+		drained := []leaving{{server: "a", from: time.Second, until: 9 * time.Second}, {server: "b", from: time.Second}}
+		var runs []standin.Run
+		for _, second := range []time.Duration{2, 4, 5, 8, 9, 10} {
+			for _, server := range []string{"a", "b", "c"} {
+				runs = append(runs, standin.Run{Server: server, Start: second * time.Second})
+			}
+		}
+		Expect(workAtLeaving(runs, drained)).To(Equal(2 + 4))
+	})
+})
+
 var _ = Describe("rewriteAddresses", func() {
 	const text = "# kept\nservers:\n  - {name: a, address: \"127.0.0.1:1\", zone: z} # kept\n  - name: b\n    address: 127.0.0.1:2\n"
 
--- a/bench/demo/session.go
+++ b/bench/demo/session.go
@@ -26,9 +26,18 @@
 	progress      io.Writer
 }
 
-// run drives the load until the context ends. The faults are what inject
-// causes, hit the servers that it causes them at.
-func (s *session) run(ctx context.Context, faults []Fault, hit map[string]bool, inject func() error) (Summary, error) {
+// causes is what else happens during the load.
+type causes interface {
+	// run causes it until the context ends, and returns what failed.
+	run(ctx context.Context) error
+	// faults, hit and drained tell what was caused, and at which servers.
+	faults() []Fault
+	hit() map[string]bool
+	drained() []leaving
+}
+
+// run drives the load until the context ends.
+func (s *session) run(ctx context.Context, inject causes) (Summary, error) {
 	movedBefore, _ := s.pages.totals()
 	callers := newCallers(newBalancer(s.endpoints))
 	defer callers.client.CloseIdleConnections()
@@ -39,9 +48,9 @@
 	sent, runs := callers.results(), s.records.Runs()
 	found := judge(sent, runs, s.pages, dividedServices(s.configuration), end)
 	summary := summarise(sent, found)
-	summary.Unavailable = unavailable(sent, faults, begin, end)
-	summary.WorkAtLeavingServer = workAtLeaving(runs, faults, begin)
-	summary.Imbalance = imbalance(runs, dividedServers(s.configuration), hit)
+	summary.Unavailable = unavailable(sent, inject.faults(), begin, end)
+	summary.WorkAtLeavingServer = workAtLeaving(runs, inject.drained())
+	summary.Imbalance = imbalance(runs, dividedServers(s.configuration), inject.hit())
 	moved, unsound := s.pages.totals()
 	summary.Moves = moved - movedBefore
 	for _, reason := range unsound {
@@ -63,10 +72,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.length)
 	defer cancel()
-	summary, err := s.run(ctx, nil, nil, func() error { return nil })
+	summary, err := s.run(ctx, nothing{})
 	return summary, errors.Join(err, summary.broken())
 }
 
+// nothing are causes that do nothing.
+type nothing struct{}
+
+func (nothing) run(context.Context) error { return nil }
+func (nothing) faults() []Fault           { return nil }
+func (nothing) hit() map[string]bool      { return nil }
+func (nothing) drained() []leaving        { return nil }
+
 func (s *session) ready(ctx context.Context, checker *balancer) bool {
 	for _, endpoint := range s.endpoints {
 		if !checker.check(ctx, endpoint) {
@@ -82,7 +99,7 @@
 }
 
 // drive runs load, balancer, faults and progress until the context ends.
-func (s *session) drive(ctx context.Context, callers *callers, inject func() error) error {
+func (s *session) drive(ctx context.Context, callers *callers, inject causes) error {
 	var running sync.WaitGroup
 	checks, stopChecks := context.WithCancel(context.Background())
 	defer running.Wait()
@@ -90,7 +107,7 @@
 	running.Go(func() { callers.balancer.run(checks) })
 	running.Go(func() { s.reportProgress(ctx, callers) })
 	injected := make(chan error, 1)
-	running.Go(func() { injected <- inject() })
+	running.Go(func() { injected <- inject.run(ctx) })
 	newLoad(s.configuration, s.pages, callers, s.load).run(ctx)
 	return <-injected
 }
--- a/bench/demo/world.go
+++ b/bench/demo/world.go
@@ -118,7 +118,8 @@
 func (w *world) drain(server string, draining bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), warmUp)
 	defer cancel()
-	caller := w.operator(w.vms[0])
+	through := slices.IndexFunc(w.vms, (*vm).ready)
+	caller := w.operator(w.vms[max(through, 0)])
 	defer caller.Close()
 	_, err := caller.Drain(ctx, operator.DrainRequest{
 		ChangeID: fmt.Sprintf("demo-%s-%t", server, draining),
