fence: a run ends with the grant that it began under

A server frozen beyond its grant was granted again at the thaw before its run looked at the grant, and the run went on. Change: fence.Grant is one grant from its first order until it runs out; the stand-in's runs hold theirs. Conclusion: a fault of the stand-in server's fence, and a rule that real servers must keep as well.

--- a/backend/fence/fence.go
+++ b/backend/fence/fence.go
@@ -20,7 +20,7 @@
 	highest position
 	units   map[uint32]uint64 // Granted epoch by unit.
 	digest  uint64
-	expires int64
+	grant   *Grant
 	running map[backend.UnitGrant]int // Runs in flight by unit and epoch.
 }
 
@@ -38,6 +38,7 @@
 		boot:    boot,
 		units:   make(map[uint32]uint64),
 		digest:  backend.Digest(nil),
+		grant:   &Grant{},
 		running: make(map[backend.UnitGrant]int),
 	}
 }
@@ -47,7 +48,7 @@
 
 // ExpiresAt returns the clock reading at which the grant runs out, zero before
 // the first grant.
-func (f *Fence) ExpiresAt() int64 { return f.expires }
+func (f *Fence) ExpiresAt() int64 { return f.grant.expires }
 
 // Step decides on an order. Only an accepted order changes the state; in
 // particular an order that is refused, expired or asks for Boot and Clock does
@@ -55,7 +56,7 @@
 func (f *Fence) Step(order backend.GrantOrder, clock int64) backend.GrantAnswer {
 	result := f.decide(order, clock)
 	if result == backend.GrantAccepted {
-		f.accept(order)
+		f.accept(order, clock)
 	}
 	return backend.GrantAnswer{
 		Result:      result,
@@ -86,9 +87,12 @@
 	}
 }
 
-func (f *Fence) accept(order backend.GrantOrder) {
+func (f *Fence) accept(order backend.GrantOrder, clock int64) {
 	f.highest = position{order.Term, order.PageVersion, order.Sequence}
-	f.expires = order.ExpiresAt
+	if !f.grant.Valid(clock) {
+		f.grant = &Grant{} // What began under the earlier one has ended with it.
+	}
+	f.grant.expires = order.ExpiresAt
 	if !order.Full {
 		return
 	}
@@ -119,9 +123,23 @@
 	return ok && granted == epoch && f.Valid(clock)
 }
 
-// Valid reports whether the grant has not run out. A run that began under a
-// grant may go on while it is valid, also after its unit left the set.
-func (f *Fence) Valid(clock int64) bool { return clock < f.expires }
+// Valid reports whether the newest grant has not run out.
+func (f *Fence) Valid(clock int64) bool { return f.grant.Valid(clock) }
+
+// Grant returns the newest grant. A run that begins now must be cut off once
+// that has run out, also if the server has been granted again since.
+func (f *Fence) Grant() *Grant { return f.grant }
+
+// Grant is a grant from its first order on, as long as renewals come before it
+// runs out. A run that began under it may go on while it is valid, also after
+// its unit left the set.
+type Grant struct{ expires int64 }
+
+// Valid reports whether the grant has not run out.
+func (g *Grant) Valid(clock int64) bool { return clock < g.expires }
+
+// ExpiresAt returns the clock reading at which the grant runs out or ran out.
+func (g *Grant) ExpiresAt() int64 { return g.expires }
 
 // Begin starts a run if Serve allows it and reports whether it did. Each
 // started run must be ended with End.
--- a/backend/fence/fence_test.go
+++ b/backend/fence/fence_test.go
@@ -70,6 +70,17 @@
 		Expect(server.Serve(7, 3, 5000)).To(BeFalse())
 	})
 
+	It("ends a grant that ran out, also if another one follows", func() {
+		server.Step(full(1, 1, 1, 1000, unit), 0)
+		begun := server.Grant()
+		server.Step(full(1, 1, 2, 1400, unit), 999)
+		Expect(begun.Valid(1399)).To(BeTrue())
+		server.Step(full(1, 1, 3, 2400, unit), 1400)
+		Expect(server.Valid(1500)).To(BeTrue())
+		Expect(begun.Valid(1500)).To(BeFalse())
+		Expect(begun.ExpiresAt()).To(BeEquivalentTo(1400))
+	})
+
 	It("refuses an order for an earlier boot", func() {
 		order := full(1, 1, 1, 1000, unit)
 		order.Boot = "s1-0"
--- a/backend/standin/request.go
+++ b/backend/standin/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"guavacrank.example/backend"
+	"guavacrank.example/backend/fence"
 )
 
 // HeaderCallerID carries the caller's own identifier of a request through the
@@ -40,6 +41,8 @@
 	class    string
 	// deadline is a reading of the server's clock; zero: none.
 	deadline time.Duration
+	// grant is what the run began under; nil at a server that checks none.
+	grant *fence.Grant
 }
 
 // parseRequest reads the headers. A header that is no number is an error.
@@ -103,7 +106,7 @@
 	}
 	p.gate.pass()
 	conn, _ := r.Context().Value(connectionKey{}).(connection)
-	if refusal := p.admit(parsed, conn); refusal != "" {
+	if refusal := p.admit(&parsed, conn); refusal != "" {
 		refuse(w, refusal)
 		return
 	}
@@ -114,7 +117,7 @@
 }
 
 // admit checks everything that refuses a request, and takes a slot for it.
-func (p *process) admit(request request, conn connection) backend.Refusal {
+func (p *process) admit(request *request, conn connection) backend.Refusal {
 	faults := p.server.Faults()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -135,8 +138,12 @@
 	return ""
 }
 
-func (p *process) beginGranted(request request, now time.Duration) bool {
-	return request.hasUnit && p.fence.Begin(request.unit, request.epoch, now.Milliseconds())
+func (p *process) beginGranted(request *request, now time.Duration) bool {
+	if !request.hasUnit || !p.fence.Begin(request.unit, request.epoch, now.Milliseconds()) {
+		return false
+	}
+	request.grant = p.fence.Grant()
+	return true
 }
 
 // refuse sends a documented refusal.
--- a/backend/standin/run.go
+++ b/backend/standin/run.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"guavacrank.example/backend/fence"
 )
 
 // run runs an admitted request, records it and frees its slot.
@@ -31,21 +33,21 @@
 	p.publishReports()
 	cancelled := p.work(caller, request)
 	p.release(request)
-	p.options.Records.end(position, p.endOf(cancelled), cancelled)
+	p.options.Records.end(position, p.endOf(request, cancelled), cancelled)
 	p.publishReports()
 	return cancelled
 }
 
 // endOf returns when a run that ends now did its last work: a run cut off with
 // its grant did nothing after the grant ran out, also if the server was frozen.
-func (p *process) endOf(cancelled Cancellation) time.Duration {
+func (p *process) endOf(request request, cancelled Cancellation) time.Duration {
 	now := p.options.Clock()
 	if cancelled != CancelledGrant {
 		return now
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return min(now, time.Duration(p.fence.ExpiresAt())*time.Millisecond)
+	return min(now, time.Duration(request.grant.ExpiresAt())*time.Millisecond)
 }
 
 func (p *process) release(request request) {
@@ -79,7 +81,7 @@
 	switch {
 	case p.killed.Err() != nil:
 		return CancelledKill
-	case p.options.ChecksGrants && !p.grantValid(now):
+	case request.grant != nil && !p.grantValid(request.grant, now):
 		return CancelledGrant
 	case caller.Err() != nil:
 		return CancelledCaller
@@ -90,10 +92,10 @@
 	}
 }
 
-func (p *process) grantValid(now time.Duration) bool {
-	p.mu.Lock()
+func (p *process) grantValid(grant *fence.Grant, now time.Duration) bool {
+	p.mu.Lock() // Renewals change the grant.
 	defer p.mu.Unlock()
-	return p.fence.Valid(now.Milliseconds())
+	return grant.Valid(now.Milliseconds())
 }
 
 // untilCheck returns the time until the run ends or may have to be cut off.
@@ -102,9 +104,9 @@
 	if request.deadline != 0 {
 		left = min(left, request.deadline-now)
 	}
-	if p.options.ChecksGrants {
+	if request.grant != nil {
 		p.mu.Lock()
-		left = min(left, time.Duration(p.fence.ExpiresAt())*time.Millisecond-now)
+		left = min(left, time.Duration(request.grant.ExpiresAt())*time.Millisecond-now)
 		p.mu.Unlock()
 	}
 	return left
--- a/backend/standin/standin_test.go
+++ b/backend/standin/standin_test.go
@@ -169,6 +169,21 @@
 		Expect(runs()[0].End).To(BeNumerically("<", standin.BootTime()+expired))
 	})
 
+	// Seen in the demo with freeze@1s-2500ms: the server was granted again at the
+	// thaw before the run looked, and finished what another server had taken over.
+	It("cuts off a run whose grant ran out, also if it is granted again", func() {
+		server = start(standin.Options{ChecksGrants: true, ServiceTime: held})
+		grant(time.Minute)
+		cut := sendInBackground(ctx, "r1", "held")
+		Eventually(runs).Should(HaveLen(1))
+		skipped.Store(int64(expired))
+		Expect(grant(time.Minute).Result).To(Equal(backend.GrantAccepted))
+		close(hold)
+		Eventually(cut).Should(Receive(HaveField("Err", HaveOccurred())))
+		Expect(runs()[0].Cancelled).To(Equal(standin.CancelledGrant))
+		Expect(runs()[0].End).To(BeNumerically("<", standin.BootTime()+expired))
+	})
+
 	It("handles buffered requests at the thaw if nothing tells it not to", func() {
 		server = start(standin.Options{})
 		server.Freeze()
