traffic/front: the randomised run also counts connections

Cause: the declared connections were checked by arithmetic only. Change: the fakes count open connections; the run asserts the declared number.

--- a/traffic/front/fakes_test.go
+++ b/traffic/front/fakes_test.go
@@ -27,7 +27,8 @@
 	mu       sync.Mutex
 	requests []*http.Request
 	conns    []net.Conn
-	opened   int
+	open     int
+	peak     int // Most connections at once.
 }
 
 func newFakeServer(behave func(net.Conn, *http.Request)) *fakeServer {
@@ -58,13 +59,19 @@
 		}
 		s.mu.Lock()
 		s.conns = append(s.conns, conn)
-		s.opened++
+		s.open++
+		s.peak = max(s.peak, s.open)
 		s.mu.Unlock()
 		go s.serve(conn)
 	}
 }
 
 func (s *fakeServer) serve(conn net.Conn) {
+	defer func() {
+		s.mu.Lock()
+		s.open--
+		s.mu.Unlock()
+	}()
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
@@ -85,6 +92,13 @@
 	return append([]*http.Request(nil), s.requests...)
 }
 
+// mostConnections returns the most connections that were open at once.
+func (s *fakeServer) mostConnections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peak
+}
+
 // say answers with raw bytes.
 func say(raw string) func(net.Conn, *http.Request) {
 	return func(conn net.Conn, r *http.Request) {
@@ -194,10 +208,13 @@
 	}
 }
 
+// testConnections is the number of connections that a test server declares.
+const testConnections = 55
+
 // testServer declares a fake as a server that checks grants.
 func testServer(s *fakeServer, home string) *route.Server {
 	return &route.Server{
-		Name: "s1", Address: s.address(), Slots: 4, Connections: 55,
+		Name: "s1", Address: s.address(), Slots: 4, Connections: testConnections,
 		ChecksGrants: true, Home: home, HomeUntil: 1 << 62,
 	}
 }
--- a/traffic/front/random_test.go
+++ b/traffic/front/random_test.go
@@ -127,6 +127,9 @@
 		})
 	}
 	group.Wait()
+	for _, server := range []*fakeServer{keyed, shared} {
+		Expect(server.mostConnections()).To(BeNumerically("<=", testConnections), "over all VMs")
+	}
 }
 
 // converse sends one request, and repeats it through other VMs until it is
