--- a/daemon/figures.go
+++ b/daemon/figures.go
@@ -7,8 +7,8 @@
 	"guavacrank.example/event"
 )
 
-// Figures are a daemon's metrics, published under the expvar variable
-// "guavacrank". docs/operators/metrics.md explains them.
+// Figures are a daemon's metrics: one member, named by its VM, of the expvar
+// variable "guavacrank". docs/operators/metrics.md explains them.
 type Figures struct {
 	Ready    bool            `json:"ready"`
 	Stopping bool            `json:"stopping"`
--- a/traffic/front/expvar.go
+++ b/traffic/front/expvar.go
@@ -75,7 +75,8 @@
 	return all
 }
 
-// String implements expvar.Var; the daemon publishes the handler as "traffic".
+// String implements expvar.Var: the Status as JSON. The daemon publishes it as
+// the member "traffic" of its figures.
 func (h *Handler) String() string {
 	text, err := json.Marshal(h.Status())
 	if err != nil {
