demo: the operator repeats a refused drain through the next VM

Change: the same change identifier is sent again through the next VM. Conclusion: as an operator would do it.

--- a/bench/demo/world.go
+++ b/bench/demo/world.go
@@ -114,20 +114,35 @@
 	return client.New(client.Options{Address: v.settings.OperatorAddress, Token: operatorToken})
 }
 
-// drain drains a server, or ends that, as an operator does.
+// drain drains a server, or ends that, as an operator does: a change that was
+// refused, or whose outcome is unknown, is repeated through the next VM.
 func (w *world) drain(server string, draining bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), warmUp)
 	defer cancel()
-	through := slices.IndexFunc(w.vms, (*vm).ready)
-	caller := w.operator(w.vms[max(through, 0)])
-	defer caller.Close()
-	_, err := caller.Drain(ctx, operator.DrainRequest{
+	request := operator.DrainRequest{
 		ChangeID: fmt.Sprintf("demo-%s-%t", server, draining),
 		Author:   "demo",
 		Reason:   "asked for on the command line",
 		Server:   server,
 		Draining: draining,
-	})
+	}
+	for n := 0; ; n++ {
+		err := w.drainThrough(ctx, w.vms[n%len(w.vms)], request)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
+func (w *world) drainThrough(ctx context.Context, v *vm, request operator.DrainRequest) error {
+	caller := w.operator(v)
+	defer caller.Close()
+	_, err := caller.Drain(ctx, request)
 	return err
 }
 
