--- a/backend/standin/gate.go
+++ b/backend/standin/gate.go
@@ -48,7 +48,7 @@
 	g.reopen()
 }
 
-// pass waits until the gate is open and reports whether the process still lives.
+// pass waits until the gate is open and reports whether the process still runs.
 func (g *gate) pass() bool {
 	for {
 		g.mu.Lock()
--- a/bench/failover/scenarios.go
+++ b/bench/failover/scenarios.go
@@ -179,7 +179,7 @@
 	return nil
 }
 
-// zoneLoss counts the keys whose grantor lives.
+// zoneLoss counts the keys whose grantor is not lost.
 func zoneLoss(s *stage) counts {
 	zone := zones[s.trial%len(zones)]
 	lives := make(map[string]bool)
--- a/control/members.go
+++ b/control/members.go
@@ -131,7 +131,7 @@
 // tier, then by rendezvous hash with the present grantor, so that few VMs are
 // next for all of its terms. The second one is from another availability zone
 // than the first where there is one, so that the loss of a zone leaves one of
-// the two. The present grantor, and VMs dead or leaving, are left out.
+// the two. The present grantor, and VMs not alive or leaving, are left out.
 func (t *memberTable) candidates(sv config.Server, grantor string) []candidate {
 	hashed := cmp.Or(grantor, sv.Name)
 	found := make([]candidate, 0, len(t.list))
--- a/control/messages.go
+++ b/control/messages.go
@@ -66,7 +66,7 @@
 	}
 }
 
-// applyEarly takes in words that arrived before the page that they concern.
+// applyEarly takes in notices of stops that arrived before the page that they concern.
 func (m *Machine) applyEarly(s *service) {
 	for id, epoch := range s.early {
 		unit := s.page.Unit(id)
--- a/control/settings.go
+++ b/control/settings.go
@@ -90,7 +90,7 @@
 	maxOrders      = 16   // Unanswered orders remembered for each server.
 	maxLoadEntries = 4096 // Units or keys in one load message.
 	maxOverrides   = 2048 // Overrides of one page.
-	maxEarly       = 4096 // Words of stops that wait for their page.
+	maxEarly       = 4096 // Notices of stops that wait for their page.
 	maxHistory     = 4096 // Changes of units remembered for Explain.
 	defaultMoves   = 60   // Planned moves a minute by choice.
 )
--- a/control/tables.go
+++ b/control/tables.go
@@ -70,7 +70,7 @@
 	// mergedUntil is until when a request may run under an override that has
 	// returned to its shard.
 	mergedUntil time.Duration
-	// early holds words of stops that arrived before the page of the move.
+	// early holds notices of stops that arrived before the page of the move.
 	early map[ownership.UnitID]ownership.Epoch
 
 	plan       planState
--- a/daemon/pages/pages.go
+++ b/daemon/pages/pages.go
@@ -1,5 +1,8 @@
 // Package pages reads and writes ownership pages in the platform's store for
 // the control plane, and turns the store's errors into outcomes.
+//
+// An error that does not prove that a write had no effect is an unknown
+// outcome.
 package pages
 
 import (
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -1,5 +1,8 @@
 // Package node puts membership and spreading of one VM together. It is a pure
 // state machine like its parts: no I/O, no clock, no goroutine.
+//
+// Receive, Member, Spread and Tick take the inputs; Ready returns the messages and
+// the changed documents, and tells whether the members changed.
 package node
 
 import (
--- a/traffic/limit/shares.go
+++ b/traffic/limit/shares.go
@@ -1,4 +1,9 @@
 // Package limit divides a server's slots and connections among the VMs.
+//
+// Divide takes the declared connections, slots and the number of VMs, and
+// returns one VM's shares, whose sum over the VMs stays within the declared
+// number. Adaptive takes refusals and answers, and returns a local limit that
+// stays between one and its greatest value, or is zero if that is.
 package limit
 
 // Sharing is the way in which VMs share a server's slots.
--- a/traffic/link/link.go
+++ b/traffic/link/link.go
@@ -1,5 +1,8 @@
 // Package link paces bulk over the narrow link between regions and counts
-// every class's bytes on it.
+// the bytes of every priority on it.
+//
+// Input is the rate and the bytes about to cross; Pass returns when they may.
+// Only bulk is held back.
 package link
 
 import (
--- a/traffic/load/load.go
+++ b/traffic/load/load.go
@@ -1,5 +1,8 @@
 // Package load counts the work of ownership units and finds frequent keys,
 // with memory that does not grow with the number of keys.
+//
+// Take returns the counts since the last Take, for the control plane; InFlight
+// returns the units with requests that may still run.
 package load
 
 import (
--- a/traffic/metric/histogram.go
+++ b/traffic/metric/histogram.go
@@ -1,5 +1,5 @@
 // Package metric counts what becomes of requests, for each service and class,
-// and publishes it through expvar. docs/operators/traffic.md lists the names.
+// and publishes it through expvar. docs/operators/metrics.md lists the names.
 package metric
 
 import (
--- a/traffic/retry/budget.go
+++ b/traffic/retry/budget.go
@@ -1,11 +1,15 @@
-// Package retry decides whether a request may be sent again.
+// Package retry bounds how many requests a service may be sent again.
+//
+// Input is each success with the share that it allows; output is whether one
+// more retry may be made. Spent retries never exceed the start of the budget
+// plus the shares added.
 package retry
 
 import "sync/atomic"
 
 // Budget is a token bucket that successes fill: retries stay a share of what
-// the service answers, so that a service that is down is not stormed. It is
-// safe for concurrent use.
+// the service answers, so that retries do not overload a service
+// that is down. It is safe for concurrent use.
 type Budget struct {
 	tokens atomic.Int64 // In hundredths of a retry.
 }
