--- a/backend/client/client.go
+++ b/backend/client/client.go
@@ -1,5 +1,8 @@
 // Package client talks to the control interface of backend servers: it sends
 // grant orders and reads health and load reports.
+//
+// Every call ends within Options.Timeout. A failure is an *Error that says
+// whether the server may have received the call.
 package client
 
 import (
