daemon: look at sends only after a new routing

Change: the report runs after a routing was published, until every server that does not check grants was found idle. The loop ticks at control.TickInterval.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -75,8 +75,10 @@
 	roles     roles
 	refreshes refresher
 	stopping  atomic.Bool
-	// routed is set once the daemon could route, and stays.
-	routed atomic.Bool
+	// couldRoute is set once the daemon could route, and stays.
+	couldRoute atomic.Bool
+	// routed is signalled when a routing was published.
+	routed chan struct{}
 	kill   context.CancelFunc
 	killed context.Context
 }
@@ -97,6 +99,7 @@
 		options:   options,
 		events:    eventlog.New(options.Logger),
 		publisher: route.NewPublisher(),
+		routed:    make(chan struct{}, 1),
 	}
 	d.killed, d.kill = context.WithCancel(context.Background())
 	d.peers.Store(&[]fleet.Member{})
@@ -210,6 +213,10 @@
 	snapshot := buildSnapshot(d.options.Settings.VM, accepted.revision, accepted.configuration, routing, members)
 	d.publisher.Publish(snapshot)
 	d.routing.Store(&routing)
+	select {
+	case d.routed <- struct{}{}:
+	default:
+	}
 	d.fleet.Report(fleet.InForce{Revision: uint64(accepted.revision)})
 }
 
@@ -232,10 +239,10 @@
 	if d.stopping.Load() {
 		return false
 	}
-	if !d.routed.Load() && d.canRoute() {
-		d.routed.Store(true)
+	if !d.couldRoute.Load() && d.canRoute() {
+		d.couldRoute.Store(true)
 	}
-	return d.routed.Load()
+	return d.couldRoute.Load()
 }
 
 // canRoute reports whether a configuration is in force and the owners of every
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// tickInterval is the longest time between two ticks of the control plane.
-	tickInterval = 25 * time.Millisecond
 	// inputBuffer is the number of inputs that may wait for the control goroutine.
 	inputBuffer = 1024
 	// grantTimeout bounds one order to a backend server.
@@ -48,7 +46,7 @@
 
 // run owns the machine until ctx ends, then waits for the calls in flight.
 func (l *loop) run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(control.TickInterval)
 	defer ticker.Stop()
 	defer l.calls.Wait()
 	for {
--- a/daemon/reports.go
+++ b/daemon/reports.go
@@ -79,31 +79,48 @@
 	return measured
 }
 
-// reportSends tells the control plane which units have no request in flight
-// at servers that do not check grants.
+// reportSends tells the control plane which units have no request in flight at
+// servers that do not check grants. It looks at each new routing until every
+// such server was found idle under it.
 func (d *Daemon) reportSends(ctx context.Context) {
-	settled := make(map[string]uint64) // Generation at which a server was found idle.
-	every(ctx, sendsInterval, func() bool {
-		routing := d.routing.Load()
-		for i := range routing.Services {
-			d.reportServiceSends(ctx, routing.Generation, &routing.Services[i], settled)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.routed:
 		}
-		return true
-	})
+		settled := make(map[string]uint64) // Generation at which a server was found idle.
+		every(ctx, sendsInterval, func() bool { return !d.reportOpenSends(ctx, settled) })
+	}
 }
 
-func (d *Daemon) reportServiceSends(ctx context.Context, generation uint64, service *control.ServiceRouting, settled map[string]uint64) {
+// reportOpenSends reports once, and returns whether every server was found idle.
+func (d *Daemon) reportOpenSends(ctx context.Context, settled map[string]uint64) bool {
+	routing := d.routing.Load()
+	done := true
+	for i := range routing.Services {
+		idle := d.reportServiceSends(ctx, routing.Generation, &routing.Services[i], settled)
+		done = done && idle
+	}
+	return done
+}
+
+// reportServiceSends reports for one service, and returns whether every server
+// of it that does not check grants was found idle.
+func (d *Daemon) reportServiceSends(ctx context.Context, generation uint64, service *control.ServiceRouting, settled map[string]uint64) bool {
 	open := d.uncheckedServers(service, generation, settled)
 	if len(open) == 0 {
-		return
+		return true
 	}
 	busy := make(map[ownership.UnitID]bool)
 	for _, unit := range d.front.Finishing(service.Name) {
 		busy[ownership.UnitID(unit)] = true
 	}
+	done := true
 	for _, server := range open {
 		finished := control.SendsFinished{Service: service.Name, Server: server, Generation: generation}
 		if serverBusy(service, server, busy) {
+			done = false
 			finished.Units = idleUnits(service, busy)
 			if len(finished.Units) == 0 {
 				continue
@@ -113,6 +130,7 @@
 		}
 		d.loop.feed(ctx, finished)
 	}
+	return done
 }
 
 // uncheckedServers returns this VM's servers that do not check grants and were
