--- a/config/config.go
+++ b/config/config.go
@@ -122,7 +122,7 @@
 	MaxAttempts     int
 	// RetryBudget is the share of recent successes that may be spent on retries, in percent.
 	RetryBudget    int
-	QueueLimit     int           // Requests queued for each server.
+	QueueLimit     int           // Requests of each class that wait for a server.
 	BulkFloor      int           // Least share of a server's slots for bulk, in percent.
 	StopLimit      time.Duration // How long a stopping daemon waits for requests in flight.
 	HoldTime       time.Duration // Least time between two moves of one unit.
--- a/config/field.go
+++ b/config/field.go
@@ -107,7 +107,7 @@
 		"Share of recent successes that may be spent on retries."),
 	define("queue_limit", KindCount, 1, 100_000, ForService|ForServer,
 		func(d *Defaults) *int { return &d.QueueLimit },
-		"Requests queued for each backend server."),
+		"Requests of each class that wait for a backend server."),
 	define("bulk_floor", KindPercent, 1, 50, ForService|ForServer,
 		func(d *Defaults) *int { return &d.BulkFloor },
 		"Least share of a backend server's slots for bulk classes while they have work."),
