control: releases in place of words

Cause: the read-through found takeWord, wordsEnd and the like, a figure of speech for what the field calls a release. Change: names and comments only; no statement of code differs otherwise.

--- a/backend/client/client.go
+++ b/backend/client/client.go
@@ -96,7 +96,7 @@
 	return answer, err
 }
 
-// Health reads the server's own word on its health.
+// Health reads the server's health report.
 func (c *Client) Health(ctx context.Context, address string) (backend.HealthReport, error) {
 	var report backend.HealthReport
 	request := sling.New().Base("http://" + address).Get(backend.PathHealth)
@@ -104,7 +104,7 @@
 	return report, err
 }
 
-// Load reads the server's own word on its load.
+// Load reads the server's load report.
 func (c *Client) Load(ctx context.Context, address string) (backend.LoadReport, error) {
 	var report backend.LoadReport
 	request := sling.New().Base("http://" + address).Get(backend.PathLoad)
--- a/control/controltest/vm.go
+++ b/control/controltest/vm.go
@@ -33,7 +33,7 @@
 	}
 }
 
-// Kill ends the VM's process without a word.
+// Kill ends the VM's process without a hand-over.
 func (vm *VM) Kill() {
 	if vm.dead {
 		return
--- a/control/input.go
+++ b/control/input.go
@@ -104,7 +104,7 @@
 	HotKeys []KeyLoad
 }
 
-// SendsFinished is the word of this VM's traffic that it has no request in
+// SendsFinished is the statement of this VM's traffic that it has no request in
 // flight to Server for the given units, and that it starts none under any
 // routing of Generation or later. It matters for servers that do not check
 // grants; without it the machine waits until the longest deadline has passed.
--- a/control/messages.go
+++ b/control/messages.go
@@ -35,7 +35,7 @@
 	case message.Query != nil:
 		m.answerQuery(in.From, message.Query)
 	case message.Released != nil:
-		m.takeWord(in.From, message.Released)
+		m.noteRelease(in.From, message.Released)
 	case message.HandOver != nil:
 		m.acceptHandOver(in.From, message.HandOver)
 	case message.Notice != nil:
@@ -56,7 +56,7 @@
 	}
 	unit := s.page.Unit(stopped.Unit)
 	if s.version == 0 || unit == nil || unit.Epoch < stopped.Epoch {
-		// The page that shows the move has not arrived; the word is repeated.
+		// The page that shows the move has not arrived; the message is repeated.
 		m.wantSince(s, m.now)
 		s.early[stopped.Unit] = max(s.early[stopped.Unit], stopped.Epoch)
 		return
--- a/control/output.go
+++ b/control/output.go
@@ -69,7 +69,7 @@
 	Last bool `json:"last,omitempty"`
 }
 
-// HandOver is the word of a grantor that is leaving: the receiver takes the
+// HandOver is the request of a grantor that is leaving: the receiver takes the
 // term above Term of Server while the sender still renews.
 type HandOver struct {
 	Service string         `json:"service"`
@@ -89,7 +89,7 @@
 	Service string `json:"service"`
 }
 
-// Stopped is the grantor's word that Server will never again serve Unit at an
+// Stopped is the grantor's confirmation that Server will never again serve Unit at an
 // epoch below Epoch.
 type Stopped struct {
 	Service string           `json:"service"`
@@ -105,7 +105,7 @@
 	Term    ownership.Term `json:"term"`
 }
 
-// TermReleased is the former grantor's word that it acts on no term below Term.
+// TermReleased is the former grantor's confirmation that it acts on no term below Term.
 // GrantLife is the longest time, in milliseconds, that its last grant may
 // still be valid at the server; zero with Sent false means it never sent one.
 type TermReleased struct {
--- a/control/system_handover.go
+++ b/control/system_handover.go
@@ -18,7 +18,7 @@
 		m.members.rebalancedAt = m.now
 	}
 	for _, s := range m.services {
-		held = held || m.wordsAwaited(s)
+		held = held || m.releaseAwaited(s)
 		for _, sv := range s.mine {
 			if !m.holds(s, sv) {
 				continue
@@ -58,13 +58,13 @@
 		(m.silent(sv, m.timeToLive()) || !sv.configured) && m.now >= sv.grantEnd
 }
 
-// wordsAwaited reports whether a holder of a server that does not check grants
-// still needs this VM's word before this VM stops.
-func (m *Machine) wordsAwaited(s *service) bool {
-	return m.stopping && slices.ContainsFunc(s.servers, func(sv *server) bool { return m.wordAwaited(s, sv) })
+// releaseAwaited reports whether a holder of a server that does not check grants
+// still needs this VM's release before this VM stops.
+func (m *Machine) releaseAwaited(s *service) bool {
+	return m.stopping && slices.ContainsFunc(s.servers, func(sv *server) bool { return m.awaitsRelease(s, sv) })
 }
 
-func (m *Machine) wordAwaited(s *service, sv *server) bool {
+func (m *Machine) awaitsRelease(s *service, sv *server) bool {
 	entry := s.entry(sv)
 	if entry == nil || sv.config.ChecksGrants || entry.Grantor == m.options.Self {
 		return false
--- a/control/system_homes.go
+++ b/control/system_homes.go
@@ -4,7 +4,7 @@
 
 // runHomes renews this VM's right to send to servers that do not check grants.
 //
-// The right has no end of its own: it ends by this VM's word (TermReleased, or
+// The right has no end of its own: it ends by this VM's confirmation (TermReleased, or
 // a stop that it confirmed) or by an operator's. It is given to traffic for one
 // life of a grant at a time, so that a daemon that was paused reads the page
 // again before it sends.
--- a/control/system_invariants.go
+++ b/control/system_invariants.go
@@ -36,7 +36,7 @@
 		case entry.Grantor != m.options.Self || uint64(entry.Term) != send.Order.Term:
 			return "an order under a term that this VM does not hold"
 		case entry.Term < sv.releasedBelow:
-			return "an order under a term that this VM gave its word on"
+			return "an order under a term that this VM released"
 		case s.blockedByLoss(send.Server):
 			return "an order to a server whose units a write moves away"
 		}
--- a/control/system_loss.go
+++ b/control/system_loss.go
@@ -68,7 +68,7 @@
 }
 
 // stopTime returns the time from which a silent server provably serves nothing,
-// on this VM's clock; known is false while that rests on the word of a VM that
+// on this VM's clock; known is false while that rests on the release of a VM that
 // is out of reach.
 func (m *Machine) stopTime(s *service, sv *server) (end time.Duration, known bool) {
 	if m.disabled.waitOut {
@@ -82,8 +82,8 @@
 	if m.serverDeclaredLost(sv) || sv.accepted.term == sv.heldTerm || m.disabled.fence {
 		return end, true
 	}
-	wordsEnd, given := m.wordsEnd(s, sv, m.grantLife())
-	return max(end, wordsEnd), given
+	releasesEnd, given := m.releasesEnd(s, sv, m.grantLife())
+	return max(end, releasesEnd), given
 }
 
 // sendsStopTime is stopTime of a server that does not check grants: the end of
@@ -99,14 +99,14 @@
 	if sv.sendsIdle {
 		end = m.now
 	}
-	wordsEnd, given := m.wordsEnd(s, sv, m.sendsBound(s))
-	return max(end, wordsEnd), given
+	releasesEnd, given := m.releasesEnd(s, sv, m.sendsBound(s))
+	return max(end, releasesEnd), given
 }
 
-// wordsEnd returns the time at which nothing that a former grantor began at a
+// releasesEnd returns the time at which nothing that a former grantor began at a
 // server lasts, given the longest life of what one may have begun; given is
-// false while a former grantor has not given its word and is not declared lost.
-func (m *Machine) wordsEnd(s *service, sv *server, life time.Duration) (end time.Duration, given bool) {
+// false while a former grantor has not released its term and is not declared lost.
+func (m *Machine) releasesEnd(s *service, sv *server, life time.Duration) (end time.Duration, given bool) {
 	entry := s.entry(sv)
 	for _, former := range entry.Former {
 		switch declaredAt, declared := m.vmDeclaredLost(former); {
@@ -114,8 +114,8 @@
 			end = max(end, declaredAt+life)
 		case former == m.options.Self:
 			end = max(end, m.startedAt+life, sv.grantEnd)
-		case sv.words[former].term >= entry.Term:
-			end = max(end, sv.words[former].until)
+		case sv.releases[former].term >= entry.Term:
+			end = max(end, sv.releases[former].until)
 		default:
 			return 0, false
 		}
@@ -129,7 +129,7 @@
 	}
 	sv.unreachable = true
 	entry := s.entry(sv)
-	m.emit(event.BothOutOfReach, "no answer from the server, and no word of a former grantor",
+	m.emit(event.BothOutOfReach, "no answer from the server, and no release by a former grantor",
 		"service", s.name, "server", sv.name, "former", joinNames(entry.Former))
 }
 
--- a/control/system_servers.go
+++ b/control/system_servers.go
@@ -71,7 +71,7 @@
 	}
 	var cleared []string
 	for _, former := range entry.Former {
-		given := sv.words[former]
+		given := sv.releases[former]
 		own := former == m.options.Self && m.now >= m.startedAt+m.sendsBound(s)
 		if own || (given.term >= entry.Term && m.now >= given.until) {
 			cleared = append(cleared, former)
--- a/control/system_stop.go
+++ b/control/system_stop.go
@@ -128,8 +128,8 @@
 // sendsEnded reports whether no request that this VM or a former home sent for
 // a unit can still run at a server that does not check grants.
 func (m *Machine) sendsEnded(s *service, sv *server, id ownership.UnitID) bool {
-	wordsEnd, given := m.wordsEnd(s, sv, m.sendsBound(s))
-	if !given || m.now < wordsEnd || sv.heldTerm == 0 {
+	releasesEnd, given := m.releasesEnd(s, sv, m.sendsBound(s))
+	if !given || m.now < releasesEnd || sv.heldTerm == 0 {
 		return false
 	}
 	seen := s.seen[id]
--- a/control/system_takeover.go
+++ b/control/system_takeover.go
@@ -36,7 +36,7 @@
 }
 
 // takeOwnTerm takes a new term where an earlier process on this VM used the
-// present one, or where this VM gave its word on it.
+// present one, or which this VM released.
 func (m *Machine) takeOwnTerm(s *service, sv *server, entry *ownership.Server) {
 	released := entry.Term < sv.releasedBelow
 	refused := sv.config.ChecksGrants && sv.boot != "" && m.needsOwnTerm(sv) && s.confirmedSince(sv.clockAt)
@@ -81,7 +81,7 @@
 	place := rank(m.members.candidates(sv.config, entry.Grantor), m.options.Self)
 	if place < 0 || (place >= standbys && m.members.listedAlive(entry.Grantor)) {
 		// This VM is not among those that get the grantor's heartbeats; the
-		// grantor's word that they end may have been lost.
+		// grantor's message that they end may have been lost.
 		return false
 	}
 	if !sv.suspected {
@@ -99,7 +99,7 @@
 	}
 }
 
-// runTermQueries asks former grantors for their word where a server has not
+// runTermQueries asks former grantors for their release where a server has not
 // accepted this VM's term, or does not check grants.
 func (m *Machine) runTermQueries() {
 	for _, s := range m.services {
@@ -117,14 +117,14 @@
 		return
 	}
 	for _, former := range entry.Former {
-		if given := sv.words[former]; given.term < entry.Term || given.until > m.now {
+		if given := sv.releases[former]; given.term < entry.Term || given.until > m.now {
 			sv.queriedAt = m.now
 			m.send(former, Message{Query: &TermQuery{Service: s.name, Server: sv.name, Term: entry.Term}})
 		}
 	}
 }
 
-// answerQuery gives this VM's word that it acts on no term below the query's.
+// answerQuery confirms that this VM acts on no term below the query's.
 func (m *Machine) answerQuery(from string, query *TermQuery) {
 	s := m.service(query.Service)
 	if s == nil {
@@ -150,9 +150,9 @@
 	}})
 }
 
-// takeWord notes a former grantor's word. The earliest end of repeated words of
+// noteRelease notes a former grantor's release. The earliest end of repeated releases of
 // one term counts, as each of them is true.
-func (m *Machine) takeWord(from string, released *TermReleased) {
+func (m *Machine) noteRelease(from string, released *TermReleased) {
 	s := m.service(released.Service)
 	if s == nil {
 		return
@@ -164,12 +164,12 @@
 	life := time.Duration(released.GrantLife) * time.Millisecond
 	// The clocks of the two VMs may run at different rates.
 	until := m.now + life + (m.grantLife() - m.timeToLive())
-	earlier, known := sv.words[from]
+	earlier, known := sv.releases[from]
 	switch {
 	case known && earlier.term > released.Term:
 		return
 	case known && earlier.term == released.Term:
 		until = min(until, earlier.until)
 	}
-	sv.words[from] = word{term: released.Term, until: until}
+	sv.releases[from] = release{term: released.Term, until: until}
 }
--- a/control/tables.go
+++ b/control/tables.go
@@ -145,9 +145,9 @@
 	heldSince time.Duration
 	lostAt    time.Duration // When this VM last lost a term to another VM.
 	lostTerm  bool
-	// releasedBelow is the term below which this VM gave its word to do nothing.
+	// releasedBelow is the term below which this VM no longer acts.
 	releasedBelow ownership.Term
-	words         map[string]word
+	releases      map[string]release
 	queriedAt     time.Duration
 	unreachable   bool // An event said that server and former grantor are out of reach.
 
@@ -169,8 +169,8 @@
 	set setCache
 }
 
-// word is what a former grantor answered to a term query.
-type word struct {
+// release is what a former grantor answered to a term query.
+type release struct {
 	term  ownership.Term
 	until time.Duration
 }
@@ -211,7 +211,7 @@
 func (s *service) ensureServer(name string) *server {
 	i, found := s.serverIndex(name)
 	if !found {
-		s.servers = slices.Insert(s.servers, i, &server{name: name, words: make(map[string]word)})
+		s.servers = slices.Insert(s.servers, i, &server{name: name, releases: make(map[string]release)})
 	}
 	return s.servers[i]
 }
--- a/daemon/reports.go
+++ b/daemon/reports.go
@@ -46,7 +46,7 @@
 	})
 }
 
-// probe takes the backend servers' own word on their health as a hint.
+// probe takes the backend servers' own health reports as a hint.
 func (d *Daemon) probe(ctx context.Context) {
 	every(ctx, probeInterval, func() bool {
 		d.front.Probe(ctx)
