--- a/daemon/figures.go
+++ b/daemon/figures.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 
 	"guavacrank.example/config"
+	"guavacrank.example/control"
 	"guavacrank.example/event"
 )
 
@@ -55,12 +56,29 @@
 				counted.Waiting++
 			}
 		}
-		for _, server := range service.Servers {
-			if server.Home == d.options.Settings.VM {
-				counted.TermsHeld++
-			}
-		}
+		counted.TermsHeld = termsHeld(service, d.options.Settings.VM)
 		figures.Services = append(figures.Services, counted)
 	}
 	return figures
 }
+
+// termsHeld counts the backend servers of a service that a VM is the grantor of.
+func termsHeld(service *control.ServiceRouting, vm string) int {
+	held := 0
+	for _, server := range service.Servers {
+		if server.Home == vm {
+			held++
+		}
+	}
+	return held
+}
+
+// termsHeld counts the terms that this VM holds.
+func (d *Daemon) termsHeld() int {
+	held := 0
+	routing := d.routing.Load()
+	for i := range routing.Services {
+		held += termsHeld(&routing.Services[i], d.options.Settings.VM)
+	}
+	return held
+}
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -56,7 +56,7 @@
 	case <-d.loop.released:
 		d.events.Add(event.New(event.DaemonTermsReleased, "all handed over"))
 	case <-limit.Done():
-		d.events.Add(event.New(event.DaemonTermsReleased, "limit passed", "left", "some"))
+		d.events.Add(event.New(event.DaemonTermsReleased, "limit passed", "left", strconv.Itoa(d.termsHeld())))
 	}
 }
 
--- a/event/daemon.go
+++ b/event/daemon.go
@@ -9,7 +9,6 @@
 	DaemonStopped       Number = 604
 	DaemonStopCutOff    Number = 605
 	DaemonBadDocument   Number = 606
-	DaemonPaused        Number = 607
 )
 
 // daemonEvents is the catalogue of the daemon area.
@@ -21,5 +20,4 @@
 	{DaemonStopped, "daemon-stopped", Info, "The process ends with no request cut off."},
 	{DaemonStopCutOff, "daemon-stop-cut-off", Error, "The process ends with requests in flight (field in_flight); their callers are not told the outcome."},
 	{DaemonBadDocument, "daemon-bad-document", Error, "A configuration or page from the platform's service cannot be read; the one in force stays."},
-	{DaemonPaused, "daemon-paused", Warn, "The control loop did not run for longer than the pause bound; state is re-read before anything is done with it."},
 }
