--- a/bench/change/change.go
+++ b/bench/change/change.go
@@ -16,8 +16,8 @@
 	"guavacrank.example/config/edit"
 	"guavacrank.example/daemon/revision"
 	"guavacrank.example/fleet/document"
-	"guavacrank.example/platform"
-	"guavacrank.example/platform/memstore"
+	"guavacrank.example/kvstore"
+	"guavacrank.example/kvstore/memstore"
 )
 
 // Options configures a run.
@@ -65,11 +65,11 @@
 
 // measure applies a file and then drains one server of it.
 func measure(ctx context.Context, servers int) ([]report.Row, error) {
-	var written []platform.Entry
+	var written []kvstore.Entry
 	store := memstore.New(memstore.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
 	keeper := revision.New(revision.Options{
 		Store:     store,
-		OnWritten: func(entry platform.Entry) { written = append(written, entry) },
+		OnWritten: func(entry kvstore.Entry) { written = append(written, entry) },
 	})
 	whole := revision.Change{ChangeID: "whole", Author: "bench", Reason: "first", File: "bench", YAML: fileOf(servers)}
 	if _, err := keeper.Apply(ctx, whole); err != nil {
@@ -118,12 +118,12 @@
 }
 
 // deltaBytes returns the size on the wire of the last record against the one before.
-func deltaBytes(written []platform.Entry) float64 {
+func deltaBytes(written []kvstore.Entry) float64 {
 	last := len(written) - 1
 	return float64(proto.Size(document.Encode(documentOf(written[last]), documentOf(written[last-1]))))
 }
 
-func documentOf(entry platform.Entry) document.Document {
+func documentOf(entry kvstore.Entry) document.Document {
 	return document.Document{Key: entry.Key, Version: uint64(entry.Version), Value: entry.Value}
 }
 
--- a/bench/control/managers.go
+++ b/bench/control/managers.go
@@ -15,8 +15,8 @@
 	"guavacrank.example/fleet"
 	"guavacrank.example/fleet/fleettest"
 	"guavacrank.example/fleet/spread"
-	"guavacrank.example/platform"
-	"guavacrank.example/platform/memstore"
+	"guavacrank.example/kvstore"
+	"guavacrank.example/kvstore/memstore"
 )
 
 const (
@@ -67,7 +67,7 @@
 		vms[i].Peer = listener.Addr().String()
 	}
 	f.store.SetVMs(vms)
-	if _, err := f.store.CompareAndSwap(ctx, platform.ConfigKey, 0, configValue(0), 0); err != nil {
+	if _, err := f.store.CompareAndSwap(ctx, kvstore.ConfigKey, 0, configValue(0), 0); err != nil {
 		f.stop()
 		return nil, fmt.Errorf("control: first configuration: %w", err)
 	}
@@ -84,7 +84,7 @@
 	return f, nil
 }
 
-func (f *localFleet) start(ctx context.Context, p policy, vm platform.VM, listener net.Listener) error {
+func (f *localFleet) start(ctx context.Context, p policy, vm kvstore.VM, listener net.Listener) error {
 	manager, err := fleet.New(fleet.Options{
 		Self: vm, Store: f.store, Listener: discard{}, Token: "benchmark", Policy: p.value,
 	})
--- a/bench/control/virtual.go
+++ b/bench/control/virtual.go
@@ -10,7 +10,7 @@
 	"guavacrank.example/fleet/fleettest"
 	"guavacrank.example/fleet/node"
 	"guavacrank.example/fleet/spread"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 const (
@@ -44,7 +44,7 @@
 	start := world.Now
 	for world.Now-start < waitLimit {
 		behind := slices.ContainsFunc(world.Running(), func(p *fleettest.Process) bool {
-			d, _ := p.Node.Document(platform.ConfigKey)
+			d, _ := p.Node.Document(kvstore.ConfigKey)
 			return d.Version < version
 		})
 		if !behind {
@@ -96,7 +96,7 @@
 	var times []time.Duration
 	for change := range changes {
 		writer := world.Running()[random.IntN(fleetSize)].VM.Name
-		written := world.WriteAndPublish(writer, platform.ConfigKey, configValue(change))
+		written := world.WriteAndPublish(writer, kvstore.ConfigKey, configValue(change))
 		times = append(times, untilInForce(world, written.Version))
 		world.Run(betweenWrite)
 	}
@@ -134,22 +134,22 @@
 		}
 	}
 	world.Stop(watchers[random.IntN(len(watchers))])
-	return untilInForce(world, world.Write(platform.ConfigKey, configValue(1)).Version)
+	return untilInForce(world, world.Write(kvstore.ConfigKey, configValue(1)).Version)
 }
 
 // linkLostRun cuts the link between regions, with it the store for one of
 // them, and measures from the link's return.
 func linkLostRun(site fleettest.Site, p policy, random *rand.Rand) time.Duration {
 	world := newWorld(site, p, fleetSize)
-	world.Deliveries = func(from, to platform.VM) []time.Duration {
+	world.Deliveries = func(from, to kvstore.VM) []time.Duration {
 		if from.Region != to.Region {
 			return nil
 		}
 		return []time.Duration{0}
 	}
-	world.StoreOut = func(vm platform.VM) bool { return vm.Region != site.StoreIn }
+	world.StoreOut = func(vm kvstore.VM) bool { return vm.Region != site.StoreIn }
 	world.Run(regionCut + time.Duration(random.IntN(2000))*time.Millisecond)
-	written := world.WriteAndPublish(site.VMs(fleetSize)[0].Name, platform.ConfigKey, configValue(1))
+	written := world.WriteAndPublish(site.VMs(fleetSize)[0].Name, kvstore.ConfigKey, configValue(1))
 	world.Run(time.Second)
 	world.Deliveries, world.StoreOut = nil, nil
 	return untilInForce(world, written.Version)
--- a/bench/demo/history.go
+++ b/bench/demo/history.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"guavacrank.example/control/ownership"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 	"guavacrank.example/traffic/route"
 )
 
@@ -40,8 +40,8 @@
 }
 
 // changed takes one change of the store.
-func (h *history) changed(entry platform.Entry) {
-	service, isPage := strings.CutPrefix(entry.Key, platform.PagePrefix)
+func (h *history) changed(entry kvstore.Entry) {
+	service, isPage := strings.CutPrefix(entry.Key, kvstore.PagePrefix)
 	if !isPage || entry.Deleted {
 		return
 	}
--- a/bench/demo/inject.go
+++ b/bench/demo/inject.go
@@ -12,8 +12,8 @@
 
 	"guavacrank.example/backend/standin"
 	"guavacrank.example/event"
-	"guavacrank.example/platform"
-	"guavacrank.example/platform/memstore"
+	"guavacrank.example/kvstore"
+	"guavacrank.example/kvstore/memstore"
 )
 
 // injector causes the faults of a run at their times.
@@ -179,7 +179,7 @@
 
 // listVMs changes the platform's list: a lost VM disappears from it.
 func (i *injector) listVMs(name string, lost bool) {
-	var listed []platform.VM
+	var listed []kvstore.VM
 	for _, v := range i.world.vms {
 		if lost && v.settings.VM == name {
 			continue
--- a/bench/demo/judge_test.go
+++ b/bench/demo/judge_test.go
@@ -11,7 +11,7 @@
 	"guavacrank.example/backend/standin"
 	"guavacrank.example/config"
 	"guavacrank.example/control/ownership"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 	"guavacrank.example/traffic/route"
 	"guavacrank.example/traffic/verdict"
 )
@@ -86,7 +86,7 @@
 		next.ChangeID = "change"
 		value, err := ownership.Encode(&next)
 		Expect(err).NotTo(HaveOccurred())
-		pages.changed(platform.Entry{Key: platform.PagePrefix + "cards", Value: value})
+		pages.changed(kvstore.Entry{Key: kvstore.PagePrefix + "cards", Value: value})
 	}
 	run := func(id, server string, epoch uint64, start, end time.Duration) standin.Run {
 		return standin.Run{
--- a/bench/demo/serve.go
+++ b/bench/demo/serve.go
@@ -10,9 +10,9 @@
 
 	"guavacrank.example/backend/standin"
 	"guavacrank.example/config"
-	"guavacrank.example/platform"
-	"guavacrank.example/platform/httpstore"
-	"guavacrank.example/platform/memstore"
+	"guavacrank.example/kvstore"
+	"guavacrank.example/kvstore/httpstore"
+	"guavacrank.example/kvstore/memstore"
 )
 
 // firstPeerPort is the peer port of the first VM, as examples/settings.yaml has it.
@@ -79,10 +79,10 @@
 }
 
 // listedVMs returns the platform's list of VMs.
-func listedVMs(count int, at []place) []platform.VM {
-	var listed []platform.VM
+func listedVMs(count int, at []place) []kvstore.VM {
+	var listed []kvstore.VM
 	for i := range count {
-		listed = append(listed, platform.VM{
+		listed = append(listed, kvstore.VM{
 			Name:   fmt.Sprintf("entry-%d", i+1),
 			Region: at[i%len(at)].region,
 			Zone:   at[i%len(at)].zone,
--- a/bench/demo/vm.go
+++ b/bench/demo/vm.go
@@ -14,8 +14,8 @@
 
 	"guavacrank.example/config"
 	"guavacrank.example/daemon"
-	"guavacrank.example/platform"
-	"guavacrank.example/platform/httpstore"
+	"guavacrank.example/kvstore"
+	"guavacrank.example/kvstore/httpstore"
 )
 
 // stopNotice is the time that a stopping daemon gives the balancer.
@@ -107,8 +107,8 @@
 }
 
 // platformVM returns the VM's row in the platform's list.
-func platformVM(settings config.Settings) platform.VM {
-	return platform.VM{
+func platformVM(settings config.Settings) kvstore.VM {
+	return kvstore.VM{
 		Name: settings.VM, Region: settings.Region, Zone: settings.Zone, Peer: settings.PeerAddress,
 	}
 }
--- a/bench/demo/world.go
+++ b/bench/demo/world.go
@@ -13,9 +13,9 @@
 	"guavacrank.example/daemon/eventlog"
 	"guavacrank.example/daemon/operator"
 	"guavacrank.example/daemon/operator/client"
-	"guavacrank.example/platform"
-	"guavacrank.example/platform/httpstore"
-	"guavacrank.example/platform/memstore"
+	"guavacrank.example/kvstore"
+	"guavacrank.example/kvstore/httpstore"
+	"guavacrank.example/kvstore/memstore"
 )
 
 // pollInterval is the time between two looks at a state that is waited for.
@@ -72,7 +72,7 @@
 	if w.vms, err = newVMs(w.options.VMs, places(w.configuration), w.storeAddress, w.options.Logger); err != nil {
 		return err
 	}
-	var listed []platform.VM
+	var listed []kvstore.VM
 	for _, v := range w.vms {
 		listed = append(listed, platformVM(v.settings))
 	}
--- a/cmd/guavacrankd/main.go
+++ b/cmd/guavacrankd/main.go
@@ -19,7 +19,7 @@
 
 	"guavacrank.example/config"
 	"guavacrank.example/daemon"
-	"guavacrank.example/platform/httpstore"
+	"guavacrank.example/kvstore/httpstore"
 )
 
 func main() {
--- a/cmd/internal/command/command_test.go
+++ b/cmd/internal/command/command_test.go
@@ -20,8 +20,8 @@
 	"guavacrank.example/daemon/operator"
 	"guavacrank.example/daemon/revision"
 	"guavacrank.example/event"
-	"guavacrank.example/platform"
-	"guavacrank.example/platform/memstore"
+	"guavacrank.example/kvstore"
+	"guavacrank.example/kvstore/memstore"
 )
 
 func TestCommand(t *testing.T) {
@@ -200,7 +200,7 @@
 	})
 
 	It("exits with 4 while the outcome is unknown, and settles it by the change's identifier", func() {
-		store.SetFaults(memstore.Faults{LostReplies: memstore.LostCalls{Count: 1, Prefix: platform.ConfigKey}})
+		store.SetFaults(memstore.Faults{LostReplies: memstore.LostCalls{Count: 1, Prefix: kvstore.ConfigKey}})
 		lost := run(address, "apply", verhaegen, "-reason", "first", "-change-id", "x")
 		Expect(lost.status).To(Equal(command.Unknown), lost.err)
 		Expect(lost.err).To(ContainSubstring("-change-id x"))
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,7 +28,7 @@
 	"guavacrank.example/daemon/revision"
 	"guavacrank.example/event"
 	"guavacrank.example/fleet"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 	"guavacrank.example/traffic/elapsed"
 	"guavacrank.example/traffic/front"
 	"guavacrank.example/traffic/once"
@@ -43,7 +43,7 @@
 type Options struct {
 	Settings config.Settings
 	// Store is the platform's service.
-	Store platform.Store
+	Store kvstore.Store
 	// Logger receives numbered events.
 	Logger *zap.Logger
 	// Build names the build in answers to operators.
@@ -160,7 +160,7 @@
 func (d *Daemon) newFleet() (*fleet.Manager, error) {
 	settings := d.options.Settings
 	return fleet.New(fleet.Options{
-		Self: platform.VM{
+		Self: kvstore.VM{
 			Name:   settings.VM,
 			Region: settings.Region,
 			Zone:   settings.Zone,
@@ -177,7 +177,7 @@
 func (d *Daemon) newOperator() (*operator.Server, error) {
 	keeper := revision.New(revision.Options{
 		Store: d.options.Store,
-		OnWritten: func(entry platform.Entry) {
+		OnWritten: func(entry kvstore.Entry) {
 			d.fleet.Publish(fleet.Document{Key: entry.Key, Version: uint64(entry.Version), Value: entry.Value})
 		},
 	})
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -17,8 +17,8 @@
 	"guavacrank.example/config"
 	"guavacrank.example/daemon"
 	"guavacrank.example/daemon/revision"
-	"guavacrank.example/platform"
-	"guavacrank.example/platform/memstore"
+	"guavacrank.example/kvstore"
+	"guavacrank.example/kvstore/memstore"
 	"guavacrank.example/traffic/verdict"
 )
 
@@ -93,7 +93,7 @@
 		text += fmt.Sprintf("  - {name: %s, service: recipes, address: %q, region: r, zone: z%d, slots: 4, connections: 55, checks_grants: %v}\n",
 			server.Name(), server.Address(), i%2, i > 0)
 	}
-	var list []platform.VM
+	var list []kvstore.VM
 	var all []boundSettings
 	for i := range vms {
 		settings := config.DefaultSettings()
@@ -104,7 +104,7 @@
 		settings.PeerToken = "peer-token-of-the-test"
 		listeners := bind(&settings)
 		all = append(all, boundSettings{settings, listeners})
-		list = append(list, platform.VM{Name: settings.VM, Region: "r", Zone: settings.Zone, Peer: settings.PeerAddress})
+		list = append(list, kvstore.VM{Name: settings.VM, Region: "r", Zone: settings.Zone, Peer: settings.PeerAddress})
 	}
 	w.store.SetVMs(list)
 	_, err := revision.New(revision.Options{Store: w.store}).Apply(context.Background(), revision.Change{
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -11,7 +11,7 @@
 	"guavacrank.example/daemon/pages"
 	"guavacrank.example/event"
 	"guavacrank.example/fleet"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // fleetListener turns what the fleet reports into inputs of the control plane.
@@ -27,9 +27,9 @@
 		return
 	}
 	var err error
-	if document.Key == platform.ConfigKey {
+	if document.Key == kvstore.ConfigKey {
 		err = f.configurationChanged(document)
-	} else if service, isPage := strings.CutPrefix(document.Key, platform.PagePrefix); isPage {
+	} else if service, isPage := strings.CutPrefix(document.Key, kvstore.PagePrefix); isPage {
 		err = f.pageChanged(service, document)
 	}
 	if err != nil {
--- a/daemon/loop.go
+++ b/daemon/loop.go
@@ -12,7 +12,7 @@
 	"guavacrank.example/daemon/pages"
 	"guavacrank.example/event"
 	"guavacrank.example/fleet"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 const (
@@ -140,7 +140,7 @@
 }
 
 func (l *loop) reportUnreadable(service string, err error) {
-	if platform.IsNotApplied(err) || platform.IsUnknown(err) {
+	if kvstore.IsNotApplied(err) || kvstore.IsUnknown(err) {
 		return
 	}
 	l.events.Add(event.New(event.DaemonBadDocument, err.Error(), "service", service))
@@ -150,7 +150,7 @@
 	written := l.pages.Write(ctx, write)
 	if written.Answer.Outcome == control.WriteApplied {
 		l.fleet.Publish(fleet.Document{
-			Key:     platform.PagePrefix + write.Service,
+			Key:     kvstore.PagePrefix + write.Service,
 			Version: written.Answer.Version,
 			Value:   written.Value,
 		})
--- a/daemon/operator/operator_test.go
+++ b/daemon/operator/operator_test.go
@@ -24,8 +24,8 @@
 	"guavacrank.example/daemon/operator/client"
 	"guavacrank.example/daemon/revision"
 	"guavacrank.example/event"
-	"guavacrank.example/platform"
-	"guavacrank.example/platform/memstore"
+	"guavacrank.example/kvstore"
+	"guavacrank.example/kvstore/memstore"
 )
 
 func TestOperator(t *testing.T) {
@@ -136,7 +136,7 @@
 		server, err := operator.New(operator.Options{
 			Token:   token,
 			Source:  data,
-			Keeper:  revision.New(revision.Options{Store: store, Wait: noWait, OnWritten: func(platform.Entry) { data.moved.Store(true) }}),
+			Keeper:  revision.New(revision.Options{Store: store, Wait: noWait, OnWritten: func(kvstore.Entry) { data.moved.Store(true) }}),
 			Now:     func() time.Time { return time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC) },
 			OnEvent: log.add,
 		})
@@ -217,7 +217,7 @@
 		store.SetFaults(memstore.Faults{Outage: true})
 		_, err := apply("a", 0, verhaegen())
 		Expect(problemOf(err).Code).To(Equal(operator.CodeStoreUnavailable))
-		store.SetFaults(memstore.Faults{LostReplies: memstore.LostCalls{Count: 9, Prefix: platform.ConfigKey}})
+		store.SetFaults(memstore.Faults{LostReplies: memstore.LostCalls{Count: 9, Prefix: kvstore.ConfigKey}})
 		_, err = apply("b", 0, verhaegen())
 		var failure *client.Error
 		Expect(errors.As(err, &failure)).To(BeTrue())
--- a/daemon/operator/problem.go
+++ b/daemon/operator/problem.go
@@ -9,7 +9,7 @@
 	"guavacrank.example/config"
 	"guavacrank.example/config/edit"
 	"guavacrank.example/daemon/revision"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // Code classifies a refused request.
@@ -94,8 +94,8 @@
 	if faults := faultsOf(err); len(faults) > 0 {
 		return &Problem{Code: CodeInvalid, Message: err.Error(), Faults: faults}
 	}
-	var failure *platform.Error
-	if errors.As(err, &failure) && failure.Kind == platform.KindTooLarge {
+	var failure *kvstore.Error
+	if errors.As(err, &failure) && failure.Kind == kvstore.KindTooLarge {
 		return &Problem{Code: CodeTooLarge, Message: err.Error()}
 	}
 	return &Problem{Code: CodeStoreUnavailable, Message: "nothing was changed: " + err.Error()}
--- a/daemon/pages/pages.go
+++ b/daemon/pages/pages.go
@@ -12,7 +12,7 @@
 
 	"guavacrank.example/control"
 	"guavacrank.example/control/ownership"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // callTimeout bounds one call of the store. The outcome of a write that takes
@@ -21,22 +21,22 @@
 
 // Client reads and writes pages. It is safe for concurrent use.
 type Client struct {
-	store platform.Store
+	store kvstore.Store
 }
 
 // New returns a client of the store.
-func New(store platform.Store) *Client {
+func New(store kvstore.Store) *Client {
 	return &Client{store: store}
 }
 
 // Read returns the newest page of a service as an input of the control plane.
 // A page that does not exist has version zero. It fails with a
-// *platform.Error, or with the error of decoding.
+// *kvstore.Error, or with the error of decoding.
 func (c *Client) Read(ctx context.Context, service string) (control.PageRead, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	entry, err := c.store.Get(ctx, platform.PagePrefix+service)
-	if platform.IsKind(err, platform.KindNotFound) {
+	entry, err := c.store.Get(ctx, kvstore.PagePrefix+service)
+	if kvstore.IsKind(err, kvstore.KindNotFound) {
 		return control.PageRead{Service: service}, nil
 	}
 	if err != nil {
@@ -71,8 +71,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	key := platform.PagePrefix + write.Service
-	version, err := c.store.CompareAndSwap(ctx, key, platform.Version(write.Expected), value, 0)
+	key := kvstore.PagePrefix + write.Service
+	version, err := c.store.CompareAndSwap(ctx, key, kvstore.Version(write.Expected), value, 0)
 	answer.Outcome = outcome(err)
 	answer.Version = uint64(version)
 	return Written{Answer: answer, Value: value}
@@ -84,11 +84,11 @@
 	switch {
 	case err == nil:
 		return control.WriteApplied
-	case platform.IsUnknown(err):
+	case kvstore.IsUnknown(err):
 		return control.WriteUnknown
-	case platform.IsKind(err, platform.KindConflict):
+	case kvstore.IsKind(err, kvstore.KindConflict):
 		return control.WriteConflict
-	case platform.IsNotApplied(err):
+	case kvstore.IsNotApplied(err):
 		return control.WriteFailed
 	default:
 		return control.WriteUnknown
--- a/daemon/revision/history.go
+++ b/daemon/revision/history.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"guavacrank.example/config"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // Summary is a record without its text.
@@ -40,11 +40,11 @@
 	Entries []Summary `json:"entries"`
 }
 
-const indexKey = platform.HistoryPrefix + "index"
+const indexKey = kvstore.HistoryPrefix + "index"
 
 // historyKey returns the key of an earlier revision.
 func historyKey(revision config.Revision) string {
-	return fmt.Sprintf("%s%012d", platform.HistoryPrefix, revision)
+	return fmt.Sprintf("%s%012d", kvstore.HistoryPrefix, revision)
 }
 
 // History returns the kept revisions, newest first, the one in force included.
@@ -77,7 +77,7 @@
 		return found.record, nil
 	}
 	entry, err := k.get(ctx, historyKey(revision))
-	if platform.IsKind(err, platform.KindNotFound) {
+	if kvstore.IsKind(err, kvstore.KindNotFound) {
 		return config.Record{}, &NotKeptError{Revision: revision}
 	}
 	if err != nil {
@@ -118,7 +118,7 @@
 			return nil
 		}
 		if attempt == readAttempts || k.options.Wait(ctx, pause) != nil {
-			return &platform.Error{Op: "archive", Key: historyKey(found.record.Revision), Kind: platform.KindUnavailable, Err: err}
+			return &kvstore.Error{Op: "archive", Key: historyKey(found.record.Revision), Kind: kvstore.KindUnavailable, Err: err}
 		}
 		pause = longer(pause)
 	}
@@ -135,7 +135,7 @@
 		return nil
 	}
 	_, err = k.options.Store.CompareAndSwap(ctx, historyKey(found.record.Revision), 0, found.value, 0)
-	if err != nil && !platform.IsKind(err, platform.KindConflict) {
+	if err != nil && !kvstore.IsKind(err, kvstore.KindConflict) {
 		return err
 	}
 	kept.Entries = append(kept.Entries, summarize(found.record))
@@ -201,17 +201,17 @@
 	if err == nil {
 		err = k.options.Store.Delete(ctx, key, entry.Version)
 	}
-	if platform.IsKind(err, platform.KindNotFound) {
+	if kvstore.IsKind(err, kvstore.KindNotFound) {
 		return nil
 	}
 	return err
 }
 
 // readIndex reads the index and its version.
-func (k *Keeper) readIndex(ctx context.Context) (index, platform.Version, error) {
+func (k *Keeper) readIndex(ctx context.Context) (index, kvstore.Version, error) {
 	var kept index
 	entry, err := k.get(ctx, indexKey)
-	if platform.IsKind(err, platform.KindNotFound) {
+	if kvstore.IsKind(err, kvstore.KindNotFound) {
 		return kept, 0, nil
 	}
 	if err != nil {
--- a/daemon/revision/model_test.go
+++ b/daemon/revision/model_test.go
@@ -11,8 +11,8 @@
 
 	"guavacrank.example/config"
 	"guavacrank.example/daemon/revision"
-	"guavacrank.example/platform"
-	"guavacrank.example/platform/memstore"
+	"guavacrank.example/kvstore"
+	"guavacrank.example/kvstore/memstore"
 )
 
 // init fixes the seed, so that every run has the same verdict. With
@@ -83,25 +83,25 @@
 // dying is the store as a VM sees it that is lost after some calls: no later
 // call goes out.
 type dying struct {
-	platform.Store
+	kvstore.Store
 	left int
 }
 
-var errLost = &platform.Error{Op: "any", Kind: platform.KindUnavailable, Outcome: platform.OutcomeUnknown}
+var errLost = &kvstore.Error{Op: "any", Kind: kvstore.KindUnavailable, Outcome: kvstore.OutcomeUnknown}
 
 func (s *dying) alive() bool {
 	s.left--
 	return s.left >= 0
 }
 
-func (s *dying) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *dying) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	if !s.alive() {
-		return platform.Entry{}, errLost
+		return kvstore.Entry{}, errLost
 	}
 	return s.Store.Get(ctx, key)
 }
 
-func (s *dying) CompareAndSwap(ctx context.Context, key string, expected platform.Version, value []byte, lease platform.LeaseID) (platform.Version, error) {
+func (s *dying) CompareAndSwap(ctx context.Context, key string, expected kvstore.Version, value []byte, lease kvstore.LeaseID) (kvstore.Version, error) {
 	if !s.alive() {
 		return 0, errLost
 	}
@@ -110,7 +110,7 @@
 
 // lostCalls draws which calls lose a message.
 func lostCalls(t *rapid.T, label string) memstore.LostCalls {
-	prefix := rapid.SampledFrom([]string{platform.ConfigKey, platform.HistoryPrefix}).Draw(t, label+" of")
+	prefix := rapid.SampledFrom([]string{kvstore.ConfigKey, kvstore.HistoryPrefix}).Draw(t, label+" of")
 	return memstore.LostCalls{Count: rapid.IntRange(0, 2).Draw(t, label), Prefix: prefix}
 }
 
--- a/daemon/revision/replace.go
+++ b/daemon/revision/replace.go
@@ -6,14 +6,14 @@
 	"errors"
 
 	"guavacrank.example/config"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // replacement is one compare-and-swap of the record in force until its outcome
 // is settled.
 type replacement struct {
 	keeper   *Keeper
-	expected platform.Version
+	expected kvstore.Version
 	record   config.Record
 	value    []byte
 	// sent is set once an attempt may have taken effect.
@@ -23,7 +23,7 @@
 // replace writes the record over the version and settles the outcome. A lost
 // reply is settled by writing again: the store applies at most one of the
 // writes that expect the same version, and a conflict is read back.
-func (k *Keeper) replace(ctx context.Context, expected platform.Version, record config.Record) error {
+func (k *Keeper) replace(ctx context.Context, expected kvstore.Version, record config.Record) error {
 	value, err := json.Marshal(record)
 	if err != nil {
 		return err
@@ -44,20 +44,20 @@
 
 // repeat reports whether the outcome is still open after err.
 func (r *replacement) repeat(err error) bool {
-	var failure *platform.Error
+	var failure *kvstore.Error
 	return r.sent && errors.As(err, &failure) && !r.keeper.disabled.settle
 }
 
 // attempt writes once, and reads back after a conflict.
 func (r *replacement) attempt(ctx context.Context) error {
-	version, err := r.keeper.options.Store.CompareAndSwap(ctx, platform.ConfigKey, r.expected, r.value, 0)
+	version, err := r.keeper.options.Store.CompareAndSwap(ctx, kvstore.ConfigKey, r.expected, r.value, 0)
 	if err == nil {
-		r.keeper.options.OnWritten(platform.Entry{Key: platform.ConfigKey, Value: r.value, Version: version})
+		r.keeper.options.OnWritten(kvstore.Entry{Key: kvstore.ConfigKey, Value: r.value, Version: version})
 	}
-	if platform.IsUnknown(err) {
+	if kvstore.IsUnknown(err) {
 		r.sent = true
 	}
-	if platform.IsKind(err, platform.KindConflict) {
+	if kvstore.IsKind(err, kvstore.KindConflict) {
 		return r.readBack(ctx)
 	}
 	return err
@@ -80,7 +80,7 @@
 	case err != nil:
 		return err
 	case winner.ChangeID == r.record.ChangeID:
-		r.keeper.options.OnWritten(platform.Entry{Key: platform.ConfigKey, Value: found.value, Version: found.version})
+		r.keeper.options.OnWritten(kvstore.Entry{Key: kvstore.ConfigKey, Value: found.value, Version: found.version})
 		return nil
 	default:
 		return r.keeper.conflict(ctx, r.record.Revision-1, found.record)
--- a/daemon/revision/revision.go
+++ b/daemon/revision/revision.go
@@ -17,15 +17,15 @@
 
 	"guavacrank.example/config"
 	"guavacrank.example/config/diff"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // Options configures a Keeper.
 type Options struct {
-	Store platform.Store
+	Store kvstore.Store
 	// OnWritten is told each entry of the record in force that this keeper wrote,
 	// so that it can be spread at once. May be nil; must not block.
-	OnWritten func(platform.Entry)
+	OnWritten func(kvstore.Entry)
 	// Now is the wall clock; it is written into records for people to read and
 	// decides nothing. Nil takes time.Now.
 	Now func() time.Time
@@ -78,7 +78,7 @@
 		options.Wait = wait
 	}
 	if options.OnWritten == nil {
-		options.OnWritten = func(platform.Entry) {}
+		options.OnWritten = func(kvstore.Entry) {}
 	}
 	if options.MaxHistory == 0 {
 		options.MaxHistory = DefaultMaxHistory
@@ -109,7 +109,7 @@
 // stored is the record in force with its version in the store.
 type stored struct {
 	record  config.Record
-	version platform.Version
+	version kvstore.Version
 	value   []byte
 }
 
@@ -122,7 +122,7 @@
 // Apply puts a configuration into force and returns its record. It fails with
 // the joined *config.Error values of a faulty file, a *ConflictError if Base is
 // not in force, an *UnknownError if the outcome could not be settled before ctx
-// ended, or a *platform.Error if nothing was applied.
+// ended, or a *kvstore.Error if nothing was applied.
 func (k *Keeper) Apply(ctx context.Context, change Change) (config.Record, error) {
 	if err := change.validate(); err != nil {
 		return config.Record{}, err
@@ -250,8 +250,8 @@
 
 // current reads the record in force.
 func (k *Keeper) current(ctx context.Context) (stored, error) {
-	entry, err := k.get(ctx, platform.ConfigKey)
-	if platform.IsKind(err, platform.KindNotFound) {
+	entry, err := k.get(ctx, kvstore.ConfigKey)
+	if kvstore.IsKind(err, kvstore.KindNotFound) {
 		return stored{}, nil
 	}
 	if err != nil {
@@ -261,7 +261,7 @@
 }
 
 // decode reads a record from an entry of the store.
-func decode(entry platform.Entry) (stored, error) {
+func decode(entry kvstore.Entry) (stored, error) {
 	found := stored{version: entry.Version, value: entry.Value}
 	if err := json.Unmarshal(entry.Value, &found.record); err != nil {
 		return stored{}, &DamagedError{Key: entry.Key, Err: err}
@@ -270,11 +270,11 @@
 }
 
 // get reads an entry, with a few attempts.
-func (k *Keeper) get(ctx context.Context, key string) (platform.Entry, error) {
+func (k *Keeper) get(ctx context.Context, key string) (kvstore.Entry, error) {
 	pause := minPause
 	for attempt := 1; ; attempt++ {
 		entry, err := k.options.Store.Get(ctx, key)
-		if err == nil || platform.IsKind(err, platform.KindNotFound) || attempt == readAttempts {
+		if err == nil || kvstore.IsKind(err, kvstore.KindNotFound) || attempt == readAttempts {
 			return entry, err
 		}
 		if k.options.Wait(ctx, pause) != nil {
--- a/daemon/revision/revision_test.go
+++ b/daemon/revision/revision_test.go
@@ -14,8 +14,8 @@
 
 	"guavacrank.example/config"
 	"guavacrank.example/daemon/revision"
-	"guavacrank.example/platform"
-	"guavacrank.example/platform/memstore"
+	"guavacrank.example/kvstore"
+	"guavacrank.example/kvstore/memstore"
 )
 
 func TestRevision(t *testing.T) {
@@ -45,7 +45,7 @@
 }
 
 // newKeeper returns a keeper that never pauses, but gives up after 20 pauses.
-func newKeeper(store platform.Store) *revision.Keeper {
+func newKeeper(store kvstore.Store) *revision.Keeper {
 	var mu sync.Mutex
 	pauses := 0
 	return revision.New(revision.Options{
@@ -64,12 +64,12 @@
 
 // interposed runs a function before the next swap of the record in force.
 type interposed struct {
-	platform.Store
+	kvstore.Store
 	before func()
 }
 
-func (s *interposed) CompareAndSwap(ctx context.Context, key string, expected platform.Version, value []byte, lease platform.LeaseID) (platform.Version, error) {
-	if before := s.before; before != nil && key == platform.ConfigKey {
+func (s *interposed) CompareAndSwap(ctx context.Context, key string, expected kvstore.Version, value []byte, lease kvstore.LeaseID) (kvstore.Version, error) {
+	if before := s.before; before != nil && key == kvstore.ConfigKey {
 		s.before = nil
 		before()
 	}
@@ -139,9 +139,9 @@
 
 	It("settles a lost reply and a lost request", func() {
 		for _, faults := range []memstore.Faults{
-			{LostReplies: memstore.LostCalls{Count: 1, Prefix: platform.ConfigKey}},
-			{LostRequests: memstore.LostCalls{Count: 3, Prefix: platform.ConfigKey}},
-			{LostReplies: memstore.LostCalls{Count: 2, Prefix: platform.HistoryPrefix}},
+			{LostReplies: memstore.LostCalls{Count: 1, Prefix: kvstore.ConfigKey}},
+			{LostRequests: memstore.LostCalls{Count: 3, Prefix: kvstore.ConfigKey}},
+			{LostReplies: memstore.LostCalls{Count: 2, Prefix: kvstore.HistoryPrefix}},
 		} {
 			current, _ := keeper.Current(ctx)
 			store.SetFaults(faults)
@@ -153,7 +153,7 @@
 
 	It("finds its lost reply below what another operator applied on top", func() {
 		apply("a", 0)
-		store.SetFaults(memstore.Faults{LostReplies: memstore.LostCalls{Count: 1, Prefix: platform.ConfigKey}})
+		store.SetFaults(memstore.Faults{LostReplies: memstore.LostCalls{Count: 1, Prefix: kvstore.ConfigKey}})
 		other := newKeeper(store)
 		waited := revision.New(revision.Options{Store: store, Wait: func(context.Context, time.Duration) error {
 			_, err := other.Apply(ctx, change("c", 2, 9))
@@ -168,7 +168,7 @@
 
 	It("says that the outcome is unknown when the store stays away, and settles it later", func() {
 		apply("a", 0)
-		store.SetFaults(memstore.Faults{LostReplies: memstore.LostCalls{Count: 1, Prefix: platform.ConfigKey}})
+		store.SetFaults(memstore.Faults{LostReplies: memstore.LostCalls{Count: 1, Prefix: kvstore.ConfigKey}})
 		gone := revision.New(revision.Options{Store: store, Wait: func(context.Context, time.Duration) error {
 			store.SetFaults(memstore.Faults{Outage: true})
 			return context.DeadlineExceeded
@@ -185,8 +185,8 @@
 		apply("a", 0)
 		store.SetFaults(memstore.Faults{Outage: true})
 		_, err := keeper.Apply(ctx, change("b", 1, 5))
-		Expect(platform.IsKind(err, platform.KindUnavailable)).To(BeTrue())
-		Expect(platform.IsUnknown(err)).To(BeFalse())
+		Expect(kvstore.IsKind(err, kvstore.KindUnavailable)).To(BeTrue())
+		Expect(kvstore.IsUnknown(err)).To(BeFalse())
 	})
 
 	It("bounds the history by count and by bytes", func() {
@@ -201,7 +201,7 @@
 				_, err := keeper.Apply(ctx, change(fmt.Sprint(base), base, 10+int(base)))
 				Expect(err).NotTo(HaveOccurred(), name)
 			}
-			entries, err := options.Store.List(ctx, platform.HistoryPrefix)
+			entries, err := options.Store.List(ctx, kvstore.HistoryPrefix)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(entries).To(HaveLen(4), name) // Three records and the index.
 			_, err = keeper.Revision(ctx, 5)
--- a/daemon/source.go
+++ b/daemon/source.go
@@ -10,7 +10,7 @@
 	"guavacrank.example/daemon/eventlog"
 	"guavacrank.example/daemon/operator"
 	"guavacrank.example/fleet"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // explainTimeout bounds the wait for the control goroutine.
@@ -92,7 +92,7 @@
 	if divided != nil {
 		status.Units = divided.Units
 		status.Waiting = divided.Moving
-		if holder, known := d.fleet.Document(platform.RolePrefix + control.PlannerRole(service.Name)); known {
+		if holder, known := d.fleet.Document(kvstore.RolePrefix + control.PlannerRole(service.Name)); known {
 			status.Planner = string(holder.Value)
 		}
 	}
--- a/fleet/document/delta.go
+++ b/fleet/document/delta.go
@@ -4,7 +4,7 @@
 	"encoding/binary"
 	"errors"
 
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // ErrDelta says that a delta is malformed or gives too large a value.
@@ -77,7 +77,7 @@
 }
 
 // Patch applies a delta of Diff to old. A malformed delta, or one whose result
-// exceeds platform.MaxValueBytes, is ErrDelta.
+// exceeds kvstore.MaxValueBytes, is ErrDelta.
 func Patch(old, delta []byte) ([]byte, error) {
 	var value []byte
 	for len(delta) > 0 {
@@ -87,7 +87,7 @@
 		}
 		delta = delta[width:]
 		length := operation >> 1
-		if length > platform.MaxValueBytes || uint64(len(value))+length > platform.MaxValueBytes {
+		if length > kvstore.MaxValueBytes || uint64(len(value))+length > kvstore.MaxValueBytes {
 			return nil, ErrDelta
 		}
 		if operation&1 == 0 {
--- a/fleet/feed.go
+++ b/fleet/feed.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 const (
@@ -32,13 +32,13 @@
 
 // prefixes are the parts of the store that are replicated.
 func prefixes() []string {
-	return []string{platform.ConfigKey, platform.PagePrefix, platform.RolePrefix}
+	return []string{kvstore.ConfigKey, kvstore.PagePrefix, kvstore.RolePrefix}
 }
 
 // feed makes the fleet's calls to the platform.
 type feed struct {
 	manager *Manager
-	store   platform.Store
+	store   kvstore.Store
 
 	mu          sync.Mutex
 	watching    bool
@@ -48,7 +48,7 @@
 	saidFailing bool
 }
 
-func newFeed(manager *Manager, store platform.Store) *feed {
+func newFeed(manager *Manager, store kvstore.Store) *feed {
 	return &feed{manager: manager, store: store, changed: make(chan struct{})}
 }
 
@@ -126,7 +126,7 @@
 			cancel()
 		}
 	}()
-	var after platform.Version
+	var after kvstore.Version
 	var listedAt time.Duration
 	first := true
 	for ctx.Err() == nil {
@@ -149,7 +149,7 @@
 }
 
 // watchOnce waits for changes once and returns their highest version.
-func (f *feed) watchOnce(ctx context.Context, prefix string, after platform.Version) (platform.Version, error) {
+func (f *feed) watchOnce(ctx context.Context, prefix string, after kvstore.Version) (kvstore.Version, error) {
 	callContext, cancel := context.WithTimeout(ctx, watchWait+storeCallTimeout)
 	defer cancel()
 	entries, err := f.store.Watch(callContext, prefix, after, watchWait)
@@ -167,7 +167,7 @@
 }
 
 // list lists a prefix once and returns its highest version.
-func (f *feed) list(ctx context.Context, prefix string, again bool) (platform.Version, error) {
+func (f *feed) list(ctx context.Context, prefix string, again bool) (kvstore.Version, error) {
 	callContext, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	entries, err := f.store.List(callContext, prefix)
@@ -227,9 +227,9 @@
 			continue
 		}
 		callContext, cancel := context.WithTimeout(ctx, storeCallTimeout)
-		_, err := f.store.Get(callContext, platform.ConfigKey)
+		_, err := f.store.Get(callContext, kvstore.ConfigKey)
 		cancel()
-		if ctx.Err() == nil && !platform.IsKind(err, platform.KindNotFound) {
+		if ctx.Err() == nil && !kvstore.IsKind(err, kvstore.KindNotFound) {
 			f.called(err)
 		} else if ctx.Err() == nil {
 			f.called(nil)
@@ -259,7 +259,7 @@
 	}
 }
 
-func toDocuments(entries []platform.Entry) []Document {
+func toDocuments(entries []kvstore.Entry) []Document {
 	documents := make([]Document, 0, len(entries))
 	for _, e := range entries {
 		documents = append(documents, Document{
@@ -269,8 +269,8 @@
 	return documents
 }
 
-func highest(entries []platform.Entry) platform.Version {
-	var version platform.Version
+func highest(entries []kvstore.Entry) kvstore.Version {
+	var version kvstore.Version
 	for _, e := range entries {
 		version = max(version, e.Version)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,7 +17,7 @@
 	"guavacrank.example/fleet/document"
 	"guavacrank.example/fleet/membership"
 	"guavacrank.example/fleet/spread"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // Document is one key of the store at a version. A higher version always
@@ -54,9 +54,9 @@
 // Options configures a Manager.
 type Options struct {
 	// Self is this VM; Self.Peer is the IP:port of its fleet listener.
-	Self platform.VM
+	Self kvstore.VM
 	// Store is the platform's service.
-	Store platform.Store
+	Store kvstore.Store
 	// Listener is told what changed.
 	Listener Listener
 	// Token is shared by all VMs of the fleet; peers without it are refused.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -15,8 +15,8 @@
 	"go.uber.org/goleak"
 
 	"guavacrank.example/fleet"
-	"guavacrank.example/platform"
-	"guavacrank.example/platform/memstore"
+	"guavacrank.example/kvstore"
+	"guavacrank.example/kvstore/memstore"
 )
 
 func TestFleet(t *testing.T) {
@@ -74,16 +74,16 @@
 }
 
 // listen returns a loopback listener and the VM that it stands for.
-func listen(i int) (net.Listener, platform.VM) {
+func listen(i int) (net.Listener, kvstore.VM) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	region := []string{"flanders", "wallonia"}[i%2]
-	return listener, platform.VM{
+	return listener, kvstore.VM{
 		Name: fmt.Sprintf("vm-%d", i+1), Region: region, Zone: region + "-a", Peer: listener.Addr().String(),
 	}
 }
 
-func start(listener net.Listener, vm platform.VM, store platform.Store, token string, seeds ...string) *running {
+func start(listener net.Listener, vm kvstore.VM, store kvstore.Store, token string, seeds ...string) *running {
 	r := &running{recorder: &recorder{versions: map[string]uint64{}}, finished: make(chan struct{})}
 	var err error
 	r.Manager, err = fleet.New(fleet.Options{Self: vm, Store: store, Listener: r.recorder, Token: token, Seeds: seeds})
@@ -110,7 +110,7 @@
 		store = memstore.New(memstore.Options{})
 		managers = nil
 		var listeners []net.Listener
-		var vms []platform.VM
+		var vms []kvstore.VM
 		for i := range 3 {
 			listener, vm := listen(i)
 			listeners, vms = append(listeners, listener), append(vms, vm)
@@ -128,17 +128,17 @@
 		})
 	})
 
-	write := func(key, value string) platform.Version {
+	write := func(key, value string) kvstore.Version {
 		entry, err := store.Get(context.Background(), key)
 		if err != nil {
-			Expect(platform.IsKind(err, platform.KindNotFound)).To(BeTrue())
+			Expect(kvstore.IsKind(err, kvstore.KindNotFound)).To(BeTrue())
 		}
 		version, err := store.CompareAndSwap(context.Background(), key, entry.Version, []byte(value), 0)
 		Expect(err).NotTo(HaveOccurred())
 		return version
 	}
 
-	haveAll := func(key string, version platform.Version) func() bool {
+	haveAll := func(key string, version kvstore.Version) func() bool {
 		return func() bool {
 			for _, m := range managers {
 				if d, _ := m.Document(key); d.Version != uint64(version) {
@@ -162,8 +162,8 @@
 	}
 
 	It("spreads, adds up what is in force, sends directly and notices a loss", func() {
-		version := write(platform.ConfigKey, strings.Repeat("a: 1\n", 2000))
-		Eventually(haveAll(platform.ConfigKey, version), 10*time.Second).Should(BeTrue())
+		version := write(kvstore.ConfigKey, strings.Repeat("a: 1\n", 2000))
+		Eventually(haveAll(kvstore.ConfigKey, version), 10*time.Second).Should(BeTrue())
 		for _, m := range managers {
 			Eventually(m.Ready, 10*time.Second).Should(BeTrue())
 			Eventually(alive(m), 10*time.Second).Should(Equal(3))
@@ -185,14 +185,14 @@
 	})
 
 	It("starts from peers while the store is out", func() {
-		version := write(platform.ConfigKey, "a: 1\n")
-		Eventually(haveAll(platform.ConfigKey, version), 10*time.Second).Should(BeTrue())
+		version := write(kvstore.ConfigKey, "a: 1\n")
+		Eventually(haveAll(kvstore.ConfigKey, version), 10*time.Second).Should(BeTrue())
 		store.SetFaults(memstore.Faults{Outage: true})
 		listener, vm := listen(3)
 		fourth := start(listener, vm, store, "secret", managers[0].Members()[0].Peer)
 		managers = append(managers, fourth)
 		Eventually(fourth.Ready, 20*time.Second).Should(BeTrue())
-		Expect(haveAll(platform.ConfigKey, version)()).To(BeTrue())
+		Expect(haveAll(kvstore.ConfigKey, version)()).To(BeTrue())
 	})
 
 	It("refuses a peer with another token", func() {
--- a/fleet/fleettest/sites.go
+++ b/fleet/fleettest/sites.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // Site is one deployment: two regions of two availability zones.
@@ -30,11 +30,11 @@
 }
 
 // VMs returns count VMs spread evenly over the zones of the site.
-func (s Site) VMs(count int) []platform.VM {
-	vms := make([]platform.VM, 0, count)
+func (s Site) VMs(count int) []kvstore.VM {
+	vms := make([]kvstore.VM, 0, count)
 	for i := range count {
 		region := s.Regions[i%2]
-		vms = append(vms, platform.VM{
+		vms = append(vms, kvstore.VM{
 			Name:   fmt.Sprintf("vm-%03d", i+1),
 			Region: region,
 			Zone:   fmt.Sprintf("%s-%c", region, 'a'+rune(i/2%2)),
@@ -45,7 +45,7 @@
 }
 
 // Delay is the one-way delay between two VMs.
-func (s Site) Delay(from, to platform.VM) time.Duration {
+func (s Site) Delay(from, to kvstore.VM) time.Duration {
 	switch {
 	case from.Region != to.Region:
 		return s.LinkDelay
@@ -57,7 +57,7 @@
 }
 
 // StoreDelay is the one-way delay between a VM and the store.
-func (s Site) StoreDelay(vm platform.VM) time.Duration {
+func (s Site) StoreDelay(vm kvstore.VM) time.Duration {
 	if vm.Region != s.StoreIn {
 		return s.LinkDelay
 	}
@@ -73,7 +73,7 @@
 }
 
 // StartAll starts a process on each VM, all of which are listed.
-func (w *World) StartAll(vms []platform.VM) {
+func (w *World) StartAll(vms []kvstore.VM) {
 	for _, vm := range vms {
 		w.Start(vm, vms)
 	}
--- a/fleet/fleettest/world.go
+++ b/fleet/fleettest/world.go
@@ -16,7 +16,7 @@
 	"guavacrank.example/fleet/membership"
 	"guavacrank.example/fleet/node"
 	"guavacrank.example/fleet/spread"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // frameBytes is what one message costs on a stream besides its own length:
@@ -28,7 +28,7 @@
 
 // Process is one running VM.
 type Process struct {
-	VM      platform.VM
+	VM      kvstore.VM
 	Node    *node.Node
 	Changes []document.Document // Every change that Ready reported.
 	// SentBytes, ReceivedBytes and SentMessages count what the VM sent and got.
@@ -48,16 +48,16 @@
 	// Now is the virtual time.
 	Now time.Duration
 	// Delay is the one-way delay between two VMs.
-	Delay func(from, to platform.VM) time.Duration
+	Delay func(from, to kvstore.VM) time.Duration
 	// StoreDelay is the one-way delay between a VM and the store.
-	StoreDelay func(vm platform.VM) time.Duration
+	StoreDelay func(vm kvstore.VM) time.Duration
 	// Deliveries returns the extra delays at which a message arrives: none if
 	// it is lost, several if it is repeated. Nil: once, without extra delay.
-	Deliveries func(from, to platform.VM) []time.Duration
+	Deliveries func(from, to kvstore.VM) []time.Duration
 	// StoreOut reports whether the store is out of a VM's reach; nil: never.
-	StoreOut func(vm platform.VM) bool
+	StoreOut func(vm kvstore.VM) bool
 	// WatchBroken reports whether a VM's watch is silent; nil: never.
-	WatchBroken func(vm platform.VM) bool
+	WatchBroken func(vm kvstore.VM) bool
 	// OnEvent is told the VMs' events; nil: nobody.
 	OnEvent func(vm string, happened event.Event)
 	// Options are those of the VMs that start from now on.
@@ -78,8 +78,8 @@
 // New returns an empty world at time zero.
 func New() *World {
 	return &World{
-		Delay:      func(_, _ platform.VM) time.Duration { return time.Millisecond },
-		StoreDelay: func(platform.VM) time.Duration { return time.Millisecond },
+		Delay:      func(_, _ kvstore.VM) time.Duration { return time.Millisecond },
+		StoreDelay: func(kvstore.VM) time.Duration { return time.Millisecond },
 		processes:  make(map[string]*Process),
 		store:      make(map[string]document.Document),
 	}
@@ -87,7 +87,7 @@
 
 // Start starts a process on a VM that knows the listed VMs; an earlier process
 // of the same name ends.
-func (w *World) Start(vm platform.VM, listed []platform.VM) *Process {
+func (w *World) Start(vm kvstore.VM, listed []kvstore.VM) *Process {
 	w.Stop(vm.Name)
 	w.boots++
 	options := w.Options
--- a/fleet/manager.go
+++ b/fleet/manager.go
@@ -17,7 +17,7 @@
 	"guavacrank.example/fleet/membership"
 	"guavacrank.example/fleet/node"
 	"guavacrank.example/fleet/spread"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 const (
@@ -236,7 +236,7 @@
 	}
 	for _, changed := range ready.Changed {
 		m.documents.Store(changed.Key, changed)
-		if changed.Key == platform.ConfigKey && m.configAt == 0 {
+		if changed.Key == kvstore.ConfigKey && m.configAt == 0 {
 			m.configAt = max(1, m.clock())
 		}
 		m.options.Listener.DocumentChanged(changed)
@@ -296,7 +296,7 @@
 			}
 		}
 		m.node.Spread(now, spread.FromStore{Documents: documents})
-		m.storeRead = m.storeRead || prefix == platform.ConfigKey
+		m.storeRead = m.storeRead || prefix == kvstore.ConfigKey
 	})
 }
 
@@ -306,7 +306,7 @@
 }
 
 // vmsListed takes the platform's list.
-func (m *Manager) vmsListed(vms []platform.VM) {
+func (m *Manager) vmsListed(vms []kvstore.VM) {
 	m.post(func(now time.Duration) { m.node.Member(now, membership.Listed{VMs: vms}) })
 }
 
@@ -317,10 +317,10 @@
 			return
 		}
 		m.seedsGiven = true
-		seeds := make([]platform.VM, 0, len(m.options.Seeds))
+		seeds := make([]kvstore.VM, 0, len(m.options.Seeds))
 		for _, address := range m.options.Seeds {
 			if address != m.options.Self.Peer {
-				seeds = append(seeds, platform.VM{Name: membership.SeedPrefix + address, Peer: address})
+				seeds = append(seeds, kvstore.VM{Name: membership.SeedPrefix + address, Peer: address})
 			}
 		}
 		m.node.Member(now, membership.Listed{VMs: seeds})
--- a/fleet/membership/candidates.go
+++ b/fleet/membership/candidates.go
@@ -10,7 +10,7 @@
 	"guavacrank.example/event"
 	"guavacrank.example/fleet/document"
 	fleetv1 "guavacrank.example/fleet/gen/fleet/v1"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 const (
@@ -25,9 +25,9 @@
 // takeList takes the platform's list. It may lag or be wrong: it adds
 // candidates, but a VM that was heard is not removed on its word, and a list
 // that calls more than half of a region leaving is not believed in that.
-func (m *Machine) takeList(vms []platform.VM) {
+func (m *Machine) takeList(vms []kvstore.VM) {
 	believed := m.believeLeaving(vms)
-	listed := make(map[string]platform.VM, len(vms))
+	listed := make(map[string]kvstore.VM, len(vms))
 	for _, vm := range vms {
 		if vm.Name == "" {
 			continue
@@ -41,7 +41,7 @@
 	}
 }
 
-func (m *Machine) takeListed(row *member, vm platform.VM, present, believed bool) {
+func (m *Machine) takeListed(row *member, vm kvstore.VM, present, believed bool) {
 	row.listed = present
 	leaving := present && vm.Leaving && believed
 	if row.listedLeaving != leaving {
@@ -62,7 +62,7 @@
 }
 
 // believeLeaving tells for each region whether its leaving marks are plausible.
-func (m *Machine) believeLeaving(vms []platform.VM) map[string]bool {
+func (m *Machine) believeLeaving(vms []kvstore.VM) map[string]bool {
 	total, leaving := make(map[string]int), make(map[string]int)
 	for _, vm := range vms {
 		total[vm.Region]++
@@ -104,7 +104,7 @@
 	row.record = record
 	row.version = changed.Version
 	m.noteAccusing(name, len(record.GetAccusations()) > 0)
-	row.vm = platform.VM{Name: name, Region: record.GetRegion(), Zone: record.GetZone(), Peer: record.GetPeer()}
+	row.vm = kvstore.VM{Name: name, Region: record.GetRegion(), Zone: record.GetZone(), Peer: record.GetPeer()}
 	m.changed()
 }
 
--- a/fleet/membership/input.go
+++ b/fleet/membership/input.go
@@ -4,7 +4,7 @@
 	"guavacrank.example/event"
 	"guavacrank.example/fleet/document"
 	fleetv1 "guavacrank.example/fleet/gen/fleet/v1"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // Member is what this VM knows of one VM of the fleet.
@@ -32,7 +32,7 @@
 type Input interface{ isInput() }
 
 // Listed is the platform's lagging list.
-type Listed struct{ VMs []platform.VM }
+type Listed struct{ VMs []kvstore.VM }
 
 // Heard says that a message of a VM arrived; Message may be of any kind.
 type Heard struct {
--- a/fleet/membership/machine.go
+++ b/fleet/membership/machine.go
@@ -21,7 +21,7 @@
 	"guavacrank.example/event"
 	"guavacrank.example/fleet/document"
 	fleetv1 "guavacrank.example/fleet/gen/fleet/v1"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // RecordPrefix starts the keys of the VMs' own records.
@@ -50,7 +50,7 @@
 
 // Options configures a Machine.
 type Options struct {
-	Self platform.VM
+	Self kvstore.VM
 	// Boot identifies this process; nonzero and random.
 	Boot      uint64
 	Mutations Mutations
@@ -58,7 +58,7 @@
 
 // member is one VM of the table.
 type member struct {
-	vm            platform.VM
+	vm            kvstore.VM
 	listed        bool
 	listedLeaving bool
 	record        *fleetv1.MemberRecord // Nil until the VM was heard of.
@@ -211,8 +211,8 @@
 
 // Candidates returns every VM that may be asked for documents, those that
 // were never heard and the seeds included, sorted by name.
-func (m *Machine) Candidates() []platform.VM {
-	candidates := make([]platform.VM, 0, len(m.names))
+func (m *Machine) Candidates() []kvstore.VM {
+	candidates := make([]kvstore.VM, 0, len(m.names))
 	for _, name := range m.names {
 		candidates = append(candidates, m.members[name].vm)
 	}
@@ -236,7 +236,7 @@
 	if row, present := m.members[name]; present {
 		return row
 	}
-	row := &member{vm: platform.VM{Name: name}}
+	row := &member{vm: kvstore.VM{Name: name}}
 	m.members[name] = row
 	i, _ := slices.BinarySearch(m.names, name)
 	m.names = slices.Insert(m.names, i, name)
--- a/fleet/membership/watch.go
+++ b/fleet/membership/watch.go
@@ -11,7 +11,7 @@
 
 	"guavacrank.example/event"
 	fleetv1 "guavacrank.example/fleet/gen/fleet/v1"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 const (
@@ -89,7 +89,7 @@
 // watchersOf returns the successors of a VM on the ring of its region, or of
 // the fleet where the region has too few others. The VM's own state, and so
 // whether it is on the ring, has no influence.
-func (r rings) watchersOf(vm platform.VM, onRing bool) []string {
+func (r rings) watchersOf(vm kvstore.VM, onRing bool) []string {
 	ring := r.regions[vm.Region]
 	others := len(ring)
 	if onRing {
--- a/fleet/node/model_test.go
+++ b/fleet/node/model_test.go
@@ -14,7 +14,7 @@
 	"guavacrank.example/fleet/fleettest"
 	"guavacrank.example/fleet/node"
 	"guavacrank.example/fleet/spread"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // modelSeed is the seed of the model checks unless -rapid.seed gives another.
@@ -89,7 +89,7 @@
 // model runs one scenario.
 type model struct {
 	world  *fleettest.World
-	vms    []platform.VM
+	vms    []kvstore.VM
 	random *rand.Rand
 	loss   int
 	paused map[string]bool
@@ -115,7 +115,7 @@
 }
 
 // deliveries loses, repeats and delays messages.
-func (m *model) deliveries(from, to platform.VM) []time.Duration {
+func (m *model) deliveries(from, to kvstore.VM) []time.Duration {
 	lost := m.cut[from.Name+">"+to.Name] || m.cut[from.Name+">"] || m.cut[">"+to.Name] ||
 		(m.cut["region"] && from.Region != to.Region) || m.random.Intn(100) < m.loss
 	if lost {
@@ -153,9 +153,9 @@
 	case healNetwork:
 		clear(m.cut)
 	case storeOutage:
-		m.world.StoreOut = func(at platform.VM) bool { return a.VM%2 == 0 || at.Region == vm.Region }
+		m.world.StoreOut = func(at kvstore.VM) bool { return a.VM%2 == 0 || at.Region == vm.Region }
 	case breakWatch:
-		m.world.WatchBroken = func(platform.VM) bool { return true }
+		m.world.WatchBroken = func(kvstore.VM) bool { return true }
 	case healStore:
 		m.world.StoreOut, m.world.WatchBroken = nil, nil
 	}
@@ -169,9 +169,9 @@
 	}
 }
 
-func (m *model) write(vm platform.VM, publish bool) {
+func (m *model) write(vm kvstore.VM, publish bool) {
 	m.writes++
-	key := []string{platform.ConfigKey, platform.PagePrefix + "catalogue"}[m.writes%2]
+	key := []string{kvstore.ConfigKey, kvstore.PagePrefix + "catalogue"}[m.writes%2]
 	value := []byte(strings.Repeat("a line that stays\n", 40) + fmt.Sprint(m.writes))
 	m.unheard = m.unheard || m.world.WatchBroken != nil
 	if publish {
--- a/fleet/node/node.go
+++ b/fleet/node/node.go
@@ -15,7 +15,7 @@
 	fleetv1 "guavacrank.example/fleet/gen/fleet/v1"
 	"guavacrank.example/fleet/membership"
 	"guavacrank.example/fleet/spread"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // zoneCheckInterval is the time between two looks at the zones of other regions.
@@ -26,7 +26,7 @@
 
 // Options configures a Node.
 type Options struct {
-	Self platform.VM
+	Self kvstore.VM
 	// Boot identifies this process; nonzero and random.
 	Boot                uint64
 	Policy              spread.Policy
@@ -54,7 +54,7 @@
 
 // Node is the fleet's protocol of one VM.
 type Node struct {
-	self        platform.VM
+	self        kvstore.VM
 	members     *membership.Machine
 	spread      *spread.Machine
 	ready       Ready
@@ -118,7 +118,7 @@
 func (n *Node) Members() []membership.Member { return n.members.Members() }
 
 // Candidates returns every VM whose address is known, seeds included.
-func (n *Node) Candidates() []platform.VM { return n.members.Candidates() }
+func (n *Node) Candidates() []kvstore.VM { return n.members.Candidates() }
 
 // Status returns what is in force in the fleet.
 func (n *Node) Status(now time.Duration) spread.Status { return n.spread.Status(now) }
--- a/fleet/node/scenario_test.go
+++ b/fleet/node/scenario_test.go
@@ -12,7 +12,7 @@
 	"guavacrank.example/fleet/membership"
 	"guavacrank.example/fleet/node"
 	"guavacrank.example/fleet/spread"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 func TestScenarios(t *testing.T) {
@@ -28,7 +28,7 @@
 // fixture is a settled fleet with its counted events.
 type fixture struct {
 	*fleettest.World
-	vms    []platform.VM
+	vms    []kvstore.VM
 	events map[event.Number]map[string]int // By number, then by the VM it is about.
 }
 
@@ -91,8 +91,8 @@
 	return func() bool { return f.have(key, version) == len(f.Running()) }
 }
 
-func (f *fixture) cut(isCut func(from, to platform.VM) bool) {
-	f.Deliveries = func(from, to platform.VM) []time.Duration {
+func (f *fixture) cut(isCut func(from, to kvstore.VM) bool) {
+	f.Deliveries = func(from, to kvstore.VM) []time.Duration {
 		if isCut(from, to) {
 			return nil
 		}
@@ -168,7 +168,7 @@
 	cutObserver := func(options node.Options) *fixture {
 		f := newFixture(options)
 		for i := range 10 {
-			f.cut(func(from, to platform.VM) bool { return from.Name == "vm-003" || to.Name == "vm-003" })
+			f.cut(func(from, to kvstore.VM) bool { return from.Name == "vm-003" || to.Name == "vm-003" })
 			if i%2 == 0 {
 				f.Pause("vm-003")
 			}
@@ -194,7 +194,7 @@
 	oneWay := func(options node.Options) *fixture {
 		f := newFixture(options)
 		watcher := ""
-		f.cut(func(from, to platform.VM) bool {
+		f.cut(func(from, to kvstore.VM) bool {
 			if from.Name == "vm-001" && watcher == "" {
 				watcher = to.Name
 			}
@@ -235,7 +235,7 @@
 
 	It("is not misled by a list that lies for a minute", func() {
 		f := newFixture(node.Options{})
-		lie := []platform.VM{{Name: "ghost", Region: "flanders", Zone: "flanders-a", Peer: "10.9.9.9:7000"}}
+		lie := []kvstore.VM{{Name: "ghost", Region: "flanders", Zone: "flanders-a", Peer: "10.9.9.9:7000"}}
 		for _, vm := range f.vms[:6] {
 			vm.Leaving = true
 			lie = append(lie, vm)
@@ -259,7 +259,7 @@
 		f.Run(time.Second)
 		Expect(f.seen("vm-005", func(m membership.Member) bool { return m.Leaving })).To(Equal(fleetSize))
 		f.Stop("vm-005")
-		remaining := append(append([]platform.VM(nil), f.vms[:4]...), f.vms[5:]...)
+		remaining := append(append([]kvstore.VM(nil), f.vms[:4]...), f.vms[5:]...)
 		for _, p := range f.Running() {
 			f.Input(p.VM.Name, func(n *node.Node, now time.Duration) { n.Member(now, membership.Listed{VMs: remaining}) })
 		}
@@ -269,7 +269,7 @@
 })
 
 var _ = Describe("spreading", func() {
-	const key = platform.ConfigKey
+	const key = kvstore.ConfigKey
 	value := make([]byte, 4000)
 
 	It("reaches all VMs within two hops of the writer", func() {
@@ -299,8 +299,8 @@
 
 	It("reaches all VMs within 6 s after the link between regions returned", func() {
 		f := newFixture(node.Options{})
-		f.cut(func(from, to platform.VM) bool { return from.Region != to.Region })
-		f.StoreOut = func(vm platform.VM) bool { return vm.Region == "wallonia" }
+		f.cut(func(from, to kvstore.VM) bool { return from.Region != to.Region })
+		f.StoreOut = func(vm kvstore.VM) bool { return vm.Region == "wallonia" }
 		f.Run(time.Minute)
 		written := f.WriteAndPublish("vm-001", key, value)
 		f.Run(10 * time.Second)
@@ -315,7 +315,7 @@
 
 	It("is not stopped by watches that are silent", func() {
 		f := newFixture(node.Options{})
-		f.WatchBroken = func(platform.VM) bool { return true }
+		f.WatchBroken = func(kvstore.VM) bool { return true }
 		written := f.WriteAndPublish("vm-003", key, value)
 		Expect(f.until(time.Second, f.allHave(key, written.Version))).To(BeNumerically("<", time.Second))
 		written = f.Write(key, value)
@@ -326,7 +326,7 @@
 		f := newFixture(node.Options{})
 		written := f.WriteAndPublish("vm-003", key, value)
 		f.Run(time.Second)
-		f.StoreOut = func(platform.VM) bool { return true }
+		f.StoreOut = func(kvstore.VM) bool { return true }
 		replaced := f.Start(f.vms[7], f.vms)
 		f.Run(2 * time.Second)
 		Expect(replaced.Changes).To(HaveLen(1))
--- a/fleet/role/role.go
+++ b/fleet/role/role.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 const (
@@ -22,8 +22,8 @@
 
 // Options configures an Elector.
 type Options struct {
-	Store platform.Store
-	// Role is the role's name; the key is platform.RolePrefix + Role.
+	Store kvstore.Store
+	// Role is the role's name; the key is kvstore.RolePrefix + Role.
 	Role string
 	// Holder is this VM's name; it becomes the key's value.
 	Holder string
@@ -41,7 +41,7 @@
 
 	mu      sync.Mutex
 	machine *Machine
-	lease   platform.LeaseID
+	lease   kvstore.LeaseID
 	told    bool
 }
 
@@ -90,8 +90,8 @@
 func (e *Elector) claim(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	key := platform.RolePrefix + e.options.Role
-	if _, err := e.options.Store.Get(ctx, key); !platform.IsKind(err, platform.KindNotFound) {
+	key := kvstore.RolePrefix + e.options.Role
+	if _, err := e.options.Store.Get(ctx, key); !kvstore.IsKind(err, kvstore.KindNotFound) {
 		e.claimed(0, false)
 		return
 	}
@@ -102,7 +102,7 @@
 		return
 	}
 	_, err = e.options.Store.CompareAndSwap(ctx, key, 0, []byte(e.options.Holder), lease)
-	won := err == nil || (platform.IsUnknown(err) && e.ownsKey(ctx, key, lease))
+	won := err == nil || (kvstore.IsUnknown(err) && e.ownsKey(ctx, key, lease))
 	if won {
 		e.setLease(lease)
 	} else {
@@ -111,7 +111,7 @@
 	e.claimed(sentAt, won)
 }
 
-func (e *Elector) ownsKey(ctx context.Context, key string, lease platform.LeaseID) bool {
+func (e *Elector) ownsKey(ctx context.Context, key string, lease kvstore.LeaseID) bool {
 	entry, err := e.options.Store.Get(ctx, key)
 	return err == nil && entry.Lease == lease
 }
@@ -122,7 +122,7 @@
 	e.machine.Claimed(sentAt, e.options.Clock(), won)
 }
 
-func (e *Elector) setLease(lease platform.LeaseID) {
+func (e *Elector) setLease(lease kvstore.LeaseID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.lease = lease
@@ -135,7 +135,7 @@
 	err := e.options.Store.KeepAlive(ctx, e.lease)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	lost := platform.IsKind(err, platform.KindNotFound)
+	lost := kvstore.IsKind(err, kvstore.KindNotFound)
 	e.machine.KeptAlive(sentAt, e.options.Clock(), err == nil, lost)
 }
 
--- a/fleet/server.go
+++ b/fleet/server.go
@@ -15,7 +15,7 @@
 	"guavacrank.example/event"
 	fleetv1 "guavacrank.example/fleet/gen/fleet/v1"
 	"guavacrank.example/fleet/gen/fleet/v1/fleetv1connect"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 const (
@@ -23,7 +23,7 @@
 	bearerPrefix        = "Bearer "
 	// maxMessageBytes bounds one message: a largest value with its keys, and a
 	// repairing message beside it.
-	maxMessageBytes = 2 * platform.MaxValueBytes
+	maxMessageBytes = 2 * kvstore.MaxValueBytes
 	// maxStreams bounds the streams that other VMs hold open.
 	maxStreams = 4096
 	// messageRate and messageBurst bound what one VM may send, in messages.
--- a/fleet/transport.go
+++ b/fleet/transport.go
@@ -14,7 +14,7 @@
 	fleetv1 "guavacrank.example/fleet/gen/fleet/v1"
 	"guavacrank.example/fleet/gen/fleet/v1/fleetv1connect"
 	"guavacrank.example/fleet/membership"
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 const (
@@ -37,7 +37,7 @@
 
 // transport sends messages to other VMs, one stream for each.
 type transport struct {
-	self   platform.VM
+	self   kvstore.VM
 	token  string
 	client *http.Client
 	base   *http.Transport
@@ -64,7 +64,7 @@
 	message *fleetv1.ExchangeRequest
 }
 
-func newTransport(self platform.VM, token string) *transport {
+func newTransport(self kvstore.VM, token string) *transport {
 	t := &transport{
 		self: self, token: token,
 		addresses: make(map[string]string),
@@ -105,7 +105,7 @@
 }
 
 // setAddresses takes the addresses of all candidates.
-func (t *transport) setAddresses(vms []platform.VM) {
+func (t *transport) setAddresses(vms []kvstore.VM) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	clear(t.addresses)
--- a/platform/errors.go
+++ b/kvstore/errors.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import (
 	"errors"
@@ -39,7 +39,7 @@
 
 // Error implements error.
 func (e *Error) Error() string {
-	text := fmt.Sprintf("platform: %s %q: %s", e.Op, e.Key, e.Kind)
+	text := fmt.Sprintf("kvstore: %s %q: %s", e.Op, e.Key, e.Kind)
 	if e.Outcome == OutcomeUnknown {
 		text += " (outcome unknown)"
 	}
--- a/platform/httpstore/client.go
+++ b/kvstore/httpstore/client.go
@@ -12,7 +12,7 @@
 
 	"github.com/dghubble/sling"
 
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 const (
@@ -34,7 +34,7 @@
 	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// Client is a platform.Store that calls the service over HTTP. It is safe for
+// Client is a kvstore.Store that calls the service over HTTP. It is safe for
 // concurrent use.
 //
 // A write without an answer has OutcomeUnknown, unless no connection could be
@@ -45,7 +45,7 @@
 	timeout time.Duration
 }
 
-var _ platform.Store = (*Client)(nil)
+var _ kvstore.Store = (*Client)(nil)
 
 // NewClient returns a client.
 func NewClient(options ClientOptions) *Client {
@@ -70,65 +70,65 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements kvstore.Store.
+func (c *Client) Get(ctx context.Context, key string) (kvstore.Entry, error) {
 	answer, err := do[entryAnswer](ctx, c, call{op: "get", key: key, path: pathGet, body: keyRequest{key}})
 	return answer.Entry, err
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+// List implements kvstore.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]kvstore.Entry, error) {
 	answer, err := do[entriesAnswer](ctx, c, call{op: "list", key: prefix, path: pathList, body: prefixRequest{prefix}})
 	return answer.Entries, err
 }
 
-// CompareAndSwap implements platform.Store.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, expected platform.Version, value []byte, lease platform.LeaseID) (platform.Version, error) {
+// CompareAndSwap implements kvstore.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expected kvstore.Version, value []byte, lease kvstore.LeaseID) (kvstore.Version, error) {
 	const op = "compare-and-swap"
-	if len(value) > platform.MaxValueBytes {
-		return 0, &platform.Error{Op: op, Key: key, Kind: platform.KindTooLarge}
+	if len(value) > kvstore.MaxValueBytes {
+		return 0, &kvstore.Error{Op: op, Key: key, Kind: kvstore.KindTooLarge}
 	}
 	body := swapRequest{Key: key, Expected: expected, Value: value, Lease: lease}
 	answer, err := do[versionAnswer](ctx, c, call{op: op, key: key, path: pathCompareAndSwap, body: body, write: true})
 	return answer.Version, err
 }
 
-// Delete implements platform.Store.
-func (c *Client) Delete(ctx context.Context, key string, expected platform.Version) error {
+// Delete implements kvstore.Store.
+func (c *Client) Delete(ctx context.Context, key string, expected kvstore.Version) error {
 	body := deleteRequest{Key: key, Expected: expected}
 	_, err := do[emptyAnswer](ctx, c, call{op: "delete", key: key, path: pathDelete, body: body, write: true})
 	return err
 }
 
-// Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) ([]platform.Entry, error) {
+// Watch implements kvstore.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, after kvstore.Version, wait time.Duration) ([]kvstore.Entry, error) {
 	wait = min(wait, maxWatchWait)
 	body := watchRequest{Prefix: prefix, After: after, WaitMS: wait.Milliseconds()}
 	answer, err := do[entriesAnswer](ctx, c, call{op: "watch", key: prefix, path: pathWatch, body: body, wait: wait})
 	return answer.Entries, err
 }
 
-// GrantLease implements platform.Store.
-func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease implements kvstore.Store.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error) {
 	body := grantLeaseRequest{TTLMS: ttl.Milliseconds()}
 	answer, err := do[leaseAnswer](ctx, c, call{op: "grant lease", path: pathGrantLease, body: body, write: true})
 	return answer.Lease, err
 }
 
-// KeepAlive implements platform.Store.
-func (c *Client) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+// KeepAlive implements kvstore.Store.
+func (c *Client) KeepAlive(ctx context.Context, lease kvstore.LeaseID) error {
 	_, err := do[emptyAnswer](ctx, c, call{op: "keep alive", path: pathKeepAlive, body: leaseRequest{lease}, write: true})
 	return err
 }
 
-// Revoke implements platform.Store.
-func (c *Client) Revoke(ctx context.Context, lease platform.LeaseID) error {
+// Revoke implements kvstore.Store.
+func (c *Client) Revoke(ctx context.Context, lease kvstore.LeaseID) error {
 	_, err := do[emptyAnswer](ctx, c, call{op: "revoke", path: pathRevoke, body: leaseRequest{lease}, write: true})
 	return err
 }
 
-// VMs implements platform.Store.
-func (c *Client) VMs(ctx context.Context) ([]platform.VM, error) {
+// VMs implements kvstore.Store.
+func (c *Client) VMs(ctx context.Context) ([]kvstore.VM, error) {
 	answer, err := do[vmsAnswer](ctx, c, call{op: "list VMs", path: pathVMs, body: emptyRequest{}})
 	return answer.VMs, err
 }
@@ -145,11 +145,11 @@
 
 // failed returns the error of a call that brought no usable answer.
 func (c call) failed(received bool, err error) error {
-	outcome := platform.OutcomeNotApplied
+	outcome := kvstore.OutcomeNotApplied
 	if c.write && received {
-		outcome = platform.OutcomeUnknown
+		outcome = kvstore.OutcomeUnknown
 	}
-	return &platform.Error{Op: c.op, Key: c.key, Kind: platform.KindUnavailable, Outcome: outcome, Err: err}
+	return &kvstore.Error{Op: c.op, Key: c.key, Kind: kvstore.KindUnavailable, Outcome: outcome, Err: err}
 }
 
 func do[Answer any](ctx context.Context, c *Client, call call) (Answer, error) {
@@ -158,7 +158,7 @@
 	defer cancel()
 	request, err := sling.New().Base(c.base).Post(call.path).BodyJSON(call.body).Request()
 	if err != nil {
-		return answer, &platform.Error{Op: call.op, Key: call.key, Kind: platform.KindInvalid, Err: err}
+		return answer, &kvstore.Error{Op: call.op, Key: call.key, Kind: kvstore.KindInvalid, Err: err}
 	}
 	response, err := c.http.Do(request.WithContext(ctx))
 	if err != nil {
@@ -185,7 +185,7 @@
 // is no failure of this protocol proves nothing about the change.
 func (c call) refused(status int, body []byte) error {
 	var reported failure
-	kind, ok := platform.KindInvalid, false
+	kind, ok := kvstore.KindInvalid, false
 	if err := json.Unmarshal(body, &reported); err == nil {
 		kind, ok = kindOf(reported.Failure)
 	}
@@ -196,7 +196,7 @@
 	if reported.Reason != "" {
 		reason = errors.New(reported.Reason)
 	}
-	return &platform.Error{
+	return &kvstore.Error{
 		Op:      c.op,
 		Key:     c.key,
 		Kind:    kind,
@@ -206,8 +206,8 @@
 }
 
 // kindOf returns the kind with a name.
-func kindOf(name string) (platform.Kind, bool) {
-	for kind := platform.KindUnavailable; kind <= platform.KindInvalid; kind++ {
+func kindOf(name string) (kvstore.Kind, bool) {
+	for kind := kvstore.KindUnavailable; kind <= kvstore.KindInvalid; kind++ {
 		if kind.String() == name {
 			return kind, true
 		}
--- a/platform/httpstore/handler.go
+++ b/kvstore/httpstore/handler.go
@@ -7,13 +7,13 @@
 	"net/http"
 	"time"
 
-	"guavacrank.example/platform"
-	"guavacrank.example/platform/memstore"
+	"guavacrank.example/kvstore"
+	"guavacrank.example/kvstore/memstore"
 )
 
 // NewHandler serves a store. A write whose outcome is unknown gets no answer:
 // its connection is closed.
-func NewHandler(store platform.Store) http.Handler {
+func NewHandler(store kvstore.Store) http.Handler {
 	mux := http.NewServeMux()
 	handle(mux, pathGet, func(ctx context.Context, r keyRequest) (entryAnswer, error) {
 		entry, err := store.Get(ctx, r.Key)
@@ -68,7 +68,7 @@
 		writeJSON(w, http.StatusOK, store.Counts())
 	})
 	mux.HandleFunc("PUT "+PathVMs, func(w http.ResponseWriter, r *http.Request) {
-		if vms, ok := decode[[]platform.VM](w, r); ok {
+		if vms, ok := decode[[]kvstore.VM](w, r); ok {
 			store.SetVMs(vms)
 			w.WriteHeader(http.StatusNoContent)
 		}
@@ -120,21 +120,21 @@
 	if err == nil {
 		return request, true
 	}
-	kind := platform.KindInvalid
+	kind := kvstore.KindInvalid
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		kind = platform.KindTooLarge
+		kind = kvstore.KindTooLarge
 	}
-	writeFailure(w, &platform.Error{Kind: kind, Err: err})
+	writeFailure(w, &kvstore.Error{Kind: kind, Err: err})
 	return request, false
 }
 
 func writeFailure(w http.ResponseWriter, err error) {
-	var failed *platform.Error
+	var failed *kvstore.Error
 	if !errors.As(err, &failed) {
-		failed = &platform.Error{Kind: platform.KindUnavailable, Outcome: platform.OutcomeUnknown, Err: err}
+		failed = &kvstore.Error{Kind: kvstore.KindUnavailable, Outcome: kvstore.OutcomeUnknown, Err: err}
 	}
-	if failed.Outcome == platform.OutcomeUnknown {
+	if failed.Outcome == kvstore.OutcomeUnknown {
 		panic(http.ErrAbortHandler) // The reply is lost.
 	}
 	body := failure{Failure: failed.Kind.String(), Current: failed.Current}
@@ -144,17 +144,17 @@
 	writeJSON(w, statusOf(failed.Kind), body)
 }
 
-func statusOf(kind platform.Kind) int {
+func statusOf(kind kvstore.Kind) int {
 	switch kind {
-	case platform.KindNotFound:
+	case kvstore.KindNotFound:
 		return http.StatusNotFound
-	case platform.KindConflict:
+	case kvstore.KindConflict:
 		return http.StatusConflict
-	case platform.KindThrottled:
+	case kvstore.KindThrottled:
 		return http.StatusTooManyRequests
-	case platform.KindTooLarge:
+	case kvstore.KindTooLarge:
 		return http.StatusRequestEntityTooLarge
-	case platform.KindInvalid:
+	case kvstore.KindInvalid:
 		return http.StatusBadRequest
 	default:
 		return http.StatusServiceUnavailable
--- a/platform/httpstore/httpstore_test.go
+++ b/kvstore/httpstore/httpstore_test.go
@@ -13,9 +13,9 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/goleak"
 
-	"guavacrank.example/platform"
-	"guavacrank.example/platform/httpstore"
-	"guavacrank.example/platform/memstore"
+	"guavacrank.example/kvstore"
+	"guavacrank.example/kvstore/httpstore"
+	"guavacrank.example/kvstore/memstore"
 )
 
 func TestHTTPStore(t *testing.T) {
@@ -55,10 +55,10 @@
 		Expect(err).NotTo(HaveOccurred())
 		entry, err := client.Get(ctx, "role/a")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(entry).To(Equal(platform.Entry{Key: "role/a", Value: []byte{0, 255}, Version: version, Lease: lease}))
+		Expect(entry).To(Equal(kvstore.Entry{Key: "role/a", Value: []byte{0, 255}, Version: version, Lease: lease}))
 		_, err = client.CompareAndSwap(ctx, "role/a", 0, nil, 0)
-		Expect(platform.IsKind(err, platform.KindConflict)).To(BeTrue())
-		Expect(err.(*platform.Error).Current).To(Equal(version))
+		Expect(kvstore.IsKind(err, kvstore.KindConflict)).To(BeTrue())
+		Expect(err.(*kvstore.Error).Current).To(Equal(version))
 		Expect(client.KeepAlive(ctx, lease)).To(Succeed())
 		Expect(client.Revoke(ctx, lease)).To(Succeed())
 		changed, err := client.Watch(ctx, "role/", version, time.Minute)
@@ -66,14 +66,14 @@
 		Expect(changed).To(HaveLen(1))
 		Expect(changed[0].Deleted).To(BeTrue())
 		_, err = client.Get(ctx, "role/a")
-		Expect(platform.IsKind(err, platform.KindNotFound)).To(BeTrue())
-		large, err := client.CompareAndSwap(ctx, "large", 0, make([]byte, platform.MaxValueBytes), 0)
+		Expect(kvstore.IsKind(err, kvstore.KindNotFound)).To(BeTrue())
+		large, err := client.CompareAndSwap(ctx, "large", 0, make([]byte, kvstore.MaxValueBytes), 0)
 		Expect(err).NotTo(HaveOccurred())
 		entries, err := client.List(ctx, "")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(entries).To(HaveLen(1))
 		Expect(client.Delete(ctx, "large", large)).To(Succeed())
-		store.SetVMs([]platform.VM{{Name: "vm1", Region: "flanders"}})
+		store.SetVMs([]kvstore.VM{{Name: "vm1", Region: "flanders"}})
 		vms, err := client.VMs(ctx)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(vms).To(HaveLen(1))
@@ -82,20 +82,20 @@
 	It("reports a lost reply as unknown and an outage as not applied", func() {
 		store.SetFaults(memstore.Faults{LostReplies: memstore.LostCalls{Count: 1}})
 		_, err := client.CompareAndSwap(ctx, "k", 0, []byte("v"), 0)
-		Expect(platform.IsUnknown(err)).To(BeTrue())
+		Expect(kvstore.IsUnknown(err)).To(BeTrue())
 		_, err = client.Get(ctx, "k")
 		Expect(err).NotTo(HaveOccurred())
 		store.SetFaults(memstore.Faults{Outage: true})
 		_, err = client.CompareAndSwap(ctx, "l", 0, nil, 0)
-		Expect(platform.IsKind(err, platform.KindUnavailable)).To(BeTrue())
-		Expect(platform.IsUnknown(err)).To(BeFalse())
+		Expect(kvstore.IsKind(err, kvstore.KindUnavailable)).To(BeTrue())
+		Expect(kvstore.IsUnknown(err)).To(BeFalse())
 	})
 
 	It("reports a timed-out write as unknown", func() {
 		store.SetFaults(memstore.Faults{ReplyDelay: time.Minute})
 		hasty := connect(server, 20*time.Millisecond)
 		_, err := hasty.CompareAndSwap(ctx, "k", 0, []byte("v"), 0)
-		Expect(platform.IsUnknown(err)).To(BeTrue())
+		Expect(kvstore.IsUnknown(err)).To(BeTrue())
 		store.SetFaults(memstore.Faults{})
 		_, err = client.Get(ctx, "k")
 		Expect(err).NotTo(HaveOccurred())
@@ -104,8 +104,8 @@
 	It("reports a refused connection as not applied", func() {
 		server.Close()
 		_, err := client.CompareAndSwap(ctx, "k", 0, nil, 0)
-		Expect(platform.IsKind(err, platform.KindUnavailable)).To(BeTrue())
-		Expect(platform.IsUnknown(err)).To(BeFalse())
+		Expect(kvstore.IsKind(err, kvstore.KindUnavailable)).To(BeTrue())
+		Expect(kvstore.IsUnknown(err)).To(BeFalse())
 	})
 
 	DescribeTable("takes an answer that is not the service's as unknown", func(status int, body string) {
@@ -115,7 +115,7 @@
 		}))
 		DeferCleanup(other.Close)
 		_, err := connect(other, time.Second).CompareAndSwap(ctx, "k", 0, nil, 0)
-		Expect(platform.IsUnknown(err)).To(BeTrue())
+		Expect(kvstore.IsUnknown(err)).To(BeTrue())
 	},
 		Entry("a gateway's page", http.StatusServiceUnavailable, "<html>"),
 		Entry("an empty object", http.StatusServiceUnavailable, "{}"),
--- a/platform/httpstore/protocol.go
+++ b/kvstore/httpstore/protocol.go
@@ -1,4 +1,4 @@
-// Package httpstore serves a platform.Store over HTTP with JSON, and is the
+// Package httpstore serves a kvstore.Store over HTTP with JSON, and is the
 // client of that protocol. Every call is a POST; its answer has status 200, or
 // another one with a failure.
 package httpstore
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // Paths of the calls.
@@ -26,13 +26,13 @@
 const (
 	PathFaults = "/standin/v1/store/faults" // GET, PUT memstore.Faults.
 	PathCounts = "/standin/v1/store/counts" // GET memstore.Counts.
-	PathVMs    = "/standin/v1/store/vms"    // PUT []platform.VM.
+	PathVMs    = "/standin/v1/store/vms"    // PUT []kvstore.VM.
 	PathLapse  = "/standin/v1/store/lapse"  // POST LapseRequest.
 )
 
 const (
 	// maxRequestBytes holds one value of the largest size in base64, with its frame.
-	maxRequestBytes = 2 * platform.MaxValueBytes
+	maxRequestBytes = 2 * kvstore.MaxValueBytes
 	// maxAnswerBytes limits the answer of a list or a watch.
 	maxAnswerBytes = 256 << 20
 	// maxWatchWait limits how long a watch waits.
@@ -51,24 +51,24 @@
 
 type swapRequest struct {
 	Key      string           `json:"key"`
-	Expected platform.Version `json:"expected"`
+	Expected kvstore.Version `json:"expected"`
 	Value    []byte           `json:"value"`
-	Lease    platform.LeaseID `json:"lease,omitempty"`
+	Lease    kvstore.LeaseID `json:"lease,omitempty"`
 }
 
 type deleteRequest struct {
 	Key      string           `json:"key"`
-	Expected platform.Version `json:"expected"`
+	Expected kvstore.Version `json:"expected"`
 }
 
 type watchRequest struct {
 	Prefix string           `json:"prefix"`
-	After  platform.Version `json:"after"`
+	After  kvstore.Version `json:"after"`
 	WaitMS int64            `json:"wait_ms"`
 }
 
 type leaseRequest struct {
-	Lease platform.LeaseID `json:"lease"`
+	Lease kvstore.LeaseID `json:"lease"`
 }
 
 type grantLeaseRequest struct {
@@ -78,23 +78,23 @@
 type emptyRequest struct{}
 
 type entryAnswer struct {
-	Entry platform.Entry `json:"entry"`
+	Entry kvstore.Entry `json:"entry"`
 }
 
 type entriesAnswer struct {
-	Entries []platform.Entry `json:"entries"`
+	Entries []kvstore.Entry `json:"entries"`
 }
 
 type versionAnswer struct {
-	Version platform.Version `json:"version"`
+	Version kvstore.Version `json:"version"`
 }
 
 type leaseAnswer struct {
-	Lease platform.LeaseID `json:"lease"`
+	Lease kvstore.LeaseID `json:"lease"`
 }
 
 type vmsAnswer struct {
-	VMs []platform.VM `json:"vms"`
+	VMs []kvstore.VM `json:"vms"`
 }
 
 type emptyAnswer struct{}
@@ -102,13 +102,13 @@
 // failure is the body of an answer that reports an error. It proves that nothing
 // changed: a change whose outcome is unknown gets no answer.
 type failure struct {
-	Failure string           `json:"failure"` // The name of a platform.Kind.
-	Current platform.Version `json:"current"`
+	Failure string           `json:"failure"` // The name of a kvstore.Kind.
+	Current kvstore.Version `json:"current"`
 	Reason  string           `json:"reason"`
 }
 
 // LapseRequest names what lapses: a lease, or the lease that holds a key.
 type LapseRequest struct {
-	Lease platform.LeaseID `json:"lease"`
+	Lease kvstore.LeaseID `json:"lease"`
 	Key   string           `json:"key"`
 }
--- a/platform/keys.go
+++ b/kvstore/keys.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 // Keys of the store.
 const (
--- a/platform/memstore/calls.go
+++ b/kvstore/memstore/calls.go
@@ -8,10 +8,10 @@
 	"strings"
 	"time"
 
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
-// Reasons inside a platform.Error.
+// Reasons inside a kvstore.Error.
 var (
 	errOutage       = errors.New("the service is out")
 	errLostRequest  = errors.New("the request was lost")
@@ -23,13 +23,13 @@
 	errRateExceeded = errors.New("the call rate was exceeded")
 )
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.Entry, error) {
-	var found platform.Entry
+// Get implements kvstore.Store.
+func (s *Store) Get(ctx context.Context, key string) (kvstore.Entry, error) {
+	var found kvstore.Entry
 	err := s.read(ctx, "get", key, &s.counts.Gets, func() error {
 		current, ok := s.entries[key]
 		if !ok || current.Deleted {
-			return &platform.Error{Op: "get", Key: key, Kind: platform.KindNotFound}
+			return &kvstore.Error{Op: "get", Key: key, Kind: kvstore.KindNotFound}
 		}
 		found = current.copy()
 		return nil
@@ -37,9 +37,9 @@
 	return found, err
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
-	var found []platform.Entry
+// List implements kvstore.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]kvstore.Entry, error) {
+	var found []kvstore.Entry
 	err := s.read(ctx, "list", prefix, &s.counts.Lists, func() error {
 		for key, current := range s.entries {
 			if strings.HasPrefix(key, prefix) && !current.Deleted {
@@ -52,23 +52,23 @@
 	return found, err
 }
 
-// CompareAndSwap implements platform.Store. A lease that does not exist is an
+// CompareAndSwap implements kvstore.Store. A lease that does not exist is an
 // error of KindNotFound, an empty key one of KindInvalid.
-func (s *Store) CompareAndSwap(ctx context.Context, key string, expected platform.Version, value []byte, leaseID platform.LeaseID) (platform.Version, error) {
+func (s *Store) CompareAndSwap(ctx context.Context, key string, expected kvstore.Version, value []byte, leaseID kvstore.LeaseID) (kvstore.Version, error) {
 	const op = "compare-and-swap"
-	var written platform.Version
+	var written kvstore.Version
 	err := s.write(ctx, op, key, &s.counts.Swaps, func() error {
 		if key == "" {
-			return &platform.Error{Op: op, Kind: platform.KindInvalid, Err: errEmptyKey}
+			return &kvstore.Error{Op: op, Kind: kvstore.KindInvalid, Err: errEmptyKey}
 		}
-		if len(value) > platform.MaxValueBytes {
-			return &platform.Error{Op: op, Key: key, Kind: platform.KindTooLarge}
+		if len(value) > kvstore.MaxValueBytes {
+			return &kvstore.Error{Op: op, Key: key, Kind: kvstore.KindTooLarge}
 		}
 		if err := s.checkVersion(op, key, expected); err != nil {
 			return err
 		}
 		if _, ok := s.leases[leaseID]; !ok && leaseID != 0 {
-			return &platform.Error{Op: op, Key: key, Kind: platform.KindNotFound, Err: errNoLease}
+			return &kvstore.Error{Op: op, Key: key, Kind: kvstore.KindNotFound, Err: errNoLease}
 		}
 		written = s.put(key, bytes.Clone(value), leaseID)
 		return nil
@@ -79,12 +79,12 @@
 	return written, nil
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, key string, expected platform.Version) error {
+// Delete implements kvstore.Store.
+func (s *Store) Delete(ctx context.Context, key string, expected kvstore.Version) error {
 	const op = "delete"
 	return s.write(ctx, op, key, &s.counts.Deletes, func() error {
 		if s.currentVersion(key) == 0 {
-			return &platform.Error{Op: op, Key: key, Kind: platform.KindNotFound}
+			return &kvstore.Error{Op: op, Key: key, Kind: kvstore.KindNotFound}
 		}
 		if err := s.checkVersion(op, key, expected); err != nil {
 			return err
@@ -95,16 +95,16 @@
 }
 
 // checkVersion reports a conflict unless the key is at the expected version.
-func (s *Store) checkVersion(op, key string, expected platform.Version) error {
+func (s *Store) checkVersion(op, key string, expected kvstore.Version) error {
 	current := s.currentVersion(key)
 	if current == expected {
 		return nil
 	}
-	return &platform.Error{Op: op, Key: key, Kind: platform.KindConflict, Current: current}
+	return &kvstore.Error{Op: op, Key: key, Kind: kvstore.KindConflict, Current: current}
 }
 
 // currentVersion returns the version of an existing key, otherwise zero.
-func (s *Store) currentVersion(key string) platform.Version {
+func (s *Store) currentVersion(key string) kvstore.Version {
 	current, ok := s.entries[key]
 	if !ok || current.Deleted {
 		return 0
@@ -123,7 +123,7 @@
 	delay := s.faults.ReplyDelay
 	s.mu.Unlock()
 	if waitErr := s.sleep(ctx, delay); waitErr != nil {
-		return &platform.Error{Op: op, Key: key, Kind: platform.KindUnavailable, Err: waitErr}
+		return &kvstore.Error{Op: op, Key: key, Kind: kvstore.KindUnavailable, Err: waitErr}
 	}
 	return err
 }
@@ -155,7 +155,7 @@
 // admit counts a call, delays it and applies outages and limits.
 func (s *Store) admit(ctx context.Context, op, key string, count *uint64, write bool) error {
 	if err := ctx.Err(); err != nil {
-		return &platform.Error{Op: op, Key: key, Kind: platform.KindUnavailable, Err: err}
+		return &kvstore.Error{Op: op, Key: key, Kind: kvstore.KindUnavailable, Err: err}
 	}
 	s.mu.Lock()
 	*count++
@@ -165,13 +165,13 @@
 		if write {
 			return unknown(op, key, err)
 		}
-		return &platform.Error{Op: op, Key: key, Kind: platform.KindUnavailable, Err: err}
+		return &kvstore.Error{Op: op, Key: key, Kind: kvstore.KindUnavailable, Err: err}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Outage {
 		s.counts.Refused++
-		return &platform.Error{Op: op, Key: key, Kind: platform.KindUnavailable, Err: errOutage}
+		return &kvstore.Error{Op: op, Key: key, Kind: kvstore.KindUnavailable, Err: errOutage}
 	}
 	limiter := s.reads
 	if write {
@@ -179,7 +179,7 @@
 	}
 	if !limiter.AllowN(s.now(), 1) {
 		s.counts.Throttled++
-		return &platform.Error{Op: op, Key: key, Kind: platform.KindThrottled, Err: errRateExceeded}
+		return &kvstore.Error{Op: op, Key: key, Kind: kvstore.KindThrottled, Err: errRateExceeded}
 	}
 	return nil
 }
@@ -201,15 +201,15 @@
 
 // unknown is the error of a write that may have taken effect.
 func unknown(op, key string, err error) error {
-	return &platform.Error{
-		Op: op, Key: key, Kind: platform.KindUnavailable, Outcome: platform.OutcomeUnknown, Err: err,
+	return &kvstore.Error{
+		Op: op, Key: key, Kind: kvstore.KindUnavailable, Outcome: kvstore.OutcomeUnknown, Err: err,
 	}
 }
 
-func (r *record) copy() platform.Entry {
+func (r *record) copy() kvstore.Entry {
 	entry := r.Entry
 	entry.Value = bytes.Clone(r.Value)
 	return entry
 }
 
-func byKey(a, b platform.Entry) int { return strings.Compare(a.Key, b.Key) }
+func byKey(a, b kvstore.Entry) int { return strings.Compare(a.Key, b.Key) }
--- a/platform/memstore/faults.go
+++ b/kvstore/memstore/faults.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // WatchFault is a way in which watches are broken.
@@ -88,7 +88,7 @@
 
 // LapseLease ends a lease at once, as if its holder had been paused for too
 // long, and reports whether it existed.
-func (s *Store) LapseLease(id platform.LeaseID) bool {
+func (s *Store) LapseLease(id kvstore.LeaseID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.leases[id]; !ok {
--- a/platform/memstore/lease.go
+++ b/kvstore/memstore/lease.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // noLapse says that no lease can lapse.
@@ -19,13 +19,13 @@
 	keys    map[string]struct{}
 }
 
-// GrantLease implements platform.Store.
-func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// GrantLease implements kvstore.Store.
+func (s *Store) GrantLease(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error) {
 	const op = "grant lease"
-	var granted platform.LeaseID
+	var granted kvstore.LeaseID
 	err := s.write(ctx, op, "", &s.counts.LeaseGrants, func() error {
 		if ttl <= 0 {
-			return &platform.Error{Op: op, Kind: platform.KindInvalid, Err: errTimeToLive}
+			return &kvstore.Error{Op: op, Kind: kvstore.KindInvalid, Err: errTimeToLive}
 		}
 		s.lastID++
 		granted = s.lastID
@@ -40,25 +40,25 @@
 	return granted, nil
 }
 
-// KeepAlive implements platform.Store.
-func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+// KeepAlive implements kvstore.Store.
+func (s *Store) KeepAlive(ctx context.Context, id kvstore.LeaseID) error {
 	const op = "keep alive"
 	return s.write(ctx, op, "", &s.counts.KeepAlives, func() error {
 		held, ok := s.leases[id]
 		if !ok {
-			return &platform.Error{Op: op, Kind: platform.KindNotFound, Err: errNoLease}
+			return &kvstore.Error{Op: op, Kind: kvstore.KindNotFound, Err: errNoLease}
 		}
 		held.expires = s.clock.Now() + held.ttl
 		return nil
 	})
 }
 
-// Revoke implements platform.Store.
-func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
+// Revoke implements kvstore.Store.
+func (s *Store) Revoke(ctx context.Context, id kvstore.LeaseID) error {
 	const op = "revoke"
 	return s.write(ctx, op, "", &s.counts.Revokes, func() error {
 		if _, ok := s.leases[id]; !ok {
-			return &platform.Error{Op: op, Kind: platform.KindNotFound, Err: errNoLease}
+			return &kvstore.Error{Op: op, Kind: kvstore.KindNotFound, Err: errNoLease}
 		}
 		s.endLease(id)
 		return nil
@@ -71,7 +71,7 @@
 	if now < s.nextLapse {
 		return
 	}
-	var ended []platform.LeaseID
+	var ended []kvstore.LeaseID
 	s.nextLapse = noLapse
 	for id, held := range s.leases {
 		if held.expires <= now {
@@ -87,7 +87,7 @@
 }
 
 // endLease removes a lease and its keys, in order of key.
-func (s *Store) endLease(id platform.LeaseID) {
+func (s *Store) endLease(id kvstore.LeaseID) {
 	held := s.leases[id]
 	delete(s.leases, id)
 	keys := make([]string, 0, len(held.keys))
--- a/platform/memstore/memstore_test.go
+++ b/kvstore/memstore/memstore_test.go
@@ -9,9 +9,9 @@
 	. "github.com/onsi/gomega"
 	"go.uber.org/goleak"
 
-	"guavacrank.example/platform"
-	"guavacrank.example/platform/clock"
-	"guavacrank.example/platform/memstore"
+	"guavacrank.example/kvstore"
+	"guavacrank.example/kvstore/clock"
+	"guavacrank.example/kvstore/memstore"
 )
 
 func TestMemstore(t *testing.T) {
@@ -21,7 +21,7 @@
 
 // watchResult is what a Watch in the background returned.
 type watchResult struct {
-	entries []platform.Entry
+	entries []kvstore.Entry
 	err     error
 }
 
@@ -40,13 +40,13 @@
 		store = memstore.New(memstore.Options{Clock: virtual})
 	})
 
-	put := func(key, value string) platform.Version {
+	put := func(key, value string) kvstore.Version {
 		GinkgoHelper()
 		version, err := store.CompareAndSwap(ctx, key, 0, []byte(value), 0)
 		Expect(err).NotTo(HaveOccurred())
 		return version
 	}
-	watchInBackground := func(prefix string, after platform.Version, wait time.Duration) <-chan watchResult {
+	watchInBackground := func(prefix string, after kvstore.Version, wait time.Duration) <-chan watchResult {
 		results := make(chan watchResult, 1)
 		waiting := virtual.Waiting()
 		go func() {
@@ -62,17 +62,17 @@
 		_, err := store.CompareAndSwap(ctx, "page/a", first, []byte("2"), 0)
 		Expect(err).NotTo(HaveOccurred())
 		_, err = store.CompareAndSwap(ctx, "page/a", first, []byte("3"), 0)
-		Expect(platform.IsKind(err, platform.KindConflict)).To(BeTrue())
-		Expect(err.(*platform.Error).Current).To(Equal(first + 1))
+		Expect(kvstore.IsKind(err, kvstore.KindConflict)).To(BeTrue())
+		Expect(err.(*kvstore.Error).Current).To(Equal(first + 1))
 		entry, err := store.Get(ctx, "page/a")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(entry.Value)).To(Equal("2"))
 	})
 
 	It("refuses values above the limit", func() {
-		_, err := store.CompareAndSwap(ctx, "k", 0, make([]byte, platform.MaxValueBytes+1), 0)
-		Expect(platform.IsKind(err, platform.KindTooLarge)).To(BeTrue())
-		_, err = store.CompareAndSwap(ctx, "k", 0, make([]byte, platform.MaxValueBytes), 0)
+		_, err := store.CompareAndSwap(ctx, "k", 0, make([]byte, kvstore.MaxValueBytes+1), 0)
+		Expect(kvstore.IsKind(err, kvstore.KindTooLarge)).To(BeTrue())
+		_, err = store.CompareAndSwap(ctx, "k", 0, make([]byte, kvstore.MaxValueBytes), 0)
 		Expect(err).NotTo(HaveOccurred())
 	})
 
@@ -83,11 +83,11 @@
 		})
 		put("config/current", "untouched by the faults")
 		_, err := store.CompareAndSwap(ctx, "page/a", 0, []byte("lost request"), 0)
-		Expect(platform.IsUnknown(err)).To(BeTrue())
+		Expect(kvstore.IsUnknown(err)).To(BeTrue())
 		_, err = store.Get(ctx, "page/a")
-		Expect(platform.IsKind(err, platform.KindNotFound)).To(BeTrue())
+		Expect(kvstore.IsKind(err, kvstore.KindNotFound)).To(BeTrue())
 		_, err = store.CompareAndSwap(ctx, "page/a", 0, []byte("lost reply"), 0)
-		Expect(platform.IsUnknown(err)).To(BeTrue())
+		Expect(kvstore.IsUnknown(err)).To(BeTrue())
 		entry, err := store.Get(ctx, "page/a")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(entry.Value)).To(Equal("lost reply"))
@@ -98,10 +98,10 @@
 		store.SetFaults(memstore.Faults{Outage: true})
 		var result watchResult
 		Eventually(waiting).Should(Receive(&result))
-		Expect(platform.IsKind(result.err, platform.KindUnavailable)).To(BeTrue())
+		Expect(kvstore.IsKind(result.err, kvstore.KindUnavailable)).To(BeTrue())
 		_, err := store.CompareAndSwap(ctx, "k", 0, nil, 0)
-		Expect(platform.IsKind(err, platform.KindUnavailable)).To(BeTrue())
-		Expect(platform.IsUnknown(err)).To(BeFalse())
+		Expect(kvstore.IsKind(err, kvstore.KindUnavailable)).To(BeTrue())
+		Expect(kvstore.IsUnknown(err)).To(BeFalse())
 		Expect(store.Counts().Refused).To(BeEquivalentTo(1))
 		store.SetFaults(memstore.Faults{})
 		put("k", "v")
@@ -119,7 +119,7 @@
 		cancel()
 		var err error
 		Eventually(failed).Should(Receive(&err))
-		Expect(platform.IsUnknown(err)).To(BeTrue())
+		Expect(kvstore.IsUnknown(err)).To(BeTrue())
 		store.SetFaults(memstore.Faults{})
 		_, err = store.Get(ctx, "k")
 		Expect(err).NotTo(HaveOccurred())
@@ -139,9 +139,9 @@
 		Eventually(waiting).Should(Receive(&result))
 		Expect(result.entries).To(HaveLen(1))
 		Expect(result.entries[0].Deleted).To(BeTrue())
-		Expect(platform.IsKind(store.KeepAlive(ctx, lease), platform.KindNotFound)).To(BeTrue())
+		Expect(kvstore.IsKind(store.KeepAlive(ctx, lease), kvstore.KindNotFound)).To(BeTrue())
 		_, err = store.CompareAndSwap(ctx, "role/planner", 0, []byte("vm1"), lease)
-		Expect(platform.IsKind(err, platform.KindNotFound)).To(BeTrue())
+		Expect(kvstore.IsKind(err, kvstore.KindNotFound)).To(BeTrue())
 	})
 
 	It("lapses a lease on demand, and spares a key that was written without it since", func() {
@@ -217,8 +217,8 @@
 		put("a", "")
 		put("b", "")
 		_, err := store.CompareAndSwap(ctx, "c", 0, nil, 0)
-		Expect(platform.IsKind(err, platform.KindThrottled)).To(BeTrue())
-		Expect(platform.IsUnknown(err)).To(BeFalse())
+		Expect(kvstore.IsKind(err, kvstore.KindThrottled)).To(BeTrue())
+		Expect(kvstore.IsUnknown(err)).To(BeFalse())
 		waiting := watchInBackground("", 2, time.Hour)
 		virtual.Advance(time.Second)
 		put("c", "")
@@ -232,21 +232,21 @@
 			Expect(err).NotTo(HaveOccurred())
 		}
 		_, err = store.Get(ctx, "a")
-		Expect(platform.IsKind(err, platform.KindThrottled)).To(BeTrue())
+		Expect(kvstore.IsKind(err, kvstore.KindThrottled)).To(BeTrue())
 	})
 
 	It("shows the list of VMs as it was", func() {
-		store.SetVMs([]platform.VM{{Name: "vm2"}, {Name: "vm1"}})
+		store.SetVMs([]kvstore.VM{{Name: "vm2"}, {Name: "vm1"}})
 		store.SetFaults(memstore.Faults{VMListLag: 10 * time.Second})
 		virtual.Advance(5 * time.Second)
-		store.SetVMs([]platform.VM{{Name: "vm1", Leaving: true}})
+		store.SetVMs([]kvstore.VM{{Name: "vm1", Leaving: true}})
 		virtual.Advance(9 * time.Second)
 		vms, err := store.VMs(ctx)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(vms).To(Equal([]platform.VM{{Name: "vm1"}, {Name: "vm2"}}))
+		Expect(vms).To(Equal([]kvstore.VM{{Name: "vm1"}, {Name: "vm2"}}))
 		virtual.Advance(time.Second)
 		vms, err = store.VMs(ctx)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(vms).To(Equal([]platform.VM{{Name: "vm1", Leaving: true}}))
+		Expect(vms).To(Equal([]kvstore.VM{{Name: "vm1", Leaving: true}}))
 	})
 })
--- a/platform/memstore/store.go
+++ b/kvstore/memstore/store.go
@@ -9,8 +9,8 @@
 
 	"golang.org/x/time/rate"
 
-	"guavacrank.example/platform"
-	"guavacrank.example/platform/clock"
+	"guavacrank.example/kvstore"
+	"guavacrank.example/kvstore/clock"
 )
 
 // Defaults of Options.
@@ -34,24 +34,24 @@
 	ReadsPerSecond  int
 	// OnChange is told each change in order, also one whose reply is lost. It must
 	// not call the store. May be nil.
-	OnChange func(platform.Entry)
+	OnChange func(kvstore.Entry)
 }
 
-// Store is an in-memory platform.Store. It is safe for concurrent use.
+// Store is an in-memory kvstore.Store. It is safe for concurrent use.
 type Store struct {
 	clock    clock.Clock
-	onChange func(platform.Entry)
+	onChange func(kvstore.Entry)
 
 	mu      sync.Mutex
-	version platform.Version
+	version kvstore.Version
 	entries map[string]*record
-	leases  map[platform.LeaseID]*lease
-	lastID  platform.LeaseID
+	leases  map[kvstore.LeaseID]*lease
+	lastID  kvstore.LeaseID
 	// nextLapse is no later than the time at which the first lease lapses.
 	nextLapse time.Duration
 	watchers  map[*watcher]struct{}
 	// compacted is the highest version whose removal was forgotten.
-	compacted  platform.Version
+	compacted  kvstore.Version
 	tombstones []tombstone
 	vms        []vmList
 	faults     Faults
@@ -62,17 +62,17 @@
 
 // record is one key's newest state; a removed key keeps one with Deleted set.
 type record struct {
-	platform.Entry
+	kvstore.Entry
 	// missed hides the change from watches (WatchMisses).
 	missed bool
 }
 
 type tombstone struct {
 	key     string
-	version platform.Version
+	version kvstore.Version
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ kvstore.Store = (*Store)(nil)
 
 // New returns an empty store.
 func New(options Options) *Store {
@@ -83,7 +83,7 @@
 		clock:     options.Clock,
 		onChange:  options.OnChange,
 		entries:   make(map[string]*record),
-		leases:    make(map[platform.LeaseID]*lease),
+		leases:    make(map[kvstore.LeaseID]*lease),
 		nextLapse: noLapse,
 		watchers:  make(map[*watcher]struct{}),
 		writes:    newLimiter(options.WritesPerSecond, DefaultWritesPerSecond),
@@ -102,9 +102,9 @@
 }
 
 // put writes a key's new state and wakes the watches on it.
-func (s *Store) put(key string, value []byte, leaseID platform.LeaseID) platform.Version {
+func (s *Store) put(key string, value []byte, leaseID kvstore.LeaseID) kvstore.Version {
 	s.detach(key)
-	entry := platform.Entry{Key: key, Value: value, Lease: leaseID}
+	entry := kvstore.Entry{Key: key, Value: value, Lease: leaseID}
 	if held, ok := s.leases[leaseID]; ok {
 		held.keys[key] = struct{}{}
 	}
@@ -114,12 +114,12 @@
 // remove removes a key and keeps a tombstone for watches.
 func (s *Store) remove(key string) {
 	s.detach(key)
-	version := s.commit(platform.Entry{Key: key, Deleted: true})
+	version := s.commit(kvstore.Entry{Key: key, Deleted: true})
 	s.tombstones = append(s.tombstones, tombstone{key: key, version: version})
 	s.compact()
 }
 
-func (s *Store) commit(entry platform.Entry) platform.Version {
+func (s *Store) commit(entry kvstore.Entry) kvstore.Version {
 	s.version++
 	entry.Version = s.version
 	missed := s.faults.Watch == WatchMisses
--- a/platform/memstore/watch.go
+++ b/kvstore/memstore/watch.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // watcher is one waiting Watch.
@@ -16,11 +16,11 @@
 	woken  chan struct{} // Holds at most one wake-up.
 }
 
-// Watch implements platform.Store. Entries are sorted by version. A change
+// Watch implements kvstore.Store. Entries are sorted by version. A change
 // that a working watch did not return is returned by the next call with the
 // same version. A version older than the remembered removals is an error of
 // KindInvalid.
-func (s *Store) Watch(ctx context.Context, prefix string, after platform.Version, wait time.Duration) ([]platform.Entry, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, after kvstore.Version, wait time.Duration) ([]kvstore.Entry, error) {
 	const op = "watch"
 	if err := s.admit(ctx, op, prefix, &s.counts.Watches, false); err != nil {
 		return nil, err
@@ -39,7 +39,7 @@
 			return nil, nil
 		}
 		if err := s.waitForChange(ctx, waiting, left); err != nil {
-			return nil, &platform.Error{Op: op, Key: prefix, Kind: platform.KindUnavailable, Err: err}
+			return nil, &kvstore.Error{Op: op, Key: prefix, Kind: kvstore.KindUnavailable, Err: err}
 		}
 	}
 }
@@ -62,22 +62,22 @@
 }
 
 // changes returns the state of each key under prefix that changed after a version.
-func (s *Store) changes(prefix string, after platform.Version) ([]platform.Entry, error) {
+func (s *Store) changes(prefix string, after kvstore.Version) ([]kvstore.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lapse()
 	if s.faults.Outage {
-		return nil, &platform.Error{Op: "watch", Key: prefix, Kind: platform.KindUnavailable, Err: errOutage}
+		return nil, &kvstore.Error{Op: "watch", Key: prefix, Kind: kvstore.KindUnavailable, Err: errOutage}
 	}
 	if s.faults.Watch == WatchSilent {
 		return nil, nil
 	}
 	if after < s.compacted {
-		return nil, &platform.Error{
-			Op: "watch", Key: prefix, Kind: platform.KindInvalid, Current: s.version, Err: errCompacted,
+		return nil, &kvstore.Error{
+			Op: "watch", Key: prefix, Kind: kvstore.KindInvalid, Current: s.version, Err: errCompacted,
 		}
 	}
-	var changed []platform.Entry
+	var changed []kvstore.Entry
 	for key, current := range s.entries {
 		if current.Version > after && !current.missed && strings.HasPrefix(key, prefix) {
 			changed = append(changed, current.copy())
@@ -122,4 +122,4 @@
 	}
 }
 
-func byVersion(a, b platform.Entry) int { return cmp.Compare(a.Version, b.Version) }
+func byVersion(a, b kvstore.Entry) int { return cmp.Compare(a.Version, b.Version) }
--- a/platform/platform.go
+++ b/kvstore/platform.go
@@ -1,10 +1,10 @@
-// Package platform is the interface to the platform's services: the small
+// Package kvstore is the interface to the platform's services: the small
 // key-value service with compare-and-swap, leases and watches, and the lagging
 // list of VMs.
 //
 // Sub-packages: memstore is the in-memory stand-in with fault injection,
 // httpstore serves a Store over HTTP and is the client of that protocol.
-package platform
+package kvstore
 
 import (
 	"context"
--- a/traffic/once/oncetest/store.go
+++ b/traffic/once/oncetest/store.go
@@ -7,22 +7,22 @@
 	"sync"
 	"time"
 
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // Store is a store of versioned values in memory.
 type Store struct {
 	mu      sync.Mutex
-	version platform.Version
-	entries map[string]platform.Entry
-	leases  platform.LeaseID
+	version kvstore.Version
+	entries map[string]kvstore.Entry
+	leases  kvstore.LeaseID
 	down    bool
 	lose    int
 	unread  bool
 }
 
 // NewStore returns an empty store.
-func NewStore() *Store { return &Store{entries: map[string]platform.Entry{}} }
+func NewStore() *Store { return &Store{entries: map[string]kvstore.Entry{}} }
 
 // SetDown makes every call fail without effect, or ends that.
 func (s *Store) SetDown(down bool) { s.set(func() { s.down = down }) }
@@ -46,66 +46,66 @@
 	change()
 }
 
-func (s *Store) fail(op, key string, kind platform.Kind, outcome platform.Outcome) error {
-	return &platform.Error{Op: op, Key: key, Kind: kind, Outcome: outcome}
+func (s *Store) fail(op, key string, kind kvstore.Kind, outcome kvstore.Outcome) error {
+	return &kvstore.Error{Op: op, Key: key, Kind: kind, Outcome: outcome}
 }
 
 // Get implements once.Store.
-func (s *Store) Get(_ context.Context, key string) (platform.Entry, error) {
+func (s *Store) Get(_ context.Context, key string) (kvstore.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down || s.unread {
-		return platform.Entry{}, s.fail("get", key, platform.KindUnavailable, platform.OutcomeNotApplied)
+		return kvstore.Entry{}, s.fail("get", key, kvstore.KindUnavailable, kvstore.OutcomeNotApplied)
 	}
 	entry, ok := s.entries[key]
 	if !ok {
-		return platform.Entry{}, s.fail("get", key, platform.KindNotFound, platform.OutcomeNotApplied)
+		return kvstore.Entry{}, s.fail("get", key, kvstore.KindNotFound, kvstore.OutcomeNotApplied)
 	}
 	return entry, nil
 }
 
 // CompareAndSwap implements once.Store.
-func (s *Store) CompareAndSwap(_ context.Context, key string, expected platform.Version, value []byte, lease platform.LeaseID) (platform.Version, error) {
+func (s *Store) CompareAndSwap(_ context.Context, key string, expected kvstore.Version, value []byte, lease kvstore.LeaseID) (kvstore.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, s.fail("cas", key, platform.KindUnavailable, platform.OutcomeNotApplied)
+		return 0, s.fail("cas", key, kvstore.KindUnavailable, kvstore.OutcomeNotApplied)
 	}
 	if lease > s.leases {
-		return 0, s.fail("cas", key, platform.KindNotFound, platform.OutcomeNotApplied)
+		return 0, s.fail("cas", key, kvstore.KindNotFound, kvstore.OutcomeNotApplied)
 	}
 	if s.entries[key].Version != expected {
-		return 0, s.fail("cas", key, platform.KindConflict, platform.OutcomeNotApplied)
+		return 0, s.fail("cas", key, kvstore.KindConflict, kvstore.OutcomeNotApplied)
 	}
 	s.version++
-	s.entries[key] = platform.Entry{Key: key, Value: value, Version: s.version, Lease: lease}
+	s.entries[key] = kvstore.Entry{Key: key, Value: value, Version: s.version, Lease: lease}
 	if s.lose > 0 {
 		s.lose--
-		return 0, s.fail("cas", key, platform.KindUnavailable, platform.OutcomeUnknown)
+		return 0, s.fail("cas", key, kvstore.KindUnavailable, kvstore.OutcomeUnknown)
 	}
 	return s.version, nil
 }
 
 // Delete implements once.Store.
-func (s *Store) Delete(_ context.Context, key string, expected platform.Version) error {
+func (s *Store) Delete(_ context.Context, key string, expected kvstore.Version) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return s.fail("delete", key, platform.KindUnavailable, platform.OutcomeNotApplied)
+		return s.fail("delete", key, kvstore.KindUnavailable, kvstore.OutcomeNotApplied)
 	}
 	if s.entries[key].Version != expected {
-		return s.fail("delete", key, platform.KindConflict, platform.OutcomeNotApplied)
+		return s.fail("delete", key, kvstore.KindConflict, kvstore.OutcomeNotApplied)
 	}
 	delete(s.entries, key)
 	return nil
 }
 
 // GrantLease implements once.Store.
-func (s *Store) GrantLease(context.Context, time.Duration) (platform.LeaseID, error) {
+func (s *Store) GrantLease(context.Context, time.Duration) (kvstore.LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return 0, s.fail("lease", "", platform.KindUnavailable, platform.OutcomeNotApplied)
+		return 0, s.fail("lease", "", kvstore.KindUnavailable, kvstore.OutcomeNotApplied)
 	}
 	s.leases++
 	return s.leases, nil
--- a/traffic/once/record.go
+++ b/traffic/once/record.go
@@ -12,7 +12,7 @@
 	"fmt"
 	"net/url"
 
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 )
 
 // State is how far the request under a record came.
@@ -66,7 +66,7 @@
 
 // storeKey returns the key of a record; services and keys can't be confused.
 func storeKey(service, key string) string {
-	return platform.IdempotencyPrefix + url.PathEscape(service) + "/" + url.PathEscape(key)
+	return kvstore.IdempotencyPrefix + url.PathEscape(service) + "/" + url.PathEscape(key)
 }
 
 func encode(r Record) []byte {
--- a/traffic/once/records.go
+++ b/traffic/once/records.go
@@ -7,16 +7,16 @@
 	"sync"
 	"time"
 
-	"guavacrank.example/platform"
+	"guavacrank.example/kvstore"
 	"guavacrank.example/traffic/elapsed"
 )
 
-// Store is the part of platform.Store that records need.
+// Store is the part of kvstore.Store that records need.
 type Store interface {
-	Get(ctx context.Context, key string) (platform.Entry, error)
-	CompareAndSwap(ctx context.Context, key string, expected platform.Version, value []byte, lease platform.LeaseID) (platform.Version, error)
-	Delete(ctx context.Context, key string, expected platform.Version) error
-	GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error)
+	Get(ctx context.Context, key string) (kvstore.Entry, error)
+	CompareAndSwap(ctx context.Context, key string, expected kvstore.Version, value []byte, lease kvstore.LeaseID) (kvstore.Version, error)
+	Delete(ctx context.Context, key string, expected kvstore.Version) error
+	GrantLease(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, error)
 }
 
 // Options configure Records.
@@ -54,7 +54,7 @@
 	options Options
 
 	mu         sync.Mutex
-	lease      platform.LeaseID
+	lease      kvstore.LeaseID
 	leaseUntil time.Duration
 	ends       int // Ends written in the second of endsAt.
 	endsAt     int64
@@ -79,8 +79,8 @@
 type Claim struct {
 	records *Records
 	key     string
-	version platform.Version
-	lease   platform.LeaseID
+	version kvstore.Version
+	lease   kvstore.LeaseID
 	record  Record
 }
 
@@ -109,11 +109,11 @@
 		if settled {
 			return c, nil, nil
 		}
-		if err = createErr; !platform.IsUnknown(err) {
+		if err = createErr; !kvstore.IsUnknown(err) {
 			break
 		}
 	}
-	if platform.IsKind(err, platform.KindNotFound) {
+	if kvstore.IsKind(err, kvstore.KindNotFound) {
 		r.dropLease(lease)
 	}
 	return nil, nil, errors.Join(ErrUnclear, err)
@@ -131,7 +131,7 @@
 		c.version = version
 		return nil, true, nil
 	}
-	if !platform.IsKind(err, platform.KindConflict) && !platform.IsUnknown(err) {
+	if !kvstore.IsKind(err, kvstore.KindConflict) && !kvstore.IsUnknown(err) {
 		return nil, false, err
 	}
 	readCtx, cancelRead := context.WithTimeout(ctx, callTimeout)
@@ -218,7 +218,7 @@
 }
 
 // currentLease returns the lease of this turn, and asks for one when it is due.
-func (r *Records) currentLease(ctx context.Context) (platform.LeaseID, error) {
+func (r *Records) currentLease(ctx context.Context) (kvstore.LeaseID, error) {
 	r.mu.Lock()
 	lease, until := r.lease, r.leaseUntil
 	r.mu.Unlock()
@@ -239,7 +239,7 @@
 }
 
 // dropLease forgets a lease that the store does not know any more.
-func (r *Records) dropLease(lease platform.LeaseID) {
+func (r *Records) dropLease(lease kvstore.LeaseID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.lease == lease {
