--- /dev/null
+++ b/cmd/guavacrankd/gateway.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"guavacrank.example/gateway/model"
+	gateway "guavacrank.example/gateway/run"
+	"guavacrank.example/gateway/settings"
+	"guavacrank.example/platform"
+)
+
+// runGateway serves on the users' platform until a signal. SIGHUP reads the
+// settings again.
+func runGateway(settingsFile string) error {
+	read, err := readGatewaySettings(settingsFile)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	reload := make(chan *model.Settings)
+	go reloadOnSignal(ctx, settingsFile, reload)
+	return gateway.Run(ctx, gateway.Options{
+		Settings: read,
+		Store:    platform.NewStoreClient(read.StoreAddress),
+		Records:  platform.Records{},
+		Dialect:  platform.Dialect{},
+		Grantor:  platform.NewGrantor(),
+		Output:   os.Stdout,
+	}, reload)
+}
+
+func readGatewaySettings(file string) (*model.Settings, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return settings.Parse(file, text, platform.Bounds)
+}
+
+// reloadOnSignal reads the settings again at each SIGHUP. Faulty settings are
+// reported and change nothing.
+func reloadOnSignal(ctx context.Context, file string, reload chan<- *model.Settings) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		read, err := readGatewaySettings(file)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "guavacrankd: settings stay as they are:", err)
+			continue
+		}
+		select {
+		case reload <- read:
+		case <-ctx.Done():
+		}
+	}
+}
--- a/cmd/guavacrankd/main.go
+++ b/cmd/guavacrankd/main.go
@@ -24,12 +24,17 @@
 
 func main() {
 	settingsFile := flag.String("settings", "", "`file` with the settings of this process (YAML)")
+	asGateway := flag.Bool("gateway", false, "run as a gateway on the users' platform")
 	flag.Parse()
 	if *settingsFile == "" || flag.NArg() != 0 {
-		fmt.Fprintln(os.Stderr, "usage: guavacrankd -settings FILE")
+		fmt.Fprintln(os.Stderr, "usage: guavacrankd [-gateway] -settings FILE")
 		os.Exit(2)
 	}
-	if err := run(*settingsFile); err != nil {
+	serve := run
+	if *asGateway {
+		serve = runGateway
+	}
+	if err := serve(*settingsFile); err != nil {
 		fmt.Fprintln(os.Stderr, "guavacrankd:", err)
 		os.Exit(1)
 	}
--- a/event/catalogue_test.go
+++ b/event/catalogue_test.go
@@ -34,6 +34,7 @@
 	{"Configuration and operators", 400, 499},
 	{"Platform", 500, 599},
 	{"Daemon life cycle", 600, 699},
+	{"Gateway", 700, 799},
 }
 
 // generate returns the page that lists the catalogue.
--- a/event/event.go
+++ b/event/event.go
@@ -3,7 +3,8 @@
 // Every log line that an operator may act on has a number that never changes
 // its meaning. The catalogue is one table per area, each in its own file:
 // control (100-199), traffic (200-299), fleet (300-399), configuration and
-// operators (400-499), platform (500-599), daemon life cycle (600-699).
+// operators (400-499), platform (500-599), daemon life cycle (600-699),
+// gateway (700-799).
 // docs/EVENTS.md lists the same numbers; a test compares the two.
 package event
 
@@ -73,6 +74,7 @@
 	all = append(all, configEvents...)
 	all = append(all, platformEvents...)
 	all = append(all, daemonEvents...)
+	all = append(all, gatewayEvents...)
 	return all
 }
 
--- /dev/null
+++ b/gateway/balance/server.go
@@ -0,0 +1,177 @@
+package balance
+
+import (
+	"sync"
+	"time"
+
+	"guavacrank.example/gateway/model"
+	"guavacrank.example/traffic/upstream"
+)
+
+// Distance is how far a server stands from this VM.
+type Distance uint8
+
+// Distances.
+const (
+	SameZone Distance = iota
+	SameRegion
+	OtherRegion
+)
+
+// Result is how a request ended at a server.
+type Result uint8
+
+// Results.
+const (
+	// Succeeded: a whole answer came that is not a fault of the server.
+	Succeeded Result = iota
+	// Faulty: the server answered with a fault of its own.
+	Faulty
+	// Broken: no whole answer came.
+	Broken
+	// Unreachable: no connection could be made.
+	Unreachable
+	// Refused: the server had no room.
+	Refused
+	// Withdrawn: the request was given up; nothing is learned but its age.
+	Withdrawn
+)
+
+const (
+	// firstEjection and lastEjection bound how long a server that fails is
+	// left out; the time doubles with each failure in a row.
+	firstEjection = 250 * time.Millisecond
+	lastEjection  = 4 * time.Second
+	// brokenInRow is the number of broken answers in a row after which a
+	// server is left out; one connection that fails suffices.
+	brokenInRow = 3
+	// refusalPause is how long a server that had no room is passed over.
+	refusalPause = 40 * time.Millisecond
+	// latencyWeight is the weight of one new time to an answer.
+	latencyWeight = 0.15
+	// faultWeight is the weight of one new answer in the share of faults.
+	faultWeight = 0.08
+)
+
+// Server is what this VM knows of one life of a backend server. It is safe for
+// concurrent use.
+type Server struct {
+	model.Server
+	Distance Distance
+	Pool     *upstream.Pool
+
+	mu           sync.Mutex
+	inFlight     int
+	startSum     time.Duration // Sum of the starts of the requests under way.
+	latency      time.Duration // Smoothed; zero before the first answer.
+	faults       float64       // Smoothed share of refused, broken and faulty answers.
+	failures     int           // In a row.
+	ejectedUntil time.Duration
+	pausedUntil  time.Duration
+	answers      int
+	answerTime   time.Duration
+}
+
+// Started notes a request on its way and returns a function that notes its end.
+func (s *Server) Started(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight++
+	s.startSum += now
+}
+
+// Ended notes the end of a request that was started at the given time.
+func (s *Server) Ended(now, started time.Duration, result Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+	s.startSum -= started
+	took := now - started
+	switch result {
+	case Succeeded:
+		s.succeeded(took)
+	case Faulty:
+		s.fault(1)
+		s.failures = 0
+	case Refused:
+		s.fault(1)
+		s.pausedUntil = now + refusalPause
+	case Broken:
+		s.fault(1)
+		s.slower(took)
+		if s.failures++; s.failures >= brokenInRow {
+			s.eject(now)
+		}
+	case Unreachable:
+		s.failures++
+		s.eject(now)
+	case Withdrawn:
+		s.slower(took)
+	}
+}
+
+func (s *Server) succeeded(took time.Duration) {
+	s.fault(0)
+	s.failures, s.ejectedUntil = 0, 0
+	s.answers++
+	s.answerTime += took
+	if s.latency == 0 {
+		s.latency = took
+		return
+	}
+	s.latency += time.Duration(latencyWeight * float64(took-s.latency))
+}
+
+// slower counts a request without an answer as one that took at least as long.
+func (s *Server) slower(took time.Duration) {
+	if took > s.latency {
+		s.latency += time.Duration(latencyWeight * float64(took-s.latency))
+	}
+}
+
+func (s *Server) fault(share float64) { s.faults += faultWeight * (share - s.faults) }
+
+func (s *Server) eject(now time.Duration) {
+	life := min(firstEjection<<min(s.failures, 8), lastEjection)
+	s.ejectedUntil = now + life
+}
+
+// TakeAnswers returns the number of answers and their total time since the
+// last call.
+func (s *Server) TakeAnswers() (count int, total time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count, total = s.answers, s.answerTime
+	s.answers, s.answerTime = 0, 0
+	return count, total
+}
+
+// InFlight returns the number of requests under way.
+func (s *Server) InFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inFlight
+}
+
+// state is a server's standing in one choice.
+type state struct {
+	expected time.Duration // Expected time to an answer; zero if unknown.
+	faults   float64
+	inFlight int
+	usable   bool // Neither left out nor passed over.
+	ejected  bool
+}
+
+func (s *Server) state(now time.Duration) state {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := state{inFlight: s.inFlight, faults: s.faults}
+	st.ejected = now < s.ejectedUntil || s.failures >= brokenInRow && s.inFlight > 0
+	st.usable = !st.ejected && now >= s.pausedUntil
+	base := s.latency
+	if s.inFlight > 0 {
+		base = max(base, now-s.startSum/time.Duration(s.inFlight))
+	}
+	st.expected = base + base*time.Duration(s.inFlight)/time.Duration(max(s.Slots, 1))
+	return st
+}
--- /dev/null
+++ b/gateway/keys/load.go
@@ -0,0 +1,139 @@
+package keys
+
+import (
+	"sort"
+
+	"guavacrank.example/gateway/model"
+)
+
+const (
+	// sizeShare is the part of the total heat that is laid evenly on all keys,
+	// so that cold keys count too.
+	sizeShare = 0.15
+	// leastSizeHeat is the same without any requests.
+	leastSizeHeat = 1.0
+	// slowest and fastest bound how much a server's measured time changes its
+	// weight.
+	slowest = 2.0
+	fastest = 0.6
+	// warmUpWeight is the weight of a server that is still slow after its start.
+	warmUpWeight = 0.6
+)
+
+// loadTable is the load of each usable server: heat for each unit of weight.
+type loadTable struct {
+	rows    []*serverRow // Usable servers in the order of their IDs.
+	weight  map[model.Life]float64
+	heat    map[model.Life]float64
+	sorted  []keyHeat
+	keyHeat float64 // Heat of each key by its mere existence.
+}
+
+// loads works out the load of every usable server from the newest page.
+func (m *Machine) loads() *loadTable {
+	m.heat.decay(m.now)
+	t := &loadTable{weight: make(map[model.Life]float64), heat: make(map[model.Life]float64), sorted: m.heat.sorted()}
+	t.keyHeat = (sizeShare*sum(t.sorted) + leastSizeHeat) / model.Keys
+	latencies, known := 0.0, 0
+	for _, row := range m.servers {
+		if !row.listed || row.Draining || m.outOfReach(row) {
+			continue
+		}
+		t.rows = append(t.rows, row)
+		if row.latency > 0 {
+			latencies += row.latency
+			known++
+		}
+	}
+	sort.Slice(t.rows, func(i, j int) bool { return t.rows[i].ID < t.rows[j].ID })
+	for _, row := range t.rows {
+		weight := float64(row.Slots)
+		if row.latency > 0 {
+			ratio := row.latency / (latencies / float64(known))
+			weight /= min(max(ratio, fastest), slowest)
+		} else if row.WarmUp > 0 {
+			weight *= warmUpWeight
+		}
+		t.weight[row.Life()] = weight
+	}
+	if m.page != nil {
+		for _, r := range m.page.Ranges {
+			t.heat[r.Owner.Life] += t.of(r)
+		}
+	}
+	return t
+}
+
+// usable returns the servers that may own keys.
+func (t *loadTable) usable() []*serverRow { return t.rows }
+
+// of returns the load that a range brings.
+func (t *loadTable) of(r Range) float64 {
+	return sum(within(t.sorted, r.From, r.To)) + t.keyHeat*float64(r.Size())
+}
+
+// load returns a server's heat for each unit of weight.
+func (t *loadTable) load(row *serverRow) float64 {
+	return t.heat[row.Life()] / t.weight[row.Life()]
+}
+
+// least returns the server with the least load other than one life, or nil.
+func (t *loadTable) least(other model.Life) *serverRow {
+	var best *serverRow
+	for _, row := range t.rows {
+		if row.Life() != other && (best == nil || t.load(row) < t.load(best)) {
+			best = row
+		}
+	}
+	return best
+}
+
+// most returns the server with the greatest load, or nil.
+func (t *loadTable) most() *serverRow {
+	var best *serverRow
+	for _, row := range t.rows {
+		if best == nil || t.load(row) > t.load(best) {
+			best = row
+		}
+	}
+	return best
+}
+
+// mean returns the load if it were even.
+func (t *loadTable) mean() float64 {
+	heat, weight := 0.0, 0.0
+	for _, row := range t.rows {
+		heat += t.heat[row.Life()]
+		weight += t.weight[row.Life()]
+	}
+	if weight == 0 {
+		return 0
+	}
+	return heat / weight
+}
+
+// shift counts a range for another server.
+func (t *loadTable) shift(from, to model.Life, r Range) {
+	heat := t.of(r)
+	t.heat[from] -= heat
+	t.heat[to] += heat
+}
+
+// cut returns the last key of the part at the beginning of a range that brings
+// at least the wanted load.
+func (t *loadTable) cut(r Range, wanted float64) int {
+	passed, next := 0.0, int(r.From)
+	for _, k := range within(t.sorted, r.From, r.To) {
+		gap := float64(int(k.key)-next) * t.keyHeat
+		if passed+gap >= wanted {
+			break
+		}
+		passed += gap + k.heat + t.keyHeat
+		next = int(k.key) + 1
+		if passed >= wanted {
+			return min(next-1, int(r.To))
+		}
+	}
+	more := int((wanted - passed) / t.keyHeat)
+	return min(max(next+more-1, int(r.From)), int(r.To))
+}
--- /dev/null
+++ b/gateway/keys/system_draft.go
@@ -0,0 +1,227 @@
+package keys
+
+import (
+	"time"
+
+	"guavacrank.example/gateway/model"
+)
+
+// runDraft works out the next page and asks for its write.
+func (m *Machine) runDraft() {
+	if m.writing != nil || m.extended || m.now < m.retryWrite || !m.listed {
+		return
+	}
+	draft := &Page{}
+	if m.page != nil {
+		draft = m.page.clone()
+	}
+	d := &drafting{Machine: m, page: draft, loads: m.loads()}
+	d.create()
+	d.adopt()
+	d.clearEnded()
+	d.moveLost()
+	if !d.changed {
+		d.rebalance()
+	}
+	if !d.changed {
+		return
+	}
+	m.nextDraft++
+	draft.Writer, draft.Draft = m.options.Self, m.nextDraft
+	m.writing = draft
+	m.ready.Write = &PageWrite{Expected: m.version, Page: draft}
+}
+
+// drafting is the making of one page.
+type drafting struct {
+	*Machine
+	page    *Page
+	loads   *loadTable
+	fence   uint64 // The fence of this draft's changes; zero until one is made.
+	changed bool
+}
+
+// newFence returns one fence above all others for the draft's changes.
+func (d *drafting) newFence() uint64 {
+	if d.fence == 0 {
+		d.page.Fence++
+		d.fence = d.page.Fence
+	}
+	d.changed = true
+	return d.fence
+}
+
+// create divides all keys among the servers, if there is no page yet.
+func (d *drafting) create() {
+	if len(d.page.Ranges) > 0 || d.firstSeen == 0 || d.now < d.firstSeen+gatherTime {
+		return
+	}
+	usable := d.loads.usable()
+	if len(usable) == 0 {
+		return
+	}
+	total := 0.0
+	for _, row := range usable {
+		total += d.loads.weight[row.Life()]
+	}
+	next, passed := 0, 0.0
+	for at, row := range usable {
+		passed += d.loads.weight[row.Life()]
+		end := int(passed / total * model.Keys)
+		if at == len(usable)-1 {
+			end = model.Keys
+		}
+		if end <= next {
+			continue
+		}
+		d.page.Ranges = append(d.page.Ranges, Range{From: uint16(next), To: uint16(end - 1), Owner: d.holder(row)})
+		next = end
+	}
+	d.Machine.adopted = true
+	d.PredecessorEnded(d.now) // Nobody granted anything before the first page.
+}
+
+// holder returns a server as the owner of keys that it has not held.
+func (d *drafting) holder(row *serverRow) Holder {
+	return Holder{Life: row.Life(), Address: row.Address, Fence: d.newFence()}
+}
+
+// adopt gives every range a new fence once, after leading began.
+func (d *drafting) adopt() {
+	if d.adopted || len(d.page.Ranges) == 0 {
+		return
+	}
+	fence := d.newFence()
+	for at := range d.page.Ranges {
+		d.page.Ranges[at].Owner.Fence = fence
+	}
+}
+
+// clearEnded drops prior holders that have ended.
+func (d *drafting) clearEnded() {
+	if d.Machine.page == nil {
+		return
+	}
+	for at := range d.page.Ranges {
+		r := &d.page.Ranges[at]
+		if len(r.Prior) == 0 {
+			continue
+		}
+		if _, ended := d.mayGrant(*r); ended {
+			r.Prior = nil
+			d.changed = true
+		}
+	}
+}
+
+// moveLost gives the keys of servers that are leaving, gone or out of reach to
+// others.
+func (d *drafting) moveLost() {
+	ranges := d.page.Ranges
+	d.page.Ranges = nil
+	for _, r := range ranges {
+		if !d.mustMove(r) {
+			d.page.Ranges = append(d.page.Ranges, r)
+			continue
+		}
+		d.page.Ranges = append(d.page.Ranges, d.spread(r)...)
+	}
+}
+
+func (d *drafting) mustMove(r Range) bool {
+	if r.Owner.ID == "" {
+		return true
+	}
+	row := d.row(r.Owner.Life)
+	if !row.listed {
+		return d.absent(row) || d.replacedLife(r.Owner)
+	}
+	return row.Draining || d.outOfReach(row)
+}
+
+// outOfReach says whether a listed server has answered no grant for longer
+// than a hold while most others do.
+func (m *Machine) outOfReach(row *serverRow) bool {
+	if row.failingSince == 0 || m.now < row.failingSince+m.options.Hold {
+		return false
+	}
+	return !m.Isolated()
+}
+
+// Isolated says whether more than half of the listed servers that were called
+// do not answer: the fault is then more likely this VM's.
+func (m *Machine) Isolated() bool {
+	called, failing := 0, 0
+	for _, row := range m.servers {
+		if !row.listed || !row.everSent {
+			continue
+		}
+		called++
+		if row.failingSince != 0 && m.now >= row.failingSince+isolatedAfter {
+			failing++
+		}
+	}
+	return called > 0 && 2*failing > called
+}
+
+// isolatedAfter is how long calls must fail until they count against this VM.
+const isolatedAfter = time.Second
+
+// spreadParts is the greatest number of servers that share a lost range.
+const spreadParts = 4
+
+// spread gives one range to the servers with the least load, in parts of equal
+// heat. A range that nobody can take is returned as it is.
+func (d *drafting) spread(r Range) []Range {
+	if len(d.loads.usable()) == 0 {
+		return []Range{r}
+	}
+	parts := []Range{r}
+	if len(r.Prior) == 0 && r.Size() > minSplit {
+		parts = d.divide(r, min(spreadParts, len(d.loads.usable())))
+	}
+	moved := make([]Range, 0, len(parts))
+	for _, part := range parts {
+		target := d.loads.least(r.Owner.Life)
+		if target == nil {
+			moved = append(moved, part)
+			continue
+		}
+		moved = append(moved, d.move(r, part, target))
+	}
+	return moved
+}
+
+// move returns part, a part of the range old, with a new owner.
+func (d *drafting) move(old, part Range, target *serverRow) Range {
+	d.loads.shift(old.Owner.Life, target.Life(), part)
+	prior := old.Owner
+	if prior.ID != "" && !d.replacedLife(prior) {
+		part.Prior = append(part.Prior[:len(part.Prior):len(part.Prior)], prior)
+		key := endKey{part.From, part.To, prior.Life, prior.Fence}
+		d.bounds[key] = d.boundOf(old)
+	}
+	part.Owner = d.holder(target)
+	return part
+}
+
+// minSplit is the size below which a range is not divided.
+const minSplit = 4
+
+// divide cuts a range into parts of about equal load.
+func (d *drafting) divide(r Range, count int) []Range {
+	total := d.loads.of(r)
+	var parts []Range
+	rest := r
+	for left := count; left > 1 && rest.Size() > minSplit; left-- {
+		cut := d.loads.cut(rest, total/float64(count))
+		if cut >= int(rest.To) {
+			break
+		}
+		part := rest
+		part.To = uint16(cut)
+		rest.From = uint16(cut + 1)
+		parts = append(parts, part)
+	}
+	return append(parts, rest)
+}
--- /dev/null
+++ b/gateway/keys/system_prior.go
@@ -0,0 +1,118 @@
+package keys
+
+import "time"
+
+// CallTimeout limits a grant call: a grant has arrived by then or never will.
+const CallTimeout = 500 * time.Millisecond
+
+// holdBound bounds what a prior holder may still hold.
+type holdBound struct {
+	// arrivedBy is the latest time at which a grant may have arrived.
+	arrivedBy time.Duration
+	// lateBy is the same for grants without an answer, which may be applied
+	// after a release.
+	lateBy time.Duration
+	// pending says that a call is still under way.
+	pending bool
+}
+
+// longestHold is how long a grant may hold at a server with a slow clock.
+func (m *Machine) longestHold() time.Duration {
+	return m.options.Hold + m.options.Hold*clockRate/100 + holdMargin
+}
+
+// predecessorBound is the latest time at which a grant of an earlier leader may
+// have arrived.
+func (m *Machine) predecessorBound() time.Duration {
+	if m.retired {
+		return m.retiredAt
+	}
+	return m.ledSince + m.options.PredecessorLife
+}
+
+// boundOf returns the bound of an owner's hold on one of its ranges, once no
+// further grant of the range will be sent.
+func (m *Machine) boundOf(r Range) holdBound {
+	row := m.row(r.Owner.Life)
+	bound := holdBound{arrivedBy: row.arrivedBy, lateBy: row.unansweredBy, pending: row.inFlight > 0}
+	if grant, sent := row.granted[r.From]; !sent || !grant.answered || grant.fence != r.Owner.Fence {
+		bound.arrivedBy = max(bound.arrivedBy, m.predecessorBound())
+		bound.lateBy = max(bound.lateBy, m.predecessorBound())
+	}
+	return bound
+}
+
+// priorEnded says whether a prior holder of a range has ended, and its word of
+// hand-over.
+func (m *Machine) priorEnded(r Range, prior Holder) (ended bool, handover string) {
+	key := endKey{r.From, r.To, prior.Life, prior.Fence}
+	bound, known := m.bounds[key]
+	if !known {
+		bound = holdBound{arrivedBy: m.predecessorBound(), lateBy: m.predecessorBound()}
+	}
+	if m.replacedLife(prior) {
+		return true, ""
+	}
+	if bound.pending {
+		return false, ""
+	}
+	if m.now >= bound.arrivedBy+m.longestHold() {
+		return true, ""
+	}
+	end, released := m.ended[key]
+	if !released {
+		return false, ""
+	}
+	late := bound.lateBy > 0 && m.now < bound.lateBy+m.longestHold()
+	return !late, end.handover
+}
+
+// replacedLife says whether the server runs another, later life by now: the
+// earlier one is over and holds nothing.
+func (m *Machine) replacedLife(holder Holder) bool {
+	for life, row := range m.servers {
+		if life.ID == holder.ID && life.Born > holder.Born && row.listed {
+			return true
+		}
+	}
+	return false
+}
+
+// mayGrant says whether every prior holder of a range has ended. The hand-over
+// is that of a single prior holder.
+func (m *Machine) mayGrant(r Range) (handover string, ok bool) {
+	for _, prior := range r.Prior {
+		ended, word := m.priorEnded(r, prior)
+		if !ended {
+			return "", false
+		}
+		handover = word
+	}
+	if len(r.Prior) > 1 {
+		handover = ""
+	}
+	return handover, true
+}
+
+// runReleases asks prior holders for their keys.
+func (m *Machine) runReleases() {
+	if m.page == nil {
+		return
+	}
+	for _, r := range m.page.Ranges {
+		for _, prior := range r.Prior {
+			m.release(r, prior)
+		}
+	}
+}
+
+func (m *Machine) release(r Range, prior Holder) {
+	key := endKey{r.From, r.To, prior.Life, prior.Fence}
+	if _, running := m.releases[key]; running || m.ended[key].released || m.now < m.retryAt[key] {
+		return
+	}
+	m.releases[key] = m.now
+	order := ReleaseOrder{Life: prior.Life, Address: prior.Address}
+	order.From, order.To, order.Fence = r.From, r.To, prior.Fence
+	m.ready.Releases = append(m.ready.Releases, order)
+}
--- /dev/null
+++ b/gateway/keys/system_rebalance.go
@@ -0,0 +1,147 @@
+package keys
+
+import "time"
+
+const (
+	// planEvery is the time between two looks at the balance.
+	planEvery = 700 * time.Millisecond
+	// planMoves is the greatest number of moves of one look.
+	planMoves = 4
+	// overload and underload are the ratios to the mean load at which keys move.
+	overload  = 1.3
+	underload = 0.5
+	// rangesPerServer bounds how finely the keys are divided.
+	rangesPerServer = 8
+)
+
+// rebalance moves keys from the servers with the greatest load to those with
+// the least, and joins neighbouring ranges of one owner.
+func (d *drafting) rebalance() {
+	if d.now < d.planAt || !d.adopted || d.unfinished() {
+		return
+	}
+	d.planAt = d.now + planEvery
+	for range planMoves {
+		if !d.moveOnce() {
+			break
+		}
+	}
+	if d.changed || len(d.page.Ranges) > len(d.loads.rows)*rangesPerServer/2 {
+		d.join()
+	}
+}
+
+// unfinished says whether keys are changing hands.
+func (d *drafting) unfinished() bool {
+	for _, r := range d.page.Ranges {
+		if len(r.Prior) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *drafting) moveOnce() bool {
+	mean := d.loads.mean()
+	from := d.loads.most()
+	if from == nil || mean == 0 {
+		return false
+	}
+	to := d.loads.least(from.Life())
+	if to == nil {
+		return false
+	}
+	if d.loads.load(from) < overload*mean && d.loads.load(to) > underload*mean {
+		return false
+	}
+	surplus := (d.loads.load(from) - mean) * d.loads.weight[from.Life()]
+	room := (mean - d.loads.load(to)) * d.loads.weight[to.Life()]
+	wanted := min(max(surplus, room/2), room)
+	at := d.hottest(from)
+	if at < 0 || wanted <= 0 {
+		return false
+	}
+	return d.take(at, wanted, to)
+}
+
+// hottest returns the index of the range of a server that brings most load and
+// may move, or -1.
+func (d *drafting) hottest(row *serverRow) int {
+	best, most := -1, 0.0
+	for at, r := range d.page.Ranges {
+		if r.Owner.Life != row.Life() || len(r.Prior) > 0 || !d.settledRange(r) {
+			continue
+		}
+		if load := d.loads.of(r); load > most {
+			best, most = at, load
+		}
+	}
+	return best
+}
+
+// settledRange says whether the last grants of a range were answered, so that
+// a release ends the hold at once.
+func (d *drafting) settledRange(r Range) bool {
+	row := d.row(r.Owner.Life)
+	grant, known := row.granted[r.From]
+	return known && grant.answered && (row.unansweredBy == 0 || d.now > row.unansweredBy+d.longestHold())
+}
+
+// take moves a part of one range that brings the wanted load.
+func (d *drafting) take(at int, wanted float64, to *serverRow) bool {
+	r := d.page.Ranges[at]
+	total := d.loads.of(r)
+	if wanted >= total*0.9 {
+		d.page.Ranges[at] = d.move(r, r, to)
+		return true
+	}
+	if len(d.page.Ranges) >= len(d.loads.rows)*rangesPerServer || r.Size() < 2 {
+		return false
+	}
+	cut := d.loads.cut(r, wanted)
+	if cut >= int(r.To) {
+		cut = int(r.To) - 1
+	}
+	part, rest := r, r
+	part.To, rest.From = uint16(cut), uint16(cut+1)
+	// A single hot key can't be divided: the part must not bring more than it
+	// takes to even the two servers out.
+	if d.loads.of(part) > 1.5*wanted {
+		return d.takeRest(at, part, rest, wanted, to)
+	}
+	d.insert(at, d.move(r, part, to), rest)
+	return true
+}
+
+// takeRest moves the other part of a range if that one is small enough.
+func (d *drafting) takeRest(at int, part, rest Range, wanted float64, to *serverRow) bool {
+	if d.loads.of(rest) > 1.5*wanted || d.loads.of(rest) < wanted/4 {
+		return false
+	}
+	d.insert(at, part, d.move(d.page.Ranges[at], rest, to))
+	return true
+}
+
+// insert replaces one range by two.
+func (d *drafting) insert(at int, first, second Range) {
+	ranges := make([]Range, 0, len(d.page.Ranges)+1)
+	ranges = append(ranges, d.page.Ranges[:at]...)
+	ranges = append(ranges, first, second)
+	d.page.Ranges = append(ranges, d.page.Ranges[at+1:]...)
+}
+
+// join makes one range of neighbouring ones with one owner, under a new fence.
+func (d *drafting) join() {
+	joined := d.page.Ranges[:0:0]
+	for _, r := range d.page.Ranges {
+		last := len(joined) - 1
+		if last >= 0 && joined[last].Owner.Life == r.Owner.Life && len(joined[last].Prior) == 0 && len(r.Prior) == 0 &&
+			d.settledRange(r) && d.settledRange(joined[last]) {
+			joined[last].To = r.To
+			joined[last].Owner.Fence = d.newFence()
+			continue
+		}
+		joined = append(joined, r)
+	}
+	d.page.Ranges = joined
+}
--- /dev/null
+++ b/gateway/keys/system_renewal.go
@@ -0,0 +1,106 @@
+package keys
+
+import "time"
+
+// runRenewals grants ranges to their owners and renews the grants in time.
+func (m *Machine) runRenewals() {
+	if m.page == nil || !m.adopted {
+		return
+	}
+	for _, r := range m.page.Ranges {
+		if r.Owner.ID == "" || m.changing(r) {
+			continue
+		}
+		if handover, ok := m.mayGrant(r); ok {
+			m.renew(r, handover)
+		}
+	}
+}
+
+// changing says whether a write under way gives any of the range's keys a new
+// owner; such a range is not granted any more.
+func (m *Machine) changing(r Range) bool {
+	if m.writing == nil {
+		return false
+	}
+	for _, next := range m.writing.Ranges {
+		if next.From <= r.To && next.To >= r.From && next.Owner != r.Owner {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) renew(r Range, handover string) {
+	row := m.row(r.Owner.Life)
+	if m.absent(row) {
+		return
+	}
+	grant, known := row.granted[r.From]
+	if !known || grant.fence != r.Owner.Fence || grant.to != r.To {
+		grant.fence, grant.to, grant.handover = r.Owner.Fence, r.To, handover
+		grant.answered = false
+		grant.due = 0
+	}
+	if grant.inFlight || m.now < grant.due {
+		return
+	}
+	grant.inFlight = true
+	row.inFlight++
+	grant.due = m.now + m.options.Hold/renewShare
+	row.granted[r.From] = grant
+	order := GrantOrder{Life: r.Owner.Life, Address: r.Owner.Address}
+	order.From, order.To, order.Fence = r.From, r.To, r.Owner.Fence
+	order.Hold, order.Handover = m.options.Hold, grant.handover
+	m.ready.Grants = append(m.ready.Grants, order)
+}
+
+// absent says whether a server is gone: it is not listed although it had time
+// to return.
+func (m *Machine) absent(row *serverRow) bool {
+	return m.listed && !row.listed && m.now >= m.trustAbsent
+}
+
+// forgetAfter is how long the bounds and ends of prior holders are kept.
+const forgetAfter = 30 * time.Second
+
+// runForget drops what no page names any more.
+func (m *Machine) runForget() {
+	if m.page == nil || m.writing != nil || m.now < m.forgetAt {
+		return
+	}
+	m.forgetAt = m.now + forgetAfter
+	named := make(map[endKey]bool)
+	starts := make(map[uint16]bool)
+	for _, r := range m.page.Ranges {
+		starts[r.From] = true
+		for _, prior := range r.Prior {
+			named[endKey{r.From, r.To, prior.Life, prior.Fence}] = true
+		}
+	}
+	for key := range m.ended {
+		if !named[key] {
+			delete(m.ended, key)
+		}
+	}
+	for key := range m.bounds {
+		if !named[key] {
+			delete(m.bounds, key)
+		}
+	}
+	for key := range m.retryAt {
+		if !named[key] {
+			delete(m.retryAt, key)
+		}
+	}
+	for life, row := range m.servers {
+		for from, grant := range row.granted {
+			if !starts[from] && !grant.inFlight {
+				delete(row.granted, from)
+			}
+		}
+		if !row.listed && len(row.granted) == 0 {
+			delete(m.servers, life)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/model/settings.go
@@ -0,0 +1,57 @@
+package model
+
+import "time"
+
+// Settings are the settings of one process, read from its settings file.
+type Settings struct {
+	// VM is the name of the VM.
+	VM string
+	// Zone is the availability zone of the VM.
+	Zone string
+	// Regions maps each availability zone to its region.
+	Regions map[string]string
+	Listen  Listen
+	// Seeds are peers' addresses that may be stale.
+	Seeds []string
+	// StoreAddress is the IP:port of the platform's store.
+	StoreAddress string
+	// MemoryBytes is the memory limit of the process.
+	MemoryBytes int64
+	// Descriptors is the greatest number of open descriptors.
+	Descriptors int
+	Bounds      Bounds
+}
+
+// Listen are the addresses of a process, each IP:port.
+type Listen struct {
+	Callers string
+	Ready   string
+	// Peers serves the other daemons.
+	Peers string
+	// Metrics serves the process's own counters.
+	Metrics string
+}
+
+// Bounds are the figures that the platform's operators promise or demand.
+type Bounds struct {
+	// Grace is the time between SIGTERM and SIGKILL.
+	Grace time.Duration
+	// RepeatRatio and RepeatSlack bound the repeated sends to a service in any
+	// RepeatWindow, summed over all VMs: ratio x requests + slack.
+	RepeatRatio  float64
+	RepeatSlack  float64
+	RepeatWindow time.Duration
+	// GrantLimit is the longest time that a grant may hold.
+	GrantLimit time.Duration
+	// DrainTime is how long a leaving server still serves after its notice.
+	DrainTime time.Duration
+	// ConfigurationTime is the time by which a configuration must be in force.
+	ConfigurationTime time.Duration
+	// Heartbeat is the interval at which backend servers renew their records.
+	Heartbeat time.Duration
+	// LeaseLeast is the shortest lease that the store grants.
+	LeaseLeast time.Duration
+}
+
+// Region returns the region of a zone, or the empty text.
+func (s Settings) Region(zone string) string { return s.Regions[zone] }
--- /dev/null
+++ b/gateway/peer/peer.go
@@ -0,0 +1,136 @@
+// Package peer carries messages between the gateway's daemons, by connect-go
+// with JSON bodies.
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+)
+
+const (
+	procedureReport = "/guavacrank.peer.v1.Peer/Report"
+	procedureYield  = "/guavacrank.peer.v1.Peer/Yield"
+	// callTimeout bounds one call.
+	callTimeout = 800 * time.Millisecond
+	// connectTimeout bounds the making of a connection.
+	connectTimeout = 400 * time.Millisecond
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = 20 * time.Second
+	// maxMessageBytes bounds a message.
+	maxMessageBytes = 1 << 20
+)
+
+// Report is what a daemon tells the leader now and then.
+type Report struct {
+	VM          string `json:"vm"`
+	Incarnation string `json:"incarnation"`
+	// Asked lists, for each service, the keys that requests named since the
+	// last report.
+	Asked map[string][]uint16 `json:"asked,omitempty"`
+	// Servers tells how backend servers answered since the last report.
+	Servers []ServerReport `json:"servers,omitempty"`
+}
+
+// ServerReport is how one backend server answered.
+type ServerReport struct {
+	ID      string `json:"id"`
+	Answers int    `json:"answers"`
+	// MeanMS is the mean time to an answer in milliseconds.
+	MeanMS float64 `json:"mean_ms"`
+}
+
+// ReportAnswer is the leader's answer.
+type ReportAnswer struct {
+	// Leading says whether the asked daemon leads.
+	Leading bool `json:"leading"`
+	// VMs is the number of daemons that reported lately, the leader included.
+	VMs int `json:"vms"`
+}
+
+// Yield asks an earlier leader to stop for good.
+type Yield struct {
+	// Incarnation is the process that must stop.
+	Incarnation string `json:"incarnation"`
+}
+
+// YieldAnswer names the process that answered. If it is the one that was asked
+// to stop, it sends no more grants; if not, that one is over.
+type YieldAnswer struct {
+	Incarnation string `json:"incarnation"`
+}
+
+// Service is what a daemon does for its peers.
+type Service interface {
+	Report(ctx context.Context, report *Report) (*ReportAnswer, error)
+	Yield(ctx context.Context, yield *Yield) (*YieldAnswer, error)
+}
+
+// codec encodes plain Go values as JSON.
+type codec struct{}
+
+// Name implements connect.Codec.
+func (codec) Name() string { return "json" }
+
+// Marshal implements connect.Codec.
+func (codec) Marshal(message any) ([]byte, error) { return json.Marshal(message) }
+
+// Unmarshal implements connect.Codec.
+func (codec) Unmarshal(data []byte, message any) error { return json.Unmarshal(data, message) }
+
+// NewHandler returns the HTTP handler of a service.
+func NewHandler(service Service) http.Handler {
+	mux := http.NewServeMux()
+	options := []connect.HandlerOption{connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes)}
+	mux.Handle(procedureReport, unary(procedureReport, service.Report, options))
+	mux.Handle(procedureYield, unary(procedureYield, service.Yield, options))
+	return mux
+}
+
+func unary[Q, A any](procedure string, do func(context.Context, *Q) (*A, error), options []connect.HandlerOption) http.Handler {
+	return connect.NewUnaryHandler(procedure, func(ctx context.Context, request *connect.Request[Q]) (*connect.Response[A], error) {
+		answer, err := do(ctx, request.Msg)
+		if err != nil {
+			return nil, err
+		}
+		return connect.NewResponse(answer), nil
+	}, options...)
+}
+
+// Client calls peers. It is safe for concurrent use.
+type Client struct{ http *http.Client }
+
+// NewClient returns a client.
+func NewClient() *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: connectTimeout, KeepAlive: -1}).DialContext,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}}}
+}
+
+// Report calls the peer at an address (IP:port).
+func (c *Client) Report(ctx context.Context, address string, report *Report) (*ReportAnswer, error) {
+	return call[Report, ReportAnswer](ctx, c, address, procedureReport, report)
+}
+
+// Yield calls the peer at an address (IP:port).
+func (c *Client) Yield(ctx context.Context, address string, yield *Yield) (*YieldAnswer, error) {
+	return call[Yield, YieldAnswer](ctx, c, address, procedureYield, yield)
+}
+
+func call[Q, A any](ctx context.Context, c *Client, address, procedure string, message *Q) (*A, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := connect.NewClient[Q, A](c.http, "http://"+address+procedure, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes))
+	answer, err := client.CallUnary(ctx, connect.NewRequest(message))
+	if err != nil {
+		return nil, err
+	}
+	return answer.Msg, nil
+}
--- /dev/null
+++ b/gateway/run/inputs.go
@@ -0,0 +1,92 @@
+package run
+
+import (
+	"time"
+
+	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/peer"
+	"guavacrank.example/kvstore"
+)
+
+// input is something that happened, for the loop.
+type input interface{ apply(l *loop) }
+
+// followed is a reading of a prefix that is watched: all of it, or changes.
+type followed struct {
+	prefix  string
+	whole   bool
+	entries []kvstore.Entry
+	err     error
+}
+
+// polled is a reading of the servers' records.
+type polled struct {
+	entries []kvstore.Entry
+	err     error
+}
+
+// pageRead is the end of reading a page.
+type pageRead struct {
+	service string
+	entry   kvstore.Entry
+	err     error
+}
+
+// pageWritten is the end of writing a page.
+type pageWritten struct {
+	service string
+	version kvstore.Version
+	err     error
+	ranges  int
+}
+
+// granted is the end of a grant call.
+type granted struct {
+	service string
+	order   keys.GrantOrder
+	outcome keys.Outcome
+	err     error
+}
+
+// released is the end of a release call.
+type released struct {
+	service  string
+	order    keys.ReleaseOrder
+	handover string
+	err      error
+}
+
+// yielded is an earlier leader's answer.
+type yielded struct {
+	service string
+	asked   keys.Leader
+	answer  *peer.YieldAnswer
+	err     error
+}
+
+// reported is a peer's report; the answer goes to reply.
+type reported struct {
+	report *peer.Report
+	reply  chan peer.ReportAnswer
+}
+
+// yieldAsked is a peer's wish that this process stops leading.
+type yieldAsked struct {
+	incarnation string
+	done        chan struct{}
+}
+
+// reportAnswered is the leader's answer to this VM's report.
+type reportAnswered struct {
+	answer *peer.ReportAnswer
+	err    error
+}
+
+// ticked passes time.
+type ticked struct{}
+
+// stopped ends leading for good.
+type stopped struct{ done chan struct{} }
+
+// tickEvery is the time between two ticks of the loop.
+const tickEvery = 100 * time.Millisecond
--- /dev/null
+++ b/gateway/run/leading.go
@@ -0,0 +1,278 @@
+package run
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavacrank.example/event"
+	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/peer"
+	"guavacrank.example/gateway/port"
+	"guavacrank.example/kvstore"
+)
+
+const (
+	// releaseTimeout bounds a release call: the server answers when the work on
+	// the keys has ended.
+	releaseTimeout = 4 * time.Second
+	// yieldEvery is the time between two questions to an earlier leader.
+	yieldEvery = 300 * time.Millisecond
+)
+
+// lead follows the campaign and carries out what the machines want.
+func (l *loop) lead() {
+	now := l.clock()
+	state := l.campaign.State()
+	silent := now - state.Contact
+	switch {
+	case state.Held && state.Term != l.term && silent < contactLife:
+		l.term = state.Term
+		l.startLeading(now)
+	case l.leading && !state.Held:
+		l.stopLeading("the leader's key is not held any more")
+	case l.leading && silent > predecessorLife:
+		l.stopLeading("the store was silent for too long")
+	}
+	if !l.leading {
+		return
+	}
+	l.addMachines(now)
+	isolated := 0
+	for service, machine := range l.machines {
+		machine.Extend(silent > contactLife)
+		machine.Tick(now)
+		l.carryOut(service, machine)
+		l.askPredecessor(service, machine)
+		if machine.Isolated() {
+			isolated++
+		}
+	}
+	if isolated > 0 && isolated == len(l.machines) && silent < contactLife {
+		l.stopLeading("most backend servers are out of reach")
+		go l.resign(false)
+	}
+}
+
+func (l *loop) startLeading(now time.Duration) {
+	l.leading = true
+	l.leadingNow.Store(true)
+	l.leaderNow = l.self
+	l.book.Event(event.LeadershipWon, "", zap.Uint64("term", l.term))
+	for _, machine := range l.machines {
+		machine.Lead(now)
+	}
+	l.addMachines(now)
+}
+
+func (l *loop) stopLeading(cause string) {
+	l.leading = false
+	l.leadingNow.Store(false)
+	clear(l.members)
+	for _, machine := range l.machines {
+		machine.Stop()
+	}
+	l.book.Event(event.LeadershipLost, cause, zap.Uint64("term", l.term))
+}
+
+// resign gives the lease back. A failure is logged; the lease then runs out.
+func (l *loop) resign(barred bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := l.campaign.Resign(ctx, barred); err != nil {
+		l.book.Event(event.GatewayStoreLost, err.Error(), zap.String("calls", "resign"))
+	}
+}
+
+// addMachines makes a machine for each service that is divided by key.
+func (l *loop) addMachines(now time.Duration) {
+	if l.configuration == nil {
+		return
+	}
+	for name, service := range l.configuration.Services {
+		if !service.DividedByKey || l.machines[name] != nil {
+			continue
+		}
+		machine := keys.NewMachine(keys.Options{Service: name, Self: l.self, Hold: min(hold, l.settings.Bounds.GrantLimit), PredecessorLife: predecessorLife})
+		machine.Lead(now)
+		l.machines[name] = machine
+		if l.servers.known {
+			machine.StepServers(now, l.servers.of(name), false)
+		}
+	}
+}
+
+// carryOut starts the calls that a machine wants.
+func (l *loop) carryOut(service string, machine *keys.Machine) {
+	ready := machine.Ready()
+	if ready.Read {
+		go l.readPage(service)
+	}
+	if ready.Write != nil {
+		go l.writePage(service, *ready.Write)
+	}
+	for _, order := range ready.Grants {
+		go l.grant(service, order)
+	}
+	for _, order := range ready.Releases {
+		go l.release(service, order)
+	}
+}
+
+func (l *loop) readPage(service string) {
+	entry, err := l.store.Get(l.ctx, pagePrefix+service)
+	l.deliver(pageRead{service, entry, err})
+}
+
+func (l *loop) writePage(service string, write keys.PageWrite) {
+	value, err := write.Page.Encode()
+	if err != nil {
+		err = &kvstore.Error{Op: "encode", Key: service, Kind: kvstore.KindInvalid, Err: err}
+		l.deliver(pageWritten{service: service, err: err})
+		return
+	}
+	version, err := l.store.CompareAndSwap(l.ctx, pagePrefix+service, write.Expected, value, 0)
+	l.deliver(pageWritten{service, version, err, len(write.Page.Ranges)})
+}
+
+func (l *loop) grant(service string, order keys.GrantOrder) {
+	ctx, cancel := context.WithTimeout(l.ctx, keys.CallTimeout)
+	defer cancel()
+	err := l.grantor.Grant(ctx, order.Address, order.Grant)
+	l.deliver(granted{service, order, grantOutcome(err), err})
+}
+
+func grantOutcome(err error) keys.Outcome {
+	var fence *port.FenceError
+	var operation *net.OpError
+	switch {
+	case err == nil:
+		return keys.Taken
+	case errors.As(err, &fence):
+		return keys.FenceRefused
+	case errors.As(err, &operation) && operation.Op == "dial":
+		return keys.NotSent
+	default:
+		return keys.Unanswered
+	}
+}
+
+func (l *loop) release(service string, order keys.ReleaseOrder) {
+	ctx, cancel := context.WithTimeout(l.ctx, releaseTimeout)
+	defer cancel()
+	handover, err := l.grantor.Release(ctx, order.Address, order.Release)
+	l.deliver(released{service, order, handover, err})
+}
+
+func (p pageRead) apply(l *loop) {
+	machine := l.machines[p.service]
+	if machine == nil {
+		return
+	}
+	now := l.clock()
+	switch {
+	case p.err == nil:
+		page, err := keys.Decode(p.entry.Value)
+		if err != nil {
+			l.ignore(p.entry, err)
+			machine.StepReadFailed(now)
+			return
+		}
+		machine.StepRead(now, page, p.entry.Version)
+		l.seePage(p.entry)
+	case kvstore.IsKind(p.err, kvstore.KindNotFound):
+		machine.StepRead(now, nil, 0)
+	default:
+		l.storeCall("read page", p.err)
+		machine.StepReadFailed(now)
+	}
+}
+
+func (p pageWritten) apply(l *loop) {
+	machine := l.machines[p.service]
+	if machine == nil {
+		return
+	}
+	machine.StepWritten(l.clock(), p.version, p.err)
+	if p.err != nil {
+		l.book.Event(event.KeysPageNotWritten, p.err.Error(), zap.String("service", p.service))
+		return
+	}
+	page := machine.Page()
+	l.book.Event(event.KeysPageWritten, "", zap.String("service", p.service), zap.Uint64("page", uint64(p.version)), zap.Int("ranges", p.ranges))
+	if held := l.pages[p.service]; page != nil && (held == nil || held.version < p.version) {
+		l.pages[p.service] = &seenPage{page: page, version: p.version}
+		l.changed = true
+	}
+}
+
+func (g granted) apply(l *loop) {
+	if machine := l.machines[g.service]; machine != nil {
+		machine.StepGranted(l.clock(), g.order, g.outcome)
+	}
+	if g.err != nil {
+		l.book.Event(event.GrantFailed, g.err.Error(), zap.String("service", g.service), zap.String("server", g.order.Life.ID),
+			zap.Uint16("from", g.order.From), zap.Uint16("to", g.order.To), zap.Uint64("fence", g.order.Fence))
+	}
+}
+
+func (r released) apply(l *loop) {
+	if machine := l.machines[r.service]; machine != nil {
+		machine.StepReleased(l.clock(), r.order, r.err == nil, r.handover)
+	}
+	cause := ""
+	if r.err != nil {
+		cause = r.err.Error()
+	}
+	l.book.Event(event.ReleaseEnded, cause, zap.String("service", r.service), zap.String("server", r.order.Life.ID),
+		zap.Uint16("from", r.order.From), zap.Uint16("to", r.order.To), zap.Uint64("fence", r.order.Fence), zap.Bool("handover", r.handover != ""))
+}
+
+// askPredecessor asks the leader that wrote the page before to stop, until an
+// answer proves that it has.
+func (l *loop) askPredecessor(service string, machine *keys.Machine) {
+	writer, ask := machine.Predecessor()
+	if !ask || l.asking[service] {
+		return
+	}
+	l.asking[service] = true
+	go func() {
+		answer, err := l.peers.Yield(l.ctx, writer.Address, &peer.Yield{Incarnation: writer.Incarnation})
+		if err != nil {
+			sleep(l.ctx, yieldEvery)
+		}
+		l.deliver(yielded{service, writer, answer, err})
+	}()
+}
+
+func (y yielded) apply(l *loop) {
+	delete(l.asking, y.service)
+	machine := l.machines[y.service]
+	if y.err != nil || machine == nil {
+		return
+	}
+	cause, until := "it is over: another process answers there", l.clock()
+	if y.answer.Incarnation == y.asked.Incarnation {
+		// Calls that it had under way may still arrive.
+		cause, until = "it was asked to stop", until+keys.CallTimeout
+	}
+	machine.PredecessorEnded(until)
+	l.book.Event(event.PredecessorStopped, cause, zap.String("service", y.service), zap.String("vm", y.asked.VM))
+}
+
+func (y yieldAsked) apply(l *loop) {
+	if l.leading && y.incarnation == l.self.Incarnation {
+		l.stopLeading("a later leader asked this one to stop")
+	}
+	close(y.done)
+}
+
+func (s stopped) apply(l *loop) {
+	if l.leading {
+		l.stopLeading("the process stops")
+	}
+	close(s.done)
+}
--- /dev/null
+++ b/gateway/run/loop.go
@@ -0,0 +1,310 @@
+package run
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavacrank.example/event"
+	"guavacrank.example/gateway/budget"
+	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/leader"
+	"guavacrank.example/gateway/logbook"
+	"guavacrank.example/gateway/model"
+	"guavacrank.example/gateway/peer"
+	"guavacrank.example/gateway/port"
+	"guavacrank.example/gateway/routing"
+	"guavacrank.example/gateway/view"
+	"guavacrank.example/kvstore"
+)
+
+// Keys of the store that the gateway writes.
+const (
+	ownPrefix  = "guavacrank/"
+	leaderKey  = ownPrefix + "leader"
+	pagePrefix = ownPrefix + "keys/"
+)
+
+const (
+	// hold is how long a grant of keys holds.
+	hold = 3 * time.Second
+	// predecessorLife is how long a leader renews grants without the store.
+	predecessorLife = 10 * time.Second
+	// contactLife is how long after the last word of the store a leader still
+	// changes owners.
+	contactLife = leader.TimeToLive
+	// membersLife is how long a daemon counts after its last report.
+	membersLife = 3 * time.Second
+	// inputQueue is the number of inputs that wait for the loop.
+	inputQueue = 256
+)
+
+// loop owns what the process believes. Only its own goroutine uses its fields,
+// but for those that are marked.
+type loop struct {
+	settings *model.Settings
+	store    port.Store
+	records  port.Records
+	grantor  port.Grantor
+	book     *logbook.Book
+	budget   *budget.Budget
+	views    *view.Publisher
+	campaign *leader.Campaign
+	peers    *peer.Client
+	clock    func() time.Duration
+	self     keys.Leader
+	inputs   chan input // For all goroutines.
+	ctx      context.Context
+
+	configuration *model.Configuration
+	routes        *routing.Table
+	servers       *serverTable
+	pages         map[string]*seenPage
+	machines      map[string]*keys.Machine
+	leading       bool
+	term          uint64
+	asking        map[string]bool // Services whose earlier leader is being asked.
+	leaderNow     keys.Leader
+	reporting     bool
+	members       map[string]time.Duration
+	asked         *askedKeys
+	storeHealth   dependency
+	ignored       map[string]kvstore.Version
+	changed       bool
+	reportAt      time.Duration
+
+	leadingNow atomic.Bool // For all goroutines.
+	ready      atomic.Bool // For all goroutines.
+	vms        atomic.Int64
+}
+
+// seenPage is the newest page of a service with its version.
+type seenPage struct {
+	page    *keys.Page
+	version kvstore.Version
+}
+
+// dependency tells whether calls to something succeed.
+type dependency struct {
+	lost   bool
+	lostAt time.Duration
+}
+
+func newLoop(ctx context.Context, o Options, parts parts) *loop {
+	self := keys.Leader{VM: o.Settings.VM, Incarnation: rand.Text(), Address: o.Settings.Listen.Peers}
+	value, err := json.Marshal(self)
+	if err != nil {
+		panic("run: " + err.Error()) // Three texts always encode.
+	}
+	l := &loop{
+		settings: o.Settings,
+		store:    o.Store,
+		records:  o.Records,
+		grantor:  o.Grantor,
+		book:     parts.book,
+		budget:   parts.budget,
+		views:    parts.views,
+		clock:    parts.clock,
+		peers:    peer.NewClient(),
+		self:     self,
+		inputs:   make(chan input, inputQueue),
+		ctx:      ctx,
+		pages:    make(map[string]*seenPage),
+		machines: make(map[string]*keys.Machine),
+		asking:   make(map[string]bool),
+		members:  make(map[string]time.Duration),
+		ignored:  make(map[string]kvstore.Version),
+		asked:    parts.asked,
+	}
+	l.servers = newServerTable(o.Settings, o.Dialect, parts.book)
+	l.campaign = leader.New(leader.Options{
+		Store:      o.Store,
+		Key:        leaderKey,
+		Value:      value,
+		LeaseLeast: o.Settings.Bounds.LeaseLeast,
+		Clock:      parts.clock,
+	})
+	return l
+}
+
+// deliver brings an input to the loop. It waits while the queue is full.
+func (l *loop) deliver(in input) {
+	select {
+	case l.inputs <- in:
+	case <-l.ctx.Done():
+	}
+}
+
+// run applies inputs until its context ends.
+func (l *loop) run() {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case in := <-l.inputs:
+			in.apply(l)
+		case <-ticker.C:
+			ticked{}.apply(l)
+		}
+		l.lead()
+		if l.changed {
+			l.publish()
+		}
+	}
+}
+
+// storeCall notes whether a call of the store succeeded.
+func (l *loop) storeCall(what string, err error) {
+	now := l.clock()
+	switch {
+	case err != nil && !l.storeHealth.lost:
+		l.storeHealth = dependency{lost: true, lostAt: now}
+		l.book.Event(event.GatewayStoreLost, err.Error(), zap.String("calls", what))
+	case err == nil && l.storeHealth.lost:
+		l.storeHealth.lost = false
+		l.book.Event(event.GatewayStoreRegained, "", zap.String("calls", what), zap.Duration("away", now-l.storeHealth.lostAt))
+	}
+}
+
+func (f followed) apply(l *loop) {
+	if kvstore.IsKind(f.err, kvstore.KindHistoryGone) {
+		return
+	}
+	l.storeCall("watch "+f.prefix, f.err)
+	if f.err != nil {
+		return
+	}
+	if f.prefix == ownPrefix {
+		l.applyOwn(f)
+		return
+	}
+	for _, entry := range f.entries {
+		if entry.Key == l.records.ConfigurationKey() && !entry.Deleted {
+			l.configure(entry)
+		}
+	}
+}
+
+// configure takes a configuration if it is newer than the one in force.
+func (l *loop) configure(entry kvstore.Entry) {
+	configuration, err := l.records.Configuration(entry.Value)
+	if err != nil {
+		l.ignore(entry, err)
+	}
+	if configuration == nil || l.configuration != nil && configuration.Version <= l.configuration.Version {
+		return
+	}
+	l.configuration = configuration
+	l.routes = routing.NewTable(configuration)
+	l.changed = true
+	l.book.Event(event.GatewayConfigured, "", zap.Uint64("configuration", configuration.Version),
+		zap.Int("routes", len(configuration.Routes)), zap.Uint64("record", uint64(entry.Version)))
+}
+
+// ignore logs a record that can't be used, once for each version of it.
+func (l *loop) ignore(entry kvstore.Entry, err error) {
+	if l.ignored[entry.Key] == entry.Version {
+		return
+	}
+	l.ignored[entry.Key] = entry.Version
+	l.book.Event(event.RecordIgnored, err.Error(), zap.String("key", entry.Key), zap.Uint64("record", uint64(entry.Version)))
+}
+
+// applyOwn takes the leader's key and the pages of keys.
+func (l *loop) applyOwn(f followed) {
+	leaderSeen := false
+	for _, entry := range f.entries {
+		switch {
+		case entry.Key == leaderKey:
+			leaderSeen = true
+			l.seeLeader(entry)
+		case len(entry.Key) > len(pagePrefix) && entry.Key[:len(pagePrefix)] == pagePrefix && !entry.Deleted:
+			l.seePage(entry)
+		}
+	}
+	if f.whole && !leaderSeen {
+		l.leaderNow = keys.Leader{}
+		l.campaign.Observe(nil)
+	}
+}
+
+func (l *loop) seeLeader(entry kvstore.Entry) {
+	if entry.Deleted {
+		l.leaderNow = keys.Leader{}
+		l.campaign.Observe(nil)
+		return
+	}
+	var seen keys.Leader
+	if err := json.Unmarshal(entry.Value, &seen); err != nil {
+		l.ignore(entry, err)
+	}
+	l.leaderNow = seen
+	l.campaign.Observe(entry.Value)
+}
+
+// seePage takes a newer page.
+func (l *loop) seePage(entry kvstore.Entry) {
+	service := entry.Key[len(pagePrefix):]
+	if held := l.pages[service]; held != nil && held.version >= entry.Version {
+		return
+	}
+	page, err := keys.Decode(entry.Value)
+	if err != nil {
+		l.ignore(entry, err)
+		return
+	}
+	l.pages[service] = &seenPage{page: page, version: entry.Version}
+	l.changed = true
+	l.book.Event(event.KeysPageSeen, "", zap.String("service", service), zap.Uint64("page", uint64(entry.Version)),
+		zap.Int("ranges", len(page.Ranges)), zap.Uint64("fence", page.Fence), zap.String("writer", page.Writer.VM))
+}
+
+func (p polled) apply(l *loop) {
+	l.storeCall("servers", p.err)
+	now := l.clock()
+	if p.err != nil {
+		return
+	}
+	var listed []model.Server
+	for _, entry := range p.entries {
+		server, err := l.records.Server(entry)
+		if err != nil {
+			l.ignore(entry, err)
+			continue
+		}
+		listed = append(listed, server)
+	}
+	l.changed = l.servers.update(now, listed) || l.changed
+	for service, machine := range l.machines {
+		machine.StepServers(now, l.servers.of(service), l.servers.uninterrupted)
+	}
+}
+
+// publish makes the newest view.
+func (l *loop) publish() {
+	if l.configuration == nil {
+		return
+	}
+	l.changed = false
+	services := make(map[string]*view.Service, len(l.configuration.Services))
+	vms := int(l.vms.Load())
+	for name, declared := range l.configuration.Services {
+		service := &view.Service{Service: declared, Servers: l.servers.taking(name, declared, vms)}
+		if seen := l.pages[name]; declared.DividedByKey && seen != nil {
+			service.Page = seen.page
+			service.Owners = l.servers.owners(seen.page, name, declared, vms)
+		}
+		services[name] = service
+	}
+	l.views.Publish(&view.View{Configuration: l.configuration, Routes: l.routes, Services: services})
+	if !l.ready.Load() && l.servers.known {
+		l.ready.Store(true)
+		l.book.Event(event.GatewayReady, "", zap.Uint64("configuration", l.configuration.Version), zap.Int("servers", len(l.servers.rows)))
+	}
+}
--- /dev/null
+++ b/gateway/run/reports.go
@@ -0,0 +1,178 @@
+package run
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"guavacrank.example/event"
+	"guavacrank.example/gateway/peer"
+)
+
+// reportEvery is the time between two reports to the leader.
+const reportEvery = 700 * time.Millisecond
+
+// mostAsked bounds the keys that one report lists for a service.
+const mostAsked = 4000
+
+// askedKeys gathers the keys that requests name. It is safe for concurrent use.
+type askedKeys struct {
+	mu        sync.Mutex
+	byService map[string][]uint16
+}
+
+func newAskedKeys() *askedKeys { return &askedKeys{byService: make(map[string][]uint16)} }
+
+// add notes one key.
+func (a *askedKeys) add(service string, key uint16) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.byService[service]) < mostAsked {
+		a.byService[service] = append(a.byService[service], key)
+	}
+}
+
+// take returns the keys since the last call.
+func (a *askedKeys) take() map[string][]uint16 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	taken := a.byService
+	a.byService = make(map[string][]uint16)
+	return taken
+}
+
+// report tells the leader what this VM saw; a leader tells itself.
+func (l *loop) report(now time.Duration) {
+	if now < l.reportAt || l.reporting {
+		return
+	}
+	l.reportAt = now + reportEvery
+	if l.leaderNow.Address == "" {
+		return // Keys stay gathered until there is a leader.
+	}
+	report := &peer.Report{VM: l.self.VM, Incarnation: l.self.Incarnation, Asked: l.asked.take(), Servers: l.serverReports()}
+	if l.leading {
+		l.takeReport(report)
+		l.takeVMs(l.countMembers(now))
+		return
+	}
+	l.reporting = true
+	address := l.leaderNow.Address
+	go func() {
+		answer, err := l.peers.Report(l.ctx, address, report)
+		l.deliver(reportAnswered{answer, err})
+	}()
+}
+
+// serverReports tells how the servers of services divided by key answered.
+func (l *loop) serverReports() []peer.ServerReport {
+	var reports []peer.ServerReport
+	for _, row := range l.servers.rows {
+		if row.target == nil || l.configuration == nil || !l.configuration.Services[row.Service].DividedByKey {
+			continue
+		}
+		count, total := row.target.TakeAnswers()
+		if count > 0 {
+			mean := total / time.Duration(count)
+			reports = append(reports, peer.ServerReport{ID: row.ID, Answers: count, MeanMS: float64(mean.Microseconds()) / 1000})
+		}
+	}
+	return reports
+}
+
+// takeReport takes a daemon's report while this VM leads.
+func (l *loop) takeReport(report *peer.Report) {
+	now := l.clock()
+	l.members[report.VM] = now
+	for service, asked := range report.Asked {
+		if machine := l.machines[service]; machine != nil {
+			machine.StepHeat(now, asked)
+		}
+	}
+	for _, server := range report.Servers {
+		for _, machine := range l.machines {
+			machine.StepLatency(server.ID, time.Duration(server.MeanMS*float64(time.Millisecond)))
+		}
+	}
+}
+
+// countMembers returns the number of daemons that reported lately.
+func (l *loop) countMembers(now time.Duration) int {
+	for vm, at := range l.members {
+		if now-at > membersLife {
+			delete(l.members, vm)
+		}
+	}
+	return len(l.members)
+}
+
+// takeVMs takes the number of daemons of the fleet.
+func (l *loop) takeVMs(vms int) {
+	if vms > 0 && l.vms.Swap(int64(vms)) != int64(vms) {
+		l.budget.SetVMs(vms)
+		l.changed = true
+	}
+}
+
+func (r reported) apply(l *loop) {
+	if !l.leading {
+		r.reply <- peer.ReportAnswer{}
+		return
+	}
+	l.takeReport(r.report)
+	r.reply <- peer.ReportAnswer{Leading: true, VMs: l.countMembers(l.clock())}
+}
+
+func (r reportAnswered) apply(l *loop) {
+	l.reporting = false
+	if r.err != nil {
+		l.book.Event(event.PeerOutOfReach, r.err.Error())
+		return
+	}
+	if r.answer.Leading {
+		l.takeVMs(r.answer.VMs)
+	}
+}
+
+func (ticked) apply(l *loop) {
+	now := l.clock()
+	l.report(now)
+	l.servers.closeIdle(time.Now())
+}
+
+// errStopping refuses peers' calls while the process stops.
+var errStopping = errors.New("the process stops")
+
+// peerService answers peers' calls through the loop.
+type peerService struct{ *loop }
+
+var _ peer.Service = peerService{}
+
+// Report implements peer.Service.
+func (p peerService) Report(ctx context.Context, report *peer.Report) (*peer.ReportAnswer, error) {
+	reply := make(chan peer.ReportAnswer, 1)
+	p.deliver(reported{report, reply})
+	select {
+	case answer := <-reply:
+		return &answer, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-p.ctx.Done():
+		return nil, errStopping
+	}
+}
+
+// Yield implements peer.Service.
+func (p peerService) Yield(ctx context.Context, yield *peer.Yield) (*peer.YieldAnswer, error) {
+	done := make(chan struct{})
+	p.deliver(yieldAsked{yield.Incarnation, done})
+	select {
+	case <-done:
+		return &peer.YieldAnswer{Incarnation: p.self.Incarnation}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-p.ctx.Done():
+		return nil, errStopping
+	}
+}
--- /dev/null
+++ b/gateway/run/run.go
@@ -0,0 +1,274 @@
+package run
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavacrank.example/event"
+	"guavacrank.example/gateway/budget"
+	"guavacrank.example/gateway/dispatch"
+	"guavacrank.example/gateway/front"
+	"guavacrank.example/gateway/logbook"
+	"guavacrank.example/gateway/model"
+	"guavacrank.example/gateway/peer"
+	"guavacrank.example/gateway/port"
+	"guavacrank.example/gateway/view"
+	"guavacrank.example/traffic/elapsed"
+	"guavacrank.example/traffic/metric"
+)
+
+// Options configure a Gateway.
+type Options struct {
+	Settings *model.Settings
+	Store    port.Store
+	Records  port.Records
+	Dialect  port.Dialect
+	Grantor  port.Grantor
+	// Output takes the log.
+	Output io.Writer
+}
+
+const (
+	// memoryShare is the part of the memory limit that the runtime aims at, in
+	// percent.
+	memoryShare = 70
+	// collectPercent is how much the heap may grow between two collections.
+	collectPercent = 150
+	// headerBytes bounds a request's headers.
+	headerBytes = 64 << 10
+	// callerIdleTimeout is how long an unused connection of a caller is kept.
+	callerIdleTimeout = time.Minute
+	// callerHeaderTimeout is how long a caller may take for its headers.
+	callerHeaderTimeout = 10 * time.Second
+	// noticeTime is how long the balancer takes to notice that a VM is not
+	// ready: two misses of one question a second, and some time for the way.
+	noticeTime = 2300 * time.Millisecond
+	// acceptTime is how long after the stop signal new connections are taken.
+	acceptTime = 3200 * time.Millisecond
+	// stopMargin is left before the platform kills the process.
+	stopMargin = 300 * time.Millisecond
+	// logCloseTime is how long the end waits for the log's output.
+	logCloseTime = 100 * time.Millisecond
+)
+
+// parts are the pieces that the loop shares with traffic.
+type parts struct {
+	book   *logbook.Book
+	budget *budget.Budget
+	views  *view.Publisher
+	asked  *askedKeys
+	clock  func() time.Duration
+}
+
+// Gateway is one process.
+type Gateway struct {
+	options Options
+	parts   parts
+	loop    *loop
+	handler *front.Handler
+	metrics *metric.Table
+	stopped sync.Once
+}
+
+// Run serves until ctx ends, then stops gracefully. reload brings the wish to
+// read the settings again.
+func Run(ctx context.Context, options Options, reload <-chan *model.Settings) error {
+	debug.SetMemoryLimit(options.Settings.MemoryBytes / 100 * memoryShare)
+	debug.SetGCPercent(collectPercent)
+	inner, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g := newGateway(inner, options)
+	defer g.parts.book.Close(logCloseTime)
+	return g.run(ctx, inner, reload)
+}
+
+func newGateway(ctx context.Context, options Options) *Gateway {
+	bounds := options.Settings.Bounds
+	g := &Gateway{options: options, metrics: &metric.Table{}}
+	g.parts = parts{
+		book:   logbook.New(options.Output, zap.String("vm", options.Settings.VM)),
+		budget: budget.New(budget.Options{Window: bounds.RepeatWindow, Ratio: bounds.RepeatRatio, Slack: bounds.RepeatSlack}),
+		views:  view.NewPublisher(),
+		asked:  newAskedKeys(),
+		clock:  elapsed.Now,
+	}
+	g.loop = newLoop(ctx, options, g.parts)
+	dispatcher := dispatch.New(dispatch.Options{Dialect: options.Dialect, Budget: g.parts.budget, Views: g.parts.views, Clock: g.parts.clock})
+	g.handler = front.New(front.Options{
+		Dialect:     options.Dialect,
+		Views:       g.parts.views,
+		Dispatcher:  dispatcher,
+		Book:        g.parts.book,
+		Metrics:     g.metrics,
+		Clock:       g.parts.clock,
+		MemoryBytes: options.Settings.MemoryBytes,
+		Asked:       g.askedOf,
+	})
+	return g
+}
+
+// askedOf notes a key that a request names, for services divided by key.
+func (g *Gateway) askedOf(service string, key uint16) {
+	current, _ := g.parts.views.Load()
+	if s := current.Services[service]; s != nil && s.DividedByKey {
+		g.parts.asked.add(service, key)
+	}
+}
+
+func (g *Gateway) run(ctx, inner context.Context, reload <-chan *model.Settings) error {
+	settings := g.options.Settings
+	callers := &http.Server{
+		Handler:           g.handler,
+		MaxHeaderBytes:    headerBytes,
+		IdleTimeout:       callerIdleTimeout,
+		ReadHeaderTimeout: callerHeaderTimeout,
+		ErrorLog:          nil,
+	}
+	servers := []listening{
+		{settings.Listen.Callers, callers},
+		{settings.Listen.Ready, &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: callerHeaderTimeout}},
+		{settings.Listen.Peers, &http.Server{Handler: peer.NewHandler(peerService{g.loop}), ReadHeaderTimeout: callerHeaderTimeout}},
+		{settings.Listen.Metrics, &http.Server{Handler: g.metricsHandler(), ReadHeaderTimeout: callerHeaderTimeout}},
+	}
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		if err := s.start(failed); err != nil {
+			return err
+		}
+	}
+	g.parts.book.Event(event.GatewayStarted, "", zap.String("callers", settings.Listen.Callers), zap.String("store", settings.StoreAddress),
+		zap.String("zone", settings.Zone), zap.String("incarnation", g.loop.self.Incarnation), zap.Int("cores", runtime.GOMAXPROCS(0)))
+	g.startFeeds(inner)
+	for {
+		select {
+		case fresh := <-reload:
+			g.reload(fresh)
+		case err := <-failed:
+			g.parts.book.Event(event.GatewayPeerServerDown, err.Error())
+			return err
+		case <-ctx.Done():
+			g.stop(callers)
+			return nil
+		}
+	}
+}
+
+// listening is a server at an address.
+type listening struct {
+	address string
+	server  *http.Server
+}
+
+func (s listening) start(failed chan<- error) error {
+	listener, err := net.Listen("tcp4", s.address)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	}()
+	return nil
+}
+
+// startFeeds starts the goroutines that bring inputs to the loop, and the loop.
+func (g *Gateway) startFeeds(ctx context.Context) {
+	l := g.loop
+	go l.run()
+	go follow(ctx, l.store, l.records.ConfigurationKey(), l.deliver)
+	go follow(ctx, l.store, ownPrefix, l.deliver)
+	go pollServers(ctx, l.store, l.records.ServersPrefix(), l.leadingNow.Load, l.deliver)
+	go l.campaign.Run(ctx)
+}
+
+// serveReady answers the balancer.
+func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !g.loop.ready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// reload takes settings that were read again. Addresses and the VM's place need
+// a new start; bounds take effect at once.
+func (g *Gateway) reload(fresh *model.Settings) {
+	old := g.options.Settings
+	restart := fresh.Listen != old.Listen || fresh.VM != old.VM || fresh.Zone != old.Zone || fresh.StoreAddress != old.StoreAddress
+	g.parts.budget.SetOptions(budget.Options{Window: fresh.Bounds.RepeatWindow, Ratio: fresh.Bounds.RepeatRatio, Slack: fresh.Bounds.RepeatSlack})
+	g.parts.book.Event(event.GatewayReloaded, "", zap.Bool("bounds_changed", fresh.Bounds != old.Bounds), zap.Bool("needs_restart", restart))
+}
+
+// stop serves on until the balancer has noticed, then ends without cutting off
+// a request, if that is possible within the platform's time.
+func (g *Gateway) stop(callers *http.Server) {
+	began := time.Now()
+	g.loop.ready.Store(false)
+	g.parts.book.Event(event.GatewayStopping, "", zap.Int64("in_flight", g.handler.InFlight()))
+	done := make(chan struct{})
+	g.loop.deliver(stopped{done})
+	<-done
+	go g.loop.resign(true)
+	time.Sleep(noticeTime)
+	g.handler.CloseConnections()
+	time.Sleep(acceptTime - noticeTime)
+	left := g.options.Settings.Bounds.Grace - stopMargin - time.Since(began)
+	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
+	defer cancel()
+	cause := ""
+	if err := callers.Shutdown(ctx); err != nil {
+		cause = err.Error()
+	}
+	g.parts.book.Event(event.GatewayStopped, cause, zap.Int64("in_flight", g.handler.InFlight()))
+}
+
+// publishOnce guards expvar, which keeps its names for the life of a process.
+var publishOnce sync.Once
+
+func (g *Gateway) metricsHandler() http.Handler {
+	publishOnce.Do(func() { expvar.Publish("gateway", expvar.Func(g.figures)) })
+	return expvar.Handler()
+}
+
+// Figures are the process's own counters, served as JSON.
+type Figures struct {
+	Requests      map[string]map[string]metric.Report `json:"requests"`
+	InFlight      int64                               `json:"in_flight"`
+	Configuration uint64                              `json:"configuration"`
+	Servers       map[string]int                      `json:"servers"`
+	Leading       bool                                `json:"leading"`
+	VMs           int64                               `json:"vms"`
+	Goroutines    int                                 `json:"goroutines"`
+	LogLines      int64                               `json:"log_lines"`
+	LogLeftOut    int64                               `json:"log_lines_left_out"`
+}
+
+func (g *Gateway) figures() any {
+	written, leftOut := g.parts.book.Counts()
+	f := Figures{
+		Requests:   g.metrics.Reports(),
+		InFlight:   g.handler.InFlight(),
+		Servers:    make(map[string]int),
+		Leading:    g.loop.leadingNow.Load(),
+		VMs:        g.loop.vms.Load(),
+		Goroutines: runtime.NumGoroutine(),
+		LogLines:   written,
+		LogLeftOut: leftOut,
+	}
+	if current, _ := g.parts.views.Load(); current != nil {
+		f.Configuration = current.Configuration.Version
+		for name, service := range current.Services {
+			f.Servers[name] = len(service.Servers)
+		}
+	}
+	return f
+}
--- /dev/null
+++ b/gateway/run/servers.go
@@ -0,0 +1,256 @@
+package run
+
+import (
+	"net/http"
+	"sort"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavacrank.example/event"
+	"guavacrank.example/gateway/balance"
+	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/logbook"
+	"guavacrank.example/gateway/model"
+	"guavacrank.example/gateway/port"
+	"guavacrank.example/traffic/upstream"
+)
+
+const (
+	// connectTimeout bounds the making of a connection to a backend server.
+	connectTimeout = 250 * time.Millisecond
+	// idleTimeout is the longest time that an unused connection to a backend
+	// server is kept.
+	idleTimeout = 6 * time.Second
+	// unacknowledgedTime is how long sent bytes may stay unacknowledged before a
+	// connection to a backend server is given up.
+	unacknowledgedTime = 800 * time.Millisecond
+	// interruption is the time without a reading of the servers after which an
+	// absent server may still return.
+	interruption = 2500 * time.Millisecond
+	// returnTime is how long an absent server may then return.
+	returnTime = 2500 * time.Millisecond
+	// unknownVMs is the number of VMs assumed until the leader says.
+	unknownVMs = 16
+	// leastConnections is the least number of connections to one server.
+	leastConnections = 4
+)
+
+// serverTable holds the backend servers that the store lists.
+type serverTable struct {
+	settings *model.Settings
+	dialect  port.Dialect
+	book     *logbook.Book
+
+	known bool
+	// uninterrupted says that the last reading followed soon on another one.
+	uninterrupted bool
+	readAt        time.Duration
+	trustAbsent   time.Duration
+	rows          map[model.Life]*serverRow
+}
+
+// serverRow is one life of a server.
+type serverRow struct {
+	model.Server
+	listed bool
+	gone   bool
+	target *balance.Server
+}
+
+func newServerTable(settings *model.Settings, dialect port.Dialect, book *logbook.Book) *serverTable {
+	return &serverTable{settings: settings, dialect: dialect, book: book, rows: make(map[model.Life]*serverRow)}
+}
+
+// update takes a reading of all servers and says whether anything changed that
+// traffic needs to know.
+func (t *serverTable) update(now time.Duration, listed []model.Server) bool {
+	t.uninterrupted = t.known && now-t.readAt < interruption
+	if t.known && !t.uninterrupted {
+		t.trustAbsent = now + returnTime
+	}
+	changed := !t.known
+	t.known, t.readAt = true, now
+	for _, row := range t.rows {
+		row.listed = false
+	}
+	for _, server := range listed {
+		changed = t.see(server) || changed
+	}
+	return t.drop(now) || changed
+}
+
+// see takes one listed server. A server that was seen leaving stays so.
+func (t *serverTable) see(server model.Server) bool {
+	row := t.rows[server.Life()]
+	if row == nil || row.Address != server.Address {
+		row = &serverRow{}
+		t.rows[server.Life()] = row
+	}
+	fresh := row.ID == "" || row.gone
+	left := row.Draining
+	server.Draining = server.Draining || left
+	row.Server, row.listed, row.gone = server, true, false
+	if fresh {
+		t.book.Event(event.BackendSeen, "", t.fields(server)...)
+	}
+	if server.Draining && !left {
+		t.book.Event(event.BackendLeaving, "", t.fields(server)...)
+	}
+	return fresh || server.Draining != left
+}
+
+// drop marks the servers that are gone and forgets those long gone.
+func (t *serverTable) drop(now time.Duration) bool {
+	changed := false
+	for life, row := range t.rows {
+		if row.listed || now < t.trustAbsent && !t.replaced(life) {
+			continue
+		}
+		if row.gone {
+			if row.target == nil || row.target.InFlight() == 0 {
+				t.forget(life, row)
+			}
+			continue
+		}
+		row.gone = true
+		changed = true
+		t.book.Event(event.BackendGone, "", t.fields(row.Server)...)
+	}
+	return changed
+}
+
+// replaced says whether a later life under the same ID is listed.
+func (t *serverTable) replaced(life model.Life) bool {
+	for other, row := range t.rows {
+		if other.ID == life.ID && other.Born > life.Born && row.listed {
+			return true
+		}
+	}
+	return false
+}
+
+func (t *serverTable) forget(life model.Life, row *serverRow) {
+	if row.target != nil {
+		row.target.Pool.Close()
+	}
+	delete(t.rows, life)
+}
+
+func (t *serverTable) fields(server model.Server) []zap.Field {
+	return []zap.Field{zap.String("server", server.ID), zap.Int64("born", server.Born), zap.String("service", server.Service),
+		zap.String("address", server.Address), zap.String("zone", server.Zone), zap.Int("slots", server.Slots)}
+}
+
+// of returns the listed servers of a service.
+func (t *serverTable) of(service string) []model.Server {
+	var found []model.Server
+	for _, row := range t.rows {
+		if row.listed && row.Service == service {
+			found = append(found, row.Server)
+		}
+	}
+	return found
+}
+
+// taking returns the servers of a service that take new requests.
+func (t *serverTable) taking(service string, declared model.Service, vms int) []*balance.Server {
+	var found []*balance.Server
+	for _, row := range t.rows {
+		if !row.gone && !row.Draining && row.Service == service {
+			found = append(found, t.target(row, declared, vms))
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].ID < found[j].ID })
+	return found
+}
+
+// owners returns the servers that a page names and that take requests. A
+// server that the page names before this VM has seen its record is taken too.
+func (t *serverTable) owners(page *keys.Page, service string, declared model.Service, vms int) map[model.Life]*balance.Server {
+	found := make(map[model.Life]*balance.Server)
+	for _, r := range page.Ranges {
+		life := r.Owner.Life
+		if life.ID == "" || found[life] != nil {
+			continue
+		}
+		row := t.rows[life]
+		if row == nil || row.Service != service || row.gone || row.Draining {
+			continue
+		}
+		found[life] = t.target(row, declared, vms)
+	}
+	return found
+}
+
+// target returns what traffic knows of a server.
+func (t *serverTable) target(row *serverRow, declared model.Service, vms int) *balance.Server {
+	if vms <= 0 {
+		vms = unknownVMs
+	}
+	limit := t.settings.Descriptors / 8
+	if declared.MaxConnections > 0 {
+		limit = max(declared.MaxConnections/(vms+1), leastConnections)
+	}
+	if row.target == nil {
+		row.target = &balance.Server{
+			Server:   row.Server,
+			Distance: t.distance(row.Zone),
+			Pool:     upstream.NewPool(t.poolOptions(row.Address, limit)),
+		}
+	}
+	row.target.Pool.SetLimit(limit)
+	return row.target
+}
+
+func (t *serverTable) distance(zone string) balance.Distance {
+	switch {
+	case zone == t.settings.Zone:
+		return balance.SameZone
+	case t.settings.Region(zone) == t.settings.Region(t.settings.Zone):
+		return balance.SameRegion
+	default:
+		return balance.OtherRegion
+	}
+}
+
+func (t *serverTable) poolOptions(address string, limit int) upstream.Options {
+	return upstream.Options{
+		Address:        address,
+		Connections:    limit,
+		ConnectTimeout: connectTimeout,
+		IdleTimeout:    idleTimeout,
+		AcceptUnframed: true,
+		Belongs: func(request *http.Request, answer *http.Response) bool {
+			asked, _ := t.dialect.ReadRequest(request.Header) // A bad header was refused before.
+			return t.dialect.ReadAnswer(answer.StatusCode, answer.Header).RequestID == asked.ID
+		},
+		KeepAlive: func(answer *http.Response) time.Duration {
+			return t.dialect.ReadAnswer(answer.StatusCode, answer.Header).KeepAlive
+		},
+		Control: giveUpUnacknowledged,
+	}
+}
+
+// giveUpUnacknowledged sets TCP_USER_TIMEOUT of a connection.
+func giveUpUnacknowledged(_, _ string, raw syscall.RawConn) error {
+	var setErr error
+	err := raw.Control(func(fd uintptr) {
+		const tcpUserTimeout = 18 // TCP_USER_TIMEOUT of Linux, in milliseconds.
+		setErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledgedTime.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return setErr
+}
+
+// closeIdle closes connections that were unused for long.
+func (t *serverTable) closeIdle(now time.Time) {
+	for _, row := range t.rows {
+		if row.target != nil {
+			row.target.Pool.CloseIdle(now)
+		}
+	}
+}
--- a/kvstore/errors.go
+++ b/kvstore/errors.go
@@ -16,6 +16,7 @@
 	KindThrottled // The service's call rate was exceeded.
 	KindTooLarge
 	KindInvalid
+	KindHistoryGone // The changes asked for are no longer kept; list again.
 )
 
 // Outcome says whether the change of a failed call may have taken effect.
@@ -54,7 +55,7 @@
 
 // String returns the kind's name.
 func (k Kind) String() string {
-	names := [...]string{"unavailable", "not found", "conflict", "throttled", "too large", "invalid"}
+	names := [...]string{"unavailable", "not found", "conflict", "throttled", "too large", "invalid", "history gone"}
 	if int(k) < len(names) {
 		return names[k]
 	}
--- a/traffic/upstream/conn.go
+++ b/traffic/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"syscall"
 	"time"
@@ -22,6 +23,9 @@
 	writer    *bufio.Writer
 	idleSince time.Time
 	reused    bool
+	// keepAlive is how long the server keeps the connection without use, less
+	// a margin; the greatest duration until it says.
+	keepAlive time.Duration
 	// sent says that a byte of the current request was handed to the kernel.
 	sent bool
 	// headerBytes limits what may be read until the headers are complete.
@@ -30,7 +34,7 @@
 }
 
 func newConn(raw net.Conn) *conn {
-	c := &conn{Conn: raw}
+	c := &conn{Conn: raw, keepAlive: math.MaxInt64}
 	c.reader = bufio.NewReaderSize((*connReader)(c), bufferBytes)
 	c.writer = bufio.NewWriterSize((*connWriter)(c), bufferBytes)
 	return c
--- a/traffic/upstream/exchange.go
+++ b/traffic/upstream/exchange.go
@@ -50,12 +50,13 @@
 	if writeErr != nil && x.ctx.Err() == nil {
 		c.SetReadDeadline(time.Now().Add(answerGrace))
 	}
-	response, err := readHead(c, x.request)
+	response, err := x.readOwn()
 	if err != nil {
 		return nil, x.fail(writeErr, err)
 	}
 	c.limited = false
-	if !framed(response) {
+	x.noteKeepAlive(response)
+	if !x.pool.options.AcceptUnframed && !framed(response) {
 		x.abandon()
 		return nil, &Failure{Stage: StageUnframed, Sent: true, Err: errors.New("neither Content-Length nor chunked")}
 	}
@@ -64,6 +65,52 @@
 	return answer, nil
 }
 
+// foreignAnswers is how many answers to other requests are passed over.
+const foreignAnswers = 2
+
+// foreignBytes is the longest answer to another request that is passed over.
+const foreignBytes = 256 << 10
+
+var errForeign = errors.New("the answer belongs to another request")
+
+// readOwn reads the head of the answer to this request. An answer that was
+// left over from an earlier request on the connection is read and dropped.
+func (x *exchange) readOwn() (*http.Response, error) {
+	belongs := x.pool.options.Belongs
+	for passed := 0; ; passed++ {
+		response, err := readHead(x.conn, x.request)
+		if err != nil || belongs == nil || belongs(x.request, response) {
+			return response, err
+		}
+		if passed == foreignAnswers || response.Close || !framed(response) {
+			return nil, errForeign
+		}
+		x.conn.limited = false
+		dropped, err := io.Copy(io.Discard, io.LimitReader(response.Body, foreignBytes+1))
+		if err != nil {
+			return nil, unexpected(err)
+		}
+		if dropped > foreignBytes {
+			return nil, errForeign
+		}
+		x.conn.begin(x.pool.options.MaxHeaderBytes)
+		x.conn.sent = true
+	}
+}
+
+// keepAliveMargin is subtracted from the time that a server keeps an unused
+// connection, for the way of a request.
+const keepAliveMargin = 500 * time.Millisecond
+
+func (x *exchange) noteKeepAlive(response *http.Response) {
+	if x.pool.options.KeepAlive == nil {
+		return
+	}
+	if kept := x.pool.options.KeepAlive(response); kept > 0 {
+		x.conn.keepAlive = max(kept-keepAliveMargin, 0)
+	}
+}
+
 // framed says whether the answer carries its own end.
 func framed(response *http.Response) bool {
 	return response.ContentLength >= 0 ||
--- a/traffic/upstream/pool.go
+++ b/traffic/upstream/pool.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -28,6 +29,18 @@
 	IdleTimeout time.Duration
 	// MaxHeaderBytes limits the headers of an answer.
 	MaxHeaderBytes int64
+	// AcceptUnframed takes an answer that ends with its connection, if the
+	// connection ends without a reset.
+	AcceptUnframed bool
+	// Belongs says whether an answer belongs to the request; one that does not
+	// is read and passed over. Nil means that every answer does.
+	Belongs func(request *http.Request, answer *http.Response) bool
+	// KeepAlive reads from an answer how long the server keeps the connection
+	// open without use; zero means that it does not say. Nil never says.
+	KeepAlive func(answer *http.Response) time.Duration
+	// Control is called with each new connection before it is made; nil does
+	// nothing.
+	Control func(network, address string, raw syscall.RawConn) error
 }
 
 // Defaults of Options.
@@ -70,7 +83,7 @@
 	}
 	return &Pool{
 		options: options,
-		dialer:  net.Dialer{Timeout: options.ConnectTimeout},
+		dialer:  net.Dialer{Timeout: options.ConnectTimeout, Control: options.Control},
 		limit:   options.Connections,
 	}
 }
@@ -156,7 +169,7 @@
 		c := p.idle[last]
 		idle := time.Since(c.idleSince)
 		p.idle = p.idle[:last]
-		if idle <= p.options.IdleTimeout && (!once || idle <= freshAfter) {
+		if idle <= min(p.options.IdleTimeout, c.keepAlive) && (!once || idle <= freshAfter) {
 			return c, nil
 		}
 		c.Close()
