gateway: the leader reads the servers for all; release after grants under way; replaced servers

A release could overtake a grant still under way, which then held for its whole time; a watch may stay silent without an end after the store dropped its history; a server whose address another one has was asked again and again; a stopping process called itself ready again at the next change. Change: calls under way are known one by one and a prior holder is released only when none to it is left; reports to the leader carry the versions that it has, and a daemon that misses one lists again; only the leader reads the servers' records, the others take changes from its answers and read themselves when it is silent; pages are short and written at most every 80 ms; a 421 by another instance ends the server here; servers not asked for long are tried again; stopping is final.

--- a/gateway/balance/choose.go
+++ b/gateway/balance/choose.go
@@ -40,16 +40,19 @@
 			continue
 		}
 		st := states[at]
+		if st.out {
+			continue
+		}
 		expected := st.expected
 		if expected == 0 {
-			expected = mean
+			expected = time.Duration(float64(mean) * st.doubt)
 			if server.WarmUp > 0 {
 				expected *= warmUpFactor
 			}
 		}
 		random = random*6364136223846793005 + 1442695040888963407
 		cost := expected + distanceCost(server.Distance, objective) +
-			time.Duration(faultCost*st.faults*float64(objective)) +
+			time.Duration(faultCost*st.faults*st.doubt*float64(objective)) +
 			time.Duration(uint64(expected/noiseShare)*(random>>48)>>16)
 		rank := rankOf(st)
 		if best.Server == nil || rank < bestRank || rank == bestRank && cost < bestCost {
--- a/gateway/balance/server.go
+++ b/gateway/balance/server.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -33,6 +34,8 @@
 	Unreachable
 	// Refused: the server had no room.
 	Refused
+	// Replaced: another server answers at the address; this one is over.
+	Replaced
 	// Withdrawn: the request was given up; nothing is learned but its age.
 	Withdrawn
 )
@@ -49,6 +52,10 @@
 	refusalPause = 40 * time.Millisecond
 	// latencyWeight is the weight of one new time to an answer.
 	latencyWeight = 0.15
+	// trustTime is how long a time to an answer counts in full; after it, it
+	// halves every doubtHalfLife.
+	trustTime     = 1500 * time.Millisecond
+	doubtHalfLife = time.Second
 	// faultWeight is the weight of one new answer in the share of faults.
 	faultWeight = 0.08
 )
@@ -68,6 +75,8 @@
 	failures     int           // In a row.
 	ejectedUntil time.Duration
 	pausedUntil  time.Duration
+	replaced     bool
+	observedAt   time.Duration // The last answer, or the first look.
 	answers      int
 	answerTime   time.Duration
 }
@@ -87,6 +96,7 @@
 	s.inFlight--
 	s.startSum -= started
 	took := now - started
+	s.observedAt = now
 	switch result {
 	case Succeeded:
 		s.succeeded(took)
@@ -105,11 +115,20 @@
 	case Unreachable:
 		s.failures++
 		s.eject(now)
+	case Replaced:
+		s.replaced = true
 	case Withdrawn:
 		s.slower(took)
 	}
 }
 
+// Replaced says whether another server was met at the address.
+func (s *Server) Replaced() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.replaced
+}
+
 func (s *Server) succeeded(took time.Duration) {
 	s.fault(0)
 	s.failures, s.ejectedUntil = 0, 0
@@ -160,15 +179,23 @@
 	inFlight int
 	usable   bool // Neither left out nor passed over.
 	ejected  bool
+	out      bool // Never to be used again.
+	// doubt shrinks what is expected of a server that was not asked for long,
+	// so that it is tried again.
+	doubt float64
 }
 
 func (s *Server) state(now time.Duration) state {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st := state{inFlight: s.inFlight, faults: s.faults}
+	if s.observedAt == 0 {
+		s.observedAt = now
+	}
+	st := state{inFlight: s.inFlight, faults: s.faults, out: s.replaced}
 	st.ejected = now < s.ejectedUntil || s.failures >= brokenInRow && s.inFlight > 0
 	st.usable = !st.ejected && now >= s.pausedUntil
-	base := s.latency
+	st.doubt = math.Exp2(-float64(max(now-s.observedAt-trustTime, 0)) / float64(doubtHalfLife))
+	base := time.Duration(float64(s.latency) * st.doubt)
 	if s.inFlight > 0 {
 		base = max(base, now-s.startSum/time.Duration(s.inFlight))
 	}
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -143,7 +143,7 @@
 func (j *job) nextByKey(service *view.Service, changed <-chan struct{}) bool {
 	if service.Page != nil {
 		if owner := service.Page.Find(j.request.Head.Key); owner != nil && len(owner.Prior) == 0 {
-			if server := service.Owners[owner.Owner.Life]; server != nil {
+			if server := service.Owners[owner.Owner.Life]; server != nil && !server.Replaced() {
 				return j.send(server)
 			}
 		}
--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -58,7 +58,7 @@
 		}
 		return j.failed(&upstream.Failure{Stage: upstream.StageTruncate, Sent: true, Err: err})
 	}
-	return j.whole(answer.Response, body)
+	return j.whole(server, answer.Response, body)
 }
 
 // outgoing builds the request as the server gets it.
@@ -101,7 +101,7 @@
 }
 
 // whole judges a whole answer.
-func (j *job) whole(response *http.Response, body []byte) outcome {
+func (j *job) whole(server *balance.Server, response *http.Response, body []byte) outcome {
 	head := j.options.Dialect.ReadAnswer(response.StatusCode, response.Header)
 	sent := outcome{reached: true}
 	sent.Status = response.StatusCode
@@ -112,6 +112,10 @@
 		if head.Misdirected {
 			sent.Code, sent.result = verdict.CodeMoved, balance.Withdrawn
 		}
+		if head.Misdirected && head.Server != "" && head.Server != server.ID {
+			sent.Code, sent.result = verdict.CodeConnect, balance.Replaced
+			sent.Cause = "server " + head.Server + " has the address now"
+		}
 	case !head.Proved:
 		sent.Verdict, sent.Code, sent.result = verdict.MayHaveRun, verdict.CodePeer, balance.Broken
 		sent.Cause = errUnproved.Error()
--- /dev/null
+++ b/gateway/keys/encode.go
@@ -0,0 +1,94 @@
+package keys
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"guavacrank.example/gateway/model"
+)
+
+// storedPage is a page as it is stored. Every VM reads every version of it, so
+// it is kept short: servers stand once, ranges are rows of numbers.
+type storedPage struct {
+	Fence   uint64         `json:"fence"`
+	Writer  Leader         `json:"writer"`
+	Draft   uint64         `json:"draft"`
+	Servers []storedServer `json:"servers"`
+	// Ranges are rows of: the first key, then for the owner and each prior
+	// holder its index in Servers and its fence. A range ends before the next.
+	Ranges [][]uint64 `json:"ranges"`
+}
+
+type storedServer struct {
+	model.Life
+	Address string `json:"address"`
+}
+
+// Encode returns the page as it is stored.
+func (p *Page) Encode() ([]byte, error) {
+	stored := storedPage{Fence: p.Fence, Writer: p.Writer, Draft: p.Draft}
+	index := func(holder Holder) uint64 {
+		server := storedServer{holder.Life, holder.Address}
+		at := slices.Index(stored.Servers, server)
+		if at < 0 {
+			at = len(stored.Servers)
+			stored.Servers = append(stored.Servers, server)
+		}
+		return uint64(at)
+	}
+	for _, r := range p.Ranges {
+		row := []uint64{uint64(r.From), index(r.Owner), r.Owner.Fence}
+		for _, prior := range r.Prior {
+			row = append(row, index(prior), prior.Fence)
+		}
+		stored.Ranges = append(stored.Ranges, row)
+	}
+	return json.Marshal(stored)
+}
+
+// errRow reports a row of a stored page that can't be read.
+var errRow = errors.New("a row is not a first key followed by pairs of a server and a fence")
+
+// Decode reads and checks a stored page.
+func Decode(value []byte) (*Page, error) {
+	var stored storedPage
+	if err := json.Unmarshal(value, &stored); err != nil {
+		return nil, fmt.Errorf("ownership page: %w", err)
+	}
+	page := &Page{Fence: stored.Fence, Writer: stored.Writer, Draft: stored.Draft}
+	for at, row := range stored.Ranges {
+		end := uint64(model.Keys)
+		if at+1 < len(stored.Ranges) && len(stored.Ranges[at+1]) > 0 {
+			end = stored.Ranges[at+1][0]
+		}
+		r, err := stored.decodeRange(row, end)
+		if err != nil {
+			return nil, fmt.Errorf("ownership page: range %d: %w", at, err)
+		}
+		page.Ranges = append(page.Ranges, r)
+	}
+	return page, page.Check()
+}
+
+// decodeRange reads one row; end is the first key after the range.
+func (s *storedPage) decodeRange(row []uint64, end uint64) (Range, error) {
+	if len(row) < 3 || len(row)%2 == 0 || row[0] >= end || end > model.Keys {
+		return Range{}, errRow
+	}
+	r := Range{From: uint16(row[0]), To: uint16(end - 1)}
+	for at := 1; at < len(row); at += 2 {
+		if row[at] >= uint64(len(s.Servers)) {
+			return Range{}, errRow
+		}
+		server := s.Servers[row[at]]
+		holder := Holder{Life: server.Life, Address: server.Address, Fence: row[at+1]}
+		if at == 1 {
+			r.Owner = holder
+			continue
+		}
+		r.Prior = append(r.Prior, holder)
+	}
+	return r, nil
+}
--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -21,13 +21,16 @@
 
 const (
 	// renewShare: a grant is renewed after this part of its hold.
-	renewShare = 4
+	renewShare = 3
 	// clockRate bounds how slow a server's clock runs, in percent.
 	clockRate = 2
 	// holdMargin is added to the wait for the end of a hold.
 	holdMargin = 100 * time.Millisecond
 	// retryAfter is the pause after a call that failed.
 	retryAfter = 150 * time.Millisecond
+	// draftEvery is the least time between two pages, so that changes that come
+	// in quick succession share one.
+	draftEvery = 80 * time.Millisecond
 	// gatherTime is how long servers are gathered before the first page.
 	gatherTime = 700 * time.Millisecond
 	// returnTime is how long after the store's return, or after a takeover, an
@@ -54,6 +57,8 @@
 	unsettled  bool // The outcome of a write is unknown: read the page.
 	reading    bool
 	nextDraft  uint64
+	nextCall   uint64
+	draftAt    time.Duration // The next page is not worked out before.
 	retryWrite time.Duration
 
 	servers     map[model.Life]*serverRow
@@ -81,7 +86,7 @@
 	arrivedBy time.Duration
 	// unansweredBy is the same for calls that got no answer.
 	unansweredBy time.Duration
-	inFlight     int
+	inFlight     map[uint64]bool // Calls under way.
 	everSent     bool
 	failingSince time.Duration       // Zero while calls succeed.
 	latency      float64             // Seconds, smoothed; zero if unknown.
@@ -134,6 +139,8 @@
 type GrantOrder struct {
 	Life    model.Life
 	Address string
+	// Call tells the calls of one process apart.
+	Call uint64
 	port.Grant
 }
 
@@ -228,7 +235,7 @@
 func (m *Machine) row(life model.Life) *serverRow {
 	row := m.servers[life]
 	if row == nil {
-		row = &serverRow{granted: make(map[uint16]grantRow)}
+		row = &serverRow{granted: make(map[uint16]grantRow), inFlight: make(map[uint64]bool)}
 		row.ID, row.Born = life.ID, life.Born
 		m.servers[life] = row
 	}
@@ -314,14 +321,14 @@
 	m.now = now
 	row := m.row(order.Life)
 	row.everSent = true
-	row.inFlight = max(row.inFlight-1, 0)
+	delete(row.inFlight, order.Call)
 	if outcome != NotSent {
 		row.arrivedBy = now
 	}
 	if outcome == Unanswered {
 		row.unansweredBy = now
 	}
-	m.settleBounds(order.Life, row, outcome)
+	m.settleBounds(order, outcome)
 	m.settleGrant(row, order, outcome == Taken)
 	switch {
 	case outcome == Unanswered || outcome == NotSent:
@@ -342,19 +349,19 @@
 	}
 }
 
-// settleBounds takes the end of a call into the bounds of a prior holder.
-func (m *Machine) settleBounds(life model.Life, row *serverRow, outcome Outcome) {
+// settleBounds takes the end of a call into the bounds of prior holders.
+func (m *Machine) settleBounds(order GrantOrder, outcome Outcome) {
 	for key, bound := range m.bounds {
-		if key.life != life || !bound.pending {
+		if key.life != order.Life || !bound.pending[order.Call] {
 			continue
 		}
+		delete(bound.pending, order.Call)
 		if outcome != NotSent {
 			bound.arrivedBy = max(bound.arrivedBy, m.now)
 		}
 		if outcome == Unanswered {
 			bound.lateBy = max(bound.lateBy, m.now)
 		}
-		bound.pending = row.inFlight > 0
 		m.bounds[key] = bound
 	}
 }
--- a/gateway/keys/page.go
+++ b/gateway/keys/page.go
@@ -1,7 +1,6 @@
 package keys
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"sort"
@@ -13,12 +12,12 @@
 // sorted and cover every key once.
 type Page struct {
 	// Fence is the highest fence that any range ever had.
-	Fence uint64 `json:"fence"`
+	Fence uint64
 	// Writer is the leader that wrote the page.
-	Writer Leader `json:"writer"`
+	Writer Leader
 	// Draft tells the writes of one leader apart.
-	Draft  uint64  `json:"draft"`
-	Ranges []Range `json:"ranges"`
+	Draft  uint64
+	Ranges []Range
 }
 
 // Leader identifies one process that leads.
@@ -32,19 +31,19 @@
 
 // Range is a range of keys, both ends included, with its owner.
 type Range struct {
-	From  uint16 `json:"from"`
-	To    uint16 `json:"to"`
-	Owner Holder `json:"owner"`
+	From  uint16
+	To    uint16
+	Owner Holder
 	// Prior are earlier holders that may still hold the keys. The owner is not
 	// granted the keys before they have ended.
-	Prior []Holder `json:"prior,omitempty"`
+	Prior []Holder
 }
 
 // Holder is one life of a server with the fence of its grant.
 type Holder struct {
 	model.Life
-	Address string `json:"address"`
-	Fence   uint64 `json:"fence"`
+	Address string
+	Fence   uint64
 }
 
 // Contains says whether the key lies in the range.
@@ -72,18 +71,6 @@
 	return &copied
 }
 
-// Encode returns the page as it is stored.
-func (p *Page) Encode() ([]byte, error) { return json.Marshal(p) }
-
-// Decode reads and checks a stored page.
-func Decode(value []byte) (*Page, error) {
-	page := &Page{}
-	if err := json.Unmarshal(value, page); err != nil {
-		return nil, fmt.Errorf("ownership page: %w", err)
-	}
-	return page, page.Check()
-}
-
 // Check returns an error unless the ranges cover every key once and no fence
 // exceeds the page's.
 func (p *Page) Check() error {
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -8,7 +8,7 @@
 
 // runDraft works out the next page and asks for its write.
 func (m *Machine) runDraft() {
-	if m.writing != nil || m.extended || m.now < m.retryWrite || !m.listed {
+	if m.writing != nil || m.extended || m.now < max(m.retryWrite, m.draftAt) || !m.listed {
 		return
 	}
 	draft := &Page{}
@@ -26,6 +26,7 @@
 	if !d.changed {
 		return
 	}
+	m.draftAt = m.now + draftEvery
 	m.nextDraft++
 	draft.Writer, draft.Draft = m.options.Self, m.nextDraft
 	m.writing = draft
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -1,6 +1,9 @@
 package keys
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // CallTimeout limits a grant call: a grant has arrived by then or never will.
 const CallTimeout = 500 * time.Millisecond
@@ -12,8 +15,8 @@
 	// lateBy is the same for grants without an answer, which may be applied
 	// after a release.
 	lateBy time.Duration
-	// pending says that a call is still under way.
-	pending bool
+	// pending are the calls that are still under way.
+	pending map[uint64]bool
 }
 
 // longestHold is how long a grant may hold at a server with a slow clock.
@@ -34,7 +37,7 @@
 // further grant of the range will be sent.
 func (m *Machine) boundOf(r Range) holdBound {
 	row := m.row(r.Owner.Life)
-	bound := holdBound{arrivedBy: row.arrivedBy, lateBy: row.unansweredBy, pending: row.inFlight > 0}
+	bound := holdBound{arrivedBy: row.arrivedBy, lateBy: row.unansweredBy, pending: maps.Clone(row.inFlight)}
 	if grant, sent := row.granted[r.From]; !sent || !grant.answered || grant.fence != r.Owner.Fence {
 		bound.arrivedBy = max(bound.arrivedBy, m.predecessorBound())
 		bound.lateBy = max(bound.lateBy, m.predecessorBound())
@@ -53,7 +56,7 @@
 	if m.replacedLife(prior) {
 		return true, ""
 	}
-	if bound.pending {
+	if len(bound.pending) > 0 {
 		return false, ""
 	}
 	if m.now >= bound.arrivedBy+m.longestHold() {
@@ -94,7 +97,8 @@
 	return handover, true
 }
 
-// runReleases asks prior holders for their keys.
+// runReleases asks prior holders for their keys. A holder is not asked while a
+// grant to it is under way, which could arrive after the release.
 func (m *Machine) runReleases() {
 	if m.page == nil {
 		return
@@ -108,7 +112,7 @@
 
 func (m *Machine) release(r Range, prior Holder) {
 	key := endKey{r.From, r.To, prior.Life, prior.Fence}
-	if _, running := m.releases[key]; running || m.ended[key].released || m.now < m.retryAt[key] {
+	if _, running := m.releases[key]; running || len(m.bounds[key].pending) > 0 || m.ended[key].released || m.now < m.retryAt[key] {
 		return
 	}
 	m.releases[key] = m.now
--- a/gateway/keys/system_rebalance.go
+++ b/gateway/keys/system_rebalance.go
@@ -11,7 +11,7 @@
 	overload  = 1.3
 	underload = 0.5
 	// rangesPerServer bounds how finely the keys are divided.
-	rangesPerServer = 8
+	rangesPerServer = 4
 )
 
 // rebalance moves keys from the servers with the greatest load to those with
@@ -26,9 +26,7 @@
 			break
 		}
 	}
-	if d.changed || len(d.page.Ranges) > len(d.loads.rows)*rangesPerServer/2 {
-		d.join()
-	}
+	d.join()
 }
 
 // unfinished says whether keys are changing hands.
--- a/gateway/keys/system_renewal.go
+++ b/gateway/keys/system_renewal.go
@@ -46,10 +46,11 @@
 		return
 	}
 	grant.inFlight = true
-	row.inFlight++
+	m.nextCall++
+	row.inFlight[m.nextCall] = true
 	grant.due = m.now + m.options.Hold/renewShare
 	row.granted[r.From] = grant
-	order := GrantOrder{Life: r.Owner.Life, Address: r.Owner.Address}
+	order := GrantOrder{Life: r.Owner.Life, Address: r.Owner.Address, Call: m.nextCall}
 	order.From, order.To, order.Fence = r.From, r.To, r.Owner.Fence
 	order.Hold, order.Handover = m.options.Hold, grant.handover
 	m.ready.Grants = append(m.ready.Grants, order)
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"connectrpc.com/connect"
+
+	"guavacrank.example/gateway/model"
 )
 
 const (
@@ -34,6 +36,10 @@
 	Asked map[string][]uint16 `json:"asked,omitempty"`
 	// Servers tells how backend servers answered since the last report.
 	Servers []ServerReport `json:"servers,omitempty"`
+	// Source and Change say which of the leader's lists of servers the daemon
+	// has, and up to which change.
+	Source string `json:"source,omitempty"`
+	Change uint64 `json:"change,omitempty"`
 }
 
 // ServerReport is how one backend server answered.
@@ -50,6 +56,19 @@
 	Leading bool `json:"leading"`
 	// VMs is the number of daemons that reported lately, the leader included.
 	VMs int `json:"vms"`
+	// Source names the leader's list of servers; Change is its newest change.
+	// All says that Servers is the whole list and not what changed.
+	Source  string         `json:"source,omitempty"`
+	Change  uint64         `json:"change,omitempty"`
+	All     bool           `json:"all,omitempty"`
+	Servers []model.Server `json:"servers,omitempty"`
+	Gone    []model.Life   `json:"gone,omitempty"`
+	// ListAgeMS is how long ago the leader read the list from the store.
+	ListAgeMS int64 `json:"list_age_ms"`
+	// Configuration is the newest version that the leader has.
+	Configuration uint64 `json:"configuration"`
+	// Pages are the versions of the pages of keys, by service.
+	Pages map[string]uint64 `json:"pages,omitempty"`
 }
 
 // Yield asks an earlier leader to stop for good.
--- a/gateway/port/port.go
+++ b/gateway/port/port.go
@@ -75,6 +75,8 @@
 	// Misdirected says that the server asked is another one than the request
 	// expected, or does not hold the request's key.
 	Misdirected bool
+	// Server is the ID of the server that answered, if it says so.
+	Server string
 	// Proved says that the answer carries the server's signature.
 	Proved bool
 	// KeepAlive is how long the server keeps the connection open without use;
--- a/gateway/run/feeds.go
+++ b/gateway/run/feeds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"guavacrank.example/gateway/port"
@@ -19,52 +20,87 @@
 	pollEvery = 900 * time.Millisecond
 	// leaderPollEvery is the same while this VM leads.
 	leaderPollEvery = 450 * time.Millisecond
+	// configurationPollEvery is the time between a leader's readings of the
+	// configuration.
+	configurationPollEvery = time.Second
+	// relayLife is how long the leader's word on the servers counts.
+	relayLife = 1600 * time.Millisecond
 )
 
-// follow lists a prefix and watches it, and lists again whenever the watch
+// feed follows one prefix of the store.
+type feed struct {
+	store   port.Store
+	prefix  string
+	deliver func(input)
+
+	mu     sync.Mutex
+	cancel context.CancelFunc // Ends the watch that is waiting.
+}
+
+// nudge ends the watch that is waiting, so that the prefix is listed again: a
+// watch may be silent although something changed.
+func (f *feed) nudge() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
+// run lists the prefix and watches it, and lists again whenever the watch
 // fails, until ctx ends.
-func follow(ctx context.Context, store port.Store, prefix string, deliver func(input)) {
+func (f *feed) run(ctx context.Context) {
 	pause := firstPause
 	for ctx.Err() == nil {
-		entries, version, err := store.List(ctx, prefix)
-		deliver(followed{prefix: prefix, whole: true, entries: entries, err: err})
+		entries, version, err := f.store.List(ctx, f.prefix)
+		f.deliver(followed{prefix: f.prefix, whole: true, entries: entries, err: err})
 		if err != nil {
 			sleep(ctx, jitter(pause))
 			pause = min(2*pause, lastPause)
 			continue
 		}
 		pause = firstPause
-		err = watch(ctx, store, prefix, version, deliver)
+		err = f.watch(ctx, version)
 		if err != nil && !kvstore.IsKind(err, kvstore.KindHistoryGone) {
 			sleep(ctx, jitter(firstPause))
 		}
 	}
 }
 
-// watch delivers changes until a call fails.
-func watch(ctx context.Context, store port.Store, prefix string, after kvstore.Version, deliver func(input)) error {
+// watch delivers changes until a call fails or is cut short by a nudge.
+func (f *feed) watch(ctx context.Context, after kvstore.Version) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.mu.Lock()
+	f.cancel = cancel
+	f.mu.Unlock()
 	for ctx.Err() == nil {
-		entries, version, err := store.Changes(ctx, prefix, after, watchWait)
+		entries, version, err := f.store.Changes(ctx, f.prefix, after, watchWait)
 		if err != nil {
 			return err
 		}
 		if len(entries) > 0 {
-			deliver(followed{prefix: prefix, entries: entries})
+			f.deliver(followed{prefix: f.prefix, entries: entries})
 		}
 		after = max(after, version)
 	}
 	return ctx.Err()
 }
 
-// pollServers reads the servers' records at intervals. A watch would return for
-// every heartbeat of every server.
-func pollServers(ctx context.Context, store port.Store, prefix string, leading func() bool, deliver func(input)) {
+// pollServers reads the servers' records at intervals while the need is there:
+// a leader reads for all, the others only if no leader tells them. A watch would
+// return for every heartbeat of every server.
+func (l *loop) pollServers(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !l.leadingNow.Load() && l.clock()-time.Duration(l.relayedAt.Load()) < relayLife {
+			sleep(ctx, firstPause)
+			continue
+		}
 		began := time.Now()
-		entries, _, err := store.List(ctx, prefix)
-		deliver(polled{entries: entries, err: err})
+		entries, _, err := l.store.List(ctx, l.records.ServersPrefix())
+		l.deliver(polled{entries: entries, err: err})
 		every := pollEvery
-		if leading() {
+		if l.leadingNow.Load() {
 			every = leaderPollEvery
 		}
 		if err != nil {
@@ -74,6 +110,23 @@
 	}
 }
 
+// pollConfiguration reads the configuration at intervals while this VM leads:
+// the others compare their version with the leader's, since a watch may stay
+// silent.
+func (l *loop) pollConfiguration(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, configurationPollEvery)
+		if !l.leadingNow.Load() {
+			continue
+		}
+		entry, err := l.store.Get(ctx, l.records.ConfigurationKey())
+		if kvstore.IsKind(err, kvstore.KindNotFound) {
+			continue
+		}
+		l.deliver(followed{prefix: l.records.ConfigurationKey(), entries: []kvstore.Entry{entry}, err: err})
+	}
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -271,6 +271,8 @@
 }
 
 func (s stopped) apply(l *loop) {
+	l.stopping = true
+	l.ready.Store(false)
 	if l.leading {
 		l.stopLeading("the process stops")
 	}
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -76,10 +76,18 @@
 	ignored       map[string]kvstore.Version
 	changed       bool
 	reportAt      time.Duration
+	stopping      bool
+
+	configurationFeed *feed
+	ownFeed           *feed
+	relay             relay
 
 	leadingNow atomic.Bool // For all goroutines.
-	ready      atomic.Bool // For all goroutines.
-	vms        atomic.Int64
+	// relayedAt is when the leader's list of servers was last taken, on the
+	// clock; for all goroutines.
+	relayedAt atomic.Int64
+	ready     atomic.Bool // For all goroutines.
+	vms       atomic.Int64
 }
 
 // seenPage is the newest page of a service with its version.
@@ -121,6 +129,10 @@
 		asked:    parts.asked,
 	}
 	l.servers = newServerTable(o.Settings, o.Dialect, parts.book)
+	l.configurationFeed = &feed{store: o.Store, prefix: o.Records.ConfigurationKey(), deliver: l.deliver}
+	l.ownFeed = &feed{store: o.Store, prefix: ownPrefix, deliver: l.deliver}
+	l.relay = newRelay()
+	l.relayedAt.Store(-int64(relayLife))
 	l.campaign = leader.New(leader.Options{
 		Store:      o.Store,
 		Key:        leaderKey,
@@ -280,6 +292,11 @@
 		}
 		listed = append(listed, server)
 	}
+	l.takeServers(now, listed)
+}
+
+// takeServers takes the list of all servers, from the store or the leader.
+func (l *loop) takeServers(now time.Duration, listed []model.Server) {
 	l.changed = l.servers.update(now, listed) || l.changed
 	for service, machine := range l.machines {
 		machine.StepServers(now, l.servers.of(service), l.servers.uninterrupted)
@@ -303,7 +320,7 @@
 		services[name] = service
 	}
 	l.views.Publish(&view.View{Configuration: l.configuration, Routes: l.routes, Services: services})
-	if !l.ready.Load() && l.servers.known {
+	if !l.stopping && !l.ready.Load() && l.servers.known {
 		l.ready.Store(true)
 		l.book.Event(event.GatewayReady, "", zap.Uint64("configuration", l.configuration.Version), zap.Int("servers", len(l.servers.rows)))
 	}
--- /dev/null
+++ b/gateway/run/relay.go
@@ -0,0 +1,182 @@
+package run
+
+import (
+	"time"
+
+	"guavacrank.example/gateway/model"
+	"guavacrank.example/gateway/peer"
+)
+
+const (
+	// nudgeEvery is the least time between two nudges of one feed.
+	nudgeEvery = time.Second
+	// staleAnswers is the number of the leader's answers in a row that must
+	// know something newer before a feed counts as silent.
+	staleAnswers = 2
+)
+
+// relay carries the leader's list of servers to the other daemons, so that the
+// store is read once for all.
+type relay struct {
+	// change counts the changes of this daemon's own list; rows and gone say
+	// when each server changed last.
+	change uint64
+	rows   map[model.Life]relayRow
+	gone   map[model.Life]uint64
+
+	// source, seen and servers are what was taken from a leader.
+	source  string
+	seen    uint64
+	servers map[model.Life]model.Server
+
+	failures     int
+	staleConfig  int
+	stalePages   int
+	configNudged time.Duration
+	ownNudged    time.Duration
+}
+
+type relayRow struct {
+	model.Server
+	change uint64
+}
+
+func newRelay() relay {
+	return relay{rows: make(map[model.Life]relayRow), gone: make(map[model.Life]uint64), servers: make(map[model.Life]model.Server)}
+}
+
+// note takes this daemon's own list into the numbered changes.
+func (r *relay) note(table *serverTable) {
+	seen := make(map[model.Life]bool, len(table.rows))
+	for life, row := range table.rows {
+		if row.gone {
+			continue
+		}
+		seen[life] = true
+		server := row.Server
+		server.WarmUp = 0 // Counts down at each reading.
+		if held, known := r.rows[life]; known && held.Server == server {
+			continue
+		}
+		r.change++
+		r.rows[life] = relayRow{server, r.change}
+		delete(r.gone, life)
+	}
+	for life := range r.rows {
+		if !seen[life] {
+			r.change++
+			delete(r.rows, life)
+			r.gone[life] = r.change
+		}
+	}
+}
+
+// fill puts what a daemon lacks into an answer.
+func (r *relay) fill(answer *peer.ReportAnswer, source string, report *peer.Report) {
+	answer.Source, answer.Change = source, r.change
+	since := report.Change
+	if report.Source != source || since > r.change {
+		answer.All, since = true, 0
+	}
+	for _, row := range r.rows {
+		if row.change > since {
+			answer.Servers = append(answer.Servers, row.Server)
+		}
+	}
+	if answer.All {
+		return
+	}
+	for life, change := range r.gone {
+		if change > since {
+			answer.Gone = append(answer.Gone, life)
+		}
+	}
+}
+
+// take applies a leader's answer and returns the whole list.
+func (r *relay) take(answer *peer.ReportAnswer) []model.Server {
+	if answer.All {
+		clear(r.servers)
+	}
+	r.source, r.seen = answer.Source, answer.Change
+	for _, server := range answer.Servers {
+		r.servers[server.Life()] = server
+	}
+	for _, life := range answer.Gone {
+		delete(r.servers, life)
+	}
+	listed := make([]model.Server, 0, len(r.servers))
+	for _, server := range r.servers {
+		listed = append(listed, server)
+	}
+	return listed
+}
+
+// source names this process's list of servers.
+func (l *loop) source() string { return l.self.Incarnation }
+
+// answerReport makes a leader's answer.
+func (l *loop) answerReport(report *peer.Report) peer.ReportAnswer {
+	now := l.clock()
+	answer := peer.ReportAnswer{Leading: true, VMs: l.countMembers(now), ListAgeMS: (now - l.servers.readAt).Milliseconds()}
+	if l.configuration != nil {
+		answer.Configuration = l.configuration.Version
+	}
+	answer.Pages = make(map[string]uint64, len(l.pages))
+	for service, seen := range l.pages {
+		answer.Pages[service] = uint64(seen.version)
+	}
+	if l.servers.known {
+		l.relay.note(l.servers)
+		l.relay.fill(&answer, l.source(), report)
+	}
+	return answer
+}
+
+// takeAnswer takes what the leader knows.
+func (l *loop) takeAnswer(answer *peer.ReportAnswer) {
+	now := l.clock()
+	l.takeVMs(answer.VMs)
+	age := time.Duration(answer.ListAgeMS) * time.Millisecond
+	if answer.Source != "" && !l.leading {
+		listed := l.relay.take(answer)
+		if age < relayLife {
+			l.relayedAt.Store(int64(now - age))
+			l.takeServers(now, listed)
+		}
+	}
+	l.compareVersions(now, answer)
+}
+
+// compareVersions nudges a feed that misses what the leader has.
+func (l *loop) compareVersions(now time.Duration, answer *peer.ReportAnswer) {
+	r := &l.relay
+	r.staleConfig++
+	if l.configuration != nil && l.configuration.Version >= answer.Configuration {
+		r.staleConfig = 0
+	}
+	if r.staleConfig >= staleAnswers && now >= r.configNudged+nudgeEvery {
+		r.configNudged = now
+		l.configurationFeed.nudge()
+	}
+	stale := false
+	for service, version := range answer.Pages {
+		held := l.pages[service]
+		stale = stale || held == nil || uint64(held.version) < version
+	}
+	r.stalePages++
+	if !stale {
+		r.stalePages = 0
+	}
+	if r.stalePages >= staleAnswers {
+		l.nudgeOwn(now)
+	}
+}
+
+// nudgeOwn has the leader's key and the pages listed again.
+func (l *loop) nudgeOwn(now time.Duration) {
+	if now >= l.relay.ownNudged+nudgeEvery {
+		l.relay.ownNudged = now
+		l.ownFeed.nudge()
+	}
+}
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -6,12 +6,14 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"guavacrank.example/event"
 	"guavacrank.example/gateway/peer"
 )
 
 // reportEvery is the time between two reports to the leader.
-const reportEvery = 700 * time.Millisecond
+const reportEvery = 600 * time.Millisecond
 
 // mostAsked bounds the keys that one report lists for a service.
 const mostAsked = 4000
@@ -51,7 +53,8 @@
 	if l.leaderNow.Address == "" {
 		return // Keys stay gathered until there is a leader.
 	}
-	report := &peer.Report{VM: l.self.VM, Incarnation: l.self.Incarnation, Asked: l.asked.take(), Servers: l.serverReports()}
+	report := &peer.Report{VM: l.self.VM, Incarnation: l.self.Incarnation, Asked: l.asked.take(), Servers: l.serverReports(),
+		Source: l.relay.source, Change: l.relay.seen}
 	if l.leading {
 		l.takeReport(report)
 		l.takeVMs(l.countMembers(now))
@@ -121,17 +124,23 @@
 		return
 	}
 	l.takeReport(r.report)
-	r.reply <- peer.ReportAnswer{Leading: true, VMs: l.countMembers(l.clock())}
+	r.reply <- l.answerReport(r.report)
 }
 
 func (r reportAnswered) apply(l *loop) {
 	l.reporting = false
-	if r.err != nil {
-		l.book.Event(event.PeerOutOfReach, r.err.Error())
+	if r.err == nil && r.answer.Leading {
+		l.relay.failures = 0
+		l.takeAnswer(r.answer)
 		return
 	}
-	if r.answer.Leading {
-		l.takeVMs(r.answer.VMs)
+	cause := "it does not lead any more"
+	if r.err != nil {
+		cause = r.err.Error()
+	}
+	l.book.Event(event.PeerOutOfReach, cause, zap.String("leader", l.leaderNow.VM))
+	if l.relay.failures++; l.relay.failures >= staleAnswers {
+		l.nudgeOwn(l.clock())
 	}
 }
 
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -186,9 +186,10 @@
 func (g *Gateway) startFeeds(ctx context.Context) {
 	l := g.loop
 	go l.run()
-	go follow(ctx, l.store, l.records.ConfigurationKey(), l.deliver)
-	go follow(ctx, l.store, ownPrefix, l.deliver)
-	go pollServers(ctx, l.store, l.records.ServersPrefix(), l.leadingNow.Load, l.deliver)
+	go l.configurationFeed.run(ctx)
+	go l.ownFeed.run(ctx)
+	go l.pollServers(ctx)
+	go l.pollConfiguration(ctx)
 	go l.campaign.Run(ctx)
 }
 
@@ -212,7 +213,6 @@
 // a request, if that is possible within the platform's time.
 func (g *Gateway) stop(callers *http.Server) {
 	began := time.Now()
-	g.loop.ready.Store(false)
 	g.parts.book.Event(event.GatewayStopping, "", zap.Int64("in_flight", g.handler.InFlight()))
 	done := make(chan struct{})
 	g.loop.deliver(stopped{done})
