gateway: pages of keys sent by the leader; keys move only from busy servers

Change: the leader sends a page to the daemons that report to it, and with the answer to a report to those that missed it; only the leader's key is watched. Keys move only if the excess is significant and the server busy.

--- a/gateway/balance/choose.go
+++ b/gateway/balance/choose.go
@@ -62,6 +62,10 @@
 	return best
 }
 
+// Expected returns the time to an answer that is expected of one server, or
+// zero if nothing is known.
+func Expected(now time.Duration, server *Server) time.Duration { return server.state(now).expected }
+
 func rankOf(st state) int {
 	switch {
 	case st.usable:
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -144,6 +144,9 @@
 	if service.Page != nil {
 		if owner := service.Page.Find(j.request.Head.Key); owner != nil && len(owner.Prior) == 0 {
 			if server := service.Owners[owner.Owner.Life]; server != nil && !server.Replaced() {
+				if balance.Expected(j.options.Clock(), server) > j.left() {
+					return j.end(verdict.NotRun, verdict.CodeTooLate)
+				}
 				return j.send(server)
 			}
 		}
--- a/gateway/keys/heat.go
+++ b/gateway/keys/heat.go
@@ -9,6 +9,8 @@
 const (
 	// heatHalfLife is the time after which a request counts half.
 	heatHalfLife = 2 * time.Second
+	// heatTime is the heat of one request a second, in seconds.
+	heatTime = 2.885 // The half-life divided by the logarithm of 2.
 	// leastHeat is the heat below which a key is forgotten.
 	leastHeat = 0.02
 )
--- a/gateway/keys/load.go
+++ b/gateway/keys/load.go
@@ -16,6 +16,8 @@
 	// weight.
 	slowest = 2.0
 	fastest = 0.6
+	// unknownLatency is assumed of a server that has not answered, in seconds.
+	unknownLatency = 0.2
 	// warmUpWeight is the weight of a server that is still slow after its start.
 	warmUpWeight = 0.6
 )
@@ -77,6 +79,18 @@
 	return t.heat[row.Life()] / t.weight[row.Life()]
 }
 
+// busy returns the part of a server's slots that its keys' requests take.
+func (t *loadTable) busy(row *serverRow) float64 {
+	latency := row.latency
+	if latency == 0 {
+		latency = unknownLatency
+	}
+	return t.heat[row.Life()] / heatTime * latency / float64(row.Slots)
+}
+
+// idle says whether a server owns no keys.
+func (t *loadTable) idle(row *serverRow) bool { return t.heat[row.Life()] == 0 }
+
 // least returns the server with the least load other than one life, or nil.
 func (t *loadTable) least(other model.Life) *serverRow {
 	var best *serverRow
--- a/gateway/keys/system_rebalance.go
+++ b/gateway/keys/system_rebalance.go
@@ -1,15 +1,24 @@
 package keys
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// planEvery is the time between two looks at the balance.
-	planEvery = 700 * time.Millisecond
+	planEvery = 400 * time.Millisecond
 	// planMoves is the greatest number of moves of one look.
 	planMoves = 4
 	// overload and underload are the ratios to the mean load at which keys move.
 	overload  = 1.3
 	underload = 0.5
+	// busyFrom is the part of its slots from which a server counts as busy;
+	// keys of servers that are not stay where they are.
+	busyFrom = 0.45
+	// significance is how many standard deviations of a count of requests an
+	// excess must reach.
+	significance = 2.5
 	// rangesPerServer bounds how finely the keys are divided.
 	rangesPerServer = 4
 )
@@ -49,7 +58,7 @@
 	if to == nil {
 		return false
 	}
-	if d.loads.load(from) < overload*mean && d.loads.load(to) > underload*mean {
+	if !d.loads.idle(to) && !d.uneven(from, to, mean) {
 		return false
 	}
 	surplus := (d.loads.load(from) - mean) * d.loads.weight[from.Life()]
@@ -62,6 +71,19 @@
 	return d.take(at, wanted, to)
 }
 
+// uneven says whether a busy server has significantly more load than the mean.
+func (d *drafting) uneven(from, to *serverRow, mean float64) bool {
+	if d.loads.load(from) < overload*mean && d.loads.load(to) > underload*mean {
+		return false
+	}
+	if d.loads.busy(from) < busyFrom {
+		return false
+	}
+	even := mean * d.loads.weight[from.Life()]
+	// The variance of a decayed count is half of its mean.
+	return d.loads.heat[from.Life()]-even > significance*math.Sqrt(even/2)
+}
+
 // hottest returns the index of the range of a server that brings most load and
 // may move, or -1.
 func (d *drafting) hottest(row *serverRow) int {
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -17,6 +17,7 @@
 const (
 	procedureReport = "/guavacrank.peer.v1.Peer/Report"
 	procedureYield  = "/guavacrank.peer.v1.Peer/Yield"
+	procedureTake   = "/guavacrank.peer.v1.Peer/Take"
 	// callTimeout bounds one call.
 	callTimeout = 800 * time.Millisecond
 	// connectTimeout bounds the making of a connection.
@@ -31,6 +32,10 @@
 type Report struct {
 	VM          string `json:"vm"`
 	Incarnation string `json:"incarnation"`
+	// Address is the reporter's own IP:port for peers.
+	Address string `json:"address"`
+	// Pages are the versions of the pages of keys that the daemon has.
+	Pages map[string]uint64 `json:"pages,omitempty"`
 	// Asked lists, for each service, the keys that requests named since the
 	// last report.
 	Asked map[string][]uint16 `json:"asked,omitempty"`
@@ -67,10 +72,20 @@
 	ListAgeMS int64 `json:"list_age_ms"`
 	// Configuration is the newest version that the leader has.
 	Configuration uint64 `json:"configuration"`
-	// Pages are the versions of the pages of keys, by service.
-	Pages map[string]uint64 `json:"pages,omitempty"`
+	// Pages are the pages of keys that the daemon lacks.
+	Pages []StoredPage `json:"pages,omitempty"`
+}
+
+// StoredPage is a page of keys as it stands in the store.
+type StoredPage struct {
+	Service string          `json:"service"`
+	Version uint64          `json:"version"`
+	Page    json.RawMessage `json:"page"`
 }
 
+// TakeAnswer acknowledges a page.
+type TakeAnswer struct{}
+
 // Yield asks an earlier leader to stop for good.
 type Yield struct {
 	// Incarnation is the process that must stop.
@@ -87,6 +102,7 @@
 type Service interface {
 	Report(ctx context.Context, report *Report) (*ReportAnswer, error)
 	Yield(ctx context.Context, yield *Yield) (*YieldAnswer, error)
+	Take(ctx context.Context, page *StoredPage) (*TakeAnswer, error)
 }
 
 // codec encodes plain Go values as JSON.
@@ -107,6 +123,7 @@
 	options := []connect.HandlerOption{connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes)}
 	mux.Handle(procedureReport, unary(procedureReport, service.Report, options))
 	mux.Handle(procedureYield, unary(procedureYield, service.Yield, options))
+	mux.Handle(procedureTake, unary(procedureTake, service.Take, options))
 	return mux
 }
 
@@ -143,6 +160,11 @@
 	return call[Yield, YieldAnswer](ctx, c, address, procedureYield, yield)
 }
 
+// Take calls the peer at an address (IP:port).
+func (c *Client) Take(ctx context.Context, address string, page *StoredPage) (*TakeAnswer, error) {
+	return call[StoredPage, TakeAnswer](ctx, c, address, procedureTake, page)
+}
+
 func call[Q, A any](ctx context.Context, c *Client, address, procedure string, message *Q) (*A, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/gateway/run/feeds.go
+++ b/gateway/run/feeds.go
@@ -127,6 +127,18 @@
 	}
 }
 
+// readPages reads the pages of keys once. Later ones come from the leader.
+func (l *loop) readPages(ctx context.Context) {
+	for ctx.Err() == nil {
+		entries, _, err := l.store.List(ctx, pagePrefix)
+		l.deliver(followed{prefix: pagePrefix, whole: true, entries: entries, err: err})
+		if err == nil {
+			return
+		}
+		sleep(ctx, jitter(lastPause))
+	}
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -37,7 +37,7 @@
 	service string
 	version kvstore.Version
 	err     error
-	ranges  int
+	value   []byte
 }
 
 // granted is the end of a grant call.
@@ -82,6 +82,9 @@
 	err    error
 }
 
+// pageTaken is a page that the leader sent.
+type pageTaken struct{ page *peer.StoredPage }
+
 // ticked passes time.
 type ticked struct{}
 
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -135,7 +135,7 @@
 		return
 	}
 	version, err := l.store.CompareAndSwap(l.ctx, pagePrefix+service, write.Expected, value, 0)
-	l.deliver(pageWritten{service, version, err, len(write.Page.Ranges)})
+	l.deliver(pageWritten{service, version, err, value})
 }
 
 func (l *loop) grant(service string, order keys.GrantOrder) {
@@ -182,7 +182,7 @@
 			return
 		}
 		machine.StepRead(now, page, p.entry.Version)
-		l.seePage(p.entry)
+		l.seePage(p.entry) // Members that lack it get it with their next answer.
 	case kvstore.IsKind(p.err, kvstore.KindNotFound):
 		machine.StepRead(now, nil, 0)
 	default:
@@ -201,14 +201,29 @@
 		l.book.Event(event.KeysPageNotWritten, p.err.Error(), zap.String("service", p.service))
 		return
 	}
-	page := machine.Page()
-	l.book.Event(event.KeysPageWritten, "", zap.String("service", p.service), zap.Uint64("page", uint64(p.version)), zap.Int("ranges", p.ranges))
-	if held := l.pages[p.service]; page != nil && (held == nil || held.version < p.version) {
-		l.pages[p.service] = &seenPage{page: page, version: p.version}
-		l.changed = true
+	l.seePage(kvstore.Entry{Key: pagePrefix + p.service, Value: p.value, Version: p.version})
+	l.sendPage(peer.StoredPage{Service: p.service, Version: uint64(p.version), Page: p.value})
+}
+
+// sendPage sends a page to every daemon that reports to this one. Those that
+// miss it get it with the answer to their next report.
+func (l *loop) sendPage(page peer.StoredPage) {
+	for vm, m := range l.members {
+		if vm == l.self.VM {
+			continue
+		}
+		go func() {
+			if _, err := l.peers.Take(l.ctx, m.address, &page); err != nil {
+				l.book.Event(event.PageNotSent, err.Error(), zap.String("peer", vm), zap.Uint64("page", page.Version))
+			}
+		}()
 	}
 }
 
+func (p pageTaken) apply(l *loop) {
+	l.seePage(kvstore.Entry{Key: pagePrefix + p.page.Service, Value: p.page.Page, Version: kvstore.Version(p.page.Version)})
+}
+
 func (g granted) apply(l *loop) {
 	if machine := l.machines[g.service]; machine != nil {
 		machine.StepGranted(l.clock(), g.order, g.outcome)
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -70,7 +70,7 @@
 	asking        map[string]bool // Services whose earlier leader is being asked.
 	leaderNow     keys.Leader
 	reporting     bool
-	members       map[string]time.Duration
+	members       map[string]member
 	asked         *askedKeys
 	storeHealth   dependency
 	ignored       map[string]kvstore.Version
@@ -79,7 +79,7 @@
 	stopping      bool
 
 	configurationFeed *feed
-	ownFeed           *feed
+	leaderFeed        *feed
 	relay             relay
 
 	leadingNow atomic.Bool // For all goroutines.
@@ -93,9 +93,16 @@
 // seenPage is the newest page of a service with its version.
 type seenPage struct {
 	page    *keys.Page
+	stored  []byte
 	version kvstore.Version
 }
 
+// member is a daemon that reports to this one while it leads.
+type member struct {
+	address string
+	at      time.Duration
+}
+
 // dependency tells whether calls to something succeed.
 type dependency struct {
 	lost   bool
@@ -124,13 +131,13 @@
 		pages:    make(map[string]*seenPage),
 		machines: make(map[string]*keys.Machine),
 		asking:   make(map[string]bool),
-		members:  make(map[string]time.Duration),
+		members:  make(map[string]member),
 		ignored:  make(map[string]kvstore.Version),
 		asked:    parts.asked,
 	}
 	l.servers = newServerTable(o.Settings, o.Dialect, parts.book)
 	l.configurationFeed = &feed{store: o.Store, prefix: o.Records.ConfigurationKey(), deliver: l.deliver}
-	l.ownFeed = &feed{store: o.Store, prefix: ownPrefix, deliver: l.deliver}
+	l.leaderFeed = &feed{store: o.Store, prefix: leaderKey, deliver: l.deliver}
 	l.relay = newRelay()
 	l.relayedAt.Store(-int64(relayLife))
 	l.campaign = leader.New(leader.Options{
@@ -192,13 +199,18 @@
 	if f.err != nil {
 		return
 	}
-	if f.prefix == ownPrefix {
-		l.applyOwn(f)
-		return
-	}
-	for _, entry := range f.entries {
-		if entry.Key == l.records.ConfigurationKey() && !entry.Deleted {
-			l.configure(entry)
+	switch f.prefix {
+	case leaderKey:
+		l.applyLeader(f)
+	case pagePrefix:
+		for _, entry := range f.entries {
+			l.seePage(entry)
+		}
+	default:
+		for _, entry := range f.entries {
+			if entry.Key == l.records.ConfigurationKey() && !entry.Deleted {
+				l.configure(entry)
+			}
 		}
 	}
 }
@@ -228,19 +240,16 @@
 	l.book.Event(event.RecordIgnored, err.Error(), zap.String("key", entry.Key), zap.Uint64("record", uint64(entry.Version)))
 }
 
-// applyOwn takes the leader's key and the pages of keys.
-func (l *loop) applyOwn(f followed) {
-	leaderSeen := false
+// applyLeader takes the leader's key.
+func (l *loop) applyLeader(f followed) {
+	seen := false
 	for _, entry := range f.entries {
-		switch {
-		case entry.Key == leaderKey:
-			leaderSeen = true
+		if entry.Key == leaderKey {
+			seen = true
 			l.seeLeader(entry)
-		case len(entry.Key) > len(pagePrefix) && entry.Key[:len(pagePrefix)] == pagePrefix && !entry.Deleted:
-			l.seePage(entry)
 		}
 	}
-	if f.whole && !leaderSeen {
+	if f.whole && !seen {
 		l.leaderNow = keys.Leader{}
 		l.campaign.Observe(nil)
 	}
@@ -271,7 +280,7 @@
 		l.ignore(entry, err)
 		return
 	}
-	l.pages[service] = &seenPage{page: page, version: entry.Version}
+	l.pages[service] = &seenPage{page: page, stored: entry.Value, version: entry.Version}
 	l.changed = true
 	l.book.Event(event.KeysPageSeen, "", zap.String("service", service), zap.Uint64("page", uint64(entry.Version)),
 		zap.Int("ranges", len(page.Ranges)), zap.Uint64("fence", page.Fence), zap.String("writer", page.Writer.VM))
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -29,11 +29,12 @@
 	seen    uint64
 	servers map[model.Life]model.Server
 
-	failures     int
-	staleConfig  int
-	stalePages   int
-	configNudged time.Duration
-	ownNudged    time.Duration
+	// failures counts reports in a row that no leader answered, stale answers
+	// in a row of a leader with a newer configuration.
+	failures            int
+	stale               int
+	configurationNudged time.Duration
+	leaderNudged        time.Duration
 }
 
 type relayRow struct {
@@ -122,9 +123,10 @@
 	if l.configuration != nil {
 		answer.Configuration = l.configuration.Version
 	}
-	answer.Pages = make(map[string]uint64, len(l.pages))
 	for service, seen := range l.pages {
-		answer.Pages[service] = uint64(seen.version)
+		if report.Pages[service] < uint64(seen.version) {
+			answer.Pages = append(answer.Pages, peer.StoredPage{Service: service, Version: uint64(seen.version), Page: seen.stored})
+		}
 	}
 	if l.servers.known {
 		l.relay.note(l.servers)
@@ -145,38 +147,30 @@
 			l.takeServers(now, listed)
 		}
 	}
-	l.compareVersions(now, answer)
+	for at := range answer.Pages {
+		pageTaken{&answer.Pages[at]}.apply(l)
+	}
+	l.compareVersion(now, answer.Configuration)
 }
 
-// compareVersions nudges a feed that misses what the leader has.
-func (l *loop) compareVersions(now time.Duration, answer *peer.ReportAnswer) {
+// compareVersion nudges the configuration's feed if it misses what the leader
+// has.
+func (l *loop) compareVersion(now time.Duration, leaders uint64) {
 	r := &l.relay
-	r.staleConfig++
-	if l.configuration != nil && l.configuration.Version >= answer.Configuration {
-		r.staleConfig = 0
+	r.stale++
+	if l.configuration != nil && l.configuration.Version >= leaders {
+		r.stale = 0
 	}
-	if r.staleConfig >= staleAnswers && now >= r.configNudged+nudgeEvery {
-		r.configNudged = now
+	if r.stale >= staleAnswers && now >= r.configurationNudged+nudgeEvery {
+		r.configurationNudged = now
 		l.configurationFeed.nudge()
 	}
-	stale := false
-	for service, version := range answer.Pages {
-		held := l.pages[service]
-		stale = stale || held == nil || uint64(held.version) < version
-	}
-	r.stalePages++
-	if !stale {
-		r.stalePages = 0
-	}
-	if r.stalePages >= staleAnswers {
-		l.nudgeOwn(now)
-	}
 }
 
-// nudgeOwn has the leader's key and the pages listed again.
-func (l *loop) nudgeOwn(now time.Duration) {
-	if now >= l.relay.ownNudged+nudgeEvery {
-		l.relay.ownNudged = now
-		l.ownFeed.nudge()
+// nudgeLeader has the leader's key listed again.
+func (l *loop) nudgeLeader(now time.Duration) {
+	if now >= l.relay.leaderNudged+nudgeEvery {
+		l.relay.leaderNudged = now
+		l.leaderFeed.nudge()
 	}
 }
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -53,7 +53,7 @@
 	if l.leaderNow.Address == "" {
 		return // Keys stay gathered until there is a leader.
 	}
-	report := &peer.Report{VM: l.self.VM, Incarnation: l.self.Incarnation, Asked: l.asked.take(), Servers: l.serverReports(),
+	report := &peer.Report{VM: l.self.VM, Incarnation: l.self.Incarnation, Address: l.self.Address, Pages: l.pageVersions(), Asked: l.asked.take(), Servers: l.serverReports(),
 		Source: l.relay.source, Change: l.relay.seen}
 	if l.leading {
 		l.takeReport(report)
@@ -68,6 +68,15 @@
 	}()
 }
 
+// pageVersions returns the versions of the pages that this VM has.
+func (l *loop) pageVersions() map[string]uint64 {
+	versions := make(map[string]uint64, len(l.pages))
+	for service, seen := range l.pages {
+		versions[service] = uint64(seen.version)
+	}
+	return versions
+}
+
 // serverReports tells how the servers of services divided by key answered.
 func (l *loop) serverReports() []peer.ServerReport {
 	var reports []peer.ServerReport
@@ -87,7 +96,7 @@
 // takeReport takes a daemon's report while this VM leads.
 func (l *loop) takeReport(report *peer.Report) {
 	now := l.clock()
-	l.members[report.VM] = now
+	l.members[report.VM] = member{report.Address, now}
 	for service, asked := range report.Asked {
 		if machine := l.machines[service]; machine != nil {
 			machine.StepHeat(now, asked)
@@ -102,8 +111,8 @@
 
 // countMembers returns the number of daemons that reported lately.
 func (l *loop) countMembers(now time.Duration) int {
-	for vm, at := range l.members {
-		if now-at > membersLife {
+	for vm, m := range l.members {
+		if now-m.at > membersLife {
 			delete(l.members, vm)
 		}
 	}
@@ -140,7 +149,7 @@
 	}
 	l.book.Event(event.PeerOutOfReach, cause, zap.String("leader", l.leaderNow.VM))
 	if l.relay.failures++; l.relay.failures >= staleAnswers {
-		l.nudgeOwn(l.clock())
+		l.nudgeLeader(l.clock())
 	}
 }
 
@@ -172,6 +181,12 @@
 	}
 }
 
+// Take implements peer.Service.
+func (p peerService) Take(_ context.Context, page *peer.StoredPage) (*peer.TakeAnswer, error) {
+	p.deliver(pageTaken{page})
+	return &peer.TakeAnswer{}, nil
+}
+
 // Yield implements peer.Service.
 func (p peerService) Yield(ctx context.Context, yield *peer.Yield) (*peer.YieldAnswer, error) {
 	done := make(chan struct{})
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -187,7 +187,8 @@
 	l := g.loop
 	go l.run()
 	go l.configurationFeed.run(ctx)
-	go l.ownFeed.run(ctx)
+	go l.leaderFeed.run(ctx)
+	go l.readPages(ctx)
 	go l.pollServers(ctx)
 	go l.pollConfiguration(ctx)
 	go l.campaign.Run(ctx)
