gateway: a leader announces itself; what the store does not tell comes from peers

Two daemons cut off from the store until 13.0 s reported to a leader that no longer led, did not learn of the next one, and held absent servers for 2.5 s after the store's return at 13.6. Ruled out: the leader's list (hakata-2 led and had it).

--- a/gateway/leader/leader.go
+++ b/gateway/leader/leader.go
@@ -47,8 +47,8 @@
 // State is what is known of the leadership.
 type State struct {
 	Held bool
-	// Since counts the terms of this process.
-	Term uint64
+	// Term is the store's version of the key. It grows with each leader.
+	Term kvstore.Version
 	// Contact is when the last successful call of the term was sent.
 	Contact time.Duration
 }
@@ -157,11 +157,11 @@
 		return
 	}
 	sent := c.options.Clock()
-	_, err = c.options.Store.CompareAndSwap(callCtx, c.options.Key, 0, c.options.Value, lease)
+	term, err := c.options.Store.CompareAndSwap(callCtx, c.options.Key, 0, c.options.Value, lease)
 	if kvstore.IsUnknown(err) {
 		entry, readErr := c.options.Store.Get(callCtx, c.options.Key)
 		if readErr == nil && entry.Lease == lease {
-			err = nil
+			term, err = entry.Version, nil
 		}
 	}
 	if err != nil {
@@ -169,15 +169,15 @@
 		c.pause(ctx, retryPause)
 		return
 	}
-	c.won(lease, life, sent)
+	c.won(lease, life, sent, term)
 }
 
-func (c *Campaign) won(lease kvstore.LeaseID, life, sent time.Duration) {
+func (c *Campaign) won(lease kvstore.LeaseID, life, sent time.Duration, term kvstore.Version) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lease, c.life = lease, max(life, c.life)
 	c.vacant = false
-	c.state = State{Held: true, Term: c.state.Term + 1, Contact: sent}
+	c.state = State{Held: true, Term: term, Contact: sent}
 }
 
 // lost notes a failed claim. If the key is taken, its end will be observed.
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -11,6 +11,7 @@
 
 	"connectrpc.com/connect"
 
+	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/model"
 )
 
@@ -18,6 +19,7 @@
 	procedureReport = "/guavacrank.peer.v1.Peer/Report"
 	procedureYield  = "/guavacrank.peer.v1.Peer/Yield"
 	procedureTake   = "/guavacrank.peer.v1.Peer/Take"
+	procedureFollow = "/guavacrank.peer.v1.Peer/Follow"
 	// callTimeout bounds one call.
 	callTimeout = 800 * time.Millisecond
 	// connectTimeout bounds the making of a connection.
@@ -36,6 +38,12 @@
 	Address string `json:"address"`
 	// Pages are the versions of the pages of keys that the daemon has.
 	Pages map[string]uint64 `json:"pages,omitempty"`
+	// Configuration is the version that the daemon has. WantConfiguration says
+	// that it knows of a newer one and can't read it from the store.
+	Configuration     uint64 `json:"configuration"`
+	WantConfiguration bool   `json:"want_configuration,omitempty"`
+	// Members is the number of daemons that it knows.
+	Members int `json:"members"`
 	// Asked lists, for each service, the keys that requests named since the
 	// last report.
 	Asked map[string][]uint16 `json:"asked,omitempty"`
@@ -57,8 +65,10 @@
 
 // ReportAnswer is the leader's answer.
 type ReportAnswer struct {
-	// Leading says whether the asked daemon leads.
-	Leading bool `json:"leading"`
+	// Leading says whether the asked daemon leads; if not, Known is the leader
+	// that it knows.
+	Leading bool   `json:"leading"`
+	Known   Follow `json:"known"`
 	// VMs is the number of daemons that reported lately, the leader included.
 	VMs int `json:"vms"`
 	// Source names the leader's list of servers; Change is its newest change.
@@ -70,8 +80,13 @@
 	Gone    []model.Life   `json:"gone,omitempty"`
 	// ListAgeMS is how long ago the leader read the list from the store.
 	ListAgeMS int64 `json:"list_age_ms"`
-	// Configuration is the newest version that the leader has.
+	// Configuration is the newest version that the leader has; Record is the
+	// operators' record of it, if the daemon wants it.
 	Configuration uint64 `json:"configuration"`
+	Record        []byte `json:"record,omitempty"`
+	// Members are the addresses of all daemons, if their number differs from
+	// what the daemon knows.
+	Members []string `json:"members,omitempty"`
 	// Pages are the pages of keys that the daemon lacks.
 	Pages []StoredPage `json:"pages,omitempty"`
 }
@@ -83,6 +98,17 @@
 	Page    json.RawMessage `json:"page"`
 }
 
+// Follow names a leader.
+type Follow struct {
+	Leader keys.Leader `json:"leader"`
+	// Term is the store's version of the leader's key. It grows with each
+	// leader.
+	Term uint64 `json:"term"`
+}
+
+// FollowAnswer acknowledges a leader.
+type FollowAnswer struct{}
+
 // TakeAnswer acknowledges a page.
 type TakeAnswer struct{}
 
@@ -103,6 +129,7 @@
 	Report(ctx context.Context, report *Report) (*ReportAnswer, error)
 	Yield(ctx context.Context, yield *Yield) (*YieldAnswer, error)
 	Take(ctx context.Context, page *StoredPage) (*TakeAnswer, error)
+	Follow(ctx context.Context, follow *Follow) (*FollowAnswer, error)
 }
 
 // codec encodes plain Go values as JSON.
@@ -124,6 +151,7 @@
 	mux.Handle(procedureReport, unary(procedureReport, service.Report, options))
 	mux.Handle(procedureYield, unary(procedureYield, service.Yield, options))
 	mux.Handle(procedureTake, unary(procedureTake, service.Take, options))
+	mux.Handle(procedureFollow, unary(procedureFollow, service.Follow, options))
 	return mux
 }
 
@@ -165,6 +193,11 @@
 	return call[StoredPage, TakeAnswer](ctx, c, address, procedureTake, page)
 }
 
+// Follow calls the peer at an address (IP:port).
+func (c *Client) Follow(ctx context.Context, address string, follow *Follow) (*FollowAnswer, error) {
+	return call[Follow, FollowAnswer](ctx, c, address, procedureFollow, follow)
+}
+
 func call[Q, A any](ctx context.Context, c *Client, address, procedure string, message *Q) (*A, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -85,6 +85,9 @@
 // pageTaken is a page that the leader sent.
 type pageTaken struct{ page *peer.StoredPage }
 
+// followAsked is a leader's word that it leads.
+type followAsked struct{ follow peer.Follow }
+
 // ticked passes time.
 type ticked struct{}
 
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,7 +30,7 @@
 	state := l.campaign.State()
 	silent := now - state.Contact
 	switch {
-	case state.Held && state.Term != l.term && silent < contactLife:
+	case state.Held && state.Term > l.term && silent < contactLife:
 		l.term = state.Term
 		l.startLeading(now)
 	case l.leading && !state.Held:
@@ -60,8 +61,9 @@
 func (l *loop) startLeading(now time.Duration) {
 	l.leading = true
 	l.leadingNow.Store(true)
-	l.leaderNow = l.self
-	l.book.Event(event.LeadershipWon, "", zap.Uint64("term", l.term))
+	l.leaderNow = peer.Follow{Leader: l.self, Term: uint64(l.term)}
+	l.book.Event(event.LeadershipWon, "", zap.Uint64("term", uint64(l.term)))
+	l.announce()
 	for _, machine := range l.machines {
 		machine.Lead(now)
 	}
@@ -75,9 +77,29 @@
 	for _, machine := range l.machines {
 		machine.Stop()
 	}
-	l.book.Event(event.LeadershipLost, cause, zap.Uint64("term", l.term))
+	l.book.Event(event.LeadershipLost, cause, zap.Uint64("term", uint64(l.term)))
 }
 
+// announce tells all known daemons who leads: some may not hear it from the
+// store.
+func (l *loop) announce() {
+	told := map[string]bool{l.self.Address: true}
+	message := l.leaderNow
+	for _, address := range append(slices.Clone(l.peersKnown), l.settings.Seeds...) {
+		if told[address] {
+			continue
+		}
+		told[address] = true
+		go func() {
+			if _, err := l.peers.Follow(l.ctx, address, &message); err != nil {
+				l.book.Event(event.PeerOutOfReach, err.Error(), zap.String("peer", address))
+			}
+		}()
+	}
+}
+
+func (f followAsked) apply(l *loop) { l.follow(f.follow) }
+
 // resign gives the lease back. A failure is logged; the lease then runs out.
 func (l *loop) resign(barred bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -66,9 +66,11 @@
 	pages         map[string]*seenPage
 	machines      map[string]*keys.Machine
 	leading       bool
-	term          uint64
+	term          kvstore.Version
 	asking        map[string]bool // Services whose earlier leader is being asked.
-	leaderNow     keys.Leader
+	leaderNow     peer.Follow
+	peersKnown    []string // Addresses of all daemons, as the leader said.
+	record        []byte   // The operators' record of the configuration.
 	reporting     bool
 	members       map[string]member
 	asked         *askedKeys
@@ -77,6 +79,7 @@
 	changed       bool
 	reportAt      time.Duration
 	stopping      bool
+	seedNext      int
 
 	configurationFeed *feed
 	leaderFeed        *feed
@@ -224,7 +227,7 @@
 	if configuration == nil || l.configuration != nil && configuration.Version <= l.configuration.Version {
 		return
 	}
-	l.configuration = configuration
+	l.configuration, l.record = configuration, entry.Value
 	l.routes = routing.NewTable(configuration)
 	l.changed = true
 	l.book.Event(event.GatewayConfigured, "", zap.Uint64("configuration", configuration.Version),
@@ -250,14 +253,12 @@
 		}
 	}
 	if f.whole && !seen {
-		l.leaderNow = keys.Leader{}
 		l.campaign.Observe(nil)
 	}
 }
 
 func (l *loop) seeLeader(entry kvstore.Entry) {
 	if entry.Deleted {
-		l.leaderNow = keys.Leader{}
 		l.campaign.Observe(nil)
 		return
 	}
@@ -265,8 +266,19 @@
 	if err := json.Unmarshal(entry.Value, &seen); err != nil {
 		l.ignore(entry, err)
 	}
-	l.leaderNow = seen
 	l.campaign.Observe(entry.Value)
+	l.follow(peer.Follow{Leader: seen, Term: uint64(entry.Version)})
+}
+
+// follow takes a leader if it is a later one than the leader known.
+func (l *loop) follow(f peer.Follow) {
+	if f.Term <= l.leaderNow.Term {
+		return
+	}
+	l.leaderNow = f
+	if l.leading && f.Leader != l.self {
+		l.stopLeading("a later leader is known: " + f.Leader.VM)
+	}
 }
 
 // seePage takes a newer page.
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -5,6 +5,7 @@
 
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
+	"guavacrank.example/kvstore"
 )
 
 const (
@@ -122,6 +123,12 @@
 	answer := peer.ReportAnswer{Leading: true, VMs: l.countMembers(now), ListAgeMS: (now - l.servers.readAt).Milliseconds()}
 	if l.configuration != nil {
 		answer.Configuration = l.configuration.Version
+		if report.WantConfiguration && report.Configuration < answer.Configuration {
+			answer.Record = l.record
+		}
+	}
+	if report.Members != answer.VMs {
+		answer.Members = l.memberAddresses()
 	}
 	for service, seen := range l.pages {
 		if report.Pages[service] < uint64(seen.version) {
@@ -150,6 +157,12 @@
 	for at := range answer.Pages {
 		pageTaken{&answer.Pages[at]}.apply(l)
 	}
+	if len(answer.Members) > 0 {
+		l.peersKnown = answer.Members
+	}
+	if len(answer.Record) > 0 {
+		l.configure(kvstore.Entry{Key: l.records.ConfigurationKey(), Value: answer.Record})
+	}
 	l.compareVersion(now, answer.Configuration)
 }
 
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sort"
 	"sync"
 	"time"
 
@@ -50,24 +51,57 @@
 		return
 	}
 	l.reportAt = now + reportEvery
-	if l.leaderNow.Address == "" {
+	address := l.reportTo()
+	if address == "" {
 		return // Keys stay gathered until there is a leader.
 	}
-	report := &peer.Report{VM: l.self.VM, Incarnation: l.self.Incarnation, Address: l.self.Address, Pages: l.pageVersions(), Asked: l.asked.take(), Servers: l.serverReports(),
-		Source: l.relay.source, Change: l.relay.seen}
+	report := l.makeReport()
 	if l.leading {
 		l.takeReport(report)
 		l.takeVMs(l.countMembers(now))
+		l.peersKnown = l.memberAddresses()
 		return
 	}
 	l.reporting = true
-	address := l.leaderNow.Address
 	go func() {
 		answer, err := l.peers.Report(l.ctx, address, report)
 		l.deliver(reportAnswered{answer, err})
 	}()
 }
 
+// reportTo returns the leader's address, or that of a seed that may know it
+// while the store is out of reach.
+func (l *loop) reportTo() string {
+	if l.leaderNow.Leader.Address != "" || !l.storeHealth.lost || len(l.settings.Seeds) == 0 {
+		return l.leaderNow.Leader.Address
+	}
+	l.seedNext++
+	if seed := l.settings.Seeds[l.seedNext%len(l.settings.Seeds)]; seed != l.self.Address {
+		return seed
+	}
+	return ""
+}
+
+// makeReport gathers what this VM saw since the last report.
+func (l *loop) makeReport() *peer.Report {
+	report := &peer.Report{
+		VM:          l.self.VM,
+		Incarnation: l.self.Incarnation,
+		Address:     l.self.Address,
+		Pages:       l.pageVersions(),
+		Members:     len(l.peersKnown),
+		Asked:       l.asked.take(),
+		Servers:     l.serverReports(),
+		Source:      l.relay.source,
+		Change:      l.relay.seen,
+	}
+	if l.configuration != nil {
+		report.Configuration = l.configuration.Version
+	}
+	report.WantConfiguration = l.configuration == nil || l.relay.stale > staleAnswers
+	return report
+}
+
 // pageVersions returns the versions of the pages that this VM has.
 func (l *loop) pageVersions() map[string]uint64 {
 	versions := make(map[string]uint64, len(l.pages))
@@ -119,6 +153,16 @@
 	return len(l.members)
 }
 
+// memberAddresses returns the addresses of the daemons that reported lately.
+func (l *loop) memberAddresses() []string {
+	addresses := make([]string, 0, len(l.members))
+	for _, m := range l.members {
+		addresses = append(addresses, m.address)
+	}
+	sort.Strings(addresses)
+	return addresses
+}
+
 // takeVMs takes the number of daemons of the fleet.
 func (l *loop) takeVMs(vms int) {
 	if vms > 0 && l.vms.Swap(int64(vms)) != int64(vms) {
@@ -129,7 +173,7 @@
 
 func (r reported) apply(l *loop) {
 	if !l.leading {
-		r.reply <- peer.ReportAnswer{}
+		r.reply <- peer.ReportAnswer{Known: l.leaderNow}
 		return
 	}
 	l.takeReport(r.report)
@@ -146,8 +190,10 @@
 	cause := "it does not lead any more"
 	if r.err != nil {
 		cause = r.err.Error()
+	} else {
+		l.follow(r.answer.Known)
 	}
-	l.book.Event(event.PeerOutOfReach, cause, zap.String("leader", l.leaderNow.VM))
+	l.book.Event(event.PeerOutOfReach, cause, zap.String("leader", l.leaderNow.Leader.VM))
 	if l.relay.failures++; l.relay.failures >= staleAnswers {
 		l.nudgeLeader(l.clock())
 	}
@@ -187,6 +233,12 @@
 	return &peer.TakeAnswer{}, nil
 }
 
+// Follow implements peer.Service.
+func (p peerService) Follow(_ context.Context, follow *peer.Follow) (*peer.FollowAnswer, error) {
+	p.deliver(followAsked{*follow})
+	return &peer.FollowAnswer{}, nil
+}
+
 // Yield implements peer.Service.
 func (p peerService) Yield(ctx context.Context, yield *peer.Yield) (*peer.YieldAnswer, error) {
 	done := make(chan struct{})
--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -30,7 +30,7 @@
 	// absent server may still return.
 	interruption = 2500 * time.Millisecond
 	// returnTime is how long an absent server may then return.
-	returnTime = 2500 * time.Millisecond
+	returnTime = 2100 * time.Millisecond
 	// unknownVMs is the number of VMs assumed until the leader says.
 	unknownVMs = 16
 	// leastConnections is the least number of connections to one server.
