keys: a world of servers, leaders and late grants on a virtual clock

Cause: the ownership machine had no tests of its own. Change: scenario tests (leaving, lost, reborn servers, late grants, two leaders, store away, hot range), 25 random worlds that check each key for two holders and fences that only grow, a table of unsound pages, a fuzz target for stored pages.

--- /dev/null
+++ b/gateway/keys/machine_test.go
@@ -0,0 +1,252 @@
+package keys_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/model"
+)
+
+// settled returns a world in which a leader has given all keys to servers.
+func settled(seed uint64, servers int) (*world, *keys.Machine) {
+	w := newWorld(seed)
+	for i := range servers {
+		w.addServer(fmt.Sprintf("i-%d", i), 1000)
+	}
+	m := w.addLeader("a")
+	w.run(3 * time.Second)
+	ExpectWithOffset(1, w.unowned()).To(BeZero())
+	return w, m
+}
+
+var _ = Describe("Machine", func() {
+	It("gives every key to one server", func() {
+		w, _ := settled(1, 5)
+		Expect(w.faults).To(BeEmpty())
+		Expect(w.page.Ranges).To(HaveLen(5))
+	})
+
+	It("moves the keys of a leaving server with a hand-over, in less than a second", func() {
+		w, _ := settled(2, 5)
+		leaving := w.servers[model.Life{ID: "i-2", Born: 1000}]
+		leaving.Draining = true
+		w.run(1200 * time.Millisecond)
+		Expect(w.unowned()).To(BeZero())
+		for _, key := range sampledKeys {
+			Expect(w.holder(key)).NotTo(ContainElement(leaving.Life()))
+		}
+		Expect(w.faults).To(BeEmpty())
+	})
+
+	It("gives the keys of a lost server to others only after its hold", func() {
+		w, _ := settled(3, 5)
+		lost := w.servers[model.Life{ID: "i-2", Born: 1000}]
+		lost.cut = true // It runs on and holds its keys.
+		w.run(8*time.Second, "i-2")
+		Expect(w.unowned()).To(BeZero())
+		Expect(w.faults).To(BeEmpty())
+	})
+
+	It("does not wait for a life that is over: another one has its id", func() {
+		w, _ := settled(4, 5)
+		old := w.servers[model.Life{ID: "i-2", Born: 1000}]
+		old.up = false
+		w.addServer("i-2", 2000)
+		w.run(1200 * time.Millisecond)
+		Expect(w.unowned()).To(BeZero())
+		Expect(w.faults).To(BeEmpty())
+	})
+
+	It("does not release keys while a grant to their holder is under way", func() {
+		w, m := settled(5, 3)
+		server := w.servers[model.Life{ID: "i-1", Born: 1000}]
+		// A renewal leaves and takes long; meanwhile the server leaves.
+		var slow []keys.GrantOrder
+		for w.now < 10*time.Second && len(slow) == 0 {
+			w.now += worldTick
+			m.Tick(w.now)
+			ready := m.Ready()
+			for _, order := range ready.Grants {
+				if order.Life == server.Life() {
+					slow = append(slow, order)
+					continue
+				}
+				w.grant(m, order)
+			}
+		}
+		Expect(slow).NotTo(BeEmpty())
+		server.Draining = true
+		w.list()
+		var page *keys.PageWrite
+		for range 50 {
+			w.now += worldTick
+			m.Tick(w.now)
+			ready := m.Ready()
+			if ready.Write != nil && page == nil {
+				page = ready.Write
+				m.StepWritten(w.now, w.version+1, nil)
+			}
+			for _, order := range ready.Releases {
+				Expect(order.Life).NotTo(Equal(server.Life()), "the renewal could arrive after the release")
+			}
+		}
+		Expect(page).NotTo(BeNil())
+		for _, order := range slow {
+			m.StepGranted(w.now, order, keys.Taken)
+		}
+		m.Tick(w.now)
+		released := 0
+		for _, order := range m.Ready().Releases {
+			if order.Life == server.Life() {
+				released++
+			}
+		}
+		Expect(released).To(BeNumerically(">", 0))
+	})
+
+	It("waits for a late grant even after a release was answered", func() {
+		w, _ := settled(6, 4)
+		w.late = 0.5
+		w.run(2 * time.Second)
+		w.servers[model.Life{ID: "i-1", Born: 1000}].Draining = true
+		w.run(10 * time.Second)
+		Expect(w.faults).To(BeEmpty())
+	})
+
+	It("gives new fences after a change of leaders, and the earlier leader's are refused", func() {
+		w, first := settled(7, 4)
+		fence := w.page.Fence
+		w.addLeader("b")
+		w.run(2 * time.Second) // Both act; the first learns it from a refusal.
+		Expect(w.page.Fence).To(BeNumerically(">", fence))
+		Expect(w.page.Writer.VM).To(Or(Equal("a"), Equal("b")))
+		first.Stop()
+		w.run(2 * time.Second)
+		Expect(w.unowned()).To(BeZero())
+		Expect(w.faults).To(BeEmpty())
+	})
+
+	It("renews without the store and changes nothing", func() {
+		w, m := settled(8, 4)
+		version := w.version
+		m.Extend(true)
+		w.servers[model.Life{ID: "i-1", Born: 1000}].Draining = true
+		w.run(6 * time.Second)
+		Expect(w.version).To(Equal(version))
+		Expect(w.unowned()).To(BeZero())
+	})
+
+	It("divides a hot range among servers", func() {
+		w, m := settled(9, 6)
+		for range 20 {
+			var asked []uint16
+			for i := range 40 {
+				asked = append(asked, uint16(20000+i*3))
+			}
+			m.StepHeat(w.now, asked)
+			for _, s := range w.servers {
+				m.StepLatency(s.ID, 200*time.Millisecond)
+			}
+			w.run(300 * time.Millisecond)
+		}
+		owners := make(map[model.Life]bool)
+		for key := uint16(20000); key < 20120; key++ {
+			owners[w.page.Find(key).Owner.Life] = true
+		}
+		Expect(len(owners)).To(BeNumerically(">=", 3))
+		Expect(w.faults).To(BeEmpty())
+	})
+
+	It("leaves keys where they are while no server is busy", func() {
+		w, m := settled(10, 6)
+		version := w.version
+		for range 20 {
+			var asked []uint16
+			for range 5 {
+				asked = append(asked, uint16(w.random.IntN(model.Keys)))
+			}
+			m.StepHeat(w.now, asked)
+			w.run(300 * time.Millisecond)
+		}
+		Expect(w.version).To(Equal(version))
+	})
+
+	It("calls itself isolated when most servers do not answer", func() {
+		w, m := settled(11, 5)
+		for i := range 4 {
+			w.servers[model.Life{ID: fmt.Sprintf("i-%d", i), Born: 1000}].cut = true
+		}
+		w.run(3 * time.Second)
+		Expect(m.Isolated()).To(BeTrue())
+	})
+})
+
+var _ = Describe("Random worlds", func() {
+	for seed := range uint64(25) {
+		It(fmt.Sprintf("seed %d: never two holders of a key, fences only grow, all keys owned in the end", seed), func() {
+			w := newWorld(seed)
+			for i := range 4 + w.random.IntN(4) {
+				w.addServer(fmt.Sprintf("i-%d", i), 1000)
+			}
+			w.addLeader("l0")
+			w.run(3 * time.Second)
+			var hidden []string
+			for step := range 12 {
+				hidden = w.trouble(step, hidden)
+				w.run(time.Duration(200+w.random.IntN(2500))*time.Millisecond, hidden...)
+			}
+			w.late, w.lostWrites = 0, 0
+			for _, s := range w.servers {
+				s.cut = false
+			}
+			w.run(20 * time.Second)
+			Expect(w.faults).To(BeEmpty())
+			Expect(w.unowned()).To(BeZero())
+		})
+	}
+})
+
+// trouble lets one random thing happen and returns the servers that are not
+// listed from now on.
+func (w *world) trouble(step int, hidden []string) []string {
+	var up []*fakeServer
+	for i := range 20 {
+		for _, born := range []int64{1000, 2000, 3000} {
+			if s := w.servers[model.Life{ID: fmt.Sprintf("i-%d", i), Born: born}]; s != nil && s.up {
+				up = append(up, s)
+			}
+		}
+	}
+	chosen := up[w.random.IntN(len(up))]
+	switch w.random.IntN(8) {
+	case 0:
+		chosen.Draining = len(up) > 2
+	case 1:
+		chosen.cut = true
+		return append(hidden, chosen.ID)
+	case 2:
+		if len(up) > 2 {
+			chosen.up = false
+		}
+	case 3:
+		w.late = 0.4
+	case 4:
+		w.lostWrites = 0.4
+	case 5:
+		for _, m := range w.leaders {
+			m.Stop()
+		}
+		w.addLeader(fmt.Sprintf("l%d", step+1))
+	case 6:
+		w.addServer(fmt.Sprintf("i-%d", 8+step), 1000)
+	case 7:
+		chosen.up = false
+		next := w.addServer(chosen.ID, chosen.Born+1000)
+		next.Born = min(next.Born, 3000)
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/keys/page_test.go
@@ -0,0 +1,73 @@
+package keys_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/model"
+)
+
+var _ = Describe("Page", func() {
+	holder := func(id string, fence uint64) keys.Holder {
+		return keys.Holder{Life: model.Life{ID: id, Born: 7}, Address: id + ":1", Fence: fence}
+	}
+	page := &keys.Page{
+		Fence:  9,
+		Writer: keys.Leader{VM: "a", Incarnation: "x", Address: "a:1"},
+		Draft:  3,
+		Ranges: []keys.Range{
+			{From: 0, To: 99, Owner: holder("i-1", 4)},
+			{From: 100, To: 65535, Owner: holder("i-2", 9), Prior: []keys.Holder{holder("i-1", 4), holder("i-3", 2)}},
+		},
+	}
+
+	It("is the same after it was stored and read", func() {
+		stored, err := page.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		read, err := keys.Decode(stored)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read).To(Equal(page))
+	})
+
+	It("finds the range of a key", func() {
+		Expect(page.Find(99).Owner.ID).To(Equal("i-1"))
+		Expect(page.Find(100).Owner.ID).To(Equal("i-2"))
+		Expect(page.Find(65535).Owner.ID).To(Equal("i-2"))
+		Expect((&keys.Page{}).Find(1)).To(BeNil())
+	})
+
+	DescribeTable("rejects a stored page that is unsound",
+		func(text, cause string) {
+			_, err := keys.Decode([]byte(text))
+			Expect(err).To(MatchError(ContainSubstring(cause)))
+		},
+		Entry("no JSON", `{`, "ownership page"),
+		Entry("a row too short", `{"fence":1,"servers":[{"id":"a"}],"ranges":[[0,0]]}`, "range 0"),
+		Entry("half a pair", `{"fence":1,"servers":[{"id":"a"}],"ranges":[[0,0,1,0]]}`, "range 0"),
+		Entry("an unknown server", `{"fence":1,"servers":[{"id":"a"}],"ranges":[[0,1,1]]}`, "range 0"),
+		Entry("a start above the next", `{"fence":1,"servers":[{"id":"a"}],"ranges":[[9,0,1],[5,0,1]]}`, "range 0"),
+		Entry("a gap at the beginning", `{"fence":1,"servers":[{"id":"a"}],"ranges":[[9,0,1]]}`, "does not continue"),
+		Entry("a fence above the page's", `{"fence":1,"servers":[{"id":"a"}],"ranges":[[0,0,2]]}`, "above the page's"),
+		Entry("a key beyond the last", `{"fence":1,"servers":[{"id":"a"}],"ranges":[[0,0,1],[70000,0,1]]}`, "range 0"),
+	)
+})
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(`{"fence":1,"servers":[{"id":"a","born":2}],"ranges":[[0,0,1],[5,0,1,0,1]]}`))
+	f.Fuzz(func(t *testing.T, stored []byte) {
+		page, err := keys.Decode(stored)
+		if err != nil {
+			return
+		}
+		again, err := page.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := keys.Decode(again); err != nil {
+			t.Fatalf("a page that was read can't be read again: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/gateway/keys/world_test.go
@@ -0,0 +1,333 @@
+package keys_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/model"
+	"guavacrank.example/kvstore"
+)
+
+const (
+	worldHold        = 3 * time.Second
+	worldPredecessor = 10 * time.Second
+	worldTick        = 20 * time.Millisecond
+)
+
+// fakeServer is a backend server that holds keys as the platform's pages say:
+// the time of a grant runs from the arrival of the call, a higher fence that
+// was seen refuses a lower one, and a slow clock holds 2 % longer.
+type fakeServer struct {
+	model.Server
+	up    bool
+	cut   bool // Calls to it are lost on their way.
+	holds []held
+	seen  map[uint16]uint64 // Highest fence, for sampled keys.
+}
+
+// held is a range that a server holds.
+type held struct {
+	from, to uint16
+	fence    uint64
+	until    time.Duration
+}
+
+// event is something that happens later.
+type event struct {
+	at time.Duration
+	do func()
+}
+
+// world is a store, servers and leaders on a virtual clock. It checks after
+// each event that no key is held by two servers.
+type world struct {
+	now     time.Duration
+	random  *rand.Rand
+	events  []event
+	servers map[model.Life]*fakeServer
+	page    *keys.Page
+	version kvstore.Version
+	leaders []*keys.Machine
+	// late is the share of grants that are applied late and not answered.
+	late float64
+	// delay is the longest way of a call.
+	delay time.Duration
+	// work is the longest time of work that a release waits for.
+	work time.Duration
+	// lostWrites is the share of writes that are applied and not answered.
+	lostWrites float64
+	faults     []string
+	highest    map[uint16]fenceSeen
+}
+
+type fenceSeen struct {
+	fence uint64
+	life  model.Life
+}
+
+// sampledKeys are the keys that the world looks at.
+var sampledKeys = func() []uint16 {
+	var sampled []uint16
+	for key := 0; key < model.Keys; key += 509 {
+		sampled = append(sampled, uint16(key))
+	}
+	return append(sampled, 65535)
+}()
+
+func newWorld(seed uint64) *world {
+	return &world{
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		servers: make(map[model.Life]*fakeServer),
+		delay:   10 * time.Millisecond,
+		work:    100 * time.Millisecond,
+		highest: make(map[uint16]fenceSeen),
+	}
+}
+
+// addServer adds a running server.
+func (w *world) addServer(id string, born int64) *fakeServer {
+	s := &fakeServer{
+		Server: model.Server{ID: id, Service: "s", Address: id + ":1", Zone: "z", Slots: 6, Born: born},
+		up:     true,
+		seen:   make(map[uint16]uint64),
+	}
+	w.servers[s.Life()] = s
+	return s
+}
+
+// addLeader adds a machine that leads from now on.
+func (w *world) addLeader(name string) *keys.Machine {
+	m := keys.NewMachine(keys.Options{
+		Service:         "s",
+		Self:            keys.Leader{VM: name, Incarnation: name, Address: name},
+		Hold:            worldHold,
+		PredecessorLife: worldPredecessor,
+	})
+	m.Lead(w.now)
+	w.leaders = append(w.leaders, m)
+	return m
+}
+
+// list tells every machine the servers that are up and listed.
+func (w *world) list(hidden ...string) {
+	var listed []model.Server
+	for _, s := range w.servers {
+		skip := !s.up
+		for _, id := range hidden {
+			skip = skip || s.ID == id
+		}
+		if !skip {
+			listed = append(listed, s.Server)
+		}
+	}
+	sort.Slice(listed, func(i, j int) bool { return listed[i].ID < listed[j].ID })
+	for _, m := range w.leaders {
+		m.StepServers(w.now, listed, true)
+	}
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.events = append(w.events, event{w.now + d, do})
+	sort.SliceStable(w.events, func(i, j int) bool { return w.events[i].at < w.events[j].at })
+}
+
+func (w *world) way() time.Duration {
+	return time.Millisecond + time.Duration(w.random.Int64N(int64(w.delay)))
+}
+
+// run passes time; each tick the servers are listed but for the hidden ones.
+func (w *world) run(d time.Duration, hidden ...string) {
+	end := w.now + d
+	nextList := w.now
+	for w.now < end {
+		next := w.now + worldTick
+		for len(w.events) > 0 && w.events[0].at <= next {
+			e := w.events[0]
+			w.events = w.events[1:]
+			w.now = max(w.now, e.at)
+			e.do()
+			w.check()
+		}
+		w.now = next
+		if w.now >= nextList {
+			w.list(hidden...)
+			nextList += 400 * time.Millisecond
+		}
+		for _, m := range w.leaders {
+			m.Tick(w.now)
+			w.carryOut(m)
+		}
+	}
+}
+
+func (w *world) carryOut(m *keys.Machine) {
+	ready := m.Ready()
+	if ready.Read {
+		page, version := w.page, w.version
+		w.after(w.way(), func() { m.StepRead(w.now, page, version) })
+	}
+	if ready.Write != nil {
+		w.write(m, *ready.Write)
+	}
+	for _, order := range ready.Grants {
+		w.grant(m, order)
+	}
+	for _, order := range ready.Releases {
+		w.release(m, order)
+	}
+}
+
+func (w *world) write(m *keys.Machine, write keys.PageWrite) {
+	stored, err := write.Page.Encode()
+	if err != nil {
+		panic(err)
+	}
+	w.after(w.way(), func() {
+		if write.Expected != w.version {
+			w.after(w.way(), func() { m.StepWritten(w.now, 0, &kvstore.Error{Kind: kvstore.KindConflict}) })
+			return
+		}
+		page, err := keys.Decode(stored)
+		if err != nil {
+			w.fault("unsound page: %v", err)
+			return
+		}
+		w.page, w.version = page, w.version+1
+		version := w.version
+		if w.random.Float64() < w.lostWrites {
+			w.after(time.Second, func() {
+				m.StepWritten(w.now, 0, &kvstore.Error{Outcome: kvstore.OutcomeUnknown})
+			})
+			return
+		}
+		w.after(w.way(), func() { m.StepWritten(w.now, version, nil) })
+	})
+}
+
+func (w *world) grant(m *keys.Machine, order keys.GrantOrder) {
+	server := w.servers[order.Life]
+	if server == nil || !server.up || server.cut {
+		w.after(keys.CallTimeout, func() { m.StepGranted(w.now, order, keys.Unanswered) })
+		return
+	}
+	w.after(w.way(), func() {
+		arrived := w.now
+		if w.random.Float64() < w.late {
+			w.after(time.Duration(w.random.Int64N(int64(6*time.Second))), func() { w.apply(server, order, arrived) })
+			w.after(keys.CallTimeout-(arrived-w.now), func() { m.StepGranted(w.now, order, keys.Unanswered) })
+			return
+		}
+		outcome := w.apply(server, order, arrived)
+		w.after(w.way(), func() { m.StepGranted(w.now, order, outcome) })
+	})
+}
+
+// apply lets a server take a grant that arrived at the given time.
+// The pages do not count the fence of one that is taken late.
+func (w *world) apply(server *fakeServer, order keys.GrantOrder, arrived time.Duration) keys.Outcome {
+	if !server.up {
+		return keys.Unanswered
+	}
+	for _, key := range sampledKeys {
+		if key >= order.From && key <= order.To && server.seen[key] > order.Fence {
+			return keys.FenceRefused
+		}
+	}
+	for _, key := range sampledKeys {
+		if key < order.From || key > order.To {
+			continue
+		}
+		server.seen[key] = order.Fence
+		last := w.highest[key]
+		if last.life != order.Life && last.fence >= order.Fence && arrived == w.now {
+			w.fault("key %d: fence %d of %v is not above %d of %v", key, order.Fence, order.Life, last.fence, last.life)
+		}
+		if order.Fence >= last.fence {
+			w.highest[key] = fenceSeen{order.Fence, order.Life}
+		}
+	}
+	hold := order.Hold + order.Hold*2/100
+	server.holds = append(server.holds, held{order.From, order.To, order.Fence, arrived + hold})
+	return keys.Taken
+}
+
+func (w *world) release(m *keys.Machine, order keys.ReleaseOrder) {
+	server := w.servers[order.Life]
+	if server == nil || !server.up || server.cut {
+		w.after(time.Second, func() { m.StepReleased(w.now, order, false, "") })
+		return
+	}
+	w.after(w.way(), func() {
+		server.drop(order.From, order.To)
+		w.after(w.way()+time.Duration(w.random.Int64N(int64(w.work))), func() {
+			m.StepReleased(w.now, order, true, fmt.Sprintf("h-%d-%d", order.From, order.Fence))
+		})
+	})
+}
+
+// drop ends a server's holds on a range.
+func (s *fakeServer) drop(from, to uint16) {
+	var kept []held
+	for _, h := range s.holds {
+		if h.to < from || h.from > to {
+			kept = append(kept, h)
+			continue
+		}
+		if h.from < from {
+			kept = append(kept, held{h.from, from - 1, h.fence, h.until})
+		}
+		if h.to > to {
+			kept = append(kept, held{to + 1, h.to, h.fence, h.until})
+		}
+	}
+	s.holds = kept
+}
+
+// holder returns the lives that hold a key now.
+func (w *world) holder(key uint16) []model.Life {
+	var found []model.Life
+	for life, s := range w.servers {
+		if s.up && s.holding(key, w.now) {
+			found = append(found, life)
+		}
+	}
+	return found
+}
+
+func (s *fakeServer) holding(key uint16, now time.Duration) bool {
+	for _, h := range s.holds {
+		if h.from <= key && key <= h.to && h.until > now {
+			return true
+		}
+	}
+	return false
+}
+
+// check notes every sampled key that two servers hold.
+func (w *world) check() {
+	for _, key := range sampledKeys {
+		if holders := w.holder(key); len(holders) > 1 {
+			w.fault("key %d is held by %v", key, holders)
+		}
+	}
+}
+
+func (w *world) fault(format string, args ...any) {
+	if len(w.faults) < 10 {
+		w.faults = append(w.faults, fmt.Sprintf("%v: ", w.now)+fmt.Sprintf(format, args...))
+	}
+}
+
+// unowned returns the number of sampled keys that nobody holds.
+func (w *world) unowned() int {
+	count := 0
+	for _, key := range sampledKeys {
+		if len(w.holder(key)) == 0 {
+			count++
+		}
+	}
+	return count
+}
