gateway: a silent earlier leader is outvoted by reports; holds of 2.5 s

Ruled out: a refused connection as proof (a cut may refuse too). Change: a leader that the store does not answer goes on only while more than half of the daemons report to it; a later one to which two thirds report knows that the earlier one stops within that window. Servers that hold nothing any more are replaced without waiting for their record. Hold 2.5 s, lease 1 s.

--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -140,10 +140,10 @@
 	return row.Draining || d.outOfReach(row)
 }
 
-// outOfReach says whether a listed server has answered no grant for longer
-// than a hold while most others do.
+// outOfReach says whether a listed server has answered no grant for so long
+// that it holds nothing any more, while most others do answer.
 func (m *Machine) outOfReach(row *serverRow) bool {
-	if row.failingSince == 0 || m.now < row.failingSince+m.options.Hold {
+	if row.failingSince == 0 || m.now < row.failingSince+isolatedAfter || m.now < row.arrivedBy+m.longestHold() {
 		return false
 	}
 	return !m.Isolated()
--- a/gateway/leader/leader.go
+++ b/gateway/leader/leader.go
@@ -19,7 +19,7 @@
 
 const (
 	// TimeToLive is the life of the lease; the store may demand a longer one.
-	TimeToLive = 1200 * time.Millisecond
+	TimeToLive = time.Second
 	// renewals is the number of renewals in one life of the lease.
 	renewals = 3
 	// claimSpread spreads the claims of several VMs over time, so that most
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -37,11 +37,14 @@
 		l.stopLeading("the leader's key is not held any more")
 	case l.leading && silent > predecessorLife:
 		l.stopLeading("the store was silent for too long")
+	case l.leading && silent > contactLife && !l.hasMost(now):
+		l.stopLeading("the store is silent and most daemons do not report")
 	}
 	if !l.leading {
 		return
 	}
 	l.addMachines(now)
+	l.outvotePredecessor(now)
 	isolated := 0
 	for service, machine := range l.machines {
 		machine.Extend(silent > contactLife)
@@ -58,8 +61,47 @@
 	}
 }
 
+// hasMost says whether more than half of the daemons reported within the
+// window, this one included.
+func (l *loop) hasMost(now time.Duration) bool {
+	recent, all := 1, 1
+	for vm, m := range l.members {
+		if vm == l.self.VM || now-m.at > fleetLife {
+			continue
+		}
+		all++
+		if now-m.at <= reportWindow {
+			recent++
+		}
+	}
+	return 2*recent > all
+}
+
+// outvotePredecessor finds an earlier leader over when more than two thirds of
+// the daemons that it knew have reported to this one: they do not report to an
+// earlier leader any more, which then stops within its window.
+func (l *loop) outvotePredecessor(now time.Duration) {
+	reported := 0
+	for _, m := range l.members {
+		if m.at >= l.ledAt {
+			reported++
+		}
+	}
+	if len(l.fleetBefore) == 0 || 3*reported <= 2*len(l.fleetBefore) {
+		return
+	}
+	for service, machine := range l.machines {
+		if _, running := machine.Predecessor(); running {
+			machine.PredecessorEnded(now + reportWindow + keys.CallTimeout)
+			l.book.Event(event.PredecessorStopped, "most daemons report to this leader", zap.String("service", service), zap.Int("reported", reported))
+		}
+	}
+}
+
 func (l *loop) startLeading(now time.Duration) {
-	l.leading = true
+	l.leading, l.ledAt = true, now
+	l.fleetBefore = l.peersKnown
+	clear(l.members)
 	l.leadingNow.Store(true)
 	l.leaderNow = peer.Follow{Leader: l.self, Term: uint64(l.term)}
 	l.book.Event(event.LeadershipWon, "", zap.Uint64("term", uint64(l.term)))
@@ -73,7 +115,6 @@
 func (l *loop) stopLeading(cause string) {
 	l.leading = false
 	l.leadingNow.Store(false)
-	clear(l.members)
 	for _, machine := range l.machines {
 		machine.Stop()
 	}
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -31,14 +31,20 @@
 
 const (
 	// hold is how long a grant of keys holds.
-	hold = 3 * time.Second
+	hold = 2500 * time.Millisecond
 	// predecessorLife is how long a leader renews grants without the store.
-	predecessorLife = 10 * time.Second
+	predecessorLife = 12 * time.Second
+	// reportWindow is the time in which more than half of the daemons must have
+	// reported to a leader that the store does not answer: only then no later
+	// leader can have most of them.
+	reportWindow = 1500 * time.Millisecond
 	// contactLife is how long after the last word of the store a leader still
 	// changes owners.
 	contactLife = leader.TimeToLive
-	// membersLife is how long a daemon counts after its last report.
+	// membersLife is how long a daemon counts after its last report; for the
+	// question who has most of them it counts for fleetLife.
 	membersLife = 3 * time.Second
+	fleetLife   = 15 * time.Second
 	// inputQueue is the number of inputs that wait for the loop.
 	inputQueue = 256
 )
@@ -67,8 +73,10 @@
 	machines      map[string]*keys.Machine
 	leading       bool
 	term          kvstore.Version
+	ledAt         time.Duration
 	asking        map[string]bool // Services whose earlier leader is being asked.
 	leaderNow     peer.Follow
+	fleetBefore   []string // peersKnown when leading began.
 	peersKnown    []string // Addresses of all daemons, as the leader said.
 	record        []byte   // The operators' record of the configuration.
 	reporting     bool
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -145,19 +145,25 @@
 
 // countMembers returns the number of daemons that reported lately.
 func (l *loop) countMembers(now time.Duration) int {
+	count := 0
 	for vm, m := range l.members {
-		if now-m.at > membersLife {
+		if now-m.at > fleetLife {
 			delete(l.members, vm)
 		}
+		if now-m.at <= membersLife {
+			count++
+		}
 	}
-	return len(l.members)
+	return count
 }
 
 // memberAddresses returns the addresses of the daemons that reported lately.
 func (l *loop) memberAddresses() []string {
 	addresses := make([]string, 0, len(l.members))
 	for _, m := range l.members {
-		addresses = append(addresses, m.address)
+		if l.clock()-m.at <= membersLife {
+			addresses = append(addresses, m.address)
+		}
 	}
 	sort.Strings(addresses)
 	return addresses
