gateway: an earlier leader stays known after adoption; a stopping leader renews without the store

Change: the machine keeps the predecessor of its term; a stopping leader goes on renewing while the store is silent; a server that says three times in a row that it does not hold the key is not asked for 120 ms.

--- a/gateway/balance/server.go
+++ b/gateway/balance/server.go
@@ -34,6 +34,8 @@
 	Unreachable
 	// Refused: the server had no room.
 	Refused
+	// Misplaced: the server does not hold the request's key.
+	Misplaced
 	// Replaced: another server answers at the address; this one is over.
 	Replaced
 	// Withdrawn: the request was given up; nothing is learned but its age.
@@ -48,6 +50,10 @@
 	// brokenInRow is the number of broken answers in a row after which a
 	// server is left out; one connection that fails suffices.
 	brokenInRow = 3
+	// misplacedInRow is the number of requests in a row for keys that a server
+	// does not hold after which it is asked for none for lapsePause.
+	misplacedInRow = 3
+	lapsePause     = 120 * time.Millisecond
 	// refusalPause is how long a server that had no room is passed over.
 	refusalPause = 40 * time.Millisecond
 	// latencyWeight is the weight of one new time to an answer.
@@ -76,6 +82,8 @@
 	ejectedUntil time.Duration
 	pausedUntil  time.Duration
 	replaced     bool
+	misplaced    int // Answers in a row that it does not hold the key.
+	lapsedUntil  time.Duration
 	observedAt   time.Duration // The last answer, or the first look.
 	answers      int
 	answerTime   time.Duration
@@ -115,6 +123,10 @@
 	case Unreachable:
 		s.failures++
 		s.eject(now)
+	case Misplaced:
+		if s.misplaced++; s.misplaced >= misplacedInRow {
+			s.lapsedUntil = now + lapsePause
+		}
 	case Replaced:
 		s.replaced = true
 	case Withdrawn:
@@ -122,6 +134,13 @@
 	}
 }
 
+// Lapsed says whether the server seems to hold none of its keys.
+func (s *Server) Lapsed(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now < s.lapsedUntil
+}
+
 // Replaced says whether another server was met at the address.
 func (s *Server) Replaced() bool {
 	s.mu.Lock()
@@ -132,6 +151,7 @@
 func (s *Server) succeeded(took time.Duration) {
 	s.fault(0)
 	s.failures, s.ejectedUntil = 0, 0
+	s.misplaced, s.lapsedUntil = 0, 0
 	s.answers++
 	s.answerTime += took
 	if s.latency == 0 {
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -144,16 +144,26 @@
 	if service.Page != nil {
 		if owner := service.Page.Find(j.request.Head.Key); owner != nil && len(owner.Prior) == 0 {
 			if server := service.Owners[owner.Owner.Life]; server != nil && !server.Replaced() {
-				if balance.Expected(j.options.Clock(), server) > j.left() {
-					return j.end(verdict.NotRun, verdict.CodeTooLate)
-				}
-				return j.send(server)
+				return j.sendToOwner(server, changed)
 			}
 		}
 	}
 	return j.await(changed, time.Hour, verdict.CodeNoOwner)
 }
 
+// sendToOwner sends to the owner of the request's key, unless it can't answer
+// in time or seems to have lost its keys.
+func (j *job) sendToOwner(server *balance.Server, changed <-chan struct{}) bool {
+	now := j.options.Clock()
+	if server.Lapsed(now) {
+		return j.await(changed, movedPause, verdict.CodeNoOwner)
+	}
+	if balance.Expected(now, server) > j.left() {
+		return j.end(verdict.NotRun, verdict.CodeTooLate)
+	}
+	return j.send(server)
+}
+
 // await waits until the view changes, the pause has passed or the request's
 // patience ends.
 func (j *job) await(changed <-chan struct{}, pause time.Duration, code verdict.Code) bool {
--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -110,7 +110,7 @@
 		sent.Verdict, sent.result = verdict.NotRun, balance.Refused
 		sent.Code = verdict.CodeShed
 		if head.Misdirected {
-			sent.Code, sent.result = verdict.CodeMoved, balance.Withdrawn
+			sent.Code, sent.result = verdict.CodeMoved, balance.Misplaced
 		}
 		if head.Misdirected && head.Server != "" && head.Server != server.ID {
 			sent.Code, sent.result = verdict.CodeConnect, balance.Replaced
--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -44,22 +44,23 @@
 	options Options
 	now     time.Duration
 
-	leading    bool
-	ledSince   time.Duration
-	extended   bool // The store does not answer: renew, change nothing.
-	adopted    bool
-	retired    bool // The earlier leader is known to have stopped.
-	retiredAt  time.Duration
-	pageKnown  bool
-	page       *Page
-	version    kvstore.Version
-	writing    *Page
-	unsettled  bool // The outcome of a write is unknown: read the page.
-	reading    bool
-	nextDraft  uint64
-	nextCall   uint64
-	draftAt    time.Duration // The next page is not worked out before.
-	retryWrite time.Duration
+	leading     bool
+	ledSince    time.Duration
+	extended    bool // The store does not answer: renew, change nothing.
+	adopted     bool
+	predecessor Leader // The earlier leader of this term, if there was one.
+	retired     bool   // The earlier leader is known to have stopped.
+	retiredAt   time.Duration
+	pageKnown   bool
+	page        *Page
+	version     kvstore.Version
+	writing     *Page
+	unsettled   bool // The outcome of a write is unknown: read the page.
+	reading     bool
+	nextDraft   uint64
+	nextCall    uint64
+	draftAt     time.Duration // The next page is not worked out before.
+	retryWrite  time.Duration
 
 	servers     map[model.Life]*serverRow
 	listed      bool
@@ -169,6 +170,7 @@
 	m.now = now
 	m.leading, m.ledSince = true, now
 	m.extended, m.adopted, m.retired = false, false, false
+	m.predecessor = Leader{}
 	m.pageKnown, m.page, m.writing, m.unsettled, m.reading = false, nil, nil, false, false
 	m.trustAbsent = now + returnTime
 	m.firstSeen = 0
@@ -195,14 +197,10 @@
 	}
 }
 
-// Predecessor returns the leader that wrote the page before, and whether it
-// must be asked to stop.
+// Predecessor returns the leader that wrote the page before, and whether it may
+// still grant keys.
 func (m *Machine) Predecessor() (Leader, bool) {
-	if !m.leading || !m.pageKnown || m.retired || m.page == nil {
-		return Leader{}, false
-	}
-	writer := m.page.Writer
-	return writer, writer.Incarnation != "" && writer.Incarnation != m.options.Self.Incarnation
+	return m.predecessor, m.leading && !m.retired && m.predecessor.Incarnation != ""
 }
 
 // Page returns the newest confirmed page, or nil.
@@ -268,7 +266,10 @@
 		m.adopted = m.adopted && page.Writer == m.options.Self
 	}
 	m.page = page
-	if page.Writer == m.options.Self {
+	switch {
+	case page.Writer != m.options.Self:
+		m.predecessor = page.Writer
+	case m.predecessor.Incarnation == "":
 		m.PredecessorEnded(now) // Nobody else has granted since.
 	}
 }
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -91,8 +91,11 @@
 // ticked passes time.
 type ticked struct{}
 
-// stopped ends leading for good.
-type stopped struct{ done chan struct{} }
+// stopped says that the process stops; last, that it ends now.
+type stopped struct {
+	last bool
+	done chan struct{}
+}
 
 // tickEvery is the time between two ticks of the loop.
 const tickEvery = 100 * time.Millisecond
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -348,11 +348,14 @@
 	close(y.done)
 }
 
+// A leader that the store does not answer renews on until the process ends:
+// nobody else can be elected meanwhile.
 func (s stopped) apply(l *loop) {
 	l.stopping = true
 	l.ready.Store(false)
-	if l.leading {
+	if l.leading && (s.last || l.clock()-l.campaign.State().Contact <= contactLife) {
 		l.stopLeading("the process stops")
+		go l.resign(true)
 	}
 	close(s.done)
 }
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -215,13 +215,11 @@
 func (g *Gateway) stop(callers *http.Server) {
 	began := time.Now()
 	g.parts.book.Event(event.GatewayStopping, "", zap.Int64("in_flight", g.handler.InFlight()))
-	done := make(chan struct{})
-	g.loop.deliver(stopped{done})
-	<-done
-	go g.loop.resign(true)
+	g.tellStopped(false)
 	time.Sleep(noticeTime)
 	g.handler.CloseConnections()
 	time.Sleep(acceptTime - noticeTime)
+	g.tellStopped(false) // The store may have returned.
 	left := g.options.Settings.Bounds.Grace - stopMargin - time.Since(began)
 	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
 	defer cancel()
@@ -229,9 +227,17 @@
 	if err := callers.Shutdown(ctx); err != nil {
 		cause = err.Error()
 	}
+	g.tellStopped(true)
 	g.parts.book.Event(event.GatewayStopped, cause, zap.Int64("in_flight", g.handler.InFlight()))
 }
 
+// tellStopped tells the loop that the process stops.
+func (g *Gateway) tellStopped(last bool) {
+	done := make(chan struct{})
+	g.loop.deliver(stopped{last, done})
+	<-done
+}
+
 // publishOnce guards expvar, which keeps its names for the life of a process.
 var publishOnce sync.Once
 
