keys: a hot key goes to the strongest server, alone; requests are refused late in a stop

Its server had four slots and the slowest speed; a single key can't be divided. The servers' times were measured under load, so that an overloaded fast server looked slow. Change: servers' times count only while they are not busy; a key beyond 0.6 of its server's slots is given to the strongest server, whose other ranges then leave; reports every 400 ms, plans every 250 ms beside moves under way. A stopping process refuses new requests after 2.8 s, keeps its listener until the end and leaves when nothing is in flight.

--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -43,6 +43,8 @@
 	// notReadyRetry is when a caller may come back to a VM without a
 	// configuration.
 	notReadyRetry = 200 * time.Millisecond
+	// stoppingRetry is the same for a VM that stops: others serve already.
+	stoppingRetry = 20 * time.Millisecond
 )
 
 // Options configure a Handler.
@@ -63,6 +65,7 @@
 type Handler struct {
 	options  Options
 	closing  atomic.Bool
+	refusing atomic.Bool
 	inFlight atomic.Int64
 	bodies   atomic.Int64
 }
@@ -73,6 +76,9 @@
 // CloseConnections makes every answer the last one on its connection.
 func (h *Handler) CloseConnections() { h.closing.Store(true) }
 
+// RefuseNew refuses every request that comes from now on.
+func (h *Handler) RefuseNew() { h.refusing.Store(true) }
+
 // InFlight returns the number of requests under way.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
@@ -85,6 +91,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	s := &served{Handler: h, w: w, r: r, arrived: arrived}
+	if h.refusing.Load() {
+		s.head, _ = h.options.Dialect.ReadRequest(r.Header) // Only its id is wanted, for the log.
+		s.refuse(verdict.CodeStopping, stoppingRetry)
+		return
+	}
 	s.serve()
 }
 
--- a/gateway/keys/load.go
+++ b/gateway/keys/load.go
@@ -63,6 +63,9 @@
 			t.heat[r.Owner.Life] += t.of(r)
 		}
 	}
+	for _, row := range t.rows {
+		row.busy = t.busy(row)
+	}
 	return t
 }
 
@@ -79,13 +82,18 @@
 	return t.heat[row.Life()] / t.weight[row.Life()]
 }
 
-// busy returns the part of a server's slots that its keys' requests take.
-func (t *loadTable) busy(row *serverRow) float64 {
+// capacity returns the heat at which a server's slots are all taken.
+func (t *loadTable) capacity(row *serverRow) float64 {
 	latency := row.latency
 	if latency == 0 {
 		latency = unknownLatency
 	}
-	return t.heat[row.Life()] / heatTime * latency / float64(row.Slots)
+	return heatTime * float64(row.Slots) / latency
+}
+
+// busy returns the part of a server's slots that its keys' requests take.
+func (t *loadTable) busy(row *serverRow) float64 {
+	return t.heat[row.Life()] / t.capacity(row)
 }
 
 // idle says whether a server owns no keys.
@@ -126,6 +134,28 @@
 	return heat / weight
 }
 
+// strongest returns the server with the greatest weight.
+func (t *loadTable) strongest() *serverRow {
+	var best *serverRow
+	for _, row := range t.rows {
+		if best == nil || t.weight[row.Life()] > t.weight[best.Life()] {
+			best = row
+		}
+	}
+	return best
+}
+
+// hottestKey returns the key with the greatest heat in a range.
+func (t *loadTable) hottestKey(r Range) keyHeat {
+	best := keyHeat{key: r.From}
+	for _, k := range within(t.sorted, r.From, r.To) {
+		if k.heat > best.heat {
+			best = k
+		}
+	}
+	return best
+}
+
 // shift counts a range for another server.
 func (t *loadTable) shift(from, to model.Life, r Range) {
 	heat := t.of(r)
--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -1,6 +1,7 @@
 package keys
 
 import (
+	"math"
 	"time"
 
 	"guavacrank.example/gateway/model"
@@ -31,6 +32,10 @@
 	// draftEvery is the least time between two pages, so that changes that come
 	// in quick succession share one.
 	draftEvery = 80 * time.Millisecond
+	// latencyWeight is the weight of one answer in a server's smoothed time;
+	// calmBusy is the part of its slots up to which its answers count.
+	latencyWeight = 0.04
+	calmBusy      = 0.6
 	// gatherTime is how long servers are gathered before the first page.
 	gatherTime = 700 * time.Millisecond
 	// returnTime is how long after the store's return, or after a takeover, an
@@ -91,6 +96,7 @@
 	everSent     bool
 	failingSince time.Duration       // Zero while calls succeed.
 	latency      float64             // Seconds, smoothed; zero if unknown.
+	busy         float64             // Part of the slots that requests take.
 	granted      map[uint16]grantRow // By first key.
 }
 
@@ -401,16 +407,17 @@
 	m.heat.add(now, asked)
 }
 
-// StepLatency takes a server's mean time to an answer.
-func (m *Machine) StepLatency(id string, mean time.Duration) {
-	const weight = 0.2
+// StepLatency takes how long a server took for some answers on average. Only
+// answers of a server that is not busy tell how fast it works.
+func (m *Machine) StepLatency(id string, answers int, mean time.Duration) {
 	for life, row := range m.servers {
-		if life.ID != id || !row.listed {
+		if life.ID != id || !row.listed || row.busy > calmBusy || answers == 0 {
 			continue
 		}
 		if row.latency == 0 {
 			row.latency = mean.Seconds()
 		}
+		weight := 1 - math.Pow(1-latencyWeight, float64(answers))
 		row.latency += weight * (mean.Seconds() - row.latency)
 	}
 }
--- a/gateway/keys/machine_test.go
+++ b/gateway/keys/machine_test.go
@@ -149,7 +149,7 @@
 			}
 			m.StepHeat(w.now, asked)
 			for _, s := range w.servers {
-				m.StepLatency(s.ID, 200*time.Millisecond)
+				m.StepLatency(s.ID, 5, 200*time.Millisecond)
 			}
 			w.run(300 * time.Millisecond)
 		}
@@ -161,6 +161,37 @@
 		Expect(w.faults).To(BeEmpty())
 	})
 
+	It("gives a key that is too much for its server to the strongest one, alone", func() {
+		w, m := settled(12, 6)
+		const hot = uint16(30000)
+		slow := w.page.Find(hot).Owner.ID
+		strong := w.page.Find(1000).Owner.ID
+		for range 30 {
+			for _, s := range w.servers {
+				latency := 200 * time.Millisecond
+				switch s.ID {
+				case slow:
+					latency = 280 * time.Millisecond
+				case strong:
+					latency = 120 * time.Millisecond
+				}
+				m.StepLatency(s.ID, 5, latency)
+			}
+			w.run(100 * time.Millisecond)
+		}
+		for range 20 {
+			var asked []uint16
+			for range 12 {
+				asked = append(asked, hot)
+			}
+			m.StepHeat(w.now, append(asked, 1000, 1500, 9000, 9500))
+			w.run(300 * time.Millisecond)
+		}
+		Expect(w.page.Find(hot).Owner.ID).To(Equal(strong))
+		Expect(w.page.Find(1000).Owner.ID).NotTo(Equal(strong))
+		Expect(w.faults).To(BeEmpty())
+	})
+
 	It("leaves keys where they are while no server is busy", func() {
 		w, m := settled(10, 6)
 		version := w.version
--- a/gateway/keys/system_rebalance.go
+++ b/gateway/keys/system_rebalance.go
@@ -2,14 +2,18 @@
 
 import (
 	"math"
+	"slices"
+	"sort"
 	"time"
 )
 
 const (
 	// planEvery is the time between two looks at the balance.
-	planEvery = 400 * time.Millisecond
+	planEvery = 250 * time.Millisecond
 	// planMoves is the greatest number of moves of one look.
-	planMoves = 4
+	planMoves = 6
+	// mostMoving is the number of ranges that may change hands at the same time.
+	mostMoving = 8
 	// overload and underload are the ratios to the mean load at which keys move.
 	overload  = 1.3
 	underload = 0.5
@@ -26,7 +30,7 @@
 // rebalance moves keys from the servers with the greatest load to those with
 // the least, and joins neighbouring ranges of one owner.
 func (d *drafting) rebalance() {
-	if d.now < d.planAt || !d.adopted || d.unfinished() {
+	if d.now < d.planAt || !d.adopted || d.moving() >= mostMoving {
 		return
 	}
 	d.planAt = d.now + planEvery
@@ -38,14 +42,15 @@
 	d.join()
 }
 
-// unfinished says whether keys are changing hands.
-func (d *drafting) unfinished() bool {
+// moving returns the number of ranges that are changing hands.
+func (d *drafting) moving() int {
+	count := 0
 	for _, r := range d.page.Ranges {
 		if len(r.Prior) > 0 {
-			return true
+			count++
 		}
 	}
-	return false
+	return count
 }
 
 func (d *drafting) moveOnce() bool {
@@ -64,11 +69,50 @@
 	surplus := (d.loads.load(from) - mean) * d.loads.weight[from.Life()]
 	room := (mean - d.loads.load(to)) * d.loads.weight[to.Life()]
 	wanted := min(max(surplus, room/2), room)
-	at := d.hottest(from)
-	if at < 0 || wanted <= 0 {
+	if wanted <= 0 {
 		return false
 	}
-	return d.take(at, wanted, to)
+	for _, at := range d.hottest(from) {
+		if d.promote(at, from) || d.take(at, wanted, to) {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// promoteBusy is the part of a server's slots that one key must take to be
+	// given to a stronger server, promoteGain how much stronger that must be.
+	promoteBusy = 0.6
+	promoteGain = 1.15
+)
+
+// promote gives a key that is too much for its server to the strongest one,
+// whose other keys then move away.
+func (d *drafting) promote(at int, from *serverRow) bool {
+	r := d.page.Ranges[at]
+	hot := d.loads.hottestKey(r)
+	to := d.loads.strongest()
+	if hot.heat < promoteBusy*d.loads.capacity(from) || to == nil || to == from ||
+		d.loads.weight[to.Life()] < promoteGain*d.loads.weight[from.Life()] {
+		return false
+	}
+	part := r
+	part.From, part.To = hot.key, hot.key
+	var parts []Range
+	if r.From < hot.key {
+		before := r
+		before.To = hot.key - 1
+		parts = append(parts, before)
+	}
+	parts = append(parts, d.move(r, part, to))
+	if r.To > hot.key {
+		after := r
+		after.From = hot.key + 1
+		parts = append(parts, after)
+	}
+	d.page.Ranges = slices.Replace(d.page.Ranges, at, at+1, parts...)
+	return true
 }
 
 // uneven says whether a busy server has significantly more load than the mean.
@@ -84,19 +128,19 @@
 	return d.loads.heat[from.Life()]-even > significance*math.Sqrt(even/2)
 }
 
-// hottest returns the index of the range of a server that brings most load and
-// may move, or -1.
-func (d *drafting) hottest(row *serverRow) int {
-	best, most := -1, 0.0
+// hottest returns the indexes of the ranges of a server that may move, those
+// with the most load first.
+func (d *drafting) hottest(row *serverRow) []int {
+	var found []int
 	for at, r := range d.page.Ranges {
-		if r.Owner.Life != row.Life() || len(r.Prior) > 0 || !d.settledRange(r) {
-			continue
-		}
-		if load := d.loads.of(r); load > most {
-			best, most = at, load
+		if r.Owner.Life == row.Life() && len(r.Prior) == 0 && d.settledRange(r) {
+			found = append(found, at)
 		}
 	}
-	return best
+	sort.SliceStable(found, func(i, j int) bool {
+		return d.loads.of(d.page.Ranges[found[i]]) > d.loads.of(d.page.Ranges[found[j]])
+	})
+	return found
 }
 
 // settledRange says whether the last grants of a range were answered, so that
@@ -111,11 +155,14 @@
 func (d *drafting) take(at int, wanted float64, to *serverRow) bool {
 	r := d.page.Ranges[at]
 	total := d.loads.of(r)
-	if wanted >= total*0.9 {
+	if r.Size() < 2 && total > 1.5*wanted {
+		return false
+	}
+	if wanted >= total*0.9 || r.Size() < 2 {
 		d.page.Ranges[at] = d.move(r, r, to)
 		return true
 	}
-	if len(d.page.Ranges) >= len(d.loads.rows)*rangesPerServer || r.Size() < 2 {
+	if len(d.page.Ranges) >= len(d.loads.rows)*rangesPerServer {
 		return false
 	}
 	cut := d.loads.cut(r, wanted)
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -264,6 +264,7 @@
 		l.book.Event(event.KeysPageNotWritten, p.err.Error(), zap.String("service", p.service))
 		return
 	}
+	l.book.Event(event.KeysPageWritten, "", zap.String("service", p.service), zap.Uint64("page", uint64(p.version)), zap.Int("bytes", len(p.value)))
 	l.seePage(kvstore.Entry{Key: pagePrefix + p.service, Value: p.value, Version: p.version})
 	l.sendPage(peer.StoredPage{Service: p.service, Version: uint64(p.version), Page: p.value})
 }
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -14,7 +14,7 @@
 )
 
 // reportEvery is the time between two reports to the leader.
-const reportEvery = 600 * time.Millisecond
+const reportEvery = 400 * time.Millisecond
 
 // mostAsked bounds the keys that one report lists for a service.
 const mostAsked = 4000
@@ -138,7 +138,7 @@
 	}
 	for _, server := range report.Servers {
 		for _, machine := range l.machines {
-			machine.StepLatency(server.ID, time.Duration(server.MeanMS*float64(time.Millisecond)))
+			machine.StepLatency(server.ID, server.Answers, time.Duration(server.MeanMS*float64(time.Millisecond)))
 		}
 	}
 }
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -53,8 +53,14 @@
 	// noticeTime is how long the balancer takes to notice that a VM is not
 	// ready: two misses of one question a second, and some time for the way.
 	noticeTime = 2300 * time.Millisecond
-	// acceptTime is how long after the stop signal new connections are taken.
-	acceptTime = 3200 * time.Millisecond
+	// acceptTime is how long after the stop signal new requests are taken; later
+	// ones are refused at once, since the process may end before their answer.
+	acceptTime = 2800 * time.Millisecond
+	// stayTime is how long after the stop signal a process stays at least, to
+	// answer callers that have not noticed.
+	stayTime = 3600 * time.Millisecond
+	// endLook is how often a stopping process looks whether it may end.
+	endLook = 50 * time.Millisecond
 	// stopMargin is left before the platform kills the process.
 	stopMargin = 300 * time.Millisecond
 	// logCloseTime is how long the end waits for the log's output.
@@ -219,16 +225,19 @@
 	time.Sleep(noticeTime)
 	g.handler.CloseConnections()
 	time.Sleep(acceptTime - noticeTime)
+	g.handler.RefuseNew()
 	g.tellStopped(false) // The store may have returned.
-	left := g.options.Settings.Bounds.Grace - stopMargin - time.Since(began)
-	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
+	last := g.options.Settings.Bounds.Grace - stopMargin
+	for passed := time.Since(began); passed < last && (passed < stayTime || g.handler.InFlight() > 0); passed = time.Since(began) {
+		time.Sleep(endLook)
+	}
+	g.tellStopped(true)
+	g.parts.book.Event(event.GatewayStopped, "", zap.Int64("in_flight", g.handler.InFlight()))
+	ctx, cancel := context.WithTimeout(context.Background(), endLook)
 	defer cancel()
-	cause := ""
 	if err := callers.Shutdown(ctx); err != nil {
-		cause = err.Error()
+		g.parts.book.Event(event.GatewayStopped, err.Error(), zap.Int64("in_flight", g.handler.InFlight()))
 	}
-	g.tellStopped(true)
-	g.parts.book.Event(event.GatewayStopped, cause, zap.Int64("in_flight", g.handler.InFlight()))
 }
 
 // tellStopped tells the loop that the process stops.
