--- /dev/null
+++ b/gateway/budget/budget_test.go
@@ -0,0 +1,85 @@
+package budget_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/gateway/budget"
+)
+
+func spendAll(b *budget.Budget, now time.Duration) int {
+	spent := 0
+	for b.Spend(now, "s", 0) {
+		spent++
+	}
+	return spent
+}
+
+func TestBudget(t *testing.T) {
+	options := budget.Options{Window: 10 * time.Second, Ratio: 0.2, Slack: 64}
+
+	t.Run("allows a share of the requests and of the slack", func(t *testing.T) {
+		g := NewWithT(t)
+		b := budget.New(options)
+		g.Expect(spendAll(b, 0)).To(BeZero(), "neither requests nor the number of VMs are known")
+		for range 100 {
+			b.Request(time.Second, "s")
+		}
+		g.Expect(spendAll(b, time.Second)).To(BeNumerically("<=", 20))
+		b.SetVMs(8)
+		g.Expect(spendAll(b, time.Second)).To(BeNumerically(">", 0))
+	})
+
+	t.Run("stays within the bound summed over VMs in every window", func(t *testing.T) {
+		g := NewWithT(t)
+		const vms = 12
+		var all []*budget.Budget
+		for range vms {
+			b := budget.New(options)
+			b.SetVMs(vms)
+			all = append(all, b)
+		}
+		requests, repeats := map[int]int{}, map[int]int{}
+		for tick := range 400 {
+			now := time.Duration(tick) * 100 * time.Millisecond
+			for at, b := range all {
+				if (tick+at)%3 == 0 {
+					b.Request(now, "s")
+					requests[tick]++
+				}
+				for b.Spend(now, "s", 0) {
+					repeats[tick]++
+				}
+			}
+		}
+		for from := 0; from+100 <= 400; from++ {
+			r, s := 0, 0
+			for tick := from; tick < from+100; tick++ {
+				r += requests[tick]
+				s += repeats[tick]
+			}
+			g.Expect(float64(s)).To(BeNumerically("<=", 0.2*float64(r)+64))
+		}
+	})
+
+	t.Run("forgets after the window and keeps services apart", func(t *testing.T) {
+		g := NewWithT(t)
+		b := budget.New(options)
+		b.SetVMs(1)
+		first := spendAll(b, 0)
+		g.Expect(first).To(BeNumerically(">", 0))
+		g.Expect(b.Spend(0, "other", 0)).To(BeTrue())
+		g.Expect(spendAll(b, 5*time.Second)).To(BeZero())
+		g.Expect(spendAll(b, 11*time.Second)).To(Equal(first))
+	})
+
+	t.Run("takes new bounds", func(t *testing.T) {
+		g := NewWithT(t)
+		b := budget.New(options)
+		b.SetVMs(1)
+		b.SetOptions(budget.Options{Window: 10 * time.Second})
+		g.Expect(spendAll(b, 0)).To(BeZero())
+	})
+}
