--- /dev/null
+++ b/gateway/leader/leader_test.go
@@ -0,0 +1,211 @@
+package leader_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/gateway/leader"
+	"guavacrank.example/gateway/port"
+	"guavacrank.example/kvstore"
+)
+
+// fakeStore holds one key with a lease, on the real clock.
+type fakeStore struct {
+	port.Store
+	mu      sync.Mutex
+	version kvstore.Version
+	value   []byte
+	holder  kvstore.LeaseID
+	leases  map[kvstore.LeaseID]time.Time
+	next    kvstore.LeaseID
+	down    bool
+	lose    bool // Writes take effect without an answer.
+	watch   func(value []byte)
+}
+
+const life = 200 * time.Millisecond
+
+var errDown = &kvstore.Error{Kind: kvstore.KindUnavailable}
+
+func (f *fakeStore) GrantLease(context.Context, time.Duration) (kvstore.LeaseID, time.Duration, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return 0, 0, errDown
+	}
+	f.next++
+	f.leases[f.next] = time.Now().Add(life)
+	return f.next, life, nil
+}
+
+func (f *fakeStore) CompareAndSwap(_ context.Context, _ string, expected kvstore.Version, value []byte, lease kvstore.LeaseID) (kvstore.Version, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return 0, errDown
+	}
+	if f.value != nil {
+		return 0, &kvstore.Error{Kind: kvstore.KindConflict}
+	}
+	f.version++
+	f.value, f.holder = value, lease
+	if f.lose {
+		return 0, &kvstore.Error{Outcome: kvstore.OutcomeUnknown}
+	}
+	return f.version, nil
+}
+
+func (f *fakeStore) Get(context.Context, string) (kvstore.Entry, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return kvstore.Entry{Value: f.value, Lease: f.holder, Version: f.version}, nil
+}
+
+func (f *fakeStore) KeepAlive(_ context.Context, lease kvstore.LeaseID) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return errDown
+	}
+	if _, known := f.leases[lease]; !known {
+		return &kvstore.Error{Kind: kvstore.KindNotFound}
+	}
+	f.leases[lease] = time.Now().Add(life)
+	return nil
+}
+
+func (f *fakeStore) Revoke(_ context.Context, lease kvstore.LeaseID) error {
+	f.end(lease)
+	return nil
+}
+
+func (f *fakeStore) end(lease kvstore.LeaseID) {
+	f.mu.Lock()
+	delete(f.leases, lease)
+	vacant := f.holder == lease && f.value != nil
+	if vacant {
+		f.value = nil
+	}
+	f.mu.Unlock()
+	if vacant {
+		f.watch(nil)
+	}
+}
+
+// expire ends the leases that ran out, until ctx ends.
+func (f *fakeStore) expire(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+		f.mu.Lock()
+		var over []kvstore.LeaseID
+		for id, ends := range f.leases {
+			if !f.down && time.Now().After(ends) {
+				over = append(over, id)
+			}
+		}
+		f.mu.Unlock()
+		for _, id := range over {
+			f.end(id)
+		}
+	}
+}
+
+// start runs campaigns that hear of the key's end.
+func start(t *testing.T, count int) (*fakeStore, []*leader.Campaign, []context.CancelFunc) {
+	store := &fakeStore{leases: make(map[kvstore.LeaseID]time.Time)}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	began := time.Now()
+	var campaigns []*leader.Campaign
+	var stops []context.CancelFunc
+	store.watch = func(value []byte) {
+		for _, c := range campaigns {
+			c.Observe(value)
+		}
+	}
+	for i := range count {
+		campaigns = append(campaigns, leader.New(leader.Options{Store: store, Key: "k", Value: []byte(fmt.Sprint(i)),
+			Clock: func() time.Duration { return time.Since(began) }}))
+	}
+	for _, c := range campaigns {
+		own, stop := context.WithCancel(ctx)
+		stops = append(stops, stop)
+		go c.Run(own)
+	}
+	go store.expire(ctx)
+	store.watch(nil)
+	return store, campaigns, stops
+}
+
+func held(campaigns []*leader.Campaign) []int {
+	var found []int
+	for i, c := range campaigns {
+		if c.State().Held {
+			found = append(found, i)
+		}
+	}
+	return found
+}
+
+func TestCampaign(t *testing.T) {
+	t.Run("elects one, and another one when it is gone", func(t *testing.T) {
+		g := NewWithT(t)
+		_, campaigns, stops := start(t, 4)
+		g.Eventually(func() []int { return held(campaigns) }, "3s").Should(HaveLen(1))
+		first := held(campaigns)[0]
+		term := campaigns[first].State().Term
+		stops[first]()
+		g.Eventually(func() bool {
+			for i, c := range campaigns {
+				if i != first && c.State().Held && c.State().Term > term {
+					return true
+				}
+			}
+			return false
+		}, "3s").Should(BeTrue())
+	})
+
+	t.Run("hands over when it resigns, and a barred one does not come back", func(t *testing.T) {
+		g := NewWithT(t)
+		_, campaigns, _ := start(t, 3)
+		g.Eventually(func() []int { return held(campaigns) }, "3s").Should(HaveLen(1))
+		first := held(campaigns)[0]
+		g.Expect(campaigns[first].Resign(context.Background(), true)).To(Succeed())
+		g.Eventually(func() []int { return held(campaigns) }, "3s").Should(And(HaveLen(1), Not(ContainElement(first))))
+		g.Consistently(func() bool { return campaigns[first].State().Held }, "500ms").Should(BeFalse())
+	})
+
+	t.Run("settles a claim whose answer was lost", func(t *testing.T) {
+		g := NewWithT(t)
+		store, campaigns, _ := start(t, 0)
+		store.lose = true
+		c := leader.New(leader.Options{Store: store, Key: "k", Value: []byte("x"), Clock: func() time.Duration { return time.Second }})
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		go c.Run(ctx)
+		c.Observe(nil)
+		g.Eventually(func() bool { return c.State().Held }, "3s").Should(BeTrue())
+		g.Expect(c.State().Term).To(BeNumerically(">", 0))
+		g.Expect(campaigns).To(BeEmpty())
+	})
+
+	t.Run("stays held without the store, with an old contact, and is lost when another holds the key", func(t *testing.T) {
+		g := NewWithT(t)
+		store, campaigns, _ := start(t, 1)
+		g.Eventually(func() []int { return held(campaigns) }, "3s").Should(HaveLen(1))
+		store.mu.Lock()
+		store.down = true
+		store.mu.Unlock()
+		contact := campaigns[0].State().Contact
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(campaigns[0].State().Held).To(BeTrue())
+		g.Expect(campaigns[0].State().Contact - contact).To(BeNumerically("<", 400*time.Millisecond))
+		campaigns[0].Observe([]byte("another"))
+		g.Expect(campaigns[0].State().Held).To(BeFalse())
+	})
+}
--- /dev/null
+++ b/traffic/upstream/answers_test.go
@@ -0,0 +1,151 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// scriptedServer accepts connections and writes to each, after every request
+// that it reads, the next text of the script. An empty text resets the
+// connection, one that ends with "CLOSE" closes it after the rest.
+func scriptedServer(t *testing.T, script ...string) string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	texts := make(chan string, len(script))
+	for _, text := range script {
+		texts <- text
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go follow(conn.(*net.TCPConn), texts)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func follow(conn *net.TCPConn, texts <-chan string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, request.Body)
+		text, closes := strings.CutSuffix(<-texts, "CLOSE")
+		io.WriteString(conn, strings.TrimSuffix(text, "RESET"))
+		if strings.HasSuffix(text, "RESET") {
+			time.Sleep(20 * time.Millisecond) // The bytes are read before the reset.
+			conn.SetLinger(0)
+			return
+		}
+		if closes {
+			return
+		}
+	}
+}
+
+// answerOf sends a request with an id and returns the answer's body.
+func answerOf(p *Pool, id string) (string, *Failure) {
+	request := get()
+	request.Header.Set("Id", id)
+	answer, failure := p.Do(context.Background(), request, false)
+	if failure != nil {
+		return "", failure
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return "", err.(*Failure)
+	}
+	return string(body), nil
+}
+
+func TestAnswersWithoutLength(t *testing.T) {
+	options := func(address string) Options {
+		return Options{Address: address, Connections: 2, AcceptUnframed: true}
+	}
+	t.Run("end with their connection", func(t *testing.T) {
+		g := NewWithT(t)
+		p := NewPool(options(scriptedServer(t, "HTTP/1.1 200 OK\r\n\r\nwholeCLOSE")))
+		defer p.Close()
+		body, failure := answerOf(p, "1")
+		g.Expect(failure).To(BeNil())
+		g.Expect(body).To(Equal("whole"))
+	})
+	t.Run("are not whole after a reset", func(t *testing.T) {
+		g := NewWithT(t)
+		p := NewPool(options(scriptedServer(t, "HTTP/1.1 200 OK\r\n\r\npartRESET")))
+		defer p.Close()
+		_, failure := answerOf(p, "1")
+		g.Expect(failure).NotTo(BeNil())
+		g.Expect(failure.Stage).To(Equal(StageTruncate))
+	})
+}
+
+func TestForeignAnswers(t *testing.T) {
+	answer := func(id, body string) string {
+		return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+	}
+	belongs := func(request *http.Request, response *http.Response) bool {
+		return request.Header.Get("Id") == response.Header.Get("Id")
+	}
+	t.Run("are passed over where the own answer follows", func(t *testing.T) {
+		g := NewWithT(t)
+		p := NewPool(Options{Address: scriptedServer(t, answer("0", "old")+answer("1", "own")), Connections: 2, Belongs: belongs})
+		defer p.Close()
+		body, failure := answerOf(p, "1")
+		g.Expect(failure).To(BeNil())
+		g.Expect(body).To(Equal("own"))
+	})
+	t.Run("are never taken for the own answer", func(t *testing.T) {
+		g := NewWithT(t)
+		foreign := answer("0", "old")
+		p := NewPool(Options{Address: scriptedServer(t, foreign+foreign+foreign), Connections: 2, Belongs: belongs})
+		defer p.Close()
+		_, failure := answerOf(p, "1")
+		g.Expect(failure).NotTo(BeNil())
+		g.Expect(failure.Sent).To(BeTrue())
+	})
+	t.Run("that wait on an idle connection cost the connection", func(t *testing.T) {
+		g := NewWithT(t)
+		p := NewPool(Options{Address: scriptedServer(t, answer("1", "own")+answer("1", "two"), answer("2", "own")), Connections: 2, Belongs: belongs})
+		defer p.Close()
+		_, failure := answerOf(p, "1")
+		g.Expect(failure).To(BeNil())
+		time.Sleep(20 * time.Millisecond)
+		body, failure := answerOf(p, "2")
+		g.Expect(failure).To(BeNil())
+		g.Expect(body).To(Equal("own"))
+	})
+}
+
+func TestKeepAliveOfTheServer(t *testing.T) {
+	g := NewWithT(t)
+	address, connections := countingServer(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "x") })
+	p := NewPool(Options{Address: address, Connections: 2, KeepAlive: func(*http.Response) time.Duration {
+		return keepAliveMargin + 30*time.Millisecond
+	}})
+	defer p.Close()
+	g.Expect(ask(p, false)).To(BeNil())
+	g.Expect(ask(p, false)).To(BeNil())
+	g.Expect(connections()).To(Equal(1))
+	time.Sleep(60 * time.Millisecond)
+	g.Expect(ask(p, false)).To(BeNil())
+	g.Expect(connections()).To(Equal(2), "the server may have closed the first one")
+}
