guavacrankctl trace: one request through the logs of all VMs

Cause: on-call engineers have only logs; the way from a request's id to the decisions around it took several commands. Change: gateway/trace finds the request's lines, the decisions within 5 s before on its VM, its servers and its key range; the command prints them.

--- a/cmd/internal/command/command_test.go
+++ b/cmd/internal/command/command_test.go
@@ -248,7 +248,7 @@
 		Expect(table.status).To(Equal(command.Done))
 		for _, name := range []string{
 			"validate", "diff", "apply", "get", "history", "rollback", "status", "owners", "explain",
-			"drain", "undrain", "declare-lost", "events",
+			"drain", "undrain", "declare-lost", "events", "trace",
 		} {
 			Expect(table.out).To(ContainSubstring("  " + name + " "))
 			help := run(address, name, "-help")
--- a/cmd/internal/command/table.go
+++ b/cmd/internal/command/table.go
@@ -17,6 +17,7 @@
 		drainCommand("undrain", false),
 		declareLostCommand(),
 		eventsCommand(),
+		traceCommand(),
 		benchCommand(),
 		demoCommand(),
 		standinCommand(),
