--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -94,7 +94,7 @@
 // next makes one step and says whether another one is needed.
 func (j *job) next() bool {
 	if err := j.ctx.Err(); err != nil {
-		return j.end(verdict.NotRun, j.endCode())
+		return j.end(verdict.NotRun, endCode(j.ctx))
 	}
 	current, changed := j.options.Views.Load()
 	service := current.Services[j.request.Service]
@@ -107,9 +107,9 @@
 	return j.nextAny(service)
 }
 
-// endCode tells why the context ended.
-func (j *job) endCode() verdict.Code {
-	if errors.Is(j.ctx.Err(), context.DeadlineExceeded) {
+// endCode tells why a request's context ended.
+func endCode(ctx context.Context) verdict.Code {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return verdict.CodeTimeout
 	}
 	return verdict.CodeCallerGone
@@ -127,6 +127,9 @@
 	case choice.Expected > j.left():
 		return j.end(verdict.NotRun, verdict.CodeTooLate)
 	}
+	if j.arrivals == 0 && j.request.Route.Idempotent && j.request.Route.MaxAttempts > 1 {
+		return j.sendHedged(service, choice)
+	}
 	return j.send(choice.Server)
 }
 
@@ -188,12 +191,22 @@
 	if j.arrivals > 0 && !j.mayRepeat(server) {
 		return j.end(verdict.NotRun, verdict.CodeBusy)
 	}
-	sent := j.exchange(server)
+	sent := j.exchange(j.ctx, server)
+	j.note(server, sent)
+	return j.decide(server, sent)
+}
+
+// note records a send that has ended.
+func (j *job) note(server *balance.Server, sent outcome) {
 	j.result.Sends = append(j.result.Sends, sent.Send)
 	j.noteTried(server)
 	if sent.reached {
 		j.arrivals++
 	}
+}
+
+// decide decides what follows the end of a send.
+func (j *job) decide(server *balance.Server, sent outcome) bool {
 	switch {
 	case sent.answer != nil:
 		return j.answered(sent)
--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -31,11 +32,12 @@
 // errUnproved reports a success without the server's signature.
 var errUnproved = errors.New("the answer carries no signature of a server")
 
-// exchange sends the request once and reads the whole answer.
-func (j *job) exchange(server *balance.Server) outcome {
+// exchange sends the request once and reads the whole answer. The context ends
+// when the request or this send is given up.
+func (j *job) exchange(ctx context.Context, server *balance.Server) outcome {
 	began := j.options.Clock()
 	server.Started(began)
-	sent := j.attempt(server)
+	sent := j.attempt(ctx, server)
 	now := j.options.Clock()
 	server.Ended(now, began, sent.result)
 	sent.Server, sent.Zone = server.ID, server.Zone
@@ -43,20 +45,20 @@
 	return sent
 }
 
-func (j *job) attempt(server *balance.Server) outcome {
+func (j *job) attempt(ctx context.Context, server *balance.Server) outcome {
 	request := j.outgoing(server)
-	answer, failure := server.Pool.Do(j.ctx, request, !j.request.Route.Idempotent)
+	answer, failure := server.Pool.Do(ctx, request, !j.request.Route.Idempotent)
 	if failure != nil {
-		return j.failed(failure)
+		return j.failed(ctx, failure)
 	}
 	defer answer.Body.Close()
 	body, err := io.ReadAll(answer.Body)
 	if err != nil {
 		var cut *upstream.Failure
 		if errors.As(err, &cut) {
-			return j.failed(cut)
+			return j.failed(ctx, cut)
 		}
-		return j.failed(&upstream.Failure{Stage: upstream.StageTruncate, Sent: true, Err: err})
+		return j.failed(ctx, &upstream.Failure{Stage: upstream.StageTruncate, Sent: true, Err: err})
 	}
 	return j.whole(server, answer.Response, body)
 }
@@ -130,7 +132,7 @@
 }
 
 // failed judges a send without a whole answer.
-func (j *job) failed(failure *upstream.Failure) outcome {
+func (j *job) failed(ctx context.Context, failure *upstream.Failure) outcome {
 	sent := outcome{reached: failure.Sent}
 	sent.Cause = failure.Error()
 	sent.Verdict = verdict.MayHaveRun
@@ -144,8 +146,8 @@
 	if failure.Stage == upstream.StageLimit {
 		sent.result = balance.Refused
 	}
-	if j.ctx.Err() != nil {
-		sent.Code, sent.result = j.endCode(), balance.Withdrawn
+	if ctx.Err() != nil {
+		sent.Code, sent.result = endCode(ctx), balance.Withdrawn
 	}
 	return sent
 }
--- a/gateway/trace/trace.go
+++ b/gateway/trace/trace.go
@@ -112,6 +112,7 @@
 // Numbers of events that bear on requests: all but those of single requests.
 const (
 	firstBearing = 700
+	pageSeen     = 724 // Each VM logs it; only that of the request's VM bears.
 	firstRequest = 730
 )
 
@@ -121,6 +122,9 @@
 	if line.Event < firstBearing || line.Event >= firstRequest || line.Time.After(end.Time) || end.Time.Sub(line.Time) > before {
 		return false
 	}
+	if line.Event == pageSeen && line.VM != end.VM {
+		return false
+	}
 	if server := word(line.fields, "server"); server != "" {
 		return strings.Contains(end.Text, server) || t.holdsKey(line)
 	}
