keys: no grant to an unlisted server after a takeover; budget's share after a change of leaders

A new leader renewed the keys of servers that were not listed while it gave them time to return; the address answered, with another process. A call under way to a replaced server could still reach its successor. A new leader told the first daemons that reported that there were few of them, so that each took a large part of the slack. Ruled out: late application (the grant arrived at that moment). Change: an unlisted server is granted only if it took a grant in this term and is sure; a replaced server's keys wait for the calls under way; the number of VMs is not below what was known before the change of leaders, and unknown at first.

--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -99,6 +99,7 @@
 	unansweredBy time.Duration
 	inFlight     map[uint64]bool // Calls under way.
 	everSent     bool
+	took         bool          // It took a grant since leading began.
 	failingSince time.Duration // Zero while calls succeed.
 	latency      float64       // Seconds, smoothed; zero if unknown.
 	busy         float64       // Part of the slots that requests take.
@@ -203,6 +204,9 @@
 	clear(m.ended)
 	clear(m.releases)
 	clear(m.retryAt)
+	for _, row := range m.servers {
+		row.took = false
+	}
 }
 
 // Stop ends leading.
@@ -355,6 +359,8 @@
 		row.arrivedBy = now
 	}
 	switch outcome {
+	case Taken:
+		row.took = true
 	case Unanswered:
 		row.unansweredBy = now
 	case NotSent:
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -200,7 +200,7 @@
 func (d *drafting) move(old, part Range, target *serverRow) Range {
 	d.loads.shift(old.Owner.Life, target.Life(), part)
 	prior := old.Owner
-	if prior.ID != "" && !d.replacedLife(prior) {
+	if prior.ID != "" {
 		part.Prior = append(part.Prior[:len(part.Prior):len(part.Prior)], prior)
 		key := endKey{part.From, part.To, prior.Life, prior.Fence}
 		d.bounds[key] = d.boundOf(old)
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -53,12 +53,12 @@
 	if !known {
 		bound = holdBound{arrivedBy: m.predecessorBound(), lateBy: m.predecessorBound()}
 	}
+	if len(bound.pending) > 0 {
+		return false, "" // It could reach a later life at the same address.
+	}
 	if m.replacedLife(prior) {
 		return true, ""
 	}
-	if len(bound.pending) > 0 {
-		return false, ""
-	}
 	if m.now >= bound.arrivedBy+m.longestHold() {
 		return true, ""
 	}
--- a/gateway/keys/system_renewal.go
+++ b/gateway/keys/system_renewal.go
@@ -33,7 +33,7 @@
 
 func (m *Machine) renew(r Range, handover string) {
 	row := m.row(r.Owner.Life)
-	if m.absent(row) || row.unsure || m.replacedLife(r.Owner) {
+	if !m.reachesOwner(row) || m.replacedLife(r.Owner) {
 		return
 	}
 	grant, known := row.granted[r.From]
@@ -56,6 +56,13 @@
 	m.ready.Grants = append(m.ready.Grants, order)
 }
 
+// reachesOwner says whether a grant sent to a server's address reaches that
+// server and no later one: it is listed and sure, or it was there since leading
+// began and may only be missing from the list for a moment.
+func (m *Machine) reachesOwner(row *serverRow) bool {
+	return !row.unsure && (row.listed || row.took && !m.absent(row))
+}
+
 // absent says whether a server is gone: it is not listed although it had time
 // to return.
 func (m *Machine) absent(row *serverRow) bool {
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -143,7 +143,9 @@
 	}
 }
 
-// countMembers returns the number of daemons that reported lately.
+// countMembers returns the number of daemons that reported lately. Shortly after
+// leading began not all have had the time: then it is not below what was known
+// before, and zero, for unknown, if nothing was.
 func (l *loop) countMembers(now time.Duration) int {
 	count := 0
 	for vm, m := range l.members {
@@ -154,7 +156,13 @@
 			count++
 		}
 	}
-	return count
+	if now-l.ledAt >= membersLife {
+		return count
+	}
+	if len(l.fleetBefore) == 0 {
+		return 0
+	}
+	return max(count, len(l.fleetBefore))
 }
 
 // memberAddresses returns the addresses of the daemons that reported lately.
--- /dev/null
+++ b/gateway/run/reports_test.go
@@ -0,0 +1,35 @@
+package run
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestCountMembers(t *testing.T) {
+	g := NewWithT(t)
+	l := &loop{ledAt: 10 * time.Second, members: map[string]member{"a": {at: 10 * time.Second}}}
+	g.Expect(l.countMembers(11*time.Second)).To(BeZero(), "a first leader does not know how many will report")
+	l.fleetBefore = make([]string, 12)
+	g.Expect(l.countMembers(11*time.Second)).To(Equal(12), "a share of the budget must not grow while few have reported")
+	g.Expect(l.countMembers(13500*time.Millisecond)).To(BeZero(), "the only report is too old")
+	l.members["b"] = member{at: 13 * time.Second}
+	g.Expect(l.countMembers(13500 * time.Millisecond)).To(Equal(1))
+}
+
+func TestHasMost(t *testing.T) {
+	g := NewWithT(t)
+	l := &loop{members: map[string]member{}}
+	l.self.VM = "self"
+	now := 20 * time.Second
+	g.Expect(l.hasMost(now)).To(BeTrue(), "alone")
+	for _, vm := range []string{"a", "b", "c"} {
+		l.members[vm] = member{at: now - 5*time.Second}
+	}
+	g.Expect(l.hasMost(now)).To(BeFalse(), "nobody reported within the window")
+	l.members["a"] = member{at: now - time.Second}
+	g.Expect(l.hasMost(now)).To(BeFalse(), "half is not most")
+	l.members["b"] = member{at: now - time.Second}
+	g.Expect(l.hasMost(now)).To(BeTrue())
+}
