keys: a call that hung while connecting counts as unreachable

Calls whose connecting hung ended with their time and were taken for unanswered ones. Ruled out: the record (listed all the while), the pending calls. Change: the adapter notes whether a connection carried a call and whether one was tried; a call that waited for a free connection is no sign against a server. Reports to the leader come less often in a large fleet (400 ms, 12 ms for each daemon at least).

--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -345,17 +345,22 @@
 	Taken
 	// FenceRefused: the server has seen a higher fence.
 	FenceRefused
-	// NotSent: no connection could be made.
+	// NotSent: no connection carried it.
 	NotSent
+	// Unreachable: it was not sent, since no connection could be made.
+	Unreachable
 )
 
+// sent says whether the server may have seen the grant.
+func (o Outcome) sent() bool { return o != NotSent && o != Unreachable }
+
 // StepGranted takes the end of a grant call.
 func (m *Machine) StepGranted(now time.Duration, order GrantOrder, outcome Outcome) {
 	m.now = now
 	row := m.row(order.Life)
 	row.everSent = true
 	delete(row.inFlight, order.Call)
-	if outcome != NotSent {
+	if outcome.sent() {
 		row.arrivedBy = now
 	}
 	switch outcome {
@@ -363,13 +368,13 @@
 		row.took = true
 	case Unanswered:
 		row.unansweredBy = now
-	case NotSent:
+	case Unreachable:
 		row.unsure, row.namedAt, row.probeAt = true, 0, now+probeEvery
 	}
 	m.settleBounds(order, outcome)
 	m.settleGrant(row, order, outcome == Taken)
 	switch {
-	case outcome == Unanswered || outcome == NotSent:
+	case outcome == Unanswered || !outcome.sent():
 		if row.failingSince == 0 {
 			row.failingSince = now
 		}
@@ -394,7 +399,7 @@
 			continue
 		}
 		delete(bound.pending, order.Call)
-		if outcome != NotSent {
+		if outcome.sent() {
 			bound.arrivedBy = max(bound.arrivedBy, m.now)
 		}
 		if outcome == Unanswered {
--- a/gateway/port/port.go
+++ b/gateway/port/port.go
@@ -118,10 +118,24 @@
 	return "server " + e.Address + " has seen a higher fence"
 }
 
+// NotSentError reports a call that no connection carried.
+type NotSentError struct {
+	// Unreachable says that a connection was tried and could not be made.
+	Unreachable bool
+	Err         error
+}
+
+// Error implements error.
+func (e *NotSentError) Error() string { return "not sent: " + e.Err.Error() }
+
+// Unwrap returns the underlying error.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
 // Grantor calls backend servers about the keys that they hold.
 type Grantor interface {
-	// Grant gives or renews keys. A *FenceError means that the server refused;
-	// after any other error the grant may still be applied, late.
+	// Grant gives or renews keys. A *FenceError means that the server refused, a
+	// *NotSentError that it saw nothing; after any other error the grant may
+	// still be applied, late.
 	Grant(ctx context.Context, address string, grant Grant) error
 	// Release returns the hand-over once the work on the keys has ended.
 	Release(ctx context.Context, address string, release Release) (handover string, err error)
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"slices"
 	"time"
 
@@ -233,13 +232,15 @@
 
 func grantOutcome(err error) keys.Outcome {
 	var fence *port.FenceError
-	var operation *net.OpError
+	var notSent *port.NotSentError
 	switch {
 	case err == nil:
 		return keys.Taken
 	case errors.As(err, &fence):
 		return keys.FenceRefused
-	case errors.As(err, &operation) && operation.Op == "dial":
+	case errors.As(err, &notSent) && notSent.Unreachable:
+		return keys.Unreachable
+	case errors.As(err, &notSent):
 		return keys.NotSent
 	default:
 		return keys.Unanswered
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -13,8 +13,13 @@
 	"guavacrank.example/gateway/peer"
 )
 
-// reportEvery is the time between two reports to the leader.
-const reportEvery = 400 * time.Millisecond
+const (
+	// reportEvery is the least time between two reports to the leader, and
+	// reportEach what each daemon of the fleet adds to it, so that the leader's
+	// work does not grow with the fleet.
+	reportEvery = 400 * time.Millisecond
+	reportEach  = 12 * time.Millisecond
+)
 
 // mostAsked bounds the keys that one report lists for a service.
 const mostAsked = 4000
@@ -50,7 +55,7 @@
 	if now < l.reportAt || l.reporting {
 		return
 	}
-	l.reportAt = now + reportEvery
+	l.reportAt = now + max(reportEvery, time.Duration(l.vms.Load())*reportEach)
 	address := l.reportTo()
 	if address == "" {
 		return // Keys stay gathered until there is a leader.
