--- /dev/null
+++ b/gateway/keys/step.go
@@ -0,0 +1,243 @@
+package keys
+
+import (
+	"math"
+	"time"
+
+	"guavacrank.example/gateway/model"
+	"guavacrank.example/kvstore"
+)
+
+// StepServers takes the list of servers of the service. fresh says that the
+// store answered without an interruption before.
+func (m *Machine) StepServers(now time.Duration, servers []model.Server, uninterrupted bool) {
+	m.now = now
+	if !uninterrupted {
+		m.trustAbsent = now + returnTime
+	}
+	if !m.listed {
+		m.trustAbsent = max(m.trustAbsent, now+returnTime)
+	}
+	m.listed = true
+	for _, row := range m.servers {
+		row.listed = false
+	}
+	for _, server := range servers {
+		row := m.row(server.Life())
+		row.Server, row.listed = server, true
+		if row.unsure && row.namedAt != 0 && now >= row.namedAt+recordTime {
+			row.unsure, row.failingSince = false, 0
+		}
+	}
+	if len(servers) > 0 && m.firstSeen == 0 {
+		m.firstSeen = now
+	}
+}
+
+// row returns the row of a life, a new one if needed.
+func (m *Machine) row(life model.Life) *serverRow {
+	row := m.servers[life]
+	if row == nil {
+		row = &serverRow{granted: make(map[uint16]grantRow), inFlight: make(map[uint64]bool)}
+		row.ID, row.Born = life.ID, life.Born
+		m.servers[life] = row
+	}
+	return row
+}
+
+// StepRead takes the stored page; nil says that there is none.
+func (m *Machine) StepRead(now time.Duration, page *Page, version kvstore.Version) {
+	m.now = now
+	m.reading = false
+	if !m.leading {
+		return
+	}
+	if m.writing != nil && !m.unsettled {
+		return
+	}
+	written := m.writing
+	m.unsettled, m.writing = false, nil
+	m.pageKnown, m.version = true, version
+	if page == nil {
+		m.page = nil
+		return
+	}
+	if written != nil && page.Draft == written.Draft && page.Writer == written.Writer {
+		m.page = page
+		m.adopted = true
+		return
+	}
+	if m.page == nil || page.Writer != m.options.Self {
+		m.adopted = m.adopted && page.Writer == m.options.Self
+	}
+	m.page = page
+	switch {
+	case page.Writer != m.options.Self:
+		m.predecessor = page.Writer
+	case m.predecessor.Incarnation == "":
+		m.PredecessorEnded(now) // Nobody else has granted since.
+	}
+}
+
+// StepReadFailed says that the page could not be read.
+func (m *Machine) StepReadFailed(now time.Duration) {
+	m.now = now
+	m.reading = false
+	m.retryWrite = now + retryAfter
+}
+
+// StepWritten takes the outcome of a write.
+func (m *Machine) StepWritten(now time.Duration, version kvstore.Version, err error) {
+	m.now = now
+	if m.writing == nil || !m.leading {
+		return
+	}
+	switch {
+	case err == nil:
+		m.page, m.version = m.writing, version
+		m.writing, m.adopted = nil, true
+	case kvstore.IsKind(err, kvstore.KindConflict):
+		m.writing, m.pageKnown = nil, false
+	case kvstore.IsUnknown(err):
+		m.unsettled, m.pageKnown = true, false
+		m.retryWrite = now + retryAfter
+	default:
+		m.writing = nil
+		m.retryWrite = now + retryAfter
+	}
+}
+
+// Outcome is how a grant call ended.
+type Outcome uint8
+
+// Outcomes of a grant call.
+const (
+	// Unanswered grants may be applied, late.
+	Unanswered Outcome = iota
+	// Taken grants hold.
+	Taken
+	// FenceRefused: the server has seen a higher fence.
+	FenceRefused
+	// NotSent: no connection carried it.
+	NotSent
+	// Unreachable: it was not sent, since no connection could be made.
+	Unreachable
+)
+
+// sent says whether the server may have seen the grant.
+func (o Outcome) sent() bool { return o != NotSent && o != Unreachable }
+
+// StepGranted takes the end of a grant call.
+func (m *Machine) StepGranted(now time.Duration, order GrantOrder, outcome Outcome) {
+	m.now = now
+	row := m.row(order.Life)
+	row.everSent = true
+	delete(row.inFlight, order.Call)
+	if outcome.sent() {
+		row.arrivedBy = now
+	}
+	switch outcome {
+	case Taken:
+		row.took = true
+	case Unanswered:
+		row.unansweredBy = now
+	case Unreachable:
+		row.unsure, row.namedAt, row.probeAt = true, 0, now+probeEvery
+	}
+	m.settleBounds(order, outcome)
+	m.settleGrant(row, order, outcome == Taken)
+	switch {
+	case outcome == Unanswered || !outcome.sent():
+		if row.failingSince == 0 {
+			row.failingSince = now
+		}
+	default:
+		row.failingSince = 0
+	}
+	if outcome != FenceRefused || !m.leading {
+		return
+	}
+	switch {
+	case m.extended:
+		m.leading = false // Another leader acts, and the store can't be asked.
+	case m.writing == nil:
+		m.pageKnown = false // Another leader may have written: look.
+	}
+}
+
+// settleBounds takes the end of a call into the bounds of prior holders.
+func (m *Machine) settleBounds(order GrantOrder, outcome Outcome) {
+	for key, bound := range m.bounds {
+		if key.life != order.Life || !bound.pending[order.Call] {
+			continue
+		}
+		delete(bound.pending, order.Call)
+		if outcome.sent() {
+			bound.arrivedBy = max(bound.arrivedBy, m.now)
+		}
+		if outcome == Unanswered {
+			bound.lateBy = max(bound.lateBy, m.now)
+		}
+		m.bounds[key] = bound
+	}
+}
+
+// settleGrant notes the end of a call in the granted range's row.
+func (m *Machine) settleGrant(row *serverRow, order GrantOrder, taken bool) {
+	grant, held := row.granted[order.From]
+	if !held {
+		return
+	}
+	grant.inFlight = false
+	switch {
+	case !taken:
+		grant.due = m.now + retryAfter
+	case grant.fence == order.Fence && grant.to == order.To:
+		grant.answered = true
+		grant.handover = ""
+	}
+	row.granted[order.From] = grant
+}
+
+// StepProbed takes the ID that the server at an address gave; empty if none
+// came.
+func (m *Machine) StepProbed(now time.Duration, order ProbeOrder, id string) {
+	m.now = now
+	row := m.row(order.Life)
+	row.probing = false
+	if row.unsure && id == order.Life.ID {
+		row.namedAt = now
+	}
+}
+
+// StepReleased takes the end of a release call.
+func (m *Machine) StepReleased(now time.Duration, order ReleaseOrder, answered bool, handover string) {
+	m.now = now
+	key := endKey{order.From, order.To, order.Life, order.Fence}
+	delete(m.releases, key)
+	if !answered {
+		m.retryAt[key] = now + retryAfter
+		return
+	}
+	m.ended[key] = ending{released: true, handover: handover}
+}
+
+// StepHeat takes keys that requests asked for, and how servers answered.
+func (m *Machine) StepHeat(now time.Duration, asked []uint16) {
+	m.heat.add(now, asked)
+}
+
+// StepLatency takes how long a server took for some answers on average. Only
+// answers of a server that is not busy tell how fast it works.
+func (m *Machine) StepLatency(id string, answers int, mean time.Duration) {
+	for life, row := range m.servers {
+		if life.ID != id || !row.listed || row.busy > calmBusy || answers == 0 {
+			continue
+		}
+		if row.latency == 0 {
+			row.latency = mean.Seconds()
+		}
+		weight := 1 - math.Pow(1-latencyWeight, float64(answers))
+		row.latency += weight * (mean.Seconds() - row.latency)
+	}
+}
--- /dev/null
+++ b/gateway/keys/tables.go
@@ -0,0 +1,57 @@
+package keys
+
+import (
+	"time"
+
+	"guavacrank.example/gateway/model"
+)
+
+// serverRow is one life of a server.
+type serverRow struct {
+	model.Server
+	listed bool
+	// arrivedBy bounds when the last grant arrived: the end of the last call
+	// that was sent.
+	arrivedBy time.Duration
+	// unansweredBy is the same for calls that got no answer.
+	unansweredBy time.Duration
+	inFlight     map[uint64]bool // Calls under way.
+	everSent     bool
+	took         bool          // It took a grant since leading began.
+	failingSince time.Duration // Zero while calls succeed.
+	latency      float64       // Seconds, smoothed; zero if unknown.
+	busy         float64       // Part of the slots that requests take.
+	// unsure: a connection could not be made, so that another process may run
+	// at the address by now. Nothing is granted until the server has named
+	// itself and its record was still the same some time later.
+	unsure  bool
+	probeAt time.Duration // When to ask next who it is.
+	probing bool
+	namedAt time.Duration       // When it named itself; zero before.
+	granted map[uint16]grantRow // By first key.
+}
+
+// grantRow is the state of one granted range.
+type grantRow struct {
+	fence    uint64
+	to       uint16
+	due      time.Duration // When to send the next one.
+	inFlight bool
+	// answered says that the server took a grant with this fence.
+	answered bool
+	handover string
+}
+
+// endKey identifies the end of one holder on one range.
+type endKey struct {
+	from  uint16
+	to    uint16
+	life  model.Life
+	fence uint64
+}
+
+// ending is what is known of a prior holder's end.
+type ending struct {
+	released bool
+	handover string
+}
--- a/gateway/model/configuration.go
+++ b/gateway/model/configuration.go
@@ -50,9 +50,6 @@
 	MaxConnections int
 	// DividedByKey says that each backend server owns ranges of keys.
 	DividedByKey bool
-	// WarmUp is how long keys are slow at a server that got them without a
-	// hand-over.
-	WarmUp time.Duration
 }
 
 // CallerLimits bound what a caller may send. Zero means no limit.
--- a/gateway/model/settings.go
+++ b/gateway/model/settings.go
@@ -43,12 +43,6 @@
 	RepeatWindow time.Duration
 	// GrantLimit is the longest time that a grant may hold.
 	GrantLimit time.Duration
-	// DrainTime is how long a leaving server still serves after its notice.
-	DrainTime time.Duration
-	// ConfigurationTime is the time by which a configuration must be in force.
-	ConfigurationTime time.Duration
-	// Heartbeat is the interval at which backend servers renew their records.
-	Heartbeat time.Duration
 	// LeaseLeast is the shortest lease that the store grants.
 	LeaseLeast time.Duration
 }
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -83,7 +83,6 @@
 	loop    *loop
 	handler *front.Handler
 	metrics *metric.Table
-	stopped sync.Once
 }
 
 // Run serves until ctx ends, then stops gracefully. reload brings the wish to
--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"sort"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -229,23 +228,10 @@
 		KeepAlive: func(answer *http.Response) time.Duration {
 			return t.dialect.ReadAnswer(answer.StatusCode, answer.Header).KeepAlive
 		},
-		Control: giveUpUnacknowledged,
+		Control: upstream.GiveUpUnacknowledged(unacknowledgedTime),
 	}
 }
 
-// giveUpUnacknowledged sets TCP_USER_TIMEOUT of a connection.
-func giveUpUnacknowledged(_, _ string, raw syscall.RawConn) error {
-	var setErr error
-	err := raw.Control(func(fd uintptr) {
-		const tcpUserTimeout = 18 // TCP_USER_TIMEOUT of Linux, in milliseconds.
-		setErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledgedTime.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return setErr
-}
-
 // closeIdle closes connections that were unused for long.
 func (t *serverTable) closeIdle(now time.Time) {
 	for _, row := range t.rows {
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -32,7 +32,6 @@
 	Seeds        []string       `yaml:"seeds"`
 	Store        string         `yaml:"store"`
 	LeaseLeastMS float64        `yaml:"lease_least_ms"`
-	HeartbeatMS  float64        `yaml:"heartbeat_ms"`
 	MemoryMB     int64          `yaml:"memory_mb"`
 	Descriptors  int            `yaml:"descriptors"`
 	Bounds       map[string]any `yaml:"bounds"`
@@ -55,7 +54,6 @@
 	if len(faults) > 0 {
 		return nil, fmt.Errorf("%s: %w", name, errors.Join(faults...))
 	}
-	bounds.Heartbeat = milliseconds(f.HeartbeatMS)
 	bounds.LeaseLeast = milliseconds(f.LeaseLeastMS)
 	return &model.Settings{
 		VM:      f.VM,
@@ -99,7 +97,6 @@
 	need(f.MemoryMB > 0, "memory_mb", "must be above 0")
 	need(f.Descriptors > 0, "descriptors", "must be above 0")
 	need(f.LeaseLeastMS >= 0, "lease_least_ms", "must not be negative")
-	need(f.HeartbeatMS > 0, "heartbeat_ms", "must be above 0")
 	return faults
 }
 
--- a/gateway/settings/settings_test.go
+++ b/gateway/settings/settings_test.go
@@ -35,7 +35,7 @@
 		})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(given).To(Equal(map[string]any{"x": 1}))
-		g.Expect(read.Bounds).To(Equal(model.Bounds{Grace: time.Second, Heartbeat: 870 * time.Millisecond, LeaseLeast: time.Second}))
+		g.Expect(read.Bounds).To(Equal(model.Bounds{Grace: time.Second, LeaseLeast: time.Second}))
 		g.Expect(read.MemoryBytes).To(Equal(int64(284 << 20)))
 		g.Expect(read.Region("zb")).To(Equal("rb"))
 	})
--- a/kvstore/errors.go
+++ b/kvstore/errors.go
@@ -62,6 +62,16 @@
 	return fmt.Sprintf("kind %d", uint8(k))
 }
 
+// Unavailable returns the error of a call without a usable answer. maybeApplied
+// says that it was a change and may have reached the service.
+func Unavailable(op, key string, maybeApplied bool, err error) *Error {
+	outcome := OutcomeNotApplied
+	if maybeApplied {
+		outcome = OutcomeUnknown
+	}
+	return &Error{Op: op, Key: key, Kind: KindUnavailable, Outcome: outcome, Err: err}
+}
+
 // IsKind reports whether err is an *Error of the given kind.
 func IsKind(err error, kind Kind) bool {
 	var platformErr *Error
--- a/kvstore/httpstore/client.go
+++ b/kvstore/httpstore/client.go
@@ -145,11 +145,7 @@
 
 // failed returns the error of a call that brought no usable answer.
 func (c call) failed(received bool, err error) error {
-	outcome := kvstore.OutcomeNotApplied
-	if c.write && received {
-		outcome = kvstore.OutcomeUnknown
-	}
-	return &kvstore.Error{Op: c.op, Key: c.key, Kind: kvstore.KindUnavailable, Outcome: outcome, Err: err}
+	return kvstore.Unavailable(c.op, c.key, c.write && received, err)
 }
 
 func do[Answer any](ctx context.Context, c *Client, call call) (Answer, error) {
--- a/kvstore/httpstore/protocol.go
+++ b/kvstore/httpstore/protocol.go
@@ -50,21 +50,21 @@
 }
 
 type swapRequest struct {
-	Key      string           `json:"key"`
+	Key      string          `json:"key"`
 	Expected kvstore.Version `json:"expected"`
-	Value    []byte           `json:"value"`
+	Value    []byte          `json:"value"`
 	Lease    kvstore.LeaseID `json:"lease,omitempty"`
 }
 
 type deleteRequest struct {
-	Key      string           `json:"key"`
+	Key      string          `json:"key"`
 	Expected kvstore.Version `json:"expected"`
 }
 
 type watchRequest struct {
-	Prefix string           `json:"prefix"`
+	Prefix string          `json:"prefix"`
 	After  kvstore.Version `json:"after"`
-	WaitMS int64            `json:"wait_ms"`
+	WaitMS int64           `json:"wait_ms"`
 }
 
 type leaseRequest struct {
@@ -102,13 +102,13 @@
 // failure is the body of an answer that reports an error. It proves that nothing
 // changed: a change whose outcome is unknown gets no answer.
 type failure struct {
-	Failure string           `json:"failure"` // The name of a kvstore.Kind.
+	Failure string          `json:"failure"` // The name of a kvstore.Kind.
 	Current kvstore.Version `json:"current"`
-	Reason  string           `json:"reason"`
+	Reason  string          `json:"reason"`
 }
 
 // LapseRequest names what lapses: a lease, or the lease that holds a key.
 type LapseRequest struct {
 	Lease kvstore.LeaseID `json:"lease"`
-	Key   string           `json:"key"`
+	Key   string          `json:"key"`
 }
--- a/traffic/upstream/conn.go
+++ b/traffic/upstream/conn.go
@@ -107,3 +107,19 @@
 	}
 	return err
 }
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux.
+const tcpUserTimeout = 18
+
+// GiveUpUnacknowledged returns a net.Dialer's Control that ends a connection
+// whose bytes stay unacknowledged for the given time: one whose other side is
+// gone then fails instead of staying silent.
+func GiveUpUnacknowledged(after time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var setErr error
+		err := raw.Control(func(fd uintptr) {
+			setErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(after.Milliseconds()))
+		})
+		return errors.Join(err, setErr)
+	}
+}
