--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -246,12 +245,19 @@
 	<-done
 }
 
-// publishOnce guards expvar, which keeps its names for the life of a process.
-var publishOnce sync.Once
-
+// metricsHandler serves this gateway's counters and the runtime's, as expvar
+// does. They are not published in expvar's own table, which is one for a whole
+// process, so that several gateways may run in one.
 func (g *Gateway) metricsHandler() http.Handler {
-	publishOnce.Do(func() { expvar.Publish("gateway", expvar.Func(g.figures)) })
-	return expvar.Handler()
+	vars := new(expvar.Map).Init()
+	vars.Set("gateway", expvar.Func(g.figures))
+	vars.Set("memstats", expvar.Get("memstats"))
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		if _, err := io.WriteString(w, vars.String()); err != nil {
+			g.parts.book.Event(event.CallerLeft, err.Error(), zap.String("address", g.options.Settings.Listen.Metrics))
+		}
+	})
 }
 
 // Figures are the process's own counters, served as JSON.
