Grown fleets: news by a tree, few followers of the store, changes instead of pages

Cause: on the grown sites the link between the regions jammed. Pages of keys went whole to each daemon too. Change: at most 12 daemons, the strongest of each zone, follow the store; the leader sends new configurations (packed) and the changes of pages to one daemon a zone, which passes them on. A daemon that misses something reports soon and gets it whole. Weak VMs claim the leadership later. Times of servers are reported less often in large fleets; the leader's word on servers counts as long as its reports take. Settings: processor, link_mbit.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -25,7 +25,7 @@
 	ReleaseEnded          Number = 726
 	PredecessorStopped    Number = 727
 	PeerOutOfReach        Number = 728
-	PageNotSent           Number = 729
+	NewsNotSent           Number = 729
 	RequestAnswered       Number = 730
 	RequestNotRun         Number = 731
 	RequestMayHaveRun     Number = 732
@@ -61,7 +61,7 @@
 	{ReleaseEnded, "release-ended", Info, "A call for the return of keys ended; without an answer the keys wait until the grant has run out."},
 	{PredecessorStopped, "predecessor-stopped", Info, "The earlier leader is known to send no more grants; the cause says how."},
 	{PeerOutOfReach, "peer-out-of-reach", Warn, "The leader does not answer this VM; balance and the budget of repeats use the last known figures."},
-	{PageNotSent, "page-not-sent", Info, "A page of keys did not reach a daemon at once; it gets it with the answer to its next report."},
+	{NewsNotSent, "news-not-sent", Info, "A change of a page of keys or a configuration did not reach a daemon at once; it gets it with the answer to a report."},
 	{RequestAnswered, "request-answered", Info, "A backend server's whole answer was passed on. Successes are sampled by request id, so that all VMs keep the same ones."},
 	{RequestNotRun, "request-not-run", Warn, "A request ended without having run; the code says why. The caller was told when to come back."},
 	{RequestMayHaveRun, "request-may-have-run", Warn, "A request ended without a whole answer after it may have reached a backend server; the code says why."},
--- a/gateway/keys/encode.go
+++ b/gateway/keys/encode.go
@@ -29,26 +29,43 @@
 
 // Encode returns the page as it is stored.
 func (p *Page) Encode() ([]byte, error) {
-	stored := storedPage{Fence: p.Fence, Writer: p.Writer, Earlier: p.Earlier, Draft: p.Draft}
-	index := func(holder Holder) uint64 {
-		server := storedServer{holder.Life, holder.Address}
-		at := slices.Index(stored.Servers, server)
-		if at < 0 {
-			at = len(stored.Servers)
-			stored.Servers = append(stored.Servers, server)
-		}
-		return uint64(at)
-	}
+	stored := p.head()
 	for _, r := range p.Ranges {
-		row := []uint64{uint64(r.From), index(r.Owner), r.Owner.Fence}
-		for _, prior := range r.Prior {
-			row = append(row, index(prior), prior.Fence)
-		}
-		stored.Ranges = append(stored.Ranges, row)
+		stored.Ranges = append(stored.Ranges, append([]uint64{uint64(r.From)}, stored.holders(r)...))
 	}
 	return json.Marshal(stored)
 }
 
+// head returns the stored page without ranges.
+func (p *Page) head() *storedPage {
+	return &storedPage{Fence: p.Fence, Writer: p.Writer, Earlier: p.Earlier, Draft: p.Draft}
+}
+
+// page returns the page without ranges.
+func (s *storedPage) page() Page {
+	return Page{Fence: s.Fence, Writer: s.Writer, Earlier: s.Earlier, Draft: s.Draft}
+}
+
+// holders returns the part of a row that names the owner and prior holders.
+func (s *storedPage) holders(r Range) []uint64 {
+	row := []uint64{s.index(r.Owner), r.Owner.Fence}
+	for _, prior := range r.Prior {
+		row = append(row, s.index(prior), prior.Fence)
+	}
+	return row
+}
+
+// index returns the index of a holder in the table of servers.
+func (s *storedPage) index(holder Holder) uint64 {
+	server := storedServer{holder.Life, holder.Address}
+	at := slices.Index(s.Servers, server)
+	if at < 0 {
+		at = len(s.Servers)
+		s.Servers = append(s.Servers, server)
+	}
+	return uint64(at)
+}
+
 // errRow reports a row of a stored page that can't be read.
 var errRow = errors.New("a row is not a first key followed by pairs of a server and a fence")
 
@@ -58,7 +75,7 @@
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return nil, fmt.Errorf("ownership page: %w", err)
 	}
-	page := &Page{Fence: stored.Fence, Writer: stored.Writer, Earlier: stored.Earlier, Draft: stored.Draft}
+	page := stored.page()
 	for at, row := range stored.Ranges {
 		end := uint64(model.Keys)
 		if at+1 < len(stored.Ranges) && len(stored.Ranges[at+1]) > 0 {
@@ -70,7 +87,7 @@
 		}
 		page.Ranges = append(page.Ranges, r)
 	}
-	return page, page.Check()
+	return &page, page.Check()
 }
 
 // decodeRange reads one row; end is the first key after the range.
--- a/gateway/keys/page_test.go
+++ b/gateway/keys/page_test.go
@@ -33,6 +33,28 @@
 		Expect(read).To(Equal(page))
 	})
 
+	It("becomes the next page by the change between them", func() {
+		next := &keys.Page{
+			Fence:  12,
+			Writer: keys.Leader{VM: "b", Incarnation: "z", Address: "b:1"},
+			Draft:  1,
+			Ranges: []keys.Range{
+				{From: 0, To: 99, Owner: holder("i-1", 4)},
+				{From: 100, To: 199, Owner: holder("i-4", 12), Prior: []keys.Holder{holder("i-2", 9)}},
+				{From: 200, To: 65535, Owner: holder("i-2", 9)},
+			},
+		}
+		change := keys.Diff(page, next)
+		Expect(change.Ranges).To(HaveLen(2))
+		sent, err := change.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		read, err := keys.DecodeChange(sent)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read.Apply(page)).To(Equal(next))
+		_, err = read.Apply(&keys.Page{})
+		Expect(err).To(HaveOccurred(), "the change does not fit another page")
+	})
+
 	It("finds the range of a key", func() {
 		Expect(page.Find(99).Owner.ID).To(Equal("i-1"))
 		Expect(page.Find(100).Owner.ID).To(Equal("i-2"))
@@ -72,3 +94,16 @@
 		}
 	})
 }
+
+func FuzzDecodeChange(f *testing.F) {
+	f.Add([]byte(`{"fence":1,"servers":[{"id":"a","born":2}],"ranges":[[0,4,0,1],[5,65535,0,1,0,1]]}`))
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		change, err := keys.DecodeChange(sent)
+		if err != nil {
+			return
+		}
+		if page, err := change.Apply(&keys.Page{}); err == nil && page.Check() != nil {
+			t.Fatal("an unsound page was accepted")
+		}
+	})
+}
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -247,14 +247,13 @@
 // StepLatency takes how long a server took for some answers on average. Only
 // answers of a server that is not busy tell how fast it works.
 func (m *Machine) StepLatency(id string, answers int, mean time.Duration) {
-	for life, row := range m.servers {
-		if life.ID != id || !row.listed || row.busy > calmBusy || answers == 0 {
-			continue
-		}
-		if row.latency == 0 {
-			row.latency = mean.Seconds()
-		}
-		weight := 1 - math.Pow(1-latencyWeight, float64(answers))
-		row.latency += weight * (mean.Seconds() - row.latency)
+	row := m.latestByID[id]
+	if row == nil || row.busy > calmBusy || answers == 0 {
+		return
+	}
+	if row.latency == 0 {
+		row.latency = mean.Seconds()
 	}
+	weight := 1 - math.Pow(1-latencyWeight, float64(answers))
+	row.latency += weight * (mean.Seconds() - row.latency)
 }
--- a/gateway/leader/leader.go
+++ b/gateway/leader/leader.go
@@ -25,6 +25,8 @@
 	// claimSpread spreads the claims of several VMs over time, so that most
 	// learn of the winner before they claim.
 	claimSpread = 150 * time.Millisecond
+	// yieldDelay is how much later weak VMs claim than strong ones.
+	yieldDelay = 250 * time.Millisecond
 	// retryPause is the pause after a failed claim.
 	retryPause = 300 * time.Millisecond
 	// callTimeout bounds one call.
@@ -61,6 +63,7 @@
 	state   State
 	vacant  bool
 	barred  bool
+	yields  bool
 	changed chan struct{}
 	lease   kvstore.LeaseID
 	life    time.Duration
@@ -97,6 +100,23 @@
 	return c.options.Store.Revoke(ctx, lease)
 }
 
+// Yield says whether stronger VMs are to claim first.
+func (c *Campaign) Yield(yields bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.yields = yields
+}
+
+// delay is how long to wait before a claim.
+func (c *Campaign) delay() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.yields {
+		return yieldDelay + rand.N(claimSpread)
+	}
+	return rand.N(claimSpread)
+}
+
 // State returns what is known now.
 func (c *Campaign) State() State {
 	c.mu.Lock()
@@ -119,7 +139,7 @@
 			c.keep(ctx)
 			c.pause(ctx, c.life/renewals)
 		case vacant:
-			c.pause(ctx, rand.N(claimSpread))
+			c.pause(ctx, c.delay())
 			if _, still := c.situation(); still {
 				c.claim(ctx)
 			}
--- a/gateway/model/settings.go
+++ b/gateway/model/settings.go
@@ -19,7 +19,10 @@
 	MemoryBytes int64
 	// Descriptors is the greatest number of open descriptors.
 	Descriptors int
-	Bounds      Bounds
+	// Processor is the VM's part of a core, LinkMbit the rate of its link in
+	// Mbit/s; zero if unknown.
+	Processor, LinkMbit float64
+	Bounds              Bounds
 }
 
 // Listen are the addresses of a process, each IP:port.
@@ -47,5 +50,17 @@
 	LeaseLeast time.Duration
 }
 
+// linkMbitPerCore is the rate of a link that suits a whole core.
+const linkMbitPerCore = 250
+
+// Strength ranks VMs by what they can do for the others: their part of a core,
+// or less if their link is slow. Zero means unknown.
+func (s Settings) Strength() float64 {
+	if s.LinkMbit == 0 {
+		return s.Processor
+	}
+	return min(s.Processor, s.LinkMbit/linkMbitPerCore)
+}
+
 // Region returns the region of a zone, or the empty text.
 func (s Settings) Region(zone string) string { return s.Regions[zone] }
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -18,7 +18,7 @@
 const (
 	procedureReport = "/guavacrank.peer.v1.Peer/Report"
 	procedureYield  = "/guavacrank.peer.v1.Peer/Yield"
-	procedureTake   = "/guavacrank.peer.v1.Peer/Take"
+	procedureSpread = "/guavacrank.peer.v1.Peer/Spread"
 	procedureFollow = "/guavacrank.peer.v1.Peer/Follow"
 	// callTimeout bounds one call.
 	callTimeout = 800 * time.Millisecond
@@ -27,7 +27,9 @@
 	// idleTimeout is how long an unused connection is kept.
 	idleTimeout = 20 * time.Second
 	// maxMessageBytes bounds a message.
-	maxMessageBytes = 1 << 20
+	maxMessageBytes = 8 << 20
+	// compressFrom is the size in bytes from which an answer is compressed.
+	compressFrom = 2 << 10
 )
 
 // Report is what a daemon tells the leader now and then.
@@ -36,10 +38,14 @@
 	Incarnation string `json:"incarnation"`
 	// Address is the reporter's own IP:port for peers.
 	Address string `json:"address"`
+	// Zone is the reporter's availability zone, Strength what it can do for the
+	// others (model.Settings.Strength).
+	Zone     string  `json:"zone"`
+	Strength float64 `json:"strength"`
 	// Pages are the versions of the pages of keys that the daemon has.
 	Pages map[string]uint64 `json:"pages,omitempty"`
 	// Configuration is the version that the daemon has. WantConfiguration says
-	// that it knows of a newer one and can't read it from the store.
+	// that it lacks the leader's, which did not come otherwise.
 	Configuration     uint64 `json:"configuration"`
 	WantConfiguration bool   `json:"want_configuration,omitempty"`
 	// Members is the number of daemons that it knows.
@@ -69,8 +75,12 @@
 	// that it knows.
 	Leading bool   `json:"leading"`
 	Known   Follow `json:"known"`
-	// VMs is the number of daemons that reported lately, the leader included.
-	VMs int `json:"vms"`
+	// VMs is the number of daemons that reported lately, the leader included;
+	// Strongest is the greatest strength among them.
+	VMs       int     `json:"vms"`
+	Strongest float64 `json:"strongest"`
+	// Watch says that the daemon is one of those that follow the store itself.
+	Watch bool `json:"watch"`
 	// Source names the leader's list of servers; Change is its newest change.
 	// All says that Servers is the whole list and not what changed.
 	Source  string         `json:"source,omitempty"`
@@ -81,7 +91,7 @@
 	// ListAgeMS is how long ago the leader read the list from the store.
 	ListAgeMS int64 `json:"list_age_ms"`
 	// Configuration is the newest version that the leader has; Record is the
-	// operators' record of it, if the daemon wants it.
+	// operators' record of it, packed, if the daemon lacks it.
 	Configuration uint64 `json:"configuration"`
 	Record        []byte `json:"record,omitempty"`
 	// Members are the addresses of all daemons, if their number differs from
@@ -98,6 +108,25 @@
 	Page    json.RawMessage `json:"page"`
 }
 
+// Spread carries news of the leader to the daemons, each of which passes it on
+// to some others.
+type Spread struct {
+	// Page is a change of a page of keys, if any.
+	Page *PageChange `json:"page,omitempty"`
+	// Record is the operators' record of a newer configuration, packed, if any.
+	Record []byte `json:"record,omitempty"`
+	// Onward are the peers' addresses that the receiver passes the news on to.
+	Onward []string `json:"onward,omitempty"`
+}
+
+// PageChange makes one version of a service's page into the next one.
+type PageChange struct {
+	Service string          `json:"service"`
+	Base    uint64          `json:"base"`
+	Version uint64          `json:"version"`
+	Change  json.RawMessage `json:"change"`
+}
+
 // Follow names a leader.
 type Follow struct {
 	Leader keys.Leader `json:"leader"`
@@ -109,8 +138,8 @@
 // FollowAnswer acknowledges a leader.
 type FollowAnswer struct{}
 
-// TakeAnswer acknowledges a page.
-type TakeAnswer struct{}
+// SpreadAnswer acknowledges news.
+type SpreadAnswer struct{}
 
 // Yield asks an earlier leader to stop for good.
 type Yield struct {
@@ -128,7 +157,7 @@
 type Service interface {
 	Report(ctx context.Context, report *Report) (*ReportAnswer, error)
 	Yield(ctx context.Context, yield *Yield) (*YieldAnswer, error)
-	Take(ctx context.Context, page *StoredPage) (*TakeAnswer, error)
+	Spread(ctx context.Context, news *Spread) (*SpreadAnswer, error)
 	Follow(ctx context.Context, follow *Follow) (*FollowAnswer, error)
 }
 
@@ -147,10 +176,10 @@
 // NewHandler returns the HTTP handler of a service.
 func NewHandler(service Service) http.Handler {
 	mux := http.NewServeMux()
-	options := []connect.HandlerOption{connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes)}
+	options := []connect.HandlerOption{connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(compressFrom)}
 	mux.Handle(procedureReport, unary(procedureReport, service.Report, options))
 	mux.Handle(procedureYield, unary(procedureYield, service.Yield, options))
-	mux.Handle(procedureTake, unary(procedureTake, service.Take, options))
+	mux.Handle(procedureSpread, unary(procedureSpread, service.Spread, options))
 	mux.Handle(procedureFollow, unary(procedureFollow, service.Follow, options))
 	return mux
 }
@@ -188,9 +217,9 @@
 	return call[Yield, YieldAnswer](ctx, c, address, procedureYield, yield)
 }
 
-// Take calls the peer at an address (IP:port).
-func (c *Client) Take(ctx context.Context, address string, page *StoredPage) (*TakeAnswer, error) {
-	return call[StoredPage, TakeAnswer](ctx, c, address, procedureTake, page)
+// Spread calls the peer at an address (IP:port).
+func (c *Client) Spread(ctx context.Context, address string, news *Spread) (*SpreadAnswer, error) {
+	return call[Spread, SpreadAnswer](ctx, c, address, procedureSpread, news)
 }
 
 // Follow calls the peer at an address (IP:port).
--- a/gateway/run/feeds.go
+++ b/gateway/run/feeds.go
@@ -23,8 +23,12 @@
 	// configurationPollEvery is the time between a leader's readings of the
 	// configuration.
 	configurationPollEvery = time.Second
-	// relayLife is how long the leader's word on the servers counts.
-	relayLife = 1600 * time.Millisecond
+	// pollBytes bounds the bytes a second of a leader's readings of the
+	// configuration.
+	pollBytes = 64 << 10
+	// relayMargin is how long the leader's word on the servers counts beyond the
+	// time between two reports.
+	relayMargin = 1200 * time.Millisecond
 )
 
 // feed follows one prefix of the store.
@@ -34,9 +38,49 @@
 	deliver func(input)
 
 	mu     sync.Mutex
+	active bool
+	wake   chan struct{}
 	cancel context.CancelFunc // Ends the watch that is waiting.
 }
 
+// newFeed returns a feed that is active.
+func newFeed(store port.Store, prefix string, deliver func(input)) *feed {
+	return &feed{store: store, prefix: prefix, deliver: deliver, active: true, wake: make(chan struct{}, 1)}
+}
+
+// activate starts or stops the feed. One that starts lists the prefix.
+func (f *feed) activate(active bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.active == active {
+		return
+	}
+	f.active = active
+	if f.cancel != nil {
+		f.cancel()
+	}
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// await returns when the feed is active or ctx has ended.
+func (f *feed) await(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		active := f.active
+		f.mu.Unlock()
+		if active {
+			return
+		}
+		select {
+		case <-f.wake:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // nudge ends the watch that is waiting, so that the prefix is listed again: a
 // watch may be silent although something changed.
 func (f *feed) nudge() {
@@ -51,7 +95,7 @@
 // fails, until ctx ends.
 func (f *feed) run(ctx context.Context) {
 	pause := firstPause
-	for ctx.Err() == nil {
+	for f.await(ctx); ctx.Err() == nil; f.await(ctx) {
 		entries, version, err := f.store.List(ctx, f.prefix)
 		f.deliver(followed{prefix: f.prefix, whole: true, entries: entries, err: err})
 		if err != nil {
@@ -73,6 +117,9 @@
 	defer cancel()
 	f.mu.Lock()
 	f.cancel = cancel
+	if !f.active {
+		cancel()
+	}
 	f.mu.Unlock()
 	for ctx.Err() == nil {
 		entries, version, err := f.store.Changes(ctx, f.prefix, after, watchWait)
@@ -92,7 +139,7 @@
 // return for every heartbeat of every server.
 func (l *loop) pollServers(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !l.leadingNow.Load() && l.clock()-time.Duration(l.relayedAt.Load()) < relayLife {
+		if !l.leadingNow.Load() && l.clock()-time.Duration(l.relayedAt.Load()) < l.relayLife() {
 			sleep(ctx, firstPause)
 			continue
 		}
@@ -110,16 +157,21 @@
 	}
 }
 
+// relayLife is how long the leader's word on the servers counts.
+func (l *loop) relayLife() time.Duration { return l.reportInterval() + relayMargin }
+
 // pollConfiguration reads the configuration at intervals while this VM leads:
 // the others compare their version with the leader's, since a watch may stay
 // silent.
 func (l *loop) pollConfiguration(ctx context.Context) {
+	pause := configurationPollEvery
 	for ctx.Err() == nil {
-		sleep(ctx, configurationPollEvery)
+		sleep(ctx, pause)
 		if !l.leadingNow.Load() {
 			continue
 		}
 		entry, err := l.store.Get(ctx, l.records.ConfigurationKey())
+		pause = max(configurationPollEvery, time.Duration(len(entry.Value))*time.Second/pollBytes)
 		if kvstore.IsKind(err, kvstore.KindNotFound) {
 			continue
 		}
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -89,9 +89,6 @@
 	err    error
 }
 
-// pageTaken is a page that the leader sent.
-type pageTaken struct{ page *peer.StoredPage }
-
 // followAsked is a leader's word that it leads.
 type followAsked struct{ follow peer.Follow }
 
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -289,29 +289,13 @@
 		return
 	}
 	l.book.Event(event.KeysPageWritten, "", zap.String("service", p.service), zap.Uint64("page", uint64(p.version)), zap.Int("bytes", len(p.value)))
+	before := l.pages[p.service]
 	l.seePage(kvstore.Entry{Key: pagePrefix + p.service, Value: p.value, Version: p.version})
-	l.sendPage(peer.StoredPage{Service: p.service, Version: uint64(p.version), Page: p.value})
-}
-
-// sendPage sends a page to every daemon that reports to this one. Those that
-// miss it get it with the answer to their next report.
-func (l *loop) sendPage(page peer.StoredPage) {
-	for vm, m := range l.members {
-		if vm == l.self.VM {
-			continue
-		}
-		go func() {
-			if _, err := l.peers.Take(l.ctx, m.address, &page); err != nil {
-				l.book.Event(event.PageNotSent, err.Error(), zap.String("peer", vm), zap.Uint64("page", page.Version))
-			}
-		}()
+	if next := l.pages[p.service]; before != nil && next != before {
+		l.spreadPage(p.service, before, next)
 	}
 }
 
-func (p pageTaken) apply(l *loop) {
-	l.seePage(kvstore.Entry{Key: pagePrefix + p.page.Service, Value: p.page.Page, Version: kvstore.Version(p.page.Version)})
-}
-
 func (g granted) apply(l *loop) {
 	if machine := l.machines[g.service]; machine != nil {
 		machine.StepGranted(l.clock(), g.order, g.outcome)
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -80,9 +80,13 @@
 	leadAt        time.Duration   // The systems that lead do not run before.
 	asking        map[string]bool // Incarnations of earlier leaders that are being asked.
 	leaderNow     peer.Follow
-	fleetBefore   []string // peersKnown when leading began.
-	peersKnown    []string // Addresses of all daemons, as the leader said.
-	record        []byte   // The operators' record of the configuration.
+	fleetBefore   []string        // peersKnown when leading began.
+	peersKnown    []string        // Addresses of all daemons, as the leader said.
+	record        []byte          // The operators' record of the configuration.
+	packed        []byte          // The same, packed; nil until it is needed.
+	watchers      map[string]bool // VMs that are to follow the store, while this one leads.
+	mayWatch      bool            // The leader wants this VM to follow the store.
+	latenciesAt   time.Duration   // Servers' times are not reported before.
 	reporting     bool
 	members       map[string]member
 	asked         *askedKeys
@@ -108,14 +112,16 @@
 // seenPage is the newest page of a service with its version.
 type seenPage struct {
 	page    *keys.Page
-	stored  []byte
+	stored  []byte // As it is stored; nil until it is needed.
 	version kvstore.Version
 }
 
 // member is a daemon that reports to this one while it leads.
 type member struct {
-	address string
-	at      time.Duration
+	address  string
+	at       time.Duration
+	zone     string
+	strength float64
 }
 
 // dependency tells whether calls to something succeed.
@@ -149,12 +155,13 @@
 		members:  make(map[string]member),
 		ignored:  make(map[string]kvstore.Version),
 		asked:    parts.asked,
+		mayWatch: true,
 	}
 	l.servers = newServerTable(o.Settings, o.Dialect, parts.book)
-	l.configurationFeed = &feed{store: o.Store, prefix: o.Records.ConfigurationKey(), deliver: l.deliver}
-	l.leaderFeed = &feed{store: o.Store, prefix: leaderKey, deliver: l.deliver}
+	l.configurationFeed = newFeed(o.Store, o.Records.ConfigurationKey(), l.deliver)
+	l.leaderFeed = newFeed(o.Store, leaderKey, l.deliver)
 	l.relay = newRelay()
-	l.relayedAt.Store(-int64(relayLife))
+	l.relayedAt.Store(-int64(l.relayLife()))
 	l.campaign = leader.New(leader.Options{
 		Store:      o.Store,
 		Key:        leaderKey,
@@ -252,11 +259,22 @@
 	if configuration == nil || l.configuration != nil && configuration.Version <= l.configuration.Version {
 		return
 	}
-	l.configuration, l.record = configuration, entry.Value
+	l.configuration, l.record, l.packed = configuration, entry.Value, nil
 	l.routes = routing.NewTable(configuration)
 	l.changed = true
 	l.book.Event(event.GatewayConfigured, "", zap.Uint64("configuration", configuration.Version),
 		zap.Int("routes", len(configuration.Routes)), zap.Uint64("record", uint64(entry.Version)))
+	if l.leading {
+		l.spread(peer.Spread{Record: l.packedRecord()})
+	}
+}
+
+// packedRecord returns the operators' record for the way between daemons.
+func (l *loop) packedRecord() []byte {
+	if l.packed == nil {
+		l.packed = pack(l.record)
+	}
+	return l.packed
 }
 
 // ignore logs a record that can't be used, once for each version of it.
@@ -317,12 +335,26 @@
 		l.ignore(entry, err)
 		return
 	}
-	l.pages[service] = &seenPage{page: page, stored: entry.Value, version: entry.Version}
+	l.holdPage(service, page, entry.Version)
+}
+
+// holdPage puts a newer page in force.
+func (l *loop) holdPage(service string, page *keys.Page, version kvstore.Version) {
+	l.pages[service] = &seenPage{page: page, version: version}
 	l.changed = true
-	l.book.Event(event.KeysPageSeen, "", zap.String("service", service), zap.Uint64("page", uint64(entry.Version)),
+	l.book.Event(event.KeysPageSeen, "", zap.String("service", service), zap.Uint64("page", uint64(version)),
 		zap.Int("ranges", len(page.Ranges)), zap.Uint64("fence", page.Fence), zap.String("writer", page.Writer.VM))
 }
 
+// encoded returns the page as it is stored.
+func (s *seenPage) encoded() ([]byte, error) {
+	var err error
+	if s.stored == nil {
+		s.stored, err = s.page.Encode()
+	}
+	return s.stored, err
+}
+
 func (p polled) apply(l *loop) {
 	l.storeCall("servers", p.err)
 	now := l.clock()
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -114,26 +114,51 @@
 	return listed
 }
 
+// strongShare: a daemon with less than this part of the strongest one's strength
+// leaves the leadership to stronger ones.
+const strongShare = 0.5
+
+// strongest returns the greatest strength of the daemons that report.
+func (l *loop) strongest() float64 {
+	most := l.settings.Strength()
+	for _, m := range l.members {
+		most = max(most, m.strength)
+	}
+	return most
+}
+
 // source names this process's list of servers.
 func (l *loop) source() string { return l.self.Incarnation }
 
 // answerReport makes a leader's answer.
 func (l *loop) answerReport(report *peer.Report) peer.ReportAnswer {
 	now := l.clock()
-	answer := peer.ReportAnswer{Leading: true, VMs: l.countMembers(now), ListAgeMS: (now - l.servers.readAt).Milliseconds()}
+	answer := peer.ReportAnswer{
+		Leading:   true,
+		VMs:       l.countMembers(now),
+		Strongest: l.strongest(),
+		Watch:     l.watchers[report.VM] || len(l.members) <= mostWatchers,
+		ListAgeMS: (now - l.servers.readAt).Milliseconds(),
+	}
 	if l.configuration != nil {
 		answer.Configuration = l.configuration.Version
 		if report.WantConfiguration && report.Configuration < answer.Configuration {
-			answer.Record = l.record
+			answer.Record = l.packedRecord()
 		}
 	}
 	if report.Members != answer.VMs {
 		answer.Members = l.memberAddresses()
 	}
 	for service, seen := range l.pages {
-		if report.Pages[service] < uint64(seen.version) {
-			answer.Pages = append(answer.Pages, peer.StoredPage{Service: service, Version: uint64(seen.version), Page: seen.stored})
+		if report.Pages[service] >= uint64(seen.version) {
+			continue
+		}
+		page, err := seen.encoded()
+		if err != nil {
+			l.ignore(kvstore.Entry{Key: pagePrefix + service, Version: seen.version}, err)
+			continue
 		}
+		answer.Pages = append(answer.Pages, peer.StoredPage{Service: service, Version: uint64(seen.version), Page: page})
 	}
 	if l.servers.known {
 		l.relay.note(l.servers)
@@ -149,19 +174,21 @@
 	age := time.Duration(answer.ListAgeMS) * time.Millisecond
 	if answer.Source != "" && !l.leading {
 		listed := l.relay.take(answer)
-		if age < relayLife {
+		if age < l.relayLife() {
 			l.relayedAt.Store(int64(now - age))
 			l.takeServers(now, listed)
 		}
 	}
-	for at := range answer.Pages {
-		pageTaken{&answer.Pages[at]}.apply(l)
+	l.mayWatch = answer.Watch
+	l.campaign.Yield(l.settings.Strength() < strongShare*answer.Strongest)
+	for _, page := range answer.Pages {
+		l.seePage(kvstore.Entry{Key: pagePrefix + page.Service, Value: page.Page, Version: kvstore.Version(page.Version)})
 	}
 	if len(answer.Members) > 0 {
 		l.peersKnown = answer.Members
 	}
 	if len(answer.Record) > 0 {
-		l.configure(kvstore.Entry{Key: l.records.ConfigurationKey(), Value: answer.Record})
+		l.takeRecord(answer.Record)
 	}
 	l.compareVersion(now, answer.Configuration)
 }
@@ -173,7 +200,9 @@
 	r.stale++
 	if l.configuration != nil && l.configuration.Version >= leaders {
 		r.stale = 0
+		return
 	}
+	l.reportSoon()
 	if r.stale >= staleAnswers && now >= r.configurationNudged+nudgeEvery {
 		r.configurationNudged = now
 		l.configurationFeed.nudge()
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -19,6 +19,9 @@
 	// work does not grow with the fleet.
 	reportEvery = 400 * time.Millisecond
 	reportEach  = 12 * time.Millisecond
+	// latencyEach is the same for what each report says of the servers' times,
+	// which grows with their number.
+	latencyEach = 33 * time.Millisecond
 )
 
 // mostAsked bounds the keys that one report lists for a service.
@@ -55,7 +58,7 @@
 	if now < l.reportAt || l.reporting {
 		return
 	}
-	l.reportAt = now + max(reportEvery, time.Duration(l.vms.Load())*reportEach)
+	l.reportAt = now + l.reportInterval()
 	address := l.reportTo()
 	if address == "" {
 		return // Keys stay gathered until there is a leader.
@@ -65,6 +68,7 @@
 		l.takeReport(report)
 		l.takeVMs(l.countMembers(now))
 		l.peersKnown = l.memberAddresses()
+		l.chooseWatchers()
 		return
 	}
 	l.reporting = true
@@ -74,6 +78,11 @@
 	}()
 }
 
+// reportInterval is the time between two reports.
+func (l *loop) reportInterval() time.Duration {
+	return max(reportEvery, time.Duration(l.vms.Load())*reportEach)
+}
+
 // reportTo returns the leader's address, or that of a seed that may know it
 // while the store is out of reach.
 func (l *loop) reportTo() string {
@@ -93,6 +102,8 @@
 		VM:          l.self.VM,
 		Incarnation: l.self.Incarnation,
 		Address:     l.self.Address,
+		Zone:        l.settings.Zone,
+		Strength:    l.settings.Strength(),
 		Pages:       l.pageVersions(),
 		Members:     len(l.peersKnown),
 		Asked:       l.asked.take(),
@@ -118,6 +129,11 @@
 
 // serverReports tells how the servers of services divided by key answered.
 func (l *loop) serverReports() []peer.ServerReport {
+	now := l.clock()
+	if now < l.latenciesAt {
+		return nil
+	}
+	l.latenciesAt = now + time.Duration(l.vms.Load())*latencyEach
 	var reports []peer.ServerReport
 	for _, row := range l.servers.rows {
 		if row.target == nil || l.configuration == nil || !l.configuration.Services[row.Service].DividedByKey {
@@ -135,7 +151,7 @@
 // takeReport takes a daemon's report while this VM leads.
 func (l *loop) takeReport(report *peer.Report) {
 	now := l.clock()
-	l.members[report.VM] = member{report.Address, now}
+	l.members[report.VM] = member{report.Address, now, report.Zone, report.Strength}
 	for service, asked := range report.Asked {
 		if machine := l.machines[service]; machine != nil {
 			machine.StepHeat(now, asked)
@@ -221,6 +237,7 @@
 func (ticked) apply(l *loop) {
 	now := l.clock()
 	l.report(now)
+	l.followStore()
 	l.servers.closeIdle(time.Now())
 }
 
@@ -246,12 +263,6 @@
 	}
 }
 
-// Take implements peer.Service.
-func (p peerService) Take(_ context.Context, page *peer.StoredPage) (*peer.TakeAnswer, error) {
-	p.deliver(pageTaken{page})
-	return &peer.TakeAnswer{}, nil
-}
-
 // Follow implements peer.Service.
 func (p peerService) Follow(_ context.Context, follow *peer.Follow) (*peer.FollowAnswer, error) {
 	p.deliver(followAsked{*follow})
--- /dev/null
+++ b/gateway/run/spread.go
@@ -0,0 +1,199 @@
+package run
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavacrank.example/event"
+	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/peer"
+	"guavacrank.example/kvstore"
+)
+
+const (
+	// mostDirect is the number of daemons up to which the leader sends news to
+	// each of them itself; beyond, one for each availability zone gets it.
+	mostDirect = 16
+	// fanOut is the number of daemons to which each one passes news on.
+	fanOut = 4
+	// mostWatchers is the number of daemons that follow the store themselves; the
+	// others get its news from the leader. Each change goes whole from the store
+	// to every daemon that follows it, also to other regions.
+	mostWatchers = 12
+	// soonSpread spreads the reports of daemons that miss something.
+	soonSpread = 150 * time.Millisecond
+)
+
+// newsTaken is news of the leader.
+type newsTaken struct{ news *peer.Spread }
+
+// Spread implements peer.Service.
+func (p peerService) Spread(_ context.Context, news *peer.Spread) (*peer.SpreadAnswer, error) {
+	p.passOn(*news, split(news.Onward, fanOut))
+	p.deliver(newsTaken{news})
+	return &peer.SpreadAnswer{}, nil
+}
+
+// passOn sends news to one daemon of each group, which passes it on to the
+// others of its group.
+func (l *loop) passOn(news peer.Spread, groups [][]string) {
+	for _, group := range groups {
+		go func() {
+			for at, address := range group {
+				message := news
+				message.Onward = group[at+1:]
+				_, err := l.peers.Spread(l.ctx, address, &message)
+				if err == nil {
+					return
+				}
+				l.book.Event(event.NewsNotSent, err.Error(), zap.String("peer", address), zap.Int("onward", len(message.Onward)))
+			}
+		}()
+	}
+}
+
+// split cuts addresses into at most the given number of groups of about equal
+// size.
+func split(addresses []string, groups int) [][]string {
+	if len(addresses) == 0 {
+		return nil
+	}
+	size := (len(addresses) + groups - 1) / groups
+	return slices.Collect(slices.Chunk(addresses, size))
+}
+
+// spread sends news to every daemon that reports to this leader. Those that
+// miss it get it with the answer to a report.
+func (l *loop) spread(news peer.Spread) {
+	byZone := make(map[string][]member)
+	count := 0
+	for vm, m := range l.members {
+		if vm != l.self.VM && l.clock()-m.at <= fleetLife {
+			byZone[m.zone] = append(byZone[m.zone], m)
+			count++
+		}
+	}
+	var groups [][]string
+	for _, members := range byZone {
+		sort.Slice(members, func(i, j int) bool { return members[i].before(members[j]) })
+		addresses := make([]string, len(members))
+		for at, m := range members {
+			addresses[at] = m.address
+		}
+		if count <= mostDirect {
+			groups = append(groups, split(addresses, len(addresses))...)
+			continue
+		}
+		groups = append(groups, addresses)
+	}
+	l.passOn(news, groups)
+}
+
+// before orders members by what they can do for the others.
+func (m member) before(other member) bool {
+	if m.strength != other.strength {
+		return m.strength > other.strength
+	}
+	return m.address < other.address
+}
+
+// spreadPage sends what changed from one page to the next.
+func (l *loop) spreadPage(service string, before, next *seenPage) {
+	change, err := keys.Diff(before.page, next.page).Encode()
+	if err != nil {
+		l.book.Event(event.NewsNotSent, err.Error(), zap.String("service", service))
+		return
+	}
+	l.spread(peer.Spread{Page: &peer.PageChange{Service: service, Base: uint64(before.version), Version: uint64(next.version), Change: change}})
+}
+
+// chooseWatchers picks the daemons that follow the store themselves: the
+// strongest of each availability zone in turn.
+func (l *loop) chooseWatchers() {
+	byZone := make(map[string][]string)
+	vms := make([]string, 0, len(l.members))
+	for vm := range l.members {
+		vms = append(vms, vm)
+	}
+	sort.Slice(vms, func(i, j int) bool { return l.members[vms[i]].before(l.members[vms[j]]) })
+	var zones []string
+	for _, vm := range vms {
+		zone := l.members[vm].zone
+		if byZone[zone] == nil {
+			zones = append(zones, zone)
+		}
+		byZone[zone] = append(byZone[zone], vm)
+	}
+	slices.SortFunc(zones, strings.Compare)
+	l.watchers = make(map[string]bool, mostWatchers)
+	for rank := 0; len(l.watchers) < min(mostWatchers, len(vms)); rank++ {
+		for _, zone := range zones {
+			if rank < len(byZone[zone]) && len(l.watchers) < mostWatchers {
+				l.watchers[byZone[zone][rank]] = true
+			}
+		}
+	}
+}
+
+// followStore starts and stops the feeds: a daemon follows the store if it
+// leads, if the leader wants it to, or while no leader answers it.
+func (l *loop) followStore() {
+	needed := l.leading || l.mayWatch || l.leaderNow.Leader.Address == ""
+	l.leaderFeed.activate(needed || l.relay.failures > 0)
+	l.configurationFeed.activate(needed || l.relay.failures >= staleAnswers)
+}
+
+func (n newsTaken) apply(l *loop) {
+	if n.news.Page != nil {
+		l.takeChange(n.news.Page)
+	}
+	if len(n.news.Record) > 0 {
+		l.takeRecord(n.news.Record)
+	}
+}
+
+// takeChange applies the change of a page. If it does not fit the page that
+// this VM has, the whole page comes with the answer to the next report.
+func (l *loop) takeChange(news *peer.PageChange) {
+	held := l.pages[news.Service]
+	version := kvstore.Version(news.Version)
+	if held != nil && held.version >= version {
+		return
+	}
+	if held == nil || held.version != kvstore.Version(news.Base) {
+		l.reportSoon()
+		return
+	}
+	change, err := keys.DecodeChange(news.Change)
+	if err == nil {
+		var next *keys.Page
+		if next, err = change.Apply(held.page); err == nil {
+			l.holdPage(news.Service, next, version)
+			return
+		}
+	}
+	l.ignore(kvstore.Entry{Key: pagePrefix + news.Service, Version: version}, err)
+	l.reportSoon()
+}
+
+// takeRecord takes the operators' record from another daemon.
+func (l *loop) takeRecord(packed []byte) {
+	record, err := unpack(packed)
+	entry := kvstore.Entry{Key: l.records.ConfigurationKey(), Value: record}
+	if err != nil {
+		l.ignore(entry, err)
+		return
+	}
+	l.configure(entry)
+}
+
+// reportSoon has the next report sent shortly.
+func (l *loop) reportSoon() {
+	l.reportAt = min(l.reportAt, l.clock()+rand.N(soonSpread))
+}
--- /dev/null
+++ b/gateway/run/spread_test.go
@@ -0,0 +1,67 @@
+package run
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/model"
+)
+
+func TestSplit(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(split(nil, 4)).To(BeEmpty())
+	g.Expect(split([]string{"a", "b", "c"}, 4)).To(Equal([][]string{{"a"}, {"b"}, {"c"}}))
+	g.Expect(split([]string{"a", "b", "c", "d", "e"}, 2)).To(Equal([][]string{{"a", "b", "c"}, {"d", "e"}}))
+}
+
+func TestChooseWatchers(t *testing.T) {
+	g := NewWithT(t)
+	l := &loop{members: map[string]member{}}
+	for zone := range 6 {
+		for at := range 12 {
+			strength := 0.04
+			if at < 2 {
+				strength = 0.8
+			}
+			name := fmt.Sprintf("z%d-%d", zone, at)
+			l.members[name] = member{address: name, zone: fmt.Sprint(zone), strength: strength}
+		}
+	}
+	l.chooseWatchers()
+	g.Expect(l.watchers).To(HaveLen(mostWatchers))
+	for vm := range l.watchers {
+		g.Expect(l.members[vm].strength).To(Equal(0.8), "the strongest of each zone follow the store")
+	}
+	l.members = map[string]member{"a": {address: "a", zone: "0"}}
+	l.chooseWatchers()
+	g.Expect(l.watchers).To(HaveKey("a"))
+}
+
+func TestPack(t *testing.T) {
+	g := NewWithT(t)
+	record := []byte(fmt.Sprint(make([]int, 5000)))
+	g.Expect(unpack(pack(record))).To(Equal(record))
+	g.Expect(len(pack(record))).To(BeNumerically("<", len(record)/10))
+	_, err := unpack([]byte("not packed"))
+	g.Expect(err).To(HaveOccurred())
+	_, err = unpack(pack(make([]byte, maxRecordBytes+1)))
+	g.Expect(err).To(MatchError(errRecordTooLong))
+}
+
+func TestStrength(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(model.Settings{Processor: 0.8, LinkMbit: 25}.Strength()).To(Equal(0.1))
+	g.Expect(model.Settings{Processor: 0.3, LinkMbit: 1000}.Strength()).To(Equal(0.3))
+	g.Expect(model.Settings{Processor: 0.3}.Strength()).To(Equal(0.3))
+}
+
+func TestEncodedPage(t *testing.T) {
+	g := NewWithT(t)
+	seen := &seenPage{page: &keys.Page{Ranges: []keys.Range{{To: model.Keys - 1}}}}
+	stored, err := seen.encoded()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(keys.Decode(stored)).NotTo(BeNil())
+}
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -34,6 +34,8 @@
 	LeaseLeastMS float64        `yaml:"lease_least_ms"`
 	MemoryMB     int64          `yaml:"memory_mb"`
 	Descriptors  int            `yaml:"descriptors"`
+	Processor    float64        `yaml:"processor"`
+	LinkMbit     float64        `yaml:"link_mbit"`
 	Bounds       map[string]any `yaml:"bounds"`
 }
 
@@ -69,6 +71,8 @@
 		StoreAddress: f.Store,
 		MemoryBytes:  f.MemoryMB << 20,
 		Descriptors:  f.Descriptors,
+		Processor:    f.Processor,
+		LinkMbit:     f.LinkMbit,
 		Bounds:       bounds,
 	}, nil
 }
@@ -96,6 +100,8 @@
 	address("store", f.Store)
 	need(f.MemoryMB > 0, "memory_mb", "must be above 0")
 	need(f.Descriptors > 0, "descriptors", "must be above 0")
+	need(f.Processor >= 0, "processor", "must not be negative")
+	need(f.LinkMbit >= 0, "link_mbit", "must not be negative")
 	need(f.LeaseLeastMS >= 0, "lease_least_ms", "must not be negative")
 	return faults
 }
