Servers without room, forgotten connections, ended processes: proofs instead of waits

Keys of a crashed server waited until its grants had run out, though its machine refuses connections from the first moment. Ruled out: stale kept connections as the cause of those resets (a kept one fails after one way, not two). Change: a request that must not run twice waits on a new connection until the server would have ended it, and so does every request for 3 s after a server did; the failure is then proved not to have run. Failures say whether their connection was kept. A refused connection is proof that a server's process has ended: its keys move at once. A deadline that a connection notices before its context was called a reset.

--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -93,7 +93,7 @@
 
 // next makes one step and says whether another one is needed.
 func (j *job) next() bool {
-	if err := j.ctx.Err(); err != nil {
+	if over(j.ctx) {
 		return j.end(verdict.NotRun, endCode(j.ctx))
 	}
 	current, changed := j.options.Views.Load()
@@ -107,12 +107,19 @@
 	return j.nextAny(service)
 }
 
+// over says whether a request's context has ended or its deadline has passed: a
+// connection may notice the deadline before the context does.
+func over(ctx context.Context) bool {
+	deadline, limited := ctx.Deadline()
+	return ctx.Err() != nil || limited && !time.Now().Before(deadline)
+}
+
 // endCode tells why a request's context ended.
 func endCode(ctx context.Context) verdict.Code {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return verdict.CodeTimeout
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return verdict.CodeCallerGone
 	}
-	return verdict.CodeCallerGone
+	return verdict.CodeTimeout
 }
 
 // nextAny sends to the best server of a service that is not divided by key.
@@ -254,7 +261,7 @@
 	if service == nil || service.DividedByKey || len(j.tried) >= j.request.Route.MaxAttempts+j.free {
 		return false
 	}
-	return j.ctx.Err() == nil && len(j.tried) < len(service.Servers)
+	return !over(j.ctx) && len(j.tried) < len(service.Servers)
 }
 
 // notRun takes a send that is proved not to have run.
@@ -281,7 +288,7 @@
 func (j *job) unknown(sent outcome) bool {
 	j.mayHaveRun = true
 	j.end(verdict.MayHaveRun, sent.Code)
-	if !j.request.Route.Idempotent || j.ctx.Err() != nil {
+	if !j.request.Route.Idempotent || over(j.ctx) {
 		return false
 	}
 	return true
--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -143,10 +143,10 @@
 	if failure.Stage == upstream.StageConnect {
 		sent.result = balance.Unreachable
 	}
-	if failure.Stage == upstream.StageLimit {
+	if failure.Stage == upstream.StageLimit || failure.Stage == upstream.StageRefused {
 		sent.result = balance.Refused
 	}
-	if ctx.Err() != nil {
+	if over(ctx) {
 		sent.Code, sent.result = endCode(ctx), balance.Withdrawn
 	}
 	return sent
@@ -156,6 +156,7 @@
 	codes := [...]verdict.Code{
 		upstream.StageLimit:    verdict.CodeConnections,
 		upstream.StageConnect:  verdict.CodeConnect,
+		upstream.StageRefused:  verdict.CodeConnections,
 		upstream.StageWrite:    verdict.CodeWrite,
 		upstream.StageAnswer:   verdict.CodeReset,
 		upstream.StageTruncate: verdict.CodeTruncated,
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -60,7 +60,7 @@
 func (m *Machine) row(life model.Life) *serverRow {
 	row := m.servers[life]
 	if row == nil {
-		row = &serverRow{granted: make(map[uint16]grantRow), inFlight: make(map[uint64]bool)}
+		row = &serverRow{granted: make(map[uint16]grantRow), inFlight: make(map[uint64]time.Duration)}
 		row.ID, row.Born = life.ID, life.Born
 		m.servers[life] = row
 	}
@@ -139,16 +139,19 @@
 	NotSent
 	// Unreachable: it was not sent, since no connection could be made.
 	Unreachable
+	// NoListener: it was not sent, since no process listens at the address.
+	NoListener
 )
 
 // sent says whether the server may have seen the grant.
-func (o Outcome) sent() bool { return o != NotSent && o != Unreachable }
+func (o Outcome) sent() bool { return o != NotSent && o != Unreachable && o != NoListener }
 
 // StepGranted takes the end of a grant call.
 func (m *Machine) StepGranted(now time.Duration, order GrantOrder, outcome Outcome) {
 	m.now = now
 	row := m.row(order.Life)
 	row.everSent = true
+	began := row.inFlight[order.Call]
 	delete(row.inFlight, order.Call)
 	if outcome.sent() {
 		row.arrivedBy = now
@@ -159,7 +162,10 @@
 	case Unanswered:
 		row.unansweredBy = now
 	case Unreachable:
-		row.unsure, row.namedAt, row.probeAt = true, 0, now+probeEvery
+		row.doubt(now)
+	case NoListener:
+		row.doubt(now)
+		row.overAt = max(row.overAt, began)
 	}
 	m.settleBounds(order, outcome)
 	m.settleGrant(row, order, outcome == Taken)
@@ -182,10 +188,15 @@
 	}
 }
 
+// doubt notes that another process may run at the server's address by now.
+func (r *serverRow) doubt(now time.Duration) {
+	r.unsure, r.namedAt, r.probeAt = true, 0, now+probeEvery
+}
+
 // settleBounds takes the end of a call into the bounds of prior holders.
 func (m *Machine) settleBounds(order GrantOrder, outcome Outcome) {
 	for key, bound := range m.bounds {
-		if key.life != order.Life || !bound.pending[order.Call] {
+		if _, under := bound.pending[order.Call]; key.life != order.Life || !under {
 			continue
 		}
 		delete(bound.pending, order.Call)
@@ -217,10 +228,13 @@
 }
 
 // StepProbed takes the ID that the server at an address gave; empty if none
-// came.
-func (m *Machine) StepProbed(now time.Duration, order ProbeOrder, id string) {
+// came. noListener says that no process listens at the address.
+func (m *Machine) StepProbed(now time.Duration, order ProbeOrder, id string, noListener bool) {
 	m.now = now
 	row := m.row(order.Life)
+	if noListener && row.probing {
+		row.overAt = max(row.overAt, row.probedAt)
+	}
 	row.probing = false
 	if row.unsure && id == order.Life.ID {
 		row.namedAt = now
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -166,9 +166,13 @@
 	if !row.listed {
 		return m.absent(row)
 	}
-	return row.Draining || m.outOfReach(row)
+	return row.Draining || m.outOfReach(row) || row.over()
 }
 
+// over says whether a server's process has ended: nothing listened at its
+// address, and it has not named itself since.
+func (r *serverRow) over() bool { return r.overAt > 0 && r.unsure && r.namedAt == 0 }
+
 // outOfReach says whether a listed server has answered no grant for so long
 // that it holds nothing any more, while most others do answer.
 func (m *Machine) outOfReach(row *serverRow) bool {
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -15,8 +15,8 @@
 	// lateBy is the same for grants without an answer, which may be applied
 	// after a release.
 	lateBy time.Duration
-	// pending are the calls that are still under way.
-	pending map[uint64]bool
+	// pending are the calls that are still under way, by when they began.
+	pending map[uint64]time.Duration
 }
 
 // longestHold is how long a grant may hold at a server with a slow clock.
@@ -52,7 +52,8 @@
 	if len(bound.pending) > 0 {
 		return false, "" // It could reach a later life at the same address.
 	}
-	if m.replacedSince(prior, max(bound.arrivedBy, bound.lateBy)) {
+	lastBy := max(bound.arrivedBy, bound.lateBy)
+	if m.replacedSince(prior, lastBy) || lastBy < m.row(prior.Life).overAt {
 		return true, ""
 	}
 	if m.now >= bound.arrivedBy+m.longestHold() {
--- a/gateway/keys/system_probe.go
+++ b/gateway/keys/system_probe.go
@@ -6,7 +6,7 @@
 		if !row.unsure || !row.listed || row.Draining || row.probing || row.namedAt != 0 || m.now < row.probeAt {
 			continue
 		}
-		row.probing, row.probeAt = true, m.now+probeEvery
+		row.probing, row.probedAt, row.probeAt = true, m.now, m.now+probeEvery
 		m.ready.Probes = append(m.ready.Probes, ProbeOrder{life, row.Address})
 	}
 }
--- a/gateway/keys/system_renewal.go
+++ b/gateway/keys/system_renewal.go
@@ -56,7 +56,7 @@
 	}
 	grant.inFlight = true
 	m.nextCall++
-	row.inFlight[m.nextCall] = true
+	row.inFlight[m.nextCall] = m.now
 	grant.due = m.now + m.options.Hold/renewShare
 	row.granted[r.From] = grant
 	order := GrantOrder{Life: r.Owner.Life, Address: r.Owner.Address, Call: m.nextCall}
--- a/gateway/keys/tables.go
+++ b/gateway/keys/tables.go
@@ -16,7 +16,10 @@
 	arrivedBy time.Duration
 	// unansweredBy is the same for calls that got no answer.
 	unansweredBy time.Duration
-	inFlight     map[uint64]bool // Calls under way.
+	inFlight     map[uint64]time.Duration // Calls under way, by when they began.
+	// overAt is when a call began that found no process at the address: what
+	// arrived before is over with the process. Zero if none did.
+	overAt       time.Duration
 	everSent     bool
 	took         bool          // It took a grant since leading began.
 	failingSince time.Duration // Zero while calls succeed.
@@ -28,8 +31,10 @@
 	unsure  bool
 	probeAt time.Duration // When to ask next who it is.
 	probing bool
-	namedAt time.Duration       // When it named itself; zero before.
-	granted map[uint16]grantRow // By first key.
+	// probedAt is when it was asked last.
+	probedAt time.Duration
+	namedAt  time.Duration       // When it named itself; zero before.
+	granted  map[uint16]grantRow // By first key.
 }
 
 // grantRow is the state of one granted range.
--- a/gateway/port/port.go
+++ b/gateway/port/port.go
@@ -122,7 +122,10 @@
 type NotSentError struct {
 	// Unreachable says that a connection was tried and could not be made.
 	Unreachable bool
-	Err         error
+	// NoListener says that the machine refused the connection: no process
+	// listens at the address.
+	NoListener bool
+	Err        error
 }
 
 // Error implements error.
@@ -139,6 +142,7 @@
 	Grant(ctx context.Context, address string, grant Grant) error
 	// Release returns the hand-over once the work on the keys has ended.
 	Release(ctx context.Context, address string, release Release) (handover string, err error)
-	// Identify returns the ID of the server at an address, by its health check.
+	// Identify returns the ID of the server at an address, by its health check. A
+	// *NotSentError means that nothing was asked.
 	Identify(ctx context.Context, address, healthPath string) (id string, err error)
 }
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -198,7 +198,8 @@
 
 func (p probed) apply(l *loop) {
 	if machine := l.machines[p.service]; machine != nil {
-		machine.StepProbed(l.clock(), p.order, p.id)
+		var notSent *port.NotSentError
+		machine.StepProbed(l.clock(), p.order, p.id, errors.As(p.err, &notSent) && notSent.NoListener)
 	}
 	cause := ""
 	if p.err != nil {
@@ -238,6 +239,8 @@
 		return keys.Taken
 	case errors.As(err, &fence):
 		return keys.FenceRefused
+	case errors.As(err, &notSent) && notSent.NoListener:
+		return keys.NoListener
 	case errors.As(err, &notSent) && notSent.Unreachable:
 		return keys.Unreachable
 	case errors.As(err, &notSent):
--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -25,6 +25,9 @@
 	// unacknowledgedTime is how long sent bytes may stay unacknowledged before a
 	// connection to a backend server is given up.
 	unacknowledgedTime = 800 * time.Millisecond
+	// settleTime is what a server takes to end a new connection that it has no
+	// room for.
+	settleTime = 3 * time.Millisecond
 	// interruption is the time without a reading of the servers after which an
 	// absent server may still return.
 	interruption = 2500 * time.Millisecond
@@ -48,6 +51,7 @@
 	readAt        time.Duration
 	trustAbsent   time.Duration
 	rows          map[model.Life]*serverRow
+	trust         upstream.IdleTrust // For all goroutines.
 }
 
 // serverRow is one life of a server.
@@ -221,6 +225,8 @@
 		ConnectTimeout: connectTimeout,
 		IdleTimeout:    idleTimeout,
 		AcceptUnframed: true,
+		Settle:         settleTime,
+		Trust:          &t.trust,
 		Belongs: func(request *http.Request, answer *http.Response) bool {
 			asked, _ := t.dialect.ReadRequest(request.Header) // A bad header was refused before.
 			return t.dialect.ReadAnswer(answer.StatusCode, answer.Header).RequestID == asked.ID
--- a/traffic/upstream/conn.go
+++ b/traffic/upstream/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net"
+	"os"
 	"syscall"
 	"time"
 )
@@ -16,6 +17,9 @@
 // errHeadersTooLarge reports an answer whose headers exceed the limit.
 var errHeadersTooLarge = errors.New("answer headers too large")
 
+// errUnasked reports bytes on a connection on which nothing was asked.
+var errUnasked = errors.New("the server sent something before it was asked")
+
 // conn is one connection with its buffers. One request uses it at a time.
 type conn struct {
 	net.Conn
@@ -23,6 +27,7 @@
 	writer    *bufio.Writer
 	idleSince time.Time
 	reused    bool
+	unused    time.Duration // How long it was idle before the request under way.
 	// keepAlive is how long the server keeps the connection without use, less
 	// a margin; the greatest duration until it says.
 	keepAlive time.Duration
@@ -100,6 +105,21 @@
 	return err == nil && quiet
 }
 
+// accepted looks for a while whether the server ends a connection that it has
+// just been asked for.
+func (c *conn) accepted(wait time.Duration) error {
+	c.SetReadDeadline(time.Now().Add(wait))
+	_, err := c.reader.Peek(1)
+	c.SetReadDeadline(time.Time{})
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	if err == nil {
+		return errUnasked
+	}
+	return unexpected(err)
+}
+
 // unexpected turns a clean end of the connection into an unexpected one.
 func unexpected(err error) error {
 	if errors.Is(err, io.EOF) {
--- a/traffic/upstream/exchange.go
+++ b/traffic/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 )
 
@@ -29,6 +30,7 @@
 	ctx     context.Context
 	request *http.Request
 	stop    func() bool
+	began   time.Time
 	written chan error // Receives the end of a body sent beside reading the answer.
 	over    bool
 }
@@ -171,7 +173,7 @@
 	if writeErr == nil && x.written != nil {
 		writeErr = x.bodyError()
 	}
-	failure := &Failure{Stage: StageAnswer, Timeout: x.ended(readErr), Err: readErr}
+	failure := &Failure{Stage: StageAnswer, Timeout: x.ended(readErr), Kept: x.conn.reused, Unused: x.conn.unused, Err: readErr}
 	if writeErr != nil {
 		failure.Stage, failure.Err = StageWrite, writeErr
 		failure.Timeout = x.ended(writeErr)
@@ -180,9 +182,31 @@
 	// before; whether a byte was sent is known only once nobody sends any more.
 	x.abandon()
 	failure.Sent = x.conn.sent
+	x.learn(failure)
 	return failure
 }
 
+// promptly is the time within which a connection that was dead or refused ends.
+const promptly = 100 * time.Millisecond
+
+// learn notes a connection that ended without an answer: a kept one was dead, a
+// new one was refused.
+func (x *exchange) learn(failure *Failure) {
+	switch {
+	case failure.Timeout || !ended(failure.Err) || time.Since(x.began) > promptly || x.conn.headerBytes < x.pool.options.MaxHeaderBytes:
+		// The server may have worked on the request or answered a part.
+	case x.conn.reused:
+		x.pool.options.Trust.Dead(time.Now(), x.conn.unused)
+	default:
+		x.pool.refused()
+	}
+}
+
+// ended says whether the other side ended the connection.
+func ended(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // ended says whether err comes from the end of the context or its deadline.
 func (x *exchange) ended(err error) bool {
 	return x.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)
--- a/traffic/upstream/failure.go
+++ b/traffic/upstream/failure.go
@@ -1,6 +1,9 @@
 package upstream
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
 // Stage is how far an attempt came before it failed.
 type Stage uint8
@@ -9,6 +12,7 @@
 const (
 	StageLimit    Stage = iota // The pool has no connection to give.
 	StageConnect               // Connecting failed.
+	StageRefused               // The server ended a new connection before a request was sent.
 	StageWrite                 // Sending the request failed.
 	StageAnswer                // No answer came.
 	StageTruncate              // The answer ended early.
@@ -23,12 +27,19 @@
 	Sent bool
 	// Timeout says that the context ended or its deadline passed.
 	Timeout bool
-	Err     error
+	// Kept says that the connection had been used before, Unused for how long it
+	// was not.
+	Kept   bool
+	Unused time.Duration
+	Err    error
 }
 
 // Error implements error.
 func (f *Failure) Error() string {
-	names := [...]string{"connection limit", "connect", "write", "answer", "truncated answer", "unframed answer"}
+	names := [...]string{"connection limit", "connect", "connection refused", "write", "answer", "truncated answer", "unframed answer"}
+	if f.Kept {
+		return fmt.Sprintf("upstream: %s, on a connection unused for %v: %v", names[f.Stage], f.Unused.Round(time.Millisecond), f.Err)
+	}
 	return fmt.Sprintf("upstream: %s: %v", names[f.Stage], f.Err)
 }
 
--- a/traffic/upstream/pool.go
+++ b/traffic/upstream/pool.go
@@ -38,6 +38,14 @@
 	// KeepAlive reads from an answer how long the server keeps the connection
 	// open without use; zero means that it does not say. Nil never says.
 	KeepAlive func(answer *http.Response) time.Duration
+	// Settle is what a server takes to end a new connection for want of room,
+	// beyond the way there and back. A request that must not run twice is sent on
+	// a new connection only after that time, and so is every request for a while
+	// after the server did so: the failure then proves that it did not run. Zero
+	// sends at once.
+	Settle time.Duration
+	// Trust learns how long connections may go unused; nil trusts all.
+	Trust *IdleTrust
 	// Control is called with each new connection before it is made; nil does
 	// nothing.
 	Control func(network, address string, raw syscall.RawConn) error
@@ -51,6 +59,11 @@
 	// freshAfter is the idle time after which a request that must not run
 	// twice gets a new connection: the server may be closing an old one.
 	freshAfter = time.Second
+	// settleMost bounds the way there and back that is waited for.
+	settleMost = 60 * time.Millisecond
+	// refusedTime is how long a server that ended a new connection is expected
+	// to end others.
+	refusedTime = 3 * time.Second
 )
 
 var (
@@ -68,6 +81,9 @@
 	open   int
 	limit  int
 	closed bool
+	// refusedUntil ends the time in which new connections are looked at before
+	// they are used.
+	refusedUntil time.Time
 }
 
 // NewPool returns a pool without connections.
@@ -148,8 +164,9 @@
 			return nil, failure
 		}
 		if c == nil {
-			return p.dial(ctx)
+			return p.dial(ctx, once)
 		}
+		c.unused = time.Since(c.idleSince)
 		if c.alive() {
 			c.reused = true
 			return c, nil
@@ -169,7 +186,7 @@
 		c := p.idle[last]
 		idle := time.Since(c.idleSince)
 		p.idle = p.idle[:last]
-		if idle <= min(p.options.IdleTimeout, c.keepAlive) && (!once || idle <= freshAfter) {
+		if idle <= min(p.options.IdleTimeout, c.keepAlive) && (!once || idle <= freshAfter) && p.options.Trust.Trusts(time.Now(), idle) {
 			return c, nil
 		}
 		c.Close()
@@ -182,7 +199,9 @@
 	return nil, nil
 }
 
-func (p *Pool) dial(ctx context.Context) (*conn, *Failure) {
+// dial makes a connection in a place that was reserved for it.
+func (p *Pool) dial(ctx context.Context, once bool) (*conn, *Failure) {
+	began := time.Now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", p.options.Address)
 	if err != nil {
 		p.mu.Lock()
@@ -190,7 +209,33 @@
 		p.mu.Unlock()
 		return nil, &Failure{Stage: StageConnect, Timeout: ctx.Err() != nil, Err: err}
 	}
-	return newConn(raw), nil
+	c := newConn(raw)
+	if !p.settles(once) {
+		return c, nil
+	}
+	if err := c.accepted(min(time.Since(began), settleMost) + p.options.Settle); err != nil {
+		p.discard(c)
+		p.refused()
+		return nil, &Failure{Stage: StageRefused, Err: err}
+	}
+	return c, nil
+}
+
+// settles says whether a new connection is looked at before it is used.
+func (p *Pool) settles(once bool) bool {
+	if p.options.Settle == 0 {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return once || time.Now().Before(p.refusedUntil)
+}
+
+// refused notes that the server ended a new connection.
+func (p *Pool) refused() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusedUntil = time.Now().Add(refusedTime)
 }
 
 // release returns a connection whose exchange ended cleanly.
@@ -222,6 +267,6 @@
 	if failure != nil {
 		return nil, failure
 	}
-	x := &exchange{pool: p, conn: c, ctx: ctx, request: request}
+	x := &exchange{pool: p, conn: c, ctx: ctx, request: request, began: time.Now()}
 	return x.run()
 }
