Starting processes get a large configuration from the leader, packed

Cause: after kill_all with 1,772 routes 61 processes read 660 KB each from the store at once; the link between the regions was full for 5 s (5,067 requests refused for want of a configuration, leaders gave up for servers out of reach). Change: for 2 s after its start a process reads at most 64 KB of configuration from the store; a larger one comes with the answer to its report.

--- a/gateway/run/feeds.go
+++ b/gateway/run/feeds.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"guavacrank.example/gateway/port"
@@ -37,6 +38,9 @@
 	prefix  string
 	deliver func(input)
 
+	// most bounds the bytes of a listing; zero sets no bound.
+	most atomic.Int64
+
 	mu     sync.Mutex
 	active bool
 	wake   chan struct{}
@@ -96,8 +100,12 @@
 func (f *feed) run(ctx context.Context) {
 	pause := firstPause
 	for f.await(ctx); ctx.Err() == nil; f.await(ctx) {
-		entries, version, err := f.store.List(ctx, f.prefix)
+		entries, version, err := f.store.List(ctx, f.prefix, f.most.Load())
 		f.deliver(followed{prefix: f.prefix, whole: true, entries: entries, err: err})
+		if kvstore.IsKind(err, kvstore.KindTooLarge) {
+			sleep(ctx, jitter(lastPause))
+			continue
+		}
 		if err != nil {
 			sleep(ctx, jitter(pause))
 			pause = min(2*pause, lastPause)
@@ -144,7 +152,7 @@
 			continue
 		}
 		began := time.Now()
-		entries, _, err := l.store.List(ctx, l.records.ServersPrefix())
+		entries, _, err := l.store.List(ctx, l.records.ServersPrefix(), 0)
 		l.deliver(polled{entries: entries, err: err})
 		every := pollEvery
 		if l.leadingNow.Load() {
@@ -182,7 +190,7 @@
 // readPages reads the pages of keys once. Later ones come from the leader.
 func (l *loop) readPages(ctx context.Context) {
 	for ctx.Err() == nil {
-		entries, _, err := l.store.List(ctx, pagePrefix)
+		entries, _, err := l.store.List(ctx, pagePrefix, 0)
 		l.deliver(followed{prefix: pagePrefix, whole: true, entries: entries, err: err})
 		if err == nil {
 			return
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -77,7 +77,8 @@
 	leading       bool
 	term          kvstore.Version
 	ledAt         time.Duration
-	leadAt        time.Duration   // The systems that lead do not run before.
+	leadAt        time.Duration // The systems that lead do not run before.
+	startedAt     time.Duration
 	asking        map[string]bool // Incarnations of earlier leaders that are being asked.
 	leaderNow     peer.Follow
 	fleetBefore   []string        // peersKnown when leading began.
@@ -137,28 +138,30 @@
 		panic("run: " + err.Error()) // Three texts always encode.
 	}
 	l := &loop{
-		settings: o.Settings,
-		store:    o.Store,
-		records:  o.Records,
-		grantor:  o.Grantor,
-		book:     parts.book,
-		budget:   parts.budget,
-		views:    parts.views,
-		clock:    parts.clock,
-		peers:    peer.NewClient(),
-		self:     self,
-		inputs:   make(chan input, inputQueue),
-		ctx:      ctx,
-		pages:    make(map[string]*seenPage),
-		machines: make(map[string]*keys.Machine),
-		asking:   make(map[string]bool),
-		members:  make(map[string]member),
-		ignored:  make(map[string]kvstore.Version),
-		asked:    parts.asked,
-		mayWatch: true,
+		settings:  o.Settings,
+		store:     o.Store,
+		records:   o.Records,
+		grantor:   o.Grantor,
+		book:      parts.book,
+		budget:    parts.budget,
+		views:     parts.views,
+		clock:     parts.clock,
+		peers:     peer.NewClient(),
+		self:      self,
+		inputs:    make(chan input, inputQueue),
+		ctx:       ctx,
+		pages:     make(map[string]*seenPage),
+		machines:  make(map[string]*keys.Machine),
+		asking:    make(map[string]bool),
+		members:   make(map[string]member),
+		ignored:   make(map[string]kvstore.Version),
+		asked:     parts.asked,
+		mayWatch:  true,
+		startedAt: parts.clock(),
 	}
 	l.servers = newServerTable(o.Settings, o.Dialect, parts.book)
 	l.configurationFeed = newFeed(o.Store, o.Records.ConfigurationKey(), l.deliver)
+	l.configurationFeed.most.Store(leanBytes)
 	l.leaderFeed = newFeed(o.Store, leaderKey, l.deliver)
 	l.relay = newRelay()
 	l.relayedAt.Store(-int64(l.relayLife()))
@@ -227,7 +230,11 @@
 }
 
 func (f followed) apply(l *loop) {
-	if kvstore.IsKind(f.err, kvstore.KindHistoryGone) {
+	switch {
+	case kvstore.IsKind(f.err, kvstore.KindHistoryGone):
+		return
+	case kvstore.IsKind(f.err, kvstore.KindTooLarge):
+		l.reportSoon() // The leader has it.
 		return
 	}
 	l.storeCall("watch "+f.prefix, f.err)
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -26,6 +26,11 @@
 	// others get its news from the leader. Each change goes whole from the store
 	// to every daemon that follows it, also to other regions.
 	mostWatchers = 12
+	// leanBytes bounds the configuration that a starting process reads from the
+	// store itself within leanTime; a larger one comes from the leader, packed, so
+	// that many processes that start do not fill the link between the regions.
+	leanBytes = 64 << 10
+	leanTime  = 2 * time.Second
 	// soonSpread spreads the reports of daemons that miss something.
 	soonSpread = 150 * time.Millisecond
 )
@@ -147,6 +152,9 @@
 	needed := l.leading || l.mayWatch || l.leaderNow.Leader.Address == ""
 	l.leaderFeed.activate(needed || l.relay.failures > 0)
 	l.configurationFeed.activate(needed || l.relay.failures >= staleAnswers)
+	if l.leading || l.configuration != nil || l.clock()-l.startedAt >= leanTime {
+		l.configurationFeed.most.Store(0)
+	}
 }
 
 func (n newsTaken) apply(l *loop) {
