Renewals of divided ranges wait until they are due; a starting leader reads at once

Change: a part of a granted range keeps the time of its renewal; 256 KB may be read at the start; a leader's feed is stirred. Tests: keys 'does not grant the rest of a divided range again before its renewal is due' failed before (2 grants).

--- a/gateway/keys/machine_test.go
+++ b/gateway/keys/machine_test.go
@@ -186,6 +186,28 @@
 		Expect(w.faults).To(BeEmpty())
 	})
 
+	It("does not grant the rest of a divided range again before its renewal is due", func() {
+		w, m := settled(16, 4)
+		busy := w.page.Find(20000).Owner.Life
+		var asked []uint16
+		for i := range 200 {
+			asked = append(asked, uint16(20000+i%50))
+		}
+		m.StepHeat(w.now, asked)
+		granted := 0
+		w.granted = func(order keys.GrantOrder) {
+			if order.Life == busy {
+				granted++
+			}
+		}
+		w.run(600 * time.Millisecond) // Renewals are sent each second, the last at 2.74 s.
+		Expect(w.page.Find(20000).Owner.Life).NotTo(Equal(w.page.Find(20049).Owner.Life), "the range was divided")
+		Expect(granted).To(BeZero())
+		w.run(5 * time.Second)
+		Expect(w.unowned()).To(BeZero())
+		Expect(w.faults).To(BeEmpty())
+	})
+
 	It("divides a hot range also while another server has a key that can't be divided", func() {
 		w, m := settled(15, 12)
 		const single, first, keys = uint16(60000), 20000, 60
--- a/gateway/keys/system_renewal.go
+++ b/gateway/keys/system_renewal.go
@@ -47,9 +47,7 @@
 	}
 	grant, known := row.granted[r.From]
 	if !known || grant.fence != r.Owner.Fence || grant.to != r.To {
-		grant.fence, grant.to, grant.handover = r.Owner.Fence, r.To, handover
-		grant.answered = false
-		grant.due = 0
+		grant = row.newGrant(r, handover)
 	}
 	if grant.inFlight || m.now < grant.due {
 		return
@@ -65,6 +63,19 @@
 	m.ready.Grants = append(m.ready.Grants, order)
 }
 
+// newGrant returns the state of a range that was not granted as it is now. A part
+// of a granted range is held until that grant runs out, and renewed when that
+// was due: a server with a long queue answers a call on a new connection late.
+func (r *serverRow) newGrant(part Range, handover string) grantRow {
+	for from, grant := range r.granted {
+		if from <= part.From && grant.to >= part.To && grant.fence == part.Owner.Fence && grant.answered {
+			grant.to, grant.inFlight = part.To, false
+			return grant
+		}
+	}
+	return grantRow{fence: part.Owner.Fence, to: part.To, handover: handover}
+}
+
 // reachesOwner says whether a grant sent to a server's address reaches that
 // server and no later one: it is listed and sure, or it was there since leading
 // began and may only be missing from the list for a moment.
--- a/gateway/keys/world_test.go
+++ b/gateway/keys/world_test.go
@@ -68,8 +68,10 @@
 	work time.Duration
 	// lostWrites is the share of writes that are applied and not answered.
 	lostWrites float64
-	faults     []string
-	highest    map[uint16]fenceSeen
+	// granted is told each grant that is sent; nil is not.
+	granted func(order keys.GrantOrder)
+	faults  []string
+	highest map[uint16]fenceSeen
 }
 
 type fenceSeen struct {
@@ -270,6 +272,9 @@
 }
 
 func (w *world) grant(m *keys.Machine, order keys.GrantOrder) {
+	if w.granted != nil {
+		w.granted(order)
+	}
 	server := w.at(order.Address)
 	if server == nil {
 		w.after(w.way(), func() { m.StepGranted(w.now, order, keys.NoListener) })
--- a/gateway/run/feeds.go
+++ b/gateway/run/feeds.go
@@ -63,10 +63,7 @@
 	if f.cancel != nil {
 		f.cancel()
 	}
-	select {
-	case f.wake <- struct{}{}:
-	default:
-	}
+	f.stir()
 }
 
 // await returns when the feed is active or ctx has ended.
@@ -95,6 +92,33 @@
 	}
 }
 
+// unbound lifts the bound of listings; a listing that was too large is made
+// again at once.
+func (f *feed) unbound() {
+	if f.most.Swap(0) != 0 {
+		f.stir()
+	}
+}
+
+// stir ends a rest of the feed.
+func (f *feed) stir() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// rest waits for d, or less if the feed is stirred.
+func (f *feed) rest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.wake:
+	}
+}
+
 // run lists the prefix and watches it, and lists again whenever the watch
 // fails, until ctx ends.
 func (f *feed) run(ctx context.Context) {
@@ -103,7 +127,7 @@
 		entries, version, err := f.store.List(ctx, f.prefix, f.most.Load())
 		f.deliver(followed{prefix: f.prefix, whole: true, entries: entries, err: err})
 		if kvstore.IsKind(err, kvstore.KindTooLarge) {
-			sleep(ctx, jitter(lastPause))
+			f.rest(ctx, jitter(lastPause))
 			continue
 		}
 		if err != nil {
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -104,6 +104,7 @@
 	l.leadingNow.Store(true)
 	l.leaderNow = peer.Follow{Leader: l.self, Term: uint64(l.term)}
 	l.book.Event(event.LeadershipWon, "", zap.Uint64("term", uint64(l.term)))
+	l.followStore()
 	l.announce()
 	for _, machine := range l.machines {
 		machine.Lead(now)
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -29,7 +29,7 @@
 	// leanBytes bounds the configuration that a starting process reads from the
 	// store itself within leanTime; a larger one comes from the leader, packed, so
 	// that many processes that start do not fill the link between the regions.
-	leanBytes = 64 << 10
+	leanBytes = 256 << 10
 	leanTime  = 2 * time.Second
 	// soonSpread spreads the reports of daemons that miss something.
 	soonSpread = 150 * time.Millisecond
@@ -153,7 +153,7 @@
 	l.leaderFeed.activate(needed || l.relay.failures > 0)
 	l.configurationFeed.activate(needed || l.relay.failures >= staleAnswers)
 	if l.leading || l.configuration != nil || l.clock()-l.startedAt >= leanTime {
-		l.configurationFeed.most.Store(0)
+		l.configurationFeed.unbound()
 	}
 }
 
