Large configurations to starting fleets by the tree; grants that are still on their way

After kill_all each of 30 daemons of the far region asked the leader again and again for 1,772 routes, with 800 ms for an answer, then read 660 KB each from the store: the link was full for 14 s (7 configurations in force at 41 s). A grant whose call was given up at 40.5 s arrived at 41.1 s; its keys were given away 0.5 s before its hold ended. Change: a large fleet's leader gathers those that lack the record and sends it to one of them a zone; it is not sent again to one daemon within 1.5 s; a starting process reads a large record from the store only after 5 s; one that got the record from the leader watches from its version and lists nothing. A grant call that got no answer in time counts as arriving up to 0.7 s later.

--- a/gateway/keys/machine_test.go
+++ b/gateway/keys/machine_test.go
@@ -302,7 +302,7 @@
 				hidden = w.trouble(step, hidden)
 				w.run(time.Duration(200+w.random.IntN(2500))*time.Millisecond, hidden...)
 			}
-			w.late, w.lostWrites = 0, 0
+			w.late, w.jammed, w.lostWrites = 0, 0, 0
 			for _, s := range w.servers {
 				s.cut = false
 			}
@@ -339,7 +339,7 @@
 			chosen.up = false
 		}
 	case 3:
-		w.late = 0.4
+		w.late, w.jammed = 0.3, 0.1
 	case 4:
 		w.lostWrites = 0.4
 	case 5:
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -129,8 +129,12 @@
 
 // Outcomes of a grant call.
 const (
-	// Unanswered grants may be applied, late.
+	// Unanswered: the connection ended without an answer. The grant may be
+	// applied, late.
 	Unanswered Outcome = iota
+	// Silent: no answer came in time. The grant may be on its way and be applied,
+	// late.
+	Silent
 	// Taken grants hold.
 	Taken
 	// FenceRefused: the server has seen a higher fence.
@@ -146,6 +150,9 @@
 // sent says whether the server may have seen the grant.
 func (o Outcome) sent() bool { return o != NotSent && o != Unreachable && o != NoListener }
 
+// answered says whether the server answered.
+func (o Outcome) answered() bool { return o == Taken || o == FenceRefused }
+
 // StepGranted takes the end of a grant call.
 func (m *Machine) StepGranted(now time.Duration, order GrantOrder, outcome Outcome) {
 	m.now = now
@@ -154,13 +161,13 @@
 	began := row.inFlight[order.Call]
 	delete(row.inFlight, order.Call)
 	if outcome.sent() {
-		row.arrivedBy = now
+		row.arrivedBy = max(row.arrivedBy, arrival(now, outcome))
 	}
 	switch outcome {
 	case Taken:
 		row.took = true
-	case Unanswered:
-		row.unansweredBy = now
+	case Unanswered, Silent:
+		row.unansweredBy = max(row.unansweredBy, arrival(now, outcome))
 	case Unreachable:
 		row.doubt(now)
 	case NoListener:
@@ -170,7 +177,7 @@
 	m.settleBounds(order, outcome)
 	m.settleGrant(row, order, outcome == Taken)
 	switch {
-	case outcome == Unanswered || !outcome.sent():
+	case !outcome.answered():
 		if row.failingSince == 0 {
 			row.failingSince = now
 		}
@@ -188,6 +195,14 @@
 	}
 }
 
+// arrival is the latest time at which a call that has ended now may arrive.
+func arrival(now time.Duration, outcome Outcome) time.Duration {
+	if outcome == Silent {
+		return now + transitTime
+	}
+	return now
+}
+
 // doubt notes that another process may run at the server's address by now.
 func (r *serverRow) doubt(now time.Duration) {
 	r.unsure, r.namedAt, r.probeAt = true, 0, now+probeEvery
@@ -201,10 +216,10 @@
 		}
 		delete(bound.pending, order.Call)
 		if outcome.sent() {
-			bound.arrivedBy = max(bound.arrivedBy, m.now)
+			bound.arrivedBy = max(bound.arrivedBy, arrival(m.now, outcome))
 		}
-		if outcome == Unanswered {
-			bound.lateBy = max(bound.lateBy, m.now)
+		if !outcome.answered() && outcome.sent() {
+			bound.lateBy = max(bound.lateBy, arrival(m.now, outcome))
 		}
 		m.bounds[key] = bound
 	}
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -5,8 +5,13 @@
 	"time"
 )
 
-// CallTimeout limits a grant call: a grant has arrived by then or never will.
-const CallTimeout = 500 * time.Millisecond
+const (
+	// CallTimeout limits a grant call.
+	CallTimeout = 500 * time.Millisecond
+	// transitTime is how long the bytes of a call that was given up may still be
+	// on their way, over a link that is full.
+	transitTime = 700 * time.Millisecond
+)
 
 // holdBound bounds what a prior holder may still hold.
 type holdBound struct {
--- a/gateway/keys/world_test.go
+++ b/gateway/keys/world_test.go
@@ -16,6 +16,8 @@
 	worldPredecessor = 10 * time.Second
 	worldHeartbeat   = 800 * time.Millisecond
 	worldTick        = 20 * time.Millisecond
+	// jamTime is how long after its end a call may arrive.
+	jamTime = 600 * time.Millisecond
 )
 
 // fakeServer is a backend server that holds keys as the platform's pages say:
@@ -62,6 +64,8 @@
 	asking map[*keys.Machine]bool
 	// late is the share of grants that are applied late and not answered.
 	late float64
+	// jammed is the share of grants that arrive after their call was given up.
+	jammed float64
 	// delay is the longest way of a call.
 	delay time.Duration
 	// work is the longest time of work that a release waits for.
@@ -284,6 +288,11 @@
 		w.after(keys.CallTimeout, func() { m.StepGranted(w.now, order, keys.Unreachable) })
 		return
 	}
+	if w.random.Float64() < w.jammed {
+		w.after(keys.CallTimeout+time.Duration(w.random.Int64N(int64(jamTime))), func() { w.apply(server, order) })
+		w.after(keys.CallTimeout, func() { m.StepGranted(w.now, order, keys.Silent) })
+		return
+	}
 	w.after(w.way(), func() {
 		arrived := w.now
 		if w.random.Float64() < w.late {
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -22,6 +22,8 @@
 	procedureFollow = "/guavacrank.peer.v1.Peer/Follow"
 	// callTimeout bounds one call.
 	callTimeout = 800 * time.Millisecond
+	// spreadTimeout bounds a call that carries news, which may be long.
+	spreadTimeout = 3 * time.Second
 	// connectTimeout bounds the making of a connection.
 	connectTimeout = 400 * time.Millisecond
 	// idleTimeout is how long an unused connection is kept.
@@ -91,9 +93,9 @@
 	// ListAgeMS is how long ago the leader read the list from the store.
 	ListAgeMS int64 `json:"list_age_ms"`
 	// Configuration is the newest version that the leader has; Record is the
-	// operators' record of it, packed, if the daemon lacks it.
-	Configuration uint64 `json:"configuration"`
-	Record        []byte `json:"record,omitempty"`
+	// operators' record of it, if the daemon lacks it.
+	Configuration uint64  `json:"configuration"`
+	Record        *Record `json:"record,omitempty"`
 	// Members are the addresses of all daemons, if their number differs from
 	// what the daemon knows.
 	Members []string `json:"members,omitempty"`
@@ -113,12 +115,20 @@
 type Spread struct {
 	// Page is a change of a page of keys, if any.
 	Page *PageChange `json:"page,omitempty"`
-	// Record is the operators' record of a newer configuration, packed, if any.
-	Record []byte `json:"record,omitempty"`
+	// Record is the operators' record of a newer configuration, if any.
+	Record *Record `json:"record,omitempty"`
 	// Onward are the peers' addresses that the receiver passes the news on to.
 	Onward []string `json:"onward,omitempty"`
 }
 
+// Record is the operators' record of the configuration.
+type Record struct {
+	// Packed is the compressed record.
+	Packed []byte `json:"packed"`
+	// Version is the store's version of the record.
+	Version uint64 `json:"version"`
+}
+
 // PageChange makes one version of a service's page into the next one.
 type PageChange struct {
 	Service string          `json:"service"`
@@ -228,7 +238,11 @@
 }
 
 func call[Q, A any](ctx context.Context, c *Client, address, procedure string, message *Q) (*A, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	timeout := callTimeout
+	if procedure == procedureSpread {
+		timeout = spreadTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	client := connect.NewClient[Q, A](c.http, "http://"+address+procedure, connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes))
 	answer, err := client.CallUnary(ctx, connect.NewRequest(message))
--- a/gateway/run/feeds.go
+++ b/gateway/run/feeds.go
@@ -40,6 +40,8 @@
 
 	// most bounds the bytes of a listing; zero sets no bound.
 	most atomic.Int64
+	// from is the version from which to watch without a listing; zero lists.
+	from atomic.Uint64
 
 	mu     sync.Mutex
 	active bool
@@ -92,6 +94,13 @@
 	}
 }
 
+// follow says that the prefix is known up to a version, so that it need not be
+// listed. It ends a rest, not a watch that waits.
+func (f *feed) follow(version kvstore.Version) {
+	f.from.Store(uint64(version))
+	f.stir()
+}
+
 // unbound lifts the bound of listings; a listing that was too large is made
 // again at once.
 func (f *feed) unbound() {
@@ -124,6 +133,12 @@
 func (f *feed) run(ctx context.Context) {
 	pause := firstPause
 	for f.await(ctx); ctx.Err() == nil; f.await(ctx) {
+		if known := f.from.Swap(0); known > 0 {
+			if err := f.watch(ctx, kvstore.Version(known)); err != nil && !kvstore.IsKind(err, kvstore.KindHistoryGone) {
+				sleep(ctx, jitter(firstPause))
+			}
+			continue
+		}
 		entries, version, err := f.store.List(ctx, f.prefix, f.most.Load())
 		f.deliver(followed{prefix: f.prefix, whole: true, entries: entries, err: err})
 		if kvstore.IsKind(err, kvstore.KindTooLarge) {
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -43,6 +43,7 @@
 		return
 	}
 	l.addMachines(now)
+	l.sendRecord(now)
 	l.outvotePredecessor(now)
 	isolated := 0
 	for service, machine := range l.machines {
@@ -101,6 +102,8 @@
 	l.leading, l.ledAt = true, now
 	l.fleetBefore = l.peersKnown
 	clear(l.members)
+	clear(l.lacking)
+	clear(l.recordSent)
 	l.leadingNow.Store(true)
 	l.leaderNow = peer.Follow{Leader: l.self, Term: uint64(l.term)}
 	l.book.Event(event.LeadershipWon, "", zap.Uint64("term", uint64(l.term)))
@@ -246,6 +249,8 @@
 		return keys.Unreachable
 	case errors.As(err, &notSent):
 		return keys.NotSent
+	case errors.Is(err, context.DeadlineExceeded):
+		return keys.Silent
 	default:
 		return keys.Unanswered
 	}
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -79,15 +79,19 @@
 	ledAt         time.Duration
 	leadAt        time.Duration // The systems that lead do not run before.
 	startedAt     time.Duration
+	recordAt      time.Duration   // The record is not sent to those that lack it before.
 	asking        map[string]bool // Incarnations of earlier leaders that are being asked.
 	leaderNow     peer.Follow
-	fleetBefore   []string        // peersKnown when leading began.
-	peersKnown    []string        // Addresses of all daemons, as the leader said.
-	record        []byte          // The operators' record of the configuration.
-	packed        []byte          // The same, packed; nil until it is needed.
-	watchers      map[string]bool // VMs that are to follow the store, while this one leads.
-	mayWatch      bool            // The leader wants this VM to follow the store.
-	latenciesAt   time.Duration   // Servers' times are not reported before.
+	fleetBefore   []string                 // peersKnown when leading began.
+	peersKnown    []string                 // Addresses of all daemons, as the leader said.
+	record        []byte                   // The operators' record of the configuration.
+	recordVersion kvstore.Version          // Of record.
+	packed        *peer.Record             // The same, packed; nil until it is needed.
+	lacking       map[string]bool          // VMs that are to be sent the record, while this one leads.
+	recordSent    map[string]time.Duration // When each VM was sent the record.
+	watchers      map[string]bool          // VMs that are to follow the store, while this one leads.
+	mayWatch      bool                     // The leader wants this VM to follow the store.
+	latenciesAt   time.Duration            // Servers' times are not reported before.
 	reporting     bool
 	members       map[string]member
 	asked         *askedKeys
@@ -138,26 +142,28 @@
 		panic("run: " + err.Error()) // Three texts always encode.
 	}
 	l := &loop{
-		settings:  o.Settings,
-		store:     o.Store,
-		records:   o.Records,
-		grantor:   o.Grantor,
-		book:      parts.book,
-		budget:    parts.budget,
-		views:     parts.views,
-		clock:     parts.clock,
-		peers:     peer.NewClient(),
-		self:      self,
-		inputs:    make(chan input, inputQueue),
-		ctx:       ctx,
-		pages:     make(map[string]*seenPage),
-		machines:  make(map[string]*keys.Machine),
-		asking:    make(map[string]bool),
-		members:   make(map[string]member),
-		ignored:   make(map[string]kvstore.Version),
-		asked:     parts.asked,
-		mayWatch:  true,
-		startedAt: parts.clock(),
+		settings:   o.Settings,
+		store:      o.Store,
+		records:    o.Records,
+		grantor:    o.Grantor,
+		book:       parts.book,
+		budget:     parts.budget,
+		views:      parts.views,
+		clock:      parts.clock,
+		peers:      peer.NewClient(),
+		self:       self,
+		inputs:     make(chan input, inputQueue),
+		ctx:        ctx,
+		pages:      make(map[string]*seenPage),
+		machines:   make(map[string]*keys.Machine),
+		asking:     make(map[string]bool),
+		members:    make(map[string]member),
+		lacking:    make(map[string]bool),
+		recordSent: make(map[string]time.Duration),
+		ignored:    make(map[string]kvstore.Version),
+		asked:      parts.asked,
+		mayWatch:   true,
+		startedAt:  parts.clock(),
 	}
 	l.servers = newServerTable(o.Settings, o.Dialect, parts.book)
 	l.configurationFeed = newFeed(o.Store, o.Records.ConfigurationKey(), l.deliver)
@@ -266,7 +272,8 @@
 	if configuration == nil || l.configuration != nil && configuration.Version <= l.configuration.Version {
 		return
 	}
-	l.configuration, l.record, l.packed = configuration, entry.Value, nil
+	l.configuration, l.record, l.recordVersion, l.packed = configuration, entry.Value, entry.Version, nil
+	clear(l.recordSent)
 	l.routes = routing.NewTable(configuration)
 	l.changed = true
 	l.book.Event(event.GatewayConfigured, "", zap.Uint64("configuration", configuration.Version),
@@ -277,9 +284,9 @@
 }
 
 // packedRecord returns the operators' record for the way between daemons.
-func (l *loop) packedRecord() []byte {
+func (l *loop) packedRecord() *peer.Record {
 	if l.packed == nil {
-		l.packed = pack(l.record)
+		l.packed = &peer.Record{Packed: pack(l.record), Version: uint64(l.recordVersion)}
 	}
 	return l.packed
 }
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -143,7 +143,7 @@
 	if l.configuration != nil {
 		answer.Configuration = l.configuration.Version
 		if report.WantConfiguration && report.Configuration < answer.Configuration {
-			answer.Record = l.packedRecord()
+			answer.Record = l.recordFor(report.VM, now)
 		}
 	}
 	if report.Members != answer.VMs {
@@ -187,7 +187,7 @@
 	if len(answer.Members) > 0 {
 		l.peersKnown = answer.Members
 	}
-	if len(answer.Record) > 0 {
+	if answer.Record != nil {
 		l.takeRecord(answer.Record)
 	}
 	l.compareVersion(now, answer.Configuration)
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -30,7 +30,11 @@
 	// store itself within leanTime; a larger one comes from the leader, packed, so
 	// that many processes that start do not fill the link between the regions.
 	leanBytes = 256 << 10
-	leanTime  = 2 * time.Second
+	leanTime  = 5 * time.Second
+	// gatherTime is how long daemons that lack the record are gathered, resendAfter
+	// the least time between two sends of it to one daemon.
+	gatherTime  = 150 * time.Millisecond
+	resendAfter = 1500 * time.Millisecond
 	// soonSpread spreads the reports of daemons that miss something.
 	soonSpread = 150 * time.Millisecond
 )
@@ -74,12 +78,17 @@
 }
 
 // spread sends news to every daemon that reports to this leader. Those that
-// miss it get it with the answer to a report.
+// miss it get it after a report.
 func (l *loop) spread(news peer.Spread) {
+	l.spreadTo(news, func(string) bool { return true })
+}
+
+// spreadTo sends news to the daemons that are wanted.
+func (l *loop) spreadTo(news peer.Spread, wanted func(vm string) bool) {
 	byZone := make(map[string][]member)
 	count := 0
 	for vm, m := range l.members {
-		if vm != l.self.VM && l.clock()-m.at <= fleetLife {
+		if vm != l.self.VM && wanted(vm) && l.clock()-m.at <= fleetLife {
 			byZone[m.zone] = append(byZone[m.zone], m)
 			count++
 		}
@@ -161,7 +170,7 @@
 	if n.news.Page != nil {
 		l.takeChange(n.news.Page)
 	}
-	if len(n.news.Record) > 0 {
+	if n.news.Record != nil {
 		l.takeRecord(n.news.Record)
 	}
 }
@@ -191,14 +200,40 @@
 }
 
 // takeRecord takes the operators' record from another daemon.
-func (l *loop) takeRecord(packed []byte) {
-	record, err := unpack(packed)
-	entry := kvstore.Entry{Key: l.records.ConfigurationKey(), Value: record}
+func (l *loop) takeRecord(taken *peer.Record) {
+	record, err := unpack(taken.Packed)
+	entry := kvstore.Entry{Key: l.records.ConfigurationKey(), Value: record, Version: kvstore.Version(taken.Version)}
 	if err != nil {
 		l.ignore(entry, err)
 		return
 	}
 	l.configure(entry)
+	l.configurationFeed.follow(entry.Version)
+}
+
+// recordFor returns the record for the answer to a daemon that lacks it, or nil
+// in a large fleet, where it is sent to all that lack it together.
+func (l *loop) recordFor(vm string, now time.Duration) *peer.Record {
+	if len(l.members) <= mostDirect {
+		return l.packedRecord()
+	}
+	if sent, before := l.recordSent[vm]; !before || now >= sent+resendAfter {
+		l.lacking[vm] = true
+	}
+	return nil
+}
+
+// sendRecord sends the record to the daemons that lack it.
+func (l *loop) sendRecord(now time.Duration) {
+	if len(l.lacking) == 0 || now < l.recordAt {
+		return
+	}
+	l.recordAt = now + gatherTime
+	for vm := range l.lacking {
+		l.recordSent[vm] = now
+	}
+	l.spreadTo(peer.Spread{Record: l.packedRecord()}, func(vm string) bool { return l.lacking[vm] })
+	clear(l.lacking)
 }
 
 // reportSoon has the next report sent shortly.
--- a/gateway/run/spread_test.go
+++ b/gateway/run/spread_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -65,3 +66,21 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(keys.Decode(stored)).NotTo(BeNil())
 }
+
+func TestRecordFor(t *testing.T) {
+	g := NewWithT(t)
+	l := &loop{members: map[string]member{}, lacking: map[string]bool{}, recordSent: map[string]time.Duration{}, record: []byte("{}"), recordVersion: 7}
+	now := time.Second
+	g.Expect(l.recordFor("a", now)).NotTo(BeNil(), "a small fleet gets it with the answer")
+	for at := range mostDirect + 1 {
+		l.members[fmt.Sprint(at)] = member{}
+	}
+	g.Expect(l.recordFor("a", now)).To(BeNil())
+	g.Expect(l.lacking).To(HaveKey("a"), "a large fleet gets it together")
+	clear(l.lacking)
+	l.recordSent["a"] = now
+	l.recordFor("a", now+resendAfter/2)
+	g.Expect(l.lacking).To(BeEmpty(), "it is under way")
+	l.recordFor("a", now+resendAfter)
+	g.Expect(l.lacking).To(HaveKey("a"))
+}
