A fault soak of our own; earlier leaders' ends shorten waits that are under way

Change: bounds hold what this leader's own calls say; what is known of earlier leaders is looked up. A release whose connection is refused proves an end too. New: platform/soak and guavacrankctl soak: real processes under signals, impaired ways to the store, an impaired store, servers that leave, crash and join, and configurations; promises are checked from callers and servers. Tests: keys 'waits for an earlier leader no longer than until it is known to have ended'; soak TestJudge, TestProxy, TestSeed.

--- a/cmd/internal/command/table.go
+++ b/cmd/internal/command/table.go
@@ -18,6 +18,7 @@
 		declareLostCommand(),
 		eventsCommand(),
 		traceCommand(),
+		soakCommand(),
 		benchCommand(),
 		demoCommand(),
 		standinCommand(),
--- a/gateway/keys/machine_test.go
+++ b/gateway/keys/machine_test.go
@@ -186,6 +186,22 @@
 		Expect(w.faults).To(BeEmpty())
 	})
 
+	It("waits for an earlier leader no longer than until it is known to have ended", func() {
+		w, _ := settled(17, 5)
+		w.deafen()
+		m := w.addLeader("b")
+		lost := w.servers[model.Life{ID: "i-2", Born: 1000}]
+		lost.up = false // Before the new leader could grant it anything.
+		w.run(1500 * time.Millisecond)
+		for _, leader := range m.Predecessors() {
+			w.byName[leader.VM].Stop()
+			m.PredecessorEnded(leader.Incarnation, w.now)
+		}
+		w.run(worldHold + time.Second)
+		Expect(w.unowned()).To(BeZero())
+		Expect(w.faults).To(BeEmpty())
+	})
+
 	It("does not grant the rest of a divided range again before its renewal is due", func() {
 		w, m := settled(16, 4)
 		busy := w.page.Find(20000).Owner.Life
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -256,10 +256,15 @@
 	}
 }
 
-// StepReleased takes the end of a release call.
-func (m *Machine) StepReleased(now time.Duration, order ReleaseOrder, answered bool, handover string) {
+// StepReleased takes the end of a release call. noListener says that no process
+// listens at the address.
+func (m *Machine) StepReleased(now time.Duration, order ReleaseOrder, answered bool, handover string, noListener bool) {
 	m.now = now
 	key := endKey{order.From, order.To, order.Life, order.Fence}
+	if began, running := m.releases[key]; running && noListener {
+		row := m.row(order.Life)
+		row.overAt = max(row.overAt, began)
+	}
 	delete(m.releases, key)
 	if !answered {
 		m.retryAt[key] = now + retryAfter
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -15,11 +15,15 @@
 
 // holdBound bounds what a prior holder may still hold.
 type holdBound struct {
-	// arrivedBy is the latest time at which a grant may have arrived.
+	// arrivedBy is the latest time at which a grant of this leader may have
+	// arrived.
 	arrivedBy time.Duration
 	// lateBy is the same for grants without an answer, which may be applied
 	// after a release.
 	lateBy time.Duration
+	// earlier says that the holder took no grant of this leader, so that those of
+	// earlier leaders count too.
+	earlier bool
 	// pending are the calls that are still under way, by when they began.
 	pending map[uint64]time.Duration
 }
@@ -33,11 +37,22 @@
 // further grant of the range will be sent.
 func (m *Machine) boundOf(r Range) holdBound {
 	row := m.row(r.Owner.Life)
-	bound := holdBound{arrivedBy: row.arrivedBy, lateBy: m.lateBy(row), pending: maps.Clone(row.inFlight)}
-	if grant, sent := row.granted[r.From]; !sent || !grant.answered || grant.fence != r.Owner.Fence {
-		bound.arrivedBy = max(bound.arrivedBy, m.predecessorBound())
+	grant, sent := row.granted[r.From]
+	return holdBound{
+		arrivedBy: row.arrivedBy,
+		lateBy:    row.unansweredBy,
+		earlier:   !sent || !grant.answered || grant.fence != r.Owner.Fence,
+		pending:   maps.Clone(row.inFlight),
 	}
-	return bound
+}
+
+// arrived returns the latest time at which any grant may have arrived. What is
+// known of earlier leaders may change after the bound was made.
+func (m *Machine) arrived(bound holdBound) time.Duration {
+	if bound.earlier {
+		return max(bound.arrivedBy, m.predecessorBound())
+	}
+	return bound.arrivedBy
 }
 
 // lateBy is the latest time at which a grant without an answer may have arrived
@@ -52,24 +67,23 @@
 	key := endKey{r.From, r.To, prior.Life, prior.Fence}
 	bound, known := m.bounds[key]
 	if !known {
-		bound = holdBound{arrivedBy: m.predecessorBound(), lateBy: m.predecessorBound()}
+		bound = holdBound{earlier: true}
 	}
 	if len(bound.pending) > 0 {
 		return false, "" // It could reach a later life at the same address.
 	}
-	lastBy := max(bound.arrivedBy, bound.lateBy)
-	if m.replacedSince(prior, lastBy) || lastBy < m.row(prior.Life).overAt {
+	arrived, late := m.arrived(bound), max(bound.lateBy, m.predecessorBound())
+	if m.replacedSince(prior, max(arrived, late)) || max(bound.arrivedBy, bound.lateBy) < m.row(prior.Life).overAt {
 		return true, ""
 	}
-	if m.now >= bound.arrivedBy+m.longestHold() {
+	if m.now >= arrived+m.longestHold() {
 		return true, ""
 	}
 	end, released := m.ended[key]
 	if !released {
 		return false, ""
 	}
-	late := bound.lateBy > 0 && m.now < bound.lateBy+m.longestHold()
-	return !late, end.handover
+	return late == 0 || m.now >= late+m.longestHold(), end.handover
 }
 
 // replacedLife says whether a later life is listed under the holder's ID or at
--- a/gateway/keys/world_test.go
+++ b/gateway/keys/world_test.go
@@ -358,14 +358,18 @@
 
 func (w *world) release(m *keys.Machine, order keys.ReleaseOrder) {
 	server := w.at(order.Address)
-	if server == nil || server.cut {
-		w.after(time.Second, func() { m.StepReleased(w.now, order, false, "") })
+	if server == nil {
+		w.after(w.way(), func() { m.StepReleased(w.now, order, false, "", true) })
+		return
+	}
+	if server.cut {
+		w.after(time.Second, func() { m.StepReleased(w.now, order, false, "", false) })
 		return
 	}
 	w.after(w.way(), func() {
 		server.drop(order.From, order.To)
 		w.after(w.way()+time.Duration(w.random.Int64N(int64(w.work))), func() {
-			m.StepReleased(w.now, order, true, fmt.Sprintf("h-%d-%d", order.From, order.Fence))
+			m.StepReleased(w.now, order, true, fmt.Sprintf("h-%d-%d", order.From, order.Fence), false)
 		})
 	})
 }
--- a/gateway/run/feeds.go
+++ b/gateway/run/feeds.go
@@ -27,6 +27,9 @@
 	// pollBytes bounds the bytes a second of a leader's readings of the
 	// configuration.
 	pollBytes = 64 << 10
+	// pollServersBytes bounds the bytes a second of a daemon's readings of the
+	// servers' records, while no leader tells it.
+	pollServersBytes = 30 << 10
 	// relayMargin is how long the leader's word on the servers counts beyond the
 	// time between two reports.
 	relayMargin = 1200 * time.Millisecond
@@ -142,7 +145,7 @@
 		entries, version, err := f.store.List(ctx, f.prefix, f.most.Load())
 		f.deliver(followed{prefix: f.prefix, whole: true, entries: entries, err: err})
 		if kvstore.IsKind(err, kvstore.KindTooLarge) {
-			f.rest(ctx, jitter(lastPause))
+			f.rest(ctx, leanTime)
 			continue
 		}
 		if err != nil {
@@ -193,15 +196,25 @@
 		began := time.Now()
 		entries, _, err := l.store.List(ctx, l.records.ServersPrefix(), 0)
 		l.deliver(polled{entries: entries, err: err})
-		every := pollEvery
-		if l.leadingNow.Load() {
-			every = leaderPollEvery
-		}
-		if err != nil {
-			every = lastPause / 2
-		}
-		sleep(ctx, max(every-time.Since(began), firstPause))
+		sleep(ctx, max(l.pollPause(entries, err)-time.Since(began), firstPause))
+	}
+}
+
+// pollPause is the time between two readings of the servers' records. The
+// readings of daemons that no leader tells must not fill the link between the
+// regions in a large fleet.
+func (l *loop) pollPause(read []kvstore.Entry, err error) time.Duration {
+	switch {
+	case err != nil:
+		return jitter(lastPause)
+	case l.leadingNow.Load():
+		return leaderPollEvery
+	}
+	bytes := 0
+	for _, entry := range read {
+		bytes += len(entry.Key) + len(entry.Value)
 	}
+	return max(pollEvery, time.Duration(bytes)*time.Second/pollServersBytes)
 }
 
 // relayLife is how long the leader's word on the servers counts.
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -202,8 +202,7 @@
 
 func (p probed) apply(l *loop) {
 	if machine := l.machines[p.service]; machine != nil {
-		var notSent *port.NotSentError
-		machine.StepProbed(l.clock(), p.order, p.id, errors.As(p.err, &notSent) && notSent.NoListener)
+		machine.StepProbed(l.clock(), p.order, p.id, noListener(p.err))
 	}
 	cause := ""
 	if p.err != nil {
@@ -235,6 +234,12 @@
 	l.deliver(granted{service, order, grantOutcome(err), err})
 }
 
+// noListener says whether a machine refused the connection of a call.
+func noListener(err error) bool {
+	var notSent *port.NotSentError
+	return errors.As(err, &notSent) && notSent.NoListener
+}
+
 func grantOutcome(err error) keys.Outcome {
 	var fence *port.FenceError
 	var notSent *port.NotSentError
@@ -243,7 +248,7 @@
 		return keys.Taken
 	case errors.As(err, &fence):
 		return keys.FenceRefused
-	case errors.As(err, &notSent) && notSent.NoListener:
+	case noListener(err):
 		return keys.NoListener
 	case errors.As(err, &notSent) && notSent.Unreachable:
 		return keys.Unreachable
@@ -317,7 +322,7 @@
 
 func (r released) apply(l *loop) {
 	if machine := l.machines[r.service]; machine != nil {
-		machine.StepReleased(l.clock(), r.order, r.err == nil, r.handover)
+		machine.StepReleased(l.clock(), r.order, r.err == nil, r.handover, noListener(r.err))
 	}
 	cause := ""
 	if r.err != nil {
