--- a/gateway/keys/doc.go
+++ b/gateway/keys/doc.go
@@ -9,9 +9,12 @@
 //   - A range is granted only to the owner that a confirmed page names, and
 //     only when every earlier holder of its keys has ended: it answered a
 //     release and no unanswered grant to it can still be applied, or the
-//     longest time that any grant to it may hold has passed.
+//     longest time that any grant to it may hold has passed, or its process is
+//     over.
 //   - A change of a range's owner has a fence above every fence of the page.
 //     The page is written before the first grant with that fence is sent.
 //   - A leader that takes over gives every range a new fence first, so that
-//     servers refuse the grants of an earlier leader.
+//     servers refuse the grants of an earlier leader. Grants of earlier leaders
+//     count until each of them is known to have stopped; pages name those of
+//     whose end their writer does not know.
 package keys
