--- a/gateway/keys/world_test.go
+++ b/gateway/keys/world_test.go
@@ -20,27 +20,6 @@
 	jamTime = 600 * time.Millisecond
 )
 
-// fakeServer is a backend server that holds keys as the platform's pages say:
-// the time of a grant runs from the arrival of the call, a higher fence that
-// was seen refuses a lower one, and a slow clock holds 2 % longer.
-type fakeServer struct {
-	model.Server
-	up  bool
-	cut bool // Calls to it are lost on their way.
-	// lastSeen is when it last renewed its record, which stays for three
-	// heartbeats.
-	lastSeen time.Duration
-	holds    []held
-	seen     map[uint16]uint64 // Highest fence, for sampled keys.
-}
-
-// held is a range that a server holds.
-type held struct {
-	from, to uint16
-	fence    uint64
-	until    time.Duration
-}
-
 // event is something that happens later.
 type event struct {
 	at time.Duration
@@ -351,11 +330,6 @@
 	}
 }
 
-// hold notes a grant whose time runs from its arrival, on a slow clock.
-func (s *fakeServer) hold(order keys.GrantOrder, arrived time.Duration) {
-	s.holds = append(s.holds, held{order.From, order.To, order.Fence, arrived + order.Hold + order.Hold*2/100})
-}
-
 func (w *world) release(m *keys.Machine, order keys.ReleaseOrder) {
 	server := w.at(order.Address)
 	if server == nil {
@@ -374,24 +348,6 @@
 	})
 }
 
-// drop ends a server's holds on a range.
-func (s *fakeServer) drop(from, to uint16) {
-	var kept []held
-	for _, h := range s.holds {
-		if h.to < from || h.from > to {
-			kept = append(kept, h)
-			continue
-		}
-		if h.from < from {
-			kept = append(kept, held{h.from, from - 1, h.fence, h.until})
-		}
-		if h.to > to {
-			kept = append(kept, held{to + 1, h.to, h.fence, h.until})
-		}
-	}
-	s.holds = kept
-}
-
 // holder returns the lives that hold a key now.
 func (w *world) holder(key uint16) []model.Life {
 	var found []model.Life
@@ -403,15 +359,6 @@
 	return found
 }
 
-func (s *fakeServer) holding(key uint16, now time.Duration) bool {
-	for _, h := range s.holds {
-		if h.from <= key && key <= h.to && h.until > now {
-			return true
-		}
-	}
-	return false
-}
-
 // check notes every sampled key that two servers hold.
 func (w *world) check() {
 	for _, key := range sampledKeys {
