keys: a refused connection does not end a server's hold

A key was granted to its new owner 0.09 s before the release by its holder was answered. The leader took a refused connection as the proof that the holder's process had ended. Servers without room reset new connections; a leader that looks late sees that as refused: i-3e65d7fb26 refused a release at 27.57 s and answered others at 27.92 s. Ruled out: a stale bound of the last grant (0.7 s old), a later life at the address, an earlier leader's grant (the same leader since 3.8 s). Change: refusals only let the keys be drafted for others, after 0.3 s of them with no answer between; they are granted after the release or the hold. A lost range is divided only while the page may gain ranges: false refusals let it grow without bound (the random world with refusals did not end before). Tests: the worlds refuse calls of running servers; "does not take refused connections for the end" failed first (key 29522 held by two). The test that keys of an ended process are served at once asked for what is unsafe; it asks for the end of the hold plus 0.3 s now, which is as near as a proof allows.

--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -158,7 +158,6 @@
 	m.now = now
 	row := m.row(order.Life)
 	row.everSent = true
-	began := row.inFlight[order.Call]
 	delete(row.inFlight, order.Call)
 	if outcome.sent() {
 		row.arrivedBy = max(row.arrivedBy, arrival(now, outcome))
@@ -172,7 +171,7 @@
 		row.doubt(now)
 	case NoListener:
 		row.doubt(now)
-		row.overAt = max(row.overAt, began)
+		row.refused(now)
 	}
 	m.settleBounds(order, outcome)
 	m.settleGrant(row, order, outcome == Taken)
@@ -182,7 +181,7 @@
 			row.failingSince = now
 		}
 	default:
-		row.failingSince = 0
+		row.failingSince, row.refusedAt = 0, 0
 	}
 	if outcome != FenceRefused || !m.leading {
 		return
@@ -208,6 +207,14 @@
 	r.unsure, r.namedAt, r.probeAt = true, 0, now+probeEvery
 }
 
+// refused notes that no process took a call at the server's address.
+func (r *serverRow) refused(now time.Duration) {
+	if r.refusedAt == 0 {
+		r.refusedAt = now
+	}
+	r.refusedLast = now
+}
+
 // settleBounds takes the end of a call into the bounds of prior holders.
 func (m *Machine) settleBounds(order GrantOrder, outcome Outcome) {
 	for key, bound := range m.bounds {
@@ -247,12 +254,15 @@
 func (m *Machine) StepProbed(now time.Duration, order ProbeOrder, id string, noListener bool) {
 	m.now = now
 	row := m.row(order.Life)
-	if noListener && row.probing {
-		row.overAt = max(row.overAt, row.probedAt)
-	}
 	row.probing = false
-	if row.unsure && id == order.Life.ID {
-		row.namedAt = now
+	switch {
+	case noListener:
+		row.refused(now)
+	case id == order.Life.ID:
+		row.refusedAt = 0
+		if row.unsure {
+			row.namedAt = now
+		}
 	}
 }
 
@@ -261,9 +271,10 @@
 func (m *Machine) StepReleased(now time.Duration, order ReleaseOrder, answered bool, handover string, noListener bool) {
 	m.now = now
 	key := endKey{order.From, order.To, order.Life, order.Fence}
-	if began, running := m.releases[key]; running && noListener {
-		row := m.row(order.Life)
-		row.overAt = max(row.overAt, began)
+	if row := m.row(order.Life); noListener {
+		row.refused(now)
+	} else if answered {
+		row.refusedAt = 0
 	}
 	delete(m.releases, key)
 	if !answered {
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -148,12 +148,13 @@
 func (d *drafting) moveLost() {
 	ranges := d.page.Ranges
 	d.page.Ranges = nil
-	for _, r := range ranges {
+	for at, r := range ranges {
 		if !d.mustMove(r) {
 			d.page.Ranges = append(d.page.Ranges, r)
 			continue
 		}
-		d.page.Ranges = append(d.page.Ranges, d.spread(r)...)
+		room := d.mostRanges() - len(d.page.Ranges) - len(ranges[at:])
+		d.page.Ranges = append(d.page.Ranges, d.spread(r, room)...)
 	}
 }
 
@@ -169,9 +170,15 @@
 	return row.Draining || m.outOfReach(row) || row.over()
 }
 
-// over says whether a server's process has ended: nothing listened at its
-// address, and it has not named itself since.
-func (r *serverRow) over() bool { return r.overAt > 0 && r.unsure && r.namedAt == 0 }
+// overAfter is how long calls to a server must be refused until its keys are
+// given to others. They are granted after its hold all the same.
+const overAfter = 300 * time.Millisecond
+
+// over says whether a server's process seems to have ended: calls were refused
+// for some time, and it has not named itself since.
+func (r *serverRow) over() bool {
+	return r.refusedAt > 0 && r.refusedLast >= r.refusedAt+overAfter && r.unsure && r.namedAt == 0
+}
 
 // outOfReach says whether a listed server has answered no grant for so long
 // that it holds nothing any more, while most others do answer.
@@ -205,14 +212,15 @@
 const spreadParts = 4
 
 // spread gives one range to the servers with the least load, in parts of equal
-// heat. A range that nobody can take is returned as it is.
-func (d *drafting) spread(r Range) []Range {
+// heat. room is the number of ranges that the page may gain. A range that nobody
+// can take is returned as it is.
+func (d *drafting) spread(r Range, room int) []Range {
 	if len(d.loads.usable()) == 0 {
 		return []Range{r}
 	}
 	parts := []Range{r}
-	if len(r.Prior) == 0 && r.Size() > minSplit {
-		parts = d.divide(r, min(spreadParts, len(d.loads.usable())))
+	if len(r.Prior) == 0 && r.Size() > minSplit && room > 0 {
+		parts = d.divide(r, min(spreadParts, room+1, len(d.loads.usable())))
 	}
 	moved := make([]Range, 0, len(parts))
 	for _, part := range parts {
@@ -226,6 +234,9 @@
 	return moved
 }
 
+// mostRanges bounds how finely the keys are divided.
+func (d *drafting) mostRanges() int { return len(d.loads.rows) * rangesPerServer }
+
 // move returns part, a part of the range old, with a new owner.
 func (d *drafting) move(old, part Range, target *serverRow) Range {
 	d.loads.shift(old.Owner.Life, target.Life(), part)
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -73,7 +73,7 @@
 		return false, "" // It could reach a later life at the same address.
 	}
 	arrived, late := m.arrived(bound), max(bound.lateBy, m.predecessorBound())
-	if m.replacedSince(prior, max(arrived, late)) || max(bound.arrivedBy, bound.lateBy) < m.row(prior.Life).overAt {
+	if m.replacedSince(prior, max(arrived, late)) {
 		return true, ""
 	}
 	if m.now >= arrived+m.longestHold() {
--- a/gateway/keys/system_rebalance.go
+++ b/gateway/keys/system_rebalance.go
@@ -185,7 +185,7 @@
 		d.page.Ranges[at] = d.move(r, r, to)
 		return true
 	}
-	if len(d.page.Ranges) >= len(d.loads.rows)*rangesPerServer {
+	if len(d.page.Ranges) >= d.mostRanges() {
 		return false
 	}
 	cut := d.loads.cut(r, wanted)
--- a/gateway/keys/tables.go
+++ b/gateway/keys/tables.go
@@ -17,9 +17,11 @@
 	// unansweredBy is the same for calls that got no answer.
 	unansweredBy time.Duration
 	inFlight     map[uint64]time.Duration // Calls under way, by when they began.
-	// overAt is when a call began that found no process at the address: what
-	// arrived before is over with the process. Zero if none did.
-	overAt       time.Duration
+	// refusedAt is when the first of the calls in a row began that no process at
+	// the address took, refusedLast the last one; zero if none did. It is no proof
+	// of the server's end: one without room for a connection may look the same.
+	refusedAt    time.Duration
+	refusedLast  time.Duration
 	everSent     bool
 	took         bool          // It took a grant since leading began.
 	failingSince time.Duration // Zero while calls succeed.
