keys: calls to a jammed availability zone may arrive later

A new leader's first grants to the far region were given up after 0.5 s, all later calls found no connection. One of the first arrived 2 s after it was sent; the leader had bounded its arrival by 0.7 s after the call's end and gave the keys on at 36.6 s while that server held them until 37.3 s. Ruled out: an earlier leader's grant (its process was over), a later call (none had a connection), a false end of the server (it answered nothing). Weighed: waiting 3 s for each answer (a dark server's keys wait as long too); asking the socket for unacknowledged bytes (unknown where they are). Taken: servers of a zone from most of which nothing comes back, neither answer nor refusal, may get a call up to 3 s after it was given up. Test: "waits longer for servers of an availability zone whose ways are jammed" failed first (key 0 held by two at 8.2 s).

--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -78,6 +78,7 @@
 	listed          bool
 	trustAbsent     time.Duration // From when on an absent server is gone.
 
+	troubled  troubledZones
 	bounds    map[endKey]holdBound
 	ended     map[endKey]ending
 	releases  map[endKey]time.Duration // Calls under way, by when they began.
@@ -95,6 +96,7 @@
 	return &Machine{
 		options:  options,
 		servers:  make(map[model.Life]*serverRow),
+		troubled: make(troubledZones),
 		bounds:   make(map[endKey]holdBound),
 		ended:    make(map[endKey]ending),
 		releases: make(map[endKey]time.Duration),
@@ -113,6 +115,7 @@
 	m.pageKnown, m.page, m.writing, m.unsettled, m.reading = false, nil, nil, false, false
 	m.trustAbsent = now + returnTime
 	m.firstSeen = 0
+	clear(m.troubled)
 	clear(m.bounds)
 	clear(m.ended)
 	clear(m.releases)
--- a/gateway/keys/machine_test.go
+++ b/gateway/keys/machine_test.go
@@ -98,6 +98,24 @@
 		Expect(w.unowned()).To(BeZero())
 	})
 
+	It("waits longer for servers of an availability zone whose ways are jammed", func() {
+		w := newWorld(21)
+		for i := range 8 {
+			s := w.addServer(fmt.Sprintf("i-%d", i), 1000)
+			if i < 3 {
+				s.Zone = "far"
+			}
+		}
+		w.addLeader("a")
+		w.run(3 * time.Second)
+		w.jamZone, w.jamMost = "far", 2*time.Second
+		w.run(6 * time.Second)
+		w.jamZone = ""
+		w.run(10 * time.Second)
+		Expect(w.faults).To(BeEmpty())
+		Expect(w.unowned()).To(BeZero())
+	})
+
 	It("does not release keys while a grant to their holder is under way", func() {
 		w, m := settled(5, 3)
 		server := w.servers[model.Life{ID: "i-1", Born: 1000}]
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -180,8 +180,10 @@
 		if row.failingSince == 0 {
 			row.failingSince = now
 		}
+		row.mute = outcome == Silent || outcome == NotSent || outcome == Unreachable
+		m.noteZone(row.Zone)
 	default:
-		row.failingSince, row.refusedAt = 0, 0
+		row.failingSince, row.refusedAt, row.mute = 0, 0, false
 	}
 	if outcome != FenceRefused || !m.leading {
 		return
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -183,7 +183,7 @@
 // outOfReach says whether a listed server has answered no grant for so long
 // that it holds nothing any more, while most others do answer.
 func (m *Machine) outOfReach(row *serverRow) bool {
-	if row.failingSince == 0 || m.now < row.failingSince+isolatedAfter || m.now < row.arrivedBy+m.longestHold() {
+	if row.failingSince == 0 || m.now < row.failingSince+isolatedAfter || m.now < m.arrivedBy(row, row.arrivedBy)+m.longestHold() {
 		return false
 	}
 	return !m.Isolated()
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -5,13 +5,8 @@
 	"time"
 )
 
-const (
-	// CallTimeout limits a grant call.
-	CallTimeout = 500 * time.Millisecond
-	// transitTime is how long the bytes of a call that was given up may still be
-	// on their way, over a link that is full.
-	transitTime = 700 * time.Millisecond
-)
+// CallTimeout limits a grant call.
+const CallTimeout = 500 * time.Millisecond
 
 // holdBound bounds what a prior holder may still hold.
 type holdBound struct {
@@ -58,7 +53,7 @@
 // lateBy is the latest time at which a grant without an answer may have arrived
 // at a server, one of an earlier leader included.
 func (m *Machine) lateBy(row *serverRow) time.Duration {
-	return max(row.unansweredBy, m.predecessorBound())
+	return m.arrivedBy(row, max(row.unansweredBy, m.predecessorBound()))
 }
 
 // priorEnded says whether a prior holder of a range has ended, and its word of
@@ -72,7 +67,8 @@
 	if len(bound.pending) > 0 {
 		return false, "" // It could reach a later life at the same address.
 	}
-	arrived, late := m.arrived(bound), max(bound.lateBy, m.predecessorBound())
+	row := m.row(prior.Life)
+	arrived, late := m.arrivedBy(row, m.arrived(bound)), m.arrivedBy(row, max(bound.lateBy, m.predecessorBound()))
 	if m.replacedSince(prior, max(arrived, late)) {
 		return true, ""
 	}
--- a/gateway/keys/tables.go
+++ b/gateway/keys/tables.go
@@ -25,6 +25,7 @@
 	everSent     bool
 	took         bool          // It took a grant since leading began.
 	failingSince time.Duration // Zero while calls succeed.
+	mute         bool          // Nothing came back of the last call, no refusal either.
 	latency      float64       // Seconds, smoothed; zero if unknown.
 	busy         float64       // Part of the slots that requests take.
 	// unsure: a connection could not be made, so that another process may run
--- a/gateway/keys/world_server_test.go
+++ b/gateway/keys/world_server_test.go
@@ -14,6 +14,8 @@
 	model.Server
 	up  bool
 	cut bool // Calls to it are lost on their way.
+	// jammed says that a call to it was held up on its way.
+	jammed bool
 	// lastSeen is when it last renewed its record, which stays for three
 	// heartbeats.
 	lastSeen time.Duration
--- a/gateway/keys/world_test.go
+++ b/gateway/keys/world_test.go
@@ -48,6 +48,11 @@
 	refused float64
 	// jammed is the share of grants that arrive after their call was given up.
 	jammed float64
+	// jamZone is the availability zone to which no call is answered in time: the
+	// bytes of a server's first one arrive half of jamMost to jamMost after it was
+	// given up, the others find no connection.
+	jamZone string
+	jamMost time.Duration
 	// delay is the longest way of a call.
 	delay time.Duration
 	// work is the longest time of work that a release waits for.
@@ -274,6 +279,17 @@
 		w.after(keys.CallTimeout, func() { m.StepGranted(w.now, order, keys.Unreachable) })
 		return
 	}
+	if server.Zone == w.jamZone && server.jammed {
+		w.after(keys.CallTimeout, func() { m.StepGranted(w.now, order, keys.NotSent) })
+		return
+	}
+	if server.Zone == w.jamZone {
+		server.jammed = true
+		late := w.jamMost/2 + time.Duration(w.random.Int64N(int64(w.jamMost/2)))
+		w.after(keys.CallTimeout+late, func() { w.apply(server, order) })
+		w.after(keys.CallTimeout, func() { m.StepGranted(w.now, order, keys.Silent) })
+		return
+	}
 	if w.random.Float64() < w.jammed {
 		w.after(keys.CallTimeout+time.Duration(w.random.Int64N(int64(jamTime))), func() { w.apply(server, order) })
 		w.after(keys.CallTimeout, func() { m.StepGranted(w.now, order, keys.Silent) })
