Starting processes take configuration, servers and pages from the leader

Ruled out: the leader's packed record (the near region had it after 0.8 s), the store (in the near region it answered at once). Change: a starting process reads the store only for the leader's key. Configuration, servers and pages come with the leader's answers; it reads them itself if no leader answers within 1.2 to 2.4 s, the configuration after 5 s if one does.

--- a/gateway/port/port.go
+++ b/gateway/port/port.go
@@ -16,9 +16,8 @@
 	// Get returns one entry, or an error of kvstore.KindNotFound.
 	Get(ctx context.Context, key string) (kvstore.Entry, error)
 	// List returns the entries whose key starts with prefix, sorted by key, and
-	// the version from which Changes continues. An answer of more than most bytes
-	// is not read but an error of kvstore.KindTooLarge; zero sets no bound.
-	List(ctx context.Context, prefix string, most int64) ([]kvstore.Entry, kvstore.Version, error)
+	// the version from which Changes continues.
+	List(ctx context.Context, prefix string) ([]kvstore.Entry, kvstore.Version, error)
 	// Changes waits until a key under prefix changes after the given version.
 	// It returns the changes in order and the version to continue from, or an
 	// error of kvstore.KindHistoryGone: list again.
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -29,11 +29,7 @@
 }
 
 func (f followed) apply(l *loop) {
-	switch {
-	case kvstore.IsKind(f.err, kvstore.KindHistoryGone):
-		return
-	case kvstore.IsKind(f.err, kvstore.KindTooLarge):
-		l.reportSoon() // The leader has it.
+	if kvstore.IsKind(f.err, kvstore.KindHistoryGone) {
 		return
 	}
 	l.storeCall("watch "+f.prefix, f.err)
--- a/gateway/run/feeds.go
+++ b/gateway/run/feeds.go
@@ -41,8 +41,6 @@
 	prefix  string
 	deliver func(input)
 
-	// most bounds the bytes of a listing; zero sets no bound.
-	most atomic.Int64
 	// from is the version from which to watch without a listing; zero lists.
 	from atomic.Uint64
 
@@ -52,9 +50,9 @@
 	cancel context.CancelFunc // Ends the watch that is waiting.
 }
 
-// newFeed returns a feed that is active.
+// newFeed returns a feed that is not active.
 func newFeed(store port.Store, prefix string, deliver func(input)) *feed {
-	return &feed{store: store, prefix: prefix, deliver: deliver, active: true, wake: make(chan struct{}, 1)}
+	return &feed{store: store, prefix: prefix, deliver: deliver, wake: make(chan struct{}, 1)}
 }
 
 // activate starts or stops the feed. One that starts lists the prefix.
@@ -98,21 +96,10 @@
 }
 
 // follow says that the prefix is known up to a version, so that it need not be
-// listed. It ends a rest, not a watch that waits.
-func (f *feed) follow(version kvstore.Version) {
-	f.from.Store(uint64(version))
-	f.stir()
-}
-
-// unbound lifts the bound of listings; a listing that was too large is made
-// again at once.
-func (f *feed) unbound() {
-	if f.most.Swap(0) != 0 {
-		f.stir()
-	}
-}
+// listed.
+func (f *feed) follow(version kvstore.Version) { f.from.Store(uint64(version)) }
 
-// stir ends a rest of the feed.
+// stir has a waiting feed look whether it is active.
 func (f *feed) stir() {
 	select {
 	case f.wake <- struct{}{}:
@@ -120,17 +107,6 @@
 	}
 }
 
-// rest waits for d, or less if the feed is stirred.
-func (f *feed) rest(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-f.wake:
-	}
-}
-
 // run lists the prefix and watches it, and lists again whenever the watch
 // fails, until ctx ends.
 func (f *feed) run(ctx context.Context) {
@@ -142,12 +118,8 @@
 			}
 			continue
 		}
-		entries, version, err := f.store.List(ctx, f.prefix, f.most.Load())
+		entries, version, err := f.store.List(ctx, f.prefix)
 		f.deliver(followed{prefix: f.prefix, whole: true, entries: entries, err: err})
-		if kvstore.IsKind(err, kvstore.KindTooLarge) {
-			f.rest(ctx, leanTime)
-			continue
-		}
 		if err != nil {
 			sleep(ctx, jitter(pause))
 			pause = min(2*pause, lastPause)
@@ -194,7 +166,7 @@
 			continue
 		}
 		began := time.Now()
-		entries, _, err := l.store.List(ctx, l.records.ServersPrefix(), 0)
+		entries, _, err := l.store.List(ctx, l.records.ServersPrefix())
 		l.deliver(polled{entries: entries, err: err})
 		sleep(ctx, max(l.pollPause(entries, err)-time.Since(began), firstPause))
 	}
@@ -239,10 +211,12 @@
 	}
 }
 
-// readPages reads the pages of keys once. Later ones come from the leader.
+// readPages reads the pages of keys once, unless a leader sends them meanwhile.
+// Later ones come from the leader.
 func (l *loop) readPages(ctx context.Context) {
-	for ctx.Err() == nil {
-		entries, _, err := l.store.List(ctx, pagePrefix, 0)
+	sleep(ctx, l.startPatience)
+	for ctx.Err() == nil && !l.relayed.Load() {
+		entries, _, err := l.store.List(ctx, pagePrefix)
 		l.deliver(followed{prefix: pagePrefix, whole: true, entries: entries, err: err})
 		if err == nil {
 			return
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	mathrand "math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -76,6 +77,7 @@
 	ledAt         time.Duration
 	leadAt        time.Duration // The systems that lead do not run before.
 	startedAt     time.Duration
+	startPatience time.Duration   // Constant: see leastPatience.
 	recordAt      time.Duration   // The record is not sent to those that lack it before.
 	asking        map[string]bool // Incarnations of earlier leaders that are being asked.
 	leaderNow     peer.Follow
@@ -107,6 +109,7 @@
 	// relayedAt is when the leader's list of servers was last taken, on the
 	// clock; for all goroutines.
 	relayedAt atomic.Int64
+	relayed   atomic.Bool // A leader has answered; for all goroutines.
 	ready     atomic.Bool // For all goroutines.
 	vms       atomic.Int64
 }
@@ -161,13 +164,14 @@
 		asked:      parts.asked,
 		mayWatch:   true,
 		startedAt:  parts.clock(),
+
+		startPatience: leastPatience + mathrand.N(patienceSpread),
 	}
 	l.servers = newServerTable(o.Settings, o.Dialect, parts.book)
 	l.configurationFeed = newFeed(o.Store, o.Records.ConfigurationKey(), l.deliver)
-	l.configurationFeed.most.Store(leanBytes)
 	l.leaderFeed = newFeed(o.Store, leaderKey, l.deliver)
 	l.relay = newRelay()
-	l.relayedAt.Store(-int64(l.relayLife()))
+	l.relayedAt.Store(int64(l.startedAt + l.startPatience - l.relayLife()))
 	l.campaign = leader.New(leader.Options{
 		Store:      o.Store,
 		Key:        leaderKey,
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -170,6 +170,7 @@
 // takeAnswer takes what the leader knows.
 func (l *loop) takeAnswer(answer *peer.ReportAnswer) {
 	now := l.clock()
+	l.relayed.Store(true)
 	l.takeVMs(answer.VMs)
 	age := time.Duration(answer.ListAgeMS) * time.Millisecond
 	if answer.Source != "" && !l.leading {
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -229,14 +229,16 @@
 		l.follow(r.answer.Known)
 	}
 	l.book.Event(event.PeerOutOfReach, cause, zap.String("leader", l.leaderNow.Leader.VM))
+	if !l.ready.Load() {
+		l.reportSoon()
+	}
 	if l.relay.failures++; l.relay.failures >= staleAnswers {
 		l.nudgeLeader(l.clock())
 	}
 }
 
 func (ticked) apply(l *loop) {
-	now := l.clock()
-	l.report(now)
+	l.report(l.clock())
 	l.followStore()
 	l.servers.closeIdle(time.Now())
 }
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -189,6 +189,7 @@
 // startFeeds starts the goroutines that bring inputs to the loop, and the loop.
 func (g *Gateway) startFeeds(ctx context.Context) {
 	l := g.loop
+	l.followStore()
 	go l.run()
 	go l.configurationFeed.run(ctx)
 	go l.leaderFeed.run(ctx)
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -26,11 +26,13 @@
 	// others get its news from the leader. Each change goes whole from the store
 	// to every daemon that follows it, also to other regions.
 	mostWatchers = 12
-	// leanBytes bounds the configuration that a starting process reads from the
-	// store itself within leanTime; a larger one comes from the leader, packed, so
-	// that many processes that start do not fill the link between the regions.
-	leanBytes = 256 << 10
-	leanTime  = 5 * time.Second
+	// leastPatience is how long a starting process waits for a leader's word before
+	// it reads the store itself, patienceSpread spreads that among processes: what
+	// many of them read at once fills the link between the regions. recordPatience
+	// is the same for the configuration if a leader answers, which sends it packed.
+	leastPatience  = 1200 * time.Millisecond
+	patienceSpread = 1200 * time.Millisecond
+	recordPatience = 5 * time.Second
 	// gatherTime is how long daemons that lack the record are gathered, resendAfter
 	// the least time between two sends of it to one daemon.
 	gatherTime  = 150 * time.Millisecond
@@ -158,12 +160,18 @@
 // followStore starts and stops the feeds: a daemon follows the store if it
 // leads, if the leader wants it to, or while no leader answers it.
 func (l *loop) followStore() {
-	needed := l.leading || l.mayWatch || l.leaderNow.Leader.Address == ""
-	l.leaderFeed.activate(needed || l.relay.failures > 0)
-	l.configurationFeed.activate(needed || l.relay.failures >= staleAnswers)
-	if l.leading || l.configuration != nil || l.clock()-l.startedAt >= leanTime {
-		l.configurationFeed.unbound()
+	l.leaderFeed.activate(l.leading || l.mayWatch || l.leaderNow.Leader.Address == "" || l.relay.failures > 0)
+	l.configurationFeed.activate(l.leading || l.relay.failures >= staleAnswers || l.mayReadConfiguration())
+}
+
+// mayReadConfiguration says whether a daemon that does not lead takes the
+// configuration from the store. A starting one waits for a leader's word first.
+func (l *loop) mayReadConfiguration() bool {
+	if l.configuration != nil {
+		return l.mayWatch
 	}
+	passed := l.clock() - l.startedAt
+	return passed >= recordPatience || passed >= l.startPatience && !l.relayed.Load()
 }
 
 func (n newsTaken) apply(l *loop) {
