Weak daemons leave the leadership to others from their start on

Weakness was known only from an answer of a leader. Ruled out: the spreading itself (0.5 s after the strong leader's election all 89 were ready). Change: below a strength of 0.1 (a link of 25 Mbit/s, a tenth of a core) a daemon claims later also before it knows the others. Unknown strength never yields. Test: TestWeak.

--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -179,6 +179,7 @@
 		LeaseLeast: o.Settings.Bounds.LeaseLeast,
 		Clock:      parts.clock,
 	})
+	l.campaign.Yield(weak(o.Settings.Strength(), 0))
 	return l
 }
 
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -114,9 +114,23 @@
 	return listed
 }
 
-// strongShare: a daemon with less than this part of the strongest one's strength
-// leaves the leadership to stronger ones.
-const strongShare = 0.5
+const (
+	// strongShare: a daemon with less than this part of the strongest one's
+	// strength leaves the leadership to stronger ones.
+	strongShare = 0.5
+	// weakStrength: a daemon with less does so before it knows the others. Its link
+	// carries a large configuration too slowly for it to keep its lease.
+	weakStrength = 0.1
+)
+
+// weak says whether a daemon leaves the leadership to stronger ones. strongest is
+// the greatest strength that is known, zero if none is.
+func weak(strength, strongest float64) bool {
+	if strength == 0 {
+		return false // Unknown.
+	}
+	return strongest == 0 && strength < weakStrength || strength < strongShare*strongest
+}
 
 // strongest returns the greatest strength of the daemons that report.
 func (l *loop) strongest() float64 {
@@ -181,7 +195,7 @@
 		}
 	}
 	l.mayWatch = answer.Watch
-	l.campaign.Yield(l.settings.Strength() < strongShare*answer.Strongest)
+	l.campaign.Yield(weak(l.settings.Strength(), answer.Strongest))
 	for _, page := range answer.Pages {
 		l.seePage(kvstore.Entry{Key: pagePrefix + page.Service, Value: page.Page, Version: kvstore.Version(page.Version)})
 	}
--- a/gateway/run/spread_test.go
+++ b/gateway/run/spread_test.go
@@ -52,6 +52,19 @@
 	g.Expect(err).To(MatchError(errRecordTooLong))
 }
 
+func TestWeak(t *testing.T) {
+	g := NewWithT(t)
+	slow := model.Settings{Processor: 0.16, LinkMbit: 10}
+	small := model.Settings{Processor: 0.32, LinkMbit: 1000}
+	strong := model.Settings{Processor: 0.8, LinkMbit: 200}
+	g.Expect(weak(slow.Strength(), 0)).To(BeTrue(), "a large configuration takes its link most of a lease")
+	g.Expect(weak(small.Strength(), 0)).To(BeFalse())
+	g.Expect(weak(small.Strength(), small.Strength())).To(BeFalse())
+	g.Expect(weak(small.Strength(), strong.Strength())).To(BeTrue())
+	g.Expect(weak(slow.Strength(), slow.Strength())).To(BeFalse(), "there is none stronger")
+	g.Expect(weak(0, strong.Strength())).To(BeFalse(), "unknown")
+}
+
 func TestStrength(t *testing.T) {
 	g := NewWithT(t)
 	g.Expect(model.Settings{Processor: 0.8, LinkMbit: 25}.Strength()).To(Equal(0.1))
