Requests wait a little for the first configuration of a VM that starts

Weighed: refusing at once (the caller's one repeat is spent on the same daemons); waiting without a bound (its time is spent). Taken: an eighth of its time at most, then 503 as before. The first view is published when the servers are known too. Test: TestStarting failed first (503 for 404).

--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -40,6 +40,9 @@
 	bodiesShare = 4
 	// sampleOf: one success in so many is logged.
 	sampleOf = 32
+	// startWaitShare: a request waits so small a part of its time for the first
+	// configuration of a VM that has just started.
+	startWaitShare = 8
 	// notReadyRetry is when a caller may come back to a VM without a
 	// configuration.
 	notReadyRetry = 200 * time.Millisecond
@@ -124,7 +127,7 @@
 		s.reject(rejection{http.StatusBadRequest, err.Error()})
 		return
 	}
-	current, _ := s.options.Views.Load()
+	current := s.awaitView()
 	if current == nil {
 		s.refuse(verdict.CodeStore, notReadyRetry)
 		return
@@ -143,6 +146,27 @@
 	s.run(current)
 }
 
+// awaitView returns the newest view, or nil if there is none after a short wait.
+func (s *served) awaitView() *view.View {
+	current, published := s.options.Views.Load()
+	if current != nil {
+		return current
+	}
+	allowed := standardTime
+	if s.head.TimeLeft > 0 {
+		allowed = s.head.TimeLeft
+	}
+	timer := time.NewTimer(allowed / startWaitShare)
+	defer timer.Stop()
+	select {
+	case <-published:
+	case <-timer.C:
+	case <-s.r.Context().Done():
+	}
+	current, _ = s.options.Views.Load()
+	return current
+}
+
 // check looks at what a request needs before it is sent on.
 func (s *served) check(current *view.View) *rejection {
 	if s.head.ID == "" {
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -184,9 +184,10 @@
 	}
 }
 
-// publish makes the newest view.
+// publish makes the newest view, once the configuration and the servers are
+// known.
 func (l *loop) publish() {
-	if l.configuration == nil {
+	if l.configuration == nil || !l.servers.known {
 		return
 	}
 	l.changed = false
@@ -201,7 +202,7 @@
 		services[name] = service
 	}
 	l.views.Publish(&view.View{Configuration: l.configuration, Routes: l.routes, Services: services})
-	if !l.stopping && !l.ready.Load() && l.servers.known {
+	if !l.stopping && !l.ready.Load() {
 		l.ready.Store(true)
 		l.book.Event(event.GatewayReady, "", zap.Uint64("configuration", l.configuration.Version), zap.Int("servers", len(l.servers.rows)))
 	}
