logbook: lines about servers and calls leave room for decisions

Change: lines about single servers, pages and calls leave 50 lines for the decisions that explain them. Test: "leaves room for decisions when the lists of servers press" failed first.

--- a/gateway/logbook/logbook.go
+++ b/gateway/logbook/logbook.go
@@ -25,8 +25,11 @@
 	// linesPerSecond and lineBurst bound the lines of all events.
 	linesPerSecond = 120
 	lineBurst      = 400
-	// rareBurst is what ordinary lines leave for rare ones.
-	rareBurst = 150
+	// rareBurst is what lines about requests leave for all others, vitalBurst what
+	// lines about single servers, pages and calls leave for the decisions that
+	// explain them.
+	rareBurst  = 150
+	vitalBurst = 50
 	// gatherTime is how long lines are gathered for one write.
 	gatherTime = 100 * time.Millisecond
 )
@@ -66,8 +69,16 @@
 	return b
 }
 
-// Event writes one event of the catalogue. Events about single requests are
-// ordinary; all others are rare.
+// reserves are the lines that an event leaves for others; zero if none.
+var reserves = map[event.Number]float64{
+	event.BackendSeen: vitalBurst, event.BackendLeaving: vitalBurst, event.BackendGone: vitalBurst, event.ServerProbed: vitalBurst,
+	event.KeysPageWritten: vitalBurst, event.KeysPageSeen: vitalBurst, event.GrantFailed: vitalBurst, event.ReleaseEnded: vitalBurst,
+	event.PeerOutOfReach: vitalBurst, event.NewsNotSent: vitalBurst,
+	event.RequestAnswered: rareBurst, event.RequestNotRun: rareBurst, event.RequestMayHaveRun: rareBurst,
+	event.RequestRejected: rareBurst, event.SendFailed: rareBurst, event.CallerLeft: rareBurst,
+}
+
+// Event writes one event of the catalogue, if the rate has room for its kind.
 func (b *Book) Event(number event.Number, cause string, fields ...zap.Field) {
 	now := time.Now()
 	if !b.allowed(now, number) {
@@ -98,8 +109,7 @@
 func (b *Book) allowed(now time.Time, number event.Number) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	ordinary := number >= event.RequestAnswered && number < event.GatewayLinesLeftOut
-	if ordinary && b.limiter.TokensAt(now) < rareBurst {
+	if reserve := reserves[number]; reserve > 0 && b.limiter.TokensAt(now) < reserve {
 		return false
 	}
 	return b.limiter.AllowN(now, 1)
--- a/gateway/logbook/logbook_test.go
+++ b/gateway/logbook/logbook_test.go
@@ -62,4 +62,17 @@
 		book.Close(time.Second)
 		g.Expect(output.String()).To(ContainSubstring("it matters"))
 	})
+
+	t.Run("leaves room for decisions when the lists of servers press", func(t *testing.T) {
+		g := NewWithT(t)
+		var output bytes.Buffer
+		book := logbook.New(&output)
+		for range 5000 {
+			book.Event(event.BackendSeen, "")
+			book.Event(event.GrantFailed, "")
+		}
+		book.Event(event.PredecessorStopped, "it matters")
+		book.Close(time.Second)
+		g.Expect(output.String()).To(ContainSubstring("it matters"))
+	})
 }
