event: every number of the catalogue is written by some log line

Cause: gateway-not-ready and send-failed were in the catalogue and written nowhere; an engineer would look for them in vain. Change: a stopping process writes gateway-not-ready; send-failed is gone (the lines at a request's end carry each send).

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -30,7 +30,6 @@
 	RequestNotRun         Number = 731
 	RequestMayHaveRun     Number = 732
 	RequestRejected       Number = 733
-	SendFailed            Number = 734
 	CallerLeft            Number = 735
 	GatewayLinesLeftOut   Number = 740
 	GatewayPeerServerDown Number = 741
@@ -66,7 +65,6 @@
 	{RequestNotRun, "request-not-run", Warn, "A request ended without having run; the code says why. The caller was told when to come back."},
 	{RequestMayHaveRun, "request-may-have-run", Warn, "A request ended without a whole answer after it may have reached a backend server; the code says why."},
 	{RequestRejected, "request-rejected", Info, "A request was rejected for itself: no route, a bad header, or a body beyond the limit."},
-	{SendFailed, "send-failed", Info, "One send of a request brought no answer to pass on; the fields name the server, how far it came and what followed."},
 	{CallerLeft, "caller-left", Info, "The caller closed its connection before the answer; the backend server's work was cancelled."},
 	{GatewayLinesLeftOut, "gateway-lines-left-out", Warn, "Log lines were left out because the output was full or the limit of lines was reached; the field lines counts them."},
 	{GatewayPeerServerDown, "gateway-listener-failed", Error, "A listener of this process ended with an error; the process stops."},
--- a/gateway/logbook/logbook.go
+++ b/gateway/logbook/logbook.go
@@ -75,7 +75,7 @@
 	event.KeysPageWritten: vitalBurst, event.KeysPageSeen: vitalBurst, event.GrantFailed: vitalBurst, event.ReleaseEnded: vitalBurst,
 	event.PeerOutOfReach: vitalBurst, event.NewsNotSent: vitalBurst,
 	event.RequestAnswered: rareBurst, event.RequestNotRun: rareBurst, event.RequestMayHaveRun: rareBurst,
-	event.RequestRejected: rareBurst, event.SendFailed: rareBurst, event.CallerLeft: rareBurst,
+	event.RequestRejected: rareBurst, event.CallerLeft: rareBurst,
 }
 
 // Event writes one event of the catalogue, if the rate has room for its kind.
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -377,7 +377,9 @@
 // nobody else can be elected meanwhile.
 func (s stopped) apply(l *loop) {
 	l.stopping = true
-	l.ready.Store(false)
+	if l.ready.Swap(false) {
+		l.book.Event(event.GatewayNotReady, "the process stops")
+	}
 	if l.leading && (s.last || l.clock()-l.campaign.State().Contact <= contactLife) {
 		l.stopLeading("the process stops")
 		go l.resign(true)
