Large fleets get the whole list of servers by the tree

On a changed copy of the site (304 machines, 3,000 servers) 3,212 reports found no connection to the leader within 0.4 s: it packed the whole list, 540 KB, into each answer, the answers came late, and daemons asked again. Ruled out: the tree of the configuration (daemons whose reports were answered had it at once). Change: in fleets beyond 16 daemons those that lack the whole list are gathered for 150 ms and get it packed once by the tree, as the configuration does; the list is compared once for each reading, not for each report, and an answer to a daemon that has all costs no look through it. Test: TestServersOfALargeFleet.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -117,6 +117,8 @@
 	Page *PageChange `json:"page,omitempty"`
 	// Record is the operators' record of a newer configuration, if any.
 	Record *Record `json:"record,omitempty"`
+	// Servers is the leader's whole list of servers, if any.
+	Servers *ServerList `json:"servers,omitempty"`
 	// Onward are the peers' addresses that the receiver passes the news on to.
 	Onward []string `json:"onward,omitempty"`
 }
@@ -129,6 +131,15 @@
 	Version uint64 `json:"version"`
 }
 
+// ServerList is a leader's whole list of servers.
+type ServerList struct {
+	// Source names the list, Change is its newest change.
+	Source string `json:"source"`
+	Change uint64 `json:"change"`
+	// Packed is the compressed list of model.Server.
+	Packed []byte `json:"packed"`
+}
+
 // PageChange makes one version of a service's page into the next one.
 type PageChange struct {
 	Service string          `json:"service"`
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -62,7 +62,7 @@
 		return
 	}
 	l.configuration, l.record, l.recordVersion, l.packed = configuration, entry.Value, entry.Version, nil
-	clear(l.recordSent)
+	clear(l.lackRecord.sent)
 	l.routes = routing.NewTable(configuration)
 	l.changed = true
 	l.book.Event(event.GatewayConfigured, "", zap.Uint64("configuration", configuration.Version),
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -43,7 +43,7 @@
 		return
 	}
 	l.addMachines(now)
-	l.sendRecord(now)
+	l.sendLacking(now)
 	l.outvotePredecessor(now)
 	isolated := 0
 	for service, machine := range l.machines {
@@ -102,8 +102,8 @@
 	l.leading, l.ledAt = true, now
 	l.fleetBefore = l.peersKnown
 	clear(l.members)
-	clear(l.lacking)
-	clear(l.recordSent)
+	l.lackRecord.clear()
+	l.lackServers.clear()
 	l.leadingNow.Store(true)
 	l.leaderNow = peer.Follow{Leader: l.self, Term: uint64(l.term)}
 	l.book.Event(event.LeadershipWon, "", zap.Uint64("term", uint64(l.term)))
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -78,19 +78,18 @@
 	leadAt        time.Duration // The systems that lead do not run before.
 	startedAt     time.Duration
 	startPatience time.Duration   // Constant: see leastPatience.
-	recordAt      time.Duration   // The record is not sent to those that lack it before.
 	asking        map[string]bool // Incarnations of earlier leaders that are being asked.
 	leaderNow     peer.Follow
-	fleetBefore   []string                 // peersKnown when leading began.
-	peersKnown    []string                 // Addresses of all daemons, as the leader said.
-	record        []byte                   // The operators' record of the configuration.
-	recordVersion kvstore.Version          // Of record.
-	packed        *peer.Record             // The same, packed; nil until it is needed.
-	lacking       map[string]bool          // VMs that are to be sent the record, while this one leads.
-	recordSent    map[string]time.Duration // When each VM was sent the record.
-	watchers      map[string]bool          // VMs that are to follow the store, while this one leads.
-	mayWatch      bool                     // The leader wants this VM to follow the store.
-	latenciesAt   time.Duration            // Servers' times are not reported before.
+	fleetBefore   []string        // peersKnown when leading began.
+	peersKnown    []string        // Addresses of all daemons, as the leader said.
+	record        []byte          // The operators' record of the configuration.
+	recordVersion kvstore.Version // Of record.
+	packed        *peer.Record    // The same, packed; nil until it is needed.
+	lackRecord    gathering       // VMs without the record, while this one leads.
+	lackServers   gathering       // The same for the list of servers.
+	watchers      map[string]bool // VMs that are to follow the store, while this one leads.
+	mayWatch      bool            // The leader wants this VM to follow the store.
+	latenciesAt   time.Duration   // Servers' times are not reported before.
 	reporting     bool
 	members       map[string]member
 	asked         *askedKeys
@@ -142,28 +141,29 @@
 		panic("run: " + err.Error()) // Three texts always encode.
 	}
 	l := &loop{
-		settings:   o.Settings,
-		store:      o.Store,
-		records:    o.Records,
-		grantor:    o.Grantor,
-		book:       parts.book,
-		budget:     parts.budget,
-		views:      parts.views,
-		clock:      parts.clock,
-		peers:      peer.NewClient(),
-		self:       self,
-		inputs:     make(chan input, inputQueue),
-		ctx:        ctx,
-		pages:      make(map[string]*seenPage),
-		machines:   make(map[string]*keys.Machine),
-		asking:     make(map[string]bool),
-		members:    make(map[string]member),
-		lacking:    make(map[string]bool),
-		recordSent: make(map[string]time.Duration),
-		ignored:    make(map[string]kvstore.Version),
-		asked:      parts.asked,
-		mayWatch:   true,
-		startedAt:  parts.clock(),
+		settings: o.Settings,
+		store:    o.Store,
+		records:  o.Records,
+		grantor:  o.Grantor,
+		book:     parts.book,
+		budget:   parts.budget,
+		views:    parts.views,
+		clock:    parts.clock,
+		peers:    peer.NewClient(),
+		self:     self,
+		inputs:   make(chan input, inputQueue),
+		ctx:      ctx,
+		pages:    make(map[string]*seenPage),
+		machines: make(map[string]*keys.Machine),
+		asking:   make(map[string]bool),
+		members:  make(map[string]member),
+
+		lackRecord:  newGathering(),
+		lackServers: newGathering(),
+		ignored:     make(map[string]kvstore.Version),
+		asked:       parts.asked,
+		mayWatch:    true,
+		startedAt:   parts.clock(),
 
 		startPatience: leastPatience + mathrand.N(patienceSpread),
 	}
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"encoding/json"
 	"time"
 
 	"guavacrank.example/gateway/model"
@@ -24,6 +25,10 @@
 	change uint64
 	rows   map[model.Life]relayRow
 	gone   map[model.Life]uint64
+	// notedAt is the reading of the servers that was taken last; packed is the
+	// whole list as of a change, nil until it is needed.
+	notedAt time.Duration
+	packed  *peer.ServerList
 
 	// source, seen and servers are what was taken from a leader.
 	source  string
@@ -49,6 +54,10 @@
 
 // note takes this daemon's own list into the numbered changes.
 func (r *relay) note(table *serverTable) {
+	if r.notedAt == table.readAt && r.change > 0 {
+		return
+	}
+	r.notedAt = table.readAt
 	seen := make(map[model.Life]bool, len(table.rows))
 	for life, row := range table.rows {
 		if row.gone {
@@ -73,12 +82,36 @@
 	}
 }
 
+// lacksAll says whether a daemon needs the whole list.
+func (r *relay) lacksAll(source string, report *peer.Report) bool {
+	return report.Source != source || report.Change > r.change
+}
+
+// list returns the whole list for the way between daemons.
+func (r *relay) list(source string) (*peer.ServerList, error) {
+	if r.packed != nil && r.packed.Change == r.change {
+		return r.packed, nil
+	}
+	servers := make([]model.Server, 0, len(r.rows))
+	for _, row := range r.rows {
+		servers = append(servers, row.Server)
+	}
+	text, err := json.Marshal(servers)
+	if err != nil {
+		return nil, err
+	}
+	r.packed = &peer.ServerList{Source: source, Change: r.change, Packed: pack(text)}
+	return r.packed, nil
+}
+
 // fill puts what a daemon lacks into an answer.
 func (r *relay) fill(answer *peer.ReportAnswer, source string, report *peer.Report) {
 	answer.Source, answer.Change = source, r.change
 	since := report.Change
-	if report.Source != source || since > r.change {
+	if r.lacksAll(source, report) {
 		answer.All, since = true, 0
+	} else if since == r.change {
+		return
 	}
 	for _, row := range r.rows {
 		if row.change > since {
@@ -176,7 +209,11 @@
 	}
 	if l.servers.known {
 		l.relay.note(l.servers)
-		l.relay.fill(&answer, l.source(), report)
+		if len(l.members) > mostDirect && l.relay.lacksAll(l.source(), report) {
+			l.lackServers.add(report.VM, now)
+		} else {
+			l.relay.fill(&answer, l.source(), report)
+		}
 	}
 	return answer
 }
--- /dev/null
+++ b/gateway/run/relay_test.go
@@ -0,0 +1,69 @@
+package run
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/gateway/logbook"
+	"guavacrank.example/gateway/model"
+	"guavacrank.example/gateway/peer"
+)
+
+// relaying returns a loop that knows some servers.
+func relaying(t *testing.T, servers int) *loop {
+	book := logbook.New(io.Discard)
+	t.Cleanup(func() { book.Close(time.Second) })
+	now := 5 * time.Second
+	l := &loop{
+		settings: &model.Settings{}, members: map[string]member{}, relay: newRelay(), book: book,
+		lackRecord: newGathering(), lackServers: newGathering(), clock: func() time.Duration { return now },
+	}
+	l.servers = newServerTable(l.settings, nil, book)
+	l.self.Incarnation = "leader"
+	var listed []model.Server
+	for at := range servers {
+		listed = append(listed, model.Server{ID: fmt.Sprintf("i-%d", at), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", at), Slots: 4})
+	}
+	if servers > 0 {
+		l.servers.update(now, listed)
+	}
+	return l
+}
+
+func TestServersOfALargeFleet(t *testing.T) {
+	g := NewWithT(t)
+	leader := relaying(t, 3)
+	report := &peer.Report{VM: "a"}
+	g.Expect(leader.answerReport(report).Servers).To(HaveLen(3), "a small fleet gets the list with the answer")
+	for at := range mostDirect + 1 {
+		leader.members[fmt.Sprint(at)] = member{}
+	}
+	answer := leader.answerReport(report)
+	g.Expect(answer.Servers).To(BeEmpty(), "the whole list in each answer keeps the leader of a large fleet from answering in time")
+	g.Expect(answer.Source).To(BeEmpty(), "the daemon goes on to lack it")
+	g.Expect(leader.lackServers.take(leader.clock())).To(HaveKey("a"))
+
+	list, err := leader.relay.list(leader.source())
+	g.Expect(err).NotTo(HaveOccurred())
+	again, err := leader.relay.list(leader.source())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again).To(BeIdenticalTo(list), "it is packed once")
+
+	follower := relaying(t, 0)
+	follower.takeList(list)
+	g.Expect(follower.servers.of("s")).To(HaveLen(3))
+	next := follower.makeReportOfServers()
+	g.Expect(leader.relay.lacksAll(leader.source(), &next)).To(BeFalse())
+	answer = leader.answerReport(&next)
+	g.Expect(answer.Source).To(Equal("leader"))
+	g.Expect(answer.Servers).To(BeEmpty(), "nothing changed")
+}
+
+// makeReportOfServers returns what a report says of the list of servers.
+func (l *loop) makeReportOfServers() peer.Report {
+	return peer.Report{VM: "a", Source: l.relay.source, Change: l.relay.seen}
+}
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -12,6 +13,7 @@
 
 	"guavacrank.example/event"
 	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
 	"guavacrank.example/kvstore"
 )
@@ -33,10 +35,6 @@
 	leastPatience  = 1200 * time.Millisecond
 	patienceSpread = 1200 * time.Millisecond
 	recordPatience = 5 * time.Second
-	// gatherTime is how long daemons that lack the record are gathered, resendAfter
-	// the least time between two sends of it to one daemon.
-	gatherTime  = 150 * time.Millisecond
-	resendAfter = 1500 * time.Millisecond
 	// soonSpread spreads the reports of daemons that miss something.
 	soonSpread = 150 * time.Millisecond
 )
@@ -181,6 +179,9 @@
 	if n.news.Record != nil {
 		l.takeRecord(n.news.Record)
 	}
+	if n.news.Servers != nil {
+		l.takeList(n.news.Servers)
+	}
 }
 
 // takeChange applies the change of a page. If it does not fit the page that
@@ -225,23 +226,45 @@
 	if len(l.members) <= mostDirect {
 		return l.packedRecord()
 	}
-	if sent, before := l.recordSent[vm]; !before || now >= sent+resendAfter {
-		l.lacking[vm] = true
-	}
+	l.lackRecord.add(vm, now)
 	return nil
 }
 
-// sendRecord sends the record to the daemons that lack it.
-func (l *loop) sendRecord(now time.Duration) {
-	if len(l.lacking) == 0 || now < l.recordAt {
+// sendLacking sends the record and the list of servers to the daemons that lack
+// them.
+func (l *loop) sendLacking(now time.Duration) {
+	if lacking := l.lackRecord.take(now); lacking != nil {
+		l.spreadTo(peer.Spread{Record: l.packedRecord()}, func(vm string) bool { return lacking[vm] })
+	}
+	lacking := l.lackServers.take(now)
+	if lacking == nil {
+		return
+	}
+	list, err := l.relay.list(l.source())
+	if err != nil {
+		l.book.Event(event.NewsNotSent, err.Error(), zap.String("news", "servers"))
+		return
+	}
+	l.spreadTo(peer.Spread{Servers: list}, func(vm string) bool { return lacking[vm] })
+}
+
+// takeList takes the whole list of servers from another daemon.
+func (l *loop) takeList(list *peer.ServerList) {
+	var servers []model.Server
+	text, err := unpack(list.Packed)
+	if err == nil {
+		err = json.Unmarshal(text, &servers)
+	}
+	if err != nil {
+		l.book.Event(event.RecordIgnored, err.Error(), zap.String("key", "servers of "+list.Source))
 		return
 	}
-	l.recordAt = now + gatherTime
-	for vm := range l.lacking {
-		l.recordSent[vm] = now
+	if l.leading || list.Source == l.relay.source && list.Change <= l.relay.seen {
+		return
 	}
-	l.spreadTo(peer.Spread{Record: l.packedRecord()}, func(vm string) bool { return l.lacking[vm] })
-	clear(l.lacking)
+	now := l.clock()
+	l.relayedAt.Store(int64(now))
+	l.takeServers(now, l.relay.take(&peer.ReportAnswer{Source: list.Source, Change: list.Change, All: true, Servers: servers}))
 }
 
 // reportSoon has the next report sent shortly.
--- a/gateway/run/spread_test.go
+++ b/gateway/run/spread_test.go
@@ -82,18 +82,18 @@
 
 func TestRecordFor(t *testing.T) {
 	g := NewWithT(t)
-	l := &loop{members: map[string]member{}, lacking: map[string]bool{}, recordSent: map[string]time.Duration{}, record: []byte("{}"), recordVersion: 7}
+	l := &loop{members: map[string]member{}, lackRecord: newGathering(), record: []byte("{}"), recordVersion: 7}
 	now := time.Second
 	g.Expect(l.recordFor("a", now)).NotTo(BeNil(), "a small fleet gets it with the answer")
 	for at := range mostDirect + 1 {
 		l.members[fmt.Sprint(at)] = member{}
 	}
 	g.Expect(l.recordFor("a", now)).To(BeNil())
-	g.Expect(l.lacking).To(HaveKey("a"), "a large fleet gets it together")
-	clear(l.lacking)
-	l.recordSent["a"] = now
+	g.Expect(l.lackRecord.lacking).To(HaveKey("a"), "a large fleet gets it together")
+	clear(l.lackRecord.lacking)
+	l.lackRecord.sent["a"] = now
 	l.recordFor("a", now+resendAfter/2)
-	g.Expect(l.lacking).To(BeEmpty(), "it is under way")
+	g.Expect(l.lackRecord.lacking).To(BeEmpty(), "it is under way")
 	l.recordFor("a", now+resendAfter)
-	g.Expect(l.lacking).To(HaveKey("a"))
+	g.Expect(l.lackRecord.lacking).To(HaveKey("a"))
 }
