A fleet that starts without a leader reads at once where that is cheap

Taken: a daemon that finds the store in its own region, by the time of its first small call, reads all from it while nobody leads; the others ask a seed, and a daemon that has the configuration and the servers gives them to one that starts. Test: "starts a process from a seed's word" failed first (the answer named a leader only).

--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -91,6 +91,7 @@
 
 // applyLeader takes the leader's key.
 func (l *loop) applyLeader(f followed) {
+	l.nearStore = l.nearStore || f.whole && f.took < nearTime
 	seen := false
 	for _, entry := range f.entries {
 		if entry.Key == leaderKey {
--- a/gateway/run/feeds.go
+++ b/gateway/run/feeds.go
@@ -118,8 +118,9 @@
 			}
 			continue
 		}
+		began := time.Now()
 		entries, version, err := f.store.List(ctx, f.prefix)
-		f.deliver(followed{prefix: f.prefix, whole: true, entries: entries, err: err})
+		f.deliver(followed{prefix: f.prefix, whole: true, entries: entries, err: err, took: time.Since(began)})
 		if err != nil {
 			sleep(ctx, jitter(pause))
 			pause = min(2*pause, lastPause)
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -17,6 +17,8 @@
 	whole   bool
 	entries []kvstore.Entry
 	err     error
+	// took is how long a reading of the whole prefix took.
+	took time.Duration
 }
 
 // polled is a reading of the servers' records.
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -78,6 +78,7 @@
 	leadAt        time.Duration // The systems that lead do not run before.
 	startedAt     time.Duration
 	startPatience time.Duration   // Constant: see leastPatience.
+	nearStore     bool            // The store answers as one in this region does.
 	asking        map[string]bool // Incarnations of earlier leaders that are being asked.
 	leaderNow     peer.Follow
 	fleetBefore   []string        // peersKnown when leading began.
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -218,6 +218,30 @@
 	return answer
 }
 
+// answerStarting makes the answer of a daemon that does not lead. One that starts
+// gets what it lacks, since there may be no leader yet.
+func (l *loop) answerStarting(report *peer.Report) peer.ReportAnswer {
+	answer := peer.ReportAnswer{Known: l.leaderNow}
+	if l.configuration == nil || !l.servers.known || report.Configuration > 0 {
+		return answer
+	}
+	answer.Configuration, answer.Record = l.configuration.Version, l.packedRecord()
+	l.relay.note(l.servers)
+	l.relay.fill(&answer, l.source(), report)
+	return answer
+}
+
+// takeFromPeer takes what a daemon that does not lead told this one, which starts.
+func (l *loop) takeFromPeer(answer *peer.ReportAnswer) {
+	if answer.Record == nil || l.configuration != nil {
+		return
+	}
+	l.takeRecord(answer.Record)
+	if !l.servers.known {
+		l.takeServers(l.clock(), l.relay.take(answer))
+	}
+}
+
 // takeAnswer takes what the leader knows.
 func (l *loop) takeAnswer(answer *peer.ReportAnswer) {
 	now := l.clock()
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -83,11 +83,13 @@
 	return max(reportEvery, time.Duration(l.vms.Load())*reportEach)
 }
 
-// reportTo returns the leader's address, or that of a seed that may know it
-// while the store is out of reach.
+// reportTo returns the leader's address, or that of a seed that may know it or
+// have what this VM lacks: while the store is out of reach, and at the start.
 func (l *loop) reportTo() string {
-	if l.leaderNow.Leader.Address != "" || !l.storeHealth.lost || len(l.settings.Seeds) == 0 {
-		return l.leaderNow.Leader.Address
+	leader, starting := l.leaderNow.Leader.Address, !l.ready.Load()
+	ask := leader == "" && (starting || l.storeHealth.lost) || starting && l.relay.failures > 0
+	if l.leading || !ask || len(l.settings.Seeds) == 0 {
+		return leader
 	}
 	l.seedNext++
 	if seed := l.settings.Seeds[l.seedNext%len(l.settings.Seeds)]; seed != l.self.Address {
@@ -208,7 +210,7 @@
 
 func (r reported) apply(l *loop) {
 	if !l.leading {
-		r.reply <- peer.ReportAnswer{Known: l.leaderNow}
+		r.reply <- l.answerStarting(r.report)
 		return
 	}
 	l.takeReport(r.report)
@@ -227,6 +229,7 @@
 		cause = r.err.Error()
 	} else {
 		l.follow(r.answer.Known)
+		l.takeFromPeer(r.answer)
 	}
 	l.book.Event(event.PeerOutOfReach, cause, zap.String("leader", l.leaderNow.Leader.VM))
 	if !l.ready.Load() {
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -35,6 +35,10 @@
 	leastPatience  = 1200 * time.Millisecond
 	patienceSpread = 1200 * time.Millisecond
 	recordPatience = 5 * time.Second
+	// nearTime is the longest time of a small call to a store in the own region, a
+	// new connection included. Reading much of such a store fills no link between
+	// the regions.
+	nearTime = 20 * time.Millisecond
 	// soonSpread spreads the reports of daemons that miss something.
 	soonSpread = 150 * time.Millisecond
 )
@@ -160,6 +164,9 @@
 func (l *loop) followStore() {
 	l.leaderFeed.activate(l.leading || l.mayWatch || l.leaderNow.Leader.Address == "" || l.relay.failures > 0)
 	l.configurationFeed.activate(l.leading || l.relay.failures >= staleAnswers || l.mayReadConfiguration())
+	if !l.servers.known && l.readsAtOnce() {
+		l.relayedAt.Store(int64(l.clock() - l.relayLife())) // Ends the wait for a leader's list.
+	}
 }
 
 // mayReadConfiguration says whether a daemon that does not lead takes the
@@ -169,7 +176,13 @@
 		return l.mayWatch
 	}
 	passed := l.clock() - l.startedAt
-	return passed >= recordPatience || passed >= l.startPatience && !l.relayed.Load()
+	return passed >= recordPatience || passed >= l.startPatience && !l.relayed.Load() || l.readsAtOnce()
+}
+
+// readsAtOnce says whether a daemon that lacks everything need not wait for a
+// leader: there is none, and reading the store harms nobody.
+func (l *loop) readsAtOnce() bool {
+	return l.nearStore && (l.leaderNow.Leader.Address == "" || l.relay.failures > 0)
 }
 
 func (n newsTaken) apply(l *loop) {
