Starting daemons ask and read at events, not at ticks

Change: a daemon in the store's region with a wide link reads at once; the first questions of a starting daemon follow on their answers.

--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -102,6 +102,7 @@
 	if f.whole && !seen {
 		l.campaign.Observe(nil)
 	}
+	l.askWhileStarting()
 }
 
 func (l *loop) seeLeader(entry kvstore.Entry) {
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -232,12 +232,13 @@
 		l.takeFromPeer(r.answer)
 	}
 	l.book.Event(event.PeerOutOfReach, cause, zap.String("leader", l.leaderNow.Leader.VM))
-	if !l.ready.Load() {
-		l.reportSoon()
-	}
 	if l.relay.failures++; l.relay.failures >= staleAnswers {
 		l.nudgeLeader(l.clock())
 	}
+	if !l.ready.Load() {
+		l.reportSoon()
+		l.askWhileStarting()
+	}
 }
 
 func (ticked) apply(l *loop) {
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -28,6 +28,9 @@
 	// others get its news from the leader. Each change goes whole from the store
 	// to every daemon that follows it, also to other regions.
 	mostWatchers = 12
+	// firstTries is the number of failed questions of a starting daemon after which
+	// the next ones wait.
+	firstTries = 3
 	// leastPatience is how long a starting process waits for a leader's word before
 	// it reads the store itself, patienceSpread spreads that among processes: what
 	// many of them read at once fills the link between the regions. recordPatience
@@ -39,6 +42,9 @@
 	// new connection included. Reading much of such a store fills no link between
 	// the regions.
 	nearTime = 20 * time.Millisecond
+	// wideLink is the rate of a link, in Mbit/s, that carries a large configuration
+	// as it is within a tenth of a second.
+	wideLink = 100
 	// soonSpread spreads the reports of daemons that miss something.
 	soonSpread = 150 * time.Millisecond
 )
@@ -180,9 +186,18 @@
 }
 
 // readsAtOnce says whether a daemon that lacks everything need not wait for a
-// leader: there is none, and reading the store harms nobody.
+// leader, since reading the store fills no link.
 func (l *loop) readsAtOnce() bool {
-	return l.nearStore && (l.leaderNow.Leader.Address == "" || l.relay.failures > 0)
+	return l.nearStore && (l.settings.LinkMbit == 0 || l.settings.LinkMbit >= wideLink)
+}
+
+// askWhileStarting asks for what a starting daemon lacks without waiting for the
+// next tick.
+func (l *loop) askWhileStarting() {
+	if !l.ready.Load() && l.relay.failures <= firstTries {
+		l.reportAt = 0
+		ticked{}.apply(l)
+	}
 }
 
 func (n newsTaken) apply(l *loop) {
