Starting daemons go back to the leader, and get pages from a seed

Pages came 1.2 s later or with the leader's word. Change: a new leader clears the failures; leader and seeds are asked in turn; the configuration is read after failures only if there is one already; a seed sends what is lacking of configuration, servers and pages; beside the store the waits end with the first small call.

--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -123,7 +123,7 @@
 	if f.Term <= l.leaderNow.Term {
 		return
 	}
-	l.leaderNow = f
+	l.leaderNow, l.relay.failures = f, 0
 	if l.leading && f.Leader != l.self {
 		l.stopLeading("a later leader is known: " + f.Leader.VM)
 	}
--- a/gateway/run/feeds.go
+++ b/gateway/run/feeds.go
@@ -161,6 +161,7 @@
 // a leader reads for all, the others only if no leader tells them. A watch would
 // return for every heartbeat of every server.
 func (l *loop) pollServers(ctx context.Context) {
+	l.awaitStart(ctx)
 	for ctx.Err() == nil {
 		if !l.leadingNow.Load() && l.clock()-time.Duration(l.relayedAt.Load()) < l.relayLife() {
 			sleep(ctx, firstPause)
@@ -212,10 +213,29 @@
 	}
 }
 
+// awaitStart waits until a starting daemon may read the store itself.
+func (l *loop) awaitStart(ctx context.Context) {
+	timer := time.NewTimer(l.startPatience)
+	defer timer.Stop()
+	select {
+	case <-l.startWait:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// endStartWait ends awaitStart.
+func (l *loop) endStartWait() {
+	if !l.startOver {
+		l.startOver = true
+		close(l.startWait)
+	}
+}
+
 // readPages reads the pages of keys once, unless a leader sends them meanwhile.
 // Later ones come from the leader.
 func (l *loop) readPages(ctx context.Context) {
-	sleep(ctx, l.startPatience)
+	l.awaitStart(ctx)
 	for ctx.Err() == nil && !l.relayed.Load() {
 		entries, _, err := l.store.List(ctx, pagePrefix)
 		l.deliver(followed{prefix: pagePrefix, whole: true, entries: entries, err: err})
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -79,6 +79,8 @@
 	startedAt     time.Duration
 	startPatience time.Duration   // Constant: see leastPatience.
 	nearStore     bool            // The store answers as one in this region does.
+	startOver     bool            // startWait is closed.
+	startWait     chan struct{}   // Ends the wait for a leader before reading the store; for all goroutines.
 	asking        map[string]bool // Incarnations of earlier leaders that are being asked.
 	leaderNow     peer.Follow
 	fleetBefore   []string        // peersKnown when leading began.
@@ -167,12 +169,13 @@
 		startedAt:   parts.clock(),
 
 		startPatience: leastPatience + mathrand.N(patienceSpread),
+		startWait:     make(chan struct{}),
 	}
 	l.servers = newServerTable(o.Settings, o.Dialect, parts.book)
 	l.configurationFeed = newFeed(o.Store, o.Records.ConfigurationKey(), l.deliver)
 	l.leaderFeed = newFeed(o.Store, leaderKey, l.deliver)
 	l.relay = newRelay()
-	l.relayedAt.Store(int64(l.startedAt + l.startPatience - l.relayLife()))
+	l.relayedAt.Store(-int64(l.relayLife()))
 	l.campaign = leader.New(leader.Options{
 		Store:      o.Store,
 		Key:        leaderKey,
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -196,6 +196,21 @@
 	if report.Members != answer.VMs {
 		answer.Members = l.memberAddresses()
 	}
+	answer.Pages = l.pagesFor(report)
+	if l.servers.known {
+		l.relay.note(l.servers)
+		if len(l.members) > mostDirect && l.relay.lacksAll(l.source(), report) {
+			l.lackServers.add(report.VM, now)
+		} else {
+			l.relay.fill(&answer, l.source(), report)
+		}
+	}
+	return answer
+}
+
+// pagesFor returns the pages that a daemon lacks.
+func (l *loop) pagesFor(report *peer.Report) []peer.StoredPage {
+	var lacked []peer.StoredPage
 	for service, seen := range l.pages {
 		if report.Pages[service] >= uint64(seen.version) {
 			continue
@@ -205,27 +220,27 @@
 			l.ignore(kvstore.Entry{Key: pagePrefix + service, Version: seen.version}, err)
 			continue
 		}
-		answer.Pages = append(answer.Pages, peer.StoredPage{Service: service, Version: uint64(seen.version), Page: page})
+		lacked = append(lacked, peer.StoredPage{Service: service, Version: uint64(seen.version), Page: page})
 	}
-	if l.servers.known {
-		l.relay.note(l.servers)
-		if len(l.members) > mostDirect && l.relay.lacksAll(l.source(), report) {
-			l.lackServers.add(report.VM, now)
-		} else {
-			l.relay.fill(&answer, l.source(), report)
-		}
+	return lacked
+}
+
+// takePages takes pages from another daemon.
+func (l *loop) takePages(pages []peer.StoredPage) {
+	for _, page := range pages {
+		l.seePage(kvstore.Entry{Key: pagePrefix + page.Service, Value: page.Page, Version: kvstore.Version(page.Version)})
 	}
-	return answer
 }
 
 // answerStarting makes the answer of a daemon that does not lead. One that starts
 // gets what it lacks, since there may be no leader yet.
 func (l *loop) answerStarting(report *peer.Report) peer.ReportAnswer {
 	answer := peer.ReportAnswer{Known: l.leaderNow}
-	if l.configuration == nil || !l.servers.known || report.Configuration > 0 {
+	if l.configuration == nil || !l.servers.known || report.Configuration > 0 && report.Source != "" {
 		return answer
 	}
 	answer.Configuration, answer.Record = l.configuration.Version, l.packedRecord()
+	answer.Pages = l.pagesFor(report)
 	l.relay.note(l.servers)
 	l.relay.fill(&answer, l.source(), report)
 	return answer
@@ -233,10 +248,11 @@
 
 // takeFromPeer takes what a daemon that does not lead told this one, which starts.
 func (l *loop) takeFromPeer(answer *peer.ReportAnswer) {
-	if answer.Record == nil || l.configuration != nil {
+	if answer.Record == nil {
 		return
 	}
 	l.takeRecord(answer.Record)
+	l.takePages(answer.Pages)
 	if !l.servers.known {
 		l.takeServers(l.clock(), l.relay.take(answer))
 	}
@@ -257,9 +273,7 @@
 	}
 	l.mayWatch = answer.Watch
 	l.campaign.Yield(weak(l.settings.Strength(), answer.Strongest))
-	for _, page := range answer.Pages {
-		l.seePage(kvstore.Entry{Key: pagePrefix + page.Service, Value: page.Page, Version: kvstore.Version(page.Version)})
-	}
+	l.takePages(answer.Pages)
 	if len(answer.Members) > 0 {
 		l.peersKnown = answer.Members
 	}
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -87,7 +87,7 @@
 // have what this VM lacks: while the store is out of reach, and at the start.
 func (l *loop) reportTo() string {
 	leader, starting := l.leaderNow.Leader.Address, !l.ready.Load()
-	ask := leader == "" && (starting || l.storeHealth.lost) || starting && l.relay.failures > 0
+	ask := leader == "" && (starting || l.storeHealth.lost) || starting && l.relay.failures%2 == 1
 	if l.leading || !ask || len(l.settings.Seeds) == 0 {
 		return leader
 	}
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -169,9 +169,9 @@
 // leads, if the leader wants it to, or while no leader answers it.
 func (l *loop) followStore() {
 	l.leaderFeed.activate(l.leading || l.mayWatch || l.leaderNow.Leader.Address == "" || l.relay.failures > 0)
-	l.configurationFeed.activate(l.leading || l.relay.failures >= staleAnswers || l.mayReadConfiguration())
-	if !l.servers.known && l.readsAtOnce() {
-		l.relayedAt.Store(int64(l.clock() - l.relayLife())) // Ends the wait for a leader's list.
+	l.configurationFeed.activate(l.leading || l.mayReadConfiguration())
+	if l.leading || l.readsAtOnce() {
+		l.endStartWait()
 	}
 }
 
@@ -179,7 +179,7 @@
 // configuration from the store. A starting one waits for a leader's word first.
 func (l *loop) mayReadConfiguration() bool {
 	if l.configuration != nil {
-		return l.mayWatch
+		return l.mayWatch || l.relay.failures >= staleAnswers
 	}
 	passed := l.clock() - l.startedAt
 	return passed >= recordPatience || passed >= l.startPatience && !l.relayed.Load() || l.readsAtOnce()
