keys: many ranges hold longer, and grants go out in a bounded number

Weighed: a grantor for each part of the servers (terms in the store, 12 leases: the way to 2,230 machines, not now); shorter work for each call (they are plain HTTP). The page says the longest hold that was ever granted, so that a later leader waits for it; it is written before it is used. Test: "lengthens the holds of many ranges, and a later leader waits for them".

--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -11,8 +11,9 @@
 type Options struct {
 	Service string
 	Self    Leader
-	// Hold is how long a grant holds at its server.
-	Hold time.Duration
+	// Hold is how long a grant holds at its server, MostHold the same with many
+	// ranges, whose renewals would keep the leader busy; zero stands for Hold.
+	Hold, MostHold time.Duration
 	// PredecessorLife is how long an earlier leader that can't be asked may go
 	// on renewing after it was replaced.
 	PredecessorLife time.Duration
@@ -68,6 +69,8 @@
 	reading    bool
 	nextDraft  uint64
 	nextCall   uint64
+	calls      int           // Grant calls under way.
+	nextRange  int           // Where the next look for renewals begins.
 	draftAt    time.Duration // The next page is not worked out before.
 	retryWrite time.Duration
 
--- a/gateway/keys/machine_test.go
+++ b/gateway/keys/machine_test.go
@@ -116,6 +116,31 @@
 		Expect(w.unowned()).To(BeZero())
 	})
 
+	It("lengthens the holds of many ranges, and a later leader waits for them", func() {
+		w := newWorld(31)
+		for i := range 500 {
+			w.addServer(fmt.Sprintf("i-%03d", i), 1000)
+		}
+		longest, calls := time.Duration(0), 0
+		w.granted = func(order keys.GrantOrder) {
+			longest = max(longest, order.Hold)
+			calls++
+		}
+		first := w.addLeader("a")
+		w.run(2500 * time.Millisecond)
+		Expect(longest).To(Equal(4 * time.Second))
+		calls = 0
+		w.run(2 * time.Second)
+		Expect(calls).To(BeNumerically("<", 500*2), "each range is renewed thrice in a hold")
+		first.Stop()
+		lost := w.servers[model.Life{ID: "i-007", Born: 1000}]
+		lost.cut = true
+		w.addLeader("b")
+		w.run(8*time.Second, "i-007")
+		Expect(w.faults).To(BeEmpty())
+		Expect(w.unowned()).To(BeZero())
+	})
+
 	It("does not release keys while a grant to their holder is under way", func() {
 		w, m := settled(5, 3)
 		server := w.servers[model.Life{ID: "i-1", Born: 1000}]
--- a/gateway/keys/page.go
+++ b/gateway/keys/page.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"sort"
+	"time"
 
 	"guavacrank.example/gateway/model"
 )
@@ -18,7 +19,10 @@
 	// Earlier are leaders before the writer that may still grant keys.
 	Earlier []Leader
 	// Draft tells the writes of one leader apart.
-	Draft  uint64
+	Draft uint64
+	// Hold is the longest hold of any grant that was ever sent; zero on pages that
+	// do not say so.
+	Hold   time.Duration
 	Ranges []Range
 }
 
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -158,6 +158,9 @@
 	m.now = now
 	row := m.row(order.Life)
 	row.everSent = true
+	if _, under := row.inFlight[order.Call]; under {
+		m.calls--
+	}
 	delete(row.inFlight, order.Call)
 	if outcome.sent() {
 		row.arrivedBy = max(row.arrivedBy, arrival(now, outcome))
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -21,6 +21,7 @@
 	d.create()
 	d.adopt()
 	d.nameEarlier()
+	d.lengthen()
 	d.clearEnded()
 	d.moveLost()
 	if !d.changed {
@@ -126,6 +127,20 @@
 	}
 }
 
+// holdEach is what each range adds to the hold of grants, so that the calls a
+// second do not grow with the ranges.
+const holdEach = 8 * time.Millisecond
+
+// lengthen has grants hold longer when there are many ranges. It never shortens:
+// grants with the longer hold may still be under way.
+func (d *drafting) lengthen() {
+	wanted := min(time.Duration(len(d.page.Ranges))*holdEach, d.options.MostHold).Truncate(holdEach)
+	if wanted > max(d.page.Hold, d.options.Hold)*5/4 {
+		d.page.Hold = wanted
+		d.changed = true
+	}
+}
+
 // clearEnded drops prior holders that have ended.
 func (d *drafting) clearEnded() {
 	if d.Machine.page == nil {
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -23,9 +23,18 @@
 	pending map[uint64]time.Duration
 }
 
-// longestHold is how long a grant may hold at a server with a slow clock.
+// hold is how long this leader's grants hold: what the confirmed page says.
+func (m *Machine) hold() time.Duration {
+	if m.page == nil {
+		return m.options.Hold
+	}
+	return max(m.options.Hold, m.page.Hold)
+}
+
+// longestHold is how long a grant of any leader may hold at a server with a slow
+// clock.
 func (m *Machine) longestHold() time.Duration {
-	return m.options.Hold + m.options.Hold*clockRate/100 + holdMargin
+	return m.hold() + m.hold()*clockRate/100 + holdMargin
 }
 
 // boundOf returns the bound of an owner's hold on one of its ranges, once no
--- a/gateway/keys/system_renewal.go
+++ b/gateway/keys/system_renewal.go
@@ -7,7 +7,13 @@
 	if m.page == nil || !m.adopted {
 		return
 	}
-	for _, r := range m.page.Ranges {
+	count := len(m.page.Ranges)
+	for at := range count {
+		if m.calls >= mostCalls {
+			m.nextRange = (m.nextRange + at) % count // The others come first next time.
+			return
+		}
+		r := m.page.Ranges[(m.nextRange+at)%count]
 		if r.Owner.ID == "" || m.writing != nil && m.changing[r.From] {
 			continue
 		}
@@ -17,6 +23,10 @@
 	}
 }
 
+// mostCalls is the number of grant calls under way at most: more would each be
+// answered late, and tried again.
+const mostCalls = 150
+
 // changedRanges returns the first keys of the ranges of one page of whose keys
 // some have another owner in the next page: they are not granted any more once
 // the next page is being written.
@@ -55,11 +65,12 @@
 	grant.inFlight = true
 	m.nextCall++
 	row.inFlight[m.nextCall] = m.now
-	grant.due = m.now + m.options.Hold/renewShare
+	grant.due = m.now + m.hold()/renewShare
 	row.granted[r.From] = grant
 	order := GrantOrder{Life: r.Owner.Life, Address: r.Owner.Address, Call: m.nextCall}
 	order.From, order.To, order.Fence = r.From, r.To, r.Owner.Fence
-	order.Hold, order.Handover = m.options.Hold, grant.handover
+	order.Hold, order.Handover = m.hold(), grant.handover
+	m.calls++
 	m.ready.Grants = append(m.ready.Grants, order)
 }
 
--- a/gateway/keys/world_server_test.go
+++ b/gateway/keys/world_server_test.go
@@ -32,7 +32,15 @@
 
 // hold notes a grant whose time runs from its arrival, on a slow clock.
 func (s *fakeServer) hold(order keys.GrantOrder, arrived time.Duration) {
-	s.holds = append(s.holds, held{order.From, order.To, order.Fence, arrived + order.Hold + order.Hold*2/100})
+	fresh := held{order.From, order.To, order.Fence, arrived + order.Hold + order.Hold*2/100}
+	for at, h := range s.holds {
+		if h.from == fresh.from && h.to == fresh.to {
+			fresh.until = max(fresh.until, h.until)
+			s.holds[at] = fresh
+			return
+		}
+	}
+	s.holds = append(s.holds, fresh)
 }
 
 // drop ends a server's holds on a range.
--- a/gateway/keys/world_test.go
+++ b/gateway/keys/world_test.go
@@ -109,6 +109,7 @@
 		Service:         "s",
 		Self:            keys.Leader{VM: name, Incarnation: name, Address: name},
 		Hold:            worldHold,
+		MostHold:        2 * worldHold,
 		PredecessorLife: worldPredecessor,
 	})
 	m.Lead(w.now)
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -162,7 +162,7 @@
 		if !service.DividedByKey || l.machines[name] != nil {
 			continue
 		}
-		machine := keys.NewMachine(keys.Options{Service: name, Self: l.self, Hold: min(hold, l.settings.Bounds.GrantLimit), PredecessorLife: predecessorLife})
+		machine := keys.NewMachine(keys.Options{Service: name, Self: l.self, Hold: min(hold, l.settings.Bounds.GrantLimit), MostHold: min(mostHold, l.settings.Bounds.GrantLimit), PredecessorLife: predecessorLife})
 		machine.Lead(now)
 		l.machines[name] = machine
 		if l.servers.known {
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -30,6 +30,8 @@
 const (
 	// hold is how long a grant of keys holds.
 	hold = 2500 * time.Millisecond
+	// mostHold is the same with many ranges.
+	mostHold = 7500 * time.Millisecond
 	// predecessorLife is how long a leader renews grants without the store.
 	predecessorLife = 12 * time.Second
 	// reportWindow is the time in which more than half of the daemons must have
