--- a/gateway/keys/encode.go
+++ b/gateway/keys/encode.go
@@ -17,7 +17,7 @@
 	Writer  Leader         `json:"writer"`
 	Earlier []Leader       `json:"earlier,omitempty"`
 	Draft   uint64         `json:"draft"`
-	HoldMS  int64          `json:"hold_ms,omitempty"`
+	Longest int64          `json:"longest_hold,omitempty"` // Milliseconds.
 	Servers []storedServer `json:"servers"`
 	// Ranges are rows of: the first key, then for the owner and each prior
 	// holder its index in Servers and its fence. A range ends before the next.
@@ -40,12 +40,12 @@
 
 // head returns the stored page without ranges.
 func (p *Page) head() *storedPage {
-	return &storedPage{Fence: p.Fence, Writer: p.Writer, Earlier: p.Earlier, Draft: p.Draft, HoldMS: p.Hold.Milliseconds()}
+	return &storedPage{Fence: p.Fence, Writer: p.Writer, Earlier: p.Earlier, Draft: p.Draft, Longest: p.Hold.Milliseconds()}
 }
 
 // page returns the page without ranges.
 func (s *storedPage) page() Page {
-	return Page{Fence: s.Fence, Writer: s.Writer, Earlier: s.Earlier, Draft: s.Draft, Hold: time.Duration(s.HoldMS) * time.Millisecond}
+	return Page{Fence: s.Fence, Writer: s.Writer, Earlier: s.Earlier, Draft: s.Draft, Hold: time.Duration(s.Longest) * time.Millisecond}
 }
 
 // holders returns the part of a row that names the owner and prior holders.
