keys: the balance of many servers costs no longer their square

Cause: at 300 machines (870 servers of the divided service) the leader took no connections for seconds: 5,173 reports timed out while connecting. A tick of its machine took 13.8 ms on average and 226 ms at worst (micro-benchmark, 870 servers): each look at the balance searched the table of loads for every server, by maps. Change: weight and heat stand in the servers' rows; one look sorts the servers once.

--- a/gateway/keys/load.go
+++ b/gateway/keys/load.go
@@ -25,8 +25,7 @@
 // loadTable is the load of each usable server: heat for each unit of weight.
 type loadTable struct {
 	rows    []*serverRow // Usable servers in the order of their IDs.
-	weight  map[model.Life]float64
-	heat    map[model.Life]float64
+	servers map[model.Life]*serverRow
 	sorted  []keyHeat
 	keyHeat float64 // Heat of each key by its mere existence.
 }
@@ -34,10 +33,11 @@
 // loads works out the load of every usable server from the newest page.
 func (m *Machine) loads() *loadTable {
 	m.heat.decay(m.now)
-	t := &loadTable{weight: make(map[model.Life]float64), heat: make(map[model.Life]float64), sorted: m.heat.sorted()}
+	t := &loadTable{servers: m.servers, sorted: m.heat.sorted()}
 	t.keyHeat = (sizeShare*sum(t.sorted) + leastSizeHeat) / model.Keys
 	latencies, known := 0.0, 0
 	for _, row := range m.servers {
+		row.heat = 0
 		if !row.listed || row.Draining || row.unsure || m.outOfReach(row) || m.replacedLife(Holder{Life: row.Life(), Address: row.Address}) {
 			continue
 		}
@@ -56,11 +56,13 @@
 		} else if row.WarmUp > 0 {
 			weight *= warmUpWeight
 		}
-		t.weight[row.Life()] = weight
+		row.weight = weight
 	}
 	if m.page != nil {
 		for _, r := range m.page.Ranges {
-			t.heat[r.Owner.Life] += t.of(r)
+			if row := m.servers[r.Owner.Life]; row != nil {
+				row.heat += t.of(r)
+			}
 		}
 	}
 	for _, row := range t.rows {
@@ -79,7 +81,7 @@
 
 // load returns a server's heat for each unit of weight.
 func (t *loadTable) load(row *serverRow) float64 {
-	return t.heat[row.Life()] / t.weight[row.Life()]
+	return row.heat / row.weight
 }
 
 // capacity returns the heat at which a server's slots are all taken.
@@ -93,40 +95,41 @@
 
 // busy returns the part of a server's slots that its keys' requests take.
 func (t *loadTable) busy(row *serverRow) float64 {
-	return t.heat[row.Life()] / t.capacity(row)
+	return row.heat / t.capacity(row)
 }
 
 // idle says whether a server owns no keys.
-func (t *loadTable) idle(row *serverRow) bool { return t.heat[row.Life()] == 0 }
+func (t *loadTable) idle(row *serverRow) bool { return row.heat == 0 }
 
-// least returns the server with the least load other than one life, or nil.
-func (t *loadTable) least(other model.Life) *serverRow {
+// least returns the server with the least load other than one, or nil.
+func (t *loadTable) least(other *serverRow) *serverRow {
 	var best *serverRow
 	for _, row := range t.rows {
-		if row.Life() != other && (best == nil || t.load(row) < t.load(best)) {
+		if row != other && (best == nil || t.load(row) < t.load(best)) {
 			best = row
 		}
 	}
 	return best
 }
 
-// most returns the server with the greatest load other than some, or nil.
-func (t *loadTable) most(others map[model.Life]bool) *serverRow {
-	var best *serverRow
+// byLoad returns the servers but for some, those with the greatest load first.
+func (t *loadTable) byLoad(others map[*serverRow]bool) []*serverRow {
+	found := make([]*serverRow, 0, len(t.rows))
 	for _, row := range t.rows {
-		if !others[row.Life()] && (best == nil || t.load(row) > t.load(best)) {
-			best = row
+		if !others[row] {
+			found = append(found, row)
 		}
 	}
-	return best
+	sort.SliceStable(found, func(i, j int) bool { return t.load(found[i]) > t.load(found[j]) })
+	return found
 }
 
 // mean returns the load if it were even.
 func (t *loadTable) mean() float64 {
 	heat, weight := 0.0, 0.0
 	for _, row := range t.rows {
-		heat += t.heat[row.Life()]
-		weight += t.weight[row.Life()]
+		heat += row.heat
+		weight += row.weight
 	}
 	if weight == 0 {
 		return 0
@@ -138,7 +141,7 @@
 func (t *loadTable) strongest() *serverRow {
 	var best *serverRow
 	for _, row := range t.rows {
-		if best == nil || t.weight[row.Life()] > t.weight[best.Life()] {
+		if best == nil || row.weight > best.weight {
 			best = row
 		}
 	}
@@ -159,8 +162,14 @@
 // shift counts a range for another server.
 func (t *loadTable) shift(from, to model.Life, r Range) {
 	heat := t.of(r)
-	t.heat[from] -= heat
-	t.heat[to] += heat
+	t.addHeat(from, -heat)
+	t.addHeat(to, heat)
+}
+
+func (t *loadTable) addHeat(life model.Life, heat float64) {
+	if row := t.servers[life]; row != nil {
+		row.heat += heat
+	}
 }
 
 // cut returns the last key of the part at the beginning of a range that brings
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -84,11 +84,11 @@
 	}
 	total := 0.0
 	for _, row := range usable {
-		total += d.loads.weight[row.Life()]
+		total += row.weight
 	}
 	next, passed := 0, 0.0
 	for at, row := range usable {
-		passed += d.loads.weight[row.Life()]
+		passed += row.weight
 		end := int(passed / total * model.Keys)
 		if at == len(usable)-1 {
 			end = model.Keys
@@ -239,7 +239,7 @@
 	}
 	moved := make([]Range, 0, len(parts))
 	for _, part := range parts {
-		target := d.loads.least(r.Owner.Life)
+		target := d.loads.least(d.Machine.servers[r.Owner.Life])
 		if target == nil {
 			moved = append(moved, part)
 			continue
--- a/gateway/keys/system_rebalance.go
+++ b/gateway/keys/system_rebalance.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sort"
 	"time"
-
-	"guavacrank.example/gateway/model"
 )
 
 const (
@@ -41,7 +39,7 @@
 	if !d.adopted || d.moving() >= max(mostMoving, len(d.loads.rows)/movingServers) {
 		return
 	}
-	stuck := make(map[model.Life]bool)
+	stuck := make(map[*serverRow]bool)
 	for range max(planMoves, len(d.loads.rows)/movingServers) {
 		if !d.moveOnce(stuck) {
 			break
@@ -63,31 +61,32 @@
 
 // moveOnce moves keys of the server with the greatest load that can be
 // relieved. stuck holds servers that can't.
-func (d *drafting) moveOnce(stuck map[model.Life]bool) bool {
+func (d *drafting) moveOnce(stuck map[*serverRow]bool) bool {
 	mean := d.loads.mean()
 	if mean == 0 {
 		return false
 	}
-	for {
-		from := d.loads.most(stuck)
-		if from == nil {
-			return false
+	least := d.loads.least(nil)
+	for _, from := range d.loads.byLoad(stuck) {
+		to := least
+		if to == from {
+			to = d.loads.least(from)
 		}
-		to := d.loads.least(from.Life())
 		if to == nil || !d.loads.idle(to) && !d.apart(from, to, mean) {
 			return false
 		}
 		if (d.loads.idle(to) || d.uneven(from, mean)) && d.relieve(from, to, mean) {
 			return true
 		}
-		stuck[from.Life()] = true
+		stuck[from] = true
 	}
+	return false
 }
 
 // relieve moves a part of a server's keys to another one.
 func (d *drafting) relieve(from, to *serverRow, mean float64) bool {
-	surplus := (d.loads.load(from) - mean) * d.loads.weight[from.Life()]
-	room := (mean - d.loads.load(to)) * d.loads.weight[to.Life()]
+	surplus := (d.loads.load(from) - mean) * from.weight
+	room := (mean - d.loads.load(to)) * to.weight
 	wanted := min(max(surplus, room/2), room)
 	if wanted <= 0 {
 		return false
@@ -114,7 +113,7 @@
 	hot := d.loads.hottestKey(r)
 	to := d.loads.strongest()
 	if hot.heat < promoteBusy*d.loads.capacity(from) || to == nil || to == from ||
-		d.loads.weight[to.Life()] < promoteGain*d.loads.weight[from.Life()] {
+		to.weight < promoteGain*from.weight {
 		return false
 	}
 	part := r
@@ -145,9 +144,9 @@
 	if d.loads.busy(from) < busyFrom {
 		return false
 	}
-	even := mean * d.loads.weight[from.Life()]
+	even := mean * from.weight
 	// The variance of a decayed count is half of its mean.
-	return d.loads.heat[from.Life()]-even > significance*math.Sqrt(even/2)
+	return from.heat-even > significance*math.Sqrt(even/2)
 }
 
 // hottest returns the indexes of the ranges of a server that may move, those
--- a/gateway/keys/tables.go
+++ b/gateway/keys/tables.go
@@ -28,6 +28,8 @@
 	mute         bool          // Nothing came back of the last call, no refusal either.
 	latency      float64       // Seconds, smoothed; zero if unknown.
 	busy         float64       // Part of the slots that requests take.
+	// weight and heat are those of the newest loadTable.
+	weight, heat float64
 	// unsure: a connection could not be made, so that another process may run
 	// at the address by now. Nothing is granted until the server has named
 	// itself and its record was still the same some time later.
