--- a/gateway/run/doc.go
+++ b/gateway/run/doc.go
@@ -6,4 +6,8 @@
 // from peers and from calls to servers, and carry out its orders. Requests are
 // served by goroutines of net/http that read the newest view and never wait for
 // the loop.
+//
+// A starting daemon gets the configuration, the servers and the pages with the
+// leader's answer, from a seed that has them, or from the store itself where
+// reading it fills no link.
 package run
--- a/gateway/run/feeds.go
+++ b/gateway/run/feeds.go
@@ -213,25 +213,6 @@
 	}
 }
 
-// awaitStart waits until a starting daemon may read the store itself.
-func (l *loop) awaitStart(ctx context.Context) {
-	timer := time.NewTimer(l.startPatience)
-	defer timer.Stop()
-	select {
-	case <-l.startWait:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// endStartWait ends awaitStart.
-func (l *loop) endStartWait() {
-	if !l.startOver {
-		l.startOver = true
-		close(l.startWait)
-	}
-}
-
 // readPages reads the pages of keys once, unless a leader sends them meanwhile.
 // Later ones come from the leader.
 func (l *loop) readPages(ctx context.Context) {
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -11,17 +10,10 @@
 	"guavacrank.example/event"
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/peer"
-	"guavacrank.example/gateway/port"
-	"guavacrank.example/kvstore"
 )
 
-const (
-	// releaseTimeout bounds a release call: the server answers when the work on
-	// the keys has ended.
-	releaseTimeout = 4 * time.Second
-	// yieldEvery is the time between two questions to an earlier leader.
-	yieldEvery = 300 * time.Millisecond
-)
+// yieldEvery is the time between two questions to an earlier leader.
+const yieldEvery = 300 * time.Millisecond
 
 // lead follows the campaign and carries out what the machines want.
 func (l *loop) lead() {
@@ -171,167 +163,6 @@
 	}
 }
 
-// carryOut starts the calls that a machine wants.
-func (l *loop) carryOut(service string, machine *keys.Machine) {
-	ready := machine.Ready()
-	if ready.Read {
-		go l.readPage(service)
-	}
-	if ready.Write != nil {
-		go l.writePage(service, *ready.Write)
-	}
-	for _, order := range ready.Grants {
-		go l.grant(service, order)
-	}
-	for _, order := range ready.Releases {
-		go l.release(service, order)
-	}
-	for _, order := range ready.Probes {
-		go l.probe(service, order)
-	}
-}
-
-// probe asks a server who it is.
-func (l *loop) probe(service string, order keys.ProbeOrder) {
-	ctx, cancel := context.WithTimeout(l.ctx, keys.CallTimeout)
-	defer cancel()
-	current, _ := l.views.Load()
-	id, err := l.grantor.Identify(ctx, order.Address, current.Configuration.Services[service].HealthPath)
-	l.deliver(probed{service, order, id, err})
-}
-
-func (p probed) apply(l *loop) {
-	if machine := l.machines[p.service]; machine != nil {
-		machine.StepProbed(l.clock(), p.order, p.id, noListener(p.err))
-	}
-	cause := ""
-	if p.err != nil {
-		cause = p.err.Error()
-	}
-	l.book.Event(event.ServerProbed, cause, zap.String("service", p.service), zap.String("server", p.order.Life.ID), zap.String("named", p.id))
-}
-
-func (l *loop) readPage(service string) {
-	entry, err := l.store.Get(l.ctx, pagePrefix+service)
-	l.deliver(pageRead{service, entry, err})
-}
-
-func (l *loop) writePage(service string, write keys.PageWrite) {
-	value, err := write.Page.Encode()
-	if err != nil {
-		err = &kvstore.Error{Op: "encode", Key: service, Kind: kvstore.KindInvalid, Err: err}
-		l.deliver(pageWritten{service: service, err: err})
-		return
-	}
-	version, err := l.store.CompareAndSwap(l.ctx, pagePrefix+service, write.Expected, value, 0)
-	l.deliver(pageWritten{service, version, err, value})
-}
-
-func (l *loop) grant(service string, order keys.GrantOrder) {
-	ctx, cancel := context.WithTimeout(l.ctx, keys.CallTimeout)
-	defer cancel()
-	err := l.grantor.Grant(ctx, order.Address, order.Grant)
-	l.deliver(granted{service, order, grantOutcome(err), err})
-}
-
-// noListener says whether a machine refused the connection of a call.
-func noListener(err error) bool {
-	var notSent *port.NotSentError
-	return errors.As(err, &notSent) && notSent.NoListener
-}
-
-func grantOutcome(err error) keys.Outcome {
-	var fence *port.FenceError
-	var notSent *port.NotSentError
-	switch {
-	case err == nil:
-		return keys.Taken
-	case errors.As(err, &fence):
-		return keys.FenceRefused
-	case noListener(err):
-		return keys.NoListener
-	case errors.As(err, &notSent) && notSent.Unreachable:
-		return keys.Unreachable
-	case errors.As(err, &notSent):
-		return keys.NotSent
-	case errors.Is(err, context.DeadlineExceeded):
-		return keys.Silent
-	default:
-		return keys.Unanswered
-	}
-}
-
-func (l *loop) release(service string, order keys.ReleaseOrder) {
-	ctx, cancel := context.WithTimeout(l.ctx, releaseTimeout)
-	defer cancel()
-	handover, err := l.grantor.Release(ctx, order.Address, order.Release)
-	l.deliver(released{service, order, handover, err})
-}
-
-func (p pageRead) apply(l *loop) {
-	machine := l.machines[p.service]
-	if machine == nil {
-		return
-	}
-	now := l.clock()
-	switch {
-	case p.err == nil:
-		page, err := keys.Decode(p.entry.Value)
-		if err != nil {
-			l.ignore(p.entry, err)
-			machine.StepReadFailed(now)
-			return
-		}
-		machine.StepRead(now, page, p.entry.Version)
-		l.seePage(p.entry) // Members that lack it get it with their next answer.
-	case kvstore.IsKind(p.err, kvstore.KindNotFound):
-		machine.StepRead(now, nil, 0)
-	default:
-		l.storeCall("read page", p.err)
-		machine.StepReadFailed(now)
-	}
-}
-
-func (p pageWritten) apply(l *loop) {
-	machine := l.machines[p.service]
-	if machine == nil {
-		return
-	}
-	machine.StepWritten(l.clock(), p.version, p.err)
-	if p.err != nil {
-		l.book.Event(event.KeysPageNotWritten, p.err.Error(), zap.String("service", p.service))
-		return
-	}
-	l.book.Event(event.KeysPageWritten, "", zap.String("service", p.service), zap.Uint64("page", uint64(p.version)), zap.Int("bytes", len(p.value)))
-	before := l.pages[p.service]
-	l.seePage(kvstore.Entry{Key: pagePrefix + p.service, Value: p.value, Version: p.version})
-	if next := l.pages[p.service]; before != nil && next != before {
-		l.spreadPage(p.service, before, next)
-	}
-}
-
-func (g granted) apply(l *loop) {
-	if machine := l.machines[g.service]; machine != nil {
-		machine.StepGranted(l.clock(), g.order, g.outcome)
-	}
-	if g.err != nil {
-		l.book.Event(event.GrantFailed, g.err.Error(), zap.String("service", g.service), zap.String("server", g.order.Life.ID),
-			zap.Uint16("from", g.order.From), zap.Uint16("to", g.order.To), zap.Uint64("fence", g.order.Fence))
-	}
-}
-
-func (r released) apply(l *loop) {
-	if machine := l.machines[r.service]; machine != nil {
-		machine.StepReleased(l.clock(), r.order, r.err == nil, r.handover, noListener(r.err))
-	}
-	cause := ""
-	if r.err != nil {
-		cause = r.err.Error()
-	}
-	l.book.Event(event.ReleaseEnded, cause, zap.String("service", r.service), zap.String("server", r.order.Life.ID),
-		zap.Uint16("from", r.order.From), zap.Uint16("to", r.order.To), zap.Uint64("fence", r.order.Fence), zap.Bool("handover", r.handover != ""))
-}
-
 // askPredecessors asks the leaders that had the pages before to stop, until an
 // answer proves that they have. One question serves all services.
 func (l *loop) askPredecessors(machine *keys.Machine) {
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -232,32 +232,6 @@
 	}
 }
 
-// answerStarting makes the answer of a daemon that does not lead. One that starts
-// gets what it lacks, since there may be no leader yet.
-func (l *loop) answerStarting(report *peer.Report) peer.ReportAnswer {
-	answer := peer.ReportAnswer{Known: l.leaderNow}
-	if l.configuration == nil || !l.servers.known || report.Configuration > 0 && report.Source != "" {
-		return answer
-	}
-	answer.Configuration, answer.Record = l.configuration.Version, l.packedRecord()
-	answer.Pages = l.pagesFor(report)
-	l.relay.note(l.servers)
-	l.relay.fill(&answer, l.source(), report)
-	return answer
-}
-
-// takeFromPeer takes what a daemon that does not lead told this one, which starts.
-func (l *loop) takeFromPeer(answer *peer.ReportAnswer) {
-	if answer.Record == nil {
-		return
-	}
-	l.takeRecord(answer.Record)
-	l.takePages(answer.Pages)
-	if !l.servers.known {
-		l.takeServers(l.clock(), l.relay.take(answer))
-	}
-}
-
 // takeAnswer takes what the leader knows.
 func (l *loop) takeAnswer(answer *peer.ReportAnswer) {
 	now := l.clock()
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -28,23 +28,6 @@
 	// others get its news from the leader. Each change goes whole from the store
 	// to every daemon that follows it, also to other regions.
 	mostWatchers = 12
-	// firstTries is the number of failed questions of a starting daemon after which
-	// the next ones wait.
-	firstTries = 3
-	// leastPatience is how long a starting process waits for a leader's word before
-	// it reads the store itself, patienceSpread spreads that among processes: what
-	// many of them read at once fills the link between the regions. recordPatience
-	// is the same for the configuration if a leader answers, which sends it packed.
-	leastPatience  = 1200 * time.Millisecond
-	patienceSpread = 1200 * time.Millisecond
-	recordPatience = 5 * time.Second
-	// nearTime is the longest time of a small call to a store in the own region, a
-	// new connection included. Reading much of such a store fills no link between
-	// the regions.
-	nearTime = 20 * time.Millisecond
-	// wideLink is the rate of a link, in Mbit/s, that carries a large configuration
-	// as it is within a tenth of a second.
-	wideLink = 100
 	// soonSpread spreads the reports of daemons that miss something.
 	soonSpread = 150 * time.Millisecond
 )
@@ -175,31 +158,6 @@
 	}
 }
 
-// mayReadConfiguration says whether a daemon that does not lead takes the
-// configuration from the store. A starting one waits for a leader's word first.
-func (l *loop) mayReadConfiguration() bool {
-	if l.configuration != nil {
-		return l.mayWatch || l.relay.failures >= staleAnswers
-	}
-	passed := l.clock() - l.startedAt
-	return passed >= recordPatience || passed >= l.startPatience && !l.relayed.Load() || l.readsAtOnce()
-}
-
-// readsAtOnce says whether a daemon that lacks everything need not wait for a
-// leader, since reading the store fills no link.
-func (l *loop) readsAtOnce() bool {
-	return l.nearStore && (l.settings.LinkMbit == 0 || l.settings.LinkMbit >= wideLink)
-}
-
-// askWhileStarting asks for what a starting daemon lacks without waiting for the
-// next tick.
-func (l *loop) askWhileStarting() {
-	if !l.ready.Load() && l.relay.failures <= firstTries {
-		l.reportAt = 0
-		ticked{}.apply(l)
-	}
-}
-
 func (n newsTaken) apply(l *loop) {
 	if n.news.Page != nil {
 		l.takeChange(n.news.Page)
