--- a/gateway/run/calls.go
+++ b/gateway/run/calls.go
@@ -177,4 +177,3 @@
 	l.book.Event(event.ReleaseEnded, cause, zap.String("service", r.service), zap.String("server", r.order.Life.ID),
 		zap.Uint16("from", r.order.From), zap.Uint16("to", r.order.To), zap.Uint64("fence", r.order.Fence), zap.Bool("handover", r.handover != ""))
 }
-
