Reports are spread in time, and rarer after several failures

Change: each pause varies by a quarter; after three failures it doubles, up to eight times. Test: TestReportPause.

--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -22,6 +23,8 @@
 	// latencyEach is the same for what each report says of the servers' times,
 	// which grows with their number.
 	latencyEach = 33 * time.Millisecond
+	// mostDoublings is how often the pause doubles after reports that failed.
+	mostDoublings = 3
 )
 
 // mostAsked bounds the keys that one report lists for a service.
@@ -58,7 +61,7 @@
 	if now < l.reportAt || l.reporting {
 		return
 	}
-	l.reportAt = now + l.reportInterval()
+	l.reportAt = now + l.reportPause()
 	address := l.reportTo()
 	if address == "" {
 		return // Keys stay gathered until there is a leader.
@@ -83,6 +86,17 @@
 	return max(reportEvery, time.Duration(l.vms.Load())*reportEach)
 }
 
+// reportPause is the time until the next report: spread among daemons, and longer
+// after several failures, so that a leader that can't take them all at once is not
+// asked by all at once again and again.
+func (l *loop) reportPause() time.Duration {
+	pause := l.reportInterval()
+	if l.relay.failures > staleAnswers {
+		pause <<= min(l.relay.failures-staleAnswers, mostDoublings)
+	}
+	return pause + rand.N(pause/4)
+}
+
 // reportTo returns the leader's address, or that of a seed that may know it or
 // have what this VM lacks: while the store is out of reach, and at the start.
 func (l *loop) reportTo() string {
--- a/gateway/run/reports_test.go
+++ b/gateway/run/reports_test.go
@@ -18,6 +18,20 @@
 	g.Expect(l.countMembers(13500 * time.Millisecond)).To(Equal(1))
 }
 
+func TestReportPause(t *testing.T) {
+	g := NewWithT(t)
+	l := &loop{}
+	for range 50 {
+		g.Expect(l.reportPause()).To(And(BeNumerically(">=", reportEvery), BeNumerically("<", reportEvery*5/4)))
+	}
+	l.relay.failures = staleAnswers
+	g.Expect(l.reportPause()).To(BeNumerically("<", reportEvery*5/4), "the loss of a leader is found soon")
+	l.relay.failures = staleAnswers + 1
+	g.Expect(l.reportPause()).To(BeNumerically(">=", 2*reportEvery))
+	l.relay.failures = 100
+	g.Expect(l.reportPause()).To(And(BeNumerically(">=", 8*reportEvery), BeNumerically("<", 10*reportEvery)))
+}
+
 func TestHasMost(t *testing.T) {
 	g := NewWithT(t)
 	l := &loop{members: map[string]member{}}
