Large fleets get many changed servers and first pages by the tree

Change: beyond 100 changed servers a daemon gets the whole list by the tree, and daemons without pages get them by it as changes of an empty one. Tests: TestFirstPageOfALargeFleet; TestServersOfALargeFleet asks for it too.

--- a/gateway/run/calls.go
+++ b/gateway/run/calls.go
@@ -151,7 +151,7 @@
 	l.book.Event(event.KeysPageWritten, "", zap.String("service", p.service), zap.Uint64("page", uint64(p.version)), zap.Int("bytes", len(p.value)))
 	before := l.pages[p.service]
 	l.seePage(kvstore.Entry{Key: pagePrefix + p.service, Value: p.value, Version: p.version})
-	if next := l.pages[p.service]; before != nil && next != before {
+	if next := l.pages[p.service]; next != before {
 		l.spreadPage(p.service, before, next)
 	}
 }
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -96,6 +96,7 @@
 	clear(l.members)
 	l.lackRecord.clear()
 	l.lackServers.clear()
+	l.lackPages.clear()
 	l.leadingNow.Store(true)
 	l.leaderNow = peer.Follow{Leader: l.self, Term: uint64(l.term)}
 	l.book.Event(event.LeadershipWon, "", zap.Uint64("term", uint64(l.term)))
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -92,6 +92,7 @@
 	packed        *peer.Record    // The same, packed; nil until it is needed.
 	lackRecord    gathering       // VMs without the record, while this one leads.
 	lackServers   gathering       // The same for the list of servers.
+	lackPages     gathering       // The same for every page.
 	watchers      map[string]bool // VMs that are to follow the store, while this one leads.
 	mayWatch      bool            // The leader wants this VM to follow the store.
 	latenciesAt   time.Duration   // Servers' times are not reported before.
@@ -165,6 +166,7 @@
 
 		lackRecord:  newGathering(),
 		lackServers: newGathering(),
+		lackPages:   newGathering(),
 		ignored:     make(map[string]kvstore.Version),
 		asked:       parts.asked,
 		mayWatch:    true,
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -15,6 +15,9 @@
 	// staleAnswers is the number of the leader's answers in a row that must
 	// know something newer before a feed counts as silent.
 	staleAnswers = 2
+	// mostChanges is the number of changed servers up to which the leader of a large
+	// fleet sends them with its answers.
+	mostChanges = 100
 )
 
 // relay carries the leader's list of servers to the other daemons, so that the
@@ -87,6 +90,12 @@
 	return report.Source != source || report.Change > r.change
 }
 
+// lacksMuch says whether a daemon lacks so much that it gets the whole list by the
+// tree, in a large fleet.
+func (r *relay) lacksMuch(source string, report *peer.Report) bool {
+	return r.lacksAll(source, report) || r.change-report.Change > mostChanges
+}
+
 // list returns the whole list for the way between daemons.
 func (r *relay) list(source string) (*peer.ServerList, error) {
 	if r.packed != nil && r.packed.Change == r.change {
@@ -196,10 +205,14 @@
 	if report.Members != answer.VMs {
 		answer.Members = l.memberAddresses()
 	}
-	answer.Pages = l.pagesFor(report)
+	if len(l.members) > mostDirect && len(report.Pages) == 0 && len(l.pages) > 0 {
+		l.lackPages.add(report.VM, now)
+	} else {
+		answer.Pages = l.pagesFor(report)
+	}
 	if l.servers.known {
 		l.relay.note(l.servers)
-		if len(l.members) > mostDirect && l.relay.lacksAll(l.source(), report) {
+		if len(l.members) > mostDirect && l.relay.lacksMuch(l.source(), report) {
 			l.lackServers.add(report.VM, now)
 		} else {
 			l.relay.fill(&answer, l.source(), report)
--- a/gateway/run/relay_test.go
+++ b/gateway/run/relay_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/logbook"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
@@ -20,7 +21,7 @@
 	now := 5 * time.Second
 	l := &loop{
 		settings: &model.Settings{}, members: map[string]member{}, relay: newRelay(), book: book,
-		lackRecord: newGathering(), lackServers: newGathering(), clock: func() time.Duration { return now },
+		lackRecord: newGathering(), lackServers: newGathering(), lackPages: newGathering(), clock: func() time.Duration { return now },
 	}
 	l.servers = newServerTable(l.settings, nil, book)
 	l.self.Incarnation = "leader"
@@ -58,6 +59,9 @@
 	g.Expect(follower.servers.of("s")).To(HaveLen(3))
 	next := follower.makeReportOfServers()
 	g.Expect(leader.relay.lacksAll(leader.source(), &next)).To(BeFalse())
+	leader.relay.change += mostChanges + 1
+	g.Expect(leader.relay.lacksMuch(leader.source(), &next)).To(BeTrue(), "many changes fill the link as the whole list does")
+	leader.relay.change -= mostChanges + 1
 	answer = leader.answerReport(&next)
 	g.Expect(answer.Source).To(Equal("leader"))
 	g.Expect(answer.Servers).To(BeEmpty(), "nothing changed")
@@ -67,3 +71,23 @@
 func (l *loop) makeReportOfServers() peer.Report {
 	return peer.Report{VM: "a", Source: l.relay.source, Change: l.relay.seen}
 }
+
+func TestFirstPageOfALargeFleet(t *testing.T) {
+	g := NewWithT(t)
+	leader, follower := relaying(t, 1), relaying(t, 0)
+	page := &keys.Page{Fence: 3, Ranges: []keys.Range{{From: 0, To: model.Keys - 1, Owner: keys.Holder{Life: model.Life{ID: "i-1"}, Address: "a:1", Fence: 3}}}}
+	leader.pages = map[string]*seenPage{"s": {page: page, version: 9}}
+	follower.pages = make(map[string]*seenPage)
+	report := &peer.Report{VM: "a"}
+	g.Expect(leader.answerReport(report).Pages).To(HaveLen(1))
+	for at := range mostDirect + 1 {
+		leader.members[fmt.Sprint(at)] = member{}
+	}
+	g.Expect(leader.answerReport(report).Pages).To(BeEmpty())
+	g.Expect(leader.lackPages.lacking).To(HaveKey("a"))
+	follower.takeChange(leader.pageChange("s", nil, leader.pages["s"]))
+	g.Expect(follower.pages["s"].page.Ranges).To(Equal(page.Ranges))
+	g.Expect(follower.pageVersions()).To(HaveKeyWithValue("s", uint64(9)))
+	report.Pages = map[string]uint64{"s": 8}
+	g.Expect(leader.answerReport(report).Pages).To(HaveLen(1), "one that is behind gets it with the answer")
+}
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -110,14 +110,26 @@
 	return m.address < other.address
 }
 
-// spreadPage sends what changed from one page to the next.
+// spreadPage sends what changed from one page to the next; nil before stands for
+// no page.
 func (l *loop) spreadPage(service string, before, next *seenPage) {
+	if change := l.pageChange(service, before, next); change != nil {
+		l.spread(peer.Spread{Page: change})
+	}
+}
+
+// pageChange returns what changed from one page to the next, or nil if it can't be
+// encoded.
+func (l *loop) pageChange(service string, before, next *seenPage) *peer.PageChange {
+	if before == nil {
+		before = &seenPage{page: &keys.Page{}}
+	}
 	change, err := keys.Diff(before.page, next.page).Encode()
 	if err != nil {
 		l.book.Event(event.NewsNotSent, err.Error(), zap.String("service", service))
-		return
+		return nil
 	}
-	l.spread(peer.Spread{Page: &peer.PageChange{Service: service, Base: uint64(before.version), Version: uint64(next.version), Change: change}})
+	return &peer.PageChange{Service: service, Base: uint64(before.version), Version: uint64(next.version), Change: change}
 }
 
 // chooseWatchers picks the daemons that follow the store themselves: the
@@ -178,6 +190,9 @@
 	if held != nil && held.version >= version {
 		return
 	}
+	if held == nil && news.Base == 0 {
+		held = &seenPage{page: &keys.Page{}}
+	}
 	if held == nil || held.version != kvstore.Version(news.Base) {
 		l.reportSoon()
 		return
@@ -216,12 +231,19 @@
 	return nil
 }
 
-// sendLacking sends the record and the list of servers to the daemons that lack
-// them.
+// sendLacking sends the record, the pages and the list of servers to the daemons
+// that lack them.
 func (l *loop) sendLacking(now time.Duration) {
 	if lacking := l.lackRecord.take(now); lacking != nil {
 		l.spreadTo(peer.Spread{Record: l.packedRecord()}, func(vm string) bool { return lacking[vm] })
 	}
+	if lacking := l.lackPages.take(now); lacking != nil {
+		for service, seen := range l.pages {
+			if change := l.pageChange(service, nil, seen); change != nil {
+				l.spreadTo(peer.Spread{Page: change}, func(vm string) bool { return lacking[vm] })
+			}
+		}
+	}
 	lacking := l.lackServers.take(now)
 	if lacking == nil {
 		return
