Reports to a new leader go out at once, and back off less

Change: a report follows a new leader at once; pauses after failures end at 1.5 s, within the 2 s of a configuration. Tests: TestFollowReports failed first (told at once); TestReportPause bounds the pause.

--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -124,6 +124,7 @@
 		return
 	}
 	l.leaderNow, l.relay.failures = f, 0
+	l.reportSoon()
 	if l.leading && f.Leader != l.self {
 		l.stopLeading("a later leader is known: " + f.Leader.VM)
 	}
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -25,6 +25,8 @@
 	latencyEach = 33 * time.Millisecond
 	// mostDoublings is how often the pause doubles after reports that failed.
 	mostDoublings = 3
+	// longestPause bounds the pause after failures, unless reports are rarer anyway.
+	longestPause = 1500 * time.Millisecond
 )
 
 // mostAsked bounds the keys that one report lists for a service.
@@ -91,8 +93,8 @@
 // asked by all at once again and again.
 func (l *loop) reportPause() time.Duration {
 	pause := l.reportInterval()
-	if l.relay.failures > staleAnswers {
-		pause <<= min(l.relay.failures-staleAnswers, mostDoublings)
+	if doublings := l.relay.failures - staleAnswers; doublings > 0 {
+		pause = max(pause, min(pause<<min(doublings, mostDoublings), longestPause))
 	}
 	return pause + rand.N(pause/4)
 }
--- a/gateway/run/reports_test.go
+++ b/gateway/run/reports_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"guavacrank.example/gateway/peer"
 )
 
 func TestCountMembers(t *testing.T) {
@@ -29,7 +31,18 @@
 	l.relay.failures = staleAnswers + 1
 	g.Expect(l.reportPause()).To(BeNumerically(">=", 2*reportEvery))
 	l.relay.failures = 100
-	g.Expect(l.reportPause()).To(And(BeNumerically(">=", 8*reportEvery), BeNumerically("<", 10*reportEvery)))
+	g.Expect(l.reportPause()).To(And(BeNumerically(">=", longestPause), BeNumerically("<", longestPause*5/4)), "a configuration must be in force in 2 s")
+	l.vms.Store(300)
+	g.Expect(l.reportPause()).To(BeNumerically("<", l.reportInterval()*5/4))
+}
+
+func TestFollowReports(t *testing.T) {
+	g := NewWithT(t)
+	l := &loop{clock: func() time.Duration { return 10 * time.Second }, reportAt: 14 * time.Second, relay: newRelay()}
+	l.relay.failures = 7
+	l.follow(peer.Follow{Term: 3})
+	g.Expect(l.reportAt).To(BeNumerically("<=", 10*time.Second+soonSpread), "a new leader is told at once")
+	g.Expect(l.relay.failures).To(BeZero())
 }
 
 func TestHasMost(t *testing.T) {
