--- a/cmd/guavacrankd/gateway.go
+++ b/cmd/guavacrankd/gateway.go
@@ -16,6 +16,10 @@
 // runGateway serves on the users' platform until a signal. SIGHUP reads the
 // settings again.
 func runGateway(settingsFile string) error {
+	// Until the process ends: without a receiver a SIGHUP would end it, also while
+	// it starts or stops.
+	changes := make(chan os.Signal, 1)
+	signal.Notify(changes, syscall.SIGHUP)
 	read, err := readGatewaySettings(settingsFile)
 	if err != nil {
 		return err
@@ -23,7 +27,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	reload := make(chan *model.Settings)
-	go reloadOnSignal(ctx, settingsFile, reload)
+	go reloadOnSignal(ctx, settingsFile, changes, reload)
 	return gateway.Run(ctx, gateway.Options{
 		Settings: read,
 		Store:    platform.NewStoreClient(read.StoreAddress),
@@ -42,17 +46,14 @@
 	return settings.Parse(file, text, platform.Bounds)
 }
 
-// reloadOnSignal reads the settings again at each SIGHUP. Faulty settings are
+// reloadOnSignal reads the settings again at each change. Faulty settings are
 // reported and change nothing.
-func reloadOnSignal(ctx context.Context, file string, reload chan<- *model.Settings) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func reloadOnSignal(ctx context.Context, file string, changes <-chan os.Signal, reload chan<- *model.Settings) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-changes:
 		}
 		read, err := readGatewaySettings(file)
 		if err != nil {
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -205,7 +205,7 @@
 		services[name] = service
 	}
 	l.views.Publish(&view.View{Configuration: l.configuration, Routes: l.routes, Services: services})
-	if !l.stopping && !l.ready.Load() {
+	if l.starting() {
 		l.ready.Store(true)
 		l.book.Event(event.GatewayReady, "", zap.Uint64("configuration", l.configuration.Version), zap.Int("servers", len(l.servers.rows)))
 	}
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -102,7 +102,7 @@
 // reportTo returns the leader's address, or that of a seed that may know it or
 // have what this VM lacks: while the store is out of reach, and at the start.
 func (l *loop) reportTo() string {
-	leader, starting := l.leaderNow.Leader.Address, !l.ready.Load()
+	leader, starting := l.leaderNow.Leader.Address, l.starting()
 	ask := leader == "" && (starting || l.storeHealth.lost) || starting && l.relay.failures%2 == 1
 	if l.leading || !ask || len(l.settings.Seeds) == 0 {
 		return leader
@@ -251,7 +251,7 @@
 	if l.relay.failures++; l.relay.failures >= staleAnswers {
 		l.nudgeLeader(l.clock())
 	}
-	if !l.ready.Load() {
+	if l.starting() {
 		l.reportSoon()
 		l.askWhileStarting()
 	}
--- a/gateway/run/reports_test.go
+++ b/gateway/run/reports_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
 )
 
@@ -36,6 +37,17 @@
 	g.Expect(l.reportPause()).To(BeNumerically("<", l.reportInterval()*5/4))
 }
 
+func TestReportTo(t *testing.T) {
+	g := NewWithT(t)
+	l := &loop{settings: &model.Settings{Seeds: []string{"seed"}}}
+	l.leaderNow.Leader.Address = "leader"
+	g.Expect(l.reportTo()).To(Equal("leader"))
+	l.relay.failures = 1
+	g.Expect(l.reportTo()).To(Equal("seed"), "a starting daemon asks both in turn")
+	l.stopping = true
+	g.Expect(l.reportTo()).To(Equal("leader"), "a stopping one lacks nothing")
+}
+
 func TestFollowReports(t *testing.T) {
 	g := NewWithT(t)
 	l := &loop{clock: func() time.Duration { return 10 * time.Second }, reportAt: 14 * time.Second, relay: newRelay()}
--- a/gateway/run/start.go
+++ b/gateway/run/start.go
@@ -27,6 +27,9 @@
 	wideLink = 100
 )
 
+// starting says whether this daemon has not been ready yet.
+func (l *loop) starting() bool { return !l.stopping && !l.ready.Load() }
+
 // mayReadConfiguration says whether a daemon that does not lead takes the
 // configuration from the store. A starting one waits for a leader's word first.
 func (l *loop) mayReadConfiguration() bool {
@@ -46,7 +49,7 @@
 // askWhileStarting asks for what a starting daemon lacks without waiting for the
 // next tick.
 func (l *loop) askWhileStarting() {
-	if !l.ready.Load() && l.relay.failures <= firstTries {
+	if l.starting() && l.relay.failures <= firstTries {
 		l.reportAt = 0
 		ticked{}.apply(l)
 	}
