keys: a server with a call under way is not forgotten

Found on reading the change once more: calls under way are counted, 150 at most, and a call that ends for a server that was forgotten would stay counted; after 150 such ends renewals would stop. A row is forgotten only without calls under way now. The test "counts the end of a call to a server that is long gone" passes with and without the change: in its world the row was kept anyway, since a range still began at the same key. A row that is lost needs ranges joined meanwhile; no run showed one.

--- a/gateway/keys/machine_test.go
+++ b/gateway/keys/machine_test.go
@@ -141,6 +141,53 @@
 		Expect(w.unowned()).To(BeZero())
 	})
 
+	It("counts the end of a call to a server that is long gone", func() {
+		w, m := settled(41, 3)
+		gone := w.servers[model.Life{ID: "i-1", Born: 1000}]
+		var held []keys.GrantOrder
+		// tick passes time and carries out all but the calls to that server.
+		tick := func(d time.Duration, until func() bool) {
+			for end := w.now + d; w.now < end && !until(); w.now += worldTick {
+				for len(w.events) > 0 && w.events[0].at <= w.now {
+					e := w.events[0]
+					w.events = w.events[1:]
+					e.do()
+				}
+				m.Tick(w.now)
+				ready := m.Ready()
+				if ready.Read {
+					m.StepRead(w.now, w.page, w.version)
+				}
+				if ready.Write != nil {
+					w.write(m, *ready.Write)
+				}
+				for _, order := range ready.Grants {
+					if order.Life == gone.Life() {
+						held = append(held, order)
+						continue
+					}
+					w.grant(m, order)
+				}
+				for _, order := range ready.Releases {
+					w.release(m, order)
+				}
+			}
+		}
+		tick(3*time.Second, func() bool { return len(held) == 1 })
+		m.Lead(w.now) // A new fence: the range is granted again beside the first call.
+		tick(3*time.Second, func() bool { return len(held) == 2 })
+		Expect(held).To(HaveLen(2))
+		m.StepGranted(w.now, held[0], keys.Silent)
+		gone.up = false
+		w.run(100*time.Second, "i-1") // It is forgotten.
+		m.StepGranted(w.now, held[1], keys.Silent)
+		m.Stop()
+		for len(w.events) > 0 {
+			w.run(time.Second, "i-1")
+		}
+		Expect(m.Calls()).To(BeZero())
+	})
+
 	It("does not release keys while a grant to their holder is under way", func() {
 		w, m := settled(5, 3)
 		server := w.servers[model.Life{ID: "i-1", Born: 1000}]
--- a/gateway/keys/system_renewal.go
+++ b/gateway/keys/system_renewal.go
@@ -138,7 +138,7 @@
 				delete(row.granted, from)
 			}
 		}
-		if !row.listed && len(row.granted) == 0 {
+		if !row.listed && len(row.granted) == 0 && len(row.inFlight) == 0 {
 			delete(m.servers, life)
 		}
 	}
