keys: divide requests among servers by the square-root rule

Cause: keys were placed in proportion to each server's speed. The latency that stood for a server's speed contained its queue, and its first sample was a single response. Change: target rates by the square-root rule for heterogeneous servers, with a tenth of the proportional share for each; a slow server's keys move at any utilization; service times without the wait (Sakasegawa's approximation), the first responses together with the mean of all servers. The key that overloads its server moves to the fastest one by capacity. The new machine test fails on the code before.

--- a/gateway/keys/load.go
+++ b/gateway/keys/load.go
@@ -12,22 +12,21 @@
 	baseShare = 0.15
 	// minBaseRate is the total added without any requests.
 	minBaseRate = 1.0
-	// maxLatencyRatio and minLatencyRatio bound how much a server's latency,
-	// relative to the mean, changes its weight.
-	maxLatencyRatio = 2.0
-	minLatencyRatio = 0.6
-	// defaultLatency is assumed of a server without a measured latency, in seconds.
-	defaultLatency = 0.2
-	// warmUpFactor reduces the weight of a server that is still warming up.
+	// defaultServiceTime is assumed while no server's is known, in seconds.
+	defaultServiceTime = 0.2
+	// warmUpFactor is the expected capacity of a server that is still warming up.
 	warmUpFactor = 0.6
 )
 
-// loadTable holds the load of each usable server: its rate per unit of weight.
+// loadTable holds the load of each usable server: the ratio of its rate to its
+// target rate.
 type loadTable struct {
 	rows     []*serverRow // Usable servers, sorted by ID.
 	servers  map[model.Incarnation]*serverRow
 	sorted   []keyRate
 	baseRate float64 // Added to the rate of each key.
+	// meanServiceTime is the mean of the servers' service times in seconds.
+	meanServiceTime float64
 }
 
 // loads computes the load of every usable server from the current page.
@@ -35,29 +34,15 @@
 	m.rates.decay(m.now)
 	t := &loadTable{servers: m.servers, sorted: m.rates.sorted()}
 	t.baseRate = (baseShare*sumRates(t.sorted) + minBaseRate) / model.Keys
-	latencies, known := 0.0, 0
 	for _, row := range m.servers {
 		row.rate = 0
 		if !row.listed || row.Draining || row.unconfirmed || m.unreachable(row) || m.replaced(Holder{Incarnation: row.Incarnation(), Address: row.Address}) {
 			continue
 		}
 		t.rows = append(t.rows, row)
-		if row.latency > 0 {
-			latencies += row.latency
-			known++
-		}
 	}
 	sort.Slice(t.rows, func(i, j int) bool { return t.rows[i].ID < t.rows[j].ID })
-	for _, row := range t.rows {
-		weight := float64(row.Slots)
-		if row.latency > 0 {
-			ratio := row.latency / (latencies / float64(known))
-			weight /= min(max(ratio, minLatencyRatio), maxLatencyRatio)
-		} else if row.WarmUp > 0 {
-			weight *= warmUpFactor
-		}
-		row.weight = weight
-	}
+	t.estimateCapacities()
 	if m.page != nil {
 		for _, r := range m.page.Ranges {
 			if row := m.servers[r.Owner.Incarnation]; row != nil {
@@ -65,10 +50,44 @@
 			}
 		}
 	}
+	t.setTargets()
+	return t
+}
+
+// estimateCapacities sets the mean service time and each server's capacity. A
+// server's few responses count together with those of the others.
+func (t *loadTable) estimateCapacities() {
+	total, known := 0.0, 0
+	for _, row := range t.rows {
+		if row.service.samples > 0 {
+			total += row.service.mean
+			known++
+		}
+	}
+	t.meanServiceTime = defaultServiceTime
+	if known > 0 {
+		t.meanServiceTime = total / float64(known)
+	}
 	for _, row := range t.rows {
+		row.serviceTime = row.service.estimate(t.meanServiceTime)
+		row.capacity = countPerRate * float64(max(row.Slots, 1)) / row.serviceTime
+		if row.service.samples == 0 && row.WarmUp > 0 {
+			row.capacity *= warmUpFactor
+		}
+	}
+}
+
+// setTargets sets the utilization and the target rate of every server.
+func (t *loadTable) setTargets() {
+	total, capacities := 0.0, make([]float64, len(t.rows))
+	for at, row := range t.rows {
 		row.utilization = t.utilization(row)
+		total += row.rate
+		capacities[at] = row.capacity
+	}
+	for at, target := range targetRates(total, capacities) {
+		t.rows[at].target = target
 	}
-	return t
 }
 
 // usable returns the servers that may own keys.
@@ -79,23 +98,14 @@
 	return sumRates(ratesIn(t.sorted, r.From, r.To)) + t.baseRate*float64(r.Size())
 }
 
-// load returns a server's rate per unit of weight.
+// load returns the ratio of a server's rate to its target rate.
 func (t *loadTable) load(row *serverRow) float64 {
-	return row.rate / row.weight
-}
-
-// capacity returns the rate at which all slots of a server are taken.
-func (t *loadTable) capacity(row *serverRow) float64 {
-	latency := row.latency
-	if latency == 0 {
-		latency = defaultLatency
-	}
-	return countPerRate * float64(row.Slots) / latency
+	return row.rate / row.target
 }
 
 // utilization returns the part of a server's slots that its requests take.
 func (t *loadTable) utilization(row *serverRow) float64 {
-	return row.rate / t.capacity(row)
+	return row.rate / row.capacity
 }
 
 // empty reports whether a server owns no keys.
@@ -124,24 +134,24 @@
 	return found
 }
 
-// meanLoad returns the load of every server if it were spread evenly.
+// meanLoad returns the load of every server if all had their target rates.
 func (t *loadTable) meanLoad() float64 {
-	rate, weight := 0.0, 0.0
+	rate, target := 0.0, 0.0
 	for _, row := range t.rows {
 		rate += row.rate
-		weight += row.weight
+		target += row.target
 	}
-	if weight == 0 {
+	if target == 0 {
 		return 0
 	}
-	return rate / weight
+	return rate / target
 }
 
-// highestWeight returns the server with the greatest weight.
-func (t *loadTable) highestWeight() *serverRow {
+// fastest returns the server with the greatest capacity.
+func (t *loadTable) fastest() *serverRow {
 	var best *serverRow
 	for _, row := range t.rows {
-		if best == nil || row.weight > best.weight {
+		if best == nil || row.capacity > best.capacity {
 			best = row
 		}
 	}
--- a/gateway/keys/machine_test.go
+++ b/gateway/keys/machine_test.go
@@ -382,6 +382,40 @@
 		Expect(sim.violations).To(BeEmpty())
 	})
 
+	It("moves the keys of a slow server away although it has free slots, but leaves it some", func() {
+		sim, m := startSimulation(18, 6)
+		const slow = "i-2"
+		slowRequests := func() int {
+			count := 0
+			for key := 0; key < model.Keys; key += 64 {
+				if sim.page.Find(uint16(key)).Owner.ID == slow {
+					count++
+				}
+			}
+			return count
+		}
+		before := slowRequests()
+		for range 60 {
+			var requested []uint16
+			for range 7 { // 28 a second; the fast servers have room for 80.
+				requested = append(requested, uint16(sim.random.IntN(model.Keys)))
+			}
+			m.StepRequests(sim.now, requested)
+			for _, s := range sim.servers {
+				latency := 125 * time.Millisecond
+				if s.ID == slow {
+					latency = 350 * time.Millisecond
+				}
+				m.StepLatency(s.ID, 1, latency)
+			}
+			sim.run(250 * time.Millisecond)
+		}
+		Expect(slowRequests()).To(BeNumerically("<", before/2))
+		Expect(slowRequests()).To(BeNumerically(">", 0), "its service time stays known")
+		Expect(sim.unowned()).To(BeZero())
+		Expect(sim.violations).To(BeEmpty())
+	})
+
 	It("moves no keys while no server is busy", func() {
 		sim, m := startSimulation(10, 6)
 		version := sim.version
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -1,7 +1,6 @@
 package keys
 
 import (
-	"math"
 	"time"
 
 	"guavacrank.example/gateway/model"
@@ -296,15 +295,11 @@
 }
 
 // StepLatency takes the mean latency of some responses of a server. Those of a
-// busy server don't count: their latency includes queueing.
+// nearly saturated server don't count: their latency is mostly queueing.
 func (m *Machine) StepLatency(id string, responses int, mean time.Duration) {
 	row := m.latestByID[id]
 	if row == nil || row.utilization > maxSampledUtilization || responses == 0 {
 		return
 	}
-	if row.latency == 0 {
-		row.latency = mean.Seconds()
-	}
-	weight := 1 - math.Pow(1-latencyWeight, float64(responses))
-	row.latency += weight * (mean.Seconds() - row.latency)
+	row.service.add(unqueuedTime(mean.Seconds(), row.utilization, row.Slots), responses)
 }
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -84,11 +84,11 @@
 	}
 	total := 0.0
 	for _, row := range usable {
-		total += row.weight
+		total += row.capacity
 	}
 	next, accumulated := 0, 0.0
 	for at, row := range usable {
-		accumulated += row.weight
+		accumulated += row.capacity
 		end := int(accumulated / total * model.Keys)
 		if at == len(usable)-1 {
 			end = model.Keys
--- a/gateway/keys/system_rebalance.go
+++ b/gateway/keys/system_rebalance.go
@@ -21,8 +21,13 @@
 	overloadRatio  = 1.3
 	underloadRatio = 0.5
 	// minUtilization is the utilization from which a server's keys may move
-	// because of their load.
+	// because of their load. Those of a slow server, whose service time is at least
+	// slowRatio of the mean, move at any utilization: its callers wait even while it
+	// has free slots.
 	minUtilization = 0.45
+	slowRatio      = 1.3
+	// minSlowSamples is the number of responses that show that a server is slow.
+	minSlowSamples = 8
 	// significance is the number of standard deviations of a request count that
 	// an excess must reach.
 	significance = 2.5
@@ -86,14 +91,15 @@
 
 // relieve moves some of a server's keys to another server.
 func (b *pageBuilder) relieve(from, to *serverRow, mean float64) bool {
-	surplus := (b.loads.load(from) - mean) * from.weight
-	room := (mean - b.loads.load(to)) * to.weight
+	surplus := (b.loads.load(from) - mean) * from.target
+	room := (mean - b.loads.load(to)) * to.target
 	wanted := min(max(surplus, room/2), room)
 	if wanted <= 0 {
 		return false
 	}
-	for _, at := range b.movableRanges(from) {
-		if b.promote(at, from) || b.moveLoad(at, wanted, to) {
+	ranges := b.movableRanges(from)
+	for _, at := range ranges {
+		if b.promote(at, from) || b.moveLoad(at, wanted, to, len(ranges) > 1) {
 			return true
 		}
 	}
@@ -102,20 +108,20 @@
 
 const (
 	// promoteUtilization is the part of a server's slots that a single key must
-	// take to move to another server, promoteWeightRatio the ratio of the weights
-	// from which it does.
-	promoteUtilization = 0.6
-	promoteWeightRatio = 1.15
+	// take to move to another server, promoteCapacityRatio the ratio of the
+	// capacities from which it does.
+	promoteUtilization   = 0.6
+	promoteCapacityRatio = 1.3
 )
 
-// promote moves a key that overloads its server to the server with the highest
-// weight, whose other keys then move away.
+// promote moves a key that overloads its server to the fastest server, whose other
+// keys then move away.
 func (b *pageBuilder) promote(at int, from *serverRow) bool {
 	r := b.page.Ranges[at]
 	hot := b.loads.hottestKey(r)
-	to := b.loads.highestWeight()
-	if hot.rate < promoteUtilization*b.loads.capacity(from) || to == nil || to == from ||
-		to.weight < promoteWeightRatio*from.weight {
+	to := b.loads.fastest()
+	if hot.rate < promoteUtilization*from.capacity || to == nil || to == from ||
+		to.capacity < promoteCapacityRatio*from.capacity {
 		return false
 	}
 	part := r
@@ -141,14 +147,23 @@
 	return b.loads.load(from) >= overloadRatio*mean || b.loads.load(to) <= underloadRatio*mean
 }
 
-// overloaded reports whether a busy server's load is significantly above the mean.
+// overloaded reports whether the load of a busy or slow server is significantly
+// above the mean.
 func (b *pageBuilder) overloaded(from *serverRow, mean float64) bool {
-	if b.loads.utilization(from) < minUtilization {
-		return false
-	}
-	expected := mean * from.weight
+	expected := mean * from.target
 	// The variance of an exponentially decayed count is half its mean.
-	return from.rate-expected > significance*math.Sqrt(expected/2)
+	switch {
+	case b.loads.utilization(from) >= minUtilization:
+		return from.rate-expected > significance*math.Sqrt(expected/2)
+	case b.slow(from):
+		return from.rate-expected > significance*math.Sqrt(from.rate/2)
+	}
+	return false
+}
+
+// slow reports whether a server takes clearly longer for a request than the others.
+func (b *pageBuilder) slow(row *serverRow) bool {
+	return row.service.samples >= minSlowSamples && row.serviceTime >= slowRatio*b.loads.meanServiceTime
 }
 
 // movableRanges returns the indexes of a server's ranges that may move, by
@@ -175,14 +190,15 @@
 	return known && grant.accepted && (late == 0 || b.now > late+b.maxGrantLifetime())
 }
 
-// moveLoad moves the part of a range that carries the wanted rate.
-func (b *pageBuilder) moveLoad(at int, wanted float64, to *serverRow) bool {
+// moveLoad moves the part of a range that carries the wanted rate. The whole range
+// moves only if its owner has others: an empty server would get keys again at once.
+func (b *pageBuilder) moveLoad(at int, wanted float64, to *serverRow, whole bool) bool {
 	r := b.page.Ranges[at]
 	total := b.loads.rangeRate(r)
 	if r.Size() < 2 && total > 1.5*wanted {
 		return false
 	}
-	if wanted >= total*0.9 || r.Size() < 2 {
+	if whole && wanted >= total*0.9 || r.Size() < 2 {
 		b.page.Ranges[at] = b.move(r, r, to)
 		return true
 	}
--- a/gateway/keys/tables.go
+++ b/gateway/keys/tables.go
@@ -27,10 +27,12 @@
 	acceptedGrant bool          // Accepted a grant of this leader.
 	failingSince  time.Duration // Zero while calls succeed.
 	unresponsive  bool          // The last call got no response, not even a refusal.
-	latency       float64       // Smoothed, in seconds; zero if unknown.
-	utilization   float64       // Part of the slots that requests take.
-	// weight and rate are those of the latest loadTable.
-	weight, rate float64
+	service       serviceTime
+	// The following are those of the latest loadTable: utilization is the part of
+	// the slots that requests take, serviceTime the estimate in seconds. rate,
+	// target and capacity are decayed request counts; capacity takes all slots.
+	utilization, serviceTime float64
+	rate, target, capacity   float64
 	// unconfirmed is set after a failure to connect: another process may run at
 	// the address. Nothing is granted until the server has confirmed its ID and
 	// the list still shows the same server registrationDelay later.
