keys, dispatch: service times under saturation; waits for a known handover and for room

A request whose key changes owner was refused after 0.35 of its latency objective although the end of the change is known; one that a full server refused went back to its caller at once although it had seconds left. Change: the service time is found from the rate and the mean time of the responses, which holds for a full queue too. A request waits for a handover if it has time left after its latest end, as many of them as the next owner can run; otherwise as before. A request that a full server refused is sent again after half to one and a half of the expected response time, paid from the retry budget before it waits, of which 0.3 stays for others.

--- a/gateway/balance/server.go
+++ b/gateway/balance/server.go
@@ -90,6 +90,7 @@
 	responses           int
 	responseTime        time.Duration
 	minLatency          minLatency
+	waiting             int // Requests that wait for the server to get their keys.
 }
 
 // BeginRequest records the start of a request.
@@ -194,6 +195,25 @@
 	return count, total
 }
 
+// BeginWait counts a request that waits for the server to get its key, unless as many
+// as the limit wait already: the server could not run more of them in time.
+func (s *Server) BeginWait(limit int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting >= limit {
+		return false
+	}
+	s.waiting++
+	return true
+}
+
+// EndWait ends a wait for which BeginWait returned true.
+func (s *Server) EndWait() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting--
+}
+
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int {
 	s.mu.Lock()
--- /dev/null
+++ b/gateway/dispatch/bykey.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"guavacrank.example/gateway/balance"
+	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/view"
+	"guavacrank.example/traffic/verdict"
+)
+
+const (
+	// ownerWaitShare is the share of the latency objective that a request waits
+	// for its key to have an owner if it is not known when that will be.
+	ownerWaitShare = 0.35
+	// notOwnerDelay is the delay before the next attempt after a server reported
+	// that it does not hold the key. A change of the view ends it early.
+	notOwnerDelay = 40 * time.Millisecond
+	// shedRetryReserve is the share of the retry budget that requests which a full
+	// server refused leave to others.
+	shedRetryReserve = 0.3
+	// minRoomDelay is the minimum delay before a request is sent again to a server
+	// that was full. maxRoomDelayShare limits the delay to a share of the latency
+	// objective.
+	minRoomDelay      = 30 * time.Millisecond
+	maxRoomDelayShare = 0.5
+)
+
+// sendByKey sends to the owner of the request's key, or waits until the key has
+// an owner.
+func (c *call) sendByKey(service *view.Service, changed <-chan struct{}) bool {
+	if service.Page == nil {
+		return c.waitForView(changed, time.Hour, verdict.CodeNoOwner)
+	}
+	owner := service.Page.Find(c.request.Head.Key)
+	if owner == nil {
+		return c.waitForView(changed, time.Hour, verdict.CodeNoOwner)
+	}
+	server := service.Owners[owner.Owner.Incarnation]
+	switch {
+	case server == nil || server.Replaced():
+		return c.waitForView(changed, time.Hour, verdict.CodeNoOwner)
+	case len(owner.Prior) > 0:
+		return c.waitForHandover(service, owner, server, changed)
+	}
+	return c.sendToOwner(server, changed)
+}
+
+// sendToOwner sends to the owner of the request's key, unless the owner is not
+// expected to respond in time, is overloaded or seems to have lost its keys.
+func (c *call) sendToOwner(server *balance.Server, changed <-chan struct{}) bool {
+	now := c.options.Clock()
+	if server.LostKeys(now) {
+		return c.waitForView(changed, notOwnerDelay, verdict.CodeNoOwner)
+	}
+	if balance.ExpectedLatency(now, server) > c.timeLeft() {
+		return c.finish(verdict.NotRun, verdict.CodeTooLate)
+	}
+	if rand.Float64() < balance.ShedFraction(now, server, c.request.Route.LatencyObjective) {
+		return c.finish(verdict.NotRun, verdict.CodeQueueFull)
+	}
+	return c.send(server)
+}
+
+// waitForHandover waits while the keys change owner, if the request will still have
+// time when that must have ended and its next owner has room for it then. Otherwise
+// it waits as if nothing was known.
+func (c *call) waitForHandover(service *view.Service, r *keys.Range, next *balance.Server, changed <-chan struct{}) bool {
+	since, known := service.HandoverSince[r.Owner.Fence]
+	end := since + service.MaxHandover
+	lasts := end - c.options.Clock()
+	enough := end+c.request.Route.LatencyObjective <= c.request.Deadline
+	if !known || lasts <= 0 || !enough || !next.BeginWait(service.MaxWaiting) {
+		return c.waitForView(changed, time.Hour, verdict.CodeNoOwner)
+	}
+	defer next.EndWait()
+	c.wait(changed, lasts)
+	return true
+}
+
+// waitForRoom waits until a server that was full may have room again. It ends the
+// request if no other attempt is allowed or the server can't respond in time.
+func (c *call) waitForRoom(server *balance.Server, changed <-chan struct{}) bool {
+	longest := time.Duration(maxRoomDelayShare * float64(c.request.Route.LatencyObjective))
+	expected := balance.ExpectedLatency(c.options.Clock(), server)
+	delay := max(min(expected, longest), minRoomDelay)
+	delay = delay/2 + rand.N(delay) // Several VMs wait for the same server.
+	if delay+expected > c.timeLeft() || !c.allowRetry(server, shedRetryReserve) {
+		return false
+	}
+	c.retryPaid = true
+	c.wait(changed, delay)
+	return true
+}
+
+// waitForView waits until the view changes, the delay has passed or the
+// request's time to wait for an owner is used up. If it is used up already, the
+// request ends with the given code.
+func (c *call) waitForView(changed <-chan struct{}, delay time.Duration, code verdict.Code) bool {
+	ownerWait := time.Duration(ownerWaitShare * float64(c.request.Route.LatencyObjective))
+	left := min(c.request.Arrived+ownerWait-c.options.Clock(), c.timeLeft())
+	if left <= 0 {
+		return c.finish(verdict.NotRun, code)
+	}
+	c.wait(changed, min(left, delay))
+	return true
+}
+
+// wait waits until the view changes, the time has passed or the request ends.
+func (c *call) wait(changed <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-c.ctx.Done():
+	}
+}
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -21,12 +21,6 @@
 	// maxReachedAttempts limits how many attempts of one request may reach a
 	// server, including refused ones, unless the route allows more attempts.
 	maxReachedAttempts = 3
-	// ownerWaitShare is the share of the latency objective that a request waits
-	// for its key to have an owner.
-	ownerWaitShare = 0.35
-	// notOwnerDelay is the delay before the next attempt after a server reported
-	// that it does not hold the key. A change of the view ends it early.
-	notOwnerDelay = 40 * time.Millisecond
 	// retryAfterShare is the share of the remaining time after which the caller
 	// of a request that was not run may retry.
 	retryAfterShare = 0.3
@@ -62,6 +56,8 @@
 	tried             []*balance.Server
 	// mayHaveRun reports that an earlier attempt is not proved not to have run.
 	mayHaveRun bool
+	// retryPaid reports that the next attempt was charged to the retry budget.
+	retryPaid bool
 }
 
 // Do dispatches a request and returns its final result. ctx must be canceled
@@ -152,60 +148,13 @@
 	return false
 }
 
-// sendByKey sends to the owner of the request's key, or waits until the key has
-// an owner.
-func (c *call) sendByKey(service *view.Service, changed <-chan struct{}) bool {
-	if service.Page != nil {
-		if owner := service.Page.Find(c.request.Head.Key); owner != nil && len(owner.Prior) == 0 {
-			if server := service.Owners[owner.Owner.Incarnation]; server != nil && !server.Replaced() {
-				return c.sendToOwner(server, changed)
-			}
-		}
-	}
-	return c.waitForView(changed, time.Hour, verdict.CodeNoOwner)
-}
-
-// sendToOwner sends to the owner of the request's key, unless the owner is not
-// expected to respond in time, is overloaded or seems to have lost its keys.
-func (c *call) sendToOwner(server *balance.Server, changed <-chan struct{}) bool {
-	now := c.options.Clock()
-	if server.LostKeys(now) {
-		return c.waitForView(changed, notOwnerDelay, verdict.CodeNoOwner)
-	}
-	if balance.ExpectedLatency(now, server) > c.timeLeft() {
-		return c.finish(verdict.NotRun, verdict.CodeTooLate)
-	}
-	if rand.Float64() < balance.ShedFraction(now, server, c.request.Route.LatencyObjective) {
-		return c.finish(verdict.NotRun, verdict.CodeQueueFull)
-	}
-	return c.send(server)
-}
-
-// waitForView waits until the view changes, the delay has passed or the
-// request's time to wait for an owner is used up. If it is used up already, the
-// request ends with the given code.
-func (c *call) waitForView(changed <-chan struct{}, delay time.Duration, code verdict.Code) bool {
-	ownerWait := time.Duration(ownerWaitShare * float64(c.request.Route.LatencyObjective))
-	left := min(c.request.Arrived+ownerWait-c.options.Clock(), c.timeLeft())
-	if left <= 0 {
-		return c.finish(verdict.NotRun, code)
-	}
-	timer := time.NewTimer(min(left, delay))
-	defer timer.Stop()
-	select {
-	case <-changed:
-	case <-timer.C:
-	case <-c.ctx.Done():
-	}
-	return true
-}
-
 // send sends the request to a server, if another attempt is allowed, and
 // reports whether another step is needed.
 func (c *call) send(server *balance.Server) bool {
-	if c.reachedAttempts > 0 && !c.allowRetry(server) {
+	if c.reachedAttempts > 0 && !c.retryPaid && !c.allowRetry(server, 0) {
 		return c.finish(verdict.NotRun, verdict.CodeBusy)
 	}
+	c.retryPaid = false
 	out := c.exchange(c.ctx, server)
 	c.record(server, out)
 	return c.decide(server, out)
@@ -233,8 +182,8 @@
 }
 
 // allowRetry reports whether the route and the retry budget allow another
-// attempt, and charges it to the budget.
-func (c *call) allowRetry(server *balance.Server) bool {
+// attempt, and charges it to the budget, of which reserve must remain.
+func (c *call) allowRetry(server *balance.Server, reserve float64) bool {
 	servers := len(c.tried)
 	if !c.wasTried(server) {
 		servers++
@@ -242,7 +191,7 @@
 	if servers > c.request.Route.MaxAttempts+c.unreachedAttempts || c.reachedAttempts >= max(c.request.Route.MaxAttempts, maxReachedAttempts) {
 		return false
 	}
-	return c.options.Budget.Spend(c.options.Clock(), c.request.Service, 0)
+	return c.options.Budget.Spend(c.options.Clock(), c.request.Service, reserve)
 }
 
 func (c *call) addTried(server *balance.Server) {
@@ -286,7 +235,7 @@
 	service := current.Services[c.request.Service]
 	if service != nil && service.Partitioned {
 		if out.Code == verdict.CodeShed {
-			return false
+			return c.waitForRoom(server, changed)
 		}
 		return c.waitForView(changed, notOwnerDelay, out.Code)
 	}
--- a/gateway/dispatch/dispatch_test.go
+++ b/gateway/dispatch/dispatch_test.go
@@ -278,4 +278,88 @@
 		f.Expect(result.Code).To(Equal(verdict.CodeNoOwner))
 		f.Expect(time.Since(start)).To(BeNumerically("<", 300*time.Millisecond))
 	})
+
+	t.Run("waits longer for a handover whose end is known", func(t *testing.T) {
+		f := newFixture(t, false)
+		f.service.Partitioned = true
+		owner := f.add("owner", respond)
+		f.service.Page = page("owner", true)
+		f.service.HandoverSince = map[uint64]time.Duration{0: f.clock()}
+		f.service.MaxHandover, f.service.MaxWaiting = time.Second, 1
+		f.publish()
+		time.AfterFunc(400*time.Millisecond, func() {
+			f.service.Page = page("owner", false)
+			f.publish()
+		})
+		f.Expect(f.do(2 * time.Second).Verdict).To(Equal(verdict.Answered))
+		f.Expect(owner.Load()).To(Equal(int64(1)))
+	})
+
+	t.Run("refuses at once what can't wait for the end of a handover", func(t *testing.T) {
+		f := newFixture(t, false)
+		f.service.Partitioned = true
+		f.add("owner", respond)
+		f.service.Page = page("owner", true)
+		f.service.HandoverSince = map[uint64]time.Duration{0: f.clock()}
+		f.service.MaxHandover, f.service.MaxWaiting = time.Second, 1
+		f.publish()
+		start := time.Now()
+		f.Expect(f.do(900 * time.Millisecond).Code).To(Equal(verdict.CodeNoOwner))
+		f.Expect(time.Since(start)).To(BeNumerically("<", 300*time.Millisecond))
+	})
+
+	t.Run("lets only as many requests wait as the next owner can run", func(t *testing.T) {
+		f := newFixture(t, false)
+		f.service.Partitioned = true
+		f.add("owner", respond)
+		f.service.Page = page("owner", true)
+		f.service.HandoverSince = map[uint64]time.Duration{0: f.clock()}
+		f.service.MaxHandover, f.service.MaxWaiting = time.Second, 2
+		f.publish()
+		time.AfterFunc(500*time.Millisecond, func() {
+			f.service.Page = page("owner", false)
+			f.publish()
+		})
+		results := make(chan dispatch.Result, 6)
+		for range cap(results) {
+			go func() { results <- f.do(3 * time.Second) }()
+		}
+		answered := 0
+		for range cap(results) {
+			if result := <-results; result.Verdict == verdict.Answered {
+				answered++
+			} else {
+				f.Expect(result.Code).To(Equal(verdict.CodeNoOwner))
+			}
+		}
+		f.Expect(answered).To(Equal(2))
+	})
+
+	t.Run("sends again to an owner that was full, within the retry budget", func(t *testing.T) {
+		f := newFixture(t, false)
+		f.service.Partitioned = true
+		full := int64(1)
+		var owner *atomic.Int64
+		owner = f.add("owner", func(w http.ResponseWriter, r *http.Request) {
+			if owner.Load() <= full {
+				refuse(w, r)
+				return
+			}
+			respond(w, r)
+		})
+		f.service.Page = page("owner", false)
+		f.publish()
+		f.Expect(f.do(time.Second).Verdict).To(Equal(verdict.Answered))
+		f.Expect(owner.Load()).To(Equal(int64(2)))
+
+		f.budget.SetOptions(budget.Options{Window: 10 * time.Second})
+		full = 1000
+		start := time.Now()
+		result := f.do(time.Second)
+		f.Expect(result.Verdict).To(Equal(verdict.NotRun))
+		f.Expect(result.Code).To(Equal(verdict.CodeShed))
+		f.Expect(result.RetryAfter).To(BeNumerically(">", 0))
+		f.Expect(time.Since(start)).To(BeNumerically("<", 100*time.Millisecond), "a request that may not be sent again is refused at once")
+		f.Expect(owner.Load()).To(Equal(int64(3)))
+	})
 }
--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -40,9 +40,6 @@
 	draftInterval = 80 * time.Millisecond
 	// idleDraftInterval is the same after a check that found nothing to change.
 	idleDraftInterval = 20 * time.Millisecond
-	// maxSampledUtilization is the utilization up to which responses show a
-	// server's service time.
-	maxSampledUtilization = 0.8
 	// discoveryTime is how long to wait for further servers before the first page.
 	discoveryTime = 700 * time.Millisecond
 	// absenceGrace is how long an unlisted server may still return after the
--- a/gateway/keys/rate.go
+++ b/gateway/keys/rate.go
@@ -47,6 +47,20 @@
 	}
 }
 
+// decayedCount is an exponentially decayed count with rateHalfLife.
+type decayedCount struct {
+	count float64
+	at    time.Duration
+}
+
+func (c *decayedCount) add(now time.Duration, count float64) {
+	c.count, c.at = c.value(now)+count, now
+}
+
+func (c *decayedCount) value(now time.Duration) float64 {
+	return c.count * math.Exp2(-(now-c.at).Seconds()/rateHalfLife.Seconds())
+}
+
 // keyRate is the decayed count of one key.
 type keyRate struct {
 	key  uint16
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -294,12 +294,13 @@
 	m.rates.add(now, requested)
 }
 
-// StepLatency takes the mean latency of some responses of a server. Those of a
-// nearly saturated server don't count: their latency is mostly queueing.
+// StepLatency takes the mean latency of some responses of a server.
 func (m *Machine) StepLatency(id string, responses int, mean time.Duration) {
 	row := m.latestByID[id]
-	if row == nil || row.utilization > maxSampledUtilization || responses == 0 {
+	if row == nil || responses == 0 {
 		return
 	}
-	row.service.add(unqueuedTime(mean.Seconds(), row.utilization, row.Slots), responses)
+	row.responses.add(m.now, float64(responses))
+	rate := row.responses.value(m.now) / countPerRate
+	row.service.add(unqueuedTime(mean.Seconds(), rate, row.Slots), responses)
 }
--- a/gateway/keys/tables.go
+++ b/gateway/keys/tables.go
@@ -28,6 +28,7 @@
 	failingSince  time.Duration // Zero while calls succeed.
 	unresponsive  bool          // The last call got no response, not even a refusal.
 	service       serviceTime
+	responses     decayedCount
 	// The following are those of the latest loadTable: utilization is the part of
 	// the slots that requests take, serviceTime the estimate in seconds. rate,
 	// target and capacity are decayed request counts; capacity takes all slots.
--- a/gateway/keys/target.go
+++ b/gateway/keys/target.go
@@ -77,12 +77,3 @@
 	}
 	return rates
 }
-
-// unqueuedTime estimates the service time of a server from a mean response time at
-// a utilization below 1: Sakasegawa's approximation of the wait in a queue with
-// several slots.
-func unqueuedTime(responseTime, utilization float64, slots int) float64 {
-	n := float64(max(slots, 1))
-	wait := math.Pow(utilization, math.Sqrt(2*(n+1))-1) / (n * (1 - utilization))
-	return responseTime / (1 + wait)
-}
--- a/gateway/keys/target_test.go
+++ b/gateway/keys/target_test.go
@@ -4,8 +4,11 @@
 	"math"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
+
+	"guavacrank.example/gateway/model"
 )
 
 // mixedServiceRates are the service rates of a service whose machines differ: two
@@ -104,11 +107,28 @@
 
 func TestUnqueuedTime(t *testing.T) {
 	g := NewWithT(t)
-	g.Expect(unqueuedTime(0.2, 0, 2)).To(BeNumerically("~", 0.2, 1e-9))
-	// The exact response time of a queue with two slots is S / (1 - utilization²).
+	g.Expect(unqueuedTime(0.2, 0, 2)).To(BeNumerically("~", 0.2, 0.02))
 	for _, utilization := range []float64{0.2, 0.5, 0.8} {
-		g.Expect(unqueuedTime(0.2/(1-utilization*utilization), utilization, 2)).To(BeNumerically("~", 0.2, 0.02))
+		// The exact response time of a queue with two slots is S / (1 - utilization²).
+		responseTime, rate := 0.2/(1-utilization*utilization), utilization*2/0.2
+		g.Expect(unqueuedTime(responseTime, rate, 2)).To(BeNumerically("~", 0.2, 0.02))
+	}
+	// A saturated server with ten requests: two slots answer 5 a second in 2 s.
+	g.Expect(unqueuedTime(2, 5, 2)).To(BeNumerically("~", 0.4, 0.06))
+}
+
+// TestStepLatencySaturated checks that the service time of a server becomes known
+// also while its queue is full: two slots that take 0.4 s.
+func TestStepLatencySaturated(t *testing.T) {
+	g := NewWithT(t)
+	m := NewMachine(Options{})
+	row := &serverRow{Server: model.Server{ID: "a", Slots: 2}, utilization: 2}
+	m.latestByID = map[string]*serverRow{"a": row}
+	for range 40 {
+		m.now += 400 * time.Millisecond
+		m.StepLatency("a", 2, 2*time.Second)
 	}
+	g.Expect(row.service.estimate(0.2)).To(BeNumerically("~", 0.4, 0.08))
 }
 
 func TestServiceTimeEstimate(t *testing.T) {
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"guavacrank.example/event"
+	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
@@ -15,6 +16,15 @@
 	"guavacrank.example/kvstore"
 )
 
+const (
+	// handoverMargin is added to the TTL of grants: a slow clock, a call that is
+	// applied late, the write of the page and the new grant.
+	handoverMargin = time.Second
+	// waitingRuns is the number of requests for each slot of a server that may wait
+	// for it on all VMs together.
+	waitingRuns = 8
+)
+
 // trackStoreCall updates the store's availability after a call.
 func (l *loop) trackStoreCall(operation string, err error) {
 	now := l.clock()
@@ -149,12 +159,50 @@
 
 // setPage puts an ownership page in force.
 func (l *loop) setPage(service string, page *keys.Page, version kvstore.Version) {
-	l.pages[service] = &versionedPage{page: page, version: version}
+	l.pages[service] = &versionedPage{page: page, version: version, handoverSince: l.handoversSince(service, page)}
 	l.viewOutdated = true
 	l.log.Event(event.KeysPageSeen, "", zap.String("service", service), zap.Uint64("page", uint64(version)),
 		zap.Int("ranges", len(page.Ranges)), zap.Uint64("fence", page.Fence), zap.String("writer", page.Writer.VM))
 }
 
+// handoversSince returns when this VM learned of each change of owner that has not
+// ended in a new page, by fence.
+func (l *loop) handoversSince(service string, page *keys.Page) map[uint64]time.Duration {
+	var earlier map[uint64]time.Duration
+	if previous := l.pages[service]; previous != nil {
+		earlier = previous.handoverSince
+	}
+	since := make(map[uint64]time.Duration)
+	for _, r := range page.Ranges {
+		if len(r.Prior) == 0 {
+			continue
+		}
+		at, known := earlier[r.Owner.Fence]
+		if !known {
+			at = l.clock()
+		}
+		since[r.Owner.Fence] = at
+	}
+	return since
+}
+
+// maxHandover bounds how long a change of owner takes: the prior owner's grants must
+// have expired at the latest.
+func (l *loop) maxHandover(page *keys.Page) time.Duration {
+	ttl := max(page.MaxGrantTTL, min(grantTTL, l.settings.Bounds.MaxGrantTTL))
+	return ttl + handoverMargin
+}
+
+// maxWaiting returns the number of requests that may wait on this VM for one server:
+// its part of what the servers run in about waitingRuns times their work.
+func maxWaiting(servers []*balance.Server, vms int) int {
+	slots := 1
+	for _, server := range servers {
+		slots = max(slots, server.Slots)
+	}
+	return max(waitingRuns*slots/max(vms, 1), 1)
+}
+
 // encoded returns the page in the format of the store.
 func (v *versionedPage) encoded() ([]byte, error) {
 	var err error
@@ -205,6 +253,9 @@
 		if page := l.pages[name]; configured.Partitioned && page != nil {
 			service.Page = page.page
 			service.Owners = l.servers.owners(page.page, name, configured, vms)
+			service.HandoverSince = page.handoverSince
+			service.MaxHandover = l.maxHandover(page.page)
+			service.MaxWaiting = maxWaiting(service.Servers, vms)
 		}
 		services[name] = service
 	}
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -128,6 +128,8 @@
 	page    *keys.Page
 	stored  []byte // The encoded page, created on demand.
 	version kvstore.Version
+	// handoverSince is that of view.Service.
+	handoverSince map[uint64]time.Duration
 }
 
 // member is a daemon that reports to this leader.
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -7,6 +7,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/keys"
@@ -32,6 +33,14 @@
 	// Owners holds the servers that own keys according to Page and accept
 	// requests.
 	Owners map[model.Incarnation]*balance.Server
+	// HandoverSince is when this VM learned that the ranges with a fence change
+	// owner, MaxHandover the time after which the new owner holds them at the latest
+	// if it can be reached.
+	HandoverSince map[uint64]time.Duration
+	MaxHandover   time.Duration
+	// MaxWaiting is the number of requests that may wait on this VM for one server
+	// to get their keys.
+	MaxWaiting int
 }
 
 // Publisher holds the current View. It is safe for concurrent use.
