front, dispatch: a full body memory refuses with 503; a hedged request proved not run says so

Once the memory for bodies was used up the limit of a body turned negative and proper requests got 413, which no caller repeats. A first attempt refused by its server counted as one that may have run if a hedged one was under way. Change: 413 only beyond the configured limit; 503 with Retry-After while there is no memory. Only attempts without proof count as possibly run. Measured: the test of the hedged request fails on the code before; that of the body does not build there (the old code gave 413 by its first line).

--- a/gateway/dispatch/dispatch_test.go
+++ b/gateway/dispatch/dispatch_test.go
@@ -195,6 +195,18 @@
 		f.Eventually(canceled, "500ms").Should(Receive())
 	})
 
+	t.Run("reports not run if the first and the hedged server both prove that they did not run it", func(t *testing.T) {
+		f := newFixture(t, true)
+		f.route.MaxAttempts = 2
+		slowRefusal := func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(250 * time.Millisecond) // Beyond the delay of a hedged request.
+			refuse(w, r)
+		}
+		f.add("a", slowRefusal)
+		f.add("b", slowRefusal)
+		f.Expect(f.do(2 * time.Second).Verdict).To(Equal(verdict.NotRun))
+	})
+
 	t.Run("sends a non-idempotent request only once, even if it times out", func(t *testing.T) {
 		f := newFixture(t, false)
 		first, second := f.add("a", block), f.add("b", block)
--- a/gateway/dispatch/hedge.go
+++ b/gateway/dispatch/hedge.go
@@ -8,6 +8,7 @@
 
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/view"
+	"guavacrank.example/traffic/verdict"
 )
 
 const (
@@ -51,7 +52,7 @@
 				return c.decide(finished.server, finished.outcome)
 			}
 			// The other attempt may still return a response.
-			c.mayHaveRun = c.mayHaveRun || finished.outcome.reached
+			c.mayHaveRun = c.mayHaveRun || finished.outcome.Verdict != verdict.NotRun
 			c.result.Response = finished.outcome.response
 		case <-timer.C:
 			if second := c.secondServer(service, first.Server); second != nil {
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -35,10 +35,6 @@
 	// defaultTimeout is the timeout of a request if the caller sets none. A shorter
 	// timeout of the route takes precedence.
 	defaultTimeout = 30 * time.Second
-	// defaultBodyLimit limits a request body if the configuration sets no limit.
-	defaultBodyLimit = 64 << 20
-	// bodyMemoryDivisor limits request bodies to 1/4 of the process's memory limit.
-	bodyMemoryDivisor = 4
 	// successSampleInterval: one in 32 successes is logged.
 	successSampleInterval = 32
 	// startWaitDivisor limits the wait for the first configuration of a VM that has
@@ -207,10 +203,10 @@
 	deadline := e.deadline()
 	ctx, cancel := context.WithTimeout(e.r.Context(), deadline-e.options.Clock())
 	defer cancel()
-	body, rejected := e.readBody(current.Configuration.Limits.BodyBytes)
+	body, err := e.readBody(current.Configuration.Limits.BodyBytes)
 	defer e.bodyBytes.Add(-int64(len(body)))
-	if rejected != nil {
-		e.reject(*rejected)
+	if err != nil {
+		e.refuseBody(err)
 		return
 	}
 	result := e.options.Dispatcher.Do(ctx, &dispatch.Request{
@@ -228,26 +224,6 @@
 	e.finish(result, int64(len(body)))
 }
 
-// readBody reads the complete body, up to the limit and the memory left for bodies.
-func (e *exchange) readBody(limit int64) ([]byte, *rejection) {
-	if e.r.Body == nil || e.r.Body == http.NoBody {
-		return nil, nil
-	}
-	if limit <= 0 {
-		limit = defaultBodyLimit
-	}
-	limit = min(limit, e.options.MemoryBytes/bodyMemoryDivisor-e.bodyBytes.Load())
-	body, err := io.ReadAll(io.LimitReader(e.r.Body, limit+1))
-	e.bodyBytes.Add(int64(len(body)))
-	switch {
-	case err != nil:
-		return body, &rejection{http.StatusBadRequest, "reading the body: " + err.Error()}
-	case int64(len(body)) > limit:
-		return body, &rejection{http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is longer than %d bytes", limit)}
-	}
-	return body, nil
-}
-
 // finish writes the response, the metrics and the log lines of a result.
 func (e *exchange) finish(result dispatch.Result, bodyBytes int64) {
 	responseBytes := int64(0)
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -66,3 +67,34 @@
 		g.Expect(duration).To(BeNumerically("<", 400*time.Millisecond))
 	})
 }
+
+func TestBody(t *testing.T) {
+	post := func(h *Handler, limit int64, body string) *httptest.ResponseRecorder {
+		recorder := httptest.NewRecorder()
+		request := httptest.NewRequest(http.MethodPost, "http://h.example/a/", strings.NewReader(body))
+		e := &exchange{Handler: h, w: recorder, r: request}
+		read, err := e.readBody(limit)
+		defer h.bodyBytes.Add(-int64(len(read)))
+		if err != nil {
+			e.refuseBody(err)
+		}
+		return recorder
+	}
+
+	t.Run("a body beyond the limit is rejected", func(t *testing.T) {
+		g := NewWithT(t)
+		h, _ := newHandler(t, time.Second)
+		g.Expect(post(h, 4, "four").Code).To(Equal(http.StatusOK))
+		g.Expect(post(h, 4, "fives").Code).To(Equal(http.StatusRequestEntityTooLarge))
+		g.Expect(h.bodyBytes.Load()).To(BeZero())
+	})
+
+	t.Run("a proper body is refused as not run while the memory for bodies is used up", func(t *testing.T) {
+		g := NewWithT(t)
+		h, _ := newHandler(t, time.Second)
+		h.bodyBytes.Store(h.options.MemoryBytes)
+		recorder := post(h, 1000, "a proper body")
+		g.Expect(recorder.Code).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(recorder.Header().Get("Retry-After")).NotTo(BeEmpty())
+	})
+}
