--- a/gateway/dispatch/bykey.go
+++ b/gateway/dispatch/bykey.go
@@ -71,7 +71,7 @@
 	end := since + service.MaxHandover
 	lasts := end - c.options.Clock()
 	enough := end+c.request.Route.LatencyObjective <= c.request.Deadline
-	if !known || lasts <= 0 || !enough || !next.BeginWait(service.MaxWaiting) {
+	if !known || lasts <= 0 || !enough || !c.mayWait() || !next.BeginWait(service.MaxWaiting) {
 		return c.waitForView(changed, time.Hour, verdict.CodeNoOwner)
 	}
 	defer next.EndWait()
@@ -86,7 +86,7 @@
 	expected := balance.ExpectedLatency(c.options.Clock(), server)
 	delay := max(min(expected, longest), minRoomDelay)
 	delay = delay/2 + rand.N(delay) // Several VMs wait for the same server.
-	if delay+expected > c.timeLeft() || !c.allowRetry(server, shedRetryReserve) {
+	if !c.mayWait() || delay+expected > c.timeLeft() || !c.allowRetry(server, shedRetryReserve) {
 		return false
 	}
 	c.retryPaid = true
@@ -107,13 +107,19 @@
 	return true
 }
 
-// wait waits until the view changes, the time has passed or the request ends.
+// wait waits until the view changes, the time has passed, the request ends or
+// EndWaits is called.
 func (c *call) wait(changed <-chan struct{}, limit time.Duration) {
+	ended := c.waitsEnded
+	if !c.mayWait() {
+		ended = nil // Only short waits begin now.
+	}
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case <-changed:
 	case <-timer.C:
+	case <-ended:
 	case <-c.ctx.Done():
 	}
 }
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"guavacrank.example/gateway/balance"
@@ -39,10 +40,31 @@
 }
 
 // Dispatcher sends requests to backend servers. It is safe for concurrent use.
-type Dispatcher struct{ options Options }
+type Dispatcher struct {
+	options Options
+	// waitsEnded is closed when requests may no longer wait.
+	waitsEnded chan struct{}
+	endWaits   sync.Once
+}
 
 // New returns a dispatcher.
-func New(options Options) *Dispatcher { return &Dispatcher{options: options} }
+func New(options Options) *Dispatcher {
+	return &Dispatcher{options: options, waitsEnded: make(chan struct{})}
+}
+
+// EndWaits ends the long waits of requests for a server, now and from now on: this VM
+// stops, and its callers are better served by another one.
+func (d *Dispatcher) EndWaits() { d.endWaits.Do(func() { close(d.waitsEnded) }) }
+
+// mayWait reports whether requests may still wait long for a server.
+func (d *Dispatcher) mayWait() bool {
+	select {
+	case <-d.waitsEnded:
+		return false
+	default:
+		return true
+	}
+}
 
 // call is the state of one request while it is dispatched.
 type call struct {
--- a/gateway/dispatch/dispatch_test.go
+++ b/gateway/dispatch/dispatch_test.go
@@ -347,6 +347,25 @@
 		f.Expect(answered).To(Equal(2))
 	})
 
+	t.Run("refuses what waits for a handover when this VM stops", func(t *testing.T) {
+		f := newFixture(t, false)
+		f.service.Partitioned = true
+		f.add("owner", respond)
+		f.service.Page = page("owner", true)
+		f.service.HandoverSince = map[uint64]time.Duration{0: f.clock()}
+		f.service.MaxHandover, f.service.MaxWaiting = 3*time.Second, 1
+		f.publish()
+		time.AfterFunc(200*time.Millisecond, f.dispatcher.EndWaits)
+		start := time.Now()
+		result := f.do(5 * time.Second)
+		f.Expect(result.Verdict).To(Equal(verdict.NotRun))
+		f.Expect(result.Code).To(Equal(verdict.CodeNoOwner))
+		f.Expect(time.Since(start)).To(BeNumerically("<", time.Second))
+		start = time.Now()
+		f.Expect(f.do(5 * time.Second).Verdict).To(Equal(verdict.NotRun))
+		f.Expect(time.Since(start)).To(BeNumerically("<", time.Second), "later ones don't wait")
+	})
+
 	t.Run("sends again to an owner that was full, within the retry budget", func(t *testing.T) {
 		f := newFixture(t, false)
 		f.service.Partitioned = true
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -77,8 +77,12 @@
 // DisableKeepAlives closes each connection after its next response.
 func (h *Handler) DisableKeepAlives() { h.disableKeepAlives.Store(true) }
 
-// RefuseNew refuses all requests that arrive from now on.
-func (h *Handler) RefuseNew() { h.refusing.Store(true) }
+// RefuseNew refuses all requests that arrive from now on, and those that wait for a
+// server.
+func (h *Handler) RefuseNew() {
+	h.refusing.Store(true)
+	h.options.Dispatcher.EndWaits()
+}
 
 // InFlight returns the number of requests in flight.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
