--- a/event/gateway.go
+++ b/event/gateway.go
@@ -15,6 +15,7 @@
 	BackendSeen           Number = 714
 	BackendLeaving        Number = 715
 	BackendGone           Number = 716
+	ServersReadDirectly   Number = 718
 	ServerProbed          Number = 719
 	LeadershipWon         Number = 720
 	LeadershipLost        Number = 721
@@ -43,13 +44,14 @@
 	{GatewayStopping, "gateway-stopping", Info, "The process received a stop signal. It serves requests until the load balancer has noticed."},
 	{GatewayStopped, "gateway-stopped", Info, "The process exits; the field in_flight gives the number of requests that are interrupted."},
 	{GatewayReloaded, "gateway-reloaded", Info, "The settings file was reloaded; the fields list what changed and what requires a restart."},
-	{GatewayConfigured, "gateway-configuration-in-force", Info, "A newer version of the operators' configuration is in force on this VM."},
+	{GatewayConfigured, "gateway-configuration-in-force", Info, "A newer version of the operators' configuration is in force on this VM; the field source says whether it came from the store or from a peer."},
 	{RecordIgnored, "record-ignored", Warn, "An invalid record was ignored; the cause names the field. All other records stay in use."},
 	{GatewayStoreLost, "gateway-store-lost", Warn, "Calls to the store fail; the last known state stays in force. The field calls names the kind of call."},
 	{GatewayStoreRegained, "gateway-store-regained", Info, "Calls to the store succeed again; the field away gives the time for which they failed."},
 	{BackendSeen, "backend-seen", Info, "An incarnation of a backend server was listed for the first time, or again after it was gone."},
 	{BackendLeaving, "backend-leaving", Info, "A backend server reports that it is leaving; it is sent no new requests."},
 	{BackendGone, "backend-gone", Info, "A backend server is no longer listed; it is sent no new requests."},
+	{ServersReadDirectly, "servers-read-directly", Info, "This VM, which does not lead, read the server list from the store, because it got no recent one from a peer; the fields give its size and how long the call took."},
 	{ServerProbed, "server-probed", Info, "A server to which no connection could be opened was asked for its identity; it is granted keys again only if it is still the server that its record names."},
 	{LeadershipWon, "leadership-won", Info, "This VM became the leader, which decides on the ownership of keys."},
 	{LeadershipLost, "leadership-lost", Info, "This VM is no longer the leader, which decides on the ownership of keys; the cause says why."},
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -56,15 +56,21 @@
 	default:
 		for _, entry := range r.entries {
 			if entry.Key == l.records.ConfigurationKey() && !entry.Deleted {
-				l.applyConfiguration(entry)
+				l.applyConfiguration(entry, sourceStore)
 			}
 		}
 	}
 }
 
+// The sources of a configuration, as named in the log.
+const (
+	sourceStore = "store"
+	sourcePeer  = "peer"
+)
+
 // applyConfiguration puts a configuration in force if it is newer than the
 // current one.
-func (l *loop) applyConfiguration(entry kvstore.Entry) {
+func (l *loop) applyConfiguration(entry kvstore.Entry, source string) {
 	configuration, err := l.records.Configuration(entry.Value)
 	if err != nil {
 		l.ignoreRecord(entry, err)
@@ -77,7 +83,7 @@
 	l.routes = routing.NewTable(configuration)
 	l.viewOutdated = true
 	l.log.Event(event.GatewayConfigured, "", zap.Uint64("configuration", configuration.Version),
-		zap.Int("routes", len(configuration.Routes)), zap.Uint64("record", uint64(entry.Version)))
+		zap.Int("routes", len(configuration.Routes)), zap.Uint64("record", uint64(entry.Version)), zap.String("source", source))
 	if l.leading {
 		l.broadcast(peer.SpreadRequest{Record: l.peerRecord()})
 	}
@@ -218,6 +224,9 @@
 	if s.err != nil {
 		return
 	}
+	if !l.leading {
+		l.log.Event(event.ServersReadDirectly, "", zap.Int("records", len(s.entries)), zap.Int("bytes", totalBytes(s.entries)), zap.Duration("took", s.duration))
+	}
 	var listed []model.Server
 	for _, entry := range s.entries {
 		server, err := l.records.Server(entry)
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -23,8 +23,9 @@
 
 // serversRead is the result of reading the servers' records.
 type serversRead struct {
-	entries []kvstore.Entry
-	err     error
+	entries  []kvstore.Entry
+	err      error
+	duration time.Duration
 }
 
 // pageRead is the result of reading an ownership page.
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -220,7 +220,7 @@
 		l.ignoreRecord(entry, err)
 		return
 	}
-	l.applyConfiguration(entry)
+	l.applyConfiguration(entry, sourcePeer)
 	l.configurationWatcher.resumeFrom(entry.Version)
 }
 
--- a/gateway/run/store_watcher.go
+++ b/gateway/run/store_watcher.go
@@ -175,7 +175,7 @@
 		}
 		began := time.Now()
 		entries, _, err := l.store.List(ctx, l.records.ServersPrefix())
-		l.deliver(serversRead{entries: entries, err: err})
+		l.deliver(serversRead{entries: entries, err: err, duration: time.Since(began)})
 		sleep(ctx, max(l.serverPollDelay(entries, err)-time.Since(began), minRetryDelay))
 	}
 }
@@ -190,11 +190,16 @@
 	case l.leadingNow.Load():
 		return leaderServerPollInterval
 	}
+	return max(serverPollInterval, time.Duration(totalBytes(read))*time.Second/maxServerBytesPerSec)
+}
+
+// totalBytes returns the size of the entries' keys and values.
+func totalBytes(entries []kvstore.Entry) int {
 	bytes := 0
-	for _, entry := range read {
+	for _, entry := range entries {
 		bytes += len(entry.Key) + len(entry.Value)
 	}
-	return max(serverPollInterval, time.Duration(bytes)*time.Second/maxServerBytesPerSec)
+	return bytes
 }
 
 // relayedListTTL is how long a server list received from the leader is valid.
