gateway: store followers offer each new configuration to the VMs of their zone

Cause: only twelve VMs watch the store; the others got a version from the leader alone. Without it they waited for the next election, their report to the winner and three responses that name a newer version.

Now the leader assigns to each VM two store followers of its zone, other than itself. These offer every version that comes into force on them, 150 ms later, and send it to the VMs that lack it. A new leader keeps the assignments until the fleet has reported.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -63,6 +63,10 @@
 	// incarnation of the leader that published it, and the list's revision.
 	Source   string `json:"source,omitempty"`
 	Revision uint64 `json:"change,omitempty"`
+	// FollowsStore says whether the sender watches the store. Distribution is the
+	// fingerprint of the Distribution that it has.
+	FollowsStore bool   `json:"watch,omitempty"`
+	Distribution uint64 `json:"distribution,omitempty"`
 }
 
 // ServerReport summarizes the responses of one backend server.
@@ -104,6 +108,18 @@
 	Members []string `json:"members,omitempty"`
 	// Pages are the ownership pages that the receiver lacks.
 	Pages []StoredPage `json:"pages,omitempty"`
+	// Distribution is the receiver's assignment to store followers if it has changed.
+	Distribution *Distribution `json:"distribution,omitempty"`
+}
+
+// Distribution assigns a daemon of a large fleet to store followers, which are the
+// daemons that watch the store.
+type Distribution struct {
+	// Followers are the addresses of the store followers of the receiver's zone.
+	Followers []string `json:"followers,omitempty"`
+	// Recipients are the addresses of the daemons to which the receiver, a store
+	// follower, offers each new configuration.
+	Recipients []string `json:"recipients,omitempty"`
 }
 
 // StoredPage is the ownership page of a service, encoded as in the store.
@@ -122,6 +138,9 @@
 	Record *ConfigurationRecord `json:"record,omitempty"`
 	// Servers is the leader's complete server list, if any.
 	Servers *ServerList `json:"servers,omitempty"`
+	// Offer is the version of the record of a configuration that the sender has. The
+	// response says whether the receiver lacks it.
+	Offer uint64 `json:"offer,omitempty"`
 	// ForwardTo holds the addresses of the peers that the receiver is to reach.
 	ForwardTo []string `json:"onward,omitempty"`
 }
@@ -164,7 +183,10 @@
 type FollowResponse struct{}
 
 // SpreadResponse acknowledges a SpreadRequest.
-type SpreadResponse struct{}
+type SpreadResponse struct {
+	// Lacking says that the responding daemon lacks the configuration that was offered.
+	Lacking bool `json:"lacking,omitempty"`
+}
 
 // YieldRequest asks an earlier leader to stop leading.
 type YieldRequest struct {
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -79,6 +79,7 @@
 		return
 	}
 	l.configuration, l.record, l.recordVersion, l.compressed = configuration, entry.Value, entry.Version, nil
+	l.recordInForce.Store(uint64(entry.Version))
 	clear(l.recordBatch.sentAt)
 	l.routes = routing.NewTable(configuration)
 	l.viewOutdated = true
@@ -86,7 +87,9 @@
 		zap.Int("routes", len(configuration.Routes)), zap.Uint64("record", uint64(entry.Version)), zap.String("source", source))
 	if l.leading {
 		l.broadcast(peer.SpreadRequest{Record: l.peerRecord()})
+		return
 	}
+	l.offerConfiguration()
 }
 
 // peerRecord returns the configuration record in the form sent to peers.
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -96,7 +96,9 @@
 	serverListBatch   recipientBatch            // On the leader: VMs that lack the server list.
 	pageBatch         recipientBatch            // On the leader: VMs that lack the ownership pages.
 	storeFollowers    map[string]bool           // On the leader: VMs that are told to watch the store.
+	plan              distributionPlan          // On the leader: the assignment of VMs to store followers.
 	followsStore      bool                      // Whether the leader tells this VM to watch the store.
+	distribution      peer.Distribution         // This VM's assignment to store followers.
 	nextLatencyReport time.Duration             // Earliest next report of servers' response times.
 	reportPending     bool
 	members           map[string]member
@@ -118,9 +120,10 @@
 	// serversRelayedAt is the time, by clock, of the server list last received
 	// from a leader.
 	serversRelayedAt atomic.Int64
-	leaderResponded  atomic.Bool  // A leader has responded to a report.
-	ready            atomic.Bool  // The readiness check passes.
-	vms              atomic.Int64 // Number of active daemons; zero if unknown.
+	leaderResponded  atomic.Bool   // A leader has responded to a report.
+	recordInForce    atomic.Uint64 // Equals recordVersion.
+	ready            atomic.Bool   // The readiness check passes.
+	vms              atomic.Int64  // Number of active daemons; zero if unknown.
 }
 
 // versionedPage is an ownership page with its version in the store.
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -193,11 +193,12 @@
 func (l *loop) leaderResponse(report *peer.Report) peer.ReportResponse {
 	now := l.clock()
 	response := peer.ReportResponse{
-		Leading:     true,
-		VMs:         l.countMembers(now),
-		MaxCapacity: l.maxCapacity(),
-		FollowStore: l.storeFollowers[report.VM] || len(l.members) <= maxStoreFollowers,
-		ListAgeMS:   (now - l.servers.readAt).Milliseconds(),
+		Leading:      true,
+		VMs:          l.countMembers(now),
+		MaxCapacity:  l.maxCapacity(),
+		FollowStore:  l.mayFollowStore(report, now),
+		ListAgeMS:    (now - l.servers.readAt).Milliseconds(),
+		Distribution: l.distributionFor(report, now),
 	}
 	if l.configuration != nil {
 		response.ConfigurationVersion = l.configuration.Version
@@ -262,6 +263,9 @@
 		}
 	}
 	l.followsStore = response.FollowStore
+	if response.Distribution != nil {
+		l.distribution = *response.Distribution
+	}
 	l.campaign.SetLowPriority(hasLowCapacity(l.settings.Capacity(), response.MaxCapacity))
 	l.applyPages(response.Pages)
 	if len(response.Members) > 0 {
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -131,6 +131,8 @@
 		Servers:       l.serverReports(),
 		Source:        l.relay.source,
 		Revision:      l.relay.seenRevision,
+		FollowsStore:  l.followsStore,
+		Distribution:  fingerprint(l.distribution),
 	}
 	if l.configuration != nil {
 		report.ConfigurationVersion = l.configuration.Version
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -39,6 +39,9 @@
 
 // Spread implements peer.Service.
 func (p peerService) Spread(_ context.Context, update *peer.SpreadRequest) (*peer.SpreadResponse, error) {
+	if update.Offer > 0 {
+		return &peer.SpreadResponse{Lacking: p.recordInForce.Load() < update.Offer}, nil
+	}
 	p.forward(*update, splitGroups(update.ForwardTo, fanOut))
 	p.deliver(spreadReceived{update})
 	return &peer.SpreadResponse{}, nil
@@ -153,6 +156,7 @@
 	}
 	slices.SortFunc(zones, strings.Compare)
 	l.storeFollowers = make(map[string]bool, maxStoreFollowers)
+	l.plan = distributionPlan{}
 	for rank := 0; len(l.storeFollowers) < min(maxStoreFollowers, len(vms)); rank++ {
 		for _, zone := range zones {
 			if rank < len(byZone[zone]) && len(l.storeFollowers) < maxStoreFollowers {
@@ -160,6 +164,9 @@
 			}
 		}
 	}
+	if len(l.members) > maxDirectRecipients {
+		l.plan = planDistribution(l.members, l.storeFollowers, l.self.Address)
+	}
 }
 
 // updateWatchers starts and stops the store watchers. A daemon watches the store if
