gateway: VMs without a leader ask a store follower of their zone, not the store

Cause: each VM that got no server list from the leader for two seconds read it from the store. The fallback cost more than the way that it replaced, and grew with the VMs.

Now such a VM asks the store followers of its zone: configuration, pages, the leader and the server list if theirs is more recent, compressed and under the leader's identity if it came from there. The first follower of a zone that reaches no leader reads the store for the zone; a VM reads it itself only if two questions got no response. A question is no report: an earlier leader must not count it towards its majority.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -63,10 +63,15 @@
 	// incarnation of the leader that published it, and the list's revision.
 	Source   string `json:"source,omitempty"`
 	Revision uint64 `json:"change,omitempty"`
+	// ListAgeMS is the time since the sender's server list was read from the store.
+	ListAgeMS int64 `json:"list_age_ms,omitempty"`
 	// FollowsStore says whether the sender watches the store. Distribution is the
 	// fingerprint of the Distribution that it has.
 	FollowsStore bool   `json:"watch,omitempty"`
 	Distribution uint64 `json:"distribution,omitempty"`
+	// ToFollower asks the receiver, as a store follower, for what the sender lacks. It
+	// does not report to a leader: the receiver must not count it towards a majority.
+	ToFollower bool `json:"to_follower,omitempty"`
 }
 
 // ServerReport summarizes the responses of one backend server.
@@ -110,12 +115,15 @@
 	Pages []StoredPage `json:"pages,omitempty"`
 	// Distribution is the receiver's assignment to store followers if it has changed.
 	Distribution *Distribution `json:"distribution,omitempty"`
+	// List is a store follower's server list if the receiver has an older one.
+	List *ServerList `json:"list,omitempty"`
 }
 
 // Distribution assigns a daemon of a large fleet to store followers, which are the
 // daemons that watch the store.
 type Distribution struct {
-	// Followers are the addresses of the store followers of the receiver's zone.
+	// Followers are the addresses of the store followers to ask while the leader does
+	// not respond, in this order.
 	Followers []string `json:"followers,omitempty"`
 	// Recipients are the addresses of the daemons to which the receiver, a store
 	// follower, offers each new configuration.
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -239,6 +239,7 @@
 		}
 		listed = append(listed, server)
 	}
+	l.listedAt, l.relayedListNewest = now-s.duration, false
 	l.applyServers(now, listed)
 }
 
--- a/gateway/run/distribution.go
+++ b/gateway/run/distribution.go
@@ -13,9 +13,11 @@
 	"guavacrank.example/gateway/peer"
 )
 
-// A large fleet must not depend on its leader alone for a new configuration. The leader
-// therefore assigns to each daemon store followers of its availability zone, which offer
-// it each new one.
+// A large fleet must not depend on its leader alone, nor may all of its daemons read
+// the store themselves while no leader responds. The leader therefore assigns to each
+// daemon the store followers of its availability zone. They offer each new
+// configuration to the daemon, and the daemon asks them for what it lacks while the
+// leader does not respond.
 
 const (
 	// offersPerVM is the number of store followers that offer a configuration to each
--- /dev/null
+++ b/gateway/run/fallback.go
@@ -0,0 +1,158 @@
+package run
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavacrank.example/event"
+	"guavacrank.example/gateway/peer"
+)
+
+// minListAgeGain is how much more recent a store follower's server list must be than
+// that of the daemon that asks for it.
+const minListAgeGain = 500 * time.Millisecond
+
+// followersToAsk returns the addresses of the store followers that this daemon asks
+// while the leader does not respond. A follower asks only those that come before it, so
+// that the first one of a zone reads the store for all.
+func (l *loop) followersToAsk() []string {
+	if self := slices.Index(l.distribution.Followers, l.self.Address); self >= 0 {
+		return l.distribution.Followers[:self]
+	}
+	return l.distribution.Followers
+}
+
+// needsStore says whether this daemon has to read the store while the leader does not
+// respond, because there is no store follower to ask or none responds.
+func (l *loop) needsStore() bool {
+	return len(l.followersToAsk()) == 0 || l.followerFailures >= staleThreshold
+}
+
+// askFollower asks a store follower for what this daemon lacks.
+func (l *loop) askFollower() {
+	followers := l.followersToAsk()
+	if len(followers) == 0 || l.askPending {
+		return
+	}
+	l.askPending = true
+	address, query := followers[l.nextFollower%len(followers)], l.newFollowerQuery()
+	go func() {
+		response, err := l.peers.Report(l.ctx, address, query)
+		l.deliver(followerResponded{address, response, err})
+	}()
+}
+
+// newFollowerQuery creates the message that asks a store follower.
+func (l *loop) newFollowerQuery() *peer.Report {
+	query := l.newStatus()
+	query.ToFollower = true
+	return query
+}
+
+func (r followerResponded) apply(l *loop) {
+	l.askPending = false
+	if r.err == nil {
+		l.followerFailures = 0
+		l.applyFollowerResponse(r.response)
+		return
+	}
+	l.log.Event(event.PeerUnreachable, r.err.Error(), zap.String("follower", r.address))
+	l.nextFollower++
+	if l.followerFailures++; l.followerFailures < staleThreshold {
+		l.askFollower()
+	}
+}
+
+// followerResponse returns a store follower's response to a daemon that can't reach
+// the leader. It contains what the sender lacks.
+func (l *loop) followerResponse(report *peer.Report) peer.ReportResponse {
+	response := peer.ReportResponse{KnownLeader: l.knownLeader}
+	if l.configuration != nil && report.ConfigurationVersion < l.configuration.Version {
+		response.ConfigurationVersion, response.Record = l.configuration.Version, l.peerRecord()
+	}
+	response.Pages = l.pagesFor(report)
+	age := l.clock() - l.listedAt
+	if !l.servers.known || time.Duration(report.ListAgeMS)*time.Millisecond < age+minListAgeGain {
+		return response
+	}
+	list, err := l.newestList()
+	if err != nil {
+		l.log.Event(event.UpdateNotSent, err.Error(), zap.String("vm", report.VM))
+		return response
+	}
+	response.Source, response.Revision, response.ListAgeMS = list.Source, list.Revision, age.Milliseconds()
+	if report.Source != list.Source || report.Revision < list.Revision {
+		response.List = list
+	}
+	return response
+}
+
+// newestList returns this daemon's server list under the identity of the leader that
+// it came from, or under its own if it was read from the store.
+func (l *loop) newestList() (*peer.ServerList, error) {
+	if l.relayedListNewest {
+		return l.relay.receivedList()
+	}
+	l.relay.update(l.servers)
+	return l.relay.fullList(l.source())
+}
+
+// applyFollowerResponse processes the response of a store follower.
+func (l *loop) applyFollowerResponse(response *peer.ReportResponse) {
+	l.followLeader(response.KnownLeader)
+	if response.Record != nil {
+		l.applyRecord(response.Record)
+	}
+	l.applyPages(response.Pages)
+	age := time.Duration(response.ListAgeMS) * time.Millisecond
+	switch {
+	case response.Source == "" || l.leading || age >= l.relayedListTTL():
+	case response.List != nil:
+		l.applyServerList(response.List, age)
+	case response.Source == l.relay.source && response.Revision == l.relay.seenRevision:
+		l.setRelayedListTime(l.clock() - age)
+	}
+}
+
+// listReading says when a daemon that does not lead reads the server list from the
+// store.
+type listReading int32
+
+const (
+	// readIfStale reads it once the list received from a peer is out of date.
+	readIfStale listReading = iota
+	// readForZone reads it for the daemons of the own zone, as no leader responds.
+	readForZone
+	// readNever leaves it to a store follower.
+	readNever
+)
+
+// chooseListReading chooses according to who responds to this daemon.
+func (l *loop) chooseListReading() listReading {
+	switch {
+	case !l.needsStore():
+		return readNever
+	case l.relay.reportFailures > 0 && slices.Contains(l.distribution.Followers, l.self.Address):
+		return readForZone
+	default:
+		return readIfStale
+	}
+}
+
+// mayReadServers says whether this daemon may read the server list from the store now.
+func (l *loop) mayReadServers() bool {
+	if l.leadingNow.Load() {
+		return true
+	}
+	age := l.clock() - time.Duration(l.serversRelayedAt.Load())
+	switch listReading(l.listReading.Load()) {
+	case readNever:
+		return false
+	case readForZone:
+		return age >= serverPollInterval
+	default:
+		return age >= l.relayedListTTL()
+	}
+}
--- /dev/null
+++ b/gateway/run/fallback_test.go
@@ -0,0 +1,77 @@
+package run
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/gateway/peer"
+)
+
+func TestFirstFollowerOfAZoneReadsTheStoreForAll(t *testing.T) {
+	g := NewWithT(t)
+	l := newRelayLoop(t, 0)
+	l.relay.reportFailures = 1
+	g.Expect(l.chooseListReading()).To(Equal(readIfStale), "a daemon without followers to ask reads the store")
+	l.distribution.Followers = []string{"first", "second"}
+	l.self.Address = "other"
+	g.Expect(l.followersToAsk()).To(Equal([]string{"first", "second"}))
+	g.Expect(l.chooseListReading()).To(Equal(readNever))
+	l.followerFailures = staleThreshold
+	g.Expect(l.chooseListReading()).To(Equal(readIfStale), "no follower responds")
+	l.followerFailures = 0
+	l.self.Address = "second"
+	g.Expect(l.followersToAsk()).To(Equal([]string{"first"}))
+	g.Expect(l.chooseListReading()).To(Equal(readNever))
+	l.self.Address = "first"
+	g.Expect(l.followersToAsk()).To(BeEmpty())
+	g.Expect(l.chooseListReading()).To(Equal(readForZone))
+}
+
+func TestFollowerSendsOnlyAMoreRecentServerList(t *testing.T) {
+	g := NewWithT(t)
+	follower, daemon := newRelayLoop(t, 3), newRelayLoop(t, 0)
+	follower.listedAt = follower.clock() - time.Second
+	daemon.listedAt = daemon.clock() - time.Second
+	g.Expect(follower.followerResponse(daemon.newFollowerQuery()).List).To(BeNil(), "both lists have the same age")
+
+	daemon.listedAt = daemon.clock() - 3*time.Second
+	response := follower.followerResponse(daemon.newFollowerQuery())
+	g.Expect(response.List).NotTo(BeNil())
+	daemon.applyFollowerResponse(&response)
+	g.Expect(daemon.servers.ofService("s")).To(HaveLen(3))
+	g.Expect(daemon.listedAt).To(Equal(follower.listedAt))
+
+	daemon.listedAt = daemon.clock() - 3*time.Second
+	response = follower.followerResponse(daemon.newFollowerQuery())
+	g.Expect(response.List).To(BeNil(), "the daemon has this list; only its age is new")
+	daemon.applyFollowerResponse(&response)
+	g.Expect(daemon.listedAt).To(Equal(follower.listedAt))
+}
+
+func TestFollowerPassesOnTheLeadersListUnderItsIdentity(t *testing.T) {
+	g := NewWithT(t)
+	leader, follower := newRelayLoop(t, 3), newRelayLoop(t, 0)
+	leader.relay.update(leader.servers)
+	list, err := leader.relay.fullList("leader")
+	g.Expect(err).NotTo(HaveOccurred())
+	follower.applyServerList(list, 0)
+	passedOn, err := follower.newestList()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(passedOn.Source).To(Equal("leader"))
+	g.Expect(passedOn.Revision).To(Equal(list.Revision), "the daemon continues with the leader's changes")
+}
+
+// An earlier leader that is a store follower must not take the questions of daemons for
+// reports: it would believe that a majority still follows it.
+func TestAQuestionToAFollowerIsNoReport(t *testing.T) {
+	g := NewWithT(t)
+	l := newRelayLoop(t, 1)
+	l.leading = true
+	query := reportReceived{l.newFollowerQuery(), make(chan peer.ReportResponse, 1)}
+	query.apply(l)
+	response := <-query.reply
+	g.Expect(response.Leading).To(BeFalse())
+	g.Expect(l.members).To(BeEmpty())
+}
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -93,6 +93,13 @@
 	err      error
 }
 
+// followerResponded is the result of asking a store follower.
+type followerResponded struct {
+	address  string
+	response *peer.ReportResponse
+	err      error
+}
+
 // leaderAnnounced is a leader's announcement of its leadership.
 type leaderAnnounced struct{ leadership peer.Leadership }
 
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -99,6 +99,11 @@
 	plan              distributionPlan          // On the leader: the assignment of VMs to store followers.
 	followsStore      bool                      // Whether the leader tells this VM to watch the store.
 	distribution      peer.Distribution         // This VM's assignment to store followers.
+	nextFollower      int                       // Index of the store follower to ask next.
+	followerFailures  int                       // Consecutive calls to store followers without a response.
+	askPending        bool                      // Whether a call to a store follower is pending.
+	listedAt          time.Duration             // When the newest server list was read from the store.
+	relayedListNewest bool                      // Whether that list came from a peer.
 	nextLatencyReport time.Duration             // Earliest next report of servers' response times.
 	reportPending     bool
 	members           map[string]member
@@ -121,6 +126,7 @@
 	// from a leader.
 	serversRelayedAt atomic.Int64
 	leaderResponded  atomic.Bool   // A leader has responded to a report.
+	listReading      atomic.Int32  // A listReading.
 	recordInForce    atomic.Uint64 // Equals recordVersion.
 	ready            atomic.Bool   // The readiness check passes.
 	vms              atomic.Int64  // Number of active daemons; zero if unknown.
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"guavacrank.example/gateway/model"
@@ -38,6 +40,7 @@
 	source       string
 	seenRevision uint64
 	servers      map[model.Incarnation]model.Server
+	received     *peer.ServerList // The list received, compressed on demand.
 
 	// reportFailures counts consecutive reports without a response from a leader.
 	// staleResponses counts consecutive responses with a newer configuration.
@@ -107,12 +110,27 @@
 	for _, row := range r.rows {
 		servers = append(servers, row.Server)
 	}
+	var err error
+	r.compressed, err = compressList(source, r.revision, servers)
+	return r.compressed, err
+}
+
+// receivedList returns the list received from a leader in the form sent to peers.
+func (r *relay) receivedList() (*peer.ServerList, error) {
+	if r.received != nil && r.received.Source == r.source && r.received.Revision == r.seenRevision {
+		return r.received, nil
+	}
+	var err error
+	r.received, err = compressList(r.source, r.seenRevision, slices.Collect(maps.Values(r.servers)))
+	return r.received, err
+}
+
+func compressList(source string, revision uint64, servers []model.Server) (*peer.ServerList, error) {
 	text, err := json.Marshal(servers)
 	if err != nil {
 		return nil, err
 	}
-	r.compressed = &peer.ServerList{Source: source, Revision: r.revision, Compressed: compress(text)}
-	return r.compressed, nil
+	return &peer.ServerList{Source: source, Revision: revision, Compressed: compress(text)}, nil
 }
 
 // addChanges adds the changes that the sender of a report lacks to the response.
@@ -258,13 +276,14 @@
 	if response.Source != "" && !l.leading {
 		listed := l.relay.apply(response)
 		if age < l.relayedListTTL() {
-			l.serversRelayedAt.Store(int64(now - age))
+			l.setRelayedListTime(now - age)
 			l.applyServers(now, listed)
 		}
 	}
 	l.followsStore = response.FollowStore
 	if response.Distribution != nil {
 		l.distribution = *response.Distribution
+		l.followerFailures = 0
 	}
 	l.campaign.SetLowPriority(hasLowCapacity(l.settings.Capacity(), response.MaxCapacity))
 	l.applyPages(response.Pages)
@@ -277,6 +296,13 @@
 	l.checkConfigurationVersion(now, response.ConfigurationVersion)
 }
 
+// setRelayedListTime records when the server list received from a peer was read from
+// the store.
+func (l *loop) setRelayedListTime(at time.Duration) {
+	l.listedAt, l.relayedListNewest = at, true
+	l.serversRelayedAt.Store(int64(at))
+}
+
 // checkConfigurationVersion relists the configuration if the watch has missed the
 // leader's version.
 func (l *loop) checkConfigurationVersion(now time.Duration, leaderVersion uint64) {
--- a/gateway/run/relay_test.go
+++ b/gateway/run/relay_test.go
@@ -57,7 +57,7 @@
 	g.Expect(again).To(BeIdenticalTo(list), "the list is compressed once per revision")
 
 	follower := newRelayLoop(t, 0)
-	follower.applyServerList(list)
+	follower.applyServerList(list, 0)
 	g.Expect(follower.servers.ofService("s")).To(HaveLen(3))
 	next := follower.serverListReport()
 	g.Expect(leader.relay.needsFullList(leader.source(), &next)).To(BeFalse())
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -119,20 +119,27 @@
 
 // newReport creates a report with the observations since the last one.
 func (l *loop) newReport() *peer.Report {
+	report := l.newStatus()
+	report.RequestedKeys = l.requestedKeys.take()
+	report.Servers = l.serverReports()
+	return report
+}
+
+// newStatus creates a report without observations.
+func (l *loop) newStatus() *peer.Report {
 	report := &peer.Report{
-		VM:            l.self.VM,
-		Incarnation:   l.self.Incarnation,
-		Address:       l.self.Address,
-		Zone:          l.settings.Zone,
-		Capacity:      l.settings.Capacity(),
-		Pages:         l.pageVersions(),
-		MemberCount:   len(l.knownPeers),
-		RequestedKeys: l.requestedKeys.take(),
-		Servers:       l.serverReports(),
-		Source:        l.relay.source,
-		Revision:      l.relay.seenRevision,
-		FollowsStore:  l.followsStore,
-		Distribution:  fingerprint(l.distribution),
+		VM:           l.self.VM,
+		Incarnation:  l.self.Incarnation,
+		Address:      l.self.Address,
+		Zone:         l.settings.Zone,
+		Capacity:     l.settings.Capacity(),
+		Pages:        l.pageVersions(),
+		MemberCount:  len(l.knownPeers),
+		Source:       l.relay.source,
+		Revision:     l.relay.seenRevision,
+		ListAgeMS:    (l.clock() - l.listedAt).Milliseconds(),
+		FollowsStore: l.followsStore,
+		Distribution: fingerprint(l.distribution),
 	}
 	if l.configuration != nil {
 		report.ConfigurationVersion = l.configuration.Version
@@ -230,6 +237,10 @@
 }
 
 func (r reportReceived) apply(l *loop) {
+	if r.report.ToFollower {
+		r.reply <- l.followerResponse(r.report)
+		return
+	}
 	if !l.leading {
 		r.reply <- l.startupResponse(r.report)
 		return
@@ -256,6 +267,7 @@
 	if l.relay.reportFailures++; l.relay.reportFailures >= staleThreshold {
 		l.relistLeader(l.clock())
 	}
+	l.askFollower()
 	if l.starting() {
 		l.scheduleReport()
 		l.reportWhileStarting()
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -170,10 +170,13 @@
 }
 
 // updateWatchers starts and stops the store watchers. A daemon watches the store if
-// it leads, if the leader tells it to, or while no leader responds.
+// it leads, if the leader tells it to, or while neither a leader nor a store follower
+// responds.
 func (l *loop) updateWatchers() {
-	l.leaderWatcher.setActive(l.leading || l.followsStore || l.knownLeader.Leader.Address == "" || l.relay.reportFailures > 0)
+	leaderLost := l.knownLeader.Leader.Address == "" || l.relay.reportFailures > 0
+	l.leaderWatcher.setActive(l.leading || l.followsStore || leaderLost && l.needsStore())
 	l.configurationWatcher.setActive(l.leading || l.mayReadConfiguration())
+	l.listReading.Store(int32(l.chooseListReading()))
 	if l.leading || l.mayReadStoreAtOnce() {
 		l.endLeaderWait()
 	}
@@ -187,7 +190,7 @@
 		l.applyRecord(s.update.Record)
 	}
 	if s.update.Servers != nil {
-		l.applyServerList(s.update.Servers)
+		l.applyServerList(s.update.Servers, 0)
 	}
 }
 
@@ -267,8 +270,9 @@
 	l.multicast(peer.SpreadRequest{Servers: list}, func(vm string) bool { return pending[vm] })
 }
 
-// applyServerList processes a complete server list received from the leader.
-func (l *loop) applyServerList(list *peer.ServerList) {
+// applyServerList processes a complete server list received from a peer, which was
+// read from the store the given time ago.
+func (l *loop) applyServerList(list *peer.ServerList, age time.Duration) {
 	var servers []model.Server
 	text, err := decompress(list.Compressed)
 	if err == nil {
@@ -282,7 +286,7 @@
 		return
 	}
 	now := l.clock()
-	l.serversRelayedAt.Store(int64(now))
+	l.setRelayedListTime(now - age)
 	l.applyServers(now, l.relay.apply(&peer.ReportResponse{Source: list.Source, Revision: list.Revision, Full: true, Servers: servers}))
 }
 
--- a/gateway/run/start.go
+++ b/gateway/run/start.go
@@ -35,7 +35,7 @@
 // configuration from the store. A starting one waits for a leader's response first.
 func (l *loop) mayReadConfiguration() bool {
 	if l.configuration != nil {
-		return l.followsStore || l.relay.reportFailures >= staleThreshold
+		return l.followsStore || l.relay.reportFailures >= staleThreshold && l.needsStore()
 	}
 	elapsed := l.clock() - l.startedAt
 	return elapsed >= configurationWait || elapsed >= l.leaderWait && !l.leaderResponded.Load() || l.mayReadStoreAtOnce()
--- a/gateway/run/store_watcher.go
+++ b/gateway/run/store_watcher.go
@@ -33,6 +33,9 @@
 	// maxServerBytesPerSec limits the average rate of a daemon's reads of the
 	// servers' records while it gets no server list from a leader.
 	maxServerBytesPerSec = 30 << 10
+	// maxZoneServerBytesPerSec is the same for the one daemon of a zone that reads them
+	// for the others.
+	maxZoneServerBytesPerSec = 256 << 10
 	// relayedListMargin is how long a server list received from the leader stays
 	// valid beyond the interval between two reports.
 	relayedListMargin = 1200 * time.Millisecond
@@ -169,7 +172,7 @@
 func (l *loop) pollServers(ctx context.Context) {
 	l.waitForLeader(ctx)
 	for ctx.Err() == nil {
-		if !l.leadingNow.Load() && l.clock()-time.Duration(l.serversRelayedAt.Load()) < l.relayedListTTL() {
+		if !l.mayReadServers() {
 			sleep(ctx, minRetryDelay)
 			continue
 		}
@@ -190,7 +193,11 @@
 	case l.leadingNow.Load():
 		return leaderServerPollInterval
 	}
-	return max(serverPollInterval, time.Duration(totalBytes(read))*time.Second/maxServerBytesPerSec)
+	maxRate := maxServerBytesPerSec
+	if listReading(l.listReading.Load()) == readForZone {
+		maxRate = maxZoneServerBytesPerSec
+	}
+	return max(serverPollInterval, time.Duration(totalBytes(read))*time.Second/time.Duration(maxRate))
 }
 
 // totalBytes returns the size of the entries' keys and values.
