gateway: all VMs together keep to the limit that a server names

Class of fault: a bound on the sum over all VMs, with nothing that divides it. The retry budget is the other such bound and has its division.

Package limit decides. Each VM counts the requests that it would send to a limited server and reports them with its observation of the limit. The leader's Allocator turns the sum into the share of the demand that every VM may send; what was sent in excess or saved goes into the next share. Each VM admits that share of its requests, by itself. Without a recent share it keeps to its equal part, of which a part of one request admits with that probability. A request for a key that is not admitted is refused at once with code server_limit; Retry-After is the time to this VM's next request to the server, at most the usual share of the time left. Others go to another server.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -15,6 +15,7 @@
 	BackendSeen           Number = 714
 	BackendLeaving        Number = 715
 	BackendGone           Number = 716
+	BackendLimited        Number = 717
 	ServersReadDirectly   Number = 718
 	ServerProbed          Number = 719
 	LeadershipWon         Number = 720
@@ -51,6 +52,7 @@
 	{BackendSeen, "backend-seen", Info, "An incarnation of a backend server was listed for the first time, or again after it was gone."},
 	{BackendLeaving, "backend-leaving", Info, "A backend server reports that it is leaving; it is sent no new requests."},
 	{BackendGone, "backend-gone", Info, "A backend server is no longer listed; it is sent no new requests."},
+	{BackendLimited, "backend-limited", Info, "A backend server named a limit on the requests per second that it takes from all VMs together, or no longer names one; the fields give the limit and the requests since the last report."},
 	{ServersReadDirectly, "servers-read-directly", Info, "This VM, which does not lead, read the server list from the store, because it got no recent one from a peer; the fields give its size and how long the call took."},
 	{ServerProbed, "server-probed", Info, "A server to which no connection could be opened was asked for its identity; it is granted keys again only if it is still the server that its record names."},
 	{LeadershipWon, "leadership-won", Info, "This VM became the leader, which decides on the ownership of keys."},
--- a/gateway/balance/server.go
+++ b/gateway/balance/server.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"guavacrank.example/gateway/limit"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/traffic/upstream"
 )
@@ -74,6 +75,8 @@
 	model.Server
 	Distance Distance
 	Pool     *upstream.Pool
+	// Limit admits requests according to the limit that the server names.
+	Limit limit.Admission
 
 	mu                  sync.Mutex
 	inFlight            int
--- a/gateway/dispatch/bykey.go
+++ b/gateway/dispatch/bykey.go
@@ -60,6 +60,9 @@
 	if rand.Float64() < balance.ShedFraction(now, server, c.request.Route.LatencyObjective) {
 		return c.finish(verdict.NotRun, verdict.CodeQueueFull)
 	}
+	if !c.admit(server) {
+		return c.finish(verdict.NotRun, verdict.CodeServerLimit)
+	}
 	return c.send(server)
 }
 
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,6 +81,8 @@
 	mayHaveRun bool
 	// retryPaid reports that the next attempt was charged to the retry budget.
 	retryPaid bool
+	// limitedBy is a server whose limit did not admit the request.
+	limitedBy *balance.Server
 }
 
 // Do dispatches a request and returns its final result. ctx must be canceled
@@ -96,11 +99,36 @@
 		c.result.Verdict = verdict.MayHaveRun
 	}
 	if c.result.Verdict == verdict.NotRun {
-		c.result.RetryAfter = time.Duration(retryAfterShare * float64(c.timeLeft()))
+		c.result.RetryAfter = c.retryAfter()
 	}
 	return c.result
 }
 
+// retryAfter returns when the caller of a request that was not run may retry. If a
+// server's limit was the reason, that is when this VM may send to it again.
+func (c *call) retryAfter() time.Duration {
+	longest := time.Duration(retryAfterShare * float64(c.timeLeft()))
+	if c.result.Code != verdict.CodeServerLimit {
+		return longest
+	}
+	return min(c.limitedBy.Limit.RetryAfter(c.options.Clock(), c.vms()), longest)
+}
+
+// vms returns the number of active VMs, or zero if unknown.
+func (c *call) vms() int {
+	current, _ := c.options.Views.Load()
+	return current.VMs
+}
+
+// admit reports whether the server's limit admits the request now.
+func (c *call) admit(server *balance.Server) bool {
+	if server.Limit.Admit(c.options.Clock(), c.vms()) {
+		return true
+	}
+	c.limitedBy = server
+	return false
+}
+
 // timeLeft returns the time until the request's deadline.
 func (c *call) timeLeft() time.Duration { return max(c.request.Deadline-c.options.Clock(), 0) }
 
@@ -145,9 +173,11 @@
 
 // sendToBest sends to the best server of a service that is not partitioned.
 func (c *call) sendToBest(service *view.Service) bool {
-	now := c.options.Clock()
-	choice := balance.Choose(now, service.Servers, c.request.Route.LatencyObjective, c.wasTried, rand.Uint64())
+	c.limitedBy = nil
+	choice := c.choose(service, c.wasTried)
 	switch {
+	case choice.Server == nil && c.limitedBy != nil:
+		return c.finish(verdict.NotRun, verdict.CodeServerLimit)
 	case choice.Server == nil && len(c.tried) > 0:
 		return c.finish(verdict.NotRun, verdict.CodeBusy)
 	case choice.Server == nil:
@@ -161,6 +191,21 @@
 	return c.send(choice.Server)
 }
 
+// choose returns the best server that is not excluded and whose limit admits the
+// request.
+func (c *call) choose(service *view.Service, excluded func(*balance.Server) bool) balance.Choice {
+	var full []*balance.Server
+	for {
+		choice := balance.Choose(c.options.Clock(), service.Servers, c.request.Route.LatencyObjective, func(server *balance.Server) bool {
+			return excluded(server) || slices.Contains(full, server)
+		}, rand.Uint64())
+		if choice.Server == nil || c.admit(choice.Server) {
+			return choice
+		}
+		full = append(full, choice.Server)
+	}
+}
+
 func (c *call) wasTried(server *balance.Server) bool {
 	for _, tried := range c.tried {
 		if tried == server {
--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -107,6 +107,9 @@
 	head := c.options.HeaderCodec.ReadResponse(response.StatusCode, response.Header)
 	out := outcome{reached: true}
 	out.Status = response.StatusCode
+	if head.Signed || head.NotRun && (head.Server == "" || head.Server == server.ID) {
+		server.Limit.Observe(c.options.Clock(), head.Limited, head.RequestsPerSecond)
+	}
 	switch {
 	case head.NotRun:
 		out.Verdict, out.result = verdict.NotRun, balance.Refused
--- a/gateway/dispatch/hedge.go
+++ b/gateway/dispatch/hedge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -81,7 +80,7 @@
 		return nil
 	}
 	excluded := func(server *balance.Server) bool { return server == first || c.wasTried(server) }
-	choice := balance.Choose(now, service.Servers, c.request.Route.LatencyObjective, excluded, rand.Uint64())
+	choice := c.choose(service, excluded)
 	if choice.Server == nil || choice.ExpectedLatency > c.timeLeft() || !c.options.Budget.Spend(now, c.request.Service, hedgeBudgetReserve) {
 		return nil
 	}
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 
 	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/limit"
 	"guavacrank.example/gateway/model"
 )
 
@@ -59,6 +60,8 @@
 	RequestedKeys map[string][]uint16 `json:"asked,omitempty"`
 	// Servers summarizes the responses of backend servers since the last report.
 	Servers []ServerReport `json:"servers,omitempty"`
+	// Limits are the sender's observations of servers that limit their requests.
+	Limits []limit.Observation `json:"limits,omitempty"`
 	// Source and Revision identify the server list that the sender has: the
 	// incarnation of the leader that published it, and the list's revision.
 	Source   string `json:"source,omitempty"`
@@ -108,6 +111,8 @@
 	// the operators' record of it, sent if the receiver lacks it.
 	ConfigurationVersion uint64               `json:"configuration"`
 	Record               *ConfigurationRecord `json:"record,omitempty"`
+	// Limits are the leader's decisions on servers that limit their requests.
+	Limits []limit.Allotment `json:"limits,omitempty"`
 	// Members holds the addresses of all daemons if their number differs from
 	// the reported MemberCount.
 	Members []string `json:"members,omitempty"`
--- a/gateway/port/port.go
+++ b/gateway/port/port.go
@@ -85,6 +85,10 @@
 	Server string
 	// Signed says that the response carries the server's signature.
 	Signed bool
+	// Limited says that the server names a limit: RequestsPerSecond is what it takes from
+	// all VMs together, for as long as its responses say so.
+	Limited           bool
+	RequestsPerSecond float64
 	// KeepAlive is the server's idle timeout for the connection, or zero if not
 	// given.
 	KeepAlive time.Duration
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -272,7 +272,7 @@
 		}
 		services[name] = service
 	}
-	l.views.Publish(&view.View{Configuration: l.configuration, Routes: l.routes, Services: services})
+	l.views.Publish(&view.View{Configuration: l.configuration, Routes: l.routes, Services: services, VMs: vms})
 	if l.starting() {
 		l.ready.Store(true)
 		l.log.Event(event.GatewayReady, "", zap.Uint64("configuration", l.configuration.Version), zap.Int("servers", len(l.servers.rows)))
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -9,6 +9,7 @@
 
 	"guavacrank.example/event"
 	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/limit"
 	"guavacrank.example/gateway/peer"
 )
 
@@ -99,6 +100,7 @@
 	l.recordBatch.clear()
 	l.serverListBatch.clear()
 	l.pageBatch.clear()
+	l.allocator = limit.NewAllocator()
 	l.leadingNow.Store(true)
 	l.knownLeader = peer.Leadership{Leader: l.self, Term: uint64(l.term)}
 	l.log.Event(event.LeadershipWon, "", zap.Uint64("term", uint64(l.term)))
--- /dev/null
+++ b/gateway/run/limits.go
@@ -0,0 +1,54 @@
+package run
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavacrank.example/event"
+	"guavacrank.example/gateway/limit"
+	"guavacrank.example/gateway/model"
+)
+
+// allotmentMargin is how much longer than two report intervals the leader's decisions on
+// limited servers stay in force.
+const allotmentMargin = time.Second
+
+// takeLimitObservations returns what this VM knows of servers that limit their requests.
+func (l *loop) takeLimitObservations() []limit.Observation {
+	var observations []limit.Observation
+	for incarnation, row := range l.servers.rows {
+		if row.target == nil {
+			continue
+		}
+		observation, relevant := row.target.Limit.TakeObservation(l.clock())
+		l.logLimit(row, observation)
+		if relevant {
+			observation.Server, observation.Born = incarnation.ID, incarnation.Born
+			observations = append(observations, observation)
+		}
+	}
+	return observations
+}
+
+// logLimit logs the begin and the end of a server's limit.
+func (l *loop) logLimit(row *serverRow, observation limit.Observation) {
+	if row.limited == observation.Limited {
+		return
+	}
+	row.limited = observation.Limited
+	l.log.Event(event.BackendLimited, "", zap.String("server", row.ID), zap.Bool("limited", observation.Limited),
+		zap.Float64("requests_per_second", observation.Rate), zap.Int("demand", observation.Demand), zap.Int("sent", observation.Sent))
+}
+
+// applyAllotments puts the leader's decisions on limited servers in force.
+func (l *loop) applyAllotments(allotments []limit.Allotment) {
+	now := l.clock()
+	until := now + 2*l.reportInterval() + allotmentMargin
+	for _, allotment := range allotments {
+		row := l.servers.rows[model.Incarnation{ID: allotment.Server, Born: allotment.Born}]
+		if row != nil && row.target != nil {
+			row.target.Limit.Apply(now, until, allotment)
+		}
+	}
+}
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -11,6 +11,7 @@
 	"guavacrank.example/gateway/budget"
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/leader"
+	"guavacrank.example/gateway/limit"
 	"guavacrank.example/gateway/logbook"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
@@ -102,6 +103,7 @@
 	nextFollower      int                       // Index of the store follower to ask next.
 	followerFailures  int                       // Consecutive calls to store followers without a response.
 	askPending        bool                      // Whether a call to a store follower is pending.
+	allocator         *limit.Allocator          // On the leader: shares of limited servers.
 	listedAt          time.Duration             // When the newest server list was read from the store.
 	relayedListNewest bool                      // Whether that list came from a peer.
 	nextLatencyReport time.Duration             // Earliest next report of servers' response times.
@@ -177,6 +179,7 @@
 		pages:        make(map[string]*versionedPage),
 		machines:     make(map[string]*keys.Machine),
 		yieldPending: make(map[string]bool),
+		allocator:    limit.NewAllocator(),
 		members:      make(map[string]member),
 
 		recordBatch:     newRecipientBatch(),
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -217,6 +217,7 @@
 		FollowStore:  l.mayFollowStore(report, now),
 		ListAgeMS:    (now - l.servers.readAt).Milliseconds(),
 		Distribution: l.distributionFor(report, now),
+		Limits:       l.allocator.Allotments(now, l.reportInterval()),
 	}
 	if l.configuration != nil {
 		response.ConfigurationVersion = l.configuration.Version
@@ -287,6 +288,7 @@
 	}
 	l.campaign.SetLowPriority(hasLowCapacity(l.settings.Capacity(), response.MaxCapacity))
 	l.applyPages(response.Pages)
+	l.applyAllotments(response.Limits)
 	if len(response.Members) > 0 {
 		l.knownPeers = response.Members
 	}
--- a/gateway/run/relay_test.go
+++ b/gateway/run/relay_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/limit"
 	"guavacrank.example/gateway/logbook"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
@@ -21,7 +22,7 @@
 	now := 5 * time.Second
 	l := &loop{
 		settings: &model.Settings{}, members: map[string]member{}, relay: newRelay(), log: log,
-		recordBatch: newRecipientBatch(), serverListBatch: newRecipientBatch(), pageBatch: newRecipientBatch(), clock: func() time.Duration { return now },
+		allocator: limit.NewAllocator(), recordBatch: newRecipientBatch(), serverListBatch: newRecipientBatch(), pageBatch: newRecipientBatch(), clock: func() time.Duration { return now },
 	}
 	l.servers = newServerTable(l.settings, nil, log)
 	l.self.Incarnation = "leader"
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -76,6 +76,7 @@
 		l.setVMs(l.countMembers(now))
 		l.knownPeers = l.memberAddresses()
 		l.chooseStoreFollowers()
+		l.applyAllotments(l.allocator.Allotments(now, l.reportInterval()))
 		return
 	}
 	l.reportPending = true
@@ -122,6 +123,7 @@
 	report := l.newStatus()
 	report.RequestedKeys = l.requestedKeys.take()
 	report.Servers = l.serverReports()
+	report.Limits = l.takeLimitObservations()
 	return report
 }
 
@@ -182,6 +184,9 @@
 func (l *loop) applyReport(report *peer.Report) {
 	now := l.clock()
 	l.members[report.VM] = member{report.Address, now, report.Zone, report.Capacity}
+	for _, observation := range report.Limits {
+		l.allocator.Step(now, observation)
+	}
 	for service, requested := range report.RequestedKeys {
 		if machine := l.machines[service]; machine != nil {
 			machine.StepRequests(now, requested)
--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -62,6 +62,8 @@
 	listed bool
 	gone   bool            // Not listed any more; kept until its requests have ended.
 	target *balance.Server // Created on demand.
+	// limited says whether the server's limit was logged and has not ended.
+	limited bool
 }
 
 func newServerTable(settings *model.Settings, codec port.HeaderCodec, log *logbook.Logger) *serverTable {
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -20,6 +20,8 @@
 	Configuration *model.Configuration
 	Routes        *routing.Table
 	Services      map[string]*Service
+	// VMs is the number of active VMs, or zero if unknown.
+	VMs int
 }
 
 // Service is a configured service with its backend servers.
