gateway: direct reads of the server list are bounded for the fleet, not for each VM

After leaders that followed each other within three seconds no VM had one yet, and each read the list itself at up to 30 KB/s: 150 VMs of the far region together more than the link bears. The reads timed out and were repeated; nothing else came through.

Now a leader assigns VMs that have no assignment at once, and these report again within a second. The rate of direct reads is that of the fleet: before a read a VM waits for a random part of the time that all need together.

--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -246,6 +246,7 @@
 // applyServers processes the complete server list, read from the store or received
 // from the leader.
 func (l *loop) applyServers(now time.Duration, listed []model.Server) {
+	l.listSize.Store(int64(len(listed)))
 	l.viewOutdated = l.servers.update(now, listed) || l.viewOutdated
 	for service, machine := range l.machines {
 		machine.StepServers(now, l.servers.ofService(service), l.servers.uninterrupted)
--- a/gateway/run/distribution.go
+++ b/gateway/run/distribution.go
@@ -23,6 +23,9 @@
 	// offersPerVM is the number of store followers that offer a configuration to each
 	// daemon.
 	offersPerVM = 2
+	// unassignedReportDelay is the longest time until the next report of a daemon of a
+	// large fleet that has no assignment yet.
+	unassignedReportDelay = time.Second
 	// offerDelay gives the leader's own update time to arrive, so that most offers
 	// need no data.
 	offerDelay = 150 * time.Millisecond
@@ -105,13 +108,14 @@
 }
 
 // settled says whether the daemons have had time to report to this new leader. Until
-// then its view of the fleet is incomplete, and assignments stay as they are.
+// then its view of the fleet is incomplete: it assigns the daemons that have no
+// assignment, and the others keep theirs.
 func (l *loop) settled(now time.Duration) bool { return now-l.leadingSince >= activeMemberTimeout }
 
 // distributionFor returns the assignment of a report's sender if it differs from the
 // one that it has.
 func (l *loop) distributionFor(report *peer.Report, now time.Duration) *peer.Distribution {
-	if !l.settled(now) {
+	if !l.settled(now) && report.Distribution != 0 {
 		return nil
 	}
 	assigned := l.plan.of(report.Address, report.Zone)
@@ -121,6 +125,13 @@
 	return &assigned
 }
 
+// reportIfUnassigned makes a daemon of a large fleet that has no assignment report soon.
+func (l *loop) reportIfUnassigned(now time.Duration) {
+	if l.vms.Load() > maxDirectRecipients && fingerprint(l.distribution) == 0 {
+		l.nextReport = min(l.nextReport, now+jitter(unassignedReportDelay))
+	}
+}
+
 // mayFollowStore says whether the sender of a report watches the store.
 func (l *loop) mayFollowStore(report *peer.Report, now time.Duration) bool {
 	if !l.settled(now) && len(l.peersAtElection) > 0 {
--- a/gateway/run/distribution_test.go
+++ b/gateway/run/distribution_test.go
@@ -56,6 +56,8 @@
 	report := &peer.Report{VM: "a-01", Address: "a-01", Zone: "a", FollowsStore: true}
 	l.leadingSince = l.clock() - time.Second
 	l.peersAtElection = []string{"a-01"}
+	g.Expect(l.distributionFor(report, l.clock())).NotTo(BeNil(), "a daemon without an assignment gets one at once")
+	report.Distribution = 1
 	g.Expect(l.distributionFor(report, l.clock())).To(BeNil(), "a new leader does not know the fleet yet")
 	g.Expect(l.mayFollowStore(report, l.clock())).To(BeTrue(), "until then store followers continue")
 
--- a/gateway/run/fallback_test.go
+++ b/gateway/run/fallback_test.go
@@ -29,6 +29,25 @@
 	g.Expect(l.chooseListReading()).To(Equal(readForZone))
 }
 
+func TestDirectReadsOfAllDaemonsAreSpread(t *testing.T) {
+	g := NewWithT(t)
+	l := newRelayLoop(t, 0)
+	l.vms.Store(300)
+	l.listSize.Store(3000)
+	spread := 300 * 3000 * serverRecordBytes / maxFleetServerBytesPerSec * time.Second
+	longest := time.Duration(0)
+	for range 200 {
+		longest = max(longest, l.directReadDelay())
+	}
+	g.Expect(longest).To(BeNumerically("~", spread, spread/10))
+	l.listReading.Store(int32(readForZone))
+	g.Expect(l.directReadDelay()).To(BeZero(), "the daemon that reads for its zone reads at once")
+	l.vms.Store(12)
+	l.listReading.Store(int32(readIfStale))
+	l.listSize.Store(40)
+	g.Expect(l.directReadDelay()).To(BeNumerically("<", 200*time.Millisecond), "a small fleet needs no spread")
+}
+
 func TestFollowerSendsOnlyAMoreRecentServerList(t *testing.T) {
 	g := NewWithT(t)
 	follower, daemon := newRelayLoop(t, 3), newRelayLoop(t, 0)
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -101,6 +101,8 @@
 	l.serverListBatch.clear()
 	l.pageBatch.clear()
 	l.allocator = limit.NewAllocator()
+	l.plan = distributionPlan{}
+	l.nextReport = now
 	l.leadingNow.Store(true)
 	l.knownLeader = peer.Leadership{Leader: l.self, Term: uint64(l.term)}
 	l.log.Event(event.LeadershipWon, "", zap.Uint64("term", uint64(l.term)))
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -129,6 +129,7 @@
 	serversRelayedAt atomic.Int64
 	leaderResponded  atomic.Bool   // A leader has responded to a report.
 	listReading      atomic.Int32  // A listReading.
+	listSize         atomic.Int64  // Number of servers in the newest list.
 	recordInForce    atomic.Uint64 // Equals recordVersion.
 	ready            atomic.Bool   // The readiness check passes.
 	vms              atomic.Int64  // Number of active daemons; zero if unknown.
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -286,6 +286,7 @@
 		l.distribution = *response.Distribution
 		l.followerFailures = 0
 	}
+	l.reportIfUnassigned(now)
 	l.campaign.SetLowPriority(hasLowCapacity(l.settings.Capacity(), response.MaxCapacity))
 	l.applyPages(response.Pages)
 	l.applyAllotments(response.Limits)
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -72,6 +72,9 @@
 	}
 	report := l.newReport()
 	if l.leading {
+		if !l.settled(now) {
+			l.nextReport = now + minReportInterval
+		}
 		l.applyReport(report)
 		l.setVMs(l.countMembers(now))
 		l.knownPeers = l.memberAddresses()
--- a/gateway/run/store_watcher.go
+++ b/gateway/run/store_watcher.go
@@ -30,12 +30,15 @@
 	// maxConfigurationBytesPerSec limits the average rate of the leader's reads of
 	// the configuration.
 	maxConfigurationBytesPerSec = 64 << 10
-	// maxServerBytesPerSec limits the average rate of a daemon's reads of the
-	// servers' records while it gets no server list from a leader.
-	maxServerBytesPerSec = 30 << 10
-	// maxZoneServerBytesPerSec is the same for the one daemon of a zone that reads them
-	// for the others.
+	// maxFleetServerBytesPerSec limits the average rate at which all daemons together
+	// read the servers' records while none of them gets a server list from a peer: they
+	// share the link between regions with requests, reports and configurations.
+	maxFleetServerBytesPerSec = 1 << 20
+	// maxZoneServerBytesPerSec limits the rate of the one daemon of a zone that reads
+	// them for the others.
 	maxZoneServerBytesPerSec = 256 << 10
+	// serverRecordBytes is the typical size of a server's record.
+	serverRecordBytes = 200
 	// relayedListMargin is how long a server list received from the leader stays
 	// valid beyond the interval between two reports.
 	relayedListMargin = 1200 * time.Millisecond
@@ -176,6 +179,10 @@
 			sleep(ctx, minRetryDelay)
 			continue
 		}
+		sleep(ctx, l.directReadDelay())
+		if !l.mayReadServers() {
+			continue
+		}
 		began := time.Now()
 		entries, _, err := l.store.List(ctx, l.records.ServersPrefix())
 		l.deliver(serversRead{entries: entries, err: err, duration: time.Since(began)})
@@ -193,11 +200,26 @@
 	case l.leadingNow.Load():
 		return leaderServerPollInterval
 	}
-	maxRate := maxServerBytesPerSec
+	bytes := time.Duration(totalBytes(read))
 	if listReading(l.listReading.Load()) == readForZone {
-		maxRate = maxZoneServerBytesPerSec
+		return max(serverPollInterval, bytes*time.Second/maxZoneServerBytesPerSec)
+	}
+	return max(serverPollInterval, l.fleetReadTime(bytes))
+}
+
+// fleetReadTime returns how long all daemons together take to read the given number of
+// bytes each.
+func (l *loop) fleetReadTime(bytes time.Duration) time.Duration {
+	return time.Duration(l.vms.Load()) * bytes * time.Second / maxFleetServerBytesPerSec
+}
+
+// directReadDelay returns a random delay before a daemon that lost its peers reads the
+// servers' records, because the others may have lost theirs too.
+func (l *loop) directReadDelay() time.Duration {
+	if l.leadingNow.Load() || listReading(l.listReading.Load()) != readIfStale {
+		return 0
 	}
-	return max(serverPollInterval, time.Duration(totalBytes(read))*time.Second/time.Duration(maxRate))
+	return rand.N(l.fleetReadTime(time.Duration(l.listSize.Load()*serverRecordBytes)) + 1)
 }
 
 // totalBytes returns the size of the entries' keys and values.
