keys: a server's limit bounds its capacity, so that its keys move to other servers

Callers of a busy key were refused (server_limit) for as long as its owner named a limit, although the other servers of the service had room.

Cause: the planner knew a server's slots and service times only. A limited server has free slots and short responses, so it kept its keys.

Now the leader's planner takes the limit as an upper bound of the server's capacity, until ten seconds after it was observed last. Targets, moves and promotions follow from that.

"gives keys away that it may not serve" fails without the bound (a sixth of the requests stays with a server that may serve 4 of 120 a second) and passes with it.

--- a/gateway/keys/load.go
+++ b/gateway/keys/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"guavacrank.example/gateway/model"
 )
@@ -14,6 +15,9 @@
 	minBaseRate = 1.0
 	// defaultServiceTime is assumed while no server's is known, in seconds.
 	defaultServiceTime = 0.2
+	// minLimitedRate is the least capacity of a server that limits its requests, in
+	// requests per second.
+	minLimitedRate = 0.1
 	// warmUpFactor is the expected capacity of a server that is still warming up.
 	warmUpFactor = 0.6
 )
@@ -42,7 +46,7 @@
 		t.rows = append(t.rows, row)
 	}
 	sort.Slice(t.rows, func(i, j int) bool { return t.rows[i].ID < t.rows[j].ID })
-	t.estimateCapacities()
+	t.estimateCapacities(m.now)
 	if m.page != nil {
 		for _, r := range m.page.Ranges {
 			if row := m.servers[r.Owner.Incarnation]; row != nil {
@@ -56,7 +60,7 @@
 
 // estimateCapacities sets the mean service time and each server's capacity. A
 // server's few responses count together with those of the others.
-func (t *loadTable) estimateCapacities() {
+func (t *loadTable) estimateCapacities(now time.Duration) {
 	total, known := 0.0, 0
 	for _, row := range t.rows {
 		if row.service.samples > 0 {
@@ -74,6 +78,9 @@
 		if row.service.samples == 0 && row.WarmUp > 0 {
 			row.capacity *= warmUpFactor
 		}
+		if now < row.limitedUntil {
+			row.capacity = min(row.capacity, countPerRate*max(row.maxRate, minLimitedRate))
+		}
 	}
 }
 
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -294,6 +294,22 @@
 	m.rates.add(now, requested)
 }
 
+// limitTTL is how long a server's limit counts after it was observed last.
+const limitTTL = 10 * time.Second
+
+// StepLimit takes the limit on requests per second that a server names for all VMs
+// together, or that it names none. Keys that it may not serve move to other servers.
+func (m *Machine) StepLimit(now time.Duration, server model.Incarnation, limited bool, requestsPerSecond float64) {
+	row := m.servers[server]
+	if row == nil {
+		return
+	}
+	row.maxRate, row.limitedUntil = requestsPerSecond, 0
+	if limited {
+		row.limitedUntil = now + limitTTL
+	}
+}
+
 // StepLatency takes the mean latency of some responses of a server.
 func (m *Machine) StepLatency(id string, responses int, mean time.Duration) {
 	row := m.latestByID[id]
--- a/gateway/keys/tables.go
+++ b/gateway/keys/tables.go
@@ -29,6 +29,10 @@
 	unresponsive  bool          // The last call got no response, not even a refusal.
 	service       serviceTime
 	responses     decayedCount
+	// maxRate is the limit on requests per second that the server names, in force until
+	// limitedUntil.
+	maxRate      float64
+	limitedUntil time.Duration
 	// The following are those of the latest loadTable: utilization is the part of
 	// the slots that requests take, serviceTime the estimate in seconds. rate,
 	// target and capacity are decayed request counts; capacity takes all slots.
--- a/gateway/limit/allocator.go
+++ b/gateway/limit/allocator.go
@@ -68,6 +68,15 @@
 	s.balance = max(s.balance-float64(o.Sent), -usableRate(s.rate)*maxDebt.Seconds())
 }
 
+// Limit returns the newest limit of a server, and whether it has one.
+func (a *Allocator) Limit(server string, born int64) (requestsPerSecond float64, limited bool) {
+	s := a.servers[serverKey{server, born}]
+	if s == nil {
+		return 0, false
+	}
+	return s.rate, s.limited
+}
+
 // advance accounts for the time since the last update.
 func (s *allocation) advance(now time.Duration) {
 	elapsed := (now - s.updatedAt).Seconds()
--- a/gateway/run/limits.go
+++ b/gateway/run/limits.go
@@ -41,6 +41,16 @@
 		zap.Float64("requests_per_second", observation.Rate), zap.Int("demand", observation.Demand), zap.Int("sent", observation.Sent))
 }
 
+// applyLimitObservation processes a daemon's observation of a server's limit on the
+// leader.
+func (l *loop) applyLimitObservation(now time.Duration, observation limit.Observation) {
+	l.allocator.Step(now, observation)
+	rate, limited := l.allocator.Limit(observation.Server, observation.Born)
+	for _, machine := range l.machines {
+		machine.StepLimit(now, model.Incarnation{ID: observation.Server, Born: observation.Born}, limited, rate)
+	}
+}
+
 // applyAllotments puts the leader's decisions on limited servers in force.
 func (l *loop) applyAllotments(allotments []limit.Allotment) {
 	now := l.clock()
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -188,7 +188,7 @@
 	now := l.clock()
 	l.members[report.VM] = member{report.Address, now, report.Zone, report.Capacity}
 	for _, observation := range report.Limits {
-		l.allocator.Step(now, observation)
+		l.applyLimitObservation(now, observation)
 	}
 	for service, requested := range report.RequestedKeys {
 		if machine := l.machines[service]; machine != nil {
