--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -9,7 +9,6 @@
 	"guavacrank.example/event"
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/keys"
-	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
 	"guavacrank.example/gateway/routing"
 	"guavacrank.example/gateway/view"
@@ -221,41 +220,6 @@
 	return v.stored, err
 }
 
-func (s serversRead) apply(l *loop) {
-	l.trackStoreCall("servers", s.err)
-	now := l.clock()
-	if s.err != nil {
-		return
-	}
-	if !l.leading {
-		l.log.Event(event.ServersReadDirectly, "", zap.Int("records", len(s.entries)), zap.Int("bytes", totalBytes(s.entries)), zap.Duration("took", s.duration))
-	}
-	var listed []model.Server
-	for _, entry := range s.entries {
-		server, err := l.records.Server(entry)
-		if err != nil {
-			l.ignoreRecord(entry, err)
-			continue
-		}
-		listed = append(listed, server)
-	}
-	l.listedAt, l.relayedListNewest = now-s.duration, false
-	l.applyServers(now, listed)
-}
-
-// applyServers processes the complete server list, read from the store or received
-// from the leader.
-func (l *loop) applyServers(now time.Duration, listed []model.Server) {
-	l.listSize.Store(int64(len(listed)))
-	l.viewOutdated = l.servers.update(now, listed) || l.viewOutdated
-	for service, machine := range l.machines {
-		machine.StepServers(now, l.servers.ofService(service), l.servers.uninterrupted)
-	}
-	if l.leading {
-		l.announceServers()
-	}
-}
-
 // publish publishes a new view. It does nothing until the configuration and the
 // servers are known.
 func (l *loop) publish() {
--- a/gateway/run/distribution.go
+++ b/gateway/run/distribution.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -160,3 +161,35 @@
 		}()
 	}
 }
+
+// chooseStoreFollowers selects the daemons that watch the store: those with the
+// highest capacity in each availability zone, taking one per zone in turn.
+func (l *loop) chooseStoreFollowers() {
+	byZone := make(map[string][]string)
+	vms := make([]string, 0, len(l.members))
+	for vm := range l.members {
+		vms = append(vms, vm)
+	}
+	sort.Slice(vms, func(i, j int) bool { return l.members[vms[i]].ranksBefore(l.members[vms[j]]) })
+	var zones []string
+	for _, vm := range vms {
+		zone := l.members[vm].zone
+		if byZone[zone] == nil {
+			zones = append(zones, zone)
+		}
+		byZone[zone] = append(byZone[zone], vm)
+	}
+	slices.SortFunc(zones, strings.Compare)
+	l.storeFollowers = make(map[string]bool, maxStoreFollowers)
+	l.plan = distributionPlan{}
+	for rank := 0; len(l.storeFollowers) < min(maxStoreFollowers, len(vms)); rank++ {
+		for _, zone := range zones {
+			if rank < len(byZone[zone]) && len(l.storeFollowers) < maxStoreFollowers {
+				l.storeFollowers[byZone[zone][rank]] = true
+			}
+		}
+	}
+	if len(l.members) > maxDirectRecipients {
+		l.plan = planDistribution(l.members, l.storeFollowers, l.self.Address)
+	}
+}
--- a/gateway/run/doc.go
+++ b/gateway/run/doc.go
@@ -11,4 +11,8 @@
 // pages from the leader's response to its report, or from a seed peer that has
 // them. It reads the store itself if that would not saturate a network link, or
 // after waiting for a leader.
+//
+// A leader of a large fleet sends updates along a tree of daemons. For the time without
+// a leader it assigns each daemon to the store followers of its zone: they offer it new
+// configurations, and it asks them for what it lacks.
 package run
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -1,8 +1,6 @@
 package run
 
 import (
-	"context"
-	"errors"
 	"math/rand/v2"
 	"sort"
 	"sync"
@@ -287,45 +285,3 @@
 	l.updateWatchers()
 	l.servers.closeIdle(time.Now())
 }
-
-// errStopping rejects peers' calls after the loop has ended.
-var errStopping = errors.New("the process stops")
-
-// peerService implements peer.Service by passing calls to the loop.
-type peerService struct{ *loop }
-
-var _ peer.Service = peerService{}
-
-// Report implements peer.Service.
-func (p peerService) Report(ctx context.Context, report *peer.Report) (*peer.ReportResponse, error) {
-	reply := make(chan peer.ReportResponse, 1)
-	p.deliver(reportReceived{report, reply})
-	select {
-	case response := <-reply:
-		return &response, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-p.ctx.Done():
-		return nil, errStopping
-	}
-}
-
-// Follow implements peer.Service.
-func (p peerService) Follow(_ context.Context, leadership *peer.Leadership) (*peer.FollowResponse, error) {
-	p.deliver(leaderAnnounced{*leadership})
-	return &peer.FollowResponse{}, nil
-}
-
-// Yield implements peer.Service.
-func (p peerService) Yield(ctx context.Context, yield *peer.YieldRequest) (*peer.YieldResponse, error) {
-	done := make(chan struct{})
-	p.deliver(yieldReceived{yield.Incarnation, done})
-	select {
-	case <-done:
-		return &peer.YieldResponse{Incarnation: p.self.Incarnation}, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-p.ctx.Done():
-		return nil, errStopping
-	}
-}
--- /dev/null
+++ b/gateway/run/responses.go
@@ -0,0 +1,127 @@
+package run
+
+import (
+	"time"
+
+	"guavacrank.example/gateway/peer"
+	"guavacrank.example/kvstore"
+)
+
+// source identifies this process's server list.
+func (l *loop) source() string { return l.self.Incarnation }
+
+// leaderResponse returns the leader's response to a report.
+func (l *loop) leaderResponse(report *peer.Report) peer.ReportResponse {
+	now := l.clock()
+	response := peer.ReportResponse{
+		Leading:      true,
+		VMs:          l.countMembers(now),
+		MaxCapacity:  l.maxCapacity(),
+		FollowStore:  l.mayFollowStore(report, now),
+		ListAgeMS:    (now - l.servers.readAt).Milliseconds(),
+		Distribution: l.distributionFor(report, now),
+		Limits:       l.allocator.Allotments(now, l.reportInterval()),
+	}
+	if l.configuration != nil {
+		response.ConfigurationVersion = l.configuration.Version
+		if report.WantConfiguration && report.ConfigurationVersion < response.ConfigurationVersion {
+			response.Record = l.recordFor(report.VM, now)
+		}
+	}
+	if report.MemberCount != response.VMs {
+		response.Members = l.memberAddresses()
+	}
+	if len(l.members) > maxDirectRecipients && len(report.Pages) == 0 && len(l.pages) > 0 {
+		l.pageBatch.add(report.VM, now)
+	} else {
+		response.Pages = l.pagesFor(report)
+	}
+	if l.servers.known {
+		l.relay.update(l.servers)
+		if len(l.members) > maxDirectRecipients && l.relay.needsListSpread(l.source(), report) {
+			l.serverListBatch.add(report.VM, now)
+		} else {
+			l.relay.addChanges(&response, l.source(), report)
+		}
+	}
+	return response
+}
+
+// pagesFor returns the ownership pages that the sender of a report lacks.
+func (l *loop) pagesFor(report *peer.Report) []peer.StoredPage {
+	var missing []peer.StoredPage
+	for service, current := range l.pages {
+		if report.Pages[service] >= uint64(current.version) {
+			continue
+		}
+		page, err := current.encoded()
+		if err != nil {
+			l.ignoreRecord(kvstore.Entry{Key: pagePrefix + service, Version: current.version}, err)
+			continue
+		}
+		missing = append(missing, peer.StoredPage{Service: service, Version: uint64(current.version), Page: page})
+	}
+	return missing
+}
+
+// applyPages processes ownership pages received from a peer.
+func (l *loop) applyPages(pages []peer.StoredPage) {
+	for _, page := range pages {
+		l.applyPageEntry(kvstore.Entry{Key: pagePrefix + page.Service, Value: page.Page, Version: kvstore.Version(page.Version)})
+	}
+}
+
+// applyLeaderResponse processes the leader's response to a report.
+func (l *loop) applyLeaderResponse(response *peer.ReportResponse) {
+	now := l.clock()
+	l.leaderResponded.Store(true)
+	l.setVMs(response.VMs)
+	age := time.Duration(response.ListAgeMS) * time.Millisecond
+	if response.Source != "" && !l.leading {
+		listed := l.relay.apply(response)
+		if age < l.relayedListTTL() {
+			l.setRelayedListTime(now - age)
+			l.applyServers(now, listed)
+		}
+	}
+	l.followsStore = response.FollowStore
+	if response.Distribution != nil {
+		l.distribution = *response.Distribution
+		l.followerFailures = 0
+	}
+	l.reportIfUnassigned(now)
+	l.campaign.SetLowPriority(hasLowCapacity(l.settings.Capacity(), response.MaxCapacity))
+	l.applyPages(response.Pages)
+	l.applyAllotments(response.Limits)
+	if len(response.Members) > 0 {
+		l.knownPeers = response.Members
+	}
+	if response.Record != nil {
+		l.applyRecord(response.Record)
+	}
+	l.checkConfigurationVersion(now, response.ConfigurationVersion)
+}
+
+// checkConfigurationVersion relists the configuration if the watch has missed the
+// leader's version.
+func (l *loop) checkConfigurationVersion(now time.Duration, leaderVersion uint64) {
+	r := &l.relay
+	r.staleResponses++
+	if l.configuration != nil && l.configuration.Version >= leaderVersion {
+		r.staleResponses = 0
+		return
+	}
+	l.scheduleReport()
+	if r.staleResponses >= staleThreshold && now >= r.configurationRelistedAt+relistInterval {
+		r.configurationRelistedAt = now
+		l.configurationWatcher.relist()
+	}
+}
+
+// relistLeader relists the leader's key, at most once per relistInterval.
+func (l *loop) relistLeader(now time.Duration) {
+	if now >= l.relay.leaderRelistedAt+relistInterval {
+		l.relay.leaderRelistedAt = now
+		l.leaderWatcher.relist()
+	}
+}
--- /dev/null
+++ b/gateway/run/server_updates.go
@@ -0,0 +1,102 @@
+package run
+
+import (
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavacrank.example/event"
+	"guavacrank.example/gateway/model"
+	"guavacrank.example/gateway/peer"
+)
+
+func (s serversRead) apply(l *loop) {
+	l.trackStoreCall("servers", s.err)
+	now := l.clock()
+	if s.err != nil {
+		return
+	}
+	if !l.leading {
+		l.log.Event(event.ServersReadDirectly, "", zap.Int("records", len(s.entries)), zap.Int("bytes", totalBytes(s.entries)), zap.Duration("took", s.duration))
+	}
+	var listed []model.Server
+	for _, entry := range s.entries {
+		server, err := l.records.Server(entry)
+		if err != nil {
+			l.ignoreRecord(entry, err)
+			continue
+		}
+		listed = append(listed, server)
+	}
+	l.listedAt, l.relayedListNewest = now-s.duration, false
+	l.applyServers(now, listed)
+}
+
+// applyServers processes the complete server list, read from the store or received
+// from the leader.
+func (l *loop) applyServers(now time.Duration, listed []model.Server) {
+	l.listSize.Store(int64(len(listed)))
+	l.viewOutdated = l.servers.update(now, listed) || l.viewOutdated
+	for service, machine := range l.machines {
+		machine.StepServers(now, l.servers.ofService(service), l.servers.uninterrupted)
+	}
+	if l.leading {
+		l.announceServers()
+	}
+}
+
+// announceServers sends the changes of the leader's server list to a large fleet, whose
+// reports are too far apart to wait for them.
+func (l *loop) announceServers() {
+	if len(l.members) <= maxDirectRecipients {
+		return
+	}
+	l.relay.update(l.servers)
+	base := l.relay.announced
+	l.relay.announced = l.relay.revision
+	if base == 0 || base == l.relay.revision {
+		return // Daemons without a list get the complete one.
+	}
+	changed, removed := l.relay.changesSince(base)
+	l.broadcast(peer.SpreadRequest{Changes: &peer.ServerChanges{Source: l.source(), Base: base, Revision: l.relay.revision, Servers: changed, Removed: removed}})
+}
+
+// applyServerChanges processes changes of the leader's server list. If it lacks earlier
+// ones, the next report brings all.
+func (l *loop) applyServerChanges(changes *peer.ServerChanges) {
+	r := &l.relay
+	if l.leading || changes.Source != r.source || r.seenRevision < changes.Base || r.seenRevision >= changes.Revision {
+		return
+	}
+	now := l.clock()
+	l.setRelayedListTime(now)
+	l.applyServers(now, r.apply(&peer.ReportResponse{Source: changes.Source, Revision: changes.Revision, Servers: changes.Servers, Removed: changes.Removed}))
+}
+
+// applyServerList processes a complete server list received from a peer, which was
+// read from the store the given time ago.
+func (l *loop) applyServerList(list *peer.ServerList, age time.Duration) {
+	var servers []model.Server
+	text, err := decompress(list.Compressed)
+	if err == nil {
+		err = json.Unmarshal(text, &servers)
+	}
+	if err != nil {
+		l.log.Event(event.RecordIgnored, err.Error(), zap.String("key", "servers of "+list.Source))
+		return
+	}
+	if l.leading || list.Source == l.relay.source && list.Revision <= l.relay.seenRevision {
+		return
+	}
+	now := l.clock()
+	l.setRelayedListTime(now - age)
+	l.applyServers(now, l.relay.apply(&peer.ReportResponse{Source: list.Source, Revision: list.Revision, Full: true, Servers: servers}))
+}
+
+// setRelayedListTime records when the server list received from a peer was read from
+// the store.
+func (l *loop) setRelayedListTime(at time.Duration) {
+	l.listedAt, l.relayedListNewest = at, true
+	l.serversRelayedAt.Store(int64(at))
+}
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -1,19 +1,15 @@
 package run
 
 import (
-	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"sort"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	"guavacrank.example/event"
 	"guavacrank.example/gateway/keys"
-	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
 	"guavacrank.example/kvstore"
 )
@@ -37,16 +33,6 @@
 // spreadReceived is an update from the leader.
 type spreadReceived struct{ update *peer.SpreadRequest }
 
-// Spread implements peer.Service.
-func (p peerService) Spread(_ context.Context, update *peer.SpreadRequest) (*peer.SpreadResponse, error) {
-	if update.Offer > 0 {
-		return &peer.SpreadResponse{Lacking: p.recordInForce.Load() < update.Offer}, nil
-	}
-	p.forward(*update, splitGroups(update.ForwardTo, fanOut))
-	p.deliver(spreadReceived{update})
-	return &peer.SpreadResponse{}, nil
-}
-
 // forward sends an update to one daemon of each group, which forwards it to the rest
 // of its group. If a daemon can't be reached, the next one of the group is tried.
 func (l *loop) forward(update peer.SpreadRequest, groups [][]string) {
@@ -137,38 +123,6 @@
 	return &peer.PageChange{Service: service, Base: uint64(previous.version), Version: uint64(next.version), Change: change}
 }
 
-// chooseStoreFollowers selects the daemons that watch the store: those with the
-// highest capacity in each availability zone, taking one per zone in turn.
-func (l *loop) chooseStoreFollowers() {
-	byZone := make(map[string][]string)
-	vms := make([]string, 0, len(l.members))
-	for vm := range l.members {
-		vms = append(vms, vm)
-	}
-	sort.Slice(vms, func(i, j int) bool { return l.members[vms[i]].ranksBefore(l.members[vms[j]]) })
-	var zones []string
-	for _, vm := range vms {
-		zone := l.members[vm].zone
-		if byZone[zone] == nil {
-			zones = append(zones, zone)
-		}
-		byZone[zone] = append(byZone[zone], vm)
-	}
-	slices.SortFunc(zones, strings.Compare)
-	l.storeFollowers = make(map[string]bool, maxStoreFollowers)
-	l.plan = distributionPlan{}
-	for rank := 0; len(l.storeFollowers) < min(maxStoreFollowers, len(vms)); rank++ {
-		for _, zone := range zones {
-			if rank < len(byZone[zone]) && len(l.storeFollowers) < maxStoreFollowers {
-				l.storeFollowers[byZone[zone][rank]] = true
-			}
-		}
-	}
-	if len(l.members) > maxDirectRecipients {
-		l.plan = planDistribution(l.members, l.storeFollowers, l.self.Address)
-	}
-}
-
 // updateWatchers starts and stops the store watchers. A daemon watches the store if
 // it leads, if the leader tells it to, or while neither a leader nor a store follower
 // responds.
@@ -273,54 +227,6 @@
 	l.multicast(peer.SpreadRequest{Servers: list}, func(vm string) bool { return pending[vm] })
 }
 
-// announceServers sends the changes of the leader's server list to a large fleet, whose
-// reports are too far apart to wait for them.
-func (l *loop) announceServers() {
-	if len(l.members) <= maxDirectRecipients {
-		return
-	}
-	l.relay.update(l.servers)
-	base := l.relay.announced
-	l.relay.announced = l.relay.revision
-	if base == 0 || base == l.relay.revision {
-		return // Daemons without a list get the complete one.
-	}
-	changed, removed := l.relay.changesSince(base)
-	l.broadcast(peer.SpreadRequest{Changes: &peer.ServerChanges{Source: l.source(), Base: base, Revision: l.relay.revision, Servers: changed, Removed: removed}})
-}
-
-// applyServerChanges processes changes of the leader's server list. If it lacks earlier
-// ones, the next report brings all.
-func (l *loop) applyServerChanges(changes *peer.ServerChanges) {
-	r := &l.relay
-	if l.leading || changes.Source != r.source || r.seenRevision < changes.Base || r.seenRevision >= changes.Revision {
-		return
-	}
-	now := l.clock()
-	l.setRelayedListTime(now)
-	l.applyServers(now, r.apply(&peer.ReportResponse{Source: changes.Source, Revision: changes.Revision, Servers: changes.Servers, Removed: changes.Removed}))
-}
-
-// applyServerList processes a complete server list received from a peer, which was
-// read from the store the given time ago.
-func (l *loop) applyServerList(list *peer.ServerList, age time.Duration) {
-	var servers []model.Server
-	text, err := decompress(list.Compressed)
-	if err == nil {
-		err = json.Unmarshal(text, &servers)
-	}
-	if err != nil {
-		l.log.Event(event.RecordIgnored, err.Error(), zap.String("key", "servers of "+list.Source))
-		return
-	}
-	if l.leading || list.Source == l.relay.source && list.Revision <= l.relay.seenRevision {
-		return
-	}
-	now := l.clock()
-	l.setRelayedListTime(now - age)
-	l.applyServers(now, l.relay.apply(&peer.ReportResponse{Source: list.Source, Revision: list.Revision, Full: true, Servers: servers}))
-}
-
 // scheduleReport makes the next report due within reportJitter.
 func (l *loop) scheduleReport() {
 	l.nextReport = min(l.nextReport, l.clock()+rand.N(reportJitter))
