gateway: a VM whose leader has no recent server list asks a store follower

VMs with store followers to ask neither read the store nor asked, so that they would not learn that a server leaves until the next leader.

Now such a response makes a VM ask a follower, and the first follower of a zone reads the list for the zone once its own is old, without the random delay of the others.

"TestDaemonAsksAFollowerWhileTheLeaderHasNoRecentServerList" fails without the call and passes with it.

--- a/gateway/run/announce_test.go
+++ b/gateway/run/announce_test.go
@@ -13,10 +13,14 @@
 	"guavacrank.example/gateway/peer"
 )
 
-// recordingPeer is a peer that records the updates that it receives.
-type recordingPeer struct{ updates chan *peer.SpreadRequest }
+// recordingPeer is a peer that records the updates and reports that it receives.
+type recordingPeer struct {
+	updates chan *peer.SpreadRequest
+	queries chan *peer.Report
+}
 
-func (recordingPeer) Report(context.Context, *peer.Report) (*peer.ReportResponse, error) {
+func (p recordingPeer) Report(_ context.Context, report *peer.Report) (*peer.ReportResponse, error) {
+	p.queries <- report
 	return &peer.ReportResponse{}, nil
 }
 
@@ -36,7 +40,7 @@
 // newLeaderOfLargeFleet returns a leader with listed servers whose members are all the
 // returned peer.
 func newLeaderOfLargeFleet(t *testing.T, servers int) (*loop, recordingPeer) {
-	recorder := recordingPeer{make(chan *peer.SpreadRequest, 100)}
+	recorder := recordingPeer{make(chan *peer.SpreadRequest, 100), make(chan *peer.Report, 100)}
 	server := httptest.NewServer(peer.NewHandler(recorder))
 	t.Cleanup(server.Close)
 	l := newRelayLoop(t, servers)
--- a/gateway/run/fallback.go
+++ b/gateway/run/fallback.go
@@ -123,6 +123,8 @@
 const (
 	// readIfStale reads it once the list received from a peer is out of date.
 	readIfStale listReading = iota
+	// readForZoneIfStale does the same for the daemons of the own zone.
+	readForZoneIfStale
 	// readForZone reads it for the daemons of the own zone, as no leader responds.
 	readForZone
 	// readNever leaves it to a store follower.
@@ -131,11 +133,14 @@
 
 // chooseListReading chooses according to who responds to this daemon.
 func (l *loop) chooseListReading() listReading {
+	follower := slices.Contains(l.distribution.Followers, l.self.Address)
 	switch {
 	case !l.needsStore():
 		return readNever
-	case l.relay.reportFailures > 0 && slices.Contains(l.distribution.Followers, l.self.Address):
+	case follower && l.relay.reportFailures > 0:
 		return readForZone
+	case follower:
+		return readForZoneIfStale
 	default:
 		return readIfStale
 	}
--- a/gateway/run/fallback_test.go
+++ b/gateway/run/fallback_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"guavacrank.example/gateway/leader"
 	"guavacrank.example/gateway/peer"
 )
 
@@ -27,6 +28,8 @@
 	l.self.Address = "first"
 	g.Expect(l.followersToAsk()).To(BeEmpty())
 	g.Expect(l.chooseListReading()).To(Equal(readForZone))
+	l.relay.reportFailures = 0
+	g.Expect(l.chooseListReading()).To(Equal(readForZoneIfStale), "a leader that has lost the store may respond with an old list")
 }
 
 func TestDirectReadsOfAllDaemonsAreSpread(t *testing.T) {
@@ -82,6 +85,22 @@
 	g.Expect(passedOn.Revision).To(Equal(list.Revision), "the daemon continues with the leader's changes")
 }
 
+func TestDaemonAsksAFollowerWhileTheLeaderHasNoRecentServerList(t *testing.T) {
+	g := NewWithT(t)
+	l, recorder := newLeaderOfLargeFleet(t, 0)
+	l.leading = false
+	l.distribution.Followers = []string{l.members["0"].address}
+	l.campaign = leader.New(leader.Options{})
+	l.configurationWatcher = newStoreWatcher(nil, "", nil)
+	old := l.relayedListTTL().Milliseconds()
+	l.applyLeaderResponse(&peer.ReportResponse{Leading: true, Source: "leader", Revision: 1, Full: true, ListAgeMS: old - 100})
+	g.Consistently(recorder.queries, 100*time.Millisecond).ShouldNot(Receive())
+	l.applyLeaderResponse(&peer.ReportResponse{Leading: true, Source: "leader", Revision: 1, ListAgeMS: old})
+	var query *peer.Report
+	g.Eventually(recorder.queries, time.Second).Should(Receive(&query))
+	g.Expect(query.ToFollower).To(BeTrue())
+}
+
 // An earlier leader that is a store follower must not take the questions of daemons for
 // reports: it would believe that a majority still follows it.
 func TestAQuestionToAFollowerIsNoReport(t *testing.T) {
--- a/gateway/run/polling.go
+++ b/gateway/run/polling.go
@@ -67,7 +67,7 @@
 		return leaderServerPollInterval
 	}
 	bytes := time.Duration(totalBytes(read))
-	if listReading(l.listReading.Load()) == readForZone {
+	if reading := listReading(l.listReading.Load()); reading == readForZone || reading == readForZoneIfStale {
 		return max(serverPollInterval, bytes*time.Second/maxZoneServerBytesPerSec)
 	}
 	return max(serverPollInterval, l.fleetReadTime(bytes))
--- a/gateway/run/responses.go
+++ b/gateway/run/responses.go
@@ -82,6 +82,8 @@
 		if age < l.relayedListTTL() {
 			l.setRelayedListTime(now - age)
 			l.applyServers(now, listed)
+		} else {
+			l.askFollower() // The leader has lost the store.
 		}
 	}
 	l.followsStore = response.FollowStore
