gateway: a new leader announces what its first read of the server list shows

Cause: the changes of a leader's first read were taken for the complete list and not announced. VMs that had reported before that read had the list from before, and waited for their next report.

Now changes are counted from the list as it was before each read. "TestNewLeaderAnnouncesWhatItsFirstReadShows" failed before and passes now.

--- a/gateway/run/announce_test.go
+++ b/gateway/run/announce_test.go
@@ -70,6 +70,22 @@
 	g.Consistently(recorder.updates, 100*time.Millisecond).ShouldNot(Receive(), "nothing has changed")
 }
 
+// The responses to the first reports after an election bring the list that the new leader
+// had before it read the store.
+func TestNewLeaderAnnouncesWhatItsFirstReadShows(t *testing.T) {
+	g := NewWithT(t)
+	l, recorder := newLeaderOfLargeFleet(t, 0)
+	l.relay = newRelay()
+	listed := []model.Server{{ID: "a", Service: "s", Address: "a:1"}, {ID: "b", Service: "s", Address: "b:1"}}
+	l.servers.update(l.clock(), listed)
+	l.leaderResponse(&peer.Report{VM: "0"})
+	listed[0].Draining = true
+	l.applyServers(l.clock()+leaderServerPollInterval, listed)
+	var update *peer.SpreadRequest
+	g.Eventually(recorder.updates, time.Second).Should(Receive(&update))
+	g.Expect(update.Changes.Servers).To(ConsistOf(HaveField("Draining", true)))
+}
+
 func TestServerChangesApplyToTheListThatTheyChange(t *testing.T) {
 	g := NewWithT(t)
 	follower := newRelayLoop(t, 0)
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -34,8 +34,6 @@
 	// compressed is the complete list at some revision, created on demand.
 	tableReadAt time.Duration
 	compressed  *peer.ServerList
-	// announced is the revision up to which the changes were sent to a large fleet.
-	announced uint64
 
 	// source, seenRevision and servers are the list received from a leader.
 	source       string
--- a/gateway/run/server_updates.go
+++ b/gateway/run/server_updates.go
@@ -52,9 +52,8 @@
 	if len(l.members) <= maxDirectRecipients {
 		return
 	}
+	base := l.relay.revision
 	l.relay.update(l.servers)
-	base := l.relay.announced
-	l.relay.announced = l.relay.revision
 	if base == 0 || base == l.relay.revision {
 		return // Daemons without a list get the complete one.
 	}
