traffic/front: a request that its server sheds is refused after its attempts

A shed request is now sent again at most as often as the class allows, and ends at once if the budget allows no more. Refusals that a newer route can end wait as before.

--- a/traffic/front/run.go
+++ b/traffic/front/run.go
@@ -75,6 +75,8 @@
 	switch result.code {
 	case verdict.CodeQueueFull, verdict.CodeTooLate:
 		return !c.service.DividedByKey && c.attempt < c.settings().MaxAttempts
+	case verdict.CodeShed:
+		return c.attempt < c.settings().MaxAttempts
 	default:
 		return isRoutingRefusal(result.code) || c.attempt < c.settings().MaxAttempts || c.service.DividedByKey
 	}
@@ -120,7 +122,7 @@
 			if c.service.state.budget.Spend() {
 				return true
 			}
-			if result.verdict == verdict.MayHaveRun {
+			if result.verdict == verdict.MayHaveRun || result.code == verdict.CodeShed {
 				return false
 			}
 			timer.Reset(maxBackoff)
