dispatch: tests of requests beyond a server's limit; two names made plain

The decision at the place where requests are sent had tests over TCP only. A variable in gateway/peer is called after what it holds; a bound that could never apply is gone from gateway/limit.

--- a/gateway/dispatch/dispatch_test.go
+++ b/gateway/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -32,11 +33,15 @@
 }
 
 func (testCodec) ReadResponse(status int, header http.Header) port.ResponseHead {
+	limit, err := strconv.ParseFloat(header.Get("Limit"), 64)
 	return port.ResponseHead{
 		NotRun:      header.Get("Not-Run") != "",
 		Misdirected: status == http.StatusMisdirectedRequest,
 		Server:      header.Get("Is"),
 		Signed:      header.Get("Proof") != "",
+
+		Limited:           err == nil,
+		RequestsPerSecond: limit,
 	}
 }
 
--- a/gateway/limit/admission.go
+++ b/gateway/limit/admission.go
@@ -111,7 +111,7 @@
 // limit together.
 func (a *Admission) takeEqualPart(now time.Duration, vms int) bool {
 	rate := a.equalPart(vms)
-	a.tokens = min(a.tokens+rate*(now-a.tokensAt).Seconds(), max(rate*idleBurst.Seconds(), 0))
+	a.tokens = min(a.tokens+rate*(now-a.tokensAt).Seconds(), rate*idleBurst.Seconds())
 	a.tokensAt = now
 	if a.tokens >= 1 {
 		a.tokens--
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -308,7 +308,7 @@
 
 func call[Req, Res any](ctx context.Context, c *Client, address, procedure string, message *Req) (*Res, error) {
 	timeout := callTimeout
-	if large, ok := any(message).(*SpreadRequest); ok && (large.Record != nil || large.Servers != nil) {
+	if update, ok := any(message).(*SpreadRequest); ok && (update.Record != nil || update.Servers != nil) {
 		timeout = spreadTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
