gateway: many changes of the server list are not announced one by one

Suspected cause, from reading: when servers come in hundreds, changes went along the tree uncompressed, where the complete list is compressed and sent once. More than maxListedChanges are left to that list now, as for responses. The test fails without the bound.

--- a/gateway/run/announce_test.go
+++ b/gateway/run/announce_test.go
@@ -86,6 +86,17 @@
 	g.Expect(update.Changes.Servers).To(ConsistOf(HaveField("Draining", true)))
 }
 
+func TestManyServerChangesWaitForTheCompleteList(t *testing.T) {
+	g := NewWithT(t)
+	l, recorder := newLeaderOfLargeFleet(t, 1)
+	listed := l.servers.ofService("s")
+	for at := range maxListedChanges + 1 {
+		listed = append(listed, model.Server{ID: fmt.Sprintf("n-%d", at), Service: "s", Address: fmt.Sprintf("n:%d", at)})
+	}
+	l.applyServers(l.clock()+leaderServerPollInterval, listed)
+	g.Consistently(recorder.updates, 200*time.Millisecond).ShouldNot(Receive(), "the complete list is smaller, because it is compressed")
+}
+
 func TestServerChangesApplyToTheListThatTheyChange(t *testing.T) {
 	g := NewWithT(t)
 	follower := newRelayLoop(t, 0)
--- a/gateway/run/server_updates.go
+++ b/gateway/run/server_updates.go
@@ -54,8 +54,9 @@
 	}
 	base := l.relay.revision
 	l.relay.update(l.servers)
-	if base == 0 || base == l.relay.revision {
-		return // Daemons without a list get the complete one.
+	count := l.relay.revision - base
+	if base == 0 || count == 0 || count > maxListedChanges {
+		return // Daemons that lack the list or many changes get the complete, compressed list.
 	}
 	changed, removed := l.relay.changesSince(base)
 	l.broadcast(peer.SpreadRequest{Changes: &peer.ServerChanges{Source: l.source(), Base: base, Revision: l.relay.revision, Servers: changed, Removed: removed}})
