keys: late grants of an earlier leader count after newer ones were accepted

Two servers held a key (OWNER). Cause: once a server had accepted a grant of the new leader, grants of the earlier one were taken for refused. A grant without a response may be applied seconds later, after newer ones, and its time counts from its arrival; an earlier leader that can't be asked goes on sending them. Besides, a call of an earlier leader that has stopped may be in transit for longer than its timeout, as the leader's own calls are assumed to be. Change: a prior holder's bound always includes that of the earlier leaders; the end of an earlier leader counts from MaxCallDelay after its last call. Cost: keys of a server that is lost after a takeover from a leader that can't be asked wait until that leader is known to have stopped, as those of servers lost before it did.

--- a/gateway/keys/machine_test.go
+++ b/gateway/keys/machine_test.go
@@ -244,6 +244,30 @@
 		Expect(sim.violations).To(BeEmpty())
 	})
 
+	It("counts late grants of an earlier leader to a server that has accepted newer ones", func() {
+		sim, earlier := startSimulation(51, 5)
+		sim.isolateLeaders()
+		sim.lateFor = earlier
+		first := sim.page.Fence
+		sim.addLeader("b")
+		server := sim.servers[model.Incarnation{ID: "i-2", Born: 1000}]
+		granted, late := false, false
+		sim.onGrant = func(call keys.GrantCall) {
+			if call.Incarnation == server.Incarnation() {
+				granted = granted || call.Fence > first
+				late = granted && call.Fence == first
+			}
+		}
+		for !late {
+			sim.run(tickInterval)
+		}
+		sim.run(2 * tickInterval)
+		server.unreachable = true
+		sim.run(20*time.Second, "i-2")
+		Expect(sim.violations).To(BeEmpty())
+		Expect(sim.unowned()).To(BeZero())
+	})
+
 	It("raises all fences after a change of leaders, so that the earlier leader's are refused", func() {
 		sim, first := startSimulation(7, 4)
 		fence := sim.page.Fence
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -43,6 +43,8 @@
 	asking      map[*keys.Machine]bool
 	// lateShare is the share of grants that are applied late and not answered.
 	lateShare float64
+	// lateFor, if set, is a leader all of whose grants are.
+	lateFor *keys.Machine
 	// refusedShare is the share of calls whose connection a running server
 	// refuses, as one with a full backlog of connections appears to do.
 	refusedShare float64
@@ -144,7 +146,7 @@
 			earlier.Stop()
 			sim.after(sim.networkDelay(), func() {
 				sim.asking[earlier] = false
-				m.PredecessorEnded(leader.Incarnation, sim.now+keys.CallTimeout)
+				m.PredecessorEnded(leader.Incarnation, sim.now+keys.MaxCallDelay)
 			})
 		})
 	}
@@ -299,7 +301,7 @@
 	}
 	sim.after(sim.networkDelay(), func() {
 		arrived := sim.now
-		if sim.random.Float64() < sim.lateShare {
+		if sim.random.Float64() < sim.lateShare || m == sim.lateFor {
 			sim.after(time.Duration(sim.random.Int64N(int64(6*time.Second))), func() { sim.applyLate(server, call, arrived) })
 			sim.after(keys.CallTimeout-(arrived-sim.now), func() { m.StepGranted(sim.now, call, keys.Disconnected) })
 			return
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// CallTimeout is the timeout of a grant call.
-const CallTimeout = 500 * time.Millisecond
+const (
+	// CallTimeout is the timeout of a grant call.
+	CallTimeout = 500 * time.Millisecond
+	// MaxCallDelay is how long after its start a grant call may arrive.
+	MaxCallDelay = CallTimeout + transitTime
+)
 
 // holderBound bounds how long the grants of a prior holder may be valid.
 type holderBound struct {
@@ -16,9 +20,6 @@
 	// latestUnanswered is the same for unanswered grants, which the server may
 	// apply after a release.
 	latestUnanswered time.Duration
-	// fromPredecessors reports that the holder is not known to have accepted a
-	// grant of this leader, so that grants of earlier leaders count too.
-	fromPredecessors bool
 	// pending holds the start times of calls in flight, by call ID.
 	pending map[uint64]time.Duration
 }
@@ -41,22 +42,18 @@
 // grant of the range may be sent after it.
 func (m *Machine) boundOf(r Range) holderBound {
 	row := m.row(r.Owner.Incarnation)
-	grant, sent := row.granted[r.From]
 	return holderBound{
 		latestArrival:    row.latestArrival,
 		latestUnanswered: row.latestUnanswered,
-		fromPredecessors: !sent || !grant.accepted || grant.fence != r.Owner.Fence,
 		pending:          maps.Clone(row.inFlight),
 	}
 }
 
-// latestArrival returns the latest time at which any grant may have arrived. It is
+// latestArrival returns the latest time at which any grant may have arrived. A grant of
+// an earlier leader may be applied late, when its server has accepted newer ones. It is
 // computed on use because the end of earlier leaders may become known later.
 func (m *Machine) latestArrival(bound holderBound) time.Duration {
-	if bound.fromPredecessors {
-		return max(bound.latestArrival, m.predecessorBound())
-	}
-	return bound.latestArrival
+	return max(bound.latestArrival, m.predecessorBound())
 }
 
 // latestUnanswered returns the latest time at which an unanswered grant may have
@@ -69,10 +66,7 @@
 // returns the handover token that it gave on release.
 func (m *Machine) priorEnded(r Range, prior Holder) (ended bool, handover string) {
 	key := holderKey{r.From, r.To, prior.Incarnation, prior.Fence}
-	bound, known := m.bounds[key]
-	if !known {
-		bound = holderBound{fromPredecessors: true}
-	}
+	bound := m.bounds[key]
 	if len(bound.pending) > 0 {
 		return false, "" // The grant could reach a later process at the same address.
 	}
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -87,7 +87,7 @@
 	}
 	for service, machine := range l.machines {
 		if len(machine.Predecessors()) > 0 {
-			machine.PredecessorsEnded(now + majorityWindow + keys.CallTimeout)
+			machine.PredecessorsEnded(now + majorityWindow + keys.MaxCallDelay)
 			l.log.Event(event.PredecessorStopped, "more than two thirds of the daemons report to this leader", zap.String("service", service), zap.Int("reported", reported))
 		}
 	}
@@ -196,7 +196,7 @@
 	cause, until := "the process has ended: another one responds at its address", l.clock()
 	if y.response.Incarnation == y.predecessor.Incarnation {
 		// Calls that it has already sent may still arrive.
-		cause, until = "it confirmed that it has stopped", until+keys.CallTimeout
+		cause, until = "it confirmed that it has stopped", until+keys.MaxCallDelay
 	}
 	for _, machine := range l.machines {
 		machine.PredecessorEnded(y.predecessor.Incarnation, until)
