--- a/event/gateway.go
+++ b/event/gateway.go
@@ -35,6 +35,8 @@
 	CallerLeft            Number = 735
 	GatewayLinesDropped   Number = 740
 	GatewayListenerFailed Number = 741
+	StoreRestored         Number = 742
+	LeaderConsulted       Number = 743
 )
 
 // gatewayEvents defines the events of the gateway area.
@@ -72,4 +74,6 @@
 	{CallerLeft, "caller-left", Info, "The caller closed its connection before the response; the backend server's work was canceled."},
 	{GatewayLinesDropped, "gateway-lines-left-out", Warn, "Log lines were dropped because the output queue was full or the rate limit was reached; the field lines gives their number."},
 	{GatewayListenerFailed, "gateway-listener-failed", Error, "A listener of this process failed; the process exits."},
+	{StoreRestored, "store-restored", Warn, "The store was restored from an earlier copy and has lost changes, since its era has risen; the fields give the new and the previous era."},
+	{LeaderConsulted, "leader-consulted", Info, "After a restoration of the store, the new leader of the era has asked the other daemons for the newest ownership page of a service; confirmed says that no later page is possible, otherwise keys are granted only after all earlier grants have expired."},
 }
--- a/gateway/keys/encode.go
+++ b/gateway/keys/encode.go
@@ -13,6 +13,7 @@
 // storedPage is the stored form of a page. Every VM reads every version of it, so
 // it is compact: each server is listed once, and ranges are rows of numbers.
 type storedPage struct {
+	Stamp
 	Fence             uint64         `json:"fence"`
 	Writer            Leader         `json:"writer"`
 	Predecessors      []Leader       `json:"earlier,omitempty"`
@@ -41,12 +42,12 @@
 
 // head returns the stored form without ranges.
 func (p *Page) head() *storedPage {
-	return &storedPage{Fence: p.Fence, Writer: p.Writer, Predecessors: p.Predecessors, WriteID: p.WriteID, MaxGrantTTLMillis: p.MaxGrantTTL.Milliseconds()}
+	return &storedPage{Stamp: p.Stamp, Fence: p.Fence, Writer: p.Writer, Predecessors: p.Predecessors, WriteID: p.WriteID, MaxGrantTTLMillis: p.MaxGrantTTL.Milliseconds()}
 }
 
 // page returns the decoded page without ranges.
 func (s *storedPage) page() Page {
-	return Page{Fence: s.Fence, Writer: s.Writer, Predecessors: s.Predecessors, WriteID: s.WriteID, MaxGrantTTL: time.Duration(s.MaxGrantTTLMillis) * time.Millisecond}
+	return Page{Stamp: s.Stamp, Fence: s.Fence, Writer: s.Writer, Predecessors: s.Predecessors, WriteID: s.WriteID, MaxGrantTTL: time.Duration(s.MaxGrantTTLMillis) * time.Millisecond}
 }
 
 // holders returns the part of a row that lists the owner and the prior holders.
--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -55,12 +55,19 @@
 
 	leading      bool
 	leadingSince time.Duration
-	renewOnly    bool // The store is out of reach: renew grants, change nothing.
-	adopted      bool // Every range has a fence of this leader.
+	renewOnly    bool        // The store is out of reach: renew grants, change nothing.
+	adopted      bool        // Every range has a fence of this leader.
+	era          kvstore.Era // The store's era in which this machine leads.
+	consulting   bool        // StepConsulted is awaited.
+	consulted    bool        // It came in this era.
+	stored       *Page       // While consulting: the page that was read.
+	settlement   settlement
 	predecessors predecessors
 	pageKnown    bool
 	page         *Page
 	version      kvstore.Version
+	shortTTL     time.Duration // The TTL of grants until longTTLFrom.
+	longTTLFrom  time.Duration // From then on the page's TTL is used.
 	writing      *Page
 	changing     map[uint16]bool // First keys of the ranges that writing changes.
 	writeUnknown bool            // The outcome of a write is unknown: read the page.
@@ -107,10 +114,17 @@
 	}
 }
 
-// Lead makes this machine the leader. It reads the page before anything else.
-func (m *Machine) Lead(now time.Duration) {
+// Lead makes this machine the leader in an era of the store. It reads the page before
+// anything else. A machine that leads in an earlier era goes on renewing its grants.
+func (m *Machine) Lead(now time.Duration, era kvstore.Era) {
 	m.now = now
+	if m.leading && m.adopted && m.page != nil && era > m.era {
+		m.continueInEra(era)
+		return
+	}
 	m.leading, m.leadingSince = true, now
+	m.era, m.consulting, m.consulted, m.settlement = era, false, false, settled
+	m.longTTLFrom = 0
 	m.renewOnly, m.adopted = false, false
 	m.predecessors = predecessors{ended: make(map[string]bool)}
 	m.pageKnown, m.page, m.writing, m.writeUnknown, m.reading = false, nil, nil, false, false
@@ -129,6 +143,12 @@
 // Stop ends this machine's leadership.
 func (m *Machine) Stop() { m.leading = false }
 
+// Settled reports whether this machine leads and knows the newest page.
+func (m *Machine) Settled() bool {
+	noPage := m.pageKnown && m.page == nil && m.settlement == settled
+	return m.leading && (m.adopted || noPage)
+}
+
 // Leading reports whether this machine leads.
 func (m *Machine) Leading() bool { return m.leading }
 
@@ -165,7 +185,7 @@
 }
 
 func (m *Machine) runRead() {
-	if m.reading || m.now < m.retryStoreAt || m.renewOnly {
+	if m.reading || m.consulting || m.now < m.retryStoreAt || m.renewOnly {
 		m.runRenewals()
 		return
 	}
--- a/gateway/keys/machine_test.go
+++ b/gateway/keys/machine_test.go
@@ -9,6 +9,7 @@
 
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/model"
+	"guavacrank.example/kvstore"
 )
 
 // startSimulation returns a simulation in which a leader has assigned all keys.
@@ -156,7 +157,7 @@
 				m.Tick(sim.now)
 				ready := m.Ready()
 				if ready.Read {
-					m.StepRead(sim.now, sim.page, sim.version)
+					m.StepRead(sim.now, sim.page, sim.position())
 				}
 				if ready.Write != nil {
 					sim.write(m, *ready.Write)
@@ -174,7 +175,7 @@
 			}
 		}
 		tick(3*time.Second, func() bool { return len(inFlight) == 1 })
-		m.Lead(sim.now) // A new fence: the range is granted again while the first call is in flight.
+		m.Lead(sim.now, sim.era) // A new fence: the range is granted again while the first call is in flight.
 		tick(3*time.Second, func() bool { return len(inFlight) == 2 })
 		Expect(inFlight).To(HaveLen(2))
 		m.StepGranted(sim.now, inFlight[0], keys.TimedOut)
@@ -215,7 +216,7 @@
 			ready := m.Ready()
 			if ready.Write != nil && page == nil {
 				page = ready.Write
-				m.StepWritten(sim.now, sim.version+1, nil)
+				m.StepWritten(sim.now, page.Page.WriteID, kvstore.Position{Version: sim.version + 1}, nil)
 			}
 			for _, call := range ready.Releases {
 				Expect(call.Incarnation).NotTo(Equal(server.Incarnation()), "the renewal could arrive after the release")
--- a/gateway/keys/page.go
+++ b/gateway/keys/page.go
@@ -7,11 +7,14 @@
 	"time"
 
 	"guavacrank.example/gateway/model"
+	"guavacrank.example/kvstore"
 )
 
 // Page is the stored ownership table of one service. Its ranges are sorted and
 // cover every key exactly once.
 type Page struct {
+	// Stamp orders the page among all pages of the service.
+	Stamp
 	// Fence is the highest fence that any range ever had.
 	Fence uint64
 	// Writer is the leader that wrote the page.
@@ -26,6 +29,24 @@
 	Ranges      []Range
 }
 
+// Stamp orders the pages of a service by the time of their writing: by the era of the
+// store, then by their number. Unlike versions of the store, stamps stay comparable when
+// the store is restored from an earlier copy.
+type Stamp struct {
+	// Era is the store's era in which the page was written.
+	Era kvstore.Era `json:"era,omitempty"`
+	// Number is greater by one than that of the page that this one replaced.
+	Number uint64 `json:"number,omitempty"`
+}
+
+// Before reports whether s is earlier than other.
+func (s Stamp) Before(other Stamp) bool {
+	if s.Era != other.Era {
+		return s.Era < other.Era
+	}
+	return s.Number < other.Number
+}
+
 // Leader identifies one process as a leader.
 type Leader struct {
 	VM string `json:"vm"`
@@ -52,6 +73,10 @@
 	Fence   uint64
 }
 
+// unknownHolder stands for all servers that may hold the keys of a range by pages that
+// are not known any more.
+var unknownHolder = Holder{}
+
 // Contains reports whether the key lies in the range.
 func (r Range) Contains(key uint16) bool { return r.From <= key && key <= r.To }
 
--- a/gateway/keys/ready.go
+++ b/gateway/keys/ready.go
@@ -10,6 +10,9 @@
 type Ready struct {
 	// Read asks to read the page.
 	Read bool
+	// Consult asks for the newest page that any VM knows, because the store was
+	// restored since the stored page was written. StepConsulted takes the response.
+	Consult bool
 	// Write, if set, asks to write the page by compare-and-swap.
 	Write *PageWrite
 	// Grants, Releases and Probes are calls to send to servers.
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -35,6 +35,8 @@
 	servers map[model.Incarnation]*fakeServer
 	page    *keys.Page
 	version kvstore.Version
+	// era is the store's era; zero for a store without eras.
+	era     kvstore.Era
 	leaders []*keys.Machine
 	// byName holds the leaders by VM name. Leaders in unreachable can't be asked
 	// to stop.
@@ -63,7 +65,9 @@
 	// lostWriteShare is the share of writes that are applied and not answered.
 	lostWriteShare float64
 	// onGrant, if set, is called for each grant that is sent.
-	onGrant    func(call keys.GrantCall)
+	onGrant func(call keys.GrantCall)
+	// known is the newest page that the VMs know.
+	known      *keys.Page
 	violations []string
 	highest    map[uint16]fenceSeen
 }
@@ -115,7 +119,7 @@
 		MaxGrantTTL:        2 * grantTTL,
 		PredecessorTimeout: predecessorTimeout,
 	})
-	m.Lead(sim.now)
+	m.Lead(sim.now, sim.era)
 	sim.leaders = append(sim.leaders, m)
 	sim.byName[name] = m
 	return m
@@ -208,11 +212,19 @@
 	}
 }
 
+// position returns the position of the store's page.
+func (sim *simulation) position() kvstore.Position {
+	return kvstore.Position{Era: sim.era, Version: sim.version}
+}
+
 func (sim *simulation) execute(m *keys.Machine) {
 	ready := m.Ready()
 	if ready.Read {
-		page, version := sim.page, sim.version
-		sim.after(sim.networkDelay(), func() { m.StepRead(sim.now, page, version) })
+		page, position := sim.page, sim.position()
+		sim.after(sim.networkDelay(), func() { m.StepRead(sim.now, page, position) })
+	}
+	if ready.Consult {
+		sim.consult(m)
 	}
 	if ready.Write != nil {
 		sim.write(m, *ready.Write)
@@ -248,9 +260,12 @@
 	if err != nil {
 		panic(err)
 	}
+	id := write.Page.WriteID
 	sim.after(sim.networkDelay(), func() {
 		if write.Expected != sim.version {
-			sim.after(sim.networkDelay(), func() { m.StepWritten(sim.now, 0, &kvstore.Error{Kind: kvstore.KindConflict}) })
+			sim.after(sim.networkDelay(), func() {
+				m.StepWritten(sim.now, id, kvstore.Position{}, &kvstore.Error{Kind: kvstore.KindConflict})
+			})
 			return
 		}
 		page, err := keys.Decode(stored)
@@ -259,14 +274,17 @@
 			return
 		}
 		sim.page, sim.version = page, sim.version+1
-		version := sim.version
+		position := sim.position()
 		if sim.random.Float64() < sim.lostWriteShare {
 			sim.after(time.Second, func() {
-				m.StepWritten(sim.now, 0, &kvstore.Error{Outcome: kvstore.OutcomeUnknown})
+				m.StepWritten(sim.now, id, kvstore.Position{}, &kvstore.Error{Outcome: kvstore.OutcomeUnknown})
 			})
 			return
 		}
-		sim.after(sim.networkDelay(), func() { m.StepWritten(sim.now, version, nil) })
+		sim.after(sim.networkDelay(), func() {
+			m.StepWritten(sim.now, id, position, nil)
+			sim.spread(page)
+		})
 	})
 }
 
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -66,33 +66,38 @@
 	return row
 }
 
-// StepRead takes the stored page, or nil if there is none.
-func (m *Machine) StepRead(now time.Duration, page *Page, version kvstore.Version) {
+// StepRead takes the stored page, or nil if there is none, and the position at which it
+// was written, as read in the era of the position.
+func (m *Machine) StepRead(now time.Duration, page *Page, position kvstore.Position) {
 	m.now = now
 	m.reading = false
-	if !m.leading {
+	if !m.leading || position.Era != m.era {
 		return
 	}
 	if m.writing != nil && !m.writeUnknown {
 		return
 	}
+	m.version = position.Version
+	if m.needsConsultation(page) {
+		m.consult(page)
+		return
+	}
 	written := m.writing
 	m.writeUnknown, m.writing = false, nil
-	m.pageKnown, m.version = true, version
-	if page == nil {
+	m.pageKnown = true
+	switch {
+	case m.consulted && (page == nil || page.Era < m.era):
+		m.takeNewest(page, written) // The VMs know newer pages than the store.
+	case page == nil:
 		m.page = nil
-		return
-	}
-	if written != nil && page.WriteID == written.WriteID && page.Writer == written.Writer {
+	case written != nil && page.sameWrite(written):
 		m.page = page
 		m.adopted = true
-		return
-	}
-	if m.page == nil || page.Writer != m.options.Self {
+	default:
 		m.adopted = m.adopted && page.Writer == m.options.Self
+		m.page = page
+		m.addPredecessors(page)
 	}
-	m.page = page
-	m.addPredecessors(page)
 }
 
 // StepReadFailed takes a failure to read the page.
@@ -102,16 +107,19 @@
 	m.retryStoreAt = now + retryDelay
 }
 
-// StepWritten takes the outcome of a write.
-func (m *Machine) StepWritten(now time.Duration, version kvstore.Version, err error) {
+// StepWritten takes the outcome of the write with an ID.
+func (m *Machine) StepWritten(now time.Duration, writeID uint64, position kvstore.Position, err error) {
 	m.now = now
-	if m.writing == nil || !m.leading {
+	if !m.leading || m.writing == nil || m.writing.WriteID != writeID || m.writeUnknown {
 		return
 	}
 	switch {
+	case err == nil && position.Era != m.era:
+		m.writeUnknown, m.pageKnown = true, false // The store was restored meanwhile.
 	case err == nil:
-		m.page, m.version = m.writing, version
-		m.writing, m.adopted = nil, true
+		m.announceTTL(m.writing)
+		m.page, m.version = m.writing, position.Version
+		m.writing, m.adopted, m.settlement = nil, true, settled
 	case kvstore.IsKind(err, kvstore.KindConflict):
 		m.writing, m.pageKnown = nil, false
 	case kvstore.IsUnknown(err):
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -18,8 +18,10 @@
 	}
 	m.nextDraftAt = m.now + idleDraftInterval
 	b := &pageBuilder{Machine: m, page: draft, loads: m.loads()}
+	b.stampDraft()
 	b.create()
 	b.adopt()
+	b.recordUnknownHolders()
 	b.recordPredecessors()
 	b.extendTTL()
 	b.dropEndedPrior()
@@ -32,6 +34,7 @@
 	}
 	m.nextDraftAt = m.now + draftInterval
 	m.nextWriteID++
+	draft.Number++
 	draft.Writer, draft.WriteID = m.options.Self, m.nextWriteID
 	m.writing, m.changing = draft, changedRanges(m.page, draft)
 	m.ready.Write = &PageWrite{Expected: m.version, Page: draft}
@@ -40,7 +43,7 @@
 // draftNeeded reports whether the page may have to change. It is cheap: it does
 // not compute the servers' loads.
 func (m *Machine) draftNeeded() bool {
-	if m.page == nil || len(m.page.Ranges) == 0 || !m.adopted || m.now >= m.nextRebalanceAt || !slices.Equal(m.page.Predecessors, m.predecessors.active) {
+	if m.page == nil || len(m.page.Ranges) == 0 || !m.adopted || m.page.Era < m.era || m.now >= m.nextRebalanceAt || !slices.Equal(m.page.Predecessors, m.predecessors.active) {
 		return true
 	}
 	for _, r := range m.page.Ranges {
@@ -66,7 +69,7 @@
 // newFence returns the fence of this draft's changes, which is above all others.
 func (b *pageBuilder) newFence() uint64 {
 	if b.fence == 0 {
-		b.page.Fence++
+		b.page.Fence = max(b.page.Fence+1, firstFence(b.era))
 		b.fence = b.page.Fence
 	}
 	b.changed = true
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -24,8 +24,29 @@
 	pending map[uint64]time.Duration
 }
 
-// grantTTL returns the TTL of this leader's grants, as the committed page has it.
+// ttlNotice is how long a committed page announces a longer TTL before grants have it.
+// All VMs know the page by then: one that was restored from their knowledge names the
+// longest TTL of any grant.
+const ttlNotice = 3 * time.Second
+
+// announceTTL prepares for the TTL of a page that is replacing the current one.
+func (m *Machine) announceTTL(next *Page) {
+	if m.page == nil || next.MaxGrantTTL <= m.longestTTL() {
+		return
+	}
+	m.shortTTL, m.longTTLFrom = m.grantTTL(), m.now+ttlNotice
+}
+
+// grantTTL returns the TTL of this leader's grants.
 func (m *Machine) grantTTL() time.Duration {
+	if m.now < m.longTTLFrom {
+		return m.shortTTL
+	}
+	return m.longestTTL()
+}
+
+// longestTTL returns the longest TTL of any grant, as the committed page has it.
+func (m *Machine) longestTTL() time.Duration {
 	if m.page == nil {
 		return m.options.GrantTTL
 	}
@@ -35,7 +56,7 @@
 // maxGrantLifetime returns how long a grant of any leader may be valid at a server
 // with a slow clock.
 func (m *Machine) maxGrantLifetime() time.Duration {
-	return m.grantTTL() + m.grantTTL()*clockDriftPercent/100 + expiryMargin
+	return m.longestTTL() + m.longestTTL()*clockDriftPercent/100 + expiryMargin
 }
 
 // boundOf returns the bound of an owner's grants of one of its ranges. No further
@@ -65,6 +86,9 @@
 // priorEnded reports whether a prior holder can't hold a range any more, and
 // returns the handover token that it gave on release.
 func (m *Machine) priorEnded(r Range, prior Holder) (ended bool, handover string) {
+	if prior == unknownHolder {
+		return m.unknownHoldersEnded(), ""
+	}
 	key := holderKey{r.From, r.To, prior.Incarnation, prior.Fence}
 	bound := m.bounds[key]
 	if len(bound.pending) > 0 {
@@ -128,7 +152,9 @@
 	}
 	for _, r := range m.page.Ranges {
 		for _, prior := range r.Prior {
-			m.release(r, prior)
+			if prior != unknownHolder {
+				m.release(r, prior)
+			}
 		}
 	}
 }
--- a/gateway/leader/leader.go
+++ b/gateway/leader/leader.go
@@ -5,10 +5,17 @@
 // The leader renews the lease. An unreachable store does not end the leadership,
 // since no other VM can win it meanwhile; the user of the campaign decides by
 // LastContact how long to act without the store.
+//
+// A store that was restored from an earlier copy may have lost the key, name an earlier
+// leader, or give the ID of the lease to another VM. A leadership is therefore valid in
+// one era of the store only. In the next one its holder claims the key again at once,
+// and the record of an earlier era does not count.
 package leader
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -39,8 +46,10 @@
 	Store port.Store
 	// Key is the key that the leader holds.
 	Key string
-	// Value is written to the key; it must be unique to the process.
-	Value []byte
+	// Value returns what to write to the key in an era of the store. It must be
+	// unique to the process and the era. EraOf returns the era of such a value.
+	Value func(era kvstore.Era) []byte
+	EraOf func(value []byte) kvstore.Era
 	// MinLeaseTTL is the shortest TTL that the store grants.
 	MinLeaseTTL time.Duration
 	// Clock returns the elapsed time of this VM, including time suspended.
@@ -49,11 +58,12 @@
 
 // State is the known state of the leadership.
 type State struct {
-	// Held reports that this VM is the leader.
+	// Held reports that this VM is the leader, by what it knows of the era of Term.
 	Held bool
-	// Term is the store's version of the key. It grows with each leader.
-	Term kvstore.Version
-	// LastContact is when the last successful store call of the term was sent.
+	// Term is the position of the key's write. It grows with each leader.
+	Term kvstore.Position
+	// LastContact is when the last successful store call of the term was sent that
+	// the store answered in the era of Term.
 	LastContact time.Duration
 }
 
@@ -63,12 +73,17 @@
 
 	mu          sync.Mutex
 	state       State
+	era         kvstore.Era // The store's newest known era.
 	vacant      bool
 	disabled    bool
 	lowPriority bool
 	changed     chan struct{}
 	lease       kvstore.LeaseID
+	value       []byte // What the leader wrote to the key.
 	ttl         time.Duration
+	// leftoverSince is when the key was first seen to hold a record of an earlier era
+	// in this one; zero if it does not.
+	leftoverSince time.Duration
 }
 
 // New returns a campaign. Run starts it.
@@ -76,23 +91,58 @@
 	return &Campaign{options: options, changed: make(chan struct{}, 1), ttl: max(LeaseTTL, options.MinLeaseTTL)}
 }
 
-// Observe sets the newest observed value of the key; nil means that the key does
-// not exist.
-func (c *Campaign) Observe(value []byte) {
+// EnterEra tells the campaign the store's era.
+func (c *Campaign) EnterEra(era kvstore.Era) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.enterEra(era)
+}
+
+// enterEra records the store's newest era. The caller holds c.mu.
+func (c *Campaign) enterEra(era kvstore.Era) {
+	if era <= c.era {
+		return
+	}
+	c.era, c.leftoverSince = era, 0
+	c.wake()
+}
+
+// Observe sets the newest observed value of the key and the era in which it was read;
+// nil means that the key does not exist.
+func (c *Campaign) Observe(value []byte, era kvstore.Era) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.enterEra(era)
+	if era < c.era {
+		return
+	}
 	c.vacant = value == nil
-	if c.state.Held && string(value) != string(c.options.Value) {
+	leftover := value != nil && c.options.EraOf(value) < era
+	switch {
+	case !leftover:
+		c.leftoverSince = 0
+	case c.leftoverSince == 0:
+		c.leftoverSince = max(c.options.Clock(), 1)
+	}
+	if c.restored() && (value == nil || leftover) {
+		c.wake()
+		return // The leader of the earlier era claims the key again.
+	}
+	if c.state.Held && !bytes.Equal(value, c.value) {
 		c.state.Held = false
 	}
 	c.wake()
 }
 
+// restored says whether the store was restored after this VM had won the leadership.
+// The caller holds c.mu.
+func (c *Campaign) restored() bool { return c.state.Held && c.state.Term.Era < c.era }
+
 // Resign gives up the leadership. If permanently is set, the campaign never claims
 // it again.
 func (c *Campaign) Resign(ctx context.Context, permanently bool) error {
 	c.mu.Lock()
-	held, lease := c.state.Held, c.lease
+	held, lease, era := c.state.Held, c.lease, c.state.Term.Era
 	c.state.Held = false
 	c.disabled = c.disabled || permanently
 	c.mu.Unlock()
@@ -101,6 +151,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	if current, err := c.options.Store.KeepAlive(ctx, lease); err != nil || current != era {
+		return err // In another era the lease may be that of another VM.
+	}
 	return c.options.Store.Revoke(ctx, lease)
 }
 
@@ -138,25 +191,64 @@
 // Run claims and renews the leadership until ctx ends.
 func (c *Campaign) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		switch held, vacant := c.status(); {
-		case held:
+		switch action := c.nextAction(); action {
+		case actionRenew:
 			c.renew(ctx)
 			c.wait(ctx, c.ttl/renewalsPerTTL)
-		case vacant:
+		case actionReclaim:
+			c.reclaim(ctx)
+		case actionClaim, actionReplace:
 			c.wait(ctx, c.claimDelay())
-			if _, vacant := c.status(); vacant {
-				c.claim(ctx)
+			switch c.nextAction() {
+			case actionClaim:
+				c.claim(ctx, 0)
+			case actionReplace:
+				c.reclaim(ctx)
 			}
 		default:
-			c.wait(ctx, time.Hour)
+			c.wait(ctx, leftoverTTLs*c.ttl)
 		}
 	}
 }
 
-func (c *Campaign) status() (held, vacant bool) {
+// action is what a campaign does next.
+type action uint8
+
+const (
+	// actionWait waits until the key's value changes.
+	actionWait action = iota
+	// actionRenew renews the lease.
+	actionRenew
+	// actionReclaim claims the key in a new era, in which this VM led before.
+	actionReclaim
+	// actionClaim claims the vacant key.
+	actionClaim
+	// actionReplace claims the key that only a leader of an earlier era wrote.
+	actionReplace
+)
+
+// leftoverTTLs is how long a record of an earlier era stands, in TTLs of a lease, before
+// any VM may replace it. Its lease expires earlier, unless the restored store does not
+// expire it.
+const leftoverTTLs = 3
+
+func (c *Campaign) nextAction() action {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.Held, c.vacant && !c.disabled
+	switch {
+	case c.restored():
+		return actionReclaim
+	case c.state.Held:
+		return actionRenew
+	case c.disabled:
+		return actionWait
+	case c.vacant:
+		return actionClaim
+	case c.leftoverSince > 0 && c.options.Clock() >= c.leftoverSince+leftoverTTLs*c.ttl:
+		return actionReplace
+	default:
+		return actionWait
+	}
 }
 
 // wait waits for the given time, or until the state changes.
@@ -170,45 +262,79 @@
 	}
 }
 
-// claim writes the key with a new lease. If the outcome of the write is unknown,
-// reading the key resolves it.
-func (c *Campaign) claim(ctx context.Context) {
+// reclaim claims the key unless a leader of the current era holds it.
+func (c *Campaign) reclaim(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entry, err := c.options.Store.Get(callCtx, c.options.Key)
+	switch {
+	case kvstore.IsKind(err, kvstore.KindNotFound):
+		c.EnterEra(kvstore.EraOf(err))
+		c.claim(ctx, 0)
+	case err != nil:
+		c.EnterEra(kvstore.EraOf(err))
+		c.wait(ctx, retryDelay)
+	case c.options.EraOf(entry.Value) < entry.Era:
+		c.EnterEra(entry.Era)
+		c.claim(ctx, entry.Version)
+	default:
+		c.Observe(entry.Value, entry.Era)
+	}
+}
+
+// errRestored reports a claim during which the store was restored.
+var errRestored = errors.New("the store was restored from an earlier copy meanwhile")
+
+// claim writes the key with a new lease if its version is the expected one. If the
+// outcome of the write is unknown, reading the key resolves it.
+func (c *Campaign) claim(ctx context.Context, expected kvstore.Version) {
 	callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
-	lease, ttl, err := c.options.Store.GrantLease(callCtx, c.ttl)
+	lease, err := c.options.Store.GrantLease(callCtx, c.ttl)
 	if err != nil {
+		c.EnterEra(kvstore.EraOf(err))
 		c.wait(ctx, retryDelay)
 		return
 	}
+	value := c.options.Value(lease.Era)
 	sent := c.options.Clock()
-	term, err := c.options.Store.CompareAndSwap(callCtx, c.options.Key, 0, c.options.Value, lease)
+	term, err := c.options.Store.CompareAndSwap(callCtx, c.options.Key, expected, value, lease.ID)
 	if kvstore.IsUnknown(err) {
 		entry, readErr := c.options.Store.Get(callCtx, c.options.Key)
-		if readErr == nil && entry.Lease == lease {
-			term, err = entry.Version, nil
+		if readErr == nil && entry.Lease == lease.ID && bytes.Equal(entry.Value, value) {
+			term, err = kvstore.Position{Era: entry.Era, Version: entry.Version}, nil
 		}
 	}
+	if err == nil && term.Era != lease.Era {
+		err = &kvstore.Error{Op: "claim", Key: c.options.Key, Kind: kvstore.KindUnavailable, Era: term.Era, Err: errRestored}
+	}
 	if err != nil {
-		c.lost(kvstore.IsKind(err, kvstore.KindConflict))
+		c.lost(kvstore.IsKind(err, kvstore.KindConflict), kvstore.EraOf(err))
 		c.wait(ctx, retryDelay)
 		return
 	}
-	c.won(lease, ttl, sent, term)
+	c.won(lease, value, sent, term)
 }
 
-func (c *Campaign) won(lease kvstore.LeaseID, ttl, sent time.Duration, term kvstore.Version) {
+func (c *Campaign) won(lease kvstore.Lease, value []byte, sent time.Duration, term kvstore.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lease, c.ttl = lease, max(ttl, c.ttl)
+	c.enterEra(term.Era)
+	c.lease, c.value, c.ttl = lease.ID, value, max(lease.TTL, c.ttl)
 	c.vacant = false
+	c.leftoverSince = 0
 	c.state = State{Held: true, Term: term, LastContact: sent}
 }
 
 // lost records a failed claim. If the key is taken, Observe reports when it is
-// vacant again.
-func (c *Campaign) lost(taken bool) {
+// vacant again. A leader of an earlier era goes on claiming until it knows its successor.
+func (c *Campaign) lost(taken bool, era kvstore.Era) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.enterEra(era)
+	if c.restored() {
+		return
+	}
 	c.state.Held = false
 	c.vacant = c.vacant && !taken
 }
@@ -217,10 +343,13 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := c.options.Clock()
-	err := c.options.Store.KeepAlive(ctx, c.lease)
+	era, err := c.options.Store.KeepAlive(ctx, c.lease)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.enterEra(max(era, kvstore.EraOf(err)))
 	switch {
+	case c.restored():
+		// The response is about another lease, if any.
 	case err == nil:
 		c.state.LastContact = max(c.state.LastContact, sent)
 	case kvstore.IsKind(err, kvstore.KindNotFound):
--- a/gateway/leader/leader_test.go
+++ b/gateway/leader/leader_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -18,65 +20,90 @@
 type fakeStore struct {
 	port.Store
 	mu          sync.Mutex
-	version     kvstore.Version
+	era         kvstore.Era
+	revision    kvstore.Version // Grows with each write.
+	version     kvstore.Version // That of the key's last write.
 	value       []byte
 	holder      kvstore.LeaseID
 	leases      map[kvstore.LeaseID]time.Time
 	next        kvstore.LeaseID
+	ttl         time.Duration // Of leases, if longer than leaseTTL.
 	down        bool
 	loseReplies bool // Writes are applied, but their replies are lost.
 	watch       func(value []byte)
 }
 
+// value returns the values that a VM writes to the key.
+func value(vm string) func(kvstore.Era) []byte {
+	return func(era kvstore.Era) []byte { return fmt.Appendf(nil, "%d/%s", era, vm) }
+}
+
+// eraOf returns the era of such a value.
+func eraOf(value []byte) kvstore.Era {
+	text, _, _ := strings.Cut(string(value), "/")
+	era, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		panic(err)
+	}
+	return kvstore.Era(era)
+}
+
 const leaseTTL = 200 * time.Millisecond
 
 var errDown = &kvstore.Error{Kind: kvstore.KindUnavailable}
 
-func (f *fakeStore) GrantLease(context.Context, time.Duration) (kvstore.LeaseID, time.Duration, error) {
+func (f *fakeStore) GrantLease(context.Context, time.Duration) (kvstore.Lease, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return 0, 0, errDown
+		return kvstore.Lease{}, errDown
 	}
 	f.next++
-	f.leases[f.next] = time.Now().Add(leaseTTL)
-	return f.next, leaseTTL, nil
+	f.leases[f.next] = time.Now().Add(max(f.ttl, leaseTTL))
+	return kvstore.Lease{ID: f.next, TTL: leaseTTL, Era: f.era}, nil
 }
 
-func (f *fakeStore) CompareAndSwap(_ context.Context, _ string, expected kvstore.Version, value []byte, lease kvstore.LeaseID) (kvstore.Version, error) {
+func (f *fakeStore) CompareAndSwap(_ context.Context, _ string, expected kvstore.Version, value []byte, lease kvstore.LeaseID) (kvstore.Position, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return 0, errDown
+		return kvstore.Position{}, errDown
 	}
-	if f.value != nil {
-		return 0, &kvstore.Error{Kind: kvstore.KindConflict}
+	stored := f.version
+	if f.value == nil {
+		stored = 0
 	}
-	f.version++
-	f.value, f.holder = value, lease
+	if stored != expected {
+		return kvstore.Position{}, &kvstore.Error{Kind: kvstore.KindConflict, Era: f.era}
+	}
+	f.revision++
+	f.version, f.value, f.holder = f.revision, value, lease
 	if f.loseReplies {
-		return 0, &kvstore.Error{Outcome: kvstore.OutcomeUnknown}
+		return kvstore.Position{}, &kvstore.Error{Outcome: kvstore.OutcomeUnknown}
 	}
-	return f.version, nil
+	return kvstore.Position{Era: f.era, Version: f.version}, nil
 }
 
 func (f *fakeStore) Get(context.Context, string) (kvstore.Entry, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return kvstore.Entry{Value: f.value, Lease: f.holder, Version: f.version}, nil
+	if f.value == nil {
+		return kvstore.Entry{}, &kvstore.Error{Kind: kvstore.KindNotFound, Era: f.era}
+	}
+	return kvstore.Entry{Value: f.value, Lease: f.holder, Version: f.version, Era: f.era}, nil
 }
 
-func (f *fakeStore) KeepAlive(_ context.Context, lease kvstore.LeaseID) error {
+func (f *fakeStore) KeepAlive(_ context.Context, lease kvstore.LeaseID) (kvstore.Era, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return errDown
+		return 0, errDown
 	}
 	if _, known := f.leases[lease]; !known {
-		return &kvstore.Error{Kind: kvstore.KindNotFound}
+		return f.era, &kvstore.Error{Kind: kvstore.KindNotFound, Era: f.era}
 	}
-	f.leases[lease] = time.Now().Add(leaseTTL)
-	return nil
+	f.leases[lease] = time.Now().Add(max(f.ttl, leaseTTL))
+	return f.era, nil
 }
 
 func (f *fakeStore) Revoke(_ context.Context, lease kvstore.LeaseID) error {
@@ -125,11 +152,11 @@
 	var stops []context.CancelFunc
 	store.watch = func(value []byte) {
 		for _, c := range campaigns {
-			c.Observe(value)
+			c.Observe(value, store.era)
 		}
 	}
 	for i := range count {
-		campaigns = append(campaigns, leader.New(leader.Options{Store: store, Key: "k", Value: []byte(fmt.Sprint(i)),
+		campaigns = append(campaigns, leader.New(leader.Options{Store: store, Key: "k", Value: value(fmt.Sprint(i)), EraOf: eraOf,
 			Clock: func() time.Duration { return time.Since(started) }}))
 	}
 	for _, c := range campaigns {
@@ -162,7 +189,7 @@
 		stops[first]()
 		g.Eventually(func() bool {
 			for i, c := range campaigns {
-				if i != first && c.State().Held && c.State().Term > term {
+				if i != first && c.State().Held && c.State().Term.Version > term.Version {
 					return true
 				}
 			}
@@ -184,13 +211,13 @@
 		g := NewWithT(t)
 		store, campaigns, _ := start(t, 0)
 		store.loseReplies = true
-		c := leader.New(leader.Options{Store: store, Key: "k", Value: []byte("x"), Clock: func() time.Duration { return time.Second }})
+		c := leader.New(leader.Options{Store: store, Key: "k", Value: value("x"), EraOf: eraOf, Clock: func() time.Duration { return time.Second }})
 		ctx, cancel := context.WithCancel(context.Background())
 		t.Cleanup(cancel)
 		go c.Run(ctx)
-		c.Observe(nil)
+		c.Observe(nil, 0)
 		g.Eventually(func() bool { return c.State().Held }, "3s").Should(BeTrue())
-		g.Expect(c.State().Term).To(BeNumerically(">", 0))
+		g.Expect(c.State().Term.Version).To(BeNumerically(">", 0))
 		g.Expect(campaigns).To(BeEmpty())
 	})
 
@@ -205,7 +232,61 @@
 		time.Sleep(500 * time.Millisecond)
 		g.Expect(campaigns[0].State().Held).To(BeTrue())
 		g.Expect(campaigns[0].State().LastContact - contact).To(BeNumerically("<", 400*time.Millisecond))
-		campaigns[0].Observe([]byte("another"))
+		campaigns[0].Observe(value("another")(0), 0)
 		g.Expect(campaigns[0].State().Held).To(BeFalse())
 	})
 }
+
+// A restored store has lost the leader's key, or names an earlier leader in it.
+func TestLeaderClaimsAgainInTheNextEra(t *testing.T) {
+	for name, restored := range map[string][]byte{"key lost": nil, "key of an earlier leader": value("earlier")(1)} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			store, campaigns, _ := start(t, 3)
+			store.setEra(1, nil)
+			g.Eventually(func() []int { return leaders(campaigns) }, "3s").Should(HaveLen(1))
+			first := leaders(campaigns)[0]
+			g.Eventually(func() kvstore.Era { return campaigns[first].State().Term.Era }, "3s").Should(BeEquivalentTo(1))
+			store.setEra(2, restored)
+			g.Eventually(func() kvstore.Era { return campaigns[first].State().Term.Era }, "1s", "5ms").Should(BeEquivalentTo(2))
+			g.Consistently(func() []int { return leaders(campaigns) }, "500ms").Should(ConsistOf(first))
+		})
+	}
+}
+
+// The ID of the lost lease may be given to another VM, whose leadership must not end.
+func TestLeaderOfAnEarlierEraDoesNotEndTheLeaseOfAnother(t *testing.T) {
+	g := NewWithT(t)
+	store, campaigns, _ := start(t, 1)
+	store.setEra(1, nil)
+	g.Eventually(func() kvstore.Era { return campaigns[0].State().Term.Era }, "3s").Should(BeEquivalentTo(1))
+	store.mu.Lock()
+	store.era = 2 // The lease with this ID is that of another VM now.
+	store.mu.Unlock()
+	g.Expect(campaigns[0].Resign(context.Background(), true)).To(Succeed())
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	g.Expect(store.leases).NotTo(BeEmpty())
+}
+
+// A restored store may keep the key of a leader that has ended, without expiring it.
+func TestLeftoverOfAnEarlierEraIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	store := &fakeStore{leases: make(map[kvstore.LeaseID]time.Time), era: 2, revision: 7, version: 7, value: value("ended")(1)}
+	started := time.Now()
+	c := leader.New(leader.Options{Store: store, Key: "k", Value: value("x"), EraOf: eraOf, Clock: func() time.Duration { return time.Since(started) }})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go c.Run(ctx)
+	c.Observe(store.value, 2)
+	g.Consistently(func() bool { return c.State().Held }, leader.LeaseTTL).Should(BeFalse(), "its lease may not have expired yet")
+	g.Eventually(func() bool { return c.State().Held }, 8*leader.LeaseTTL).Should(BeTrue())
+}
+
+// setEra restores the store: only the given value of the key is left.
+func (f *fakeStore) setEra(era kvstore.Era, left []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.era, f.value, f.ttl = era, left, 2*leader.LeaseTTL
+	f.leases = make(map[kvstore.LeaseID]time.Time)
+}
--- a/gateway/model/settings.go
+++ b/gateway/model/settings.go
@@ -13,6 +13,11 @@
 	Listen  Listen
 	// Seeds are addresses of peers to contact at startup. They may be stale.
 	Seeds []string
+	// FirstStart says that the whole system is starting for the first time.
+	FirstStart bool
+	// HeartbeatInterval is how often a backend server writes its record; zero means
+	// unknown.
+	HeartbeatInterval time.Duration
 	// StoreAddress is the IP:port of the platform's store.
 	StoreAddress string
 	// MemoryBytes is the memory limit of the process.
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -14,6 +14,7 @@
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/limit"
 	"guavacrank.example/gateway/model"
+	"guavacrank.example/kvstore"
 )
 
 const (
@@ -45,9 +46,8 @@
 	// (model.Settings.Capacity).
 	Zone     string  `json:"zone"`
 	Capacity float64 `json:"strength"`
-	// Pages maps each service to the version of the ownership page that the
-	// sender has.
-	Pages map[string]uint64 `json:"pages,omitempty"`
+	// Pages maps each service to the stamp of the ownership page that the sender has.
+	Pages map[string]keys.Stamp `json:"pages,omitempty"`
 	// ConfigurationVersion is the version in force at the sender.
 	// WantConfiguration asks for the leader's version, which the sender did not
 	// get from the store.
@@ -107,6 +107,8 @@
 	Removed  []model.Incarnation `json:"gone,omitempty"`
 	// ListAgeMS is the time since the leader read the list from the store.
 	ListAgeMS int64 `json:"list_age_ms"`
+	// Era is the newest era of the store that the responding daemon knows.
+	Era kvstore.Era `json:"era,omitempty"`
 	// ConfigurationVersion is the newest version that the leader has. Record is
 	// the operators' record of it, sent if the receiver lacks it.
 	ConfigurationVersion uint64               `json:"configuration"`
@@ -138,7 +140,6 @@
 // StoredPage is the ownership page of a service, encoded as in the store.
 type StoredPage struct {
 	Service string          `json:"service"`
-	Version uint64          `json:"version"`
 	Page    json.RawMessage `json:"page"`
 }
 
@@ -153,8 +154,8 @@
 	Servers *ServerList `json:"servers,omitempty"`
 	// Changes are the newest changes of the leader's server list, if any.
 	Changes *ServerChanges `json:"changes,omitempty"`
-	// Offer is the version of the record of a configuration that the sender has. The
-	// response says whether the receiver lacks it.
+	// Offer is the version of a configuration that the sender has. The response says
+	// whether the receiver lacks it.
 	Offer uint64 `json:"offer,omitempty"`
 	// ForwardTo holds the addresses of the peers that the receiver is to reach.
 	ForwardTo []string `json:"onward,omitempty"`
@@ -164,8 +165,9 @@
 type ConfigurationRecord struct {
 	// Compressed is the record in gzip format.
 	Compressed []byte `json:"packed"`
-	// Version is the version of the record's key in the store.
-	Version uint64 `json:"version"`
+	// Position is where the record was read: the store's era, and the version of the
+	// record's key in it.
+	Position kvstore.Position `json:"position"`
 }
 
 // ServerList is a leader's complete server list.
@@ -188,25 +190,41 @@
 	Removed  []model.Incarnation `json:"gone,omitempty"`
 }
 
-// PageChange is the difference between two versions of an ownership page. Change
-// turns version Base into Version.
+// PageChange is the difference between two ownership pages. Change turns the page with
+// the stamp Base, the zero value for none, into the next one.
 type PageChange struct {
 	Service string          `json:"service"`
-	Base    uint64          `json:"base"`
-	Version uint64          `json:"version"`
+	Base    keys.Stamp      `json:"base"`
 	Change  json.RawMessage `json:"change"`
 }
 
 // Leadership is a leader with its term.
 type Leadership struct {
 	Leader keys.Leader `json:"leader"`
-	// Term is the version of the leader's key in the store. It increases with
-	// each leader.
-	Term uint64 `json:"term"`
+	// Term is the position of the write of the leader's key. It increases with each
+	// leader.
+	Term kvstore.Position `json:"term"`
 }
 
-// FollowResponse acknowledges a Leadership.
-type FollowResponse struct{}
+// FollowRequest announces a leader and asks what the receiver knows.
+type FollowRequest struct {
+	Leadership
+	// Pages maps each service to the stamp of the ownership page that the leader has.
+	Pages map[string]keys.Stamp `json:"pages,omitempty"`
+	// MemberCount is the number of daemons that the leader knows.
+	MemberCount int `json:"members"`
+}
+
+// FollowResponse says what the receiver of an announcement knows.
+type FollowResponse struct {
+	// FormerLeader is the last leader of an earlier era of the store that the sender
+	// knows.
+	FormerLeader Leadership `json:"former"`
+	// Pages are the ownership pages that the leader lacks.
+	Pages []StoredPage `json:"pages,omitempty"`
+	// Members holds the addresses of all daemons if the sender knows more of them.
+	Members []string `json:"members,omitempty"`
+}
 
 // SpreadResponse acknowledges a SpreadRequest.
 type SpreadResponse struct {
@@ -218,6 +236,8 @@
 type YieldRequest struct {
 	// Incarnation identifies the process that has to stop leading.
 	Incarnation string `json:"incarnation"`
+	// Pages maps each service to the stamp of the ownership page that the sender has.
+	Pages map[string]keys.Stamp `json:"pages,omitempty"`
 }
 
 // YieldResponse confirms that an earlier leader has stopped.
@@ -226,6 +246,10 @@
 	// that process sends no more grants. If it is another one, the requested
 	// process no longer runs.
 	Incarnation string `json:"incarnation"`
+	// Settled says that the process led until now and knew the newest page of each
+	// service. Pages are those that the sender of the request lacks.
+	Settled bool         `json:"settled,omitempty"`
+	Pages   []StoredPage `json:"pages,omitempty"`
 }
 
 // Service is the RPC interface that every daemon offers to its peers.
@@ -237,7 +261,7 @@
 	// Spread delivers updates from the leader.
 	Spread(ctx context.Context, request *SpreadRequest) (*SpreadResponse, error)
 	// Follow announces a leader.
-	Follow(ctx context.Context, leadership *Leadership) (*FollowResponse, error)
+	Follow(ctx context.Context, request *FollowRequest) (*FollowResponse, error)
 }
 
 // codec is a connect.Codec for plain Go structs, encoded as JSON.
@@ -302,8 +326,8 @@
 }
 
 // Follow calls Service.Follow of the peer at address (IP:port).
-func (c *Client) Follow(ctx context.Context, address string, leadership *Leadership) (*FollowResponse, error) {
-	return call[Leadership, FollowResponse](ctx, c, address, procedureFollow, leadership)
+func (c *Client) Follow(ctx context.Context, address string, request *FollowRequest) (*FollowResponse, error) {
+	return call[FollowRequest, FollowResponse](ctx, c, address, procedureFollow, request)
 }
 
 func call[Req, Res any](ctx context.Context, c *Client, address, procedure string, message *Req) (*Res, error) {
--- a/gateway/port/port.go
+++ b/gateway/port/port.go
@@ -12,26 +12,27 @@
 	"guavacrank.example/kvstore"
 )
 
-// Store is the platform's key-value store. Every error is a *kvstore.Error.
+// Store is the platform's key-value store. Every error is a *kvstore.Error. Every result
+// names the store's era when it responded.
 type Store interface {
 	// Get returns the entry of a key, or an error of kvstore.KindNotFound.
 	Get(ctx context.Context, key string) (kvstore.Entry, error)
 	// List returns the entries whose keys start with prefix, sorted by key, and
-	// the version from which Changes continues.
-	List(ctx context.Context, prefix string) ([]kvstore.Entry, kvstore.Version, error)
+	// the position from which Changes continues.
+	List(ctx context.Context, prefix string) ([]kvstore.Entry, kvstore.Position, error)
 	// Changes waits until a key under prefix changes after the given version, at
-	// most for the given time. It returns the changes in order and the version to
-	// continue from. After an error of kvstore.KindHistoryGone the prefix has to
-	// be listed again.
-	Changes(ctx context.Context, prefix string, after kvstore.Version, wait time.Duration) ([]kvstore.Entry, kvstore.Version, error)
+	// most for the given time. It returns the changes in order and the position to
+	// continue from. After an error of kvstore.KindHistoryGone, or a position in
+	// another era than that of the version, the prefix has to be listed again.
+	Changes(ctx context.Context, prefix string, after kvstore.Version, wait time.Duration) ([]kvstore.Entry, kvstore.Position, error)
 	// CompareAndSwap writes value if the key's version equals expected, and
-	// returns the new version. Zero expects that the key does not exist.
-	CompareAndSwap(ctx context.Context, key string, expected kvstore.Version, value []byte, lease kvstore.LeaseID) (kvstore.Version, error)
-	// GrantLease creates a lease and returns its actual TTL.
-	GrantLease(ctx context.Context, ttl time.Duration) (kvstore.LeaseID, time.Duration, error)
-	// KeepAlive renews a lease. It fails with kvstore.KindNotFound if the lease
-	// has expired.
-	KeepAlive(ctx context.Context, lease kvstore.LeaseID) error
+	// returns the position of the write. Zero expects that the key does not exist.
+	CompareAndSwap(ctx context.Context, key string, expected kvstore.Version, value []byte, lease kvstore.LeaseID) (kvstore.Position, error)
+	// GrantLease creates a lease. Its actual TTL may be longer than the given one.
+	GrantLease(ctx context.Context, ttl time.Duration) (kvstore.Lease, error)
+	// KeepAlive renews a lease and returns the store's era. It fails with
+	// kvstore.KindNotFound if the lease has expired.
+	KeepAlive(ctx context.Context, lease kvstore.LeaseID) (kvstore.Era, error)
 	// Revoke ends a lease and deletes the keys that are attached to it.
 	Revoke(ctx context.Context, lease kvstore.LeaseID) error
 }
--- a/gateway/run/announce_test.go
+++ b/gateway/run/announce_test.go
@@ -28,7 +28,7 @@
 	return &peer.YieldResponse{}, nil
 }
 
-func (recordingPeer) Follow(context.Context, *peer.Leadership) (*peer.FollowResponse, error) {
+func (recordingPeer) Follow(context.Context, *peer.FollowRequest) (*peer.FollowResponse, error) {
 	return &peer.FollowResponse{}, nil
 }
 
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -38,11 +38,12 @@
 }
 
 func (r watchResult) apply(l *loop) {
+	l.enterEra(r.era)
 	if kvstore.IsKind(r.err, kvstore.KindHistoryGone) {
 		return
 	}
 	l.trackStoreCall("watch "+r.prefix, r.err)
-	if r.err != nil {
+	if r.err != nil || r.era < l.era {
 		return
 	}
 	switch r.prefix {
@@ -50,7 +51,7 @@
 		l.applyLeaderKey(r)
 	case pagePrefix:
 		for _, entry := range r.entries {
-			l.applyPageEntry(entry)
+			l.applyPage(entry.Key[len(pagePrefix):], entry.Value)
 		}
 	default:
 		for _, entry := range r.entries {
@@ -77,8 +78,9 @@
 	if configuration == nil || l.configuration != nil && configuration.Version <= l.configuration.Version {
 		return
 	}
-	l.configuration, l.record, l.recordVersion, l.compressed = configuration, entry.Value, entry.Version, nil
-	l.recordInForce.Store(uint64(entry.Version))
+	l.configuration, l.record, l.compressed = configuration, entry.Value, nil
+	l.recordPosition = kvstore.Position{Era: entry.Era, Version: entry.Version}
+	l.versionInForce.Store(configuration.Version)
 	clear(l.recordBatch.sentAt)
 	l.routes = routing.NewTable(configuration)
 	l.viewOutdated = true
@@ -94,7 +96,7 @@
 // peerRecord returns the configuration record in the form sent to peers.
 func (l *loop) peerRecord() *peer.ConfigurationRecord {
 	if l.compressed == nil {
-		l.compressed = &peer.ConfigurationRecord{Compressed: compress(l.record), Version: uint64(l.recordVersion)}
+		l.compressed = &peer.ConfigurationRecord{Compressed: compress(l.record), Position: l.recordPosition}
 	}
 	return l.compressed
 }
@@ -108,6 +110,22 @@
 	l.log.Event(event.RecordIgnored, err.Error(), zap.String("key", entry.Key), zap.Uint64("record", uint64(entry.Version)))
 }
 
+// leaderRecord is the value of the leader's key.
+type leaderRecord struct {
+	keys.Leader
+	// Era is the store's era in which the leader was elected.
+	Era kvstore.Era `json:"era,omitempty"`
+}
+
+// recordEra returns the era of a value of the leader's key; zero for an invalid one.
+func recordEra(value []byte) kvstore.Era {
+	var record leaderRecord
+	if json.Unmarshal(value, &record) != nil {
+		return 0
+	}
+	return record.Era
+}
+
 // applyLeaderKey processes a list or changes of the leader's key.
 func (l *loop) applyLeaderKey(r watchResult) {
 	l.storeIsNear = l.storeIsNear || r.full && r.duration < nearStoreLatency
@@ -119,58 +137,63 @@
 		}
 	}
 	if r.full && !found {
-		l.campaign.Observe(nil)
+		l.campaign.Observe(nil, r.era)
 	}
 	l.reportWhileStarting()
 }
 
 func (l *loop) applyLeaderEntry(entry kvstore.Entry) {
 	if entry.Deleted {
-		l.campaign.Observe(nil)
+		l.campaign.Observe(nil, entry.Era)
 		return
 	}
-	var decoded keys.Leader
+	var decoded leaderRecord
 	if err := json.Unmarshal(entry.Value, &decoded); err != nil {
 		l.ignoreRecord(entry, err)
 	}
-	l.campaign.Observe(entry.Value)
-	l.followLeader(peer.Leadership{Leader: decoded, Term: uint64(entry.Version)})
+	l.campaign.Observe(entry.Value, entry.Era)
+	l.followLeader(peer.Leadership{Leader: decoded.Leader, Term: kvstore.Position{Era: decoded.Era, Version: entry.Version}})
 }
 
 // followLeader accepts a leader whose term is later than that of the known
 // leader.
 func (l *loop) followLeader(leadership peer.Leadership) {
-	if leadership.Term <= l.knownLeader.Term {
+	if !l.knownLeader.Term.Before(leadership.Term) {
 		return
 	}
-	l.knownLeader, l.relay.reportFailures = leadership, 0
+	l.enterEra(leadership.Term.Era)
+	l.setKnownLeader(leadership)
+	l.relay.reportFailures = 0
 	l.scheduleReport()
 	if l.leading && leadership.Leader != l.self {
 		l.stopLeading("a leader with a later term is known: " + leadership.Leader.VM)
 	}
 }
 
-// applyPageEntry puts an ownership page from the store in force if it is newer
-// than the current one.
-func (l *loop) applyPageEntry(entry kvstore.Entry) {
-	service := entry.Key[len(pagePrefix):]
-	if current := l.pages[service]; current != nil && current.version >= entry.Version {
-		return
-	}
-	page, err := keys.Decode(entry.Value)
+// applyPage puts an ownership page in force if it is newer than the current one. It is
+// given in the format of the store.
+func (l *loop) applyPage(service string, value []byte) {
+	page, err := keys.Decode(value)
 	if err != nil {
-		l.ignoreRecord(entry, err)
+		l.ignoreRecord(kvstore.Entry{Key: pagePrefix + service}, err)
 		return
 	}
-	l.setPage(service, page, entry.Version)
+	if current := l.pages[service]; current == nil || current.page.Stamp.Before(page.Stamp) {
+		l.setPage(service, page)
+	}
 }
 
 // setPage puts an ownership page in force.
-func (l *loop) setPage(service string, page *keys.Page, version kvstore.Version) {
-	l.pages[service] = &versionedPage{page: page, version: version, handoverSince: l.handoversSince(service, page)}
+func (l *loop) setPage(service string, page *keys.Page) {
+	l.pages[service] = &versionedPage{page: page, handoverSince: l.handoversSince(service, page)}
 	l.viewOutdated = true
-	l.log.Event(event.KeysPageSeen, "", zap.String("service", service), zap.Uint64("page", uint64(version)),
-		zap.Int("ranges", len(page.Ranges)), zap.Uint64("fence", page.Fence), zap.String("writer", page.Writer.VM))
+	l.log.Event(event.KeysPageSeen, "", append(pageFields(service, page.Stamp),
+		zap.Int("ranges", len(page.Ranges)), zap.Uint64("fence", page.Fence), zap.String("writer", page.Writer.VM))...)
+}
+
+// pageFields returns the fields that identify an ownership page in the log.
+func pageFields(service string, stamp keys.Stamp) []zap.Field {
+	return []zap.Field{zap.String("service", service), zap.Uint64("era", uint64(stamp.Era)), zap.Uint64("page", stamp.Number)}
 }
 
 // handoversSince returns when this VM learned of each change of owner that has not
--- a/gateway/run/calls.go
+++ b/gateway/run/calls.go
@@ -26,6 +26,9 @@
 	if ready.Write != nil {
 		go l.writePage(service, *ready.Write)
 	}
+	if ready.Consult {
+		l.consultation.waiting[service] = true
+	}
 	for _, call := range ready.Grants {
 		go l.grant(service, call)
 	}
@@ -66,11 +69,11 @@
 	value, err := write.Page.Encode()
 	if err != nil {
 		err = &kvstore.Error{Op: "encode", Key: service, Kind: kvstore.KindInvalid, Err: err}
-		l.deliver(pageWritten{service: service, err: err})
+		l.deliver(pageWritten{service: service, writeID: write.Page.WriteID, err: err})
 		return
 	}
-	version, err := l.store.CompareAndSwap(l.ctx, pagePrefix+service, write.Expected, value, 0)
-	l.deliver(pageWritten{service, version, err, value})
+	position, err := l.store.CompareAndSwap(l.ctx, pagePrefix+service, write.Expected, value, 0)
+	l.deliver(pageWritten{service, write.Page.WriteID, position, err, value})
 }
 
 func (l *loop) grant(service string, call keys.GrantCall) {
@@ -120,6 +123,8 @@
 		return
 	}
 	now := l.clock()
+	era := max(p.entry.Era, kvstore.EraOf(p.err))
+	l.enterEra(era)
 	switch {
 	case p.err == nil:
 		page, err := keys.Decode(p.entry.Value)
@@ -128,10 +133,10 @@
 			machine.StepReadFailed(now)
 			return
 		}
-		machine.StepRead(now, page, p.entry.Version)
-		l.applyPageEntry(p.entry) // Members that lack it get it with the response to their next report.
+		machine.StepRead(now, page, kvstore.Position{Era: era, Version: p.entry.Version})
+		l.applyPage(p.service, p.entry.Value) // Members that lack it get it with the response to their next report.
 	case kvstore.IsKind(p.err, kvstore.KindNotFound):
-		machine.StepRead(now, nil, 0)
+		machine.StepRead(now, nil, kvstore.Position{Era: era})
 	default:
 		l.trackStoreCall("read page", p.err)
 		machine.StepReadFailed(now)
@@ -143,14 +148,20 @@
 	if machine == nil {
 		return
 	}
-	machine.StepWritten(l.clock(), p.version, p.err)
+	era := resultEra(p.position, p.err)
+	l.enterEra(era)
+	machine.StepWritten(l.clock(), p.writeID, p.position, p.err)
 	if p.err != nil {
 		l.log.Event(event.KeysPageNotWritten, p.err.Error(), zap.String("service", p.service))
 		return
 	}
-	l.log.Event(event.KeysPageWritten, "", zap.String("service", p.service), zap.Uint64("page", uint64(p.version)), zap.Int("bytes", len(p.value)))
+	l.log.Event(event.KeysPageWritten, "", zap.String("service", p.service), zap.Uint64("era", uint64(era)),
+		zap.Uint64("record", uint64(p.position.Version)), zap.Int("bytes", len(p.value)))
+	if era > l.term.Era {
+		return // The store was restored meanwhile.
+	}
 	previous := l.pages[p.service]
-	l.applyPageEntry(kvstore.Entry{Key: pagePrefix + p.service, Value: p.value, Version: p.version})
+	l.applyPage(p.service, p.value)
 	if next := l.pages[p.service]; next != previous {
 		l.broadcastPage(p.service, previous, next)
 	}
--- a/gateway/run/distribution.go
+++ b/gateway/run/distribution.go
@@ -144,9 +144,9 @@
 // offerConfiguration offers the configuration in force to the assigned daemons and
 // sends it to those that lack it.
 func (l *loop) offerConfiguration() {
-	version, record := uint64(l.recordVersion), l.record
+	version, record, position := l.configuration.Version, l.record, l.recordPosition
 	compressed := sync.OnceValue(func() *peer.ConfigurationRecord {
-		return &peer.ConfigurationRecord{Compressed: compress(record), Version: version}
+		return &peer.ConfigurationRecord{Compressed: compress(record), Position: position}
 	})
 	for _, address := range l.distribution.Recipients {
 		go func() {
@@ -156,7 +156,7 @@
 				_, err = l.peers.Spread(l.ctx, address, &peer.SpreadRequest{Record: compressed()})
 			}
 			if err != nil {
-				l.log.Event(event.UpdateNotSent, err.Error(), zap.String("peer", address), zap.Uint64("record", version))
+				l.log.Event(event.UpdateNotSent, err.Error(), zap.String("peer", address), zap.Uint64("configuration", version))
 			}
 		}()
 	}
--- a/gateway/run/fallback.go
+++ b/gateway/run/fallback.go
@@ -72,7 +72,7 @@
 	if l.configuration != nil && report.ConfigurationVersion < l.configuration.Version {
 		response.ConfigurationVersion, response.Record = l.configuration.Version, l.peerRecord()
 	}
-	response.Pages = l.pagesFor(report)
+	response.Pages = l.pagesFor(report.Pages)
 	age := l.clock() - l.listedAt
 	if !l.servers.known || time.Duration(report.ListAgeMS)*time.Millisecond < age+minListAgeGain {
 		return response
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -15,6 +15,7 @@
 type watchResult struct {
 	prefix  string
 	full    bool // Whether entries are the complete contents of the prefix.
+	era     kvstore.Era
 	entries []kvstore.Entry
 	err     error
 	// duration is how long the list call took, if full is set.
@@ -23,6 +24,7 @@
 
 // serversRead is the result of reading the servers' records.
 type serversRead struct {
+	position kvstore.Position
 	entries  []kvstore.Entry
 	err      error
 	duration time.Duration
@@ -37,10 +39,11 @@
 
 // pageWritten is the result of writing an ownership page.
 type pageWritten struct {
-	service string
-	version kvstore.Version
-	err     error
-	value   []byte
+	service  string
+	writeID  uint64
+	position kvstore.Position
+	err      error
+	value    []byte
 }
 
 // grantDone is the result of a grant call.
@@ -80,11 +83,11 @@
 	reply  chan peer.ReportResponse
 }
 
-// yieldReceived is a peer's request that this process stops leading. done is
-// closed once it has been processed.
+// yieldReceived is a peer's request that this process stops leading. The response is
+// sent to reply.
 type yieldReceived struct {
-	incarnation string
-	done        chan struct{}
+	request *peer.YieldRequest
+	reply   chan peer.YieldResponse
 }
 
 // reportDone is the result of reporting to the leader.
@@ -100,8 +103,27 @@
 	err      error
 }
 
-// leaderAnnounced is a leader's announcement of its leadership.
-type leaderAnnounced struct{ leadership peer.Leadership }
+// leaderAnnounced is a leader's announcement of its leadership. The response is sent to
+// reply.
+type leaderAnnounced struct {
+	request *peer.FollowRequest
+	reply   chan peer.FollowResponse
+}
+
+// followDone is the result of announcing this process's leadership to a daemon.
+type followDone struct {
+	address  string
+	term     kvstore.Position
+	response *peer.FollowResponse
+	err      error
+}
+
+// newerConfigurationDone is the result of asking a daemon for a configuration that is
+// newer than the leader's.
+type newerConfigurationDone struct {
+	response *peer.ReportResponse
+	err      error
+}
 
 // tick triggers periodic work.
 type tick struct{}
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,7 +22,7 @@
 	state := l.campaign.State()
 	silence := now - state.LastContact
 	switch {
-	case state.Held && state.Term > l.term && silence < contactTimeout:
+	case state.Held && l.term.Before(state.Term) && silence < contactTimeout:
 		l.term = state.Term
 		l.startLeading(now)
 	case l.leading && !state.Held:
@@ -39,9 +38,10 @@
 	l.addMachines(now)
 	l.sendBatches(now)
 	l.endPredecessorsByMajority(now)
+	l.decideConsultation(now)
 	isolated := 0
 	for service, machine := range l.machines {
-		machine.SetRenewOnly(silence > contactTimeout)
+		machine.SetRenewOnly(silence > contactTimeout || l.term.Era < l.era)
 		machine.Tick(now)
 		l.startCalls(service, machine)
 		l.stopPredecessors(machine)
@@ -93,56 +93,47 @@
 	}
 }
 
+// startLeading begins a term. A leader whose term ended with a restoration of the store
+// goes on with what it knows.
 func (l *loop) startLeading(now time.Duration) {
-	l.leading, l.leadingSince = true, now
-	l.peersAtElection = l.knownPeers
+	l.enterEra(l.term.Era)
+	l.leadingSince, l.peersAtElection = now, l.knownPeers
+	if !l.leading {
+		l.resetFleet(now)
+	}
+	l.leading = true
+	l.leadingNow.Store(true)
+	l.setKnownLeader(peer.Leadership{Leader: l.self, Term: l.term})
+	l.log.Event(event.LeadershipWon, "", zap.Uint64("era", uint64(l.term.Era)), zap.Uint64("term", uint64(l.term.Version)))
+	l.updateWatchers()
+	l.startConsultation(now)
+	for _, machine := range l.machines {
+		machine.Lead(now, l.term.Era)
+	}
+	l.addMachines(now)
+}
+
+// resetFleet forgets what an earlier leadership of this process knew of the fleet.
+func (l *loop) resetFleet(now time.Duration) {
+	l.nextReport = now
 	clear(l.members)
 	l.recordBatch.clear()
 	l.serverListBatch.clear()
 	l.pageBatch.clear()
 	l.allocator = limit.NewAllocator()
 	l.plan = distributionPlan{}
-	l.nextReport = now
-	l.leadingNow.Store(true)
-	l.knownLeader = peer.Leadership{Leader: l.self, Term: uint64(l.term)}
-	l.log.Event(event.LeadershipWon, "", zap.Uint64("term", uint64(l.term)))
-	l.updateWatchers()
-	l.announceLeadership()
-	for _, machine := range l.machines {
-		machine.Lead(now)
-	}
-	l.addMachines(now)
 }
 
 func (l *loop) stopLeading(cause string) {
+	l.settledAtStop = l.knewNewestPages()
 	l.leading = false
 	l.leadingNow.Store(false)
 	for _, machine := range l.machines {
 		machine.Stop()
 	}
-	l.log.Event(event.LeadershipLost, cause, zap.Uint64("term", uint64(l.term)))
-}
-
-// announceLeadership tells all known daemons that this one leads, because some of
-// them may not learn it from the store.
-func (l *loop) announceLeadership() {
-	notified := map[string]bool{l.self.Address: true}
-	message := l.knownLeader
-	for _, address := range append(slices.Clone(l.knownPeers), l.settings.Seeds...) {
-		if notified[address] {
-			continue
-		}
-		notified[address] = true
-		go func() {
-			if _, err := l.peers.Follow(l.ctx, address, &message); err != nil {
-				l.log.Event(event.PeerUnreachable, err.Error(), zap.String("peer", address))
-			}
-		}()
-	}
+	l.log.Event(event.LeadershipLost, cause, zap.Uint64("era", uint64(l.term.Era)), zap.Uint64("term", uint64(l.term.Version)))
 }
 
-func (a leaderAnnounced) apply(l *loop) { l.followLeader(a.leadership) }
-
 // resign gives up the lease. If that fails, the lease expires by itself.
 func (l *loop) resign(barred bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -162,7 +153,7 @@
 			continue
 		}
 		machine := keys.NewMachine(keys.Options{Service: name, Self: l.self, GrantTTL: min(grantTTL, l.settings.Bounds.MaxGrantTTL), MaxGrantTTL: min(maxGrantTTL, l.settings.Bounds.MaxGrantTTL), PredecessorTimeout: predecessorTimeout})
-		machine.Lead(now)
+		machine.Lead(now, l.term.Era)
 		l.machines[name] = machine
 		if l.servers.known {
 			machine.StepServers(now, l.servers.ofService(name), false)
@@ -174,20 +165,27 @@
 // have. One call covers all services.
 func (l *loop) stopPredecessors(machine *keys.Machine) {
 	for _, leader := range machine.Predecessors() {
-		if l.yieldPending[leader.Incarnation] {
-			continue
-		}
-		l.yieldPending[leader.Incarnation] = true
-		go func() {
-			response, err := l.peers.Yield(l.ctx, leader.Address, &peer.YieldRequest{Incarnation: leader.Incarnation})
-			if err != nil {
-				sleep(l.ctx, yieldRetryDelay)
-			}
-			l.deliver(yieldDone{leader, response, err})
-		}()
+		l.askToYield(leader)
 	}
 }
 
+// askToYield asks an earlier leader to stop, unless a call to it is pending or its address
+// is unknown.
+func (l *loop) askToYield(leader keys.Leader) {
+	if l.yieldPending[leader.Incarnation] || leader.Address == "" {
+		return
+	}
+	l.yieldPending[leader.Incarnation] = true
+	request := &peer.YieldRequest{Incarnation: leader.Incarnation, Pages: l.pageStamps()}
+	go func() {
+		response, err := l.peers.Yield(l.ctx, leader.Address, request)
+		if err != nil {
+			sleep(l.ctx, yieldRetryDelay)
+		}
+		l.deliver(yieldDone{leader, response, err})
+	}()
+}
+
 func (y yieldDone) apply(l *loop) {
 	delete(l.yieldPending, y.predecessor.Incarnation)
 	if y.err != nil {
@@ -201,14 +199,20 @@
 	for _, machine := range l.machines {
 		machine.PredecessorEnded(y.predecessor.Incarnation, until)
 	}
+	l.applyPages(y.response.Pages)
 	l.log.Event(event.PredecessorStopped, cause, zap.String("vm", y.predecessor.VM))
+	l.noteYield(y)
 }
 
 func (y yieldReceived) apply(l *loop) {
-	if l.leading && y.incarnation == l.self.Incarnation {
+	response := peer.YieldResponse{Incarnation: l.self.Incarnation}
+	if y.request.Incarnation == l.self.Incarnation {
+		response.Settled, response.Pages = l.knewNewestPages(), l.pagesFor(y.request.Pages)
+	}
+	if l.leading && y.request.Incarnation == l.self.Incarnation {
 		l.stopLeading("a later leader asked this one to stop leading")
 	}
-	close(y.done)
+	y.reply <- response
 }
 
 // A leader without contact to the store keeps renewing grants until the process
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -78,7 +78,8 @@
 	pages             map[string]*versionedPage
 	machines          map[string]*keys.Machine
 	leading           bool
-	term              kvstore.Version
+	term              kvstore.Position
+	era               kvstore.Era // The store's newest known era.
 	leadingSince      time.Duration
 	nextLead          time.Duration // Earliest next run of the leader's work.
 	startedAt         time.Duration
@@ -88,10 +89,13 @@
 	leaderWaitDone    chan struct{}   // Closed to allow reading the store; safe for all goroutines.
 	yieldPending      map[string]bool // Incarnations of earlier leaders with a pending Yield call.
 	knownLeader       peer.Leadership
+	formerLeader      peer.Leadership           // The last known one of an earlier era than knownLeader.
+	consultation      *consultation             // Since the own election; nil before.
+	settledAtStop     bool                      // knewNewestPages at the end of the own leadership.
 	peersAtElection   []string                  // knownPeers at the start of the own leadership.
 	knownPeers        []string                  // Addresses of all daemons according to the leader.
 	record            []byte                    // The operators' configuration record.
-	recordVersion     kvstore.Version           // Version of record in the store.
+	recordPosition    kvstore.Position          // Where record was read in the store.
 	compressed        *peer.ConfigurationRecord // record in compressed form, created on demand.
 	recordBatch       recipientBatch            // On the leader: VMs that lack the record.
 	serverListBatch   recipientBatch            // On the leader: VMs that lack the server list.
@@ -108,6 +112,9 @@
 	relayedListNewest bool                      // Whether that list came from a peer.
 	nextLatencyReport time.Duration             // Earliest next report of servers' response times.
 	reportPending     bool
+	newerPending      bool            // Whether a call for a newer configuration is pending.
+	rewrittenAfter    kvstore.Version // On the first list of servers in an era: the store's version.
+	rewrittenEra      kvstore.Era     // The era of rewrittenAfter.
 	members           map[string]member
 	requestedKeys     *requestedKeys
 	storeHealth       dependency
@@ -130,16 +137,15 @@
 	leaderResponded  atomic.Bool   // A leader has responded to a report.
 	listReading      atomic.Int32  // A listReading.
 	listSize         atomic.Int64  // Number of servers in the newest list.
-	recordInForce    atomic.Uint64 // Equals recordVersion.
+	versionInForce   atomic.Uint64 // Equals configuration.Version; zero without one.
 	ready            atomic.Bool   // The readiness check passes.
 	vms              atomic.Int64  // Number of active daemons; zero if unknown.
 }
 
-// versionedPage is an ownership page with its version in the store.
+// versionedPage is an ownership page in force.
 type versionedPage struct {
-	page    *keys.Page
-	stored  []byte // The encoded page, created on demand.
-	version kvstore.Version
+	page   *keys.Page
+	stored []byte // The encoded page, created on demand.
 	// handoverSince is that of view.Service.
 	handoverSince map[uint64]time.Duration
 }
@@ -160,10 +166,6 @@
 
 func newLoop(ctx context.Context, o Options, shared sharedState) *loop {
 	self := keys.Leader{VM: o.Settings.VM, Incarnation: rand.Text(), Address: o.Settings.Listen.Peers}
-	value, err := json.Marshal(self)
-	if err != nil {
-		panic("run: " + err.Error()) // A struct of strings can always be encoded.
-	}
 	l := &loop{
 		settings:     o.Settings,
 		store:        o.Store,
@@ -202,7 +204,8 @@
 	l.campaign = leader.New(leader.Options{
 		Store:       o.Store,
 		Key:         leaderKey,
-		Value:       value,
+		Value:       func(era kvstore.Era) []byte { return encodeLeader(self, era) },
+		EraOf:       recordEra,
 		MinLeaseTTL: o.Settings.Bounds.MinLeaseTTL,
 		Clock:       shared.clock,
 	})
@@ -210,6 +213,15 @@
 	return l
 }
 
+// encodeLeader returns the value of the leader's key.
+func encodeLeader(leader keys.Leader, era kvstore.Era) []byte {
+	value, err := json.Marshal(leaderRecord{leader, era})
+	if err != nil {
+		panic("run: " + err.Error()) // A struct of strings and a number can always be encoded.
+	}
+	return value
+}
+
 // deliver queues an input for the loop. It blocks while the queue is full.
 func (l *loop) deliver(in input) {
 	select {
--- a/gateway/run/peer_service.go
+++ b/gateway/run/peer_service.go
@@ -19,40 +19,39 @@
 func (p peerService) Report(ctx context.Context, report *peer.Report) (*peer.ReportResponse, error) {
 	reply := make(chan peer.ReportResponse, 1)
 	p.deliver(reportReceived{report, reply})
+	return awaitReply(ctx, p.loop, reply)
+}
+
+// awaitReply waits for the loop's response to a call.
+func awaitReply[Response any](ctx context.Context, l *loop, reply <-chan Response) (*Response, error) {
 	select {
 	case response := <-reply:
 		return &response, nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
-	case <-p.ctx.Done():
+	case <-l.ctx.Done():
 		return nil, errStopping
 	}
 }
 
 // Follow implements peer.Service.
-func (p peerService) Follow(_ context.Context, leadership *peer.Leadership) (*peer.FollowResponse, error) {
-	p.deliver(leaderAnnounced{*leadership})
-	return &peer.FollowResponse{}, nil
+func (p peerService) Follow(ctx context.Context, request *peer.FollowRequest) (*peer.FollowResponse, error) {
+	reply := make(chan peer.FollowResponse, 1)
+	p.deliver(leaderAnnounced{request, reply})
+	return awaitReply(ctx, p.loop, reply)
 }
 
 // Yield implements peer.Service.
 func (p peerService) Yield(ctx context.Context, yield *peer.YieldRequest) (*peer.YieldResponse, error) {
-	done := make(chan struct{})
-	p.deliver(yieldReceived{yield.Incarnation, done})
-	select {
-	case <-done:
-		return &peer.YieldResponse{Incarnation: p.self.Incarnation}, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-p.ctx.Done():
-		return nil, errStopping
-	}
+	reply := make(chan peer.YieldResponse, 1)
+	p.deliver(yieldReceived{yield, reply})
+	return awaitReply(ctx, p.loop, reply)
 }
 
 // Spread implements peer.Service.
 func (p peerService) Spread(_ context.Context, update *peer.SpreadRequest) (*peer.SpreadResponse, error) {
 	if update.Offer > 0 {
-		return &peer.SpreadResponse{Lacking: p.recordInForce.Load() < update.Offer}, nil
+		return &peer.SpreadResponse{Lacking: p.versionInForce.Load() < update.Offer}, nil
 	}
 	p.forward(*update, splitGroups(update.ForwardTo, fanOut))
 	p.deliver(spreadReceived{update})
--- a/gateway/run/polling.go
+++ b/gateway/run/polling.go
@@ -50,8 +50,8 @@
 			continue
 		}
 		began := time.Now()
-		entries, _, err := l.store.List(ctx, l.records.ServersPrefix())
-		l.deliver(serversRead{entries: entries, err: err, duration: time.Since(began)})
+		entries, position, err := l.store.List(ctx, l.records.ServersPrefix())
+		l.deliver(serversRead{position: position, entries: entries, err: err, duration: time.Since(began)})
 		sleep(ctx, max(l.serverPollDelay(entries, err)-time.Since(began), minRetryDelay))
 	}
 }
@@ -115,7 +115,7 @@
 		if kvstore.IsKind(err, kvstore.KindNotFound) {
 			continue
 		}
-		l.deliver(watchResult{prefix: l.records.ConfigurationKey(), entries: []kvstore.Entry{entry}, err: err})
+		l.deliver(watchResult{prefix: l.records.ConfigurationKey(), era: max(entry.Era, kvstore.EraOf(err)), entries: []kvstore.Entry{entry}, err: err})
 	}
 }
 
@@ -124,8 +124,8 @@
 func (l *loop) readPages(ctx context.Context) {
 	l.waitForLeader(ctx)
 	for ctx.Err() == nil && !l.leaderResponded.Load() {
-		entries, _, err := l.store.List(ctx, pagePrefix)
-		l.deliver(watchResult{prefix: pagePrefix, full: true, entries: entries, err: err})
+		entries, position, err := l.store.List(ctx, pagePrefix)
+		l.deliver(watchResult{prefix: pagePrefix, full: true, era: resultEra(position, err), entries: entries, err: err})
 		if err == nil {
 			return
 		}
--- a/gateway/run/relay_test.go
+++ b/gateway/run/relay_test.go
@@ -80,8 +80,8 @@
 func TestPagesInLargeFleet(t *testing.T) {
 	g := NewWithT(t)
 	leader, follower := newRelayLoop(t, 1), newRelayLoop(t, 0)
-	page := &keys.Page{Fence: 3, Ranges: []keys.Range{{From: 0, To: model.Keys - 1, Owner: keys.Holder{Incarnation: model.Incarnation{ID: "i-1"}, Address: "a:1", Fence: 3}}}}
-	leader.pages = map[string]*versionedPage{"s": {page: page, version: 9}}
+	page := &keys.Page{Stamp: keys.Stamp{Era: 2, Number: 9}, Fence: 3, Ranges: []keys.Range{{From: 0, To: model.Keys - 1, Owner: keys.Holder{Incarnation: model.Incarnation{ID: "i-1"}, Address: "a:1", Fence: 3}}}}
+	leader.pages = map[string]*versionedPage{"s": {page: page}}
 	follower.pages = make(map[string]*versionedPage)
 	report := &peer.Report{VM: "a"}
 	g.Expect(leader.leaderResponse(report).Pages).To(HaveLen(1))
@@ -92,7 +92,7 @@
 	g.Expect(leader.pageBatch.pending).To(HaveKey("a"))
 	follower.applyPageChange(leader.pageChange("s", nil, leader.pages["s"]))
 	g.Expect(follower.pages["s"].page.Ranges).To(Equal(page.Ranges))
-	g.Expect(follower.pageVersions()).To(HaveKeyWithValue("s", uint64(9)))
-	report.Pages = map[string]uint64{"s": 8}
+	g.Expect(follower.pageStamps()).To(HaveKeyWithValue("s", page.Stamp))
+	report.Pages = map[string]keys.Stamp{"s": {Era: 2, Number: 8}}
 	g.Expect(leader.leaderResponse(report).Pages).To(HaveLen(1), "a daemon with an older version gets the page with the response")
 }
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"guavacrank.example/event"
+	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/peer"
 )
 
@@ -136,7 +137,7 @@
 		Address:      l.self.Address,
 		Zone:         l.settings.Zone,
 		Capacity:     l.settings.Capacity(),
-		Pages:        l.pageVersions(),
+		Pages:        l.pageStamps(),
 		MemberCount:  len(l.knownPeers),
 		Source:       l.relay.source,
 		Revision:     l.relay.seenRevision,
@@ -151,13 +152,13 @@
 	return report
 }
 
-// pageVersions returns the versions of this VM's ownership pages.
-func (l *loop) pageVersions() map[string]uint64 {
-	versions := make(map[string]uint64, len(l.pages))
+// pageStamps returns the stamps of this VM's ownership pages.
+func (l *loop) pageStamps() map[string]keys.Stamp {
+	stamps := make(map[string]keys.Stamp, len(l.pages))
 	for service, page := range l.pages {
-		versions[service] = uint64(page.version)
+		stamps[service] = page.page.Stamp
 	}
-	return versions
+	return stamps
 }
 
 // serverReports summarizes the responses of the servers of partitioned services.
@@ -185,6 +186,7 @@
 func (l *loop) applyReport(report *peer.Report) {
 	now := l.clock()
 	l.members[report.VM] = member{report.Address, now, report.Zone, report.Capacity}
+	l.askForNewerConfiguration(report)
 	for _, observation := range report.Limits {
 		l.applyLimitObservation(now, observation)
 	}
--- a/gateway/run/reports_test.go
+++ b/gateway/run/reports_test.go
@@ -8,6 +8,7 @@
 
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
+	"guavacrank.example/kvstore"
 )
 
 func TestCountMembers(t *testing.T) {
@@ -52,7 +53,7 @@
 	g := NewWithT(t)
 	l := &loop{clock: func() time.Duration { return 10 * time.Second }, nextReport: 14 * time.Second, relay: newRelay()}
 	l.relay.reportFailures = 7
-	l.followLeader(peer.Leadership{Term: 3})
+	l.followLeader(peer.Leadership{Term: kvstore.Position{Version: 3}})
 	g.Expect(l.nextReport).To(BeNumerically("<=", 10*time.Second+reportJitter), "a new leader gets a report soon")
 	g.Expect(l.relay.reportFailures).To(BeZero())
 }
--- a/gateway/run/responses.go
+++ b/gateway/run/responses.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/peer"
 	"guavacrank.example/kvstore"
 )
@@ -19,6 +20,7 @@
 		MaxCapacity:  l.maxCapacity(),
 		FollowStore:  l.mayFollowStore(report, now),
 		ListAgeMS:    (now - l.servers.readAt).Milliseconds(),
+		Era:          l.era,
 		Distribution: l.distributionFor(report, now),
 		Limits:       l.allocator.Allotments(now, l.reportInterval()),
 	}
@@ -34,7 +36,7 @@
 	if len(l.members) > maxDirectRecipients && len(report.Pages) == 0 && len(l.pages) > 0 {
 		l.pageBatch.add(report.VM, now)
 	} else {
-		response.Pages = l.pagesFor(report)
+		response.Pages = l.pagesFor(report.Pages)
 	}
 	if l.servers.known {
 		l.relay.update(l.servers)
@@ -47,19 +49,19 @@
 	return response
 }
 
-// pagesFor returns the ownership pages that the sender of a report lacks.
-func (l *loop) pagesFor(report *peer.Report) []peer.StoredPage {
+// pagesFor returns the ownership pages that a daemon with the given ones lacks.
+func (l *loop) pagesFor(known map[string]keys.Stamp) []peer.StoredPage {
 	var missing []peer.StoredPage
 	for service, current := range l.pages {
-		if report.Pages[service] >= uint64(current.version) {
+		if !known[service].Before(current.page.Stamp) {
 			continue
 		}
 		page, err := current.encoded()
 		if err != nil {
-			l.ignoreRecord(kvstore.Entry{Key: pagePrefix + service, Version: current.version}, err)
+			l.ignoreRecord(kvstore.Entry{Key: pagePrefix + service}, err)
 			continue
 		}
-		missing = append(missing, peer.StoredPage{Service: service, Version: uint64(current.version), Page: page})
+		missing = append(missing, peer.StoredPage{Service: service, Page: page})
 	}
 	return missing
 }
@@ -67,13 +69,14 @@
 // applyPages processes ownership pages received from a peer.
 func (l *loop) applyPages(pages []peer.StoredPage) {
 	for _, page := range pages {
-		l.applyPageEntry(kvstore.Entry{Key: pagePrefix + page.Service, Value: page.Page, Version: kvstore.Version(page.Version)})
+		l.applyPage(page.Service, page.Page)
 	}
 }
 
 // applyLeaderResponse processes the leader's response to a report.
 func (l *loop) applyLeaderResponse(response *peer.ReportResponse) {
 	now := l.clock()
+	l.enterEra(response.Era)
 	l.leaderResponded.Store(true)
 	l.setVMs(response.VMs)
 	age := time.Duration(response.ListAgeMS) * time.Millisecond
--- /dev/null
+++ b/gateway/run/restoration.go
@@ -0,0 +1,100 @@
+package run
+
+import (
+	"go.uber.org/zap"
+
+	"guavacrank.example/event"
+	"guavacrank.example/gateway/peer"
+	"guavacrank.example/kvstore"
+)
+
+// The store may be restored from an earlier copy of itself, which its era counts. What
+// holds then:
+//
+//   - Configurations are ordered by their own versions, ownership pages by their stamps,
+//     leaders by the era in which they were elected. The store's versions order nothing
+//     across eras.
+//   - A leadership ends with its era. The leader goes on renewing grants, changes nothing
+//     and claims the key again. The first leader of an era consults the VMs before it
+//     uses a stored page (consultation.go).
+//   - Watches list again. Absent servers may reappear, as after an interruption, and
+//     servers that have left are listed again until their records expire
+//     (departures.go).
+
+// enterEra records the store's era as named by a response of the store or a peer.
+func (l *loop) enterEra(era kvstore.Era) {
+	if era <= l.era {
+		return
+	}
+	previous := l.era
+	l.era = era
+	l.campaign.EnterEra(era)
+	if previous == 0 {
+		return // The first contact.
+	}
+	l.log.Event(event.StoreRestored, "", zap.Uint64("era", uint64(era)), zap.Uint64("previous", uint64(previous)))
+	l.servers.storeRestored(l.clock())
+	l.configurationWatcher.relist()
+	l.leaderWatcher.relist()
+}
+
+// setKnownLeader records a leader with a later term than that of the known one.
+func (l *loop) setKnownLeader(leadership peer.Leadership) {
+	if known := l.knownLeader; known.Term.Era < leadership.Term.Era && known.Leader.Incarnation != "" {
+		l.formerLeader = known
+	}
+	l.knownLeader = leadership
+}
+
+// leaderBefore returns the last known leader of the eras before the given one.
+func (l *loop) leaderBefore(era kvstore.Era) peer.Leadership {
+	if l.knownLeader.Term.Era < era {
+		return l.knownLeader
+	}
+	if l.formerLeader.Term.Era < era {
+		return l.formerLeader
+	}
+	return peer.Leadership{}
+}
+
+// noteRewrites records which servers have written their records since the store was
+// restored: those with a version that the store did not have when it was listed first.
+func (l *loop) noteRewrites(read serversRead) {
+	if l.rewrittenEra != read.position.Era {
+		l.rewrittenEra, l.rewrittenAfter = read.position.Era, read.position.Version
+		return
+	}
+	for _, entry := range read.entries {
+		if entry.Version <= l.rewrittenAfter {
+			continue
+		}
+		if server, err := l.records.Server(entry); err == nil {
+			l.servers.returned(server.Incarnation())
+		}
+	}
+}
+
+// askForNewerConfiguration asks the sender of a report for its configuration if the
+// leader has an older one, which it may have read from a restored store.
+func (l *loop) askForNewerConfiguration(report *peer.Report) {
+	if l.newerPending || l.configuration == nil || report.ConfigurationVersion <= l.configuration.Version || report.Address == l.self.Address {
+		return
+	}
+	l.newerPending = true
+	query := l.newFollowerQuery()
+	go func() {
+		response, err := l.peers.Report(l.ctx, report.Address, query)
+		l.deliver(newerConfigurationDone{response, err})
+	}()
+}
+
+func (n newerConfigurationDone) apply(l *loop) {
+	l.newerPending = false
+	if n.err != nil {
+		l.log.Event(event.PeerUnreachable, n.err.Error())
+		return
+	}
+	if n.response.Record != nil {
+		l.applyRecord(n.response.Record)
+	}
+}
--- a/gateway/run/server_updates.go
+++ b/gateway/run/server_updates.go
@@ -12,11 +12,13 @@
 )
 
 func (s serversRead) apply(l *loop) {
+	l.enterEra(resultEra(s.position, s.err))
 	l.trackStoreCall("servers", s.err)
 	now := l.clock()
-	if s.err != nil {
+	if s.err != nil || s.position.Era < l.era {
 		return
 	}
+	l.noteRewrites(s)
 	if !l.leading {
 		l.log.Event(event.ServersReadDirectly, "", zap.Int("records", len(s.entries)), zap.Int("bytes", totalBytes(s.entries)), zap.Duration("took", s.duration))
 	}
--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -53,6 +53,8 @@
 	readAt          time.Duration
 	keepAbsentUntil time.Duration
 	rows            map[model.Incarnation]*serverRow
+	departures      departures
+	restored        bool               // The store was restored since the last read.
 	trust           upstream.IdleLimit // Safe for all goroutines.
 }
 
@@ -73,7 +75,8 @@
 // update processes a read of the complete server list. It says whether anything
 // changed that affects request handling.
 func (t *serverTable) update(now time.Duration, listed []model.Server) bool {
-	t.uninterrupted = t.known && now-t.readAt < maxReadGap
+	t.uninterrupted = t.known && !t.restored && now-t.readAt < maxReadGap
+	t.restored = false
 	if t.known && !t.uninterrupted {
 		t.keepAbsentUntil = now + reappearTime
 	}
@@ -83,6 +86,9 @@
 		row.listed = false
 	}
 	for _, server := range listed {
+		if row := t.rows[server.Incarnation()]; (row == nil || row.gone) && t.departures.doubted(now, server.Incarnation()) {
+			continue
+		}
 		changed = t.upsert(server) || changed
 	}
 	return t.removeAbsent(now) || changed
@@ -126,6 +132,7 @@
 		}
 		row.gone = true
 		changed = true
+		t.departures.add(now, incarnation)
 		t.log.Event(event.BackendGone, "", t.logFields(row.Server)...)
 	}
 	return changed
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -120,7 +120,7 @@
 		l.log.Event(event.UpdateNotSent, err.Error(), zap.String("service", service))
 		return nil
 	}
-	return &peer.PageChange{Service: service, Base: uint64(previous.version), Version: uint64(next.version), Change: change}
+	return &peer.PageChange{Service: service, Base: previous.page.Stamp, Change: change}
 }
 
 // updateWatchers starts and stops the store watchers. A daemon watches the store if
@@ -155,40 +155,44 @@
 // version than this VM's page, the full page comes with the response to the next
 // report.
 func (l *loop) applyPageChange(update *peer.PageChange) {
-	current := l.pages[update.Service]
-	version := kvstore.Version(update.Version)
-	if current != nil && current.version >= version {
+	change, err := keys.DecodeChange(update.Change)
+	if err != nil {
+		l.ignoreRecord(kvstore.Entry{Key: pagePrefix + update.Service}, err)
+		l.scheduleReport()
 		return
 	}
-	if current == nil && update.Base == 0 {
-		current = &versionedPage{page: &keys.Page{}}
+	current := &keys.Page{}
+	if known := l.pages[update.Service]; known != nil {
+		current = known.page
 	}
-	if current == nil || current.version != kvstore.Version(update.Base) {
+	if !current.Stamp.Before(change.Head.Stamp) {
+		return
+	}
+	if current.Stamp != update.Base {
 		l.scheduleReport()
 		return
 	}
-	change, err := keys.DecodeChange(update.Change)
-	if err == nil {
-		var next *keys.Page
-		if next, err = change.Apply(current.page); err == nil {
-			l.setPage(update.Service, next, version)
-			return
-		}
+	next, err := change.Apply(current)
+	if err != nil {
+		l.ignoreRecord(kvstore.Entry{Key: pagePrefix + update.Service}, err)
+		l.scheduleReport()
+		return
 	}
-	l.ignoreRecord(kvstore.Entry{Key: pagePrefix + update.Service, Version: version}, err)
-	l.scheduleReport()
+	l.setPage(update.Service, next)
 }
 
 // applyRecord processes the configuration record received from a peer.
 func (l *loop) applyRecord(received *peer.ConfigurationRecord) {
 	record, err := decompress(received.Compressed)
-	entry := kvstore.Entry{Key: l.records.ConfigurationKey(), Value: record, Version: kvstore.Version(received.Version)}
+	entry := kvstore.Entry{Key: l.records.ConfigurationKey(), Value: record, Version: received.Position.Version, Era: received.Position.Era}
 	if err != nil {
 		l.ignoreRecord(entry, err)
 		return
 	}
 	l.applyConfiguration(entry, sourcePeer)
-	l.configurationWatcher.resumeFrom(entry.Version)
+	if received.Position.Era == l.era {
+		l.configurationWatcher.resumeFrom(received.Position)
+	}
 }
 
 // recordFor returns the configuration record for the response to a daemon that lacks
--- a/gateway/run/spread_test.go
+++ b/gateway/run/spread_test.go
@@ -82,7 +82,7 @@
 
 func TestRecordFor(t *testing.T) {
 	g := NewWithT(t)
-	l := &loop{members: map[string]member{}, recordBatch: newRecipientBatch(), record: []byte("{}"), recordVersion: 7}
+	l := &loop{members: map[string]member{}, recordBatch: newRecipientBatch(), record: []byte("{}")}
 	now := time.Second
 	g.Expect(l.recordFor("a", now)).NotTo(BeNil(), "in a small fleet the response contains the record")
 	for at := range maxDirectRecipients + 1 {
--- a/gateway/run/start.go
+++ b/gateway/run/start.go
@@ -84,7 +84,7 @@
 		return response
 	}
 	response.ConfigurationVersion, response.Record = l.configuration.Version, l.peerRecord()
-	response.Pages = l.pagesFor(report)
+	response.Pages = l.pagesFor(report.Pages)
 	l.relay.update(l.servers)
 	l.relay.addChanges(&response, l.source(), report)
 	return response
--- a/gateway/run/store_watcher.go
+++ b/gateway/run/store_watcher.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"guavacrank.example/gateway/port"
@@ -28,14 +27,13 @@
 	prefix  string
 	deliver func(input)
 
-	// resumeVersion is the version from which to watch without listing the prefix
-	// first. Zero lists it.
-	resumeVersion atomic.Uint64
-
 	mu     sync.Mutex
 	active bool
-	wake   chan struct{}
-	cancel context.CancelFunc // Ends the current watch.
+	// resumePosition is the position from which to watch without listing the prefix
+	// first. Its zero value lists it.
+	resumePosition kvstore.Position
+	wake           chan struct{}
+	cancel         context.CancelFunc // Ends the current watch.
 }
 
 // newStoreWatcher returns an inactive storeWatcher.
@@ -83,9 +81,22 @@
 	}
 }
 
-// resumeFrom makes the next watch start after the given version without listing
-// the prefix, because its state at that version is known.
-func (w *storeWatcher) resumeFrom(version kvstore.Version) { w.resumeVersion.Store(uint64(version)) }
+// resumeFrom makes the next watch start after the given position without listing
+// the prefix, because its state at that position is known.
+func (w *storeWatcher) resumeFrom(position kvstore.Position) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.resumePosition = position
+}
+
+// takeResumePosition returns the position set by resumeFrom and resets it.
+func (w *storeWatcher) takeResumePosition() kvstore.Position {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	position := w.resumePosition
+	w.resumePosition = kvstore.Position{}
+	return position
+}
 
 // wakeUp makes waitActive check the active flag again.
 func (w *storeWatcher) wakeUp() {
@@ -100,30 +111,36 @@
 func (w *storeWatcher) run(ctx context.Context) {
 	delay := minRetryDelay
 	for w.waitActive(ctx); ctx.Err() == nil; w.waitActive(ctx) {
-		if known := w.resumeVersion.Swap(0); known > 0 {
-			if err := w.watch(ctx, kvstore.Version(known)); err != nil && !kvstore.IsKind(err, kvstore.KindHistoryGone) {
+		if known := w.takeResumePosition(); known.Version > 0 {
+			if err := w.watch(ctx, known); err != nil && !kvstore.IsKind(err, kvstore.KindHistoryGone) {
 				sleep(ctx, jitter(minRetryDelay))
 			}
 			continue
 		}
 		began := time.Now()
-		entries, version, err := w.store.List(ctx, w.prefix)
-		w.deliver(watchResult{prefix: w.prefix, full: true, entries: entries, err: err, duration: time.Since(began)})
+		entries, position, err := w.store.List(ctx, w.prefix)
+		w.deliver(watchResult{prefix: w.prefix, full: true, era: resultEra(position, err), entries: entries, err: err, duration: time.Since(began)})
 		if err != nil {
 			sleep(ctx, jitter(delay))
 			delay = min(2*delay, maxRetryDelay)
 			continue
 		}
 		delay = minRetryDelay
-		err = w.watch(ctx, version)
+		err = w.watch(ctx, position)
 		if err != nil && !kvstore.IsKind(err, kvstore.KindHistoryGone) {
 			sleep(ctx, jitter(minRetryDelay))
 		}
 	}
 }
 
-// watch delivers changes until a call fails or the watch is canceled.
-func (w *storeWatcher) watch(ctx context.Context, after kvstore.Version) error {
+// resultEra returns the store's era according to the result of a call.
+func resultEra(position kvstore.Position, err error) kvstore.Era {
+	return max(position.Era, kvstore.EraOf(err))
+}
+
+// watch delivers changes until a call fails, the store is restored from an earlier copy,
+// or the watch is canceled.
+func (w *storeWatcher) watch(ctx context.Context, after kvstore.Position) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w.mu.Lock()
@@ -133,14 +150,19 @@
 	}
 	w.mu.Unlock()
 	for ctx.Err() == nil {
-		entries, version, err := w.store.Changes(ctx, w.prefix, after, watchTimeout)
+		entries, position, err := w.store.Changes(ctx, w.prefix, after.Version, watchTimeout)
 		if err != nil {
 			return err
 		}
+		if position.Era != after.Era {
+			return &kvstore.Error{Op: "watch", Key: w.prefix, Kind: kvstore.KindHistoryGone, Era: position.Era}
+		}
 		if len(entries) > 0 {
-			w.deliver(watchResult{prefix: w.prefix, entries: entries})
+			w.deliver(watchResult{prefix: w.prefix, era: position.Era, entries: entries})
+		}
+		if after.Before(position) {
+			after = position
 		}
-		after = max(after, version)
 	}
 	return ctx.Err()
 }
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -33,6 +33,8 @@
 	} `yaml:"listen"`
 	Seeds       []string       `yaml:"seeds"`
 	Store       string         `yaml:"store"`
+	FirstStart  bool           `yaml:"first_start"`
+	HeartbeatMS float64        `yaml:"heartbeat_ms"`
 	MinLeaseMS  float64        `yaml:"lease_least_ms"`
 	MemoryMB    int64          `yaml:"memory_mb"`
 	Descriptors int            `yaml:"descriptors"`
@@ -70,12 +72,15 @@
 			Metrics: f.Listen.Metrics,
 		},
 		Seeds:          f.Seeds,
+		FirstStart:     f.FirstStart,
 		StoreAddress:   f.Store,
 		MemoryBytes:    f.MemoryMB << 20,
 		MaxDescriptors: f.Descriptors,
 		Cores:          f.Processor,
 		LinkMbit:       f.LinkMbit,
 		Bounds:         bounds,
+
+		HeartbeatInterval: milliseconds(f.HeartbeatMS),
 	}, nil
 }
 
@@ -105,6 +110,7 @@
 	require(f.Processor >= 0, "processor", "must not be negative")
 	require(f.LinkMbit >= 0, "link_mbit", "must not be negative")
 	require(f.MinLeaseMS >= 0, "lease_least_ms", "must not be negative")
+	require(f.HeartbeatMS >= 0, "heartbeat_ms", "must not be negative")
 	return problems
 }
 
--- a/kvstore/errors.go
+++ b/kvstore/errors.go
@@ -35,6 +35,7 @@
 	Kind    Kind
 	Outcome Outcome
 	Current Version // The stored version, with KindConflict.
+	Era     Era     // The store's era according to its response; zero without one.
 	Err     error
 }
 
@@ -53,6 +54,12 @@
 // Unwrap returns the underlying error.
 func (e *Error) Unwrap() error { return e.Err }
 
+// InEra sets the era that the store's response named, and returns e.
+func (e *Error) InEra(era Era) *Error {
+	e.Era = era
+	return e
+}
+
 // String returns the kind's name.
 func (k Kind) String() string {
 	names := [...]string{"unavailable", "not found", "conflict", "throttled", "too large", "invalid", "history gone"}
@@ -72,6 +79,15 @@
 	return &Error{Op: op, Key: key, Kind: KindUnavailable, Outcome: outcome, Err: err}
 }
 
+// EraOf returns the store's era according to the response that err is about, or zero.
+func EraOf(err error) Era {
+	var storeErr *Error
+	if errors.As(err, &storeErr) {
+		return storeErr.Era
+	}
+	return 0
+}
+
 // IsKind reports whether err is an *Error of the given kind.
 func IsKind(err error, kind Kind) bool {
 	var storeErr *Error
--- a/kvstore/platform.go
+++ b/kvstore/platform.go
@@ -15,6 +15,35 @@
 // with every applied change of any key; zero means that a key does not exist.
 type Version uint64
 
+// Era counts how often a store was restored from an earlier copy of itself. A
+// restored store has lost changes that it had acknowledged, and gives their versions
+// and lease IDs out again, so that neither can be compared across eras. Zero means that
+// the store names no era.
+type Era uint64
+
+// Position is a state of a store: a version in an era.
+type Position struct {
+	Era     Era     `json:"era,omitempty"`
+	Version Version `json:"version"`
+}
+
+// Before reports whether p is an earlier position than other. Positions are ordered by
+// era, then by version.
+func (p Position) Before(other Position) bool {
+	if p.Era != other.Era {
+		return p.Era < other.Era
+	}
+	return p.Version < other.Version
+}
+
+// Lease is a lease that a store granted.
+type Lease struct {
+	ID  LeaseID
+	TTL time.Duration
+	// Era is the store's era when it granted the lease.
+	Era Era
+}
+
 // LeaseID identifies a lease; zero means no lease.
 type LeaseID uint64
 
@@ -27,6 +56,8 @@
 	Value   []byte  `json:"value"`
 	Version Version `json:"version"`
 	Lease   LeaseID `json:"lease,omitempty"`
+	// Era is the store's era when the entry was read.
+	Era Era `json:"era,omitempty"`
 	// Deleted marks a deleted key; only watches return such entries.
 	Deleted bool `json:"deleted,omitempty"`
 }
