gateway: a rejection's log line says how old the configuration is that it rests on

The log names the version in force, but not where it came from, since when it is in force, nor when the VM last knew that it was the newest one; a VM that nobody has told anything for seconds logs the same line as one that is up to date.

Each VM now notes when its configuration was confirmed as the newest: by a read of the store, or by a response of a VM that was confirmed itself (confirmed_age_ms, no younger than the sender's). Event 733 has the fields source, in_force_for and confirmed_ago. No decision rests on it yet. The number of lines is limited as before.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -68,7 +68,7 @@
 	{RequestAnswered, "request-answered", Info, "A backend server's complete response was forwarded. Successful requests are sampled by request ID, so that all VMs log the same ones."},
 	{RequestNotRun, "request-not-run", Warn, "A request ended without having run; the code says why. The response told the caller when to retry."},
 	{RequestMayHaveRun, "request-may-have-run", Warn, "A request ended without a complete response after it may have reached a backend server; the code says why."},
-	{RequestRejected, "request-rejected", Info, "A request was rejected as invalid: no route, an invalid header, or a body above the size limit."},
+	{RequestRejected, "request-rejected", Info, "A request was rejected as invalid: no route, an invalid header, or a body above the size limit. The fields name the configuration it was judged by: version, source, how long it is in force (in_force_for) and when it was last known to be the newest (confirmed_ago; absent if never)."},
 	{CallerLeft, "caller-left", Info, "The caller closed its connection before the response; the backend server's work was canceled."},
 	{GatewayLinesDropped, "gateway-lines-left-out", Warn, "Log lines were dropped because the output queue was full or the rate limit was reached; the field lines gives their number."},
 	{GatewayListenerFailed, "gateway-listener-failed", Error, "A listener of this process failed; the process exits."},
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -51,10 +51,12 @@
 type Options struct {
 	HeaderCodec port.HeaderCodec
 	Views       *view.Publisher
-	Dispatcher  *dispatch.Dispatcher
-	Log         *logbook.Logger
-	Metrics     *metric.Table
-	Clock       func() time.Duration
+	// Confirmation, if set, says when the configuration was last known to be the newest.
+	Confirmation *view.Confirmation
+	Dispatcher   *dispatch.Dispatcher
+	Log          *logbook.Logger
+	Metrics      *metric.Table
+	Clock        func() time.Duration
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
 	// OnKeyRequest, if set, is called with the service and key of each request that
@@ -114,6 +116,7 @@
 	route   *model.Route
 	service string
 	version uint64
+	origin  view.Origin
 }
 
 // rejection is the response to an invalid request, which is not sent to a server.
@@ -134,7 +137,7 @@
 		e.refuse(verdict.CodeStore, notReadyRetryAfter)
 		return
 	}
-	e.version = current.Configuration.Version
+	e.version, e.origin = current.Configuration.Version, current.Origin
 	e.route = current.Routes.Find(e.r.Host, rawPath(e.r.RequestURI))
 	if e.route == nil {
 		e.reject(rejection{http.StatusNotFound, "no route for host " + e.r.Host + " and path " + rawPath(e.r.RequestURI)})
@@ -308,8 +311,8 @@
 	e.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	e.w.WriteHeader(rejected.status)
 	e.write([]byte(rejected.cause + "\n"))
-	e.options.Log.Event(event.RequestRejected, rejected.cause,
-		zap.String("request", e.head.ID), zap.Int("status", rejected.status), zap.Uint64("configuration", e.version))
+	e.options.Log.Event(event.RequestRejected, rejected.cause, append(e.configurationFields(),
+		zap.String("request", e.head.ID), zap.Int("status", rejected.status))...)
 }
 
 // record adds a result to the metrics.
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -98,3 +99,23 @@
 		g.Expect(recorder.Header().Get("Retry-After")).NotTo(BeEmpty())
 	})
 }
+
+func TestARejectionSaysHowOldTheConfigurationIs(t *testing.T) {
+	g := NewWithT(t)
+	var output bytes.Buffer
+	log := logbook.New(&output)
+	views, confirmation, empty := view.NewPublisher(), &view.Confirmation{}, &model.Configuration{Version: 7}
+	h := New(Options{
+		HeaderCodec: fixedCodec{head: port.RequestHead{ID: "r"}}, Views: views, Confirmation: confirmation,
+		Log: log, Metrics: &metric.Table{}, Clock: func() time.Duration { return 10 * time.Second },
+	})
+	views.Publish(&view.View{Configuration: empty, Routes: routing.NewTable(empty), Origin: view.Origin{Source: "peer", At: 4 * time.Second}})
+	serve(h)
+	confirmation.Confirm(9 * time.Second)
+	serve(h)
+	log.Close(time.Second)
+	lines := strings.Split(strings.TrimSpace(output.String()), "\n")
+	g.Expect(lines).To(HaveLen(2))
+	g.Expect(lines[0]).To(And(ContainSubstring(`"configuration":7,"source":"peer","in_force_for":6`), Not(ContainSubstring("confirmed_ago"))))
+	g.Expect(lines[1]).To(ContainSubstring(`"confirmed_ago":1`))
+}
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -111,6 +111,9 @@
 	// the operators' record of it, sent if the receiver lacks it.
 	ConfigurationVersion uint64               `json:"configuration"`
 	Record               *ConfigurationRecord `json:"record,omitempty"`
+	// ConfirmedAgeMS is the time since the sender last knew that it had the newest
+	// version, in milliseconds; -1 if it never did.
+	ConfirmedAgeMS int64 `json:"confirmed_age_ms"`
 	// Limits are the leader's decisions on servers that limit their requests.
 	Limits []limit.Allotment `json:"limits,omitempty"`
 	// Members holds the addresses of all daemons if their number differs from
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -56,6 +56,7 @@
 		for _, entry := range r.entries {
 			if entry.Key == l.records.ConfigurationKey() && !entry.Deleted {
 				l.applyConfiguration(entry, sourceStore)
+				l.confirmByStore(r.duration)
 			}
 		}
 	}
@@ -81,6 +82,7 @@
 	l.recordInForce.Store(uint64(entry.Version))
 	clear(l.recordBatch.sentAt)
 	l.routes = routing.NewTable(configuration)
+	l.origin = view.Origin{Source: source, At: l.clock()}
 	l.viewOutdated = true
 	l.log.Event(event.GatewayConfigured, "", zap.Uint64("configuration", configuration.Version),
 		zap.Int("routes", len(configuration.Routes)), zap.Uint64("record", uint64(entry.Version)), zap.String("source", source))
@@ -240,7 +242,7 @@
 		}
 		services[name] = service
 	}
-	l.views.Publish(&view.View{Configuration: l.configuration, Routes: l.routes, Services: services, VMs: vms})
+	l.views.Publish(&view.View{Configuration: l.configuration, Routes: l.routes, Services: services, VMs: vms, Origin: l.origin})
 	if l.starting() {
 		l.ready.Store(true)
 		l.log.Event(event.GatewayReady, "", zap.Uint64("configuration", l.configuration.Version), zap.Int("servers", len(l.servers.rows)))
--- /dev/null
+++ b/gateway/run/confirmation.go
@@ -0,0 +1,40 @@
+package run
+
+import (
+	"time"
+
+	"guavacrank.example/gateway/peer"
+)
+
+// A daemon's configuration is confirmed when a read of the store, or the response of a
+// daemon whose own configuration is confirmed, shows that there was no newer one.
+
+// neverConfirmed stands for the age of a confirmation if there was none.
+const neverConfirmed int64 = -1
+
+// confirmedAgeMS returns the time in milliseconds since the configuration in force was
+// last confirmed, or neverConfirmed.
+func (l *loop) confirmedAgeMS() int64 {
+	age, confirmed := l.confirmation.Age(l.clock())
+	if !confirmed || l.configuration == nil {
+		return neverConfirmed
+	}
+	return age.Milliseconds()
+}
+
+// confirmByPeer processes the confirmation in a response to a message that was sent at
+// the given time.
+func (l *loop) confirmByPeer(response *peer.ReportResponse, sentAt time.Duration) {
+	if l.configuration == nil || response.ConfirmedAgeMS == neverConfirmed || response.ConfigurationVersion > l.configuration.Version {
+		return
+	}
+	l.confirmation.Confirm(sentAt - time.Duration(response.ConfirmedAgeMS)*time.Millisecond)
+}
+
+// confirmByStore processes a successful read of the configuration that began the given
+// time ago.
+func (l *loop) confirmByStore(took time.Duration) {
+	if l.configuration != nil {
+		l.confirmation.Confirm(l.clock() - took)
+	}
+}
--- a/gateway/run/fallback.go
+++ b/gateway/run/fallback.go
@@ -39,8 +39,9 @@
 	l.askPending = true
 	address, query := followers[l.nextFollower%len(followers)], l.newFollowerQuery()
 	go func() {
+		sentAt := l.clock()
 		response, err := l.peers.Report(l.ctx, address, query)
-		l.deliver(followerResponded{address, response, err})
+		l.deliver(followerResponded{address, response, err, sentAt})
 	}()
 }
 
@@ -56,6 +57,7 @@
 	if r.err == nil {
 		l.followerFailures = 0
 		l.applyFollowerResponse(r.response)
+		l.confirmByPeer(r.response, r.sentAt)
 		return
 	}
 	l.log.Event(event.PeerUnreachable, r.err.Error(), zap.String("follower", r.address))
@@ -68,7 +70,7 @@
 // followerResponse returns a store follower's response to a daemon that can't reach
 // the leader. It contains what the sender lacks.
 func (l *loop) followerResponse(report *peer.Report) peer.ReportResponse {
-	response := peer.ReportResponse{KnownLeader: l.knownLeader}
+	response := peer.ReportResponse{KnownLeader: l.knownLeader, ConfirmedAgeMS: l.confirmedAgeMS()}
 	if l.configuration != nil && report.ConfigurationVersion < l.configuration.Version {
 		response.ConfigurationVersion, response.Record = l.configuration.Version, l.peerRecord()
 	}
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -17,7 +17,7 @@
 	full    bool // Whether entries are the complete contents of the prefix.
 	entries []kvstore.Entry
 	err     error
-	// duration is how long the list call took, if full is set.
+	// duration is how long the call took; zero for changes.
 	duration time.Duration
 }
 
@@ -98,6 +98,7 @@
 	address  string
 	response *peer.ReportResponse
 	err      error
+	sentAt   time.Duration
 }
 
 // leaderAnnounced is a leader's announcement of its leadership.
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -67,12 +67,15 @@
 	views    *view.Publisher
 	campaign *leader.Campaign
 	peers    *peer.Client
-	clock    func() time.Duration
-	self     keys.Leader
-	inputs   chan input // Safe for all goroutines.
-	ctx      context.Context
+	// confirmation says when the configuration was last known to be the newest one.
+	confirmation *view.Confirmation
+	clock        func() time.Duration
+	self         keys.Leader
+	inputs       chan input // Safe for all goroutines.
+	ctx          context.Context
 
 	configuration     *model.Configuration
+	origin            view.Origin // Of the configuration.
 	routes            *routing.Table
 	servers           *serverTable
 	pages             map[string]*versionedPage
@@ -108,6 +111,7 @@
 	relayedListNewest bool                      // Whether that list came from a peer.
 	nextLatencyReport time.Duration             // Earliest next report of servers' response times.
 	reportPending     bool
+	reportSentAt      time.Duration // When the newest report was sent.
 	members           map[string]member
 	requestedKeys     *requestedKeys
 	storeHealth       dependency
@@ -172,6 +176,7 @@
 		log:          shared.log,
 		budget:       shared.budget,
 		views:        shared.views,
+		confirmation: shared.confirmation,
 		clock:        shared.clock,
 		peers:        peer.NewClient(),
 		self:         self,
--- a/gateway/run/polling.go
+++ b/gateway/run/polling.go
@@ -110,12 +110,13 @@
 		if !l.leadingNow.Load() {
 			continue
 		}
+		began := time.Now()
 		entry, err := l.store.Get(ctx, l.records.ConfigurationKey())
 		interval = max(configurationPollInterval, time.Duration(len(entry.Value))*time.Second/maxConfigurationBytesPerSec)
 		if kvstore.IsKind(err, kvstore.KindNotFound) {
 			continue
 		}
-		l.deliver(watchResult{prefix: l.records.ConfigurationKey(), entries: []kvstore.Entry{entry}, err: err})
+		l.deliver(watchResult{prefix: l.records.ConfigurationKey(), entries: []kvstore.Entry{entry}, err: err, duration: time.Since(began)})
 	}
 }
 
--- a/gateway/run/relay_test.go
+++ b/gateway/run/relay_test.go
@@ -13,6 +13,7 @@
 	"guavacrank.example/gateway/logbook"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
+	"guavacrank.example/gateway/view"
 )
 
 // newRelayLoop returns a loop with the given number of listed servers.
@@ -23,6 +24,7 @@
 	l := &loop{
 		settings: &model.Settings{}, members: map[string]member{}, relay: newRelay(), log: log,
 		allocator: limit.NewAllocator(), recordBatch: newRecipientBatch(), serverListBatch: newRecipientBatch(), pageBatch: newRecipientBatch(), clock: func() time.Duration { return now },
+		confirmation: &view.Confirmation{},
 	}
 	l.servers = newServerTable(l.settings, nil, log)
 	l.self.Incarnation = "leader"
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -80,7 +80,7 @@
 		l.applyAllotments(l.allocator.Allotments(now, l.reportInterval()))
 		return
 	}
-	l.reportPending = true
+	l.reportPending, l.reportSentAt = true, now
 	go func() {
 		response, err := l.peers.Report(l.ctx, address, report)
 		l.deliver(reportDone{response, err})
@@ -268,6 +268,7 @@
 	} else {
 		l.followLeader(r.response.KnownLeader)
 		l.applyStartupResponse(r.response)
+		l.confirmByPeer(r.response, l.reportSentAt)
 	}
 	l.log.Event(event.PeerUnreachable, cause, zap.String("leader", l.knownLeader.Leader.VM))
 	if l.relay.reportFailures++; l.relay.reportFailures >= staleThreshold {
--- a/gateway/run/responses.go
+++ b/gateway/run/responses.go
@@ -21,6 +21,8 @@
 		ListAgeMS:    (now - l.servers.readAt).Milliseconds(),
 		Distribution: l.distributionFor(report, now),
 		Limits:       l.allocator.Allotments(now, l.reportInterval()),
+
+		ConfirmedAgeMS: l.confirmedAgeMS(),
 	}
 	if l.configuration != nil {
 		response.ConfigurationVersion = l.configuration.Version
@@ -102,6 +104,7 @@
 		l.applyRecord(response.Record)
 	}
 	l.checkConfigurationVersion(now, response.ConfigurationVersion)
+	l.confirmByPeer(response, l.reportSentAt)
 }
 
 // checkConfigurationVersion relists the configuration if the watch has missed the
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -73,6 +73,7 @@
 	budget        *budget.Budget
 	views         *view.Publisher
 	requestedKeys *requestedKeys
+	confirmation  *view.Confirmation
 	clock         func() time.Duration
 }
 
@@ -105,6 +106,7 @@
 		budget:        budget.New(budget.Options{Window: bounds.RetryWindow, Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack}),
 		views:         view.NewPublisher(),
 		requestedKeys: newRequestedKeys(),
+		confirmation:  &view.Confirmation{},
 		clock:         elapsed.Now,
 	}
 	g.loop = newLoop(ctx, options, g.shared)
@@ -112,6 +114,7 @@
 	g.handler = front.New(front.Options{
 		HeaderCodec:  options.HeaderCodec,
 		Views:        g.shared.views,
+		Confirmation: g.shared.confirmation,
 		Dispatcher:   dispatcher,
 		Log:          g.shared.log,
 		Metrics:      g.metrics,
--- a/gateway/view/view.go
+++ b/gateway/view/view.go
@@ -22,6 +22,8 @@
 	Services      map[string]*Service
 	// VMs is the number of active VMs, or zero if unknown.
 	VMs int
+	// Origin is that of Configuration.
+	Origin Origin
 }
 
 // Service is a configured service with its backend servers.
