gateway: a configuration that may have been replaced denies nothing

A caller does not repeat a 404.

Cause: the absence of a route in the configuration in force was taken for the absence of the route. A VM that has lost the leader, its store followers and the store says 404 as surely as one that has just been told that it is up to date. The same holds for 413 by the body limit, for 400 by a service that needs a key, and for a VM that became ready with the version of any VM that responded.

Fix: while the last confirmation of the configuration is older than the time in which a newer one must be in force (config_ms, now read from the bounds), what it would deny is refused with 503 as not run, so that the caller tries another VM. A 404 at t then rests on a configuration that was the newest at t - config_ms or later; every version acknowledged after that may not be in force yet. The confirmation is published after the view that it is about. The log (731) names the status that was withheld.

The VMs still get the configuration too late; that is a fault of its own.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -66,7 +66,7 @@
 	{PeerUnreachable, "peer-out-of-reach", Warn, "A call between this VM and the leader failed; load balancing and the retry budget use the last known values."},
 	{UpdateNotSent, "news-not-sent", Info, "An update to a page of keys, a configuration or the server list did not reach a daemon at once; the daemon gets it with the response to a report."},
 	{RequestAnswered, "request-answered", Info, "A backend server's complete response was forwarded. Successful requests are sampled by request ID, so that all VMs log the same ones."},
-	{RequestNotRun, "request-not-run", Warn, "A request ended without having run; the code says why. The response told the caller when to retry."},
+	{RequestNotRun, "request-not-run", Warn, "A request ended without having run; the code says why. The response told the caller when to retry. The field withheld is the status that the configuration in force called for, had it been known to be the newest."},
 	{RequestMayHaveRun, "request-may-have-run", Warn, "A request ended without a complete response after it may have reached a backend server; the code says why."},
 	{RequestRejected, "request-rejected", Info, "A request was rejected as invalid: no route, an invalid header, or a body above the size limit. The fields name the configuration it was judged by: version, source, how long it is in force (in_force_for) and when it was last known to be the newest (confirmed_ago; absent if never)."},
 	{CallerLeft, "caller-left", Info, "The caller closed its connection before the response; the backend server's work was canceled."},
--- a/gateway/front/body.go
+++ b/gateway/front/body.go
@@ -60,7 +60,7 @@
 	case errors.Is(err, errNoBodyMemory):
 		e.refuse(verdict.CodeTooMany, memoryRetryAfter)
 	case errors.As(err, &tooLarge):
-		e.reject(rejection{http.StatusRequestEntityTooLarge, err.Error()})
+		e.deny(rejection{http.StatusRequestEntityTooLarge, err.Error()})
 	default:
 		e.reject(rejection{http.StatusBadRequest, err.Error()})
 	}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -53,10 +53,14 @@
 	Views       *view.Publisher
 	// Confirmation, if set, says when the configuration was last known to be the newest.
 	Confirmation *view.Confirmation
-	Dispatcher   *dispatch.Dispatcher
-	Log          *logbook.Logger
-	Metrics      *metric.Table
-	Clock        func() time.Duration
+	// ConfigurationTime is the time after its write in which a configuration has to be
+	// in force. A configuration confirmed longer ago than that may have been replaced;
+	// then it denies nothing. Zero means that it always may.
+	ConfigurationTime time.Duration
+	Dispatcher        *dispatch.Dispatcher
+	Log               *logbook.Logger
+	Metrics           *metric.Table
+	Clock             func() time.Duration
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
 	// OnKeyRequest, if set, is called with the service and key of each request that
@@ -140,12 +144,16 @@
 	e.version, e.origin = current.Configuration.Version, current.Origin
 	e.route = current.Routes.Find(e.r.Host, rawPath(e.r.RequestURI))
 	if e.route == nil {
-		e.reject(rejection{http.StatusNotFound, "no route for host " + e.r.Host + " and path " + rawPath(e.r.RequestURI)})
+		e.deny(rejection{http.StatusNotFound, "no route for host " + e.r.Host + " and path " + rawPath(e.r.RequestURI)})
 		return
 	}
 	e.service = routing.PickTarget(e.route, rand.Uint64())
-	if rejected := e.validate(current); rejected != nil {
-		e.reject(*rejected)
+	if e.head.ID == "" {
+		e.reject(rejection{http.StatusBadRequest, "the request has no id"})
+		return
+	}
+	if current.Services[e.service].Partitioned && !e.head.HasKey {
+		e.deny(rejection{http.StatusBadRequest, "the request names no key"})
 		return
 	}
 	e.forward(current)
@@ -173,17 +181,6 @@
 	return current
 }
 
-// validate checks that the request has an ID, and a key if its service needs one.
-func (e *exchange) validate(current *view.View) *rejection {
-	if e.head.ID == "" {
-		return &rejection{http.StatusBadRequest, "the request has no id"}
-	}
-	if current.Services[e.service].Partitioned && !e.head.HasKey {
-		return &rejection{http.StatusBadRequest, "the request names no key"}
-	}
-	return nil
-}
-
 // rawPath returns the path of a request target without decoding it.
 func rawPath(target string) string {
 	path, _, _ := strings.Cut(target, "?")
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -119,3 +119,20 @@
 	g.Expect(lines[0]).To(And(ContainSubstring(`"configuration":7,"source":"peer","in_force_for":6`), Not(ContainSubstring("confirmed_ago"))))
 	g.Expect(lines[1]).To(ContainSubstring(`"confirmed_ago":1`))
 }
+
+func TestAConfigurationThatMayHaveBeenReplacedDeniesNothing(t *testing.T) {
+	g := NewWithT(t)
+	h, views := newHandler(t, time.Second)
+	confirmation, empty := &view.Confirmation{}, &model.Configuration{Version: 7}
+	h.options.Confirmation, h.options.ConfigurationTime = confirmation, 2*time.Second
+	h.options.Clock = func() time.Duration { return 10 * time.Second }
+	views.Publish(&view.View{Configuration: empty, Routes: routing.NewTable(empty)})
+	status, _ := serve(h)
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable), "nobody has said that it is the newest")
+	confirmation.Confirm(8*time.Second - time.Millisecond)
+	status, _ = serve(h)
+	g.Expect(status).To(Equal(http.StatusServiceUnavailable), "a newer one may have to be in force")
+	confirmation.Confirm(8 * time.Second)
+	status, _ = serve(h)
+	g.Expect(status).To(Equal(http.StatusNotFound))
+}
--- a/gateway/model/settings.go
+++ b/gateway/model/settings.go
@@ -48,6 +48,9 @@
 	RetryWindow time.Duration
 	// MaxGrantTTL is the longest TTL that a grant may have.
 	MaxGrantTTL time.Duration
+	// ConfigurationTime is the time after the acknowledgement of its write in which a
+	// configuration has to be in force on all VMs.
+	ConfigurationTime time.Duration
 	// MinLeaseTTL is the shortest lease TTL that the store grants.
 	MinLeaseTTL time.Duration
 }
--- a/gateway/run/confirmation.go
+++ b/gateway/run/confirmation.go
@@ -15,11 +15,10 @@
 // confirmedAgeMS returns the time in milliseconds since the configuration in force was
 // last confirmed, or neverConfirmed.
 func (l *loop) confirmedAgeMS() int64 {
-	age, confirmed := l.confirmation.Age(l.clock())
-	if !confirmed || l.configuration == nil {
+	if l.confirmedAt <= 0 {
 		return neverConfirmed
 	}
-	return age.Milliseconds()
+	return (l.clock() - l.confirmedAt).Milliseconds()
 }
 
 // confirmByPeer processes the confirmation in a response to a message that was sent at
@@ -28,13 +27,13 @@
 	if l.configuration == nil || response.ConfirmedAgeMS == neverConfirmed || response.ConfigurationVersion > l.configuration.Version {
 		return
 	}
-	l.confirmation.Confirm(sentAt - time.Duration(response.ConfirmedAgeMS)*time.Millisecond)
+	l.confirmedAt = max(l.confirmedAt, sentAt-time.Duration(response.ConfirmedAgeMS)*time.Millisecond)
 }
 
 // confirmByStore processes a successful read of the configuration that began the given
 // time ago.
 func (l *loop) confirmByStore(took time.Duration) {
 	if l.configuration != nil {
-		l.confirmation.Confirm(l.clock() - took)
+		l.confirmedAt = max(l.confirmedAt, l.clock()-took)
 	}
 }
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -58,24 +58,24 @@
 // loop is the control loop, which owns the state of the process. Fields may only
 // be used by its own goroutine unless marked as safe for all goroutines.
 type loop struct {
-	settings *model.Settings
-	store    port.Store
-	records  port.Records
-	grantor  port.Grantor
-	log      *logbook.Logger
-	budget   *budget.Budget
-	views    *view.Publisher
-	campaign *leader.Campaign
-	peers    *peer.Client
-	// confirmation says when the configuration was last known to be the newest one.
-	confirmation *view.Confirmation
+	settings     *model.Settings
+	store        port.Store
+	records      port.Records
+	grantor      port.Grantor
+	log          *logbook.Logger
+	budget       *budget.Budget
+	views        *view.Publisher
+	campaign     *leader.Campaign
+	peers        *peer.Client
+	confirmation *view.Confirmation // Tells request handling about confirmedAt.
 	clock        func() time.Duration
 	self         keys.Leader
 	inputs       chan input // Safe for all goroutines.
 	ctx          context.Context
 
 	configuration     *model.Configuration
-	origin            view.Origin // Of the configuration.
+	origin            view.Origin   // Of the configuration.
+	confirmedAt       time.Duration // When the configuration was last known to be the newest one.
 	routes            *routing.Table
 	servers           *serverTable
 	pages             map[string]*versionedPage
@@ -253,5 +253,6 @@
 		if l.viewOutdated {
 			l.publish()
 		}
+		l.confirmation.Confirm(l.confirmedAt) // After the view that it is about.
 	}
 }
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -112,15 +112,16 @@
 	g.loop = newLoop(ctx, options, g.shared)
 	dispatcher := dispatch.New(dispatch.Options{HeaderCodec: options.HeaderCodec, Budget: g.shared.budget, Views: g.shared.views, Clock: g.shared.clock})
 	g.handler = front.New(front.Options{
-		HeaderCodec:  options.HeaderCodec,
-		Views:        g.shared.views,
-		Confirmation: g.shared.confirmation,
-		Dispatcher:   dispatcher,
-		Log:          g.shared.log,
-		Metrics:      g.metrics,
-		Clock:        g.shared.clock,
-		MemoryBytes:  options.Settings.MemoryBytes,
-		OnKeyRequest: g.recordKey,
+		HeaderCodec:       options.HeaderCodec,
+		Views:             g.shared.views,
+		Confirmation:      g.shared.confirmation,
+		ConfigurationTime: bounds.ConfigurationTime,
+		Dispatcher:        dispatcher,
+		Log:               g.shared.log,
+		Metrics:           g.metrics,
+		Clock:             g.shared.clock,
+		MemoryBytes:       options.Settings.MemoryBytes,
+		OnKeyRequest:      g.recordKey,
 	})
 	return g
 }
