gateway: a VM that reaches neither the leader nor its store followers asks other VMs

Cause: a VM asks the leader, the store followers of its own zone and the store, nobody else. When the first two are lost together while the store refuses the VM, it has nobody to ask, though nearly every other VM has the newer version or knows who leads.

Fix: while its reports fail and no store follower that is in contact with the store responds (within 200 ms), a VM asks others of the fleet, chosen at random, two at a time and eight at most for each failed report. The question brings only whether they have anything newer and the leader that they know; the first one that has is asked for it. A leader that is learned so gets the next report. A question is still no report: no majority rests on it. A starting VM goes on with its seeds.

--- a/gateway/run/fallback.go
+++ b/gateway/run/fallback.go
@@ -30,13 +30,21 @@
 	return len(l.followersToAsk()) == 0 || l.followerFailures >= staleThreshold
 }
 
-// askFollower asks a store follower for what this daemon lacks.
+// askFollower asks a store follower for what this daemon lacks, or other daemons if it
+// has no store follower to ask.
 func (l *loop) askFollower() {
 	followers := l.followersToAsk()
-	if len(followers) == 0 || l.askPending {
+	if len(followers) == 0 {
+		l.askOthers()
+		return
+	}
+	if l.askPending {
 		return
 	}
 	l.askPending = true
+	l.questions++
+	silent := followerSilent{l.questions}
+	time.AfterFunc(followerPatience, func() { l.deliver(silent) })
 	address, query := followers[l.nextFollower%len(followers)], l.newFollowerQuery()
 	go func() {
 		sentAt := l.clock()
@@ -58,9 +66,13 @@
 		l.followerFailures = 0
 		l.applyFollowerResponse(r.response)
 		l.confirmByPeer(r.response, r.sentAt)
+		if !r.response.InContact {
+			l.askOthers()
+		}
 		return
 	}
 	l.log.Event(event.PeerUnreachable, r.err.Error(), zap.String("follower", r.address))
+	l.askOthers()
 	l.nextFollower++
 	if l.followerFailures++; l.followerFailures < staleThreshold {
 		l.askFollower()
@@ -70,7 +82,7 @@
 // followerResponse returns a store follower's response to a daemon that can't reach
 // the leader. It contains what the sender lacks.
 func (l *loop) followerResponse(report *peer.Report) peer.ReportResponse {
-	response := peer.ReportResponse{KnownLeader: l.knownLeader, ConfirmedAgeMS: l.confirmedAgeMS()}
+	response := peer.ReportResponse{KnownLeader: l.knownLeader, ConfirmedAgeMS: l.confirmedAgeMS(), InContact: l.inContact()}
 	if l.configuration != nil && report.ConfigurationVersion < l.configuration.Version {
 		response.ConfigurationVersion, response.Record = l.configuration.Version, l.peerRecord()
 	}
--- /dev/null
+++ b/gateway/run/others.go
@@ -0,0 +1,145 @@
+package run
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavacrank.example/event"
+	"guavacrank.example/gateway/peer"
+)
+
+// The store followers of a zone and the leader can be lost together while the store
+// refuses this daemon. Any other daemon may have what it lacks, or know who leads. It
+// asks some of them, chosen at random, whether they have anything newer, and asks the
+// first one that has for it.
+
+const (
+	// followerPatience is how long a store follower may take to respond before others
+	// are asked too.
+	followerPatience = 200 * time.Millisecond
+	// parallelQuestions is the number of daemons asked at a time, questionsPerRound the
+	// number asked after one failed report.
+	parallelQuestions = 2
+	questionsPerRound = 8
+)
+
+// otherResponded is the result of asking any other daemon.
+type otherResponded struct {
+	address  string
+	response *peer.ReportResponse
+	err      error
+	sentAt   time.Duration
+	// whole says that the daemon was asked for what it has, not only whether it has it.
+	whole bool
+}
+
+// followerSilent says that a store follower has not responded for followerPatience.
+type followerSilent struct{ question int }
+
+func (s followerSilent) apply(l *loop) {
+	if l.askPending && l.questions == s.question {
+		l.askOthers()
+	}
+}
+
+// askOthers starts a round of questions to other daemons, unless one is under way. A
+// starting daemon reports to seeds instead.
+func (l *loop) askOthers() {
+	if l.othersPending > 0 || l.leading || l.starting() {
+		return
+	}
+	l.othersToAsk = l.chooseOthers()
+	for range parallelQuestions {
+		l.askNextOther()
+	}
+}
+
+// chooseOthers returns some other daemons, apart from the leader and the store followers
+// that are asked anyway.
+func (l *loop) chooseOthers() []string {
+	asked := append([]string{l.self.Address, l.knownLeader.Leader.Address}, l.followersToAsk()...)
+	known := l.knownPeers
+	if len(known) == 0 {
+		known = l.settings.Seeds
+	}
+	others := slices.DeleteFunc(slices.Clone(known), func(address string) bool { return slices.Contains(asked, address) })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(len(others), questionsPerRound)]
+}
+
+// askNextOther asks the next daemon of the round whether it has anything newer.
+func (l *loop) askNextOther() {
+	if len(l.othersToAsk) == 0 {
+		return
+	}
+	address := l.othersToAsk[0]
+	l.othersToAsk = l.othersToAsk[1:]
+	l.askOther(address, false)
+}
+
+// askOther asks another daemon for what it has that this one lacks, or only whether
+// there is anything.
+func (l *loop) askOther(address string, whole bool) {
+	l.othersPending++
+	query := l.newFollowerQuery()
+	query.OnlyWhether = !whole
+	if l.clock()-l.listedAt < l.relayedListTTL() {
+		query.ListAgeMS = 0 // A list that is recent enough is no reason to ask.
+	}
+	go func() {
+		sentAt := l.clock()
+		response, err := l.peers.Report(l.ctx, address, query)
+		l.deliver(otherResponded{address, response, err, sentAt, whole})
+	}()
+}
+
+func (r otherResponded) apply(l *loop) {
+	l.othersPending--
+	switch {
+	case r.err != nil:
+		l.log.Event(event.PeerUnreachable, r.err.Error(), zap.String("peer", r.address))
+		l.askNextOther()
+	case r.response.HasNewer:
+		l.othersToAsk = nil
+		l.followLeader(r.response.KnownLeader)
+		l.askOther(r.address, true)
+	case r.whole:
+		l.applyFollowerResponse(r.response)
+		l.confirmByPeer(r.response, r.sentAt)
+	default:
+		l.followLeader(r.response.KnownLeader)
+		l.confirmByPeer(r.response, r.sentAt)
+		if !r.response.InContact {
+			l.askNextOther()
+		}
+	}
+}
+
+// inContact says whether this daemon watches the store and its last call to the store
+// succeeded, so that it knows of each change.
+func (l *loop) inContact() bool {
+	return l.configuration != nil && (l.leading || l.followsStore) && !l.storeHealth.lost
+}
+
+// answerQuestion returns the response to a question of another daemon.
+func (l *loop) answerQuestion(report *peer.Report) peer.ReportResponse {
+	response := l.followerResponse(report)
+	if report.OnlyWhether {
+		return whetherNewer(response)
+	}
+	return response
+}
+
+// whetherNewer reduces a response to whether it contains anything that the sender of the
+// question lacks.
+func whetherNewer(whole peer.ReportResponse) peer.ReportResponse {
+	return peer.ReportResponse{
+		KnownLeader:    whole.KnownLeader,
+		ConfirmedAgeMS: whole.ConfirmedAgeMS,
+		InContact:      whole.InContact,
+		HasNewer:       whole.Record != nil || len(whole.Pages) > 0 || whole.List != nil,
+	}
+}
--- /dev/null
+++ b/gateway/run/others_test.go
@@ -0,0 +1,60 @@
+package run
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/gateway/model"
+	"guavacrank.example/gateway/peer"
+)
+
+func TestAQuestionWhetherThereIsAnythingNewerBringsNoData(t *testing.T) {
+	g := NewWithT(t)
+	other, daemon := newRelayLoop(t, 3), newRelayLoop(t, 0)
+	other.configuration, other.record = &model.Configuration{Version: 2}, []byte("{}")
+	daemon.configuration = &model.Configuration{Version: 1}
+	question := daemon.newFollowerQuery()
+	question.OnlyWhether = true
+	response := other.answerQuestion(question)
+	g.Expect(response.HasNewer).To(BeTrue())
+	g.Expect(response.Record).To(BeNil())
+	g.Expect(response.List).To(BeNil())
+
+	daemon.configuration = other.configuration
+	question = daemon.newFollowerQuery()
+	question.OnlyWhether, question.ListAgeMS = true, 0
+	g.Expect(other.answerQuestion(question).HasNewer).To(BeFalse())
+}
+
+func TestOthersAreAskedOnlyWhileNoFollowerInContactResponds(t *testing.T) {
+	g := NewWithT(t)
+	l, recorder := newLeaderOfLargeFleet(t, 0)
+	l.leading, l.inputs = false, make(chan input, 10)
+	l.ready.Store(true)
+	address := l.members["0"].address
+	l.distribution.Followers, l.knownPeers = []string{"follower"}, []string{"follower", address}
+	inContact := followerResponded{address: "follower", response: &peer.ReportResponse{InContact: true}}
+	inContact.apply(l)
+	g.Consistently(recorder.queries, 100*time.Millisecond).ShouldNot(Receive())
+	withoutContact := followerResponded{address: "follower", response: &peer.ReportResponse{}}
+	withoutContact.apply(l)
+	var query *peer.Report
+	g.Eventually(recorder.queries, time.Second).Should(Receive(&query))
+	g.Expect(query.OnlyWhether).To(BeTrue())
+	g.Expect(query.ToFollower).To(BeTrue())
+}
+
+func TestTheFirstDaemonThatHasAnythingNewerIsAskedForIt(t *testing.T) {
+	g := NewWithT(t)
+	l, recorder := newLeaderOfLargeFleet(t, 0)
+	l.leading, l.inputs = false, make(chan input, 10)
+	l.othersPending, l.othersToAsk = 1, []string{"next"}
+	has := otherResponded{address: l.members["0"].address, response: &peer.ReportResponse{HasNewer: true}}
+	has.apply(l)
+	var query *peer.Report
+	g.Eventually(recorder.queries, time.Second).Should(Receive(&query))
+	g.Expect(query.OnlyWhether).To(BeFalse())
+	g.Expect(l.othersToAsk).To(BeEmpty(), "nobody else is asked")
+}
