gateway: a leader whose watch has fallen silent is corrected

Cause: VMs compare their configuration with the leader's, and the leader with nobody's. Its own watch may return nothing for 20 s, or for ever if its connection is dead; its poll comes after 1 s for each 64 KB of configuration, 10 s for 660 KB. The reports that it gets name the newer version, which it ignored.

Fix: a report that names a newer version makes the leader read the configuration, once a second at most. The leader's watch returns every 500 ms, so that a dead one is noticed and each return confirms the configuration, also a large one; that is two calls a second for the whole fleet.

Evidence: platform/silent_watch_test.go, three gateways, 3,000 routes. Before: "Expected <int>: 503 to equal <int>: 200" (the leader), two runs of two; three of three pass with the fix, and gateway/run with -race.

--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -56,9 +56,9 @@
 		for _, entry := range r.entries {
 			if entry.Key == l.records.ConfigurationKey() && !entry.Deleted {
 				l.applyConfiguration(entry, sourceStore)
-				l.confirmByStore(r.duration)
 			}
 		}
+		l.confirmByStore(r.duration)
 	}
 }
 
--- a/gateway/run/confirmation.go
+++ b/gateway/run/confirmation.go
@@ -30,6 +30,17 @@
 	l.confirmedAt = max(l.confirmedAt, sentAt-time.Duration(response.ConfirmedAgeMS)*time.Millisecond)
 }
 
+// hearOfVersion makes the leader read the configuration if another daemon has a newer
+// version: its own watch may have fallen silent.
+func (l *loop) hearOfVersion(version uint64) {
+	now := l.clock()
+	if l.configuration == nil || version <= l.configuration.Version || now < l.relay.configurationRelistedAt+relistInterval {
+		return
+	}
+	l.relay.configurationRelistedAt = now
+	l.configurationWatcher.relist()
+}
+
 // confirmByStore processes a successful read of the configuration that began the given
 // time ago.
 func (l *loop) confirmByStore(took time.Duration) {
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -17,7 +17,7 @@
 	full    bool // Whether entries are the complete contents of the prefix.
 	entries []kvstore.Entry
 	err     error
-	// duration is how long the call took; zero for changes.
+	// duration is how long the call took, without the time that a watch waited.
 	duration time.Duration
 }
 
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -252,6 +252,7 @@
 		return
 	}
 	l.applyReport(r.report)
+	l.hearOfVersion(r.report.ConfigurationVersion)
 	r.reply <- l.leaderResponse(r.report)
 }
 
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -129,6 +129,7 @@
 func (l *loop) updateWatchers() {
 	leaderLost := l.knownLeader.Leader.Address == "" || l.relay.reportFailures > 0
 	l.leaderWatcher.setActive(l.leading || l.followsStore || leaderLost && l.needsStore())
+	l.configurationWatcher.frequent.Store(l.leading)
 	l.configurationWatcher.setActive(l.leading || l.mayReadConfiguration())
 	l.listReading.Store(int32(l.chooseListReading()))
 	if l.leading || l.mayReadStoreAtOnce() {
--- a/gateway/run/store_watcher.go
+++ b/gateway/run/store_watcher.go
@@ -14,6 +14,8 @@
 const (
 	// watchTimeout is how long one call waits for changes.
 	watchTimeout = 20 * time.Second
+	// frequentWatchTimeout is the same for a watcher whose silence must be noticed soon.
+	frequentWatchTimeout = 500 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call, which
 	// doubles with each failure. minRetryDelay is also the minimum pause between
 	// two polls.
@@ -31,6 +33,9 @@
 	// resumeVersion is the version from which to watch without listing the prefix
 	// first. Zero lists it.
 	resumeVersion atomic.Uint64
+	// frequent makes each call return soon. A call without changes is delivered too: it
+	// shows that there were none.
+	frequent atomic.Bool
 
 	mu     sync.Mutex
 	active bool
@@ -133,12 +138,16 @@
 	}
 	w.mu.Unlock()
 	for ctx.Err() == nil {
-		entries, version, err := w.store.Changes(ctx, w.prefix, after, watchTimeout)
+		began, wait, frequent := time.Now(), watchTimeout, w.frequent.Load()
+		if frequent {
+			wait = frequentWatchTimeout
+		}
+		entries, version, err := w.store.Changes(ctx, w.prefix, after, wait)
 		if err != nil {
 			return err
 		}
-		if len(entries) > 0 {
-			w.deliver(watchResult{prefix: w.prefix, entries: entries})
+		if len(entries) > 0 || frequent {
+			w.deliver(watchResult{prefix: w.prefix, entries: entries, duration: max(time.Since(began)-wait, 0)})
 		}
 		after = max(after, version)
 	}
