gateway: a route that can't be translated is known, and refused

What callers would see: 404 for a route that the operators' record names, on all VMs; or, where a shorter prefix matches, a request that another service runs; and one field of another type in one route kept the whole version from coming into force.

Cause: platform.Records left out what it could not translate and returned the rest as the configuration in force. What is left out is taken for what does not exist.

One that can't be used is part of the routing table without targets, so that the longest prefix still selects it, and is refused with 503 (no_server, not run).

Evidence: scenario "neither denies nor misroutes a route of the configuration that it can't translate". Before: "Timed out after 5.000s. Expected <int>: 404 to equal <int>: 200" for a sound route of that version; without the third route: "Expected <int>: 200 to equal <int>: 503", the odd route's request was run through the shorter prefix. The existing test of invalid routes is unchanged and passes.

--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -147,6 +147,10 @@
 		e.deny(rejection{http.StatusNotFound, "no route for host " + e.r.Host + " and path " + rawPath(e.r.RequestURI)})
 		return
 	}
+	if len(e.route.Targets) == 0 {
+		e.refuse(verdict.CodeNoServer, notReadyRetryAfter)
+		return
+	}
 	e.service = routing.PickTarget(e.route, rand.Uint64())
 	if e.head.ID == "" {
 		e.reject(rejection{http.StatusBadRequest, "the request has no id"})
--- a/gateway/model/configuration.go
+++ b/gateway/model/configuration.go
@@ -6,8 +6,11 @@
 // once it is in force.
 type Configuration struct {
 	// Version orders configurations; a higher one replaces a lower one.
-	Version  uint64
-	Routes   []Route
+	Version uint64
+	Routes  []Route
+	// Unusable are routes that are known but can't be served: only Name, Host and
+	// PathPrefix are set.
+	Unusable []Route
 	Services map[string]Service
 	Limits   CallerLimits
 }
@@ -31,7 +34,8 @@
 	Priority int
 	// MaxAttempts is the maximum number of backend servers tried for a request.
 	MaxAttempts int
-	// Targets are the services among which the route's requests are split.
+	// Targets are the services among which the route's requests are split. A route
+	// without targets can't be served.
 	Targets []Target
 }
 
--- a/gateway/routing/routing.go
+++ b/gateway/routing/routing.go
@@ -19,9 +19,10 @@
 // NewTable returns the routing table of a configuration.
 func NewTable(configuration *model.Configuration) *Table {
 	t := &Table{byHost: make(map[string][]*model.Route)}
-	for i := range configuration.Routes {
-		route := &configuration.Routes[i]
-		t.byHost[route.Host] = append(t.byHost[route.Host], route)
+	for _, routes := range [][]model.Route{configuration.Routes, configuration.Unusable} {
+		for i := range routes {
+			t.byHost[routes[i].Host] = append(t.byHost[routes[i].Host], &routes[i])
+		}
 	}
 	for _, routes := range t.byHost {
 		sort.SliceStable(routes, func(i, j int) bool {
