gateway: a request whose target is a whole URL finds its route

What callers would see: 404 for "GET http://host/path HTTP/1.1", a form that HTTP/1.1 requires servers to take. Cause: the route was looked up by the raw target.

Fix: the target loses scheme and host, which net/http has already read as the host, before the route is looked up and before it is forwarded.

Evidence: scenario "does not deny a request whose target is a whole URL". Before: "Expected <int>: 404 to equal <int>: 200".

--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -14,7 +14,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -142,9 +141,10 @@
 		return
 	}
 	e.version, e.origin = current.Configuration.Version, current.Origin
-	e.route = current.Routes.Find(e.r.Host, rawPath(e.r.RequestURI))
+	target := originForm(e.r.RequestURI)
+	e.route = current.Routes.Find(e.r.Host, rawPath(target))
 	if e.route == nil {
-		e.deny(rejection{http.StatusNotFound, "no route for host " + e.r.Host + " and path " + rawPath(e.r.RequestURI)})
+		e.deny(rejection{http.StatusNotFound, "no route for host " + e.r.Host + " and path " + rawPath(target)})
 		return
 	}
 	if len(e.route.Targets) == 0 {
@@ -185,12 +185,6 @@
 	return current
 }
 
-// rawPath returns the path of a request target without decoding it.
-func rawPath(target string) string {
-	path, _, _ := strings.Cut(target, "?")
-	return path
-}
-
 // deadline returns the request's deadline.
 func (e *exchange) deadline() time.Duration {
 	timeout := defaultTimeout
@@ -220,7 +214,7 @@
 	result := e.options.Dispatcher.Do(ctx, &dispatch.Request{
 		Head:     e.head,
 		Method:   e.r.Method,
-		Target:   e.r.RequestURI,
+		Target:   originForm(e.r.RequestURI),
 		Host:     e.r.Host,
 		Header:   forwardedHeaders(e.r.Header),
 		Body:     body,
