--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -14,7 +14,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -51,10 +50,16 @@
 type Options struct {
 	HeaderCodec port.HeaderCodec
 	Views       *view.Publisher
-	Dispatcher  *dispatch.Dispatcher
-	Log         *logbook.Logger
-	Metrics     *metric.Table
-	Clock       func() time.Duration
+	// Confirmation, if set, says when the configuration was last known to be the newest.
+	Confirmation *view.Confirmation
+	// ConfigurationTime is the time after its write in which a configuration has to be
+	// in force. A configuration confirmed longer ago than that may have been replaced;
+	// then it denies nothing. Zero means that it always may.
+	ConfigurationTime time.Duration
+	Dispatcher        *dispatch.Dispatcher
+	Log               *logbook.Logger
+	Metrics           *metric.Table
+	Clock             func() time.Duration
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
 	// OnKeyRequest, if set, is called with the service and key of each request that
@@ -114,6 +119,7 @@
 	route   *model.Route
 	service string
 	version uint64
+	origin  view.Origin
 }
 
 // rejection is the response to an invalid request, which is not sent to a server.
@@ -134,15 +140,24 @@
 		e.refuse(verdict.CodeStore, notReadyRetryAfter)
 		return
 	}
-	e.version = current.Configuration.Version
-	e.route = current.Routes.Find(e.r.Host, rawPath(e.r.RequestURI))
+	e.version, e.origin = current.Configuration.Version, current.Origin
+	target := originForm(e.r.RequestURI)
+	e.route = current.Routes.Find(e.r.Host, rawPath(target))
 	if e.route == nil {
-		e.reject(rejection{http.StatusNotFound, "no route for host " + e.r.Host + " and path " + rawPath(e.r.RequestURI)})
+		e.deny(rejection{http.StatusNotFound, "no route for host " + e.r.Host + " and path " + rawPath(target)})
+		return
+	}
+	if len(e.route.Targets) == 0 {
+		e.refuse(verdict.CodeNoServer, notReadyRetryAfter)
 		return
 	}
 	e.service = routing.PickTarget(e.route, rand.Uint64())
-	if rejected := e.validate(current); rejected != nil {
-		e.reject(*rejected)
+	if e.head.ID == "" {
+		e.reject(rejection{http.StatusBadRequest, "the request has no id"})
+		return
+	}
+	if current.Services[e.service].Partitioned && !e.head.HasKey {
+		e.deny(rejection{http.StatusBadRequest, "the request names no key"})
 		return
 	}
 	e.forward(current)
@@ -170,23 +185,6 @@
 	return current
 }
 
-// validate checks that the request has an ID, and a key if its service needs one.
-func (e *exchange) validate(current *view.View) *rejection {
-	if e.head.ID == "" {
-		return &rejection{http.StatusBadRequest, "the request has no id"}
-	}
-	if current.Services[e.service].Partitioned && !e.head.HasKey {
-		return &rejection{http.StatusBadRequest, "the request names no key"}
-	}
-	return nil
-}
-
-// rawPath returns the path of a request target without decoding it.
-func rawPath(target string) string {
-	path, _, _ := strings.Cut(target, "?")
-	return path
-}
-
 // deadline returns the request's deadline.
 func (e *exchange) deadline() time.Duration {
 	timeout := defaultTimeout
@@ -216,7 +214,7 @@
 	result := e.options.Dispatcher.Do(ctx, &dispatch.Request{
 		Head:     e.head,
 		Method:   e.r.Method,
-		Target:   e.r.RequestURI,
+		Target:   originForm(e.r.RequestURI),
 		Host:     e.r.Host,
 		Header:   forwardedHeaders(e.r.Header),
 		Body:     body,
@@ -308,8 +306,8 @@
 	e.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	e.w.WriteHeader(rejected.status)
 	e.write([]byte(rejected.cause + "\n"))
-	e.options.Log.Event(event.RequestRejected, rejected.cause,
-		zap.String("request", e.head.ID), zap.Int("status", rejected.status), zap.Uint64("configuration", e.version))
+	e.options.Log.Event(event.RequestRejected, rejected.cause, append(e.configurationFields(),
+		zap.String("request", e.head.ID), zap.Int("status", rejected.status))...)
 }
 
 // record adds a result to the metrics.
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -18,7 +18,7 @@
 	era     kvstore.Era
 	entries []kvstore.Entry
 	err     error
-	// duration is how long the list call took, if full is set.
+	// duration is how long the call took, without the time that a watch waited.
 	duration time.Duration
 }
 
@@ -101,6 +101,7 @@
 	address  string
 	response *peer.ReportResponse
 	err      error
+	sentAt   time.Duration
 }
 
 // leaderAnnounced is a leader's announcement of its leadership. The response is sent to
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -58,21 +58,24 @@
 // loop is the control loop, which owns the state of the process. Fields may only
 // be used by its own goroutine unless marked as safe for all goroutines.
 type loop struct {
-	settings *model.Settings
-	store    port.Store
-	records  port.Records
-	grantor  port.Grantor
-	log      *logbook.Logger
-	budget   *budget.Budget
-	views    *view.Publisher
-	campaign *leader.Campaign
-	peers    *peer.Client
-	clock    func() time.Duration
-	self     keys.Leader
-	inputs   chan input // Safe for all goroutines.
-	ctx      context.Context
+	settings     *model.Settings
+	store        port.Store
+	records      port.Records
+	grantor      port.Grantor
+	log          *logbook.Logger
+	budget       *budget.Budget
+	views        *view.Publisher
+	campaign     *leader.Campaign
+	peers        *peer.Client
+	confirmation *view.Confirmation // Tells request handling about confirmedAt.
+	clock        func() time.Duration
+	self         keys.Leader
+	inputs       chan input // Safe for all goroutines.
+	ctx          context.Context
 
 	configuration     *model.Configuration
+	origin            view.Origin   // Of the configuration.
+	confirmedAt       time.Duration // When the configuration was last known to be the newest one.
 	routes            *routing.Table
 	servers           *serverTable
 	pages             map[string]*versionedPage
@@ -107,6 +110,9 @@
 	nextFollower      int                       // Index of the store follower to ask next.
 	followerFailures  int                       // Consecutive calls to store followers without a response.
 	askPending        bool                      // Whether a call to a store follower is pending.
+	questions         int                       // Number of calls to store followers so far.
+	othersToAsk       []string                  // Other daemons to ask in this round.
+	othersPending     int                       // Number of pending calls to other daemons.
 	allocator         *limit.Allocator          // On the leader: shares of limited servers.
 	listedAt          time.Duration             // When the newest server list was read from the store.
 	relayedListNewest bool                      // Whether that list came from a peer.
@@ -115,6 +121,7 @@
 	newerPending      bool            // Whether a call for a newer configuration is pending.
 	rewrittenAfter    kvstore.Version // On the first list of servers in an era: the store's version.
 	rewrittenEra      kvstore.Era     // The era of rewrittenAfter.
+	reportSentAt      time.Duration   // When the newest report was sent.
 	members           map[string]member
 	requestedKeys     *requestedKeys
 	storeHealth       dependency
@@ -174,6 +181,7 @@
 		log:          shared.log,
 		budget:       shared.budget,
 		views:        shared.views,
+		confirmation: shared.confirmation,
 		clock:        shared.clock,
 		peers:        peer.NewClient(),
 		self:         self,
@@ -260,5 +268,6 @@
 		if l.viewOutdated {
 			l.publish()
 		}
+		l.confirmation.Confirm(l.confirmedAt) // After the view that it is about.
 	}
 }
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -81,7 +81,7 @@
 		l.applyAllotments(l.allocator.Allotments(now, l.reportInterval()))
 		return
 	}
-	l.reportPending = true
+	l.reportPending, l.reportSentAt = true, now
 	go func() {
 		response, err := l.peers.Report(l.ctx, address, report)
 		l.deliver(reportDone{response, err})
@@ -186,7 +186,6 @@
 func (l *loop) applyReport(report *peer.Report) {
 	now := l.clock()
 	l.members[report.VM] = member{report.Address, now, report.Zone, report.Capacity}
-	l.askForNewerConfiguration(report)
 	for _, observation := range report.Limits {
 		l.applyLimitObservation(now, observation)
 	}
@@ -246,7 +245,7 @@
 
 func (r reportReceived) apply(l *loop) {
 	if r.report.ToFollower {
-		r.reply <- l.followerResponse(r.report)
+		r.reply <- l.answerQuestion(r.report)
 		return
 	}
 	if !l.leading {
@@ -254,6 +253,7 @@
 		return
 	}
 	l.applyReport(r.report)
+	l.learnNewerVersion(r.report)
 	r.reply <- l.leaderResponse(r.report)
 }
 
@@ -270,6 +270,7 @@
 	} else {
 		l.followLeader(r.response.KnownLeader)
 		l.applyStartupResponse(r.response)
+		l.confirmByPeer(r.response, l.reportSentAt)
 	}
 	l.log.Event(event.PeerUnreachable, cause, zap.String("leader", l.knownLeader.Leader.VM))
 	if l.relay.reportFailures++; l.relay.reportFailures >= staleThreshold {
--- a/gateway/run/restoration.go
+++ b/gateway/run/restoration.go
@@ -73,28 +73,3 @@
 		}
 	}
 }
-
-// askForNewerConfiguration asks the sender of a report for its configuration if the
-// leader has an older one, which it may have read from a restored store.
-func (l *loop) askForNewerConfiguration(report *peer.Report) {
-	if l.newerPending || l.configuration == nil || report.ConfigurationVersion <= l.configuration.Version || report.Address == l.self.Address {
-		return
-	}
-	l.newerPending = true
-	query := l.newFollowerQuery()
-	go func() {
-		response, err := l.peers.Report(l.ctx, report.Address, query)
-		l.deliver(newerConfigurationDone{response, err})
-	}()
-}
-
-func (n newerConfigurationDone) apply(l *loop) {
-	l.newerPending = false
-	if n.err != nil {
-		l.log.Event(event.PeerUnreachable, n.err.Error())
-		return
-	}
-	if n.response.Record != nil {
-		l.applyRecord(n.response.Record)
-	}
-}
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -73,6 +73,7 @@
 	budget        *budget.Budget
 	views         *view.Publisher
 	requestedKeys *requestedKeys
+	confirmation  *view.Confirmation
 	clock         func() time.Duration
 }
 
@@ -105,19 +106,22 @@
 		budget:        budget.New(budget.Options{Window: bounds.RetryWindow, Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack}),
 		views:         view.NewPublisher(),
 		requestedKeys: newRequestedKeys(),
+		confirmation:  &view.Confirmation{},
 		clock:         elapsed.Now,
 	}
 	g.loop = newLoop(ctx, options, g.shared)
 	dispatcher := dispatch.New(dispatch.Options{HeaderCodec: options.HeaderCodec, Budget: g.shared.budget, Views: g.shared.views, Clock: g.shared.clock})
 	g.handler = front.New(front.Options{
-		HeaderCodec:  options.HeaderCodec,
-		Views:        g.shared.views,
-		Dispatcher:   dispatcher,
-		Log:          g.shared.log,
-		Metrics:      g.metrics,
-		Clock:        g.shared.clock,
-		MemoryBytes:  options.Settings.MemoryBytes,
-		OnKeyRequest: g.recordKey,
+		HeaderCodec:       options.HeaderCodec,
+		Views:             g.shared.views,
+		Confirmation:      g.shared.confirmation,
+		ConfigurationTime: bounds.ConfigurationTime,
+		Dispatcher:        dispatcher,
+		Log:               g.shared.log,
+		Metrics:           g.metrics,
+		Clock:             g.shared.clock,
+		MemoryBytes:       options.Settings.MemoryBytes,
+		OnKeyRequest:      g.recordKey,
 	})
 	return g
 }
