gateway: leaders do not give up one after the other when the servers are at fault

Most listed servers of a partitioned service that do not answer made every leader step down at once, whoever it was ("most backend servers are unreachable from this VM"): an entry of the right form may name servers that never ran.

Cause: a leader takes "most do not answer me" for a fault of its own place without asking whether others reach them, and evidence of an earlier leadership counted at once.

A VM that gives up says so in its reports for a minute. A leader waits 1.5 s for its own evidence and the reports, and stays if two other VMs (or all, or none exist) gave up before it. It then reassigns the keys of servers that do not answer even if these are the majority; their grants have expired as before.

Failed before: the scenario "keeps one leader and serves all keys while most entries name servers that do not answer", refused connections (key 5: 503). It passes now.

--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -56,21 +56,24 @@
 	leading      bool
 	leadingSince time.Duration
 	renewOnly    bool // The store is out of reach: renew grants, change nothing.
-	adopted      bool // Every range has a fence of this leader.
-	predecessors predecessors
-	pageKnown    bool
-	page         *Page
-	version      kvstore.Version
-	writing      *Page
-	changing     map[uint16]bool // First keys of the ranges that writing changes.
-	writeUnknown bool            // The outcome of a write is unknown: read the page.
-	reading      bool
-	nextWriteID  uint64
-	nextCallID   uint64
-	calls        int           // Grant calls in flight.
-	nextRange    int           // Where the next scan for renewals starts.
-	nextDraftAt  time.Duration // Earliest time of the next draft.
-	retryStoreAt time.Duration
+	// isolationRuledOut reports that servers which do not answer this VM do not answer
+	// others either.
+	isolationRuledOut bool
+	adopted           bool // Every range has a fence of this leader.
+	predecessors      predecessors
+	pageKnown         bool
+	page              *Page
+	version           kvstore.Version
+	writing           *Page
+	changing          map[uint16]bool // First keys of the ranges that writing changes.
+	writeUnknown      bool            // The outcome of a write is unknown: read the page.
+	reading           bool
+	nextWriteID       uint64
+	nextCallID        uint64
+	calls             int           // Grant calls in flight.
+	nextRange         int           // Where the next scan for renewals starts.
+	nextDraftAt       time.Duration // Earliest time of the next draft.
+	retryStoreAt      time.Duration
 
 	servers map[model.Incarnation]*serverRow
 	// latestByID and latestByAddress hold the latest listed incarnation for each.
@@ -136,6 +139,10 @@
 // but ownership does not change.
 func (m *Machine) SetRenewOnly(renewOnly bool) { m.renewOnly = renewOnly }
 
+// SetIsolationRuledOut sets whether servers that do not answer this VM are known not to
+// answer others either. Their keys are then reassigned even if they are the majority.
+func (m *Machine) SetIsolationRuledOut(ruledOut bool) { m.isolationRuledOut = ruledOut }
+
 // Page returns the latest committed page, or nil.
 func (m *Machine) Page() *Page { return m.page }
 
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -196,12 +196,13 @@
 }
 
 // unreachable reports whether a listed server has answered no grant for so long
-// that all its grants have expired, while most other servers do answer.
+// that all its grants have expired, while most other servers do answer or no other VM
+// reaches it either.
 func (m *Machine) unreachable(row *serverRow) bool {
 	if row.failingSince == 0 || m.now < row.failingSince+unreachableAfter || m.now < m.adjustArrival(row, row.latestArrival)+m.maxGrantLifetime() {
 		return false
 	}
-	return !m.Isolated()
+	return m.isolationRuledOut || !m.Isolated()
 }
 
 // Isolated reports whether more than half of the listed servers that were called
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -72,6 +72,10 @@
 	// fingerprint of the Distribution that it has.
 	FollowsStore bool   `json:"watch,omitempty"`
 	Distribution uint64 `json:"distribution,omitempty"`
+	// GaveUp says that the sender gave up the leadership GaveUpAgoMS milliseconds ago,
+	// because most backend servers did not answer it.
+	GaveUp      bool  `json:"gave_up,omitempty"`
+	GaveUpAgoMS int64 `json:"gave_up_ago_ms,omitempty"`
 	// ToFollower asks the receiver, as a store follower, for what the sender lacks. It
 	// does not report to a leader: the receiver must not count it towards a majority.
 	ToFollower bool `json:"to_follower,omitempty"`
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -42,6 +42,7 @@
 	isolated := 0
 	for service, machine := range l.machines {
 		machine.SetRenewOnly(silence > contactTimeout)
+		machine.SetIsolationRuledOut(l.isolationRuledOut)
 		machine.Tick(now)
 		l.startCalls(service, machine)
 		l.stopPredecessors(machine)
@@ -49,7 +50,7 @@
 			isolated++
 		}
 	}
-	if isolated > 0 && isolated == len(l.machines) && silence < contactTimeout {
+	if silence < contactTimeout && l.checkIsolation(now, isolated) {
 		l.stopLeading("most backend servers are unreachable from this VM")
 		go l.resign(false)
 	}
@@ -94,7 +95,7 @@
 }
 
 func (l *loop) startLeading(now time.Duration) {
-	l.leading, l.leadingSince = true, now
+	l.leading, l.leadingSince, l.isolationRuledOut = true, now, false
 	l.peersAtElection = l.knownPeers
 	clear(l.members)
 	l.recordBatch.clear()
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -116,6 +116,8 @@
 	nextReport        time.Duration
 	stopping          bool
 	nextSeed          int
+	gaveUpAt          time.Duration // When this VM gave up the leadership for isolation; zero if never.
+	isolationRuledOut bool          // On the leader: other VMs do not reach most servers either.
 
 	configurationWatcher *storeWatcher
 	leaderWatcher        *storeWatcher
@@ -150,6 +152,10 @@
 	reportedAt time.Duration
 	zone       string
 	capacity   float64
+	// gaveUp says that it gave up the leadership at gaveUpAt, because most servers did
+	// not answer.
+	gaveUp   bool
+	gaveUpAt time.Duration
 }
 
 // dependency is the availability of an external service.
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -147,6 +147,7 @@
 	if l.configuration != nil {
 		report.ConfigurationVersion = l.configuration.Version
 	}
+	l.addGiveUp(report)
 	report.WantConfiguration = l.configuration == nil || l.relay.staleResponses > staleThreshold
 	return report
 }
@@ -184,7 +185,8 @@
 // applyReport processes a daemon's report on the leader.
 func (l *loop) applyReport(report *peer.Report) {
 	now := l.clock()
-	l.members[report.VM] = member{report.Address, now, report.Zone, report.Capacity}
+	l.members[report.VM] = member{address: report.Address, reportedAt: now, zone: report.Zone, capacity: report.Capacity,
+		gaveUp: report.GaveUp, gaveUpAt: now - time.Duration(report.GaveUpAgoMS)*time.Millisecond}
 	for _, observation := range report.Limits {
 		l.applyLimitObservation(now, observation)
 	}
