keys: a listed server that answers no grant loses its keys

A server that takes connections and answers nothing, or another process at its address that answers grants with an error, kept its keys for as long as its entry was listed: an entry of another writer may name such an address.

Cause: a server counted as unreachable once all grants that may have reached it had expired, but each unanswered renewal counted as one that may have, and was sent again 0.15 s later, so that time never came.

It now counts as unreachable once those that it answered have expired, counted from the first failure. The keys are still given to others only after all that may have arrived have expired (priorEnded). Such a server is probed like one without a connection, and gets keys again once it confirms its ID.

--- a/gateway/keys/machine_test.go
+++ b/gateway/keys/machine_test.go
@@ -430,6 +430,27 @@
 		Expect(sim.version).To(Equal(version))
 	})
 
+	It("gives the keys of a listed server that answers nothing to others, and gives it keys again once it answers", func() {
+		sim, _ := startSimulation(61, 5)
+		silent := sim.servers[model.Incarnation{ID: "i-2", Born: 1000}]
+		silent.silent = true
+		ownsKeys := func() bool {
+			for _, r := range sim.page.Ranges {
+				if r.Owner.Incarnation == silent.Incarnation() {
+					return true
+				}
+			}
+			return false
+		}
+		sim.run(10 * time.Second) // The answered grants expire, then those that may have arrived.
+		Expect(ownsKeys()).To(BeFalse())
+		Expect(sim.unowned()).To(BeZero())
+		silent.silent = false
+		sim.run(5 * time.Second)
+		Expect(ownsKeys()).To(BeTrue())
+		Expect(sim.violations).To(BeEmpty())
+	})
+
 	It("reports itself isolated when most servers do not answer", func() {
 		sim, m := startSimulation(11, 5)
 		for i := range 4 {
--- a/gateway/keys/simulation_server_test.go
+++ b/gateway/keys/simulation_server_test.go
@@ -14,6 +14,7 @@
 	model.Server
 	up          bool
 	unreachable bool // Calls to it get lost.
+	silent      bool // It accepts connections and answers nothing.
 	// delayedCall reports that a call to it was delayed by congestion.
 	delayedCall bool
 	// lastSeen is when it last renewed its record, which stays listed for three
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -230,7 +230,7 @@
 	sim.after(sim.networkDelay(), func() {
 		id := ""
 		server := sim.serverAt(call.Address)
-		if server != nil && !server.unreachable {
+		if server != nil && !server.unreachable && !server.silent {
 			id = server.ID
 		}
 		refused := server == nil || sim.random.Float64() < sim.refusedShare
@@ -277,6 +277,10 @@
 		sim.after(sim.networkDelay(), func() { m.StepGranted(sim.now, call, keys.NoListener) })
 		return
 	}
+	if server.silent {
+		sim.after(keys.CallTimeout, func() { m.StepGranted(sim.now, call, keys.TimedOut) })
+		return
+	}
 	if server.unreachable {
 		sim.after(keys.CallTimeout, func() { m.StepGranted(sim.now, call, keys.Unreachable) })
 		return
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -196,10 +196,10 @@
 }
 
 // unreachable reports whether a listed server has answered no grant for so long
-// that all its grants have expired, while most other servers do answer or no other VM
-// reaches it either.
+// that all those which it answered have expired, while most other servers do answer or
+// no other VM reaches it either.
 func (m *Machine) unreachable(row *serverRow) bool {
-	if row.failingSince == 0 || m.now < row.failingSince+unreachableAfter || m.now < m.adjustArrival(row, row.latestArrival)+m.maxGrantLifetime() {
+	if row.failingSince == 0 || m.now < row.failingSince+max(unreachableAfter, m.maxGrantLifetime()) {
 		return false
 	}
 	return m.isolationRuledOut || !m.Isolated()
--- a/gateway/keys/system_probe.go
+++ b/gateway/keys/system_probe.go
@@ -3,6 +3,9 @@
 // runProbes asks unconfirmed servers for their ID.
 func (m *Machine) runProbes() {
 	for incarnation, row := range m.servers {
+		if row.listed && !row.unconfirmed && m.unreachable(row) {
+			row.markUnconfirmed(m.now) // It gets no more grants, so that only a probe shows whether it answers again.
+		}
 		if !row.unconfirmed || !row.listed || row.Draining || row.probing || row.confirmedAt != 0 || m.now < row.nextProbeAt {
 			continue
 		}
