gateway/run: the relay forgets servers that were removed long ago

Each start of a server, and each write of an entry with another `born`, is an incarnation of its own. The leader kept a record of every removed one for as long as it ran and went through all of them for each report: memory and work grew without a bound.

At most 1,000 removed ones are remembered now. A daemon whose list is older than what is remembered gets the complete list.

Failed before, with the call taken out: "<int>: 4001 to be <= <int>: 1000".

--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -20,6 +20,9 @@
 	// maxListedChanges is the number of changes of the server list up to which the
 	// leader of a large fleet sends them in its responses.
 	maxListedChanges = 100
+	// maxRemoved is the number of removed servers that are remembered for daemons with
+	// an older list. A daemon that lacks an earlier change gets the complete list.
+	maxRemoved = 1000
 )
 
 // relay distributes the leader's server list to the other daemons, so that only the
@@ -30,6 +33,8 @@
 	revision uint64
 	rows     map[model.Incarnation]relayRow
 	removed  map[model.Incarnation]uint64
+	// forgotten is the revision up to which removals are not known any more.
+	forgotten uint64
 	// tableReadAt identifies the read of the server table that was processed last.
 	// compressed is the complete list at some revision, created on demand.
 	tableReadAt time.Duration
@@ -87,11 +92,23 @@
 			r.removed[incarnation] = r.revision
 		}
 	}
+	r.forgetRemoved()
+}
+
+// forgetRemoved forgets the earlier half of the removed servers if there are more than
+// maxRemoved.
+func (r *relay) forgetRemoved() {
+	if len(r.removed) <= maxRemoved {
+		return
+	}
+	revisions := slices.Sorted(maps.Values(r.removed))
+	r.forgotten = revisions[len(revisions)/2]
+	maps.DeleteFunc(r.removed, func(_ model.Incarnation, revision uint64) bool { return revision <= r.forgotten })
 }
 
 // needsFullList says whether the sender of a report needs the complete list.
 func (r *relay) needsFullList(source string, report *peer.Report) bool {
-	return report.Source != source || report.Revision > r.revision
+	return report.Source != source || report.Revision > r.revision || report.Revision < r.forgotten
 }
 
 // needsListSpread says whether the sender of a report lacks so many changes that it
--- a/gateway/run/relay_test.go
+++ b/gateway/run/relay_test.go
@@ -96,3 +96,33 @@
 	report.Pages = map[string]uint64{"s": 8}
 	g.Expect(leader.leaderResponse(report).Pages).To(HaveLen(1), "a daemon with an older version gets the page with the response")
 }
+
+// A server under one ID that restarts again and again, or an entry whose start differs at
+// each write, is another incarnation each time.
+func TestRelayForgetsServersThatWereRemovedLongAgo(t *testing.T) {
+	g := NewWithT(t)
+	leader, follower := newRelayLoop(t, 2), newRelayLoop(t, 0)
+	leader.relay.update(leader.servers)
+	var response peer.ReportResponse
+	leader.relay.addChanges(&response, "leader", &peer.Report{})
+	follower.relay.apply(&response)
+	now := leader.clock()
+	for born := range int64(4 * maxRemoved) {
+		now += time.Second
+		leader.servers.update(now, append(leader.servers.ofService("s")[:0], model.Server{ID: "restarting", Service: "s", Born: born}))
+		leader.relay.update(leader.servers)
+	}
+	g.Expect(len(leader.relay.removed)).To(BeNumerically("<=", maxRemoved))
+	report := follower.serverListReport()
+	response = peer.ReportResponse{}
+	leader.relay.addChanges(&response, "leader", &report)
+	g.Expect(response.Full).To(BeTrue())
+	g.Expect(follower.relay.apply(&response)).To(ConsistOf(HaveField("Born", int64(4*maxRemoved-1))))
+	report = follower.serverListReport()
+	leader.servers.update(now+time.Second, nil)
+	leader.relay.update(leader.servers)
+	response = peer.ReportResponse{}
+	leader.relay.addChanges(&response, "leader", &report)
+	g.Expect(response.Full).To(BeFalse(), "a recent list needs only the changes")
+	g.Expect(follower.relay.apply(&response)).To(BeEmpty())
+}
