gateway/run: odd entries are logged once for each cause and leave room in the log

An entry that names no server was logged once for each version, so one that its writer writes at each heartbeat gave a line each time; many of them used the whole rate of the log, and what had been logged was remembered for every key that was ever seen.

Entries of servers are compared by cause with the last list, and forgotten with it. Their lines leave a part of the log's rate to decisions.

--- a/gateway/logbook/logbook.go
+++ b/gateway/logbook/logbook.go
@@ -72,7 +72,7 @@
 // reserves holds the part of the burst that an event leaves to others; events
 // without an entry leave none.
 var reserves = map[event.Number]float64{
-	event.BackendSeen: detailReserve, event.BackendLeaving: detailReserve, event.BackendGone: detailReserve, event.ServerProbed: detailReserve,
+	event.RecordIgnored: detailReserve, event.BackendSeen: detailReserve, event.BackendLeaving: detailReserve, event.BackendGone: detailReserve, event.ServerProbed: detailReserve,
 	event.KeysPageWritten: detailReserve, event.KeysPageSeen: detailReserve, event.GrantFailed: detailReserve, event.ReleaseEnded: detailReserve,
 	event.PeerUnreachable: detailReserve, event.UpdateNotSent: detailReserve,
 	event.RequestAnswered: requestReserve, event.RequestNotRun: requestReserve, event.RequestMayHaveRun: requestReserve,
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -112,7 +112,8 @@
 	requestedKeys     *requestedKeys
 	storeHealth       dependency
 	ignoredVersions   map[string]kvstore.Version
-	viewOutdated      bool // The published view is out of date.
+	ignoredServers    map[string]string // By key: why entries of the newest list name no server.
+	viewOutdated      bool              // The published view is out of date.
 	nextReport        time.Duration
 	stopping          bool
 	nextSeed          int
--- a/gateway/run/server_updates.go
+++ b/gateway/run/server_updates.go
@@ -9,6 +9,7 @@
 	"guavacrank.example/event"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
+	"guavacrank.example/kvstore"
 )
 
 func (s serversRead) apply(l *loop) {
@@ -20,17 +21,29 @@
 	if !l.leading {
 		l.log.Event(event.ServersReadDirectly, "", zap.Int("records", len(s.entries)), zap.Int("bytes", totalBytes(s.entries)), zap.Duration("took", s.duration))
 	}
-	var listed []model.Server
-	for _, entry := range s.entries {
+	listed := l.decodeServers(s.entries)
+	l.listedAt, l.relayedListNewest = now-s.duration, false
+	l.applyServers(now, listed)
+}
+
+// decodeServers returns the servers that entries name. The others are logged, each once
+// for as long as its cause stays the same: their writers may write them again and again.
+func (l *loop) decodeServers(entries []kvstore.Entry) []model.Server {
+	listed := make([]model.Server, 0, len(entries))
+	ignored := make(map[string]string)
+	for _, entry := range entries {
 		server, err := l.records.Server(entry)
-		if err != nil {
-			l.ignoreRecord(entry, err)
+		if err == nil {
+			listed = append(listed, server)
 			continue
 		}
-		listed = append(listed, server)
+		ignored[entry.Key] = err.Error()
+		if l.ignoredServers[entry.Key] != err.Error() {
+			l.log.Event(event.RecordIgnored, err.Error(), zap.String("key", entry.Key), zap.Uint64("record", uint64(entry.Version)))
+		}
 	}
-	l.listedAt, l.relayedListNewest = now-s.duration, false
-	l.applyServers(now, listed)
+	l.ignoredServers = ignored
+	return listed
 }
 
 // applyServers processes the complete server list, read from the store or received
