gateway/run: no number that a peer sends ends the process

A response that names very many VMs made the time between direct reads of the server list overflow to a negative number; the random delay before such a read then panicked in its goroutine, which ends the process ("panic: invalid argument to N", directReadDelay). So would a large product of honest numbers.

That time is computed without overflow and limited to an hour; the number of VMs is limited to 65,536.

--- a/gateway/run/polling.go
+++ b/gateway/run/polling.go
@@ -24,6 +24,9 @@
 	// read the servers' records while none of them gets a server list from a peer: they
 	// share the link between regions with requests, reports and configurations.
 	maxFleetServerBytesPerSec = 1 << 20
+	// maxFleetReadTime limits the time in which all daemons read them once, whatever
+	// their number and size are said to be.
+	maxFleetReadTime = time.Hour
 	// maxZoneServerBytesPerSec limits the rate of the one daemon of a zone that reads
 	// them for the others.
 	maxZoneServerBytesPerSec = 256 << 10
@@ -76,7 +79,8 @@
 // fleetReadTime returns how long all daemons together take to read the given number of
 // bytes each.
 func (l *loop) fleetReadTime(bytes time.Duration) time.Duration {
-	return time.Duration(l.vms.Load()) * bytes * time.Second / maxFleetServerBytesPerSec
+	seconds := float64(l.vms.Load()) * float64(bytes) / maxFleetServerBytesPerSec
+	return time.Duration(min(seconds, maxFleetReadTime.Seconds()) * float64(time.Second))
 }
 
 // directReadDelay returns a random delay before a daemon that lost its peers reads the
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -28,6 +28,9 @@
 	maxReportDelay = 1500 * time.Millisecond
 )
 
+// maxVMs limits the number of daemons that a leader may report.
+const maxVMs = 1 << 16
+
 // maxRequestedKeys limits the number of keys in a report for each service.
 const maxRequestedKeys = 4000
 
@@ -238,6 +241,7 @@
 
 // setVMs sets the number of active daemons. Zero means unknown and is ignored.
 func (l *loop) setVMs(vms int) {
+	vms = min(vms, maxVMs)
 	if vms > 0 && l.vms.Swap(int64(vms)) != int64(vms) {
 		l.budget.SetVMs(vms)
 		l.viewOutdated = true
