--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -126,10 +126,13 @@
 	requestedKeys     *requestedKeys
 	storeHealth       dependency
 	ignoredVersions   map[string]kvstore.Version
-	viewOutdated      bool // The published view is out of date.
+	ignoredServers    map[string]string // By key: why entries of the newest list name no server.
+	viewOutdated      bool              // The published view is out of date.
 	nextReport        time.Duration
 	stopping          bool
 	nextSeed          int
+	gaveUpAt          time.Duration // When this VM gave up the leadership for isolation; zero if never.
+	isolationRuledOut bool          // On the leader: other VMs do not reach most servers either.
 
 	configurationWatcher *storeWatcher
 	leaderWatcher        *storeWatcher
@@ -163,6 +166,10 @@
 	reportedAt time.Duration
 	zone       string
 	capacity   float64
+	// gaveUp says that it gave up the leadership at gaveUpAt, because most servers did
+	// not answer.
+	gaveUp   bool
+	gaveUpAt time.Duration
 }
 
 // dependency is the availability of an external service.
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -29,6 +29,9 @@
 	maxReportDelay = 1500 * time.Millisecond
 )
 
+// maxVMs limits the number of daemons that a leader may report.
+const maxVMs = 1 << 16
+
 // maxRequestedKeys limits the number of keys in a report for each service.
 const maxRequestedKeys = 4000
 
@@ -148,6 +151,7 @@
 	if l.configuration != nil {
 		report.ConfigurationVersion = l.configuration.Version
 	}
+	l.addGiveUp(report)
 	report.WantConfiguration = l.configuration == nil || l.relay.staleResponses > staleThreshold
 	return report
 }
@@ -185,7 +189,8 @@
 // applyReport processes a daemon's report on the leader.
 func (l *loop) applyReport(report *peer.Report) {
 	now := l.clock()
-	l.members[report.VM] = member{report.Address, now, report.Zone, report.Capacity}
+	l.members[report.VM] = member{address: report.Address, reportedAt: now, zone: report.Zone, capacity: report.Capacity,
+		gaveUp: report.GaveUp, gaveUpAt: now - time.Duration(report.GaveUpAgoMS)*time.Millisecond}
 	for _, observation := range report.Limits {
 		l.applyLimitObservation(now, observation)
 	}
@@ -237,6 +242,7 @@
 
 // setVMs sets the number of active daemons. Zero means unknown and is ignored.
 func (l *loop) setVMs(vms int) {
+	vms = min(vms, maxVMs)
 	if vms > 0 && l.vms.Swap(int64(vms)) != int64(vms) {
 		l.budget.SetVMs(vms)
 		l.viewOutdated = true
--- a/gateway/run/restoration.go
+++ b/gateway/run/restoration.go
@@ -64,6 +64,9 @@
 		l.rewrittenEra, l.rewrittenAfter = read.position.Era, read.position.Version
 		return
 	}
+	if l.clock() >= l.servers.departures.doubtedUntil {
+		return
+	}
 	for _, entry := range read.entries {
 		if entry.Version <= l.rewrittenAfter {
 			continue
