dispatch: a request that is sent again gets another connection

Cause: a request with a key that a full server refused is sent to the same server again after a short wait, under the same ID and mostly on the same connection. A server that writes its first refusal once more there answers the second attempt with it: the ID is the right one, the refusal is taken for proof that the second attempt did not run, and a third one is sent.

Now no attempt of a request uses a connection that an earlier one used, so that the ID was not known on the connection before: a response with it is the first one to this attempt.

--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"guavacrank.example/gateway/budget"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/gateway/view"
+	"guavacrank.example/traffic/upstream"
 	"guavacrank.example/traffic/verdict"
 )
 
@@ -81,6 +82,8 @@
 	mayHaveRun bool
 	// retryPaid reports that the next attempt was charged to the retry budget.
 	retryPaid bool
+	// connections are those on which the request was sent.
+	connections upstream.Used
 	// limitedBy is a server whose limit did not admit the request.
 	limitedBy *balance.Server
 }
--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -47,7 +47,7 @@
 
 func (c *call) sendOnce(ctx context.Context, server *balance.Server) outcome {
 	request := c.buildRequest(server)
-	response, failure := server.Pool.Do(ctx, request, !c.request.Route.Idempotent)
+	response, failure := server.Pool.DoUnused(ctx, request, !c.request.Route.Idempotent, &c.connections)
 	if failure != nil {
 		return c.classifyFailure(ctx, failure)
 	}
--- a/traffic/upstream/answers_test.go
+++ b/traffic/upstream/answers_test.go
@@ -135,6 +135,26 @@
 	})
 }
 
+func TestRequestSentAgainGetsAnotherConnection(t *testing.T) {
+	g := NewWithT(t)
+	address, connections := countingServer(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "x") })
+	p := NewPool(Options{Address: address, MaxConnections: 1})
+	defer p.Close()
+	send := func(used *Used) {
+		response, failure := p.DoUnused(context.Background(), get(), false, used)
+		g.Expect(failure).To(BeNil())
+		defer response.Body.Close()
+		io.Copy(io.Discard, response.Body)
+	}
+	used := &Used{}
+	send(used)
+	send(&Used{})
+	g.Expect(connections()).To(Equal(1), "another request uses the connection")
+	send(used)
+	g.Expect(connections()).To(Equal(2), "in place of the first one, although the limit is 1")
+	g.Expect(p.Open()).To(Equal(1))
+}
+
 func TestKeepAliveOfTheServer(t *testing.T) {
 	g := NewWithT(t)
 	address, connections := countingServer(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "x") })
--- a/traffic/upstream/pool.go
+++ b/traffic/upstream/pool.go
@@ -13,6 +13,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -159,10 +160,35 @@
 	}
 }
 
-// acquire returns an idle connection that is still open, or opens one.
-func (p *Pool) acquire(ctx context.Context, nonIdempotent bool) (*conn, *Failure) {
+// Used holds the connections on which a request was sent. It is safe for concurrent
+// use; nil holds none.
+type Used struct {
+	mu    sync.Mutex
+	conns []*conn
+}
+
+func (u *Used) has(c *conn) bool {
+	if u == nil {
+		return false
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Contains(u.conns, c)
+}
+
+func (u *Used) add(c *conn) {
+	if u == nil {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.conns = append(u.conns, c)
+}
+
+// acquire returns an idle connection that is still open and not in used, or opens one.
+func (p *Pool) acquire(ctx context.Context, nonIdempotent bool, used *Used) (*conn, *Failure) {
 	for {
-		c, failure := p.takeIdle(nonIdempotent)
+		c, failure := p.takeIdle(nonIdempotent, used)
 		if failure != nil {
 			return nil, failure
 		}
@@ -178,17 +204,27 @@
 	}
 }
 
-// takeIdle returns an idle connection, or nil after reserving a slot for a new one.
-func (p *Pool) takeIdle(nonIdempotent bool) (*conn, *Failure) {
+// takeIdle returns an idle connection that is not in used, or nil after reserving a
+// slot for a new one.
+func (p *Pool) takeIdle(nonIdempotent bool, used *Used) (*conn, *Failure) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, &Failure{Stage: StageLimit, Err: errClosed}
 	}
-	if last := len(p.idle) - 1; last >= 0 {
+	last := len(p.idle) - 1
+	for last >= 0 && used.has(p.idle[last]) {
+		last--
+	}
+	if last < 0 && p.open >= p.limit && len(p.idle) > 0 {
+		p.idle[0].Close()
+		p.idle = p.idle[1:]
+		return nil, nil // The new connection takes over its slot.
+	}
+	if last >= 0 {
 		c := p.idle[last]
 		idle := time.Since(c.idleSince)
-		p.idle = p.idle[:last]
+		p.idle = slices.Delete(p.idle, last, last+1)
 		if idle <= min(p.options.IdleTimeout, c.keepAlive) && (!nonIdempotent || idle <= maxIdleNonIdempotent) && p.options.IdleLimit.Allows(time.Now(), idle) {
 			return c, nil
 		}
@@ -266,10 +302,17 @@
 // caller must close the body. A request with nonIdempotent set gets a connection
 // that the server is unlikely to be closing.
 func (p *Pool) Do(ctx context.Context, request *http.Request, nonIdempotent bool) (*Response, *Failure) {
-	c, failure := p.acquire(ctx, nonIdempotent)
+	return p.DoUnused(ctx, request, nonIdempotent, nil)
+}
+
+// DoUnused is Do on a connection that is not in used, which is added to it. A request
+// that is sent again never sees a copy of an earlier response to it in this way.
+func (p *Pool) DoUnused(ctx context.Context, request *http.Request, nonIdempotent bool, used *Used) (*Response, *Failure) {
+	c, failure := p.acquire(ctx, nonIdempotent, used)
 	if failure != nil {
 		return nil, failure
 	}
+	used.add(c)
 	x := &exchange{pool: p, conn: c, ctx: ctx, request: request, start: time.Now()}
 	return x.run()
 }
