platform: a response that names two requests belongs to none

Cause: of several values of the header only the first was compared.

Evidence, platform "A repeated refusal of another request is never taken for a response to a running request" before the fix:

[FAILED] after a copy with the running ID too Expected <int>: 503 To satisfy at least one of these matchers: 200, 502

The other copies of the table (other ID, no ID, two IDs in one line, behind information, 421, without a length, cut) were told apart before, too.

--- a/gateway/port/port.go
+++ b/gateway/port/port.go
@@ -74,7 +74,8 @@
 
 // ResponseHead is the information in a backend server's response headers.
 type ResponseHead struct {
-	// RequestID is the ID of the request to which the response belongs.
+	// RequestID is the ID of the request to which the response belongs. It is empty if
+	// the response names none or several.
 	RequestID string
 	// NotRun says that the server declares not to have executed the request.
 	NotRun bool
