upstream: discarding a response does not race with sending the body

Cause: after a response to another request was discarded, the exchange reset and set again whether a byte of its own request was sent, while the body was still being sent by another goroutine that records the same. "Not sent" is read as proof that a request did not run.

Evidence, `go test -race`, platform "A repeated refusal that comes before the body was sent is not taken for a response to the running request" before the fix:

WARNING: DATA RACE Write at ... upstream.(*conn).begin() ... upstream.(*exchange).readOwn() Previous write at ... upstream.(*connWriter).Write()

Now only the limit of the headers starts again.

--- a/traffic/upstream/conn.go
+++ b/traffic/upstream/conn.go
@@ -78,6 +78,11 @@
 // begin prepares the connection for one request.
 func (c *conn) begin(maxHeaderBytes int64) {
 	c.sent = false
+	c.limitHeaders(maxHeaderBytes)
+}
+
+// limitHeaders limits the bytes that are read until the headers are complete.
+func (c *conn) limitHeaders(maxHeaderBytes int64) {
 	c.limited = true
 	c.headerBytes = maxHeaderBytes
 }
--- a/traffic/upstream/exchange.go
+++ b/traffic/upstream/exchange.go
@@ -96,8 +96,7 @@
 		if dropped > maxSkippedBytes {
 			return nil, errOtherRequest
 		}
-		x.conn.begin(x.pool.options.MaxHeaderBytes)
-		x.conn.sent = true
+		x.conn.limitHeaders(x.pool.options.MaxHeaderBytes)
 	}
 }
 
