upstream: a close after a failed write does not end a response

Cause: such a response ends with its connection, and only a reset tells that it is incomplete. The kernel reports a reset once. While a body is sent, the writer may get it; the reader then sees the bytes that had arrived and an orderly end.

Now a response without a length is complete only if its request was sent without an error.

--- a/traffic/upstream/exchange.go
+++ b/traffic/upstream/exchange.go
@@ -64,7 +64,13 @@
 		return nil, &Failure{Stage: StageUnframed, Sent: true, Err: errors.New("neither Content-Length nor chunked")}
 	}
 	result := &Response{Response: response, exchange: x}
-	response.Body = &body{source: response.Body, exchange: x, reusable: writeErr == nil && !response.Close}
+	response.Body = &body{
+		source:       response.Body,
+		exchange:     x,
+		reusable:     writeErr == nil && !response.Close,
+		endsByClose:  !framed(response),
+		writeFailure: writeErr,
+	}
 	return result, nil
 }
 
@@ -264,12 +270,30 @@
 	}
 }
 
+// awaitSent waits briefly until the request's body was sent, and returns why it was
+// not sent completely, or nil.
+func (x *exchange) awaitSent() error {
+	if x.written == nil {
+		return nil
+	}
+	x.conn.SetWriteDeadline(time.Now().Add(earlyResponseWait))
+	x.request.Body.Close()
+	err := <-x.written
+	x.written = nil
+	return err
+}
+
 // body is a response body. It releases the connection at its end.
 type body struct {
 	source   io.ReadCloser
 	exchange *exchange
 	reusable bool
 	whole    bool
+	// endsByClose reports that the response ends with its connection.
+	endsByClose bool
+	// writeFailure is why the request was not sent completely before the response
+	// was read, or nil.
+	writeFailure error
 }
 
 // Read returns a *Failure when the response ends early.
@@ -279,6 +303,9 @@
 		return n, nil
 	}
 	if errors.Is(err, io.EOF) {
+		err = b.unprovedEnd()
+	}
+	if err == nil {
 		b.whole = true
 		b.exchange.finish(b.reusable)
 		return n, io.EOF
@@ -288,6 +315,19 @@
 	return n, failure
 }
 
+// unprovedEnd returns why the end of the connection does not end the response, or nil.
+// If sending failed too, the connection may have been reset: the kernel reports a reset
+// only once, to a write or to a read.
+func (b *body) unprovedEnd() error {
+	if !b.endsByClose {
+		return nil
+	}
+	if b.writeFailure != nil {
+		return b.writeFailure
+	}
+	return b.exchange.awaitSent()
+}
+
 // Close ends the exchange; if the response was not read to its end, the connection
 // is closed.
 func (b *body) Close() error {
