--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -39,11 +39,14 @@
 	Views       *view.Publisher
 	// Clock returns the elapsed time of this VM.
 	Clock func() time.Duration
+	// MemoryBytes is the memory limit of the process; zero sets no limit to responses.
+	MemoryBytes int64
 }
 
 // Dispatcher sends requests to backend servers. It is safe for concurrent use.
 type Dispatcher struct {
 	options Options
+	reading responseMemory
 	// waitsEnded is closed when requests may no longer wait.
 	waitsEnded chan struct{}
 	endWaits   sync.Once
@@ -51,7 +54,11 @@
 
 // New returns a dispatcher.
 func New(options Options) *Dispatcher {
-	return &Dispatcher{options: options, waitsEnded: make(chan struct{})}
+	return &Dispatcher{
+		options:    options,
+		reading:    responseMemory{limit: options.MemoryBytes},
+		waitsEnded: make(chan struct{}),
+	}
 }
 
 // EndWaits ends the long waits of requests for a server, now and from now on: this VM
--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -52,7 +52,7 @@
 		return c.classifyFailure(ctx, failure)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := c.reading.read(response.Response)
 	if err != nil {
 		var readFailure *upstream.Failure
 		if errors.As(err, &readFailure) {
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -108,7 +108,13 @@
 		clock:         elapsed.Now,
 	}
 	g.loop = newLoop(ctx, options, g.shared)
-	dispatcher := dispatch.New(dispatch.Options{HeaderCodec: options.HeaderCodec, Budget: g.shared.budget, Views: g.shared.views, Clock: g.shared.clock})
+	dispatcher := dispatch.New(dispatch.Options{
+		HeaderCodec: options.HeaderCodec,
+		Budget:      g.shared.budget,
+		Views:       g.shared.views,
+		Clock:       g.shared.clock,
+		MemoryBytes: options.Settings.MemoryBytes,
+	})
 	g.handler = front.New(front.Options{
 		HeaderCodec:  options.HeaderCodec,
 		Views:        g.shared.views,
