upstream: an idle connection outlives the deadline of its last request

What callers saw: nothing directly.

Cause: the deadline of a request stayed on its connection when it became idle. The check before the next use reads through Go's poller, which fails once the deadline has passed, so that the connection was closed as dead.

Evidence, upstream TestConnectionIsReusedAfterTheDeadlineOfItsLastRequest before the fix:

Expected <int>: 3 to equal <int>: 1

--- a/traffic/upstream/exchange.go
+++ b/traffic/upstream/exchange.go
@@ -250,6 +250,7 @@
 		return
 	}
 	x.over = true
+	x.conn.SetDeadline(time.Time{}) // A passed one would make the idle connection look dead.
 	x.pool.release(x.conn)
 }
 
--- a/traffic/upstream/pool_test.go
+++ b/traffic/upstream/pool_test.go
@@ -117,6 +117,26 @@
 	g.Expect(p.Open()).To(BeZero())
 }
 
+func TestConnectionIsReusedAfterTheDeadlineOfItsLastRequest(t *testing.T) {
+	g := NewWithT(t)
+	address, connections := countingServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "0")
+	})
+	p := NewPool(Options{Address: address, MaxConnections: 1})
+	defer p.Close()
+	const timeout = 100 * time.Millisecond
+	for range 3 {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		response, failure := p.Do(ctx, get(), false)
+		g.Expect(failure).To(BeNil())
+		io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		cancel()
+		time.Sleep(timeout)
+	}
+	g.Expect(connections()).To(Equal(1))
+}
+
 func TestEndedContextSendsNothing(t *testing.T) {
 	g := NewWithT(t)
 	address, _ := countingServer(t, func(http.ResponseWriter, *http.Request) {})
