--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -13,6 +13,7 @@
 	"guavacrank.example/gateway/budget"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/gateway/view"
+	"guavacrank.example/traffic/upstream"
 	"guavacrank.example/traffic/verdict"
 )
 
@@ -38,11 +39,14 @@
 	Views       *view.Publisher
 	// Clock returns the elapsed time of this VM.
 	Clock func() time.Duration
+	// MemoryBytes is the memory limit of the process; zero sets no limit to responses.
+	MemoryBytes int64
 }
 
 // Dispatcher sends requests to backend servers. It is safe for concurrent use.
 type Dispatcher struct {
 	options Options
+	reading responseMemory
 	// waitsEnded is closed when requests may no longer wait.
 	waitsEnded chan struct{}
 	endWaits   sync.Once
@@ -50,7 +54,11 @@
 
 // New returns a dispatcher.
 func New(options Options) *Dispatcher {
-	return &Dispatcher{options: options, waitsEnded: make(chan struct{})}
+	return &Dispatcher{
+		options:    options,
+		reading:    responseMemory{limit: options.MemoryBytes},
+		waitsEnded: make(chan struct{}),
+	}
 }
 
 // EndWaits ends the long waits of requests for a server, now and from now on: this VM
@@ -81,6 +89,8 @@
 	mayHaveRun bool
 	// retryPaid reports that the next attempt was charged to the retry budget.
 	retryPaid bool
+	// connections are those on which the request was sent.
+	connections upstream.Used
 	// limitedBy is a server whose limit did not admit the request.
 	limitedBy *balance.Server
 }
