--- a/gateway/run/peer_fuzz_test.go
+++ b/gateway/run/peer_fuzz_test.go
@@ -22,7 +22,7 @@
 type jsonRecords struct{ port.Records }
 
 func (jsonRecords) ConfigurationKey() string { return "configuration" }
-func (jsonRecords) ServersPrefix() string    { return "servers/" }
+func (jsonRecords) ServersPrefix() string    { return "backends/" }
 
 func (jsonRecords) Configuration(value []byte) (*model.Configuration, error) {
 	var c model.Configuration
