gateway: other VMs are asked for no more than the configuration

Cause: a VM that reached neither the leader nor a follower got the whole server list and the pages from whichever VM it asked, often across the link between the regions. No test has a link that fills.

Fix: others are asked for their version, and one of them for the configuration; lists and pages come from the store followers of the zone, as before. Four questions a round instead of eight, one transfer at a time.

--- a/gateway/run/fallback.go
+++ b/gateway/run/fallback.go
@@ -84,7 +84,13 @@
 func (l *loop) followerResponse(report *peer.Report) peer.ReportResponse {
 	response := peer.ReportResponse{KnownLeader: l.knownLeader, ConfirmedAgeMS: l.confirmedAgeMS(), InContact: l.inContact()}
 	if l.configuration != nil && report.ConfigurationVersion < l.configuration.Version {
-		response.ConfigurationVersion, response.Record = l.configuration.Version, l.peerRecord()
+		response.ConfigurationVersion = l.configuration.Version
+		if !report.OnlyVersion {
+			response.Record = l.peerRecord()
+		}
+	}
+	if report.OnlyVersion || report.OnlyConfiguration {
+		return response
 	}
 	response.Pages = l.pagesFor(report)
 	age := l.clock() - l.listedAt
--- a/gateway/run/others.go
+++ b/gateway/run/others.go
@@ -12,9 +12,11 @@
 )
 
 // The store followers of a zone and the leader can be lost together while the store
-// refuses this daemon. Any other daemon may have what it lacks, or know who leads. It
-// asks some of them, chosen at random, whether they have anything newer, and asks the
-// first one that has for it.
+// refuses this daemon. Any other daemon may have a newer configuration, or know who leads.
+// It asks some of them, chosen at random, for their version, and the first one that has a
+// newer one for the configuration. Everything else is too large: if all daemons of a region
+// that reach no leader got server lists from the other region, the link between them
+// would stay full, and the leader out of reach.
 
 const (
 	// followerPatience is how long a store follower may take to respond before others
@@ -23,7 +25,7 @@
 	// parallelQuestions is the number of daemons asked at a time, questionsPerRound the
 	// number asked after one failed report.
 	parallelQuestions = 2
-	questionsPerRound = 8
+	questionsPerRound = 4
 )
 
 // otherResponded is the result of asking any other daemon.
@@ -32,7 +34,7 @@
 	response *peer.ReportResponse
 	err      error
 	sentAt   time.Duration
-	// whole says that the daemon was asked for what it has, not only whether it has it.
+	// whole says that the daemon was asked for the configuration, not only its version.
 	whole bool
 }
 
@@ -70,7 +72,7 @@
 	return others[:min(len(others), questionsPerRound)]
 }
 
-// askNextOther asks the next daemon of the round whether it has anything newer.
+// askNextOther asks the next daemon of the round for its version.
 func (l *loop) askNextOther() {
 	if len(l.othersToAsk) == 0 {
 		return
@@ -80,15 +82,12 @@
 	l.askOther(address, false)
 }
 
-// askOther asks another daemon for what it has that this one lacks, or only whether
-// there is anything.
+// askOther asks another daemon for a newer configuration if whole is set, otherwise only
+// for its version.
 func (l *loop) askOther(address string, whole bool) {
 	l.othersPending++
 	query := l.newFollowerQuery()
-	query.OnlyWhether = !whole
-	if l.clock()-l.listedAt < l.relayedListTTL() {
-		query.ListAgeMS = 0 // A list that is recent enough is no reason to ask.
-	}
+	query.OnlyConfiguration, query.OnlyVersion = true, !whole
 	go func() {
 		sentAt := l.clock()
 		response, err := l.peers.Report(l.ctx, address, query)
@@ -98,12 +97,15 @@
 
 func (r otherResponded) apply(l *loop) {
 	l.othersPending--
+	if r.whole {
+		l.fetching = false
+	}
 	switch {
 	case r.err != nil:
 		l.log.Event(event.PeerUnreachable, r.err.Error(), zap.String("peer", r.address))
 		l.askNextOther()
-	case r.response.HasNewer:
-		l.othersToAsk = nil
+	case !r.whole && !l.fetching && l.lacks(r.response.ConfigurationVersion):
+		l.othersToAsk, l.fetching = nil, true
 		l.followLeader(r.response.KnownLeader)
 		l.askOther(r.address, true)
 	case r.whole:
@@ -118,28 +120,13 @@
 	}
 }
 
+// lacks says whether a version is newer than that in force.
+func (l *loop) lacks(version uint64) bool {
+	return version > 0 && (l.configuration == nil || version > l.configuration.Version)
+}
+
 // inContact says whether this daemon watches the store and its last call to the store
 // succeeded, so that it knows of each change.
 func (l *loop) inContact() bool {
 	return l.configuration != nil && (l.leading || l.followsStore) && !l.storeHealth.lost
 }
-
-// answerQuestion returns the response to a question of another daemon.
-func (l *loop) answerQuestion(report *peer.Report) peer.ReportResponse {
-	response := l.followerResponse(report)
-	if report.OnlyWhether {
-		return whetherNewer(response)
-	}
-	return response
-}
-
-// whetherNewer reduces a response to whether it contains anything that the sender of the
-// question lacks.
-func whetherNewer(whole peer.ReportResponse) peer.ReportResponse {
-	return peer.ReportResponse{
-		KnownLeader:    whole.KnownLeader,
-		ConfirmedAgeMS: whole.ConfirmedAgeMS,
-		InContact:      whole.InContact,
-		HasNewer:       whole.Record != nil || len(whole.Pages) > 0 || whole.List != nil,
-	}
-}
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -244,7 +244,7 @@
 
 func (r reportReceived) apply(l *loop) {
 	if r.report.ToFollower {
-		r.reply <- l.answerQuestion(r.report)
+		r.reply <- l.followerResponse(r.report)
 		return
 	}
 	if !l.leading {
