gateway: idle connections of requests are kept for 2 s

Cause: keeps connections beyond the deadline of their last request. Up to it that deadline, mostly within a second or two, had limited the idle time, whatever idleTimeout (6 s) said.

--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -20,8 +20,8 @@
 	// connectTimeout limits connection establishment to a backend server.
 	connectTimeout = 250 * time.Millisecond
 	// idleTimeout is the maximum time that an idle connection to a backend server
-	// is kept open.
-	idleTimeout = 6 * time.Second
+	// is kept open. The longer one is idle, the more often it turns out to be dead.
+	idleTimeout = 2 * time.Second
 	// unackedTimeout is how long sent bytes may stay unacknowledged before a
 	// connection to a backend server is closed.
 	unackedTimeout = 800 * time.Millisecond
