gateway: a leader that has just started learns from reports whom to consult

Cause: a consultation asks the daemons that the leader knows. One that has just started knows none but the seeds, and gave up at once. Found while reading for it: the record of a restored store counted as knowledge of the last leader, so that a few VMs which had all read it could have confirmed an old page; and a third was taken of the daemons that were asked, whatever the size of the fleet. Change: the senders of reports are asked too, until the consultation has ended; a leader's record of an earlier era is not followed; a third of the fleet, as large as any daemon knows it, has to be informed. Evidence: three new tests, each fails without its part of the change ("nobody could be asked yet": waiting was empty).

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -236,8 +236,10 @@
 	FormerLeader Leadership `json:"former"`
 	// Pages are the ownership pages that the leader lacks.
 	Pages []StoredPage `json:"pages,omitempty"`
-	// Members holds the addresses of all daemons if the sender knows more of them.
-	Members []string `json:"members,omitempty"`
+	// MemberCount is the number of daemons that the sender knows. Members holds their
+	// addresses if it knows more of them than the leader.
+	MemberCount int      `json:"member_count,omitempty"`
+	Members     []string `json:"members,omitempty"`
 }
 
 // SpreadResponse acknowledges a SpreadRequest.
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -154,6 +154,9 @@
 		l.ignoreRecord(entry, err)
 	}
 	l.campaign.Observe(entry.Value, entry.Era)
+	if decoded.Era < entry.Era {
+		return // A record of a restored store: later leaders may be lost with it.
+	}
 	l.followLeader(peer.Leadership{Leader: decoded.Leader, Term: kvstore.Position{Era: decoded.Era, Version: entry.Version}})
 }
 
--- a/gateway/run/consultation.go
+++ b/gateway/run/consultation.go
@@ -30,6 +30,7 @@
 	deadline time.Duration
 	asked    map[string]bool // By address; true until the daemon responds or fails to.
 	informed int             // Daemons, this one included, that know a leader of an earlier era.
+	members  int             // The largest number of daemons that any of them knows.
 	last     peer.Leadership // The last leader of an earlier era.
 	// lastYielded says that it has stopped and sent its pages.
 	lastYielded bool
@@ -43,6 +44,7 @@
 		term:     l.term,
 		deadline: now + consultationTimeout,
 		asked:    make(map[string]bool),
+		members:  len(l.knownPeers),
 		waiting:  make(map[string]bool),
 	}
 	l.consultation = c
@@ -87,7 +89,11 @@
 // apply answers an announcement with what this daemon knows.
 func (a leaderAnnounced) apply(l *loop) {
 	l.followLeader(a.request.Leadership)
-	response := peer.FollowResponse{FormerLeader: l.leaderBefore(a.request.Term.Era), Pages: l.pagesFor(a.request.Pages)}
+	response := peer.FollowResponse{
+		FormerLeader: l.leaderBefore(a.request.Term.Era),
+		Pages:        l.pagesFor(a.request.Pages),
+		MemberCount:  len(l.knownPeers),
+	}
 	if len(l.knownPeers) > a.request.MemberCount {
 		response.Members = l.knownPeers
 	}
@@ -105,6 +111,7 @@
 		return
 	}
 	c.note(f.response.FormerLeader)
+	c.members = max(c.members, f.response.MemberCount)
 	l.applyPages(f.response.Pages)
 	l.announceLeadership(f.response.Members)
 	l.askLastLeader()
@@ -121,10 +128,23 @@
 	l.decideConsultation(l.clock())
 }
 
+// consultSender asks the sender of a report what it knows, if this is awaited: a leader
+// that has just started may not know the fleet.
+func (l *loop) consultSender(report *peer.Report) {
+	if c := l.consultation; c != nil && len(c.waiting) > 0 {
+		l.announceLeadership([]string{report.Address})
+	}
+}
+
 // confirmed says whether the newest pages are known.
 func (c *consultation) confirmed(self keys.Leader) bool {
 	known := c.last.Leader == self || c.lastYielded
-	return known && 3*c.informed >= len(c.asked)+1
+	return known && c.informedEnough()
+}
+
+// informedEnough says whether a third of the fleet knows a leader of an earlier era.
+func (c *consultation) informedEnough() bool {
+	return c.members > 0 && 3*c.informed >= max(c.members, len(c.asked)+1)
 }
 
 // pending says whether responses are awaited.
@@ -145,7 +165,8 @@
 		return
 	}
 	confirmed := c.confirmed(l.self)
-	undecided := c.pending() || c.last.Leader.Incarnation != "" && l.yieldPending[c.last.Leader.Incarnation]
+	unasked := len(c.asked) == 0 && !l.settings.FirstStart // Reports may show whom to ask.
+	undecided := unasked || c.pending() || c.last.Leader.Incarnation != "" && l.yieldPending[c.last.Leader.Incarnation]
 	if !confirmed && undecided && now < c.deadline {
 		return
 	}
@@ -181,7 +202,7 @@
 	if last := c.last.Leader; last.Incarnation != "" && last != l.self {
 		leaders = append(leaders, last)
 	}
-	if 3*c.informed < len(c.asked)+1 {
+	if !c.informedEnough() {
 		leaders = append(leaders, unknownLeader)
 	}
 	return leaders
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -260,6 +260,7 @@
 	}
 	l.applyReport(r.report)
 	l.learnNewerVersion(r.report)
+	l.consultSender(r.report)
 	r.reply <- l.leaderResponse(r.report)
 }
 
--- a/gateway/run/restoration_test.go
+++ b/gateway/run/restoration_test.go
@@ -229,3 +229,46 @@
 	g.Eventually(recorder.queries, time.Second).Should(Receive(HaveField("ToFollower", true)))
 	g.Consistently(recorder.queries, 100*time.Millisecond).ShouldNot(Receive(), "one call at a time")
 }
+
+func TestRecordOfARestoredStoreInformsOfNoLeader(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	earlier := encodeLeader(keys.Leader{VM: "earlier", Incarnation: "earlier"}, 1)
+	watchResult{prefix: leaderKey, full: true, era: 2, entries: []kvstore.Entry{{Key: leaderKey, Value: earlier, Version: 20, Era: 2}}}.apply(l)
+	g.Expect(l.leaderBefore(2).Leader.Incarnation).To(BeEmpty(), "a later leader may be lost with the copy")
+}
+
+func TestLeaderThatKnowsNobodyAsksTheSendersOfReports(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	l.machines["s"] = keys.NewMachine(keys.Options{Service: "s", Self: l.self, GrantTTL: time.Second})
+	l.term = kvstore.Position{Era: 2, Version: 60}
+	l.startLeading(l.clock())
+	l.consultation.waiting["s"] = true
+	l.decideConsultation(l.clock())
+	g.Expect(l.consultation.waiting).To(HaveKey("s"), "nobody could be asked yet")
+
+	last := keys.Leader{VM: "last", Incarnation: "last"}
+	settled := informedPeer{recordingPeer{make(chan *peer.SpreadRequest, 1), make(chan *peer.Report, 1)}, peer.FollowResponse{},
+		peer.YieldResponse{Incarnation: "last", Settled: true}}
+	server := httptest.NewServer(peer.NewHandler(&settled))
+	t.Cleanup(server.Close)
+	last.Address = server.Listener.Addr().String()
+	settled.follow = peer.FollowResponse{FormerLeader: peer.Leadership{Leader: last, Term: kvstore.Position{Era: 1, Version: 50}}, MemberCount: 2}
+	l.consultSender(&peer.Report{Address: last.Address})
+	for deadline := time.Now().Add(5 * time.Second); len(l.consultation.waiting) > 0; {
+		g.Expect(time.Now().Before(deadline)).To(BeTrue())
+		(<-l.inputs).apply(l)
+	}
+	g.Expect(l.consultation.confirmed(l.self)).To(BeTrue())
+}
+
+func TestFewInformedDaemonsOfALargeFleetConfirmNothing(t *testing.T) {
+	g := NewWithT(t)
+	c := consultation{asked: map[string]bool{"a": false, "b": false}, informed: 2, members: 12, lastYielded: true}
+	g.Expect(c.confirmed(keys.Leader{VM: "self"})).To(BeFalse(), "another leader may have had the others")
+	c.informed = 4
+	g.Expect(c.confirmed(keys.Leader{VM: "self"})).To(BeTrue())
+	c.members = 0
+	g.Expect(c.confirmed(keys.Leader{VM: "self"})).To(BeFalse(), "nobody knows the size of the fleet")
+}
