leader: an old reading of the key does not end a leadership just won

Cause: a list that was answered before the claim ("no key", or that of an earlier era) was applied after it. Change: an observation carries the position that it is about; one before the own term has no effect. Evidence: TestObservationOfTheTimeBeforeTheOwnClaimDoesNotEndTheLeadership; it fails without the condition.

--- a/gateway/leader/leader.go
+++ b/gateway/leader/leader.go
@@ -107,17 +107,18 @@
 	c.wake()
 }
 
-// Observe sets the newest observed value of the key and the era in which it was read;
-// nil means that the key does not exist.
-func (c *Campaign) Observe(value []byte, era kvstore.Era) {
+// Observe sets the observed value of the key, nil if the key does not exist, and the
+// position of the store that it is about: that of the write, or one at which the key did
+// not exist. An observation of the time before the own claim has no effect.
+func (c *Campaign) Observe(value []byte, at kvstore.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.enterEra(era)
-	if era < c.era {
+	c.enterEra(at.Era)
+	if at.Era < c.era || c.state.Held && at.Before(c.state.Term) {
 		return
 	}
 	c.vacant = value == nil
-	leftover := value != nil && c.options.EraOf(value) < era
+	leftover := value != nil && c.options.EraOf(value) < at.Era
 	switch {
 	case !leftover:
 		c.leftoverSince = 0
@@ -278,7 +279,7 @@
 		c.EnterEra(entry.Era)
 		c.claim(ctx, entry.Version)
 	default:
-		c.Observe(entry.Value, entry.Era)
+		c.Observe(entry.Value, kvstore.Position{Era: entry.Era, Version: entry.Version})
 	}
 }
 
--- a/gateway/leader/leader_test.go
+++ b/gateway/leader/leader_test.go
@@ -152,7 +152,7 @@
 	var stops []context.CancelFunc
 	store.watch = func(value []byte) {
 		for _, c := range campaigns {
-			c.Observe(value, store.era)
+			c.Observe(value, kvstore.Position{Era: store.era, Version: store.revision})
 		}
 	}
 	for i := range count {
@@ -215,7 +215,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		t.Cleanup(cancel)
 		go c.Run(ctx)
-		c.Observe(nil, 0)
+		c.Observe(nil, kvstore.Position{Version: 1})
 		g.Eventually(func() bool { return c.State().Held }, "3s").Should(BeTrue())
 		g.Expect(c.State().Term.Version).To(BeNumerically(">", 0))
 		g.Expect(campaigns).To(BeEmpty())
@@ -232,7 +232,7 @@
 		time.Sleep(500 * time.Millisecond)
 		g.Expect(campaigns[0].State().Held).To(BeTrue())
 		g.Expect(campaigns[0].State().LastContact - contact).To(BeNumerically("<", 400*time.Millisecond))
-		campaigns[0].Observe(value("another")(0), 0)
+		campaigns[0].Observe(value("another")(0), kvstore.Position{Version: 9})
 		g.Expect(campaigns[0].State().Held).To(BeFalse())
 	})
 }
@@ -278,11 +278,28 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go c.Run(ctx)
-	c.Observe(store.value, 2)
+	c.Observe(store.value, kvstore.Position{Era: 2, Version: 7})
 	g.Consistently(func() bool { return c.State().Held }, leader.LeaseTTL).Should(BeFalse(), "its lease may not have expired yet")
 	g.Eventually(func() bool { return c.State().Held }, 8*leader.LeaseTTL).Should(BeTrue())
 }
 
+func TestObservationOfTheTimeBeforeTheOwnClaimDoesNotEndTheLeadership(t *testing.T) {
+	g := NewWithT(t)
+	store := &fakeStore{leases: make(map[kvstore.LeaseID]time.Time), era: 2, revision: 7, ttl: 2 * leader.LeaseTTL}
+	started := time.Now()
+	c := leader.New(leader.Options{Store: store, Key: "k", Value: value("x"), EraOf: eraOf, Clock: func() time.Duration { return time.Since(started) }})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go c.Run(ctx)
+	c.Observe(nil, kvstore.Position{Era: 2, Version: 7})
+	g.Eventually(func() bool { return c.State().Held }, 2*leader.LeaseTTL).Should(BeTrue())
+	c.Observe(nil, kvstore.Position{Era: 2, Version: 7})
+	c.Observe(value("earlier")(1), kvstore.Position{Era: 2, Version: 5})
+	g.Expect(c.State().Held).To(BeTrue())
+	c.Observe(value("later")(2), kvstore.Position{Era: 2, Version: 20})
+	g.Expect(c.State().Held).To(BeFalse())
+}
+
 // setEra restores the store: only the given value of the key is left.
 func (f *fakeStore) setEra(era kvstore.Era, left []byte) {
 	f.mu.Lock()
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -139,21 +139,22 @@
 		}
 	}
 	if r.full && !found {
-		l.campaign.Observe(nil, r.era)
+		l.campaign.Observe(nil, kvstore.Position{Era: r.era, Version: r.version})
 	}
 	l.reportWhileStarting()
 }
 
 func (l *loop) applyLeaderEntry(entry kvstore.Entry) {
+	at := kvstore.Position{Era: entry.Era, Version: entry.Version}
 	if entry.Deleted {
-		l.campaign.Observe(nil, entry.Era)
+		l.campaign.Observe(nil, at)
 		return
 	}
 	var decoded leaderRecord
 	if err := json.Unmarshal(entry.Value, &decoded); err != nil {
 		l.ignoreRecord(entry, err)
 	}
-	l.campaign.Observe(entry.Value, entry.Era)
+	l.campaign.Observe(entry.Value, at)
 	if decoded.Era < entry.Era {
 		return // A record of a restored store: later leaders may be lost with it.
 	}
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -16,6 +16,7 @@
 	prefix  string
 	full    bool // Whether entries are the complete contents of the prefix.
 	era     kvstore.Era
+	version kvstore.Version // With full set: the store's version, at which entries were complete.
 	entries []kvstore.Entry
 	err     error
 	// duration is how long the call took, without the time that a watch waited.
--- a/gateway/run/store_watcher.go
+++ b/gateway/run/store_watcher.go
@@ -126,7 +126,7 @@
 		}
 		began := time.Now()
 		entries, position, err := w.store.List(ctx, w.prefix)
-		w.deliver(watchResult{prefix: w.prefix, full: true, era: resultEra(position, err), entries: entries, err: err, duration: time.Since(began)})
+		w.deliver(watchResult{prefix: w.prefix, full: true, era: resultEra(position, err), version: position.Version, entries: entries, err: err, duration: time.Since(began)})
 		if err != nil {
 			sleep(ctx, jitter(delay))
 			delay = min(2*delay, maxRetryDelay)
