leader: a claim whose reply was lost is found again

A leader that claimed its key again after a restoration, and lost the reply and the reading that resolves it, took its own record for that of another leader: about a second without one. Change: the claim is kept until it is resolved; a record with its lease and value is the own one. A campaign that was ended meanwhile does not take it; an expired lease is no error of a resignation. Evidence: TestReclaimWhoseReplyWasLostIsFoundAgain.

--- a/gateway/leader/leader.go
+++ b/gateway/leader/leader.go
@@ -80,7 +80,9 @@
 	changed     chan struct{}
 	lease       kvstore.LeaseID
 	value       []byte // What the leader wrote to the key.
-	ttl         time.Duration
+	// unresolved is a claim whose write may have been applied.
+	unresolved *claim
+	ttl        time.Duration
 	// leftoverSince is when the key was first seen to hold a record of an earlier era
 	// in this one; zero if it does not.
 	leftoverSince time.Duration
@@ -91,6 +93,13 @@
 	return &Campaign{options: options, changed: make(chan struct{}, 1), ttl: max(LeaseTTL, options.MinLeaseTTL)}
 }
 
+// claim is an attempt to write the key.
+type claim struct {
+	lease kvstore.Lease
+	value []byte
+	sent  time.Duration
+}
+
 // EnterEra tells the campaign the store's era.
 func (c *Campaign) EnterEra(era kvstore.Era) {
 	c.mu.Lock()
@@ -152,7 +161,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if current, err := c.options.Store.KeepAlive(ctx, lease); err != nil || current != era {
+	current, err := c.options.Store.KeepAlive(ctx, lease)
+	if kvstore.IsKind(err, kvstore.KindNotFound) {
+		return nil // The lease has expired.
+	}
+	if err != nil || current != era {
 		return err // In another era the lease may be that of another VM.
 	}
 	return c.options.Store.Revoke(ctx, lease)
@@ -202,7 +215,7 @@
 			c.wait(ctx, c.claimDelay())
 			switch c.nextAction() {
 			case actionClaim:
-				c.claim(ctx, 0)
+				c.attempt(ctx, 0)
 			case actionReplace:
 				c.reclaim(ctx)
 			}
@@ -271,24 +284,31 @@
 	switch {
 	case kvstore.IsKind(err, kvstore.KindNotFound):
 		c.EnterEra(kvstore.EraOf(err))
-		c.claim(ctx, 0)
+		c.attempt(ctx, 0)
 	case err != nil:
 		c.EnterEra(kvstore.EraOf(err))
 		c.wait(ctx, retryDelay)
 	case c.options.EraOf(entry.Value) < entry.Era:
 		c.EnterEra(entry.Era)
-		c.claim(ctx, entry.Version)
+		c.attempt(ctx, entry.Version)
+	case c.isOwn(entry):
+		c.won(*c.unresolved, kvstore.Position{Era: entry.Era, Version: entry.Version})
 	default:
 		c.Observe(entry.Value, kvstore.Position{Era: entry.Era, Version: entry.Version})
 	}
 }
 
+// isOwn says whether an entry was written by the unresolved claim.
+func (c *Campaign) isOwn(entry kvstore.Entry) bool {
+	return c.unresolved != nil && entry.Lease == c.unresolved.lease.ID && bytes.Equal(entry.Value, c.unresolved.value)
+}
+
 // errRestored reports a claim during which the store was restored.
 var errRestored = errors.New("the store was restored from an earlier copy meanwhile")
 
-// claim writes the key with a new lease if its version is the expected one. If the
+// attempt writes the key with a new lease if its version is the expected one. If the
 // outcome of the write is unknown, reading the key resolves it.
-func (c *Campaign) claim(ctx context.Context, expected kvstore.Version) {
+func (c *Campaign) attempt(ctx context.Context, expected kvstore.Version) {
 	callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
 	lease, err := c.options.Store.GrantLease(callCtx, c.ttl)
@@ -297,12 +317,12 @@
 		c.wait(ctx, retryDelay)
 		return
 	}
-	value := c.options.Value(lease.Era)
-	sent := c.options.Clock()
-	term, err := c.options.Store.CompareAndSwap(callCtx, c.options.Key, expected, value, lease.ID)
+	attempt := claim{lease, c.options.Value(lease.Era), c.options.Clock()}
+	term, err := c.options.Store.CompareAndSwap(callCtx, c.options.Key, expected, attempt.value, lease.ID)
 	if kvstore.IsUnknown(err) {
+		c.unresolved = &attempt
 		entry, readErr := c.options.Store.Get(callCtx, c.options.Key)
-		if readErr == nil && entry.Lease == lease.ID && bytes.Equal(entry.Value, value) {
+		if readErr == nil && c.isOwn(entry) {
 			term, err = kvstore.Position{Era: entry.Era, Version: entry.Version}, nil
 		}
 	}
@@ -314,17 +334,23 @@
 		c.wait(ctx, retryDelay)
 		return
 	}
-	c.won(lease, value, sent, term)
+	c.won(attempt, term)
 }
 
-func (c *Campaign) won(lease kvstore.Lease, value []byte, sent time.Duration, term kvstore.Position) {
+// won records a claim that was applied. A campaign that was ended meanwhile leaves the
+// lease to expire.
+func (c *Campaign) won(applied claim, term kvstore.Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.enterEra(term.Era)
-	c.lease, c.value, c.ttl = lease.ID, value, max(lease.TTL, c.ttl)
+	c.unresolved = nil
 	c.vacant = false
 	c.leftoverSince = 0
-	c.state = State{Held: true, Term: term, LastContact: sent}
+	if c.disabled {
+		return
+	}
+	c.lease, c.value, c.ttl = applied.lease.ID, applied.value, max(applied.lease.TTL, c.ttl)
+	c.state = State{Held: true, Term: term, LastContact: applied.sent}
 }
 
 // lost records a failed claim. If the key is taken, Observe reports when it is
--- a/gateway/leader/leader_test.go
+++ b/gateway/leader/leader_test.go
@@ -30,6 +30,8 @@
 	ttl         time.Duration // Of leases, if longer than leaseTTL.
 	down        bool
 	loseReplies bool // Writes are applied, but their replies are lost.
+	failReads   int  // Reads that fail after a write whose reply was lost.
+	writes      int
 	watch       func(value []byte)
 }
 
@@ -77,6 +79,7 @@
 		return kvstore.Position{}, &kvstore.Error{Kind: kvstore.KindConflict, Era: f.era}
 	}
 	f.revision++
+	f.writes++
 	f.version, f.value, f.holder = f.revision, value, lease
 	if f.loseReplies {
 		return kvstore.Position{}, &kvstore.Error{Outcome: kvstore.OutcomeUnknown}
@@ -87,6 +90,10 @@
 func (f *fakeStore) Get(context.Context, string) (kvstore.Entry, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.loseReplies && f.value != nil && f.failReads > 0 {
+		f.failReads--
+		return kvstore.Entry{}, errDown
+	}
 	if f.value == nil {
 		return kvstore.Entry{}, &kvstore.Error{Kind: kvstore.KindNotFound, Era: f.era}
 	}
@@ -300,6 +307,22 @@
 	g.Expect(c.State().Held).To(BeFalse())
 }
 
+func TestReclaimWhoseReplyWasLostIsFoundAgain(t *testing.T) {
+	g := NewWithT(t)
+	store, campaigns, _ := start(t, 1)
+	store.setEra(1, nil)
+	g.Eventually(func() kvstore.Era { return campaigns[0].State().Term.Era }, "3s").Should(BeEquivalentTo(1))
+	store.mu.Lock()
+	store.loseReplies, store.failReads = true, 1
+	store.mu.Unlock()
+	store.setEra(2, nil)
+	g.Eventually(func() kvstore.Era { return campaigns[0].State().Term.Era }, "3s").Should(BeEquivalentTo(2))
+	g.Expect(campaigns[0].State().Held).To(BeTrue())
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	g.Expect(store.writes).To(Equal(2), "the first claim of the era was applied")
+}
+
 // setEra restores the store: only the given value of the key is left.
 func (f *fakeStore) setEra(era kvstore.Era, left []byte) {
 	f.mu.Lock()
