keys: a page without ranges does not settle what lost pages granted

Change: only a page with ranges names unknown holders. Besides, a machine that goes on in another era forgets which earlier leaders had ended, announces a longer TTL also when it finds its own write by reading, and counts its own calls in flight when no other leader is named. Evidence: the new test ("the grants by lost pages may be valid") fails without the condition.

--- a/gateway/keys/predecessors.go
+++ b/gateway/keys/predecessors.go
@@ -60,7 +60,7 @@
 		}
 	}
 	if len(m.predecessors.active) == 0 {
-		m.predecessors.endedBy = max(m.predecessors.endedBy, m.now) // No other process has granted keys.
+		m.predecessors.endedBy = max(m.predecessors.endedBy, m.ownCallsEnd()) // No other process has granted keys.
 	}
 }
 
@@ -80,3 +80,12 @@
 	}
 	return m.predecessors.endedBy
 }
+
+// ownCallsEnd returns the latest time at which a grant that this machine has sent until now
+// may arrive.
+func (m *Machine) ownCallsEnd() time.Duration {
+	if m.calls > 0 {
+		return m.now + MaxCallDelay
+	}
+	return m.now
+}
--- a/gateway/keys/restoration.go
+++ b/gateway/keys/restoration.go
@@ -58,6 +58,7 @@
 	m.era, m.consulting, m.consulted = era, false, false
 	m.pageKnown, m.reading, m.retryStoreAt = false, false, m.now
 	m.writeUnknown = m.writing != nil
+	m.predecessors.ended = make(map[string]bool) // They may have led again since.
 }
 
 // needsConsultation says whether a stored page may be older than pages by which keys were
@@ -106,6 +107,7 @@
 	if page == nil || m.page != nil && !m.page.Stamp.Before(page.Stamp) {
 		return
 	}
+	m.announceTTL(page)
 	m.page = page
 	if written != nil && page.sameWrite(written) {
 		m.adopted = true
--- a/gateway/keys/simulation_restore_test.go
+++ b/gateway/keys/simulation_restore_test.go
@@ -175,6 +175,27 @@
 		Expect(m.Settled()).To(BeTrue())
 	})
 
+	It("does not take a page without ranges for the end of the grants by lost pages", func() {
+		m := keys.NewMachine(keys.Options{Service: "s", Self: keys.Leader{VM: "a", Incarnation: "a"}, GrantTTL: grantTTL, MaxGrantTTL: 2 * grantTTL, PredecessorTimeout: predecessorTimeout})
+		servers := []model.Server{{ID: "i-0", Born: 1000, Service: "s", Address: "i-0:1", Slots: 4}}
+		m.Lead(0, 2)
+		m.Tick(0)
+		m.StepRead(0, nil, kvstore.Position{Era: 2})
+		m.StepServers(0, servers, false)
+		m.StepConsulted(0, keys.Consultation{Predecessors: []keys.Leader{{Incarnation: "unknown"}}})
+		ended := 3 * time.Second
+		m.PredecessorsEnded(ended)
+		for now := time.Duration(0); now < ended+2*grantTTL; now += tickInterval {
+			m.StepServers(now, servers, true)
+			m.Tick(now)
+			ready := m.Ready()
+			Expect(ready.Grants).To(BeEmpty(), "%v: the grants by lost pages may be valid", now)
+			if ready.Write != nil {
+				m.StepWritten(now, ready.Write.Page.WriteID, kvstore.Position{Era: 2, Version: kvstore.Version(now) + 1}, nil)
+			}
+		}
+	})
+
 	for seed := range uint64(80) {
 		It(fmt.Sprintf("seed %d: with restorations among random faults no key has two holders and fences only grow", seed), func() {
 			sim := newSimulation(1000 + seed)
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -119,7 +119,10 @@
 	case err == nil:
 		m.announceTTL(m.writing)
 		m.page, m.version = m.writing, position.Version
-		m.writing, m.adopted, m.settlement = nil, true, settled
+		m.writing, m.adopted = nil, true
+		if len(m.page.Ranges) > 0 {
+			m.settlement = settled // The page names the unknown holders.
+		}
 	case kvstore.IsKind(err, kvstore.KindConflict):
 		m.writing, m.pageKnown = nil, false
 	case kvstore.IsUnknown(err):
