gateway: who may vouch for the newest pages, and a leader that stopped gives up its key

A request to yield names its sender's term now, and is refused by a later leader; a lease without a leadership is given up. 2. A former leader vouched for its pages although it knew a later one, or without a configuration that names the services; and a page whose writer nobody named counted as confirmed (OWNER). It vouches only for the last leadership that it knows, names later ones, and a page is confirmed only if its writer is the last leader. The first start ends with the first restoration.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -252,6 +252,8 @@
 type YieldRequest struct {
 	// Incarnation identifies the process that has to stop leading.
 	Incarnation string `json:"incarnation"`
+	// Successor is the sender's own leadership.
+	Successor Leadership `json:"successor"`
 	// Pages maps each service to the stamp of the ownership page that the sender has.
 	Pages map[string]keys.Stamp `json:"pages,omitempty"`
 }
@@ -262,6 +264,14 @@
 	// that process sends no more grants. If it is another one, the requested
 	// process no longer runs.
 	Incarnation string `json:"incarnation"`
+	// Refused says that the process leads by a later term than that of the sender.
+	Refused bool `json:"refused,omitempty"`
+	// KnownLeader is the last leader that the process knows; FormerLeader the last one of
+	// an earlier era than that of the sender's term.
+	KnownLeader  Leadership `json:"known"`
+	FormerLeader Leadership `json:"former"`
+	// Members holds the addresses of the daemons that report, or reported, to the process.
+	Members []string `json:"members,omitempty"`
 	// Settled says that the process led until now and knew the newest page of each
 	// service. Pages are those that the sender of the request lacks.
 	Settled bool         `json:"settled,omitempty"`
--- a/gateway/run/consultation.go
+++ b/gateway/run/consultation.go
@@ -74,7 +74,12 @@
 		return
 	}
 	c.informed++
-	if c.last.Term.Before(leadership.Term) {
+	c.hear(leadership)
+}
+
+// hear records a leader of an earlier era.
+func (c *consultation) hear(leadership peer.Leadership) {
+	if leadership.Term.Era < c.term.Era && c.last.Term.Before(leadership.Term) {
 		c.last, c.lastYielded = leadership, false
 	}
 }
@@ -121,9 +126,16 @@
 // noteYield records that an earlier leader has stopped.
 func (l *loop) noteYield(y yieldDone) {
 	c := l.consultation
-	if c == nil || y.predecessor != c.last.Leader {
+	if c == nil {
+		return
+	}
+	c.hear(y.response.FormerLeader)
+	if y.predecessor != c.last.Leader {
+		l.askLastLeader()
 		return
 	}
+	c.members = max(c.members, len(y.response.Members))
+	l.announceLeadership(y.response.Members)
 	c.lastYielded = c.lastYielded || y.response.Incarnation == y.predecessor.Incarnation && y.response.Settled
 	l.decideConsultation(l.clock())
 }
@@ -165,7 +177,7 @@
 		return
 	}
 	confirmed := c.confirmed(l.self)
-	unasked := len(c.asked) == 0 && !l.settings.FirstStart // Reports may show whom to ask.
+	unasked := len(c.asked) == 0 && !l.firstStart() // Reports may show whom to ask.
 	undecided := unasked || c.pending() || c.last.Leader.Incarnation != "" && l.yieldPending[c.last.Leader.Incarnation]
 	if !confirmed && undecided && now < c.deadline {
 		return
@@ -179,6 +191,12 @@
 	clear(c.waiting)
 }
 
+// firstStart says whether the whole system is starting for the first time, as far as this
+// process knows.
+func (l *loop) firstStart() bool {
+	return l.settings.FirstStart && !l.sawRestoration && l.consultation.informed == 0
+}
+
 // consultationResult returns what the daemons know of the pages of a service. confirmed
 // says that the last leader has sent its pages.
 func (l *loop) consultationResult(service string, confirmed bool) keys.Consultation {
@@ -186,10 +204,13 @@
 	if page := l.pages[service]; page != nil {
 		result.Page = page.page
 	}
+	last := l.consultation.last.Leader
 	switch {
+	case result.Page != nil && result.Page.Writer.Incarnation != last.Incarnation:
+		result.Confirmed = false // A leader that nobody names has written it.
 	case l.consultation.informed == 0:
-		result.Confirmed = l.settings.FirstStart && result.Page == nil
-	case l.consultation.last.Leader == l.self:
+		result.Confirmed = l.firstStart() && result.Page == nil
+	case last == l.self:
 		result.Confirmed = confirmed && l.machines[service].Settled() // It has led until now.
 	}
 	return result
@@ -214,8 +235,11 @@
 	if !l.leading {
 		return l.settledAtStop
 	}
-	for _, machine := range l.machines {
-		if !machine.Settled() {
+	if l.configuration == nil {
+		return false
+	}
+	for name, service := range l.configuration.Services {
+		if machine := l.machines[name]; service.Partitioned && (machine == nil || !machine.Settled()) {
 			return false
 		}
 	}
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -25,6 +25,8 @@
 	case state.Held && l.term.Before(state.Term) && silence < contactTimeout:
 		l.term = state.Term
 		l.startLeading(now)
+	case !l.leading && state.Held && l.term == state.Term && silence < contactTimeout:
+		go l.resign(false) // It stopped leading, but its lease lives on: the next leader needs the key.
 	case l.leading && !state.Held:
 		l.stopLeading("the lease on the leader's key was lost")
 	case l.leading && silence > predecessorTimeout:
@@ -177,7 +179,7 @@
 		return
 	}
 	l.yieldPending[leader.Incarnation] = true
-	request := &peer.YieldRequest{Incarnation: leader.Incarnation, Pages: l.pageStamps()}
+	request := &peer.YieldRequest{Incarnation: leader.Incarnation, Successor: peer.Leadership{Leader: l.self, Term: l.term}, Pages: l.pageStamps()}
 	go func() {
 		response, err := l.peers.Yield(l.ctx, leader.Address, request)
 		if err != nil {
@@ -192,6 +194,10 @@
 	if y.err != nil {
 		return
 	}
+	l.followLeader(y.response.KnownLeader)
+	if y.response.Refused {
+		return
+	}
 	cause, until := "the process has ended: another one responds at its address", l.clock()
 	if y.response.Incarnation == y.predecessor.Incarnation {
 		// Calls that it has already sent may still arrive.
@@ -206,14 +212,23 @@
 }
 
 func (y yieldReceived) apply(l *loop) {
-	response := peer.YieldResponse{Incarnation: l.self.Incarnation}
-	if y.request.Incarnation == l.self.Incarnation {
-		response.Settled, response.Pages = l.knewNewestPages(), l.pagesFor(y.request.Pages)
+	response := peer.YieldResponse{Incarnation: l.self.Incarnation, KnownLeader: l.knownLeader}
+	response.Refused = l.leading && y.request.Successor.Term.Before(l.term)
+	if y.request.Incarnation == l.self.Incarnation && !response.Refused {
+		l.yield(y.request, &response)
 	}
-	if l.leading && y.request.Incarnation == l.self.Incarnation {
+	y.reply <- response
+}
+
+// yield stops leading and tells the successor what it may not know.
+func (l *loop) yield(request *peer.YieldRequest, response *peer.YieldResponse) {
+	response.FormerLeader = l.leaderBefore(request.Successor.Term.Era)
+	response.Settled = l.knewNewestPages() && response.FormerLeader.Leader == l.self
+	response.Pages, response.Members = l.pagesFor(request.Pages), l.memberAddresses()
+	if l.leading {
 		l.stopLeading("a later leader asked this one to stop leading")
 	}
-	y.reply <- response
+	l.followLeader(request.Successor)
 }
 
 // A leader without contact to the store keeps renewing grants until the process
--- a/gateway/run/restoration.go
+++ b/gateway/run/restoration.go
@@ -32,6 +32,7 @@
 	if previous == 0 {
 		return // The first contact.
 	}
+	l.sawRestoration = true
 	l.log.Event(event.StoreRestored, "", zap.Uint64("era", uint64(era)), zap.Uint64("previous", uint64(previous)))
 	l.servers.storeRestored(l.clock())
 	l.configurationWatcher.relist()
--- a/gateway/run/restoration_test.go
+++ b/gateway/run/restoration_test.go
@@ -35,10 +35,10 @@
 	return l
 }
 
-// page returns a page of one range.
+// page returns a page of one range, written by the leader "last".
 func page(stamp keys.Stamp) *keys.Page {
 	owner := keys.Holder{Incarnation: model.Incarnation{ID: "i-1"}, Address: "a:1", Fence: 3}
-	return &keys.Page{Stamp: stamp, Fence: 3, Ranges: []keys.Range{{To: model.Keys - 1, Owner: owner}}}
+	return &keys.Page{Stamp: stamp, Writer: keys.Leader{VM: "last", Incarnation: "last"}, Fence: 3, Ranges: []keys.Range{{To: model.Keys - 1, Owner: owner}}}
 }
 
 func encoded(t *testing.T, p *keys.Page) []byte {
--- /dev/null
+++ b/gateway/run/succession_test.go
@@ -0,0 +1,176 @@
+package run
+
+import (
+	"context"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/leader"
+	"guavacrank.example/gateway/peer"
+	"guavacrank.example/gateway/port"
+	"guavacrank.example/kvstore"
+)
+
+// leaseStore grants a lease and a key. While it is paused it does not answer, and the
+// lease does not expire.
+type leaseStore struct {
+	port.Store
+	mu     sync.Mutex
+	paused bool
+}
+
+func (s *leaseStore) GrantLease(context.Context, time.Duration) (kvstore.Lease, error) {
+	return kvstore.Lease{ID: 7, TTL: time.Second, Era: 1}, nil
+}
+
+func (s *leaseStore) CompareAndSwap(context.Context, string, kvstore.Version, []byte, kvstore.LeaseID) (kvstore.Position, error) {
+	return kvstore.Position{Era: 1, Version: 50}, nil
+}
+
+func (s *leaseStore) KeepAlive(context.Context, kvstore.LeaseID) (kvstore.Era, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.paused {
+		return 0, &kvstore.Error{Kind: kvstore.KindUnavailable}
+	}
+	return 1, nil
+}
+
+func (s *leaseStore) Revoke(context.Context, kvstore.LeaseID) error { return nil }
+
+func (s *leaseStore) pause(paused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paused = paused
+}
+
+// newElectedLoop returns a loop that leads in era 1.
+func newElectedLoop(t *testing.T) (*loop, *leaseStore) {
+	l := newRestorationLoop(t)
+	began := time.Now()
+	l.clock = func() time.Duration { return time.Since(began) + 5*time.Second }
+	store := &leaseStore{}
+	l.store = store
+	l.campaign = leader.New(leader.Options{Store: store, Key: leaderKey, Clock: l.clock, EraOf: recordEra,
+		Value: func(era kvstore.Era) []byte { return encodeLeader(l.self, era) }})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go l.campaign.Run(ctx)
+	l.campaign.Observe(nil, kvstore.Position{Era: 1, Version: 1})
+	for range 100 {
+		time.Sleep(10 * time.Millisecond)
+		if l.lead(); l.leading {
+			return l, store
+		}
+	}
+	t.Fatal("not elected")
+	return nil, nil
+}
+
+// holdsUnused says whether the loop still holds the leader's key after some time although
+// it does not lead.
+func holdsUnused(l *loop) bool {
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if l.lead(); l.leading || !l.campaign.State().Held {
+			return false
+		}
+	}
+	return true
+}
+
+func TestLeaderThatStoppedGivesUpALeaseThatOutlivedAnOutage(t *testing.T) {
+	g := NewWithT(t)
+	l, store := newElectedLoop(t)
+	for _, vm := range []string{"b", "c", "d"} {
+		l.members[vm] = member{reportedAt: l.clock() - 3*time.Second}
+	}
+	store.pause(true)
+	time.Sleep(contactTimeout + 300*time.Millisecond)
+	l.lead()
+	g.Expect(l.leading).To(BeFalse(), "no majority")
+	store.pause(false)
+	g.Expect(holdsUnused(l)).To(BeFalse())
+}
+
+func TestLeaderThatYieldedGivesUpItsLease(t *testing.T) {
+	g := NewWithT(t)
+	l, _ := newElectedLoop(t)
+	reply := make(chan peer.YieldResponse, 1)
+	later := peer.Leadership{Leader: keys.Leader{VM: "later", Incarnation: "later"}, Term: kvstore.Position{Era: 1, Version: 70}}
+	yieldReceived{&peer.YieldRequest{Incarnation: l.self.Incarnation, Successor: later}, reply}.apply(l)
+	g.Expect((<-reply).Refused).To(BeFalse())
+	g.Expect(l.leading).To(BeFalse())
+	g.Expect(holdsUnused(l)).To(BeFalse())
+}
+
+func TestLeaderDoesNotYieldToAnEarlierOne(t *testing.T) {
+	g := NewWithT(t)
+	l, _ := newElectedLoop(t)
+	reply := make(chan peer.YieldResponse, 1)
+	earlier := peer.Leadership{Leader: keys.Leader{VM: "earlier", Incarnation: "earlier"}, Term: kvstore.Position{Era: 1, Version: 20}}
+	yieldReceived{&peer.YieldRequest{Incarnation: l.self.Incarnation, Successor: earlier}, reply}.apply(l)
+	response := <-reply
+	g.Expect(response.Refused).To(BeTrue())
+	g.Expect(response.KnownLeader.Leader).To(Equal(l.self))
+	g.Expect(l.leading).To(BeTrue())
+}
+
+func TestFormerLeaderThatKnowsALaterOneDoesNotVouchForItsPages(t *testing.T) {
+	g := NewWithT(t)
+	l, _ := newElectedLoop(t)
+	l.settledAtStop = true
+	later := peer.Leadership{Leader: keys.Leader{VM: "later", Incarnation: "later"}, Term: kvstore.Position{Era: 1, Version: 70}}
+	l.followLeader(later)
+	l.settledAtStop = true
+	reply := make(chan peer.YieldResponse, 1)
+	successor := peer.Leadership{Leader: keys.Leader{VM: "next", Incarnation: "next"}, Term: kvstore.Position{Era: 2, Version: 30}}
+	yieldReceived{&peer.YieldRequest{Incarnation: l.self.Incarnation, Successor: successor}, reply}.apply(l)
+	response := <-reply
+	g.Expect(response.Settled).To(BeFalse())
+	g.Expect(response.FormerLeader).To(Equal(later), "the successor has to ask it")
+}
+
+func TestLeaderWithoutAConfigurationDoesNotVouchForPages(t *testing.T) {
+	g := NewWithT(t)
+	l, _ := newElectedLoop(t)
+	g.Expect(l.configuration).To(BeNil())
+	g.Expect(l.knewNewestPages()).To(BeFalse(), "it doesn't know which services have pages")
+}
+
+func TestPageOfALeaderThatNobodyNamesIsNotConfirmed(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	c := &consultation{term: kvstore.Position{Era: 2, Version: 60}, members: 2, asked: map[string]bool{"x": false}, waiting: map[string]bool{}}
+	l.consultation = c
+	known := peer.Leadership{Leader: keys.Leader{VM: "last", Incarnation: "last"}, Term: kvstore.Position{Era: 1, Version: 50}}
+	c.note(known)
+	c.note(known)
+	c.lastYielded = true
+	l.applyPage("s", encoded(t, page(keys.Stamp{Era: 1, Number: 8})))
+	g.Expect(l.consultationResult("s", c.confirmed(l.self)).Confirmed).To(BeTrue())
+	later := page(keys.Stamp{Era: 1, Number: 9})
+	later.Writer = keys.Leader{VM: "later", Incarnation: "later"}
+	l.applyPage("s", encoded(t, later))
+	g.Expect(l.consultationResult("s", c.confirmed(l.self)).Confirmed).To(BeFalse())
+}
+
+func TestRestartedDaemonsDoNotConfirmTheLeaderOfTheCopy(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	l.enterEra(2)
+	copied := keys.Leader{VM: "copied", Incarnation: "copied", Address: "127.0.0.1:2"}
+	watchResult{prefix: leaderKey, full: true, era: 2, entries: []kvstore.Entry{{Key: leaderKey, Value: encodeLeader(copied, 1), Version: 20, Era: 2}}}.apply(l)
+	restarted := httptest.NewServer(peer.NewHandler(informedPeer{follow: peer.FollowResponse{MemberCount: 2}}))
+	t.Cleanup(restarted.Close)
+	l.knownPeers = []string{restarted.Listener.Addr().String()}
+	l.term = kvstore.Position{Era: 2, Version: 60}
+	l.startLeading(l.clock())
+	(<-l.inputs).apply(l)
+	g.Expect(l.consultation.informed).To(BeZero())
+	g.Expect(l.consultation.confirmed(l.self)).To(BeFalse())
+}
