--- a/cmd/internal/command/soak.go
+++ b/cmd/internal/command/soak.go
@@ -31,6 +31,7 @@
 			flags.Uint64Var(&options.Seed, "seed", 1, "`number` of the first plan")
 			seeds := flags.Int("seeds", 1, "`number` of plans, one after the other")
 			flags.DurationVar(&options.Duration, "for", 15*time.Second, "time of the faults of each plan")
+			flags.StringVar(&options.FaultName, "faults", "", "inject only faults whose name contains this `text`, for example \"restored\"")
 			flags.IntVar(&options.Processes, "processes", 4, "number of gateways")
 			return func(ctx context.Context, env *Environment, args []string) error {
 				if err := arguments(args); err != nil {
