--- a/gateway/keys/machine_test.go
+++ b/gateway/keys/machine_test.go
@@ -9,6 +9,7 @@
 
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/model"
+	"guavacrank.example/kvstore"
 )
 
 // startSimulation returns a simulation in which a leader has assigned all keys.
@@ -156,7 +157,7 @@
 				m.Tick(sim.now)
 				ready := m.Ready()
 				if ready.Read {
-					m.StepRead(sim.now, sim.page, sim.version)
+					m.StepRead(sim.now, sim.page, sim.position())
 				}
 				if ready.Write != nil {
 					sim.write(m, *ready.Write)
@@ -174,7 +175,7 @@
 			}
 		}
 		tick(3*time.Second, func() bool { return len(inFlight) == 1 })
-		m.Lead(sim.now) // A new fence: the range is granted again while the first call is in flight.
+		m.Lead(sim.now, sim.era) // A new fence: the range is granted again while the first call is in flight.
 		tick(3*time.Second, func() bool { return len(inFlight) == 2 })
 		Expect(inFlight).To(HaveLen(2))
 		m.StepGranted(sim.now, inFlight[0], keys.TimedOut)
@@ -215,7 +216,7 @@
 			ready := m.Ready()
 			if ready.Write != nil && page == nil {
 				page = ready.Write
-				m.StepWritten(sim.now, sim.version+1, nil)
+				m.StepWritten(sim.now, page.Page.WriteID, kvstore.Position{Version: sim.version + 1}, nil)
 			}
 			for _, call := range ready.Releases {
 				Expect(call.Incarnation).NotTo(Equal(server.Incarnation()), "the renewal could arrive after the release")
@@ -244,6 +245,30 @@
 		Expect(sim.violations).To(BeEmpty())
 	})
 
+	It("counts late grants of an earlier leader to a server that has accepted newer ones", func() {
+		sim, earlier := startSimulation(51, 5)
+		sim.isolateLeaders()
+		sim.lateFor = earlier
+		first := sim.page.Fence
+		sim.addLeader("b")
+		server := sim.servers[model.Incarnation{ID: "i-2", Born: 1000}]
+		granted, late := false, false
+		sim.onGrant = func(call keys.GrantCall) {
+			if call.Incarnation == server.Incarnation() {
+				granted = granted || call.Fence > first
+				late = granted && call.Fence == first
+			}
+		}
+		for !late {
+			sim.run(tickInterval)
+		}
+		sim.run(2 * tickInterval)
+		server.unreachable = true
+		sim.run(20*time.Second, "i-2")
+		Expect(sim.violations).To(BeEmpty())
+		Expect(sim.unowned()).To(BeZero())
+	})
+
 	It("raises all fences after a change of leaders, so that the earlier leader's are refused", func() {
 		sim, first := startSimulation(7, 4)
 		fence := sim.page.Fence
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// CallTimeout is the timeout of a grant call.
-const CallTimeout = 500 * time.Millisecond
+const (
+	// CallTimeout is the timeout of a grant call.
+	CallTimeout = 500 * time.Millisecond
+	// MaxCallDelay is how long after its start a grant call may arrive.
+	MaxCallDelay = CallTimeout + transitTime
+)
 
 // holderBound bounds how long the grants of a prior holder may be valid.
 type holderBound struct {
@@ -16,15 +20,33 @@
 	// latestUnanswered is the same for unanswered grants, which the server may
 	// apply after a release.
 	latestUnanswered time.Duration
-	// fromPredecessors reports that the holder is not known to have accepted a
-	// grant of this leader, so that grants of earlier leaders count too.
-	fromPredecessors bool
 	// pending holds the start times of calls in flight, by call ID.
 	pending map[uint64]time.Duration
 }
 
-// grantTTL returns the TTL of this leader's grants, as the committed page has it.
+// ttlNotice is how long a committed page announces a longer TTL before grants have it.
+// All VMs know the page by then: one that was restored from their knowledge names the
+// longest TTL of any grant.
+const ttlNotice = 3 * time.Second
+
+// announceTTL prepares for the TTL of a page that is replacing the current one.
+func (m *Machine) announceTTL(next *Page) {
+	if m.page == nil || next.MaxGrantTTL <= m.longestTTL() {
+		return
+	}
+	m.shortTTL, m.longTTLFrom = m.grantTTL(), m.now+ttlNotice
+}
+
+// grantTTL returns the TTL of this leader's grants.
 func (m *Machine) grantTTL() time.Duration {
+	if m.now < m.longTTLFrom {
+		return m.shortTTL
+	}
+	return m.longestTTL()
+}
+
+// longestTTL returns the longest TTL of any grant, as the committed page has it.
+func (m *Machine) longestTTL() time.Duration {
 	if m.page == nil {
 		return m.options.GrantTTL
 	}
@@ -34,29 +56,25 @@
 // maxGrantLifetime returns how long a grant of any leader may be valid at a server
 // with a slow clock.
 func (m *Machine) maxGrantLifetime() time.Duration {
-	return m.grantTTL() + m.grantTTL()*clockDriftPercent/100 + expiryMargin
+	return m.longestTTL() + m.longestTTL()*clockDriftPercent/100 + expiryMargin
 }
 
 // boundOf returns the bound of an owner's grants of one of its ranges. No further
 // grant of the range may be sent after it.
 func (m *Machine) boundOf(r Range) holderBound {
 	row := m.row(r.Owner.Incarnation)
-	grant, sent := row.granted[r.From]
 	return holderBound{
 		latestArrival:    row.latestArrival,
 		latestUnanswered: row.latestUnanswered,
-		fromPredecessors: !sent || !grant.accepted || grant.fence != r.Owner.Fence,
 		pending:          maps.Clone(row.inFlight),
 	}
 }
 
-// latestArrival returns the latest time at which any grant may have arrived. It is
+// latestArrival returns the latest time at which any grant may have arrived. A grant of
+// an earlier leader may be applied late, when its server has accepted newer ones. It is
 // computed on use because the end of earlier leaders may become known later.
 func (m *Machine) latestArrival(bound holderBound) time.Duration {
-	if bound.fromPredecessors {
-		return max(bound.latestArrival, m.predecessorBound())
-	}
-	return bound.latestArrival
+	return max(bound.latestArrival, m.predecessorBound())
 }
 
 // latestUnanswered returns the latest time at which an unanswered grant may have
@@ -68,11 +86,11 @@
 // priorEnded reports whether a prior holder can't hold a range any more, and
 // returns the handover token that it gave on release.
 func (m *Machine) priorEnded(r Range, prior Holder) (ended bool, handover string) {
-	key := holderKey{r.From, r.To, prior.Incarnation, prior.Fence}
-	bound, known := m.bounds[key]
-	if !known {
-		bound = holderBound{fromPredecessors: true}
+	if prior == unknownHolder {
+		return m.unknownHoldersEnded(), ""
 	}
+	key := holderKey{r.From, r.To, prior.Incarnation, prior.Fence}
+	bound := m.bounds[key]
 	if len(bound.pending) > 0 {
 		return false, "" // The grant could reach a later process at the same address.
 	}
@@ -134,7 +152,9 @@
 	}
 	for _, r := range m.page.Ranges {
 		for _, prior := range r.Prior {
-			m.release(r, prior)
+			if prior != unknownHolder {
+				m.release(r, prior)
+			}
 		}
 	}
 }
