--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -55,29 +55,32 @@
 
 	leading      bool
 	leadingSince time.Duration
-	renewOnly    bool        // The store is out of reach: renew grants, change nothing.
-	adopted      bool        // Every range has a fence of this leader.
-	era          kvstore.Era // The store's era in which this machine leads.
-	consulting   bool        // StepConsulted is awaited.
-	consulted    bool        // It came in this era.
-	stored       *Page       // While consulting: the page that was read.
-	settlement   settlement
-	predecessors predecessors
-	pageKnown    bool
-	page         *Page
-	version      kvstore.Version
-	shortTTL     time.Duration // The TTL of grants until longTTLFrom.
-	longTTLFrom  time.Duration // From then on the page's TTL is used.
-	writing      *Page
-	changing     map[uint16]bool // First keys of the ranges that writing changes.
-	writeUnknown bool            // The outcome of a write is unknown: read the page.
-	reading      bool
-	nextWriteID  uint64
-	nextCallID   uint64
-	calls        int           // Grant calls in flight.
-	nextRange    int           // Where the next scan for renewals starts.
-	nextDraftAt  time.Duration // Earliest time of the next draft.
-	retryStoreAt time.Duration
+	renewOnly    bool // The store is out of reach: renew grants, change nothing.
+	// isolationRuledOut reports that servers which do not answer this VM do not answer
+	// others either.
+	isolationRuledOut bool
+	adopted           bool        // Every range has a fence of this leader.
+	era               kvstore.Era // The store's era in which this machine leads.
+	consulting        bool        // StepConsulted is awaited.
+	consulted         bool        // It came in this era.
+	stored            *Page       // While consulting: the page that was read.
+	settlement        settlement
+	predecessors      predecessors
+	pageKnown         bool
+	page              *Page
+	version           kvstore.Version
+	shortTTL          time.Duration // The TTL of grants until longTTLFrom.
+	longTTLFrom       time.Duration // From then on the page's TTL is used.
+	writing           *Page
+	changing          map[uint16]bool // First keys of the ranges that writing changes.
+	writeUnknown      bool            // The outcome of a write is unknown: read the page.
+	reading           bool
+	nextWriteID       uint64
+	nextCallID        uint64
+	calls             int           // Grant calls in flight.
+	nextRange         int           // Where the next scan for renewals starts.
+	nextDraftAt       time.Duration // Earliest time of the next draft.
+	retryStoreAt      time.Duration
 
 	servers map[model.Incarnation]*serverRow
 	// latestByID and latestByAddress hold the latest listed incarnation for each.
@@ -156,6 +159,10 @@
 // but ownership does not change.
 func (m *Machine) SetRenewOnly(renewOnly bool) { m.renewOnly = renewOnly }
 
+// SetIsolationRuledOut sets whether servers that do not answer this VM are known not to
+// answer others either. Their keys are then reassigned even if they are the majority.
+func (m *Machine) SetIsolationRuledOut(ruledOut bool) { m.isolationRuledOut = ruledOut }
+
 // Page returns the latest committed page, or nil.
 func (m *Machine) Page() *Page { return m.page }
 
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -72,9 +72,16 @@
 	// fingerprint of the Distribution that it has.
 	FollowsStore bool   `json:"watch,omitempty"`
 	Distribution uint64 `json:"distribution,omitempty"`
+	// GaveUp says that the sender gave up the leadership GaveUpAgoMS milliseconds ago,
+	// because most backend servers did not answer it.
+	GaveUp      bool  `json:"gave_up,omitempty"`
+	GaveUpAgoMS int64 `json:"gave_up_ago_ms,omitempty"`
 	// ToFollower asks the receiver, as a store follower, for what the sender lacks. It
 	// does not report to a leader: the receiver must not count it towards a majority.
 	ToFollower bool `json:"to_follower,omitempty"`
+	// OnlyWhether, with ToFollower, asks only whether the receiver has anything that the
+	// sender lacks.
+	OnlyWhether bool `json:"only_whether,omitempty"`
 }
 
 // ServerReport summarizes the responses of one backend server.
@@ -113,6 +120,14 @@
 	// the operators' record of it, sent if the receiver lacks it.
 	ConfigurationVersion uint64               `json:"configuration"`
 	Record               *ConfigurationRecord `json:"record,omitempty"`
+	// ConfirmedAgeMS is the time since the sender last knew that it had the newest
+	// version, in milliseconds; -1 if it never did.
+	ConfirmedAgeMS int64 `json:"confirmed_age_ms"`
+	// InContact says that the sender watches the store and that its last call to the
+	// store succeeded.
+	InContact bool `json:"in_contact,omitempty"`
+	// HasNewer is the response to Report.OnlyWhether.
+	HasNewer bool `json:"has_newer,omitempty"`
 	// Limits are the leader's decisions on servers that limit their requests.
 	Limits []limit.Allotment `json:"limits,omitempty"`
 	// Members holds the addresses of all daemons if their number differs from
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -59,6 +59,7 @@
 				l.applyConfiguration(entry, sourceStore)
 			}
 		}
+		l.confirmByStore(r.duration)
 	}
 }
 
@@ -83,6 +84,7 @@
 	l.versionInForce.Store(configuration.Version)
 	clear(l.recordBatch.sentAt)
 	l.routes = routing.NewTable(configuration)
+	l.origin = view.Origin{Source: source, At: l.clock()}
 	l.viewOutdated = true
 	l.log.Event(event.GatewayConfigured, "", zap.Uint64("configuration", configuration.Version),
 		zap.Int("routes", len(configuration.Routes)), zap.Uint64("record", uint64(entry.Version)), zap.String("source", source))
@@ -263,7 +265,7 @@
 		}
 		services[name] = service
 	}
-	l.views.Publish(&view.View{Configuration: l.configuration, Routes: l.routes, Services: services, VMs: vms})
+	l.views.Publish(&view.View{Configuration: l.configuration, Routes: l.routes, Services: services, VMs: vms, Origin: l.origin})
 	if l.starting() {
 		l.ready.Store(true)
 		l.log.Event(event.GatewayReady, "", zap.Uint64("configuration", l.configuration.Version), zap.Int("servers", len(l.servers.rows)))
--- /dev/null
+++ b/gateway/run/confirmation.go
@@ -0,0 +1,79 @@
+package run
+
+import (
+	"time"
+
+	"guavacrank.example/event"
+	"guavacrank.example/gateway/peer"
+)
+
+// A daemon's configuration is confirmed when a read of the store, or the response of a
+// daemon whose own configuration is confirmed, shows that there was no newer one.
+
+// neverConfirmed stands for the age of a confirmation if there was none.
+const neverConfirmed int64 = -1
+
+// confirmedAgeMS returns the time in milliseconds since the configuration in force was
+// last confirmed, or neverConfirmed.
+func (l *loop) confirmedAgeMS() int64 {
+	if l.confirmedAt <= 0 {
+		return neverConfirmed
+	}
+	return (l.clock() - l.confirmedAt).Milliseconds()
+}
+
+// confirmByPeer processes the confirmation in a response to a message that was sent at
+// the given time.
+func (l *loop) confirmByPeer(response *peer.ReportResponse, sentAt time.Duration) {
+	if l.configuration == nil || response.ConfirmedAgeMS == neverConfirmed || response.ConfigurationVersion > l.configuration.Version {
+		return
+	}
+	l.confirmedAt = max(l.confirmedAt, sentAt-time.Duration(response.ConfirmedAgeMS)*time.Millisecond)
+}
+
+// learnNewerVersion makes the leader read the configuration if the sender of a report has
+// a newer version: its own watch may have fallen silent. It asks the sender too, since a
+// store that was restored may have an older one.
+func (l *loop) learnNewerVersion(report *peer.Report) {
+	if l.configuration == nil || report.ConfigurationVersion <= l.configuration.Version {
+		return
+	}
+	l.askForConfiguration(report.Address)
+	now := l.clock()
+	if now >= l.relay.configurationRelistedAt+relistInterval {
+		l.relay.configurationRelistedAt = now
+		l.configurationWatcher.relist()
+	}
+}
+
+// askForConfiguration asks a daemon for its configuration, unless such a call is pending.
+func (l *loop) askForConfiguration(address string) {
+	if l.newerPending {
+		return
+	}
+	l.newerPending = true
+	query := l.newFollowerQuery()
+	go func() {
+		response, err := l.peers.Report(l.ctx, address, query)
+		l.deliver(newerConfigurationDone{response, err})
+	}()
+}
+
+func (n newerConfigurationDone) apply(l *loop) {
+	l.newerPending = false
+	if n.err != nil {
+		l.log.Event(event.PeerUnreachable, n.err.Error())
+		return
+	}
+	if n.response.Record != nil {
+		l.applyRecord(n.response.Record)
+	}
+}
+
+// confirmByStore processes a successful read of the configuration that began the given
+// time ago.
+func (l *loop) confirmByStore(took time.Duration) {
+	if l.configuration != nil {
+		l.confirmedAt = max(l.confirmedAt, l.clock()-took)
+	}
+}
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -42,6 +42,7 @@
 	isolated := 0
 	for service, machine := range l.machines {
 		machine.SetRenewOnly(silence > contactTimeout || l.term.Era < l.era)
+		machine.SetIsolationRuledOut(l.isolationRuledOut)
 		machine.Tick(now)
 		l.startCalls(service, machine)
 		l.stopPredecessors(machine)
@@ -49,7 +50,7 @@
 			isolated++
 		}
 	}
-	if isolated > 0 && isolated == len(l.machines) && silence < contactTimeout {
+	if silence < contactTimeout && l.checkIsolation(now, isolated) {
 		l.stopLeading("most backend servers are unreachable from this VM")
 		go l.resign(false)
 	}
@@ -97,7 +98,7 @@
 // goes on with what it knows.
 func (l *loop) startLeading(now time.Duration) {
 	l.enterEra(l.term.Era)
-	l.leadingSince, l.peersAtElection = now, l.knownPeers
+	l.leadingSince, l.peersAtElection, l.isolationRuledOut = now, l.knownPeers, false
 	if !l.leading {
 		l.resetFleet(now)
 	}
--- a/gateway/run/restoration_test.go
+++ b/gateway/run/restoration_test.go
@@ -222,9 +222,10 @@
 	l, recorder := newLeaderOfLargeFleet(t, 0)
 	l.inputs = make(chan input, 10)
 	l.configuration = &model.Configuration{Version: 9}
+	l.configurationWatcher = newStoreWatcher(nil, "", nil)
 	report := &peer.Report{VM: "0", Address: l.members["0"].address, ConfigurationVersion: 12}
-	l.askForNewerConfiguration(report)
-	l.askForNewerConfiguration(report)
+	l.learnNewerVersion(report)
+	l.learnNewerVersion(report)
 	g.Eventually(recorder.queries, time.Second).Should(Receive(HaveField("ToFollower", true)))
 	g.Consistently(recorder.queries, 100*time.Millisecond).ShouldNot(Receive(), "one call at a time")
 }
--- a/gateway/run/store_watcher.go
+++ b/gateway/run/store_watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"guavacrank.example/gateway/port"
@@ -13,6 +14,8 @@
 const (
 	// watchTimeout is how long one call waits for changes.
 	watchTimeout = 20 * time.Second
+	// frequentWatchTimeout is the same for a watcher whose silence must be noticed soon.
+	frequentWatchTimeout = 500 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call, which
 	// doubles with each failure. minRetryDelay is also the minimum pause between
 	// two polls.
@@ -27,6 +30,10 @@
 	prefix  string
 	deliver func(input)
 
+	// frequent makes each call return soon. A call without changes is delivered too: it
+	// shows that there were none.
+	frequent atomic.Bool
+
 	mu     sync.Mutex
 	active bool
 	// resumePosition is the position from which to watch without listing the prefix
@@ -150,15 +157,19 @@
 	}
 	w.mu.Unlock()
 	for ctx.Err() == nil {
-		entries, position, err := w.store.Changes(ctx, w.prefix, after.Version, watchTimeout)
+		began, wait, frequent := time.Now(), watchTimeout, w.frequent.Load()
+		if frequent {
+			wait = frequentWatchTimeout
+		}
+		entries, position, err := w.store.Changes(ctx, w.prefix, after.Version, wait)
 		if err != nil {
 			return err
 		}
 		if position.Era != after.Era {
 			return &kvstore.Error{Op: "watch", Key: w.prefix, Kind: kvstore.KindHistoryGone, Era: position.Era}
 		}
-		if len(entries) > 0 {
-			w.deliver(watchResult{prefix: w.prefix, era: position.Era, entries: entries})
+		if len(entries) > 0 || frequent {
+			w.deliver(watchResult{prefix: w.prefix, era: position.Era, entries: entries, duration: max(time.Since(began)-wait, 0)})
 		}
 		if after.Before(position) {
 			after = position
