gateway/run: time in the input queue makes no confirmation younger

A configuration counts as the newest one up to the time of its last confirmation, and one that was confirmed lately denies requests. confirmByStore counted back from the time at which the loop processed a read, by the time that the call took. Time that the read spent in the input queue, and a freeze in between, made the confirmation as much younger than the store's response (DENIED, CONFIG).

The source of a read now takes its time by the loop's clock, which includes time suspended, and the confirmation is that time. The watchers get the clock.

--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -59,7 +59,7 @@
 				l.applyConfiguration(entry, sourceStore)
 			}
 		}
-		l.confirmByStore(r.duration)
+		l.confirmByStore(r.asOf)
 	}
 }
 
--- a/gateway/run/confirmation.go
+++ b/gateway/run/confirmation.go
@@ -70,10 +70,10 @@
 	}
 }
 
-// confirmByStore processes a successful read of the configuration that began the given
-// time ago.
-func (l *loop) confirmByStore(took time.Duration) {
+// confirmByStore processes a successful read of the configuration that shows the store's
+// state at or after the given time.
+func (l *loop) confirmByStore(asOf time.Duration) {
 	if l.configuration != nil {
-		l.confirmedAt = max(l.confirmedAt, l.clock()-took)
+		l.confirmedAt = max(l.confirmedAt, asOf)
 	}
 }
--- a/gateway/run/confirmation_test.go
+++ b/gateway/run/confirmation_test.go
@@ -8,6 +8,7 @@
 
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
+	"guavacrank.example/kvstore"
 )
 
 func TestADaemonIsConfirmedNoLaterThanItsSource(t *testing.T) {
@@ -16,7 +17,7 @@
 	source.configuration, daemon.configuration = &model.Configuration{Version: 3}, &model.Configuration{Version: 3}
 	now := source.clock()
 	g.Expect(source.confirmedAgeMS()).To(Equal(neverConfirmed))
-	source.confirmByStore(400 * time.Millisecond)
+	source.confirmByStore(now - 400*time.Millisecond)
 	g.Expect(source.confirmedAgeMS()).To(BeEquivalentTo(400))
 
 	daemon.confirmByPeer(&peer.ReportResponse{ConfirmedAgeMS: neverConfirmed}, now)
@@ -28,3 +29,14 @@
 	daemon.confirmByPeer(&peer.ReportResponse{ConfirmedAgeMS: 900, ConfigurationVersion: 3}, now)
 	g.Expect(daemon.confirmedAgeMS()).To(BeEquivalentTo(500), "an earlier confirmation takes nothing back")
 }
+
+func TestTimeInTheQueueMakesNoConfirmationYounger(t *testing.T) {
+	g := NewWithT(t)
+	l := newServingLoop(t, false)
+	now := 20 * time.Second
+	l.clock = func() time.Duration { return now }
+	read := watchResult{prefix: "configuration", full: true, asOf: now, entries: []kvstore.Entry{{Key: "configuration", Value: []byte(`{"Version":1}`), Version: 1}}}
+	now += 3 * time.Second // In the queue, or frozen.
+	read.apply(l)
+	g.Expect(l.confirmedAt).To(Equal(20 * time.Second))
+}
--- a/gateway/run/fallback_test.go
+++ b/gateway/run/fallback_test.go
@@ -91,7 +91,7 @@
 	l.leading = false
 	l.distribution.Followers = []string{l.members["0"].address}
 	l.campaign = leader.New(leader.Options{})
-	l.configurationWatcher = newStoreWatcher(nil, "", nil)
+	l.configurationWatcher = newStoreWatcher(nil, "", nil, nil)
 	old := l.relayedListTTL().Milliseconds()
 	l.applyLeaderResponse(&peer.ReportResponse{Leading: true, Source: "leader", Revision: 1, Full: true, ListAgeMS: old - 100})
 	g.Consistently(recorder.queries, 100*time.Millisecond).ShouldNot(Receive())
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -18,7 +18,10 @@
 	era     kvstore.Era
 	entries []kvstore.Entry
 	err     error
-	// duration is how long the call took, without the time that a watch waited.
+	// asOf is the time by the loop's clock at or after which the store responded. Zero
+	// says that it is unknown.
+	asOf time.Duration
+	// duration is how long a list took.
 	duration time.Duration
 }
 
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -67,8 +67,8 @@
 	views        *view.Publisher
 	campaign     *leader.Campaign
 	peers        *peer.Client
-	confirmation *view.Confirmation // Tells request handling about confirmedAt.
-	clock        func() time.Duration
+	confirmation *view.Confirmation   // Tells request handling about confirmedAt.
+	clock        func() time.Duration // Includes time suspended; safe for all goroutines.
 	self         keys.Leader
 	inputs       chan input // Safe for all goroutines.
 	ctx          context.Context
@@ -213,8 +213,8 @@
 		leaderWaitDone: make(chan struct{}),
 	}
 	l.servers = newServerTable(o.Settings, o.HeaderCodec, shared.log)
-	l.configurationWatcher = newStoreWatcher(o.Store, o.Records.ConfigurationKey(), l.deliver)
-	l.leaderWatcher = newStoreWatcher(o.Store, leaderKey, l.deliver)
+	l.configurationWatcher = newStoreWatcher(o.Store, o.Records.ConfigurationKey(), l.deliver, l.clock)
+	l.leaderWatcher = newStoreWatcher(o.Store, leaderKey, l.deliver, l.clock)
 	l.relay = newRelay()
 	l.serversRelayedAt.Store(-int64(l.relayedListTTL()))
 	l.campaign = leader.New(leader.Options{
--- a/gateway/run/polling.go
+++ b/gateway/run/polling.go
@@ -114,7 +114,7 @@
 		if !l.leadingNow.Load() {
 			continue
 		}
-		began := time.Now()
+		began := l.clock()
 		entry, err := l.store.Get(ctx, l.records.ConfigurationKey())
 		interval = max(configurationPollInterval, time.Duration(len(entry.Value))*time.Second/maxConfigurationBytesPerSec)
 		if kvstore.IsKind(err, kvstore.KindNotFound) {
@@ -122,7 +122,7 @@
 		}
 		l.deliver(watchResult{
 			prefix: l.records.ConfigurationKey(), era: max(entry.Era, kvstore.EraOf(err)),
-			entries: []kvstore.Entry{entry}, err: err, duration: time.Since(began),
+			entries: []kvstore.Entry{entry}, err: err, asOf: began,
 		})
 	}
 }
--- a/gateway/run/restoration_test.go
+++ b/gateway/run/restoration_test.go
@@ -14,6 +14,7 @@
 	"guavacrank.example/gateway/peer"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/kvstore"
+	"guavacrank.example/traffic/elapsed"
 )
 
 // newRestorationLoop returns a loop that knows era 1 of the store.
@@ -24,8 +25,8 @@
 	l.machines = make(map[string]*keys.Machine)
 	l.yieldPending = make(map[string]bool)
 	l.campaign = leader.New(leader.Options{EraOf: recordEra, Clock: l.clock})
-	l.configurationWatcher = newStoreWatcher(nil, "", nil)
-	l.leaderWatcher = newStoreWatcher(nil, "", nil)
+	l.configurationWatcher = newStoreWatcher(nil, "", nil, nil)
+	l.leaderWatcher = newStoreWatcher(nil, "", nil, nil)
 	l.inputs = make(chan input, inputQueueSize)
 	l.requestedKeys = newRequestedKeys()
 	l.ready.Store(true)
@@ -142,7 +143,7 @@
 	g := NewWithT(t)
 	store := eraStore{lists: make(chan kvstore.Position, 10)}
 	results := make(chan input, 100)
-	w := newStoreWatcher(store, "k", func(in input) { results <- in })
+	w := newStoreWatcher(store, "k", func(in input) { results <- in }, elapsed.Now)
 	w.setActive(true)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -222,7 +223,7 @@
 	l, recorder := newLeaderOfLargeFleet(t, 0)
 	l.inputs = make(chan input, 10)
 	l.configuration = &model.Configuration{Version: 9}
-	l.configurationWatcher = newStoreWatcher(nil, "", nil)
+	l.configurationWatcher = newStoreWatcher(nil, "", nil, nil)
 	report := &peer.Report{VM: "0", Address: l.members["0"].address, ConfigurationVersion: 12}
 	l.learnNewerVersion(report)
 	l.learnNewerVersion(report)
--- a/gateway/run/store_watcher.go
+++ b/gateway/run/store_watcher.go
@@ -29,6 +29,7 @@
 	store   port.Store
 	prefix  string
 	deliver func(input)
+	clock   func() time.Duration // The loop's.
 
 	// frequent makes each call return soon. A call without changes is delivered too: it
 	// shows that there were none.
@@ -43,9 +44,9 @@
 	cancel         context.CancelFunc // Ends the current watch.
 }
 
-// newStoreWatcher returns an inactive storeWatcher.
-func newStoreWatcher(store port.Store, prefix string, deliver func(input)) *storeWatcher {
-	return &storeWatcher{store: store, prefix: prefix, deliver: deliver, wake: make(chan struct{}, 1)}
+// newStoreWatcher returns an inactive storeWatcher. clock is the loop's.
+func newStoreWatcher(store port.Store, prefix string, deliver func(input), clock func() time.Duration) *storeWatcher {
+	return &storeWatcher{store: store, prefix: prefix, deliver: deliver, clock: clock, wake: make(chan struct{}, 1)}
 }
 
 // setActive starts or stops the watcher. After a start it lists the prefix.
@@ -124,9 +125,9 @@
 			}
 			continue
 		}
-		began := time.Now()
+		began := w.clock()
 		entries, position, err := w.store.List(ctx, w.prefix)
-		w.deliver(watchResult{prefix: w.prefix, full: true, era: resultEra(position, err), entries: entries, err: err, duration: time.Since(began)})
+		w.deliver(watchResult{prefix: w.prefix, full: true, era: resultEra(position, err), entries: entries, err: err, asOf: began, duration: w.clock() - began})
 		if err != nil {
 			sleep(ctx, jitter(delay))
 			delay = min(2*delay, maxRetryDelay)
@@ -157,7 +158,7 @@
 	}
 	w.mu.Unlock()
 	for ctx.Err() == nil {
-		began, wait, frequent := time.Now(), watchTimeout, w.frequent.Load()
+		began, wait, frequent := w.clock(), watchTimeout, w.frequent.Load()
 		if frequent {
 			wait = frequentWatchTimeout
 		}
@@ -169,7 +170,7 @@
 			return &kvstore.Error{Op: "watch", Key: w.prefix, Kind: kvstore.KindHistoryGone, Era: position.Era}
 		}
 		if len(entries) > 0 || frequent {
-			w.deliver(watchResult{prefix: w.prefix, era: position.Era, entries: entries, duration: max(time.Since(began)-wait, 0)})
+			w.deliver(watchResult{prefix: w.prefix, era: position.Era, entries: entries, asOf: min(began+wait, w.clock())})
 		}
 		if after.Before(position) {
 			after = position
