gateway/run: a late response to a watch confirms no more than the call's start

The time that a watch was to wait (20 s, or 0.5 s on the leader) was taken off the call's duration, also if the store responded at once with a change. A response that then stayed in a socket (frozen VM, full link, large configuration) confirmed the configuration at the time of its arrival, though a newer one may have been written since (DENIED, CONFIG).

A result with changes, or one that comes before the watch's time is over, now confirms the call's start only. One without changes after that time still confirms the time until which the store has waited, which the leader's confirmations rest on.

--- a/gateway/run/confirmation_test.go
+++ b/gateway/run/confirmation_test.go
@@ -1,6 +1,8 @@
 package run
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
+	"guavacrank.example/gateway/port"
 	"guavacrank.example/kvstore"
 )
 
@@ -40,3 +43,53 @@
 	read.apply(l)
 	g.Expect(l.confirmedAt).To(Equal(20 * time.Second))
 }
+
+// lateStore answers each watch with the given entries, which arrive the given time after
+// the start of the watch.
+type lateStore struct {
+	port.Store
+	now     *atomic.Int64
+	entries []kvstore.Entry
+	late    time.Duration
+}
+
+func (s lateStore) List(context.Context, string) ([]kvstore.Entry, kvstore.Position, error) {
+	return nil, kvstore.Position{Era: 1, Version: 40}, nil
+}
+
+func (s lateStore) Changes(context.Context, string, kvstore.Version, time.Duration) ([]kvstore.Entry, kvstore.Position, error) {
+	s.now.Add(int64(s.late))
+	return s.entries, kvstore.Position{Era: 1, Version: 41}, nil
+}
+
+// watchedAsOf returns how long after the start of a watch the store responded at the
+// earliest, according to the watch's result.
+func watchedAsOf(t *testing.T, late time.Duration, entries ...kvstore.Entry) time.Duration {
+	var now atomic.Int64
+	now.Store(int64(time.Minute))
+	results := make(chan input)
+	store := lateStore{now: &now, entries: entries, late: late}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	deliver := func(in input) {
+		select {
+		case results <- in:
+		case <-ctx.Done():
+		}
+	}
+	w := newStoreWatcher(store, "k", deliver, func() time.Duration { return time.Duration(now.Load()) })
+	w.frequent.Store(true)
+	w.setActive(true)
+	go w.run(ctx)
+	<-results // The list.
+	return (<-results).(watchResult).asOf - time.Minute
+}
+
+func TestALateResponseToAWatchDoesNotConfirmTheTimeOfItsArrival(t *testing.T) {
+	g := NewWithT(t)
+	changed := kvstore.Entry{Key: "k", Version: 41, Era: 1}
+	g.Expect(watchedAsOf(t, 300*time.Millisecond, changed)).To(BeZero(), "the store responds to a change at once")
+	g.Expect(watchedAsOf(t, 3*time.Second, changed)).To(BeZero(), "the same, and the watch's time has passed")
+	g.Expect(watchedAsOf(t, 300*time.Millisecond)).To(BeZero(), "the watch ended early")
+	g.Expect(watchedAsOf(t, 3*time.Second)).To(Equal(frequentWatchTimeout), "the store waited for so long")
+}
--- a/gateway/run/store_watcher.go
+++ b/gateway/run/store_watcher.go
@@ -170,7 +170,7 @@
 			return &kvstore.Error{Op: "watch", Key: w.prefix, Kind: kvstore.KindHistoryGone, Era: position.Era}
 		}
 		if len(entries) > 0 || frequent {
-			w.deliver(watchResult{prefix: w.prefix, era: position.Era, entries: entries, asOf: min(began+wait, w.clock())})
+			w.deliver(watchResult{prefix: w.prefix, era: position.Era, entries: entries, asOf: w.respondedAfter(began, wait, entries)})
 		}
 		if after.Before(position) {
 			after = position
@@ -179,6 +179,16 @@
 	return ctx.Err()
 }
 
+// respondedAfter returns the time at or after which the store responded to a watch. The
+// store waits only while there are no changes, and the response may be under way for
+// long.
+func (w *storeWatcher) respondedAfter(began, wait time.Duration, entries []kvstore.Entry) time.Duration {
+	if len(entries) > 0 || w.clock() < began+wait {
+		return began
+	}
+	return began + wait
+}
+
 // sleep waits for d or until ctx is done.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
