gateway/run: a record that can't be read confirms no configuration

A read of the store confirmed the configuration in force also if the record that it returned could not be decoded. That record may hold a newer version, which other VMs may have in force; this one went on to deny requests by the old one, confirmed again by each watch without changes (DENIED, CONFIG).

The test with the condition taken out: Expected <time.Duration>: to be zero-valued

The loop remembers whether the newest known record in the store could be read. If not, reads confirm nothing until a later record can be read. A configuration of which some routes can't be used counts as read: its version is known, and those routes are refused.

--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -59,7 +59,9 @@
 				l.applyConfiguration(entry, sourceStore)
 			}
 		}
-		l.confirmByStore(r.asOf)
+		if l.storeConfirms() {
+			l.confirmByStore(r.asOf)
+		}
 	}
 }
 
@@ -76,6 +78,7 @@
 	if err != nil {
 		l.ignoreRecord(entry, err)
 	}
+	l.noteStored(entry, configuration)
 	if configuration == nil || l.configuration != nil && configuration.Version <= l.configuration.Version {
 		return
 	}
--- a/gateway/run/confirmation.go
+++ b/gateway/run/confirmation.go
@@ -4,7 +4,9 @@
 	"time"
 
 	"guavacrank.example/event"
+	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
+	"guavacrank.example/kvstore"
 )
 
 // A daemon's configuration is confirmed when a read of the store, or the response of a
@@ -70,6 +72,27 @@
 	}
 }
 
+// storedConfiguration is what the newest known record of the configuration in the store
+// holds. It was read here, or by the peer that sent it.
+type storedConfiguration struct {
+	position kvstore.Position
+	readable bool
+}
+
+// noteStored records what a record in the store holds: the given configuration, or nil if
+// it can't be read.
+func (l *loop) noteStored(entry kvstore.Entry, configuration *model.Configuration) {
+	position := kvstore.Position{Era: entry.Era, Version: entry.Version}
+	if !position.Before(l.stored.position) {
+		l.stored = storedConfiguration{position: position, readable: configuration != nil}
+	}
+}
+
+// storeConfirms says whether a read of the store confirms the configuration in force,
+// also one that shows no change. It doesn't after a record that can't be read, which may
+// hold a newer one.
+func (l *loop) storeConfirms() bool { return l.stored.readable }
+
 // confirmByStore processes a successful read of the configuration that shows the store's
 // state at or after the given time.
 func (l *loop) confirmByStore(asOf time.Duration) {
--- a/gateway/run/confirmation_test.go
+++ b/gateway/run/confirmation_test.go
@@ -93,3 +93,16 @@
 	g.Expect(watchedAsOf(t, 300*time.Millisecond)).To(BeZero(), "the watch ended early")
 	g.Expect(watchedAsOf(t, 3*time.Second)).To(Equal(frequentWatchTimeout), "the store waited for so long")
 }
+
+func TestARecordThatCannotBeReadConfirmsNothing(t *testing.T) {
+	g := NewWithT(t)
+	l := newServingLoop(t, false)
+	read := func(asOf time.Duration, entries ...kvstore.Entry) time.Duration {
+		watchResult{prefix: "configuration", asOf: asOf, entries: entries}.apply(l)
+		return l.confirmedAt
+	}
+	g.Expect(read(20*time.Second, kvstore.Entry{Key: "configuration", Value: []byte("{"), Version: 2})).To(BeZero())
+	g.Expect(read(21*time.Second)).To(BeZero(), "the record has not changed")
+	g.Expect(read(22*time.Second, kvstore.Entry{Key: "configuration", Value: []byte(`{"Version":1}`), Version: 1})).To(BeZero(), "it was read before that record")
+	g.Expect(read(23*time.Second, kvstore.Entry{Key: "configuration", Value: []byte(`{"Version":2}`), Version: 3})).To(Equal(23 * time.Second))
+}
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -76,6 +76,7 @@
 	configuration     *model.Configuration
 	origin            view.Origin   // Of the configuration.
 	confirmedAt       time.Duration // When the configuration was last known to be the newest one.
+	stored            storedConfiguration
 	routes            *routing.Table
 	servers           *serverTable
 	pages             map[string]*versionedPage
