gateway/run: a store that lost the version in force confirms nothing

After a restoration from an earlier copy the store may hold an older configuration than a VM has in force. Reads of it, and watches without changes, confirmed the VM's version all the same. A newer version than the VM's may be lost too and in force on other VMs (DENIED, CONFIG).

A read now confirms the version in force only if the newest known record in the store, of its present era, holds just that version. The operators write again what the store has lost; until then the VM denies nothing once its last confirmation is too old.

--- a/gateway/run/confirmation.go
+++ b/gateway/run/confirmation.go
@@ -77,21 +77,30 @@
 type storedConfiguration struct {
 	position kvstore.Position
 	readable bool
+	version  uint64 // Of the configuration, if it is readable.
 }
 
 // noteStored records what a record in the store holds: the given configuration, or nil if
 // it can't be read.
 func (l *loop) noteStored(entry kvstore.Entry, configuration *model.Configuration) {
 	position := kvstore.Position{Era: entry.Era, Version: entry.Version}
-	if !position.Before(l.stored.position) {
-		l.stored = storedConfiguration{position: position, readable: configuration != nil}
+	if position.Before(l.stored.position) {
+		return
+	}
+	l.stored = storedConfiguration{position: position}
+	if configuration != nil {
+		l.stored.readable, l.stored.version = true, configuration.Version
 	}
 }
 
 // storeConfirms says whether a read of the store confirms the configuration in force,
 // also one that shows no change. It doesn't after a record that can't be read, which may
-// hold a newer one.
-func (l *loop) storeConfirms() bool { return l.stored.readable }
+// hold a newer one, nor while the store holds an older version than that in force or none
+// in its present era: it was restored from an earlier copy and may have lost a newer one
+// too. The operators write again what it has lost.
+func (l *loop) storeConfirms() bool {
+	return l.configuration != nil && l.stored.readable && l.stored.position.Era == l.era && l.stored.version == l.configuration.Version
+}
 
 // confirmByStore processes a successful read of the configuration that shows the store's
 // state at or after the given time.
--- a/gateway/run/confirmation_test.go
+++ b/gateway/run/confirmation_test.go
@@ -106,3 +106,20 @@
 	g.Expect(read(22*time.Second, kvstore.Entry{Key: "configuration", Value: []byte(`{"Version":1}`), Version: 1})).To(BeZero(), "it was read before that record")
 	g.Expect(read(23*time.Second, kvstore.Entry{Key: "configuration", Value: []byte(`{"Version":2}`), Version: 3})).To(Equal(23 * time.Second))
 }
+
+func TestAStoreThatLostTheVersionInForceDoesNotConfirmIt(t *testing.T) {
+	g := NewWithT(t)
+	l := newServingLoop(t, false)
+	read := func(asOf time.Duration, era kvstore.Era, entries ...kvstore.Entry) time.Duration {
+		watchResult{prefix: "configuration", era: era, asOf: asOf, entries: entries}.apply(l)
+		return l.confirmedAt
+	}
+	record := func(era kvstore.Era, value string, version kvstore.Version) kvstore.Entry {
+		return kvstore.Entry{Key: "configuration", Value: []byte(value), Version: version, Era: era}
+	}
+	g.Expect(read(20*time.Second, 1, record(1, `{"Version":5}`, 50))).To(Equal(20 * time.Second))
+	g.Expect(read(21*time.Second, 2)).To(Equal(20*time.Second), "the store was restored, perhaps without a configuration")
+	g.Expect(read(22*time.Second, 2, record(2, `{"Version":3}`, 30))).To(Equal(20*time.Second), "version 6 may be lost too")
+	g.Expect(read(23*time.Second, 2)).To(Equal(20*time.Second), "nothing has been written again")
+	g.Expect(read(24*time.Second, 2, record(2, `{"Version":5}`, 31))).To(Equal(24 * time.Second))
+}
