gateway/front: a denial rests on the confirmation of its own view

A request is judged by the view that was in force at its arrival, but the confirmation was read at the denial. If a newer version came into force and was confirmed while the body was sent, the request got 413 by the old version's limit, vouched for by the new one's confirmation (DENIED, CONFIG).

The confirmation is now taken with the view, just before it: the loop publishes a view before what confirms it, so the confirmation is never about a later view than the one taken.

--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -120,6 +120,9 @@
 	service string
 	version uint64
 	origin  view.Origin
+	// confirmedAt is when the configuration was last confirmed as of the load of the view.
+	// Zero means never.
+	confirmedAt time.Duration
 }
 
 // rejection is the response to an invalid request, which is not sent to a server.
@@ -166,7 +169,7 @@
 // waitForView returns the newest view, or nil if there is still none after a short
 // wait.
 func (e *exchange) waitForView() *view.View {
-	current, changed := e.options.Views.Load()
+	current, changed := e.loadView()
 	if current != nil {
 		return current
 	}
@@ -181,7 +184,7 @@
 	case <-timer.C:
 	case <-e.r.Context().Done():
 	}
-	current, _ = e.options.Views.Load()
+	current, _ = e.loadView()
 	return current
 }
 
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -136,3 +136,39 @@
 	status, _ = serve(h)
 	g.Expect(status).To(Equal(http.StatusNotFound))
 }
+
+// readerFunc is a function that implements io.Reader.
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+func TestAConfirmationDuringTheBodyIsNotAboutTheEarlierConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	h, views := newHandler(t, time.Second)
+	confirmation := &view.Confirmation{}
+	h.options.Confirmation, h.options.ConfigurationTime = confirmation, 2*time.Second
+	h.options.Clock = func() time.Duration { return 10 * time.Second }
+	publish := func(version uint64, bodyBytes int64, confirmedAt time.Duration) {
+		configuration := &model.Configuration{
+			Version: version, Limits: model.CallerLimits{BodyBytes: bodyBytes},
+			Routes:   []model.Route{{Name: "r", Host: "h.example", PathPrefix: "/a/", Targets: []model.Target{{Service: "s", Weight: 1}}}},
+			Services: map[string]model.Service{"s": {Name: "s"}},
+		}
+		services := map[string]*view.Service{"s": {Service: configuration.Services["s"]}}
+		views.Publish(&view.View{Configuration: configuration, Routes: routing.NewTable(configuration), Services: services})
+		confirmation.Confirm(confirmedAt)
+	}
+	post := func(during func()) int {
+		body := strings.NewReader("fives")
+		recorder := httptest.NewRecorder()
+		h.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, "http://h.example/a/", readerFunc(func(p []byte) (int, error) {
+			during()
+			return body.Read(p)
+		})))
+		return recorder.Code
+	}
+	publish(1, 4, 7*time.Second)
+	g.Expect(post(func() { publish(2, 1000, 10*time.Second) })).To(Equal(http.StatusServiceUnavailable), "version 2 permits the body")
+	publish(3, 4, 10*time.Second)
+	g.Expect(post(func() {})).To(Equal(http.StatusRequestEntityTooLarge))
+}
--- a/gateway/front/knowledge.go
+++ b/gateway/front/knowledge.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"guavacrank.example/event"
+	"guavacrank.example/gateway/view"
 	"guavacrank.example/traffic/verdict"
 )
 
@@ -27,13 +28,22 @@
 		zap.String("request", e.head.ID), zap.String("code", string(verdict.CodeStore)), zap.Int("withheld", rejected.status))...)
 }
 
+// loadView returns the newest view, or nil if there is none, and notes when its
+// configuration was last confirmed. It also returns the channel that is closed when the
+// view is replaced.
+func (e *exchange) loadView() (*view.View, <-chan struct{}) {
+	if e.options.Confirmation != nil {
+		e.confirmedAt = e.options.Confirmation.At() // First: a later one may be about a newer view.
+	}
+	return e.options.Views.Load()
+}
+
 // mayBeReplaced says whether a newer configuration may have to be in force already.
 func (e *exchange) mayBeReplaced() bool {
 	if e.options.Confirmation == nil || e.options.ConfigurationTime == 0 {
 		return false
 	}
-	age, confirmed := e.options.Confirmation.Age(e.arrived)
-	return !confirmed || age > e.options.ConfigurationTime
+	return e.confirmedAt == 0 || e.arrived-e.confirmedAt > e.options.ConfigurationTime
 }
 
 // configurationFields describes the configuration that a request was judged by, for the
@@ -46,11 +56,8 @@
 	}
 	now := e.options.Clock()
 	fields = append(fields, zap.String("source", e.origin.Source), zap.Duration("in_force_for", now-e.origin.At))
-	if e.options.Confirmation == nil {
-		return fields
-	}
-	if age, confirmed := e.options.Confirmation.Age(now); confirmed {
-		fields = append(fields, zap.Duration("confirmed_ago", age))
+	if e.confirmedAt > 0 {
+		fields = append(fields, zap.Duration("confirmed_ago", now-e.confirmedAt))
 	}
 	return fields
 }
--- a/gateway/view/origin.go
+++ b/gateway/view/origin.go
@@ -28,8 +28,6 @@
 	}
 }
 
-// Age returns the time since the last confirmation, and false if there was none.
-func (c *Confirmation) Age(now time.Duration) (time.Duration, bool) {
-	at := time.Duration(c.at.Load())
-	return now - at, at > 0
-}
+// At returns the time of the last confirmation by the process's clock, or zero if there
+// was none. It is about a view that is loaded later, but not about an earlier one.
+func (c *Confirmation) At() time.Duration { return time.Duration(c.at.Load()) }
