gateway/run: a daemon that does not lead names the version that it confirms

A daemon that is taken for the leader answers a report with the age of its own confirmation, but without its version, if the reporter has a configuration and a server list. The reporter took the confirmation as one of its own, older version, and denied requests by it (DENIED, CONFIG).

The test on the code before: Expected <int64>: 0 to equal <int64>: -1

The response now names the version, and the reporter ignores a newer one's confirmation as in all other responses.

--- a/gateway/run/confirmation_test.go
+++ b/gateway/run/confirmation_test.go
@@ -123,3 +123,13 @@
 	g.Expect(read(23*time.Second, 2)).To(Equal(20*time.Second), "nothing has been written again")
 	g.Expect(read(24*time.Second, 2, record(2, `{"Version":5}`, 31))).To(Equal(24 * time.Second))
 }
+
+func TestADaemonThatDoesNotLeadDoesNotConfirmAnOlderVersion(t *testing.T) {
+	g := NewWithT(t)
+	other, daemon := newRelayLoop(t, 3), newRelayLoop(t, 3)
+	other.configuration, other.confirmedAt = &model.Configuration{Version: 4}, other.clock()
+	daemon.configuration = &model.Configuration{Version: 3}
+	response := other.startupResponse(&peer.Report{ConfigurationVersion: 3, Source: "leader"})
+	daemon.confirmByPeer(&response, daemon.clock())
+	g.Expect(daemon.confirmedAgeMS()).To(Equal(neverConfirmed))
+}
--- a/gateway/run/start.go
+++ b/gateway/run/start.go
@@ -80,10 +80,14 @@
 // leader yet.
 func (l *loop) startupResponse(report *peer.Report) peer.ReportResponse {
 	response := peer.ReportResponse{KnownLeader: l.knownLeader, ConfirmedAgeMS: l.confirmedAgeMS()}
-	if l.configuration == nil || !l.servers.known || report.ConfigurationVersion > 0 && report.Source != "" {
+	if l.configuration == nil {
 		return response
 	}
-	response.ConfigurationVersion, response.Record = l.configuration.Version, l.peerRecord()
+	response.ConfigurationVersion = l.configuration.Version
+	if !l.servers.known || report.ConfigurationVersion > 0 && report.Source != "" {
+		return response
+	}
+	response.Record = l.peerRecord()
 	response.Pages = l.pagesFor(report.Pages)
 	l.relay.update(l.servers)
 	l.relay.addChanges(&response, l.source(), report)
