gateway/run: a daemon with an older version confirms no later one

A VM that starts after a restoration reads an older version, which the store confirms. Its responses confirmed the later version of other VMs, though a still later one may be lost and in force elsewhere (DENIED, CONFIG).

The test on the code before: version 6 may be lost too Expected <int64>: 0 to equal <int64>: -1

The response to a report with a newer version now carries no confirmation.

--- a/gateway/run/confirmation.go
+++ b/gateway/run/confirmation.go
@@ -24,6 +24,16 @@
 	return (l.clock() - l.confirmedAt).Milliseconds()
 }
 
+// confirmedAgeFor returns confirmedAgeMS for the response to a report, or neverConfirmed if
+// the sender has a newer version: what this daemon knows of the store may come from an
+// earlier copy.
+func (l *loop) confirmedAgeFor(report *peer.Report) int64 {
+	if l.configuration != nil && report.ConfigurationVersion > l.configuration.Version {
+		return neverConfirmed
+	}
+	return l.confirmedAgeMS()
+}
+
 // confirmByPeer processes the confirmation in a response to a message that was sent at
 // the given time.
 func (l *loop) confirmByPeer(response *peer.ReportResponse, sentAt time.Duration) {
--- a/gateway/run/confirmation_test.go
+++ b/gateway/run/confirmation_test.go
@@ -133,3 +133,15 @@
 	daemon.confirmByPeer(&response, daemon.clock())
 	g.Expect(daemon.confirmedAgeMS()).To(Equal(neverConfirmed))
 }
+
+func TestAPeerWithAnOlderVersionDoesNotConfirmALaterOne(t *testing.T) {
+	g := NewWithT(t)
+	other, daemon := newRelayLoop(t, 3), newRelayLoop(t, 3)
+	other.configuration, other.confirmedAt = &model.Configuration{Version: 3}, other.clock() // It read a restored store.
+	report := &peer.Report{ConfigurationVersion: 5, Source: "leader"}
+	for _, response := range []peer.ReportResponse{other.startupResponse(report), other.followerResponse(report), other.leaderResponse(report)} {
+		daemon.configuration = &model.Configuration{Version: 5}
+		daemon.confirmByPeer(&response, daemon.clock())
+		g.Expect(daemon.confirmedAgeMS()).To(Equal(neverConfirmed), "version 6 may be lost too")
+	}
+}
--- a/gateway/run/fallback.go
+++ b/gateway/run/fallback.go
@@ -82,7 +82,7 @@
 // followerResponse returns a store follower's response to a daemon that can't reach
 // the leader. It contains what the sender lacks.
 func (l *loop) followerResponse(report *peer.Report) peer.ReportResponse {
-	response := peer.ReportResponse{KnownLeader: l.knownLeader, ConfirmedAgeMS: l.confirmedAgeMS(), InContact: l.inContact()}
+	response := peer.ReportResponse{KnownLeader: l.knownLeader, ConfirmedAgeMS: l.confirmedAgeFor(report), InContact: l.inContact()}
 	if l.configuration != nil && report.ConfigurationVersion < l.configuration.Version {
 		response.ConfigurationVersion = l.configuration.Version
 		if !report.OnlyVersion {
--- a/gateway/run/responses.go
+++ b/gateway/run/responses.go
@@ -24,7 +24,7 @@
 		Distribution: l.distributionFor(report, now),
 		Limits:       l.allocator.Allotments(now, l.reportInterval()),
 
-		ConfirmedAgeMS: l.confirmedAgeMS(),
+		ConfirmedAgeMS: l.confirmedAgeFor(report),
 	}
 	if l.configuration != nil {
 		response.ConfigurationVersion = l.configuration.Version
--- a/gateway/run/start.go
+++ b/gateway/run/start.go
@@ -79,7 +79,7 @@
 // leader. It contains the data that a starting sender lacks, since there may be no
 // leader yet.
 func (l *loop) startupResponse(report *peer.Report) peer.ReportResponse {
-	response := peer.ReportResponse{KnownLeader: l.knownLeader, ConfirmedAgeMS: l.confirmedAgeMS()}
+	response := peer.ReportResponse{KnownLeader: l.knownLeader, ConfirmedAgeMS: l.confirmedAgeFor(report)}
 	if l.configuration == nil {
 		return response
 	}
