--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -75,10 +75,6 @@
 	// ToFollower asks the receiver, as a store follower, for what the sender lacks. It
 	// does not report to a leader: the receiver must not count it towards a majority.
 	ToFollower bool `json:"to_follower,omitempty"`
-	// OnlyConfiguration, with ToFollower, asks for no more than the configuration, and
-	// OnlyVersion for no more than its version.
-	OnlyConfiguration bool `json:"only_configuration,omitempty"`
-	OnlyVersion       bool `json:"only_version,omitempty"`
 }
 
 // ServerReport summarizes the responses of one backend server.
@@ -118,9 +114,6 @@
 	// ConfirmedAgeMS is the time since the sender last knew that it had the newest
 	// version, in milliseconds; -1 if it never did.
 	ConfirmedAgeMS int64 `json:"confirmed_age_ms"`
-	// InContact says that the sender watches the store and that its last call to the
-	// store succeeded.
-	InContact bool `json:"in_contact,omitempty"`
 	// Limits are the leader's decisions on servers that limit their requests.
 	Limits []limit.Allotment `json:"limits,omitempty"`
 	// Members holds the addresses of all daemons if their number differs from
--- a/gateway/run/fallback.go
+++ b/gateway/run/fallback.go
@@ -30,21 +30,13 @@
 	return len(l.followersToAsk()) == 0 || l.followerFailures >= staleThreshold
 }
 
-// askFollower asks a store follower for what this daemon lacks, or other daemons if it
-// has no store follower to ask.
+// askFollower asks a store follower for what this daemon lacks.
 func (l *loop) askFollower() {
 	followers := l.followersToAsk()
-	if len(followers) == 0 {
-		l.askOthers()
-		return
-	}
-	if l.askPending {
+	if len(followers) == 0 || l.askPending {
 		return
 	}
 	l.askPending = true
-	l.questions++
-	silent := followerSilent{l.questions}
-	time.AfterFunc(followerPatience, func() { l.deliver(silent) })
 	address, query := followers[l.nextFollower%len(followers)], l.newFollowerQuery()
 	go func() {
 		sentAt := l.clock()
@@ -66,13 +58,9 @@
 		l.followerFailures = 0
 		l.applyFollowerResponse(r.response)
 		l.confirmByPeer(r.response, r.sentAt)
-		if !r.response.InContact {
-			l.askOthers()
-		}
 		return
 	}
 	l.log.Event(event.PeerUnreachable, r.err.Error(), zap.String("follower", r.address))
-	l.askOthers()
 	l.nextFollower++
 	if l.followerFailures++; l.followerFailures < staleThreshold {
 		l.askFollower()
@@ -82,15 +70,9 @@
 // followerResponse returns a store follower's response to a daemon that can't reach
 // the leader. It contains what the sender lacks.
 func (l *loop) followerResponse(report *peer.Report) peer.ReportResponse {
-	response := peer.ReportResponse{KnownLeader: l.knownLeader, ConfirmedAgeMS: l.confirmedAgeMS(), InContact: l.inContact()}
+	response := peer.ReportResponse{KnownLeader: l.knownLeader, ConfirmedAgeMS: l.confirmedAgeMS()}
 	if l.configuration != nil && report.ConfigurationVersion < l.configuration.Version {
-		response.ConfigurationVersion = l.configuration.Version
-		if !report.OnlyVersion {
-			response.Record = l.peerRecord()
-		}
-	}
-	if report.OnlyVersion || report.OnlyConfiguration {
-		return response
+		response.ConfigurationVersion, response.Record = l.configuration.Version, l.peerRecord()
 	}
 	response.Pages = l.pagesFor(report)
 	age := l.clock() - l.listedAt
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -106,10 +106,6 @@
 	nextFollower      int                       // Index of the store follower to ask next.
 	followerFailures  int                       // Consecutive calls to store followers without a response.
 	askPending        bool                      // Whether a call to a store follower is pending.
-	questions         int                       // Number of calls to store followers so far.
-	othersToAsk       []string                  // Other daemons to ask in this round.
-	othersPending     int                       // Number of pending calls to other daemons.
-	fetching          bool                      // Whether one of them is for the configuration.
 	allocator         *limit.Allocator          // On the leader: shares of limited servers.
 	listedAt          time.Duration             // When the newest server list was read from the store.
 	relayedListNewest bool                      // Whether that list came from a peer.
