gateway: a response that names no version confirms nothing

Cause, read in the code: a VM that does not lead answers a report with its confirmation but without its version, and the sender took that for none newer. Fix: without a version no confirmation.

--- a/gateway/run/confirmation_test.go
+++ b/gateway/run/confirmation_test.go
@@ -28,3 +28,13 @@
 	daemon.confirmByPeer(&peer.ReportResponse{ConfirmedAgeMS: 900, ConfigurationVersion: 3}, now)
 	g.Expect(daemon.confirmedAgeMS()).To(BeEquivalentTo(500), "an earlier confirmation takes nothing back")
 }
+
+func TestAResponseThatNamesNoVersionConfirmsNothing(t *testing.T) {
+	g := NewWithT(t)
+	source, daemon := newRelayLoop(t, 1), newRelayLoop(t, 0)
+	source.configuration, daemon.configuration = &model.Configuration{Version: 4}, &model.Configuration{Version: 3}
+	source.confirmByStore(0)
+	response := source.startupResponse(&peer.Report{ConfigurationVersion: 3, Source: "leader"})
+	daemon.confirmByPeer(&response, daemon.clock())
+	g.Expect(daemon.confirmedAgeMS()).To(Equal(neverConfirmed))
+}
--- a/gateway/run/start.go
+++ b/gateway/run/start.go
@@ -79,11 +79,12 @@
 // leader. It contains the data that a starting sender lacks, since there may be no
 // leader yet.
 func (l *loop) startupResponse(report *peer.Report) peer.ReportResponse {
-	response := peer.ReportResponse{KnownLeader: l.knownLeader, ConfirmedAgeMS: l.confirmedAgeMS()}
+	response := peer.ReportResponse{KnownLeader: l.knownLeader, ConfirmedAgeMS: neverConfirmed}
 	if l.configuration == nil || !l.servers.known || report.ConfigurationVersion > 0 && report.Source != "" {
 		return response
 	}
 	response.ConfigurationVersion, response.Record = l.configuration.Version, l.peerRecord()
+	response.ConfirmedAgeMS = l.confirmedAgeMS()
 	response.Pages = l.pagesFor(report)
 	l.relay.update(l.servers)
 	l.relay.addChanges(&response, l.source(), report)
