tests: large files are split by their job

Change: moves only: the deployment of the platform's scenarios, calls of the simulation, tests of rebalancing and random simulations have files of their own. Result: the same number of tests; gateway/keys passes.

--- /dev/null
+++ b/gateway/keys/simulation_calls_test.go
@@ -0,0 +1,166 @@
+package keys_test
+
+import (
+	"fmt"
+	"time"
+
+	"guavacrank.example/gateway/keys"
+	"guavacrank.example/kvstore"
+)
+
+func (sim *simulation) probe(m *keys.Machine, call keys.ProbeCall) {
+	sim.after(sim.networkDelay(), func() {
+		id := ""
+		server := sim.serverAt(call.Address)
+		if server != nil && !server.unreachable && !server.silent {
+			id = server.ID
+		}
+		refused := server == nil || sim.random.Float64() < sim.refusedShare
+		if refused {
+			id = ""
+		}
+		sim.after(sim.networkDelay(), func() { m.StepProbed(sim.now, call, id, refused) })
+	})
+}
+
+func (sim *simulation) write(m *keys.Machine, write keys.PageWrite) {
+	stored, err := write.Page.Encode()
+	if err != nil {
+		panic(err)
+	}
+	id := write.Page.WriteID
+	sim.after(sim.networkDelay(), func() {
+		if write.Expected != sim.version {
+			sim.after(sim.networkDelay(), func() {
+				m.StepWritten(sim.now, id, kvstore.Position{}, &kvstore.Error{Kind: kvstore.KindConflict})
+			})
+			return
+		}
+		page, err := keys.Decode(stored)
+		if err != nil {
+			sim.violation("invalid page: %v", err)
+			return
+		}
+		sim.page, sim.version = page, sim.version+1
+		position := sim.position()
+		if sim.random.Float64() < sim.lostWriteShare {
+			sim.after(time.Second, func() {
+				m.StepWritten(sim.now, id, kvstore.Position{}, &kvstore.Error{Outcome: kvstore.OutcomeUnknown})
+			})
+			return
+		}
+		sim.after(sim.networkDelay(), func() {
+			m.StepWritten(sim.now, id, position, nil)
+			sim.spread(page)
+		})
+	})
+}
+
+func (sim *simulation) grant(m *keys.Machine, call keys.GrantCall) {
+	if sim.onGrant != nil {
+		sim.onGrant(call)
+	}
+	server := sim.serverAt(call.Address)
+	if server == nil || sim.random.Float64() < sim.refusedShare {
+		sim.after(sim.networkDelay(), func() { m.StepGranted(sim.now, call, keys.NoListener) })
+		return
+	}
+	if server.silent {
+		sim.after(keys.CallTimeout, func() { m.StepGranted(sim.now, call, keys.TimedOut) })
+		return
+	}
+	if server.unreachable {
+		sim.after(keys.CallTimeout, func() { m.StepGranted(sim.now, call, keys.Unreachable) })
+		return
+	}
+	if server.Zone == sim.congestedZone && server.delayedCall {
+		sim.after(keys.CallTimeout, func() { m.StepGranted(sim.now, call, keys.NotSent) })
+		return
+	}
+	if server.Zone == sim.congestedZone {
+		server.delayedCall = true
+		late := sim.maxCongestionDelay/2 + time.Duration(sim.random.Int64N(int64(sim.maxCongestionDelay/2)))
+		sim.after(keys.CallTimeout+late, func() { sim.apply(server, call) })
+		sim.after(keys.CallTimeout, func() { m.StepGranted(sim.now, call, keys.TimedOut) })
+		return
+	}
+	if sim.random.Float64() < sim.lateArrivalShare {
+		sim.after(keys.CallTimeout+time.Duration(sim.random.Int64N(int64(maxTransitTime))), func() { sim.apply(server, call) })
+		sim.after(keys.CallTimeout, func() { m.StepGranted(sim.now, call, keys.TimedOut) })
+		return
+	}
+	sim.after(sim.networkDelay(), func() {
+		arrived := sim.now
+		if sim.random.Float64() < sim.lateShare || m == sim.lateFor {
+			sim.after(time.Duration(sim.random.Int64N(int64(6*time.Second))), func() { sim.applyLate(server, call, arrived) })
+			sim.after(keys.CallTimeout-(arrived-sim.now), func() { m.StepGranted(sim.now, call, keys.Disconnected) })
+			return
+		}
+		outcome := sim.apply(server, call)
+		sim.after(sim.networkDelay(), func() { m.StepGranted(sim.now, call, outcome) })
+	})
+}
+
+// serverAt returns the server that runs at an address. It need not be the one that
+// a grant was meant for.
+func (sim *simulation) serverAt(address string) *fakeServer {
+	for _, s := range sim.servers {
+		if s.up && s.Address == address {
+			return s
+		}
+	}
+	return nil
+}
+
+// apply has a server process a grant on its arrival.
+func (sim *simulation) apply(server *fakeServer, call keys.GrantCall) keys.Outcome {
+	if !server.up {
+		return keys.Disconnected
+	}
+	for _, key := range sampledKeys {
+		if key >= call.From && key <= call.To && server.seen[key] > call.Fence {
+			return keys.FenceRefused
+		}
+	}
+	for _, key := range sampledKeys {
+		if key < call.From || key > call.To {
+			continue
+		}
+		server.seen[key] = call.Fence
+		last := sim.highest[key]
+		if last.incarnation != server.Incarnation() && last.fence >= call.Fence {
+			sim.violation("key %d: fence %d of %v is not above %d of %v", key, call.Fence, server.Incarnation(), last.fence, last.incarnation)
+		}
+		if call.Fence >= last.fence {
+			sim.highest[key] = fenceSeen{call.Fence, server.Incarnation()}
+		}
+	}
+	server.addRange(call, sim.now)
+	return keys.Accepted
+}
+
+// applyLate has a server apply a grant long after it arrived, whatever fences it
+// has seen since: the platform does not promise that it checks them again.
+func (sim *simulation) applyLate(server *fakeServer, call keys.GrantCall, arrived time.Duration) {
+	if server.up {
+		server.addRange(call, arrived)
+	}
+}
+
+func (sim *simulation) release(m *keys.Machine, call keys.ReleaseCall) {
+	server := sim.serverAt(call.Address)
+	if server == nil || sim.random.Float64() < sim.refusedShare {
+		sim.after(sim.networkDelay(), func() { m.StepReleased(sim.now, call, false, "", true) })
+		return
+	}
+	if server.unreachable {
+		sim.after(time.Second, func() { m.StepReleased(sim.now, call, false, "", false) })
+		return
+	}
+	sim.after(sim.networkDelay(), func() {
+		server.removeRange(call.From, call.To)
+		sim.after(sim.networkDelay()+time.Duration(sim.random.Int64N(int64(sim.maxReleaseTime))), func() {
+			m.StepReleased(sim.now, call, true, fmt.Sprintf("h-%d-%d", call.From, call.Fence), false)
+		})
+	})
+}
