--- a/gateway/run/consultation.go
+++ b/gateway/run/consultation.go
@@ -177,7 +177,7 @@
 		return
 	}
 	confirmed := c.confirmed(l.self)
-	unasked := len(c.asked) == 0 && !l.firstStart() // Reports may show whom to ask.
+	unasked := len(c.asked) == 0 && (len(l.pages) > 0 || !l.firstStart()) // Reports may show whom to ask.
 	undecided := unasked || c.pending() || c.last.Leader.Incarnation != "" && l.yieldPending[c.last.Leader.Incarnation]
 	if !confirmed && undecided && now < c.deadline {
 		return
@@ -211,7 +211,7 @@
 	case l.consultation.informed == 0:
 		result.Confirmed = l.firstStart() && result.Page == nil
 	case last == l.self:
-		result.Confirmed = confirmed && l.machines[service].Settled() // It has led until now.
+		result.Confirmed = confirmed && (l.machines[service].Settled() || l.settledAtStop)
 	}
 	return result
 }
@@ -229,8 +229,8 @@
 	return leaders
 }
 
-// knewNewestPages says whether this process knows, or knew when it stopped leading, the
-// newest page of each service.
+// knewNewestPages says whether this process knows, or knew at the end of its last term,
+// the newest page of each service.
 func (l *loop) knewNewestPages() bool {
 	if !l.leading {
 		return l.settledAtStop
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -100,6 +100,7 @@
 // goes on with what it knows.
 func (l *loop) startLeading(now time.Duration) {
 	l.enterEra(l.term.Era)
+	l.settledAtStop = l.knewNewestPages()
 	l.leadingSince, l.peersAtElection, l.isolationRuledOut = now, l.knownPeers, false
 	if !l.leading {
 		l.resetFleet(now)
--- a/gateway/run/succession_test.go
+++ b/gateway/run/succession_test.go
@@ -11,6 +11,7 @@
 
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/leader"
+	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/kvstore"
@@ -174,3 +175,28 @@
 	g.Expect(l.consultation.informed).To(BeZero())
 	g.Expect(l.consultation.confirmed(l.self)).To(BeFalse())
 }
+
+func TestFormerLeaderThatLeadsAgainVouchesForItsOwnPages(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	l.machines["s"] = keys.NewMachine(keys.Options{Service: "s", Self: l.self})
+	own := peer.Leadership{Leader: l.self, Term: kvstore.Position{Era: 1, Version: 50}}
+	c := &consultation{term: kvstore.Position{Era: 2, Version: 60}, members: 1, asked: map[string]bool{}, waiting: map[string]bool{}}
+	l.consultation = c
+	c.note(own)
+	g.Expect(l.consultationResult("s", c.confirmed(l.self)).Confirmed).To(BeFalse(), "it did not know the newest pages")
+	l.settledAtStop = true
+	g.Expect(l.consultationResult("s", c.confirmed(l.self)).Confirmed).To(BeTrue(), "no page was ever committed")
+}
+
+func TestRestartedLeaderOfANewSystemAsksBeforeItDecides(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	l.settings = &model.Settings{FirstStart: true}
+	l.leading = true
+	l.consultation = &consultation{term: kvstore.Position{Era: 2, Version: 60}, deadline: l.clock() + consultationTimeout,
+		asked: map[string]bool{}, waiting: map[string]bool{"s": true}}
+	l.applyPage("s", encoded(t, page(keys.Stamp{Era: 1, Number: 8})))
+	l.decideConsultation(l.clock())
+	g.Expect(l.consultation.waiting).To(HaveKey("s"), "there was a leader before")
+}
