dispatch: a hedged request does not go to a server that is leaving

Its VM knew that from 23.15 s on. Cause: the second server was chosen from the list of the first attempt, however old. Change: it is chosen from the newest view. Evidence: TestAHedgedRequestDoesNotGoToAServerThatIsLeaving fails on the code before (the leaving server got the request).

--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -196,7 +196,7 @@
 		return c.finish(verdict.NotRun, verdict.CodeTooLate)
 	}
 	if c.reachedAttempts == 0 && c.request.Route.Idempotent && c.request.Route.MaxAttempts > 1 {
-		return c.sendHedged(service, choice)
+		return c.sendHedged(choice)
 	}
 	return c.send(choice.Server)
 }
--- a/gateway/dispatch/hedge.go
+++ b/gateway/dispatch/hedge.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"guavacrank.example/gateway/balance"
-	"guavacrank.example/gateway/view"
 	"guavacrank.example/traffic/verdict"
 )
 
@@ -31,7 +30,7 @@
 
 // sendHedged sends to a server and, if the response is slow, to a second one as
 // well. The first usable response wins; the other attempt is canceled.
-func (c *call) sendHedged(service *view.Service, first balance.Choice) bool {
+func (c *call) sendHedged(first balance.Choice) bool {
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
 	results := make(chan finishedAttempt, 2)
@@ -54,7 +53,7 @@
 			c.mayHaveRun = c.mayHaveRun || finished.outcome.Verdict != verdict.NotRun
 			c.result.Response = finished.outcome.response
 		case <-timer.C:
-			if second := c.secondServer(service, first.Server); second != nil {
+			if second := c.secondServer(first.Server); second != nil {
 				running++
 				start(second)
 			}
@@ -73,10 +72,13 @@
 }
 
 // secondServer returns a server for a hedged request, or nil if no server is
-// expected to respond in time or the retry budget does not allow one.
-func (c *call) secondServer(service *view.Service, first *balance.Server) *balance.Server {
+// expected to respond in time or the retry budget does not allow one. The servers may have
+// changed since the first attempt.
+func (c *call) secondServer(first *balance.Server) *balance.Server {
 	now := c.options.Clock()
-	if c.timeLeft() < time.Duration(hedgeMinTimeShare*float64(c.request.Deadline-c.request.Arrived)) {
+	current, _ := c.options.Views.Load()
+	service := current.Services[c.request.Service]
+	if service == nil || c.timeLeft() < time.Duration(hedgeMinTimeShare*float64(c.request.Deadline-c.request.Arrived)) {
 		return nil
 	}
 	excluded := func(server *balance.Server) bool { return server == first || c.wasTried(server) }
