gateway: names say who knows the newest pages

Cause: "settled" named three things: a fleet that has reported to its leader, the end of the wait for lost grants, and a leader that knows the newest pages. Change: KnowsNewestPage, NewestPages and knewPagesAtEnd for the last of them. Result: tests of gateway/run and gateway/keys pass.

--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -146,8 +146,8 @@
 // Stop ends this machine's leadership.
 func (m *Machine) Stop() { m.leading = false }
 
-// Settled reports whether this machine leads and knows the newest page.
-func (m *Machine) Settled() bool {
+// KnowsNewestPage reports whether this machine leads and knows the newest page.
+func (m *Machine) KnowsNewestPage() bool {
 	noPage := m.pageKnown && m.page == nil && m.settlement == settled
 	return m.leading && (m.adopted || noPage)
 }
--- a/gateway/keys/simulation_restore_test.go
+++ b/gateway/keys/simulation_restore_test.go
@@ -65,7 +65,7 @@
 // and sends its page if it can be reached.
 func (sim *simulation) consult(m *keys.Machine) {
 	name, last := sim.lastLeader(m)
-	if m.Settled() || last == nil {
+	if m.KnowsNewestPage() || last == nil {
 		sim.after(sim.networkDelay(), func() {
 			m.StepConsulted(sim.now, keys.Consultation{Page: sim.known, Confirmed: true})
 		})
@@ -79,7 +79,7 @@
 		return
 	}
 	sim.after(sim.networkDelay(), func() {
-		confirmed := last.Settled()
+		confirmed := last.KnowsNewestPage()
 		last.Stop()
 		if page := last.Page(); page != nil {
 			sim.spread(page)
@@ -172,7 +172,7 @@
 		sim.run(5 * time.Second)
 		Expect(sim.violations).To(BeEmpty())
 		Expect(sim.unowned()).To(BeZero())
-		Expect(m.Settled()).To(BeTrue())
+		Expect(m.KnowsNewestPage()).To(BeTrue())
 	})
 
 	It("does not take a page without ranges for the end of the grants by lost pages", func() {
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -272,10 +272,10 @@
 	FormerLeader Leadership `json:"former"`
 	// Members holds the addresses of the daemons that report, or reported, to the process.
 	Members []string `json:"members,omitempty"`
-	// Settled says that the process led until now and knew the newest page of each
+	// NewestPages says that the process led last, and knew the newest page of each
 	// service. Pages are those that the sender of the request lacks.
-	Settled bool         `json:"settled,omitempty"`
-	Pages   []StoredPage `json:"pages,omitempty"`
+	NewestPages bool         `json:"newest_pages,omitempty"`
+	Pages       []StoredPage `json:"pages,omitempty"`
 }
 
 // Service is the RPC interface that every daemon offers to its peers.
--- a/gateway/run/consultation.go
+++ b/gateway/run/consultation.go
@@ -136,7 +136,7 @@
 	}
 	c.members = max(c.members, len(y.response.Members))
 	l.announceLeadership(y.response.Members)
-	c.lastYielded = c.lastYielded || y.response.Incarnation == y.predecessor.Incarnation && y.response.Settled
+	c.lastYielded = c.lastYielded || y.response.Incarnation == y.predecessor.Incarnation && y.response.NewestPages
 	l.decideConsultation(l.clock())
 }
 
@@ -211,7 +211,7 @@
 	case l.consultation.informed == 0:
 		result.Confirmed = l.firstStart() && result.Page == nil
 	case last == l.self:
-		result.Confirmed = confirmed && (l.machines[service].Settled() || l.settledAtStop)
+		result.Confirmed = confirmed && (l.machines[service].KnowsNewestPage() || l.knewPagesAtEnd)
 	}
 	return result
 }
@@ -233,13 +233,13 @@
 // the newest page of each service.
 func (l *loop) knewNewestPages() bool {
 	if !l.leading {
-		return l.settledAtStop
+		return l.knewPagesAtEnd
 	}
 	if l.configuration == nil {
 		return false
 	}
 	for name, service := range l.configuration.Services {
-		if machine := l.machines[name]; service.Partitioned && (machine == nil || !machine.Settled()) {
+		if machine := l.machines[name]; service.Partitioned && (machine == nil || !machine.KnowsNewestPage()) {
 			return false
 		}
 	}
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -100,7 +100,7 @@
 // goes on with what it knows.
 func (l *loop) startLeading(now time.Duration) {
 	l.enterEra(l.term.Era)
-	l.settledAtStop = l.knewNewestPages()
+	l.knewPagesAtEnd = l.knewNewestPages()
 	l.leadingSince, l.peersAtElection, l.isolationRuledOut = now, l.knownPeers, false
 	if !l.leading {
 		l.resetFleet(now)
@@ -129,7 +129,7 @@
 }
 
 func (l *loop) stopLeading(cause string) {
-	l.settledAtStop = l.knewNewestPages()
+	l.knewPagesAtEnd = l.knewNewestPages()
 	l.leading = false
 	l.leadingNow.Store(false)
 	for _, machine := range l.machines {
@@ -224,7 +224,7 @@
 // yield stops leading and tells the successor what it may not know.
 func (l *loop) yield(request *peer.YieldRequest, response *peer.YieldResponse) {
 	response.FormerLeader = l.leaderBefore(request.Successor.Term.Era)
-	response.Settled = l.knewNewestPages() && response.FormerLeader.Leader == l.self
+	response.NewestPages = l.knewNewestPages() && response.FormerLeader.Leader == l.self
 	response.Pages, response.Members = l.pagesFor(request.Pages), l.memberAddresses()
 	if l.leading {
 		l.stopLeading("a later leader asked this one to stop leading")
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -96,7 +96,7 @@
 	formerLeader      peer.Leadership           // The last known one of an earlier era than knownLeader.
 	consultation      *consultation             // Since the own election; nil before.
 	sawRestoration    bool                      // The store was restored while this process ran.
-	settledAtStop     bool                      // knewNewestPages at the end of the own last term.
+	knewPagesAtEnd    bool                      // knewNewestPages at the end of the own last term.
 	peersAtElection   []string                  // knownPeers at the start of the own leadership.
 	knownPeers        []string                  // Addresses of all daemons according to the leader.
 	record            []byte                    // The operators' configuration record.
--- a/gateway/run/peer_fuzz_test.go
+++ b/gateway/run/peer_fuzz_test.go
@@ -159,7 +159,7 @@
 	{2, `{"changes":{"source":"","base":0,"change":18446744073709551615,"gone":[{"id":""}]}}`},
 	{3, `{"leader":{"vm":"x"},"term":{"era":18446744073709551615,"version":18446744073709551615},"pages":{"s":{"number":1}},"members":-1}`},
 	{4, `{"former":{"leader":{"vm":"x","incarnation":"x","address":"127.0.0.1:1"},"term":{"version":18446744073709551615}},"pages":[{"service":"s"},{"service":"t","page":{"ranges":[[]]}}],"members":["",""]}`},
-	{5, `{"incarnation":"x","settled":true,"pages":[{"service":"s","page":{"era":18446744073709551615,"number":18446744073709551615}}]}`},
+	{5, `{"incarnation":"x","newest_pages":true,"pages":[{"service":"s","page":{"era":18446744073709551615,"number":18446744073709551615}}]}`},
 }
 
 func FuzzPeerMessagesEndNoProcess(f *testing.F) {
--- a/gateway/run/restoration_test.go
+++ b/gateway/run/restoration_test.go
@@ -199,7 +199,7 @@
 	l := newRestorationLoop(t)
 	last := keys.Leader{VM: "last", Incarnation: "last"}
 	answers := informedPeer{follow: peer.FollowResponse{FormerLeader: peer.Leadership{Leader: last, Term: kvstore.Position{Era: 1, Version: 50}}}}
-	server := httptest.NewServer(peer.NewHandler(informedPeer{yield: peer.YieldResponse{Incarnation: "last", Settled: true,
+	server := httptest.NewServer(peer.NewHandler(informedPeer{yield: peer.YieldResponse{Incarnation: "last", NewestPages: true,
 		Pages: []peer.StoredPage{{Service: "s", Page: encoded(t, page(keys.Stamp{Era: 1, Number: 9}))}}}}))
 	t.Cleanup(server.Close)
 	answers.follow.FormerLeader.Leader.Address = server.Listener.Addr().String()
@@ -251,7 +251,7 @@
 
 	last := keys.Leader{VM: "last", Incarnation: "last"}
 	settled := informedPeer{recordingPeer{make(chan *peer.SpreadRequest, 1), make(chan *peer.Report, 1)}, peer.FollowResponse{},
-		peer.YieldResponse{Incarnation: "last", Settled: true}}
+		peer.YieldResponse{Incarnation: "last", NewestPages: true}}
 	server := httptest.NewServer(peer.NewHandler(&settled))
 	t.Cleanup(server.Close)
 	last.Address = server.Listener.Addr().String()
--- a/gateway/run/succession_test.go
+++ b/gateway/run/succession_test.go
@@ -124,15 +124,15 @@
 func TestFormerLeaderThatKnowsALaterOneDoesNotVouchForItsPages(t *testing.T) {
 	g := NewWithT(t)
 	l, _ := newElectedLoop(t)
-	l.settledAtStop = true
+	l.knewPagesAtEnd = true
 	later := peer.Leadership{Leader: keys.Leader{VM: "later", Incarnation: "later"}, Term: kvstore.Position{Era: 1, Version: 70}}
 	l.followLeader(later)
-	l.settledAtStop = true
+	l.knewPagesAtEnd = true
 	reply := make(chan peer.YieldResponse, 1)
 	successor := peer.Leadership{Leader: keys.Leader{VM: "next", Incarnation: "next"}, Term: kvstore.Position{Era: 2, Version: 30}}
 	yieldReceived{&peer.YieldRequest{Incarnation: l.self.Incarnation, Successor: successor}, reply}.apply(l)
 	response := <-reply
-	g.Expect(response.Settled).To(BeFalse())
+	g.Expect(response.NewestPages).To(BeFalse())
 	g.Expect(response.FormerLeader).To(Equal(later), "the successor has to ask it")
 }
 
@@ -185,7 +185,7 @@
 	l.consultation = c
 	c.note(own)
 	g.Expect(l.consultationResult("s", c.confirmed(l.self)).Confirmed).To(BeFalse(), "it did not know the newest pages")
-	l.settledAtStop = true
+	l.knewPagesAtEnd = true
 	g.Expect(l.consultationResult("s", c.confirmed(l.self)).Confirmed).To(BeTrue(), "no page was ever committed")
 }
 
