gateway/run: a test's store answers reads

Cause: the campaign of TestFormerLeaderThatKnowsALaterOneDoesNotVouchForItsPages may read the key before the test ends; its store had no answer, and the test process ended (2 of 10 runs with -race). Change: reads fail as those of a store that is away.

--- a/gateway/run/succession_test.go
+++ b/gateway/run/succession_test.go
@@ -42,6 +42,10 @@
 	return 1, nil
 }
 
+func (s *leaseStore) Get(context.Context, string) (kvstore.Entry, error) {
+	return kvstore.Entry{}, &kvstore.Error{Kind: kvstore.KindUnavailable}
+}
+
 func (s *leaseStore) Revoke(context.Context, kvstore.LeaseID) error { return nil }
 
 func (s *leaseStore) pause(paused bool) {
