--- a/gateway/run/consultation.go
+++ b/gateway/run/consultation.go
@@ -23,8 +23,9 @@
 // before the store was restored: the last leader and the newest ownership pages.
 //
 // A later leader moves keys only after its predecessor confirmed that it stopped, or after
-// more than two thirds of the daemons reported to it. If a third of the daemons know of no
-// later leader than the one that has confirmed that it stopped, its pages are the newest.
+// more than two thirds of the daemons reported to it. If a third of the fleet knows of no
+// later leader than the one that has confirmed that it stopped, and that one wrote the
+// newest pages, these are the last by which keys were granted.
 type consultation struct {
 	term     kvstore.Position
 	deadline time.Duration
