--- a/review/bigbody/main.go
+++ b/review/bigbody/main.go
@@ -60,7 +60,7 @@
 	})
 	t := &tally{status: map[string]int{}, ran: map[string]bool{}, answered: map[string]bool{}}
 	for at := range 4 {
-		b := &stage.Backend{ID: fmt.Sprintf("i-%d", at+1), Service: service, Slots: 12, ServiceTime: 200 * time.Millisecond, Heartbeat: 870 * time.Millisecond}
+		b := &stage.Backend{ID: fmt.Sprintf("i-%d", at+1), Service: service, Slots: 12, ServiceTime: 200 * time.Millisecond, Heartbeat: 1500 * time.Millisecond}
 		b.OnRun = func(l *stage.Life, id string, _ int) {
 			s.Note("%s runs %s", l.Name(), id)
 			t.mu.Lock()
--- a/review/restart/main.go
+++ b/review/restart/main.go
@@ -1,4 +1,5 @@
-// Command restart plays the case "a server starts again at its address within a second".
+// Command restart plays the cases "a server starts again at its address within a second"
+// and, with the argument cut, "a server starts again while it is cut off from the store".
 package main
 
 import (
@@ -21,6 +22,14 @@
 	// crashes is how many servers crash, one after the other, each crashGap.
 	crashes  = 12
 	crashGap = 4 * time.Second
+	// heartbeat is that of chikushi-gw.
+	heartbeat = 1500 * time.Millisecond
+	// With the argument cut a server is cut off for cutFor, crashes at once and is down
+	// for cutDownFor.
+	cuts       = 14
+	cutDownFor = 500 * time.Millisecond
+	cutFor     = 3 * time.Second
+	cutGap     = 4 * time.Second
 )
 
 // fences checks that a life takes a key only with a fencing token above those with
@@ -30,6 +39,7 @@
 	holder [65536]*stage.Life
 	high   [65536]uint64
 	broken []string
+	shared []string // Keys that two servers held.
 }
 
 func (f *fences) granted(s *stage.Stage, l *stage.Life, from, to int, fence uint64) {
@@ -55,6 +65,53 @@
 	}
 }
 
+// sharedLimit is the rule's bound for keys that two servers hold.
+const sharedLimit = 500 * time.Millisecond
+
+// watch looks for keys that two servers that are up hold for longer than sharedLimit.
+func (f *fences) watch(s *stage.Stage, backends []*stage.Backend) {
+	type pair struct {
+		key  int
+		a, b *stage.Life
+	}
+	since, reported := map[pair]time.Time{}, map[[2]*stage.Life]bool{}
+	for {
+		time.Sleep(20 * time.Millisecond)
+		now, seen := time.Now(), map[pair]bool{}
+		for key := 0; key < 65536; key += 256 {
+			var holder *stage.Life
+			for _, b := range backends {
+				l := b.Current()
+				if l == nil || !l.Holds(key) {
+					continue
+				}
+				if holder == nil {
+					holder = l
+					continue
+				}
+				p := pair{key, holder, l}
+				seen[p] = true
+				if _, known := since[p]; !known {
+					since[p] = now
+				}
+				if d := now.Sub(since[p]); d > sharedLimit && !reported[[2]*stage.Life{holder, l}] {
+					reported[[2]*stage.Life{holder, l}] = true
+					text := fmt.Sprintf("%s and %s both hold key %d for %v", holder.Name(), l.Name(), key, d.Round(time.Millisecond))
+					s.Note("BROKEN %s", text)
+					f.mu.Lock()
+					f.shared = append(f.shared, text)
+					f.mu.Unlock()
+				}
+			}
+		}
+		for p := range since {
+			if !seen[p] {
+				delete(since, p)
+			}
+		}
+	}
+}
+
 func main() {
 	s, err := stage.New(nil)
 	if err != nil {
@@ -71,7 +128,7 @@
 	check := &fences{}
 	var backends []*stage.Backend
 	for at := range servers {
-		b := &stage.Backend{ID: fmt.Sprintf("i-%d", at+1), Service: service, Slots: 4, Sharded: true, ServiceTime: 100 * time.Millisecond, Heartbeat: 870 * time.Millisecond}
+		b := &stage.Backend{ID: fmt.Sprintf("i-%d", at+1), Service: service, Slots: 4, Sharded: true, ServiceTime: 100 * time.Millisecond, Heartbeat: heartbeat}
 		b.OnGrant = func(l *stage.Life, from, to int, fence uint64) { check.granted(s, l, from, to, fence) }
 		b.OnRun = func(l *stage.Life, id string, key int) { s.Note("%s runs %s, key %d", l.Name(), id, key) }
 		if err := s.StartBackend(b); err != nil {
@@ -82,6 +139,7 @@
 	if err := s.StartGateways(3); err != nil {
 		s.Finish(stage.CantDo, "start: %v", err)
 	}
+	go check.watch(s, backends)
 	client := &http.Client{Timeout: 2500 * time.Millisecond, Transport: &http.Transport{MaxIdleConnsPerHost: 40}}
 	var mu sync.Mutex
 	status := map[int]int{}
@@ -109,21 +167,42 @@
 		}
 	}()
 	time.Sleep(6 * time.Second)
-	for at := range crashes {
-		if s.Trouble {
-			b := backends[at%servers]
-			b.Kill()
-			time.Sleep(downFor)
-			if err := b.Start(); err != nil {
-				s.Finish(stage.CantDo, "restart: %v", err)
+	restart := func(b *stage.Backend, down time.Duration) {
+		b.Kill()
+		time.Sleep(down)
+		if err := b.Start(); err != nil {
+			s.Finish(stage.CantDo, "restart: %v", err)
+		}
+	}
+	restarts := crashes
+	if len(os.Args) > 1 && os.Args[1] == "cut" {
+		restarts = cuts
+		for at := range cuts {
+			if b := backends[at%servers]; s.Trouble {
+				b.CutFromStore(true)
+				restart(b, cutDownFor)
+				time.Sleep(cutFor - cutDownFor)
+				b.CutFromStore(false)
 			}
+			time.Sleep(cutGap)
+		}
+	} else {
+		for at := range crashes {
+			if s.Trouble {
+				restart(backends[at%servers], downFor)
+			}
+			time.Sleep(crashGap)
 		}
-		time.Sleep(crashGap)
 	}
 	mu.Lock()
 	defer mu.Unlock()
+	check.mu.Lock()
+	defer check.mu.Unlock()
+	if len(check.shared) > 0 {
+		s.Finish(stage.Broken, "OWNER broken: keys held by two servers %d times in %d restarts, first: %s; fences that did not rise: %d; answers %v", len(check.shared), restarts, check.shared[0], len(check.broken), status)
+	}
 	if len(check.broken) > 0 {
-		s.Finish(stage.Broken, "OWNER broken %d times in %d restarts, first: %s; answers %v", len(check.broken), crashes, check.broken[0], status)
+		s.Finish(stage.Broken, "OWNER broken %d times in %d restarts, first: %s; answers %v", len(check.broken), restarts, check.broken[0], status)
 	}
 	s.Finish(stage.Held, "OWNER held; answers %v", status)
 }
--- a/review/stage/backend.go
+++ b/review/stage/backend.go
@@ -30,6 +30,34 @@
 	mu    sync.Mutex
 	life  *Life
 	lives int
+	cut   bool      // From the store.
+	wrote time.Time // When its entry was written last.
+}
+
+// CutFromStore cuts the server off from the store, or ends that. Its entry is removed
+// three heartbeats after the last one that arrived.
+func (b *Backend) CutFromStore(cut bool) {
+	b.mu.Lock()
+	b.cut = cut
+	b.mu.Unlock()
+	b.stage.Note("%s is cut off from the store: %v", b.ID, cut)
+}
+
+// expire removes the entry of a server of which the store has not heard.
+func (b *Backend) expire() {
+	for {
+		time.Sleep(20 * time.Millisecond)
+		b.mu.Lock()
+		silent := !b.wrote.IsZero() && time.Since(b.wrote) > 3*b.Heartbeat
+		if silent {
+			b.wrote = time.Time{}
+		}
+		b.mu.Unlock()
+		if silent {
+			b.stage.Note("store: the entry of %s expires", b.ID)
+			b.stage.Store.Delete("servers/" + b.ID)
+		}
+	}
 }
 
 // Life is one incarnation.
@@ -66,6 +94,7 @@
 	}
 	b.Address = listener.Addr().String()
 	s.AtEnd(b.Kill)
+	go b.expire()
 	b.begin(listener)
 	return nil
 }
@@ -107,6 +136,12 @@
 
 func (l *Life) write() {
 	b := l.Backend
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.cut || b.life != l {
+		return
+	}
+	b.wrote = time.Now()
 	b.stage.Store.Put("servers/"+b.ID, map[string]any{"service": b.Service, "address": b.Address, "zone": "za", "version": "v1",
 		"capacity": b.Slots, "state": "ready", "warmup_ms": 0, "seq": time.Since(b.stage.start).Milliseconds(), "born": l.Born})
 }
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -118,7 +118,7 @@
   metrics: %q
 seeds: [%s]
 first_start: %t
-heartbeat_ms: 870
+heartbeat_ms: 1500
 store: %q
 lease_least_ms: 1000
 memory_mb: 284
