review: case 2, a server that starts again while it is cut off from the store

The identity probe compares IDs, which two lives of a server share, and the list can't show the new life while the server is cut off from the store.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -2,5 +2,5 @@
 # Runs from any folder, after the build of the deploy file and review/build.sh.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-[ -x target/guavacrankd ] && [ -x target/review-bigbody ] || exit 2
-RECORD="$here/record.txt" exec timeout 110 target/review-bigbody
+[ -x target/guavacrankd ] && [ -x target/review-restart ] || exit 2
+RECORD="$here/record.txt" exec timeout 115 target/review-restart cut
--- a/review/restart/main.go
+++ b/review/restart/main.go
@@ -24,12 +24,14 @@
 	crashGap = 4 * time.Second
 	// heartbeat is that of chikushi-gw.
 	heartbeat = 1500 * time.Millisecond
-	// With the argument cut a server is cut off for cutFor, crashes at once and is down
-	// for cutDownFor.
-	cuts       = 14
-	cutDownFor = 500 * time.Millisecond
-	cutFor     = 3 * time.Second
-	cutGap     = 4 * time.Second
+	// With the argument cut there are cutServers servers. cutTogether of them (a share of
+	// 0.22 or less) are cut off for cutFor, crash at once and are down for cutDownFor.
+	cuts        = 10
+	cutServers  = 13
+	cutTogether = 2
+	cutDownFor  = 500 * time.Millisecond
+	cutFor      = 3 * time.Second
+	cutGap      = 5 * time.Second
 )
 
 // fences checks that a life takes a key only with a fencing token above those with
@@ -106,6 +108,7 @@
 		}
 		for p := range since {
 			if !seen[p] {
+				s.Note("key %d was held by %s and %s for %v", p.key, p.a.Name(), p.b.Name(), now.Sub(since[p]).Round(time.Millisecond))
 				delete(since, p)
 			}
 		}
@@ -127,7 +130,12 @@
 	})
 	check := &fences{}
 	var backends []*stage.Backend
-	for at := range servers {
+	cut := len(os.Args) > 1 && os.Args[1] == "cut"
+	count, restarts := servers, crashes
+	if cut {
+		count, restarts = cutServers, cuts*cutTogether
+	}
+	for at := range count {
 		b := &stage.Backend{ID: fmt.Sprintf("i-%d", at+1), Service: service, Slots: 4, Sharded: true, ServiceTime: 100 * time.Millisecond, Heartbeat: heartbeat}
 		b.OnGrant = func(l *stage.Life, from, to int, fence uint64) { check.granted(s, l, from, to, fence) }
 		b.OnRun = func(l *stage.Life, id string, key int) { s.Note("%s runs %s, key %d", l.Name(), id, key) }
@@ -174,25 +182,30 @@
 			s.Finish(stage.CantDo, "restart: %v", err)
 		}
 	}
-	restarts := crashes
-	if len(os.Args) > 1 && os.Args[1] == "cut" {
-		restarts = cuts
-		for at := range cuts {
-			if b := backends[at%servers]; s.Trouble {
+	next := 0
+	for round := 0; cut && round < cuts; round++ {
+		var all sync.WaitGroup
+		for range cutTogether {
+			b := backends[next%count]
+			next++
+			all.Go(func() {
+				if !s.Trouble {
+					return
+				}
 				b.CutFromStore(true)
 				restart(b, cutDownFor)
 				time.Sleep(cutFor - cutDownFor)
 				b.CutFromStore(false)
-			}
-			time.Sleep(cutGap)
+			})
 		}
-	} else {
-		for at := range crashes {
-			if s.Trouble {
-				restart(backends[at%servers], downFor)
-			}
-			time.Sleep(crashGap)
+		all.Wait()
+		time.Sleep(cutGap)
+	}
+	for at := 0; !cut && at < crashes; at++ {
+		if s.Trouble {
+			restart(backends[at%count], downFor)
 		}
+		time.Sleep(crashGap)
 	}
 	mu.Lock()
 	defer mu.Unlock()
--- a/review/stage/backend.go
+++ b/review/stage/backend.go
@@ -39,8 +39,12 @@
 func (b *Backend) CutFromStore(cut bool) {
 	b.mu.Lock()
 	b.cut = cut
+	life := b.life
 	b.mu.Unlock()
 	b.stage.Note("%s is cut off from the store: %v", b.ID, cut)
+	if life != nil {
+		life.write() // It had tried all the while.
+	}
 }
 
 // expire removes the entry of a server of which the store has not heard.
