review: cases 4 and 5, a changed path and a success without a server

Case 4: a path that begins with two slashes is encoded anew before it is sent to a server. Case 5: net/http answers OPTIONS * on the callers' address.

--- a/review/build.sh
+++ b/review/build.sh
@@ -2,6 +2,6 @@
 # Builds the stand-ins of the cases, after the build of the deploy file.
 set -e
 cd "$(dirname "$0")"
-for program in restart bigbody; do
+for program in restart bigbody wire; do
 	GOWORK="$PWD/go.work" GOPROXY=off go build -o ../target/review-$program ./$program
 done
