--- a/review/build.sh
+++ b/review/build.sh
@@ -3,5 +3,5 @@
 set -e
 cd "$(dirname "$0")"
 for program in restart bigbody wire; do
-	GOWORK="$PWD/go.work" GOPROXY=off go build -o ../target/review-$program ./$program
+	GOWORK="$PWD/go.work" GOPROXY=off go build -buildvcs=false -o ../target/review-$program ./$program
 done
