gateway/keys: servers that are back at their address, a failing test

If the owner's process has ended and another one listens there, that one gets the keys with the fence of the earlier life.

The random simulations never tried it: their servers are back after 1.8 s at the earliest. In the simulated list, a server that is cut off from the store does not renew its record.

--- /dev/null
+++ b/gateway/keys/restart_test.go
@@ -0,0 +1,71 @@
+package keys_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// restart ends a server's process and starts another one at its address, with an ID.
+func (sim *simulation) restart(server *fakeServer, id string, downTime time.Duration) {
+	server.up = false
+	sim.after(downTime, func() {
+		next := sim.addServer(id, server.Born+1000)
+		next.Address = server.Address
+	})
+}
+
+// latest returns the running server at an address.
+func (sim *simulation) latest(address string) *fakeServer {
+	server := sim.serverAt(address)
+	Expect(server).NotTo(BeNil(), address)
+	return server
+}
+
+var _ = Describe("A server that is back at its address within a second", func() {
+	const (
+		servers  = 4
+		restarts = 12
+	)
+	// play restarts the servers in turn and returns the simulation after a calm time.
+	play := func(seed uint64, id func(server *fakeServer, restart int) string, afterRestart func(sim *simulation, server *fakeServer)) *simulation {
+		sim, _ := startSimulation(seed, servers)
+		for restart := range restarts {
+			server := sim.latest(fmt.Sprintf("i-%d:1", restart%servers))
+			sim.restart(server, id(server, restart), time.Duration(20+sim.random.IntN(900))*time.Millisecond)
+			if afterRestart != nil {
+				afterRestart(sim, server)
+			}
+			sim.run(time.Duration(1500+sim.random.IntN(1500)) * time.Millisecond)
+		}
+		sim.run(10 * time.Second)
+		return sim
+	}
+	newID := func(_ *fakeServer, restart int) string { return fmt.Sprintf("n-%d", restart) }
+	sameID := func(server *fakeServer, _ int) string { return server.ID }
+
+	for seed := range uint64(10) {
+		It(fmt.Sprintf("seed %d: with another ID is not granted keys with a fence of its predecessor", seed), func() {
+			sim := play(seed, newID, nil)
+			Expect(sim.violations).To(BeEmpty())
+			Expect(sim.unowned()).To(BeZero())
+		})
+
+		It(fmt.Sprintf("seed %d: with its ID is not granted keys with a fence of its earlier life", seed), func() {
+			sim := play(seed, sameID, nil)
+			Expect(sim.violations).To(BeEmpty())
+			Expect(sim.unowned()).To(BeZero())
+		})
+
+		It(fmt.Sprintf("seed %d: with its ID and cut off from the store shares no keys with their next owner", seed), func() {
+			sim := play(seed, sameID, func(sim *simulation, server *fakeServer) {
+				cutFor := time.Duration(1000+sim.random.IntN(2500)) * time.Millisecond
+				sim.cutOff(server, cutFor)
+			})
+			Expect(sim.violations).To(BeEmpty())
+			Expect(sim.unowned()).To(BeZero())
+		})
+	}
+})
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -43,6 +43,8 @@
 	byName      map[string]*keys.Machine
 	unreachable map[*keys.Machine]bool
 	asking      map[*keys.Machine]bool
+	// cutUntil is until when the servers at an address can't reach the store.
+	cutUntil map[string]time.Duration
 	// lateShare is the share of grants that are applied late and not answered.
 	lateShare float64
 	// lateFor, if set, is a leader all of whose grants are.
@@ -96,6 +98,7 @@
 		byName:         make(map[string]*keys.Machine),
 		unreachable:    make(map[*keys.Machine]bool),
 		asking:         make(map[*keys.Machine]bool),
+		cutUntil:       make(map[string]time.Duration),
 	}
 }
 
@@ -160,10 +163,10 @@
 func (sim *simulation) list(unlisted ...string) {
 	var listed []model.Server
 	for _, s := range sim.servers {
-		if s.up {
+		if s.up && sim.now >= sim.cutUntil[s.Address] {
 			s.lastSeen = sim.now
 		}
-		skip := sim.now > s.lastSeen+3*heartbeatInterval
+		skip := s.lastSeen == 0 || sim.now > s.lastSeen+3*heartbeatInterval
 		for _, id := range unlisted {
 			skip = skip || s.ID == id
 		}
@@ -177,6 +180,11 @@
 	}
 }
 
+// cutOff cuts the servers at an address off from the store.
+func (sim *simulation) cutOff(server *fakeServer, d time.Duration) {
+	sim.cutUntil[server.Address] = sim.now + d
+}
+
 func (sim *simulation) after(d time.Duration, do func()) {
 	sim.events = append(sim.events, event{sim.now + d, do})
 	sort.SliceStable(sim.events, func(i, j int) bool { return sim.events[i].at < sim.events[j].at })
