gateway/keys: a fence goes to one life of a server only

Cause: grants were addressed to IP:port and meant for one life of a server, and nothing in them or around them could tell that they met another one. A renewal whose connection had ended opened the next one to whoever listened. What was taken for a proof of identity was a refused connection, a health check's ID, and a list that is read each 0.45 s with an assumed delay of 0.7 s (registrationDelay): none tells two lives apart. The same assumption let an earlier life count as ended while the later one held its keys (safelyReplaced).

Change: what ends with a life is its connections. - A fence is sent for a key on one connection only. After the end of the connection the owner is granted the keys with a higher fence on another one. Calls are bounded for each ID at an address, since lives can't be told apart there. The list ends a holder only if it shows it at another address. - A later life that the list shows at the owner's address gets its keys without a wait. - registrationDelay, and the wait for it after a probe, are gone. - Event 744 names the connection on which a fence was accepted.

Tests: the simulation has connections now, each leading to one life; dark servers; random simulations restart servers after 0 to 2 s, not 1.8 s only, and keep two usable servers.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -37,6 +37,7 @@
 	GatewayListenerFailed Number = 741
 	StoreRestored         Number = 742
 	LeaderConsulted       Number = 743
+	KeysGranted           Number = 744
 )
 
 // gatewayEvents defines the events of the gateway area.
@@ -76,4 +77,5 @@
 	{GatewayListenerFailed, "gateway-listener-failed", Error, "A listener of this process failed; the process exits."},
 	{StoreRestored, "store-restored", Warn, "The store was restored from an earlier copy and has lost changes, since its era has risen; the fields give the new and the previous era."},
 	{LeaderConsulted, "leader-consulted", Info, "After a restoration of the store, the new leader of the era has asked the other daemons for the newest ownership page of a service; confirmed says that no later page is possible, otherwise keys are granted only after all earlier grants have expired."},
+	{KeysGranted, "keys-granted", Info, "A server accepted a fencing token for some keys for the first time; the fields name the connection, on which alone this token is sent."},
 }
--- a/gateway/keys/doc.go
+++ b/gateway/keys/doc.go
@@ -10,9 +10,11 @@
 //     after every prior holder of its keys has lost them: it answered a release
 //     and no unanswered grant to it can still take effect, or every grant that
 //     it may have received has expired, or its process has ended.
-//   - A change of a range's owner takes a fence (a fencing token) above every
-//     fence of the page. The page is written before the first grant with that
-//     fence is sent.
+//   - A change of a range's owner takes a fence (a fencing token) above all that
+//     were taken before. The page that reserves a fence is written before the
+//     first grant with it is sent.
+//   - A fence is sent for a key on one connection only, and so to one life of a
+//     server: after the end of the connection the owner gets a higher one.
 //   - A new leader first gives every range a new fence, so that servers refuse
 //     grants of earlier leaders. Grants of an earlier leader count until that
 //     leader is known to have stopped; a page lists the predecessors that its
--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -32,9 +32,6 @@
 	retryDelay = 150 * time.Millisecond
 	// probeInterval is the time between two identity probes of a server.
 	probeInterval = 400 * time.Millisecond
-	// registrationDelay bounds the time from a server's start until the list of
-	// servers shows it.
-	registrationDelay = 700 * time.Millisecond
 	// draftInterval is the least time between two pages, so that changes in
 	// quick succession share one write.
 	draftInterval = 80 * time.Millisecond
@@ -69,6 +66,7 @@
 	pageKnown         bool
 	page              *Page
 	version           kvstore.Version
+	lastFence         uint64        // The last fence that was taken, by this leader or by earlier ones.
 	shortTTL          time.Duration // The TTL of grants until longTTLFrom.
 	longTTLFrom       time.Duration // From then on the page's TTL is used.
 	writing           *Page
@@ -82,7 +80,8 @@
 	nextDraftAt       time.Duration // Earliest time of the next draft.
 	retryStoreAt      time.Duration
 
-	servers map[model.Incarnation]*serverRow
+	servers   map[model.Incarnation]*serverRow
+	endpoints map[endpoint]*endpointRow
 	// latestByID and latestByAddress hold the latest listed incarnation for each.
 	latestByID      map[string]*serverRow
 	latestByAddress map[string]*serverRow
@@ -107,6 +106,7 @@
 	return &Machine{
 		options:        options,
 		servers:        make(map[model.Incarnation]*serverRow),
+		endpoints:      make(map[endpoint]*endpointRow),
 		impaired:       make(impairedZones),
 		bounds:         make(map[holderKey]holderBound),
 		released:       make(map[holderKey]releaseResult),
--- a/gateway/keys/machine_test.go
+++ b/gateway/keys/machine_test.go
@@ -86,7 +86,7 @@
 		sim, _ := startSimulation(13, 5)
 		previous := sim.servers[model.Incarnation{ID: "i-2", Born: 1000}]
 		previous.up = false
-		sim.run(restartDelay) // The record is still listed, the process has ended.
+		sim.run(1800 * time.Millisecond) // The record is still listed, the process has ended.
 		successor := sim.addServer("i-9", 2000)
 		successor.Address = previous.Address
 		previous.lastSeen = time.Hour // The old record stays listed for long.
@@ -178,10 +178,10 @@
 		m.Lead(sim.now, sim.era) // A new fence: the range is granted again while the first call is in flight.
 		tick(3*time.Second, func() bool { return len(inFlight) == 2 })
 		Expect(inFlight).To(HaveLen(2))
-		m.StepGranted(sim.now, inFlight[0], keys.TimedOut)
+		m.StepGranted(sim.now, inFlight[0], keys.TimedOut, 0)
 		lost.up = false
 		sim.run(100*time.Second, "i-1") // The machine drops the server's state.
-		m.StepGranted(sim.now, inFlight[1], keys.TimedOut)
+		m.StepGranted(sim.now, inFlight[1], keys.TimedOut, 0)
 		m.Stop()
 		for len(sim.events) > 0 {
 			sim.run(time.Second, "i-1")
@@ -224,7 +224,7 @@
 		}
 		Expect(page).NotTo(BeNil())
 		for _, call := range slow {
-			m.StepGranted(sim.now, call, keys.Accepted)
+			m.StepGranted(sim.now, call, keys.Accepted, 1)
 		}
 		m.Tick(sim.now)
 		released := 0
@@ -256,7 +256,7 @@
 		sim.onGrant = func(call keys.GrantCall) {
 			if call.Incarnation == server.Incarnation() {
 				granted = granted || call.Fence > first
-				late = granted && call.Fence == first
+				late = granted && call.Fence <= first
 			}
 		}
 		for !late {
--- a/gateway/keys/page.go
+++ b/gateway/keys/page.go
@@ -15,7 +15,8 @@
 type Page struct {
 	// Stamp orders the page among all pages of the service.
 	Stamp
-	// Fence is the highest fence that any range ever had.
+	// Fence is the highest fence that the writer may take before its next page. It is
+	// above all that were ever taken.
 	Fence uint64
 	// Writer is the leader that wrote the page.
 	Writer Leader
--- a/gateway/keys/random_test.go
+++ b/gateway/keys/random_test.go
@@ -35,8 +35,8 @@
 	}
 })
 
-// restartDelay is the least time between two processes at one address.
-const restartDelay = 1800 * time.Millisecond
+// maxRestartDelay bounds the time between two processes at one address.
+const maxRestartDelay = 2 * time.Second
 
 // injectFault injects one random fault and returns the servers that are not listed
 // from then on.
@@ -49,16 +49,23 @@
 			}
 		}
 	}
+	usable := 0
+	for _, s := range up {
+		if !s.Draining {
+			usable++
+		}
+	}
 	chosen := up[sim.random.IntN(len(up))]
 	switch sim.random.IntN(10) {
 	case 0:
-		chosen.Draining = len(up) > 2
+		chosen.Draining = chosen.Draining || usable > 2
 	case 1:
 		chosen.unreachable = true
 		return append(unlisted, chosen.ID)
 	case 2:
-		if len(up) > 2 {
+		if usable > 2 {
 			chosen.up = false
+			chosen.dark = sim.random.IntN(2) == 0
 		}
 	case 3:
 		sim.lateShare, sim.lateArrivalShare = 0.3, 0.1
@@ -72,10 +79,11 @@
 	case 6:
 		sim.addServer(fmt.Sprintf("i-%d", 8+step), 1000)
 	case 7:
-		chosen.up = false
-		if chosen.Born < 3000 {
-			// A process takes a while to start; calls fail meanwhile.
-			sim.after(restartDelay, func() { sim.addServer(chosen.ID, chosen.Born+1000) })
+		switch {
+		case chosen.Born < 3000:
+			sim.restart(chosen, chosen.ID, time.Duration(sim.random.Int64N(int64(maxRestartDelay))))
+		case usable > 2:
+			chosen.up = false
 		}
 	case 8:
 		sim.isolateLeaders()
--- a/gateway/keys/ready.go
+++ b/gateway/keys/ready.go
@@ -39,6 +39,8 @@
 	Address     string
 	// ID is unique among the calls of one process.
 	ID uint64
+	// First says that the server has not accepted the fence before.
+	First bool
 	port.Grant
 }
 
--- a/gateway/keys/restart_test.go
+++ b/gateway/keys/restart_test.go
@@ -11,6 +11,7 @@
 // restart ends a server's process and starts another one at its address, with an ID.
 func (sim *simulation) restart(server *fakeServer, id string, downTime time.Duration) {
 	server.up = false
+	server.dark = sim.random.IntN(2) == 0
 	sim.after(downTime, func() {
 		next := sim.addServer(id, server.Born+1000)
 		next.Address = server.Address
--- a/gateway/keys/restoration.go
+++ b/gateway/keys/restoration.go
@@ -108,12 +108,13 @@
 		return
 	}
 	m.announceTTL(page)
-	m.page = page
+	m.setPage(page)
 	if written != nil && page.sameWrite(written) {
 		m.adopted = true
 		return
 	}
 	m.adopted, m.leadingSince = false, m.now
+	m.passFences()
 	m.addPredecessors(page)
 }
 
--- a/gateway/keys/simulation_calls_test.go
+++ b/gateway/keys/simulation_calls_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/port"
 	"guavacrank.example/kvstore"
 )
 
@@ -60,44 +61,97 @@
 	if sim.onGrant != nil {
 		sim.onGrant(call)
 	}
+	if call.Connection != 0 {
+		sim.renew(m, call)
+		return
+	}
 	server := sim.serverAt(call.Address)
 	if server == nil || sim.random.Float64() < sim.refusedShare {
-		sim.after(sim.networkDelay(), func() { m.StepGranted(sim.now, call, keys.NoListener) })
+		sim.answer(sim.networkDelay(), m, call, keys.NoListener, 0)
 		return
 	}
-	if server.silent {
-		sim.after(keys.CallTimeout, func() { m.StepGranted(sim.now, call, keys.TimedOut) })
+	if server.unreachable {
+		sim.answer(keys.CallTimeout, m, call, keys.Unreachable, 0)
+		return
+	}
+	if server.Zone == sim.congestedZone && server.delayedCall {
+		sim.answer(keys.CallTimeout, m, call, keys.NotSent, 0)
+		return
+	}
+	sim.send(m, call, sim.connect(server))
+}
+
+// answer reports the outcome of a call after a delay. Its connection ends with the call
+// unless the server accepted it.
+func (sim *simulation) answer(delay time.Duration, m *keys.Machine, call keys.GrantCall, outcome keys.Outcome, connection port.Connection) {
+	sim.after(delay, func() {
+		if outcome != keys.Accepted {
+			delete(sim.connections, connection)
+		}
+		m.StepGranted(sim.now, call, outcome, connection)
+	})
+}
+
+// connect opens a connection to a server, or uses one that is open.
+func (sim *simulation) connect(server *fakeServer) port.Connection {
+	if sim.random.IntN(2) == 0 {
+		for id := port.Connection(1); id <= sim.nextConnection; id++ {
+			if sim.connections[id] == server {
+				return id
+			}
+		}
+	}
+	sim.nextConnection++
+	sim.connections[sim.nextConnection] = server
+	return sim.nextConnection
+}
+
+// renew sends a call on its connection only.
+func (sim *simulation) renew(m *keys.Machine, call keys.GrantCall) {
+	server := sim.connections[call.Connection]
+	if server == nil || !server.up && !server.dark {
+		sim.answer(0, m, call, keys.ConnectionEnded, call.Connection)
 		return
 	}
 	if server.unreachable {
-		sim.after(keys.CallTimeout, func() { m.StepGranted(sim.now, call, keys.Unreachable) })
+		sim.answer(keys.CallTimeout, m, call, keys.TimedOut, call.Connection)
 		return
 	}
-	if server.Zone == sim.congestedZone && server.delayedCall {
-		sim.after(keys.CallTimeout, func() { m.StepGranted(sim.now, call, keys.NotSent) })
+	sim.send(m, call, call.Connection)
+}
+
+// send sends a call on a connection.
+func (sim *simulation) send(m *keys.Machine, call keys.GrantCall, connection port.Connection) {
+	server := sim.connections[connection]
+	if !server.up {
+		ends := []keys.Outcome{keys.Disconnected, keys.TimedOut} // The former once another process listens there.
+		sim.answer(keys.CallTimeout, m, call, ends[sim.random.IntN(len(ends))], connection)
+		return
+	}
+	if server.silent {
+		sim.answer(keys.CallTimeout, m, call, keys.TimedOut, connection)
 		return
 	}
 	if server.Zone == sim.congestedZone {
 		server.delayedCall = true
 		late := sim.maxCongestionDelay/2 + time.Duration(sim.random.Int64N(int64(sim.maxCongestionDelay/2)))
 		sim.after(keys.CallTimeout+late, func() { sim.apply(server, call) })
-		sim.after(keys.CallTimeout, func() { m.StepGranted(sim.now, call, keys.TimedOut) })
+		sim.answer(keys.CallTimeout, m, call, keys.TimedOut, connection)
 		return
 	}
 	if sim.random.Float64() < sim.lateArrivalShare {
 		sim.after(keys.CallTimeout+time.Duration(sim.random.Int64N(int64(maxTransitTime))), func() { sim.apply(server, call) })
-		sim.after(keys.CallTimeout, func() { m.StepGranted(sim.now, call, keys.TimedOut) })
+		sim.answer(keys.CallTimeout, m, call, keys.TimedOut, connection)
 		return
 	}
 	sim.after(sim.networkDelay(), func() {
 		arrived := sim.now
 		if sim.random.Float64() < sim.lateShare || m == sim.lateFor {
 			sim.after(time.Duration(sim.random.Int64N(int64(6*time.Second))), func() { sim.applyLate(server, call, arrived) })
-			sim.after(keys.CallTimeout-(arrived-sim.now), func() { m.StepGranted(sim.now, call, keys.Disconnected) })
+			sim.answer(keys.CallTimeout-(arrived-sim.now), m, call, keys.Disconnected, connection)
 			return
 		}
-		outcome := sim.apply(server, call)
-		sim.after(sim.networkDelay(), func() { m.StepGranted(sim.now, call, outcome) })
+		sim.answer(sim.networkDelay(), m, call, sim.apply(server, call), connection)
 	})
 }
 
@@ -117,6 +171,9 @@
 	if !server.up {
 		return keys.Disconnected
 	}
+	if server.ID != call.Server {
+		return keys.OtherServer
+	}
 	for _, key := range sampledKeys {
 		if key >= call.From && key <= call.To && server.seen[key] > call.Fence {
 			return keys.FenceRefused
@@ -150,17 +207,21 @@
 func (sim *simulation) release(m *keys.Machine, call keys.ReleaseCall) {
 	server := sim.serverAt(call.Address)
 	if server == nil || sim.random.Float64() < sim.refusedShare {
-		sim.after(sim.networkDelay(), func() { m.StepReleased(sim.now, call, false, "", true) })
+		sim.after(sim.networkDelay(), func() { m.StepReleased(sim.now, call, keys.ReleaseNoListener, "") })
 		return
 	}
 	if server.unreachable {
-		sim.after(time.Second, func() { m.StepReleased(sim.now, call, false, "", false) })
+		sim.after(time.Second, func() { m.StepReleased(sim.now, call, keys.ReleaseUnanswered, "") })
+		return
+	}
+	if server.ID != call.Server {
+		sim.after(2*sim.networkDelay(), func() { m.StepReleased(sim.now, call, keys.HolderEnded, "") })
 		return
 	}
 	sim.after(sim.networkDelay(), func() {
 		server.removeRange(call.From, call.To)
 		sim.after(sim.networkDelay()+time.Duration(sim.random.Int64N(int64(sim.maxReleaseTime))), func() {
-			m.StepReleased(sim.now, call, true, fmt.Sprintf("h-%d-%d", call.From, call.Fence), false)
+			m.StepReleased(sim.now, call, keys.Released, fmt.Sprintf("h-%d-%d", call.From, call.Fence))
 		})
 	})
 }
--- a/gateway/keys/simulation_server_test.go
+++ b/gateway/keys/simulation_server_test.go
@@ -15,6 +15,7 @@
 	up          bool
 	unreachable bool // Calls to it get lost.
 	silent      bool // It accepts connections and answers nothing.
+	dark        bool // Its process ended without closing its connections.
 	// delayedCall reports that a call to it was delayed by congestion.
 	delayedCall bool
 	// lastSeen is when it last renewed its record, which stays listed for three
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -8,6 +8,7 @@
 
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/model"
+	"guavacrank.example/gateway/port"
 	"guavacrank.example/kvstore"
 )
 
@@ -45,6 +46,9 @@
 	asking      map[*keys.Machine]bool
 	// cutUntil is until when the servers at an address can't reach the store.
 	cutUntil map[string]time.Duration
+	// connections are the open connections to servers. One leads to its server only.
+	connections    map[port.Connection]*fakeServer
+	nextConnection port.Connection
 	// lateShare is the share of grants that are applied late and not answered.
 	lateShare float64
 	// lateFor, if set, is a leader all of whose grants are.
@@ -99,6 +103,7 @@
 		unreachable:    make(map[*keys.Machine]bool),
 		asking:         make(map[*keys.Machine]bool),
 		cutUntil:       make(map[string]time.Duration),
+		connections:    make(map[port.Connection]*fakeServer),
 	}
 }
 
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"guavacrank.example/gateway/model"
+	"guavacrank.example/gateway/port"
 	"guavacrank.example/kvstore"
 )
 
@@ -23,13 +24,7 @@
 	}
 	for _, server := range servers {
 		row := m.row(server.Incarnation())
-		if !row.listed && row.firstListedAt == 0 {
-			row.firstListedAt = now
-		}
 		row.Server, row.listed = server, true
-		if row.unconfirmed && row.confirmedAt != 0 && now >= row.confirmedAt+registrationDelay {
-			row.unconfirmed, row.failingSince = false, 0
-		}
 	}
 	m.indexServers()
 	if len(servers) > 0 && m.firstServerAt == 0 {
@@ -59,7 +54,7 @@
 func (m *Machine) row(incarnation model.Incarnation) *serverRow {
 	row := m.servers[incarnation]
 	if row == nil {
-		row = &serverRow{granted: make(map[uint16]grantRow), inFlight: make(map[uint64]time.Duration)}
+		row = &serverRow{granted: make(map[uint16]grantRow)}
 		row.ID, row.Born = incarnation.ID, incarnation.Born
 		m.servers[incarnation] = row
 	}
@@ -91,13 +86,14 @@
 	case page == nil:
 		m.page = nil
 	case written != nil && page.sameWrite(written):
-		m.page = page
+		m.setPage(page)
 		m.adopted = true
 	default:
 		m.adopted = m.adopted && page.Writer == m.options.Self
-		m.page = page
+		m.setPage(page)
 		m.addPredecessors(page)
 	}
+	m.passFences()
 }
 
 // StepReadFailed takes a failure to read the page.
@@ -118,7 +114,8 @@
 		m.writeUnknown, m.pageKnown = true, false // The store was restored meanwhile.
 	case err == nil:
 		m.announceTTL(m.writing)
-		m.page, m.version = m.writing, position.Version
+		m.setPage(m.writing)
+		m.version = position.Version
 		m.writing, m.adopted = nil, true
 		if len(m.page.Ranges) > 0 {
 			m.settlement = settled // The page names the unknown holders.
@@ -156,50 +153,43 @@
 	// NoListener means that it was not sent because no process listens at the
 	// address.
 	NoListener
+	// ConnectionEnded means that it was not sent because its connection has ended.
+	ConnectionEnded
+	// OtherServer means that another server runs at the address and refused it.
+	OtherServer
 )
 
 // sent reports whether the server may have received the grant.
-func (o Outcome) sent() bool { return o != NotSent && o != Unreachable && o != NoListener }
+func (o Outcome) sent() bool {
+	switch o {
+	case NotSent, Unreachable, NoListener, ConnectionEnded, OtherServer:
+		return false
+	}
+	return true
+}
 
 // answered reports whether the server answered.
 func (o Outcome) answered() bool { return o == Accepted || o == FenceRefused }
 
-// StepGranted takes the outcome of a grant call.
-func (m *Machine) StepGranted(now time.Duration, call GrantCall, outcome Outcome) {
+// StepGranted takes the outcome of a grant call and the connection on which it was sent.
+func (m *Machine) StepGranted(now time.Duration, call GrantCall, outcome Outcome, connection port.Connection) {
 	m.now = now
 	row := m.row(call.Incarnation)
 	row.grantSent = true
-	if _, pending := row.inFlight[call.ID]; pending {
-		m.calls--
-	}
-	delete(row.inFlight, call.ID)
-	if outcome.sent() {
-		row.latestArrival = max(row.latestArrival, arrival(now, outcome))
-	}
+	m.endCall(m.endpointOf(call.Incarnation, call.Address), call, outcome)
+	m.resolveBounds(call, outcome)
+	current := m.resolveGrant(row, call, outcome, connection)
 	switch outcome {
 	case Accepted:
 		row.acceptedGrant = true
-	case Disconnected, TimedOut:
-		row.latestUnanswered = max(row.latestUnanswered, arrival(now, outcome))
 	case Unreachable:
 		row.markUnconfirmed(now)
-	case NoListener:
+	case NoListener, OtherServer:
 		row.markUnconfirmed(now)
 		row.noteRefused(now)
 	}
-	m.resolveBounds(call, outcome)
-	m.resolveGrant(row, call, outcome == Accepted)
-	switch {
-	case !outcome.answered():
-		if row.failingSince == 0 {
-			row.failingSince = now
-		}
-		row.unresponsive = outcome == TimedOut || outcome == NotSent || outcome == Unreachable
-		m.updateZone(row.Zone)
-	default:
-		row.failingSince, row.refusedSince, row.unresponsive = 0, 0, false
-	}
-	if outcome != FenceRefused || !m.leading {
+	m.noteResponse(row, outcome)
+	if outcome != FenceRefused || !current || !m.leading {
 		return
 	}
 	switch {
@@ -210,6 +200,37 @@
 	}
 }
 
+// endCall records the end of a call to an endpoint.
+func (m *Machine) endCall(row *endpointRow, call GrantCall, outcome Outcome) {
+	if _, pending := row.inFlight[call.ID]; pending {
+		m.calls--
+	}
+	delete(row.inFlight, call.ID)
+	if !outcome.sent() {
+		return
+	}
+	row.latestArrival = max(row.latestArrival, arrival(m.now, outcome))
+	if !outcome.answered() {
+		row.latestUnanswered = max(row.latestUnanswered, arrival(m.now, outcome))
+	}
+}
+
+// noteResponse records whether the server answered a call. The end of a connection between
+// two calls says nothing about it.
+func (m *Machine) noteResponse(row *serverRow, outcome Outcome) {
+	switch {
+	case outcome == ConnectionEnded:
+	case outcome.answered():
+		row.failingSince, row.refusedSince, row.unresponsive = 0, 0, false
+	default:
+		if row.failingSince == 0 {
+			row.failingSince = m.now
+		}
+		row.unresponsive = outcome == TimedOut || outcome == NotSent || outcome == Unreachable
+		m.updateZone(row.Zone)
+	}
+}
+
 // arrival returns the latest time at which a call that ended now may arrive.
 func arrival(now time.Duration, outcome Outcome) time.Duration {
 	if outcome == TimedOut {
@@ -218,12 +239,13 @@
 	return now
 }
 
-// markUnconfirmed records that another process may run at the server's address.
+// markUnconfirmed records that the server may have ended.
 func (r *serverRow) markUnconfirmed(now time.Duration) {
-	r.unconfirmed, r.confirmedAt, r.nextProbeAt = true, 0, now+probeInterval
+	r.unconfirmed, r.nextProbeAt = true, now+probeInterval
 }
 
-// noteRefused records that no process accepted a call at the server's address.
+// noteRefused records that the server did not accept a call at its address: no process or
+// another server did.
 func (r *serverRow) noteRefused(now time.Duration) {
 	if r.refusedSince == 0 {
 		r.refusedSince = now
@@ -234,7 +256,7 @@
 // resolveBounds applies the end of a call to the bounds of prior holders.
 func (m *Machine) resolveBounds(call GrantCall, outcome Outcome) {
 	for key, bound := range m.bounds {
-		if _, pending := bound.pending[call.ID]; key.incarnation != call.Incarnation || !pending {
+		if _, pending := bound.pending[call.ID]; !pending {
 			continue
 		}
 		delete(bound.pending, call.ID)
@@ -248,21 +270,17 @@
 	}
 }
 
-// resolveGrant records the end of a call in the row of its range.
-func (m *Machine) resolveGrant(row *serverRow, call GrantCall, accepted bool) {
-	grant, held := row.granted[call.From]
-	if !held {
-		return
-	}
-	grant.inFlight = false
-	switch {
-	case !accepted:
-		grant.due = m.now + retryDelay
-	case grant.fence == call.Fence && grant.to == call.To:
-		grant.accepted = true
-		grant.handover = ""
+// resolveGrant records the end of a call in the rows of its range, or of its parts if it
+// was divided meanwhile. It returns false if a later fence was sent for them since.
+func (m *Machine) resolveGrant(row *serverRow, call GrantCall, outcome Outcome, connection port.Connection) (current bool) {
+	for from, grant := range row.granted {
+		if grant.fence == call.Fence && call.From <= from && grant.to <= call.To {
+			grant.end(m.now, outcome, connection)
+			row.granted[from] = grant
+			current = true
+		}
 	}
-	row.granted[call.From] = grant
+	return current
 }
 
 // StepProbed takes the ID that the server at an address returned; empty without
@@ -272,32 +290,47 @@
 	row := m.row(call.Incarnation)
 	row.probing = false
 	switch {
-	case noListener:
-		row.noteRefused(now)
 	case id == call.Incarnation.ID:
-		row.refusedSince = 0
-		if row.unconfirmed {
-			row.confirmedAt = now
-		}
+		row.unconfirmed, row.failingSince, row.refusedSince = false, 0, 0
+	case noListener || id != "":
+		row.noteRefused(now)
 	}
 }
 
-// StepReleased takes the outcome of a release call. noListener reports that no
-// process listens at the address.
-func (m *Machine) StepReleased(now time.Duration, call ReleaseCall, answered bool, handover string, noListener bool) {
+// ReleaseOutcome is the result of a release call.
+type ReleaseOutcome uint8
+
+// Outcomes of a release call.
+const (
+	// ReleaseUnanswered means that no response came.
+	ReleaseUnanswered ReleaseOutcome = iota
+	// ReleaseNoListener means that no process listens at the address.
+	ReleaseNoListener
+	// Released means that the process at the address has released the keys.
+	Released
+	// HolderEnded means that another server runs at the address.
+	HolderEnded
+)
+
+// StepReleased takes the outcome of a release call and the handover token.
+func (m *Machine) StepReleased(now time.Duration, call ReleaseCall, outcome ReleaseOutcome, handover string) {
 	m.now = now
 	key := holderKey{call.From, call.To, call.Incarnation, call.Fence}
-	if row := m.row(call.Incarnation); noListener {
-		row.noteRefused(now)
-	} else if answered {
-		row.refusedSince = 0
-	}
+	row := m.row(call.Incarnation)
 	delete(m.releasing, key)
-	if !answered {
+	switch outcome {
+	case ReleaseUnanswered:
 		m.retryReleaseAt[key] = now + retryDelay
-		return
+	case ReleaseNoListener:
+		row.noteRefused(now)
+		m.retryReleaseAt[key] = now + retryDelay
+	case Released:
+		row.refusedSince = 0
+		m.released[key] = releaseResult{done: true, handover: handover}
+	case HolderEnded:
+		row.noteRefused(now)
+		m.released[key] = releaseResult{done: true, ended: true}
 	}
-	m.released[key] = releaseResult{done: true, handover: handover}
 }
 
 // StepRequests takes the keys of recent requests.
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -29,6 +29,7 @@
 	if !b.changed {
 		b.rebalance()
 	}
+	b.reserveFences()
 	if !b.changed {
 		return
 	}
@@ -43,7 +44,7 @@
 // draftNeeded reports whether the page may have to change. It is cheap: it does
 // not compute the servers' loads.
 func (m *Machine) draftNeeded() bool {
-	if m.page == nil || len(m.page.Ranges) == 0 || !m.adopted || m.page.Era < m.era || m.now >= m.nextRebalanceAt || !slices.Equal(m.page.Predecessors, m.predecessors.active) {
+	if m.page == nil || len(m.page.Ranges) == 0 || !m.adopted || m.fencesLow() || m.page.Era < m.era || m.now >= m.nextRebalanceAt || !slices.Equal(m.page.Predecessors, m.predecessors.active) {
 		return true
 	}
 	for _, r := range m.page.Ranges {
@@ -69,8 +70,8 @@
 // newFence returns the fence of this draft's changes, which is above all others.
 func (b *pageBuilder) newFence() uint64 {
 	if b.fence == 0 {
-		b.page.Fence = max(b.page.Fence+1, firstFence(b.era))
-		b.fence = b.page.Fence
+		b.lastFence = max(b.lastFence+1, firstFence(b.era))
+		b.fence = b.lastFence
 	}
 	b.changed = true
 	return b.fence
@@ -171,11 +172,33 @@
 			b.page.Ranges = append(b.page.Ranges, r)
 			continue
 		}
+		if later := b.laterLife(r.Owner); later != nil {
+			b.page.Ranges = append(b.page.Ranges, b.passOn(r, later))
+			continue
+		}
 		room := b.maxRanges() - len(b.page.Ranges) - len(ranges[at:])
 		b.page.Ranges = append(b.page.Ranges, b.spread(r, room)...)
 	}
 }
 
+// laterLife returns the row of a listed server that runs under a holder's ID at the holder's
+// address in its place and may own keys, or nil.
+func (b *pageBuilder) laterLife(holder Holder) *serverRow {
+	successor := b.latestByAddress[holder.Address]
+	if !successor.replaces(holder) || successor.ID != holder.ID || !slices.Contains(b.loads.usable(), successor) {
+		return nil
+	}
+	return successor
+}
+
+// passOn gives a range to a later life of its owner. Lives at one address share a bound of
+// their grants, so that the earlier one is no prior holder.
+func (b *pageBuilder) passOn(r Range, later *serverRow) Range {
+	b.loads.moveRate(r.Owner.Incarnation, later.Incarnation(), r)
+	r.Owner = b.holder(later)
+	return r
+}
+
 // mustMove reports whether the owner of a range is draining, gone or unreachable.
 func (m *Machine) mustMove(r Range) bool {
 	if r.Owner.ID == "" || m.replaced(r.Owner) {
@@ -195,7 +218,7 @@
 // down reports whether a server's process seems to have ended: its address
 // refused calls for some time, and it has not confirmed its ID since.
 func (r *serverRow) down() bool {
-	return r.refusedSince > 0 && r.lastRefusedAt >= r.refusedSince+downAfter && r.unconfirmed && r.confirmedAt == 0
+	return r.refusedSince > 0 && r.lastRefusedAt >= r.refusedSince+downAfter && r.unconfirmed
 }
 
 // unreachable reports whether a listed server has answered no grant for so long
@@ -261,6 +284,7 @@
 func (b *pageBuilder) move(old, part Range, target *serverRow) Range {
 	b.loads.moveRate(old.Owner.Incarnation, target.Incarnation(), part)
 	prior := old.Owner
+	prior.Fence = b.sentFence(old)
 	if prior.ID != "" {
 		part.Prior = append(part.Prior[:len(part.Prior):len(part.Prior)], prior)
 		key := holderKey{part.From, part.To, prior.Incarnation, prior.Fence}
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -62,7 +62,7 @@
 // boundOf returns the bound of an owner's grants of one of its ranges. No further
 // grant of the range may be sent after it.
 func (m *Machine) boundOf(r Range) holderBound {
-	row := m.row(r.Owner.Incarnation)
+	row := m.endpointOf(r.Owner.Incarnation, r.Owner.Address)
 	return holderBound{
 		latestArrival:    row.latestArrival,
 		latestUnanswered: row.latestUnanswered,
@@ -80,7 +80,8 @@
 // latestUnanswered returns the latest time at which an unanswered grant may have
 // arrived at a server, including grants of earlier leaders.
 func (m *Machine) latestUnanswered(row *serverRow) time.Duration {
-	return m.adjustArrival(row, max(row.latestUnanswered, m.predecessorBound()))
+	sent := m.endpointOf(row.Incarnation(), row.Address)
+	return m.adjustArrival(row, max(sent.latestUnanswered, m.predecessorBound()))
 }
 
 // priorEnded reports whether a prior holder can't hold a range any more, and
@@ -92,17 +93,14 @@
 	key := holderKey{r.From, r.To, prior.Incarnation, prior.Fence}
 	bound := m.bounds[key]
 	if len(bound.pending) > 0 {
-		return false, "" // The grant could reach a later process at the same address.
+		return false, ""
 	}
 	row := m.row(prior.Incarnation)
 	arrived, late := m.adjustArrival(row, m.latestArrival(bound)), m.adjustArrival(row, max(bound.latestUnanswered, m.predecessorBound()))
-	if m.safelyReplaced(prior, max(arrived, late)) {
-		return true, ""
-	}
-	if m.now >= arrived+m.maxGrantLifetime() {
+	result, released := m.released[key]
+	if result.ended || m.startedElsewhere(prior) || m.now >= arrived+m.maxGrantLifetime() {
 		return true, ""
 	}
-	result, released := m.released[key]
 	if !released {
 		return false, ""
 	}
@@ -118,14 +116,12 @@
 // replaces reports whether a row is a later incarnation than a holder.
 func (r *serverRow) replaces(holder Holder) bool { return r != nil && r.Born > holder.Born }
 
-// safelyReplaced reports whether a later incarnation is listed that can't have
-// received a grant meant for the holder, the last of which arrived by latestArrival.
-func (m *Machine) safelyReplaced(holder Holder, latestArrival time.Duration) bool {
-	successor := m.latestByAddress[holder.Address]
-	if successor.replaces(holder) {
-		return latestArrival < successor.firstListedAt-registrationDelay
-	}
-	return m.latestByID[holder.ID].replaces(holder)
+// startedElsewhere reports whether a later incarnation of a holder is listed at another
+// address. All lives under its ID at the holder's address have then ended. One at the same
+// address may have the holder's grants.
+func (m *Machine) startedElsewhere(holder Holder) bool {
+	successor := m.latestByID[holder.ID]
+	return successor.replaces(holder) && successor.Address != holder.Address
 }
 
 // mayGrant reports whether no prior holder of a range holds it any more. The
@@ -145,7 +141,8 @@
 }
 
 // runReleases asks prior holders to release their keys. It waits while a grant to
-// the holder is in flight, which could arrive after the release.
+// the holder is in flight, which could arrive after the release. Whichever life of the
+// holder answers, no earlier one holds the keys then.
 func (m *Machine) runReleases() {
 	if m.page == nil {
 		return
@@ -169,6 +166,6 @@
 	}
 	m.releasing[key] = m.now
 	call := ReleaseCall{Incarnation: prior.Incarnation, Address: prior.Address}
-	call.From, call.To, call.Fence = r.From, r.To, prior.Fence
+	call.From, call.To, call.Fence, call.Server = r.From, r.To, prior.Fence, prior.ID
 	m.ready.Releases = append(m.ready.Releases, call)
 }
--- a/gateway/keys/system_renewal.go
+++ b/gateway/keys/system_renewal.go
@@ -56,41 +56,33 @@
 		return
 	}
 	grant, known := row.granted[r.From]
-	if !known || grant.fence != r.Owner.Fence || grant.to != r.To {
-		grant = row.newGrant(r, handover)
+	if !known || grant.term != r.Owner.Fence || grant.to != r.To {
+		grant = grantRow{term: r.Owner.Fence, to: r.To, handover: handover}
 	}
-	if grant.inFlight || m.now < grant.due {
+	if grant.inFlight || m.now < grant.due || !m.renewFence(&grant) {
 		return
 	}
 	grant.inFlight = true
-	m.nextCallID++
-	row.inFlight[m.nextCallID] = m.now
 	grant.due = m.now + m.grantTTL()/renewalsPerTTL
 	row.granted[r.From] = grant
-	call := GrantCall{Incarnation: r.Owner.Incarnation, Address: r.Owner.Address, ID: m.nextCallID}
-	call.From, call.To, call.Fence = r.From, r.To, r.Owner.Fence
+	m.sendGrant(r, grant)
+}
+
+// sendGrant asks for a grant call.
+func (m *Machine) sendGrant(r Range, grant grantRow) {
+	m.nextCallID++
+	call := GrantCall{Incarnation: r.Owner.Incarnation, Address: r.Owner.Address, ID: m.nextCallID, First: !grant.accepted}
+	call.Server, call.Connection = r.Owner.ID, grant.connection
+	call.From, call.To, call.Fence = r.From, r.To, grant.fence
 	call.TTL, call.Handover = m.grantTTL(), grant.handover
+	m.endpointOf(call.Incarnation, call.Address).inFlight[call.ID] = m.now
 	m.calls++
 	m.ready.Grants = append(m.ready.Grants, call)
 }
 
-// newGrant returns the state of a range that was not granted with these bounds and
-// this fence before. A part of a granted range stays valid until that grant expires
-// and is renewed when that grant was due: a server with a long queue is slow to
-// answer a call on a new connection.
-func (r *serverRow) newGrant(part Range, handover string) grantRow {
-	for from, grant := range r.granted {
-		if from <= part.From && grant.to >= part.To && grant.fence == part.Owner.Fence && grant.accepted {
-			grant.to, grant.inFlight = part.To, false
-			return grant
-		}
-	}
-	return grantRow{fence: part.Owner.Fence, to: part.To, handover: handover}
-}
-
-// reachesOwner reports whether a call to a server's address reaches that server
-// and no later one. The server must be confirmed and either be listed or have
-// accepted a grant of this leader and be missing from the list only briefly.
+// reachesOwner reports whether calls to a server's address are expected to reach it. The
+// server must be confirmed and either be listed or have accepted a grant of this leader and
+// be missing from the list only briefly.
 func (m *Machine) reachesOwner(row *serverRow) bool {
 	return !row.unconfirmed && (row.listed || row.acceptedGrant && !m.absent(row))
 }
@@ -101,7 +93,8 @@
 	return m.listed && !row.listed && m.now >= m.absenceCountsAt
 }
 
-// pruneInterval is the time between two removals of unused state.
+// pruneInterval is the time between two removals of unused state. It is longer than any
+// grant is valid.
 const pruneInterval = 30 * time.Second
 
 // runPrune removes state that the page does not refer to any more.
@@ -139,8 +132,13 @@
 				delete(row.granted, from)
 			}
 		}
-		if !row.listed && len(row.granted) == 0 && len(row.inFlight) == 0 {
+		if !row.listed && len(row.granted) == 0 {
 			delete(m.servers, incarnation)
 		}
 	}
+	for key, row := range m.endpoints {
+		if len(row.inFlight) == 0 && m.now >= row.latestArrival+pruneInterval {
+			delete(m.endpoints, key)
+		}
+	}
 }
--- a/gateway/keys/tables.go
+++ b/gateway/keys/tables.go
@@ -9,14 +9,7 @@
 // serverRow is the state of one incarnation of a server.
 type serverRow struct {
 	model.Server
-	listed        bool
-	firstListedAt time.Duration // When it was listed first.
-	// latestArrival bounds the arrival of the last grant: the end of the last
-	// call that was sent.
-	latestArrival time.Duration
-	// latestUnanswered is the same for unanswered calls.
-	latestUnanswered time.Duration
-	inFlight         map[uint64]time.Duration // Start times of calls in flight, by call ID.
+	listed bool
 	// refusedSince is when the first and lastRefusedAt when the last of the calls
 	// in a row ended that no process at the address accepted; zero without one.
 	// This does not prove that the server has ended: a full backlog of connections
@@ -38,29 +31,14 @@
 	// target and capacity are decayed request counts; capacity takes all slots.
 	utilization, serviceTime float64
 	rate, target, capacity   float64
-	// unconfirmed is set after a failure to connect: another process may run at
-	// the address. Nothing is granted until the server has confirmed its ID and
-	// the list still shows the same server registrationDelay later.
+	// unconfirmed is set after a failure to reach the server: it may have ended. It gets
+	// no grants until a probe returns its ID.
 	unconfirmed bool
 	nextProbeAt time.Duration // When to probe its ID next.
 	probing     bool
-	// probedAt is when its ID was probed last.
-	probedAt    time.Duration
-	confirmedAt time.Duration       // When it confirmed its ID; zero before.
 	granted     map[uint16]grantRow // By the first key of the range.
 }
 
-// grantRow is the state of one granted range.
-type grantRow struct {
-	fence    uint64
-	to       uint16
-	due      time.Duration // When to send the next grant.
-	inFlight bool
-	// accepted reports that the server accepted a grant with this fence.
-	accepted bool
-	handover string
-}
-
 // holderKey identifies one prior holder of one range.
 type holderKey struct {
 	from        uint16
@@ -73,4 +51,6 @@
 type releaseResult struct {
 	done     bool
 	handover string
+	// ended reports that another server answered: the holder's process has ended.
+	ended bool
 }
--- a/gateway/port/port.go
+++ b/gateway/port/port.go
@@ -107,10 +107,18 @@
 	ReadResponse(status int, header http.Header) ResponseHead
 }
 
+// Connection identifies a connection to a backend server among all those of this
+// process; zero is none. It leads to one run of the server's process and ends with it.
+type Connection uint64
+
 // Grant gives a backend server exclusive ownership of a range of keys for a
 // limited time. The range includes both ends.
 type Grant struct {
 	From, To uint16
+	// Server is the ID of the only server that may take the grant.
+	Server string
+	// Connection, unless zero, is the only connection on which the grant is sent.
+	Connection Connection
 	// Fence is the fencing token of the grant.
 	Fence uint64
 	// TTL counts from the arrival of the call at the server.
@@ -124,6 +132,8 @@
 // ends.
 type Release struct {
 	From, To uint16
+	// Server is the ID of the server that has to release the keys.
+	Server string
 	// Fence is the fencing token of the grant that is released.
 	Fence uint64
 }
@@ -137,6 +147,15 @@
 	return "server " + e.Address + " has seen a higher fencing token"
 }
 
+// OtherServerError reports that another server than the one that was called runs at an
+// address.
+type OtherServerError struct{ Address, Server string }
+
+// Error implements error.
+func (e *OtherServerError) Error() string {
+	return "the server at " + e.Address + " is not " + e.Server
+}
+
 // NotSentError reports a call that was not sent because there was no connection.
 type NotSentError struct {
 	// Unreachable says that connecting was attempted and failed.
@@ -144,7 +163,10 @@
 	// NoListener says that the connection was refused: no process listens at the
 	// address.
 	NoListener bool
-	Err        error
+	// ConnectionEnded says that the connection on which alone it was to be sent has
+	// ended.
+	ConnectionEnded bool
+	Err             error
 }
 
 // Error implements error.
@@ -155,12 +177,14 @@
 
 // Grantor grants keys to backend servers and takes them back.
 type Grantor interface {
-	// Grant grants keys or renews a grant. A *FenceError means that the server
-	// rejected the call, a *NotSentError that the call did not reach it. After any
-	// other error the server may still apply the grant later.
-	Grant(ctx context.Context, address string, grant Grant) error
+	// Grant grants keys or renews a grant, and returns the connection on which the
+	// grant was sent, or zero. A *FenceError means that the server rejected the call, an
+	// *OtherServerError that another server did, a *NotSentError that the call did not
+	// reach a server. After any other error the server may still apply the grant later.
+	Grant(ctx context.Context, address string, grant Grant) (Connection, error)
 	// Release takes keys back. It returns the server's handover token once the
-	// server has finished its work on the keys.
+	// server has finished its work on the keys. An *OtherServerError means that another
+	// server runs at the address.
 	Release(ctx context.Context, address string, release Release) (handover string, err error)
 	// Identify returns the ID of the server at an address, as given by its health
 	// check. A *NotSentError means that the call did not reach a server.
--- a/gateway/run/calls.go
+++ b/gateway/run/calls.go
@@ -79,8 +79,8 @@
 func (l *loop) grant(service string, call keys.GrantCall) {
 	ctx, cancel := context.WithTimeout(l.ctx, keys.CallTimeout)
 	defer cancel()
-	err := l.grantor.Grant(ctx, call.Address, call.Grant)
-	l.deliver(grantDone{service, call, grantOutcome(err), err})
+	connection, err := l.grantor.Grant(ctx, call.Address, call.Grant)
+	l.deliver(grantDone{service, call, grantOutcome(err), connection, err})
 }
 
 // noListener says whether a call failed because its connection was refused.
@@ -91,12 +91,17 @@
 
 func grantOutcome(err error) keys.Outcome {
 	var fence *port.FenceError
+	var other *port.OtherServerError
 	var notSent *port.NotSentError
 	switch {
 	case err == nil:
 		return keys.Accepted
 	case errors.As(err, &fence):
 		return keys.FenceRefused
+	case errors.As(err, &other):
+		return keys.OtherServer
+	case errors.As(err, &notSent) && notSent.ConnectionEnded:
+		return keys.ConnectionEnded
 	case noListener(err):
 		return keys.NoListener
 	case errors.As(err, &notSent) && notSent.Unreachable:
@@ -117,6 +122,20 @@
 	l.deliver(releaseDone{service, call, handover, err})
 }
 
+func releaseOutcome(err error) keys.ReleaseOutcome {
+	var other *port.OtherServerError
+	switch {
+	case err == nil:
+		return keys.Released
+	case errors.As(err, &other):
+		return keys.HolderEnded
+	case noListener(err):
+		return keys.ReleaseNoListener
+	default:
+		return keys.ReleaseUnanswered
+	}
+}
+
 func (p pageRead) apply(l *loop) {
 	machine := l.machines[p.service]
 	if machine == nil {
@@ -169,7 +188,11 @@
 
 func (g grantDone) apply(l *loop) {
 	if machine := l.machines[g.service]; machine != nil {
-		machine.StepGranted(l.clock(), g.call, g.outcome)
+		machine.StepGranted(l.clock(), g.call, g.outcome, g.connection)
+	}
+	if g.err == nil && g.call.First {
+		l.log.Event(event.KeysGranted, "", zap.String("service", g.service), zap.String("server", g.call.Incarnation.ID), zap.String("address", g.call.Address),
+			zap.Uint16("from", g.call.From), zap.Uint16("to", g.call.To), zap.Uint64("fence", g.call.Fence), zap.Uint64("connection", uint64(g.connection)))
 	}
 	if g.err != nil {
 		l.log.Event(event.GrantFailed, g.err.Error(), zap.String("service", g.service), zap.String("server", g.call.Incarnation.ID),
@@ -179,7 +202,7 @@
 
 func (r releaseDone) apply(l *loop) {
 	if machine := l.machines[r.service]; machine != nil {
-		machine.StepReleased(l.clock(), r.call, r.err == nil, r.handover, noListener(r.err))
+		machine.StepReleased(l.clock(), r.call, releaseOutcome(r.err), r.handover)
 	}
 	cause := ""
 	if r.err != nil {
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -5,6 +5,7 @@
 
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/peer"
+	"guavacrank.example/gateway/port"
 	"guavacrank.example/kvstore"
 )
 
@@ -55,7 +56,9 @@
 	service string
 	call    keys.GrantCall
 	outcome keys.Outcome
-	err     error
+	// connection is the one on which the call was sent, or zero.
+	connection port.Connection
+	err        error
 }
 
 // releaseDone is the result of a release call.
--- a/gateway/run/peer_fuzz_test.go
+++ b/gateway/run/peer_fuzz_test.go
@@ -56,7 +56,9 @@
 // noGrantor fails all calls.
 type noGrantor struct{}
 
-func (noGrantor) Grant(context.Context, string, port.Grant) error { return errors.New("no server") }
+func (noGrantor) Grant(context.Context, string, port.Grant) (port.Connection, error) {
+	return 0, errors.New("no server")
+}
 func (noGrantor) Release(context.Context, string, port.Release) (string, error) {
 	return "", errors.New("no server")
 }
--- a/traffic/upstream/pool.go
+++ b/traffic/upstream/pool.go
@@ -73,6 +73,8 @@
 var (
 	errConnectionLimit = errors.New("all connections in use")
 	errClosed          = errors.New("pool closed")
+	// ErrNoneOpen reports that a pool has no open connection that is idle.
+	ErrNoneOpen = errors.New("no open connection")
 )
 
 // Pool is a pool of connections to one address. It is safe for concurrent use.
@@ -243,9 +245,7 @@
 	start := time.Now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", p.options.Address)
 	if err != nil {
-		p.mu.Lock()
-		p.open--
-		p.mu.Unlock()
+		p.freeSlot()
 		return nil, &Failure{Stage: StageConnect, Timeout: ctx.Err() != nil, Err: err}
 	}
 	c := newConn(raw)
@@ -293,9 +293,14 @@
 // discard closes a connection and frees its slot.
 func (p *Pool) discard(c *conn) {
 	c.Close()
+	p.freeSlot()
+}
+
+// freeSlot frees the slot of a connection.
+func (p *Pool) freeSlot() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.open--
-	p.mu.Unlock()
 }
 
 // Do sends one request, without retries, and returns the response headers; the
@@ -313,6 +318,31 @@
 		return nil, failure
 	}
 	used.add(c)
+	return p.exchange(ctx, c, request)
+}
+
+// DoOpen is Do on a connection that is open already. Without one it sends nothing and
+// fails with ErrNoneOpen: a new connection may lead to another process.
+func (p *Pool) DoOpen(ctx context.Context, request *http.Request) (*Response, *Failure) {
+	c, failure := p.takeIdle(false, nil)
+	switch {
+	case failure != nil:
+		return nil, failure
+	case c == nil:
+		p.freeSlot()
+		return nil, &Failure{Stage: StageLimit, Err: ErrNoneOpen}
+	}
+	c.idleTime = time.Since(c.idleSince)
+	if !c.alive() {
+		p.discard(c)
+		return nil, &Failure{Stage: StageLimit, Err: ErrNoneOpen}
+	}
+	c.reused = true
+	return p.exchange(ctx, c, request)
+}
+
+// exchange sends a request on a connection.
+func (p *Pool) exchange(ctx context.Context, c *conn, request *http.Request) (*Response, *Failure) {
 	x := &exchange{pool: p, conn: c, ctx: ctx, request: request, start: time.Now()}
 	return x.run()
 }
