run: another VM at a predecessor's address does not prove its end

Cause: a new leader took any response of another process at its predecessor's address for the predecessor's end. That holds for a later process of the same VM, which could not listen otherwise; a VM that was given the address says nothing about the other. Change: a response to Yield names the VM; from another VM nothing follows, and the question is repeated until the majority or the timeout decides.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -260,9 +260,10 @@
 
 // YieldResponse confirms that an earlier leader has stopped.
 type YieldResponse struct {
-	// Incarnation identifies the responding process. If it is the requested one,
-	// that process sends no more grants. If it is another one, the requested
-	// process no longer runs.
+	// VM and Incarnation identify the responding process. If it is the requested one,
+	// that process sends no more grants. If it is another one of the same VM, the
+	// requested process no longer runs. Another VM proves nothing.
+	VM          string `json:"vm"`
 	Incarnation string `json:"incarnation"`
 	// Refused says that the process leads by a later term than that of the sender.
 	Refused bool `json:"refused,omitempty"`
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -183,13 +183,42 @@
 	request := &peer.YieldRequest{Incarnation: leader.Incarnation, Successor: peer.Leadership{Leader: l.self, Term: l.term}, Pages: l.pageStamps()}
 	go func() {
 		response, err := l.peers.Yield(l.ctx, leader.Address, request)
-		if err != nil {
+		done := yieldDone{leader, response, err}
+		if !done.resolved() {
 			sleep(l.ctx, yieldRetryDelay)
 		}
-		l.deliver(yieldDone{leader, response, err})
+		l.deliver(done)
 	}()
 }
 
+// resolved says whether the call need not be repeated.
+func (y yieldDone) resolved() bool {
+	return y.err == nil && (y.response.Refused || y.proof() != proofNone)
+}
+
+// endProof is how a response proves that an earlier leader sends no more grants.
+type endProof string
+
+// Proofs, as named in the log.
+const (
+	proofNone    endProof = ""
+	proofStopped endProof = "it confirmed that it has stopped"
+	proofEnded   endProof = "the process has ended: a later one of its VM responds at its address"
+)
+
+// proof returns what the response proves. Another VM may have the address now, while the
+// asked process still runs.
+func (y yieldDone) proof() endProof {
+	switch {
+	case y.response.Incarnation == y.predecessor.Incarnation:
+		return proofStopped
+	case y.response.VM == y.predecessor.VM:
+		return proofEnded
+	default:
+		return proofNone
+	}
+}
+
 func (y yieldDone) apply(l *loop) {
 	delete(l.yieldPending, y.predecessor.Incarnation)
 	if y.err != nil {
@@ -199,21 +228,27 @@
 	if y.response.Refused {
 		return
 	}
-	cause, until := "the process has ended: another one responds at its address", l.clock()
-	if y.response.Incarnation == y.predecessor.Incarnation {
-		// Calls that it has already sent may still arrive.
-		cause, until = "it confirmed that it has stopped", until+keys.MaxCallDelay
-	}
-	for _, machine := range l.machines {
-		machine.PredecessorEnded(y.predecessor.Incarnation, until)
+	if proof := y.proof(); proof != proofNone {
+		l.endPredecessor(y.predecessor, proof)
 	}
 	l.applyPages(y.response.Pages)
-	l.log.Event(event.PredecessorStopped, cause, zap.String("vm", y.predecessor.VM))
 	l.noteYield(y)
 }
 
+// endPredecessor records that an earlier leader sends no more grants.
+func (l *loop) endPredecessor(leader keys.Leader, proof endProof) {
+	until := l.clock()
+	if proof == proofStopped {
+		until += keys.MaxCallDelay // Calls that it has already sent may still arrive.
+	}
+	for _, machine := range l.machines {
+		machine.PredecessorEnded(leader.Incarnation, until)
+	}
+	l.log.Event(event.PredecessorStopped, string(proof), zap.String("vm", leader.VM))
+}
+
 func (y yieldReceived) apply(l *loop) {
-	response := peer.YieldResponse{Incarnation: l.self.Incarnation, KnownLeader: l.knownLeader}
+	response := peer.YieldResponse{VM: l.self.VM, Incarnation: l.self.Incarnation, KnownLeader: l.knownLeader}
 	response.Refused = l.leading && y.request.Successor.Term.Before(l.term)
 	if y.request.Incarnation == l.self.Incarnation && !response.Refused {
 		l.yield(y.request, &response)
