run: grants of a leader that restarted at once are still awaited

Cause: when a later process answered at a predecessor's address, all the predecessor's grants counted as arrived. A process that is back within 100 ms answers while the last grants of the one before are on their way; keys could be granted to others while they still apply. Change: the response to Yield names the uptime of the responding process; the predecessor's calls count as arrived MaxCallDelay after that process started.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -265,6 +265,8 @@
 	// requested process no longer runs. Another VM proves nothing.
 	VM          string `json:"vm"`
 	Incarnation string `json:"incarnation"`
+	// UptimeMS is the time since the responding process started, in milliseconds.
+	UptimeMS int64 `json:"uptime_ms,omitempty"`
 	// Refused says that the process leads by a later term than that of the sender.
 	Refused bool `json:"refused,omitempty"`
 	// KnownLeader is the last leader that the process knows; FormerLeader the last one of
--- a/gateway/run/incarnations_test.go
+++ b/gateway/run/incarnations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -29,3 +30,16 @@
 	yieldDone{predecessor: last, response: &peer.YieldResponse{VM: last.VM, Incarnation: "restarted"}}.apply(l)
 	g.Expect(l.machines["s"].Predecessors()).To(BeEmpty(), "two processes of a VM can't listen at one address")
 }
+
+func TestCallsOfALeaderThatRestartedAtOnceAreStillAwaited(t *testing.T) {
+	g := NewWithT(t)
+	now := 20 * time.Second
+	answered := func(incarnation string, uptimeMS int64) time.Duration {
+		done := yieldDone{predecessor: keys.Leader{VM: "last", Incarnation: "last"}, response: &peer.YieldResponse{VM: "last", Incarnation: incarnation, UptimeMS: uptimeMS}}
+		return done.lastArrival(now)
+	}
+	g.Expect(answered("last", 60_000)).To(Equal(now + keys.MaxCallDelay))
+	g.Expect(answered("restarted", 100)).To(Equal(now-100*time.Millisecond+keys.MaxCallDelay), "its last grant may be on its way")
+	g.Expect(answered("restarted", 60_000)).To(Equal(now), "all have arrived")
+	g.Expect(answered("restarted", -60_000)).To(Equal(now + keys.MaxCallDelay))
+}
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -229,26 +229,38 @@
 		return
 	}
 	if proof := y.proof(); proof != proofNone {
-		l.endPredecessor(y.predecessor, proof)
+		l.endPredecessor(y.predecessor, proof, y.lastArrival(l.clock()))
 	}
 	l.applyPages(y.response.Pages)
 	l.noteYield(y)
 }
 
-// endPredecessor records that an earlier leader sends no more grants.
-func (l *loop) endPredecessor(leader keys.Leader, proof endProof) {
-	until := l.clock()
-	if proof == proofStopped {
-		until += keys.MaxCallDelay // Calls that it has already sent may still arrive.
+// lastArrival returns the time by which all calls of the earlier leader have arrived.
+func (y yieldDone) lastArrival(now time.Duration) time.Duration {
+	last := now + keys.MaxCallDelay
+	if y.proof() == proofStopped {
+		return last
 	}
+	uptime := time.Duration(y.response.UptimeMS) * time.Millisecond
+	return last - min(max(uptime, 0), keys.MaxCallDelay) // It ended before the later process started.
+}
+
+// endPredecessor records that an earlier leader sends no more grants, and that its last
+// one arrives by the given time.
+func (l *loop) endPredecessor(leader keys.Leader, proof endProof, by time.Duration) {
 	for _, machine := range l.machines {
-		machine.PredecessorEnded(leader.Incarnation, until)
+		machine.PredecessorEnded(leader.Incarnation, by)
 	}
 	l.log.Event(event.PredecessorStopped, string(proof), zap.String("vm", leader.VM))
 }
 
 func (y yieldReceived) apply(l *loop) {
-	response := peer.YieldResponse{VM: l.self.VM, Incarnation: l.self.Incarnation, KnownLeader: l.knownLeader}
+	response := peer.YieldResponse{
+		VM:          l.self.VM,
+		Incarnation: l.self.Incarnation,
+		UptimeMS:    (l.clock() - l.startedAt).Milliseconds(),
+		KnownLeader: l.knownLeader,
+	}
 	response.Refused = l.leading && y.request.Successor.Term.Before(l.term)
 	if y.request.Incarnation == l.self.Incarnation && !response.Refused {
 		l.yield(y.request, &response)
