run: a confirmation asked for in an earlier term ends no predecessor of this one

Cause: the answer to Yield was matched to the asked process only. A process that confirmed that it stopped may win the next term; if the asker wins the one after it before the answer has come, the answer made the new term believe that this predecessor sends no more grants. Result: TestPredecessorThatYieldedToAnEarlierTermMayLeadAgain failed before (no predecessor left), passes now; go test -count=1 ./gateway/run passes.

--- a/gateway/run/incarnations_test.go
+++ b/gateway/run/incarnations_test.go
@@ -25,9 +25,9 @@
 	g := NewWithT(t)
 	l := newRestorationLoop(t)
 	last := takeOver(l)
-	yieldDone{predecessor: last, response: &peer.YieldResponse{VM: "another", Incarnation: "another"}}.apply(l)
+	yieldDone{predecessor: last, term: l.term, response: &peer.YieldResponse{VM: "another", Incarnation: "another"}}.apply(l)
 	g.Expect(l.machines["s"].Predecessors()).To(ConsistOf(last))
-	yieldDone{predecessor: last, response: &peer.YieldResponse{VM: last.VM, Incarnation: "restarted"}}.apply(l)
+	yieldDone{predecessor: last, term: l.term, response: &peer.YieldResponse{VM: last.VM, Incarnation: "restarted"}}.apply(l)
 	g.Expect(l.machines["s"].Predecessors()).To(BeEmpty(), "two processes of a VM can't listen at one address")
 }
 
@@ -43,3 +43,12 @@
 	g.Expect(answered("restarted", 60_000)).To(Equal(now), "all have arrived")
 	g.Expect(answered("restarted", -60_000)).To(Equal(now + keys.MaxCallDelay))
 }
+
+func TestPredecessorThatYieldedToAnEarlierTermMayLeadAgain(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	last := takeOver(l)
+	asked := kvstore.Position{Era: 1, Version: 40}
+	yieldDone{predecessor: last, term: asked, response: &peer.YieldResponse{VM: last.VM, Incarnation: last.Incarnation}}.apply(l)
+	g.Expect(l.machines["s"].Predecessors()).To(ConsistOf(last), "it may have led since it answered")
+}
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -74,9 +74,11 @@
 	err     error
 }
 
-// yieldDone is the result of a Yield call to an earlier leader.
+// yieldDone is the result of a Yield call to an earlier leader. term is the own term for
+// which it was asked.
 type yieldDone struct {
 	predecessor keys.Leader
+	term        kvstore.Position
 	response    *peer.YieldResponse
 	err         error
 }
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -183,7 +183,7 @@
 	request := &peer.YieldRequest{Incarnation: leader.Incarnation, Successor: peer.Leadership{Leader: l.self, Term: l.term}, Pages: l.pageStamps()}
 	go func() {
 		response, err := l.peers.Yield(l.ctx, leader.Address, request)
-		done := yieldDone{leader, response, err}
+		done := yieldDone{leader, request.Successor.Term, response, err}
 		if !done.resolved() {
 			sleep(l.ctx, yieldRetryDelay)
 		}
@@ -228,10 +228,13 @@
 	if y.response.Refused {
 		return
 	}
+	l.applyPages(y.response.Pages)
+	if y.term != l.term {
+		return // The predecessor may have led again since.
+	}
 	if proof := y.proof(); proof != proofNone {
 		l.endPredecessor(y.predecessor, proof, y.lastArrival(l.clock()))
 	}
-	l.applyPages(y.response.Pages)
 	l.noteYield(y)
 }
 
--- a/gateway/run/peer_fuzz_test.go
+++ b/gateway/run/peer_fuzz_test.go
@@ -135,7 +135,7 @@
 	default:
 		response := &peer.YieldResponse{}
 		if json.Unmarshal(text, response) == nil {
-			yieldDone{keys.Leader{VM: "x", Incarnation: "x", Address: "127.0.0.1:1"}, response, nil}.apply(l)
+			yieldDone{keys.Leader{VM: "x", Incarnation: "x", Address: "127.0.0.1:1"}, l.term, response, nil}.apply(l)
 		}
 	}
 }
