run: a report counts only for the leadership that it is meant for

Cause: reports went to the leader's address and counted for whoever led there. A leader that restarted, or won a later term, counted a daemon that still followed the term it knew; that daemon could turn to the leader of a term in between, so that 'more than two thirds report here' did not prove that this one had lost its majority (it renews grants without the store as long as half report to it). A late answer of an earlier leader was taken for the present one's: server list, members, assignments. Change: a report names the leadership that it is meant for, an answer the one it comes from. A leader refuses a report for another one and names itself; the sender then knows the later term, reports to it at once, and does not count this as a failed report. An answer of a term earlier than the known one is ignored. The fuzz test names the leadership in reports, which would be refused unread otherwise.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -40,6 +40,9 @@
 type Report struct {
 	VM          string `json:"vm"`
 	Incarnation string `json:"incarnation"`
+	// Leader is the leadership that the report is meant for. A leader of another term
+	// does not count it: its sender would go on following an earlier one.
+	Leader Leadership `json:"leader"`
 	// Address is the IP:port at which the sender accepts calls from peers.
 	Address string `json:"address"`
 	// Zone is the sender's availability zone, Capacity its capacity
@@ -95,8 +98,8 @@
 
 // ReportResponse is the response to a Report.
 type ReportResponse struct {
-	// Leading says whether the responding daemon is the leader. If it is not,
-	// KnownLeader is the leader that it knows.
+	// Leading says whether the responding daemon leads in the term for which the report
+	// was meant. KnownLeader is the leader that it knows, itself if it leads.
 	Leading     bool       `json:"leading"`
 	KnownLeader Leadership `json:"known"`
 	// VMs is the number of daemons that reported recently, including the leader.
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -164,11 +164,11 @@
 	l.followLeader(peer.Leadership{Leader: decoded.Leader, Term: kvstore.Position{Era: decoded.Era, Version: entry.Version}})
 }
 
-// followLeader accepts a leader whose term is later than that of the known
-// leader.
-func (l *loop) followLeader(leadership peer.Leadership) {
+// followLeader accepts a leader whose term is later than that of the known leader. It
+// says whether this is so.
+func (l *loop) followLeader(leadership peer.Leadership) bool {
 	if !l.knownLeader.Term.Before(leadership.Term) {
-		return
+		return false
 	}
 	l.enterEra(leadership.Term.Era)
 	l.setKnownLeader(leadership)
@@ -177,6 +177,7 @@
 	if l.leading && leadership.Leader != l.self {
 		l.stopLeading("a leader with a later term is known: " + leadership.Leader.VM)
 	}
+	return true
 }
 
 // applyPage puts an ownership page in force if it is newer than the current one. It is
--- a/gateway/run/incarnations_test.go
+++ b/gateway/run/incarnations_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/leader"
 	"guavacrank.example/gateway/peer"
 	"guavacrank.example/kvstore"
 )
@@ -52,3 +53,59 @@
 	yieldDone{predecessor: last, term: asked, response: &peer.YieldResponse{VM: last.VM, Incarnation: last.Incarnation}}.apply(l)
 	g.Expect(l.machines["s"].Predecessors()).To(ConsistOf(last), "it may have led since it answered")
 }
+
+// newLeadingLoop returns a loop that leads in a term with the version 60.
+func newLeadingLoop(t *testing.T) *loop {
+	l := newRestorationLoop(t)
+	l.term = kvstore.Position{Era: 1, Version: 60}
+	l.startLeading(l.clock())
+	return l
+}
+
+// deliverReport returns a leader's response to a report.
+func deliverReport(l *loop, report *peer.Report) peer.ReportResponse {
+	reply := make(chan peer.ReportResponse, 1)
+	reportReceived{report, reply}.apply(l)
+	return <-reply
+}
+
+func TestReportToAnEarlierTermOfAnAddressDoesNotCountForThisOne(t *testing.T) {
+	g := NewWithT(t)
+	l := newLeadingLoop(t)
+	earlier := peer.Leadership{Leader: keys.Leader{VM: l.self.VM, Incarnation: "before its restart", Address: l.self.Address}, Term: kvstore.Position{Era: 1, Version: 20}}
+	response := deliverReport(l, &peer.Report{VM: "a", Leader: earlier})
+	g.Expect(l.members).NotTo(HaveKey("a"), "its sender may follow the leader of a term between these two next")
+	g.Expect(response.Leading).To(BeFalse())
+	g.Expect(response.KnownLeader).To(Equal(l.knownLeader))
+	response = deliverReport(l, &peer.Report{VM: "a", Leader: response.KnownLeader})
+	g.Expect(response.Leading).To(BeTrue())
+	g.Expect(l.members).To(HaveKey("a"))
+}
+
+func TestDaemonThatReportedToAnEarlierTermReportsToThePresentOneSoon(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	l.campaign = leader.New(leader.Options{})
+	l.nextReport = l.clock() + time.Minute
+	present := peer.Leadership{Leader: keys.Leader{VM: "leader", Incarnation: "restarted", Address: "127.0.0.1:2"}, Term: kvstore.Position{Era: 1, Version: 60}}
+	reportDone{&peer.ReportResponse{KnownLeader: present}, nil}.apply(l)
+	g.Expect(l.newReport().Leader).To(Equal(present))
+	g.Expect(l.nextReport).To(BeNumerically("<=", l.clock()+reportJitter))
+	g.Expect(l.relay.reportFailures).To(BeZero(), "the leader responds")
+}
+
+func TestResponseOfAnEarlierLeaderIsNotTakenForThatOfThePresentOne(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	l.campaign = leader.New(leader.Options{})
+	earlier := peer.Leadership{Leader: keys.Leader{VM: "earlier", Incarnation: "earlier"}, Term: kvstore.Position{Era: 1, Version: 40}}
+	present := peer.Leadership{Leader: keys.Leader{VM: "present", Incarnation: "present"}, Term: kvstore.Position{Era: 1, Version: 60}}
+	l.followLeader(earlier)
+	l.followLeader(present)
+	l.knownPeers = []string{"a", "b"}
+	late := peer.ReportResponse{Leading: true, KnownLeader: earlier, Members: []string{"a"}, FollowStore: true, Source: "earlier", Revision: 9, Full: true}
+	reportDone{&late, nil}.apply(l)
+	g.Expect(l.knownPeers).To(HaveLen(2))
+	g.Expect(l.followsStore).To(BeFalse())
+	g.Expect(l.servers.ofService("s")).To(HaveLen(3), "its server list is older")
+}
--- a/gateway/run/peer_fuzz_test.go
+++ b/gateway/run/peer_fuzz_test.go
@@ -109,6 +109,7 @@
 	case 0:
 		report := &peer.Report{}
 		if json.Unmarshal(text, report) == nil {
+			report.Leader = l.knownLeader // Another report is refused unread.
 			reportReceived{report, make(chan peer.ReportResponse, 1)}.apply(l)
 		}
 	case 1:
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -126,6 +126,7 @@
 // newReport creates a report with the observations since the last one.
 func (l *loop) newReport() *peer.Report {
 	report := l.newStatus()
+	report.Leader = l.knownLeader
 	report.RequestedKeys = l.requestedKeys.take()
 	report.Servers = l.serverReports()
 	report.Limits = l.takeLimitObservations()
@@ -258,6 +259,10 @@
 		r.reply <- l.startupResponse(r.report)
 		return
 	}
+	if r.report.Leader != l.knownLeader {
+		r.reply <- peer.ReportResponse{KnownLeader: l.knownLeader, ConfirmedAgeMS: neverConfirmed}
+		return
+	}
 	l.applyReport(r.report)
 	l.learnNewerVersion(r.report)
 	l.consultSender(r.report)
@@ -266,19 +271,34 @@
 
 func (r reportDone) apply(l *loop) {
 	l.reportPending = false
-	if r.err == nil && r.response.Leading {
+	switch {
+	case r.err != nil:
+		l.reportFailed(r.err.Error())
+	case !r.response.Leading:
+		l.applyOtherResponse(r.response)
+	case r.response.KnownLeader.Term.Before(l.knownLeader.Term):
+		// The sender has followed a later leader since; the report to it is due.
+	default:
 		l.relay.reportFailures = 0
 		l.applyLeaderResponse(r.response)
-		return
 	}
-	cause := "the daemon at the leader's address is not the leader"
-	if r.err != nil {
-		cause = r.err.Error()
-	} else {
-		l.followLeader(r.response.KnownLeader)
-		l.applyStartupResponse(r.response)
-		l.confirmByPeer(r.response, l.reportSentAt)
+}
+
+// applyOtherResponse processes the response of a daemon that does not lead in the term
+// for which the report was meant.
+func (l *loop) applyOtherResponse(response *peer.ReportResponse) {
+	followed := l.followLeader(response.KnownLeader)
+	l.applyStartupResponse(response)
+	l.confirmByPeer(response, l.reportSentAt)
+	if followed {
+		l.reportWhileStarting()
+		return
 	}
+	l.reportFailed("the daemon at the leader's address is not the leader")
+}
+
+// reportFailed counts a report without a response of the leader.
+func (l *loop) reportFailed(cause string) {
 	l.log.Event(event.PeerUnreachable, cause, zap.String("leader", l.knownLeader.Leader.VM))
 	if l.relay.reportFailures++; l.relay.reportFailures >= staleThreshold {
 		l.relistLeader(l.clock())
--- a/gateway/run/responses.go
+++ b/gateway/run/responses.go
@@ -16,6 +16,7 @@
 	now := l.clock()
 	response := peer.ReportResponse{
 		Leading:      true,
+		KnownLeader:  l.knownLeader,
 		VMs:          l.countMembers(now),
 		MaxCapacity:  l.maxCapacity(),
 		FollowStore:  l.mayFollowStore(report, now),
