run: server lists are ordered by the state of the store that they were read from

Cause: a server list was accepted from any source in the order of arrival. A list or changes of an earlier leader that arrived late, a slow own read of the store, or the list of a new leader that had not read the store yet replaced a newer one: servers that had left were listed again and got requests. Changes in a response were applied to whatever list was there, also to another leader's, or after an announcement had overtaken them; a wrong list then passed for the leader's. Change: each list and each set of changes names the position of the store from which it was read. A list older than the one in force is not put in force (its receiver keeps it as the base of that source's changes). Changes name the revision that they apply to and are refused otherwise; the next report asks for what is missing.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -116,6 +116,11 @@
 	Full     bool                `json:"all,omitempty"`
 	Servers  []model.Server      `json:"servers,omitempty"`
 	Removed  []model.Incarnation `json:"gone,omitempty"`
+	// Base is the revision that the changes apply to.
+	Base uint64 `json:"base,omitempty"`
+	// ReadFrom is the state of the store from which the list was read. Lists of all
+	// sources are ordered by it.
+	ReadFrom kvstore.Position `json:"read_from"`
 	// ListAgeMS is the time since the leader read the list from the store.
 	ListAgeMS int64 `json:"list_age_ms"`
 	// Era is the newest era of the store that the responding daemon knows.
@@ -192,6 +197,8 @@
 	// Source is the incarnation of the leader, Revision the revision of its list.
 	Source   string `json:"source"`
 	Revision uint64 `json:"change"`
+	// ReadFrom is the state of the store from which the list was read.
+	ReadFrom kvstore.Position `json:"read_from"`
 	// Compressed is a JSON array of model.Server in gzip format.
 	Compressed []byte `json:"packed"`
 }
@@ -199,8 +206,10 @@
 // ServerChanges are the changes of a leader's server list from revision Base to
 // Revision.
 type ServerChanges struct {
-	// Source is the incarnation of the leader.
+	// Source is the incarnation of the leader, ReadFrom the state of the store from which
+	// it read the list.
 	Source   string              `json:"source"`
+	ReadFrom kvstore.Position    `json:"read_from"`
 	Base     uint64              `json:"base"`
 	Revision uint64              `json:"change"`
 	Servers  []model.Server      `json:"servers,omitempty"`
--- a/gateway/run/fallback.go
+++ b/gateway/run/fallback.go
@@ -103,6 +103,7 @@
 		return response
 	}
 	response.Source, response.Revision, response.ListAgeMS = list.Source, list.Revision, age.Milliseconds()
+	response.ReadFrom = list.ReadFrom
 	if report.Source != list.Source || report.Revision < list.Revision {
 		response.List = list
 	}
@@ -131,7 +132,8 @@
 	case response.Source == "" || l.leading || age >= l.relayedListTTL():
 	case response.List != nil:
 		l.applyServerList(response.List, age)
-	case response.Source == l.relay.source && response.Revision == l.relay.seenRevision:
+	case response.Source == l.relay.source && response.Revision == l.relay.seenRevision && !response.ReadFrom.Before(l.servers.position):
+		l.relay.readFrom, l.servers.position = response.ReadFrom, response.ReadFrom
 		l.setRelayedListTime(l.clock() - age)
 	}
 }
--- a/gateway/run/relay.go
+++ b/gateway/run/relay.go
@@ -8,6 +8,7 @@
 
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
+	"guavacrank.example/kvstore"
 )
 
 const (
@@ -39,10 +40,12 @@
 	// compressed is the complete list at some revision, created on demand.
 	tableReadAt time.Duration
 	compressed  *peer.ServerList
+	position    kvstore.Position // The table's.
 
-	// source, seenRevision and servers are the list received from a leader.
+	// source, seenRevision, readFrom and servers are the list received from a leader.
 	source       string
 	seenRevision uint64
+	readFrom     kvstore.Position
 	servers      map[model.Incarnation]model.Server
 	received     *peer.ServerList // The list received, compressed on demand.
 
@@ -66,6 +69,7 @@
 
 // update records the changes of this daemon's server table as new revisions.
 func (r *relay) update(table *serverTable) {
+	r.position = table.position
 	if r.tableReadAt == table.readAt && r.revision > 0 {
 		return
 	}
@@ -120,6 +124,7 @@
 // fullList returns the complete list in the form sent to peers.
 func (r *relay) fullList(source string) (*peer.ServerList, error) {
 	if r.compressed != nil && r.compressed.Revision == r.revision {
+		r.compressed = readFrom(r.compressed, r.position)
 		return r.compressed, nil
 	}
 	servers := make([]model.Server, 0, len(r.rows))
@@ -127,37 +132,52 @@
 		servers = append(servers, row.Server)
 	}
 	var err error
-	r.compressed, err = compressList(source, r.revision, servers)
+	r.compressed, err = compressList(source, r.revision, r.position, servers)
 	return r.compressed, err
 }
 
+// readFrom returns a list with the given state of the store, from which it was read again
+// without a change.
+func readFrom(list *peer.ServerList, position kvstore.Position) *peer.ServerList {
+	if list.ReadFrom == position {
+		return list
+	}
+	again := *list // The list may be being sent.
+	again.ReadFrom = position
+	return &again
+}
+
 // receivedList returns the list received from a leader in the form sent to peers.
 func (r *relay) receivedList() (*peer.ServerList, error) {
 	if r.received != nil && r.received.Source == r.source && r.received.Revision == r.seenRevision {
+		r.received = readFrom(r.received, r.readFrom)
 		return r.received, nil
 	}
 	var err error
-	r.received, err = compressList(r.source, r.seenRevision, slices.Collect(maps.Values(r.servers)))
+	r.received, err = compressList(r.source, r.seenRevision, r.readFrom, slices.Collect(maps.Values(r.servers)))
 	return r.received, err
 }
 
-func compressList(source string, revision uint64, servers []model.Server) (*peer.ServerList, error) {
+func compressList(source string, revision uint64, position kvstore.Position, servers []model.Server) (*peer.ServerList, error) {
 	text, err := json.Marshal(servers)
 	if err != nil {
 		return nil, err
 	}
-	return &peer.ServerList{Source: source, Revision: revision, Compressed: compress(text)}, nil
+	return &peer.ServerList{Source: source, Revision: revision, ReadFrom: position, Compressed: compress(text)}, nil
 }
 
 // addChanges adds the changes that the sender of a report lacks to the response.
 func (r *relay) addChanges(response *peer.ReportResponse, source string, report *peer.Report) {
-	response.Source, response.Revision = source, r.revision
+	response.Source, response.Revision, response.ReadFrom = source, r.revision, r.position
 	if r.needsFullList(source, report) {
 		response.Full = true
 		response.Servers, _ = r.changesSince(0)
 	} else if report.Revision < r.revision {
 		response.Servers, response.Removed = r.changesSince(report.Revision)
 	}
+	if !response.Full {
+		response.Base = report.Revision
+	}
 }
 
 // changesSince returns the servers that were added or changed, and those that were
@@ -178,12 +198,25 @@
 	return changed, removed
 }
 
+// accepts says whether the list or the changes in a response are newer than the received
+// list, and apply to it. They may have been overtaken by others.
+func (r *relay) accepts(response *peer.ReportResponse) bool {
+	switch {
+	case response.Source != r.source:
+		return response.Full
+	case response.Full:
+		return response.Revision >= r.seenRevision
+	default:
+		return response.Base <= r.seenRevision && response.Revision >= r.seenRevision
+	}
+}
+
 // apply applies the changes in a response and returns the complete list.
 func (r *relay) apply(response *peer.ReportResponse) []model.Server {
 	if response.Full {
 		clear(r.servers)
 	}
-	r.source, r.seenRevision = response.Source, response.Revision
+	r.source, r.seenRevision, r.readFrom = response.Source, response.Revision, response.ReadFrom
 	for _, server := range response.Servers {
 		r.servers[server.Incarnation()] = server
 	}
--- a/gateway/run/responses.go
+++ b/gateway/run/responses.go
@@ -83,11 +83,10 @@
 	l.leaderResponded.Store(true)
 	l.setVMs(response.VMs)
 	age := time.Duration(response.ListAgeMS) * time.Millisecond
-	if response.Source != "" && !l.leading {
+	if response.Source != "" && !l.leading && l.relay.accepts(response) {
 		listed := l.relay.apply(response)
 		if age < l.relayedListTTL() {
-			l.setRelayedListTime(now - age)
-			l.applyServers(now, listed)
+			l.applyRelayedList(now-age, listed)
 		} else {
 			l.askFollower() // The leader has lost the store.
 		}
--- a/gateway/run/server_updates.go
+++ b/gateway/run/server_updates.go
@@ -24,6 +24,10 @@
 		l.log.Event(event.ServersReadDirectly, "", zap.Int("records", len(s.entries)), zap.Int("bytes", totalBytes(s.entries)), zap.Duration("took", s.duration))
 	}
 	listed := l.decodeServers(s.entries)
+	if s.position.Before(l.servers.position) {
+		return // A peer's list has overtaken this one.
+	}
+	l.servers.position = s.position
 	l.listedAt, l.relayedListNewest = now-s.duration, false
 	l.applyServers(now, listed)
 }
@@ -74,7 +78,7 @@
 		return // Daemons that lack the list or many changes get the complete, compressed list.
 	}
 	changed, removed := l.relay.changesSince(base)
-	l.broadcast(peer.SpreadRequest{Changes: &peer.ServerChanges{Source: l.source(), Base: base, Revision: l.relay.revision, Servers: changed, Removed: removed}})
+	l.broadcast(peer.SpreadRequest{Changes: &peer.ServerChanges{Source: l.source(), ReadFrom: l.relay.position, Base: base, Revision: l.relay.revision, Servers: changed, Removed: removed}})
 }
 
 // applyServerChanges processes changes of the leader's server list. If it lacks earlier
@@ -84,9 +88,7 @@
 	if l.leading || changes.Source != r.source || r.seenRevision < changes.Base || r.seenRevision >= changes.Revision {
 		return
 	}
-	now := l.clock()
-	l.setRelayedListTime(now)
-	l.applyServers(now, r.apply(&peer.ReportResponse{Source: changes.Source, Revision: changes.Revision, Servers: changes.Servers, Removed: changes.Removed}))
+	l.applyRelayedList(l.clock(), r.apply(&peer.ReportResponse{Source: changes.Source, Base: changes.Base, Revision: changes.Revision, ReadFrom: changes.ReadFrom, Servers: changes.Servers, Removed: changes.Removed}))
 }
 
 // applyServerList processes a complete server list received from a peer, which was
@@ -104,9 +106,19 @@
 	if l.leading || list.Source == l.relay.source && list.Revision <= l.relay.seenRevision {
 		return
 	}
-	now := l.clock()
-	l.setRelayedListTime(now - age)
-	l.applyServers(now, l.relay.apply(&peer.ReportResponse{Source: list.Source, Revision: list.Revision, Full: true, Servers: servers}))
+	l.applyRelayedList(l.clock()-age, l.relay.apply(&peer.ReportResponse{Source: list.Source, Revision: list.Revision, ReadFrom: list.ReadFrom, Full: true, Servers: servers}))
+}
+
+// applyRelayedList puts the received list in force, which was read from the store at the
+// given time, unless it is older than the list in force.
+func (l *loop) applyRelayedList(readAt time.Duration, listed []model.Server) {
+	if l.relay.readFrom.Before(l.servers.position) {
+		l.relayedListNewest = false
+		return
+	}
+	l.servers.position = l.relay.readFrom
+	l.setRelayedListTime(readAt)
+	l.applyServers(l.clock(), listed)
 }
 
 // setRelayedListTime records when the server list received from a peer was read from
--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -13,6 +13,7 @@
 	"guavacrank.example/gateway/logbook"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/port"
+	"guavacrank.example/kvstore"
 	"guavacrank.example/traffic/upstream"
 )
 
@@ -48,6 +49,8 @@
 	log      *logbook.Logger
 
 	known bool // Whether the list has been read.
+	// position is the state of the store from which the list was read.
+	position kvstore.Position
 	// uninterrupted says that the last two reads were at most maxReadGap apart.
 	uninterrupted   bool
 	readAt          time.Duration
--- a/gateway/run/start.go
+++ b/gateway/run/start.go
@@ -102,6 +102,8 @@
 	l.applyRecord(response.Record)
 	l.applyPages(response.Pages)
 	if !l.servers.known {
-		l.applyServers(l.clock(), l.relay.apply(response))
+		listed := l.relay.apply(response)
+		l.servers.position = response.ReadFrom
+		l.applyServers(l.clock(), listed)
 	}
 }
