run: daemons that restarted are no majority of a leader without the store

Cause: a leader that the store does not answer renews grants as long as more than half of the VMs report to it. A VM was counted by its name: one that had reported to a later leader and restarted, forgot that, and could be counted by the earlier one again, so that both had their majorities. Change: a report names the sender's uptime; a process that started after the leader's last contact to the store does not count towards its majority. Result: TestRestartedDaemonsAreNoMajorityOfALeaderWithoutTheStore failed before with only the field added, passes now; go test -count=1 ./gateway/run passes.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -40,6 +40,8 @@
 type Report struct {
 	VM          string `json:"vm"`
 	Incarnation string `json:"incarnation"`
+	// UptimeMS is the time since the sender started, in milliseconds.
+	UptimeMS int64 `json:"uptime_ms,omitempty"`
 	// Leader is the leadership that the report is meant for. A leader of another term
 	// does not count it: its sender would go on following an earlier one.
 	Leader Leadership `json:"leader"`
--- a/gateway/run/incarnations_test.go
+++ b/gateway/run/incarnations_test.go
@@ -109,3 +109,20 @@
 	g.Expect(l.followsStore).To(BeFalse())
 	g.Expect(l.servers.ofService("s")).To(HaveLen(3), "its server list is older")
 }
+
+func TestRestartedDaemonsAreNoMajorityOfALeaderWithoutTheStore(t *testing.T) {
+	g := NewWithT(t)
+	l := newLeadingLoop(t)
+	now := l.clock()
+	l.storeContact = now - 2*time.Second
+	for _, vm := range []string{"a", "b"} {
+		deliverReport(l, &peer.Report{VM: vm, Leader: l.knownLeader, UptimeMS: 60_000})
+	}
+	g.Expect(l.hasMajority(now)).To(BeTrue())
+	for _, vm := range []string{"a", "b"} {
+		deliverReport(l, &peer.Report{VM: vm, Leader: l.knownLeader, UptimeMS: 1000})
+	}
+	g.Expect(l.hasMajority(now)).To(BeFalse(), "before their restart they may have followed a later leader")
+	l.storeContact = now
+	g.Expect(l.hasMajority(now)).To(BeTrue(), "there was none")
+}
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -20,7 +20,8 @@
 func (l *loop) lead() {
 	now := l.clock()
 	state := l.campaign.State()
-	silence := now - state.LastContact
+	l.storeContact = state.LastContact
+	silence := now - l.storeContact
 	switch {
 	case state.Held && l.term.Before(state.Term) && silence < contactTimeout:
 		l.term = state.Term
@@ -59,7 +60,8 @@
 }
 
 // hasMajority says whether more than half of the daemons, including this one, have
-// reported within majorityWindow.
+// reported within majorityWindow. A process that started after the last contact to the
+// store does not count: the one before it may have reported to a later leader.
 func (l *loop) hasMajority(now time.Duration) bool {
 	recent, all := 1, 1
 	for vm, m := range l.members {
@@ -67,7 +69,7 @@
 			continue
 		}
 		all++
-		if now-m.reportedAt <= majorityWindow {
+		if now-m.reportedAt <= majorityWindow && m.startedAt <= l.storeContact {
 			recent++
 		}
 	}
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -85,6 +85,7 @@
 	term              kvstore.Position
 	era               kvstore.Era // The store's newest known era.
 	leadingSince      time.Duration
+	storeContact      time.Duration // When the own lease on the leader's key was last known to be valid.
 	nextLead          time.Duration // Earliest next run of the leader's work.
 	startedAt         time.Duration
 	leaderWait        time.Duration   // Time to wait for a leader at startup; constant.
@@ -167,6 +168,7 @@
 type member struct {
 	address    string
 	reportedAt time.Duration
+	startedAt  time.Duration // Of its process.
 	zone       string
 	capacity   float64
 	// gaveUp says that it gave up the leadership at gaveUpAt, because most servers did
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -138,6 +138,7 @@
 	report := &peer.Report{
 		VM:           l.self.VM,
 		Incarnation:  l.self.Incarnation,
+		UptimeMS:     (l.clock() - l.startedAt).Milliseconds(),
 		Address:      l.self.Address,
 		Zone:         l.settings.Zone,
 		Capacity:     l.settings.Capacity(),
@@ -190,8 +191,15 @@
 // applyReport processes a daemon's report on the leader.
 func (l *loop) applyReport(report *peer.Report) {
 	now := l.clock()
-	l.members[report.VM] = member{address: report.Address, reportedAt: now, zone: report.Zone, capacity: report.Capacity,
-		gaveUp: report.GaveUp, gaveUpAt: now - time.Duration(report.GaveUpAgoMS)*time.Millisecond}
+	l.members[report.VM] = member{
+		address:    report.Address,
+		reportedAt: now,
+		startedAt:  now - time.Duration(report.UptimeMS)*time.Millisecond,
+		zone:       report.Zone,
+		capacity:   report.Capacity,
+		gaveUp:     report.GaveUp,
+		gaveUpAt:   now - time.Duration(report.GaveUpAgoMS)*time.Millisecond,
+	}
 	for _, observation := range report.Limits {
 		l.applyLimitObservation(now, observation)
 	}
