run: response times count for the incarnation of a server that they are about

Cause: reports named a server by its ID alone; the mean response times of a server that crashed were added to those of the process that started after it under the same ID, and decided on its share of the keys. Change: reports name ID and start; the leader passes on those of listed incarnations. Result: TestResponseTimesOfAnEarlierIncarnationAreNotThoseOfTheNext failed before with an empty filter, passes now; go test -count=1 ./gateway/run passes.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -90,10 +90,10 @@
 	OnlyVersion       bool `json:"only_version,omitempty"`
 }
 
-// ServerReport summarizes the responses of one backend server.
+// ServerReport summarizes the responses of one incarnation of a backend server.
 type ServerReport struct {
-	ID        string `json:"id"`
-	Responses int    `json:"answers"`
+	model.Incarnation
+	Responses int `json:"answers"`
 	// MeanMS is the mean response time in milliseconds.
 	MeanMS float64 `json:"mean_ms"`
 }
--- a/gateway/run/incarnations_test.go
+++ b/gateway/run/incarnations_test.go
@@ -8,6 +8,7 @@
 
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/leader"
+	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
 	"guavacrank.example/kvstore"
 )
@@ -126,3 +127,12 @@
 	l.storeContact = now
 	g.Expect(l.hasMajority(now)).To(BeTrue(), "there was none")
 }
+
+func TestResponseTimesOfAnEarlierIncarnationAreNotThoseOfTheNext(t *testing.T) {
+	g := NewWithT(t)
+	l := newRelayLoop(t, 0)
+	l.servers.update(l.clock(), []model.Server{{ID: "a", Service: "s", Born: 1}})
+	l.servers.update(l.clock(), []model.Server{{ID: "a", Service: "s", Born: 2}})
+	reports := []peer.ServerReport{{Incarnation: model.Incarnation{ID: "a", Born: 1}, Responses: 9, MeanMS: 4000}, {Incarnation: model.Incarnation{ID: "a", Born: 2}, Responses: 1, MeanMS: 10}}
+	g.Expect(l.reportsOfListed(reports)).To(Equal(reports[1:]))
+}
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -182,7 +182,7 @@
 		count, total := row.target.TakeResponseTimes()
 		if count > 0 {
 			mean := total / time.Duration(count)
-			reports = append(reports, peer.ServerReport{ID: row.ID, Responses: count, MeanMS: float64(mean.Microseconds()) / 1000})
+			reports = append(reports, peer.ServerReport{Incarnation: row.Incarnation(), Responses: count, MeanMS: float64(mean.Microseconds()) / 1000})
 		}
 	}
 	return reports
@@ -208,13 +208,25 @@
 			machine.StepRequests(now, requested)
 		}
 	}
-	for _, server := range report.Servers {
+	for _, server := range l.reportsOfListed(report.Servers) {
 		for _, machine := range l.machines {
 			machine.StepLatency(server.ID, server.Responses, time.Duration(server.MeanMS*float64(time.Millisecond)))
 		}
 	}
 }
 
+// reportsOfListed returns the reports of the servers whose present incarnations they are
+// about.
+func (l *loop) reportsOfListed(reports []peer.ServerReport) []peer.ServerReport {
+	var listed []peer.ServerReport
+	for _, report := range reports {
+		if row := l.servers.rows[report.Incarnation]; row != nil && row.listed {
+			listed = append(listed, report)
+		}
+	}
+	return listed
+}
+
 // countMembers returns the number of active daemons. Until activeMemberTimeout after
 // an election, when some may not have reported yet, it returns at least the number
 // known before the election, or zero for unknown if none was known.
