leader: an own claim that the watch shows first does not end the leadership

Cause: in a new era the last leader claims the key again. If the reply is lost and the watch shows the record before a read does, the record was compared with that of the earlier era only and taken for another VM's; the leadership ended, and the key stood without a leader until its lease expired. Change: a value that this process writes in the era is its own claim; reading the key resolves it. The store of the tests reports writes to the watch, as the real one does. Result: with that store TestReclaimWhoseReplyWasLostIsFoundAgain failed before (3 writes instead of 2), passes now unchanged; go test -count=1 ./gateway/leader passes.

--- a/gateway/leader/leader.go
+++ b/gateway/leader/leader.go
@@ -134,9 +134,9 @@
 	case c.leftoverSince == 0:
 		c.leftoverSince = max(c.options.Clock(), 1)
 	}
-	if c.restored() && (value == nil || leftover) {
+	if c.restored() && (value == nil || leftover || bytes.Equal(value, c.options.Value(at.Era))) {
 		c.wake()
-		return // The leader of the earlier era claims the key again.
+		return // The leader of the earlier era claims the key again, or its claim was applied.
 	}
 	if c.state.Held && !bytes.Equal(value, c.value) {
 		c.state.Held = false
--- a/gateway/leader/leader_test.go
+++ b/gateway/leader/leader_test.go
@@ -66,6 +66,7 @@
 }
 
 func (f *fakeStore) CompareAndSwap(_ context.Context, _ string, expected kvstore.Version, value []byte, lease kvstore.LeaseID) (kvstore.Position, error) {
+	defer f.notify()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
@@ -87,6 +88,16 @@
 	return kvstore.Position{Era: f.era, Version: f.version}, nil
 }
 
+// notify tells the watch the key's value.
+func (f *fakeStore) notify() {
+	f.mu.Lock()
+	current := f.value
+	f.mu.Unlock()
+	if f.watch != nil {
+		f.watch(current)
+	}
+}
+
 func (f *fakeStore) Get(context.Context, string) (kvstore.Entry, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
