leader: a resignation overwrites the own record instead of ending a lease

Cause: a resignation looked at the store's era by a renewal, then ended the lease by its ID. After a restoration between the calls, or if the second one was applied late, the ID was that of another VM's lease (it is given out again), and that VM lost the leadership. Change: the leader overwrites its record, by compare-and-swap on the version that it wrote, with a value that names no leader; the others claim the key from that version at once. The lease expires by itself. One call instead of two. Result: TestResignationDuringARestorationDoesNotEndAnotherLeadership failed before (the other VM's key was gone), passes now; the other tests of resignations are unchanged. go test -count=1 -race ./gateway/leader and go test -count=1 ./gateway/run pass.

--- a/gateway/leader/leader.go
+++ b/gateway/leader/leader.go
@@ -9,7 +9,8 @@
 // A store that was restored from an earlier copy may have lost the key, name an earlier
 // leader, or give the ID of the lease to another VM. A leadership is therefore valid in
 // one era of the store only. In the next one its holder claims the key again at once,
-// and the record of an earlier era does not count.
+// and the record of an earlier era does not count. A leader that resigns does not end its
+// lease, whose ID another VM may have by then: it overwrites the record that it wrote.
 package leader
 
 import (
@@ -75,6 +76,7 @@
 	state       State
 	era         kvstore.Era // The store's newest known era.
 	vacant      bool
+	vacantAt    kvstore.Version // With vacant: the version of the key, zero if it does not exist.
 	disabled    bool
 	lowPriority bool
 	changed     chan struct{}
@@ -126,15 +128,15 @@
 	if at.Era < c.era || c.state.Held && at.Before(c.state.Term) {
 		return
 	}
-	c.vacant = value == nil
-	leftover := value != nil && c.options.EraOf(value) < at.Era
+	c.setVacant(value, at.Version)
+	leftover := !c.vacant && c.options.EraOf(value) < at.Era
 	switch {
 	case !leftover:
 		c.leftoverSince = 0
 	case c.leftoverSince == 0:
 		c.leftoverSince = max(c.options.Clock(), 1)
 	}
-	if c.restored() && (value == nil || leftover || bytes.Equal(value, c.options.Value(at.Era))) {
+	if c.restored() && (c.vacant || leftover || bytes.Equal(value, c.options.Value(at.Era))) {
 		c.wake()
 		return // The leader of the earlier era claims the key again, or its claim was applied.
 	}
@@ -148,29 +150,6 @@
 // The caller holds c.mu.
 func (c *Campaign) restored() bool { return c.state.Held && c.state.Term.Era < c.era }
 
-// Resign gives up the leadership. If permanently is set, the campaign never claims
-// it again.
-func (c *Campaign) Resign(ctx context.Context, permanently bool) error {
-	c.mu.Lock()
-	held, lease, era := c.state.Held, c.lease, c.state.Term.Era
-	c.state.Held = false
-	c.disabled = c.disabled || permanently
-	c.mu.Unlock()
-	if !held {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	current, err := c.options.Store.KeepAlive(ctx, lease)
-	if kvstore.IsKind(err, kvstore.KindNotFound) {
-		return nil // The lease has expired.
-	}
-	if err != nil || current != era {
-		return err // In another era the lease may be that of another VM.
-	}
-	return c.options.Store.Revoke(ctx, lease)
-}
-
 // SetLowPriority sets whether VMs with more capacity should claim first.
 func (c *Campaign) SetLowPriority(low bool) {
 	c.mu.Lock()
@@ -215,7 +194,7 @@
 			c.wait(ctx, c.claimDelay())
 			switch c.nextAction() {
 			case actionClaim:
-				c.attempt(ctx, 0)
+				c.attempt(ctx, c.vacantVersion())
 			case actionReplace:
 				c.reclaim(ctx)
 			}
@@ -288,7 +267,7 @@
 	case err != nil:
 		c.EnterEra(kvstore.EraOf(err))
 		c.wait(ctx, retryDelay)
-	case c.options.EraOf(entry.Value) < entry.Era:
+	case IsVacant(entry.Value) || c.options.EraOf(entry.Value) < entry.Era:
 		c.EnterEra(entry.Era)
 		c.attempt(ctx, entry.Version)
 	case c.isOwn(entry):
@@ -381,6 +360,6 @@
 		c.state.LastContact = max(c.state.LastContact, sent)
 	case kvstore.IsKind(err, kvstore.KindNotFound):
 		c.state.Held = false
-		c.vacant = true // The key was deleted with its lease; another VM may hold it already.
+		c.setVacant(nil, 0) // The key was deleted with its lease; another VM may hold it already.
 	}
 }
--- a/gateway/leader/leader_test.go
+++ b/gateway/leader/leader_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -287,6 +288,57 @@
 	g.Expect(store.leases).NotTo(BeEmpty())
 }
 
+// restoredStore is restored between the calls of a resignation, once it is armed. Another VM
+// leads in the new era, with the same lease ID.
+type restoredStore struct {
+	*fakeStore
+	armed atomic.Bool
+}
+
+func (s *restoredStore) restore() {
+	if !s.armed.Swap(false) {
+		return
+	}
+	s.setEra(2, nil)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision += 5
+	s.version, s.value, s.holder = s.revision, value("another")(2), s.next
+	s.leases[s.next] = time.Now().Add(time.Minute)
+}
+
+func (s *restoredStore) KeepAlive(ctx context.Context, lease kvstore.LeaseID) (kvstore.Era, error) {
+	defer s.restore()
+	return s.fakeStore.KeepAlive(ctx, lease)
+}
+
+func (s *restoredStore) CompareAndSwap(ctx context.Context, key string, expected kvstore.Version, text []byte, lease kvstore.LeaseID) (kvstore.Position, error) {
+	if expected > 0 {
+		s.restore()
+	}
+	return s.fakeStore.CompareAndSwap(ctx, key, expected, text, lease)
+}
+
+func TestResignationDuringARestorationDoesNotEndAnotherLeadership(t *testing.T) {
+	g := NewWithT(t)
+	store := &restoredStore{fakeStore: &fakeStore{leases: make(map[kvstore.LeaseID]time.Time), era: 1, ttl: time.Minute}}
+	store.watch = func([]byte) {}
+	started := time.Now()
+	c := leader.New(leader.Options{Store: store, Key: "k", Value: value("x"), EraOf: eraOf, MinLeaseTTL: time.Minute, Clock: func() time.Duration { return time.Since(started) }})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go c.Run(ctx)
+	c.Observe(nil, kvstore.Position{Era: 1, Version: 1})
+	g.Eventually(func() bool { return c.State().Held }, "3s").Should(BeTrue())
+	time.Sleep(50 * time.Millisecond) // The first renewal is over.
+	store.armed.Store(true)
+	_ = c.Resign(context.Background(), true) // It may fail: the leadership ended with its era.
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	g.Expect(string(store.value)).To(Equal("2/another"))
+	g.Expect(store.leases).To(HaveKey(store.holder))
+}
+
 // A restored store may keep the key of a leader that has ended, without expiring it.
 func TestLeftoverOfAnEarlierEraIsReplaced(t *testing.T) {
 	g := NewWithT(t)
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -9,6 +9,7 @@
 	"guavacrank.example/event"
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/leader"
 	"guavacrank.example/gateway/peer"
 	"guavacrank.example/gateway/routing"
 	"guavacrank.example/gateway/view"
@@ -153,6 +154,10 @@
 		l.campaign.Observe(nil, at)
 		return
 	}
+	if leader.IsVacant(entry.Value) {
+		l.campaign.Observe(entry.Value, at)
+		return
+	}
 	var decoded leaderRecord
 	if err := json.Unmarshal(entry.Value, &decoded); err != nil {
 		l.ignoreRecord(entry, err)
--- a/gateway/run/incarnations_test.go
+++ b/gateway/run/incarnations_test.go
@@ -136,3 +136,14 @@
 	reports := []peer.ServerReport{{Incarnation: model.Incarnation{ID: "a", Born: 1}, Responses: 9, MeanMS: 4000}, {Incarnation: model.Incarnation{ID: "a", Born: 2}, Responses: 1, MeanMS: 10}}
 	g.Expect(l.reportsOfListed(reports)).To(Equal(reports[1:]))
 }
+
+func TestKeyOfALeaderThatResignedNamesNoLeader(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	g.Expect(leader.IsVacant(nil)).To(BeTrue())
+	g.Expect(leader.IsVacant(encodeLeader(l.self, 1))).To(BeFalse())
+	l.ignoredVersions = map[string]kvstore.Version{}
+	watchResult{prefix: leaderKey, era: 1, entries: []kvstore.Entry{{Key: leaderKey, Value: []byte(`"resigned"`), Version: 70, Era: 1}}}.apply(l)
+	g.Expect(l.knownLeader.Leader.Incarnation).To(BeEmpty())
+	g.Expect(l.ignoredVersions).To(BeEmpty(), "it is no invalid record")
+}
