run: reports in the buffers of a frozen leader are no majority

Cause: a report counted from its arrival in the loop. A leader that was frozen finds the reports that the daemons sent before they turned to its successor, counted them as of now, and renewed grants for up to 1.5 s without the store. Change: the leader's responses name its clock, a report names that of the last response and the time since. A report counts towards a majority from the time after which it was sent, by the leader's own clock; the first one from the election, since it names the term.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -45,6 +45,10 @@
 	// Leader is the leadership that the report is meant for. A leader of another term
 	// does not count it: its sender would go on following an earlier one.
 	Leader Leadership `json:"leader"`
+	// AnsweredAtMS is ReportResponse.ClockMS of the leader's last response to the sender,
+	// zero without one, and AnsweredAgoMS the time since it arrived.
+	AnsweredAtMS  int64 `json:"answered_at_ms,omitempty"`
+	AnsweredAgoMS int64 `json:"answered_ago_ms,omitempty"`
 	// Address is the IP:port at which the sender accepts calls from peers.
 	Address string `json:"address"`
 	// Zone is the sender's availability zone, Capacity its capacity
@@ -104,6 +108,8 @@
 	// was meant. KnownLeader is the leader that it knows, itself if it leads.
 	Leading     bool       `json:"leading"`
 	KnownLeader Leadership `json:"known"`
+	// ClockMS is the leader's clock when it responded.
+	ClockMS int64 `json:"clock_ms,omitempty"`
 	// VMs is the number of daemons that reported recently, including the leader.
 	// MaxCapacity is the highest capacity among them.
 	VMs         int     `json:"vms"`
--- a/gateway/run/incarnations_test.go
+++ b/gateway/run/incarnations_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"guavacrank.example/gateway/budget"
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/leader"
 	"guavacrank.example/gateway/model"
@@ -147,3 +148,32 @@
 	g.Expect(l.knownLeader.Leader.Incarnation).To(BeEmpty())
 	g.Expect(l.ignoredVersions).To(BeEmpty(), "it is no invalid record")
 }
+
+func TestReportsInTheBuffersOfAFrozenLeaderAreNoMajority(t *testing.T) {
+	g := NewWithT(t)
+	l := newLeadingLoop(t)
+	now := l.clock()
+	l.clock = func() time.Duration { return now }
+	daemon := newRestorationLoop(t)
+	daemon.campaign = leader.New(leader.Options{})
+	daemon.self = keys.Leader{VM: "a", Incarnation: "a"}
+	daemon.budget = budget.New(budget.Options{Window: time.Second})
+	daemon.followLeader(l.knownLeader)
+	first := deliverReport(l, daemon.newReport())
+	daemon.clock = func() time.Duration { return 7 * time.Second } // Its clock differs.
+	reportDone{&first, nil}.apply(daemon)
+	g.Expect(l.hasMajority(now)).To(BeTrue())
+
+	sent := daemon.newReport()
+	now += 5 * time.Second
+	deliverReport(l, sent)
+	l.storeContact = now
+	g.Expect(l.hasMajority(now)).To(BeFalse(), "its sender may follow a later leader since")
+	response := deliverReport(l, sent)
+	reportDone{&response, nil}.apply(daemon)
+	now += 400 * time.Millisecond
+	deliverReport(l, daemon.newReport())
+	g.Expect(l.hasMajority(now)).To(BeTrue())
+	daemon.followLeader(peer.Leadership{Leader: keys.Leader{Incarnation: "next"}, Term: kvstore.Position{Era: 1, Version: 90}})
+	g.Expect(daemon.newReport().AnsweredAtMS).To(BeZero(), "the clock of another leader says nothing")
+}
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -60,7 +60,7 @@
 }
 
 // hasMajority says whether more than half of the daemons, including this one, have
-// reported within majorityWindow. A process that started after the last contact to the
+// sent a report within majorityWindow. A process that started after the last contact to the
 // store does not count: the one before it may have reported to a later leader.
 func (l *loop) hasMajority(now time.Duration) bool {
 	recent, all := 1, 1
@@ -69,7 +69,7 @@
 			continue
 		}
 		all++
-		if now-m.reportedAt <= majorityWindow && m.startedAt <= l.storeContact {
+		if now-m.reportedAt+m.transit <= majorityWindow && m.startedAt <= l.storeContact {
 			recent++
 		}
 	}
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -126,6 +126,7 @@
 	rewrittenAfter    kvstore.Version // On the first list of servers in an era: the store's version.
 	rewrittenEra      kvstore.Era     // The era of rewrittenAfter.
 	reportSentAt      time.Duration   // When the newest report was sent.
+	answered          leaderAnswer    // The known leader's last response.
 	members           map[string]member
 	requestedKeys     *requestedKeys
 	storeHealth       dependency
@@ -169,8 +170,10 @@
 	address    string
 	reportedAt time.Duration
 	startedAt  time.Duration // Of its process.
-	zone       string
-	capacity   float64
+	// transit is how long the newest report may have been on its way.
+	transit  time.Duration
+	zone     string
+	capacity float64
 	// gaveUp says that it gave up the leadership at gaveUpAt, because most servers did
 	// not answer.
 	gaveUp   bool
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -127,6 +127,9 @@
 func (l *loop) newReport() *peer.Report {
 	report := l.newStatus()
 	report.Leader = l.knownLeader
+	if l.answered.clockMS > 0 {
+		report.AnsweredAtMS, report.AnsweredAgoMS = l.answered.clockMS, (l.clock() - l.answered.arrivedAt).Milliseconds()
+	}
 	report.RequestedKeys = l.requestedKeys.take()
 	report.Servers = l.serverReports()
 	report.Limits = l.takeLimitObservations()
@@ -188,6 +191,13 @@
 	return reports
 }
 
+// leaderAnswer is when a leader's last response was sent, by the leader's clock, and when
+// it arrived.
+type leaderAnswer struct {
+	clockMS   int64
+	arrivedAt time.Duration
+}
+
 // applyReport processes a daemon's report on the leader.
 func (l *loop) applyReport(report *peer.Report) {
 	now := l.clock()
@@ -195,6 +205,7 @@
 		address:    report.Address,
 		reportedAt: now,
 		startedAt:  now - time.Duration(report.UptimeMS)*time.Millisecond,
+		transit:    now - l.sentAfter(report),
 		zone:       report.Zone,
 		capacity:   report.Capacity,
 		gaveUp:     report.GaveUp,
@@ -215,6 +226,16 @@
 	}
 }
 
+// sentAfter returns a time, by this leader's clock, after which a report was sent: it was
+// sent to this leader, and some time after this leader's last response to its sender. The
+// reports that a frozen process finds in its buffers may be old.
+func (l *loop) sentAfter(report *peer.Report) time.Duration {
+	if report.AnsweredAtMS <= 0 {
+		return l.leadingSince
+	}
+	return time.Duration(report.AnsweredAtMS+report.AnsweredAgoMS) * time.Millisecond
+}
+
 // reportsOfListed returns the reports of the servers whose present incarnations they are
 // about.
 func (l *loop) reportsOfListed(reports []peer.ServerReport) []peer.ServerReport {
--- a/gateway/run/responses.go
+++ b/gateway/run/responses.go
@@ -17,6 +17,7 @@
 	response := peer.ReportResponse{
 		Leading:      true,
 		KnownLeader:  l.knownLeader,
+		ClockMS:      now.Milliseconds(),
 		VMs:          l.countMembers(now),
 		MaxCapacity:  l.maxCapacity(),
 		FollowStore:  l.mayFollowStore(report, now),
@@ -81,6 +82,7 @@
 	now := l.clock()
 	l.enterEra(response.Era)
 	l.leaderResponded.Store(true)
+	l.answered = leaderAnswer{response.ClockMS, now}
 	l.setVMs(response.VMs)
 	age := time.Duration(response.ListAgeMS) * time.Millisecond
 	if response.Source != "" && !l.leading && l.relay.accepts(response) {
--- a/gateway/run/restoration.go
+++ b/gateway/run/restoration.go
@@ -44,7 +44,7 @@
 	if known := l.knownLeader; known.Term.Era < leadership.Term.Era && known.Leader.Incarnation != "" {
 		l.formerLeader = known
 	}
-	l.knownLeader = leadership
+	l.knownLeader, l.answered = leadership, leaderAnswer{}
 }
 
 // leaderBefore returns the last known leader of the eras before the given one.
