run: a server listed at another address stays draining, and its idle connections end

Cause: a record with another address for the same ID and start (from another writer) replaced all that was known of the server: it was no longer draining, and the pool of connections to the earlier address was never closed. Change: the row stays; only the pool is closed, and the next request opens one to the new address. Result: TestServerListedAtAnotherAddressStaysDraining failed before (the server got requests), passes now; go test -count=1 ./gateway/run passes.

--- a/gateway/run/incarnations_test.go
+++ b/gateway/run/incarnations_test.go
@@ -1,6 +1,8 @@
 package run
 
 import (
+	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -177,3 +179,21 @@
 	daemon.followLeader(peer.Leadership{Leader: keys.Leader{Incarnation: "next"}, Term: kvstore.Position{Era: 1, Version: 90}})
 	g.Expect(daemon.newReport().AnsweredAtMS).To(BeZero(), "the clock of another leader says nothing")
 }
+
+func TestServerListedAtAnotherAddressStaysDraining(t *testing.T) {
+	g := NewWithT(t)
+	l := newRelayLoop(t, 0)
+	server := model.Server{ID: "a", Service: "s", Address: "127.0.0.1:1", Draining: true, Born: 5}
+	l.servers.update(l.clock(), []model.Server{server})
+	row := l.servers.rows[server.Incarnation()]
+	first := l.servers.target(row, model.Service{}, 1)
+	server.Address, server.Draining = "127.0.0.1:2", false
+	g.Expect(l.servers.update(l.clock(), []model.Server{server})).To(BeTrue(), "requests go to the other address")
+	g.Expect(l.servers.available("s", model.Service{}, 1)).To(BeEmpty())
+	second := l.servers.target(l.servers.rows[server.Incarnation()], model.Service{}, 1)
+	g.Expect(second.Address).To(Equal("127.0.0.1:2"))
+	request, err := http.NewRequest(http.MethodGet, "/", nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, failure := first.Pool.Do(context.Background(), request, false)
+	g.Expect(failure).To(MatchError(ContainSubstring("pool closed")), "its idle connections would stay open")
+}
--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -101,11 +101,14 @@
 // draining. It says whether anything changed that affects request handling.
 func (t *serverTable) upsert(server model.Server) bool {
 	row := t.rows[server.Incarnation()]
-	if row == nil || row.Address != server.Address {
+	if row == nil {
 		row = &serverRow{}
 		t.rows[server.Incarnation()] = row
 	}
-	isNew := row.ID == "" || row.gone
+	isNew := row.ID == "" || row.gone || row.Address != server.Address
+	if row.Address != server.Address {
+		row.closeTarget()
+	}
 	wasDraining := row.Draining
 	server.Draining = server.Draining || wasDraining
 	row.Server, row.listed, row.gone = server, true, false
@@ -152,12 +155,19 @@
 }
 
 func (t *serverTable) forget(incarnation model.Incarnation, row *serverRow) {
-	if row.target != nil {
-		row.target.Pool.Close()
-	}
+	row.closeTarget()
 	delete(t.rows, incarnation)
 }
 
+// closeTarget ends the use of the server at the address of its record until now. Requests
+// in flight go on.
+func (r *serverRow) closeTarget() {
+	if r.target != nil {
+		r.target.Pool.Close()
+		r.target = nil
+	}
+}
+
 func (t *serverTable) logFields(server model.Server) []zap.Field {
 	return []zap.Field{zap.String("server", server.ID), zap.Int64("born", server.Born), zap.String("service", server.Service),
 		zap.String("address", server.Address), zap.String("zone", server.Zone), zap.Int("slots", server.Slots)}
