--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -40,6 +40,15 @@
 type Report struct {
 	VM          string `json:"vm"`
 	Incarnation string `json:"incarnation"`
+	// UptimeMS is the time since the sender started, in milliseconds.
+	UptimeMS int64 `json:"uptime_ms,omitempty"`
+	// Leader is the leadership that the report is meant for. A leader of another term
+	// does not count it: its sender would go on following an earlier one.
+	Leader Leadership `json:"leader"`
+	// AnsweredAtMS is ReportResponse.ClockMS of the leader's last response to the sender,
+	// zero without one, and AnsweredAgoMS the time since it arrived.
+	AnsweredAtMS  int64 `json:"answered_at_ms,omitempty"`
+	AnsweredAgoMS int64 `json:"answered_ago_ms,omitempty"`
 	// Address is the IP:port at which the sender accepts calls from peers.
 	Address string `json:"address"`
 	// Zone is the sender's availability zone, Capacity its capacity
@@ -85,20 +94,22 @@
 	OnlyVersion       bool `json:"only_version,omitempty"`
 }
 
-// ServerReport summarizes the responses of one backend server.
+// ServerReport summarizes the responses of one incarnation of a backend server.
 type ServerReport struct {
-	ID        string `json:"id"`
-	Responses int    `json:"answers"`
+	model.Incarnation
+	Responses int `json:"answers"`
 	// MeanMS is the mean response time in milliseconds.
 	MeanMS float64 `json:"mean_ms"`
 }
 
 // ReportResponse is the response to a Report.
 type ReportResponse struct {
-	// Leading says whether the responding daemon is the leader. If it is not,
-	// KnownLeader is the leader that it knows.
+	// Leading says whether the responding daemon leads in the term for which the report
+	// was meant. KnownLeader is the leader that it knows, itself if it leads.
 	Leading     bool       `json:"leading"`
 	KnownLeader Leadership `json:"known"`
+	// ClockMS is the leader's clock when it responded.
+	ClockMS int64 `json:"clock_ms,omitempty"`
 	// VMs is the number of daemons that reported recently, including the leader.
 	// MaxCapacity is the highest capacity among them.
 	VMs         int     `json:"vms"`
@@ -113,6 +124,11 @@
 	Full     bool                `json:"all,omitempty"`
 	Servers  []model.Server      `json:"servers,omitempty"`
 	Removed  []model.Incarnation `json:"gone,omitempty"`
+	// Base is the revision that the changes apply to.
+	Base uint64 `json:"base,omitempty"`
+	// ReadFrom is the state of the store from which the list was read. Lists of all
+	// sources are ordered by it.
+	ReadFrom kvstore.Position `json:"read_from"`
 	// ListAgeMS is the time since the leader read the list from the store.
 	ListAgeMS int64 `json:"list_age_ms"`
 	// Era is the newest era of the store that the responding daemon knows.
@@ -189,6 +205,8 @@
 	// Source is the incarnation of the leader, Revision the revision of its list.
 	Source   string `json:"source"`
 	Revision uint64 `json:"change"`
+	// ReadFrom is the state of the store from which the list was read.
+	ReadFrom kvstore.Position `json:"read_from"`
 	// Compressed is a JSON array of model.Server in gzip format.
 	Compressed []byte `json:"packed"`
 }
@@ -196,8 +214,10 @@
 // ServerChanges are the changes of a leader's server list from revision Base to
 // Revision.
 type ServerChanges struct {
-	// Source is the incarnation of the leader.
+	// Source is the incarnation of the leader, ReadFrom the state of the store from which
+	// it read the list.
 	Source   string              `json:"source"`
+	ReadFrom kvstore.Position    `json:"read_from"`
 	Base     uint64              `json:"base"`
 	Revision uint64              `json:"change"`
 	Servers  []model.Server      `json:"servers,omitempty"`
@@ -260,10 +280,13 @@
 
 // YieldResponse confirms that an earlier leader has stopped.
 type YieldResponse struct {
-	// Incarnation identifies the responding process. If it is the requested one,
-	// that process sends no more grants. If it is another one, the requested
-	// process no longer runs.
+	// VM and Incarnation identify the responding process. If it is the requested one,
+	// that process sends no more grants. If it is another one of the same VM, the
+	// requested process no longer runs. Another VM proves nothing.
+	VM          string `json:"vm"`
 	Incarnation string `json:"incarnation"`
+	// UptimeMS is the time since the responding process started, in milliseconds.
+	UptimeMS int64 `json:"uptime_ms,omitempty"`
 	// Refused says that the process leads by a later term than that of the sender.
 	Refused bool `json:"refused,omitempty"`
 	// KnownLeader is the last leader that the process knows; FormerLeader the last one of
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -20,7 +20,8 @@
 func (l *loop) lead() {
 	now := l.clock()
 	state := l.campaign.State()
-	silence := now - state.LastContact
+	l.storeContact = state.LastContact
+	silence := now - l.storeContact
 	switch {
 	case state.Held && l.term.Before(state.Term) && silence < contactTimeout:
 		l.term = state.Term
@@ -59,7 +60,8 @@
 }
 
 // hasMajority says whether more than half of the daemons, including this one, have
-// reported within majorityWindow.
+// sent a report within majorityWindow. A process that started after the last contact to the
+// store does not count: the one before it may have reported to a later leader.
 func (l *loop) hasMajority(now time.Duration) bool {
 	recent, all := 1, 1
 	for vm, m := range l.members {
@@ -67,7 +69,7 @@
 			continue
 		}
 		all++
-		if now-m.reportedAt <= majorityWindow {
+		if now-m.reportedAt+m.transit <= majorityWindow && m.startedAt <= l.storeContact {
 			recent++
 		}
 	}
@@ -183,13 +185,42 @@
 	request := &peer.YieldRequest{Incarnation: leader.Incarnation, Successor: peer.Leadership{Leader: l.self, Term: l.term}, Pages: l.pageStamps()}
 	go func() {
 		response, err := l.peers.Yield(l.ctx, leader.Address, request)
-		if err != nil {
+		done := yieldDone{leader, request.Successor.Term, response, err}
+		if !done.resolved() {
 			sleep(l.ctx, yieldRetryDelay)
 		}
-		l.deliver(yieldDone{leader, response, err})
+		l.deliver(done)
 	}()
 }
 
+// resolved says whether the call need not be repeated.
+func (y yieldDone) resolved() bool {
+	return y.err == nil && (y.response.Refused || y.proof() != proofNone)
+}
+
+// endProof is how a response proves that an earlier leader sends no more grants.
+type endProof string
+
+// Proofs, as named in the log.
+const (
+	proofNone    endProof = ""
+	proofStopped endProof = "it confirmed that it has stopped"
+	proofEnded   endProof = "the process has ended: a later one of its VM responds at its address"
+)
+
+// proof returns what the response proves. Another VM may have the address now, while the
+// asked process still runs.
+func (y yieldDone) proof() endProof {
+	switch {
+	case y.response.Incarnation == y.predecessor.Incarnation:
+		return proofStopped
+	case y.response.VM == y.predecessor.VM:
+		return proofEnded
+	default:
+		return proofNone
+	}
+}
+
 func (y yieldDone) apply(l *loop) {
 	delete(l.yieldPending, y.predecessor.Incarnation)
 	if y.err != nil {
@@ -199,21 +230,42 @@
 	if y.response.Refused {
 		return
 	}
-	cause, until := "the process has ended: another one responds at its address", l.clock()
-	if y.response.Incarnation == y.predecessor.Incarnation {
-		// Calls that it has already sent may still arrive.
-		cause, until = "it confirmed that it has stopped", until+keys.MaxCallDelay
+	l.applyPages(y.response.Pages)
+	if y.term != l.term {
+		return // The predecessor may have led again since.
+	}
+	if proof := y.proof(); proof != proofNone {
+		l.endPredecessor(y.predecessor, proof, y.lastArrival(l.clock()))
+	}
+	l.noteYield(y)
+}
+
+// lastArrival returns the time by which all calls of the earlier leader have arrived.
+func (y yieldDone) lastArrival(now time.Duration) time.Duration {
+	last := now + keys.MaxCallDelay
+	if y.proof() == proofStopped {
+		return last
 	}
+	uptime := time.Duration(y.response.UptimeMS) * time.Millisecond
+	return last - min(max(uptime, 0), keys.MaxCallDelay) // It ended before the later process started.
+}
+
+// endPredecessor records that an earlier leader sends no more grants, and that its last
+// one arrives by the given time.
+func (l *loop) endPredecessor(leader keys.Leader, proof endProof, by time.Duration) {
 	for _, machine := range l.machines {
-		machine.PredecessorEnded(y.predecessor.Incarnation, until)
+		machine.PredecessorEnded(leader.Incarnation, by)
 	}
-	l.applyPages(y.response.Pages)
-	l.log.Event(event.PredecessorStopped, cause, zap.String("vm", y.predecessor.VM))
-	l.noteYield(y)
+	l.log.Event(event.PredecessorStopped, string(proof), zap.String("vm", leader.VM))
 }
 
 func (y yieldReceived) apply(l *loop) {
-	response := peer.YieldResponse{Incarnation: l.self.Incarnation, KnownLeader: l.knownLeader}
+	response := peer.YieldResponse{
+		VM:          l.self.VM,
+		Incarnation: l.self.Incarnation,
+		UptimeMS:    (l.clock() - l.startedAt).Milliseconds(),
+		KnownLeader: l.knownLeader,
+	}
 	response.Refused = l.leading && y.request.Successor.Term.Before(l.term)
 	if y.request.Incarnation == l.self.Incarnation && !response.Refused {
 		l.yield(y.request, &response)
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -85,6 +85,7 @@
 	term              kvstore.Position
 	era               kvstore.Era // The store's newest known era.
 	leadingSince      time.Duration
+	storeContact      time.Duration // When the own lease on the leader's key was last known to be valid.
 	nextLead          time.Duration // Earliest next run of the leader's work.
 	startedAt         time.Duration
 	leaderWait        time.Duration   // Time to wait for a leader at startup; constant.
@@ -125,6 +126,7 @@
 	rewrittenAfter    kvstore.Version // On the first list of servers in an era: the store's version.
 	rewrittenEra      kvstore.Era     // The era of rewrittenAfter.
 	reportSentAt      time.Duration   // When the newest report was sent.
+	answered          leaderAnswer    // The known leader's last response.
 	members           map[string]member
 	requestedKeys     *requestedKeys
 	storeHealth       dependency
@@ -167,8 +169,11 @@
 type member struct {
 	address    string
 	reportedAt time.Duration
-	zone       string
-	capacity   float64
+	startedAt  time.Duration // Of its process.
+	// transit is how long the newest report may have been on its way.
+	transit  time.Duration
+	zone     string
+	capacity float64
 	// gaveUp says that it gave up the leadership at gaveUpAt, because most servers did
 	// not answer.
 	gaveUp   bool
--- a/gateway/run/peer_fuzz_test.go
+++ b/gateway/run/peer_fuzz_test.go
@@ -111,6 +111,7 @@
 	case 0:
 		report := &peer.Report{}
 		if json.Unmarshal(text, report) == nil {
+			report.Leader = l.knownLeader // Another report is refused unread.
 			reportReceived{report, make(chan peer.ReportResponse, 1)}.apply(l)
 		}
 	case 1:
@@ -137,7 +138,7 @@
 	default:
 		response := &peer.YieldResponse{}
 		if json.Unmarshal(text, response) == nil {
-			yieldDone{keys.Leader{VM: "x", Incarnation: "x", Address: "127.0.0.1:1"}, response, nil}.apply(l)
+			yieldDone{keys.Leader{VM: "x", Incarnation: "x", Address: "127.0.0.1:1"}, l.term, response, nil}.apply(l)
 		}
 	}
 }
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -126,6 +126,10 @@
 // newReport creates a report with the observations since the last one.
 func (l *loop) newReport() *peer.Report {
 	report := l.newStatus()
+	report.Leader = l.knownLeader
+	if l.answered.clockMS > 0 {
+		report.AnsweredAtMS, report.AnsweredAgoMS = l.answered.clockMS, (l.clock() - l.answered.arrivedAt).Milliseconds()
+	}
 	report.RequestedKeys = l.requestedKeys.take()
 	report.Servers = l.serverReports()
 	report.Limits = l.takeLimitObservations()
@@ -137,6 +141,7 @@
 	report := &peer.Report{
 		VM:           l.self.VM,
 		Incarnation:  l.self.Incarnation,
+		UptimeMS:     (l.clock() - l.startedAt).Milliseconds(),
 		Address:      l.self.Address,
 		Zone:         l.settings.Zone,
 		Capacity:     l.settings.Capacity(),
@@ -180,17 +185,32 @@
 		count, total := row.target.TakeResponseTimes()
 		if count > 0 {
 			mean := total / time.Duration(count)
-			reports = append(reports, peer.ServerReport{ID: row.ID, Responses: count, MeanMS: float64(mean.Microseconds()) / 1000})
+			reports = append(reports, peer.ServerReport{Incarnation: row.Incarnation(), Responses: count, MeanMS: float64(mean.Microseconds()) / 1000})
 		}
 	}
 	return reports
 }
 
+// leaderAnswer is when a leader's last response was sent, by the leader's clock, and when
+// it arrived.
+type leaderAnswer struct {
+	clockMS   int64
+	arrivedAt time.Duration
+}
+
 // applyReport processes a daemon's report on the leader.
 func (l *loop) applyReport(report *peer.Report) {
 	now := l.clock()
-	l.members[report.VM] = member{address: report.Address, reportedAt: now, zone: report.Zone, capacity: report.Capacity,
-		gaveUp: report.GaveUp, gaveUpAt: now - time.Duration(report.GaveUpAgoMS)*time.Millisecond}
+	l.members[report.VM] = member{
+		address:    report.Address,
+		reportedAt: now,
+		startedAt:  now - time.Duration(report.UptimeMS)*time.Millisecond,
+		transit:    now - l.sentAfter(report),
+		zone:       report.Zone,
+		capacity:   report.Capacity,
+		gaveUp:     report.GaveUp,
+		gaveUpAt:   now - time.Duration(report.GaveUpAgoMS)*time.Millisecond,
+	}
 	for _, observation := range report.Limits {
 		l.applyLimitObservation(now, observation)
 	}
@@ -199,13 +219,35 @@
 			machine.StepRequests(now, requested)
 		}
 	}
-	for _, server := range report.Servers {
+	for _, server := range l.reportsOfListed(report.Servers) {
 		for _, machine := range l.machines {
 			machine.StepLatency(server.ID, server.Responses, time.Duration(server.MeanMS*float64(time.Millisecond)))
 		}
 	}
 }
 
+// sentAfter returns a time, by this leader's clock, after which a report was sent: it was
+// sent to this leader, and some time after this leader's last response to its sender. The
+// reports that a frozen process finds in its buffers may be old.
+func (l *loop) sentAfter(report *peer.Report) time.Duration {
+	if report.AnsweredAtMS <= 0 {
+		return l.leadingSince
+	}
+	return time.Duration(report.AnsweredAtMS+report.AnsweredAgoMS) * time.Millisecond
+}
+
+// reportsOfListed returns the reports of the servers whose present incarnations they are
+// about.
+func (l *loop) reportsOfListed(reports []peer.ServerReport) []peer.ServerReport {
+	var listed []peer.ServerReport
+	for _, report := range reports {
+		if row := l.servers.rows[report.Incarnation]; row != nil && row.listed {
+			listed = append(listed, report)
+		}
+	}
+	return listed
+}
+
 // countMembers returns the number of active daemons. Until activeMemberTimeout after
 // an election, when some may not have reported yet, it returns at least the number
 // known before the election, or zero for unknown if none was known.
@@ -258,6 +300,10 @@
 		r.reply <- l.startupResponse(r.report)
 		return
 	}
+	if r.report.Leader != l.knownLeader {
+		r.reply <- peer.ReportResponse{KnownLeader: l.knownLeader, ConfirmedAgeMS: neverConfirmed}
+		return
+	}
 	l.applyReport(r.report)
 	l.learnNewerVersion(r.report)
 	l.consultSender(r.report)
@@ -266,19 +312,34 @@
 
 func (r reportDone) apply(l *loop) {
 	l.reportPending = false
-	if r.err == nil && r.response.Leading {
+	switch {
+	case r.err != nil:
+		l.reportFailed(r.err.Error())
+	case !r.response.Leading:
+		l.applyOtherResponse(r.response)
+	case r.response.KnownLeader.Term.Before(l.knownLeader.Term):
+		// The sender has followed a later leader since; the report to it is due.
+	default:
 		l.relay.reportFailures = 0
 		l.applyLeaderResponse(r.response)
-		return
 	}
-	cause := "the daemon at the leader's address is not the leader"
-	if r.err != nil {
-		cause = r.err.Error()
-	} else {
-		l.followLeader(r.response.KnownLeader)
-		l.applyStartupResponse(r.response)
-		l.confirmByPeer(r.response, l.reportSentAt)
+}
+
+// applyOtherResponse processes the response of a daemon that does not lead in the term
+// for which the report was meant.
+func (l *loop) applyOtherResponse(response *peer.ReportResponse) {
+	followed := l.followLeader(response.KnownLeader)
+	l.applyStartupResponse(response)
+	l.confirmByPeer(response, l.reportSentAt)
+	if followed {
+		l.reportWhileStarting()
+		return
 	}
+	l.reportFailed("the daemon at the leader's address is not the leader")
+}
+
+// reportFailed counts a report without a response of the leader.
+func (l *loop) reportFailed(cause string) {
 	l.log.Event(event.PeerUnreachable, cause, zap.String("leader", l.knownLeader.Leader.VM))
 	if l.relay.reportFailures++; l.relay.reportFailures >= staleThreshold {
 		l.relistLeader(l.clock())
--- a/gateway/run/responses.go
+++ b/gateway/run/responses.go
@@ -16,6 +16,8 @@
 	now := l.clock()
 	response := peer.ReportResponse{
 		Leading:      true,
+		KnownLeader:  l.knownLeader,
+		ClockMS:      now.Milliseconds(),
 		VMs:          l.countMembers(now),
 		MaxCapacity:  l.maxCapacity(),
 		FollowStore:  l.mayFollowStore(report, now),
@@ -80,13 +82,13 @@
 	now := l.clock()
 	l.enterEra(response.Era)
 	l.leaderResponded.Store(true)
+	l.answered = leaderAnswer{response.ClockMS, now}
 	l.setVMs(response.VMs)
 	age := time.Duration(response.ListAgeMS) * time.Millisecond
-	if response.Source != "" && !l.leading {
+	if response.Source != "" && !l.leading && l.relay.accepts(response) {
 		listed := l.relay.apply(response)
 		if age < l.relayedListTTL() {
-			l.setRelayedListTime(now - age)
-			l.applyServers(now, listed)
+			l.applyRelayedList(now-age, listed)
 		} else {
 			l.askFollower() // The leader has lost the store.
 		}
