gateway: a stopping VM sends nothing that can't end before the process

Cause: a stop refused by the time of arrival only (2.8 s after SIGTERM). What had arrived before was sent to a server at any later time: after its body had come, after a wait, once more after a failure, and whatever its duration. At the end of the grace period the process exited with these requests in flight.

Change: gateway/shutdown decides at every send from the time left, the deadline and the expected duration of the request. Until 2.8 s after SIGTERM a request is sent if its deadline or its expected duration ends in time, later only if its deadline does; these late ones are served now. Others get 503 `stopping`, Retry-After and Connection: close at once. The gate is closed before the process ends, so that nothing arrives between the last look and the exit; what still runs 0.5 s before SIGKILL gets 502 instead of a closed connection.

--- a/gateway/dispatch/bykey.go
+++ b/gateway/dispatch/bykey.go
@@ -54,9 +54,13 @@
 	if server.LostKeys(now) {
 		return c.waitForView(changed, notOwnerDelay, verdict.CodeNoOwner)
 	}
-	if balance.ExpectedLatency(now, server) > c.timeLeft() {
+	expected := balance.ExpectedLatency(now, server)
+	if expected > c.timeLeft() {
 		return c.finish(verdict.NotRun, verdict.CodeTooLate)
 	}
+	if !c.mayStart(expected) {
+		return c.finish(verdict.NotRun, verdict.CodeStopping)
+	}
 	if rand.Float64() < balance.ShedFraction(now, server, c.request.Route.LatencyObjective) {
 		return c.finish(verdict.NotRun, verdict.CodeQueueFull)
 	}
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -11,7 +11,9 @@
 
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/budget"
+	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/port"
+	"guavacrank.example/gateway/shutdown"
 	"guavacrank.example/gateway/view"
 	"guavacrank.example/traffic/upstream"
 	"guavacrank.example/traffic/verdict"
@@ -41,12 +43,15 @@
 	Clock func() time.Duration
 	// MemoryBytes is the memory limit of the process; zero sets no limit to responses.
 	MemoryBytes int64
+	// Gate tells about the stop of this VM. If nil, it never stops.
+	Gate *shutdown.Gate
 }
 
 // Dispatcher sends requests to backend servers. It is safe for concurrent use.
 type Dispatcher struct {
-	options Options
-	reading responseMemory
+	options   Options
+	reading   responseMemory
+	durations durations
 	// waitsEnded is closed when requests may no longer wait.
 	waitsEnded chan struct{}
 	endWaits   sync.Once
@@ -54,6 +59,9 @@
 
 // New returns a dispatcher.
 func New(options Options) *Dispatcher {
+	if options.Gate == nil {
+		options.Gate = shutdown.NewGate()
+	}
 	return &Dispatcher{
 		options:    options,
 		reading:    responseMemory{limit: options.MemoryBytes},
@@ -65,6 +73,22 @@
 // stops, and its callers are better served by another one.
 func (d *Dispatcher) EndWaits() { d.endWaits.Do(func() { close(d.waitsEnded) }) }
 
+// MayStart reports whether a request on a route, with the given deadline, may still be
+// sent to a server of the service. While this VM stops, it may only if its end is to be
+// expected before that of the process.
+func (d *Dispatcher) MayStart(route *model.Route, service string, deadline time.Duration) bool {
+	return d.mayStart(route, service, deadline, 0)
+}
+
+// mayStart is MayStart with the expected latency of the chosen server.
+func (d *Dispatcher) mayStart(route *model.Route, service string, deadline, latency time.Duration) bool {
+	expected := d.durations.upperBound(routeKey{route.Name, service})
+	if expected > 0 {
+		expected = max(expected, latency)
+	}
+	return d.options.Gate.MayStart(d.options.Clock(), deadline, expected)
+}
+
 // mayWait reports whether requests may still wait long for a server.
 func (d *Dispatcher) mayWait() bool {
 	select {
@@ -118,10 +142,14 @@
 // server's limit was the reason, that is when this VM may send to it again.
 func (c *call) retryAfter() time.Duration {
 	longest := time.Duration(retryAfterShare * float64(c.timeLeft()))
-	if c.result.Code != verdict.CodeServerLimit {
+	switch c.result.Code {
+	case verdict.CodeServerLimit:
+		return min(c.limitedBy.Limit.RetryAfter(c.options.Clock(), c.vms()), longest)
+	case verdict.CodeStopping:
+		return shutdown.RetryAfter
+	default:
 		return longest
 	}
-	return min(c.limitedBy.Limit.RetryAfter(c.options.Clock(), c.vms()), longest)
 }
 
 // vms returns the number of active VMs, or zero if unknown.
@@ -160,12 +188,20 @@
 	if service == nil {
 		return c.finish(verdict.NotRun, verdict.CodeNoServer)
 	}
+	if !c.mayStart(0) {
+		return c.finish(verdict.NotRun, verdict.CodeStopping)
+	}
 	if service.Partitioned {
 		return c.sendByKey(service, changed)
 	}
 	return c.sendToBest(service)
 }
 
+// mayStart reports whether a server with the given expected latency may get the request.
+func (c *call) mayStart(latency time.Duration) bool {
+	return c.Dispatcher.mayStart(c.request.Route, c.request.Service, c.request.Deadline, latency)
+}
+
 // expired reports whether a request's context has ended or its deadline has
 // passed. A connection may detect the deadline before the context does.
 func expired(ctx context.Context) bool {
@@ -175,6 +211,9 @@
 
 // contextCode returns the code for the reason why a request's context ended.
 func contextCode(ctx context.Context) verdict.Code {
+	if errors.Is(context.Cause(ctx), shutdown.ErrInterrupted) {
+		return verdict.CodeStopping
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return verdict.CodeCallerGone
 	}
@@ -194,6 +233,8 @@
 		return c.finish(verdict.NotRun, verdict.CodeNoServer)
 	case choice.ExpectedLatency > c.timeLeft():
 		return c.finish(verdict.NotRun, verdict.CodeTooLate)
+	case !c.mayStart(choice.ExpectedLatency):
+		return c.finish(verdict.NotRun, verdict.CodeStopping)
 	}
 	if c.reachedAttempts == 0 && c.request.Route.Idempotent && c.request.Route.MaxAttempts > 1 {
 		return c.sendHedged(choice)
--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -42,6 +42,9 @@
 	server.EndRequest(now, start, out.result)
 	out.Server, out.Zone = server.ID, server.Zone
 	out.Start, out.Duration = start, now-start
+	if out.response != nil || out.Code == verdict.CodeTimeout {
+		c.durations.add(routeKey{c.request.Route.Name, c.request.Service}, out.Duration)
+	}
 	return out
 }
 
--- a/gateway/dispatch/hedge.go
+++ b/gateway/dispatch/hedge.go
@@ -83,7 +83,7 @@
 	}
 	excluded := func(server *balance.Server) bool { return server == first || c.wasTried(server) }
 	choice := c.choose(service, excluded)
-	if choice.Server == nil || choice.ExpectedLatency > c.timeLeft() || !c.options.Budget.Spend(now, c.request.Service, hedgeBudgetReserve) {
+	if choice.Server == nil || choice.ExpectedLatency > c.timeLeft() || !c.mayStart(choice.ExpectedLatency) || !c.options.Budget.Spend(now, c.request.Service, hedgeBudgetReserve) {
 		return nil
 	}
 	return choice.Server
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -25,6 +25,7 @@
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/gateway/routing"
+	"guavacrank.example/gateway/shutdown"
 	"guavacrank.example/gateway/view"
 	"guavacrank.example/traffic/metric"
 	"guavacrank.example/traffic/verdict"
@@ -41,9 +42,6 @@
 	startWaitDivisor = 8
 	// notReadyRetryAfter is the Retry-After of a VM without a configuration.
 	notReadyRetryAfter = 200 * time.Millisecond
-	// stoppingRetryAfter is the Retry-After of a VM that is stopping. It is short,
-	// since other VMs serve requests already.
-	stoppingRetryAfter = 20 * time.Millisecond
 )
 
 // Options configure a Handler.
@@ -57,9 +55,11 @@
 	// then it denies nothing. Zero means that it always may.
 	ConfigurationTime time.Duration
 	Dispatcher        *dispatch.Dispatcher
-	Log               *logbook.Logger
-	Metrics           *metric.Table
-	Clock             func() time.Duration
+	// Gate tells about the stop of this VM. If nil, it never stops.
+	Gate    *shutdown.Gate
+	Log     *logbook.Logger
+	Metrics *metric.Table
+	Clock   func() time.Duration
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
 	// OnKeyRequest, if set, is called with the service and key of each request that
@@ -71,24 +71,21 @@
 type Handler struct {
 	options           Options
 	disableKeepAlives atomic.Bool
-	refusing          atomic.Bool
 	inFlight          atomic.Int64
 	bodyBytes         atomic.Int64 // Of the bodies held in memory.
 }
 
 // New returns a handler.
-func New(options Options) *Handler { return &Handler{options: options} }
+func New(options Options) *Handler {
+	if options.Gate == nil {
+		options.Gate = shutdown.NewGate()
+	}
+	return &Handler{options: options}
+}
 
 // DisableKeepAlives closes each connection after its next response.
 func (h *Handler) DisableKeepAlives() { h.disableKeepAlives.Store(true) }
 
-// RefuseNew refuses all requests that arrive from now on, and those that wait for a
-// server.
-func (h *Handler) RefuseNew() {
-	h.refusing.Store(true)
-	h.options.Dispatcher.EndWaits()
-}
-
 // InFlight returns the number of requests in flight.
 func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
 
@@ -100,10 +97,12 @@
 	if h.disableKeepAlives.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	e := &exchange{Handler: h, w: w, r: r, arrived: arrived}
-	if h.refusing.Load() {
+	ctx, end := h.options.Gate.Context(r.Context())
+	defer end()
+	e := &exchange{Handler: h, ctx: ctx, w: w, r: r, arrived: arrived}
+	if h.options.Gate.Closed() {
 		e.head, _ = h.options.HeaderCodec.ReadRequest(r.Header) // Only the ID is used, for the log.
-		e.refuse(verdict.CodeStopping, stoppingRetryAfter)
+		e.refuse(verdict.CodeStopping, shutdown.RetryAfter)
 		return
 	}
 	e.serve()
@@ -112,6 +111,7 @@
 // exchange is one request and its response.
 type exchange struct {
 	*Handler
+	ctx     context.Context // Ends with the request's connection or this process.
 	w       http.ResponseWriter
 	r       *http.Request
 	arrived time.Duration
@@ -182,7 +182,7 @@
 	select {
 	case <-changed:
 	case <-timer.C:
-	case <-e.r.Context().Done():
+	case <-e.ctx.Done():
 	}
 	current, _ = e.loadView()
 	return current
@@ -206,7 +206,11 @@
 		e.options.OnKeyRequest(e.service, e.head.Key)
 	}
 	deadline := e.deadline()
-	ctx, cancel := context.WithTimeout(e.r.Context(), deadline-e.options.Clock())
+	if !e.options.Dispatcher.MayStart(e.route, e.service, deadline) {
+		e.refuse(verdict.CodeStopping, shutdown.RetryAfter)
+		return
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, deadline-e.options.Clock())
 	defer cancel()
 	body, err := e.readBody(current.Configuration.Limits.BodyBytes)
 	defer e.bodyBytes.Add(-int64(len(body)))
@@ -297,6 +301,9 @@
 	header.Set(verdict.Header, v.String())
 	header.Set(verdict.HeaderCode, string(code))
 	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if code == verdict.CodeStopping {
+		header.Set("Connection", "close") // The caller's next request needs another VM.
+	}
 	if retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"guavacrank.example/gateway/dispatch"
 	"guavacrank.example/gateway/logbook"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/port"
@@ -36,6 +37,7 @@
 	views := view.NewPublisher()
 	return New(Options{
 		HeaderCodec: fixedCodec{head: port.RequestHead{ID: "r", TimeLeft: timeLeft}},
+		Dispatcher:  dispatch.New(dispatch.Options{Clock: elapsed.Now}),
 		Views:       views, Log: log, Metrics: &metric.Table{}, Clock: elapsed.Now, MemoryBytes: 64 << 20,
 	}), views
 }
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -21,6 +21,7 @@
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
 	"guavacrank.example/gateway/port"
+	"guavacrank.example/gateway/shutdown"
 	"guavacrank.example/gateway/view"
 	"guavacrank.example/traffic/elapsed"
 	"guavacrank.example/traffic/metric"
@@ -49,19 +50,6 @@
 	callerIdleTimeout = time.Minute
 	// callerHeaderTimeout limits the time to read a request's headers.
 	callerHeaderTimeout = 10 * time.Second
-	// balancerNoticeTime is how long the load balancer takes to notice that a VM is
-	// not ready: two failed checks, one second apart, plus network latency.
-	balancerNoticeTime = 2300 * time.Millisecond
-	// acceptTime is how long after the stop signal new requests are accepted. Later
-	// ones are rejected, since the process may end before their response.
-	acceptTime = 2800 * time.Millisecond
-	// minStopTime is how long after the stop signal the process runs at least, to
-	// respond to callers that the balancer still sends.
-	minStopTime = 3600 * time.Millisecond
-	// stopPollInterval is how often a stopping process checks whether it may end.
-	stopPollInterval = 50 * time.Millisecond
-	// stopMargin is the safety margin before the platform sends SIGKILL.
-	stopMargin = 300 * time.Millisecond
 	// logCloseTimeout is how long the process waits at its end for the log to be
 	// written.
 	logCloseTimeout = 100 * time.Millisecond
@@ -79,11 +67,13 @@
 
 // Gateway is one gateway process.
 type Gateway struct {
-	options Options
-	shared  sharedState
-	loop    *loop
-	handler *front.Handler
-	metrics *metric.Table
+	options    Options
+	shared     sharedState
+	gate       *shutdown.Gate
+	loop       *loop
+	dispatcher *dispatch.Dispatcher
+	handler    *front.Handler
+	metrics    *metric.Table
 }
 
 // Run serves requests until ctx is done, then shuts down gracefully. Settings that
@@ -100,7 +90,7 @@
 
 func newGateway(ctx context.Context, options Options) *Gateway {
 	bounds := options.Settings.Bounds
-	g := &Gateway{options: options, metrics: &metric.Table{}}
+	g := &Gateway{options: options, gate: shutdown.NewGate(), metrics: &metric.Table{}}
 	g.shared = sharedState{
 		log:           logbook.New(options.Output, zap.String("vm", options.Settings.VM)),
 		budget:        budget.New(budget.Options{Window: bounds.RetryWindow, Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack}),
@@ -110,19 +100,21 @@
 		clock:         elapsed.Now,
 	}
 	g.loop = newLoop(ctx, options, g.shared)
-	dispatcher := dispatch.New(dispatch.Options{
+	g.dispatcher = dispatch.New(dispatch.Options{
 		HeaderCodec: options.HeaderCodec,
 		Budget:      g.shared.budget,
 		Views:       g.shared.views,
 		Clock:       g.shared.clock,
 		MemoryBytes: options.Settings.MemoryBytes,
+		Gate:        g.gate,
 	})
 	g.handler = front.New(front.Options{
 		HeaderCodec:       options.HeaderCodec,
 		Views:             g.shared.views,
 		Confirmation:      g.shared.confirmation,
 		ConfigurationTime: bounds.ConfigurationTime,
-		Dispatcher:        dispatcher,
+		Dispatcher:        g.dispatcher,
+		Gate:              g.gate,
 		Log:               g.shared.log,
 		Metrics:           g.metrics,
 		Clock:             g.shared.clock,
@@ -226,38 +218,6 @@
 	g.shared.log.Event(event.GatewayReloaded, "", zap.Bool("bounds_changed", updated.Bounds != old.Bounds), zap.Bool("needs_restart", restart))
 }
 
-// stop serves requests until the load balancer has noticed, then waits until no
-// requests are in flight, as long as the platform's grace period permits.
-func (g *Gateway) stop(callers *http.Server) {
-	start := time.Now()
-	g.shared.log.Event(event.GatewayStopping, "", zap.Int64("in_flight", g.handler.InFlight()))
-	g.notifyStopping(false)
-	time.Sleep(balancerNoticeTime)
-	g.handler.DisableKeepAlives()
-	time.Sleep(acceptTime - balancerNoticeTime)
-	g.handler.RefuseNew()
-	g.notifyStopping(false) // The store may be reachable again.
-	limit := g.options.Settings.Bounds.GracePeriod - stopMargin
-	for elapsed := time.Since(start); elapsed < limit && (elapsed < minStopTime || g.handler.InFlight() > 0); elapsed = time.Since(start) {
-		time.Sleep(stopPollInterval)
-	}
-	g.notifyStopping(true)
-	g.shared.log.Event(event.GatewayStopped, "", zap.Int64("in_flight", g.handler.InFlight()))
-	ctx, cancel := context.WithTimeout(context.Background(), stopPollInterval)
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		g.shared.log.Event(event.GatewayStopped, err.Error(), zap.Int64("in_flight", g.handler.InFlight()))
-	}
-}
-
-// notifyStopping tells the loop that the process is stopping. last says that it is
-// about to exit. It waits until the loop has processed the input.
-func (g *Gateway) notifyStopping(last bool) {
-	done := make(chan struct{})
-	g.loop.deliver(stopRequested{last, done})
-	<-done
-}
-
 // metricsHandler serves the counters of this gateway and the runtime in the format of
 // expvar. They are not published in expvar's global table, so that several gateways
 // may run in one process.
--- /dev/null
+++ b/gateway/run/stop.go
@@ -0,0 +1,94 @@
+package run
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"guavacrank.example/event"
+	"guavacrank.example/gateway/shutdown"
+)
+
+const (
+	// balancerNoticeTime is how long the load balancer takes to notice that a VM is
+	// not ready: two failed checks, one second apart, plus network latency.
+	balancerNoticeTime = 2300 * time.Millisecond
+	// estimatesTime is how long after the stop signal requests are accepted that are
+	// expected to end in time. Later ones must be certain to.
+	estimatesTime = 2800 * time.Millisecond
+	// minStopTime is how long after the stop signal the process runs at least, to
+	// respond to callers that the balancer still sends.
+	minStopTime = 3600 * time.Millisecond
+	// stopPollInterval is how often a stopping process checks whether it may end.
+	stopPollInterval = 50 * time.Millisecond
+	// stopMargin is the safety margin before the platform sends SIGKILL. answerTime is
+	// the time before it to write the last responses.
+	stopMargin = 300 * time.Millisecond
+	answerTime = 200 * time.Millisecond
+	// closeTimeout limits the wait for connections on which a request or a response is
+	// on its way when no request is in flight.
+	closeTimeout = 300 * time.Millisecond
+)
+
+// stop serves requests until the load balancer has noticed, then waits until no
+// requests are in flight, as long as the platform's grace period permits. Requests that
+// run longer are interrupted, so that their callers get a response.
+func (g *Gateway) stop(callers *http.Server) {
+	start := time.Now()
+	limit := start.Add(g.options.Settings.Bounds.GracePeriod - stopMargin)
+	end := limit.Add(-answerTime)
+	g.shared.log.Event(event.GatewayStopping, "", zap.Int64("in_flight", g.handler.InFlight()))
+	now := g.shared.clock()
+	g.gate.Begin(shutdown.Schedule{EstimatesUntil: now + estimatesTime, End: now + time.Until(end)})
+	g.notifyStopping(false)
+	sleepUntil(start.Add(balancerNoticeTime), end)
+	g.handler.DisableKeepAlives()
+	sleepUntil(start.Add(estimatesTime), end)
+	g.dispatcher.EndWaits()
+	g.notifyStopping(false) // The store may be reachable again.
+	sleepUntil(start.Add(minStopTime), end)
+	g.awaitIdle(end)
+	g.gate.Close()
+	g.awaitIdle(end) // Requests may have arrived before the gate was closed.
+	interrupted := g.handler.InFlight()
+	g.gate.Interrupt()
+	g.awaitIdle(limit)
+	g.notifyStopping(true)
+	g.shared.log.Event(event.GatewayStopped, "", zap.Int64("in_flight", interrupted))
+	g.closeConnections(callers, limit)
+}
+
+// sleepUntil sleeps until a time, or until the limit if that is earlier.
+func sleepUntil(at, limit time.Time) {
+	if limit.Before(at) {
+		at = limit
+	}
+	time.Sleep(time.Until(at))
+}
+
+// awaitIdle waits until no requests are in flight, or until the limit.
+func (g *Gateway) awaitIdle(limit time.Time) {
+	for time.Now().Before(limit) && g.handler.InFlight() > 0 {
+		time.Sleep(stopPollInterval)
+	}
+}
+
+// closeConnections closes the connections of callers once their responses are written.
+func (g *Gateway) closeConnections(callers *http.Server, limit time.Time) {
+	timeout := max(min(time.Until(limit), closeTimeout), stopPollInterval)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		g.shared.log.Event(event.GatewayStopped, err.Error(), zap.Int64("in_flight", g.handler.InFlight()))
+	}
+}
+
+// notifyStopping tells the loop that the process is stopping. last says that it is
+// about to exit. It waits until the loop has processed the input.
+func (g *Gateway) notifyStopping(last bool) {
+	done := make(chan struct{})
+	g.loop.deliver(stopRequested{last, done})
+	<-done
+}
