gateway: a body that doesn't come ends with the request's deadline

What callers saw: a request whose body came slowly got no answer. The body was read without a limit in time, past the deadlines of the caller and the route; at the end of a planned stop its connection was closed without a response.

Change: the end of the request's context ends reading the body; the response is 503 `timeout`, or 503 `stopping` at the end of the grace period.

Result: gateway/front TestABodyThatDoesNotComeEndsWithTheRequestsDeadline passes (three runs with -race); the case "whose body does not end" of platform/soak TestARequestIsAnsweredCompletelyDuringAPlannedStop failed at (status 0, unexpected EOF) and passes.

--- a/gateway/front/body.go
+++ b/gateway/front/body.go
@@ -1,12 +1,18 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
+	"go.uber.org/zap"
+
+	"guavacrank.example/event"
+	"guavacrank.example/gateway/shutdown"
 	"guavacrank.example/traffic/verdict"
 )
 
@@ -30,12 +36,15 @@
 	return fmt.Sprintf("the body is longer than %d bytes", e.limit)
 }
 
-// readBody reads the complete body, up to the limit and the memory left for bodies.
-// The error is a bodyTooLargeError, errNoBodyMemory or that of reading.
-func (e *exchange) readBody(limit int64) ([]byte, error) {
+// readBody reads the complete body, up to the limit and the memory left for bodies. The
+// error is a bodyTooLargeError, errNoBodyMemory, the cause of the end of ctx or that of
+// reading.
+func (e *exchange) readBody(ctx context.Context, limit int64) ([]byte, error) {
 	if e.r.Body == nil || e.r.Body == http.NoBody {
 		return nil, nil
 	}
+	release := context.AfterFunc(ctx, e.endReading)
+	defer release()
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
@@ -43,6 +52,8 @@
 	body, err := io.ReadAll(io.LimitReader(e.r.Body, min(limit, room)+1))
 	e.bodyBytes.Add(int64(len(body)))
 	switch size := int64(len(body)); {
+	case err != nil && errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() != nil:
+		return body, context.Cause(ctx)
 	case err != nil:
 		return body, fmt.Errorf("reading the body: %w", err)
 	case size > limit:
@@ -53,10 +64,21 @@
 	return body, nil
 }
 
+// endReading makes reading the body return.
+func (e *exchange) endReading() {
+	if err := http.NewResponseController(e.w).SetReadDeadline(time.Now()); err != nil {
+		e.options.Log.Event(event.CallerLeft, err.Error(), zap.String("request", e.head.ID))
+	}
+}
+
 // refuseBody responds to a request whose body was not read completely.
 func (e *exchange) refuseBody(err error) {
 	var tooLarge bodyTooLargeError
 	switch {
+	case errors.Is(err, shutdown.ErrInterrupted):
+		e.refuse(verdict.CodeStopping, shutdown.RetryAfter)
+	case errors.Is(err, context.DeadlineExceeded):
+		e.refuse(verdict.CodeTimeout, 0)
 	case errors.Is(err, errNoBodyMemory):
 		e.refuse(verdict.CodeTooMany, memoryRetryAfter)
 	case errors.As(err, &tooLarge):
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -212,7 +212,7 @@
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, deadline-e.options.Clock())
 	defer cancel()
-	body, err := e.readBody(current.Configuration.Limits.BodyBytes)
+	body, err := e.readBody(ctx, current.Configuration.Limits.BodyBytes)
 	defer e.bodyBytes.Add(-int64(len(body)))
 	if err != nil {
 		e.refuseBody(err)
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -76,7 +77,7 @@
 		recorder := httptest.NewRecorder()
 		request := httptest.NewRequest(http.MethodPost, "http://h.example/a/", strings.NewReader(body))
 		e := &exchange{Handler: h, w: recorder, r: request}
-		read, err := e.readBody(limit)
+		read, err := e.readBody(context.Background(), limit)
 		defer h.bodyBytes.Add(-int64(len(read)))
 		if err != nil {
 			e.refuseBody(err)
