--- a/cmd/guavacrankd/main.go
+++ b/cmd/guavacrankd/main.go
@@ -1,6 +1,7 @@
 // Command guavacrankd is the router's daemon, one on each entry VM.
 //
-// SIGTERM or SIGINT stops it gracefully; a second signal ends it at once.
+// SIGTERM or SIGINT stops it gracefully; a second signal ends it at once, except for a
+// gateway, which ignores it.
 package main
 
 import (
