gateway/front: a body's read deadline can't hit the connection's next request

Cause: found in reading. If the request's deadline passed while the last bytes of its body were read, the read deadline could be set after the handler had returned, when the connection already served the next request. No test shows the race.

--- a/gateway/front/body.go
+++ b/gateway/front/body.go
@@ -43,8 +43,7 @@
 	if e.r.Body == nil || e.r.Body == http.NoBody {
 		return nil, nil
 	}
-	release := context.AfterFunc(ctx, e.endReading)
-	defer release()
+	defer e.endReadingWith(ctx)()
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
@@ -64,6 +63,23 @@
 	return body, nil
 }
 
+// endReadingWith makes reading the body return when ctx ends, until the returned
+// function is called. A connection that can't be read any more is closed after the
+// response.
+func (e *exchange) endReadingWith(ctx context.Context) (release func()) {
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		e.endReading()
+	})
+	return func() {
+		if !stop() {
+			<-ended
+			e.w.Header().Set("Connection", "close")
+		}
+	}
+}
+
 // endReading makes reading the body return.
 func (e *exchange) endReading() {
 	if err := http.NewResponseController(e.w).SetReadDeadline(time.Now()); err != nil {
