--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"guavacrank.example/gateway/dispatch"
 	"guavacrank.example/gateway/logbook"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/port"
@@ -36,6 +38,7 @@
 	views := view.NewPublisher()
 	return New(Options{
 		HeaderCodec: fixedCodec{head: port.RequestHead{ID: "r", TimeLeft: timeLeft}},
+		Dispatcher:  dispatch.New(dispatch.Options{Clock: elapsed.Now}),
 		Views:       views, Log: log, Metrics: &metric.Table{}, Clock: elapsed.Now, MemoryBytes: 64 << 20,
 	}), views
 }
@@ -74,7 +77,7 @@
 		recorder := httptest.NewRecorder()
 		request := httptest.NewRequest(http.MethodPost, "http://h.example/a/", strings.NewReader(body))
 		e := &exchange{Handler: h, w: recorder, r: request}
-		read, err := e.readBody(limit)
+		read, err := e.readBody(context.Background(), limit)
 		defer h.bodyBytes.Add(-int64(len(read)))
 		if err != nil {
 			e.refuseBody(err)
