gateway: count the bytes of bodies and heads before they are read

Cause: bytes were counted after they had been read, in two places: a request's body only when it was complete, a response only until it was complete, without its head and without what its buffer took while it doubled. All responses had one room.

Change: gateway/memory, one account for request bodies, responses (until they are written to the caller) and response heads that are being read. It counts before memory is allocated, in chunks that are not copied while a body grows; a declared length of a request at once. Each kind has a share, all have 3/8 of memory_mb; what is larger than 16 KB leaves an eighth of a share to what is smaller. Metrics under "memory"; event 744 memory-used-up. Two tests of gateway/front and gateway/dispatch use the new types; what they check is unchanged.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -37,6 +37,7 @@
 	GatewayListenerFailed Number = 741
 	StoreRestored         Number = 742
 	LeaderConsulted       Number = 743
+	MemoryUsedUp          Number = 744
 )
 
 // gatewayEvents defines the events of the gateway area.
@@ -76,4 +77,5 @@
 	{GatewayListenerFailed, "gateway-listener-failed", Error, "A listener of this process failed; the process exits."},
 	{StoreRestored, "store-restored", Warn, "The store was restored from an earlier copy and has lost changes, since its era has risen; the fields give the new and the previous era."},
 	{LeaderConsulted, "leader-consulted", Info, "After a restoration of the store, the new leader of the era has asked the other daemons for the newest ownership page of a service; confirmed says that no later page is possible, otherwise keys are granted only after all earlier grants have expired."},
+	{MemoryUsedUp, "memory-used-up", Warn, "The memory for a kind of bytes (request bodies, responses, response headers) is used up: requests are refused, or their attempts fail, until some is released. Logged once in ten seconds; the field refused counts."},
 }
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/budget"
+	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/gateway/view"
 	"guavacrank.example/traffic/upstream"
@@ -39,14 +40,13 @@
 	Views       *view.Publisher
 	// Clock returns the elapsed time of this VM.
 	Clock func() time.Duration
-	// MemoryBytes is the memory limit of the process; zero sets no limit to responses.
-	MemoryBytes int64
+	// Memory counts the responses held; nil sets no limit.
+	Memory *memory.Account
 }
 
 // Dispatcher sends requests to backend servers. It is safe for concurrent use.
 type Dispatcher struct {
 	options Options
-	reading responseMemory
 	// waitsEnded is closed when requests may no longer wait.
 	waitsEnded chan struct{}
 	endWaits   sync.Once
@@ -56,7 +56,6 @@
 func New(options Options) *Dispatcher {
 	return &Dispatcher{
 		options:    options,
-		reading:    responseMemory{limit: options.MemoryBytes},
 		waitsEnded: make(chan struct{}),
 	}
 }
@@ -95,8 +94,9 @@
 	limitedBy *balance.Server
 }
 
-// Do dispatches a request and returns its final result. ctx must be canceled
-// when the caller disconnects, and its deadline must be the request's deadline.
+// Do dispatches a request and returns its final result, whose response the caller must
+// release. ctx must be canceled when the caller disconnects, and its deadline must be the
+// request's deadline.
 func (d *Dispatcher) Do(ctx context.Context, request *Request) Result {
 	d.options.Budget.CountRequest(request.Arrived, request.Service)
 	c := &call{Dispatcher: d, ctx: ctx, request: request}
@@ -280,7 +280,7 @@
 // afterResponse handles a complete response. After a server error, another
 // server may be tried if the route is idempotent.
 func (c *call) afterResponse(out outcome) bool {
-	c.result.Response = out.response
+	c.keep(out.response)
 	c.finish(verdict.Answered, verdict.CodeAnswered)
 	if out.response.Status < http.StatusInternalServerError || !c.request.Route.Idempotent {
 		return false
--- a/gateway/dispatch/dispatch_test.go
+++ b/gateway/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -131,7 +132,9 @@
 		f.add("a", respond)
 		result := f.do(time.Second)
 		f.Expect(result.Verdict).To(Equal(verdict.Answered))
-		f.Expect(string(result.Response.Body)).To(Equal("body"))
+		body, err := io.ReadAll(result.Response.Body.NewReader())
+		f.Expect(err).NotTo(HaveOccurred())
+		f.Expect(string(body)).To(Equal("body"))
 		f.Expect(result.Attempts).To(HaveLen(1))
 	})
 
--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -10,6 +9,7 @@
 	"strings"
 
 	"guavacrank.example/gateway/balance"
+	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/traffic/upstream"
 	"guavacrank.example/traffic/verdict"
@@ -52,7 +52,7 @@
 		return c.classifyFailure(ctx, failure)
 	}
 	defer response.Body.Close()
-	body, err := c.reading.read(response.Response)
+	body, err := c.readResponse(response.Response)
 	if err != nil {
 		var readFailure *upstream.Failure
 		if errors.As(err, &readFailure) {
@@ -60,7 +60,11 @@
 		}
 		return c.classifyFailure(ctx, &upstream.Failure{Stage: upstream.StageTruncate, Sent: true, Err: err})
 	}
-	return c.classifyResponse(server, response.Response, body)
+	out := c.classifyResponse(server, response.Response, body)
+	if out.response == nil {
+		body.Release()
+	}
+	return out
 }
 
 // buildRequest builds the request to send to the server.
@@ -78,13 +82,13 @@
 		URL:           targetURL(c.request.Target),
 		Host:          c.request.Host,
 		Header:        header,
-		ContentLength: int64(len(c.request.Body)),
+		ContentLength: c.request.Body.Len(),
 	}
-	switch {
-	case len(c.request.Body) >= streamingThreshold:
-		request.Body = newStreamedBody(c.request.Body)
-	case len(c.request.Body) > 0:
-		request.Body = io.NopCloser(bytes.NewReader(c.request.Body))
+	switch length := c.request.Body.Len(); {
+	case length >= streamingThreshold:
+		request.Body = &streamedBody{c.request.Body.NewReader()}
+	case length > 0:
+		request.Body = io.NopCloser(c.request.Body.NewReader())
 	}
 	return request
 }
@@ -103,7 +107,7 @@
 }
 
 // classifyResponse returns the outcome of an attempt with a complete response.
-func (c *call) classifyResponse(server *balance.Server, response *http.Response, body []byte) outcome {
+func (c *call) classifyResponse(server *balance.Server, response *http.Response, body *memory.Body) outcome {
 	head := c.options.HeaderCodec.ReadResponse(response.StatusCode, response.Header)
 	out := outcome{reached: true}
 	out.Status = response.StatusCode
@@ -173,10 +177,6 @@
 	io.Reader
 }
 
-func newStreamedBody(body []byte) *streamedBody {
-	return &streamedBody{Reader: bytes.NewReader(body)}
-}
-
 // Close implements io.Closer. Reads come from memory and never block.
 func (*streamedBody) Close() error { return nil }
 
--- a/gateway/dispatch/hedge.go
+++ b/gateway/dispatch/hedge.go
@@ -33,9 +33,17 @@
 func (c *call) sendHedged(first balance.Choice) bool {
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	results := make(chan finishedAttempt, 2)
+	results, over := make(chan finishedAttempt), make(chan struct{})
+	defer close(over)
 	start := func(server *balance.Server) {
-		go func() { results <- finishedAttempt{server, c.exchange(ctx, server)} }()
+		go func() {
+			finished := finishedAttempt{server, c.exchange(ctx, server)}
+			select {
+			case results <- finished:
+			case <-over:
+				finished.outcome.release()
+			}
+		}()
 	}
 	start(first.Server)
 	timer := time.NewTimer(c.hedgeDelay(first.ExpectedLatency))
@@ -51,7 +59,7 @@
 			}
 			// The other attempt may still return a response.
 			c.mayHaveRun = c.mayHaveRun || finished.outcome.Verdict != verdict.NotRun
-			c.result.Response = finished.outcome.response
+			c.keep(finished.outcome.response)
 		case <-timer.C:
 			if second := c.secondServer(first.Server); second != nil {
 				running++
--- a/gateway/dispatch/memory.go
+++ b/gateway/dispatch/memory.go
@@ -1,73 +1,51 @@
 package dispatch
 
 import (
-	"errors"
-	"fmt"
-	"io"
 	"net/http"
-	"sync/atomic"
-)
 
-const (
-	// responseMemoryDivisor limits the bodies of all responses that are being read to
-	// 1/4 of the process's memory limit.
-	responseMemoryDivisor = 4
-	// longestResponseDivisor limits the body of one response to 1/16 of the process's
-	// memory limit.
-	longestResponseDivisor = 16
+	"guavacrank.example/gateway/memory"
 )
 
-// errNoResponseMemory reports that the memory for responses is used up.
-var errNoResponseMemory = errors.New("the memory for responses is used up")
-
-// responseTooLongError reports a response whose body exceeds the limit in bytes.
-type responseTooLongError struct{ limit int64 }
-
-func (e responseTooLongError) Error() string {
-	return fmt.Sprintf("the response is longer than %d bytes", e.limit)
-}
+// fieldOverheadBytes is the memory that a parsed header field takes beside its name and
+// value.
+const fieldOverheadBytes = 128
 
-// responseMemory limits the memory for responses that are being read. It is safe for
-// concurrent use.
-type responseMemory struct {
-	// limit is the memory limit of the process in bytes; zero sets no limit.
-	limit int64
-	used  atomic.Int64
+// readResponse reads the complete body of a response and counts its headers with it. The
+// error is a memory.TooLongError, a memory.NoRoomError or that of reading.
+func (c *call) readResponse(response *http.Response) (*memory.Body, error) {
+	holding := c.options.Memory.Hold(memory.Responses)
+	if err := holding.Grow(headerBytes(response.Header)); err != nil {
+		return nil, err
+	}
+	declared := response.ContentLength
+	if response.Request.Method == http.MethodHead {
+		declared = 0
+	}
+	return memory.ReadBody(holding, response.Body, declared, c.options.Memory.LongestResponse())
 }
 
-// read reads the complete body of a response. The error is a responseTooLongError,
-// errNoResponseMemory or that of reading.
-func (m *responseMemory) read(response *http.Response) ([]byte, error) {
-	if m.limit == 0 {
-		return io.ReadAll(response.Body)
+// headerBytes estimates the memory that headers take.
+func headerBytes(header http.Header) (sum int64) {
+	for name, values := range header {
+		for _, value := range values {
+			sum += int64(len(name)+len(value)) + fieldOverheadBytes
+		}
 	}
-	longest := m.limit / longestResponseDivisor
-	if response.ContentLength > longest && response.Request.Method != http.MethodHead {
-		return nil, responseTooLongError{longest}
-	}
-	r := &limitedResponse{source: response.Body, memory: m, longest: longest}
-	defer func() { m.used.Add(-r.read) }()
-	return io.ReadAll(r)
+	return sum
 }
 
-// limitedResponse is the body of a response that is being read.
-type limitedResponse struct {
-	source  io.Reader
-	memory  *responseMemory
-	longest int64
-	read    int64
+// keep makes a response that of the request; nil keeps none. The memory of an earlier
+// one is released.
+func (c *call) keep(response *Response) {
+	if earlier := c.result.Response; earlier != nil && earlier != response {
+		earlier.Body.Release()
+	}
+	c.result.Response = response
 }
 
-// Read implements io.Reader.
-func (r *limitedResponse) Read(p []byte) (int, error) {
-	n, err := r.source.Read(p)
-	r.read += int64(n)
-	used := r.memory.used.Add(int64(n))
-	switch {
-	case r.read > r.longest:
-		return n, responseTooLongError{r.longest}
-	case used > r.memory.limit/responseMemoryDivisor:
-		return n, errNoResponseMemory
+// release releases the memory of a response that is not used.
+func (o outcome) release() {
+	if o.response != nil {
+		o.response.Body.Release()
 	}
-	return n, err
 }
--- a/gateway/dispatch/request.go
+++ b/gateway/dispatch/request.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/traffic/verdict"
@@ -18,7 +19,7 @@
 	Host   string
 	// Header holds the headers to forward; the dispatcher does not modify it.
 	Header http.Header
-	Body   []byte
+	Body   *memory.Body
 	Route  *model.Route
 	// Service is the route's target that was picked for the request.
 	Service string
@@ -33,7 +34,8 @@
 type Response struct {
 	Status int
 	Header http.Header
-	Body   []byte
+	// Body must be released after use.
+	Body *memory.Body
 }
 
 // Result is the final result of a request.
--- a/gateway/front/body.go
+++ b/gateway/front/body.go
@@ -2,66 +2,50 @@
 
 import (
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"time"
 
+	"guavacrank.example/gateway/memory"
 	"guavacrank.example/traffic/verdict"
 )
 
 const (
 	// defaultBodyLimit limits a request body if the configuration sets no limit.
 	defaultBodyLimit = 64 << 20
-	// bodyMemoryDivisor limits all request bodies together to 1/4 of the process's
-	// memory limit.
-	bodyMemoryDivisor = 4
 	// memoryRetryAfter is the Retry-After of a VM without memory for a body.
 	memoryRetryAfter = 100 * time.Millisecond
 )
 
-// errNoBodyMemory reports that the memory for request bodies is used up.
-var errNoBodyMemory = errors.New("the memory for request bodies is used up")
-
-// bodyTooLargeError reports a body beyond the configured limit in bytes.
-type bodyTooLargeError struct{ limit int64 }
-
-func (e bodyTooLargeError) Error() string {
-	return fmt.Sprintf("the body is longer than %d bytes", e.limit)
-}
-
-// readBody reads the complete body, up to the limit and the memory left for bodies.
-// The error is a bodyTooLargeError, errNoBodyMemory or that of reading.
-func (e *exchange) readBody(limit int64) ([]byte, error) {
+// readBody reads the complete body, up to the limit. A declared length is counted before the
+// first byte. The error is a memory.TooLongError, a memory.NoRoomError or that of reading.
+func (e *exchange) readBody(limit int64) (*memory.Body, error) {
 	if e.r.Body == nil || e.r.Body == http.NoBody {
 		return nil, nil
 	}
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
-	room := max(e.options.MemoryBytes/bodyMemoryDivisor-e.bodyBytes.Load(), 0)
-	body, err := io.ReadAll(io.LimitReader(e.r.Body, min(limit, room)+1))
-	e.bodyBytes.Add(int64(len(body)))
-	switch size := int64(len(body)); {
-	case err != nil:
-		return body, fmt.Errorf("reading the body: %w", err)
-	case size > limit:
-		return body, bodyTooLargeError{limit}
-	case size > room:
-		return body, errNoBodyMemory
+	declared := e.r.ContentLength
+	if declared > limit {
+		return nil, memory.TooLongError{Limit: limit}
+	}
+	holding := e.options.Memory.Hold(memory.RequestBodies)
+	if err := holding.Reserve(max(declared, 0)); err != nil {
+		return nil, err
 	}
-	return body, nil
+	return memory.ReadBody(holding, e.r.Body, declared, limit)
 }
 
 // refuseBody responds to a request whose body was not read completely.
 func (e *exchange) refuseBody(err error) {
-	var tooLarge bodyTooLargeError
+	var noRoom memory.NoRoomError
+	var tooLong memory.TooLongError
 	switch {
-	case errors.Is(err, errNoBodyMemory):
+	case errors.As(err, &noRoom):
 		e.refuse(verdict.CodeTooMany, memoryRetryAfter)
-	case errors.As(err, &tooLarge):
+	case errors.As(err, &tooLong):
 		e.deny(rejection{http.StatusRequestEntityTooLarge, err.Error()})
 	default:
-		e.reject(rejection{http.StatusBadRequest, err.Error()})
+		e.reject(rejection{http.StatusBadRequest, "reading the body: " + err.Error()})
 	}
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -7,13 +7,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +22,7 @@
 	"guavacrank.example/event"
 	"guavacrank.example/gateway/dispatch"
 	"guavacrank.example/gateway/logbook"
+	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/gateway/routing"
@@ -60,8 +61,8 @@
 	Log               *logbook.Logger
 	Metrics           *metric.Table
 	Clock             func() time.Duration
-	// MemoryBytes is the memory limit of the process.
-	MemoryBytes int64
+	// Memory counts the request bodies held; nil sets no limit.
+	Memory *memory.Account
 	// OnKeyRequest, if set, is called with the service and key of each request that
 	// has a key.
 	OnKeyRequest func(service string, key uint16)
@@ -73,7 +74,6 @@
 	disableKeepAlives atomic.Bool
 	refusing          atomic.Bool
 	inFlight          atomic.Int64
-	bodyBytes         atomic.Int64 // Of the bodies held in memory.
 }
 
 // New returns a handler.
@@ -173,11 +173,7 @@
 	if current != nil {
 		return current
 	}
-	timeout := defaultTimeout
-	if e.head.TimeLeft > 0 {
-		timeout = e.head.TimeLeft
-	}
-	timer := time.NewTimer(timeout / startWaitDivisor)
+	timer := time.NewTimer(e.callerTimeout() / startWaitDivisor)
 	defer timer.Stop()
 	select {
 	case <-changed:
@@ -188,12 +184,17 @@
 	return current
 }
 
-// deadline returns the request's deadline.
-func (e *exchange) deadline() time.Duration {
-	timeout := defaultTimeout
+// callerTimeout returns how long the caller waits for the response.
+func (e *exchange) callerTimeout() time.Duration {
 	if e.head.TimeLeft > 0 {
-		timeout = e.head.TimeLeft
+		return e.head.TimeLeft
 	}
+	return defaultTimeout
+}
+
+// deadline returns the request's deadline.
+func (e *exchange) deadline() time.Duration {
+	timeout := e.callerTimeout()
 	if e.route.Timeout > 0 {
 		timeout = min(timeout, e.route.Timeout)
 	}
@@ -209,7 +210,7 @@
 	ctx, cancel := context.WithTimeout(e.r.Context(), deadline-e.options.Clock())
 	defer cancel()
 	body, err := e.readBody(current.Configuration.Limits.BodyBytes)
-	defer e.bodyBytes.Add(-int64(len(body)))
+	defer body.Release()
 	if err != nil {
 		e.refuseBody(err)
 		return
@@ -226,7 +227,10 @@
 		Arrived:  e.arrived,
 		Deadline: deadline,
 	})
-	e.finish(result, int64(len(body)))
+	if result.Response != nil {
+		defer result.Response.Body.Release()
+	}
+	e.finish(result, body.Len())
 }
 
 // finish writes the response, the metrics and the log lines of a result.
@@ -236,7 +240,7 @@
 	case result.Code == verdict.CodeCallerGone:
 		// Nobody reads the response.
 	case result.Verdict == verdict.Answered:
-		responseBytes = int64(len(result.Response.Body))
+		responseBytes = result.Response.Body.Len()
 		e.writeResponse(result.Response)
 	case result.Verdict == verdict.NotRun:
 		e.writeError(http.StatusServiceUnavailable, result.Verdict, result.Code, result.RetryAfter)
@@ -252,38 +256,6 @@
 	}
 }
 
-// writeResponse writes a backend server's response to the caller, without its
-// hop-by-hop headers.
-func (e *exchange) writeResponse(response *dispatch.Response) {
-	header := e.w.Header()
-	for name, values := range forwardedHeaders(response.Header) {
-		header[name] = values
-	}
-	// A nil value keeps net/http from adding a header that the server did not send.
-	for _, name := range []string{"Content-Type", "Date"} {
-		if _, sent := response.Header[name]; !sent {
-			header[name] = nil
-		}
-	}
-	if e.r.Method == http.MethodHead {
-		if length := response.Header.Get("Content-Length"); length != "" {
-			header.Set("Content-Length", length)
-		}
-	} else if response.Status != http.StatusNoContent && response.Status != http.StatusNotModified {
-		header.Set("Content-Length", strconv.Itoa(len(response.Body)))
-	}
-	e.w.WriteHeader(response.Status)
-	e.write(response.Body)
-}
-
-// write writes a response body to the caller. If the caller has disconnected,
-// net/http closes the connection.
-func (e *exchange) write(body []byte) {
-	if _, err := e.w.Write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-		e.options.Log.Event(event.CallerLeft, err.Error(), zap.String("request", e.head.ID))
-	}
-}
-
 // refuse responds to a request that this VM does not accept at the moment, and
 // logs it.
 func (e *exchange) refuse(code verdict.Code, retryAfter time.Duration) {
@@ -301,14 +273,14 @@
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	e.w.WriteHeader(status)
-	e.write([]byte(v.String() + ": " + string(code) + "\n"))
+	e.write(strings.NewReader(v.String() + ": " + string(code) + "\n"))
 }
 
 // reject responds to an invalid request, and logs it.
 func (e *exchange) reject(rejected rejection) {
 	e.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	e.w.WriteHeader(rejected.status)
-	e.write([]byte(rejected.cause + "\n"))
+	e.write(strings.NewReader(rejected.cause + "\n"))
 	e.options.Log.Event(event.RequestRejected, rejected.cause, append(e.configurationFields(),
 		zap.String("request", e.head.ID), zap.Int("status", rejected.status))...)
 }
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"guavacrank.example/gateway/logbook"
+	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/gateway/routing"
@@ -28,6 +29,9 @@
 
 func (d fixedCodec) ReadRequest(http.Header) (port.RequestHead, error) { return d.head, nil }
 
+// testMemory is the memory limit of a handler's process.
+const testMemory = 64 << 20
+
 // newHandler returns a handler without a view, for requests with the given time
 // left.
 func newHandler(t *testing.T, timeLeft time.Duration) (*Handler, *view.Publisher) {
@@ -36,7 +40,7 @@
 	views := view.NewPublisher()
 	return New(Options{
 		HeaderCodec: fixedCodec{head: port.RequestHead{ID: "r", TimeLeft: timeLeft}},
-		Views:       views, Log: log, Metrics: &metric.Table{}, Clock: elapsed.Now, MemoryBytes: 64 << 20,
+		Views:       views, Log: log, Metrics: &metric.Table{}, Clock: elapsed.Now, Memory: memory.NewAccount(testMemory, nil),
 	}), views
 }
 
@@ -75,7 +79,7 @@
 		request := httptest.NewRequest(http.MethodPost, "http://h.example/a/", strings.NewReader(body))
 		e := &exchange{Handler: h, w: recorder, r: request}
 		read, err := e.readBody(limit)
-		defer h.bodyBytes.Add(-int64(len(read)))
+		defer read.Release()
 		if err != nil {
 			e.refuseBody(err)
 		}
@@ -87,13 +91,15 @@
 		h, _ := newHandler(t, time.Second)
 		g.Expect(post(h, 4, "four").Code).To(Equal(http.StatusOK))
 		g.Expect(post(h, 4, "fives").Code).To(Equal(http.StatusRequestEntityTooLarge))
-		g.Expect(h.bodyBytes.Load()).To(BeZero())
+		g.Expect(h.options.Memory.Usage()["request_bodies"].Held).To(BeZero())
 	})
 
 	t.Run("a proper body is refused as not run while the memory for bodies is used up", func(t *testing.T) {
 		g := NewWithT(t)
 		h, _ := newHandler(t, time.Second)
-		h.bodyBytes.Store(h.options.MemoryBytes)
+		for h.options.Memory.Hold(memory.RequestBodies).Grow(16<<10) == nil {
+			continue // Small holdings take all room.
+		}
 		recorder := post(h, 1000, "a proper body")
 		g.Expect(recorder.Code).To(Equal(http.StatusServiceUnavailable))
 		g.Expect(recorder.Header().Get("Retry-After")).NotTo(BeEmpty())
--- /dev/null
+++ b/gateway/memory/account.go
@@ -0,0 +1,127 @@
+// Package memory counts the bytes that a process holds for callers and backend servers
+// and keeps them within its memory limit.
+//
+// Bytes are counted before memory is allocated for them. What finds no room fails alone:
+// a request is refused, a response ends its attempt. docs/design/memory.md gives the
+// reasons.
+package memory
+
+import (
+	"fmt"
+	"math"
+	"sync"
+)
+
+// Kind is what bytes are held for.
+type Kind uint8
+
+// Kinds.
+const (
+	RequestBodies Kind = iota
+	// Responses are complete or partial responses of backend servers with their headers.
+	Responses
+	// ResponseHeaders are headers of responses that are being read.
+	ResponseHeaders
+	kinds
+)
+
+// String returns the name of the kind in metrics.
+func (k Kind) String() string {
+	return [...]string{"request_bodies", "responses", "response_headers"}[k]
+}
+
+// shareDivisor limits the bytes of each kind to this part of the process's memory limit.
+var shareDivisor = [kinds]int64{RequestBodies: 4, Responses: 4, ResponseHeaders: 16}
+
+const (
+	// totalNumerator and totalDivisor limit all kinds together to 3/8 of the process's
+	// memory limit. The rest is for connections, state and uncollected garbage.
+	totalNumerator, totalDivisor = 3, 8
+	// longestResponseDivisor limits one response to 1/16 of the process's memory limit.
+	longestResponseDivisor = 16
+	// smallBytes is how much a holding takes from the room of small ones.
+	smallBytes = 16 << 10
+	// smallRoomDivisor is the part of each share that holdings beyond smallBytes leave.
+	smallRoomDivisor = 8
+)
+
+// NoRoomError reports that the memory for a kind of bytes is used up.
+type NoRoomError struct{ Kind Kind }
+
+func (e NoRoomError) Error() string { return fmt.Sprintf("the memory for %v is used up", e.Kind) }
+
+// Account counts the bytes of all holdings. It is safe for concurrent use. A nil Account
+// sets no limit.
+type Account struct {
+	limit     int64
+	onRefused func(Kind)
+
+	mu      sync.Mutex
+	total   int64
+	held    [kinds]int64
+	peak    [kinds]int64
+	refused [kinds]int64
+}
+
+// NewAccount returns an account for a process with a memory limit in bytes. onRefused, if
+// set, is called after each refusal.
+func NewAccount(limit int64, onRefused func(Kind)) *Account {
+	return &Account{limit: limit, onRefused: onRefused}
+}
+
+// LongestResponse returns the size limit of one response.
+func (a *Account) LongestResponse() int64 {
+	if a == nil {
+		return math.MaxInt64
+	}
+	return a.limit / longestResponseDivisor
+}
+
+// Hold returns an empty holding.
+func (a *Account) Hold(kind Kind) *Holding { return &Holding{account: a, kind: kind} }
+
+// reserve counts more bytes of a kind, if there is room. large says that the room of
+// small holdings is not available.
+func (a *Account) reserve(kind Kind, bytes int64, large bool) bool {
+	share, total := a.limit/shareDivisor[kind], a.limit/totalDivisor*totalNumerator
+	if large {
+		room := share / smallRoomDivisor
+		share, total = share-room, total-room
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.held[kind]+bytes > share || a.total+bytes > total {
+		a.refused[kind]++
+		return false
+	}
+	a.total += bytes
+	a.held[kind] += bytes
+	a.peak[kind] = max(a.peak[kind], a.held[kind])
+	return true
+}
+
+func (a *Account) release(kind Kind, bytes int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.total -= bytes
+	a.held[kind] -= bytes
+}
+
+// Usage is the use of one kind, in bytes and refusals.
+type Usage struct {
+	Held    int64 `json:"held"`
+	Peak    int64 `json:"peak"`
+	Limit   int64 `json:"limit"`
+	Refused int64 `json:"refused"`
+}
+
+// Usage returns the use of each kind by its name.
+func (a *Account) Usage() map[string]Usage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	usage := make(map[string]Usage, kinds)
+	for kind := range kinds {
+		usage[kind.String()] = Usage{a.held[kind], a.peak[kind], a.limit / shareDivisor[kind], a.refused[kind]}
+	}
+	return usage
+}
--- /dev/null
+++ b/gateway/memory/memory_test.go
@@ -0,0 +1,143 @@
+package memory_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math/rand"
+	"sync"
+	"testing"
+	"testing/iotest"
+
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/gateway/memory"
+)
+
+// processBytes is the memory limit of the process in these tests.
+const processBytes = 64 << 20
+
+func newAccount() *memory.Account { return memory.NewAccount(processBytes, nil) }
+
+func held(a *memory.Account) (sum int64) {
+	for _, usage := range a.Usage() {
+		sum += usage.Held
+	}
+	return sum
+}
+
+func TestBodiesAreReadUnchanged(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.New(rand.NewSource(1))
+	for range 300 {
+		sent := make([]byte, random.Intn(300_000))
+		_, _ = random.Read(sent) // Never fails.
+		declared := int64(len(sent))
+		if random.Intn(2) == 0 {
+			declared = -1
+		}
+		var source io.Reader = bytes.NewReader(sent)
+		if random.Intn(2) == 0 {
+			source = iotest.HalfReader(iotest.DataErrReader(source))
+		}
+		a := newAccount()
+		body, err := memory.ReadBody(a.Hold(memory.Responses), source, declared, processBytes)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(body.Len()).To(Equal(int64(len(sent))))
+		g.Expect(held(a)).To(BeNumerically(">=", len(sent)))
+		g.Expect(iotest.TestReader(onlyReader{body.NewReader()}, sent)).To(Succeed())
+		var written bytes.Buffer
+		_, err = io.Copy(&written, body.NewReader())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(bytes.Equal(written.Bytes(), sent)).To(BeTrue())
+		body.Release()
+		body.Release()
+		g.Expect(held(a)).To(BeZero())
+	}
+}
+
+// onlyReader hides the other methods of a reader.
+type onlyReader struct{ io.Reader }
+
+// endlessReader reads zeros and records the most that was read without being counted.
+type endlessReader struct {
+	account         *memory.Account
+	read, uncounted int64
+}
+
+func (r *endlessReader) Read(p []byte) (int, error) {
+	clear(p)
+	r.read += int64(len(p))
+	r.uncounted = max(r.uncounted, r.read-held(r.account))
+	return len(p), nil
+}
+
+func TestEndlessBodiesAreCountedBeforeTheyAreRead(t *testing.T) {
+	for name, limit := range map[string]int64{"up to the limit of one": 3 << 20, "up to the limit of all": processBytes} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			a := newAccount()
+			source := &endlessReader{account: a}
+			_, err := memory.ReadBody(a.Hold(memory.Responses), source, -1, limit)
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(source.uncounted).To(BeZero())
+			g.Expect(source.read).To(BeNumerically("<=", min(limit, processBytes/4)+64<<10))
+			g.Expect(held(a)).To(BeZero())
+		})
+	}
+}
+
+func TestLargeBodiesLeaveRoomForSmallOnes(t *testing.T) {
+	g := NewWithT(t)
+	var refused []memory.Kind
+	a := memory.NewAccount(processBytes, func(kind memory.Kind) { refused = append(refused, kind) })
+	for _, kind := range []memory.Kind{memory.RequestBodies, memory.Responses, memory.ResponseHeaders} {
+		for a.Hold(kind).Reserve(64<<10) == nil {
+			continue
+		}
+	}
+	g.Expect(refused).To(HaveLen(3))
+	var noRoom memory.NoRoomError
+	g.Expect(errors.As(a.Hold(memory.Responses).Reserve(17<<10), &noRoom)).To(BeTrue())
+	g.Expect(noRoom.Kind).To(Equal(memory.Responses))
+	for range 100 {
+		g.Expect(a.Hold(memory.Responses).Grow(4 << 10)).To(Succeed())
+	}
+	g.Expect(held(a)).To(BeNumerically("<=", processBytes*3/8))
+	g.Expect(a.Usage()["responses"].Refused).To(BeEquivalentTo(2))
+}
+
+func TestADeclaredLengthIsCountedOnce(t *testing.T) {
+	g := NewWithT(t)
+	a := newAccount()
+	holding := a.Hold(memory.RequestBodies)
+	g.Expect(holding.Reserve(1 << 20)).To(Succeed())
+	body, err := memory.ReadBody(holding, bytes.NewReader(make([]byte, 1<<20)), 1<<20, 1<<20)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(held(a)).To(BeNumerically("<", 1<<20+1<<10))
+	body.Release()
+	g.Expect(held(a)).To(BeZero())
+}
+
+func TestTheSumOfAllHoldingsStaysWithinItsLimit(t *testing.T) {
+	g := NewWithT(t)
+	a := newAccount()
+	var all sync.WaitGroup
+	for seed := range 8 {
+		all.Go(func() {
+			random := rand.New(rand.NewSource(int64(seed)))
+			for range 2000 {
+				holding := a.Hold(memory.Kind(random.Intn(3)))
+				for holding.Grow(random.Int63n(2<<20)) == nil && random.Intn(8) > 0 {
+					continue
+				}
+				if held(a) > processBytes*3/8 {
+					t.Error("more is held than the limit")
+				}
+				holding.Release()
+			}
+		})
+	}
+	all.Wait()
+	g.Expect(held(a)).To(BeZero())
+}
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -215,6 +215,7 @@
 		leaderWaitDone: make(chan struct{}),
 	}
 	l.servers = newServerTable(o.Settings, o.HeaderCodec, shared.log)
+	l.servers.memory = shared.memory
 	l.configurationWatcher = newStoreWatcher(o.Store, o.Records.ConfigurationKey(), l.deliver, l.clock)
 	l.leaderWatcher = newStoreWatcher(o.Store, leaderKey, l.deliver, l.clock)
 	l.relay = newRelay()
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -18,6 +18,7 @@
 	"guavacrank.example/gateway/dispatch"
 	"guavacrank.example/gateway/front"
 	"guavacrank.example/gateway/logbook"
+	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
 	"guavacrank.example/gateway/port"
@@ -75,6 +76,7 @@
 	requestedKeys *requestedKeys
 	confirmation  *view.Confirmation
 	clock         func() time.Duration
+	memory        *memory.Account
 }
 
 // Gateway is one gateway process.
@@ -109,13 +111,14 @@
 		confirmation:  &view.Confirmation{},
 		clock:         elapsed.Now,
 	}
+	g.shared.memory = memory.NewAccount(options.Settings.MemoryBytes, newMemoryLog(g.shared).record)
 	g.loop = newLoop(ctx, options, g.shared)
 	dispatcher := dispatch.New(dispatch.Options{
 		HeaderCodec: options.HeaderCodec,
 		Budget:      g.shared.budget,
 		Views:       g.shared.views,
 		Clock:       g.shared.clock,
-		MemoryBytes: options.Settings.MemoryBytes,
+		Memory:      g.shared.memory,
 	})
 	g.handler = front.New(front.Options{
 		HeaderCodec:       options.HeaderCodec,
@@ -126,7 +129,7 @@
 		Log:               g.shared.log,
 		Metrics:           g.metrics,
 		Clock:             g.shared.clock,
-		MemoryBytes:       options.Settings.MemoryBytes,
+		Memory:            g.shared.memory,
 		OnKeyRequest:      g.recordKey,
 	})
 	return g
@@ -282,6 +285,7 @@
 	Leading         bool                                `json:"leading"`
 	VMs             int64                               `json:"vms"`
 	Goroutines      int                                 `json:"goroutines"`
+	Memory          map[string]memory.Usage             `json:"memory"`
 	LogLines        int64                               `json:"log_lines"`
 	LogLinesDropped int64                               `json:"log_lines_left_out"`
 }
@@ -295,6 +299,7 @@
 		Leading:         g.loop.leadingNow.Load(),
 		VMs:             g.loop.vms.Load(),
 		Goroutines:      runtime.NumGoroutine(),
+		Memory:          g.shared.memory.Usage(),
 		LogLines:        written,
 		LogLinesDropped: leftOut,
 	}
--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -11,6 +11,7 @@
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/logbook"
+	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/traffic/upstream"
@@ -46,6 +47,7 @@
 	settings *model.Settings
 	headers  port.HeaderCodec
 	log      *logbook.Logger
+	memory   *memory.Account
 
 	known bool // Whether the list has been read.
 	// uninterrupted says that the last two reads were at most maxReadGap apart.
@@ -242,6 +244,7 @@
 		AcceptUnframed: true,
 		RefusalDelay:   settleTime,
 		IdleLimit:      &t.trust,
+		HeaderMemory:   func() upstream.HeaderMemory { return t.memory.Hold(memory.ResponseHeaders) },
 		MatchesRequest: func(request *http.Request, response *http.Response) bool {
 			sent, _ := t.headers.ReadRequest(request.Header) // Invalid headers were rejected before.
 			return t.headers.ReadResponse(response.StatusCode, response.Header).RequestID == sent.ID
--- a/traffic/upstream/conn.go
+++ b/traffic/upstream/conn.go
@@ -14,6 +14,9 @@
 // bufferBytes is the size of a connection's read and write buffers.
 const bufferBytes = 4 << 10
 
+// headerWeight is how many bytes of memory a byte of parsed headers takes at most.
+const headerWeight = 16
+
 // errHeadersTooLarge reports a response whose headers exceed the limit.
 var errHeadersTooLarge = errors.New("answer headers too large")
 
@@ -33,10 +36,15 @@
 	keepAlive time.Duration
 	// sent reports whether a byte of the current request was handed to the kernel.
 	sent bool
-	// headerBytes is how many bytes may still be read while limited is set, that
-	// is, until the headers are complete.
-	headerBytes int64
-	limited     bool
+	// headerBytes is how many of maxHeaderBytes may still be read while limited is
+	// set, that is, until the headers are complete.
+	headerBytes    int64
+	maxHeaderBytes int64
+	limited        bool
+	// headerMemory counts the headers of the current response beyond the first
+	// bufferBytes; nil does not count. countedBytes is what it has counted.
+	headerMemory HeaderMemory
+	countedBytes int64
 }
 
 func newConn(raw net.Conn) *conn {
@@ -59,6 +67,9 @@
 	if int64(len(p)) > r.headerBytes {
 		p = p[:r.headerBytes]
 	}
+	if err := (*conn)(r).countHeaders(int64(len(p))); err != nil {
+		return 0, err
+	}
 	n, err := r.Conn.Read(p)
 	r.headerBytes -= int64(n)
 	return n, err
@@ -75,16 +86,41 @@
 	return n, err
 }
 
-// begin prepares the connection for one request.
-func (c *conn) begin(maxHeaderBytes int64) {
+// begin prepares the connection for one request. headerMemory, which may be nil, counts
+// the response's headers beyond what the reader buffers at once.
+func (c *conn) begin(maxHeaderBytes int64, headerMemory HeaderMemory) {
 	c.sent = false
+	c.headerMemory = headerMemory
+	c.countedBytes = 0
 	c.limitHeaders(maxHeaderBytes)
 }
 
+// countHeaders counts header bytes that are read next.
+func (c *conn) countHeaders(next int64) error {
+	beyond := c.maxHeaderBytes - c.headerBytes + next - bufferBytes
+	missing := beyond*headerWeight - c.countedBytes
+	if c.headerMemory == nil || missing <= 0 {
+		return nil
+	}
+	if err := c.headerMemory.Grow(missing); err != nil {
+		return err
+	}
+	c.countedBytes += missing
+	return nil
+}
+
+// end ends the count of the headers of the current response.
+func (c *conn) end() {
+	if c.headerMemory != nil {
+		c.headerMemory.Release()
+	}
+}
+
 // limitHeaders limits the bytes that are read until the headers are complete.
 func (c *conn) limitHeaders(maxHeaderBytes int64) {
 	c.limited = true
 	c.headerBytes = maxHeaderBytes
+	c.maxHeaderBytes = maxHeaderBytes
 }
 
 // alive reports, without blocking, whether an idle connection can be reused:
--- a/traffic/upstream/exchange.go
+++ b/traffic/upstream/exchange.go
@@ -39,7 +39,7 @@
 // run sends the request and reads the response headers.
 func (x *exchange) run() (*Response, *Failure) {
 	c := x.conn
-	c.begin(x.pool.options.MaxHeaderBytes)
+	c.begin(x.pool.options.MaxHeaderBytes, x.pool.headerMemory())
 	deadline, _ := x.ctx.Deadline()
 	c.SetDeadline(deadline) // The zero time means none.
 	x.stop = context.AfterFunc(x.ctx, func() { c.SetDeadline(past) })
@@ -225,6 +225,7 @@
 		return
 	}
 	x.over = true
+	x.conn.end()
 	x.stop()
 	x.conn.SetDeadline(past)
 	x.awaitBody()
@@ -250,6 +251,7 @@
 		return
 	}
 	x.over = true
+	x.conn.end()
 	x.conn.SetDeadline(time.Time{}) // A passed one would make the idle connection look dead.
 	x.pool.release(x.conn)
 }
--- a/traffic/upstream/pool.go
+++ b/traffic/upstream/pool.go
@@ -31,6 +31,8 @@
 	IdleTimeout time.Duration
 	// MaxHeaderBytes limits the size of response headers.
 	MaxHeaderBytes int64
+	// HeaderMemory, if set, returns what counts the headers of one response.
+	HeaderMemory func() HeaderMemory
 	// AcceptUnframed accepts a response whose body is delimited by the close of
 	// the connection, unless the connection is reset.
 	AcceptUnframed bool
@@ -55,6 +57,15 @@
 	Control func(network, address string, raw syscall.RawConn) error
 }
 
+// HeaderMemory counts the memory for the headers of one response.
+type HeaderMemory interface {
+	// Grow counts bytes before memory is allocated for them. An error ends the
+	// exchange.
+	Grow(bytes int64) error
+	// Release ends the count.
+	Release()
+}
+
 // Defaults of Options.
 const (
 	DefaultConnectTimeout = 500 * time.Millisecond
@@ -316,3 +327,10 @@
 	x := &exchange{pool: p, conn: c, ctx: ctx, request: request, start: time.Now()}
 	return x.run()
 }
+
+func (p *Pool) headerMemory() HeaderMemory {
+	if p.options.HeaderMemory == nil {
+		return nil
+	}
+	return p.options.HeaderMemory()
+}
