gateway/front: a caller that trickles gives its memory back in bounded time

Cause: reading a body and writing a response had no deadline; only the caller's close ended them.

Change: a body is read until the request's deadline, then the request is refused as not run (503, code timeout).

--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -207,9 +207,10 @@
 		e.options.OnKeyRequest(e.service, e.head.Key)
 	}
 	deadline := e.deadline()
-	ctx, cancel := context.WithTimeout(e.r.Context(), deadline-e.options.Clock())
+	left := deadline - e.options.Clock()
+	ctx, cancel := context.WithTimeout(e.r.Context(), left)
 	defer cancel()
-	body, err := e.readBody(current.Configuration.Limits.BodyBytes)
+	body, err := e.readBody(current.Configuration.Limits.BodyBytes, left)
 	defer body.Release()
 	if err != nil {
 		e.refuseBody(err)
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -78,7 +78,7 @@
 		recorder := httptest.NewRecorder()
 		request := httptest.NewRequest(http.MethodPost, "http://h.example/a/", strings.NewReader(body))
 		e := &exchange{Handler: h, w: recorder, r: request}
-		read, err := e.readBody(limit)
+		read, err := e.readBody(limit, time.Second)
 		defer read.Release()
 		if err != nil {
 			e.refuseBody(err)
--- a/gateway/front/response.go
+++ b/gateway/front/response.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -12,6 +13,15 @@
 	"guavacrank.example/gateway/dispatch"
 )
 
+const (
+	// unlimitedBytes is the size up to which a response is written without a time
+	// limit: net/http buffers it.
+	unlimitedBytes = 4 << 10
+	// writeGrace is how long beyond its own timeout a caller may read a response. Until
+	// then the response takes memory.
+	writeGrace = 2 * time.Second
+)
+
 // writeResponse writes a backend server's response to the caller, without its
 // hop-by-hop headers.
 func (e *exchange) writeResponse(response *dispatch.Response) {
@@ -33,13 +43,31 @@
 		header.Set("Content-Length", strconv.FormatInt(response.Body.Len(), 10))
 	}
 	e.w.WriteHeader(response.Status)
-	e.write(response.Body.NewReader())
+	if response.Body.Len() <= unlimitedBytes {
+		e.write(response.Body.NewReader())
+		return
+	}
+	left := e.arrived + e.callerTimeout() - e.options.Clock()
+	e.setWriteDeadline(time.Now().Add(max(left, 0) + writeGrace))
+	if e.write(response.Body.NewReader()) {
+		e.setWriteDeadline(time.Time{})
+	}
+}
+
+// setWriteDeadline limits the time to write to the caller; the zero time sets no limit.
+func (e *exchange) setWriteDeadline(deadline time.Time) {
+	err := http.NewResponseController(e.w).SetWriteDeadline(deadline)
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		e.options.Log.Event(event.CallerLeft, err.Error(), zap.String("request", e.head.ID))
+	}
 }
 
-// write writes a response body to the caller. If the caller has disconnected, net/http
-// closes the connection.
-func (e *exchange) write(body io.Reader) {
+// write writes a response body to the caller and reports whether that succeeded. If the
+// caller has disconnected, net/http closes the connection.
+func (e *exchange) write(body io.Reader) bool {
 	if _, err := io.Copy(e.w, body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		e.options.Log.Event(event.CallerLeft, err.Error(), zap.String("request", e.head.ID))
+		return false
 	}
+	return true
 }
