--- a/gateway/dispatch/hedge.go
+++ b/gateway/dispatch/hedge.go
@@ -28,6 +28,15 @@
 	outcome outcome
 }
 
+// deliver passes the attempt on, or releases its response if the request is over.
+func (f finishedAttempt) deliver(results chan<- finishedAttempt, over <-chan struct{}) {
+	select {
+	case results <- f:
+	case <-over:
+		f.outcome.release()
+	}
+}
+
 // sendHedged sends to a server and, if the response is slow, to a second one as
 // well. The first usable response wins; the other attempt is canceled.
 func (c *call) sendHedged(first balance.Choice) bool {
@@ -36,14 +45,7 @@
 	results, over := make(chan finishedAttempt), make(chan struct{})
 	defer close(over)
 	start := func(server *balance.Server) {
-		go func() {
-			finished := finishedAttempt{server, c.exchange(ctx, server)}
-			select {
-			case results <- finished:
-			case <-over:
-				finished.outcome.release()
-			}
-		}()
+		go func() { finishedAttempt{server, c.exchange(ctx, server)}.deliver(results, over) }()
 	}
 	start(first.Server)
 	timer := time.NewTimer(c.hedgeDelay(first.ExpectedLatency))
--- a/gateway/memory/body.go
+++ b/gateway/memory/body.go
@@ -110,8 +110,7 @@
 	return b.length
 }
 
-// NewReader returns a reader of the body, which must not be released before the last
-// read.
+// NewReader returns a reader of the body.
 func (b *Body) NewReader() io.Reader {
 	if b == nil {
 		return &bodyReader{}
@@ -119,13 +118,12 @@
 	return &bodyReader{chunks: b.chunks}
 }
 
-// Release ends the use of the body and its holding. More calls have no effect.
+// Release ends the use of the body and its holding. More calls have no effect. A reader
+// that is still in use, such as that of an attempt being canceled, stays valid.
 func (b *Body) Release() {
-	if b == nil {
-		return
+	if b != nil {
+		b.holding.Release()
 	}
-	b.chunks = nil
-	b.holding.Release()
 }
 
 // bodyReader reads chunks one after the other.
