--- a/gateway/dispatch/dispatch_test.go
+++ b/gateway/dispatch/dispatch_test.go
@@ -132,9 +132,7 @@
 		f.add("a", respond)
 		result := f.do(time.Second)
 		f.Expect(result.Verdict).To(Equal(verdict.Answered))
-		body, err := io.ReadAll(result.Response.Body.NewReader())
-		f.Expect(err).NotTo(HaveOccurred())
-		f.Expect(string(body)).To(Equal("body"))
+		f.Expect(io.ReadAll(result.Response.Body.NewReader())).To(BeEquivalentTo("body"))
 		f.Expect(result.Attempts).To(HaveLen(1))
 	})
 
