gateway/memory: a body of the longest usual size has room on a small VM

Cause: the room of small holdings was taken from the share, which left 62 MB.

Change: that room lies beyond the share, and is 1/64 of the process's limit. A constant's name in gateway/front says what it is.

--- a/gateway/front/response.go
+++ b/gateway/front/response.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// unlimitedBytes is the size up to which a response is written without a time
+	// bufferedBytes is the size up to which a response is written without a time
 	// limit: net/http buffers it.
-	unlimitedBytes = 4 << 10
+	bufferedBytes = 4 << 10
 	// writeGrace is how long beyond its own timeout a caller may read a response. Until
 	// then the response takes memory.
 	writeGrace = 2 * time.Second
@@ -43,7 +43,7 @@
 		header.Set("Content-Length", strconv.FormatInt(response.Body.Len(), 10))
 	}
 	e.w.WriteHeader(response.Status)
-	if response.Body.Len() <= unlimitedBytes {
+	if response.Body.Len() <= bufferedBytes {
 		e.write(response.Body.NewReader())
 		return
 	}
--- a/gateway/memory/account.go
+++ b/gateway/memory/account.go
@@ -30,19 +30,22 @@
 	return [...]string{"request_bodies", "responses", "response_headers"}[k]
 }
 
-// shareDivisor limits the bytes of each kind to this part of the process's memory limit.
+// shareDivisor limits the bytes of each kind to this part of the process's memory limit,
+// beside the room of small holdings.
 var shareDivisor = [kinds]int64{RequestBodies: 4, Responses: 4, ResponseHeaders: 16}
 
 const (
 	// totalNumerator and totalDivisor limit all kinds together to 3/8 of the process's
-	// memory limit. The rest is for connections, state and uncollected garbage.
+	// memory limit, beside the room of small holdings. The rest is for connections,
+	// state and uncollected garbage.
 	totalNumerator, totalDivisor = 3, 8
 	// longestResponseDivisor limits one response to 1/16 of the process's memory limit.
 	longestResponseDivisor = 16
-	// smallBytes is how much a holding takes from the room of small ones.
+	// smallBytes is the size of the largest small holding.
 	smallBytes = 16 << 10
-	// smallRoomDivisor is the part of each share that holdings beyond smallBytes leave.
-	smallRoomDivisor = 8
+	// smallRoomDivisor makes the room that only small holdings take, in each share and
+	// in the total, 1/64 of the process's memory limit.
+	smallRoomDivisor = 64
 )
 
 // NoRoomError reports that the memory for a kind of bytes is used up.
@@ -80,13 +83,13 @@
 // Hold returns an empty holding.
 func (a *Account) Hold(kind Kind) *Holding { return &Holding{account: a, kind: kind} }
 
-// reserve counts more bytes of a kind, if there is room. large says that the room of
-// small holdings is not available.
-func (a *Account) reserve(kind Kind, bytes int64, large bool) bool {
+// reserve counts more bytes of a kind, if there is room. small says that the room of
+// small holdings is available.
+func (a *Account) reserve(kind Kind, bytes int64, small bool) bool {
 	share, total := a.limit/shareDivisor[kind], a.limit/totalDivisor*totalNumerator
-	if large {
-		room := share / smallRoomDivisor
-		share, total = share-room, total-room
+	if small {
+		room := a.limit / smallRoomDivisor
+		share, total = share+room, total+room
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/gateway/memory/holding.go
+++ b/gateway/memory/holding.go
@@ -14,7 +14,7 @@
 	if h.account == nil {
 		return nil
 	}
-	if !h.account.reserve(h.kind, bytes, h.counted+bytes > smallBytes) {
+	if !h.account.reserve(h.kind, bytes, h.counted+bytes <= smallBytes) {
 		if h.account.onRefused != nil {
 			h.account.onRefused(h.kind)
 		}
