--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -11,6 +11,7 @@
 
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/budget"
+	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/gateway/shutdown"
@@ -41,8 +42,8 @@
 	Views       *view.Publisher
 	// Clock returns the elapsed time of this VM.
 	Clock func() time.Duration
-	// MemoryBytes is the memory limit of the process; zero sets no limit to responses.
-	MemoryBytes int64
+	// Memory counts the responses held; nil sets no limit.
+	Memory *memory.Account
 	// Gate tells about the stop of this VM. If nil, it never stops.
 	Gate *shutdown.Gate
 }
@@ -50,7 +51,6 @@
 // Dispatcher sends requests to backend servers. It is safe for concurrent use.
 type Dispatcher struct {
 	options   Options
-	reading   responseMemory
 	durations durations
 	// waitsEnded is closed when requests may no longer wait.
 	waitsEnded chan struct{}
@@ -64,7 +64,6 @@
 	}
 	return &Dispatcher{
 		options:    options,
-		reading:    responseMemory{limit: options.MemoryBytes},
 		waitsEnded: make(chan struct{}),
 	}
 }
@@ -119,8 +118,9 @@
 	limitedBy *balance.Server
 }
 
-// Do dispatches a request and returns its final result. ctx must be canceled
-// when the caller disconnects, and its deadline must be the request's deadline.
+// Do dispatches a request and returns its final result, whose response the caller must
+// release. ctx must be canceled when the caller disconnects, and its deadline must be the
+// request's deadline.
 func (d *Dispatcher) Do(ctx context.Context, request *Request) Result {
 	d.options.Budget.CountRequest(request.Arrived, request.Service)
 	c := &call{Dispatcher: d, ctx: ctx, request: request}
@@ -321,7 +321,7 @@
 // afterResponse handles a complete response. After a server error, another
 // server may be tried if the route is idempotent.
 func (c *call) afterResponse(out outcome) bool {
-	c.result.Response = out.response
+	c.keep(out.response)
 	c.finish(verdict.Answered, verdict.CodeAnswered)
 	if out.response.Status < http.StatusInternalServerError || !c.request.Route.Idempotent {
 		return false
--- a/gateway/dispatch/dispatch_test.go
+++ b/gateway/dispatch/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -133,7 +134,7 @@
 		f.add("a", respond)
 		result := f.do(time.Second)
 		f.Expect(result.Verdict).To(Equal(verdict.Answered))
-		f.Expect(string(result.Response.Body)).To(Equal("body"))
+		f.Expect(io.ReadAll(result.Response.Body.NewReader())).To(BeEquivalentTo("body"))
 		f.Expect(result.Attempts).To(HaveLen(1))
 	})
 
--- a/gateway/dispatch/hedge.go
+++ b/gateway/dispatch/hedge.go
@@ -28,14 +28,24 @@
 	outcome outcome
 }
 
+// deliver passes the attempt on, or releases its response if the request is over.
+func (f finishedAttempt) deliver(results chan<- finishedAttempt, over <-chan struct{}) {
+	select {
+	case results <- f:
+	case <-over:
+		f.outcome.release()
+	}
+}
+
 // sendHedged sends to a server and, if the response is slow, to a second one as
 // well. The first usable response wins; the other attempt is canceled.
 func (c *call) sendHedged(first balance.Choice) bool {
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	results := make(chan finishedAttempt, 2)
+	results, over := make(chan finishedAttempt), make(chan struct{})
+	defer close(over)
 	start := func(server *balance.Server) {
-		go func() { results <- finishedAttempt{server, c.exchange(ctx, server)} }()
+		go func() { finishedAttempt{server, c.exchange(ctx, server)}.deliver(results, over) }()
 	}
 	start(first.Server)
 	timer := time.NewTimer(c.hedgeDelay(first.ExpectedLatency))
@@ -51,7 +61,7 @@
 			}
 			// The other attempt may still return a response.
 			c.mayHaveRun = c.mayHaveRun || finished.outcome.Verdict != verdict.NotRun
-			c.result.Response = finished.outcome.response
+			c.keep(finished.outcome.response)
 		case <-timer.C:
 			if second := c.secondServer(first.Server); second != nil {
 				running++
--- a/gateway/front/body_test.go
+++ b/gateway/front/body_test.go
@@ -44,7 +44,7 @@
 			text, err := io.ReadAll(conn)
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(string(text)).To(And(HavePrefix("HTTP/1.1 503 "), ContainSubstring("Connection: close\r\n"), ContainSubstring(c.code)))
-			g.Expect(h.bodyBytes.Load()).To(BeZero())
+			g.Expect(h.options.Memory.Usage()["request_bodies"].Held).To(BeZero())
 		})
 	}
 }
