gateway/run: HTTP servers of the process are made in one place

Change: endpoint.go with newServer and newCallerServer; callerHeaderTimeout is now headerTimeout, since all four use it. No change of behaviour.

--- /dev/null
+++ b/gateway/run/endpoint.go
@@ -0,0 +1,52 @@
+package run
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	// maxHeaderBytes limits the size of a request's headers.
+	maxHeaderBytes = 64 << 10
+	// callerIdleTimeout is how long an idle connection of a caller is kept open.
+	callerIdleTimeout = time.Minute
+	// headerTimeout limits the time to read a request's headers.
+	headerTimeout = 10 * time.Second
+)
+
+// endpoint is an HTTP server with its listen address.
+type endpoint struct {
+	address string
+	server  *http.Server
+}
+
+func (s endpoint) start(failed chan<- error) error {
+	listener, err := net.Listen("tcp4", s.address)
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	}()
+	return nil
+}
+
+// newServer returns an HTTP server of this process.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+	}
+}
+
+// newCallerServer returns the HTTP server for callers.
+func newCallerServer(handler http.Handler) *http.Server {
+	server := newServer(handler)
+	server.MaxHeaderBytes = maxHeaderBytes
+	server.IdleTimeout = callerIdleTimeout
+	return server
+}
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"io"
-	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
@@ -45,12 +43,6 @@
 	memoryLimitPercent = 70
 	// gcPercent is the heap growth that triggers a garbage collection, as in GOGC.
 	gcPercent = 150
-	// maxHeaderBytes limits the size of a request's headers.
-	maxHeaderBytes = 64 << 10
-	// callerIdleTimeout is how long an idle connection of a caller is kept open.
-	callerIdleTimeout = time.Minute
-	// callerHeaderTimeout limits the time to read a request's headers.
-	callerHeaderTimeout = 10 * time.Second
 	// logCloseTimeout is how long the process waits at its end for the log to be
 	// written.
 	logCloseTimeout = 100 * time.Millisecond
@@ -137,18 +129,12 @@
 
 func (g *Gateway) run(ctx, loopCtx context.Context, reload <-chan *model.Settings) error {
 	settings := g.options.Settings
-	callers := &http.Server{
-		Handler:           g.handler,
-		MaxHeaderBytes:    maxHeaderBytes,
-		IdleTimeout:       callerIdleTimeout,
-		ReadHeaderTimeout: callerHeaderTimeout,
-		ErrorLog:          nil,
-	}
+	callers := newCallerServer(g.handler)
 	servers := []endpoint{
 		{settings.Listen.Callers, callers},
-		{settings.Listen.Ready, &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: callerHeaderTimeout}},
-		{settings.Listen.Peers, &http.Server{Handler: peer.NewHandler(peerService{g.loop}), ReadHeaderTimeout: callerHeaderTimeout}},
-		{settings.Listen.Metrics, &http.Server{Handler: g.metricsHandler(), ReadHeaderTimeout: callerHeaderTimeout}},
+		{settings.Listen.Ready, newServer(http.HandlerFunc(g.serveReady))},
+		{settings.Listen.Peers, newServer(peer.NewHandler(peerService{g.loop}))},
+		{settings.Listen.Metrics, newServer(g.metricsHandler())},
 	}
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
@@ -173,25 +159,6 @@
 	}
 }
 
-// endpoint is an HTTP server with its listen address.
-type endpoint struct {
-	address string
-	server  *http.Server
-}
-
-func (s endpoint) start(failed chan<- error) error {
-	listener, err := net.Listen("tcp4", s.address)
-	if err != nil {
-		return err
-	}
-	go func() {
-		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			failed <- err
-		}
-	}()
-	return nil
-}
-
 // startLoop starts the loop and the goroutines that deliver inputs to it.
 func (g *Gateway) startLoop(ctx context.Context) {
 	l := g.loop
