--- a/gateway/run/endpoint.go
+++ b/gateway/run/endpoint.go
@@ -35,11 +35,13 @@
 	return nil
 }
 
-// newServer returns an HTTP server of this process.
+// newServer returns an HTTP server of this process. Its handler gets every well-formed
+// request, OPTIONS * included.
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
+		Handler:                      handler,
+		ReadHeaderTimeout:            headerTimeout,
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
