gateway/keys: a leader that leads again counts its calls that timed out

Cause: Lead clears the bounds of prior holders. If this machine wrote the page, the only bound left was the end of its calls in flight; one that had just timed out is no call in flight, though it may arrive up to transitTime later. Change: ownCallsEnd counts the latest arrival at every endpoint.

--- a/gateway/keys/predecessors.go
+++ b/gateway/keys/predecessors.go
@@ -84,8 +84,12 @@
 // ownCallsEnd returns the latest time at which a grant that this machine has sent until now
 // may arrive.
 func (m *Machine) ownCallsEnd() time.Duration {
+	end := m.now
 	if m.calls > 0 {
-		return m.now + MaxCallDelay
+		end += MaxCallDelay
 	}
-	return m.now
+	for _, row := range m.endpoints {
+		end = max(end, row.latestArrival)
+	}
+	return end
 }
