gateway/keys: rows of grants are those of the page's ranges

By reading, an unsent fence of a dropped range could have been sent a second time. Cause: the row of a range outlived the range until the next prune; the rows of a server overlapped, and which one spoke for a part was up to the order of a map.

--- a/gateway/keys/fences.go
+++ b/gateway/keys/fences.go
@@ -97,11 +97,8 @@
 	return true
 }
 
-// grantOf returns the grant of a range, or of a range that contains it.
+// grantOf returns the grant of a range, or of the range that it is a part of.
 func (r *serverRow) grantOf(part Range) (grantRow, bool) {
-	if grant, known := r.granted[part.From]; known && grant.term == part.Owner.Fence && grant.to >= part.To {
-		return grant, true
-	}
 	for from, grant := range r.granted {
 		if from <= part.From && grant.to >= part.To && grant.term == part.Owner.Fence {
 			return grant, true
@@ -110,27 +107,31 @@
 	return grantRow{}, false
 }
 
-// setPage replaces the page. A part of a granted range stays granted with it.
+// setPage replaces the page. A part of a granted range stays granted with it; the state of
+// ranges that the page does not have is dropped, so that the rows of a server never overlap.
 func (m *Machine) setPage(page *Page) {
 	m.page = page
-	type part struct {
-		row   *serverRow
-		from  uint16
-		grant grantRow
-	}
-	var parts []part
+	granted := make(map[*serverRow]map[uint16]grantRow, len(m.servers))
 	for _, r := range page.Ranges {
 		row := m.servers[r.Owner.Incarnation]
 		if row == nil {
 			continue
 		}
-		if grant, known := row.grantOf(r); known {
-			grant.to = r.To
-			parts = append(parts, part{row, r.From, grant})
+		grant, known := row.grantOf(r)
+		if !known {
+			continue
 		}
+		if granted[row] == nil {
+			granted[row] = make(map[uint16]grantRow)
+		}
+		grant.to = r.To
+		granted[row][r.From] = grant
 	}
-	for _, p := range parts {
-		p.row.granted[p.from] = p.grant
+	for _, row := range m.servers {
+		row.granted = granted[row]
+		if row.granted == nil {
+			row.granted = make(map[uint16]grantRow)
+		}
 	}
 }
 
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -75,7 +75,10 @@
 	// known is the newest page that the VMs know.
 	known      *keys.Page
 	violations []string
-	highest    map[uint16]fenceSeen
+	// lowReleases are releases with a lower fence than that with which the server holds
+	// the keys.
+	lowReleases []string
+	highest     map[uint16]fenceSeen
 }
 
 type fenceSeen struct {
--- a/gateway/keys/system_renewal.go
+++ b/gateway/keys/system_renewal.go
@@ -104,9 +104,7 @@
 	}
 	m.nextPruneAt = m.now + pruneInterval
 	named := make(map[holderKey]bool)
-	starts := make(map[uint16]bool)
 	for _, r := range m.page.Ranges {
-		starts[r.From] = true
 		for _, prior := range r.Prior {
 			named[holderKey{r.From, r.To, prior.Incarnation, prior.Fence}] = true
 		}
@@ -127,11 +125,6 @@
 		}
 	}
 	for incarnation, row := range m.servers {
-		for from, grant := range row.granted {
-			if !starts[from] && !grant.inFlight {
-				delete(row.granted, from)
-			}
-		}
 		if !row.listed && len(row.granted) == 0 {
 			delete(m.servers, incarnation)
 		}
