gateway/keys: the end of a process proves nothing while an earlier leader may grant

Change: these proofs count only once all earlier leaders have ended. 65,536 fences are reserved, which leaves 65,536 takeovers in an era of the store.

--- a/gateway/keys/fences.go
+++ b/gateway/keys/fences.go
@@ -14,7 +14,7 @@
 // page reserves the fences, so that this needs no write.
 
 // fenceReserve is the number of fences that a page reserves beyond those taken.
-const fenceReserve = 1 << 12
+const fenceReserve = 1 << 16
 
 // takeFence returns a fence above all that were ever sent, or false if none is reserved.
 func (m *Machine) takeFence() (uint64, bool) {
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -85,7 +85,8 @@
 }
 
 // priorEnded reports whether a prior holder can't hold a range any more, and
-// returns the handover token that it gave on release.
+// returns the handover token that it gave on release. While an earlier leader may send
+// grants, the end of the holder's process proves nothing: a later life may get one.
 func (m *Machine) priorEnded(r Range, prior Holder) (ended bool, handover string) {
 	if prior == unknownHolder {
 		return m.unknownHoldersEnded(), ""
@@ -98,7 +99,8 @@
 	row := m.row(prior.Incarnation)
 	arrived, late := m.adjustArrival(row, m.latestArrival(bound)), m.adjustArrival(row, max(bound.latestUnanswered, m.predecessorBound()))
 	result, released := m.released[key]
-	if result.ended || m.startedElsewhere(prior) || m.now >= arrived+m.maxGrantLifetime() {
+	ended = (result.ended || m.startedElsewhere(prior)) && len(m.predecessors.active) == 0
+	if ended || m.now >= arrived+m.maxGrantLifetime() {
 		return true, ""
 	}
 	if !released {
