--- a/gateway/keys/page.go
+++ b/gateway/keys/page.go
@@ -67,11 +67,14 @@
 	Prior []Holder
 }
 
-// Holder is one incarnation of a server with the fence of its grant.
+// Holder is one incarnation of a server that holds keys.
 type Holder struct {
 	model.Incarnation
 	Address string
-	Fence   uint64
+	// Fence of an owner marks the beginning of its ownership: it is above all earlier
+	// fences, and its grants have higher ones. That of a prior holder is the fence of its
+	// last grant.
+	Fence uint64
 }
 
 // unknownHolder stands for all servers that may hold the keys of a range by pages that
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -159,7 +159,7 @@
 	OtherServer
 )
 
-// sent reports whether the server may have received the grant.
+// sent reports whether the called server may have received the grant.
 func (o Outcome) sent() bool {
 	switch o {
 	case NotSent, Unreachable, NoListener, ConnectionEnded, OtherServer:
@@ -176,7 +176,7 @@
 	m.now = now
 	row := m.row(call.Incarnation)
 	row.grantSent = true
-	m.endCall(m.endpointOf(call.Incarnation, call.Address), call, outcome)
+	m.endCall(m.endpointOf(call.Incarnation.ID, call.Address), call, outcome)
 	m.resolveBounds(call, outcome)
 	current := m.resolveGrant(row, call, outcome, connection)
 	switch outcome {
@@ -271,7 +271,8 @@
 }
 
 // resolveGrant records the end of a call in the rows of its range, or of its parts if it
-// was divided meanwhile. It returns false if a later fence was sent for them since.
+// was divided meanwhile. It returns false if no range of the page is granted with the
+// call's fence any more.
 func (m *Machine) resolveGrant(row *serverRow, call GrantCall, outcome Outcome, connection port.Connection) (current bool) {
 	for from, grant := range row.granted {
 		if grant.fence == call.Fence && call.From <= from && grant.to <= call.To {
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -62,7 +62,7 @@
 // boundOf returns the bound of an owner's grants of one of its ranges. No further
 // grant of the range may be sent after it.
 func (m *Machine) boundOf(r Range) holderBound {
-	row := m.endpointOf(r.Owner.Incarnation, r.Owner.Address)
+	row := m.endpointOf(r.Owner.ID, r.Owner.Address)
 	return holderBound{
 		latestArrival:    row.latestArrival,
 		latestUnanswered: row.latestUnanswered,
@@ -80,7 +80,7 @@
 // latestUnanswered returns the latest time at which an unanswered grant may have
 // arrived at a server, including grants of earlier leaders.
 func (m *Machine) latestUnanswered(row *serverRow) time.Duration {
-	sent := m.endpointOf(row.Incarnation(), row.Address)
+	sent := m.endpointOf(row.ID, row.Address)
 	return m.adjustArrival(row, max(sent.latestUnanswered, m.predecessorBound()))
 }
 
@@ -110,7 +110,7 @@
 }
 
 // replaced reports whether a later incarnation is listed under the holder's ID or
-// at its address. The holder's process has then ended and holds nothing.
+// at its address. The holder's process has then ended.
 func (m *Machine) replaced(holder Holder) bool {
 	return m.latestByID[holder.ID].replaces(holder) || m.latestByAddress[holder.Address].replaces(holder)
 }
--- a/gateway/keys/system_renewal.go
+++ b/gateway/keys/system_renewal.go
@@ -75,7 +75,7 @@
 	call.Server, call.Connection = r.Owner.ID, grant.connection
 	call.From, call.To, call.Fence = r.From, r.To, grant.fence
 	call.TTL, call.Handover = m.grantTTL(), grant.handover
-	m.endpointOf(call.Incarnation, call.Address).inFlight[call.ID] = m.now
+	m.endpointOf(call.Incarnation.ID, call.Address).inFlight[call.ID] = m.now
 	m.calls++
 	m.ready.Grants = append(m.ready.Grants, call)
 }
--- a/gateway/keys/tables.go
+++ b/gateway/keys/tables.go
@@ -11,7 +11,8 @@
 	model.Server
 	listed bool
 	// refusedSince is when the first and lastRefusedAt when the last of the calls
-	// in a row ended that no process at the address accepted; zero without one.
+	// in a row ended that no process at the address accepted, or another server; zero
+	// without one.
 	// This does not prove that the server has ended: a full backlog of connections
 	// can look the same.
 	refusedSince  time.Duration
