dispatch: targets that begin with two slashes keep their bytes

Change: every target is passed in Opaque, and upstream removes that one colon while the head is written. Checks of net/http for control characters stay.

--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strings"
 
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/memory"
@@ -82,7 +81,7 @@
 	c.options.HeaderCodec.WriteUpstream(header, port.UpstreamHead{TimeLeft: c.timeLeft() - responseMargin, Server: server.ID})
 	request := &http.Request{
 		Method:        c.request.Method,
-		URL:           targetURL(c.request.Target),
+		URL:           &url.URL{Opaque: c.request.Target}, // Sent as it is.
 		Host:          c.request.Host,
 		Header:        header,
 		ContentLength: c.request.Body.Len(),
@@ -96,19 +95,6 @@
 	return request
 }
 
-// targetURL returns a URL that net/http writes exactly as the target.
-func targetURL(target string) *url.URL {
-	if strings.HasPrefix(target, "//") {
-		path, query, _ := strings.Cut(target, "?")
-		decoded, err := url.PathUnescape(path)
-		if err != nil {
-			decoded = path
-		}
-		return &url.URL{Path: decoded, RawPath: path, RawQuery: query, ForceQuery: strings.HasSuffix(target, "?")}
-	}
-	return &url.URL{Opaque: target}
-}
-
 // classifyResponse returns the outcome of an attempt with a complete response.
 func (c *call) classifyResponse(server *balance.Server, response *http.Response, body *memory.Body) outcome {
 	head := c.options.HeaderCodec.ReadResponse(response.StatusCode, response.Header)
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -36,7 +36,7 @@
 
 // newHandler returns a handler without a view, for requests with the given time
 // left.
-func newHandler(t *testing.T, timeLeft time.Duration) (*Handler, *view.Publisher) {
+func newHandler(t testing.TB, timeLeft time.Duration) (*Handler, *view.Publisher) {
 	log := logbook.New(io.Discard)
 	t.Cleanup(func() { log.Close(time.Second) })
 	views := view.NewPublisher()
--- a/gateway/front/memory_test.go
+++ b/gateway/front/memory_test.go
@@ -33,16 +33,21 @@
 // serveCallers serves requests with the given time left, which a server answers with a
 // body of the given length. It returns the handler and its address.
 func serveCallers(t *testing.T, timeLeft time.Duration, responseBytes int) (*Handler, string) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, responseBytes)) // The handler may have closed the connection.
+	}))
+	t.Cleanup(backend.Close)
+	return serveCallersFrom(t, timeLeft, backend.Listener.Addr().String())
+}
+
+// serveCallersFrom serves requests with the given time left from the server at the
+// address. It returns the handler and its address.
+func serveCallersFrom(t testing.TB, timeLeft time.Duration, address string) (*Handler, string) {
 	h, views := newHandler(t, timeLeft)
 	codec := signedCodec{fixedCodec{head: port.RequestHead{ID: "r", TimeLeft: timeLeft}}}
 	h.options.HeaderCodec = codec
 	retries := budget.New(budget.Options{Window: time.Second, Slack: 10})
 	h.options.Dispatcher = dispatch.New(dispatch.Options{HeaderCodec: codec, Budget: retries, Views: views, Clock: h.options.Clock, Memory: h.options.Memory})
-	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = w.Write(make([]byte, responseBytes)) // The handler may have closed the connection.
-	}))
-	t.Cleanup(backend.Close)
-	address := backend.Listener.Addr().String()
 	configuration := &model.Configuration{
 		Routes:   []model.Route{{Name: "r", Host: "h.example", PathPrefix: "/", MaxAttempts: 1, Targets: []model.Target{{Service: "s", Weight: 1}}}},
 		Services: map[string]model.Service{"s": {Name: "s"}},
--- a/traffic/upstream/exchange.go
+++ b/traffic/upstream/exchange.go
@@ -131,7 +131,7 @@
 func (x *exchange) send() error {
 	c := x.conn
 	write := func() error {
-		if err := x.request.Write(c.writer); err != nil {
+		if err := writeRequest(c.writer, x.request); err != nil {
 			return err
 		}
 		return c.writer.Flush()
--- a/traffic/upstream/pool.go
+++ b/traffic/upstream/pool.go
@@ -316,7 +316,8 @@
 
 // Do sends one request, without retries, and returns the response headers; the
 // caller must close the body. A request with nonIdempotent set gets a connection
-// that the server is unlikely to be closing.
+// that the server is unlikely to be closing. A request target in URL.Opaque is sent as
+// it is; Method must be set.
 func (p *Pool) Do(ctx context.Context, request *http.Request, nonIdempotent bool) (*Response, *Failure) {
 	return p.DoUnused(ctx, request, nonIdempotent, nil)
 }
