run: daemons that started while the lease was valid are a majority of its leader

Cause: lets processes that started after the last contact to the store not count for a majority, since an earlier one of that VM may have reported to a later leader. A lease of more than a second is renewed less often than contactTimeout; a fleet that had just started then had no majority. No later leader can have been elected while the lease is valid. Change: the end of the lease decides, as the campaign knows it (State.LeaseEnd).

--- a/gateway/leader/leader.go
+++ b/gateway/leader/leader.go
@@ -66,6 +66,9 @@
 	// LastContact is when the last successful store call of the term was sent that
 	// the store answered in the era of Term.
 	LastContact time.Duration
+	// LeaseEnd is until when the lease can't have expired, so that no later leader can
+	// have been elected in the era of Term.
+	LeaseEnd time.Duration
 }
 
 // Campaign is this VM's candidacy for the leadership.
@@ -329,7 +332,7 @@
 		return
 	}
 	c.lease, c.value, c.ttl = applied.lease.ID, applied.value, max(applied.lease.TTL, c.ttl)
-	c.state = State{Held: true, Term: term, LastContact: applied.sent}
+	c.state = State{Held: true, Term: term, LastContact: applied.sent, LeaseEnd: applied.sent + applied.lease.TTL}
 }
 
 // lost records a failed claim. If the key is taken, Observe reports when it is
@@ -357,6 +360,7 @@
 	case c.restored():
 		// The response is about another lease, if any.
 	case err == nil:
+		c.state.LeaseEnd += max(sent-c.state.LastContact, 0)
 		c.state.LastContact = max(c.state.LastContact, sent)
 	case kvstore.IsKind(err, kvstore.KindNotFound):
 		c.state.Held = false
--- a/gateway/leader/leader_test.go
+++ b/gateway/leader/leader_test.go
@@ -319,6 +319,24 @@
 	return s.fakeStore.CompareAndSwap(ctx, key, expected, text, lease)
 }
 
+func TestNoLaterLeaderIsPossibleBeforeTheEndOfTheLease(t *testing.T) {
+	g := NewWithT(t)
+	store := &fakeStore{leases: make(map[kvstore.LeaseID]time.Time), era: 1}
+	store.watch = func([]byte) {}
+	started := time.Now()
+	c := leader.New(leader.Options{Store: store, Key: "k", Value: value("x"), EraOf: eraOf, MinLeaseTTL: leaseTTL, Clock: func() time.Duration { return time.Since(started) }})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go c.Run(ctx)
+	c.Observe(nil, kvstore.Position{Era: 1, Version: 1})
+	g.Eventually(func() bool { return c.State().Held }, "3s").Should(BeTrue())
+	first := c.State()
+	g.Expect(first.LeaseEnd).To(Equal(first.LastContact + leaseTTL))
+	g.Eventually(func() time.Duration { return c.State().LastContact }, "3s").Should(BeNumerically(">", first.LastContact))
+	renewed := c.State()
+	g.Expect(renewed.LeaseEnd).To(Equal(renewed.LastContact + leaseTTL))
+}
+
 func TestResignationDuringARestorationDoesNotEndAnotherLeadership(t *testing.T) {
 	g := NewWithT(t)
 	store := &restoredStore{fakeStore: &fakeStore{leases: make(map[kvstore.LeaseID]time.Time), era: 1, ttl: time.Minute}}
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -20,8 +20,8 @@
 func (l *loop) lead() {
 	now := l.clock()
 	state := l.campaign.State()
-	l.storeContact = state.LastContact
-	silence := now - l.storeContact
+	l.leaseEnd = state.LeaseEnd
+	silence := now - state.LastContact
 	switch {
 	case state.Held && l.term.Before(state.Term) && silence < contactTimeout:
 		l.term = state.Term
@@ -60,8 +60,8 @@
 }
 
 // hasMajority says whether more than half of the daemons, including this one, have
-// sent a report within majorityWindow. A process that started after the last contact to the
-// store does not count: the one before it may have reported to a later leader.
+// sent a report within majorityWindow. A process that started after the end of the lease
+// does not count: the one before it may have reported to a later leader.
 func (l *loop) hasMajority(now time.Duration) bool {
 	recent, all := 1, 1
 	for vm, m := range l.members {
@@ -69,7 +69,7 @@
 			continue
 		}
 		all++
-		if now-m.reportedAt+m.transit <= majorityWindow && m.startedAt <= l.storeContact {
+		if now-m.reportedAt+m.transit <= majorityWindow && m.startedAt <= l.leaseEnd {
 			recent++
 		}
 	}
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -85,7 +85,7 @@
 	term              kvstore.Position
 	era               kvstore.Era // The store's newest known era.
 	leadingSince      time.Duration
-	storeContact      time.Duration // When the own lease on the leader's key was last known to be valid.
+	leaseEnd          time.Duration // Until when the own lease on the leader's key is known to be valid.
 	nextLead          time.Duration // Earliest next run of the leader's work.
 	startedAt         time.Duration
 	leaderWait        time.Duration   // Time to wait for a leader at startup; constant.
