leader: the lease of a claim runs from the call that took it

Cause: State.LeaseEnd counted the TTL from the response to the grant of the lease, but the lease runs from the arrival of the call. If the store was slow in the claim and gone before the first renewal, a leader without the store could count daemons towards its majority that had started up to that response time after the end of its lease, when a later leader could have been elected. Change: a claim is dated by the call that asks for its lease. LastContact of a claim is earlier by the same time, which is what its comment says, at the latest until the first renewal.

--- a/gateway/leader/leader.go
+++ b/gateway/leader/leader.go
@@ -102,7 +102,7 @@
 type claim struct {
 	lease kvstore.Lease
 	value []byte
-	sent  time.Duration
+	sent  time.Duration // When the lease was asked for.
 }
 
 // EnterEra tells the campaign the store's era.
@@ -293,13 +293,14 @@
 func (c *Campaign) attempt(ctx context.Context, expected kvstore.Version) {
 	callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
 	defer cancel()
+	sent := c.options.Clock()
 	lease, err := c.options.Store.GrantLease(callCtx, c.ttl)
 	if err != nil {
 		c.EnterEra(kvstore.EraOf(err))
 		c.wait(ctx, retryDelay)
 		return
 	}
-	attempt := claim{lease, c.options.Value(lease.Era), c.options.Clock()}
+	attempt := claim{lease, c.options.Value(lease.Era), sent}
 	term, err := c.options.Store.CompareAndSwap(callCtx, c.options.Key, expected, attempt.value, lease.ID)
 	if kvstore.IsUnknown(err) {
 		c.unresolved = &attempt
--- a/gateway/leader/leader_test.go
+++ b/gateway/leader/leader_test.go
@@ -29,6 +29,7 @@
 	leases      map[kvstore.LeaseID]time.Time
 	next        kvstore.LeaseID
 	ttl         time.Duration // Of leases, if longer than leaseTTL.
+	grantDelay  time.Duration // How long the reply to a lease's grant takes.
 	down        bool
 	loseReplies bool // Writes are applied, but their replies are lost.
 	failReads   int  // Reads that fail after a write whose reply was lost.
@@ -56,6 +57,7 @@
 var errDown = &kvstore.Error{Kind: kvstore.KindUnavailable}
 
 func (f *fakeStore) GrantLease(context.Context, time.Duration) (kvstore.Lease, error) {
+	defer time.Sleep(f.grantDelay)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
@@ -337,6 +339,26 @@
 	g.Expect(renewed.LeaseEnd).To(Equal(renewed.LastContact + leaseTTL))
 }
 
+func TestTheLeaseOfAClaimRunsFromTheCallThatTookIt(t *testing.T) {
+	g := NewWithT(t)
+	store := &fakeStore{leases: make(map[kvstore.LeaseID]time.Time), era: 1, grantDelay: leaseTTL / 2}
+	store.watch = func([]byte) { // The claim was applied; its lease is never renewed.
+		store.mu.Lock()
+		store.down = true
+		store.mu.Unlock()
+	}
+	started := time.Now()
+	c := leader.New(leader.Options{Store: store, Key: "k", Value: value("x"), EraOf: eraOf, MinLeaseTTL: leaseTTL, Clock: func() time.Duration { return time.Since(started) }})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go c.Run(ctx)
+	c.Observe(nil, kvstore.Position{Era: 1, Version: 1})
+	g.Eventually(func() bool { return c.State().Held }, "3s").Should(BeTrue())
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	g.Expect(started.Add(c.State().LeaseEnd)).To(BeTemporally("<=", store.leases[store.holder]))
+}
+
 func TestResignationDuringARestorationDoesNotEndAnotherLeadership(t *testing.T) {
 	g := NewWithT(t)
 	store := &restoredStore{fakeStore: &fakeStore{leases: make(map[kvstore.LeaseID]time.Time), era: 1, ttl: time.Minute}}
