gateway/keys: keys of a page write with an unknown outcome stay with their owner

Cause: ranges that a write changes are not granted while the write is under way, so that the bounds of the prior holders in it stay true. A write with an unknown outcome counts as under way until the page has been read again, which is the end of the outage. Change: while the outcome is unknown, the last grant of the present owner is repeated: same fence, same connection, none that was not accepted. The page names exactly this fence for the prior holder, and another leader that reads the page counts our grants as those of a predecessor. If the write turns out to have been executed, the bounds of the prior holders that it adds are taken anew.

--- a/gateway/keys/random_test.go
+++ b/gateway/keys/random_test.go
@@ -72,6 +72,9 @@
 	case 4:
 		sim.lostWriteShare = 0.4
 	case 5:
+		if sim.storeDown {
+			break // Nobody can be elected.
+		}
 		for _, m := range sim.leaders {
 			m.Stop()
 		}
@@ -86,6 +89,9 @@
 			chosen.up = false
 		}
 	case 8:
+		if sim.storeDown {
+			break
+		}
 		sim.isolateLeaders()
 		sim.addLeader(fmt.Sprintf("l%d", step+1))
 	case 9:
--- a/gateway/keys/restoration.go
+++ b/gateway/keys/restoration.go
@@ -108,8 +108,12 @@
 		return
 	}
 	m.announceTTL(page)
+	own := written != nil && page.sameWrite(written)
+	if own {
+		m.extendBounds(page)
+	}
 	m.setPage(page)
-	if written != nil && page.sameWrite(written) {
+	if own {
 		m.adopted = true
 		return
 	}
--- a/gateway/keys/simulation_calls_test.go
+++ b/gateway/keys/simulation_calls_test.go
@@ -30,6 +30,10 @@
 		panic(err)
 	}
 	id := write.Page.WriteID
+	if sim.storeDown {
+		sim.loseWrite(m, write, stored)
+		return
+	}
 	sim.after(sim.networkDelay(), func() {
 		if write.Expected != sim.version {
 			sim.after(sim.networkDelay(), func() {
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -68,6 +68,10 @@
 	// maxReleaseTime is the longest that a server finishes requests before it
 	// answers a release.
 	maxReleaseTime time.Duration
+	// storeDown reports that the store answers no call. lateWriteShare is the share of
+	// the writes of that time which it executes all the same, up to maxWriteDelay later.
+	storeDown      bool
+	lateWriteShare float64
 	// lostWriteShare is the share of writes that are applied and not answered.
 	lostWriteShare float64
 	// onGrant, if set, is called for each grant that is sent.
@@ -236,8 +240,7 @@
 func (sim *simulation) execute(m *keys.Machine) {
 	ready := m.Ready()
 	if ready.Read {
-		page, position := sim.page, sim.position()
-		sim.after(sim.networkDelay(), func() { m.StepRead(sim.now, page, position) })
+		sim.read(m)
 	}
 	if ready.Consult {
 		sim.consult(m)
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -86,6 +86,7 @@
 	case page == nil:
 		m.page = nil
 	case written != nil && page.sameWrite(written):
+		m.extendBounds(page)
 		m.setPage(page)
 		m.adopted = true
 	default:
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -288,7 +288,7 @@
 	if prior.ID != "" {
 		part.Prior = append(part.Prior[:len(part.Prior):len(part.Prior)], prior)
 		key := holderKey{part.From, part.To, prior.Incarnation, prior.Fence}
-		b.bounds[key] = b.boundOf(old)
+		b.bounds[key] = b.boundOf(old.Owner)
 	}
 	part.Owner = b.holder(target)
 	return part
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -59,10 +60,9 @@
 	return m.longestTTL() + m.longestTTL()*clockDriftPercent/100 + expiryMargin
 }
 
-// boundOf returns the bound of an owner's grants of one of its ranges. No further
-// grant of the range may be sent after it.
-func (m *Machine) boundOf(r Range) holderBound {
-	row := m.endpointOf(r.Owner.ID, r.Owner.Address)
+// boundOf returns the bound of the grants that were sent to a holder until now.
+func (m *Machine) boundOf(holder Holder) holderBound {
+	row := m.endpointOf(holder.ID, holder.Address)
 	return holderBound{
 		latestArrival:    row.latestArrival,
 		latestUnanswered: row.latestUnanswered,
@@ -70,6 +70,22 @@
 	}
 }
 
+// extendBounds bounds the grants that the prior holders which a page adds were sent while
+// the outcome of its write was unknown.
+func (m *Machine) extendBounds(page *Page) {
+	if m.page == nil {
+		return
+	}
+	for _, r := range page.Ranges {
+		before := m.page.Find(r.From)
+		for _, prior := range r.Prior {
+			if prior != unknownHolder && (before == nil || !slices.Contains(before.Prior, prior)) {
+				m.bounds[holderKey{r.From, r.To, prior.Incarnation, prior.Fence}] = m.boundOf(prior)
+			}
+		}
+	}
+}
+
 // latestArrival returns the latest time at which any grant may have arrived. A grant of
 // an earlier leader may be applied late, when its server has accepted newer ones. It is
 // computed on use because the end of earlier leaders may become known later.
--- a/gateway/keys/system_renewal.go
+++ b/gateway/keys/system_renewal.go
@@ -14,7 +14,7 @@
 			return
 		}
 		r := m.page.Ranges[(m.nextRange+at)%count]
-		if r.Owner.ID == "" || m.writing != nil && m.changing[r.From] {
+		if r.Owner.ID == "" || m.withheld(r) {
 			continue
 		}
 		if handover, ok := m.mayGrant(r); ok {
@@ -27,9 +27,26 @@
 // late and retried.
 const maxCalls = 150
 
+// withheld reports whether a range is not granted because a page write that has begun gives
+// keys of it to another owner. If the outcome of the write is unknown, which may last as long
+// as an outage of the store, the last grant of the present owner is repeated all the same:
+// the page would name it as that of a prior holder.
+func (m *Machine) withheld(r Range) bool {
+	if m.writing == nil || !m.changing[r.From] {
+		return false
+	}
+	return !m.writeUnknown || !m.repeatable(r)
+}
+
+// repeatable reports whether the owner of a range accepted its last grant, which may be sent
+// again.
+func (m *Machine) repeatable(r Range) bool {
+	grant := m.row(r.Owner.Incarnation).granted[r.From]
+	return grant.term == r.Owner.Fence && grant.to == r.To && grant.accepted && !grant.spent
+}
+
 // changedRanges returns the first keys of those ranges of page in which some key
-// has another owner in next. They are not granted any more once the write of next
-// has begun.
+// has another owner in next.
 func changedRanges(page, next *Page) map[uint16]bool {
 	changed := make(map[uint16]bool)
 	if page == nil {
