gateway/keys: a leader that leads again counts its late calls also beside predecessors

A renewal times out and is still in transit, its server's keys move, the leader loses and regains the leadership, the earlier leader is found to have ended: the renewal reaches the server, and the next owner gets the keys while it holds them.

Cause: Lead clears the bounds of prior holders. The machine's own calls were counted in their place only if the page named no other leader. One that is found to have ended long ago lowers the bound to the present. Change: they are counted in any case. So they are for an own page write that was executed late.

--- a/gateway/keys/predecessors.go
+++ b/gateway/keys/predecessors.go
@@ -59,9 +59,7 @@
 			m.predecessors.add(leader)
 		}
 	}
-	if len(m.predecessors.active) == 0 {
-		m.predecessors.endedBy = max(m.predecessors.endedBy, m.ownCallsEnd()) // No other process has granted keys.
-	}
+	m.predecessors.endedBy = max(m.predecessors.endedBy, m.ownCallsEnd()) // This machine may have led before.
 }
 
 // runPredecessors records all earlier leaders as stopped once the time is over
