gateway/keys: a leader that leads again knows which links were congested

Cause: Lead forgot the impaired zones; of own and predecessors' calls only the later bound was extended; and calls of an earlier leadership had one bound for all servers. Change: impaired zones are kept. Both bounds are extended. A page that is read bounds the calls of this machine to each prior holder that it adds, by the holder's ID and address.

--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -133,7 +133,6 @@
 	m.pageKnown, m.page, m.writing, m.writeUnknown, m.reading = false, nil, nil, false, false
 	m.absenceCountsAt = now + absenceGrace
 	m.firstServerAt = 0
-	clear(m.impaired)
 	clear(m.bounds)
 	clear(m.released)
 	clear(m.releasing)
--- a/gateway/keys/page.go
+++ b/gateway/keys/page.go
@@ -96,6 +96,14 @@
 	return &p.Ranges[at]
 }
 
+// priorOf returns the prior holders of a key.
+func (p *Page) priorOf(key uint16) []Holder {
+	if r := p.Find(key); r != nil {
+		return r.Prior
+	}
+	return nil
+}
+
 // clone returns a deep copy of the page.
 func (p *Page) clone() *Page {
 	copied := *p
--- a/gateway/keys/restoration.go
+++ b/gateway/keys/restoration.go
@@ -108,12 +108,9 @@
 		return
 	}
 	m.announceTTL(page)
-	own := written != nil && page.sameWrite(written)
-	if own {
-		m.extendBounds(page)
-	}
+	m.extendBounds(page)
 	m.setPage(page)
-	if own {
+	if written != nil && page.sameWrite(written) {
 		m.adopted = true
 		return
 	}
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -91,6 +91,7 @@
 		m.adopted = true
 	default:
 		m.adopted = m.adopted && page.Writer == m.options.Self
+		m.extendBounds(page)
 		m.setPage(page)
 		m.addPredecessors(page)
 	}
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -70,34 +70,35 @@
 	}
 }
 
-// extendBounds bounds the grants that the prior holders which a page adds were sent while
-// the outcome of its write was unknown.
+// extendBounds bounds the grants that this machine has sent until now to the prior holders
+// which a page that was read adds: in an earlier leadership, or before it knew that the page
+// had been written.
 func (m *Machine) extendBounds(page *Page) {
-	if m.page == nil {
-		return
-	}
 	for _, r := range page.Ranges {
-		before := m.page.Find(r.From)
+		var known []Holder
+		if m.page != nil {
+			known = m.page.priorOf(r.From)
+		}
 		for _, prior := range r.Prior {
-			if prior != unknownHolder && (before == nil || !slices.Contains(before.Prior, prior)) {
+			if prior != unknownHolder && !slices.Contains(known, prior) {
 				m.bounds[holderKey{r.From, r.To, prior.Incarnation, prior.Fence}] = m.boundOf(prior)
 			}
 		}
 	}
 }
 
-// latestArrival returns the latest time at which any grant may have arrived. A grant of
-// an earlier leader may be applied late, when its server has accepted newer ones. It is
-// computed on use because the end of earlier leaders may become known later.
-func (m *Machine) latestArrival(bound holderBound) time.Duration {
-	return max(bound.latestArrival, m.predecessorBound())
+// latestArrival returns the latest time at which any grant may have arrived at a server,
+// given that for grants of this leadership. A grant of an earlier leader may be applied late,
+// when its server has accepted newer ones. It is computed on use because the end of earlier
+// leaders may become known later.
+func (m *Machine) latestArrival(row *serverRow, own time.Duration) time.Duration {
+	return max(m.adjustArrival(row, own), m.adjustArrival(row, m.predecessorBound()))
 }
 
 // latestUnanswered returns the latest time at which an unanswered grant may have
 // arrived at a server, including grants of earlier leaders.
 func (m *Machine) latestUnanswered(row *serverRow) time.Duration {
-	sent := m.endpointOf(row.ID, row.Address)
-	return m.adjustArrival(row, max(sent.latestUnanswered, m.predecessorBound()))
+	return m.latestArrival(row, m.endpointOf(row.ID, row.Address).latestUnanswered)
 }
 
 // priorEnded reports whether a prior holder can't hold a range any more, and
@@ -113,7 +114,7 @@
 		return false, ""
 	}
 	row := m.row(prior.Incarnation)
-	arrived, late := m.adjustArrival(row, m.latestArrival(bound)), m.adjustArrival(row, max(bound.latestUnanswered, m.predecessorBound()))
+	arrived, late := m.latestArrival(row, bound.latestArrival), m.latestArrival(row, bound.latestUnanswered)
 	result, released := m.released[key]
 	ended = (result.ended || m.startedElsewhere(prior)) && len(m.predecessors.active) == 0
 	if ended || m.now >= arrived+m.maxGrantLifetime() {
