gateway/keys: another server's refusal proves nothing before an earlier leader's last grant

A grant that the earlier leader began before its end connects up to 0.5 s later, when a later life under the holder's ID listens there, and is taken with a lower fence.

Cause: counts the refusal from when the earlier leader is known to have ended, but its calls may arrive until MaxCallDelay later; and a refusal from before that was kept. Change: a refusal counts if it came after the last arrival of an earlier leader's grants; before, the release is sent again. A later start at another address counts from then on too.

--- a/gateway/keys/restart_test.go
+++ b/gateway/keys/restart_test.go
@@ -6,6 +6,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"guavacrank.example/gateway/keys"
 )
 
 // restart ends a server's process and starts another one at its address, with an ID.
@@ -25,6 +27,35 @@
 	return server
 }
 
+var _ = Describe("An address at which another server answered", func() {
+	for seed := range uint64(10) {
+		It(fmt.Sprintf("seed %d: may lead an earlier leader's last grant to a later life of the holder", seed), func() {
+			sim, earlier := startSimulation(seed, 4)
+			holder := sim.latest("i-1:1")
+			var last keys.GrantCall
+			sim.onGrant = func(call keys.GrantCall) {
+				if call.Incarnation == holder.Incarnation() {
+					last = call
+				}
+			}
+			sim.run(2 * time.Second)
+			sim.onGrant = nil
+			sim.restart(holder, "n-1", 20*time.Millisecond)
+			earlier.Stop()
+			sim.addLeader("b")
+			last.Fence += 1000 // The earlier leader's last call has a new connection, made late.
+			sim.after(keys.CallTimeout, func() {
+				sim.latest("i-1:1").up = false
+				later := sim.addServer("i-1", 5000)
+				sim.apply(later, last)
+			})
+			sim.run(10 * time.Second)
+			Expect(sim.violations).To(BeEmpty())
+			Expect(sim.unowned()).To(BeZero())
+		})
+	}
+})
+
 var _ = Describe("A server that is back at its address within a second", func() {
 	const (
 		servers  = 4
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -332,6 +332,10 @@
 		m.released[key] = releaseResult{done: true, handover: handover}
 	case HolderEnded:
 		row.noteRefused(now)
+		if now < m.predecessorBound() {
+			m.retryReleaseAt[key] = now + probeInterval // A later life may still get a grant.
+			return
+		}
 		m.released[key] = releaseResult{done: true, ended: true}
 	}
 }
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -102,8 +102,8 @@
 }
 
 // priorEnded reports whether a prior holder can't hold a range any more, and
-// returns the handover token that it gave on release. While an earlier leader may send
-// grants, the end of the holder's process proves nothing: a later life may get one.
+// returns the handover token that it gave on release. While grants of an earlier leader may
+// arrive, the end of the holder's process proves nothing: a later life may get one.
 func (m *Machine) priorEnded(r Range, prior Holder) (ended bool, handover string) {
 	if prior == unknownHolder {
 		return m.unknownHoldersEnded(), ""
@@ -116,7 +116,7 @@
 	row := m.row(prior.Incarnation)
 	arrived, late := m.latestArrival(row, bound.latestArrival), m.latestArrival(row, bound.latestUnanswered)
 	result, released := m.released[key]
-	ended = (result.ended || m.startedElsewhere(prior)) && len(m.predecessors.active) == 0
+	ended = (result.ended || m.startedElsewhere(prior)) && m.now >= m.predecessorBound()
 	if ended || m.now >= arrived+m.maxGrantLifetime() {
 		return true, ""
 	}
