--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -86,10 +86,12 @@
 	case page == nil:
 		m.page = nil
 	case written != nil && page.sameWrite(written):
+		m.extendBounds(page)
 		m.setPage(page)
 		m.adopted = true
 	default:
 		m.adopted = m.adopted && page.Writer == m.options.Self
+		m.extendBounds(page)
 		m.setPage(page)
 		m.addPredecessors(page)
 	}
@@ -330,6 +332,10 @@
 		m.released[key] = releaseResult{done: true, handover: handover}
 	case HolderEnded:
 		row.noteRefused(now)
+		if now < m.predecessorBound() {
+			m.retryReleaseAt[key] = now + probeInterval // A later life may still get a grant.
+			return
+		}
 		m.released[key] = releaseResult{done: true, ended: true}
 	}
 }
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -59,10 +60,9 @@
 	return m.longestTTL() + m.longestTTL()*clockDriftPercent/100 + expiryMargin
 }
 
-// boundOf returns the bound of an owner's grants of one of its ranges. No further
-// grant of the range may be sent after it.
-func (m *Machine) boundOf(r Range) holderBound {
-	row := m.endpointOf(r.Owner.ID, r.Owner.Address)
+// boundOf returns the bound of the grants that were sent to a holder until now.
+func (m *Machine) boundOf(holder Holder) holderBound {
+	row := m.endpointOf(holder.ID, holder.Address)
 	return holderBound{
 		latestArrival:    row.latestArrival,
 		latestUnanswered: row.latestUnanswered,
@@ -70,23 +70,40 @@
 	}
 }
 
-// latestArrival returns the latest time at which any grant may have arrived. A grant of
-// an earlier leader may be applied late, when its server has accepted newer ones. It is
-// computed on use because the end of earlier leaders may become known later.
-func (m *Machine) latestArrival(bound holderBound) time.Duration {
-	return max(bound.latestArrival, m.predecessorBound())
+// extendBounds bounds the grants that this machine has sent until now to the prior holders
+// which a page that was read adds: in an earlier leadership, or before it knew that the page
+// had been written.
+func (m *Machine) extendBounds(page *Page) {
+	for _, r := range page.Ranges {
+		var known []Holder
+		if m.page != nil {
+			known = m.page.priorOf(r.From)
+		}
+		for _, prior := range r.Prior {
+			if prior != unknownHolder && !slices.Contains(known, prior) {
+				m.bounds[holderKey{r.From, r.To, prior.Incarnation, prior.Fence}] = m.boundOf(prior)
+			}
+		}
+	}
+}
+
+// latestArrival returns the latest time at which any grant may have arrived at a server,
+// given that for grants of this leadership. A grant of an earlier leader may be applied late,
+// when its server has accepted newer ones. It is computed on use because the end of earlier
+// leaders may become known later.
+func (m *Machine) latestArrival(row *serverRow, own time.Duration) time.Duration {
+	return max(m.adjustArrival(row, own), m.adjustArrival(row, m.predecessorBound()))
 }
 
 // latestUnanswered returns the latest time at which an unanswered grant may have
 // arrived at a server, including grants of earlier leaders.
 func (m *Machine) latestUnanswered(row *serverRow) time.Duration {
-	sent := m.endpointOf(row.ID, row.Address)
-	return m.adjustArrival(row, max(sent.latestUnanswered, m.predecessorBound()))
+	return m.latestArrival(row, m.endpointOf(row.ID, row.Address).latestUnanswered)
 }
 
 // priorEnded reports whether a prior holder can't hold a range any more, and
-// returns the handover token that it gave on release. While an earlier leader may send
-// grants, the end of the holder's process proves nothing: a later life may get one.
+// returns the handover token that it gave on release. While grants of an earlier leader may
+// arrive, the end of the holder's process proves nothing: a later life may get one.
 func (m *Machine) priorEnded(r Range, prior Holder) (ended bool, handover string) {
 	if prior == unknownHolder {
 		return m.unknownHoldersEnded(), ""
@@ -97,9 +114,9 @@
 		return false, ""
 	}
 	row := m.row(prior.Incarnation)
-	arrived, late := m.adjustArrival(row, m.latestArrival(bound)), m.adjustArrival(row, max(bound.latestUnanswered, m.predecessorBound()))
+	arrived, late := m.latestArrival(row, bound.latestArrival), m.latestArrival(row, bound.latestUnanswered)
 	result, released := m.released[key]
-	ended = (result.ended || m.startedElsewhere(prior)) && len(m.predecessors.active) == 0
+	ended = (result.ended || m.startedElsewhere(prior)) && m.now >= m.predecessorBound()
 	if ended || m.now >= arrived+m.maxGrantLifetime() {
 		return true, ""
 	}
--- a/gateway/leader/fake_store_test.go
+++ b/gateway/leader/fake_store_test.go
@@ -26,6 +26,7 @@
 	leases      map[kvstore.LeaseID]time.Time
 	next        kvstore.LeaseID
 	ttl         time.Duration // Of leases, if longer than leaseTTL.
+	grantDelay  time.Duration // How long the reply to a lease's grant takes.
 	down        bool
 	loseReplies bool // Writes are applied, but their replies are lost.
 	failReads   int  // Reads that fail after a write whose reply was lost.
@@ -53,6 +54,7 @@
 var errDown = &kvstore.Error{Kind: kvstore.KindUnavailable}
 
 func (f *fakeStore) GrantLease(context.Context, time.Duration) (kvstore.Lease, error) {
+	defer time.Sleep(f.grantDelay)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
--- a/gateway/leader/leader_test.go
+++ b/gateway/leader/leader_test.go
@@ -151,6 +151,26 @@
 	g.Expect(renewed.LeaseEnd).To(Equal(renewed.LastContact + leaseTTL))
 }
 
+func TestTheLeaseOfAClaimRunsFromTheCallThatTookIt(t *testing.T) {
+	g := NewWithT(t)
+	store := &fakeStore{leases: make(map[kvstore.LeaseID]time.Time), era: 1, grantDelay: leaseTTL / 2}
+	store.watch = func([]byte) { // The claim was applied; its lease is never renewed.
+		store.mu.Lock()
+		store.down = true
+		store.mu.Unlock()
+	}
+	started := time.Now()
+	c := leader.New(leader.Options{Store: store, Key: "k", Value: value("x"), EraOf: eraOf, MinLeaseTTL: leaseTTL, Clock: func() time.Duration { return time.Since(started) }})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go c.Run(ctx)
+	c.Observe(nil, kvstore.Position{Era: 1, Version: 1})
+	g.Eventually(func() bool { return c.State().Held }, "3s").Should(BeTrue())
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	g.Expect(started.Add(c.State().LeaseEnd)).To(BeTemporally("<=", store.leases[store.holder]))
+}
+
 func TestResignationDuringARestorationDoesNotEndAnotherLeadership(t *testing.T) {
 	g := NewWithT(t)
 	store := &restoredStore{fakeStore: &fakeStore{leases: make(map[kvstore.LeaseID]time.Time), era: 1, ttl: time.Minute}}
