gateway/memory: long bodies let others have the processor

Cause: "bodies in chunks" failed beside load: 1 small request got 503, code "busy", not run. No memory was refused to it. This is a fault of the gateway. Change: after each read beyond the first 16 KB a body yields. A test with one processor counts the bytes that 8 ready bodies read between two turns of another goroutine. Result: the test fails before (671,744 bytes, bound 131,072; all bodies had been read to their end) and passes 20 of 20 times.

--- a/gateway/memory/body.go
+++ b/gateway/memory/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"runtime"
 )
 
 const (
@@ -66,6 +67,9 @@
 		if err != nil {
 			return err
 		}
+		if b.length > smallBytes {
+			runtime.Gosched() // The next bytes may be there, too: others come first.
+		}
 	}
 }
 
--- a/gateway/memory/memory_test.go
+++ b/gateway/memory/memory_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"io"
 	"math/rand"
+	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/iotest"
 
@@ -91,6 +93,44 @@
 	}
 }
 
+// readyReader is a long body whose bytes are there whenever they are asked for.
+type readyReader struct {
+	read *atomic.Int64 // By all readers.
+	done *atomic.Bool
+}
+
+func (r readyReader) Read(p []byte) (int, error) {
+	if r.done.Load() {
+		return 0, io.EOF
+	}
+	n := min(len(p), 4<<10)
+	clear(p[:n])
+	r.read.Add(int64(n))
+	return n, nil
+}
+
+func TestLongBodiesDoNotKeepOthersFromTheProcessor(t *testing.T) {
+	g := NewWithT(t)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const readers, turns, longBytes, turnBytes = 8, 50, 4 << 20, 16 << 10
+	var read atomic.Int64
+	var done atomic.Bool
+	var all sync.WaitGroup
+	for range readers {
+		all.Go(func() {
+			_, _ = memory.ReadBody((*memory.Account)(nil).Hold(memory.Responses), readyReader{&read, &done}, -1, longBytes) // Its outcome is of no interest.
+		})
+	}
+	for range turns {
+		runtime.Gosched()
+	}
+	between := read.Load() / turns
+	done.Store(true)
+	all.Wait()
+	g.Expect(between).To(BeNumerically(">", 0))
+	g.Expect(between).To(BeNumerically("<=", readers*turnBytes), "bytes read between two turns of another goroutine")
+}
+
 func TestLargeBodiesLeaveRoomForSmallOnes(t *testing.T) {
 	g := NewWithT(t)
 	var refused []memory.Kind
