gateway/peer: messages of other VMs are counted before they are read

Change: kind "peer_messages". The share is 1/16 of memory_mb, 32 MB at least, which fits the largest message; it is no part of the sum of the callers' kinds, so that they can't cut a VM off from its leader.

--- a/gateway/memory/account.go
+++ b/gateway/memory/account.go
@@ -22,21 +22,27 @@
 	Responses
 	// ResponseHeaders are headers of responses that are being read.
 	ResponseHeaders
+	// PeerMessages are messages of other VMs.
+	PeerMessages
 	kinds
 )
 
 // String returns the name of the kind in metrics.
 func (k Kind) String() string {
-	return [...]string{"request_bodies", "responses", "response_headers"}[k]
+	return [...]string{"request_bodies", "responses", "response_headers", "peer_messages"}[k]
 }
 
+// internal reports whether bytes are the process's own and not for callers. What callers
+// and servers take leaves their room alone.
+func (k Kind) internal() bool { return k >= PeerMessages }
+
 // shareDivisor limits the bytes of each kind to this part of the process's memory limit,
 // beside the room of small holdings.
-var shareDivisor = [kinds]int64{RequestBodies: 4, Responses: 4, ResponseHeaders: 16}
+var shareDivisor = [kinds]int64{RequestBodies: 4, Responses: 4, ResponseHeaders: 16, PeerMessages: 16}
 
 const (
-	// totalNumerator and totalDivisor limit all kinds together to 3/8 of the process's
-	// memory limit, beside the room of small holdings. The rest is for connections,
+	// totalNumerator and totalDivisor limit all kinds for callers together to 3/8 of the
+	// process's memory limit, beside the room of small holdings. The rest is for connections,
 	// state and uncollected garbage.
 	totalNumerator, totalDivisor = 3, 8
 	// longestResponseDivisor limits one response to 1/16 of the process's memory limit.
@@ -46,6 +52,9 @@
 	// smallRoomDivisor makes the room that only small holdings take, in each share and
 	// in the total, 1/64 of the process's memory limit.
 	smallRoomDivisor = 64
+	// leastInternalShare is the least share of an internal kind. On every VM it fits the
+	// largest message of 8 MB, which takes four times its length.
+	leastInternalShare = 32 << 20
 )
 
 // NoRoomError reports that the memory for a kind of bytes is used up.
@@ -60,7 +69,7 @@
 	onRefused func(Kind)
 
 	mu      sync.Mutex
-	total   int64
+	total   int64 // Without internal kinds.
 	held    [kinds]int64
 	peak    [kinds]int64
 	refused [kinds]int64
@@ -83,22 +92,30 @@
 // Hold returns an empty holding.
 func (a *Account) Hold(kind Kind) *Holding { return &Holding{account: a, kind: kind} }
 
+// share returns the limit of a kind, beside the room of small holdings.
+func (a *Account) share(kind Kind) int64 {
+	share := a.limit / shareDivisor[kind]
+	if kind.internal() {
+		return max(share, leastInternalShare)
+	}
+	return share
+}
+
 // reserve counts more bytes of a kind, if there is room. small says that the room of
 // small holdings is available.
 func (a *Account) reserve(kind Kind, bytes int64, small bool) bool {
-	share, total := a.limit/shareDivisor[kind], a.limit/totalDivisor*totalNumerator
+	share, total := a.share(kind), a.limit/totalDivisor*totalNumerator
 	if small {
 		room := a.limit / smallRoomDivisor
 		share, total = share+room, total+room
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.held[kind]+bytes > share || a.total+bytes > total {
+	if a.held[kind]+bytes > share || !kind.internal() && a.total+bytes > total {
 		a.refused[kind]++
 		return false
 	}
-	a.total += bytes
-	a.held[kind] += bytes
+	a.add(kind, bytes)
 	a.peak[kind] = max(a.peak[kind], a.held[kind])
 	return true
 }
@@ -106,8 +123,14 @@
 func (a *Account) release(kind Kind, bytes int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.total -= bytes
-	a.held[kind] -= bytes
+	a.add(kind, -bytes)
+}
+
+func (a *Account) add(kind Kind, bytes int64) {
+	a.held[kind] += bytes
+	if !kind.internal() {
+		a.total += bytes
+	}
 }
 
 // Usage is the use of one kind, in bytes and refusals.
@@ -124,7 +147,7 @@
 	defer a.mu.Unlock()
 	usage := make(map[string]Usage, kinds)
 	for kind := range kinds {
-		usage[kind.String()] = Usage{a.held[kind], a.peak[kind], a.limit / shareDivisor[kind], a.refused[kind]}
+		usage[kind.String()] = Usage{a.held[kind], a.peak[kind], a.share(kind), a.refused[kind]}
 	}
 	return usage
 }
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -13,6 +13,7 @@
 
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/limit"
+	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/kvstore"
 )
@@ -325,15 +326,16 @@
 // Unmarshal implements connect.Codec.
 func (codec) Unmarshal(data []byte, message any) error { return json.Unmarshal(data, message) }
 
-// NewHandler returns the HTTP handler of a service.
-func NewHandler(service Service) http.Handler {
+// NewHandler returns the HTTP handler of a service. account counts the messages that are
+// received; nil sets no limit.
+func NewHandler(service Service, account *memory.Account) http.Handler {
 	mux := http.NewServeMux()
 	options := []connect.HandlerOption{connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(minCompressBytes)}
 	mux.Handle(procedureReport, unary(procedureReport, service.Report, options))
 	mux.Handle(procedureYield, unary(procedureYield, service.Yield, options))
 	mux.Handle(procedureSpread, unary(procedureSpread, service.Spread, options))
 	mux.Handle(procedureFollow, unary(procedureFollow, service.Follow, options))
-	return mux
+	return countedMessages{mux, account}
 }
 
 func unary[Req, Res any](procedure string, handle func(context.Context, *Req) (*Res, error), options []connect.HandlerOption) http.Handler {
--- a/gateway/run/announce_test.go
+++ b/gateway/run/announce_test.go
@@ -41,7 +41,7 @@
 // returned peer.
 func newLeaderOfLargeFleet(t *testing.T, servers int) (*loop, recordingPeer) {
 	recorder := recordingPeer{make(chan *peer.SpreadRequest, 100), make(chan *peer.Report, 100)}
-	server := httptest.NewServer(peer.NewHandler(recorder))
+	server := httptest.NewServer(peer.NewHandler(recorder, nil))
 	t.Cleanup(server.Close)
 	l := newRelayLoop(t, servers)
 	l.ctx, l.peers, l.leading = context.Background(), peer.NewClient(), true
--- a/gateway/run/messages_test.go
+++ b/gateway/run/messages_test.go
@@ -28,7 +28,7 @@
 func TestMalformedPeerMessagesGetAnErrorAndLeaveTheHandlerServing(t *testing.T) {
 	g := NewWithT(t)
 	recorder := recordingPeer{make(chan *peer.SpreadRequest, 10), make(chan *peer.Report, 10)}
-	server := httptest.NewServer(peer.NewHandler(recorder))
+	server := httptest.NewServer(peer.NewHandler(recorder, nil))
 	defer server.Close()
 	post := func(encoding string, body []byte) int {
 		request, err := http.NewRequest(http.MethodPost, server.URL+"/guavacrank.peer.v1.Peer/Report", bytes.NewReader(body))
--- a/gateway/run/restoration_test.go
+++ b/gateway/run/restoration_test.go
@@ -174,7 +174,7 @@
 // of a service were confirmed.
 func consult(t *testing.T, l *loop, answers informedPeer) bool {
 	g := NewWithT(t)
-	server := httptest.NewServer(peer.NewHandler(answers))
+	server := httptest.NewServer(peer.NewHandler(answers, nil))
 	t.Cleanup(server.Close)
 	l.knownPeers = []string{server.Listener.Addr().String()}
 	l.machines["s"] = keys.NewMachine(keys.Options{Service: "s", Self: l.self, GrantTTL: time.Second})
@@ -200,7 +200,7 @@
 	last := keys.Leader{VM: "last", Incarnation: "last"}
 	answers := informedPeer{follow: peer.FollowResponse{FormerLeader: peer.Leadership{Leader: last, Term: kvstore.Position{Era: 1, Version: 50}}}}
 	server := httptest.NewServer(peer.NewHandler(informedPeer{yield: peer.YieldResponse{Incarnation: "last", NewestPages: true,
-		Pages: []peer.StoredPage{{Service: "s", Page: encoded(t, page(keys.Stamp{Era: 1, Number: 9}))}}}}))
+		Pages: []peer.StoredPage{{Service: "s", Page: encoded(t, page(keys.Stamp{Era: 1, Number: 9}))}}}}, nil))
 	t.Cleanup(server.Close)
 	answers.follow.FormerLeader.Leader.Address = server.Listener.Addr().String()
 	g.Expect(consult(t, l, answers)).To(BeTrue())
@@ -212,7 +212,7 @@
 	l := newRestorationLoop(t)
 	last := keys.Leader{VM: "last", Incarnation: "last"}
 	answers := informedPeer{follow: peer.FollowResponse{FormerLeader: peer.Leadership{Leader: last, Term: kvstore.Position{Era: 1, Version: 50}}}}
-	server := httptest.NewServer(peer.NewHandler(informedPeer{yield: peer.YieldResponse{Incarnation: "another process"}}))
+	server := httptest.NewServer(peer.NewHandler(informedPeer{yield: peer.YieldResponse{Incarnation: "another process"}}, nil))
 	t.Cleanup(server.Close)
 	answers.follow.FormerLeader.Leader.Address = server.Listener.Addr().String()
 	g.Expect(consult(t, l, answers)).To(BeFalse())
@@ -252,7 +252,7 @@
 	last := keys.Leader{VM: "last", Incarnation: "last"}
 	settled := informedPeer{recordingPeer{make(chan *peer.SpreadRequest, 1), make(chan *peer.Report, 1)}, peer.FollowResponse{},
 		peer.YieldResponse{Incarnation: "last", NewestPages: true}}
-	server := httptest.NewServer(peer.NewHandler(&settled))
+	server := httptest.NewServer(peer.NewHandler(&settled, nil))
 	t.Cleanup(server.Close)
 	last.Address = server.Listener.Addr().String()
 	settled.follow = peer.FollowResponse{FormerLeader: peer.Leadership{Leader: last, Term: kvstore.Position{Era: 1, Version: 50}}, MemberCount: 2}
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -133,7 +133,7 @@
 	servers := []endpoint{
 		{settings.Listen.Callers, callers},
 		{settings.Listen.Ready, newServer(http.HandlerFunc(g.serveReady))},
-		{settings.Listen.Peers, newServer(peer.NewHandler(peerService{g.loop}))},
+		{settings.Listen.Peers, newServer(peer.NewHandler(peerService{g.loop}, g.shared.memory))},
 		{settings.Listen.Metrics, newServer(g.metricsHandler())},
 	}
 	failed := make(chan error, len(servers))
--- a/gateway/run/succession_test.go
+++ b/gateway/run/succession_test.go
@@ -170,7 +170,7 @@
 	l.enterEra(2)
 	copied := keys.Leader{VM: "copied", Incarnation: "copied", Address: "127.0.0.1:2"}
 	watchResult{prefix: leaderKey, full: true, era: 2, entries: []kvstore.Entry{{Key: leaderKey, Value: encodeLeader(copied, 1), Version: 20, Era: 2}}}.apply(l)
-	restarted := httptest.NewServer(peer.NewHandler(informedPeer{follow: peer.FollowResponse{MemberCount: 2}}))
+	restarted := httptest.NewServer(peer.NewHandler(informedPeer{follow: peer.FollowResponse{MemberCount: 2}}, nil))
 	t.Cleanup(restarted.Close)
 	l.knownPeers = []string{restarted.Listener.Addr().String()}
 	l.term = kvstore.Position{Era: 2, Version: 60}
