gateway/front: CONNECT is rejected in all forms

Cause: CONNECT with a path found a route and reached a server like any other method. A success of the server looks like the start of a tunnel to the caller, which then sends bytes of another protocol (RFC 9110, 9.3.6).

Change: every CONNECT is answered 501 before a route is looked for.

--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -45,6 +45,9 @@
 	notReadyRetryAfter = 200 * time.Millisecond
 )
 
+// errConnect rejects CONNECT: its caller would take a success for a tunnel.
+const errConnect = "the method CONNECT is not offered"
+
 // Options configure a Handler.
 type Options struct {
 	HeaderCodec port.HeaderCodec
@@ -138,6 +141,10 @@
 		e.reject(rejection{http.StatusBadRequest, err.Error()})
 		return
 	}
+	if e.r.Method == http.MethodConnect {
+		e.reject(rejection{http.StatusNotImplemented, errConnect})
+		return
+	}
 	current := e.waitForView()
 	if current == nil {
 		e.refuse(verdict.CodeStore, notReadyRetryAfter)
