daemon: no answer to OPTIONS * without a handler

Cause: net/http answers OPTIONS * with 200 by itself, so the product's own daemon gave a success that no backend server gave.

Change: the callers' server passes OPTIONS * to its handler, which answers 400.

Result: the new test got 200 before and gets 400 now; go test ./daemon passes.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -1,9 +1,11 @@
 package daemon_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -215,4 +217,18 @@
 		f.waitUntilServed(f.vms[1:]...)
 		f.expectExclusiveRuns()
 	})
+
+	// Guards against the success that net/http gives to OPTIONS * by itself.
+	It("give no success to OPTIONS * without a server", func() {
+		f := newTestFleet(1, 1)
+		connection, err := net.Dial("tcp", strings.TrimPrefix(f.vms[0].caller, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer connection.Close()
+		Expect(connection.SetDeadline(time.Now().Add(waitTimeout))).To(Succeed())
+		_, err = io.WriteString(connection, "OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.StatusCode).To(Equal(http.StatusBadRequest))
+	})
 })
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -75,6 +75,8 @@
 		ReadTimeout:       limits.ReadTimeout,
 		IdleTimeout:       limits.IdleTimeout,
 		MaxHeaderBytes:    limits.HeaderBytes,
+		// The handler gets OPTIONS * too: no success without a server.
+		DisableGeneralOptionsHandler: true,
 	}
 	operators := operator.NewHTTPServer(d.operator.Handler())
 	return httpServers{
