gateway: requests that parsers read differently are rejected

Cause: net/http reads requests leniently and forgets what it has read: it drops a Content-Length beside Transfer-Encoding, the second of two equal lengths, the coding of HTTP/1.0 (whose chunks it then takes for the next request), joins folded fields, takes a bare LF for the end of a line, ignores Host beside an absolute target, whatever its scheme and user, and removes the zone of a host. The server got an altered request, and a parser before the gateway may have seen another one.

Change: package framing follows the bytes of a caller's connection before net/http parses them and ends a request at its first fault in such a way that net/http answers 400 and closes the connection. It knows only what frames a request and names its host; all else is left to net/http.

--- /dev/null
+++ b/gateway/framing/head.go
@@ -0,0 +1,110 @@
+package framing
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// versionSuffix ends a request line of HTTP/1.1.
+const versionSuffix = " HTTP/1.1"
+
+// head is what the fields of a request say about its body and host.
+type head struct {
+	// old is set in HTTP/1.0.
+	old bool
+	// absolute is set if the target names a host, which is authority.
+	absolute  bool
+	authority string
+	hasHost   bool
+	host      string
+	hasLength bool
+	length    uint64
+	hasCoding bool
+	chunked   bool
+}
+
+// readRequestLine reads the version and the host of a target in absolute form. All else is
+// checked by net/http. Of a long line, beginning and end need not meet.
+func (h *head) readRequestLine(beginning, end []byte) (sound bool) {
+	h.old = !bytes.HasSuffix(end, []byte(versionSuffix))
+	_, target, _ := bytes.Cut(beginning, []byte(" "))
+	if len(target) == 0 || target[0] == '/' {
+		return true
+	}
+	scheme, rest, whole := bytes.Cut(target, []byte("://"))
+	if !whole || bytes.ContainsAny(scheme, "/? ") {
+		return true
+	}
+	hostEnd := bytes.IndexAny(rest, "/? ")
+	if hostEnd < 0 || !bytes.EqualFold(scheme, []byte("http")) {
+		return false
+	}
+	h.absolute, h.authority = true, string(rest[:hostEnd])
+	return !bytes.ContainsAny(rest[:hostEnd], "@%#")
+}
+
+// readField reads a field line.
+func (h *head) readField(line []byte, cut bool) (sound bool) {
+	if line[0] == ' ' || line[0] == '\t' {
+		return false // A folded field.
+	}
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch len(name) {
+	case len("Host"):
+		if bytes.EqualFold(name, []byte("Host")) {
+			return !cut && h.readHost(trim(value))
+		}
+	case len("Content-Length"):
+		if bytes.EqualFold(name, []byte("Content-Length")) {
+			return !cut && h.readLength(trim(value))
+		}
+	case len("Transfer-Encoding"):
+		if bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+			return !cut && h.readCoding(trim(value))
+		}
+	}
+	return true
+}
+
+func (h *head) readHost(value []byte) (sound bool) {
+	if h.hasHost || bytes.IndexByte(value, '%') >= 0 {
+		return false // net/http removes the zone of an address.
+	}
+	h.hasHost, h.host = true, string(value)
+	return true
+}
+
+func (h *head) readLength(value []byte) (sound bool) {
+	if h.hasLength || len(value) == 0 || len(value) > maxLengthDigits {
+		return false
+	}
+	for _, digit := range value {
+		if digit < '0' || digit > '9' {
+			return false
+		}
+	}
+	h.hasLength = true
+	h.length, _ = strconv.ParseUint(string(value), 10, 64) // Digits only, and few enough.
+	return true
+}
+
+// readCoding reads a transfer coding. net/http rejects all but chunked.
+func (h *head) readCoding(value []byte) (sound bool) {
+	if h.hasCoding {
+		return false
+	}
+	h.hasCoding = true
+	h.chunked = bytes.EqualFold(value, []byte("chunked"))
+	return true
+}
+
+// sound reports whether the fields agree with each other.
+func (h *head) sound() bool {
+	if h.hasCoding && (h.hasLength || h.old) {
+		return false
+	}
+	return !h.absolute || !h.hasHost || h.host == h.authority
+}
+
+// trim removes the optional whitespace around a field's value.
+func trim(value []byte) []byte { return bytes.Trim(value, " \t") }
--- a/gateway/run/endpoint.go
+++ b/gateway/run/endpoint.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"guavacrank.example/gateway/framing"
 )
 
 const (
@@ -20,6 +22,8 @@
 type endpoint struct {
 	address string
 	server  *http.Server
+	// check, if set, returns a listener that checks the connections of another.
+	check func(net.Listener) net.Listener
 }
 
 func (s endpoint) start(failed chan<- error) error {
@@ -27,6 +31,9 @@
 	if err != nil {
 		return err
 	}
+	if s.check != nil {
+		listener = s.check(listener)
+	}
 	go func() {
 		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			failed <- err
@@ -35,6 +42,10 @@
 	return nil
 }
 
+// checkCallers returns a listener whose connections are passed on as long as every parser
+// reads their requests the same way.
+func checkCallers(listener net.Listener) net.Listener { return framing.Listener{Listener: listener} }
+
 // newServer returns an HTTP server of this process. Its handler gets every well-formed
 // request, OPTIONS * included.
 func newServer(handler http.Handler) *http.Server {
--- a/gateway/run/own_answers_test.go
+++ b/gateway/run/own_answers_test.go
@@ -105,6 +105,7 @@
 	})
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = newCallerServer(handler)
+	server.Listener = checkCallers(server.Listener)
 	server.Start()
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
@@ -171,6 +172,11 @@
 	{"malformed host", "GET / HTTP/1.1\r\nHost: a b\r\nConnection: close\r\n\r\n", 400},
 	{"two lengths", "POST / HTTP/1.1\r\n" + answersHead + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
 	{"length that is no number", "POST / HTTP/1.1\r\n" + answersHead + "Content-Length: x\r\n\r\n", 400},
+	{"length and chunks", "POST / HTTP/1.1\r\n" + answersHead + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+	{"folded header", "GET / HTTP/1.1\r\n" + answersHead + "A: b\r\n c\r\n\r\n", 400},
+	{"line without CR", "GET / HTTP/1.1\n" + answersHead + "\r\n", 400},
+	{"absolute target with another host", "GET http://a/ HTTP/1.1\r\n" + answersHead + "\r\n", 400},
+	{"line without CR in chunks", "POST / HTTP/1.1\r\n" + answersHead + "Transfer-Encoding: chunked\r\n\r\n0\r\nA: b\n\r\n", 400},
 	{"unknown transfer coding", "POST / HTTP/1.1\r\n" + answersHead + "Transfer-Encoding: gzip\r\n\r\n", 501},
 	{"malformed chunk", "POST / HTTP/1.1\r\n" + answersHead + "Transfer-Encoding: chunked\r\n\r\nz\r\n", 400},
 	{"unknown expectation", "POST / HTTP/1.1\r\n" + answersHead + "Expect: 200-ok\r\nContent-Length: 1\r\n\r\nx", 417},
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -131,10 +131,10 @@
 	settings := g.options.Settings
 	callers := newCallerServer(g.handler)
 	servers := []endpoint{
-		{settings.Listen.Callers, callers},
-		{settings.Listen.Ready, newServer(http.HandlerFunc(g.serveReady))},
-		{settings.Listen.Peers, newServer(peer.NewHandler(peerService{g.loop}))},
-		{settings.Listen.Metrics, newServer(g.metricsHandler())},
+		{address: settings.Listen.Callers, server: callers, check: checkCallers},
+		{address: settings.Listen.Ready, server: newServer(http.HandlerFunc(g.serveReady))},
+		{address: settings.Listen.Peers, server: newServer(peer.NewHandler(peerService{g.loop}))},
+		{address: settings.Listen.Metrics, server: newServer(g.metricsHandler())},
 	}
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
