gateway/dispatch: every User-Agent field is sent as it came in

Cause: net/http writes only the first value of User-Agent, and none if it is empty, so fields that a caller sent did not reach the server.

Change: other than one value that is not empty is written under another spelling of the name, which net/http treats as any field.

Result: the two new cases of TestARequestThatAllParsersReadAlikeIsForwardedAsItCameIn fail without the change and pass with it; the random run has the field too.

--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -75,9 +75,7 @@
 	for name, values := range c.request.Header {
 		header[name] = values
 	}
-	if _, named := header["User-Agent"]; !named {
-		header["User-Agent"] = nil // Keeps net/http from adding its own.
-	}
+	setUserAgent(header)
 	c.options.HeaderCodec.WriteUpstream(header, port.UpstreamHead{TimeLeft: c.timeLeft() - responseMargin, Server: server.ID})
 	request := &http.Request{
 		Method:        c.request.Method,
@@ -95,6 +93,22 @@
 	return request
 }
 
+// userAgentAsSent is a spelling of User-Agent that net/http writes as any other field.
+const userAgentAsSent = "user-agent"
+
+// setUserAgent makes net/http write the values that came in: of User-Agent it writes only
+// the first value, none if that is empty, and its own if there is none.
+func setUserAgent(header http.Header) {
+	values := header["User-Agent"]
+	if len(values) == 1 && values[0] != "" {
+		return
+	}
+	header["User-Agent"] = nil
+	if len(values) > 0 {
+		header[userAgentAsSent] = values
+	}
+}
+
 // classifyResponse returns the outcome of an attempt with a complete response.
 func (c *call) classifyResponse(server *balance.Server, response *http.Response, body *memory.Body) outcome {
 	head := c.options.HeaderCodec.ReadResponse(response.StatusCode, response.Header)
