gateway: the trailer of a request is sent on

Cause: the front read a body in chunks and forgot the fields after it, so they never reached the server; a trailer with Host or Content-Length was accepted as well.

Change: a request with a trailer is sent in chunks, with the trailer after the body. One whose trailer holds a field of the connection, Host or Content-Length (RFC 9110, 6.5.1) is answered 400 and its connection ends. Without a trailer nothing changes.

--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/memory"
@@ -90,9 +91,22 @@
 	case length > 0:
 		request.Body = io.NopCloser(c.request.Body.NewReader())
 	}
+	if len(c.request.Trailer) > 0 {
+		setTrailer(request, c.request.Trailer)
+	}
 	return request
 }
 
+// setTrailer makes a request one in chunks, which may have a trailer.
+func setTrailer(request *http.Request, trailer http.Header) {
+	request.Trailer = trailer
+	request.ContentLength = -1
+	request.TransferEncoding = []string{"chunked"}
+	if request.Body == nil {
+		request.Body = io.NopCloser(strings.NewReader(""))
+	}
+}
+
 // userAgentAsSent is a spelling of User-Agent that net/http writes as any other field.
 const userAgentAsSent = "user-agent"
 
--- a/gateway/dispatch/request.go
+++ b/gateway/dispatch/request.go
@@ -20,7 +20,9 @@
 	// Header holds the headers to forward; the dispatcher does not modify it.
 	Header http.Header
 	Body   *memory.Body
-	Route  *model.Route
+	// Trailer holds the fields after the body; the dispatcher does not modify it.
+	Trailer http.Header
+	Route   *model.Route
 	// Service is the route's target that was picked for the request.
 	Service string
 	// Arrived is when the request's headers were read, on the dispatcher's clock.
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -228,6 +228,11 @@
 		e.refuseBody(err)
 		return
 	}
+	trailer, err := e.trailer()
+	if err != nil {
+		e.refuseBody(err)
+		return
+	}
 	result := e.options.Dispatcher.Do(ctx, &dispatch.Request{
 		Head:     e.head,
 		Method:   e.r.Method,
@@ -235,6 +240,7 @@
 		Host:     e.r.Host,
 		Header:   forwardedHeaders(e.r.Header),
 		Body:     body,
+		Trailer:  trailer,
 		Route:    e.route,
 		Service:  e.service,
 		Arrived:  e.arrived,
--- a/gateway/front/wire_test.go
+++ b/gateway/front/wire_test.go
@@ -405,6 +405,10 @@
 	"bare LF after a chunk":        "POST /a HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\n0\r\n\r\n",
 	"folded trailer":               "POST /a HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: b\r\n c\r\n\r\n",
 	"bare LF in the trailer":       "POST /a HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: b\nC: d\r\n\r\n",
+	"length in the trailer":        "POST /a HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nContent-Length: 1\r\n\r\n",
+	"length as a trailer":          "POST /a HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\nTrailer: Content-Length\r\n\r\n0\r\n\r\n",
+	"host in the trailer":          "POST /a HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nHost: b\r\n\r\n",
+	"control byte in the trailer":  "POST /a HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: \x01\r\n\r\n",
 	"bare LF after the last chunk": "POST /a HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\n",
 }
 
@@ -438,6 +442,9 @@
 	"user agents":                  "GET /a HTTP/1.1\r\nHost: h.example\r\nUser-Agent: u\r\nUser-Agent: v\r\nUser-Agent:\r\n\r\n",
 	"empty user agent":             "GET /a HTTP/1.1\r\nHost: h.example\r\nUser-Agent:\r\n\r\n",
 	"old field of caches":          "GET /a HTTP/1.1\r\nHost: h.example\r\nPragma: no-cache\r\n\r\nGET /a HTTP/1.1\r\nHost: h.example\r\nPragma: no-cache\r\ncache-control: no-cache\r\n\r\n",
+	"trailer":                      "POST /a HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\nTrailer: B, A, None\r\n\r\n1\r\nx\r\n0\r\nB: 2\r\nA: 1\r\nb: 1\r\n\r\n",
+	"trailer that isn't announced": "GET /a HTTP/1.1\r\nHost: h.example\r\nA: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: 2\r\nX:\r\n\r\n",
+	"trailer of a long body":       "POST /a HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\n8000\r\n" + strings.Repeat("x", 0x8000) + "\r\n0\r\nA: 1\r\n\r\n",
 	"odd names":                    "GET /a HTTP/1.1\r\nHost: h.example\r\n!#$%&'*+-.^_`|~9: 1\r\nx_y: 2\r\nX-Y: 3\r\n\r\n",
 	"long fields":                  "GET /a HTTP/1.1\r\nHost: h.example\r\nA: " + strings.Repeat("a", 20_000) + "\r\nB: b\r\n\r\n",
 	"long target":                  "GET /" + strings.Repeat("a", 20_000) + " HTTP/1.1\r\nHost: h.example\r\n\r\n",
@@ -484,7 +491,7 @@
 		data := pick("x", "0\r\n\r\n", "GET / HTTP/1.1\r\n\r\n")
 		text += fmt.Sprintf("%x", len(data)) + pick("", "", "", ";e", " ;e=\"\"", " ", "\r", ";\n") + "\r\n" + data + pick("\r\n", "\r\n", "\r\n", "\r\n", "\n")
 	}
-	return text + "0\r\n" + pick("", "", "", "T: 1\n", " x\r\n") + "\r\n"
+	return text + "0\r\n" + pick("", "", "", "T: 1\r\n", "T: 1\r\nt: 2\r\nU: 3\r\n", "T: 1\n", " x\r\n", "Host: b\r\n") + "\r\n"
 }
 
 func TestRandomRequestsAreForwardedAsTheyCameInOrRejected(t *testing.T) {
