gateway: the trailer of an answer is relayed

Cause: the fields after a server's answer in chunks were read and dropped.

Change: an answer with a trailer is written in chunks, with the trailer after the body, except to a caller of HTTP/1.0. Fields of the connection, and a length, are left out of it. All other answers are written as before.

Result: a table of answers (HEAD, 204, 205, 304, TRACE, OPTIONS, chunks, trailers, fields) is checked byte for byte on the caller's socket, once and four times on one connection. The two with a trailer fail without the change; all pass with it. Framing of HEAD, 204 and 304 was right before.

--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -147,7 +147,7 @@
 		out.Cause = errUnsigned.Error()
 	default:
 		out.Verdict, out.Code, out.result = verdict.Answered, verdict.CodeAnswered, balance.Succeeded
-		out.response = &Response{Status: response.StatusCode, Header: response.Header, Body: body}
+		out.response = &Response{Status: response.StatusCode, Header: response.Header, Body: body, Trailer: response.Trailer}
 		if response.StatusCode >= http.StatusInternalServerError {
 			out.result = balance.ServerError
 		}
--- a/gateway/dispatch/request.go
+++ b/gateway/dispatch/request.go
@@ -38,6 +38,8 @@
 	Header http.Header
 	// Body must be released after use.
 	Body *memory.Body
+	// Trailer holds the fields after the body.
+	Trailer http.Header
 }
 
 // Result is the final result of a request.
--- /dev/null
+++ b/gateway/front/answer_test.go
@@ -0,0 +1,66 @@
+package front
+
+import (
+	"regexp"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// relayedAnswers are answers of a server to a request, and what the caller gets. Date and
+// Connection are left out.
+var relayedAnswers = []struct {
+	name, request, answer, want string
+}{
+	{"HEAD with a length", "HEAD /a HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nETag: e\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nEtag: e\r\n\r\n"},
+	{"HEAD without a length", "HEAD /a HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\nETag: e\r\n\r\n", "HTTP/1.1 200 OK\r\nEtag: e\r\n\r\n"},
+	{"HEAD in chunks", "HEAD /a HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n"},
+	{"HEAD of a failure", "HEAD /a HTTP/1.1\r\n", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\n\r\n", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 7\r\n\r\n"},
+	{"HEAD of HTTP/1.0", "HEAD /a HTTP/1.0\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\n"},
+	{"204", "GET /a HTTP/1.1\r\n", "HTTP/1.1 204 No Content\r\nA: b\r\n\r\n", "HTTP/1.1 204 No Content\r\nA: b\r\n\r\n"},
+	{"204 with a length", "DELETE /a HTTP/1.1\r\n", "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n"},
+	{"304", "GET /a HTTP/1.1\r\n", "HTTP/1.1 304 Not Modified\r\nETag: e\r\n\r\n", "HTTP/1.1 304 Not Modified\r\nEtag: e\r\n\r\n"},
+	{"304 with the length of the body that it stands for", "GET /a HTTP/1.1\r\n", "HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\nETag: e\r\n\r\n", "HTTP/1.1 304 Not Modified\r\nEtag: e\r\n\r\n"},
+	{"205", "GET /a HTTP/1.1\r\n", "HTTP/1.1 205 Reset Content\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 205 Reset Content\r\nContent-Length: 0\r\n\r\n"},
+	{"TRACE", "TRACE /a HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\nContent-Type: message/http\r\nContent-Length: 4\r\n\r\n\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Type: message/http\r\n\r\n\r\n\r\n"},
+	{"OPTIONS", "OPTIONS /a HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\nAllow: GET\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nAllow: GET\r\nContent-Length: 0\r\n\r\n"},
+	{"body in chunks", "GET /a HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;e\r\nx\r\n2\r\nyz\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nxyz"},
+	{"body in chunks for HTTP/1.0", "GET /a HTTP/1.0\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nA: b\r\n\r\n", "HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\nx"},
+	{"trailer", "GET /a HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\nA: 1\r\nTransfer-Encoding: chunked\r\nTrailer: A, None\r\n\r\n1\r\nx\r\n0\r\nA: 2\r\na: 3\r\nB:\r\n\r\n", "HTTP/1.1 200 OK\r\nA: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nA: 2\r\nA: 3\r\nB: \r\n\r\n"},
+	{"trailer with a length", "GET /a HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nContent-Length: 5\r\nConnection: a\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"},
+	{"fields in order", "GET /a HTTP/1.1\r\n", "HTTP/1.1 299 Some\r\nSet-Cookie: b\r\nset-cookie: a\r\nContent-Type: x\r\nDate: y\r\nServer: z\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 299 status code 299\r\nContent-Length: 0\r\nContent-Type: x\r\nServer: z\r\nSet-Cookie: b\r\nSet-Cookie: a\r\n\r\n"},
+	{"fields of the connection", "GET /a HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\nConnection: x\r\nX: 1\r\nKeep-Alive: timeout=5\r\nUpgrade: h2c\r\nY: 2\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nY: 2\r\n\r\n"},
+	{"a 100 that nobody asked for", "GET /a HTTP/1.1\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"},
+}
+
+// connectionOrDate matches the fields that are left out.
+var connectionOrDate = regexp.MustCompile("(?m)^(Connection|Date): .*\r\n")
+
+func TestAnAnswerIsRelayedWithTheFramingOfItsStatusAndMethod(t *testing.T) {
+	for _, c := range relayedAnswers {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newByteWire(t)
+			w.answer = c.answer
+			answers := w.send(t, c.request+"Host: h.example\r\nConnection: close\r\n\r\n", 0)
+			g.Expect(connectionOrDate.ReplaceAllString(answers, "")).To(Equal(strings.ReplaceAll(c.want, "Date: y\r\n", "")))
+		})
+	}
+}
+
+// Guards against an answer whose bytes are taken for those of the next one.
+func TestAnswersOnOneConnectionKeepTheirFraming(t *testing.T) {
+	for _, c := range relayedAnswers {
+		if strings.Contains(c.request, "HTTP/1.0") {
+			continue // Its connection ends.
+		}
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newByteWire(t)
+			w.answer = c.answer
+			answers := w.send(t, strings.Repeat(c.request+"Host: h.example\r\n\r\n", 3)+c.request+"Host: h.example\r\nConnection: close\r\n\r\n", 0)
+			g.Expect(connectionOrDate.ReplaceAllString(answers, "")).To(Equal(strings.Repeat(c.want, 4)))
+		})
+	}
+}
--- a/gateway/front/response.go
+++ b/gateway/front/response.go
@@ -35,11 +35,14 @@
 			header[name] = nil
 		}
 	}
-	if e.r.Method == http.MethodHead {
+	switch {
+	case e.r.Method == http.MethodHead:
 		if length := response.Header.Get("Content-Length"); length != "" {
 			header.Set("Content-Length", length)
 		}
-	} else if response.Status != http.StatusNoContent && response.Status != http.StatusNotModified {
+	case response.Status == http.StatusNoContent || response.Status == http.StatusNotModified:
+		// The answer ends with its headers.
+	case !e.setTrailer(response.Trailer):
 		header.Set("Content-Length", strconv.FormatInt(response.Body.Len(), 10))
 	}
 	e.w.WriteHeader(response.Status)
@@ -54,6 +57,22 @@
 	}
 }
 
+// setTrailer makes the answer one in chunks with the trailer, and reports whether there is
+// one that the caller can read.
+func (e *exchange) setTrailer(trailer http.Header) bool {
+	if len(trailer) == 0 || !e.r.ProtoAtLeast(1, 1) {
+		return false
+	}
+	sent := false
+	for name, values := range forwardedHeaders(trailer) {
+		if len(values) > 0 {
+			e.w.Header()[http.TrailerPrefix+name] = values
+			sent = true
+		}
+	}
+	return sent
+}
+
 // setWriteDeadline limits the time to write to the caller; the zero time sets no limit.
 func (e *exchange) setWriteDeadline(deadline time.Time) {
 	err := http.NewResponseController(e.w).SetWriteDeadline(deadline)
