gateway: informational answers are relayed

Cause: informational answers of a server were read and dropped, though a gateway has to pass them on (RFC 9110, 15.2).

Change: those that belong to the request, by the same check as for answers, are kept with the answer and written directly before it, so that none comes from a server whose answer the caller does not get. 100 is not relayed, as the gateway itself asked for the body, and a caller of HTTP/1.0 gets none.

--- a/gateway/dispatch/request.go
+++ b/gateway/dispatch/request.go
@@ -34,8 +34,10 @@
 
 // Response is a backend server's complete response.
 type Response struct {
-	Status int
-	Header http.Header
+	// Informational holds the server's informational responses to the same request.
+	Informational []*http.Response
+	Status        int
+	Header        http.Header
 	// Body must be released after use.
 	Body *memory.Body
 	// Trailer holds the fields after the body.
--- a/gateway/front/answer_test.go
+++ b/gateway/front/answer_test.go
@@ -31,6 +31,9 @@
 	{"trailer with a length", "GET /a HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nContent-Length: 5\r\nConnection: a\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"},
 	{"fields in order", "GET /a HTTP/1.1\r\n", "HTTP/1.1 299 Some\r\nSet-Cookie: b\r\nset-cookie: a\r\nContent-Type: x\r\nDate: y\r\nServer: z\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 299 status code 299\r\nContent-Length: 0\r\nContent-Type: x\r\nServer: z\r\nSet-Cookie: b\r\nSet-Cookie: a\r\n\r\n"},
 	{"fields of the connection", "GET /a HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\nConnection: x\r\nX: 1\r\nKeep-Alive: timeout=5\r\nUpgrade: h2c\r\nY: 2\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nY: 2\r\n\r\n"},
+	{"informational answer", "GET /a HTTP/1.1\r\n", "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\nA: b\r\n\r\nx", "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 1\r\n\r\nx"},
+	{"two informational answers", "GET /a HTTP/1.1\r\n", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: l\r\nLink: m\r\nContent-Length: 3\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: l\r\nLink: m\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"},
+	{"informational answer to HTTP/1.0", "GET /a HTTP/1.0\r\n", "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\nx"},
 	{"a 100 that nobody asked for", "GET /a HTTP/1.1\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"},
 }
 
--- a/traffic/upstream/exchange.go
+++ b/traffic/upstream/exchange.go
@@ -21,7 +21,10 @@
 // Response is the headers of a response and its body. Body must be closed.
 type Response struct {
 	*http.Response
-	exchange *exchange
+	// Informational holds the informational responses to the same request that came
+	// before, without 100 (Continue): a caller's expectation is not for the server.
+	Informational []*http.Response
+	exchange      *exchange
 }
 
 // exchange is one request and its response on one connection.
@@ -34,6 +37,8 @@
 	start   time.Time
 	written chan error // Receives the result of a write concurrent with reading the response.
 	over    bool
+	// informational are the informational responses that were read.
+	informational []*http.Response
 }
 
 // run sends the request and reads the response headers.
@@ -63,7 +68,7 @@
 		x.abandon()
 		return nil, &Failure{Stage: StageUnframed, Sent: true, Err: errors.New("neither Content-Length nor chunked")}
 	}
-	result := &Response{Response: response, exchange: x}
+	result := &Response{Response: response, Informational: x.informational, exchange: x}
 	response.Body = &body{
 		source:       response.Body,
 		exchange:     x,
@@ -87,7 +92,7 @@
 func (x *exchange) readOwn() (*http.Response, error) {
 	matches := x.pool.options.MatchesRequest
 	for skipped := 0; ; skipped++ {
-		response, err := readHead(x.conn, x.request)
+		response, err := x.readHead()
 		if err != nil || matches == nil || matches(x.request, response) {
 			return response, err
 		}
@@ -158,10 +163,10 @@
 	Streamed()
 }
 
-// readHead reads the response headers and skips informational responses.
-func readHead(c *conn, request *http.Request) (*http.Response, error) {
+// readHead reads the response headers and those of informational responses before them.
+func (x *exchange) readHead() (*http.Response, error) {
 	for {
-		response, err := http.ReadResponse(c.reader, request)
+		response, err := http.ReadResponse(x.conn.reader, x.request)
 		if err != nil {
 			return nil, unexpected(err)
 		}
@@ -171,7 +176,17 @@
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
+		x.keepInformational(response)
+	}
+}
+
+// keepInformational keeps an informational response that belongs to the request.
+func (x *exchange) keepInformational(response *http.Response) {
+	matches := x.pool.options.MatchesRequest
+	if response.StatusCode == http.StatusContinue || matches != nil && !matches(x.request, response) {
+		return
 	}
+	x.informational = append(x.informational, response)
 }
 
 // fail ends the exchange without a response.
