traffic/upstream: answers that parsers read differently are none

Cause: net/http reads a server's headers as leniently as a caller's: Content-Length beside Transfer-Encoding, chunks in HTTP/1.0, folded fields, bare LF, and a status such as 099 or +20, which counted as informational and, since those are relayed, ended the handler with a panic. It also adds Cache-Control beside a Pragma.

Change: the headers are followed as their bytes are read, whatever their length, and the exchange fails at the first fault, with the request as one that may have run. A Cache-Control that the server did not send is removed.

--- a/gateway/front/answer_test.go
+++ b/gateway/front/answer_test.go
@@ -1,9 +1,11 @@
 package front
 
 import (
+	"net/http"
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -34,6 +36,9 @@
 	{"informational answer", "GET /a HTTP/1.1\r\n", "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\nA: b\r\n\r\nx", "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 1\r\n\r\nx"},
 	{"two informational answers", "GET /a HTTP/1.1\r\n", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: l\r\nLink: m\r\nContent-Length: 3\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: l\r\nLink: m\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"},
 	{"informational answer to HTTP/1.0", "GET /a HTTP/1.0\r\n", "HTTP/1.1 103 Early Hints\r\nLink: l\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\nx"},
+	{"old field of caches", "GET /a HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\nPragma: no-cache\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nPragma: no-cache\r\n\r\n"},
+	{"both fields of caches", "GET /a HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\nPragma: no-cache\r\ncache-control: no-cache\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nCache-Control: no-cache\r\nContent-Length: 0\r\nPragma: no-cache\r\n\r\n"},
+	{"long fields", "GET /a HTTP/1.1\r\n", "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", 5000) + "\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", 5000) + "\r\nContent-Length: 1\r\n\r\nx"},
 	{"a 100 that nobody asked for", "GET /a HTTP/1.1\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"},
 }
 
@@ -67,3 +72,39 @@
 		})
 	}
 }
+
+// disputedAnswers are answers whose end or fields parsers read differently, or that are
+// none.
+var disputedAnswers = map[string]string{
+	"length and chunks":     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	"the same length twice": "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx",
+	"chunks in HTTP/1.0":    "HTTP/1.0 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	"folded field":          "HTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 0\r\n\r\n",
+	"folded length":         "HTTP/1.1 200 OK\r\nContent-Length:\r\n 0\r\n\r\n",
+	"bare LF":               "HTTP/1.1 200 OK\r\nA: b\nContent-Length: 0\r\n\r\n",
+	"bare CR":               "HTTP/1.1 200 OK\r\nA: b\rc\r\nContent-Length: 0\r\n\r\n",
+	"bare LF at the end":    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\n",
+	"signed length":         "HTTP/1.1 200 OK\r\nContent-Length: +1\r\n\r\nx",
+	"unknown coding":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+	"status of two digits":  "HTTP/1.1 99 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	"status below 100":      "HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	"signed status":         "HTTP/1.1 +20 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	"another protocol":      "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+	"no field":              "HTTP/1.1 200 OK\r\nodd\r\nContent-Length: 0\r\n\r\n",
+	"no answer":             "nonsense\r\n",
+	"fault after a field":   "HTTP/1.1 200 OK\r\nodd\r\n",
+	"fault beyond 4 KiB":    "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", 5000) + "\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+}
+
+func TestAnAnswerThatParsersReadDifferentlyIsNotRelayed(t *testing.T) {
+	for name, answer := range disputedAnswers {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			w := newByteWire(t)
+			w.answer = answer
+			start := time.Now()
+			g.Expect(statuses(t, w.send(t, lastRequest, 0))).To(Equal([]int{http.StatusBadGateway}))
+			g.Expect(time.Since(start)).To(BeNumerically("<", rawTimeout/2), "the fault is seen when it comes")
+		})
+	}
+}
--- a/traffic/upstream/conn.go
+++ b/traffic/upstream/conn.go
@@ -41,6 +41,8 @@
 	headerBytes    int64
 	maxHeaderBytes int64
 	limited        bool
+	// head follows the headers while limited is set.
+	head headScanner
 	// headerMemory counts the headers of the current response beyond the first
 	// bufferBytes; nil does not count. countedBytes is what it has counted.
 	headerMemory HeaderMemory
@@ -72,6 +74,9 @@
 	}
 	n, err := r.Conn.Read(p)
 	r.headerBytes -= int64(n)
+	if headErr := r.head.scan(p[:n]); headErr != nil {
+		return 0, headErr
+	}
 	return n, err
 }
 
@@ -121,6 +126,17 @@
 	c.limited = true
 	c.headerBytes = maxHeaderBytes
 	c.maxHeaderBytes = maxHeaderBytes
+	c.head.reset()
+}
+
+// scanBuffered follows the headers of the next response as far as they were read with the
+// one before.
+func (c *conn) scanBuffered() error {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.head.scan(buffered)
 }
 
 // alive reports, without blocking, whether an idle connection can be reused:
--- a/traffic/upstream/exchange.go
+++ b/traffic/upstream/exchange.go
@@ -108,6 +108,9 @@
 			return nil, errOtherRequest
 		}
 		x.conn.limitHeaders(x.pool.options.MaxHeaderBytes)
+		if err := x.conn.scanBuffered(); err != nil {
+			return nil, err
+		}
 	}
 }
 
@@ -174,12 +177,21 @@
 			return nil, errors.New("unexpected switch of protocols")
 		}
 		if response.StatusCode >= http.StatusOK {
+			x.restoreHeader(response)
 			return response, nil
 		}
 		x.keepInformational(response)
 	}
 }
 
+// restoreHeader removes what net/http has added to the headers: a Cache-Control beside a
+// Pragma.
+func (x *exchange) restoreHeader(response *http.Response) {
+	if !x.conn.head.cacheControl {
+		delete(response.Header, "Cache-Control")
+	}
+}
+
 // keepInformational keeps an informational response that belongs to the request.
 func (x *exchange) keepInformational(response *http.Response) {
 	matches := x.pool.options.MatchesRequest
