--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/memory"
@@ -54,7 +55,7 @@
 		return c.classifyFailure(ctx, failure)
 	}
 	defer response.Body.Close()
-	body, err := c.readResponse(response.Response)
+	body, err := c.readResponse(response)
 	if err != nil {
 		var readFailure *upstream.Failure
 		if errors.As(err, &readFailure) {
@@ -62,7 +63,7 @@
 		}
 		return c.classifyFailure(ctx, &upstream.Failure{Stage: upstream.StageTruncate, Sent: true, Err: err})
 	}
-	out := c.classifyResponse(server, response.Response, body)
+	out := c.classifyResponse(server, response, body)
 	if out.response == nil {
 		body.Release()
 	}
@@ -75,9 +76,7 @@
 	for name, values := range c.request.Header {
 		header[name] = values
 	}
-	if _, named := header["User-Agent"]; !named {
-		header["User-Agent"] = nil // Keeps net/http from adding its own.
-	}
+	setUserAgent(header)
 	c.options.HeaderCodec.WriteUpstream(header, port.UpstreamHead{TimeLeft: c.timeLeft() - responseMargin, Server: server.ID})
 	request := &http.Request{
 		Method:        c.request.Method,
@@ -92,11 +91,40 @@
 	case length > 0:
 		request.Body = io.NopCloser(c.request.Body.NewReader())
 	}
+	if len(c.request.Trailer) > 0 {
+		setTrailer(request, c.request.Trailer)
+	}
 	return request
 }
 
+// setTrailer makes a request one in chunks, which may have a trailer.
+func setTrailer(request *http.Request, trailer http.Header) {
+	request.Trailer = trailer
+	request.ContentLength = -1
+	request.TransferEncoding = []string{"chunked"}
+	if request.Body == nil {
+		request.Body = io.NopCloser(strings.NewReader(""))
+	}
+}
+
+// userAgentAsSent is a spelling of User-Agent that net/http writes as any other field.
+const userAgentAsSent = "user-agent"
+
+// setUserAgent makes net/http write the values that came in: of User-Agent it writes only
+// the first value, none if that is empty, and its own if there is none.
+func setUserAgent(header http.Header) {
+	values := header["User-Agent"]
+	if len(values) == 1 && values[0] != "" {
+		return
+	}
+	header["User-Agent"] = nil
+	if len(values) > 0 {
+		header[userAgentAsSent] = values
+	}
+}
+
 // classifyResponse returns the outcome of an attempt with a complete response.
-func (c *call) classifyResponse(server *balance.Server, response *http.Response, body *memory.Body) outcome {
+func (c *call) classifyResponse(server *balance.Server, response *upstream.Response, body *memory.Body) outcome {
 	head := c.options.HeaderCodec.ReadResponse(response.StatusCode, response.Header)
 	out := outcome{reached: true}
 	out.Status = response.StatusCode
@@ -119,7 +147,7 @@
 		out.Cause = errUnsigned.Error()
 	default:
 		out.Verdict, out.Code, out.result = verdict.Answered, verdict.CodeAnswered, balance.Succeeded
-		out.response = &Response{Status: response.StatusCode, Header: response.Header, Body: body}
+		out.response = &Response{Status: response.StatusCode, Header: response.Header, Body: body, Trailer: response.Trailer, Informational: response.Informational}
 		if response.StatusCode >= http.StatusInternalServerError {
 			out.result = balance.ServerError
 		}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -21,6 +21,7 @@
 
 	"guavacrank.example/event"
 	"guavacrank.example/gateway/dispatch"
+	"guavacrank.example/gateway/framing"
 	"guavacrank.example/gateway/logbook"
 	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/model"
@@ -45,6 +46,9 @@
 	notReadyRetryAfter = 200 * time.Millisecond
 )
 
+// errConnect rejects CONNECT: its caller would take a success for a tunnel.
+const errConnect = "the method CONNECT is not offered"
+
 // Options configure a Handler.
 type Options struct {
 	HeaderCodec port.HeaderCodec
@@ -94,6 +98,7 @@
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
 	arrived := h.options.Clock()
+	framing.RestoreHeader(r)
 	if h.disableKeepAlives.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -138,6 +143,10 @@
 		e.reject(rejection{http.StatusBadRequest, err.Error()})
 		return
 	}
+	if e.r.Method == http.MethodConnect {
+		e.reject(rejection{http.StatusNotImplemented, errConnect})
+		return
+	}
 	current := e.waitForView()
 	if current == nil {
 		e.refuse(verdict.CodeStore, notReadyRetryAfter)
@@ -219,6 +228,11 @@
 		e.refuseBody(err)
 		return
 	}
+	trailer, err := e.trailer()
+	if err != nil {
+		e.refuseBody(err)
+		return
+	}
 	result := e.options.Dispatcher.Do(ctx, &dispatch.Request{
 		Head:     e.head,
 		Method:   e.r.Method,
@@ -226,6 +240,7 @@
 		Host:     e.r.Host,
 		Header:   forwardedHeaders(e.r.Header),
 		Body:     body,
+		Trailer:  trailer,
 		Route:    e.route,
 		Service:  e.service,
 		Arrived:  e.arrived,
--- a/gateway/front/response.go
+++ b/gateway/front/response.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -25,6 +26,12 @@
 // writeResponse writes a backend server's response to the caller, without its
 // hop-by-hop headers.
 func (e *exchange) writeResponse(response *dispatch.Response) {
+	limited := response.Body.Len() > bufferedBytes || len(response.Informational) > 0
+	if limited {
+		left := e.arrived + e.callerTimeout() - e.options.Clock()
+		e.setWriteDeadline(time.Now().Add(max(left, 0) + writeGrace))
+	}
+	e.writeInformational(response.Informational)
 	header := e.w.Header()
 	for name, values := range forwardedHeaders(response.Header) {
 		header[name] = values
@@ -35,23 +42,52 @@
 			header[name] = nil
 		}
 	}
-	if e.r.Method == http.MethodHead {
+	switch {
+	case e.r.Method == http.MethodHead:
 		if length := response.Header.Get("Content-Length"); length != "" {
 			header.Set("Content-Length", length)
 		}
-	} else if response.Status != http.StatusNoContent && response.Status != http.StatusNotModified {
+	case response.Status == http.StatusNoContent || response.Status == http.StatusNotModified:
+		// The answer ends with its headers.
+	case !e.setTrailer(response.Trailer):
 		header.Set("Content-Length", strconv.FormatInt(response.Body.Len(), 10))
 	}
 	e.w.WriteHeader(response.Status)
-	if response.Body.Len() <= bufferedBytes {
-		e.write(response.Body.NewReader())
+	if e.write(response.Body.NewReader()) && limited {
+		e.setWriteDeadline(time.Time{})
+	}
+}
+
+// writeInformational writes informational responses, which HTTP/1.0 does not have.
+func (e *exchange) writeInformational(responses []*http.Response) {
+	if !e.r.ProtoAtLeast(1, 1) {
 		return
 	}
-	left := e.arrived + e.callerTimeout() - e.options.Clock()
-	e.setWriteDeadline(time.Now().Add(max(left, 0) + writeGrace))
-	if e.write(response.Body.NewReader()) {
-		e.setWriteDeadline(time.Time{})
+	header := e.w.Header()
+	for _, response := range responses {
+		own := maps.Clone(header)
+		clear(header)
+		maps.Copy(header, forwardedHeaders(response.Header))
+		e.w.WriteHeader(response.StatusCode)
+		clear(header)
+		maps.Copy(header, own)
+	}
+}
+
+// setTrailer makes the answer one in chunks with the trailer, and reports whether there is
+// one that the caller can read.
+func (e *exchange) setTrailer(trailer http.Header) bool {
+	if len(trailer) == 0 || !e.r.ProtoAtLeast(1, 1) {
+		return false
+	}
+	sent := false
+	for name, values := range forwardedHeaders(trailer) {
+		if len(values) > 0 {
+			e.w.Header()[http.TrailerPrefix+name] = values
+			sent = true
+		}
 	}
+	return sent
 }
 
 // setWriteDeadline limits the time to write to the caller; the zero time sets no limit.
--- a/gateway/run/own_answers_test.go
+++ b/gateway/run/own_answers_test.go
@@ -105,6 +105,7 @@
 	})
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = newCallerServer(handler)
+	server.Listener = checkCallers(server.Listener)
 	server.Start()
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
@@ -148,7 +149,9 @@
 	{"OPTIONS * with a body", "OPTIONS * HTTP/1.1\r\n" + answersHead + "Content-Length: 1\r\n\r\nx", 404},
 	{"OPTIONS * of HTTP/1.0", "OPTIONS * HTTP/1.0\r\n\r\n", 404},
 	{"another method with *", "GET * HTTP/1.1\r\n" + answersHead + "\r\n", 404},
-	{"CONNECT", "CONNECT h.example:80 HTTP/1.1\r\n" + answersHead + "\r\n", 404},
+	{"CONNECT", "CONNECT h.example:80 HTTP/1.1\r\n" + answersHead + "\r\n", 501},
+	{"CONNECT with a path", "CONNECT /a HTTP/1.1\r\n" + answersHead + "\r\n", 501},
+	{"CONNECT in absolute form", "CONNECT http://h.example/a HTTP/1.1\r\n" + answersHead + "\r\n", 501},
 	{"preface of HTTP/2", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 404},
 	{"HTTP/2.0", "GET / HTTP/2.0\r\n" + answersHead + "\r\n", 505},
 	{"HTTP/3.0", "GET / HTTP/3.0\r\n" + answersHead + "\r\n", 505},
@@ -169,6 +172,11 @@
 	{"malformed host", "GET / HTTP/1.1\r\nHost: a b\r\nConnection: close\r\n\r\n", 400},
 	{"two lengths", "POST / HTTP/1.1\r\n" + answersHead + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400},
 	{"length that is no number", "POST / HTTP/1.1\r\n" + answersHead + "Content-Length: x\r\n\r\n", 400},
+	{"length and chunks", "POST / HTTP/1.1\r\n" + answersHead + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+	{"folded header", "GET / HTTP/1.1\r\n" + answersHead + "A: b\r\n c\r\n\r\n", 400},
+	{"line without CR", "GET / HTTP/1.1\n" + answersHead + "\r\n", 400},
+	{"absolute target with another host", "GET http://a/ HTTP/1.1\r\n" + answersHead + "\r\n", 400},
+	{"line without CR in chunks", "POST / HTTP/1.1\r\n" + answersHead + "Transfer-Encoding: chunked\r\n\r\n0\r\nA: b\n\r\n", 400},
 	{"unknown transfer coding", "POST / HTTP/1.1\r\n" + answersHead + "Transfer-Encoding: gzip\r\n\r\n", 501},
 	{"malformed chunk", "POST / HTTP/1.1\r\n" + answersHead + "Transfer-Encoding: chunked\r\n\r\nz\r\n", 400},
 	{"unknown expectation", "POST / HTTP/1.1\r\n" + answersHead + "Expect: 200-ok\r\nContent-Length: 1\r\n\r\nx", 417},
