keys: a later leader of an era waits only for the rest of the lost grants

After a restoration that nobody can confirm, every range has an unknown prior holder until the grants by lost pages have expired. Callers of keyed services got 503 meanwhile. Each later leader of the same era began this wait anew: it counted from its own election, because the page did not say when the grants would have arrived.

The page now says within what time of its writing the last of them arrives, and which write recorded them. Each VM notes the resulting time by its own clock when it sees such a page; a leader takes the earlier of that and its own bound. The page was written before it was seen, so the noted time is never too early. It counts the transit time of an impaired zone, which the writer may not have known. Another restoration makes another record, for which nothing is noted.

Evidence: 'does not have a later leader of the era wait anew' fails without the noted bound (130 sampled keys without an owner), as does the test in run.

--- a/gateway/keys/encode.go
+++ b/gateway/keys/encode.go
@@ -19,6 +19,7 @@
 	Predecessors      []Leader       `json:"earlier,omitempty"`
 	WriteID           uint64         `json:"draft"`
 	MaxGrantTTLMillis int64          `json:"longest_hold,omitempty"` // In milliseconds.
+	LostGrants        LostGrants     `json:"lost_grants,omitzero"`
 	Servers           []storedServer `json:"servers"`
 	// Ranges holds one row for each range: the first key, then for the owner and
 	// each prior holder its index in Servers and its fence. A range ends before
@@ -42,12 +43,12 @@
 
 // head returns the stored form without ranges.
 func (p *Page) head() *storedPage {
-	return &storedPage{Stamp: p.Stamp, Fence: p.Fence, Writer: p.Writer, Predecessors: p.Predecessors, WriteID: p.WriteID, MaxGrantTTLMillis: p.MaxGrantTTL.Milliseconds()}
+	return &storedPage{Stamp: p.Stamp, Fence: p.Fence, Writer: p.Writer, Predecessors: p.Predecessors, WriteID: p.WriteID, MaxGrantTTLMillis: p.MaxGrantTTL.Milliseconds(), LostGrants: p.LostGrants}
 }
 
 // page returns the decoded page without ranges.
 func (s *storedPage) page() Page {
-	return Page{Stamp: s.Stamp, Fence: s.Fence, Writer: s.Writer, Predecessors: s.Predecessors, WriteID: s.WriteID, MaxGrantTTL: time.Duration(s.MaxGrantTTLMillis) * time.Millisecond}
+	return Page{Stamp: s.Stamp, Fence: s.Fence, Writer: s.Writer, Predecessors: s.Predecessors, WriteID: s.WriteID, MaxGrantTTL: time.Duration(s.MaxGrantTTLMillis) * time.Millisecond, LostGrants: s.LostGrants}
 }
 
 // holders returns the part of a row that lists the owner and the prior holders.
--- a/gateway/keys/grants.go
+++ b/gateway/keys/grants.go
@@ -64,6 +64,7 @@
 // ranges that the page does not have is dropped, so that the rows of a server never overlap.
 func (m *Machine) setPage(page *Page) {
 	m.page = page
+	m.lostGrants = m.lostGrants.See(m.now, page)
 	granted := make(map[*serverRow]map[uint16]grantRow, len(m.servers))
 	for _, r := range page.Ranges {
 		row := m.servers[r.Owner.Incarnation]
--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -63,6 +63,7 @@
 	stored            *Page       // While consulting: the page that was read.
 	settlement        settlement
 	predecessors      predecessors
+	lostGrants        LostGrantsBound
 	pageKnown         bool
 	page              *Page
 	version           kvstore.Version
--- a/gateway/keys/page.go
+++ b/gateway/keys/page.go
@@ -27,7 +27,9 @@
 	// MaxGrantTTL is the longest TTL of any grant ever sent; zero on pages that
 	// do not record it.
 	MaxGrantTTL time.Duration
-	Ranges      []Range
+	// LostGrants describes the grants of unknown holders; zero without unknown holders.
+	LostGrants LostGrants
+	Ranges     []Range
 }
 
 // Stamp orders the pages of a service by the time of their writing: by the era of the
--- a/gateway/keys/restoration.go
+++ b/gateway/keys/restoration.go
@@ -151,9 +151,10 @@
 
 // unknownHoldersEnded reports whether all grants by lost pages have expired.
 func (m *Machine) unknownHoldersEnded() bool {
-	arrived := m.predecessorBound()
-	for _, row := range m.servers {
-		arrived = max(arrived, m.adjustArrival(row, m.predecessorBound()))
-	}
-	return m.now >= arrived+m.maxGrantLifetime()
+	return m.now >= m.lostGrantsArrival()+m.maxGrantLifetime()
+}
+
+// hasUnknownHolders reports whether a range names an unknown holder.
+func (p *Page) hasUnknownHolders() bool {
+	return slices.ContainsFunc(p.Ranges, func(r Range) bool { return slices.Contains(r.Prior, unknownHolder) })
 }
--- a/gateway/keys/simulation_calls_test.go
+++ b/gateway/keys/simulation_calls_test.go
@@ -43,6 +43,7 @@
 			return
 		}
 		sim.page, sim.version = page, sim.version+1
+		sim.lostGrants = sim.lostGrants.See(sim.now, page)
 		position := sim.position()
 		if sim.random.Float64() < sim.lostWriteShare {
 			sim.after(time.Second, func() {
--- a/gateway/keys/simulation_restore_test.go
+++ b/gateway/keys/simulation_restore_test.go
@@ -13,6 +13,9 @@
 	"guavacrank.example/kvstore"
 )
 
+// congestedTransitTime is how much longer a call may be in transit to a congested zone.
+const congestedTransitTime = 2300 * time.Millisecond
+
 // storeCopy is a copy of the store's page.
 type storeCopy struct {
 	page    *keys.Page
@@ -151,6 +154,59 @@
 		Expect(sim.unowned()).To(BeZero())
 	})
 
+	It("does not have a later leader of the era wait anew for the grants by lost pages", func() {
+		sim, _, copied := startInEra(6)
+		sim.isolateLeaders()
+		sim.known = copied.page
+		sim.restore(copied)
+		sim.servers[model.Incarnation{ID: "i-2", Born: 1000}].Draining = false
+		sim.run(300 * time.Millisecond)
+		earlier := sim.addLeader("b")
+		sim.run(1500 * time.Millisecond)
+		ended := sim.now + keys.MaxCallDelay
+		for _, m := range sim.leaders[:1] {
+			m.Stop()
+		}
+		earlier.PredecessorsEnded(ended)
+		sim.run(ended + 2500*time.Millisecond - sim.now)
+		Expect(sim.unowned()).To(Equal(len(sampledKeys)), "the grants by lost pages may be valid")
+		earlier.Stop()
+		sim.addLeader("c")
+		expired := ended + congestedTransitTime + grantTTL*102/100 + 800*time.Millisecond
+		sim.run(expired - sim.now)
+		Expect(sim.unowned()).To(BeZero())
+		Expect(sim.violations).To(BeEmpty())
+	})
+
+	for seed := range uint64(40) {
+		It(fmt.Sprintf("seed %d: has later leaders of the era wait for the grants by lost pages", seed), func() {
+			sim, last, copied := startInEra(2000 + seed)
+			sim.lateArrivalShare = 0.2
+			sim.isolateLeaders()
+			sim.known = copied.page
+			sim.restore(copied)
+			sim.servers[model.Incarnation{ID: "i-2", Born: 1000}].Draining = seed%2 == 0
+			sim.run(300 * time.Millisecond)
+			for _, name := range []string{"b", "c", "d"} {
+				m := sim.addLeader(name)
+				sim.run(time.Duration(500+sim.random.IntN(2500)) * time.Millisecond)
+				if sim.random.IntN(2) == 0 {
+					last.Stop()
+				}
+				if !last.Leading() {
+					m.PredecessorsEnded(sim.now + keys.MaxCallDelay)
+				}
+				sim.run(time.Duration(sim.random.IntN(2500)) * time.Millisecond)
+				m.Stop()
+			}
+			sim.lateArrivalShare = 0
+			sim.addLeader("e")
+			sim.run(25 * time.Second)
+			Expect(sim.violations).To(BeEmpty())
+			Expect(sim.unowned()).To(BeZero())
+		})
+	}
+
 	It("gives keys without waiting at the first start", func() {
 		sim := newSimulation(4)
 		sim.era = 1
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -73,7 +73,9 @@
 	// onGrant, if set, is called for each grant that is sent.
 	onGrant func(call keys.GrantCall)
 	// known is the newest page that the VMs know.
-	known      *keys.Page
+	known *keys.Page
+	// lostGrants is what the VMs know of lost grants.
+	lostGrants keys.LostGrantsBound
 	violations []string
 	// lowReleases are releases with a lower fence than that with which the server holds
 	// the keys.
@@ -130,6 +132,7 @@
 		MaxGrantTTL:        2 * grantTTL,
 		PredecessorTimeout: predecessorTimeout,
 	})
+	m.KnowLostGrants(sim.lostGrants)
 	m.Lead(sim.now, sim.era)
 	sim.leaders = append(sim.leaders, m)
 	sim.byName[name] = m
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -37,6 +37,7 @@
 	m.nextWriteID++
 	draft.Number++
 	draft.Writer, draft.WriteID = m.options.Self, m.nextWriteID
+	b.describeLostGrants()
 	m.writing, m.changing = draft, changedRanges(m.page, draft)
 	m.ready.Write = &PageWrite{Expected: m.version, Page: draft}
 }
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -200,12 +200,21 @@
 
 // setPage puts an ownership page in force.
 func (l *loop) setPage(service string, page *keys.Page) {
-	l.pages[service] = &versionedPage{page: page, handoverSince: l.handoversSince(service, page)}
+	lostGrants := l.lostGrants(service).See(l.clock(), page)
+	l.pages[service] = &versionedPage{page: page, handoverSince: l.handoversSince(service, page), lostGrants: lostGrants}
 	l.viewOutdated = true
 	l.log.Event(event.KeysPageSeen, "", append(pageFields(service, page.Stamp),
 		zap.Int("ranges", len(page.Ranges)), zap.Uint64("fence", page.Fence), zap.String("writer", page.Writer.VM))...)
 }
 
+// lostGrants returns what this VM knows of the grants by lost pages of a service.
+func (l *loop) lostGrants(service string) keys.LostGrantsBound {
+	if known := l.pages[service]; known != nil {
+		return known.lostGrants
+	}
+	return keys.LostGrantsBound{}
+}
+
 // pageFields returns the fields that identify an ownership page in the log.
 func pageFields(service string, stamp keys.Stamp) []zap.Field {
 	return []zap.Field{zap.String("service", service), zap.Uint64("era", uint64(stamp.Era)), zap.Uint64("page", stamp.Number)}
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -113,7 +113,8 @@
 	l.log.Event(event.LeadershipWon, "", zap.Uint64("era", uint64(l.term.Era)), zap.Uint64("term", uint64(l.term.Version)))
 	l.updateWatchers()
 	l.startConsultation(now)
-	for _, machine := range l.machines {
+	for service, machine := range l.machines {
+		machine.KnowLostGrants(l.lostGrants(service))
 		machine.Lead(now, l.term.Era)
 	}
 	l.addMachines(now)
@@ -159,6 +160,7 @@
 			continue
 		}
 		machine := keys.NewMachine(keys.Options{Service: name, Self: l.self, GrantTTL: min(grantTTL, l.settings.Bounds.MaxGrantTTL), MaxGrantTTL: min(maxGrantTTL, l.settings.Bounds.MaxGrantTTL), PredecessorTimeout: predecessorTimeout})
+		machine.KnowLostGrants(l.lostGrants(name))
 		machine.Lead(now, l.term.Era)
 		l.machines[name] = machine
 		if l.servers.known {
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -163,6 +163,7 @@
 	stored []byte // The encoded page, created on demand.
 	// handoverSince is that of view.Service.
 	handoverSince map[uint64]time.Duration
+	lostGrants    keys.LostGrantsBound
 }
 
 // member is a daemon that reports to this leader.
--- a/gateway/run/succession_test.go
+++ b/gateway/run/succession_test.go
@@ -204,3 +204,25 @@
 	l.decideConsultation(l.clock())
 	g.Expect(l.consultation.waiting).To(HaveKey("s"), "there was a leader before")
 }
+
+func TestLaterLeaderCountsTheWaitForLostGrantsFromWhenItsVMSawThePage(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	now := 100 * time.Second
+	l.clock = func() time.Duration { return now }
+	left := page(keys.Stamp{Era: 1, Number: 9})
+	left.Ranges[0].Prior = []keys.Holder{{}}
+	left.LostGrants = keys.LostGrants{Recorder: "last", WriteID: 1, ArriveWithin: 10}
+	l.applyPage("s", encoded(t, left))
+	now += 8 * time.Second
+	machine := keys.NewMachine(keys.Options{Service: "s", Self: l.self, GrantTTL: time.Second, PredecessorTimeout: predecessorTimeout})
+	l.machines["s"] = machine
+	l.term = kvstore.Position{Era: 1, Version: 60}
+	l.startLeading(now)
+	machine.StepServers(now, []model.Server{{ID: "i-1", Address: "a:1", Slots: 4}}, true)
+	machine.StepRead(now, left, kvstore.Position{Era: 1, Version: 30})
+	machine.Tick(now)
+	write := machine.Ready().Write
+	g.Expect(write).NotTo(BeNil())
+	g.Expect(write.Page.Ranges[0].Prior).To(BeEmpty(), "all grants by the lost pages have expired")
+}
