gateway/run: a leader that has just started ends predecessors by the fleet's majority

If most VMs are lost with the store's state, one that has just started may win.

Daemons that know a leader of an earlier era now also answer its announcement with the number of daemons that this leader had named to them, kept when they followed the new one, whose own list is short at first. The larger of this and the own knowledge is the fleet of whose daemons more than two thirds have to report. Nothing else about the rule changes; without any such answer the 12 s count as before.

The test fails without the consultation's number (the unknown predecessor stays).

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -260,6 +260,8 @@
 	// addresses if it knows more of them than the leader.
 	MemberCount int      `json:"member_count,omitempty"`
 	Members     []string `json:"members,omitempty"`
+	// FormerMemberCount is the number of daemons that FormerLeader named to the sender.
+	FormerMemberCount int `json:"former_member_count,omitempty"`
 }
 
 // SpreadResponse acknowledges a SpreadRequest.
--- a/gateway/run/consultation.go
+++ b/gateway/run/consultation.go
@@ -32,6 +32,7 @@
 	asked    map[string]bool // By address; true until the daemon responds or fails to.
 	informed int             // Daemons, this one included, that know a leader of an earlier era.
 	members  int             // The largest number of daemons that any of them knows.
+	fleet    int             // The largest number of daemons that a leader of an earlier era named to any of them.
 	last     peer.Leadership // The last leader of an earlier era.
 	// lastYielded says that it has stopped and sent its pages.
 	lastYielded bool
@@ -49,7 +50,7 @@
 		waiting:  make(map[string]bool),
 	}
 	l.consultation = c
-	c.note(l.leaderBefore(l.term.Era))
+	c.note(l.leaderBefore(l.term.Era), l.fleetBefore(l.term.Era))
 	l.announceLeadership(append(slices.Clone(l.knownPeers), l.settings.Seeds...))
 	l.askLastLeader()
 }
@@ -69,12 +70,13 @@
 	}
 }
 
-// note records the last leader that a daemon knows.
-func (c *consultation) note(leadership peer.Leadership) {
+// note records the last leader that a daemon knows, and how many daemons that one named.
+func (c *consultation) note(leadership peer.Leadership, fleet int) {
 	if leadership.Leader.Incarnation == "" {
 		return
 	}
 	c.informed++
+	c.fleet = max(c.fleet, fleet)
 	c.hear(leadership)
 }
 
@@ -99,6 +101,8 @@
 		FormerLeader: l.leaderBefore(a.request.Term.Era),
 		Pages:        l.pagesFor(a.request.Pages),
 		MemberCount:  len(l.knownPeers),
+
+		FormerMemberCount: l.fleetBefore(a.request.Term.Era),
 	}
 	if len(l.knownPeers) > a.request.MemberCount {
 		response.Members = l.knownPeers
@@ -116,7 +120,7 @@
 		l.log.Event(event.PeerUnreachable, f.err.Error(), zap.String("peer", f.address))
 		return
 	}
-	c.note(f.response.FormerLeader)
+	c.note(f.response.FormerLeader, f.response.FormerMemberCount)
 	c.members = max(c.members, f.response.MemberCount)
 	l.applyPages(f.response.Pages)
 	l.announceLeadership(f.response.Members)
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -78,7 +78,7 @@
 
 // endPredecessorsByMajority marks earlier leaders as ended once more than two
 // thirds of the daemons that were known at the election have reported to this
-// leader. Daemons report to one leader only, so an earlier leader has lost its
+// leader. One that has just started learns their number by consultation. Daemons report to one leader only, so an earlier leader has lost its
 // majority and stops within majorityWindow.
 func (l *loop) endPredecessorsByMajority(now time.Duration) {
 	reported := 0
@@ -87,7 +87,7 @@
 			reported++
 		}
 	}
-	if len(l.peersAtElection) == 0 || 3*reported <= 2*len(l.peersAtElection) {
+	if fleet := l.fleetAtElection(); fleet == 0 || 3*reported <= 2*fleet {
 		return
 	}
 	for service, machine := range l.machines {
@@ -98,6 +98,14 @@
 	}
 }
 
+// fleetAtElection returns the number of daemons that were known at the election, or zero.
+func (l *loop) fleetAtElection() int {
+	if l.consultation == nil {
+		return len(l.peersAtElection)
+	}
+	return max(len(l.peersAtElection), l.consultation.fleet)
+}
+
 // startLeading begins a term. A leader whose term ended with a restoration of the store
 // goes on with what it knows.
 func (l *loop) startLeading(now time.Duration) {
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -95,6 +95,7 @@
 	yieldPending      map[string]bool // Incarnations of earlier leaders with a pending Yield call.
 	knownLeader       peer.Leadership
 	formerLeader      peer.Leadership           // The last known one of an earlier era than knownLeader.
+	formerMemberCount int                       // The number of knownPeers according to formerLeader.
 	consultation      *consultation             // Since the own election; nil before.
 	sawRestoration    bool                      // The store was restored while this process ran.
 	knewPagesAtEnd    bool                      // knewNewestPages at the end of the own last term.
--- a/gateway/run/restoration.go
+++ b/gateway/run/restoration.go
@@ -42,7 +42,7 @@
 // setKnownLeader records a leader with a later term than that of the known one.
 func (l *loop) setKnownLeader(leadership peer.Leadership) {
 	if known := l.knownLeader; known.Term.Era < leadership.Term.Era && known.Leader.Incarnation != "" {
-		l.formerLeader = known
+		l.formerLeader, l.formerMemberCount = known, len(l.knownPeers)
 	}
 	l.knownLeader, l.answered = leadership, leaderAnswer{}
 }
@@ -58,6 +58,17 @@
 	return peer.Leadership{}
 }
 
+// fleetBefore returns the number of daemons that leaderBefore named to this one.
+func (l *loop) fleetBefore(era kvstore.Era) int {
+	if l.knownLeader.Term.Era < era {
+		return len(l.knownPeers)
+	}
+	if l.formerLeader.Term.Era < era {
+		return l.formerMemberCount
+	}
+	return 0
+}
+
 // noteRewrites records which servers have written their records since the store was
 // restored: those with a version that the store did not have when it was listed first.
 func (l *loop) noteRewrites(read serversRead) {
--- a/gateway/run/succession_test.go
+++ b/gateway/run/succession_test.go
@@ -153,8 +153,8 @@
 	c := &consultation{term: kvstore.Position{Era: 2, Version: 60}, members: 2, asked: map[string]bool{"x": false}, waiting: map[string]bool{}}
 	l.consultation = c
 	known := peer.Leadership{Leader: keys.Leader{VM: "last", Incarnation: "last"}, Term: kvstore.Position{Era: 1, Version: 50}}
-	c.note(known)
-	c.note(known)
+	c.note(known, 2)
+	c.note(known, 2)
 	c.lastYielded = true
 	l.applyPage("s", encoded(t, page(keys.Stamp{Era: 1, Number: 8})))
 	g.Expect(l.consultationResult("s", c.confirmed(l.self)).Confirmed).To(BeTrue())
@@ -187,7 +187,7 @@
 	own := peer.Leadership{Leader: l.self, Term: kvstore.Position{Era: 1, Version: 50}}
 	c := &consultation{term: kvstore.Position{Era: 2, Version: 60}, members: 1, asked: map[string]bool{}, waiting: map[string]bool{}}
 	l.consultation = c
-	c.note(own)
+	c.note(own, 1)
 	g.Expect(l.consultationResult("s", c.confirmed(l.self)).Confirmed).To(BeFalse(), "it did not know the newest pages")
 	l.knewPagesAtEnd = true
 	g.Expect(l.consultationResult("s", c.confirmed(l.self)).Confirmed).To(BeTrue(), "no page was ever committed")
@@ -226,3 +226,41 @@
 	g.Expect(write).NotTo(BeNil())
 	g.Expect(write.Page.Ranges[0].Prior).To(BeEmpty(), "all grants by the lost pages have expired")
 }
+
+func TestLeaderThatHasJustStartedEndsPredecessorsByTheMajorityOfTheFleet(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	last := peer.Leadership{Leader: keys.Leader{VM: "last", Incarnation: "last"}, Term: kvstore.Position{Era: 1, Version: 50}}
+	l.members, l.knownPeers = make(map[string]member), nil
+	l.term = kvstore.Position{Era: 2, Version: 60}
+	l.startLeading(l.clock())
+	machine := keys.NewMachine(keys.Options{Service: "s", Self: l.self, GrantTTL: time.Second, PredecessorTimeout: predecessorTimeout})
+	l.machines["s"] = machine
+	machine.Lead(l.clock(), 2)
+	machine.StepRead(l.clock(), nil, kvstore.Position{Era: 2, Version: 30})
+	machine.StepConsulted(l.clock(), keys.Consultation{Predecessors: []keys.Leader{unknownLeader}})
+	for _, vm := range []string{"a", "b", "c"} {
+		l.members[vm] = member{address: vm, reportedAt: l.clock()}
+	}
+	l.endPredecessorsByMajority(l.clock())
+	g.Expect(machine.Predecessors()).NotTo(BeEmpty(), "nobody knows the size of the fleet")
+	l.consultation.note(last, 5)
+	l.endPredecessorsByMajority(l.clock())
+	g.Expect(machine.Predecessors()).NotTo(BeEmpty(), "three of five are no majority of two thirds")
+	l.members["d"] = member{address: "d", reportedAt: l.clock()}
+	l.endPredecessorsByMajority(l.clock())
+	g.Expect(machine.Predecessors()).To(BeEmpty())
+}
+
+func TestDaemonTellsTheFleetOfTheFormerLeader(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	l.followLeader(peer.Leadership{Leader: keys.Leader{VM: "last", Incarnation: "last"}, Term: kvstore.Position{Era: 1, Version: 50}})
+	l.knownPeers = []string{"a", "b", "c"}
+	next := peer.Leadership{Leader: keys.Leader{VM: "next", Incarnation: "next"}, Term: kvstore.Position{Era: 2, Version: 60}}
+	l.followLeader(next)
+	l.knownPeers = []string{"next"}
+	reply := make(chan peer.FollowResponse, 1)
+	leaderAnnounced{&peer.FollowRequest{Leadership: next}, reply}.apply(l)
+	g.Expect((<-reply).FormerMemberCount).To(Equal(3), "the new leader does not know the fleet yet")
+}
