gateway/run: a leader whose seeds have just started too awaits reports

A leader that knows no daemon asks its seeds.

The consultation now ends early only if somebody was informed, as it already did if nobody could be asked; its deadline of 1 s stands. Daemons that report later are still asked while the size of the fleet is unknown, without which no majority ends the predecessors.

Both tests fail on the code before.

--- a/gateway/run/consultation.go
+++ b/gateway/run/consultation.go
@@ -148,7 +148,7 @@
 // consultSender asks the sender of a report what it knows, if this is awaited: a leader
 // that has just started may not know the fleet.
 func (l *loop) consultSender(report *peer.Report) {
-	if c := l.consultation; c != nil && len(c.waiting) > 0 {
+	if c := l.consultation; c != nil && (len(c.waiting) > 0 || l.fleetAtElection() == 0) {
 		l.announceLeadership([]string{report.Address})
 	}
 }
@@ -182,7 +182,7 @@
 		return
 	}
 	confirmed := c.confirmed(l.self)
-	unasked := len(c.asked) == 0 && (len(l.pages) > 0 || !l.firstStart()) // Reports may show whom to ask.
+	unasked := c.informed == 0 && (len(l.pages) > 0 || !l.firstStart()) // Reports may show whom to ask.
 	undecided := unasked || c.pending() || c.last.Leader.Incarnation != "" && l.yieldPending[c.last.Leader.Incarnation]
 	if !confirmed && undecided && now < c.deadline {
 		return
--- a/gateway/run/succession_test.go
+++ b/gateway/run/succession_test.go
@@ -264,3 +264,36 @@
 	leaderAnnounced{&peer.FollowRequest{Leadership: next}, reply}.apply(l)
 	g.Expect((<-reply).FormerMemberCount).To(Equal(3), "the new leader does not know the fleet yet")
 }
+
+func TestLeaderThatAskedOnlyDaemonsThatHaveJustStartedAwaitsReports(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	now := 100 * time.Second
+	l.clock = func() time.Duration { return now }
+	l.term = kvstore.Position{Era: 2, Version: 60}
+	l.startLeading(now)
+	l.machines["s"] = keys.NewMachine(keys.Options{Service: "s", Self: l.self, GrantTTL: time.Second})
+	l.consultation.waiting["s"] = true
+	l.consultation.asked["started"] = true
+	followDone{address: "started", term: l.term, response: &peer.FollowResponse{}}.apply(l)
+	g.Expect(l.consultation.waiting).To(HaveKey("s"), "one that knows the last leader may report")
+	now += consultationTimeout
+	l.decideConsultation(now)
+	g.Expect(l.consultation.waiting).To(BeEmpty())
+}
+
+func TestLeaderThatDoesNotKnowTheFleetAsksLateReportersForIt(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	last := peer.Leadership{Leader: keys.Leader{VM: "last", Incarnation: "last"}, Term: kvstore.Position{Era: 1, Version: 50}}
+	informed := informedPeer{follow: peer.FollowResponse{FormerLeader: last, FormerMemberCount: 5}}
+	server := httptest.NewServer(peer.NewHandler(informed))
+	t.Cleanup(server.Close)
+	l.knownPeers = nil
+	l.term = kvstore.Position{Era: 2, Version: 60}
+	l.startLeading(l.clock())
+	l.consultSender(&peer.Report{Address: server.Listener.Addr().String()})
+	g.Eventually(l.inputs, time.Second).Should(HaveLen(1))
+	(<-l.inputs).apply(l)
+	g.Expect(l.fleetAtElection()).To(Equal(5))
+}
