gateway/run: the majority that ends earlier leaders counts from when it was reached

After a restoration without a leader keys wait for the time in which an earlier leader that nobody can ask may go on: 1.5 s after more than two thirds of the daemons left it. That was counted from when the new leader looked, after its consultation, and not from when the daemons left. One that has just started, as most have after a loss of most VMs, never followed an earlier leader at all.

Each member now has a time from which it reports to no earlier leader: its first report to this one, or the start of its process if it says that it has followed no other leader. The majority counts from the last of the earliest two thirds, at least from the election with the time in which a leader stops without contact to the store (1 s), since the last contact was before the election.

A page that was read later could name a later leader, to which this reasoning does not apply. The earlier time therefore counts only while the own lease can't have expired, in the newest known era and for a page of it; else the time from now on counts as before. A process that started after the answer counts from its own report.

Evidence: TestMajorityCountsFromWhenDaemonsLeftTheEarlierLeader fails if the time counts from now; TestMajorityCountsFromNowOnceALaterLeaderIsPossible fails without the condition.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -262,6 +262,10 @@
 	Members     []string `json:"members,omitempty"`
 	// FormerMemberCount is the number of daemons that FormerLeader named to the sender.
 	FormerMemberCount int `json:"former_member_count,omitempty"`
+	// UptimeMS is how long the sender has run, and FirstLeader says that it has followed no
+	// leader before the announced one.
+	UptimeMS    int64 `json:"uptime_ms,omitempty"`
+	FirstLeader bool  `json:"first_leader,omitempty"`
 }
 
 // SpreadResponse acknowledges a SpreadRequest.
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -78,26 +79,53 @@
 
 // endPredecessorsByMajority marks earlier leaders as ended once more than two
 // thirds of the daemons that were known at the election have reported to this
-// leader. One that has just started learns their number by consultation. Daemons report to one leader only, so an earlier leader has lost its
-// majority and stops within majorityWindow.
+// leader. One that has just started learns their number by consultation. Daemons report
+// to one leader only, so an earlier leader has lost its majority and stops within
+// majorityWindow, or once its last contact to the store, which was before the election,
+// is contactTimeout ago.
 func (l *loop) endPredecessorsByMajority(now time.Duration) {
-	reported := 0
+	var left []time.Duration
 	for _, m := range l.members {
 		if m.reportedAt >= l.leadingSince {
-			reported++
+			left = append(left, l.leftAt(m))
 		}
 	}
-	if fleet := l.fleetAtElection(); fleet == 0 || 3*reported <= 2*fleet {
+	fleet := l.fleetAtElection()
+	needed := 2*fleet/3 + 1
+	if fleet == 0 || len(left) < needed {
 		return
 	}
+	slices.Sort(left)
 	for service, machine := range l.machines {
 		if len(machine.Predecessors()) > 0 {
-			machine.PredecessorsEnded(now + majorityWindow + keys.MaxCallDelay)
-			l.log.Event(event.PredecessorStopped, "more than two thirds of the daemons report to this leader", zap.String("service", service), zap.Int("reported", reported))
+			stopped := now + majorityWindow
+			if l.leadsLast(service, now) {
+				stopped = max(left[needed-1]+majorityWindow, l.leadingSince+contactTimeout)
+			}
+			machine.PredecessorsEnded(stopped + keys.MaxCallDelay)
+			l.log.Event(event.PredecessorStopped, "more than two thirds of the daemons report to this leader", zap.String("service", service), zap.Int("reported", len(left)))
 		}
 	}
 }
 
+// leadsLast reports that no later leader can have been elected and have written the page.
+func (l *loop) leadsLast(service string, now time.Duration) bool {
+	page := l.pages[service]
+	return now <= l.leaseEnd && l.term.Era == l.era && (page == nil || page.page.Era <= l.term.Era)
+}
+
+// leftAt returns a time from which on a member has not reported to an earlier leader.
+func (l *loop) leftAt(m member) time.Duration {
+	if l.consultation == nil {
+		return m.joinedAt
+	}
+	n, found := l.consultation.newcomers[m.address]
+	if !found || m.startedAt > n.answeredAt {
+		return m.joinedAt // Its process has followed another leader, or started later.
+	}
+	return min(m.joinedAt, n.startedAt)
+}
+
 // fleetAtElection returns the number of daemons that were known at the election, or zero.
 func (l *loop) fleetAtElection() int {
 	if l.consultation == nil {
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -96,6 +96,7 @@
 	knownLeader       peer.Leadership
 	formerLeader      peer.Leadership           // The last known one of an earlier era than knownLeader.
 	formerMemberCount int                       // The number of knownPeers according to formerLeader.
+	followedAnother   bool                      // This process has followed a leader before knownLeader.
 	consultation      *consultation             // Since the own election; nil before.
 	sawRestoration    bool                      // The store was restored while this process ran.
 	knewPagesAtEnd    bool                      // knewNewestPages at the end of the own last term.
@@ -171,6 +172,7 @@
 type member struct {
 	address    string
 	reportedAt time.Duration
+	joinedAt   time.Duration // When its first report to this leader arrived.
 	startedAt  time.Duration // Of its process.
 	// transit is how long the newest report may have been on its way.
 	transit  time.Duration
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -201,9 +201,14 @@
 // applyReport processes a daemon's report on the leader.
 func (l *loop) applyReport(report *peer.Report) {
 	now := l.clock()
+	joined := now
+	if known, found := l.members[report.VM]; found && known.reportedAt >= l.leadingSince {
+		joined = known.joinedAt
+	}
 	l.members[report.VM] = member{
 		address:    report.Address,
 		reportedAt: now,
+		joinedAt:   joined,
 		startedAt:  now - time.Duration(report.UptimeMS)*time.Millisecond,
 		transit:    now - l.sentAfter(report),
 		zone:       report.Zone,
--- a/gateway/run/restoration.go
+++ b/gateway/run/restoration.go
@@ -44,6 +44,9 @@
 	if known := l.knownLeader; known.Term.Era < leadership.Term.Era && known.Leader.Incarnation != "" {
 		l.formerLeader, l.formerMemberCount = known, len(l.knownPeers)
 	}
+	if known := l.knownLeader.Leader; known.Incarnation != "" && known != leadership.Leader {
+		l.followedAnother = true
+	}
 	l.knownLeader, l.answered = leadership, leaderAnswer{}
 }
 
--- a/gateway/run/succession_test.go
+++ b/gateway/run/succession_test.go
@@ -297,3 +297,92 @@
 	(<-l.inputs).apply(l)
 	g.Expect(l.fleetAtElection()).To(Equal(5))
 }
+
+// newLeaderAmongNewcomers returns a loop that leads since 100 s, with a machine that waits
+// for earlier leaders, and three daemons that reported at 100.2 s. They have started at
+// 95 s and have followed no leader before.
+func newLeaderAmongNewcomers(t *testing.T, now *time.Duration) (*loop, *keys.Machine) {
+	l := newRestorationLoop(t)
+	*now = 100 * time.Second
+	l.clock = func() time.Duration { return *now }
+	l.members, l.knownPeers = make(map[string]member), []string{"a", "b", "c"}
+	l.term = kvstore.Position{Era: 2, Version: 60}
+	l.startLeading(*now)
+	l.leaseEnd = *now + leader.LeaseTTL
+	machine := keys.NewMachine(keys.Options{Service: "s", Self: l.self, GrantTTL: time.Second, PredecessorTimeout: predecessorTimeout})
+	l.machines["s"] = machine
+	machine.Lead(*now, 2)
+	machine.StepServers(*now, []model.Server{{ID: "i-1", Address: "a:1", Slots: 4}}, true)
+	machine.StepRead(*now, page(keys.Stamp{Era: 1, Number: 9}), kvstore.Position{Era: 2, Version: 30})
+	*now += 200 * time.Millisecond
+	for _, vm := range l.knownPeers {
+		followDone{address: vm, term: l.term, response: &peer.FollowResponse{FirstLeader: true, UptimeMS: 5200}}.apply(l)
+		l.applyReport(&peer.Report{VM: vm, Address: vm, UptimeMS: 5200})
+	}
+	machine.StepConsulted(*now, keys.Consultation{Predecessors: []keys.Leader{unknownLeader}})
+	return l, machine
+}
+
+// unknownHolderEndsAfter returns how long after the election the draft of the page has no
+// unknown holders any more.
+func unknownHolderEndsAfter(l *loop, machine *keys.Machine, now *time.Duration) time.Duration {
+	version := kvstore.Version(30)
+	for ; *now < l.leadingSince+20*time.Second; *now += 50 * time.Millisecond {
+		machine.Tick(*now)
+		write := machine.Ready().Write
+		if write == nil {
+			continue
+		}
+		if len(write.Page.Ranges[0].Prior) == 0 {
+			break
+		}
+		version++
+		machine.StepWritten(*now, write.Page.WriteID, kvstore.Position{Era: 2, Version: version}, nil)
+	}
+	return *now - l.leadingSince
+}
+
+func TestMajorityCountsFromWhenDaemonsLeftTheEarlierLeader(t *testing.T) {
+	g := NewWithT(t)
+	var now time.Duration
+	l, machine := newLeaderAmongNewcomers(t, &now)
+	l.endPredecessorsByMajority(now)
+	wait := contactTimeout + keys.MaxCallDelay + time.Second
+	g.Expect(unknownHolderEndsAfter(l, machine, &now)).To(And(BeNumerically(">", wait), BeNumerically("<", wait+300*time.Millisecond)))
+}
+
+func TestMajorityCountsFromNowOnceALaterLeaderIsPossible(t *testing.T) {
+	g := NewWithT(t)
+	var now time.Duration
+	l, machine := newLeaderAmongNewcomers(t, &now)
+	now = l.leaseEnd + time.Second
+	wait := now + majorityWindow + keys.MaxCallDelay + time.Second - l.leadingSince
+	l.endPredecessorsByMajority(now)
+	g.Expect(unknownHolderEndsAfter(l, machine, &now)).To(BeNumerically(">", wait))
+}
+
+func TestMajorityDoesNotCountARestartedProcessFromTheStartOfTheOneBefore(t *testing.T) {
+	g := NewWithT(t)
+	var now time.Duration
+	l, _ := newLeaderAmongNewcomers(t, &now)
+	g.Expect(l.leftAt(l.members["a"])).To(Equal(95 * time.Second))
+	now += time.Second
+	l.members = make(map[string]member)
+	l.applyReport(&peer.Report{VM: "a", Address: "a", UptimeMS: 500})
+	g.Expect(l.leftAt(l.members["a"])).To(Equal(now))
+}
+
+func TestDaemonThatFollowedAnotherLeaderIsNoNewcomer(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	next := peer.Leadership{Leader: keys.Leader{VM: "next", Incarnation: "next"}, Term: kvstore.Position{Era: 2, Version: 60}}
+	ask := func(leadership peer.Leadership) bool {
+		reply := make(chan peer.FollowResponse, 1)
+		leaderAnnounced{&peer.FollowRequest{Leadership: leadership}, reply}.apply(l)
+		return (<-reply).FirstLeader
+	}
+	g.Expect(ask(next)).To(BeTrue())
+	later := peer.Leadership{Leader: keys.Leader{VM: "later", Incarnation: "later"}, Term: kvstore.Position{Era: 2, Version: 70}}
+	g.Expect(ask(later)).To(BeFalse())
+	g.Expect(ask(next)).To(BeFalse(), "a later leader is known")
+}
