--- a/gateway/run/consultation.go
+++ b/gateway/run/consultation.go
@@ -27,29 +27,40 @@
 // later leader than the one that has confirmed that it stopped, and that one wrote the
 // newest pages, these are the last by which keys were granted.
 type consultation struct {
-	term     kvstore.Position
-	deadline time.Duration
-	asked    map[string]bool // By address; true until the daemon responds or fails to.
-	informed int             // Daemons, this one included, that know a leader of an earlier era.
-	members  int             // The largest number of daemons that any of them knows.
-	last     peer.Leadership // The last leader of an earlier era.
+	term      kvstore.Position
+	deadline  time.Duration
+	asked     map[string]bool     // By address; true until the daemon responds or fails to.
+	newcomers map[string]newcomer // By address.
+	informed  int                 // Daemons, this one included, that know a leader of an earlier era.
+	members   int                 // The largest number of daemons that any of them knows.
+	fleet     int                 // The largest number of daemons that a leader of an earlier era named to any of them.
+	last      peer.Leadership     // The last leader of an earlier era.
 	// lastYielded says that it has stopped and sent its pages.
 	lastYielded bool
 	waiting     map[string]bool // The services whose machines wait for the result.
 }
 
+// newcomer is a daemon that has followed no leader before this one.
+type newcomer struct {
+	startedAt, answeredAt time.Duration
+}
+
 // startConsultation announces the leadership to all known daemons, because some of them
 // may not learn it from the store, and asks what they know.
 func (l *loop) startConsultation(now time.Duration) {
 	c := &consultation{
-		term:     l.term,
-		deadline: now + consultationTimeout,
-		asked:    make(map[string]bool),
-		members:  len(l.knownPeers),
-		waiting:  make(map[string]bool),
+		term:      l.term,
+		deadline:  now + consultationTimeout,
+		asked:     make(map[string]bool),
+		newcomers: make(map[string]newcomer),
+		members:   len(l.knownPeers),
+		waiting:   make(map[string]bool),
 	}
 	l.consultation = c
-	c.note(l.leaderBefore(l.term.Era))
+	if !l.followedAnother {
+		c.newcomers[l.self.Address] = newcomer{l.startedAt, now}
+	}
+	c.note(l.leaderBefore(l.term.Era), l.fleetBefore(l.term.Era))
 	l.announceLeadership(append(slices.Clone(l.knownPeers), l.settings.Seeds...))
 	l.askLastLeader()
 }
@@ -69,12 +80,13 @@
 	}
 }
 
-// note records the last leader that a daemon knows.
-func (c *consultation) note(leadership peer.Leadership) {
+// note records the last leader that a daemon knows, and how many daemons that one named.
+func (c *consultation) note(leadership peer.Leadership, fleet int) {
 	if leadership.Leader.Incarnation == "" {
 		return
 	}
 	c.informed++
+	c.fleet = max(c.fleet, fleet)
 	c.hear(leadership)
 }
 
@@ -99,6 +111,10 @@
 		FormerLeader: l.leaderBefore(a.request.Term.Era),
 		Pages:        l.pagesFor(a.request.Pages),
 		MemberCount:  len(l.knownPeers),
+
+		FormerMemberCount: l.fleetBefore(a.request.Term.Era),
+		UptimeMS:          (l.clock() - l.startedAt).Milliseconds(),
+		FirstLeader:       l.knownLeader == a.request.Leadership && !l.followedAnother,
 	}
 	if len(l.knownPeers) > a.request.MemberCount {
 		response.Members = l.knownPeers
@@ -116,7 +132,10 @@
 		l.log.Event(event.PeerUnreachable, f.err.Error(), zap.String("peer", f.address))
 		return
 	}
-	c.note(f.response.FormerLeader)
+	c.note(f.response.FormerLeader, f.response.FormerMemberCount)
+	if now := l.clock(); f.response.FirstLeader {
+		c.newcomers[f.address] = newcomer{now - time.Duration(f.response.UptimeMS)*time.Millisecond, now}
+	}
 	c.members = max(c.members, f.response.MemberCount)
 	l.applyPages(f.response.Pages)
 	l.announceLeadership(f.response.Members)
@@ -144,7 +163,7 @@
 // consultSender asks the sender of a report what it knows, if this is awaited: a leader
 // that has just started may not know the fleet.
 func (l *loop) consultSender(report *peer.Report) {
-	if c := l.consultation; c != nil && len(c.waiting) > 0 {
+	if c := l.consultation; c != nil && (len(c.waiting) > 0 || l.fleetAtElection() == 0) {
 		l.announceLeadership([]string{report.Address})
 	}
 }
@@ -178,7 +197,7 @@
 		return
 	}
 	confirmed := c.confirmed(l.self)
-	unasked := len(c.asked) == 0 && (len(l.pages) > 0 || !l.firstStart()) // Reports may show whom to ask.
+	unasked := c.informed == 0 && (len(l.pages) > 0 || !l.firstStart()) // Reports may show whom to ask.
 	undecided := unasked || c.pending() || c.last.Leader.Incarnation != "" && l.yieldPending[c.last.Leader.Incarnation]
 	if !confirmed && undecided && now < c.deadline {
 		return
--- a/gateway/run/succession_test.go
+++ b/gateway/run/succession_test.go
@@ -153,8 +153,8 @@
 	c := &consultation{term: kvstore.Position{Era: 2, Version: 60}, members: 2, asked: map[string]bool{"x": false}, waiting: map[string]bool{}}
 	l.consultation = c
 	known := peer.Leadership{Leader: keys.Leader{VM: "last", Incarnation: "last"}, Term: kvstore.Position{Era: 1, Version: 50}}
-	c.note(known)
-	c.note(known)
+	c.note(known, 2)
+	c.note(known, 2)
 	c.lastYielded = true
 	l.applyPage("s", encoded(t, page(keys.Stamp{Era: 1, Number: 8})))
 	g.Expect(l.consultationResult("s", c.confirmed(l.self)).Confirmed).To(BeTrue())
@@ -187,7 +187,7 @@
 	own := peer.Leadership{Leader: l.self, Term: kvstore.Position{Era: 1, Version: 50}}
 	c := &consultation{term: kvstore.Position{Era: 2, Version: 60}, members: 1, asked: map[string]bool{}, waiting: map[string]bool{}}
 	l.consultation = c
-	c.note(own)
+	c.note(own, 1)
 	g.Expect(l.consultationResult("s", c.confirmed(l.self)).Confirmed).To(BeFalse(), "it did not know the newest pages")
 	l.knewPagesAtEnd = true
 	g.Expect(l.consultationResult("s", c.confirmed(l.self)).Confirmed).To(BeTrue(), "no page was ever committed")
@@ -204,3 +204,185 @@
 	l.decideConsultation(l.clock())
 	g.Expect(l.consultation.waiting).To(HaveKey("s"), "there was a leader before")
 }
+
+func TestLaterLeaderCountsTheWaitForLostGrantsFromWhenItsVMSawThePage(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	now := 100 * time.Second
+	l.clock = func() time.Duration { return now }
+	left := page(keys.Stamp{Era: 1, Number: 9})
+	left.Ranges[0].Prior = []keys.Holder{{}}
+	left.LostGrants = keys.LostGrants{Recorder: "last", WriteID: 1, ArriveWithin: 10}
+	l.applyPage("s", encoded(t, left))
+	now += 8 * time.Second
+	machine := keys.NewMachine(keys.Options{Service: "s", Self: l.self, GrantTTL: time.Second, PredecessorTimeout: predecessorTimeout})
+	l.machines["s"] = machine
+	l.term = kvstore.Position{Era: 1, Version: 60}
+	l.startLeading(now)
+	machine.StepServers(now, []model.Server{{ID: "i-1", Address: "a:1", Slots: 4}}, true)
+	machine.StepRead(now, left, kvstore.Position{Era: 1, Version: 30})
+	machine.Tick(now)
+	write := machine.Ready().Write
+	g.Expect(write).NotTo(BeNil())
+	g.Expect(write.Page.Ranges[0].Prior).To(BeEmpty(), "all grants by the lost pages have expired")
+}
+
+func TestLeaderThatHasJustStartedEndsPredecessorsByTheMajorityOfTheFleet(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	last := peer.Leadership{Leader: keys.Leader{VM: "last", Incarnation: "last"}, Term: kvstore.Position{Era: 1, Version: 50}}
+	l.members, l.knownPeers = make(map[string]member), nil
+	l.term = kvstore.Position{Era: 2, Version: 60}
+	l.startLeading(l.clock())
+	machine := keys.NewMachine(keys.Options{Service: "s", Self: l.self, GrantTTL: time.Second, PredecessorTimeout: predecessorTimeout})
+	l.machines["s"] = machine
+	machine.Lead(l.clock(), 2)
+	machine.StepRead(l.clock(), nil, kvstore.Position{Era: 2, Version: 30})
+	machine.StepConsulted(l.clock(), keys.Consultation{Predecessors: []keys.Leader{unknownLeader}})
+	for _, vm := range []string{"a", "b", "c"} {
+		l.members[vm] = member{address: vm, reportedAt: l.clock()}
+	}
+	l.endPredecessorsByMajority(l.clock())
+	g.Expect(machine.Predecessors()).NotTo(BeEmpty(), "nobody knows the size of the fleet")
+	l.consultation.note(last, 5)
+	l.endPredecessorsByMajority(l.clock())
+	g.Expect(machine.Predecessors()).NotTo(BeEmpty(), "three of five are no majority of two thirds")
+	l.members["d"] = member{address: "d", reportedAt: l.clock()}
+	l.endPredecessorsByMajority(l.clock())
+	g.Expect(machine.Predecessors()).To(BeEmpty())
+}
+
+func TestDaemonTellsTheFleetOfTheFormerLeader(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	l.followLeader(peer.Leadership{Leader: keys.Leader{VM: "last", Incarnation: "last"}, Term: kvstore.Position{Era: 1, Version: 50}})
+	l.knownPeers = []string{"a", "b", "c"}
+	next := peer.Leadership{Leader: keys.Leader{VM: "next", Incarnation: "next"}, Term: kvstore.Position{Era: 2, Version: 60}}
+	l.followLeader(next)
+	l.knownPeers = []string{"next"}
+	reply := make(chan peer.FollowResponse, 1)
+	leaderAnnounced{&peer.FollowRequest{Leadership: next}, reply}.apply(l)
+	g.Expect((<-reply).FormerMemberCount).To(Equal(3), "the new leader does not know the fleet yet")
+}
+
+func TestLeaderThatAskedOnlyDaemonsThatHaveJustStartedAwaitsReports(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	now := 100 * time.Second
+	l.clock = func() time.Duration { return now }
+	l.term = kvstore.Position{Era: 2, Version: 60}
+	l.startLeading(now)
+	l.machines["s"] = keys.NewMachine(keys.Options{Service: "s", Self: l.self, GrantTTL: time.Second})
+	l.consultation.waiting["s"] = true
+	l.consultation.asked["started"] = true
+	followDone{address: "started", term: l.term, response: &peer.FollowResponse{}}.apply(l)
+	g.Expect(l.consultation.waiting).To(HaveKey("s"), "one that knows the last leader may report")
+	now += consultationTimeout
+	l.decideConsultation(now)
+	g.Expect(l.consultation.waiting).To(BeEmpty())
+}
+
+func TestLeaderThatDoesNotKnowTheFleetAsksLateReportersForIt(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	last := peer.Leadership{Leader: keys.Leader{VM: "last", Incarnation: "last"}, Term: kvstore.Position{Era: 1, Version: 50}}
+	informed := informedPeer{follow: peer.FollowResponse{FormerLeader: last, FormerMemberCount: 5}}
+	server := httptest.NewServer(peer.NewHandler(informed))
+	t.Cleanup(server.Close)
+	l.knownPeers = nil
+	l.term = kvstore.Position{Era: 2, Version: 60}
+	l.startLeading(l.clock())
+	l.consultSender(&peer.Report{Address: server.Listener.Addr().String()})
+	g.Eventually(l.inputs, time.Second).Should(HaveLen(1))
+	(<-l.inputs).apply(l)
+	g.Expect(l.fleetAtElection()).To(Equal(5))
+}
+
+// newLeaderAmongNewcomers returns a loop that leads since 100 s, with a machine that waits
+// for earlier leaders, and three daemons that reported at 100.2 s. They have started at
+// 95 s and have followed no leader before.
+func newLeaderAmongNewcomers(t *testing.T, now *time.Duration) (*loop, *keys.Machine) {
+	l := newRestorationLoop(t)
+	*now = 100 * time.Second
+	l.clock = func() time.Duration { return *now }
+	l.members, l.knownPeers = make(map[string]member), []string{"a", "b", "c"}
+	l.term = kvstore.Position{Era: 2, Version: 60}
+	l.startLeading(*now)
+	l.leaseEnd = *now + leader.LeaseTTL
+	machine := keys.NewMachine(keys.Options{Service: "s", Self: l.self, GrantTTL: time.Second, PredecessorTimeout: predecessorTimeout})
+	l.machines["s"] = machine
+	machine.Lead(*now, 2)
+	machine.StepServers(*now, []model.Server{{ID: "i-1", Address: "a:1", Slots: 4}}, true)
+	machine.StepRead(*now, page(keys.Stamp{Era: 1, Number: 9}), kvstore.Position{Era: 2, Version: 30})
+	*now += 200 * time.Millisecond
+	for _, vm := range l.knownPeers {
+		followDone{address: vm, term: l.term, response: &peer.FollowResponse{FirstLeader: true, UptimeMS: 5200}}.apply(l)
+		l.applyReport(&peer.Report{VM: vm, Address: vm, UptimeMS: 5200})
+	}
+	machine.StepConsulted(*now, keys.Consultation{Predecessors: []keys.Leader{unknownLeader}})
+	return l, machine
+}
+
+// unknownHolderEndsAfter returns how long after the election the draft of the page has no
+// unknown holders any more.
+func unknownHolderEndsAfter(l *loop, machine *keys.Machine, now *time.Duration) time.Duration {
+	version := kvstore.Version(30)
+	for ; *now < l.leadingSince+20*time.Second; *now += 50 * time.Millisecond {
+		machine.Tick(*now)
+		write := machine.Ready().Write
+		if write == nil {
+			continue
+		}
+		if len(write.Page.Ranges[0].Prior) == 0 {
+			break
+		}
+		version++
+		machine.StepWritten(*now, write.Page.WriteID, kvstore.Position{Era: 2, Version: version}, nil)
+	}
+	return *now - l.leadingSince
+}
+
+func TestMajorityCountsFromWhenDaemonsLeftTheEarlierLeader(t *testing.T) {
+	g := NewWithT(t)
+	var now time.Duration
+	l, machine := newLeaderAmongNewcomers(t, &now)
+	l.endPredecessorsByMajority(now)
+	wait := contactTimeout + keys.MaxCallDelay + time.Second
+	g.Expect(unknownHolderEndsAfter(l, machine, &now)).To(And(BeNumerically(">", wait), BeNumerically("<", wait+300*time.Millisecond)))
+}
+
+func TestMajorityCountsFromNowOnceALaterLeaderIsPossible(t *testing.T) {
+	g := NewWithT(t)
+	var now time.Duration
+	l, machine := newLeaderAmongNewcomers(t, &now)
+	now = l.leaseEnd + time.Second
+	wait := now + majorityWindow + keys.MaxCallDelay + time.Second - l.leadingSince
+	l.endPredecessorsByMajority(now)
+	g.Expect(unknownHolderEndsAfter(l, machine, &now)).To(BeNumerically(">", wait))
+}
+
+func TestMajorityDoesNotCountARestartedProcessFromTheStartOfTheOneBefore(t *testing.T) {
+	g := NewWithT(t)
+	var now time.Duration
+	l, _ := newLeaderAmongNewcomers(t, &now)
+	g.Expect(l.leftAt(l.members["a"])).To(Equal(95 * time.Second))
+	now += time.Second
+	l.members = make(map[string]member)
+	l.applyReport(&peer.Report{VM: "a", Address: "a", UptimeMS: 500})
+	g.Expect(l.leftAt(l.members["a"])).To(Equal(now))
+}
+
+func TestDaemonThatFollowedAnotherLeaderIsNoNewcomer(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	next := peer.Leadership{Leader: keys.Leader{VM: "next", Incarnation: "next"}, Term: kvstore.Position{Era: 2, Version: 60}}
+	ask := func(leadership peer.Leadership) bool {
+		reply := make(chan peer.FollowResponse, 1)
+		leaderAnnounced{&peer.FollowRequest{Leadership: leadership}, reply}.apply(l)
+		return (<-reply).FirstLeader
+	}
+	g.Expect(ask(next)).To(BeTrue())
+	later := peer.Leadership{Leader: keys.Leader{VM: "later", Incarnation: "later"}, Term: kvstore.Position{Era: 2, Version: 70}}
+	g.Expect(ask(later)).To(BeFalse())
+	g.Expect(ask(next)).To(BeFalse(), "a later leader is known")
+}
