--- a/gateway/run/succession_test.go
+++ b/gateway/run/succession_test.go
@@ -287,7 +287,7 @@
 	l := newRestorationLoop(t)
 	last := peer.Leadership{Leader: keys.Leader{VM: "last", Incarnation: "last"}, Term: kvstore.Position{Era: 1, Version: 50}}
 	informed := informedPeer{follow: peer.FollowResponse{FormerLeader: last, FormerMemberCount: 5}}
-	server := httptest.NewServer(peer.NewHandler(informed))
+	server := httptest.NewServer(peer.NewHandler(informed, nil))
 	t.Cleanup(server.Close)
 	l.knownPeers = nil
 	l.term = kvstore.Position{Era: 2, Version: 60}
