gateway/keys: prior holders in a page that was written late have their last fence

The page names prior holders with the fences of its draft; they were released with these. What a server does with a release below its fence is not specified: one that ignores it keeps the keys beside the next owner until they expire. Change: a page that is read is compared with what this machine has sent: the prior holders that it adds get the highest fence that it knows of them. The same step bounds its calls to them.

--- a/gateway/keys/outage_test.go
+++ b/gateway/keys/outage_test.go
@@ -33,6 +33,9 @@
 
 // loseWrite has the store execute a write late or never, without a response.
 func (sim *simulation) loseWrite(m *keys.Machine, write keys.PageWrite, stored []byte) {
+	if sim.onLostWrite != nil {
+		sim.onLostWrite(write)
+	}
 	if sim.random.Float64() < sim.lateWriteShare {
 		sim.after(time.Duration(sim.random.Int64N(int64(maxWriteDelay))), func() {
 			if page, err := keys.Decode(stored); err == nil && write.Expected == sim.version {
@@ -87,6 +90,60 @@
 	}
 })
 
+// priorFence returns the lowest fence with which a page names a server as a prior holder.
+func priorFence(page *keys.Page, id string) uint64 {
+	lowest := uint64(0)
+	for _, r := range page.Ranges {
+		for _, prior := range r.Prior {
+			if prior.ID == id && (lowest == 0 || prior.Fence < lowest) {
+				lowest = prior.Fence
+			}
+		}
+	}
+	return lowest
+}
+
+var _ = Describe("A page write that is executed after its leader went on without it", func() {
+	for seed := range uint64(10) {
+		It(fmt.Sprintf("seed %d: releases keys with the fence with which the server holds them", seed), func() {
+			sim, m := startSimulation(seed, 4)
+			leaving := sim.servers[model.Incarnation{ID: "i-1", Born: 1000}]
+			var late *keys.PageWrite
+			sim.onLostWrite = func(write keys.PageWrite) { late = &write }
+			sim.startOutage()
+			leaving.Draining = true
+			for late == nil {
+				sim.run(tickInterval)
+			}
+			sim.run(2 * time.Second)
+			leaving.Draining = false
+			sim.list()
+			sim.endOutage()
+			sim.run(time.Second)
+			clear(sim.connections) // The next grants take a higher fence.
+			sim.run(2 * time.Second)
+			Expect(sim.version).To(Equal(late.Expected), "the leader has written no other page")
+			sim.page, sim.version = late.Page, sim.version+1
+			sim.maxReleaseTime = 2 * time.Second
+			sim.servers[model.Incarnation{ID: "i-2", Born: 1000}].Draining = true
+			for m.Page().Number < late.Page.Number {
+				sim.run(tickInterval)
+			}
+			fence := priorFence(m.Page(), leaving.ID)
+			sim.version++ // The leader reads the page again before it writes the next one.
+			for m.Page().Number == late.Page.Number {
+				sim.run(tickInterval)
+				Expect(priorFence(m.Page(), leaving.ID)).To(Equal(fence))
+			}
+			sim.run(5 * time.Second)
+			Expect(m.Page().Number).To(BeNumerically(">", late.Page.Number))
+			Expect(sim.lowReleases).To(BeEmpty())
+			Expect(sim.violations).To(BeEmpty())
+			Expect(sim.unowned()).To(BeZero())
+		})
+	}
+})
+
 var _ = Describe("Outages of the store", func() {
 	for seed := range uint64(80) {
 		It(fmt.Sprintf("seed %d: among random faults no key has two holders, fences only grow, all keys are owned in the end", seed), func() {
--- a/gateway/keys/page.go
+++ b/gateway/keys/page.go
@@ -96,12 +96,12 @@
 	return &p.Ranges[at]
 }
 
-// priorOf returns the prior holders of a key.
-func (p *Page) priorOf(key uint16) []Holder {
+// rangeOf returns the range that contains a key, or no range for a page without ranges.
+func (p *Page) rangeOf(key uint16) Range {
 	if r := p.Find(key); r != nil {
-		return r.Prior
+		return *r
 	}
-	return nil
+	return Range{}
 }
 
 // clone returns a deep copy of the page.
--- a/gateway/keys/restoration.go
+++ b/gateway/keys/restoration.go
@@ -108,8 +108,7 @@
 		return
 	}
 	m.announceTTL(page)
-	m.extendBounds(page)
-	m.setPage(page)
+	m.takePage(page)
 	if written != nil && page.sameWrite(written) {
 		m.adopted = true
 		return
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -72,6 +72,8 @@
 	// the writes of that time which it executes all the same, up to maxWriteDelay later.
 	storeDown      bool
 	lateWriteShare float64
+	// onLostWrite, if set, is called for each write of that time.
+	onLostWrite func(write keys.PageWrite)
 	// lostWriteShare is the share of writes that are applied and not answered.
 	lostWriteShare float64
 	// onGrant, if set, is called for each grant that is sent.
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -86,13 +86,11 @@
 	case page == nil:
 		m.page = nil
 	case written != nil && page.sameWrite(written):
-		m.extendBounds(page)
-		m.setPage(page)
+		m.takePage(page)
 		m.adopted = true
 	default:
 		m.adopted = m.adopted && page.Writer == m.options.Self
-		m.extendBounds(page)
-		m.setPage(page)
+		m.takePage(page)
 		m.addPredecessors(page)
 	}
 	m.passFences()
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"guavacrank.example/gateway/model"
 )
 
 const (
@@ -70,21 +72,43 @@
 	}
 }
 
-// extendBounds bounds the grants that this machine has sent until now to the prior holders
-// which a page that was read adds: in an earlier leadership, or before it knew that the page
-// had been written.
-func (m *Machine) extendBounds(page *Page) {
+// takePage replaces the page by one that was read. The holders that it adds as prior ones may
+// have had grants of this machine since it was drafted: in an earlier leadership, or before
+// this machine knew that the page had been written. Their fences and bounds cover these.
+func (m *Machine) takePage(read *Page) {
+	page := read.clone()
 	for _, r := range page.Ranges {
-		var known []Holder
+		var before Range
 		if m.page != nil {
-			known = m.page.priorOf(r.From)
+			before = m.page.rangeOf(r.From)
 		}
-		for _, prior := range r.Prior {
-			if prior != unknownHolder && !slices.Contains(known, prior) {
+		for at, prior := range r.Prior {
+			if prior == unknownHolder || slices.Contains(before.Prior, prior) {
+				continue
+			}
+			prior.Fence = max(prior.Fence, m.fenceOf(before, prior.Incarnation))
+			r.Prior[at] = prior
+			if !slices.Contains(before.Prior, prior) {
 				m.bounds[holderKey{r.From, r.To, prior.Incarnation, prior.Fence}] = m.boundOf(prior)
 			}
 		}
 	}
+	m.setPage(page)
+}
+
+// fenceOf returns the highest fence with which a server may hold a range, zero if it is
+// neither the owner nor a prior holder.
+func (m *Machine) fenceOf(r Range, server model.Incarnation) uint64 {
+	fence := uint64(0)
+	if r.Owner.Incarnation == server {
+		fence = m.sentFence(r)
+	}
+	for _, prior := range r.Prior {
+		if prior.Incarnation == server {
+			fence = max(fence, prior.Fence)
+		}
+	}
+	return fence
 }
 
 // latestArrival returns the latest time at which any grant may have arrived at a server,
