gateway/front: versions from HTTP/1.2 on are rejected

Cause: net/http takes HTTP/1.2 to 1.9 for HTTP/1.1, against the table in docs/callers.md, which says 505 for another version than 1.0 and 1.1. Found by the fuzz test of requests.

Change: the front answers 505 and ends the connection.

--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -49,6 +49,9 @@
 // errConnect rejects CONNECT: its caller would take a success for a tunnel.
 const errConnect = "the method CONNECT is not offered"
 
+// errVersion rejects HTTP/1.2 and later as net/http does HTTP/2 and later.
+const errVersion = "505 HTTP Version Not Supported: unsupported protocol version"
+
 // Options configure a Handler.
 type Options struct {
 	HeaderCodec port.HeaderCodec
@@ -143,6 +146,11 @@
 		e.reject(rejection{http.StatusBadRequest, err.Error()})
 		return
 	}
+	if e.r.ProtoMajor == 1 && e.r.ProtoMinor > 1 {
+		e.w.Header().Set("Connection", "close")
+		e.reject(rejection{http.StatusHTTPVersionNotSupported, errVersion})
+		return
+	}
 	if e.r.Method == http.MethodConnect {
 		e.reject(rejection{http.StatusNotImplemented, errConnect})
 		return
--- a/gateway/run/own_answers_test.go
+++ b/gateway/run/own_answers_test.go
@@ -155,6 +155,7 @@
 	{"preface of HTTP/2", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", 404},
 	{"HTTP/2.0", "GET / HTTP/2.0\r\n" + answersHead + "\r\n", 505},
 	{"HTTP/3.0", "GET / HTTP/3.0\r\n" + answersHead + "\r\n", 505},
+	{"HTTP/1.2", "GET / HTTP/1.2\r\n" + answersHead + "\r\n", 505},
 	{"HTTP/0.9", "GET /\r\n\r\n", 400},
 	{"HTTP/1.0 without a host", "GET / HTTP/1.0\r\n\r\n", 404},
 	{"HTTP/1.0", "GET / HTTP/1.0\r\nHost: unserved.example\r\n\r\n", 503},
