--- a/gateway/model/settings.go
+++ b/gateway/model/settings.go
@@ -56,6 +56,8 @@
 	// ConfigurationTime is the time after the acknowledgement of its write in which a
 	// configuration has to be in force on all VMs.
 	ConfigurationTime time.Duration
+	// DrainTime is how long a server serves after it said that it is leaving.
+	DrainTime time.Duration
 	// MinLeaseTTL is the shortest lease TTL that the store grants.
 	MinLeaseTTL time.Duration
 }
--- a/gateway/port/port.go
+++ b/gateway/port/port.go
@@ -91,6 +91,13 @@
 	// all VMs together, for as long as its responses say so.
 	Limited           bool
 	RequestsPerSecond float64
+	// Leaving says that the server is leaving and wants no new requests.
+	Leaving bool
+	// RetryAfter is how long a server that turned the request away wants no others from
+	// this VM, or zero. InvalidRetryAfter is the text of a time that is not valid, or
+	// empty.
+	RetryAfter        time.Duration
+	InvalidRetryAfter string
 	// KeepAlive is the server's idle timeout for the connection, or zero if not
 	// given.
 	KeepAlive time.Duration
