gateway/dispatch: keeps requests away from servers that leave or back off

Change: what a response says is recorded once its headers are read. Each choice of a server, also for repeats, hedges and requests that waited, passes over leaving servers unless no other can take a request that arrived within drain_ms, and servers in backoff. If only these are left, the request is refused at once: server_backoff, with the rest of the earliest backoff and a random part for Retry-After.

--- a/gateway/balance/server.go
+++ b/gateway/balance/server.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"guavacrank.example/gateway/availability"
 	"guavacrank.example/gateway/limit"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/traffic/upstream"
@@ -77,6 +78,8 @@
 	Pool     *upstream.Pool
 	// Limit admits requests according to the limit that the server names.
 	Limit limit.Admission
+	// Availability is what the server says of itself. Nil if nothing is recorded.
+	Availability *availability.Server
 
 	mu                  sync.Mutex
 	inFlight            int
--- a/gateway/dispatch/bykey.go
+++ b/gateway/dispatch/bykey.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"guavacrank.example/gateway/availability"
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/view"
@@ -51,6 +52,13 @@
 // expected to respond in time, is overloaded or seems to have lost its keys.
 func (c *call) sendToOwner(server *balance.Server, changed <-chan struct{}) bool {
 	now := c.options.Clock()
+	switch server.Availability.Decide(now, c.request.Arrived) {
+	case availability.Left:
+		c.passed.leaving = true
+		return c.waitForView(changed, time.Hour, verdict.CodeNoOwner)
+	case availability.BackingOff:
+		return c.refuseForBackoff(server)
+	}
 	if server.LostKeys(now) {
 		return c.waitForView(changed, notOwnerDelay, verdict.CodeNoOwner)
 	}
@@ -90,9 +98,13 @@
 // request if no other attempt is allowed or the server can't respond in time.
 func (c *call) waitForRoom(server *balance.Server, changed <-chan struct{}) bool {
 	longest := time.Duration(maxRoomDelayShare * float64(c.request.Route.LatencyObjective))
-	expected := balance.ExpectedLatency(c.options.Clock(), server)
+	now := c.options.Clock()
+	expected := balance.ExpectedLatency(now, server)
 	delay := max(min(expected, longest), minRoomDelay)
 	delay = delay/2 + rand.N(delay) // Several VMs wait for the same server.
+	if server.Availability.BackoffEnd() > now+delay {
+		return c.refuseForBackoff(server)
+	}
 	if !c.mayWait() || delay+expected > c.timeLeft() || !c.allowRetry(server, shedRetryReserve) {
 		return false
 	}
--- a/gateway/dispatch/dispatch.go
+++ b/gateway/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"guavacrank.example/gateway/availability"
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/budget"
 	"guavacrank.example/gateway/memory"
@@ -44,6 +45,8 @@
 	Clock func() time.Duration
 	// Memory counts the responses held; nil sets no limit.
 	Memory *memory.Account
+	// Availability counts the requests kept away from servers; nil counts nothing.
+	Availability *availability.Table
 	// Gate tells about the stop of this VM. If nil, it never stops.
 	Gate *shutdown.Gate
 }
@@ -116,6 +119,8 @@
 	connections upstream.Used
 	// limitedBy is a server whose limit did not admit the request.
 	limitedBy *balance.Server
+	// passed tells about the servers that the last choice passed over.
+	passed passedOver
 }
 
 // Do dispatches a request and returns its final result, whose response the caller must
@@ -135,16 +140,19 @@
 	if c.result.Verdict == verdict.NotRun {
 		c.result.RetryAfter = c.retryAfter()
 	}
+	c.countKeptAway()
 	return c.result
 }
 
 // retryAfter returns when the caller of a request that was not run may retry. If a
-// server's limit was the reason, that is when this VM may send to it again.
+// server's limit or backoff was the reason, that is when this VM may send to it again.
 func (c *call) retryAfter() time.Duration {
 	longest := time.Duration(retryAfterShare * float64(c.timeLeft()))
 	switch c.result.Code {
 	case verdict.CodeServerLimit:
 		return min(c.limitedBy.Limit.RetryAfter(c.options.Clock(), c.vms()), longest)
+	case verdict.CodeServerBackoff:
+		return c.passed.retryAfter(c.options.Clock())
 	case verdict.CodeStopping:
 		return shutdown.RetryAfter
 	default:
@@ -224,13 +232,12 @@
 func (c *call) sendToBest(service *view.Service) bool {
 	c.limitedBy = nil
 	choice := c.choose(service, c.wasTried)
+	if choice.Server == nil && c.passed.lastResort {
+		choice = c.chooseLastResort(service)
+	}
 	switch {
-	case choice.Server == nil && c.limitedBy != nil:
-		return c.finish(verdict.NotRun, verdict.CodeServerLimit)
-	case choice.Server == nil && len(c.tried) > 0:
-		return c.finish(verdict.NotRun, verdict.CodeBusy)
 	case choice.Server == nil:
-		return c.finish(verdict.NotRun, verdict.CodeNoServer)
+		return c.finish(verdict.NotRun, c.noChoiceCode())
 	case choice.ExpectedLatency > c.timeLeft():
 		return c.finish(verdict.NotRun, verdict.CodeTooLate)
 	case !c.mayStart(choice.ExpectedLatency):
@@ -242,12 +249,45 @@
 	return c.send(choice.Server)
 }
 
-// choose returns the best server that is not excluded and whose limit admits the
-// request.
+// noChoiceCode returns why no server was chosen.
+func (c *call) noChoiceCode() verdict.Code {
+	switch {
+	case c.limitedBy != nil:
+		return verdict.CodeServerLimit
+	case c.passed.onlyBackoff():
+		return verdict.CodeServerBackoff
+	case len(c.tried) > 0:
+		return verdict.CodeBusy
+	default:
+		return verdict.CodeNoServer
+	}
+}
+
+// choose returns the best server that takes requests, is not excluded and whose limit
+// admits the request.
 func (c *call) choose(service *view.Service, excluded func(*balance.Server) bool) balance.Choice {
+	now := c.options.Clock()
+	c.passed.reset()
+	return c.chooseAdmitted(now, service, func(server *balance.Server) bool {
+		return c.passOver(now, server) || c.excludes(server, excluded)
+	})
+}
+
+// chooseLastResort returns the best server that was not tried and may get the request
+// if no other server can take it.
+func (c *call) chooseLastResort(service *view.Service) balance.Choice {
+	now := c.options.Clock()
+	return c.chooseAdmitted(now, service, func(server *balance.Server) bool {
+		return !c.mayTakeAsLastResort(now, server) || c.wasTried(server)
+	})
+}
+
+// chooseAdmitted returns the best server that is not excluded and whose limit admits the
+// request.
+func (c *call) chooseAdmitted(now time.Duration, service *view.Service, excluded func(*balance.Server) bool) balance.Choice {
 	var full []*balance.Server
 	for {
-		choice := balance.Choose(c.options.Clock(), service.Servers, c.request.Route.LatencyObjective, func(server *balance.Server) bool {
+		choice := balance.Choose(now, service.Servers, c.request.Route.LatencyObjective, func(server *balance.Server) bool {
 			return excluded(server) || slices.Contains(full, server)
 		}, rand.Uint64())
 		if choice.Server == nil || c.admit(choice.Server) {
--- a/gateway/dispatch/dispatch_test.go
+++ b/gateway/dispatch/dispatch_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"guavacrank.example/gateway/availability"
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/budget"
 	"guavacrank.example/gateway/dispatch"
@@ -36,6 +37,7 @@
 
 func (testCodec) ReadResponse(status int, header http.Header) port.ResponseHead {
 	limit, err := strconv.ParseFloat(header.Get("Limit"), 64)
+	after, _ := time.ParseDuration(header.Get("After")) // Zero without the header.
 	return port.ResponseHead{
 		NotRun:      header.Get("Not-Run") != "",
 		Misdirected: status == http.StatusMisdirectedRequest,
@@ -44,6 +46,9 @@
 
 		Limited:           err == nil,
 		RequestsPerSecond: limit,
+
+		Leaving:    header.Get("Leaving") != "",
+		RetryAfter: after,
 	}
 }
 
@@ -58,6 +63,8 @@
 	budget     *budget.Budget
 	gate       *shutdown.Gate
 	start      time.Time
+
+	availability *availability.Table
 }
 
 func newFixture(t *testing.T, idempotent bool) *fixture {
@@ -66,7 +73,8 @@
 	f.service = &view.Service{Service: model.Service{Name: "s"}, Owners: make(map[model.Incarnation]*balance.Server)}
 	f.budget = budget.New(budget.Options{Window: 10 * time.Second, Slack: 100})
 	f.budget.SetVMs(1)
-	f.dispatcher = dispatch.New(dispatch.Options{HeaderCodec: testCodec{}, Budget: f.budget, Views: f.views, Clock: f.clock, Gate: f.gate})
+	f.availability = availability.NewTable(time.Minute)
+	f.dispatcher = dispatch.New(dispatch.Options{HeaderCodec: testCodec{}, Budget: f.budget, Views: f.views, Clock: f.clock, Availability: f.availability, Gate: f.gate})
 	f.publish()
 	return f
 }
@@ -94,6 +102,7 @@
 func (f *fixture) addAddress(id, address string) {
 	target := &balance.Server{Server: model.Server{ID: id, Service: "s", Address: address, Slots: 4},
 		Pool: upstream.NewPool(upstream.Options{Address: address, MaxConnections: 8, AcceptUnframed: true})}
+	target.Availability = f.availability.Server(target.Incarnation())
 	f.service.Servers = append(f.service.Servers, target)
 	f.service.Owners[target.Incarnation()] = target
 	f.publish()
--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -54,6 +54,8 @@
 		return c.classifyFailure(ctx, failure)
 	}
 	defer response.Body.Close()
+	head := c.options.HeaderCodec.ReadResponse(response.StatusCode, response.Header)
+	c.observe(server, head)
 	body, err := c.readResponse(response.Response)
 	if err != nil {
 		var readFailure *upstream.Failure
@@ -62,7 +64,7 @@
 		}
 		return c.classifyFailure(ctx, &upstream.Failure{Stage: upstream.StageTruncate, Sent: true, Err: err})
 	}
-	out := c.classifyResponse(server, response.Response, body)
+	out := c.classifyResponse(server, response.Response, head, body)
 	if out.response == nil {
 		body.Release()
 	}
@@ -96,8 +98,7 @@
 }
 
 // classifyResponse returns the outcome of an attempt with a complete response.
-func (c *call) classifyResponse(server *balance.Server, response *http.Response, body *memory.Body) outcome {
-	head := c.options.HeaderCodec.ReadResponse(response.StatusCode, response.Header)
+func (c *call) classifyResponse(server *balance.Server, response *http.Response, head port.ResponseHead, body *memory.Body) outcome {
 	out := outcome{reached: true}
 	out.Status = response.StatusCode
 	if head.Signed || head.NotRun && (head.Server == "" || head.Server == server.ID) {
--- a/traffic/verdict/code.go
+++ b/traffic/verdict/code.go
@@ -26,6 +26,7 @@
 	CodeFence           Code = "fence"          // The server holds no grant for the unit at that epoch.
 	CodeShed            Code = "shed"           // The server refused: all slots busy.
 	CodeServerLimit     Code = "server_limit"   // The limit that the server named leaves no room for the request.
+	CodeServerBackoff   Code = "server_backoff" // Every server that could take it wants no requests for some time.
 	CodeDraining        Code = "draining"       // The server refused: it is leaving.
 	CodeConnect         Code = "connect"        // The server could not be reached.
 	CodeConnections     Code = "connections"    // This VM's share of the server's connections is in use.
