gateway/run: leaving servers hand their keys over; probes, events, counters

Change: reports name the leaving servers, and the leader's machines take them for draining. What a server said outlives its absence from the list. No probe during a backoff.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -71,6 +71,8 @@
 	Servers []ServerReport `json:"servers,omitempty"`
 	// Limits are the sender's observations of servers that limit their requests.
 	Limits []limit.Observation `json:"limits,omitempty"`
+	// Leaving are the listed servers that told the sender that they are leaving.
+	Leaving []model.Incarnation `json:"leaving,omitempty"`
 	// Source and Revision identify the server list that the sender has: the
 	// incarnation of the leader that published it, and the list's revision.
 	Source   string `json:"source,omitempty"`
--- a/gateway/run/calls.go
+++ b/gateway/run/calls.go
@@ -36,7 +36,9 @@
 		go l.release(service, call)
 	}
 	for _, call := range ready.Probes {
-		go l.probe(service, call)
+		if !l.keepProbeAway(machine, call) {
+			go l.probe(service, call)
+		}
 	}
 }
 
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -133,6 +133,7 @@
 	report.RequestedKeys = l.requestedKeys.take()
 	report.Servers = l.serverReports()
 	report.Limits = l.takeLimitObservations()
+	report.Leaving = l.leavingServers()
 	return report
 }
 
@@ -214,6 +215,7 @@
 	for _, observation := range report.Limits {
 		l.applyLimitObservation(now, observation)
 	}
+	l.applyLeaving(now, report.Leaving)
 	for service, requested := range report.RequestedKeys {
 		if machine := l.machines[service]; machine != nil {
 			machine.StepRequests(now, requested)
@@ -352,6 +354,7 @@
 }
 
 func (tick) apply(l *loop) {
+	l.noteAvailability(l.clock())
 	l.report(l.clock())
 	l.updateWatchers()
 	l.servers.closeIdle(time.Now())
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"guavacrank.example/event"
+	"guavacrank.example/gateway/availability"
 	"guavacrank.example/gateway/budget"
 	"guavacrank.example/gateway/dispatch"
 	"guavacrank.example/gateway/front"
@@ -96,12 +97,13 @@
 	g.shared.memory = memory.NewAccount(options.Settings.MemoryBytes, newMemoryLog(g.shared).record)
 	g.loop = newLoop(ctx, options, g.shared)
 	g.dispatcher = dispatch.New(dispatch.Options{
-		HeaderCodec: options.HeaderCodec,
-		Budget:      g.shared.budget,
-		Views:       g.shared.views,
-		Clock:       g.shared.clock,
-		Memory:      g.shared.memory,
-		Gate:        g.gate,
+		HeaderCodec:  options.HeaderCodec,
+		Budget:       g.shared.budget,
+		Views:        g.shared.views,
+		Clock:        g.shared.clock,
+		Memory:       g.shared.memory,
+		Availability: g.loop.servers.availability,
+		Gate:         g.gate,
 	})
 	g.handler = front.New(front.Options{
 		HeaderCodec:       options.HeaderCodec,
@@ -183,6 +185,7 @@
 // and the name and zone of the VM require a restart, which the log says.
 func (g *Gateway) reload(updated *model.Settings) {
 	old := g.options.Settings
+	g.loop.servers.availability.SetDrainTime(updated.Bounds.DrainTime)
 	restart := updated.Listen != old.Listen || updated.VM != old.VM || updated.Zone != old.Zone || updated.StoreAddress != old.StoreAddress
 	g.shared.budget.SetOptions(budget.Options{Window: updated.Bounds.RetryWindow, Ratio: updated.Bounds.RetryRatio, Slack: updated.Bounds.RetrySlack})
 	g.shared.log.Event(event.GatewayReloaded, "", zap.Bool("bounds_changed", updated.Bounds != old.Bounds), zap.Bool("needs_restart", restart))
@@ -213,6 +216,7 @@
 	VMs             int64                               `json:"vms"`
 	Goroutines      int                                 `json:"goroutines"`
 	Memory          map[string]memory.Usage             `json:"memory"`
+	Availability    availability.Counts                 `json:"availability"`
 	LogLines        int64                               `json:"log_lines"`
 	LogLinesDropped int64                               `json:"log_lines_left_out"`
 }
@@ -227,6 +231,7 @@
 		VMs:             g.loop.vms.Load(),
 		Goroutines:      runtime.NumGoroutine(),
 		Memory:          g.shared.memory.Usage(),
+		Availability:    g.loop.servers.availability.Counts(),
 		LogLines:        written,
 		LogLinesDropped: leftOut,
 	}
--- a/gateway/run/server_updates.go
+++ b/gateway/run/server_updates.go
@@ -57,14 +57,19 @@
 func (l *loop) applyServers(now time.Duration, listed []model.Server) {
 	l.listSize.Store(int64(len(listed)))
 	l.viewOutdated = l.servers.update(now, listed) || l.viewOutdated
-	for service, machine := range l.machines {
-		machine.StepServers(now, l.servers.ofService(service), l.servers.uninterrupted)
-	}
+	l.stepServers(now)
 	if l.leading {
 		l.announceServers()
 	}
 }
 
+// stepServers passes the server list on to the state machines.
+func (l *loop) stepServers(now time.Duration) {
+	for service, machine := range l.machines {
+		machine.StepServers(now, l.servers.ofService(service), l.servers.uninterrupted)
+	}
+}
+
 // announceServers sends the changes of the leader's server list to a large fleet, whose
 // reports are too far apart to wait for them.
 func (l *loop) announceServers() {
--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"guavacrank.example/event"
+	"guavacrank.example/gateway/availability"
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/logbook"
@@ -59,6 +60,8 @@
 	keepAbsentUntil time.Duration
 	rows            map[model.Incarnation]*serverRow
 	departures      departures
+	availability    *availability.Table
+	marks           int                // Number of rows that were marked as draining by reports.
 	restored        bool               // The store was restored since the last read.
 	trust           upstream.IdleLimit // Safe for all goroutines.
 }
@@ -71,10 +74,19 @@
 	target *balance.Server // Created on demand.
 	// limited says whether the server's limit was logged and has not ended.
 	limited bool
+	// saidLeaving says that a VM reported to this leader that the server is leaving. Its
+	// keys move as if its record said so; its record does not change for request handling.
+	saidLeaving bool
 }
 
 func newServerTable(settings *model.Settings, codec port.HeaderCodec, log *logbook.Logger) *serverTable {
-	return &serverTable{settings: settings, headers: codec, log: log, rows: make(map[model.Incarnation]*serverRow)}
+	return &serverTable{
+		settings:     settings,
+		headers:      codec,
+		log:          log,
+		rows:         make(map[model.Incarnation]*serverRow),
+		availability: availability.NewTable(settings.Bounds.DrainTime),
+	}
 }
 
 // update processes a read of the complete server list. It says whether anything
@@ -134,7 +146,7 @@
 		}
 		if row.gone {
 			if row.target == nil || row.target.InFlight() == 0 {
-				t.forget(incarnation, row)
+				t.forget(now, incarnation, row)
 			}
 			continue
 		}
@@ -156,8 +168,9 @@
 	return false
 }
 
-func (t *serverTable) forget(incarnation model.Incarnation, row *serverRow) {
+func (t *serverTable) forget(now time.Duration, incarnation model.Incarnation, row *serverRow) {
 	row.closeTarget()
+	t.availability.Release(now, incarnation)
 	delete(t.rows, incarnation)
 }
 
@@ -175,12 +188,14 @@
 		zap.String("address", server.Address), zap.String("zone", server.Zone), zap.Int("slots", server.Slots)}
 }
 
-// ofService returns the listed servers of a service.
+// ofService returns the listed servers of a service, for the state machine of its keys.
 func (t *serverTable) ofService(service string) []model.Server {
 	var found []model.Server
 	for _, row := range t.rows {
 		if row.listed && row.Service == service {
-			found = append(found, row.Server)
+			server := row.Server
+			server.Draining = server.Draining || row.saidLeaving
+			found = append(found, server)
 		}
 	}
 	return found
@@ -228,9 +243,10 @@
 	}
 	if row.target == nil {
 		row.target = &balance.Server{
-			Server:   row.Server,
-			Distance: t.distance(row.Zone),
-			Pool:     upstream.NewPool(t.poolOptions(row.Address, limit)),
+			Server:       row.Server,
+			Distance:     t.distance(row.Zone),
+			Pool:         upstream.NewPool(t.poolOptions(row.Address, limit)),
+			Availability: t.availability.Server(row.Incarnation()),
 		}
 	}
 	row.target.Pool.SetLimit(limit)
