--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -134,6 +134,7 @@
 	report.RequestedKeys = l.requestedKeys.take()
 	report.Servers = l.serverReports()
 	report.Limits = l.takeLimitObservations()
+	report.Leaving = l.leavingServers()
 	return report
 }
 
@@ -220,6 +221,7 @@
 	for _, observation := range report.Limits {
 		l.applyLimitObservation(now, observation)
 	}
+	l.applyLeaving(now, report.Leaving)
 	for service, requested := range report.RequestedKeys {
 		if machine := l.machines[service]; machine != nil {
 			machine.StepRequests(now, requested)
@@ -362,6 +364,7 @@
 }
 
 func (tick) apply(l *loop) {
+	l.noteAvailability(l.clock())
 	l.report(l.clock())
 	l.updateWatchers()
 	l.servers.closeIdle(time.Now())
