gateway/keys: the state of prior holders is kept until they have lost their keys

Every 30 s unused state is removed; if that happens then, the next owner gets the keys up to 2.3 s too early, while the server holds them by a grant that was late.

Cause: the row of a server that was not listed and owned nothing was removed, and its availability zone with it, which decides how late grants may arrive. Change: rows of prior holders are kept.

--- a/gateway/keys/machine_test.go
+++ b/gateway/keys/machine_test.go
@@ -117,6 +117,28 @@
 		Expect(sim.unowned()).To(BeZero())
 	})
 
+	for seed := range uint64(20) {
+		It(fmt.Sprintf("seed %d: waits longer for a server of a congested availability zone also after it has left the list", seed), func() {
+			sim := newSimulation(seed)
+			var far []string
+			for i := range 8 {
+				s := sim.addServer(fmt.Sprintf("i-%d", i), 1000)
+				if i < 3 {
+					s.Zone = "far"
+					far = append(far, s.ID)
+				}
+			}
+			sim.addLeader("a")
+			sim.run(26*time.Second + time.Duration(sim.random.IntN(4000))*time.Millisecond) // Unused state is removed every 30 s.
+			sim.congestedZone, sim.maxCongestionDelay = "far", 2*time.Second
+			sim.run(1800 * time.Millisecond)
+			sim.congestedZone = ""
+			sim.run(12*time.Second, far...)
+			Expect(sim.violations).To(BeEmpty())
+			Expect(sim.unowned()).To(BeZero())
+		})
+	}
+
 	It("extends the TTL with many ranges, and a later leader waits for it", func() {
 		sim := newSimulation(31)
 		for i := range 500 {
--- a/gateway/keys/system_renewal.go
+++ b/gateway/keys/system_renewal.go
@@ -1,6 +1,10 @@
 package keys
 
-import "time"
+import (
+	"time"
+
+	"guavacrank.example/gateway/model"
+)
 
 // runRenewals sends the first grant of each range and renews it in time.
 func (m *Machine) runRenewals() {
@@ -121,9 +125,11 @@
 	}
 	m.nextPruneAt = m.now + pruneInterval
 	named := make(map[holderKey]bool)
+	holders := make(map[model.Incarnation]bool)
 	for _, r := range m.page.Ranges {
 		for _, prior := range r.Prior {
 			named[holderKey{r.From, r.To, prior.Incarnation, prior.Fence}] = true
+			holders[prior.Incarnation] = true
 		}
 	}
 	for key := range m.released {
@@ -142,7 +148,7 @@
 		}
 	}
 	for incarnation, row := range m.servers {
-		if !row.listed && len(row.granted) == 0 {
+		if !row.listed && len(row.granted) == 0 && !holders[incarnation] {
 			delete(m.servers, incarnation)
 		}
 	}
