--- a/gateway/keys/restart_test.go
+++ b/gateway/keys/restart_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/model"
 )
 
 // restart ends a server's process and starts another one at its address, with an ID.
@@ -56,6 +57,30 @@
 	}
 })
 
+var _ = Describe("A record of another writer with a later start at a server's address", func() {
+	for seed := range uint64(20) {
+		It(fmt.Sprintf("seed %d: gives no key two holders and leaves none without an owner", seed), func() {
+			sim, _ := startSimulation(seed, 4)
+			sim.lateArrivalShare = 0.1
+			address := "i-1:1"
+			for born := range int64(3) {
+				id := fmt.Sprintf("x-%d", born)
+				if sim.random.IntN(2) == 0 {
+					id = "i-1"
+				}
+				forged := model.Server{ID: id, Service: "s", Address: address, Zone: "z", Slots: 6, Born: 5000 + born}
+				sim.forged = append(sim.forged, forged)
+				sim.run(time.Duration(sim.random.IntN(4000)) * time.Millisecond)
+			}
+			sim.forged = nil
+			sim.lateArrivalShare = 0
+			sim.run(12 * time.Second)
+			Expect(sim.violations).To(BeEmpty())
+			Expect(sim.unowned()).To(BeZero())
+		})
+	}
+})
+
 var _ = Describe("A server that is back at its address within a second", func() {
 	const (
 		servers  = 4
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -46,6 +46,8 @@
 	asking      map[*keys.Machine]bool
 	// cutUntil is until when the servers at an address can't reach the store.
 	cutUntil map[string]time.Duration
+	// forged are records of other writers.
+	forged []model.Server
 	// connections are the open connections to servers. One leads to its server only.
 	connections    map[port.Connection]*fakeServer
 	nextConnection port.Connection
@@ -188,6 +190,7 @@
 			listed = append(listed, s.Server)
 		}
 	}
+	listed = append(listed, sim.forged...)
 	sort.Slice(listed, func(i, j int) bool { return listed[i].ID < listed[j].ID })
 	for _, m := range sim.leaders {
 		m.StepServers(sim.now, listed, true)
