gateway/framing, traffic/upstream: fewer steps for each field

Cause: following the heads took 465 ns for a request, and the check of a status line by a regular expression about 1 us for an answer, in a profile.

Change: fields whose first letter is that of no field of interest are skipped, the status line is checked by hand, and Host is compared without a copy.

--- a/gateway/framing/head.go
+++ b/gateway/framing/head.go
@@ -5,6 +5,9 @@
 	"strconv"
 )
 
+// toLower is the bit that makes a letter a small one.
+const toLower = 0x20
+
 // versionSuffix ends a request line of HTTP/1.1.
 const versionSuffix = " HTTP/1.1"
 
@@ -16,7 +19,8 @@
 	absolute  bool
 	authority string
 	hasHost   bool
-	host      string
+	// otherHost is set if Host differs from authority.
+	otherHost bool
 	hasLength bool
 	length    uint64
 	hasCoding bool
@@ -50,6 +54,9 @@
 	if line[0] == ' ' || line[0] == '\t' {
 		return false // A folded field.
 	}
+	if first := line[0] | toLower; first != 'h' && first != 'c' && first != 't' {
+		return true
+	}
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	switch len(name) {
 	case len("Host"):
@@ -74,7 +81,8 @@
 	if h.hasHost || bytes.IndexByte(value, '%') >= 0 {
 		return false // net/http removes the zone of an address.
 	}
-	h.hasHost, h.host = true, string(value)
+	h.hasHost = true
+	h.otherHost = string(value) != h.authority
 	return true
 }
 
@@ -107,7 +115,7 @@
 	if h.hasCoding && (h.hasLength || h.old) {
 		return false
 	}
-	return !h.absolute || !h.hasHost || h.host == h.authority
+	return !h.absolute || !h.hasHost || !h.otherHost
 }
 
 // trim removes the optional whitespace around a field's value.
--- a/traffic/upstream/head.go
+++ b/traffic/upstream/head.go
@@ -3,19 +3,21 @@
 import (
 	"bytes"
 	"errors"
-	"regexp"
 )
 
 // errAmbiguousHeaders reports response headers whose fields or end parsers read
 // differently. net/http accepts some of them.
 var errAmbiguousHeaders = errors.New("ambiguous response headers")
 
-// statusLine is the beginning of a status line (RFC 9112, section 4).
-var statusLine = regexp.MustCompile(`^HTTP/1\.[01] [1-9][0-9]{2}( |$)`)
-
 const (
+	// versionBeginning and a digit are the version of a status line.
+	versionBeginning = "HTTP/1."
+	// statusBytes is the length of a status code.
+	statusBytes = 3
 	// versionBytes is the length of a status line's version with the space after it.
 	versionBytes = len("HTTP/1.1 ")
+	// toLower is the bit that makes a letter a small one.
+	toLower = 0x20
 	// longLineBytes is the length of a line whose memory is not kept for the next one.
 	longLineBytes = 4 << 10
 )
@@ -86,7 +88,7 @@
 
 // readStatus reads a status line.
 func (s *headScanner) readStatus(line []byte) bool {
-	if !statusLine.Match(line) {
+	if !isStatusLine(line) {
 		return false
 	}
 	*s = headScanner{
@@ -97,6 +99,29 @@
 	return true
 }
 
+// isStatusLine reports whether a line begins as a status line (RFC 9112, section 4).
+func isStatusLine(line []byte) bool {
+	if len(line) < versionBytes+statusBytes || !bytes.HasPrefix(line, []byte(versionBeginning)) {
+		return false
+	}
+	minor, space, status := line[len(versionBeginning)], line[versionBytes-1], line[versionBytes:versionBytes+statusBytes]
+	if minor != '0' && minor != '1' || space != ' ' || status[0] == '0' || !isNumber(status) {
+		return false
+	}
+	rest := line[versionBytes+statusBytes:]
+	return len(rest) == 0 || rest[0] == ' '
+}
+
+// isNumber reports whether the text has digits only.
+func isNumber(text []byte) bool {
+	for _, digit := range text {
+		if digit < '0' || digit > '9' {
+			return false
+		}
+	}
+	return true
+}
+
 // endHeaders ends the headers; others follow those of an informational response.
 func (s *headScanner) endHeaders() bool {
 	s.begun = false
@@ -109,6 +134,9 @@
 	if line[0] == ' ' || line[0] == '\t' {
 		return false // A folded field.
 	}
+	if first := line[0] | toLower; first != 'c' && first != 't' {
+		return true
+	}
 	name, value, _ := bytes.Cut(line, []byte(":")) // net/http rejects a line without a colon.
 	switch len(name) {
 	case len("Cache-Control"):
@@ -131,10 +159,5 @@
 		return false
 	}
 	s.hasLength = true
-	for _, digit := range value {
-		if digit < '0' || digit > '9' {
-			return false
-		}
-	}
-	return true
+	return isNumber(value)
 }
