keys: the bound of lost grants does not rest on the end of the last leader alone

A page names no leader whose end its writer knew, although grants of that one may still arrive for 2.7 s. A later leader of the era that learned at once that the writer had ended (a later process answers at its address) counted the lost grants as arrived from then on, before it could know: a grant that is still on its way would have made a second holder.

The record now says whether all leaders that may have sent lost grants have stopped. Then what the writer knew, noted by the VM, is the only bound for later leaders; else the own one holds with the time in which a call may arrive. The leader that made the record knows more and counts by itself.

--- a/gateway/keys/lost_grants.go
+++ b/gateway/keys/lost_grants.go
@@ -12,6 +12,8 @@
 	// ArriveWithin bounds how long after the writing of the page they arrive, in
 	// milliseconds.
 	ArriveWithin int64 `json:"arrive_within"`
+	// Ended says that all leaders that may have sent them have stopped.
+	Ended bool `json:"ended,omitempty"`
 }
 
 // sameRecord says whether two pages describe the same grants.
@@ -47,11 +49,20 @@
 	for _, row := range m.servers {
 		arrival = max(arrival, m.adjustArrival(row, m.predecessorBound()))
 	}
-	if m.settlement != settled || m.lostGrants == (LostGrantsBound{}) || !m.lostGrants.grants.sameRecord(m.page.LostGrants) {
+	if m.recordsLostGrants || m.settlement != settled || !m.knowsLostGrants() {
 		return arrival
 	}
 	// The writer of the page may not have known that a zone was impaired.
-	return min(arrival, m.lostGrants.arrival+impairedTransitTime-transitTime)
+	noted := m.lostGrants.arrival + impairedTransitTime - transitTime
+	if m.lostGrants.grants.Ended {
+		return noted // The page does not name the leaders that have stopped.
+	}
+	return min(max(arrival, m.leadingSince+MaxCallDelay), noted)
+}
+
+// knowsLostGrants reports whether the VM has seen the record of lost grants in the page.
+func (m *Machine) knowsLostGrants() bool {
+	return m.lostGrants != LostGrantsBound{} && m.lostGrants.grants.sameRecord(m.page.LostGrants)
 }
 
 // describeLostGrants tells later leaders how long they have to wait for lost grants.
@@ -65,4 +76,5 @@
 	}
 	within := max(0, b.lostGrantsArrival()-b.now)
 	b.page.LostGrants.ArriveWithin = within.Milliseconds() + 1
+	b.page.LostGrants.Ended = b.page.LostGrants.Ended || len(b.predecessors.active) == 0
 }
--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -64,6 +64,7 @@
 	settlement        settlement
 	predecessors      predecessors
 	lostGrants        LostGrantsBound
+	recordsLostGrants bool // This leader has recorded the lost grants in its term.
 	pageKnown         bool
 	page              *Page
 	version           kvstore.Version
@@ -128,6 +129,7 @@
 	}
 	m.leading, m.leadingSince = true, now
 	m.era, m.consulting, m.consulted, m.settlement = era, false, false, settled
+	m.recordsLostGrants = false
 	m.longTTLFrom = 0
 	m.renewOnly, m.adopted = false, false
 	m.predecessors = predecessors{ended: make(map[string]bool)}
--- a/gateway/keys/restoration.go
+++ b/gateway/keys/restoration.go
@@ -93,7 +93,7 @@
 	for _, leader := range c.Predecessors {
 		m.predecessors.add(leader)
 	}
-	m.settlement = unsettled
+	m.settlement, m.recordsLostGrants = unsettled, true
 	if m.page == nil || c.Page == nil && m.page.Writer != m.options.Self {
 		m.settlement = unsettledWithLongestTTL
 	}
--- a/gateway/keys/simulation_restore_test.go
+++ b/gateway/keys/simulation_restore_test.go
@@ -231,6 +231,28 @@
 		Expect(m.KnowsNewestPage()).To(BeTrue())
 	})
 
+	It("does not have a later leader count from the end of the one before, which knew earlier ones", func() {
+		m := keys.NewMachine(keys.Options{Service: "s", Self: keys.Leader{VM: "b", Incarnation: "b"}, GrantTTL: grantTTL, MaxGrantTTL: 2 * grantTTL, PredecessorTimeout: predecessorTimeout})
+		servers := []model.Server{{ID: "i-0", Born: 1000, Service: "s", Address: "i-0:1", Slots: 4}}
+		owner := keys.Holder{Incarnation: servers[0].Incarnation(), Address: "i-0:1", Fence: 3}
+		page := &keys.Page{Stamp: keys.Stamp{Era: 2, Number: 9}, Fence: 3, Writer: keys.Leader{VM: "a", Incarnation: "a"},
+			LostGrants: keys.LostGrants{Recorder: "a", WriteID: 1, ArriveWithin: 2000, Ended: true},
+			Ranges:     []keys.Range{{To: model.Keys - 1, Owner: owner, Prior: []keys.Holder{{}}}}}
+		m.Lead(0, 2)
+		m.StepServers(0, servers, true)
+		m.StepRead(0, page, kvstore.Position{Era: 2, Version: 1})
+		m.PredecessorEnded("a", 0)
+		for now := time.Duration(0); now < 2*time.Second+grantTTL; now += tickInterval {
+			m.StepServers(now, servers, true)
+			m.Tick(now)
+			ready := m.Ready()
+			Expect(ready.Grants).To(BeEmpty(), "%v: the grants by lost pages may be valid", now)
+			if ready.Write != nil {
+				m.StepWritten(now, ready.Write.Page.WriteID, kvstore.Position{Era: 2, Version: kvstore.Version(now) + 2}, nil)
+			}
+		}
+	})
+
 	It("does not take a page without ranges for the end of the grants by lost pages", func() {
 		m := keys.NewMachine(keys.Options{Service: "s", Self: keys.Leader{VM: "a", Incarnation: "a"}, GrantTTL: grantTTL, MaxGrantTTL: 2 * grantTTL, PredecessorTimeout: predecessorTimeout})
 		servers := []model.Server{{ID: "i-0", Born: 1000, Service: "s", Address: "i-0:1", Slots: 4}}
