gateway: daemons say in their reports whether they followed an earlier leader

The time from which a daemon reports to no earlier leader came with its answer to the announcement, which a leader that has just started sends to few daemons; and it counted only if it was known when two thirds had reported.

The report says it now, about the very process that sends it, and the bound of outvoted leaders may become earlier with further reports. It is kept apart from that of leaders whose end was proven, which only grows.

TestMajorityCountsNewcomersThatReportLater fails if the bound stays.

--- a/gateway/keys/predecessors.go
+++ b/gateway/keys/predecessors.go
@@ -14,6 +14,9 @@
 	ended map[string]bool
 	// endedBy is the latest arrival of any grant of those that have stopped.
 	endedBy time.Duration
+	// outvotedBy is the same for those that have lost their majority. Further reports may
+	// show that this was earlier.
+	outvotedBy time.Duration
 }
 
 // add records a leader that may still send grants, unless it has stopped.
@@ -51,6 +54,19 @@
 	}
 }
 
+// PredecessorsOutvoted records that all earlier leaders have lost their majority, so that
+// all their grants arrived by the given time. A later call may name an earlier time.
+func (m *Machine) PredecessorsOutvoted(by time.Duration) {
+	p := &m.predecessors
+	switch {
+	case len(p.active) > 0:
+		m.PredecessorsEnded(0)
+		p.outvotedBy = max(p.outvotedBy, by)
+	case p.outvotedBy > 0:
+		p.outvotedBy = min(p.outvotedBy, by)
+	}
+}
+
 // addPredecessors records the leaders that a page names: its writer, and the
 // predecessors that the writer did not know to have stopped.
 func (m *Machine) addPredecessors(page *Page) {
@@ -78,7 +94,7 @@
 	if len(m.predecessors.active) > 0 {
 		return m.leadingSince + m.options.PredecessorTimeout
 	}
-	return m.predecessors.endedBy
+	return max(m.predecessors.endedBy, m.predecessors.outvotedBy)
 }
 
 // ownCallsEnd returns the latest time at which a grant that this machine has sent until now
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -42,6 +42,8 @@
 	Incarnation string `json:"incarnation"`
 	// UptimeMS is the time since the sender started, in milliseconds.
 	UptimeMS int64 `json:"uptime_ms,omitempty"`
+	// FirstLeader says that the process has followed no leader before Leader.
+	FirstLeader bool `json:"first_leader,omitempty"`
 	// Leader is the leadership that the report is meant for. A leader of another term
 	// does not count it: its sender would go on following an earlier one.
 	Leader Leadership `json:"leader"`
@@ -262,10 +264,6 @@
 	Members     []string `json:"members,omitempty"`
 	// FormerMemberCount is the number of daemons that FormerLeader named to the sender.
 	FormerMemberCount int `json:"former_member_count,omitempty"`
-	// UptimeMS is how long the sender has run, and FirstLeader says that it has followed no
-	// leader before the announced one.
-	UptimeMS    int64 `json:"uptime_ms,omitempty"`
-	FirstLeader bool  `json:"first_leader,omitempty"`
 }
 
 // SpreadResponse acknowledges a SpreadRequest.
--- a/gateway/run/consultation.go
+++ b/gateway/run/consultation.go
@@ -27,39 +27,29 @@
 // later leader than the one that has confirmed that it stopped, and that one wrote the
 // newest pages, these are the last by which keys were granted.
 type consultation struct {
-	term      kvstore.Position
-	deadline  time.Duration
-	asked     map[string]bool     // By address; true until the daemon responds or fails to.
-	newcomers map[string]newcomer // By address.
-	informed  int                 // Daemons, this one included, that know a leader of an earlier era.
-	members   int                 // The largest number of daemons that any of them knows.
-	fleet     int                 // The largest number of daemons that a leader of an earlier era named to any of them.
-	last      peer.Leadership     // The last leader of an earlier era.
+	term     kvstore.Position
+	deadline time.Duration
+	asked    map[string]bool // By address; true until the daemon responds or fails to.
+	informed int             // Daemons, this one included, that know a leader of an earlier era.
+	members  int             // The largest number of daemons that any of them knows.
+	fleet    int             // The largest number of daemons that a leader of an earlier era named to any of them.
+	last     peer.Leadership // The last leader of an earlier era.
 	// lastYielded says that it has stopped and sent its pages.
 	lastYielded bool
 	waiting     map[string]bool // The services whose machines wait for the result.
 }
 
-// newcomer is a daemon that has followed no leader before this one.
-type newcomer struct {
-	startedAt, answeredAt time.Duration
-}
-
 // startConsultation announces the leadership to all known daemons, because some of them
 // may not learn it from the store, and asks what they know.
 func (l *loop) startConsultation(now time.Duration) {
 	c := &consultation{
-		term:      l.term,
-		deadline:  now + consultationTimeout,
-		asked:     make(map[string]bool),
-		newcomers: make(map[string]newcomer),
-		members:   len(l.knownPeers),
-		waiting:   make(map[string]bool),
+		term:     l.term,
+		deadline: now + consultationTimeout,
+		asked:    make(map[string]bool),
+		members:  len(l.knownPeers),
+		waiting:  make(map[string]bool),
 	}
 	l.consultation = c
-	if !l.followedAnother {
-		c.newcomers[l.self.Address] = newcomer{l.startedAt, now}
-	}
 	c.note(l.leaderBefore(l.term.Era), l.fleetBefore(l.term.Era))
 	l.announceLeadership(append(slices.Clone(l.knownPeers), l.settings.Seeds...))
 	l.askLastLeader()
@@ -113,8 +103,6 @@
 		MemberCount:  len(l.knownPeers),
 
 		FormerMemberCount: l.fleetBefore(a.request.Term.Era),
-		UptimeMS:          (l.clock() - l.startedAt).Milliseconds(),
-		FirstLeader:       l.knownLeader == a.request.Leadership && !l.followedAnother,
 	}
 	if len(l.knownPeers) > a.request.MemberCount {
 		response.Members = l.knownPeers
@@ -133,9 +121,6 @@
 		return
 	}
 	c.note(f.response.FormerLeader, f.response.FormerMemberCount)
-	if now := l.clock(); f.response.FirstLeader {
-		c.newcomers[f.address] = newcomer{now - time.Duration(f.response.UptimeMS)*time.Millisecond, now}
-	}
 	c.members = max(c.members, f.response.MemberCount)
 	l.applyPages(f.response.Pages)
 	l.announceLeadership(f.response.Members)
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -87,7 +87,7 @@
 	var left []time.Duration
 	for _, m := range l.members {
 		if m.reportedAt >= l.leadingSince {
-			left = append(left, l.leftAt(m))
+			left = append(left, m.leftAt)
 		}
 	}
 	fleet := l.fleetAtElection()
@@ -97,14 +97,14 @@
 	}
 	slices.Sort(left)
 	for service, machine := range l.machines {
+		stopped := now + majorityWindow
+		if l.leadsLast(service, now) {
+			stopped = max(left[needed-1]+majorityWindow, l.leadingSince+contactTimeout)
+		}
 		if len(machine.Predecessors()) > 0 {
-			stopped := now + majorityWindow
-			if l.leadsLast(service, now) {
-				stopped = max(left[needed-1]+majorityWindow, l.leadingSince+contactTimeout)
-			}
-			machine.PredecessorsEnded(stopped + keys.MaxCallDelay)
 			l.log.Event(event.PredecessorStopped, "more than two thirds of the daemons report to this leader", zap.String("service", service), zap.Int("reported", len(left)))
 		}
+		machine.PredecessorsOutvoted(stopped + keys.MaxCallDelay)
 	}
 }
 
@@ -114,18 +114,6 @@
 	return now <= l.leaseEnd && l.term.Era == l.era && (page == nil || page.page.Era <= l.term.Era)
 }
 
-// leftAt returns a time from which on a member has not reported to an earlier leader.
-func (l *loop) leftAt(m member) time.Duration {
-	if l.consultation == nil {
-		return m.joinedAt
-	}
-	n, found := l.consultation.newcomers[m.address]
-	if !found || m.startedAt > n.answeredAt {
-		return m.joinedAt // Its process has followed another leader, or started later.
-	}
-	return min(m.joinedAt, n.startedAt)
-}
-
 // fleetAtElection returns the number of daemons that were known at the election, or zero.
 func (l *loop) fleetAtElection() int {
 	if l.consultation == nil {
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -172,7 +172,7 @@
 type member struct {
 	address    string
 	reportedAt time.Duration
-	joinedAt   time.Duration // When its first report to this leader arrived.
+	leftAt     time.Duration // From then on it has not reported to an earlier leader.
 	startedAt  time.Duration // Of its process.
 	// transit is how long the newest report may have been on its way.
 	transit  time.Duration
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -142,6 +142,7 @@
 		VM:           l.self.VM,
 		Incarnation:  l.self.Incarnation,
 		UptimeMS:     (l.clock() - l.startedAt).Milliseconds(),
+		FirstLeader:  !l.followedAnother,
 		Address:      l.self.Address,
 		Zone:         l.settings.Zone,
 		Capacity:     l.settings.Capacity(),
@@ -198,17 +199,27 @@
 	arrivedAt time.Duration
 }
 
+// leftAt returns a time from which on the sender of a report, which has arrived now, has not
+// reported to an earlier leader.
+func (l *loop) leftAt(report *peer.Report, now time.Duration) time.Duration {
+	started := now - time.Duration(report.UptimeMS)*time.Millisecond
+	if report.FirstLeader {
+		return started
+	}
+	if known, found := l.members[report.VM]; found && known.reportedAt >= l.leadingSince && started <= known.reportedAt {
+		return known.leftAt
+	}
+	return now
+}
+
 // applyReport processes a daemon's report on the leader.
 func (l *loop) applyReport(report *peer.Report) {
 	now := l.clock()
-	joined := now
-	if known, found := l.members[report.VM]; found && known.reportedAt >= l.leadingSince {
-		joined = known.joinedAt
-	}
+	left := l.leftAt(report, now)
 	l.members[report.VM] = member{
 		address:    report.Address,
 		reportedAt: now,
-		joinedAt:   joined,
+		leftAt:     left,
 		startedAt:  now - time.Duration(report.UptimeMS)*time.Millisecond,
 		transit:    now - l.sentAfter(report),
 		zone:       report.Zone,
--- a/gateway/run/succession_test.go
+++ b/gateway/run/succession_test.go
@@ -316,8 +316,7 @@
 	machine.StepRead(*now, page(keys.Stamp{Era: 1, Number: 9}), kvstore.Position{Era: 2, Version: 30})
 	*now += 200 * time.Millisecond
 	for _, vm := range l.knownPeers {
-		followDone{address: vm, term: l.term, response: &peer.FollowResponse{FirstLeader: true, UptimeMS: 5200}}.apply(l)
-		l.applyReport(&peer.Report{VM: vm, Address: vm, UptimeMS: 5200})
+		l.applyReport(&peer.Report{VM: vm, Address: vm, UptimeMS: 5200, FirstLeader: true})
 	}
 	machine.StepConsulted(*now, keys.Consultation{Predecessors: []keys.Leader{unknownLeader}})
 	return l, machine
@@ -361,28 +360,37 @@
 	g.Expect(unknownHolderEndsAfter(l, machine, &now)).To(BeNumerically(">", wait))
 }
 
+func TestMajorityCountsNewcomersThatReportLater(t *testing.T) {
+	g := NewWithT(t)
+	var now time.Duration
+	l, machine := newLeaderAmongNewcomers(t, &now)
+	l.applyReport(&peer.Report{VM: "c", Address: "c", UptimeMS: 100})
+	l.endPredecessorsByMajority(now)
+	now += 300 * time.Millisecond
+	l.applyReport(&peer.Report{VM: "d", Address: "d", UptimeMS: 5500, FirstLeader: true})
+	l.endPredecessorsByMajority(now)
+	wait := contactTimeout + keys.MaxCallDelay + time.Second
+	g.Expect(unknownHolderEndsAfter(l, machine, &now)).To(BeNumerically("<", wait+300*time.Millisecond))
+}
+
 func TestMajorityDoesNotCountARestartedProcessFromTheStartOfTheOneBefore(t *testing.T) {
 	g := NewWithT(t)
 	var now time.Duration
 	l, _ := newLeaderAmongNewcomers(t, &now)
-	g.Expect(l.leftAt(l.members["a"])).To(Equal(95 * time.Second))
+	g.Expect(l.members["a"].leftAt).To(Equal(95 * time.Second))
+	now += time.Second
+	l.applyReport(&peer.Report{VM: "a", Address: "a", UptimeMS: 6200})
+	g.Expect(l.members["a"].leftAt).To(Equal(95*time.Second), "the same process")
 	now += time.Second
-	l.members = make(map[string]member)
 	l.applyReport(&peer.Report{VM: "a", Address: "a", UptimeMS: 500})
-	g.Expect(l.leftAt(l.members["a"])).To(Equal(now))
+	g.Expect(l.members["a"].leftAt).To(Equal(now), "it may have followed an earlier leader")
 }
 
 func TestDaemonThatFollowedAnotherLeaderIsNoNewcomer(t *testing.T) {
 	g := NewWithT(t)
 	l := newRestorationLoop(t)
-	next := peer.Leadership{Leader: keys.Leader{VM: "next", Incarnation: "next"}, Term: kvstore.Position{Era: 2, Version: 60}}
-	ask := func(leadership peer.Leadership) bool {
-		reply := make(chan peer.FollowResponse, 1)
-		leaderAnnounced{&peer.FollowRequest{Leadership: leadership}, reply}.apply(l)
-		return (<-reply).FirstLeader
-	}
-	g.Expect(ask(next)).To(BeTrue())
-	later := peer.Leadership{Leader: keys.Leader{VM: "later", Incarnation: "later"}, Term: kvstore.Position{Era: 2, Version: 70}}
-	g.Expect(ask(later)).To(BeFalse())
-	g.Expect(ask(next)).To(BeFalse(), "a later leader is known")
+	l.followLeader(peer.Leadership{Leader: keys.Leader{VM: "next", Incarnation: "next"}, Term: kvstore.Position{Era: 2, Version: 60}})
+	g.Expect(l.newStatus().FirstLeader).To(BeTrue())
+	l.followLeader(peer.Leadership{Leader: keys.Leader{VM: "later", Incarnation: "later"}, Term: kvstore.Position{Era: 2, Version: 70}})
+	g.Expect(l.newStatus().FirstLeader).To(BeFalse())
 }
