gateway/run: a member's process is told from a later one by its incarnation

The time from which a member reports to no earlier leader was kept for its process, which was told from a later one by its start. That is reckoned from the arrival of a report: a report that was long on its way made a later process look like the same one.

--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -171,6 +171,7 @@
 // member is a daemon that reports to this leader.
 type member struct {
 	address    string
+	process    string // Its incarnation.
 	reportedAt time.Duration
 	leftAt     time.Duration // From then on it has not reported to an earlier leader.
 	startedAt  time.Duration // Of its process.
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -202,11 +202,10 @@
 // leftAt returns a time from which on the sender of a report, which has arrived now, has not
 // reported to an earlier leader.
 func (l *loop) leftAt(report *peer.Report, now time.Duration) time.Duration {
-	started := now - time.Duration(report.UptimeMS)*time.Millisecond
 	if report.FirstLeader {
-		return started
+		return now - time.Duration(report.UptimeMS)*time.Millisecond
 	}
-	if known, found := l.members[report.VM]; found && known.reportedAt >= l.leadingSince && started <= known.reportedAt {
+	if known, found := l.members[report.VM]; found && known.reportedAt >= l.leadingSince && known.process == report.Incarnation {
 		return known.leftAt
 	}
 	return now
@@ -218,6 +217,7 @@
 	left := l.leftAt(report, now)
 	l.members[report.VM] = member{
 		address:    report.Address,
+		process:    report.Incarnation,
 		reportedAt: now,
 		leftAt:     left,
 		startedAt:  now - time.Duration(report.UptimeMS)*time.Millisecond,
--- a/gateway/run/succession_test.go
+++ b/gateway/run/succession_test.go
@@ -364,7 +364,7 @@
 	g := NewWithT(t)
 	var now time.Duration
 	l, machine := newLeaderAmongNewcomers(t, &now)
-	l.applyReport(&peer.Report{VM: "c", Address: "c", UptimeMS: 100})
+	l.applyReport(&peer.Report{VM: "c", Incarnation: "survivor", Address: "c", UptimeMS: 60000})
 	l.endPredecessorsByMajority(now)
 	now += 300 * time.Millisecond
 	l.applyReport(&peer.Report{VM: "d", Address: "d", UptimeMS: 5500, FirstLeader: true})
@@ -382,7 +382,7 @@
 	l.applyReport(&peer.Report{VM: "a", Address: "a", UptimeMS: 6200})
 	g.Expect(l.members["a"].leftAt).To(Equal(95*time.Second), "the same process")
 	now += time.Second
-	l.applyReport(&peer.Report{VM: "a", Address: "a", UptimeMS: 500})
+	l.applyReport(&peer.Report{VM: "a", Incarnation: "later", Address: "a", UptimeMS: 500})
 	g.Expect(l.members["a"].leftAt).To(Equal(now), "it may have followed an earlier leader")
 }
 
