--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -171,8 +171,9 @@
 // member is a daemon that reports to this leader.
 type member struct {
 	address    string
+	process    string // Its incarnation.
 	reportedAt time.Duration
-	joinedAt   time.Duration // When its first report to this leader arrived.
+	leftAt     time.Duration // From then on it has not reported to an earlier leader.
 	startedAt  time.Duration // Of its process.
 	// transit is how long the newest report may have been on its way.
 	transit  time.Duration
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -144,6 +144,7 @@
 		VM:           l.self.VM,
 		Incarnation:  l.self.Incarnation,
 		UptimeMS:     (l.clock() - l.startedAt).Milliseconds(),
+		FirstLeader:  !l.followedAnother,
 		Address:      l.self.Address,
 		Zone:         l.settings.Zone,
 		Capacity:     l.settings.Capacity(),
@@ -200,17 +201,27 @@
 	arrivedAt time.Duration
 }
 
+// leftAt returns a time from which on the sender of a report, which has arrived now, has not
+// reported to an earlier leader.
+func (l *loop) leftAt(report *peer.Report, now time.Duration) time.Duration {
+	if report.FirstLeader {
+		return now - time.Duration(report.UptimeMS)*time.Millisecond
+	}
+	if known, found := l.members[report.VM]; found && known.reportedAt >= l.leadingSince && known.process == report.Incarnation {
+		return known.leftAt
+	}
+	return now
+}
+
 // applyReport processes a daemon's report on the leader.
 func (l *loop) applyReport(report *peer.Report) {
 	now := l.clock()
-	joined := now
-	if known, found := l.members[report.VM]; found && known.reportedAt >= l.leadingSince {
-		joined = known.joinedAt
-	}
+	left := l.leftAt(report, now)
 	l.members[report.VM] = member{
 		address:    report.Address,
+		process:    report.Incarnation,
 		reportedAt: now,
-		joinedAt:   joined,
+		leftAt:     left,
 		startedAt:  now - time.Duration(report.UptimeMS)*time.Millisecond,
 		transit:    now - l.sentAfter(report),
 		zone:       report.Zone,
