--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -61,7 +61,6 @@
 	rows            map[model.Incarnation]*serverRow
 	departures      departures
 	availability    *availability.Table
-	marks           int                // Number of rows that were marked as draining by reports.
 	restored        bool               // The store was restored since the last read.
 	trust           upstream.IdleLimit // Safe for all goroutines.
 }
