gateway/keys: a release that comes late is followed by the owner's grant

Cause: the release is meant for an earlier ownership, and a release is never refused. Change: when it has ended, the grants of these keys to the same server are repeated at once.

--- a/gateway/keys/simulation_calls_test.go
+++ b/gateway/keys/simulation_calls_test.go
@@ -222,7 +222,11 @@
 		sim.after(2*sim.networkDelay(), func() { m.StepReleased(sim.now, call, keys.HolderEnded, "") })
 		return
 	}
-	sim.after(sim.networkDelay(), func() {
+	delay := sim.networkDelay()
+	if sim.heldUpReleases {
+		delay += heldUpTime
+	}
+	sim.after(delay, func() {
 		for _, h := range server.heldRanges {
 			if h.from <= call.To && call.From <= h.to && h.fence > call.Fence && h.until > sim.now {
 				sim.lowReleases = append(sim.lowReleases, fmt.Sprintf("%v: release of %d to %d with fence %d, held with %d", sim.now, call.From, call.To, call.Fence, h.fence))
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -78,6 +78,8 @@
 	onLostWrite func(write keys.PageWrite)
 	// lostWriteShare is the share of writes that are applied and not answered.
 	lostWriteShare float64
+	// heldUpReleases reports that releases reach their servers heldUpTime late.
+	heldUpReleases bool
 	// onGrant, if set, is called for each grant that is sent.
 	onGrant func(call keys.GrantCall)
 	// known is the newest page that the VMs know.
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -319,6 +319,7 @@
 	key := holderKey{call.From, call.To, call.Incarnation, call.Fence}
 	row := m.row(call.Incarnation)
 	delete(m.releasing, key)
+	m.repeatGrants(call)
 	switch outcome {
 	case ReleaseUnanswered:
 		m.retryReleaseAt[key] = now + retryDelay
@@ -338,6 +339,24 @@
 	}
 }
 
+// repeatGrants repeats the grants of keys that were released by a server which owns them
+// again: the release may have been held up and have come after these grants.
+func (m *Machine) repeatGrants(call ReleaseCall) {
+	if m.page == nil {
+		return
+	}
+	for _, r := range m.page.Ranges {
+		if r.To < call.From || call.To < r.From || r.Owner.ID != call.Server || r.Owner.Address != call.Address {
+			continue
+		}
+		row := m.row(r.Owner.Incarnation)
+		if grant, granted := row.granted[r.From]; granted {
+			grant.due = m.now
+			row.granted[r.From] = grant
+		}
+	}
+}
+
 // StepRequests takes the keys of recent requests.
 func (m *Machine) StepRequests(now time.Duration, requested []uint16) {
 	m.rates.add(now, requested)
