platform: responses of the store are counted while they are read

Change: kind "store_responses": the body in chunks while it is read, and three times its length more before it is decoded. A response without room fails its call (unavailable) as one that is too long does. The share is that of peer_messages; callers can't take it. The account is made before the gateway (run.Options.Memory), so that the store's client counts on the same one. One of 8 MB has room at 284 MB.

--- a/cmd/guavacrankd/gateway.go
+++ b/cmd/guavacrankd/gateway.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"syscall"
 
+	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/model"
 	gateway "guavacrank.example/gateway/run"
 	"guavacrank.example/gateway/settings"
@@ -28,12 +29,14 @@
 	defer stop()
 	reload := make(chan *model.Settings)
 	go reloadOnSignal(ctx, settingsFile, changes, reload)
+	account := memory.NewAccount(read.MemoryBytes)
 	return gateway.Run(ctx, gateway.Options{
 		Settings:    read,
-		Store:       platform.NewStoreClient(read.StoreAddress),
+		Store:       platform.NewStoreClient(read.StoreAddress, account),
 		Records:     platform.Records{},
 		HeaderCodec: platform.HeaderCodec{},
 		Grantor:     platform.NewGrantor(),
+		Memory:      account,
 		Output:      os.Stdout,
 	}, reload)
 }
--- a/gateway/dispatch/deliver_test.go
+++ b/gateway/dispatch/deliver_test.go
@@ -11,7 +11,7 @@
 
 func TestTheResponseOfALaterHedgedAttemptGivesItsMemoryBack(t *testing.T) {
 	g := NewWithT(t)
-	account := memory.NewAccount(64<<20, nil)
+	account := memory.NewAccount(64 << 20)
 	body, err := memory.ReadBody(account.Hold(memory.Responses), strings.NewReader("late"), 4, 4)
 	g.Expect(err).NotTo(HaveOccurred())
 	over := make(chan struct{})
--- a/gateway/dispatch/memory_test.go
+++ b/gateway/dispatch/memory_test.go
@@ -17,7 +17,7 @@
 // newFixtureWithMemory returns a fixture whose dispatcher counts memory.
 func newFixtureWithMemory(t *testing.T) (*fixture, *memory.Account) {
 	f := newFixture(t, true)
-	account := memory.NewAccount(64<<20, nil)
+	account := memory.NewAccount(64 << 20)
 	f.budget.SetVMs(1)
 	f.dispatcher = dispatch.New(dispatch.Options{HeaderCodec: testCodec{}, Budget: f.budget, Views: f.views, Clock: f.clock, Memory: account})
 	return f, account
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -43,7 +43,7 @@
 	return New(Options{
 		HeaderCodec: fixedCodec{head: port.RequestHead{ID: "r", TimeLeft: timeLeft}},
 		Dispatcher:  dispatch.New(dispatch.Options{Clock: elapsed.Now}),
-		Views:       views, Log: log, Metrics: &metric.Table{}, Clock: elapsed.Now, Memory: memory.NewAccount(testMemory, nil),
+		Views:       views, Log: log, Metrics: &metric.Table{}, Clock: elapsed.Now, Memory: memory.NewAccount(testMemory),
 	}), views
 }
 
--- a/gateway/memory/account.go
+++ b/gateway/memory/account.go
@@ -24,12 +24,14 @@
 	ResponseHeaders
 	// PeerMessages are messages of other VMs.
 	PeerMessages
+	// StoreResponses are responses of the store.
+	StoreResponses
 	kinds
 )
 
 // String returns the name of the kind in metrics.
 func (k Kind) String() string {
-	return [...]string{"request_bodies", "responses", "response_headers", "peer_messages"}[k]
+	return [...]string{"request_bodies", "responses", "response_headers", "peer_messages", "store_responses"}[k]
 }
 
 // internal reports whether bytes are the process's own and not for callers. What callers
@@ -38,7 +40,7 @@
 
 // shareDivisor limits the bytes of each kind to this part of the process's memory limit,
 // beside the room of small holdings.
-var shareDivisor = [kinds]int64{RequestBodies: 4, Responses: 4, ResponseHeaders: 16, PeerMessages: 16}
+var shareDivisor = [kinds]int64{RequestBodies: 4, Responses: 4, ResponseHeaders: 16, PeerMessages: 16, StoreResponses: 16}
 
 const (
 	// totalNumerator and totalDivisor limit all kinds for callers together to 3/8 of the
@@ -53,8 +55,9 @@
 	// in the total, 1/64 of the process's memory limit.
 	smallRoomDivisor = 64
 	// leastInternalShare is the least share of an internal kind. On every VM it fits the
-	// largest message of 8 MB, which takes four times its length.
-	leastInternalShare = 32 << 20
+	// largest message or response of 8 MB, which takes four times its length, and its
+	// last chunk.
+	leastInternalShare = 32<<20 + maxChunkBytes
 )
 
 // NoRoomError reports that the memory for a kind of bytes is used up.
@@ -65,20 +68,24 @@
 // Account counts the bytes of all holdings. It is safe for concurrent use. A nil Account
 // sets no limit.
 type Account struct {
-	limit     int64
-	onRefused func(Kind)
+	limit int64
 
-	mu      sync.Mutex
-	total   int64 // Without internal kinds.
-	held    [kinds]int64
-	peak    [kinds]int64
-	refused [kinds]int64
+	mu        sync.Mutex
+	onRefused func(Kind)
+	total     int64 // Without internal kinds.
+	held      [kinds]int64
+	peak      [kinds]int64
+	refused   [kinds]int64
 }
 
-// NewAccount returns an account for a process with a memory limit in bytes. onRefused, if
-// set, is called after each refusal.
-func NewAccount(limit int64, onRefused func(Kind)) *Account {
-	return &Account{limit: limit, onRefused: onRefused}
+// NewAccount returns an account for a process with a memory limit in bytes.
+func NewAccount(limit int64) *Account { return &Account{limit: limit} }
+
+// OnRefused sets a function that is called after each refusal.
+func (a *Account) OnRefused(call func(Kind)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.onRefused = call
 }
 
 // LongestResponse returns the size limit of one response.
@@ -120,6 +127,16 @@
 	return true
 }
 
+// reportRefused calls the function for refusals, if one is set.
+func (a *Account) reportRefused(kind Kind) {
+	a.mu.Lock()
+	call := a.onRefused
+	a.mu.Unlock()
+	if call != nil {
+		call(kind)
+	}
+}
+
 func (a *Account) release(kind Kind, bytes int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/gateway/memory/holding.go
+++ b/gateway/memory/holding.go
@@ -15,9 +15,7 @@
 		return nil
 	}
 	if !h.account.reserve(h.kind, bytes, h.counted+bytes <= smallBytes) {
-		if h.account.onRefused != nil {
-			h.account.onRefused(h.kind)
-		}
+		h.account.reportRefused(h.kind)
 		return NoRoomError{h.kind}
 	}
 	h.counted += bytes
--- a/gateway/memory/memory_test.go
+++ b/gateway/memory/memory_test.go
@@ -23,7 +23,7 @@
 	maxHeldBytes = processBytes*3/8 + processBytes/64
 )
 
-func newAccount() *memory.Account { return memory.NewAccount(processBytes, nil) }
+func newAccount() *memory.Account { return memory.NewAccount(processBytes) }
 
 func held(a *memory.Account) (sum int64) {
 	for _, usage := range a.Usage() {
@@ -134,7 +134,8 @@
 func TestLargeBodiesLeaveRoomForSmallOnes(t *testing.T) {
 	g := NewWithT(t)
 	var refused []memory.Kind
-	a := memory.NewAccount(processBytes, func(kind memory.Kind) { refused = append(refused, kind) })
+	a := newAccount()
+	a.OnRefused(func(kind memory.Kind) { refused = append(refused, kind) })
 	for _, kind := range []memory.Kind{memory.RequestBodies, memory.Responses, memory.ResponseHeaders} {
 		for a.Hold(kind).Reserve(64<<10) == nil {
 			continue
@@ -188,6 +189,6 @@
 
 func TestTheLongestBodyOfTheUsualLimitHasRoomOnASmallVM(t *testing.T) {
 	g := NewWithT(t)
-	a := memory.NewAccount(284<<20, nil)
+	a := memory.NewAccount(284 << 20)
 	g.Expect(a.Hold(memory.RequestBodies).Reserve(64 << 20)).To(Succeed())
 }
--- a/gateway/peer/memory_test.go
+++ b/gateway/peer/memory_test.go
@@ -36,7 +36,7 @@
 
 func TestMessagesThatAreNeverCompletedTakeBoundedMemoryForABoundedTime(t *testing.T) {
 	g := NewWithT(t)
-	account := memory.NewAccount(processBytes, nil)
+	account := memory.NewAccount(processBytes)
 	server := httptest.NewServer(peer.NewHandler(reports{}, account))
 	defer server.Close()
 	address := server.Listener.Addr().String()
@@ -60,7 +60,7 @@
 
 func TestWhatCallersTakeLeavesTheRoomOfPeersAlone(t *testing.T) {
 	g := NewWithT(t)
-	account := memory.NewAccount(processBytes, nil)
+	account := memory.NewAccount(processBytes)
 	for _, kind := range []memory.Kind{memory.RequestBodies, memory.Responses, memory.ResponseHeaders} {
 		for account.Hold(kind).Reserve(1<<10) == nil {
 			continue
--- a/gateway/run/own_answers_test.go
+++ b/gateway/run/own_answers_test.go
@@ -101,7 +101,7 @@
 	})
 	handler := front.New(front.Options{
 		HeaderCodec: answersCodec{}, Views: views, Log: log, Metrics: &metric.Table{}, Clock: elapsed.Now,
-		Dispatcher: dispatch.New(dispatch.Options{Clock: elapsed.Now, Views: views}), Memory: memory.NewAccount(64<<20, nil),
+		Dispatcher: dispatch.New(dispatch.Options{Clock: elapsed.Now, Views: views}), Memory: memory.NewAccount(64 << 20),
 	})
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = newCallerServer(handler)
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -33,6 +33,9 @@
 	Records     port.Records
 	HeaderCodec port.HeaderCodec
 	Grantor     port.Grantor
+	// Memory counts the bytes that are held for others. Store and Grantor should use the
+	// same account; nil creates one.
+	Memory *memory.Account
 	// Output receives the log.
 	Output io.Writer
 }
@@ -93,7 +96,11 @@
 		confirmation:  &view.Confirmation{},
 		clock:         elapsed.Now,
 	}
-	g.shared.memory = memory.NewAccount(options.Settings.MemoryBytes, newMemoryLog(g.shared).record)
+	g.shared.memory = options.Memory
+	if g.shared.memory == nil {
+		g.shared.memory = memory.NewAccount(options.Settings.MemoryBytes)
+	}
+	g.shared.memory.OnRefused(newMemoryLog(g.shared).record)
 	g.loop = newLoop(ctx, options, g.shared)
 	g.dispatcher = dispatch.New(dispatch.Options{
 		HeaderCodec: options.HeaderCodec,
