--- a/cmd/guavacrankd/gateway.go
+++ b/cmd/guavacrankd/gateway.go
@@ -35,7 +35,7 @@
 		Store:       platform.NewStoreClient(read.StoreAddress, account),
 		Records:     platform.Records{},
 		HeaderCodec: platform.HeaderCodec{},
-		Grantor:     platform.NewGrantor(),
+		Grantor:     platform.NewGrantor(account),
 		Memory:      account,
 		Output:      os.Stdout,
 	}, reload)
