--- a/event/gateway.go
+++ b/event/gateway.go
@@ -79,5 +79,5 @@
 	{StoreRestored, "store-restored", Warn, "The store was restored from an earlier copy and has lost changes, since its era has risen; the fields give the new and the previous era."},
 	{LeaderConsulted, "leader-consulted", Info, "After a restoration of the store, the new leader of the era has asked the other daemons for the newest ownership page of a service; confirmed says that no later page is possible, otherwise keys are granted only after all earlier grants have expired."},
 	{KeysGranted, "keys-granted", Info, "A server accepted a fencing token for some keys for the first time; the fields name the connection, on which alone this token is sent."},
-	{MemoryUsedUp, "memory-used-up", Warn, "The memory for a kind of bytes (request bodies, responses, response headers) is used up: requests are refused, or their attempts fail, until some is released. Logged once in ten seconds; the field refused counts."},
+	{MemoryUsedUp, "memory-used-up", Warn, "The memory for a kind of bytes (request bodies, responses, response headers, messages of other VMs, responses of the store) is used up: requests are refused, or their attempts fail, until some is released. Logged once in ten seconds; the field refused counts."},
 }
