run: the fleet of a leader that had just begun is not taken for all daemons

What could happen (by reading, from the report on restorations without a leader): a leader that has just started ends earlier leaders once more than two thirds of the fleet report to it, as large as the last leader named it. That one may have just begun itself and know few daemons; an even earlier leader could still have a majority and renew grants. Change: a daemon tells the largest fleet that any leader has named to it. Result: TestFleetOfALeaderThatHadJustBegunIsNotTakenForAll fails without it (1 instead of 5), passes now; gateway/run passes. A fleet that has shrunk is waited for as before, 12 s at most.

--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -96,6 +96,7 @@
 	knownLeader       peer.Leadership
 	formerLeader      peer.Leadership           // The last known one of an earlier era than knownLeader.
 	formerMemberCount int                       // The number of knownPeers according to formerLeader.
+	largestFleet      int                       // The largest number of knownPeers so far.
 	followedAnother   bool                      // This process has followed a leader before knownLeader.
 	consultation      *consultation             // Since the own election; nil before.
 	sawRestoration    bool                      // The store was restored while this process ran.
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -79,7 +79,7 @@
 		}
 		l.applyReport(report)
 		l.setVMs(l.countMembers(now))
-		l.knownPeers = l.memberAddresses()
+		l.setKnownPeers(l.memberAddresses())
 		l.chooseStoreFollowers()
 		l.applyAllotments(l.allocator.Allotments(now, l.reportInterval()))
 		return
--- a/gateway/run/responses.go
+++ b/gateway/run/responses.go
@@ -103,7 +103,7 @@
 	l.applyPages(response.Pages)
 	l.applyAllotments(response.Limits)
 	if len(response.Members) > 0 {
-		l.knownPeers = response.Members
+		l.setKnownPeers(response.Members)
 	}
 	if response.Record != nil {
 		l.applyRecord(response.Record)
--- a/gateway/run/restoration.go
+++ b/gateway/run/restoration.go
@@ -61,13 +61,20 @@
 	return peer.Leadership{}
 }
 
-// fleetBefore returns the number of daemons that leaderBefore named to this one.
+// setKnownPeers records the addresses of all daemons according to the leader.
+func (l *loop) setKnownPeers(addresses []string) {
+	l.knownPeers = addresses
+	l.largestFleet = max(l.largestFleet, len(addresses))
+}
+
+// fleetBefore returns the number of daemons of which the leaders until leaderBefore told
+// this one. A leader that has just begun does not know all.
 func (l *loop) fleetBefore(era kvstore.Era) int {
 	if l.knownLeader.Term.Era < era {
-		return len(l.knownPeers)
+		return max(l.largestFleet, len(l.knownPeers))
 	}
 	if l.formerLeader.Term.Era < era {
-		return l.formerMemberCount
+		return max(l.largestFleet, l.formerMemberCount)
 	}
 	return 0
 }
--- a/gateway/run/succession_test.go
+++ b/gateway/run/succession_test.go
@@ -265,6 +265,20 @@
 	g.Expect((<-reply).FormerMemberCount).To(Equal(3), "the new leader does not know the fleet yet")
 }
 
+func TestFleetOfALeaderThatHadJustBegunIsNotTakenForAll(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	l.followLeader(peer.Leadership{Leader: keys.Leader{VM: "first", Incarnation: "first"}, Term: kvstore.Position{Era: 1, Version: 50}})
+	l.setKnownPeers([]string{"a", "b", "c", "d", "e"})
+	l.followLeader(peer.Leadership{Leader: keys.Leader{VM: "last", Incarnation: "last"}, Term: kvstore.Position{Era: 1, Version: 55}})
+	l.setKnownPeers([]string{"last"})
+	next := peer.Leadership{Leader: keys.Leader{VM: "next", Incarnation: "next"}, Term: kvstore.Position{Era: 2, Version: 60}}
+	l.followLeader(next)
+	reply := make(chan peer.FollowResponse, 1)
+	leaderAnnounced{&peer.FollowRequest{Leadership: next}, reply}.apply(l)
+	g.Expect((<-reply).FormerMemberCount).To(Equal(5))
+}
+
 func TestLeaderThatAskedOnlyDaemonsThatHaveJustStartedAwaitsReports(t *testing.T) {
 	g := NewWithT(t)
 	l := newRestorationLoop(t)
