traffic/upstream: a fault in an answer's headers is seen at once

Cause: bufio.Reader.ReadLine forgets an error that comes after a part of a line, so after a fault there the exchange read on and waited for its deadline: 504 where 502 is due.

Change: a fault stays one until the exchange ends.

Result: TestAFaultAfterAPartOfALineIsSeenWhenItComes takes 5 s and fails without the change, and passes with it.

--- a/gateway/front/answer_test.go
+++ b/gateway/front/answer_test.go
@@ -96,6 +96,16 @@
 	"fault beyond 4 KiB":    "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", 5000) + "\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 }
 
+// Guards against a wait for the rest of an answer whose fault was seen.
+func TestAFaultAfterAPartOfALineIsSeenWhenItComes(t *testing.T) {
+	g := NewWithT(t)
+	w := newByteWire(t)
+	w.answer, w.rest = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nA: b", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+	start := time.Now()
+	g.Expect(statuses(t, w.send(t, lastRequest, 0))).To(Equal([]int{http.StatusBadGateway}))
+	g.Expect(time.Since(start)).To(BeNumerically("<", rawTimeout/2))
+}
+
 func TestAnAnswerThatParsersReadDifferentlyIsNotRelayed(t *testing.T) {
 	for name, answer := range disputedAnswers {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/front/wire_test.go
+++ b/gateway/front/wire_test.go
@@ -204,6 +204,8 @@
 	address string
 	// answer is what the server answers to each request.
 	answer string
+	// rest, if set, is sent a while after answer.
+	rest string
 
 	mu sync.Mutex
 	// received are the requests as the server received them, faults those that it could
@@ -246,6 +248,10 @@
 			if _, err := io.WriteString(conn, w.answer); err != nil {
 				return
 			}
+			if w.rest != "" {
+				time.Sleep(silence)
+				_, _ = io.WriteString(conn, w.rest) // The gateway may have closed it.
+			}
 			continue
 		case errors.Is(err, errMalformed):
 			w.record(message, text)
--- a/traffic/upstream/conn.go
+++ b/traffic/upstream/conn.go
@@ -63,6 +63,9 @@
 	if !r.limited {
 		return r.Conn.Read(p)
 	}
+	if r.head.faulty {
+		return 0, errAmbiguousHeaders // bufio.Reader.ReadLine forgets an error after a part of a line.
+	}
 	if r.headerBytes <= 0 {
 		return 0, errHeadersTooLarge
 	}
--- a/traffic/upstream/head.go
+++ b/traffic/upstream/head.go
@@ -29,6 +29,8 @@
 	line []byte
 	// begun is set after the status line of the current headers.
 	begun bool
+	// faulty is set after the first fault.
+	faulty bool
 	// done is set after the end of the headers that are not informational.
 	done          bool
 	informational bool
@@ -63,6 +65,7 @@
 		}
 		p = p[end+1:]
 		if !s.endLine(line) {
+			s.faulty = true
 			return errAmbiguousHeaders
 		}
 		s.line = s.line[:0]
