gateway: informational answers are not relayed, as before

Cause: the spec "A repeated refusal of another request is never taken for a response to a running request" of platform sends a 102 with the ID of the running request; its caller takes the 102 for the answer (status 102 where 200 or 502 is asked for). Callers as simple as that may exist, and what the 102 belongs to is not proved.

Change: reverts the relaying.

Result: the spec fails with the relaying and passes without it.

--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -55,7 +55,7 @@
 		return c.classifyFailure(ctx, failure)
 	}
 	defer response.Body.Close()
-	body, err := c.readResponse(response)
+	body, err := c.readResponse(response.Response)
 	if err != nil {
 		var readFailure *upstream.Failure
 		if errors.As(err, &readFailure) {
@@ -63,7 +63,7 @@
 		}
 		return c.classifyFailure(ctx, &upstream.Failure{Stage: upstream.StageTruncate, Sent: true, Err: err})
 	}
-	out := c.classifyResponse(server, response, body)
+	out := c.classifyResponse(server, response.Response, body)
 	if out.response == nil {
 		body.Release()
 	}
@@ -124,7 +124,7 @@
 }
 
 // classifyResponse returns the outcome of an attempt with a complete response.
-func (c *call) classifyResponse(server *balance.Server, response *upstream.Response, body *memory.Body) outcome {
+func (c *call) classifyResponse(server *balance.Server, response *http.Response, body *memory.Body) outcome {
 	head := c.options.HeaderCodec.ReadResponse(response.StatusCode, response.Header)
 	out := outcome{reached: true}
 	out.Status = response.StatusCode
@@ -147,7 +147,7 @@
 		out.Cause = errUnsigned.Error()
 	default:
 		out.Verdict, out.Code, out.result = verdict.Answered, verdict.CodeAnswered, balance.Succeeded
-		out.response = &Response{Status: response.StatusCode, Header: response.Header, Body: body, Trailer: response.Trailer, Informational: response.Informational}
+		out.response = &Response{Status: response.StatusCode, Header: response.Header, Body: body, Trailer: response.Trailer}
 		if response.StatusCode >= http.StatusInternalServerError {
 			out.result = balance.ServerError
 		}
--- a/gateway/dispatch/memory.go
+++ b/gateway/dispatch/memory.go
@@ -4,7 +4,6 @@
 	"net/http"
 
 	"guavacrank.example/gateway/memory"
-	"guavacrank.example/traffic/upstream"
 )
 
 // fieldOverheadBytes is the memory that a parsed header field takes beside its name and
@@ -13,13 +12,9 @@
 
 // readResponse reads the complete body of a response and counts its headers with it. The
 // error is a memory.TooLongError, a memory.NoRoomError or that of reading.
-func (c *call) readResponse(response *upstream.Response) (*memory.Body, error) {
+func (c *call) readResponse(response *http.Response) (*memory.Body, error) {
 	holding := c.options.Memory.Hold(memory.Responses)
-	headers := headerBytes(response.Header)
-	for _, informational := range response.Informational {
-		headers += headerBytes(informational.Header)
-	}
-	if err := holding.Grow(headers); err != nil {
+	if err := holding.Grow(headerBytes(response.Header)); err != nil {
 		return nil, err
 	}
 	declared := response.ContentLength
--- a/gateway/dispatch/request.go
+++ b/gateway/dispatch/request.go
@@ -34,10 +34,8 @@
 
 // Response is a backend server's complete response.
 type Response struct {
-	// Informational holds the server's informational responses to the same request.
-	Informational []*http.Response
-	Status        int
-	Header        http.Header
+	Status int
+	Header http.Header
 	// Body must be released after use.
 	Body *memory.Body
 	// Trailer holds the fields after the body.
--- a/gateway/front/response.go
+++ b/gateway/front/response.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"maps"
 	"net/http"
 	"strconv"
 	"time"
@@ -26,12 +25,6 @@
 // writeResponse writes a backend server's response to the caller, without its
 // hop-by-hop headers.
 func (e *exchange) writeResponse(response *dispatch.Response) {
-	limited := response.Body.Len() > bufferedBytes || len(response.Informational) > 0
-	if limited {
-		left := e.arrived + e.callerTimeout() - e.options.Clock()
-		e.setWriteDeadline(time.Now().Add(max(left, 0) + writeGrace))
-	}
-	e.writeInformational(response.Informational)
 	header := e.w.Header()
 	for name, values := range forwardedHeaders(response.Header) {
 		header[name] = values
@@ -53,24 +46,14 @@
 		header.Set("Content-Length", strconv.FormatInt(response.Body.Len(), 10))
 	}
 	e.w.WriteHeader(response.Status)
-	if e.write(response.Body.NewReader()) && limited {
-		e.setWriteDeadline(time.Time{})
-	}
-}
-
-// writeInformational writes informational responses, which HTTP/1.0 does not have.
-func (e *exchange) writeInformational(responses []*http.Response) {
-	if !e.r.ProtoAtLeast(1, 1) {
+	if response.Body.Len() <= bufferedBytes {
+		e.write(response.Body.NewReader())
 		return
 	}
-	header := e.w.Header()
-	for _, response := range responses {
-		own := maps.Clone(header)
-		clear(header)
-		maps.Copy(header, forwardedHeaders(response.Header))
-		e.w.WriteHeader(response.StatusCode)
-		clear(header)
-		maps.Copy(header, own)
+	left := e.arrived + e.callerTimeout() - e.options.Clock()
+	e.setWriteDeadline(time.Now().Add(max(left, 0) + writeGrace))
+	if e.write(response.Body.NewReader()) {
+		e.setWriteDeadline(time.Time{})
 	}
 }
 
--- a/traffic/upstream/exchange.go
+++ b/traffic/upstream/exchange.go
@@ -21,10 +21,7 @@
 // Response is the headers of a response and its body. Body must be closed.
 type Response struct {
 	*http.Response
-	// Informational holds the informational responses to the same request that came
-	// before, without 100 (Continue): a caller's expectation is not for the server.
-	Informational []*http.Response
-	exchange      *exchange
+	exchange *exchange
 }
 
 // exchange is one request and its response on one connection.
@@ -37,8 +34,6 @@
 	start   time.Time
 	written chan error // Receives the result of a write concurrent with reading the response.
 	over    bool
-	// informational are the informational responses that were read.
-	informational []*http.Response
 }
 
 // run sends the request and reads the response headers.
@@ -68,7 +63,7 @@
 		x.abandon()
 		return nil, &Failure{Stage: StageUnframed, Sent: true, Err: errors.New("neither Content-Length nor chunked")}
 	}
-	result := &Response{Response: response, Informational: x.informational, exchange: x}
+	result := &Response{Response: response, exchange: x}
 	response.Body = &body{
 		source:       response.Body,
 		exchange:     x,
@@ -92,7 +87,7 @@
 func (x *exchange) readOwn() (*http.Response, error) {
 	matches := x.pool.options.MatchesRequest
 	for skipped := 0; ; skipped++ {
-		response, err := x.readHead()
+		response, err := readHead(x.conn, x.request)
 		if err != nil || matches == nil || matches(x.request, response) {
 			return response, err
 		}
@@ -166,10 +161,10 @@
 	Streamed()
 }
 
-// readHead reads the response headers and those of informational responses before them.
-func (x *exchange) readHead() (*http.Response, error) {
+// readHead reads the response headers and skips informational responses.
+func readHead(c *conn, request *http.Request) (*http.Response, error) {
 	for {
-		response, err := http.ReadResponse(x.conn.reader, x.request)
+		response, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, unexpected(err)
 		}
@@ -177,30 +172,20 @@
 			return nil, errors.New("unexpected switch of protocols")
 		}
 		if response.StatusCode >= http.StatusOK {
-			x.restoreHeader(response)
+			restoreHeader(c, response)
 			return response, nil
 		}
-		x.keepInformational(response)
 	}
 }
 
 // restoreHeader removes what net/http has added to the headers: a Cache-Control beside a
 // Pragma.
-func (x *exchange) restoreHeader(response *http.Response) {
-	if !x.conn.head.cacheControl {
+func restoreHeader(c *conn, response *http.Response) {
+	if !c.head.cacheControl {
 		delete(response.Header, "Cache-Control")
 	}
 }
 
-// keepInformational keeps an informational response that belongs to the request.
-func (x *exchange) keepInformational(response *http.Response) {
-	matches := x.pool.options.MatchesRequest
-	if response.StatusCode == http.StatusContinue || matches != nil && !matches(x.request, response) {
-		return
-	}
-	x.informational = append(x.informational, response)
-}
-
 // fail ends the exchange without a response.
 func (x *exchange) fail(writeErr, readErr error) *Failure {
 	if writeErr == nil && x.written != nil {
