--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -57,7 +57,7 @@
 	defer response.Body.Close()
 	head := c.options.HeaderCodec.ReadResponse(response.StatusCode, response.Header)
 	c.observe(server, head)
-	body, err := c.readResponse(response)
+	body, err := c.readResponse(response.Response)
 	if err != nil {
 		var readFailure *upstream.Failure
 		if errors.As(err, &readFailure) {
@@ -65,7 +65,7 @@
 		}
 		return c.classifyFailure(ctx, &upstream.Failure{Stage: upstream.StageTruncate, Sent: true, Err: err})
 	}
-	out := c.classifyResponse(server, response, head, body)
+	out := c.classifyResponse(server, response.Response, head, body)
 	if out.response == nil {
 		body.Release()
 	}
@@ -126,7 +126,7 @@
 }
 
 // classifyResponse returns the outcome of an attempt with a complete response.
-func (c *call) classifyResponse(server *balance.Server, response *upstream.Response, head port.ResponseHead, body *memory.Body) outcome {
+func (c *call) classifyResponse(server *balance.Server, response *http.Response, head port.ResponseHead, body *memory.Body) outcome {
 	out := outcome{reached: true}
 	out.Status = response.StatusCode
 	if head.Signed || head.NotRun && (head.Server == "" || head.Server == server.ID) {
@@ -148,7 +148,7 @@
 		out.Cause = errUnsigned.Error()
 	default:
 		out.Verdict, out.Code, out.result = verdict.Answered, verdict.CodeAnswered, balance.Succeeded
-		out.response = &Response{Status: response.StatusCode, Header: response.Header, Body: body, Trailer: response.Trailer, Informational: response.Informational}
+		out.response = &Response{Status: response.StatusCode, Header: response.Header, Body: body, Trailer: response.Trailer}
 		if response.StatusCode >= http.StatusInternalServerError {
 			out.result = balance.ServerError
 		}
