--- a/gateway/front/memory_test.go
+++ b/gateway/front/memory_test.go
@@ -14,6 +14,7 @@
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/budget"
 	"guavacrank.example/gateway/dispatch"
+	"guavacrank.example/gateway/framing"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/gateway/routing"
@@ -56,7 +57,11 @@
 		Pool: upstream.NewPool(upstream.Options{Address: address, MaxConnections: 8})}
 	views.Publish(&view.View{Configuration: configuration, Routes: routing.NewTable(configuration),
 		Services: map[string]*view.Service{"s": {Service: configuration.Services["s"], Servers: []*balance.Server{server}}}})
-	callers := httptest.NewServer(h)
+	callers := httptest.NewUnstartedServer(h)
+	callers.Listener = framing.Listener{Listener: callers.Listener}
+	callers.Config.ConnContext = framing.WithConn
+	callers.Config.DisableGeneralOptionsHandler = true
+	callers.Start()
 	t.Cleanup(callers.Close)
 	t.Cleanup(callers.CloseClientConnections)
 	return h, callers.Listener.Addr().String()
@@ -85,14 +90,15 @@
 
 func TestACallerThatDoesNotReadItsResponseGivesItsMemoryBackAfterItsTimeout(t *testing.T) {
 	g := NewWithT(t)
+	const timeout, slack = 2 * time.Second, 700 * time.Millisecond
 	// More than the kernel buffers for the connection, less than one response may have.
-	h, address := serveCallers(t, 300*time.Millisecond, testMemory/17)
+	h, address := serveCallers(t, timeout, testMemory/17)
 	conn := begin(g, address, "0", "")
 	defer conn.Close()
 	g.Expect(conn.(*net.TCPConn).SetReadBuffer(1 << 10)).To(Succeed())
 	held := func() int64 { return h.options.Memory.Usage()["responses"].Held }
-	g.Eventually(held).Should(BeNumerically(">=", testMemory/17))
-	g.Eventually(held, writeGrace+time.Second).Should(BeZero())
+	g.Eventually(held, timeout).Should(BeNumerically(">=", testMemory/17))
+	g.Eventually(held, timeout+writeGrace+slack).Should(BeZero())
 	g.Expect(h.InFlight()).To(BeZero())
 }
 
--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -63,6 +63,8 @@
 	stored            *Page       // While consulting: the page that was read.
 	settlement        settlement
 	predecessors      predecessors
+	lostGrants        LostGrantsBound
+	recordsLostGrants bool // This leader has recorded the lost grants in its term.
 	pageKnown         bool
 	page              *Page
 	version           kvstore.Version
@@ -127,13 +129,13 @@
 	}
 	m.leading, m.leadingSince = true, now
 	m.era, m.consulting, m.consulted, m.settlement = era, false, false, settled
+	m.recordsLostGrants = false
 	m.longTTLFrom = 0
 	m.renewOnly, m.adopted = false, false
 	m.predecessors = predecessors{ended: make(map[string]bool)}
 	m.pageKnown, m.page, m.writing, m.writeUnknown, m.reading = false, nil, nil, false, false
 	m.absenceCountsAt = now + absenceGrace
 	m.firstServerAt = 0
-	clear(m.impaired)
 	clear(m.bounds)
 	clear(m.released)
 	clear(m.releasing)
--- a/gateway/keys/page.go
+++ b/gateway/keys/page.go
@@ -27,7 +27,9 @@
 	// MaxGrantTTL is the longest TTL of any grant ever sent; zero on pages that
 	// do not record it.
 	MaxGrantTTL time.Duration
-	Ranges      []Range
+	// LostGrants describes the grants of unknown holders; zero without unknown holders.
+	LostGrants LostGrants
+	Ranges     []Range
 }
 
 // Stamp orders the pages of a service by the time of their writing: by the era of the
@@ -96,6 +98,14 @@
 	return &p.Ranges[at]
 }
 
+// rangeOf returns the range that contains a key, or no range for a page without ranges.
+func (p *Page) rangeOf(key uint16) Range {
+	if r := p.Find(key); r != nil {
+		return *r
+	}
+	return Range{}
+}
+
 // clone returns a deep copy of the page.
 func (p *Page) clone() *Page {
 	copied := *p
--- a/gateway/keys/restart_test.go
+++ b/gateway/keys/restart_test.go
@@ -6,6 +6,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/model"
 )
 
 // restart ends a server's process and starts another one at its address, with an ID.
@@ -25,6 +28,59 @@
 	return server
 }
 
+var _ = Describe("An address at which another server answered", func() {
+	for seed := range uint64(10) {
+		It(fmt.Sprintf("seed %d: may lead an earlier leader's last grant to a later life of the holder", seed), func() {
+			sim, earlier := startSimulation(seed, 4)
+			holder := sim.latest("i-1:1")
+			var last keys.GrantCall
+			sim.onGrant = func(call keys.GrantCall) {
+				if call.Incarnation == holder.Incarnation() {
+					last = call
+				}
+			}
+			sim.run(2 * time.Second)
+			sim.onGrant = nil
+			sim.restart(holder, "n-1", 20*time.Millisecond)
+			earlier.Stop()
+			sim.addLeader("b")
+			last.Fence += 1000 // The earlier leader's last call has a new connection, made late.
+			sim.after(keys.CallTimeout, func() {
+				sim.latest("i-1:1").up = false
+				later := sim.addServer("i-1", 5000)
+				sim.apply(later, last)
+			})
+			sim.run(10 * time.Second)
+			Expect(sim.violations).To(BeEmpty())
+			Expect(sim.unowned()).To(BeZero())
+		})
+	}
+})
+
+var _ = Describe("A record of another writer with a later start at a server's address", func() {
+	for seed := range uint64(20) {
+		It(fmt.Sprintf("seed %d: gives no key two holders and leaves none without an owner", seed), func() {
+			sim, _ := startSimulation(seed, 4)
+			sim.lateArrivalShare = 0.1
+			address := "i-1:1"
+			for born := range int64(3) {
+				id := fmt.Sprintf("x-%d", born)
+				if sim.random.IntN(2) == 0 {
+					id = "i-1"
+				}
+				forged := model.Server{ID: id, Service: "s", Address: address, Zone: "z", Slots: 6, Born: 5000 + born}
+				sim.forged = append(sim.forged, forged)
+				sim.run(time.Duration(sim.random.IntN(4000)) * time.Millisecond)
+			}
+			sim.forged = nil
+			sim.lateArrivalShare = 0
+			sim.run(12 * time.Second)
+			Expect(sim.violations).To(BeEmpty())
+			Expect(sim.unowned()).To(BeZero())
+		})
+	}
+})
+
 var _ = Describe("A server that is back at its address within a second", func() {
 	const (
 		servers  = 4
--- a/gateway/keys/restoration.go
+++ b/gateway/keys/restoration.go
@@ -93,7 +93,7 @@
 	for _, leader := range c.Predecessors {
 		m.predecessors.add(leader)
 	}
-	m.settlement = unsettled
+	m.settlement, m.recordsLostGrants = unsettled, true
 	if m.page == nil || c.Page == nil && m.page.Writer != m.options.Self {
 		m.settlement = unsettledWithLongestTTL
 	}
@@ -108,7 +108,7 @@
 		return
 	}
 	m.announceTTL(page)
-	m.setPage(page)
+	m.takePage(page)
 	if written != nil && page.sameWrite(written) {
 		m.adopted = true
 		return
@@ -151,9 +151,10 @@
 
 // unknownHoldersEnded reports whether all grants by lost pages have expired.
 func (m *Machine) unknownHoldersEnded() bool {
-	arrived := m.predecessorBound()
-	for _, row := range m.servers {
-		arrived = max(arrived, m.adjustArrival(row, m.predecessorBound()))
-	}
-	return m.now >= arrived+m.maxGrantLifetime()
+	return m.now >= m.lostGrantsArrival()+m.maxGrantLifetime()
+}
+
+// hasUnknownHolders reports whether a range names an unknown holder.
+func (p *Page) hasUnknownHolders() bool {
+	return slices.ContainsFunc(p.Ranges, func(r Range) bool { return slices.Contains(r.Prior, unknownHolder) })
 }
--- a/gateway/keys/simulation_calls_test.go
+++ b/gateway/keys/simulation_calls_test.go
@@ -30,6 +30,10 @@
 		panic(err)
 	}
 	id := write.Page.WriteID
+	if sim.storeDown {
+		sim.loseWrite(m, write, stored)
+		return
+	}
 	sim.after(sim.networkDelay(), func() {
 		if write.Expected != sim.version {
 			sim.after(sim.networkDelay(), func() {
@@ -43,6 +47,7 @@
 			return
 		}
 		sim.page, sim.version = page, sim.version+1
+		sim.lostGrants = sim.lostGrants.See(sim.now, page)
 		position := sim.position()
 		if sim.random.Float64() < sim.lostWriteShare {
 			sim.after(time.Second, func() {
@@ -218,7 +223,11 @@
 		sim.after(2*sim.networkDelay(), func() { m.StepReleased(sim.now, call, keys.HolderEnded, "") })
 		return
 	}
-	sim.after(sim.networkDelay(), func() {
+	delay := sim.networkDelay()
+	if sim.heldUpReleases {
+		delay += heldUpTime
+	}
+	sim.after(delay, func() {
 		for _, h := range server.heldRanges {
 			if h.from <= call.To && call.From <= h.to && h.fence > call.Fence && h.until > sim.now {
 				sim.lowReleases = append(sim.lowReleases, fmt.Sprintf("%v: release of %d to %d with fence %d, held with %d", sim.now, call.From, call.To, call.Fence, h.fence))
--- a/gateway/keys/simulation_restore_test.go
+++ b/gateway/keys/simulation_restore_test.go
@@ -13,6 +13,9 @@
 	"guavacrank.example/kvstore"
 )
 
+// congestedTransitTime is how much longer a call may be in transit to a congested zone.
+const congestedTransitTime = 2300 * time.Millisecond
+
 // storeCopy is a copy of the store's page.
 type storeCopy struct {
 	page    *keys.Page
@@ -151,6 +154,59 @@
 		Expect(sim.unowned()).To(BeZero())
 	})
 
+	It("does not have a later leader of the era wait anew for the grants by lost pages", func() {
+		sim, _, copied := startInEra(6)
+		sim.isolateLeaders()
+		sim.known = copied.page
+		sim.restore(copied)
+		sim.servers[model.Incarnation{ID: "i-2", Born: 1000}].Draining = false
+		sim.run(300 * time.Millisecond)
+		earlier := sim.addLeader("b")
+		sim.run(1500 * time.Millisecond)
+		ended := sim.now + keys.MaxCallDelay
+		for _, m := range sim.leaders[:1] {
+			m.Stop()
+		}
+		earlier.PredecessorsEnded(ended)
+		sim.run(ended + 2500*time.Millisecond - sim.now)
+		Expect(sim.unowned()).To(Equal(len(sampledKeys)), "the grants by lost pages may be valid")
+		earlier.Stop()
+		sim.addLeader("c")
+		expired := ended + congestedTransitTime + grantTTL*102/100 + 800*time.Millisecond
+		sim.run(expired - sim.now)
+		Expect(sim.unowned()).To(BeZero())
+		Expect(sim.violations).To(BeEmpty())
+	})
+
+	for seed := range uint64(40) {
+		It(fmt.Sprintf("seed %d: has later leaders of the era wait for the grants by lost pages", seed), func() {
+			sim, last, copied := startInEra(2000 + seed)
+			sim.lateArrivalShare = 0.2
+			sim.isolateLeaders()
+			sim.known = copied.page
+			sim.restore(copied)
+			sim.servers[model.Incarnation{ID: "i-2", Born: 1000}].Draining = seed%2 == 0
+			sim.run(300 * time.Millisecond)
+			for _, name := range []string{"b", "c", "d"} {
+				m := sim.addLeader(name)
+				sim.run(time.Duration(500+sim.random.IntN(2500)) * time.Millisecond)
+				if sim.random.IntN(2) == 0 {
+					last.Stop()
+				}
+				if !last.Leading() {
+					m.PredecessorsEnded(sim.now + keys.MaxCallDelay)
+				}
+				sim.run(time.Duration(sim.random.IntN(2500)) * time.Millisecond)
+				m.Stop()
+			}
+			sim.lateArrivalShare = 0
+			sim.addLeader("e")
+			sim.run(25 * time.Second)
+			Expect(sim.violations).To(BeEmpty())
+			Expect(sim.unowned()).To(BeZero())
+		})
+	}
+
 	It("gives keys without waiting at the first start", func() {
 		sim := newSimulation(4)
 		sim.era = 1
@@ -175,6 +231,28 @@
 		Expect(m.KnowsNewestPage()).To(BeTrue())
 	})
 
+	It("does not have a later leader count from the end of the one before, which knew earlier ones", func() {
+		m := keys.NewMachine(keys.Options{Service: "s", Self: keys.Leader{VM: "b", Incarnation: "b"}, GrantTTL: grantTTL, MaxGrantTTL: 2 * grantTTL, PredecessorTimeout: predecessorTimeout})
+		servers := []model.Server{{ID: "i-0", Born: 1000, Service: "s", Address: "i-0:1", Slots: 4}}
+		owner := keys.Holder{Incarnation: servers[0].Incarnation(), Address: "i-0:1", Fence: 3}
+		page := &keys.Page{Stamp: keys.Stamp{Era: 2, Number: 9}, Fence: 3, Writer: keys.Leader{VM: "a", Incarnation: "a"},
+			LostGrants: keys.LostGrants{Recorder: "a", WriteID: 1, ArriveWithin: 2000, Ended: true},
+			Ranges:     []keys.Range{{To: model.Keys - 1, Owner: owner, Prior: []keys.Holder{{}}}}}
+		m.Lead(0, 2)
+		m.StepServers(0, servers, true)
+		m.StepRead(0, page, kvstore.Position{Era: 2, Version: 1})
+		m.PredecessorEnded("a", 0)
+		for now := time.Duration(0); now < 2*time.Second+grantTTL; now += tickInterval {
+			m.StepServers(now, servers, true)
+			m.Tick(now)
+			ready := m.Ready()
+			Expect(ready.Grants).To(BeEmpty(), "%v: the grants by lost pages may be valid", now)
+			if ready.Write != nil {
+				m.StepWritten(now, ready.Write.Page.WriteID, kvstore.Position{Era: 2, Version: kvstore.Version(now) + 2}, nil)
+			}
+		}
+	})
+
 	It("does not take a page without ranges for the end of the grants by lost pages", func() {
 		m := keys.NewMachine(keys.Options{Service: "s", Self: keys.Leader{VM: "a", Incarnation: "a"}, GrantTTL: grantTTL, MaxGrantTTL: 2 * grantTTL, PredecessorTimeout: predecessorTimeout})
 		servers := []model.Server{{ID: "i-0", Born: 1000, Service: "s", Address: "i-0:1", Slots: 4}}
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -46,6 +46,8 @@
 	asking      map[*keys.Machine]bool
 	// cutUntil is until when the servers at an address can't reach the store.
 	cutUntil map[string]time.Duration
+	// forged are records of other writers.
+	forged []model.Server
 	// connections are the open connections to servers. One leads to its server only.
 	connections    map[port.Connection]*fakeServer
 	nextConnection port.Connection
@@ -68,12 +70,22 @@
 	// maxReleaseTime is the longest that a server finishes requests before it
 	// answers a release.
 	maxReleaseTime time.Duration
+	// storeDown reports that the store answers no call. lateWriteShare is the share of
+	// the writes of that time which it executes all the same, up to maxWriteDelay later.
+	storeDown      bool
+	lateWriteShare float64
+	// onLostWrite, if set, is called for each write of that time.
+	onLostWrite func(write keys.PageWrite)
 	// lostWriteShare is the share of writes that are applied and not answered.
 	lostWriteShare float64
+	// heldUpReleases reports that releases reach their servers heldUpTime late.
+	heldUpReleases bool
 	// onGrant, if set, is called for each grant that is sent.
 	onGrant func(call keys.GrantCall)
 	// known is the newest page that the VMs know.
-	known      *keys.Page
+	known *keys.Page
+	// lostGrants is what the VMs know of lost grants.
+	lostGrants keys.LostGrantsBound
 	violations []string
 	// lowReleases are releases with a lower fence than that with which the server holds
 	// the keys.
@@ -130,6 +142,7 @@
 		MaxGrantTTL:        2 * grantTTL,
 		PredecessorTimeout: predecessorTimeout,
 	})
+	m.KnowLostGrants(sim.lostGrants)
 	m.Lead(sim.now, sim.era)
 	sim.leaders = append(sim.leaders, m)
 	sim.byName[name] = m
@@ -182,6 +195,7 @@
 			listed = append(listed, s.Server)
 		}
 	}
+	listed = append(listed, sim.forged...)
 	sort.Slice(listed, func(i, j int) bool { return listed[i].ID < listed[j].ID })
 	for _, m := range sim.leaders {
 		m.StepServers(sim.now, listed, true)
@@ -236,8 +250,7 @@
 func (sim *simulation) execute(m *keys.Machine) {
 	ready := m.Ready()
 	if ready.Read {
-		page, position := sim.page, sim.position()
-		sim.after(sim.networkDelay(), func() { m.StepRead(sim.now, page, position) })
+		sim.read(m)
 	}
 	if ready.Consult {
 		sim.consult(m)
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -86,11 +86,11 @@
 	case page == nil:
 		m.page = nil
 	case written != nil && page.sameWrite(written):
-		m.setPage(page)
+		m.takePage(page)
 		m.adopted = true
 	default:
 		m.adopted = m.adopted && page.Writer == m.options.Self
-		m.setPage(page)
+		m.takePage(page)
 		m.addPredecessors(page)
 	}
 	m.passFences()
@@ -319,6 +319,7 @@
 	key := holderKey{call.From, call.To, call.Incarnation, call.Fence}
 	row := m.row(call.Incarnation)
 	delete(m.releasing, key)
+	m.repeatGrants(call)
 	switch outcome {
 	case ReleaseUnanswered:
 		m.retryReleaseAt[key] = now + retryDelay
@@ -330,10 +331,32 @@
 		m.released[key] = releaseResult{done: true, handover: handover}
 	case HolderEnded:
 		row.noteRefused(now)
+		if now < m.predecessorBound() {
+			m.retryReleaseAt[key] = now + probeInterval // A later life may still get a grant.
+			return
+		}
 		m.released[key] = releaseResult{done: true, ended: true}
 	}
 }
 
+// repeatGrants repeats the grants of keys that were released by a server which owns them
+// again: the release may have been held up and have come after these grants.
+func (m *Machine) repeatGrants(call ReleaseCall) {
+	if m.page == nil {
+		return
+	}
+	for _, r := range m.page.Ranges {
+		if r.To < call.From || call.To < r.From || r.Owner.ID != call.Server || r.Owner.Address != call.Address {
+			continue
+		}
+		row := m.row(r.Owner.Incarnation)
+		if grant, granted := row.granted[r.From]; granted {
+			grant.due = m.now
+			row.granted[r.From] = grant
+		}
+	}
+}
+
 // StepRequests takes the keys of recent requests.
 func (m *Machine) StepRequests(now time.Duration, requested []uint16) {
 	m.rates.add(now, requested)
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -37,6 +37,7 @@
 	m.nextWriteID++
 	draft.Number++
 	draft.Writer, draft.WriteID = m.options.Self, m.nextWriteID
+	b.describeLostGrants()
 	m.writing, m.changing = draft, changedRanges(m.page, draft)
 	m.ready.Write = &PageWrite{Expected: m.version, Page: draft}
 }
@@ -288,7 +289,7 @@
 	if prior.ID != "" {
 		part.Prior = append(part.Prior[:len(part.Prior):len(part.Prior)], prior)
 		key := holderKey{part.From, part.To, prior.Incarnation, prior.Fence}
-		b.bounds[key] = b.boundOf(old)
+		b.bounds[key] = b.boundOf(old.Owner)
 	}
 	part.Owner = b.holder(target)
 	return part
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -2,7 +2,10 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
+
+	"guavacrank.example/gateway/model"
 )
 
 const (
@@ -59,10 +62,9 @@
 	return m.longestTTL() + m.longestTTL()*clockDriftPercent/100 + expiryMargin
 }
 
-// boundOf returns the bound of an owner's grants of one of its ranges. No further
-// grant of the range may be sent after it.
-func (m *Machine) boundOf(r Range) holderBound {
-	row := m.endpointOf(r.Owner.ID, r.Owner.Address)
+// boundOf returns the bound of the grants that were sent to a holder until now.
+func (m *Machine) boundOf(holder Holder) holderBound {
+	row := m.endpointOf(holder.ID, holder.Address)
 	return holderBound{
 		latestArrival:    row.latestArrival,
 		latestUnanswered: row.latestUnanswered,
@@ -70,23 +72,62 @@
 	}
 }
 
-// latestArrival returns the latest time at which any grant may have arrived. A grant of
-// an earlier leader may be applied late, when its server has accepted newer ones. It is
-// computed on use because the end of earlier leaders may become known later.
-func (m *Machine) latestArrival(bound holderBound) time.Duration {
-	return max(bound.latestArrival, m.predecessorBound())
+// takePage replaces the page by one that was read. The holders that it adds as prior ones may
+// have had grants of this machine since it was drafted: in an earlier leadership, or before
+// this machine knew that the page had been written. Their fences and bounds cover these.
+func (m *Machine) takePage(read *Page) {
+	page := read.clone()
+	for _, r := range page.Ranges {
+		var before Range
+		if m.page != nil {
+			before = m.page.rangeOf(r.From)
+		}
+		for at, prior := range r.Prior {
+			if prior == unknownHolder || slices.Contains(before.Prior, prior) {
+				continue
+			}
+			prior.Fence = max(prior.Fence, m.fenceOf(before, prior.Incarnation))
+			r.Prior[at] = prior
+			if !slices.Contains(before.Prior, prior) {
+				m.bounds[holderKey{r.From, r.To, prior.Incarnation, prior.Fence}] = m.boundOf(prior)
+			}
+		}
+	}
+	m.setPage(page)
+}
+
+// fenceOf returns the highest fence with which a server may hold a range, zero if it is
+// neither the owner nor a prior holder.
+func (m *Machine) fenceOf(r Range, server model.Incarnation) uint64 {
+	fence := uint64(0)
+	if r.Owner.Incarnation == server {
+		fence = m.sentFence(r)
+	}
+	for _, prior := range r.Prior {
+		if prior.Incarnation == server {
+			fence = max(fence, prior.Fence)
+		}
+	}
+	return fence
+}
+
+// latestArrival returns the latest time at which any grant may have arrived at a server,
+// given that for grants of this leadership. A grant of an earlier leader may be applied late,
+// when its server has accepted newer ones. It is computed on use because the end of earlier
+// leaders may become known later.
+func (m *Machine) latestArrival(row *serverRow, own time.Duration) time.Duration {
+	return max(m.adjustArrival(row, own), m.adjustArrival(row, m.predecessorBound()))
 }
 
 // latestUnanswered returns the latest time at which an unanswered grant may have
 // arrived at a server, including grants of earlier leaders.
 func (m *Machine) latestUnanswered(row *serverRow) time.Duration {
-	sent := m.endpointOf(row.ID, row.Address)
-	return m.adjustArrival(row, max(sent.latestUnanswered, m.predecessorBound()))
+	return m.latestArrival(row, m.endpointOf(row.ID, row.Address).latestUnanswered)
 }
 
 // priorEnded reports whether a prior holder can't hold a range any more, and
-// returns the handover token that it gave on release. While an earlier leader may send
-// grants, the end of the holder's process proves nothing: a later life may get one.
+// returns the handover token that it gave on release. While grants of an earlier leader may
+// arrive, the end of the holder's process proves nothing: a later life may get one.
 func (m *Machine) priorEnded(r Range, prior Holder) (ended bool, handover string) {
 	if prior == unknownHolder {
 		return m.unknownHoldersEnded(), ""
@@ -97,9 +138,9 @@
 		return false, ""
 	}
 	row := m.row(prior.Incarnation)
-	arrived, late := m.adjustArrival(row, m.latestArrival(bound)), m.adjustArrival(row, max(bound.latestUnanswered, m.predecessorBound()))
+	arrived, late := m.latestArrival(row, bound.latestArrival), m.latestArrival(row, bound.latestUnanswered)
 	result, released := m.released[key]
-	ended = (result.ended || m.startedElsewhere(prior)) && len(m.predecessors.active) == 0
+	ended = (result.ended || m.startedElsewhere(prior)) && m.now >= m.predecessorBound()
 	if ended || m.now >= arrived+m.maxGrantLifetime() {
 		return true, ""
 	}
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -13,6 +13,7 @@
 
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/limit"
+	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/kvstore"
 )
@@ -42,6 +43,8 @@
 	Incarnation string `json:"incarnation"`
 	// UptimeMS is the time since the sender started, in milliseconds.
 	UptimeMS int64 `json:"uptime_ms,omitempty"`
+	// FirstLeader says that the process has followed no leader before Leader.
+	FirstLeader bool `json:"first_leader,omitempty"`
 	// Leader is the leadership that the report is meant for. A leader of another term
 	// does not count it: its sender would go on following an earlier one.
 	Leader Leadership `json:"leader"`
@@ -71,6 +74,8 @@
 	Servers []ServerReport `json:"servers,omitempty"`
 	// Limits are the sender's observations of servers that limit their requests.
 	Limits []limit.Observation `json:"limits,omitempty"`
+	// Leaving are the listed servers that told the sender that they are leaving.
+	Leaving []model.Incarnation `json:"leaving,omitempty"`
 	// Source and Revision identify the server list that the sender has: the
 	// incarnation of the leader that published it, and the list's revision.
 	Source   string `json:"source,omitempty"`
@@ -260,6 +265,8 @@
 	// addresses if it knows more of them than the leader.
 	MemberCount int      `json:"member_count,omitempty"`
 	Members     []string `json:"members,omitempty"`
+	// FormerMemberCount is the number of daemons that FormerLeader named to the sender.
+	FormerMemberCount int `json:"former_member_count,omitempty"`
 }
 
 // SpreadResponse acknowledges a SpreadRequest.
@@ -325,15 +332,16 @@
 // Unmarshal implements connect.Codec.
 func (codec) Unmarshal(data []byte, message any) error { return json.Unmarshal(data, message) }
 
-// NewHandler returns the HTTP handler of a service.
-func NewHandler(service Service) http.Handler {
+// NewHandler returns the HTTP handler of a service. account counts the messages that are
+// received; nil sets no limit.
+func NewHandler(service Service, account *memory.Account) http.Handler {
 	mux := http.NewServeMux()
 	options := []connect.HandlerOption{connect.WithCodec(codec{}), connect.WithReadMaxBytes(maxMessageBytes), connect.WithCompressMinBytes(minCompressBytes)}
 	mux.Handle(procedureReport, unary(procedureReport, service.Report, options))
 	mux.Handle(procedureYield, unary(procedureYield, service.Yield, options))
 	mux.Handle(procedureSpread, unary(procedureSpread, service.Spread, options))
 	mux.Handle(procedureFollow, unary(procedureFollow, service.Follow, options))
-	return mux
+	return countedMessages{mux, account}
 }
 
 func unary[Req, Res any](procedure string, handle func(context.Context, *Req) (*Res, error), options []connect.HandlerOption) http.Handler {
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -78,24 +79,47 @@
 
 // endPredecessorsByMajority marks earlier leaders as ended once more than two
 // thirds of the daemons that were known at the election have reported to this
-// leader. Daemons report to one leader only, so an earlier leader has lost its
-// majority and stops within majorityWindow.
+// leader. One that has just started learns their number by consultation. Daemons report
+// to one leader only, so an earlier leader has lost its majority and stops within
+// majorityWindow, or once its last contact to the store, which was before the election,
+// is contactTimeout ago.
 func (l *loop) endPredecessorsByMajority(now time.Duration) {
-	reported := 0
+	var left []time.Duration
 	for _, m := range l.members {
 		if m.reportedAt >= l.leadingSince {
-			reported++
+			left = append(left, m.leftAt)
 		}
 	}
-	if len(l.peersAtElection) == 0 || 3*reported <= 2*len(l.peersAtElection) {
+	fleet := l.fleetAtElection()
+	needed := 2*fleet/3 + 1
+	if fleet == 0 || len(left) < needed {
 		return
 	}
+	slices.Sort(left)
 	for service, machine := range l.machines {
+		stopped := now + majorityWindow
+		if l.leadsLast(service, now) {
+			stopped = max(left[needed-1]+majorityWindow, l.leadingSince+contactTimeout)
+		}
 		if len(machine.Predecessors()) > 0 {
-			machine.PredecessorsEnded(now + majorityWindow + keys.MaxCallDelay)
-			l.log.Event(event.PredecessorStopped, "more than two thirds of the daemons report to this leader", zap.String("service", service), zap.Int("reported", reported))
+			l.log.Event(event.PredecessorStopped, "more than two thirds of the daemons report to this leader", zap.String("service", service), zap.Int("reported", len(left)))
 		}
+		machine.PredecessorsOutvoted(stopped + keys.MaxCallDelay)
+	}
+}
+
+// leadsLast reports that no later leader can have been elected and have written the page.
+func (l *loop) leadsLast(service string, now time.Duration) bool {
+	page := l.pages[service]
+	return now <= l.leaseEnd && l.term.Era == l.era && (page == nil || page.page.Era <= l.term.Era)
+}
+
+// fleetAtElection returns the number of daemons that were known at the election, or zero.
+func (l *loop) fleetAtElection() int {
+	if l.consultation == nil {
+		return len(l.peersAtElection)
 	}
+	return max(len(l.peersAtElection), l.consultation.fleet)
 }
 
 // startLeading begins a term. A leader whose term ended with a restoration of the store
@@ -113,7 +137,8 @@
 	l.log.Event(event.LeadershipWon, "", zap.Uint64("era", uint64(l.term.Era)), zap.Uint64("term", uint64(l.term.Version)))
 	l.updateWatchers()
 	l.startConsultation(now)
-	for _, machine := range l.machines {
+	for service, machine := range l.machines {
+		machine.KnowLostGrants(l.lostGrants(service))
 		machine.Lead(now, l.term.Era)
 	}
 	l.addMachines(now)
@@ -159,6 +184,7 @@
 			continue
 		}
 		machine := keys.NewMachine(keys.Options{Service: name, Self: l.self, GrantTTL: min(grantTTL, l.settings.Bounds.MaxGrantTTL), MaxGrantTTL: min(maxGrantTTL, l.settings.Bounds.MaxGrantTTL), PredecessorTimeout: predecessorTimeout})
+		machine.KnowLostGrants(l.lostGrants(name))
 		machine.Lead(now, l.term.Era)
 		l.machines[name] = machine
 		if l.servers.known {
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -95,6 +95,9 @@
 	yieldPending      map[string]bool // Incarnations of earlier leaders with a pending Yield call.
 	knownLeader       peer.Leadership
 	formerLeader      peer.Leadership           // The last known one of an earlier era than knownLeader.
+	formerMemberCount int                       // The number of knownPeers according to formerLeader.
+	largestFleet      int                       // The largest number of knownPeers so far.
+	followedAnother   bool                      // This process has followed a leader before knownLeader.
 	consultation      *consultation             // Since the own election; nil before.
 	sawRestoration    bool                      // The store was restored while this process ran.
 	knewPagesAtEnd    bool                      // knewNewestPages at the end of the own last term.
@@ -163,12 +166,15 @@
 	stored []byte // The encoded page, created on demand.
 	// handoverSince is that of view.Service.
 	handoverSince map[uint64]time.Duration
+	lostGrants    keys.LostGrantsBound
 }
 
 // member is a daemon that reports to this leader.
 type member struct {
 	address    string
+	process    string // Its incarnation.
 	reportedAt time.Duration
+	leftAt     time.Duration // From then on it has not reported to an earlier leader.
 	startedAt  time.Duration // Of its process.
 	// transit is how long the newest report may have been on its way.
 	transit  time.Duration
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -79,7 +79,7 @@
 		}
 		l.applyReport(report)
 		l.setVMs(l.countMembers(now))
-		l.knownPeers = l.memberAddresses()
+		l.setKnownPeers(l.memberAddresses())
 		l.chooseStoreFollowers()
 		l.applyAllotments(l.allocator.Allotments(now, l.reportInterval()))
 		return
@@ -134,6 +134,7 @@
 	report.RequestedKeys = l.requestedKeys.take()
 	report.Servers = l.serverReports()
 	report.Limits = l.takeLimitObservations()
+	report.Leaving = l.leavingServers()
 	return report
 }
 
@@ -143,6 +144,7 @@
 		VM:           l.self.VM,
 		Incarnation:  l.self.Incarnation,
 		UptimeMS:     (l.clock() - l.startedAt).Milliseconds(),
+		FirstLeader:  !l.followedAnother,
 		Address:      l.self.Address,
 		Zone:         l.settings.Zone,
 		Capacity:     l.settings.Capacity(),
@@ -199,12 +201,27 @@
 	arrivedAt time.Duration
 }
 
+// leftAt returns a time from which on the sender of a report, which has arrived now, has not
+// reported to an earlier leader.
+func (l *loop) leftAt(report *peer.Report, now time.Duration) time.Duration {
+	if report.FirstLeader {
+		return now - time.Duration(report.UptimeMS)*time.Millisecond
+	}
+	if known, found := l.members[report.VM]; found && known.reportedAt >= l.leadingSince && known.process == report.Incarnation {
+		return known.leftAt
+	}
+	return now
+}
+
 // applyReport processes a daemon's report on the leader.
 func (l *loop) applyReport(report *peer.Report) {
 	now := l.clock()
+	left := l.leftAt(report, now)
 	l.members[report.VM] = member{
 		address:    report.Address,
+		process:    report.Incarnation,
 		reportedAt: now,
+		leftAt:     left,
 		startedAt:  now - time.Duration(report.UptimeMS)*time.Millisecond,
 		transit:    now - l.sentAfter(report),
 		zone:       report.Zone,
@@ -215,6 +232,7 @@
 	for _, observation := range report.Limits {
 		l.applyLimitObservation(now, observation)
 	}
+	l.applyLeaving(now, report.Leaving)
 	for service, requested := range report.RequestedKeys {
 		if machine := l.machines[service]; machine != nil {
 			machine.StepRequests(now, requested)
@@ -357,6 +375,7 @@
 }
 
 func (tick) apply(l *loop) {
+	l.noteAvailability(l.clock())
 	l.report(l.clock())
 	l.updateWatchers()
 	l.servers.closeIdle(time.Now())
--- a/gateway/run/restoration.go
+++ b/gateway/run/restoration.go
@@ -42,7 +42,10 @@
 // setKnownLeader records a leader with a later term than that of the known one.
 func (l *loop) setKnownLeader(leadership peer.Leadership) {
 	if known := l.knownLeader; known.Term.Era < leadership.Term.Era && known.Leader.Incarnation != "" {
-		l.formerLeader = known
+		l.formerLeader, l.formerMemberCount = known, len(l.knownPeers)
+	}
+	if known := l.knownLeader.Leader; known.Incarnation != "" && known != leadership.Leader {
+		l.followedAnother = true
 	}
 	l.knownLeader, l.answered = leadership, leaderAnswer{}
 }
@@ -58,6 +61,24 @@
 	return peer.Leadership{}
 }
 
+// setKnownPeers records the addresses of all daemons according to the leader.
+func (l *loop) setKnownPeers(addresses []string) {
+	l.knownPeers = addresses
+	l.largestFleet = max(l.largestFleet, len(addresses))
+}
+
+// fleetBefore returns the number of daemons of which the leaders until leaderBefore told
+// this one. A leader that has just begun does not know all.
+func (l *loop) fleetBefore(era kvstore.Era) int {
+	if l.knownLeader.Term.Era < era {
+		return max(l.largestFleet, len(l.knownPeers))
+	}
+	if l.formerLeader.Term.Era < era {
+		return max(l.largestFleet, l.formerMemberCount)
+	}
+	return 0
+}
+
 // noteRewrites records which servers have written their records since the store was
 // restored: those with a version that the store did not have when it was listed first.
 func (l *loop) noteRewrites(read serversRead) {
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"guavacrank.example/event"
+	"guavacrank.example/gateway/availability"
 	"guavacrank.example/gateway/budget"
 	"guavacrank.example/gateway/dispatch"
 	"guavacrank.example/gateway/front"
@@ -33,6 +34,9 @@
 	Records     port.Records
 	HeaderCodec port.HeaderCodec
 	Grantor     port.Grantor
+	// Memory counts the bytes that are held for others. Store and Grantor should use the
+	// same account; nil creates one.
+	Memory *memory.Account
 	// Output receives the log.
 	Output io.Writer
 }
@@ -93,15 +97,20 @@
 		confirmation:  &view.Confirmation{},
 		clock:         elapsed.Now,
 	}
-	g.shared.memory = memory.NewAccount(options.Settings.MemoryBytes, newMemoryLog(g.shared).record)
+	g.shared.memory = options.Memory
+	if g.shared.memory == nil {
+		g.shared.memory = memory.NewAccount(options.Settings.MemoryBytes)
+	}
+	g.shared.memory.OnRefused(newMemoryLog(g.shared).record)
 	g.loop = newLoop(ctx, options, g.shared)
 	g.dispatcher = dispatch.New(dispatch.Options{
-		HeaderCodec: options.HeaderCodec,
-		Budget:      g.shared.budget,
-		Views:       g.shared.views,
-		Clock:       g.shared.clock,
-		Memory:      g.shared.memory,
-		Gate:        g.gate,
+		HeaderCodec:  options.HeaderCodec,
+		Budget:       g.shared.budget,
+		Views:        g.shared.views,
+		Clock:        g.shared.clock,
+		Memory:       g.shared.memory,
+		Availability: g.loop.servers.availability,
+		Gate:         g.gate,
 	})
 	g.handler = front.New(front.Options{
 		HeaderCodec:       options.HeaderCodec,
@@ -131,10 +140,10 @@
 	settings := g.options.Settings
 	callers := newCallerServer(g.handler)
 	servers := []endpoint{
-		{settings.Listen.Callers, callers},
-		{settings.Listen.Ready, newServer(http.HandlerFunc(g.serveReady))},
-		{settings.Listen.Peers, newServer(peer.NewHandler(peerService{g.loop}))},
-		{settings.Listen.Metrics, newServer(g.metricsHandler())},
+		{address: settings.Listen.Callers, server: callers, check: checkCallers},
+		{address: settings.Listen.Ready, server: newServer(http.HandlerFunc(g.serveReady))},
+		{address: settings.Listen.Peers, server: newServer(peer.NewHandler(peerService{g.loop}, g.shared.memory))},
+		{address: settings.Listen.Metrics, server: newServer(g.metricsHandler())},
 	}
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
@@ -183,6 +192,7 @@
 // and the name and zone of the VM require a restart, which the log says.
 func (g *Gateway) reload(updated *model.Settings) {
 	old := g.options.Settings
+	g.loop.servers.availability.SetDrainTime(updated.Bounds.DrainTime)
 	restart := updated.Listen != old.Listen || updated.VM != old.VM || updated.Zone != old.Zone || updated.StoreAddress != old.StoreAddress
 	g.shared.budget.SetOptions(budget.Options{Window: updated.Bounds.RetryWindow, Ratio: updated.Bounds.RetryRatio, Slack: updated.Bounds.RetrySlack})
 	g.shared.log.Event(event.GatewayReloaded, "", zap.Bool("bounds_changed", updated.Bounds != old.Bounds), zap.Bool("needs_restart", restart))
@@ -213,6 +223,7 @@
 	VMs             int64                               `json:"vms"`
 	Goroutines      int                                 `json:"goroutines"`
 	Memory          map[string]memory.Usage             `json:"memory"`
+	Availability    availability.Counts                 `json:"availability"`
 	LogLines        int64                               `json:"log_lines"`
 	LogLinesDropped int64                               `json:"log_lines_left_out"`
 }
@@ -227,6 +238,7 @@
 		VMs:             g.loop.vms.Load(),
 		Goroutines:      runtime.NumGoroutine(),
 		Memory:          g.shared.memory.Usage(),
+		Availability:    g.loop.servers.availability.Counts(),
 		LogLines:        written,
 		LogLinesDropped: leftOut,
 	}
--- a/traffic/upstream/exchange.go
+++ b/traffic/upstream/exchange.go
@@ -103,6 +103,9 @@
 			return nil, errOtherRequest
 		}
 		x.conn.limitHeaders(x.pool.options.MaxHeaderBytes)
+		if err := x.conn.scanBuffered(); err != nil {
+			return nil, err
+		}
 	}
 }
 
@@ -169,11 +172,20 @@
 			return nil, errors.New("unexpected switch of protocols")
 		}
 		if response.StatusCode >= http.StatusOK {
+			restoreHeader(c, response)
 			return response, nil
 		}
 	}
 }
 
+// restoreHeader removes what net/http has added to the headers: a Cache-Control beside a
+// Pragma.
+func restoreHeader(c *conn, response *http.Response) {
+	if !c.head.cacheControl {
+		delete(response.Header, "Cache-Control")
+	}
+}
+
 // fail ends the exchange without a response.
 func (x *exchange) fail(writeErr, readErr error) *Failure {
 	if writeErr == nil && x.written != nil {
