gateway/run: calls of servers keep the deadline of their decision

Two servers may hold the same keys: a leader decides on a grant, its VM is slow, frozen or suspended before the goroutine of the call runs, and the grant goes out after a later leader counts on its arrival. Cause: the timeout of a grant began with its goroutine, and ran on a clock that stands still during a suspend; successors count MaxCallDelay from the end of the leadership. What was not written is reported as not sent.

--- a/gateway/keys/simulation_calls_test.go
+++ b/gateway/keys/simulation_calls_test.go
@@ -62,12 +62,30 @@
 	})
 }
 
+// grant starts a call, some time after its leader has decided on it. Its deadline counts
+// from the decision.
 func (sim *simulation) grant(m *keys.Machine, call keys.GrantCall) {
 	if sim.onGrant != nil {
 		sim.onGrant(call)
 	}
+	if sim.maxStartDelay == 0 {
+		sim.start(m, call, keys.CallTimeout)
+		return
+	}
+	delay := time.Duration(sim.random.Int64N(int64(sim.maxStartDelay)))
+	sim.after(delay, func() {
+		if delay >= keys.CallTimeout {
+			sim.answer(0, m, call, keys.NotSent, call.Connection)
+			return
+		}
+		sim.start(m, call, keys.CallTimeout-delay)
+	})
+}
+
+// start sends a call on the connection that it names, or on any.
+func (sim *simulation) start(m *keys.Machine, call keys.GrantCall, timeout time.Duration) {
 	if call.Connection != 0 {
-		sim.renew(m, call)
+		sim.renew(m, call, timeout)
 		return
 	}
 	server := sim.serverAt(call.Address)
@@ -76,14 +94,14 @@
 		return
 	}
 	if server.unreachable {
-		sim.answer(keys.CallTimeout, m, call, keys.Unreachable, 0)
+		sim.answer(timeout, m, call, keys.Unreachable, 0)
 		return
 	}
 	if server.Zone == sim.congestedZone && server.delayedCall {
-		sim.answer(keys.CallTimeout, m, call, keys.NotSent, 0)
+		sim.answer(timeout, m, call, keys.NotSent, 0)
 		return
 	}
-	sim.send(m, call, sim.connect(server))
+	sim.send(m, call, sim.connect(server), timeout)
 }
 
 // answer reports the outcome of a call after a delay. Its connection ends with the call
@@ -112,48 +130,48 @@
 }
 
 // renew sends a call on its connection only.
-func (sim *simulation) renew(m *keys.Machine, call keys.GrantCall) {
+func (sim *simulation) renew(m *keys.Machine, call keys.GrantCall, timeout time.Duration) {
 	server := sim.connections[call.Connection]
 	if server == nil || !server.up && !server.dark {
 		sim.answer(0, m, call, keys.ConnectionEnded, call.Connection)
 		return
 	}
 	if server.unreachable {
-		sim.answer(keys.CallTimeout, m, call, keys.TimedOut, call.Connection)
+		sim.answer(timeout, m, call, keys.TimedOut, call.Connection)
 		return
 	}
-	sim.send(m, call, call.Connection)
+	sim.send(m, call, call.Connection, timeout)
 }
 
 // send sends a call on a connection.
-func (sim *simulation) send(m *keys.Machine, call keys.GrantCall, connection port.Connection) {
+func (sim *simulation) send(m *keys.Machine, call keys.GrantCall, connection port.Connection, timeout time.Duration) {
 	server := sim.connections[connection]
 	if !server.up {
 		ends := []keys.Outcome{keys.Disconnected, keys.TimedOut} // The former once another process listens there.
-		sim.answer(keys.CallTimeout, m, call, ends[sim.random.IntN(len(ends))], connection)
+		sim.answer(timeout, m, call, ends[sim.random.IntN(len(ends))], connection)
 		return
 	}
 	if server.silent {
-		sim.answer(keys.CallTimeout, m, call, keys.TimedOut, connection)
+		sim.answer(timeout, m, call, keys.TimedOut, connection)
 		return
 	}
 	if server.Zone == sim.congestedZone {
 		server.delayedCall = true
 		late := sim.maxCongestionDelay/2 + time.Duration(sim.random.Int64N(int64(sim.maxCongestionDelay/2)))
-		sim.after(keys.CallTimeout+late, func() { sim.apply(server, call) })
-		sim.answer(keys.CallTimeout, m, call, keys.TimedOut, connection)
+		sim.after(timeout+late, func() { sim.apply(server, call) })
+		sim.answer(timeout, m, call, keys.TimedOut, connection)
 		return
 	}
 	if sim.random.Float64() < sim.lateArrivalShare {
-		sim.after(keys.CallTimeout+time.Duration(sim.random.Int64N(int64(maxTransitTime))), func() { sim.apply(server, call) })
-		sim.answer(keys.CallTimeout, m, call, keys.TimedOut, connection)
+		sim.after(timeout+time.Duration(sim.random.Int64N(int64(maxTransitTime))), func() { sim.apply(server, call) })
+		sim.answer(timeout, m, call, keys.TimedOut, connection)
 		return
 	}
 	sim.after(sim.networkDelay(), func() {
 		arrived := sim.now
 		if sim.random.Float64() < sim.lateShare || m == sim.lateFor {
 			sim.after(time.Duration(sim.random.Int64N(int64(6*time.Second))), func() { sim.applyLate(server, call, arrived) })
-			sim.answer(keys.CallTimeout-(arrived-sim.now), m, call, keys.Disconnected, connection)
+			sim.answer(timeout-(arrived-sim.now), m, call, keys.Disconnected, connection)
 			return
 		}
 		sim.answer(sim.networkDelay(), m, call, sim.apply(server, call), connection)
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -65,6 +65,9 @@
 	// maxCongestionDelay after its timeout, the others get no connection.
 	congestedZone      string
 	maxCongestionDelay time.Duration
+	// maxStartDelay bounds how long after its leader's decision a grant starts: the leader's
+	// VM is slow, or was frozen.
+	maxStartDelay time.Duration
 	// maxDelay bounds the random part of the network delay in one direction.
 	maxDelay time.Duration
 	// maxReleaseTime is the longest that a server finishes requests before it
--- a/gateway/run/calls.go
+++ b/gateway/run/calls.go
@@ -11,15 +11,19 @@
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/kvstore"
+	"guavacrank.example/traffic/elapsed"
 )
 
 // releaseTimeout is the timeout of a release call. The server responds only after
 // it has finished its work on the keys.
 const releaseTimeout = 4 * time.Second
 
-// startCalls starts the calls that a state machine requests.
+// startCalls starts the calls that a state machine requests. The timeouts of grants and
+// releases run from here: a VM that is slow, frozen or suspended must not send them when
+// later leaders count on their having arrived.
 func (l *loop) startCalls(service string, machine *keys.Machine) {
 	ready := machine.Ready()
+	decidedAt := l.clock()
 	if ready.Read {
 		go l.readPage(service)
 	}
@@ -30,10 +34,10 @@
 		l.consultation.waiting[service] = true
 	}
 	for _, call := range ready.Grants {
-		go l.grant(service, call)
+		go l.grant(service, call, decidedAt+keys.CallTimeout)
 	}
 	for _, call := range ready.Releases {
-		go l.release(service, call)
+		go l.release(service, call, decidedAt+releaseTimeout)
 	}
 	for _, call := range ready.Probes {
 		if !l.keepProbeAway(machine, call) {
@@ -78,8 +82,9 @@
 	l.deliver(pageWritten{service, write.Page.WriteID, position, err, value})
 }
 
-func (l *loop) grant(service string, call keys.GrantCall) {
-	ctx, cancel := context.WithTimeout(l.ctx, keys.CallTimeout)
+// grant sends a grant by a deadline of the loop's clock.
+func (l *loop) grant(service string, call keys.GrantCall, deadline time.Duration) {
+	ctx, cancel := elapsed.WithDeadline(l.ctx, l.clock, deadline)
 	defer cancel()
 	connection, err := l.grantor.Grant(ctx, call.Address, call.Grant)
 	l.deliver(grantDone{service, call, grantOutcome(err), connection, err})
@@ -117,8 +122,9 @@
 	}
 }
 
-func (l *loop) release(service string, call keys.ReleaseCall) {
-	ctx, cancel := context.WithTimeout(l.ctx, releaseTimeout)
+// release sends a release by a deadline of the loop's clock.
+func (l *loop) release(service string, call keys.ReleaseCall, deadline time.Duration) {
+	ctx, cancel := elapsed.WithDeadline(l.ctx, l.clock, deadline)
 	defer cancel()
 	handover, err := l.grantor.Release(ctx, call.Address, call.Release)
 	l.deliver(releaseDone{service, call, handover, err})
--- a/traffic/upstream/exchange.go
+++ b/traffic/upstream/exchange.go
@@ -44,7 +44,10 @@
 	c.SetDeadline(deadline) // The zero time means none.
 	x.stop = context.AfterFunc(x.ctx, func() { c.SetDeadline(past) })
 
-	writeErr := x.send()
+	writeErr := x.ctx.Err() // No timer has fired if the VM was suspended meanwhile.
+	if writeErr == nil {
+		writeErr = x.send()
+	}
 	if writeErr != nil && !c.sent {
 		failure := &Failure{Stage: StageWrite, Timeout: x.ended(writeErr), Err: writeErr}
 		x.abandon()
--- a/traffic/upstream/pool_test.go
+++ b/traffic/upstream/pool_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"guavacrank.example/traffic/elapsed"
 )
 
 func get() *http.Request {
@@ -149,3 +151,21 @@
 	g.Expect(failure.Timeout).To(BeTrue())
 	g.Expect(p.Open()).To(BeZero())
 }
+
+func TestRequestWhoseDeadlinePassedDuringASuspendIsNotSent(t *testing.T) {
+	g := NewWithT(t)
+	received := make(chan struct{}, 2)
+	address, _ := countingServer(t, func(http.ResponseWriter, *http.Request) { received <- struct{}{} })
+	p := NewPool(Options{Address: address, MaxConnections: 1})
+	g.Expect(roundTrip(p, false)).To(BeNil())
+	g.Expect(received).To(Receive())
+	now := time.Second
+	ctx, cancel := elapsed.WithDeadline(context.Background(), func() time.Duration { return now }, time.Hour)
+	defer cancel()
+	now = time.Hour // No timer advances while the VM is suspended.
+	_, failure := p.Do(ctx, get(), false)
+	g.Expect(failure).NotTo(BeNil())
+	g.Expect(failure.Sent).To(BeFalse())
+	g.Expect(failure.Timeout).To(BeTrue())
+	g.Consistently(received, 100*time.Millisecond).ShouldNot(Receive())
+}
