gateway/keys: servers that lost keys without being told get a higher fence first

Cause: a leader is killed while a server is cut off from it. The connections of the killed process still deliver the grants in flight when the cut heals, seconds later. The next leader had waited for the expiry of all grants and given the keys away; the server had heard of no higher fence and accepted the old one. Only an answer of a server proves that it refuses what was sent before; an expiry does not. The fence of the late grant lies in the reserve of the killed leader's page. Change: releases carry a fence above all that were sent for the keys. The page lists servers whose keys were given away by expiry alone; the leader calls them until they answer a release with such a fence or have ended, and they get no other keys before. Calls to servers that may be cut off time out after 0.2 s, so that they are among the first after a cut.

--- a/gateway/keys/change.go
+++ b/gateway/keys/change.go
@@ -68,7 +68,11 @@
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return Change{}, fmt.Errorf("ownership change: %w", err)
 	}
-	change := Change{Head: stored.page()}
+	head, err := stored.page()
+	if err != nil {
+		return Change{}, fmt.Errorf("ownership change: %w", err)
+	}
+	change := Change{Head: head}
 	for at, row := range stored.Ranges {
 		if len(row) < 2 || row[1] >= model.Keys {
 			return Change{}, fmt.Errorf("ownership change: range %d: %w", at, errRow)
--- a/gateway/keys/encode.go
+++ b/gateway/keys/encode.go
@@ -21,6 +21,8 @@
 	MaxGrantTTLMillis int64          `json:"longest_hold,omitempty"` // In milliseconds.
 	LostGrants        LostGrants     `json:"lost_grants,omitzero"`
 	Servers           []storedServer `json:"servers"`
+	// Unfenced holds for each entry the server's index and the first and the last key.
+	Unfenced [][3]uint64 `json:"unfenced,omitempty"`
 	// Ranges holds one row for each range: the first key, then for the owner and
 	// each prior holder its index in Servers and its fence. A range ends before
 	// the first key of the next row.
@@ -43,12 +45,25 @@
 
 // head returns the stored form without ranges.
 func (p *Page) head() *storedPage {
-	return &storedPage{Stamp: p.Stamp, Fence: p.Fence, Writer: p.Writer, Predecessors: p.Predecessors, WriteID: p.WriteID, MaxGrantTTLMillis: p.MaxGrantTTL.Milliseconds(), LostGrants: p.LostGrants}
+	stored := &storedPage{Stamp: p.Stamp, Fence: p.Fence, Writer: p.Writer, Predecessors: p.Predecessors, WriteID: p.WriteID, MaxGrantTTLMillis: p.MaxGrantTTL.Milliseconds(), LostGrants: p.LostGrants}
+	for _, u := range p.Unfenced {
+		server := stored.index(Holder{Incarnation: u.Incarnation, Address: u.Address})
+		stored.Unfenced = append(stored.Unfenced, [3]uint64{server, uint64(u.From), uint64(u.To)})
+	}
+	return stored
 }
 
 // page returns the decoded page without ranges.
-func (s *storedPage) page() Page {
-	return Page{Stamp: s.Stamp, Fence: s.Fence, Writer: s.Writer, Predecessors: s.Predecessors, WriteID: s.WriteID, MaxGrantTTL: time.Duration(s.MaxGrantTTLMillis) * time.Millisecond, LostGrants: s.LostGrants}
+func (s *storedPage) page() (Page, error) {
+	page := Page{Stamp: s.Stamp, Fence: s.Fence, Writer: s.Writer, Predecessors: s.Predecessors, WriteID: s.WriteID, MaxGrantTTL: time.Duration(s.MaxGrantTTLMillis) * time.Millisecond, LostGrants: s.LostGrants}
+	for at, row := range s.Unfenced {
+		if row[0] >= uint64(len(s.Servers)) || row[1] > row[2] || row[2] >= model.Keys {
+			return Page{}, fmt.Errorf("unfenced keys %d: %w", at, errUnfenced)
+		}
+		server := s.Servers[row[0]]
+		page.Unfenced = append(page.Unfenced, UnfencedKeys{server.Incarnation, server.Address, uint16(row[1]), uint16(row[2])})
+	}
+	return page, nil
 }
 
 // holders returns the part of a row that lists the owner and the prior holders.
@@ -71,6 +86,9 @@
 	return uint64(at)
 }
 
+// errUnfenced reports malformed unfenced keys of a stored page.
+var errUnfenced = errors.New("not a server, a first and a last key")
+
 // errRow reports a malformed row of a stored page.
 var errRow = errors.New("a row is not a first key followed by pairs of a server and a fence")
 
@@ -80,7 +98,10 @@
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return nil, fmt.Errorf("ownership page: %w", err)
 	}
-	page := stored.page()
+	page, err := stored.page()
+	if err != nil {
+		return nil, fmt.Errorf("ownership page: %w", err)
+	}
 	for at, row := range stored.Ranges {
 		end := uint64(model.Keys)
 		if at+1 < len(stored.Ranges) && len(stored.Ranges[at+1]) > 0 {
--- a/gateway/keys/load.go
+++ b/gateway/keys/load.go
@@ -43,6 +43,9 @@
 		if !row.listed || row.Draining || row.unconfirmed || m.unreachable(row) || m.replaced(Holder{Incarnation: row.Incarnation(), Address: row.Address}) {
 			continue
 		}
+		if m.page != nil && m.page.unfenced(row.Incarnation()) {
+			continue
+		}
 		t.rows = append(t.rows, row)
 	}
 	sort.Slice(t.rows, func(i, j int) bool { return t.rows[i].ID < t.rows[j].ID })
--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -95,6 +95,8 @@
 	released        map[holderKey]releaseResult
 	releasing       map[holderKey]time.Duration // Start times of the release calls in flight.
 	retryReleaseAt  map[holderKey]time.Duration
+	releaseFences   map[holderKey]uint64 // The fence with which a release is sent.
+	fencing         map[UnfencedKeys]*fencingRow
 	rates           rateTable
 	nextRebalanceAt time.Duration
 	nextPruneAt     time.Duration
@@ -114,6 +116,8 @@
 		released:       make(map[holderKey]releaseResult),
 		releasing:      make(map[holderKey]time.Duration),
 		retryReleaseAt: make(map[holderKey]time.Duration),
+		releaseFences:  make(map[holderKey]uint64),
+		fencing:        make(map[UnfencedKeys]*fencingRow),
 		rates:          newRateTable(),
 		predecessors:   predecessors{ended: make(map[string]bool)},
 	}
@@ -140,6 +144,8 @@
 	clear(m.released)
 	clear(m.releasing)
 	clear(m.retryReleaseAt)
+	clear(m.releaseFences)
+	clear(m.fencing)
 	for _, row := range m.servers {
 		row.acceptedGrant = false
 	}
@@ -181,6 +187,7 @@
 	m.runPredecessors()
 	m.runProbes()
 	m.runReleases()
+	m.runFencing()
 	m.runDraft()
 	m.runRenewals()
 	m.runPrune()
--- a/gateway/keys/page.go
+++ b/gateway/keys/page.go
@@ -29,7 +29,9 @@
 	MaxGrantTTL time.Duration
 	// LostGrants describes the grants of unknown holders; zero without unknown holders.
 	LostGrants LostGrants
-	Ranges     []Range
+	// Unfenced lists the keys that servers have lost without being told.
+	Unfenced []UnfencedKeys
+	Ranges   []Range
 }
 
 // Stamp orders the pages of a service by the time of their writing: by the era of the
@@ -110,6 +112,7 @@
 func (p *Page) clone() *Page {
 	copied := *p
 	copied.Predecessors = slices.Clone(p.Predecessors)
+	copied.Unfenced = slices.Clone(p.Unfenced)
 	copied.Ranges = slices.Clone(p.Ranges)
 	for at := range copied.Ranges {
 		copied.Ranges[at].Prior = slices.Clone(copied.Ranges[at].Prior)
--- a/gateway/keys/ready.go
+++ b/gateway/keys/ready.go
@@ -1,6 +1,8 @@
 package keys
 
 import (
+	"time"
+
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/kvstore"
@@ -48,5 +50,13 @@
 type ReleaseCall struct {
 	Incarnation model.Incarnation
 	Address     string
+	// Fencing says that the server holds nothing by what this leader knows, and is only to
+	// refuse earlier grants.
+	Fencing bool
+	// Held is the fence of the prior holder's last grant; zero with Fencing. The fence of
+	// the release is higher.
+	Held uint64
+	// Timeout is the timeout of the call.
+	Timeout time.Duration
 	port.Release
 }
--- a/gateway/keys/simulation_calls_test.go
+++ b/gateway/keys/simulation_calls_test.go
@@ -234,7 +234,7 @@
 		return
 	}
 	if server.unreachable {
-		sim.after(time.Second, func() { m.StepReleased(sim.now, call, keys.ReleaseUnanswered, "") })
+		sim.after(min(call.Timeout, time.Second), func() { m.StepReleased(sim.now, call, keys.ReleaseUnanswered, "") })
 		return
 	}
 	if server.ID != call.Server {
@@ -252,6 +252,7 @@
 			}
 		}
 		server.removeRange(call.From, call.To)
+		server.see(call)
 		sim.after(sim.networkDelay()+time.Duration(sim.random.Int64N(int64(sim.maxReleaseTime))), func() {
 			m.StepReleased(sim.now, call, keys.Released, fmt.Sprintf("h-%d-%d", call.From, call.Fence))
 		})
--- a/gateway/keys/simulation_server_test.go
+++ b/gateway/keys/simulation_server_test.go
@@ -45,6 +45,15 @@
 	s.heldRanges = append(s.heldRanges, added)
 }
 
+// see records the fence of a release: the server refuses grants with lower ones.
+func (s *fakeServer) see(call keys.ReleaseCall) {
+	for _, key := range sampledKeys {
+		if key >= call.From && key <= call.To {
+			s.seen[key] = max(s.seen[key], call.Fence)
+		}
+	}
+}
+
 // removeRange removes a range from the held ranges.
 func (s *fakeServer) removeRange(from, to uint16) {
 	var kept []heldRange
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -316,7 +316,11 @@
 // StepReleased takes the outcome of a release call and the handover token.
 func (m *Machine) StepReleased(now time.Duration, call ReleaseCall, outcome ReleaseOutcome, handover string) {
 	m.now = now
-	key := holderKey{call.From, call.To, call.Incarnation, call.Fence}
+	if call.Fencing {
+		m.stepFenced(call, outcome)
+		return
+	}
+	key := holderKey{call.From, call.To, call.Incarnation, call.Held}
 	row := m.row(call.Incarnation)
 	delete(m.releasing, key)
 	m.repeatGrants(call)
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -24,6 +24,7 @@
 	b.recordUnknownHolders()
 	b.recordPredecessors()
 	b.extendTTL()
+	b.dropFenced()
 	b.dropEndedPrior()
 	b.reassignLost()
 	if !b.changed {
@@ -48,6 +49,9 @@
 	if m.page == nil || len(m.page.Ranges) == 0 || !m.adopted || m.fencesLow() || m.page.Era < m.era || m.now >= m.nextRebalanceAt || !slices.Equal(m.page.Predecessors, m.predecessors.active) {
 		return true
 	}
+	if slices.ContainsFunc(m.page.Unfenced, m.fenced) {
+		return true
+	}
 	for _, r := range m.page.Ranges {
 		if m.mustMove(r) {
 			return true
@@ -157,6 +161,7 @@
 			continue
 		}
 		if _, ended := b.mayGrant(*r); ended {
+			b.recordUnfenced(*r)
 			r.Prior = nil
 			b.changed = true
 		}
--- /dev/null
+++ b/gateway/keys/system_fencing.go
@@ -0,0 +1,144 @@
+package keys
+
+import (
+	"slices"
+	"time"
+
+	"guavacrank.example/gateway/model"
+)
+
+// A server that was out of reach loses its keys when their grants have expired. A grant of an
+// earlier leader may still be on its way to it then: the connections of a process that was
+// killed may deliver what they hold once the network lets them. So the page lists the server
+// until it has been told a higher fence, and it gets no other keys before.
+
+// UnfencedKeys are keys that a server has lost without being told. It may accept an earlier
+// leader's grant of them.
+type UnfencedKeys struct {
+	model.Incarnation
+	Address  string
+	From, To uint16
+}
+
+const (
+	// fencingTimeout is the timeout of calls to a server that may be cut off. It is short, so
+	// that the server hears of the fence soon after the network lets it.
+	fencingTimeout = 200 * time.Millisecond
+	// eagerFencingTime is for how long fencing calls follow one another without a pause.
+	eagerFencingTime = 20 * time.Second
+	// fencingPause is the pause between two calls after that, and after one that was
+	// refused: the process has probably ended.
+	fencingPause = time.Second
+	// fencingMemory is for how long a server that is not listed is called.
+	fencingMemory = time.Minute
+)
+
+// fencingRow is the state of the calls for one entry of Page.Unfenced.
+type fencingRow struct {
+	since    time.Duration // When this leader read or wrote the entry first.
+	fence    uint64
+	inFlight bool
+	dueAt    time.Duration
+	done     bool
+}
+
+// unfenced reports whether a server has lost keys without being told.
+func (p *Page) unfenced(server model.Incarnation) bool {
+	return slices.ContainsFunc(p.Unfenced, func(u UnfencedKeys) bool { return u.Incarnation == server })
+}
+
+// recordUnfenced lists the prior holders of a range whose grants have only expired.
+func (b *pageBuilder) recordUnfenced(r Range) {
+	for _, prior := range r.Prior {
+		if end, _ := b.priorEnded(r, prior); end == endedByExpiry && prior != unknownHolder {
+			b.page.addUnfenced(UnfencedKeys{prior.Incarnation, prior.Address, r.From, r.To})
+		}
+	}
+}
+
+// addUnfenced lists keys that a server has lost. A server that owns no keys is listed once.
+func (p *Page) addUnfenced(lost UnfencedKeys) {
+	if !p.hasOwner(lost.Incarnation) {
+		p.Unfenced = slices.DeleteFunc(p.Unfenced, func(u UnfencedKeys) bool { return u.Incarnation == lost.Incarnation })
+		lost.From, lost.To = 0, model.Keys-1
+	}
+	if !slices.Contains(p.Unfenced, lost) {
+		p.Unfenced = append(p.Unfenced, lost)
+	}
+}
+
+// hasOwner reports whether a server owns keys.
+func (p *Page) hasOwner(server model.Incarnation) bool {
+	return slices.ContainsFunc(p.Ranges, func(r Range) bool { return r.Owner.Incarnation == server })
+}
+
+// dropFenced drops the entries of servers that were told a higher fence or have ended.
+func (b *pageBuilder) dropFenced() {
+	count := len(b.page.Unfenced)
+	b.page.Unfenced = slices.DeleteFunc(b.page.Unfenced, b.fenced)
+	b.changed = b.changed || len(b.page.Unfenced) < count
+}
+
+// fenced reports whether an entry of Page.Unfenced has ended.
+func (m *Machine) fenced(keys UnfencedKeys) bool {
+	row := m.fencing[keys]
+	if row == nil {
+		return false
+	}
+	server := m.servers[keys.Incarnation]
+	forgotten := m.now >= row.since+fencingMemory && (server == nil || m.absent(server))
+	return row.done || forgotten || m.replaced(Holder{Incarnation: keys.Incarnation, Address: keys.Address})
+}
+
+// runFencing sends higher fences to the servers that have lost keys without being told.
+func (m *Machine) runFencing() {
+	if m.page == nil || !m.adopted {
+		return
+	}
+	for keys := range m.fencing {
+		if !slices.Contains(m.page.Unfenced, keys) {
+			delete(m.fencing, keys)
+		}
+	}
+	for _, keys := range m.page.Unfenced {
+		row := m.fencing[keys]
+		if row == nil {
+			row = &fencingRow{since: m.now}
+			m.fencing[keys] = row
+		}
+		if !row.inFlight && !row.done && m.now >= row.dueAt {
+			m.sendFence(keys, row)
+		}
+	}
+}
+
+// sendFence sends a release with a fence above all that earlier leaders sent.
+func (m *Machine) sendFence(keys UnfencedKeys, row *fencingRow) {
+	if row.fence == 0 {
+		fence, ok := m.takeFence()
+		if !ok {
+			return
+		}
+		row.fence = fence
+	}
+	row.inFlight = true
+	call := ReleaseCall{Incarnation: keys.Incarnation, Address: keys.Address, Fencing: true, Timeout: fencingTimeout}
+	call.From, call.To, call.Fence, call.Server = keys.From, keys.To, row.fence, keys.ID
+	m.ready.Releases = append(m.ready.Releases, call)
+}
+
+// stepFenced takes the outcome of a fencing call. Another server at the address proves that
+// the process, and with it its connections, has ended.
+func (m *Machine) stepFenced(call ReleaseCall, outcome ReleaseOutcome) {
+	row := m.fencing[UnfencedKeys{call.Incarnation, call.Address, call.From, call.To}]
+	if row == nil {
+		return
+	}
+	row.inFlight = false
+	switch {
+	case outcome == Released || outcome == HolderEnded:
+		row.done = true
+	case outcome == ReleaseNoListener || m.now >= row.since+eagerFencingTime:
+		row.dueAt = m.now + fencingPause
+	}
+}
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -11,6 +11,9 @@
 const (
 	// CallTimeout is the timeout of a grant call.
 	CallTimeout = 500 * time.Millisecond
+	// releaseTimeout is the timeout of a release call. The server responds only after it
+	// has finished its work on the keys.
+	releaseTimeout = 4 * time.Second
 	// MaxCallDelay is how long after its start a grant call may arrive.
 	MaxCallDelay = CallTimeout + transitTime
 )
@@ -125,29 +128,46 @@
 	return m.latestArrival(row, m.endpointOf(row.ID, row.Address).latestUnanswered)
 }
 
-// priorEnded reports whether a prior holder can't hold a range any more, and
+// priorEnd says why a prior holder can't hold a range any more.
+type priorEnd uint8
+
+const (
+	// notEnded means that it may hold the range.
+	notEnded priorEnd = iota
+	// endedByExpiry means that all grants that it may have received have expired.
+	endedByExpiry
+	// endedByProof means that it has answered a release, or that its process has ended.
+	endedByProof
+)
+
+// priorEnded reports whether and why a prior holder can't hold a range any more, and
 // returns the handover token that it gave on release. While grants of an earlier leader may
 // arrive, the end of the holder's process proves nothing: a later life may get one.
-func (m *Machine) priorEnded(r Range, prior Holder) (ended bool, handover string) {
+func (m *Machine) priorEnded(r Range, prior Holder) (end priorEnd, handover string) {
 	if prior == unknownHolder {
-		return m.unknownHoldersEnded(), ""
+		if m.unknownHoldersEnded() {
+			return endedByExpiry, ""
+		}
+		return notEnded, ""
 	}
 	key := holderKey{r.From, r.To, prior.Incarnation, prior.Fence}
 	bound := m.bounds[key]
 	if len(bound.pending) > 0 {
-		return false, ""
+		return notEnded, ""
 	}
 	row := m.row(prior.Incarnation)
 	arrived, late := m.latestArrival(row, bound.latestArrival), m.latestArrival(row, bound.latestUnanswered)
 	result, released := m.released[key]
-	ended = (result.ended || m.startedElsewhere(prior)) && m.now >= m.predecessorBound()
-	if ended || m.now >= arrived+m.maxGrantLifetime() {
-		return true, ""
-	}
-	if !released {
-		return false, ""
+	switch {
+	case (result.ended || m.startedElsewhere(prior)) && m.now >= m.predecessorBound():
+		return endedByProof, ""
+	case released && (late == 0 || m.now >= late+m.maxGrantLifetime()):
+		return endedByProof, result.handover
+	case m.now >= arrived+m.maxGrantLifetime():
+		return endedByExpiry, ""
+	default:
+		return notEnded, ""
 	}
-	return late == 0 || m.now >= late+m.maxGrantLifetime(), result.handover
 }
 
 // replaced reports whether a later incarnation is listed under the holder's ID or
@@ -171,8 +191,8 @@
 // handover token is returned only if there was exactly one.
 func (m *Machine) mayGrant(r Range) (handover string, ok bool) {
 	for _, prior := range r.Prior {
-		ended, priorHandover := m.priorEnded(r, prior)
-		if !ended {
+		end, priorHandover := m.priorEnded(r, prior)
+		if end == notEnded {
 			return "", false
 		}
 		handover = priorHandover
@@ -204,11 +224,38 @@
 	if _, releasing := m.releasing[key]; releasing || len(m.bounds[key].pending) > 0 || m.released[key].done || m.now < m.retryReleaseAt[key] {
 		return
 	}
-	if ended, _ := m.priorEnded(r, prior); ended {
+	if end, _ := m.priorEnded(r, prior); end != notEnded {
+		return
+	}
+	fence, ok := m.releaseFence(key)
+	if !ok {
 		return
 	}
 	m.releasing[key] = m.now
-	call := ReleaseCall{Incarnation: prior.Incarnation, Address: prior.Address}
-	call.From, call.To, call.Fence, call.Server = r.From, r.To, prior.Fence, prior.ID
+	call := ReleaseCall{Incarnation: prior.Incarnation, Address: prior.Address, Held: prior.Fence, Timeout: m.releaseTimeout(key)}
+	call.From, call.To, call.Fence, call.Server = r.From, r.To, fence, prior.ID
 	m.ready.Releases = append(m.ready.Releases, call)
 }
+
+// releaseTimeout returns the timeout of the next release: a short one if the server may be
+// cut off.
+func (m *Machine) releaseTimeout(key holderKey) time.Duration {
+	if m.row(key.incarnation).unresponsive || m.retryReleaseAt[key] > 0 {
+		return fencingTimeout
+	}
+	return releaseTimeout
+}
+
+// releaseFence returns the fence with which a release is sent, the same for each repetition.
+// It is above all that any leader sent with a grant of the keys, so that the server refuses
+// one of them that arrives later. It returns false if no fence is reserved.
+func (m *Machine) releaseFence(key holderKey) (uint64, bool) {
+	if fence := m.releaseFences[key]; fence != 0 {
+		return fence, true
+	}
+	fence, ok := m.takeFence()
+	if ok {
+		m.releaseFences[key] = fence
+	}
+	return fence, ok
+}
--- a/gateway/keys/system_renewal.go
+++ b/gateway/keys/system_renewal.go
@@ -147,6 +147,11 @@
 			delete(m.retryReleaseAt, key)
 		}
 	}
+	for key := range m.releaseFences {
+		if !named[key] {
+			delete(m.releaseFences, key)
+		}
+	}
 	for incarnation, row := range m.servers {
 		if !row.listed && len(row.granted) == 0 && !holders[incarnation] {
 			delete(m.servers, incarnation)
--- a/gateway/run/calls.go
+++ b/gateway/run/calls.go
@@ -14,10 +14,6 @@
 	"guavacrank.example/traffic/elapsed"
 )
 
-// releaseTimeout is the timeout of a release call. The server responds only after
-// it has finished its work on the keys.
-const releaseTimeout = 4 * time.Second
-
 // startCalls starts the calls that a state machine requests. The timeouts of grants and
 // releases run from here: a VM that is slow, frozen or suspended must not send them when
 // later leaders count on their having arrived.
@@ -37,7 +33,7 @@
 		go l.grant(service, call, decidedAt+keys.CallTimeout)
 	}
 	for _, call := range ready.Releases {
-		go l.release(service, call, decidedAt+releaseTimeout)
+		go l.release(service, call, decidedAt+call.Timeout)
 	}
 	for _, call := range ready.Probes {
 		if !l.keepProbeAway(machine, call) {
--- a/gateway/run/late_calls_test.go
+++ b/gateway/run/late_calls_test.go
@@ -15,6 +15,9 @@
 	"guavacrank.example/kvstore"
 )
 
+// lateStart is how long after their decisions calls start.
+const lateStart = 4 * time.Second
+
 // contextGrantor passes on the contexts of calls and whether they had ended.
 type contextGrantor struct {
 	port.Grantor
@@ -57,13 +60,13 @@
 		if reads.Add(1) == 1 {
 			return decidedAt
 		}
-		return decidedAt + releaseTimeout // The VM was frozen after the decision.
+		return decidedAt + lateStart // The VM was frozen after the decision.
 	}
 	ends := make(chan error, 2)
 	l.grantor = contextGrantor{ends: ends}
 	l.startCalls("s", machineWithGrants(decidedAt))
 	g.Eventually(ends).Should(Receive(MatchError(context.DeadlineExceeded)))
 	reads.Store(1)
-	l.release("s", keys.ReleaseCall{}, decidedAt+releaseTimeout)
+	l.release("s", keys.ReleaseCall{}, decidedAt+lateStart)
 	g.Expect(ends).To(Receive(MatchError(context.DeadlineExceeded)))
 }
