gateway/keys: one fencing call for all keys of a prior holder that may be cut off

Cause: a server that is cut off while it loses dozens of ranges was sent a release for each of them, at most four at a time, so that after the cut it heard of the higher fences in turn, beside the grants of a killed leader that arrive then. Result: gateway/keys passes (random, restart, restoration, outage and killed-leader simulations).

--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -97,6 +97,7 @@
 	retryReleaseAt  map[holderKey]time.Duration
 	releaseFences   map[holderKey]uint64 // The fence with which a release is sent.
 	fencing         map[UnfencedKeys]*fencingRow
+	cutOffPrior     []UnfencedKeys // Of prior holders that may be cut off, since the last runFencing.
 	rates           rateTable
 	nextRebalanceAt time.Duration
 	nextPruneAt     time.Duration
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -326,12 +326,13 @@
 	m.repeatGrants(call)
 	switch outcome {
 	case ReleaseUnanswered:
+		row.releaseFailed = true
 		m.retryReleaseAt[key] = now + retryDelay
 	case ReleaseNoListener:
 		row.noteRefused(now)
 		m.retryReleaseAt[key] = now + retryDelay
 	case Released:
-		row.refusedSince = 0
+		row.refusedSince, row.releaseFailed = 0, false
 		m.released[key] = releaseResult{done: true, handover: handover}
 	case HolderEnded:
 		row.noteRefused(now)
--- a/gateway/keys/system_fencing.go
+++ b/gateway/keys/system_fencing.go
@@ -90,17 +90,20 @@
 	return row.done || forgotten || m.replaced(Holder{Incarnation: keys.Incarnation, Address: keys.Address})
 }
 
-// runFencing sends higher fences to the servers that have lost keys without being told.
+// runFencing sends higher fences to the servers that have lost keys without being told, and
+// to those that are losing keys and may be cut off.
 func (m *Machine) runFencing() {
 	if m.page == nil || !m.adopted {
 		return
 	}
+	unfenced := append(slices.Clone(m.page.Unfenced), m.cutOffPrior...)
+	m.cutOffPrior = m.cutOffPrior[:0]
 	for keys := range m.fencing {
-		if !slices.Contains(m.page.Unfenced, keys) {
+		if !slices.Contains(unfenced, keys) {
 			delete(m.fencing, keys)
 		}
 	}
-	for _, keys := range m.page.Unfenced {
+	for _, keys := range unfenced {
 		row := m.fencing[keys]
 		if row == nil {
 			row = &fencingRow{since: m.now}
@@ -112,6 +115,43 @@
 	}
 }
 
+// fenceCutOff reports whether a prior holder that may be cut off and owns no keys gets one
+// fencing call for all its keys in place of releases, and notes it for runFencing.
+func (m *Machine) fenceCutOff(prior Holder) bool {
+	row := m.row(prior.Incarnation)
+	if !row.unresponsive && !row.releaseFailed || m.page.hasOwner(prior.Incarnation) {
+		return false
+	}
+	all := UnfencedKeys{prior.Incarnation, prior.Address, 0, model.Keys - 1}
+	if !slices.Contains(m.cutOffPrior, all) {
+		m.cutOffPrior = append(m.cutOffPrior, all)
+	}
+	return true
+}
+
+// beingFenced reports whether a server gets fencing calls.
+func (m *Machine) beingFenced(server model.Incarnation) bool {
+	for keys := range m.fencing {
+		if keys.Incarnation == server {
+			return true
+		}
+	}
+	return m.page != nil && m.page.unfenced(server)
+}
+
+// noteReleased records that a server has released keys which ranges name it for as a prior
+// holder.
+func (m *Machine) noteReleased(keys UnfencedKeys, ended bool) {
+	for _, r := range m.page.Ranges {
+		for _, prior := range r.Prior {
+			if prior.Incarnation == keys.Incarnation && prior != unknownHolder && keys.From <= r.From && r.To <= keys.To {
+				key := holderKey{r.From, r.To, prior.Incarnation, prior.Fence}
+				m.released[key] = releaseResult{done: true, ended: ended}
+			}
+		}
+	}
+}
+
 // sendFence sends a release with a fence above all that earlier leaders sent.
 func (m *Machine) sendFence(keys UnfencedKeys, row *fencingRow) {
 	if row.fence == 0 {
@@ -130,14 +170,23 @@
 // stepFenced takes the outcome of a fencing call. Another server at the address proves that
 // the process, and with it its connections, has ended.
 func (m *Machine) stepFenced(call ReleaseCall, outcome ReleaseOutcome) {
-	row := m.fencing[UnfencedKeys{call.Incarnation, call.Address, call.From, call.To}]
-	if row == nil {
+	keys := UnfencedKeys{call.Incarnation, call.Address, call.From, call.To}
+	row := m.fencing[keys]
+	m.repeatGrants(call)
+	if row == nil || row.fence != call.Fence {
 		return
 	}
 	row.inFlight = false
 	switch {
-	case outcome == Released || outcome == HolderEnded:
+	case outcome == Released:
 		row.done = true
+		m.noteReleased(keys, false)
+		m.row(keys.Incarnation).releaseFailed = false
+	case outcome == HolderEnded:
+		row.done = true
+		if m.now >= m.predecessorBound() {
+			m.noteReleased(keys, true) // Before, a later life may still get a grant.
+		}
 	case outcome == ReleaseNoListener || m.now >= row.since+eagerFencingTime:
 		row.dueAt = m.now + fencingPause
 	}
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -224,7 +224,7 @@
 	if _, releasing := m.releasing[key]; releasing || len(m.bounds[key].pending) > 0 || m.released[key].done || m.now < m.retryReleaseAt[key] {
 		return
 	}
-	if end, _ := m.priorEnded(r, prior); end != notEnded {
+	if end, _ := m.priorEnded(r, prior); end != notEnded || m.fenceCutOff(prior) {
 		return
 	}
 	fence, ok := m.releaseFence(key)
@@ -240,7 +240,7 @@
 // releaseTimeout returns the timeout of the next release: a short one if the server may be
 // cut off.
 func (m *Machine) releaseTimeout(key holderKey) time.Duration {
-	if m.row(key.incarnation).unresponsive || m.retryReleaseAt[key] > 0 {
+	if row := m.row(key.incarnation); row.unresponsive || row.releaseFailed {
 		return fencingTimeout
 	}
 	return releaseTimeout
--- a/gateway/keys/tables.go
+++ b/gateway/keys/tables.go
@@ -21,6 +21,7 @@
 	acceptedGrant bool          // Accepted a grant of this leader.
 	failingSince  time.Duration // Zero while calls succeed.
 	unresponsive  bool          // The last call got no response, not even a refusal.
+	releaseFailed bool          // The same for the last release.
 	service       serviceTime
 	responses     decayedCount
 	// maxRate is the limit on requests per second that the server names, in force until
