--- a/event/gateway.go
+++ b/event/gateway.go
@@ -45,6 +45,8 @@
 	BackendBackoffBegun     Number = 752
 	BackendBackoffEnded     Number = 753
 	RetryAfterIgnored       Number = 754
+	ServerUnfenced          Number = 755
+	ServerFenced            Number = 756
 )
 
 // gatewayEvents defines the events of the gateway area.
@@ -71,7 +73,7 @@
 	{KeysPageNotWritten, "keys-page-not-written", Warn, "A change of owners was not confirmed; the page is read again before the next change."},
 	{KeysPageSeen, "keys-page-seen", Info, "A newer version of the page with the owners of keys is in force on this VM."},
 	{GrantFailed, "grant-failed", Warn, "A grant of keys was not confirmed: it was rejected because the server knows a higher fencing token, got no response (it may still be applied later), or was not sent."},
-	{ReleaseEnded, "release-ended", Info, "A call to release keys ended; if it got no response, the keys are not granted again before the grant has expired."},
+	{ReleaseEnded, "release-ended", Info, "A call to release keys ended; if it got no response, the keys are not granted again before the grant has expired. With the field fencing the server holds nothing any more and is only told a higher fence."},
 	{PredecessorStopped, "predecessor-stopped", Info, "The previous leader is known to send no more grants; the cause says how."},
 	{PeerUnreachable, "peer-out-of-reach", Warn, "A call between this VM and the leader failed; load balancing and the retry budget use the last known values."},
 	{UpdateNotSent, "news-not-sent", Info, "An update to a page of keys, a configuration or the server list did not reach a daemon at once; the daemon gets it with the response to a report."},
@@ -91,4 +93,6 @@
 	{BackendBackoffBegun, "backend-backoff-begun", Info, "A backend server turned a request away and named a time (field left) in which it wants no others from this VM; it gets none. Responses that extend the time are not logged."},
 	{BackendBackoffEnded, "backend-backoff-ended", Info, "The time in which a backend server wanted no requests is over; this VM sends it requests again."},
 	{RetryAfterIgnored, "retry-after-ignored", Warn, "A backend server turned a request away and named a time that is not valid (the cause quotes it); it was ignored. Logged once for each start of a server."},
+	{ServerUnfenced, "server-unfenced", Warn, "Keys of a backend server were given to others when its grants had expired, without its answer. It may still accept an earlier leader's grant of them, so it is told a higher fence as soon as it can be reached, and gets no keys before."},
+	{ServerFenced, "server-fenced", Info, "A backend server that had lost keys without an answer has been told a higher fence, or has ended. It may get keys again."},
 }
--- a/gateway/keys/doc.go
+++ b/gateway/keys/doc.go
@@ -13,6 +13,9 @@
 //   - A change of a range's owner takes a fence (a fencing token) above all that
 //     were taken before. The page that reserves a fence is written before the
 //     first grant with it is sent.
+//   - A server that lost keys by expiry alone may still accept an earlier leader's grant of
+//     them. It gets no keys before it has answered a release with a higher fence, or has
+//     ended.
 //   - A fence is sent for a key on one connection only, and so to one life of a
 //     server: after the end of the connection the owner gets a higher one.
 //   - A new leader first gives every range a new fence, so that servers refuse
--- a/gateway/keys/page_test.go
+++ b/gateway/keys/page_test.go
@@ -19,6 +19,10 @@
 		Writer:       keys.Leader{VM: "a", Incarnation: "x", Address: "a:1"},
 		Predecessors: []keys.Leader{{VM: "b", Incarnation: "y", Address: "b:1"}},
 		WriteID:      3,
+		Unfenced: []keys.UnfencedKeys{
+			{Incarnation: model.Incarnation{ID: "i-9", Born: 7}, Address: "i-9:1", To: 65535},
+			{Incarnation: model.Incarnation{ID: "i-1", Born: 7}, Address: "i-1:1", From: 100, To: 200},
+		},
 		Ranges: []keys.Range{
 			{From: 0, To: 99, Owner: holder("i-1", 4)},
 			{From: 100, To: 65535, Owner: holder("i-2", 9), Prior: []keys.Holder{holder("i-1", 4), holder("i-3", 2)}},
@@ -38,6 +42,9 @@
 			Fence:   12,
 			Writer:  keys.Leader{VM: "b", Incarnation: "z", Address: "b:1"},
 			WriteID: 1,
+			Unfenced: []keys.UnfencedKeys{
+				{Incarnation: model.Incarnation{ID: "i-9", Born: 7}, Address: "i-9:1", To: 65535},
+			},
 			Ranges: []keys.Range{
 				{From: 0, To: 99, Owner: holder("i-1", 4)},
 				{From: 100, To: 199, Owner: holder("i-4", 12), Prior: []keys.Holder{holder("i-2", 9)}},
@@ -74,12 +81,16 @@
 		Entry("a start above the next", `{"fence":1,"servers":[{"id":"a"}],"ranges":[[9,0,1],[5,0,1]]}`, "range 0"),
 		Entry("a gap at the beginning", `{"fence":1,"servers":[{"id":"a"}],"ranges":[[9,0,1]]}`, "does not continue"),
 		Entry("a fence above the page's", `{"fence":1,"servers":[{"id":"a"}],"ranges":[[0,0,2]]}`, "above the page's"),
+		Entry("unfenced keys of an unknown server", `{"fence":1,"servers":[{"id":"a"}],"unfenced":[[1,0,5]],"ranges":[[0,0,1]]}`, "unfenced keys 0"),
+		Entry("unfenced keys that end before they begin", `{"fence":1,"servers":[{"id":"a"}],"unfenced":[[0,0,5],[0,6,5]],"ranges":[[0,0,1]]}`, "unfenced keys 1"),
+		Entry("unfenced keys beyond the last", `{"fence":1,"servers":[{"id":"a"}],"unfenced":[[0,0,65536]],"ranges":[[0,0,1]]}`, "unfenced keys 0"),
 		Entry("a key beyond the last", `{"fence":1,"servers":[{"id":"a"}],"ranges":[[0,0,1],[70000,0,1]]}`, "range 0"),
 	)
 })
 
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(`{"fence":1,"servers":[{"id":"a","born":2}],"ranges":[[0,0,1],[5,0,1,0,1]]}`))
+	f.Add([]byte(`{"fence":1,"servers":[{"id":"a","born":2}],"unfenced":[[0,3,9]],"ranges":[[0,0,1]]}`))
 	f.Fuzz(func(t *testing.T, stored []byte) {
 		page, err := keys.Decode(stored)
 		if err != nil {
--- a/gateway/run/calls.go
+++ b/gateway/run/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -186,6 +187,7 @@
 	previous := l.pages[p.service]
 	l.applyPage(p.service, p.value)
 	if next := l.pages[p.service]; next != previous {
+		l.logUnfenced(p.service, pageOf(previous), next.page)
 		l.broadcastPage(p.service, previous, next)
 	}
 }
@@ -213,5 +215,33 @@
 		cause = r.err.Error()
 	}
 	l.log.Event(event.ReleaseEnded, cause, zap.String("service", r.service), zap.String("server", r.call.Incarnation.ID),
-		zap.Uint16("from", r.call.From), zap.Uint16("to", r.call.To), zap.Uint64("fence", r.call.Fence), zap.Bool("handover", r.handover != ""))
+		zap.Uint16("from", r.call.From), zap.Uint16("to", r.call.To), zap.Uint64("fence", r.call.Fence), zap.Bool("fencing", r.call.Fencing), zap.Bool("handover", r.handover != ""))
+}
+
+// pageOf returns the page of a version, or nil.
+func pageOf(version *versionedPage) *keys.Page {
+	if version == nil {
+		return nil
+	}
+	return version.page
+}
+
+// logUnfenced logs the differences between the servers that two consecutive pages list as
+// not yet fenced.
+func (l *loop) logUnfenced(service string, before, after *keys.Page) {
+	var earlier []keys.UnfencedKeys
+	if before != nil {
+		earlier = before.Unfenced
+	}
+	l.logServers(event.ServerUnfenced, service, after.Unfenced, earlier)
+	l.logServers(event.ServerFenced, service, earlier, after.Unfenced)
+}
+
+// logServers logs an event for each of the keys that others lacks.
+func (l *loop) logServers(number event.Number, service string, unfenced, others []keys.UnfencedKeys) {
+	for _, u := range unfenced {
+		if !slices.Contains(others, u) {
+			l.log.Event(number, "", zap.String("service", service), zap.String("server", u.ID), zap.String("address", u.Address), zap.Uint16("from", u.From), zap.Uint16("to", u.To))
+		}
+	}
 }
