--- a/gateway/run/calls.go
+++ b/gateway/run/calls.go
@@ -210,6 +210,9 @@
 	if machine := l.machines[r.service]; machine != nil {
 		machine.StepReleased(l.clock(), r.call, releaseOutcome(r.err), r.handover)
 	}
+	if r.err != nil && r.call.Fencing {
+		return // It is repeated several times a second.
+	}
 	cause := ""
 	if r.err != nil {
 		cause = r.err.Error()
