gateway/keys: the list of servers does not prove that a holder has ended

Two servers may hold the same keys: a record of another writer names a server's ID with a later start and another address, its keys are granted to others at once while it lives and holds them. Cause: an ID that was listed at another address counted as the end of all earlier lives at the holder's address (startedElsewhere). Change: only calls prove an end: an answered release, another server's refusal at the address, or expiry. A server that restarts under its ID at another address leaves its keys to the expiry of its grants, as any other lost server.

--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -133,7 +133,8 @@
 
 // priorEnded reports whether a prior holder can't hold a range any more, and
 // returns the handover token that it gave on release. While grants of an earlier leader may
-// arrive, the end of the holder's process proves nothing: a later life may get one.
+// arrive, the end of the holder's process proves nothing: a later life may get one. The list
+// of servers proves nothing either: records may have other writers.
 func (m *Machine) priorEnded(r Range, prior Holder) (ended bool, handover string) {
 	if prior == unknownHolder {
 		return m.unknownHoldersEnded(), ""
@@ -146,7 +147,7 @@
 	row := m.row(prior.Incarnation)
 	arrived, late := m.latestArrival(row, bound.latestArrival), m.latestArrival(row, bound.latestUnanswered)
 	result, released := m.released[key]
-	ended = (result.ended || m.startedElsewhere(prior)) && m.now >= m.predecessorBound()
+	ended = result.ended && m.now >= m.predecessorBound()
 	if ended || m.now >= arrived+m.maxGrantLifetime() {
 		return true, ""
 	}
@@ -157,7 +158,7 @@
 }
 
 // replaced reports whether a later incarnation is listed under the holder's ID or
-// at its address. The holder's process has then ended.
+// at its address. The holder's process has then ended, if the record is the later one's own.
 func (m *Machine) replaced(holder Holder) bool {
 	return m.latestByID[holder.ID].replaces(holder) || m.latestByAddress[holder.Address].replaces(holder)
 }
@@ -165,14 +166,6 @@
 // replaces reports whether a row is a later incarnation than a holder.
 func (r *serverRow) replaces(holder Holder) bool { return r != nil && r.Born > holder.Born }
 
-// startedElsewhere reports whether a later incarnation of a holder is listed at another
-// address. All lives under its ID at the holder's address have then ended. One at the same
-// address may have the holder's grants.
-func (m *Machine) startedElsewhere(holder Holder) bool {
-	successor := m.latestByID[holder.ID]
-	return successor.replaces(holder) && successor.Address != holder.Address
-}
-
 // mayGrant reports whether no prior holder of a range holds it any more. The
 // handover token is returned only if there was exactly one.
 func (m *Machine) mayGrant(r Range) (handover string, ok bool) {
