gateway/keys: a release without an answer takes a later grant away for a moment only

Cause: a release that is held up may reach its server after a later grant of the same keys. Only its end repeated the grant; one that arrived before or after that without an answer left the keys unserved until the next renewal, up to a third of the TTL. Change: the machine remembers releases in flight, and those without an answer until they can't arrive any more (0.7 s, 3 s in an impaired zone). Grants of keys that one of them may take away are repeated every 0.15 s. Releases of an earlier leader are not covered: its successor waits for about as long before it grants keys at all.

--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -95,6 +95,7 @@
 	released        map[holderKey]releaseResult
 	releasing       map[holderKey]time.Duration // Start times of the release calls in flight.
 	retryReleaseAt  map[holderKey]time.Duration
+	sentReleases    []sentRelease
 	rates           rateTable
 	nextRebalanceAt time.Duration
 	nextPruneAt     time.Duration
--- a/gateway/keys/release_test.go
+++ b/gateway/keys/release_test.go
@@ -10,8 +10,12 @@
 	"guavacrank.example/gateway/model"
 )
 
-// heldUpTime is how late a release is that is held up.
-const heldUpTime = 3700 * time.Millisecond
+const (
+	// heldUpTime is how late a release is that is held up.
+	heldUpTime = 3700 * time.Millisecond
+	// releaseTimeout is the timeout of a release.
+	releaseTimeout = 4 * time.Second
+)
 
 var _ = Describe("A release that is held up", func() {
 	for seed := range uint64(10) {
@@ -44,4 +48,29 @@
 			Expect(unowned).To(BeNumerically("<=", 100*time.Millisecond))
 		})
 	}
+
+	for seed := range uint64(30) {
+		It(fmt.Sprintf("seed %d: and not answered takes a later grant away for a fraction of a second only", seed), func() {
+			sim := newSimulation(seed)
+			first := sim.addServer("i-0", 1000)
+			sim.addLeader("a")
+			sim.run(3 * time.Second)
+			sim.lostReleases = true
+			second := sim.addServer("i-1", 1000)
+			first.Draining = true
+			sim.run(500 * time.Millisecond)
+			sim.lostReleases = false
+			for len(sim.holders(0)) == 0 || sim.holders(0)[0] != second.Incarnation() {
+				sim.run(tickInterval)
+			}
+			first.Draining, second.Draining = false, true
+			sim.list()
+			for len(sim.holders(0)) == 0 || sim.holders(0)[0] != first.Incarnation() {
+				sim.run(tickInterval)
+			}
+			unowned := sim.longestUnowned(3 * time.Second)
+			Expect(sim.violations).To(BeEmpty())
+			Expect(unowned).To(BeNumerically("<=", 250*time.Millisecond))
+		})
+	}
 })
--- a/gateway/keys/simulation_calls_test.go
+++ b/gateway/keys/simulation_calls_test.go
@@ -241,19 +241,29 @@
 		sim.after(2*sim.networkDelay(), func() { m.StepReleased(sim.now, call, keys.HolderEnded, "") })
 		return
 	}
+	if sim.lostReleases {
+		sim.after(time.Duration(sim.random.Int64N(int64(releaseTimeout+maxTransitTime))), func() { sim.applyRelease(server, call) })
+		sim.after(releaseTimeout, func() { m.StepReleased(sim.now, call, keys.ReleaseUnanswered, "") })
+		return
+	}
 	delay := sim.networkDelay()
 	if sim.heldUpReleases {
 		delay += heldUpTime
 	}
 	sim.after(delay, func() {
-		for _, h := range server.heldRanges {
-			if h.from <= call.To && call.From <= h.to && h.fence > call.Fence && h.until > sim.now {
-				sim.lowReleases = append(sim.lowReleases, fmt.Sprintf("%v: release of %d to %d with fence %d, held with %d", sim.now, call.From, call.To, call.Fence, h.fence))
-			}
-		}
-		server.release(call, sim.ignoreLowReleases)
+		sim.applyRelease(server, call)
 		sim.after(sim.networkDelay()+time.Duration(sim.random.Int64N(int64(sim.maxReleaseTime))), func() {
 			m.StepReleased(sim.now, call, keys.Released, fmt.Sprintf("h-%d-%d", call.From, call.Fence))
 		})
 	})
 }
+
+// applyRelease has a server process a release on its arrival.
+func (sim *simulation) applyRelease(server *fakeServer, call keys.ReleaseCall) {
+	for _, h := range server.heldRanges {
+		if h.from <= call.To && call.From <= h.to && h.fence > call.Fence && h.until > sim.now {
+			sim.lowReleases = append(sim.lowReleases, fmt.Sprintf("%v: release of %d to %d with fence %d, held with %d", sim.now, call.From, call.To, call.Fence, h.fence))
+		}
+	}
+	server.release(call, sim.ignoreLowReleases)
+}
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -83,6 +83,9 @@
 	lostWriteShare float64
 	// heldUpReleases reports that releases reach their servers heldUpTime late.
 	heldUpReleases bool
+	// lostReleases reports that releases are not answered, and reach their servers up to
+	// maxTransitTime after their timeout.
+	lostReleases bool
 	// ignoreLowReleases reports that servers keep keys that are released with a lower fence
 	// than that with which they hold them.
 	ignoreLowReleases bool
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -319,6 +319,7 @@
 	key := holderKey{call.From, call.To, call.Incarnation, call.Fence}
 	row := m.row(call.Incarnation)
 	delete(m.releasing, key)
+	m.endRelease(call, outcome)
 	m.repeatGrants(call)
 	switch outcome {
 	case ReleaseUnanswered:
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -209,5 +209,6 @@
 	m.releasing[key] = m.now
 	call := ReleaseCall{Incarnation: prior.Incarnation, Address: prior.Address}
 	call.From, call.To, call.Fence, call.Server = r.From, r.To, prior.Fence, prior.ID
+	m.sentReleases = append(m.sentReleases, sentRelease{call: call})
 	m.ready.Releases = append(m.ready.Releases, call)
 }
--- a/gateway/keys/system_renewal.go
+++ b/gateway/keys/system_renewal.go
@@ -85,6 +85,9 @@
 	}
 	grant.inFlight = true
 	grant.due = m.now + m.grantTTL()/renewalsPerTTL
+	if m.releaseMayArrive(r) {
+		grant.due = m.now + retryDelay
+	}
 	row.granted[r.From] = grant
 	m.sendGrant(r, grant)
 }
