--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -316,6 +316,7 @@
 // StepReleased takes the outcome of a release call and the handover token.
 func (m *Machine) StepReleased(now time.Duration, call ReleaseCall, outcome ReleaseOutcome, handover string) {
 	m.now = now
+	m.endRelease(call, outcome)
 	if call.Fencing {
 		m.stepFenced(call, outcome)
 		return
--- a/gateway/keys/system_fencing.go
+++ b/gateway/keys/system_fencing.go
@@ -36,7 +36,8 @@
 // fencingRow is the state of the calls for one entry of Page.Unfenced.
 type fencingRow struct {
 	since    time.Duration // When this leader read or wrote the entry first.
-	fence    uint64
+	first    uint64        // The fence of the first call.
+	last     uint64        // The fence of the last call.
 	inFlight bool
 	dueAt    time.Duration
 	done     bool
@@ -67,6 +68,37 @@
 	}
 }
 
+// withoutOwned removes from the unfenced keys those that their servers own: a grant of them
+// has a higher fence.
+func (p *Page) withoutOwned() {
+	for _, r := range p.Ranges {
+		var kept []UnfencedKeys
+		for _, u := range p.Unfenced {
+			kept = append(kept, u.without(r)...)
+		}
+		p.Unfenced = kept
+	}
+}
+
+// without returns the parts of the keys that lie outside a range, if the server owns it.
+func (u UnfencedKeys) without(r Range) []UnfencedKeys {
+	if u.Incarnation != r.Owner.Incarnation || u.To < r.From || r.To < u.From {
+		return []UnfencedKeys{u}
+	}
+	var parts []UnfencedKeys
+	if u.From < r.From {
+		before := u
+		before.To = r.From - 1
+		parts = append(parts, before)
+	}
+	if r.To < u.To {
+		after := u
+		after.From = r.To + 1
+		parts = append(parts, after)
+	}
+	return parts
+}
+
 // hasOwner reports whether a server owns keys.
 func (p *Page) hasOwner(server model.Incarnation) bool {
 	return slices.ContainsFunc(p.Ranges, func(r Range) bool { return r.Owner.Incarnation == server })
@@ -87,7 +119,7 @@
 	}
 	server := m.servers[keys.Incarnation]
 	forgotten := m.now >= row.since+fencingMemory && (server == nil || m.absent(server))
-	return row.done || forgotten || m.replaced(Holder{Incarnation: keys.Incarnation, Address: keys.Address})
+	return row.done || forgotten
 }
 
 // runFencing sends higher fences to the servers that have lost keys without being told, and
@@ -98,8 +130,8 @@
 	}
 	unfenced := append(slices.Clone(m.page.Unfenced), m.cutOffPrior...)
 	m.cutOffPrior = m.cutOffPrior[:0]
-	for keys := range m.fencing {
-		if !slices.Contains(unfenced, keys) {
+	for keys, row := range m.fencing {
+		if !row.inFlight && !slices.Contains(unfenced, keys) {
 			delete(m.fencing, keys)
 		}
 	}
@@ -119,7 +151,8 @@
 // fencing call for all its keys in place of releases, and notes it for runFencing.
 func (m *Machine) fenceCutOff(prior Holder) bool {
 	row := m.row(prior.Incarnation)
-	if !row.unresponsive && !row.releaseFailed || m.page.hasOwner(prior.Incarnation) {
+	owner := m.page.hasOwner(prior.Incarnation) || m.writing != nil && m.writing.hasOwner(prior.Incarnation)
+	if owner || !row.unresponsive && !row.releaseFailed {
 		return false
 	}
 	all := UnfencedKeys{prior.Incarnation, prior.Address, 0, model.Keys - 1}
@@ -139,6 +172,17 @@
 	return m.page != nil && m.page.unfenced(server)
 }
 
+// fencingInFlight reports whether a fencing call to a server is in flight. It could take
+// away a grant that is sent meanwhile.
+func (m *Machine) fencingInFlight(server model.Incarnation) bool {
+	for keys, row := range m.fencing {
+		if keys.Incarnation == server && row.inFlight {
+			return true
+		}
+	}
+	return false
+}
+
 // noteReleased records that a server has released keys which ranges name it for as a prior
 // holder.
 func (m *Machine) noteReleased(keys UnfencedKeys, ended bool) {
@@ -154,16 +198,17 @@
 
 // sendFence sends a release with a fence above all that earlier leaders sent.
 func (m *Machine) sendFence(keys UnfencedKeys, row *fencingRow) {
-	if row.fence == 0 {
-		fence, ok := m.takeFence()
-		if !ok {
-			return
-		}
-		row.fence = fence
+	fence, ok := m.takeFence()
+	if !ok {
+		return
+	}
+	row.inFlight, row.last = true, fence
+	if row.first == 0 {
+		row.first = fence
 	}
-	row.inFlight = true
 	call := ReleaseCall{Incarnation: keys.Incarnation, Address: keys.Address, Fencing: true, Timeout: fencingTimeout}
-	call.From, call.To, call.Fence, call.Server = keys.From, keys.To, row.fence, keys.ID
+	call.From, call.To, call.Fence, call.Server, call.Held = keys.From, keys.To, fence, keys.ID, row.first
+	m.sentReleases = append(m.sentReleases, sentRelease{call: call})
 	m.ready.Releases = append(m.ready.Releases, call)
 }
 
@@ -173,7 +218,7 @@
 	keys := UnfencedKeys{call.Incarnation, call.Address, call.From, call.To}
 	row := m.fencing[keys]
 	m.repeatGrants(call)
-	if row == nil || row.fence != call.Fence {
+	if row == nil || row.last != call.Fence {
 		return
 	}
 	row.inFlight = false
--- a/gateway/port/port.go
+++ b/gateway/port/port.go
@@ -141,8 +141,11 @@
 	From, To uint16
 	// Server is the ID of the server that has to release the keys.
 	Server string
-	// Fence is the fencing token of the grant that is released.
+	// Fence is above the fencing tokens of all grants of the keys that were sent before.
 	Fence uint64
+	// Held is the fencing token of the server's last grant. It tells repetitions of one
+	// release from other releases of the same keys.
+	Held uint64
 }
 
 // FenceError reports that a server rejected a call because it has seen a higher
