--- a/gateway/keys/ready.go
+++ b/gateway/keys/ready.go
@@ -53,9 +53,6 @@
 	// Fencing says that the server holds nothing by what this leader knows, and is only to
 	// refuse earlier grants.
 	Fencing bool
-	// Held is the fence of the prior holder's last grant; zero with Fencing. The fence of
-	// the release is higher.
-	Held uint64
 	// Timeout is the timeout of the call.
 	Timeout time.Duration
 	port.Release
--- a/gateway/keys/simulation_server_test.go
+++ b/gateway/keys/simulation_server_test.go
@@ -1,6 +1,7 @@
 package keys_test
 
 import (
+	"slices"
 	"time"
 
 	"guavacrank.example/gateway/keys"
@@ -45,13 +46,26 @@
 	s.heldRanges = append(s.heldRanges, added)
 }
 
-// see records the fence of a release: the server refuses grants with lower ones.
-func (s *fakeServer) see(call keys.ReleaseCall) {
+// release ends the server's hold of released keys, also of those that it holds with a higher
+// fence unless keepHigher is set. It refuses grants with lower fences from then on.
+func (s *fakeServer) release(call keys.ReleaseCall, keepHigher bool) {
 	for _, key := range sampledKeys {
 		if key >= call.From && key <= call.To {
 			s.seen[key] = max(s.seen[key], call.Fence)
 		}
 	}
+	var kept []heldRange
+	for _, h := range s.heldRanges {
+		if keepHigher && h.fence > call.Fence {
+			kept = append(kept, h)
+		}
+	}
+	s.removeRange(call.From, call.To)
+	for _, h := range kept {
+		if !slices.Contains(s.heldRanges, h) {
+			s.heldRanges = append(s.heldRanges, h)
+		}
+	}
 }
 
 // removeRange removes a range from the held ranges.
