traffic/framing: one scanner of heads for requests and responses

Cause: gateway/framing and traffic/upstream/head.go each put lines together, compared names of fields, read lengths and checked that length and coding agree.

Change: gateway/framing moves to traffic/framing, which gateway and daemon may import. Lines (line.go) and what fields say (head.go) are shared; ResponseScanner replaces upstream's headScanner. A CR within a line of a response that has not ended yet, and a second Transfer-Encoding, which net/http rejects anyway, are now seen when they come. Existing tests are unchanged but for the import path in gateway/front/memory_test.go.

--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -21,7 +21,6 @@
 
 	"guavacrank.example/event"
 	"guavacrank.example/gateway/dispatch"
-	"guavacrank.example/gateway/framing"
 	"guavacrank.example/gateway/logbook"
 	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/model"
@@ -29,6 +28,7 @@
 	"guavacrank.example/gateway/routing"
 	"guavacrank.example/gateway/shutdown"
 	"guavacrank.example/gateway/view"
+	"guavacrank.example/traffic/framing"
 	"guavacrank.example/traffic/metric"
 	"guavacrank.example/traffic/verdict"
 )
--- a/gateway/front/memory_test.go
+++ b/gateway/front/memory_test.go
@@ -14,11 +14,11 @@
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/budget"
 	"guavacrank.example/gateway/dispatch"
-	"guavacrank.example/gateway/framing"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/gateway/routing"
 	"guavacrank.example/gateway/view"
+	"guavacrank.example/traffic/framing"
 	"guavacrank.example/traffic/upstream"
 )
 
--- a/gateway/run/endpoint.go
+++ b/gateway/run/endpoint.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"guavacrank.example/gateway/framing"
+	"guavacrank.example/traffic/framing"
 )
 
 const (
--- a/gateway/framing/head.go
+++ b/traffic/framing/head.go
@@ -11,8 +11,11 @@
 // versionSuffix ends a request line of HTTP/1.1.
 const versionSuffix = " HTTP/1.1"
 
-// head is what the fields of a request say about its body and host.
+// head is what the fields of a request or response say about its body and host.
 type head struct {
+	// ofResponse is set in a response: net/http reads its length, which may have more
+	// digits, and a Host field means nothing.
+	ofResponse bool
 	// old is set in HTTP/1.0.
 	old bool
 	// absolute is set if the target names a host, which is authority.
@@ -61,7 +64,7 @@
 	switch len(name) {
 	case len("Host"):
 		if bytes.EqualFold(name, []byte("Host")) {
-			return !cut && h.readHost(trim(value))
+			return h.ofResponse || !cut && h.readHost(trim(value))
 		}
 	case len("Content-Length"):
 		if bytes.EqualFold(name, []byte("Content-Length")) {
@@ -87,16 +90,24 @@
 }
 
 func (h *head) readLength(value []byte) (sound bool) {
-	if h.hasLength || len(value) == 0 || len(value) > maxLengthDigits {
+	if h.hasLength || len(value) == 0 || !isNumber(value) {
 		return false
 	}
-	for _, digit := range value {
+	h.hasLength = true
+	if len(value) > maxLengthDigits {
+		return h.ofResponse
+	}
+	h.length, _ = strconv.ParseUint(string(value), 10, 64) // Digits only, and few enough.
+	return true
+}
+
+// isNumber reports whether the text has digits only.
+func isNumber(text []byte) bool {
+	for _, digit := range text {
 		if digit < '0' || digit > '9' {
 			return false
 		}
 	}
-	h.hasLength = true
-	h.length, _ = strconv.ParseUint(string(value), 10, 64) // Digits only, and few enough.
 	return true
 }
 
--- a/gateway/framing/listener.go
+++ b/traffic/framing/listener.go
@@ -6,6 +6,8 @@
 // net/http accepts some that are not: it drops a Content-Length beside a Transfer-Encoding,
 // joins folded fields, takes a bare LF for the end of a line, and ignores the Host field
 // beside an absolute target.
+//
+// ResponseScanner does the same for the headers of servers' responses.
 package framing
 
 import (
--- a/gateway/framing/scanner.go
+++ b/traffic/framing/scanner.go
@@ -21,12 +21,6 @@
 )
 
 const (
-	// keptBytes is how much of a line is kept while the rest is awaited, and the greatest
-	// length of a line whose value is needed here.
-	keptBytes = 1 << 10
-	// tailBytes is the length of a request line's version with the space before it and
-	// the CR after it.
-	tailBytes = len(versionSuffix + "\r")
 	// maxLengthDigits is the greatest number of digits of a Content-Length.
 	maxLengthDigits = 18
 	// maxChunkDigits is the greatest number of digits of a chunk's size.
@@ -46,14 +40,7 @@
 // scanner follows the requests on one connection.
 type scanner struct {
 	part part
-	// line is the beginning of a line whose end has not come yet, at most keptBytes of
-	// it, and tail its last bytes, at most tailBytes. lineBytes is its whole length, afterCR
-	// says that it ends with a CR, and begun that bytes of it have been passed on.
-	line      []byte
-	tail      []byte
-	lineBytes int
-	afterCR   bool
-	begun     bool
+	line lineScanner
 	// left is the number of bytes left of a sized body, a chunk or a chunk's end.
 	left uint64
 	head head
@@ -86,21 +73,19 @@
 	if end < 0 {
 		return s.begin(p)
 	}
-	line, sound := s.complete(p[:end])
+	line, sound := s.line.complete(p[:end])
 	if !sound || !s.endLine(line) {
 		return 0, false
 	}
-	s.line, s.tail, s.lineBytes = s.line[:0], s.tail[:0], 0
-	s.afterCR, s.begun = false, false
+	s.line.next()
 	return end + 1, true
 }
 
 // begin follows bytes of a line whose end is not in p.
 func (s *scanner) begin(p []byte) (n int, sound bool) {
-	if !s.keep(p) {
+	if !s.line.begin(p) {
 		return 0, false
 	}
-	s.begun = true
 	return len(p), true
 }
 
@@ -135,39 +120,6 @@
 	return 1, true
 }
 
-// keep keeps the beginning and the end of a line.
-func (s *scanner) keep(p []byte) (sound bool) {
-	if at := bytes.IndexByte(p, '\r'); s.afterCR || at >= 0 && at < len(p)-1 {
-		return false // A CR that does not end the line.
-	}
-	s.line = append(s.line, p[:min(len(p), keptBytes-len(s.line))]...)
-	s.tail = append(s.tail, p[max(len(p)-tailBytes, 0):]...)
-	s.tail = append(s.tail[:0], s.tail[max(len(s.tail)-tailBytes, 0):]...)
-	s.lineBytes += len(p)
-	s.afterCR = p[len(p)-1] == '\r'
-	return true
-}
-
-// complete returns a line without its end, given what comes before the LF and was not
-// kept. Of a long line that was kept it is the beginning only.
-func (s *scanner) complete(rest []byte) (line []byte, sound bool) {
-	if s.lineBytes == 0 {
-		s.lineBytes = len(rest)
-		at := bytes.IndexByte(rest, '\r')
-		if at < 0 || at != len(rest)-1 {
-			return nil, false
-		}
-		return rest[:at], true
-	}
-	if len(rest) > 0 && !s.keep(rest) || !s.afterCR {
-		return nil, false
-	}
-	return bytes.TrimSuffix(s.line, []byte("\r")), true
-}
-
-// cut reports whether the current line is longer than what is known of it.
-func (s *scanner) cut(line []byte) bool { return len(line) < s.lineBytes-1 }
-
 // endLine follows a complete line.
 func (s *scanner) endLine(line []byte) (sound bool) {
 	switch s.part {
@@ -184,21 +136,21 @@
 
 // endRequestLine begins a head. An empty line before it is left to net/http.
 func (s *scanner) endRequestLine(line []byte) (sound bool) {
-	if s.lineBytes == len("\r") {
+	if s.line.empty() {
 		return true
 	}
 	s.part = fieldLine
 	s.head = head{}
-	if !s.cut(line) {
+	if !s.line.cut(line) {
 		return s.head.readRequestLine(line, line)
 	}
-	return s.head.readRequestLine(line, bytes.TrimSuffix(s.tail, []byte("\r")))
+	return s.head.readRequestLine(line, bytes.TrimSuffix(s.line.tail, []byte("\r")))
 }
 
 // endFieldLine adds a field to the head, or ends the head.
 func (s *scanner) endFieldLine(line []byte) (sound bool) {
-	if s.lineBytes > len("\r") {
-		return s.head.readField(line, s.cut(line))
+	if !s.line.empty() {
+		return s.head.readField(line, s.line.cut(line))
 	}
 	if !s.head.sound() {
 		return false
@@ -241,7 +193,7 @@
 
 // endTrailerLine passes over a field of the trailer, or ends the request.
 func (s *scanner) endTrailerLine(line []byte) (sound bool) {
-	if s.lineBytes == len("\r") {
+	if s.line.empty() {
 		s.part = requestLine
 		return true
 	}
@@ -253,7 +205,7 @@
 	switch {
 	case s.part == chunkLine || s.part == chunkEnd:
 		return endingOfChunk
-	case !s.begun:
+	case !s.line.begun:
 		return endingOfLine
 	default:
 		return endingWithinLine
--- a/traffic/upstream/conn.go
+++ b/traffic/upstream/conn.go
@@ -9,6 +9,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"guavacrank.example/traffic/framing"
 )
 
 // bufferBytes is the size of a connection's read and write buffers.
@@ -42,7 +44,7 @@
 	maxHeaderBytes int64
 	limited        bool
 	// head follows the headers while limited is set.
-	head headScanner
+	head framing.ResponseScanner
 	// headerMemory counts the headers of the current response beyond the first
 	// bufferBytes; nil does not count. countedBytes is what it has counted.
 	headerMemory HeaderMemory
@@ -63,8 +65,8 @@
 	if !r.limited {
 		return r.Conn.Read(p)
 	}
-	if r.head.faulty {
-		return 0, errAmbiguousHeaders // bufio.Reader.ReadLine forgets an error after a part of a line.
+	if r.head.Faulty() {
+		return 0, framing.ErrAmbiguousHeaders // bufio.Reader.ReadLine forgets an error after a part of a line.
 	}
 	if r.headerBytes <= 0 {
 		return 0, errHeadersTooLarge
@@ -77,7 +79,7 @@
 	}
 	n, err := r.Conn.Read(p)
 	r.headerBytes -= int64(n)
-	if headErr := r.head.scan(p[:n]); headErr != nil {
+	if headErr := r.head.Scan(p[:n]); headErr != nil {
 		return 0, headErr
 	}
 	return n, err
@@ -129,7 +131,7 @@
 	c.limited = true
 	c.headerBytes = maxHeaderBytes
 	c.maxHeaderBytes = maxHeaderBytes
-	c.head.reset()
+	c.head.Reset()
 }
 
 // scanBuffered follows the headers of the next response as far as they were read with the
@@ -139,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	return c.head.scan(buffered)
+	return c.head.Scan(buffered)
 }
 
 // alive reports, without blocking, whether an idle connection can be reused:
--- a/traffic/upstream/exchange.go
+++ b/traffic/upstream/exchange.go
@@ -184,7 +184,7 @@
 // restoreHeader removes what net/http has added to the headers: a Cache-Control beside a
 // Pragma.
 func restoreHeader(c *conn, response *http.Response) {
-	if !c.head.cacheControl {
+	if !c.head.CacheControl() {
 		delete(response.Header, "Cache-Control")
 	}
 }
