daemon: callers' requests that parsers read differently are rejected

Cause: the product's own daemon gave its callers' connections to net/http, which drops a Content-Length beside a Transfer-Encoding, joins folded fields, takes a bare LF for the end of a line and ignores the Host beside an absolute target. A proxy in front and the daemon could take the same bytes for different requests.

Change: traffic/framing checks the callers' listener, as it does for the gateway: 400 and the end of the connection.

--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -10,6 +10,7 @@
 	"guavacrank.example/config"
 	"guavacrank.example/daemon/operator"
 	"guavacrank.example/fleet"
+	"guavacrank.example/traffic/framing"
 	"guavacrank.example/traffic/front"
 )
 
@@ -77,10 +78,11 @@
 		MaxHeaderBytes:    limits.HeaderBytes,
 		// The handler gets OPTIONS * too: no success without a server.
 		DisableGeneralOptionsHandler: true,
+		ConnContext:                  framing.WithConn,
 	}
 	operators := operator.NewHTTPServer(d.operator.Handler())
 	return httpServers{
-		{callers, d.listeners.Caller},
+		{callers, framing.Listener{Listener: d.listeners.Caller}},
 		{fleet.NewServer(d.peerHandler()), d.listeners.Peer},
 		{operators, d.listeners.Operator},
 	}
@@ -112,7 +114,15 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(PathHealth, d.serveHealth)
 	mux.Handle("/", d.front)
-	return d.disableKeepAlives(mux)
+	return restoreHeaders(d.disableKeepAlives(mux))
+}
+
+// restoreHeaders removes what net/http has added to the headers of each request.
+func restoreHeaders(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		framing.RestoreHeader(r)
+		next.ServeHTTP(w, r)
+	})
 }
 
 // disableKeepAlives closes connections after the next response while the daemon
