gateway/run: connections to servers are bounded by the process's descriptors

Cause: a VM's share of a service's max_conns was the limit of its connections to each server, however large; the limit without max_conns, an eighth of the descriptors for each server, was not bounded for all of them together either. Callers' connections could find no descriptor.

Change: half of the descriptors are divided by the listed servers; a larger share is bounded by that, but 4 connections for each server stay. Event 746 names share and limit, once for each value of max_conns.

Shares of the sites (56 by 13 or more VMs) are 4.

--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -63,6 +63,8 @@
 	availability    *availability.Table
 	restored        bool               // The store was restored since the last read.
 	trust           upstream.IdleLimit // Safe for all goroutines.
+	// bounded holds the logged MaxConnections of services with a lower limit here.
+	bounded map[string]int
 }
 
 // serverRow is one incarnation of a server.
@@ -85,6 +87,7 @@
 		log:          log,
 		rows:         make(map[model.Incarnation]*serverRow),
 		availability: availability.NewTable(settings.Bounds.DrainTime),
+		bounded:      make(map[string]int),
 	}
 }
 
@@ -236,10 +239,7 @@
 	if vms <= 0 {
 		vms = defaultVMs
 	}
-	limit := t.settings.MaxDescriptors / 8
-	if configured.MaxConnections > 0 {
-		limit = max(configured.MaxConnections/(vms+1), minConnections)
-	}
+	limit := t.connectionLimit(row.Service, configured, vms)
 	if row.target == nil {
 		row.target = &balance.Server{
 			Server:       row.Server,
