--- a/traffic/upstream/pool.go
+++ b/traffic/upstream/pool.go
@@ -55,8 +55,13 @@
 	IdleLimit *IdleLimit
 	// Control is the net.Dialer's Control function; it may be nil.
 	Control func(network, address string, raw syscall.RawConn) error
+	// Dial opens a connection. Nil means a net.Dialer with ConnectTimeout and Control.
+	Dial Dial
 }
 
+// Dial opens a connection to an address, as the method DialContext of net.Dialer does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // HeaderMemory counts the memory for the headers of one response.
 type HeaderMemory interface {
 	// Grow counts bytes before memory is allocated for them. An error ends the
@@ -91,7 +96,6 @@
 // Pool is a pool of connections to one address. It is safe for concurrent use.
 type Pool struct {
 	options Options
-	dialer  net.Dialer
 
 	mu     sync.Mutex
 	idle   []*conn // The most recently used is last.
@@ -114,11 +118,11 @@
 	if options.MaxHeaderBytes == 0 {
 		options.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
-	return &Pool{
-		options: options,
-		dialer:  net.Dialer{Timeout: options.ConnectTimeout, Control: options.Control},
-		limit:   options.MaxConnections,
+	if options.Dial == nil {
+		dialer := &net.Dialer{Timeout: options.ConnectTimeout, Control: options.Control}
+		options.Dial = dialer.DialContext
 	}
+	return &Pool{options: options, limit: options.MaxConnections}
 }
 
 // SetLimit changes the maximum number of connections. Surplus ones are closed
@@ -254,7 +258,7 @@
 // dial opens a connection in a slot that was reserved for it.
 func (p *Pool) dial(ctx context.Context, nonIdempotent bool) (*conn, *Failure) {
 	start := time.Now()
-	raw, err := p.dialer.DialContext(ctx, "tcp", p.options.Address)
+	raw, err := p.options.Dial(ctx, "tcp", p.options.Address)
 	if err != nil {
 		p.freeSlot()
 		return nil, &Failure{Stage: StageConnect, Timeout: ctx.Err() != nil, Err: err}
