gateway/dispatch: tests run on a virtual clock

Change: every test with servers runs in testing/synctest over pipenet. Times that were bounds from above are exact now (70 ms for the wait for an owner, 0 for what is refused at once), and a server's limit of 1 a second admits exactly one request instead of at most two. Servers take 1 ms at least, since 0 counts as an unknown duration; all handlers must have ended at a test's end.

--- a/gateway/dispatch/dispatch_test.go
+++ b/gateway/dispatch/dispatch_test.go
@@ -3,11 +3,12 @@
 import (
 	"context"
 	"io"
+	"log"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -21,6 +22,7 @@
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/gateway/shutdown"
 	"guavacrank.example/gateway/view"
+	"guavacrank.example/traffic/pipenet"
 	"guavacrank.example/traffic/upstream"
 	"guavacrank.example/traffic/verdict"
 )
@@ -63,10 +65,17 @@
 	budget     *budget.Budget
 	gate       *shutdown.Gate
 	start      time.Time
+	network    pipenet.Network
 
 	availability *availability.Table
 }
 
+// runOnVirtualClock runs a subtest on a clock that advances only while all of its
+// goroutines wait, so that no load of the machine makes anything late.
+func runOnVirtualClock(t *testing.T, name string, test func(t *testing.T)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, test) })
+}
+
 func newFixture(t *testing.T, idempotent bool) *fixture {
 	f := &fixture{GomegaWithT: NewWithT(t), t: t, views: view.NewPublisher(), gate: shutdown.NewGate(), start: time.Now().Add(-time.Second)}
 	f.route = &model.Route{Name: "r", Idempotent: idempotent, MaxAttempts: 2, LatencyObjective: 200 * time.Millisecond}
@@ -86,22 +95,31 @@
 	f.views.Publish(&view.View{Configuration: &model.Configuration{}, Services: map[string]*view.Service{"s": &copied}})
 }
 
+// serviceTime is how long every server takes at least. On a virtual clock it would be
+// nothing, which the dispatcher takes for an unknown duration.
+const serviceTime = time.Millisecond
+
 // add adds a server with the given handler and returns its request count.
 func (f *fixture) add(id string, handler http.HandlerFunc) *atomic.Int64 {
 	requests := new(atomic.Int64)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		requests.Add(1)
+		time.Sleep(serviceTime)
 		handler(w, r)
-	}))
-	f.t.Cleanup(server.Close)
-	f.t.Cleanup(server.CloseClientConnections)
-	f.addAddress(id, server.Listener.Addr().String())
+	})}
+	server.ErrorLog = log.New(io.Discard, "", 0)
+	go server.Serve(f.network.Listen(id))
+	f.t.Cleanup(func() {
+		f.Expect(server.Shutdown(context.Background())).To(Succeed(), "every handler ends")
+	})
+	f.addAddress(id, id)
 	return requests
 }
 
 func (f *fixture) addAddress(id, address string) {
 	target := &balance.Server{Server: model.Server{ID: id, Service: "s", Address: address, Slots: 4},
-		Pool: upstream.NewPool(upstream.Options{Address: address, MaxConnections: 8, AcceptUnframed: true})}
+		Pool: upstream.NewPool(upstream.Options{Address: address, MaxConnections: 8, AcceptUnframed: true, Dial: f.network.Dial})}
+	f.t.Cleanup(target.Pool.Close)
 	target.Availability = f.availability.Server(target.Incarnation())
 	f.service.Servers = append(f.service.Servers, target)
 	f.service.Owners[target.Incarnation()] = target
@@ -138,7 +156,7 @@
 func block(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 
 func TestDo(t *testing.T) {
-	t.Run("forwards a complete response", func(t *testing.T) {
+	runOnVirtualClock(t, "forwards a complete response", func(t *testing.T) {
 		f := newFixture(t, false)
 		f.add("a", respond)
 		result := f.do(time.Second)
@@ -147,7 +165,7 @@
 		f.Expect(result.Attempts).To(HaveLen(1))
 	})
 
-	t.Run("tries another server if the first one proves that it did not run the request", func(t *testing.T) {
+	runOnVirtualClock(t, "tries another server if the first one proves that it did not run the request", func(t *testing.T) {
 		f := newFixture(t, false)
 		full := f.add("full", refuse)
 		f.add("b", respond)
@@ -157,7 +175,7 @@
 		f.Expect(full.Load()).To(BeNumerically("<=", 10))
 	})
 
-	t.Run("does not retry a non-idempotent request whose response was lost", func(t *testing.T) {
+	runOnVirtualClock(t, "does not retry a non-idempotent request whose response was lost", func(t *testing.T) {
 		f := newFixture(t, false)
 		first, second := f.add("a", dropConnection), f.add("b", dropConnection)
 		result := f.do(time.Second)
@@ -166,14 +184,14 @@
 		f.Expect(first.Load() + second.Load()).To(Equal(int64(1)))
 	})
 
-	t.Run("retries an idempotent request up to the route's maximum number of attempts", func(t *testing.T) {
+	runOnVirtualClock(t, "retries an idempotent request up to the route's maximum number of attempts", func(t *testing.T) {
 		f := newFixture(t, true)
 		first, second, third := f.add("a", dropConnection), f.add("b", dropConnection), f.add("c", dropConnection)
 		f.Expect(f.do(time.Second).Verdict).To(Equal(verdict.MayHaveRun))
 		f.Expect(first.Load() + second.Load() + third.Load()).To(Equal(int64(2)))
 	})
 
-	t.Run("does not retry without a retry budget", func(t *testing.T) {
+	runOnVirtualClock(t, "does not retry without a retry budget", func(t *testing.T) {
 		f := newFixture(t, true)
 		f.budget.SetOptions(budget.Options{Window: 10 * time.Second})
 		first, second := f.add("a", dropConnection), f.add("b", dropConnection)
@@ -181,13 +199,10 @@
 		f.Expect(first.Load() + second.Load()).To(Equal(int64(1)))
 	})
 
-	t.Run("does not count unreachable servers as attempts, and reports not run if none can be reached", func(t *testing.T) {
+	runOnVirtualClock(t, "does not count unreachable servers as attempts, and reports not run if none can be reached", func(t *testing.T) {
 		f := newFixture(t, false)
 		for _, id := range []string{"a", "b", "c"} {
-			closed := httptest.NewServer(nil)
-			address := closed.Listener.Addr().String()
-			closed.Close()
-			f.addAddress(id, address)
+			f.addAddress(id, id) // Nothing listens there.
 		}
 		result := f.do(time.Second)
 		f.Expect(result.Verdict).To(Equal(verdict.NotRun))
@@ -195,7 +210,7 @@
 		f.Expect(result.RetryAfter).To(BeNumerically("~", 300*time.Millisecond, 50*time.Millisecond))
 	})
 
-	t.Run("hedges a slow idempotent request to a second server and cancels the first attempt", func(t *testing.T) {
+	runOnVirtualClock(t, "hedges a slow idempotent request to a second server and cancels the first attempt", func(t *testing.T) {
 		f := newFixture(t, true)
 		canceled := make(chan struct{}, 1)
 		slow := f.add("slow", func(_ http.ResponseWriter, r *http.Request) {
@@ -212,7 +227,7 @@
 		f.Eventually(canceled, "500ms").Should(Receive())
 	})
 
-	t.Run("reports not run if the first and the hedged server both prove that they did not run it", func(t *testing.T) {
+	runOnVirtualClock(t, "reports not run if the first and the hedged server both prove that they did not run it", func(t *testing.T) {
 		f := newFixture(t, true)
 		f.route.MaxAttempts = 2
 		slowRefusal := func(w http.ResponseWriter, r *http.Request) {
@@ -224,7 +239,7 @@
 		f.Expect(f.do(2 * time.Second).Verdict).To(Equal(verdict.NotRun))
 	})
 
-	t.Run("sends a non-idempotent request only once, even if it times out", func(t *testing.T) {
+	runOnVirtualClock(t, "sends a non-idempotent request only once, even if it times out", func(t *testing.T) {
 		f := newFixture(t, false)
 		first, second := f.add("a", block), f.add("b", block)
 		result := f.do(600 * time.Millisecond)
@@ -233,7 +248,7 @@
 		f.Expect(first.Load() + second.Load()).To(Equal(int64(1)))
 	})
 
-	t.Run("cancels the request at the server when the caller disconnects", func(t *testing.T) {
+	runOnVirtualClock(t, "cancels the request at the server when the caller disconnects", func(t *testing.T) {
 		f := newFixture(t, false)
 		canceled := make(chan struct{})
 		f.add("a", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done(); close(canceled) })
@@ -243,13 +258,13 @@
 		f.Eventually(canceled, "500ms").Should(BeClosed())
 	})
 
-	t.Run("treats a successful response without a signature as possibly run", func(t *testing.T) {
+	runOnVirtualClock(t, "treats a successful response without a signature as possibly run", func(t *testing.T) {
 		f := newFixture(t, false)
 		f.add("a", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("from nobody")) })
 		f.Expect(f.do(time.Second).Verdict).To(Equal(verdict.MayHaveRun))
 	})
 
-	t.Run("forwards a server error if no other server responds", func(t *testing.T) {
+	runOnVirtualClock(t, "forwards a server error if no other server responds", func(t *testing.T) {
 		f := newFixture(t, true)
 		f.add("a", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Proof", "1")
@@ -260,7 +275,7 @@
 		f.Expect(result.Response.Status).To(Equal(http.StatusInternalServerError))
 	})
 
-	t.Run("does not retry a server whose address is used by another server", func(t *testing.T) {
+	runOnVirtualClock(t, "does not retry a server whose address is used by another server", func(t *testing.T) {
 		f := newFixture(t, true)
 		gone := f.add("gone", func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Is", "another")
@@ -285,7 +300,7 @@
 }
 
 func TestDoByKey(t *testing.T) {
-	t.Run("waits until the key has an owner and sends only to that owner", func(t *testing.T) {
+	runOnVirtualClock(t, "waits until the key has an owner and sends only to that owner", func(t *testing.T) {
 		f := newFixture(t, true)
 		f.service.Partitioned = true
 		owner, other := f.add("owner", respond), f.add("other", respond)
@@ -300,7 +315,7 @@
 		f.Expect(other.Load()).To(BeZero())
 	})
 
-	t.Run("reports not run if the key has no owner for too long", func(t *testing.T) {
+	runOnVirtualClock(t, "reports not run if the key has no owner for too long", func(t *testing.T) {
 		f := newFixture(t, true)
 		f.service.Partitioned = true
 		f.publish()
@@ -308,10 +323,10 @@
 		result := f.do(2 * time.Second)
 		f.Expect(result.Verdict).To(Equal(verdict.NotRun))
 		f.Expect(result.Code).To(Equal(verdict.CodeNoOwner))
-		f.Expect(time.Since(start)).To(BeNumerically("<", 300*time.Millisecond))
+		f.Expect(time.Since(start)).To(Equal(70*time.Millisecond), "0.35 of the latency objective")
 	})
 
-	t.Run("waits longer for a handover whose end is known", func(t *testing.T) {
+	runOnVirtualClock(t, "waits longer for a handover whose end is known", func(t *testing.T) {
 		f := newFixture(t, false)
 		f.service.Partitioned = true
 		owner := f.add("owner", respond)
@@ -327,7 +342,7 @@
 		f.Expect(owner.Load()).To(Equal(int64(1)))
 	})
 
-	t.Run("refuses at once what can't wait for the end of a handover", func(t *testing.T) {
+	runOnVirtualClock(t, "refuses at once what can't wait for the end of a handover", func(t *testing.T) {
 		f := newFixture(t, false)
 		f.service.Partitioned = true
 		f.add("owner", respond)
@@ -337,10 +352,10 @@
 		f.publish()
 		start := time.Now()
 		f.Expect(f.do(900 * time.Millisecond).Code).To(Equal(verdict.CodeNoOwner))
-		f.Expect(time.Since(start)).To(BeNumerically("<", 300*time.Millisecond))
+		f.Expect(time.Since(start)).To(Equal(70*time.Millisecond), "as if nothing was known")
 	})
 
-	t.Run("lets only as many requests wait as the next owner can run", func(t *testing.T) {
+	runOnVirtualClock(t, "lets only as many requests wait as the next owner can run", func(t *testing.T) {
 		f := newFixture(t, false)
 		f.service.Partitioned = true
 		f.add("owner", respond)
@@ -367,7 +382,7 @@
 		f.Expect(answered).To(Equal(2))
 	})
 
-	t.Run("sends again to an owner that was full, within the retry budget", func(t *testing.T) {
+	runOnVirtualClock(t, "sends again to an owner that was full, within the retry budget", func(t *testing.T) {
 		f := newFixture(t, false)
 		f.service.Partitioned = true
 		full := int64(1)
@@ -391,7 +406,7 @@
 		f.Expect(result.Verdict).To(Equal(verdict.NotRun))
 		f.Expect(result.Code).To(Equal(verdict.CodeShed))
 		f.Expect(result.RetryAfter).To(BeNumerically(">", 0))
-		f.Expect(time.Since(start)).To(BeNumerically("<", 100*time.Millisecond), "a request that may not be sent again is refused at once")
+		f.Expect(time.Since(start)).To(Equal(serviceTime), "a request that may not be sent again is refused at once")
 		f.Expect(owner.Load()).To(Equal(int64(3)))
 	})
 }
--- a/gateway/dispatch/limit_test.go
+++ b/gateway/dispatch/limit_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -19,35 +20,39 @@
 }
 
 func TestRequestBeyondTheLimitOfItsOwnerIsRefusedAtOnce(t *testing.T) {
-	f := newFixture(t, true)
-	requests := f.add("a", respondLimited)
-	f.service.Partitioned = true
-	f.service.Page = &keys.Page{Ranges: []keys.Range{{From: 0, To: model.Keys - 1, Owner: keys.Holder{Incarnation: model.Incarnation{ID: "a"}}}}}
-	f.publish()
-	f.Expect(f.do(time.Second).Verdict).To(Equal(verdict.Answered))
-	begin := time.Now()
-	for range 20 {
-		result := f.do(time.Second)
-		f.Expect(result.Verdict).To(Equal(verdict.NotRun))
-		f.Expect(result.Code).To(Equal(verdict.CodeServerLimit))
-		f.Expect(result.RetryAfter).To(And(BeNumerically(">", 0), BeNumerically("<=", 300*time.Millisecond)))
-	}
-	f.Expect(time.Since(begin)).To(BeNumerically("<", time.Second), "nothing waits")
-	f.Expect(requests.Load()).To(BeNumerically("<=", 2))
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, true)
+		requests := f.add("a", respondLimited)
+		f.service.Partitioned = true
+		f.service.Page = &keys.Page{Ranges: []keys.Range{{From: 0, To: model.Keys - 1, Owner: keys.Holder{Incarnation: model.Incarnation{ID: "a"}}}}}
+		f.publish()
+		f.Expect(f.do(time.Second).Verdict).To(Equal(verdict.Answered))
+		begin := time.Now()
+		for range 20 {
+			result := f.do(time.Second)
+			f.Expect(result.Verdict).To(Equal(verdict.NotRun))
+			f.Expect(result.Code).To(Equal(verdict.CodeServerLimit))
+			f.Expect(result.RetryAfter).To(And(BeNumerically(">", 0), BeNumerically("<=", 300*time.Millisecond)))
+		}
+		f.Expect(time.Since(begin)).To(BeZero(), "nothing waits")
+		f.Expect(requests.Load()).To(BeEquivalentTo(1))
+	})
 }
 
 func TestRequestBeyondTheLimitOfAServerGoesToAnother(t *testing.T) {
-	f := newFixture(t, true)
-	limited := f.add("a", respondLimited)
-	other := f.add("b", respond)
-	for limited.Load() == 0 {
-		f.do(time.Second)
-	}
-	sent := limited.Load()
-	others := other.Load()
-	for range 20 {
-		f.Expect(f.do(time.Second).Verdict).To(Equal(verdict.Answered))
-	}
-	f.Expect(other.Load() - others).To(BeNumerically(">=", 19))
-	f.Expect(limited.Load() - sent).To(BeNumerically("<=", 1))
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, true)
+		limited := f.add("a", respondLimited)
+		other := f.add("b", respond)
+		for limited.Load() == 0 {
+			f.do(time.Second)
+		}
+		sent := limited.Load()
+		others := other.Load()
+		for range 20 {
+			f.Expect(f.do(time.Second).Verdict).To(Equal(verdict.Answered))
+		}
+		f.Expect(other.Load() - others).To(BeNumerically(">=", 19))
+		f.Expect(limited.Load() - sent).To(BeNumerically("<=", 1))
+	})
 }
--- a/gateway/dispatch/stop_test.go
+++ b/gateway/dispatch/stop_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -34,7 +35,7 @@
 		respond(w, r)
 	}
 
-	t.Run("sends what is expected to end in time, and what must have by its deadline", func(t *testing.T) {
+	runOnVirtualClock(t, "sends what is expected to end in time, and what must have by its deadline", func(t *testing.T) {
 		f := newFixture(t, false)
 		server := f.add("a", respond)
 		for range 5 {
@@ -51,7 +52,7 @@
 		f.expectNotSent(f.do(500 * time.Millisecond))
 	})
 
-	t.Run("sends nothing that is expected to take longer, or of which nothing is known", func(t *testing.T) {
+	runOnVirtualClock(t, "sends nothing that is expected to take longer, or of which nothing is known", func(t *testing.T) {
 		f := newFixture(t, false)
 		server := f.add("a", slow)
 		f.beginStop(150 * time.Millisecond)
@@ -61,7 +62,7 @@
 		f.expectNotSent(f.do(2 * time.Hour))
 	})
 
-	t.Run("sends nothing after a wait for the owner of the key", func(t *testing.T) {
+	runOnVirtualClock(t, "sends nothing after a wait for the owner of the key", func(t *testing.T) {
 		f := newFixture(t, false)
 		f.service.Partitioned = true
 		f.route.LatencyObjective = 10 * time.Second
@@ -86,7 +87,7 @@
 		f.Expect(owner.Load()).To(Equal(sent))
 	})
 
-	t.Run("sends nothing once more", func(t *testing.T) {
+	runOnVirtualClock(t, "sends nothing once more", func(t *testing.T) {
 		f := newFixture(t, true)
 		f.route.LatencyObjective = time.Minute // No second server before a failure.
 		first := new(atomic.Bool)
@@ -113,7 +114,7 @@
 		f.Expect(a.Load() + b.Load()).To(Equal(sent + 1))
 	})
 
-	t.Run("sends nothing to a second server", func(t *testing.T) {
+	runOnVirtualClock(t, "sends nothing to a second server", func(t *testing.T) {
 		f := newFixture(t, true)
 		a, b := f.add("a", slow), f.add("b", slow)
 		f.beginStop(time.Second)
@@ -125,18 +126,20 @@
 }
 
 func TestARequestThatIsInterruptedMayHaveRun(t *testing.T) {
-	f := newFixture(t, true)
-	f.add("a", block)
-	ctx, end := f.gate.Context(context.Background())
-	defer end()
-	time.AfterFunc(100*time.Millisecond, f.gate.Interrupt)
-	result := f.doWith(ctx, time.Minute)
-	f.Expect(result.Verdict).To(Equal(verdict.MayHaveRun))
-	f.Expect(result.Code).To(Equal(verdict.CodeStopping))
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, true)
+		f.add("a", block)
+		ctx, end := f.gate.Context(context.Background())
+		defer end()
+		time.AfterFunc(100*time.Millisecond, f.gate.Interrupt)
+		result := f.doWith(ctx, time.Minute)
+		f.Expect(result.Verdict).To(Equal(verdict.MayHaveRun))
+		f.Expect(result.Code).To(Equal(verdict.CodeStopping))
+	})
 }
 
 func TestStoppingEndsWaits(t *testing.T) {
-	t.Run("refuses what waits for a handover when this VM stops", func(t *testing.T) {
+	runOnVirtualClock(t, "refuses what waits for a handover when this VM stops", func(t *testing.T) {
 		f := newFixture(t, false)
 		f.service.Partitioned = true
 		f.add("owner", respond)
