traffic/queue: each gate reuses its own tickets

Cause: tickets were reused across all gates of the process; their channels can't pass from one test's virtual clock to another's ("send on synctest channel from outside bubble" in the second run of a test). Change: the sync.Pool belongs to the gate.

--- a/traffic/queue/gate.go
+++ b/traffic/queue/gate.go
@@ -10,20 +10,23 @@
 
 // Gate blocks requests until a Queue admits them. It is safe for concurrent use.
 type Gate struct {
-	now   func() time.Duration
+	now     func() time.Duration
+	tickets sync.Pool // Of its own, since a channel may not leave the virtual clock of its test.
+
 	mu    sync.Mutex
 	queue *Queue
 }
 
-var tickets = sync.Pool{New: func() any { return &Ticket{decided: make(chan Decision, 1)} }}
-
 // NewGate returns a gate over an empty queue. now is the clock of deadlines;
 // options.Decide is not used.
 func NewGate(now func() time.Duration, options Options) *Gate {
 	options.Decide = func(t *Ticket, d Decision) { t.decided <- d }
-	return &Gate{now: now, queue: New(options)}
+	return &Gate{now: now, queue: New(options), tickets: sync.Pool{New: newTicket}}
 }
 
+// newTicket returns a *Ticket whose owner can wait for the decision.
+func newTicket() any { return &Ticket{decided: make(chan Decision, 1)} }
+
 // Request is the parameters of a request to a gate.
 type Request struct {
 	Priority config.Priority
@@ -36,7 +39,7 @@
 // Enter waits for a slot. The ticket is only non-nil after Admitted; Leave must
 // then be called with it.
 func (g *Gate) Enter(ctx context.Context, want Request) (*Ticket, Decision) {
-	t := tickets.Get().(*Ticket)
+	t := g.tickets.Get().(*Ticket)
 	t.Priority, t.Deadline, t.MaxWait = want.Priority, want.Deadline, want.MaxWait
 	g.mu.Lock()
 	decision := g.queue.Offer(g.now(), t)
@@ -45,7 +48,7 @@
 		decision = g.wait(ctx, t)
 	}
 	if decision != Admitted {
-		tickets.Put(t)
+		g.tickets.Put(t)
 		return nil, decision
 	}
 	return t, Admitted
@@ -75,7 +78,7 @@
 // ran, so that its time counts as service time.
 func (g *Gate) Leave(t *Ticket, ran bool) {
 	g.leave(t, ran)
-	tickets.Put(t)
+	g.tickets.Put(t)
 }
 
 // Requeue puts an admitted ticket, whose request the server shed, back to the
@@ -86,7 +89,7 @@
 	g.mu.Unlock()
 	decision := g.wait(ctx, t)
 	if decision != Admitted {
-		tickets.Put(t)
+		g.tickets.Put(t)
 		return nil, decision
 	}
 	return t, Admitted
