traffic/upstream: tests of cut responses go by the order of events

Change: the tests dial without a timeout and count what the caller reads. The server resets when the caller has read all, the late write waits for the kernel's state to be closed, and the read for the write's failure. A request that did not reach the server is reported as such and fails the test: nothing was tested. No response is given up after 5 s any more; one whose end is missed hangs the test, which passed before.

--- a/traffic/upstream/cut_test.go
+++ b/traffic/upstream/cut_test.go
@@ -8,12 +8,13 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	. "github.com/onsi/gomega"
+	"golang.org/x/sys/unix"
 )
 
 // ending is how a server ends a connection.
@@ -21,17 +22,101 @@
 
 const (
 	closing   ending = iota
-	resetting        // Some time after the last byte, so that the caller has read it.
+	resetting        // After the caller has read the last byte.
 )
 
-// resetDelay is the time between the last byte and a reset.
-const resetDelay = 5 * time.Millisecond
-
 // cutServer responds to a request with the first bytes of a response, as its headers
 // Cut and End say, and ends the connection. Without Cut it responds with all of "ok".
 type cutServer struct {
 	listener net.Listener
 	response string
+	mu       sync.Mutex
+	callers  map[string]*countedConn // By their addresses.
+}
+
+// countedConn is a caller's connection that counts what the caller has read and tells
+// when a write has failed.
+type countedConn struct {
+	*net.TCPConn
+	mu   sync.Mutex
+	read int
+	more *sync.Cond // Of mu: read has grown.
+
+	writeFailed chan struct{}
+	failOnce    sync.Once
+}
+
+func newCountedConn(conn *net.TCPConn) *countedConn {
+	c := &countedConn{TCPConn: conn, writeFailed: make(chan struct{})}
+	c.more = sync.NewCond(&c.mu)
+	return c
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.read += n
+	c.more.Broadcast()
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	if err != nil {
+		c.failOnce.Do(func() { close(c.writeFailed) })
+	}
+	return n, err
+}
+
+// tcpClosed is the state of a connection that was reset (TCP_CLOSE of Linux).
+const tcpClosed = 7
+
+// awaitReset waits until the kernel has received a reset, and leaves its error to the
+// next operation.
+func (c *countedConn) awaitReset(g *GomegaWithT) {
+	raw, err := c.SyscallConn()
+	g.Expect(err).NotTo(HaveOccurred())
+	for state := uint8(0); state != tcpClosed; runtime.Gosched() {
+		err := raw.Control(func(fd uintptr) {
+			info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			g.Expect(infoErr).NotTo(HaveOccurred())
+			state = info.State
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+// awaitRead waits until the caller has read so many bytes.
+func (c *countedConn) awaitRead(bytes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.read < bytes {
+		c.more.Wait()
+	}
+}
+
+// dial connects to the server and counts what is read. It has no timeout: how long the
+// machine takes is not under test.
+func (s *cutServer) dial(_ context.Context, network, address string) (net.Conn, error) {
+	conn, err := net.Dial(network, address)
+	if err != nil {
+		return nil, err
+	}
+	counted := newCountedConn(conn.(*net.TCPConn))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.callers[conn.LocalAddr().String()] = counted
+	return counted, nil
+}
+
+// caller returns the caller's end of a connection on which a request came.
+func (s *cutServer) caller(conn net.Conn) *countedConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.callers[conn.RemoteAddr().String()]
 }
 
 func newCutServer(t *testing.T, response string) *cutServer {
@@ -40,7 +125,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	s := &cutServer{listener: listener, response: response}
+	s := &cutServer{listener: listener, response: response, callers: make(map[string]*countedConn)}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -56,6 +141,7 @@
 func (s *cutServer) serve(conn *net.TCPConn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
+	written := 0
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
@@ -66,12 +152,13 @@
 		fmt.Sscan(request.Header.Get("Cut"), &cut)
 		fmt.Sscan(request.Header.Get("End"), &end)
 		if cut < 0 {
-			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			n, _ := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			written += n
 			continue
 		}
-		io.WriteString(conn, s.response[:cut])
+		n, _ := io.WriteString(conn, s.response[:cut])
 		if end == resetting {
-			time.Sleep(resetDelay)
+			s.caller(conn).awaitRead(written + n)
 			conn.SetLinger(0)
 		}
 		return
@@ -87,28 +174,30 @@
 }
 
 // read sends a request whose response is cut, and returns the whole body if the
-// response is taken for complete.
-func (s *cutServer) read(c cutCase) (body string, complete bool) {
-	p := NewPool(Options{Address: s.listener.Addr().String(), MaxConnections: 1, AcceptUnframed: true})
+// response is taken for complete. It returns an error if there is no response that
+// could be cut, because no request reached the server.
+func (s *cutServer) read(c cutCase) (body string, complete bool, err error) {
+	p := NewPool(Options{Address: s.listener.Addr().String(), MaxConnections: 1, AcceptUnframed: true, Dial: s.dial})
 	defer p.Close()
 	if c.reused {
 		if failure := roundTrip(p, false); failure != nil {
-			return "the first request failed: " + failure.Error(), true
+			return "", false, fmt.Errorf("the first request failed: %w", failure)
 		}
 	}
 	request := get()
 	request.Method = c.method
 	request.Header.Set("Cut", fmt.Sprint(c.cut))
 	request.Header.Set("End", fmt.Sprint(int(c.end)))
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-	defer cancel()
-	response, failure := p.Do(ctx, request, false)
+	response, failure := p.Do(context.Background(), request, false)
+	if failure != nil && !failure.Sent {
+		return "", false, fmt.Errorf("the request was not sent: %w", failure)
+	}
 	if failure != nil {
-		return "", false
+		return "", false, nil
 	}
 	defer response.Body.Close()
-	read, err := io.ReadAll(response.Body)
-	return string(read), err == nil
+	read, readErr := io.ReadAll(response.Body)
+	return string(read), readErr == nil, nil
 }
 
 func TestResponseCutAnywhereIsNotComplete(t *testing.T) {
@@ -131,9 +220,11 @@
 			t.Parallel()
 			s := newCutServer(t, response.text)
 			eachCut(response.method, len(response.text), func(c cutCase) {
-				body, complete := s.read(c)
+				body, complete, err := s.read(c)
 				whole := c.cut == len(response.text)
 				switch {
+				case err != nil:
+					t.Errorf("%+v: nothing was tested: %v", c, err)
 				case whole && (!complete || body != response.body):
 					t.Errorf("%+v: the whole response was read as %q, complete: %v", c, body, complete)
 				case !whole && complete:
@@ -150,7 +241,11 @@
 	text := head + "the response"
 	s := newCutServer(t, text)
 	eachCut("GET", len(text), func(c cutCase) {
-		body, complete := s.read(c)
+		body, complete, err := s.read(c)
+		if err != nil {
+			t.Errorf("%+v: nothing was tested: %v", c, err)
+			return
+		}
 		closed := c.cut >= len(head) && c.end == closing // It can't be told from a whole one.
 		if complete != closed || complete && body != text[len(head):c.cut] {
 			t.Errorf("%+v: %q, complete: %v, body %q", c, text[:c.cut], complete, body)
@@ -208,7 +303,7 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	g.Expect(err).NotTo(HaveOccurred())
 	defer listener.Close()
-	reset := make(chan struct{})
+	caller, reset := make(chan *countedConn, 1), make(chan struct{})
 	go func() {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -217,13 +312,24 @@
 		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 			return
 		}
-		io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
-		time.Sleep(resetDelay)
+		part := "HTTP/1.1 200 OK\r\n\r\npart"
+		io.WriteString(conn, part)
+		(<-caller).awaitRead(len(part))
 		conn.(*net.TCPConn).SetLinger(0)
 		conn.Close()
 		close(reset)
 	}()
-	p := NewPool(Options{Address: listener.Addr().String(), MaxConnections: 1, AcceptUnframed: true})
+	var counted *countedConn
+	dial := func(_ context.Context, network, address string) (net.Conn, error) {
+		conn, err := net.Dial(network, address)
+		if err != nil {
+			return nil, err
+		}
+		counted = newCountedConn(conn.(*net.TCPConn))
+		caller <- counted
+		return counted, nil
+	}
+	p := NewPool(Options{Address: listener.Addr().String(), MaxConnections: 1, AcceptUnframed: true, Dial: dial})
 	defer p.Close()
 	const size = 64 << 10
 	body := &pacedBody{first: bytes.NewReader(make([]byte, size)), second: strings.NewReader(strings.Repeat("x", size)), send: make(chan struct{})}
@@ -233,9 +339,9 @@
 	g.Expect(failure).To(BeNil())
 	defer response.Body.Close()
 	<-reset
-	time.Sleep(resetDelay)
+	counted.awaitReset(g)
 	close(body.send)
-	time.Sleep(resetDelay) // The rest of the body is written, which fails.
+	<-counted.writeFailed // By the rest of the body.
 	read, err := io.ReadAll(response.Body)
 	g.Expect(err).To(HaveOccurred(), "%q was taken for the whole body", read)
 	g.Expect(p.Open()).To(BeZero())
