--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -7,9 +7,6 @@
 
 import (
 	"context"
-	"fmt"
-	"hash/fnv"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -37,8 +34,6 @@
 	// defaultTimeout is the timeout of a request if the caller sets none. A shorter
 	// timeout of the route takes precedence.
 	defaultTimeout = 30 * time.Second
-	// successSampleInterval: one in 32 successes is logged.
-	successSampleInterval = 32
 	// startWaitDivisor limits the wait for the first configuration of a VM that has
 	// just started to 1/8 of the request's timeout.
 	startWaitDivisor = 8
@@ -314,81 +309,3 @@
 	e.options.Log.Event(event.RequestRejected, rejected.cause, append(e.configurationFields(),
 		zap.String("request", e.head.ID), zap.Int("status", rejected.status))...)
 }
-
-// record adds a result to the metrics.
-func (e *exchange) record(result dispatch.Result, bodyBytes, responseBytes int64) {
-	o := metric.Observation{Total: e.options.Clock() - e.arrived, Attempts: len(result.Attempts), RequestBytes: bodyBytes, ResponseBytes: responseBytes}
-	for _, attempt := range result.Attempts {
-		o.Backend += attempt.Duration
-	}
-	if len(result.Attempts) > 0 {
-		o.Queue = result.Attempts[0].Start - e.arrived
-	}
-	e.options.Metrics.Class(e.service, routeKind(e.route)).Record(result.Verdict, result.Code, o)
-}
-
-// routeKind returns the metrics class of a route.
-func routeKind(route *model.Route) string {
-	if route.Idempotent {
-		return "idempotent"
-	}
-	return "non_idempotent"
-}
-
-// log logs the result of a request.
-func (e *exchange) log(result dispatch.Result) {
-	number := event.RequestAnswered
-	switch {
-	case result.Code == verdict.CodeCallerGone:
-		number = event.CallerLeft
-	case result.Verdict == verdict.NotRun:
-		number = event.RequestNotRun
-	case result.Verdict == verdict.MayHaveRun:
-		number = event.RequestMayHaveRun
-	case len(result.Attempts) < 2 && result.Response.Status < http.StatusInternalServerError && !sampled(e.head.ID):
-		return
-	}
-	fields := []zap.Field{
-		zap.String("request", e.head.ID),
-		zap.String("service", e.service),
-		zap.String("code", string(result.Code)),
-		zap.Duration("took", e.options.Clock()-e.arrived),
-		zap.Duration("allowed", e.head.TimeLeft),
-		zap.Uint64("configuration", e.version),
-	}
-	if e.route != nil {
-		fields = append(fields, zap.String("route", e.route.Name))
-	}
-	if e.head.HasKey {
-		fields = append(fields, zap.Uint16("key", e.head.Key))
-	}
-	if result.Response != nil {
-		fields = append(fields, zap.Int("status", result.Response.Status))
-	}
-	if result.RetryAfter > 0 {
-		fields = append(fields, zap.Duration("retry_after", result.RetryAfter))
-	}
-	for i, attempt := range result.Attempts {
-		fields = append(fields, zap.String("send_"+strconv.Itoa(i+1), formatAttempt(attempt)))
-	}
-	e.options.Log.Event(number, "", fields...)
-}
-
-// formatAttempt returns a short description of an attempt, for the log.
-func formatAttempt(attempt dispatch.Attempt) string {
-	text := fmt.Sprintf("%s in %s after %s: %s %s", attempt.Server, attempt.Zone, attempt.Duration.Round(time.Millisecond), attempt.Verdict, attempt.Code)
-	if attempt.Status != 0 {
-		text += " " + strconv.Itoa(attempt.Status)
-	}
-	if attempt.Cause != "" {
-		text += " (" + attempt.Cause + ")"
-	}
-	return text
-}
-
-// sampled reports whether a success is logged. All VMs select the same requests.
-func sampled(id string) bool {
-	hash := fnv.New32a()
-	_, _ = io.WriteString(hash, id) // Writing to a hash never fails.
-	return hash.Sum32()%successSampleInterval == 0
-}
