gateway/keys: prior holders are called on after the expiry of their grants

What callers would see: OWNER, two servers with the same keys, when the store is out of reach after a leader was killed while a server was cut off. Cause: releases and fencing calls to a prior holder ended with the expiry of its grants, and began again once the page listed it as unfenced. Its keys are granted to the next owner at the expiry, though, and without the store that page is written much later. When the cut healed meanwhile nobody told the server of a higher fence, and it accepted the grants of the killed leader. Change: only a proof (an answered release, the end of the process) ends the calls to a prior holder, not an expiry.

--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -203,8 +203,9 @@
 	return handover, true
 }
 
-// runReleases asks prior holders to release their keys. It waits while a grant to
-// the holder is in flight, which could arrive after the release. Whichever life of the
+// runReleases asks prior holders to release their keys, also after the expiry of their grants:
+// it proves nothing, and the page may list them as unfenced much later. It waits while a grant
+// to the holder is in flight, which could arrive after the release. Whichever life of the
 // holder answers, no earlier one holds the keys then.
 func (m *Machine) runReleases() {
 	if m.page == nil {
@@ -224,7 +225,7 @@
 	if _, releasing := m.releasing[key]; releasing || len(m.bounds[key].pending) > 0 || m.released[key].done || m.now < m.retryReleaseAt[key] {
 		return
 	}
-	if end, _ := m.priorEnded(r, prior); end != notEnded || m.fenceCutOff(prior) {
+	if end, _ := m.priorEnded(r, prior); end == endedByProof || m.fenceCutOff(prior) {
 		return
 	}
 	fence, ok := m.releaseFence(key)
