gateway/keys: servers hear of higher fences also while the page is not known

Cause: after a write with an unknown outcome the leader reads the page before anything else, which an outage delays. It went on with grants, also first ones to owners whose prior holders' grants had expired, but sent neither releases nor fencing calls. Change: while a leader that has adopted the page can't read it, releases and fencing calls go on by the page that it knew last, as grants do.

--- a/gateway/keys/killed_leader_outage_test.go
+++ b/gateway/keys/killed_leader_outage_test.go
@@ -61,5 +61,24 @@
 			Expect(sim.unowned()).To(BeZero())
 			Expect(later.Page().Unfenced).To(BeEmpty())
 		})
+
+		It(fmt.Sprintf("seed %d: begins with the write that lists the server: it refuses the grants held up", seed), func() {
+			sim, earlier := startSimulation(seed, 4)
+			sim.lateWriteShare = float64(seed % 2)
+			server := sim.servers[model.Incarnation{ID: "i-1", Born: 1000}]
+			later, held := sim.killWithGrants(earlier, server)
+			sim.runUntil(func() bool { return namesPrior(later.Page(), server.ID) })
+			sim.run(time.Duration(sim.random.IntN(1500)) * time.Millisecond)
+			sim.startOutage()
+			sim.runUntil(func() bool { return sim.unowned() == 0 })
+			sim.run(time.Duration(1200+sim.random.IntN(2000)) * time.Millisecond)
+			sim.heal(server, held)
+			sim.run(4 * time.Second)
+			sim.endOutage()
+			sim.run(10 * time.Second)
+			Expect(sim.violations).To(BeEmpty())
+			Expect(sim.unowned()).To(BeZero())
+			Expect(later.Page().Unfenced).To(BeEmpty())
+		})
 	}
 })
--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -201,8 +201,14 @@
 	return ready
 }
 
+// runRead asks for the page. Until it is known, the leader renews grants and tells prior
+// holders to stop by the page that it knew last.
 func (m *Machine) runRead() {
 	if m.reading || m.consulting || m.now < m.retryStoreAt || m.renewOnly {
+		if m.adopted {
+			m.runReleases()
+			m.runFencing()
+		}
 		m.runRenewals()
 		return
 	}
