run: a leader of a new era counts its majority once the lost leases have ended

Cause: a leader without the store counts daemons that started before the end of its lease, as no later leader can have been elected in its era until then. A store that is restored from an earlier copy has lost the lease, so the leader of the next era may be elected before. Daemons that reported to it, restarted and were told of the earlier leader were then counted by both: the next one took the earlier one for stopped, which went on renewing. Change: the next leader counts only reports that were sent after all lost leases have ended, a TTL after the era became known; what a daemon starts later the earlier one does not count. The earlier leader can't decide it: counting only processes that started before its last contact made leaders with a long lease give up. No wait where the era has been known for a TTL at the election, as when the lease of the copy's leader has to expire first. Two set-ups of succession_test.go took the era for known only from the election; they make it known a TTL before now, and their assertions are unchanged.

--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -9,6 +9,7 @@
 
 	"guavacrank.example/event"
 	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/leader"
 	"guavacrank.example/gateway/limit"
 	"guavacrank.example/gateway/peer"
 )
@@ -21,7 +22,7 @@
 func (l *loop) lead() {
 	now := l.clock()
 	state := l.campaign.State()
-	l.leaseEnd = state.LeaseEnd
+	l.leaseEnd, l.leaseTTL = state.LeaseEnd, state.LeaseEnd-state.LastContact
 	silence := now - state.LastContact
 	switch {
 	case state.Held && l.term.Before(state.Term) && silence < contactTimeout:
@@ -82,11 +83,12 @@
 // leader. One that has just started learns their number by consultation. Daemons report
 // to one leader only, so an earlier leader has lost its majority and stops within
 // majorityWindow, or once its last contact to the store, which was before the election,
-// is contactTimeout ago.
+// is contactTimeout ago. Only reports that were sent after lostLeasesEnd count: until then a
+// daemon may restart and be counted by a leader of an earlier era (hasMajority).
 func (l *loop) endPredecessorsByMajority(now time.Duration) {
 	var left []time.Duration
 	for _, m := range l.members {
-		if m.reportedAt >= l.leadingSince {
+		if m.reportedAt >= l.leadingSince && m.reportedAt-m.transit >= l.lostLeasesEnd() {
 			left = append(left, m.leftAt)
 		}
 	}
@@ -108,6 +110,12 @@
 	}
 }
 
+// lostLeasesEnd returns when all leases that were lost with a restoration of the store
+// would have ended. They were renewed for the last time before it.
+func (l *loop) lostLeasesEnd() time.Duration {
+	return l.eraKnownSince + max(leader.LeaseTTL, l.leaseTTL)
+}
+
 // leadsLast reports that no later leader can have been elected and have written the page.
 func (l *loop) leadsLast(service string, now time.Duration) bool {
 	page := l.pages[service]
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -86,6 +86,8 @@
 	era               kvstore.Era // The store's newest known era.
 	leadingSince      time.Duration
 	leaseEnd          time.Duration // Until when the own lease on the leader's key is known to be valid.
+	leaseTTL          time.Duration // That of the own lease.
+	eraKnownSince     time.Duration // When era became known.
 	nextLead          time.Duration // Earliest next run of the leader's work.
 	startedAt         time.Duration
 	leaderWait        time.Duration   // Time to wait for a leader at startup; constant.
--- a/gateway/run/restoration.go
+++ b/gateway/run/restoration.go
@@ -27,7 +27,7 @@
 		return
 	}
 	previous := l.era
-	l.era = era
+	l.era, l.eraKnownSince = era, l.clock()
 	l.campaign.EnterEra(era)
 	if previous == 0 {
 		return // The first contact.
--- a/gateway/run/succession_test.go
+++ b/gateway/run/succession_test.go
@@ -231,6 +231,9 @@
 	g := NewWithT(t)
 	l := newRestorationLoop(t)
 	last := peer.Leadership{Leader: keys.Leader{VM: "last", Incarnation: "last"}, Term: kvstore.Position{Era: 1, Version: 50}}
+	l.enterEra(2)
+	elected := l.clock() + leader.LeaseTTL // The lease of the copy has expired.
+	l.clock = func() time.Duration { return elected }
 	l.members, l.knownPeers = make(map[string]member), nil
 	l.term = kvstore.Position{Era: 2, Version: 60}
 	l.startLeading(l.clock())
@@ -317,8 +320,10 @@
 // 95 s and have followed no leader before.
 func newLeaderAmongNewcomers(t *testing.T, now *time.Duration) (*loop, *keys.Machine) {
 	l := newRestorationLoop(t)
-	*now = 100 * time.Second
 	l.clock = func() time.Duration { return *now }
+	*now = 100*time.Second - leader.LeaseTTL // Then the lease of the copy expires.
+	l.enterEra(2)
+	*now = 100 * time.Second
 	l.members, l.knownPeers = make(map[string]member), []string{"a", "b", "c"}
 	l.term = kvstore.Position{Era: 2, Version: 60}
 	l.startLeading(*now)
