run: only daemons that have run since a leader's contact to the store confirm the last one

Cause: after a restoration of the store a third of the fleet must know of no later leader than the one whose pages are taken. A daemon counted that had restarted and been told of a leader by another; the process before it may have reported to a later leader, which had moved keys. Change: leaders name their last contact to the store in their responses. A daemon whose leader was in contact after the daemon's start is a witness, and says so in its response to Follow. What others answer is heard (whom to ask, how large the fleet was, that this is no first start) and does not count. This holds for the new leader itself too. It also works where the last leader has ended, which the time of contact in the response to Yield would not. Fixtures of four tests name a witness now, their assertions are unchanged.

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -115,6 +115,9 @@
 	KnownLeader Leadership `json:"known"`
 	// ClockMS is the leader's clock when it responded.
 	ClockMS int64 `json:"clock_ms,omitempty"`
+	// ContactMS is the leader's clock when it sent the last call of its term that the store
+	// answered; zero if that is unknown.
+	ContactMS int64 `json:"contact_ms,omitempty"`
 	// VMs is the number of daemons that reported recently, including the leader.
 	// MaxCapacity is the highest capacity among them.
 	VMs         int     `json:"vms"`
@@ -259,6 +262,9 @@
 	// FormerLeader is the last leader of an earlier era of the store that the sender
 	// knows.
 	FormerLeader Leadership `json:"former"`
+	// Witness says that no process of the sender's VM has followed a later leader of those
+	// eras.
+	Witness bool `json:"witness,omitempty"`
 	// Pages are the ownership pages that the leader lacks.
 	Pages []StoredPage `json:"pages,omitempty"`
 	// MemberCount is the number of daemons that the sender knows. Members holds their
--- a/gateway/run/consultation.go
+++ b/gateway/run/consultation.go
@@ -30,7 +30,7 @@
 	term     kvstore.Position
 	deadline time.Duration
 	asked    map[string]bool // By address; true until the daemon responds or fails to.
-	informed int             // Daemons, this one included, that know a leader of an earlier era.
+	informed int             // Daemons, this one included, that are witnesses of a leader of an earlier era.
 	members  int             // The largest number of daemons that any of them knows.
 	fleet    int             // The largest number of daemons that a leader of an earlier era named to any of them.
 	last     peer.Leadership // The last leader of an earlier era.
@@ -50,7 +50,7 @@
 		waiting:  make(map[string]bool),
 	}
 	l.consultation = c
-	c.note(l.leaderBefore(l.term.Era), l.fleetBefore(l.term.Era))
+	c.noteAnswer(l.leaderBefore(l.term.Era), l.fleetBefore(l.term.Era), l.isWitness(l.term.Era))
 	l.announceLeadership(append(slices.Clone(l.knownPeers), l.settings.Seeds...))
 	l.askLastLeader()
 }
@@ -70,12 +70,20 @@
 	}
 }
 
-// note records the last leader that a daemon knows, and how many daemons that one named.
+// note records the last leader that a witness knows, and how many daemons that one named.
 func (c *consultation) note(leadership peer.Leadership, fleet int) {
+	c.noteAnswer(leadership, fleet, true)
+}
+
+// noteAnswer does so for any daemon. Before its start one that is no witness may have
+// followed a later leader.
+func (c *consultation) noteAnswer(leadership peer.Leadership, fleet int, witness bool) {
 	if leadership.Leader.Incarnation == "" {
 		return
 	}
-	c.informed++
+	if witness {
+		c.informed++
+	}
 	c.fleet = max(c.fleet, fleet)
 	c.hear(leadership)
 }
@@ -99,6 +107,7 @@
 	l.followLeader(a.request.Leadership)
 	response := peer.FollowResponse{
 		FormerLeader: l.leaderBefore(a.request.Term.Era),
+		Witness:      l.isWitness(a.request.Term.Era),
 		Pages:        l.pagesFor(a.request.Pages),
 		MemberCount:  len(l.knownPeers),
 
@@ -120,7 +129,7 @@
 		l.log.Event(event.PeerUnreachable, f.err.Error(), zap.String("peer", f.address))
 		return
 	}
-	c.note(f.response.FormerLeader, f.response.FormerMemberCount)
+	c.noteAnswer(f.response.FormerLeader, f.response.FormerMemberCount, f.response.Witness)
 	c.members = max(c.members, f.response.MemberCount)
 	l.applyPages(f.response.Pages)
 	l.announceLeadership(f.response.Members)
@@ -159,7 +168,7 @@
 	return known && c.informedEnough()
 }
 
-// informedEnough says whether a third of the fleet knows a leader of an earlier era.
+// informedEnough says whether a third of the fleet are witnesses.
 func (c *consultation) informedEnough() bool {
 	return c.members > 0 && 3*c.informed >= max(c.members, len(c.asked)+1)
 }
@@ -199,7 +208,7 @@
 // firstStart says whether the whole system is starting for the first time, as far as this
 // process knows.
 func (l *loop) firstStart() bool {
-	return l.settings.FirstStart && !l.sawRestoration && l.consultation.informed == 0
+	return l.settings.FirstStart && !l.sawRestoration && l.consultation.last.Leader.Incarnation == ""
 }
 
 // consultationResult returns what the daemons know of the pages of a service. confirmed
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -40,6 +40,9 @@
 	if !l.leading {
 		return
 	}
+	if state.Term == l.term {
+		l.lastContact = state.LastContact
+	}
 	l.addMachines(now)
 	l.sendBatches(now)
 	l.endPredecessorsByMajority(now)
@@ -139,7 +142,8 @@
 	if !l.leading {
 		l.resetFleet(now)
 	}
-	l.leading = true
+	l.leading, l.lastContact = true, 0
+	l.witness(l.term)
 	l.leadingNow.Store(true)
 	l.setKnownLeader(peer.Leadership{Leader: l.self, Term: l.term})
 	l.log.Event(event.LeadershipWon, "", zap.Uint64("era", uint64(l.term.Era)), zap.Uint64("term", uint64(l.term.Version)))
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -87,6 +87,7 @@
 	leadingSince      time.Duration
 	leaseEnd          time.Duration // Until when the own lease on the leader's key is known to be valid.
 	leaseTTL          time.Duration // That of the own lease.
+	lastContact       time.Duration // On the leader: the last contact to the store in its term.
 	eraKnownSince     time.Duration // When era became known.
 	nextLead          time.Duration // Earliest next run of the leader's work.
 	startedAt         time.Duration
@@ -99,6 +100,7 @@
 	formerLeader      peer.Leadership           // The last known one of an earlier era than knownLeader.
 	formerMemberCount int                       // The number of knownPeers according to formerLeader.
 	largestFleet      int                       // The largest number of knownPeers so far.
+	witnessed         kvstore.Position          // See witness.
 	followedAnother   bool                      // This process has followed a leader before knownLeader.
 	consultation      *consultation             // Since the own election; nil before.
 	sawRestoration    bool                      // The store was restored while this process ran.
--- a/gateway/run/responses.go
+++ b/gateway/run/responses.go
@@ -18,6 +18,7 @@
 		Leading:      true,
 		KnownLeader:  l.knownLeader,
 		ClockMS:      now.Milliseconds(),
+		ContactMS:    l.lastContact.Milliseconds(),
 		VMs:          l.countMembers(now),
 		MaxCapacity:  l.maxCapacity(),
 		FollowStore:  l.mayFollowStore(report, now),
@@ -83,6 +84,7 @@
 	l.enterEra(response.Era)
 	l.leaderResponded.Store(true)
 	l.answered = leaderAnswer{response.ClockMS, now}
+	l.noteLeaderContact(response)
 	l.setVMs(response.VMs)
 	age := time.Duration(response.ListAgeMS) * time.Millisecond
 	if response.Source != "" && !l.leading && l.relay.accepts(response) {
--- a/gateway/run/restoration.go
+++ b/gateway/run/restoration.go
@@ -1,6 +1,8 @@
 package run
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"guavacrank.example/event"
@@ -61,6 +63,32 @@
 	return peer.Leadership{}
 }
 
+// witness records a leader that was the last one at some time after the start of this
+// process. No earlier process of this VM can then have followed a later leader.
+func (l *loop) witness(term kvstore.Position) {
+	if l.witnessed.Era == 0 || term.Before(l.witnessed) {
+		l.witnessed = term
+	}
+}
+
+// isWitness says whether no process of this VM has followed a later leader of the eras
+// before the given one than leaderBefore.
+func (l *loop) isWitness(era kvstore.Era) bool {
+	return l.witnessed.Era > 0 && l.witnessed.Era < era
+}
+
+// noteLeaderContact processes when the leader was in contact with the store before it
+// answered the newest report.
+func (l *loop) noteLeaderContact(response *peer.ReportResponse) {
+	if response.ContactMS <= 0 {
+		return
+	}
+	atMost := time.Duration(response.ClockMS-response.ContactMS+1) * time.Millisecond // Both are rounded.
+	if l.reportSentAt-atMost >= l.startedAt {
+		l.witness(response.KnownLeader.Term)
+	}
+}
+
 // setKnownPeers records the addresses of all daemons according to the leader.
 func (l *loop) setKnownPeers(addresses []string) {
 	l.knownPeers = addresses
--- a/gateway/run/restoration_test.go
+++ b/gateway/run/restoration_test.go
@@ -198,7 +198,7 @@
 	g := NewWithT(t)
 	l := newRestorationLoop(t)
 	last := keys.Leader{VM: "last", Incarnation: "last"}
-	answers := informedPeer{follow: peer.FollowResponse{FormerLeader: peer.Leadership{Leader: last, Term: kvstore.Position{Era: 1, Version: 50}}}}
+	answers := informedPeer{follow: peer.FollowResponse{Witness: true, FormerLeader: peer.Leadership{Leader: last, Term: kvstore.Position{Era: 1, Version: 50}}}}
 	server := httptest.NewServer(peer.NewHandler(informedPeer{yield: peer.YieldResponse{Incarnation: "last", NewestPages: true,
 		Pages: []peer.StoredPage{{Service: "s", Page: encoded(t, page(keys.Stamp{Era: 1, Number: 9}))}}}}, nil))
 	t.Cleanup(server.Close)
@@ -211,7 +211,7 @@
 	g := NewWithT(t)
 	l := newRestorationLoop(t)
 	last := keys.Leader{VM: "last", Incarnation: "last"}
-	answers := informedPeer{follow: peer.FollowResponse{FormerLeader: peer.Leadership{Leader: last, Term: kvstore.Position{Era: 1, Version: 50}}}}
+	answers := informedPeer{follow: peer.FollowResponse{Witness: true, FormerLeader: peer.Leadership{Leader: last, Term: kvstore.Position{Era: 1, Version: 50}}}}
 	server := httptest.NewServer(peer.NewHandler(informedPeer{yield: peer.YieldResponse{Incarnation: "another process"}}, nil))
 	t.Cleanup(server.Close)
 	answers.follow.FormerLeader.Leader.Address = server.Listener.Addr().String()
@@ -255,7 +255,7 @@
 	server := httptest.NewServer(peer.NewHandler(&settled, nil))
 	t.Cleanup(server.Close)
 	last.Address = server.Listener.Addr().String()
-	settled.follow = peer.FollowResponse{FormerLeader: peer.Leadership{Leader: last, Term: kvstore.Position{Era: 1, Version: 50}}, MemberCount: 2}
+	settled.follow = peer.FollowResponse{Witness: true, FormerLeader: peer.Leadership{Leader: last, Term: kvstore.Position{Era: 1, Version: 50}}, MemberCount: 2}
 	l.consultSender(&peer.Report{Address: last.Address})
 	for deadline := time.Now().Add(5 * time.Second); len(l.consultation.waiting) > 0; {
 		g.Expect(time.Now().Before(deadline)).To(BeTrue())
--- a/gateway/run/succession_test.go
+++ b/gateway/run/succession_test.go
@@ -303,7 +303,7 @@
 	g := NewWithT(t)
 	l := newRestorationLoop(t)
 	last := peer.Leadership{Leader: keys.Leader{VM: "last", Incarnation: "last"}, Term: kvstore.Position{Era: 1, Version: 50}}
-	informed := informedPeer{follow: peer.FollowResponse{FormerLeader: last, FormerMemberCount: 5}}
+	informed := informedPeer{follow: peer.FollowResponse{Witness: true, FormerLeader: last, FormerMemberCount: 5}}
 	server := httptest.NewServer(peer.NewHandler(informed, nil))
 	t.Cleanup(server.Close)
 	l.knownPeers = nil
