--- a/gateway/keys/system_fencing.go
+++ b/gateway/keys/system_fencing.go
@@ -9,16 +9,9 @@
 
 // A server that was out of reach loses its keys when their grants have expired. A grant of an
 // earlier leader may still be on its way to it then: the connections of a process that was
-// killed may deliver what they hold once the network lets them. So the page lists the server
-// until it has been told a higher fence, and it gets no other keys before.
-
-// UnfencedKeys are keys that a server has lost without being told. It may accept an earlier
-// leader's grant of them.
-type UnfencedKeys struct {
-	model.Incarnation
-	Address  string
-	From, To uint16
-}
+// killed may deliver what they hold once the network lets them. So the leader calls the server
+// until it has answered a release with a higher fence (a fencing call), and it gets no other
+// keys before.
 
 const (
 	// fencingTimeout is the timeout of calls to a server that may be cut off. It is short, so
@@ -43,74 +36,6 @@
 	done     bool
 }
 
-// unfenced reports whether a server has lost keys without being told.
-func (p *Page) unfenced(server model.Incarnation) bool {
-	return slices.ContainsFunc(p.Unfenced, func(u UnfencedKeys) bool { return u.Incarnation == server })
-}
-
-// recordUnfenced lists the prior holders of a range whose grants have only expired.
-func (b *pageBuilder) recordUnfenced(r Range) {
-	for _, prior := range r.Prior {
-		if end, _ := b.priorEnded(r, prior); end == endedByExpiry && prior != unknownHolder {
-			b.page.addUnfenced(UnfencedKeys{prior.Incarnation, prior.Address, r.From, r.To})
-		}
-	}
-}
-
-// addUnfenced lists keys that a server has lost. A server that owns no keys is listed once.
-func (p *Page) addUnfenced(lost UnfencedKeys) {
-	if !p.hasOwner(lost.Incarnation) {
-		p.Unfenced = slices.DeleteFunc(p.Unfenced, func(u UnfencedKeys) bool { return u.Incarnation == lost.Incarnation })
-		lost.From, lost.To = 0, model.Keys-1
-	}
-	if !slices.Contains(p.Unfenced, lost) {
-		p.Unfenced = append(p.Unfenced, lost)
-	}
-}
-
-// withoutOwned removes from the unfenced keys those that their servers own: a grant of them
-// has a higher fence.
-func (p *Page) withoutOwned() {
-	for _, r := range p.Ranges {
-		var kept []UnfencedKeys
-		for _, u := range p.Unfenced {
-			kept = append(kept, u.without(r)...)
-		}
-		p.Unfenced = kept
-	}
-}
-
-// without returns the parts of the keys that lie outside a range, if the server owns it.
-func (u UnfencedKeys) without(r Range) []UnfencedKeys {
-	if u.Incarnation != r.Owner.Incarnation || u.To < r.From || r.To < u.From {
-		return []UnfencedKeys{u}
-	}
-	var parts []UnfencedKeys
-	if u.From < r.From {
-		before := u
-		before.To = r.From - 1
-		parts = append(parts, before)
-	}
-	if r.To < u.To {
-		after := u
-		after.From = r.To + 1
-		parts = append(parts, after)
-	}
-	return parts
-}
-
-// hasOwner reports whether a server owns keys.
-func (p *Page) hasOwner(server model.Incarnation) bool {
-	return slices.ContainsFunc(p.Ranges, func(r Range) bool { return r.Owner.Incarnation == server })
-}
-
-// dropFenced drops the entries of servers that were told a higher fence or have ended.
-func (b *pageBuilder) dropFenced() {
-	count := len(b.page.Unfenced)
-	b.page.Unfenced = slices.DeleteFunc(b.page.Unfenced, b.fenced)
-	b.changed = b.changed || len(b.page.Unfenced) < count
-}
-
 // fenced reports whether an entry of Page.Unfenced has ended.
 func (m *Machine) fenced(keys UnfencedKeys) bool {
 	row := m.fencing[keys]
@@ -150,9 +75,10 @@
 // fenceCutOff reports whether a prior holder that may be cut off and owns no keys gets one
 // fencing call for all its keys in place of releases, and notes it for runFencing.
 func (m *Machine) fenceCutOff(prior Holder) bool {
-	row := m.row(prior.Incarnation)
-	owner := m.page.hasOwner(prior.Incarnation) || m.writing != nil && m.writing.hasOwner(prior.Incarnation)
-	if owner || !row.unresponsive && !row.releaseFailed {
+	if row := m.row(prior.Incarnation); !row.unresponsive && !row.releaseFailed {
+		return false
+	}
+	if m.page.hasOwner(prior.Incarnation) || m.writing != nil && m.writing.hasOwner(prior.Incarnation) {
 		return false
 	}
 	all := UnfencedKeys{prior.Incarnation, prior.Address, 0, model.Keys - 1}
