keys, run: a new leader knows the zones that its predecessor found impaired

Cause: grants behind a congested link may arrive 3 s late. The leader that finds a zone impaired waits so long for its own; its successor allowed 0.7 s for the predecessor's late grants unless it found the zone impaired itself. Where the congestion had just ended, or lies on the way from the predecessor only, keys were granted to others while a late grant was valid. Change: a leader names the impaired zones in its responses to reports and to Yield. Its successor, which reported to it before, adds the longer time for these zones to the bound of all earlier leaders' grants, also for one that can't be asked any more.

--- a/gateway/keys/lost_grants.go
+++ b/gateway/keys/lost_grants.go
@@ -47,7 +47,7 @@
 func (m *Machine) lostGrantsArrival() time.Duration {
 	arrival := m.predecessorBound()
 	for _, row := range m.servers {
-		arrival = max(arrival, m.adjustArrival(row, m.predecessorBound()))
+		arrival = max(arrival, m.predecessorArrival(row))
 	}
 	if m.recordsLostGrants || m.settlement != settled || !m.knowsLostGrants() {
 		return arrival
--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -115,7 +115,7 @@
 		releasing:      make(map[holderKey]time.Duration),
 		retryReleaseAt: make(map[holderKey]time.Duration),
 		rates:          newRateTable(),
-		predecessors:   predecessors{ended: make(map[string]bool)},
+		predecessors:   newPredecessors(),
 	}
 }
 
@@ -132,7 +132,7 @@
 	m.recordsLostGrants = false
 	m.longTTLFrom = 0
 	m.renewOnly, m.adopted = false, false
-	m.predecessors = predecessors{ended: make(map[string]bool)}
+	m.predecessors = newPredecessors()
 	m.pageKnown, m.page, m.writing, m.writeUnknown, m.reading = false, nil, nil, false, false
 	m.absenceCountsAt = now + absenceGrace
 	m.firstServerAt = 0
--- a/gateway/keys/predecessors.go
+++ b/gateway/keys/predecessors.go
@@ -17,6 +17,12 @@
 	// outvotedBy is the same for those that have lost their majority. Further reports may
 	// show that this was earlier.
 	outvotedBy time.Duration
+	// impaired holds the availability zones that one of them found impaired.
+	impaired map[string]bool
+}
+
+func newPredecessors() predecessors {
+	return predecessors{ended: make(map[string]bool), impaired: make(map[string]bool)}
 }
 
 // add records a leader that may still send grants, unless it has stopped.
@@ -47,6 +53,13 @@
 	m.predecessors.end(incarnation, by)
 }
 
+// PredecessorImpaired records the availability zones that an earlier leader found impaired.
+func (m *Machine) PredecessorImpaired(zones []string) {
+	for _, zone := range zones {
+		m.predecessors.impaired[zone] = true
+	}
+}
+
 // PredecessorsEnded records the same for all earlier leaders.
 func (m *Machine) PredecessorsEnded(by time.Duration) {
 	for len(m.predecessors.active) > 0 {
@@ -95,6 +108,15 @@
 	return max(m.predecessors.endedBy, m.predecessors.outvotedBy)
 }
 
+// predecessorArrival returns the same for one server.
+func (m *Machine) predecessorArrival(row *serverRow) time.Duration {
+	bound := m.predecessorBound()
+	if bound > 0 && m.predecessors.impaired[row.Zone] {
+		return bound + impairedTransitTime - transitTime
+	}
+	return m.adjustArrival(row, bound)
+}
+
 // ownCallsEnd returns the latest time at which a grant that this machine has sent until now
 // may arrive.
 func (m *Machine) ownCallsEnd() time.Duration {
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -177,6 +177,7 @@
 			earlier.Stop()
 			sim.after(sim.networkDelay(), func() {
 				sim.asking[earlier] = false
+				m.PredecessorImpaired(earlier.ImpairedZones(sim.now))
 				m.PredecessorEnded(leader.Incarnation, sim.now+keys.MaxCallDelay)
 			})
 		})
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -116,7 +116,7 @@
 // when its server has accepted newer ones. It is computed on use because the end of earlier
 // leaders may become known later.
 func (m *Machine) latestArrival(row *serverRow, own time.Duration) time.Duration {
-	return max(m.adjustArrival(row, own), m.adjustArrival(row, m.predecessorBound()))
+	return max(m.adjustArrival(row, own), m.predecessorArrival(row))
 }
 
 // latestUnanswered returns the latest time at which an unanswered grant may have
@@ -140,7 +140,7 @@
 	row := m.row(prior.Incarnation)
 	arrived, late := m.latestArrival(row, bound.latestArrival), m.latestArrival(row, bound.latestUnanswered)
 	result, released := m.released[key]
-	ended = (result.ended || m.startedElsewhere(prior)) && m.now >= m.predecessorBound()
+	ended = (result.ended || m.startedElsewhere(prior)) && m.now >= m.predecessorArrival(row)
 	if ended || m.now >= arrived+m.maxGrantLifetime() {
 		return true, ""
 	}
--- a/gateway/keys/zones.go
+++ b/gateway/keys/zones.go
@@ -1,6 +1,10 @@
 package keys
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	// transitTime is how long a call that timed out may still be in transit.
@@ -45,3 +49,17 @@
 	}
 	return latest + impairedTransitTime - transitTime
 }
+
+// ImpairedZones returns the availability zones in which a grant of this leader, or of an
+// earlier one, may arrive later than MaxCallDelay after its start.
+func (m *Machine) ImpairedZones(now time.Duration) []string {
+	late := make(map[string]time.Duration)
+	for zone := range m.predecessors.impaired {
+		late[zone] = m.predecessorBound() + impairedTransitTime - transitTime
+	}
+	for zone, at := range m.impaired {
+		late[zone] = max(late[zone], at+CallTimeout+impairedTransitTime)
+	}
+	maps.DeleteFunc(late, func(_ string, by time.Duration) bool { return by < now })
+	return slices.Sorted(maps.Keys(late))
+}
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -118,6 +118,8 @@
 	// ContactMS is the leader's clock when it sent the last call of its term that the store
 	// answered; zero if that is unknown.
 	ContactMS int64 `json:"contact_ms,omitempty"`
+	// ImpairedZones are the availability zones in which the leader's grants may arrive late.
+	ImpairedZones []string `json:"impaired_zones,omitempty"`
 	// VMs is the number of daemons that reported recently, including the leader.
 	// MaxCapacity is the highest capacity among them.
 	VMs         int     `json:"vms"`
@@ -306,6 +308,9 @@
 	// an earlier era than that of the sender's term.
 	KnownLeader  Leadership `json:"known"`
 	FormerLeader Leadership `json:"former"`
+	// ImpairedZones are the availability zones in which grants of the process may arrive
+	// late.
+	ImpairedZones []string `json:"impaired_zones,omitempty"`
 	// Members holds the addresses of the daemons that report, or reported, to the process.
 	Members []string `json:"members,omitempty"`
 	// NewestPages says that the process led last, and knew the newest page of each
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -153,6 +153,7 @@
 		machine.KnowLostGrants(l.lostGrants(service))
 		machine.Lead(now, l.term.Era)
 	}
+	l.noteImpairedZones(l.leadersImpaired)
 	l.addMachines(now)
 }
 
@@ -171,6 +172,7 @@
 	l.knewPagesAtEnd = l.knewNewestPages()
 	l.leading = false
 	l.leadingNow.Store(false)
+	l.leadersImpaired = l.impairedZones()
 	for _, machine := range l.machines {
 		machine.Stop()
 	}
@@ -198,6 +200,7 @@
 		machine := keys.NewMachine(keys.Options{Service: name, Self: l.self, GrantTTL: min(grantTTL, l.settings.Bounds.MaxGrantTTL), MaxGrantTTL: min(maxGrantTTL, l.settings.Bounds.MaxGrantTTL), PredecessorTimeout: predecessorTimeout})
 		machine.KnowLostGrants(l.lostGrants(name))
 		machine.Lead(now, l.term.Era)
+		machine.PredecessorImpaired(l.leadersImpaired)
 		l.machines[name] = machine
 		if l.servers.known {
 			machine.StepServers(now, l.servers.ofService(name), false)
@@ -273,6 +276,7 @@
 		return // The predecessor may have led again since.
 	}
 	if proof := y.proof(); proof != proofNone {
+		l.noteImpairedZones(y.response.ImpairedZones)
 		l.endPredecessor(y.predecessor, proof, y.lastArrival(l.clock()))
 	}
 	l.noteYield(y)
@@ -288,6 +292,23 @@
 	return last - min(max(uptime, 0), keys.MaxCallDelay) // It ended before the later process started.
 }
 
+// noteImpairedZones records the zones that an earlier leader found impaired.
+func (l *loop) noteImpairedZones(zones []string) {
+	for _, machine := range l.machines {
+		machine.PredecessorImpaired(zones)
+	}
+}
+
+// impairedZones returns the zones that any service's machine has found impaired.
+func (l *loop) impairedZones() []string {
+	var zones []string
+	for _, machine := range l.machines {
+		zones = append(zones, machine.ImpairedZones(l.clock())...)
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
 // endPredecessor records that an earlier leader sends no more grants, and that its last
 // one arrives by the given time.
 func (l *loop) endPredecessor(leader keys.Leader, proof endProof, by time.Duration) {
@@ -315,6 +336,7 @@
 func (l *loop) yield(request *peer.YieldRequest, response *peer.YieldResponse) {
 	response.FormerLeader = l.leaderBefore(request.Successor.Term.Era)
 	response.NewestPages = l.knewNewestPages() && response.FormerLeader.Leader == l.self
+	response.ImpairedZones = l.impairedZones()
 	response.Pages, response.Members = l.pagesFor(request.Pages), l.memberAddresses()
 	if l.leading {
 		l.stopLeading("a later leader asked this one to stop leading")
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -100,6 +100,7 @@
 	formerLeader      peer.Leadership           // The last known one of an earlier era than knownLeader.
 	formerMemberCount int                       // The number of knownPeers according to formerLeader.
 	largestFleet      int                       // The largest number of knownPeers so far.
+	leadersImpaired   []string                  // The zones that the last leader to respond found impaired.
 	witnessed         kvstore.Position          // See witness.
 	followedAnother   bool                      // This process has followed a leader before knownLeader.
 	consultation      *consultation             // Since the own election; nil before.
--- a/gateway/run/responses.go
+++ b/gateway/run/responses.go
@@ -15,17 +15,18 @@
 func (l *loop) leaderResponse(report *peer.Report) peer.ReportResponse {
 	now := l.clock()
 	response := peer.ReportResponse{
-		Leading:      true,
-		KnownLeader:  l.knownLeader,
-		ClockMS:      now.Milliseconds(),
-		ContactMS:    l.lastContact.Milliseconds(),
-		VMs:          l.countMembers(now),
-		MaxCapacity:  l.maxCapacity(),
-		FollowStore:  l.mayFollowStore(report, now),
-		ListAgeMS:    (now - l.servers.readAt).Milliseconds(),
-		Era:          l.era,
-		Distribution: l.distributionFor(report, now),
-		Limits:       l.allocator.Allotments(now, l.reportInterval()),
+		Leading:       true,
+		KnownLeader:   l.knownLeader,
+		ClockMS:       now.Milliseconds(),
+		ContactMS:     l.lastContact.Milliseconds(),
+		VMs:           l.countMembers(now),
+		ImpairedZones: l.impairedZones(),
+		MaxCapacity:   l.maxCapacity(),
+		FollowStore:   l.mayFollowStore(report, now),
+		ListAgeMS:     (now - l.servers.readAt).Milliseconds(),
+		Era:           l.era,
+		Distribution:  l.distributionFor(report, now),
+		Limits:        l.allocator.Allotments(now, l.reportInterval()),
 
 		ConfirmedAgeMS: l.confirmedAgeFor(report),
 	}
@@ -85,6 +86,7 @@
 	l.leaderResponded.Store(true)
 	l.answered = leaderAnswer{response.ClockMS, now}
 	l.noteLeaderContact(response)
+	l.leadersImpaired = response.ImpairedZones
 	l.setVMs(response.VMs)
 	age := time.Duration(response.ListAgeMS) * time.Millisecond
 	if response.Source != "" && !l.leading && l.relay.accepts(response) {
