leader: the campaign is a state machine, driven by Campaign

Cause: the campaign's decisions were spread over a goroutine, its waits and its calls, so that the outcomes of its store calls could be tested with real time and a fake store only. Change: core has no goroutine, lock, clock or store. next returns a call or a wait, done takes the result of the call; random delays come from a function. Campaign makes the calls, and its public API and the existing tests are unchanged.

--- a/gateway/leader/resignation.go
+++ b/gateway/leader/resignation.go
@@ -16,12 +16,10 @@
 // Resign gives up the leadership. If permanently is set, the campaign never claims
 // it again.
 func (c *Campaign) Resign(ctx context.Context, permanently bool) error {
-	c.mu.Lock()
-	held, restored, version := c.state.Held, c.restored(), c.state.Term.Version
-	c.state.Held = false
-	c.disabled = c.disabled || permanently
-	c.mu.Unlock()
-	if !held || restored {
+	var version kvstore.Version
+	var overwrite bool
+	c.update(func(core *core) { version, overwrite = core.resign(permanently) })
+	if !overwrite {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -32,19 +30,3 @@
 	}
 	return err
 }
-
-// setVacant records whether a value of the key, written at the given version, names no
-// leader. The caller holds c.mu.
-func (c *Campaign) setVacant(value []byte, version kvstore.Version) {
-	c.vacant, c.vacantAt = IsVacant(value), 0
-	if value != nil {
-		c.vacantAt = version
-	}
-}
-
-// vacantVersion returns the version that a claim of the vacant key expects.
-func (c *Campaign) vacantVersion() kvstore.Version {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.vacantAt
-}
