run: the clock of the fuzz tests is safe for all goroutines

The clock of newServingLoop advanced an unguarded variable. Change: the variable is atomic; the clock gives the same times. Result: 'go test -race ./run', FuzzPagesEndNoProcess: 'DATA RACE' before, passes now.

--- a/gateway/run/peer_fuzz_test.go
+++ b/gateway/run/peer_fuzz_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,12 +73,13 @@
 	cancel()
 	log := logbook.New(io.Discard)
 	t.Cleanup(func() { log.Close(time.Second) })
-	now := 10 * time.Second
+	var now atomic.Int64
+	now.Store(int64(10 * time.Second))
 	settings := &model.Settings{VM: "self", Zone: "a", MaxDescriptors: 800, Bounds: model.Bounds{RetryWindow: time.Second, MaxGrantTTL: 10 * time.Second}}
 	settings.Listen.Peers = "127.0.0.1:1"
 	l := newLoop(ctx, Options{Settings: settings, Store: noStore{}, Records: jsonRecords{}, Grantor: noGrantor{}}, sharedState{
 		log: log, budget: budget.New(budget.Options{Window: time.Second, Ratio: 0.2, Slack: 10}), views: view.NewPublisher(),
-		requestedKeys: newRequestedKeys(), clock: func() time.Duration { now += time.Millisecond; return now },
+		requestedKeys: newRequestedKeys(), clock: func() time.Duration { return time.Duration(now.Add(int64(time.Millisecond))) },
 	})
 	record, err := json.Marshal(model.Configuration{Version: 1, Services: map[string]model.Service{"s": {Name: "s", Partitioned: true}}})
 	if err != nil {
