--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -120,7 +120,7 @@
 // when its server has accepted newer ones. It is computed on use because the end of earlier
 // leaders may become known later.
 func (m *Machine) latestArrival(row *serverRow, own time.Duration) time.Duration {
-	return max(m.adjustArrival(row, own), m.adjustArrival(row, m.predecessorBound()))
+	return max(m.adjustArrival(row, own), m.predecessorArrival(row))
 }
 
 // latestUnanswered returns the latest time at which an unanswered grant may have
@@ -161,7 +161,7 @@
 	arrived, late := m.latestArrival(row, bound.latestArrival), m.latestArrival(row, bound.latestUnanswered)
 	result, released := m.released[key]
 	switch {
-	case result.ended && m.now >= m.predecessorBound():
+	case result.ended && m.now >= m.predecessorArrival(row):
 		return endedByProof, ""
 	case released && (late == 0 || m.now >= late+m.maxGrantLifetime()):
 		return endedByProof, result.handover
