traffic/upstream: a response before the receipt of a grant is not its own

Two servers may hold the same keys: a faulty server writes an earlier response to a grant once more while a grant is on its way on the connection; the leader takes the copy for the answer and counts the grant as arrived. Cause: nothing in a response to a grant names the grant. Change: calls of servers take a response only if TCP has acknowledged the whole request (SIOCOUTQ); an earlier one is discarded as other responses are. A copy that comes later proves the arrival.

--- a/traffic/upstream/exchange.go
+++ b/traffic/upstream/exchange.go
@@ -88,10 +88,9 @@
 // readOwn reads the headers of the response to this request. A response left
 // over from an earlier request on the connection is read and discarded.
 func (x *exchange) readOwn() (*http.Response, error) {
-	matches := x.pool.options.MatchesRequest
 	for skipped := 0; ; skipped++ {
 		response, err := readHead(x.conn, x.request)
-		if err != nil || matches == nil || matches(x.request, response) {
+		if err != nil || x.isOwn(response) {
 			return response, err
 		}
 		if skipped == maxSkippedResponses || response.Close || !framed(response) {
@@ -112,6 +111,15 @@
 	}
 }
 
+// isOwn reports whether a response may belong to this request.
+func (x *exchange) isOwn(response *http.Response) bool {
+	if x.pool.options.AfterReceipt && !x.conn.received() {
+		return false
+	}
+	matches := x.pool.options.MatchesRequest
+	return matches == nil || matches(x.request, response)
+}
+
 // keepAliveMargin is subtracted from the time that a server keeps an idle
 // connection open, to allow for the transit time of a request.
 const keepAliveMargin = 500 * time.Millisecond
--- a/traffic/upstream/pool.go
+++ b/traffic/upstream/pool.go
@@ -39,6 +39,9 @@
 	// MatchesRequest reports whether a response belongs to the request; one that
 	// does not is read and discarded. Nil accepts every response.
 	MatchesRequest func(request *http.Request, response *http.Response) bool
+	// AfterReceipt discards responses that come before the server's host has acknowledged
+	// the whole request, as TCP does with the request's own response at the latest.
+	AfterReceipt bool
 	// KeepAliveTimeout returns how long the server keeps an idle connection open
 	// according to a response; zero means that the response does not say. Nil
 	// applies no such limit.
