--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -180,6 +180,10 @@
 		}
 		sim.asking[earlier] = true
 		sim.after(sim.networkDelay(), func() {
+			if earlier == sim.leaders[len(sim.leaders)-1] {
+				sim.asking[earlier] = false // It leads again, in a later term.
+				return
+			}
 			earlier.Stop()
 			sim.after(sim.networkDelay(), func() {
 				sim.asking[earlier] = false
