succession: the decisions about earlier leaders are a pure package

Cause: which leader may still act was decided in methods of the control loop, between its calls and its log, and could be tested only with a whole loop. Change: gateway/succession has the majorities (a leader's without the store, and the one that has left earlier leaders), the proofs of a Yield response and the witnesses of a consultation, with typed inputs. gateway/run calls it; its tests are unchanged. earlierLeaders stays in gateway/run: it only lists what the consultation has found.

--- a/gateway/run/consultation.go
+++ b/gateway/run/consultation.go
@@ -9,6 +9,7 @@
 	"guavacrank.example/event"
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/peer"
+	"guavacrank.example/gateway/succession"
 	"guavacrank.example/kvstore"
 )
 
@@ -164,13 +165,15 @@
 
 // confirmed says whether the newest pages are known.
 func (c *consultation) confirmed(self keys.Leader) bool {
-	known := c.last.Leader == self || c.lastYielded
-	return known && c.informedEnough()
+	return c.knowledge(self).Confirmed()
 }
 
 // informedEnough says whether a third of the fleet are witnesses.
-func (c *consultation) informedEnough() bool {
-	return c.members > 0 && 3*c.informed >= max(c.members, len(c.asked)+1)
+func (c *consultation) informedEnough() bool { return c.knowledge(keys.Leader{}).Enough() }
+
+// knowledge returns what the decisions need of the responses so far.
+func (c *consultation) knowledge(self keys.Leader) succession.Knowledge {
+	return succession.Knowledge{Members: c.members, Asked: len(c.asked), Witnesses: c.informed, PagesKnown: c.last.Leader == self || c.lastYielded}
 }
 
 // pending says whether responses are awaited.
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -12,6 +12,7 @@
 	"guavacrank.example/gateway/leader"
 	"guavacrank.example/gateway/limit"
 	"guavacrank.example/gateway/peer"
+	"guavacrank.example/gateway/succession"
 )
 
 // yieldRetryDelay is the delay before a failed Yield call is repeated.
@@ -64,21 +65,20 @@
 	}
 }
 
-// hasMajority says whether more than half of the daemons, including this one, have
-// sent a report within majorityWindow. A process that started after the end of the lease
-// does not count: the one before it may have reported to a later leader.
+// hasMajority says whether enough daemons report to this leader to go on without the store.
 func (l *loop) hasMajority(now time.Duration) bool {
-	recent, all := 1, 1
+	var others []succession.Reporter
 	for vm, m := range l.members {
-		if vm == l.self.VM || now-m.reportedAt > memberTimeout {
-			continue
-		}
-		all++
-		if now-m.reportedAt+m.transit <= majorityWindow && m.startedAt <= l.leaseEnd {
-			recent++
+		if vm != l.self.VM {
+			others = append(others, m.reporter())
 		}
 	}
-	return 2*recent > all
+	return succession.HasMajority(now, l.leaseEnd, others)
+}
+
+// reporter returns what decisions on majorities need of a member.
+func (m member) reporter() succession.Reporter {
+	return succession.Reporter{ReportedAt: m.reportedAt, Transit: m.transit, StartedAt: m.startedAt, LeftAt: m.leftAt}
 }
 
 // endPredecessorsByMajority marks earlier leaders as ended once more than two
@@ -86,28 +86,21 @@
 // leader. One that has just started learns their number by consultation. Daemons report
 // to one leader only, so an earlier leader has lost its majority and stops within
 // majorityWindow, or once its last contact to the store, which was before the election,
-// is contactTimeout ago. Only reports that were sent after lostLeasesEnd count: until then a
-// daemon may restart and be counted by a leader of an earlier era (hasMajority).
+// is contactTimeout ago.
 func (l *loop) endPredecessorsByMajority(now time.Duration) {
-	var left []time.Duration
+	var daemons []succession.Reporter
 	for _, m := range l.members {
-		if m.reportedAt >= l.leadingSince && m.reportedAt-m.transit >= l.lostLeasesEnd() {
-			left = append(left, m.leftAt)
-		}
+		daemons = append(daemons, m.reporter())
 	}
-	fleet := l.fleetAtElection()
-	needed := 2*fleet/3 + 1
-	if fleet == 0 || len(left) < needed {
+	election := succession.Election{At: l.leadingSince, LostLeasesEnd: l.lostLeasesEnd(), Fleet: l.fleetAtElection()}
+	left, reported, majority := election.Left(daemons)
+	if !majority {
 		return
 	}
-	slices.Sort(left)
 	for service, machine := range l.machines {
-		stopped := now + majorityWindow
-		if l.leadsLast(service, now) {
-			stopped = max(left[needed-1]+majorityWindow, l.leadingSince+contactTimeout)
-		}
+		stopped := election.StoppedBy(now, left, contactTimeout, l.leadsLast(service, now))
 		if len(machine.Predecessors()) > 0 {
-			l.log.Event(event.PredecessorStopped, "more than two thirds of the daemons report to this leader", zap.String("service", service), zap.Int("reported", len(left)))
+			l.log.Event(event.PredecessorStopped, "more than two thirds of the daemons report to this leader", zap.String("service", service), zap.Int("reported", reported))
 		}
 		machine.PredecessorsOutvoted(stopped + keys.MaxCallDelay)
 	}
@@ -236,30 +229,12 @@
 
 // resolved says whether the call need not be repeated.
 func (y yieldDone) resolved() bool {
-	return y.err == nil && (y.response.Refused || y.proof() != proofNone)
+	return y.err == nil && (y.response.Refused || y.proof() != succession.ProofNone)
 }
 
-// endProof is how a response proves that an earlier leader sends no more grants.
-type endProof string
-
-// Proofs, as named in the log.
-const (
-	proofNone    endProof = ""
-	proofStopped endProof = "it confirmed that it has stopped"
-	proofEnded   endProof = "the process has ended: a later one of its VM responds at its address"
-)
-
-// proof returns what the response proves. Another VM may have the address now, while the
-// asked process still runs.
-func (y yieldDone) proof() endProof {
-	switch {
-	case y.response.Incarnation == y.predecessor.Incarnation:
-		return proofStopped
-	case y.response.VM == y.predecessor.VM:
-		return proofEnded
-	default:
-		return proofNone
-	}
+// proof returns what the response proves.
+func (y yieldDone) proof() succession.Proof {
+	return succession.ProofOf(y.predecessor, y.response.VM, y.response.Incarnation)
 }
 
 func (y yieldDone) apply(l *loop) {
@@ -275,7 +250,7 @@
 	if y.term != l.term {
 		return // The predecessor may have led again since.
 	}
-	if proof := y.proof(); proof != proofNone {
+	if proof := y.proof(); proof != succession.ProofNone {
 		l.noteImpairedZones(y.response.ImpairedZones)
 		l.endPredecessor(y.predecessor, proof, y.lastArrival(l.clock()))
 	}
@@ -284,12 +259,7 @@
 
 // lastArrival returns the time by which all calls of the earlier leader have arrived.
 func (y yieldDone) lastArrival(now time.Duration) time.Duration {
-	last := now + keys.MaxCallDelay
-	if y.proof() == proofStopped {
-		return last
-	}
-	uptime := time.Duration(y.response.UptimeMS) * time.Millisecond
-	return last - min(max(uptime, 0), keys.MaxCallDelay) // It ended before the later process started.
+	return y.proof().LastArrival(now, time.Duration(y.response.UptimeMS)*time.Millisecond)
 }
 
 // noteImpairedZones records the zones that an earlier leader found impaired.
@@ -311,7 +281,7 @@
 
 // endPredecessor records that an earlier leader sends no more grants, and that its last
 // one arrives by the given time.
-func (l *loop) endPredecessor(leader keys.Leader, proof endProof, by time.Duration) {
+func (l *loop) endPredecessor(leader keys.Leader, proof succession.Proof, by time.Duration) {
 	for _, machine := range l.machines {
 		machine.PredecessorEnded(leader.Incarnation, by)
 	}
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -17,6 +17,7 @@
 	"guavacrank.example/gateway/peer"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/gateway/routing"
+	"guavacrank.example/gateway/succession"
 	"guavacrank.example/gateway/view"
 	"guavacrank.example/kvstore"
 )
@@ -36,18 +37,15 @@
 	// predecessorTimeout is how long a leader without contact to the store renews
 	// grants before it steps down.
 	predecessorTimeout = 12 * time.Second
-	// majorityWindow is the time within which more than half of the daemons must
-	// have reported to a leader without contact to the store. Only then can no
-	// later leader have a majority.
-	majorityWindow = 1500 * time.Millisecond
 	// contactTimeout is how long after the last contact to the store a leader may
 	// still reassign keys.
 	contactTimeout = leader.LeaseTTL
 	// activeMemberTimeout is how long after its last report a daemon counts as
-	// active. memberTimeout is how long it counts as a member of the fleet, which
-	// is the basis of majorities.
+	// active.
 	activeMemberTimeout = 3 * time.Second
-	memberTimeout       = 15 * time.Second
+	// Those of decisions on majorities.
+	majorityWindow = succession.MajorityWindow
+	memberTimeout  = succession.MemberTimeout
 	// leadInterval is the minimum time between two runs of the leader's work. It
 	// keeps the leader's load independent of the number of inputs.
 	leadInterval = 20 * time.Millisecond
