keys: a holder that was never listed here may be in a zone that a predecessor found impaired

Cause: the zone of a server is known from the list. A prior holder that left the list before this VM led has none, so the longer time for late grants of a predecessor did not count for it. Change: where the zone is unknown, any zone that a predecessor named counts.

--- a/gateway/keys/impaired_predecessor_test.go
+++ b/gateway/keys/impaired_predecessor_test.go
@@ -9,6 +9,7 @@
 
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/model"
+	"guavacrank.example/kvstore"
 )
 
 // takeOverFromCongested has a leader find a zone congested, and another one take over when
@@ -55,4 +56,48 @@
 			Expect(sim.unowned()).To(BeZero())
 		})
 	}
+
+	// newSuccessor returns a machine that leads after one which found "far" impaired and ended
+	// at 1 s, in an era whose pages are known or not.
+	newSuccessor := func(stored *keys.Page, listed []model.Server) *keys.Machine {
+		m := keys.NewMachine(keys.Options{Service: "s", Self: keys.Leader{VM: "b", Incarnation: "b"}, GrantTTL: grantTTL, MaxGrantTTL: 2 * grantTTL, PredecessorTimeout: predecessorTimeout})
+		m.Lead(0, 2)
+		m.Tick(0)
+		m.StepServers(0, listed, true)
+		m.StepRead(0, stored, kvstore.Position{Era: 2, Version: 1})
+		if stored == nil {
+			m.StepConsulted(0, keys.Consultation{Predecessors: []keys.Leader{{Incarnation: "a"}}})
+		}
+		m.PredecessorImpaired([]string{"far"})
+		m.PredecessorEnded("a", time.Second)
+		return m
+	}
+
+	// firstGrant returns when the machine sends its first grant.
+	firstGrant := func(m *keys.Machine, listed []model.Server) time.Duration {
+		for now := time.Duration(0); now < 30*time.Second; now += tickInterval {
+			m.StepServers(now, listed, true)
+			m.Tick(now)
+			ready := m.Ready()
+			if len(ready.Grants) > 0 {
+				return now
+			}
+			if ready.Write != nil {
+				m.StepWritten(now, ready.Write.Page.WriteID, kvstore.Position{Era: 2, Version: kvstore.Version(now) + 2}, nil)
+			}
+		}
+		return 0
+	}
+
+	It("counts the longer time for grants by lost pages", func() {
+		listed := []model.Server{{ID: "i-0", Born: 1000, Service: "s", Address: "i-0:1", Zone: "far", Slots: 4}}
+		Expect(firstGrant(newSuccessor(nil, listed), listed)).To(BeNumerically(">", time.Second+congestedTransitTime+2*grantTTL))
+	})
+
+	It("counts the longer time for a holder that has ended, and for one that was never listed here", func() {
+		holder := keys.Holder{Incarnation: model.Incarnation{ID: "i-0", Born: 1000}, Address: "i-0:1", Fence: 3}
+		listed := []model.Server{{ID: "i-0", Born: 2000, Service: "s", Address: "i-9:1", Zone: "far", Slots: 4}}
+		stored := &keys.Page{Stamp: keys.Stamp{Era: 2, Number: 9}, Fence: 3, Writer: keys.Leader{VM: "a", Incarnation: "a"}, Ranges: []keys.Range{{To: model.Keys - 1, Owner: holder}}}
+		Expect(firstGrant(newSuccessor(stored, listed), listed)).To(BeNumerically(">=", time.Second+congestedTransitTime))
+	})
 })
--- a/gateway/keys/predecessors.go
+++ b/gateway/keys/predecessors.go
@@ -39,6 +39,12 @@
 	p.endedBy = max(p.endedBy, by)
 }
 
+// foundImpaired says whether an earlier leader may have found a zone impaired. The zone of a
+// server that was never listed here is unknown.
+func (p *predecessors) foundImpaired(zone string) bool {
+	return p.impaired[zone] || zone == "" && len(p.impaired) > 0
+}
+
 // Predecessors returns the earlier leaders that may still grant keys.
 func (m *Machine) Predecessors() []Leader {
 	if !m.leading {
@@ -111,7 +117,7 @@
 // predecessorArrival returns the same for one server.
 func (m *Machine) predecessorArrival(row *serverRow) time.Duration {
 	bound := m.predecessorBound()
-	if bound > 0 && m.predecessors.impaired[row.Zone] {
+	if bound > 0 && m.predecessors.foundImpaired(row.Zone) {
 		return bound + impairedTransitTime - transitTime
 	}
 	return m.adjustArrival(row, bound)
