gateway/keys: a record at the address of an unfenced server ends no fencing calls

What callers would see: OWNER. Records of other writers occur. Cause: an entry of Page.Unfenced ended when the list showed a later start of any ID at the server's address. The server ran on; when the record was gone and the cut healed, it accepted the grants of a killed leader, without having heard of a higher fence. Change: such a record ends no entry. A server that does run at the address refuses the call, which is the proof. A later start under the server's own ID still ends the entry: lives under one ID at one address can't be told apart by calls.

--- a/gateway/keys/system_fencing.go
+++ b/gateway/keys/system_fencing.go
@@ -79,7 +79,8 @@
 	b.changed = b.changed || len(b.page.Unfenced) < count
 }
 
-// fenced reports whether an entry of Page.Unfenced has ended.
+// fenced reports whether an entry of Page.Unfenced has ended. A record of another server at
+// the address does not prove that; such a server answers the call.
 func (m *Machine) fenced(keys UnfencedKeys) bool {
 	row := m.fencing[keys]
 	if row == nil {
@@ -87,7 +88,8 @@
 	}
 	server := m.servers[keys.Incarnation]
 	forgotten := m.now >= row.since+fencingMemory && (server == nil || m.absent(server))
-	return row.done || forgotten || m.replaced(Holder{Incarnation: keys.Incarnation, Address: keys.Address})
+	laterLife := m.latestByID[keys.ID].replaces(Holder{Incarnation: keys.Incarnation})
+	return row.done || forgotten || laterLife
 }
 
 // runFencing sends higher fences to the servers that have lost keys without being told, and
