gateway/keys: a fencing call refused by another server is repeated until that is a proof

Cause: while an earlier leader may still grant keys, the refusal of a call by another server at the address proves nothing about later lives. Releases are repeated then; the fencing call that takes their place was not, so that the keys of a server that had ended waited for the expiry of all grants after the end of that time. Change: it is repeated like releases.

--- a/gateway/keys/system_fencing.go
+++ b/gateway/keys/system_fencing.go
@@ -184,11 +184,11 @@
 		row.done = true
 		m.noteReleased(keys, false)
 		m.row(keys.Incarnation).releaseFailed = false
+	case outcome == HolderEnded && m.now < m.predecessorBound():
+		row.dueAt = m.now + probeInterval // A later life may still get a grant.
 	case outcome == HolderEnded:
 		row.done = true
-		if m.now >= m.predecessorBound() {
-			m.noteReleased(keys, true) // Before, a later life may still get a grant.
-		}
+		m.noteReleased(keys, true)
 	case outcome == ReleaseNoListener || m.now >= row.since+eagerFencingTime:
 		row.dueAt = m.now + fencingPause
 	}
--- a/gateway/keys/unfenced_server_test.go
+++ b/gateway/keys/unfenced_server_test.go
@@ -29,3 +29,27 @@
 		})
 	}
 })
+
+var _ = Describe("A cut-off server whose address goes to another server while an earlier leader may grant keys", func() {
+	for seed := range uint64(10) {
+		It(fmt.Sprintf("seed %d: has ended as soon as that leader has, without the time of a grant more", seed), func() {
+			sim, earlier := startSimulation(seed, 4)
+			server := sim.servers[model.Incarnation{ID: "i-1", Born: 1000}]
+			server.Draining, server.unreachable = true, true
+			sim.unreachable[earlier] = true
+			earlier.Stop()
+			electedAt := sim.now
+			later := sim.addLeader("b")
+			sim.run(2 * time.Second)
+			Expect(namesPrior(later.Page(), server.ID)).To(BeTrue())
+			server.up = false
+			other := sim.addServer("x", 1000)
+			other.Address = server.Address
+			sim.cutOff(other, time.Hour) // It is not listed.
+			sim.run(electedAt + predecessorTimeout - sim.now)
+			sim.run(600 * time.Millisecond)
+			Expect(sim.unowned()).To(BeZero())
+			Expect(sim.violations).To(BeEmpty())
+		})
+	}
+})
