gateway/keys: a server with a round trip of over 0.2 s is fenced and gets keys again

Cause: fencing calls always timed out after 0.2 s. A server that was cut off for a while and answers later than that, though within the timeout of grants, stayed in Page.Unfenced and got no keys for as long as it ran. The simulation did not see it: its servers answered releases after their timeouts. Change: after the 20 s of eager calls they have the timeout of a grant. In the simulation a release that is not answered by its timeout fails.

--- a/gateway/keys/simulation_calls_test.go
+++ b/gateway/keys/simulation_calls_test.go
@@ -241,10 +241,14 @@
 		sim.after(2*sim.networkDelay(), func() { m.StepReleased(sim.now, call, keys.HolderEnded, "") })
 		return
 	}
-	delay := sim.networkDelay()
+	delay, responseTime := sim.networkDelay(), sim.networkDelay()+time.Duration(sim.random.Int64N(int64(sim.maxReleaseTime)))
 	if sim.heldUpReleases {
 		delay += heldUpTime
 	}
+	answered := delay+responseTime <= call.Timeout
+	if !answered {
+		sim.after(call.Timeout, func() { m.StepReleased(sim.now, call, keys.ReleaseUnanswered, "") })
+	}
 	sim.after(delay, func() {
 		for _, h := range server.heldRanges {
 			if h.from <= call.To && call.From <= h.to && h.fence > call.Fence && h.until > sim.now {
@@ -253,8 +257,10 @@
 		}
 		server.removeRange(call.From, call.To)
 		server.see(call)
-		sim.after(sim.networkDelay()+time.Duration(sim.random.Int64N(int64(sim.maxReleaseTime))), func() {
-			m.StepReleased(sim.now, call, keys.Released, fmt.Sprintf("h-%d-%d", call.From, call.Fence))
-		})
+		if answered {
+			sim.after(responseTime, func() {
+				m.StepReleased(sim.now, call, keys.Released, fmt.Sprintf("h-%d-%d", call.From, call.Fence))
+			})
+		}
 	})
 }
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -68,8 +68,8 @@
 	// maxStartDelay bounds how long after its leader's decision a grant starts: the leader's
 	// VM is slow, or was frozen.
 	maxStartDelay time.Duration
-	// maxDelay bounds the random part of the network delay in one direction.
-	maxDelay time.Duration
+	// minDelay is the least network delay in one direction; maxDelay bounds its random part.
+	minDelay, maxDelay time.Duration
 	// maxReleaseTime is the longest that a server finishes requests before it
 	// answers a release.
 	maxReleaseTime time.Duration
@@ -216,7 +216,7 @@
 }
 
 func (sim *simulation) networkDelay() time.Duration {
-	return time.Millisecond + time.Duration(sim.random.Int64N(int64(sim.maxDelay)))
+	return sim.minDelay + time.Millisecond + time.Duration(sim.random.Int64N(int64(sim.maxDelay)))
 }
 
 // run advances time. Servers are listed periodically, except the unlisted ones.
--- a/gateway/keys/system_fencing.go
+++ b/gateway/keys/system_fencing.go
@@ -24,7 +24,8 @@
 	// fencingTimeout is the timeout of calls to a server that may be cut off. It is short, so
 	// that the server hears of the fence soon after the network lets it.
 	fencingTimeout = 200 * time.Millisecond
-	// eagerFencingTime is for how long fencing calls follow one another without a pause.
+	// eagerFencingTime is for how long fencing calls follow one another without a pause and
+	// time out that soon. Later ones have the timeout of a grant.
 	eagerFencingTime = 20 * time.Second
 	// fencingPause is the pause between two calls after that, and after one that was
 	// refused: the process has probably ended.
@@ -165,6 +166,9 @@
 	}
 	row.inFlight = true
 	call := ReleaseCall{Incarnation: keys.Incarnation, Address: keys.Address, Fencing: true, Timeout: fencingTimeout}
+	if m.now >= row.since+eagerFencingTime {
+		call.Timeout = CallTimeout
+	}
 	call.From, call.To, call.Fence, call.Server = keys.From, keys.To, row.fence, keys.ID
 	m.ready.Releases = append(m.ready.Releases, call)
 }
--- a/gateway/keys/unfenced_server_test.go
+++ b/gateway/keys/unfenced_server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -53,3 +54,20 @@
 		})
 	}
 })
+
+var _ = Describe("A server with a long round trip that was cut off", func() {
+	for seed := range uint64(10) {
+		It(fmt.Sprintf("seed %d: gets keys again", seed), func() {
+			sim, _ := startSimulation(seed, 4)
+			server := sim.servers[model.Incarnation{ID: "i-1", Born: 1000}]
+			server.unreachable = true
+			sim.run(10 * time.Second)
+			server.unreachable = false
+			sim.minDelay = 110 * time.Millisecond
+			sim.run(30 * time.Second)
+			Expect(sim.violations).To(BeEmpty())
+			holds := func(key uint16) bool { return server.holdsKey(key, sim.now) }
+			Expect(slices.ContainsFunc(sampledKeys, holds)).To(BeTrue())
+		})
+	}
+})
