gateway/keys: a fencing call does not discard the handovers of earlier releases

Cause: the response to a fencing call counts for all ranges that name the server as a prior holder. It replaced the results of releases that the server had answered before, with their handovers. Where the next owner still waited, for a grant that may be applied late, it got the keys without one and was slow on them at first. Change: a handover that was returned stays with its range. Result: handover_test.go (one of several releases is not answered, a fencing call follows) gets "" before, the handover now; gateway/keys passes.

--- a/gateway/keys/system_fencing.go
+++ b/gateway/keys/system_fencing.go
@@ -149,7 +149,8 @@
 		for _, prior := range r.Prior {
 			if prior.Incarnation == keys.Incarnation && prior != unknownHolder && keys.From <= r.From && r.To <= keys.To {
 				key := holderKey{r.From, r.To, prior.Incarnation, prior.Fence}
-				m.released[key] = releaseResult{done: true, ended: ended}
+				handover := m.released[key].handover
+				m.released[key] = releaseResult{done: true, handover: handover, ended: ended}
 			}
 		}
 	}
