gateway/keys: lives of a server at one address are one for fencing calls

Change: whether a server owns keys, is being fenced or has a fencing call in flight is asked for its ID and address, as for the bounds of grants. A prior holder that owns the range again is neither called nor listed after the expiry: its grant has a higher fence.

--- a/gateway/keys/endpoints.go
+++ b/gateway/keys/endpoints.go
@@ -5,6 +5,15 @@
 // endpoint is an ID at an address. Its calls reach one of the server's lives under that ID.
 type endpoint struct{ id, address string }
 
+// endpoint returns where calls to a holder go.
+func (h Holder) endpoint() endpoint { return endpoint{h.ID, h.Address} }
+
+// endpoint returns where calls to the server go.
+func (u UnfencedKeys) endpoint() endpoint { return endpoint{u.ID, u.Address} }
+
+// endpoint returns where calls to the server go.
+func (r *serverRow) endpoint() endpoint { return endpoint{r.ID, r.Address} }
+
 // endpointRow bounds the arrival of the calls to an endpoint: lives of a server can't be
 // told apart there.
 type endpointRow struct {
--- a/gateway/keys/load.go
+++ b/gateway/keys/load.go
@@ -43,7 +43,7 @@
 		if !row.listed || row.Draining || row.unconfirmed || m.unreachable(row) || m.replaced(Holder{Incarnation: row.Incarnation(), Address: row.Address}) {
 			continue
 		}
-		if m.beingFenced(row.Incarnation()) {
+		if m.beingFenced(row.endpoint()) {
 			continue
 		}
 		t.rows = append(t.rows, row)
--- a/gateway/keys/system_fencing.go
+++ b/gateway/keys/system_fencing.go
@@ -80,7 +80,7 @@
 	if row := m.row(prior.Incarnation); !row.unresponsive && !row.releaseFailed {
 		return false
 	}
-	if m.page.hasOwner(prior.Incarnation) || m.writing != nil && m.writing.hasOwner(prior.Incarnation) {
+	if m.page.hasOwner(prior.endpoint()) || m.writing != nil && m.writing.hasOwner(prior.endpoint()) {
 		return false
 	}
 	all := UnfencedKeys{prior.Incarnation, prior.Address, 0, model.Keys - 1}
@@ -90,10 +90,10 @@
 	return true
 }
 
-// beingFenced reports whether a server gets fencing calls.
-func (m *Machine) beingFenced(server model.Incarnation) bool {
+// beingFenced reports whether a server gets fencing calls, in any of its lives at the address.
+func (m *Machine) beingFenced(server endpoint) bool {
 	for keys := range m.fencing {
-		if keys.Incarnation == server {
+		if keys.endpoint() == server {
 			return true
 		}
 	}
@@ -102,9 +102,9 @@
 
 // fencingInFlight reports whether a fencing call to a server is in flight. It could take
 // away a grant that is sent meanwhile.
-func (m *Machine) fencingInFlight(server model.Incarnation) bool {
+func (m *Machine) fencingInFlight(server endpoint) bool {
 	for keys, row := range m.fencing {
-		if keys.Incarnation == server && row.inFlight {
+		if keys.endpoint() == server && row.inFlight {
 			return true
 		}
 	}
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -219,7 +219,9 @@
 	if _, releasing := m.releasing[key]; releasing || len(m.bounds[key].pending) > 0 || m.released[key].done || m.now < m.retryReleaseAt[key] {
 		return
 	}
-	if end, _ := m.priorEnded(r, prior); end == endedByProof || m.fenceCutOff(prior) {
+	end, _ := m.priorEnded(r, prior)
+	ownsAgain := end == endedByExpiry && prior.endpoint() == r.Owner.endpoint()
+	if end == endedByProof || ownsAgain || m.fenceCutOff(prior) {
 		return
 	}
 	fence, ok := m.takeFence() // The server refuses grants that were sent before, if they arrive later.
--- a/gateway/keys/system_renewal.go
+++ b/gateway/keys/system_renewal.go
@@ -73,7 +73,7 @@
 
 func (m *Machine) renew(r Range, handover string) {
 	row := m.row(r.Owner.Incarnation)
-	if !m.reachesOwner(row) || m.replaced(r.Owner) || m.fencingInFlight(r.Owner.Incarnation) {
+	if !m.reachesOwner(row) || m.replaced(r.Owner) || m.fencingInFlight(r.Owner.endpoint()) {
 		return
 	}
 	grant, known := row.granted[r.From]
--- a/gateway/keys/unfenced.go
+++ b/gateway/keys/unfenced.go
@@ -15,14 +15,18 @@
 }
 
 // unfenced reports whether a server has lost keys without being told.
-func (p *Page) unfenced(server model.Incarnation) bool {
-	return slices.ContainsFunc(p.Unfenced, func(u UnfencedKeys) bool { return u.Incarnation == server })
+func (p *Page) unfenced(server endpoint) bool {
+	return slices.ContainsFunc(p.Unfenced, func(u UnfencedKeys) bool { return u.endpoint() == server })
 }
 
-// recordUnfenced lists the prior holders of a range whose grants have only expired.
+// recordUnfenced lists the prior holders of a range whose grants have only expired, except
+// its owner, whose next grant has a higher fence.
 func (b *pageBuilder) recordUnfenced(r Range) {
 	for _, prior := range r.Prior {
-		if end, _ := b.priorEnded(r, prior); end == endedByExpiry && prior != unknownHolder {
+		if prior == unknownHolder || prior.endpoint() == r.Owner.endpoint() {
+			continue
+		}
+		if end, _ := b.priorEnded(r, prior); end == endedByExpiry {
 			b.page.addUnfenced(UnfencedKeys{prior.Incarnation, prior.Address, r.From, r.To})
 		}
 	}
@@ -30,8 +34,8 @@
 
 // addUnfenced lists keys that a server has lost. A server that owns no keys is listed once.
 func (p *Page) addUnfenced(lost UnfencedKeys) {
-	if !p.hasOwner(lost.Incarnation) {
-		p.Unfenced = slices.DeleteFunc(p.Unfenced, func(u UnfencedKeys) bool { return u.Incarnation == lost.Incarnation })
+	if !p.hasOwner(lost.endpoint()) {
+		p.Unfenced = slices.DeleteFunc(p.Unfenced, func(u UnfencedKeys) bool { return u.endpoint() == lost.endpoint() })
 		lost.From, lost.To = 0, model.Keys-1
 	}
 	if !slices.Contains(p.Unfenced, lost) {
@@ -53,7 +57,7 @@
 
 // without returns the parts of the keys that lie outside a range, if the server owns it.
 func (u UnfencedKeys) without(r Range) []UnfencedKeys {
-	if u.Incarnation != r.Owner.Incarnation || u.To < r.From || r.To < u.From {
+	if u.endpoint() != r.Owner.endpoint() || u.To < r.From || r.To < u.From {
 		return []UnfencedKeys{u}
 	}
 	var parts []UnfencedKeys
@@ -70,9 +74,9 @@
 	return parts
 }
 
-// hasOwner reports whether a server owns keys.
-func (p *Page) hasOwner(server model.Incarnation) bool {
-	return slices.ContainsFunc(p.Ranges, func(r Range) bool { return r.Owner.Incarnation == server })
+// hasOwner reports whether a server owns keys, in any of its lives at the address.
+func (p *Page) hasOwner(server endpoint) bool {
+	return slices.ContainsFunc(p.Ranges, func(r Range) bool { return r.Owner.endpoint() == server })
 }
 
 // dropFenced drops the entries of servers that were told a higher fence or have ended.
