traffic/front: one way to receive a request's body

Cause: ServeHTTP and servePeer set the deadline and read the body with the same seven lines (duplicates: forward.go ~ handler.go). Change: receiveBody serves both. Result: go test ./traffic/front passes.

--- a/traffic/front/forward.go
+++ b/traffic/front/forward.go
@@ -176,10 +176,9 @@
 		h.refuse(w, refused)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), c.remaining(h.now()))
+	ctx, cancel, refused := h.receiveBody(w, r, c)
 	defer cancel()
-	until, _ := ctx.Deadline()
-	if c.body, refused = readBody(w, r, c.settings().MaxBodyBytes, until); refused != nil {
+	if refused != nil {
 		h.refuse(w, refused)
 		return
 	}
--- a/traffic/front/handler.go
+++ b/traffic/front/handler.go
@@ -68,10 +68,9 @@
 		h.refuse(w, refused)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), c.remaining(h.now()))
+	ctx, cancel, refused := h.receiveBody(w, r, c)
 	defer cancel()
-	until, _ := ctx.Deadline()
-	if c.body, refused = readBody(w, r, c.settings().MaxBodyBytes, until); refused != nil {
+	if refused != nil {
 		h.refuse(w, refused)
 		return
 	}
@@ -80,6 +79,16 @@
 	h.writeOutcome(ctx, w, c, out)
 }
 
+// receiveBody reads the body of a request and returns the context that ends with its
+// deadline or its connection.
+func (h *Handler) receiveBody(w http.ResponseWriter, r *http.Request, c *call) (context.Context, context.CancelFunc, *refusal) {
+	ctx, cancel := context.WithTimeout(r.Context(), c.remaining(h.now()))
+	until, _ := ctx.Deadline()
+	var refused *refusal
+	c.body, refused = readBody(w, r, c.settings().MaxBodyBytes, until)
+	return ctx, cancel, refused
+}
+
 // record adds the request to the metrics of its class.
 func (h *Handler) record(c *call, began time.Duration, v verdict.Verdict, code verdict.Code) {
 	c.observation.Total = h.now() - began
