guavacrankctl: one way to call a daemon from a command

Cause: three commands checked their arguments, connected and closed with the same lines (duplicates: events.go ~ get.go ~ read.go). Change: calling wraps what they do with the connection. Result: go test ./cmd/internal/command passes.

--- a/cmd/internal/command/events.go
+++ b/cmd/internal/command/events.go
@@ -29,15 +29,7 @@
 			daemon := addDaemon(flags)
 			from := flags.Uint64("from", 1, "`cursor` of the first event")
 			follow := flags.Bool("follow", false, "go on with new events until interrupted; as JSON, one event a line")
-			return func(ctx context.Context, env *Environment, args []string) error {
-				if err := arguments(args); err != nil {
-					return err
-				}
-				caller, err := daemon.connect(env)
-				if err != nil {
-					return err
-				}
-				defer caller.Close()
+			return calling(daemon, nil, func(ctx context.Context, env *Environment, caller *client.Client, _ []string) error {
 				if *follow {
 					return followEvents(ctx, env, output, caller, *from)
 				}
@@ -46,7 +38,7 @@
 					return err
 				}
 				return output.print(env.Stdout, answer, func(w io.Writer) { printEvents(w, answer) })
-			}
+			})
 		},
 	}
 }
--- a/cmd/internal/command/get.go
+++ b/cmd/internal/command/get.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"guavacrank.example/config"
+	"guavacrank.example/daemon/operator/client"
 )
 
 func getCommand() Command {
@@ -23,15 +24,7 @@
 			output := addOutput(flags)
 			daemon := addDaemon(flags)
 			revision := flags.Uint64("revision", 0, "`number` of an earlier revision; 0 is the one in force")
-			return func(ctx context.Context, env *Environment, args []string) error {
-				if err := arguments(args); err != nil {
-					return err
-				}
-				caller, err := daemon.connect(env)
-				if err != nil {
-					return err
-				}
-				defer caller.Close()
+			return calling(daemon, nil, func(ctx context.Context, env *Environment, caller *client.Client, _ []string) error {
 				record, err := caller.Record(ctx, config.Revision(*revision))
 				if err != nil {
 					return err
@@ -41,7 +34,7 @@
 					return err
 				}
 				return output.print(env.Stdout, record, nil)
-			}
+			})
 		},
 	}
 }
--- a/cmd/internal/command/read.go
+++ b/cmd/internal/command/read.go
@@ -17,6 +17,21 @@
 ) Run {
 	output := addOutput(flags)
 	daemon := addDaemon(flags)
+	return calling(daemon, names, func(ctx context.Context, env *Environment, caller *client.Client, args []string) error {
+		answer, err := ask(ctx, caller, args)
+		if err != nil {
+			return err
+		}
+		return output.print(env.Stdout, answer, func(w io.Writer) { text(w, answer) })
+	})
+}
+
+// calling returns the Run of a command with the named arguments that calls a daemon.
+func calling(
+	daemon *daemonFlags,
+	names []string,
+	run func(ctx context.Context, env *Environment, caller *client.Client, args []string) error,
+) Run {
 	return func(ctx context.Context, env *Environment, args []string) error {
 		if err := arguments(args, names...); err != nil {
 			return err
@@ -26,10 +41,6 @@
 			return err
 		}
 		defer caller.Close()
-		answer, err := ask(ctx, caller, args)
-		if err != nil {
-			return err
-		}
-		return output.print(env.Stdout, answer, func(w io.Writer) { text(w, answer) })
+		return run(ctx, env, caller, args)
 	}
 }
