kvstore: a watch from before the kept history reports that it is gone

Cause: memstore's Watch reported "invalid", and httpstore knew the kinds only up to that one, so that a store's "history gone" came over HTTP as a failure without a kind, status 503. Change: memstore reports KindHistoryGone; httpstore carries it with status 410.

--- a/kvstore/httpstore/client.go
+++ b/kvstore/httpstore/client.go
@@ -206,7 +206,7 @@
 
 // kindOf returns the kind with the given name.
 func kindOf(name string) (kvstore.Kind, bool) {
-	for kind := kvstore.KindUnavailable; kind <= kvstore.KindInvalid; kind++ {
+	for kind := kvstore.KindUnavailable; kind <= kvstore.KindHistoryGone; kind++ {
 		if kind.String() == name {
 			return kind, true
 		}
--- a/kvstore/httpstore/handler.go
+++ b/kvstore/httpstore/handler.go
@@ -158,6 +158,8 @@
 		return http.StatusRequestEntityTooLarge
 	case kvstore.KindInvalid:
 		return http.StatusBadRequest
+	case kvstore.KindHistoryGone:
+		return http.StatusGone
 	default:
 		return http.StatusServiceUnavailable
 	}
--- a/kvstore/httpstore/httpstore_test.go
+++ b/kvstore/httpstore/httpstore_test.go
@@ -23,6 +23,14 @@
 	RunSpecs(t, "httpstore")
 }
 
+// historyGone is a store that no longer keeps the changes that a watch asks for.
+type historyGone struct{ kvstore.Store }
+
+// Watch implements kvstore.Store.
+func (historyGone) Watch(context.Context, string, kvstore.Version, time.Duration) ([]kvstore.Entry, error) {
+	return nil, &kvstore.Error{Op: "watch", Kind: kvstore.KindHistoryGone}
+}
+
 var _ = Describe("Client", func() {
 	var (
 		ctx    context.Context
@@ -101,6 +109,14 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("transmits that the history for a watch is gone", func() {
+		gone := historyGone{Store: store}
+		other := httptest.NewServer(httpstore.NewHandler(gone))
+		DeferCleanup(other.Close)
+		_, err := connect(other, 5*time.Second).Watch(ctx, "role/", 1, time.Minute)
+		Expect(kvstore.IsKind(err, kvstore.KindHistoryGone)).To(BeTrue(), "%v", err)
+	})
+
 	It("reports a refused connection as not applied", func() {
 		server.Close()
 		_, err := client.CompareAndSwap(ctx, "k", 0, nil, 0)
--- a/kvstore/memstore/memstore_test.go
+++ b/kvstore/memstore/memstore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -19,6 +20,9 @@
 	RunSpecs(t, "memstore")
 }
 
+// keptTombstones is the number of deletions that the store keeps for watches.
+const keptTombstones = 1 << 16
+
 // watchResult is the result of a Watch call in the background.
 type watchResult struct {
 	entries []kvstore.Entry
@@ -57,6 +61,17 @@
 		return results
 	}
 
+	It("reports a watch from before the kept history as history gone, not as invalid", func() {
+		store = memstore.New(memstore.Options{Clock: virtual, WritesPerSecond: 4 * keptTombstones})
+		first := put("role/0", "v")
+		for at := range keptTombstones + 1 {
+			key := fmt.Sprintf("role/gone-%d", at)
+			Expect(store.Delete(ctx, key, put(key, "v"))).To(Succeed())
+		}
+		_, err := store.Watch(ctx, "role/", first, time.Minute)
+		Expect(kvstore.IsKind(err, kvstore.KindHistoryGone)).To(BeTrue(), "%v", err)
+	})
+
 	It("accepts only the first of two writes with the same expected version", func() {
 		first := put("page/a", "1")
 		_, err := store.CompareAndSwap(ctx, "page/a", first, []byte("2"), 0)
--- a/kvstore/memstore/store.go
+++ b/kvstore/memstore/store.go
@@ -20,7 +20,7 @@
 	DefaultReadsPerSecond = 2000
 	// maxTombstones limits the number of tombstones kept for deleted keys. A
 	// watch from a version whose later tombstones were dropped fails with
-	// KindInvalid.
+	// KindHistoryGone.
 	maxTombstones = 1 << 16
 )
 
--- a/kvstore/memstore/watch.go
+++ b/kvstore/memstore/watch.go
@@ -18,7 +18,7 @@
 
 // Watch implements kvstore.Store. Entries are sorted by version. Repeating a call
 // with the same version returns the same changes again, unless WatchMisses hid
-// them. Watch fails with KindInvalid if tombstones after the version were
+// them. Watch fails with KindHistoryGone if tombstones after the version were
 // dropped.
 func (s *Store) Watch(ctx context.Context, prefix string, after kvstore.Version, wait time.Duration) ([]kvstore.Entry, error) {
 	const op = "watch"
@@ -75,7 +75,7 @@
 	}
 	if after < s.compacted {
 		return nil, &kvstore.Error{
-			Op: "watch", Key: prefix, Kind: kvstore.KindInvalid, Current: s.version, Err: errCompacted,
+			Op: "watch", Key: prefix, Kind: kvstore.KindHistoryGone, Current: s.version, Err: errCompacted,
 		}
 	}
 	var changed []kvstore.Entry
