--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -95,6 +95,9 @@
 	released        map[holderKey]releaseResult
 	releasing       map[holderKey]time.Duration // Start times of the release calls in flight.
 	retryReleaseAt  map[holderKey]time.Duration
+	fencing         map[UnfencedKeys]*fencingRow
+	cutOffPrior     []UnfencedKeys // Of prior holders that may be cut off, since the last runFencing.
+	sentReleases    []sentRelease
 	rates           rateTable
 	nextRebalanceAt time.Duration
 	nextPruneAt     time.Duration
@@ -114,6 +117,7 @@
 		released:       make(map[holderKey]releaseResult),
 		releasing:      make(map[holderKey]time.Duration),
 		retryReleaseAt: make(map[holderKey]time.Duration),
+		fencing:        make(map[UnfencedKeys]*fencingRow),
 		rates:          newRateTable(),
 		predecessors:   predecessors{ended: make(map[string]bool)},
 	}
@@ -140,6 +144,7 @@
 	clear(m.released)
 	clear(m.releasing)
 	clear(m.retryReleaseAt)
+	clear(m.fencing)
 	for _, row := range m.servers {
 		row.acceptedGrant = false
 	}
@@ -181,6 +186,7 @@
 	m.runPredecessors()
 	m.runProbes()
 	m.runReleases()
+	m.runFencing()
 	m.runDraft()
 	m.runRenewals()
 	m.runPrune()
@@ -193,8 +199,14 @@
 	return ready
 }
 
+// runRead asks for the page. Until it is known, the leader renews grants and tells prior
+// holders to stop by the page that it knew last.
 func (m *Machine) runRead() {
 	if m.reading || m.consulting || m.now < m.retryStoreAt || m.renewOnly {
+		if m.adopted {
+			m.runReleases()
+			m.runFencing()
+		}
 		m.runRenewals()
 		return
 	}
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -11,6 +11,9 @@
 const (
 	// CallTimeout is the timeout of a grant call.
 	CallTimeout = 500 * time.Millisecond
+	// releaseTimeout is the timeout of a release call. The server responds only after it
+	// has finished its work on the keys.
+	releaseTimeout = 4 * time.Second
 	// MaxCallDelay is how long after its start a grant call may arrive.
 	MaxCallDelay = CallTimeout + transitTime
 )
@@ -93,6 +96,7 @@
 			}
 		}
 	}
+	page.withoutOwned()
 	m.setPage(page)
 }
 
@@ -125,33 +129,51 @@
 	return m.latestArrival(row, m.endpointOf(row.ID, row.Address).latestUnanswered)
 }
 
-// priorEnded reports whether a prior holder can't hold a range any more, and
+// priorEnd says why a prior holder can't hold a range any more.
+type priorEnd uint8
+
+const (
+	// notEnded means that it may hold the range.
+	notEnded priorEnd = iota
+	// endedByExpiry means that all grants that it may have received have expired.
+	endedByExpiry
+	// endedByProof means that it has answered a release, or that its process has ended.
+	endedByProof
+)
+
+// priorEnded reports whether and why a prior holder can't hold a range any more, and
 // returns the handover token that it gave on release. While grants of an earlier leader may
-// arrive, the end of the holder's process proves nothing: a later life may get one.
-func (m *Machine) priorEnded(r Range, prior Holder) (ended bool, handover string) {
+// arrive, the end of the holder's process proves nothing: a later life may get one. The list
+// of servers proves nothing either: records may have other writers.
+func (m *Machine) priorEnded(r Range, prior Holder) (end priorEnd, handover string) {
 	if prior == unknownHolder {
-		return m.unknownHoldersEnded(), ""
+		if m.unknownHoldersEnded() {
+			return endedByExpiry, ""
+		}
+		return notEnded, ""
 	}
 	key := holderKey{r.From, r.To, prior.Incarnation, prior.Fence}
 	bound := m.bounds[key]
 	if len(bound.pending) > 0 {
-		return false, ""
+		return notEnded, ""
 	}
 	row := m.row(prior.Incarnation)
 	arrived, late := m.latestArrival(row, bound.latestArrival), m.latestArrival(row, bound.latestUnanswered)
 	result, released := m.released[key]
-	ended = (result.ended || m.startedElsewhere(prior)) && m.now >= m.predecessorBound()
-	if ended || m.now >= arrived+m.maxGrantLifetime() {
-		return true, ""
-	}
-	if !released {
-		return false, ""
+	switch {
+	case result.ended && m.now >= m.predecessorBound():
+		return endedByProof, ""
+	case released && (late == 0 || m.now >= late+m.maxGrantLifetime()):
+		return endedByProof, result.handover
+	case m.now >= arrived+m.maxGrantLifetime():
+		return endedByExpiry, ""
+	default:
+		return notEnded, ""
 	}
-	return late == 0 || m.now >= late+m.maxGrantLifetime(), result.handover
 }
 
 // replaced reports whether a later incarnation is listed under the holder's ID or
-// at its address. The holder's process has then ended.
+// at its address. The holder's process has then ended, if the record is the later one's own.
 func (m *Machine) replaced(holder Holder) bool {
 	return m.latestByID[holder.ID].replaces(holder) || m.latestByAddress[holder.Address].replaces(holder)
 }
@@ -159,20 +181,12 @@
 // replaces reports whether a row is a later incarnation than a holder.
 func (r *serverRow) replaces(holder Holder) bool { return r != nil && r.Born > holder.Born }
 
-// startedElsewhere reports whether a later incarnation of a holder is listed at another
-// address. All lives under its ID at the holder's address have then ended. One at the same
-// address may have the holder's grants.
-func (m *Machine) startedElsewhere(holder Holder) bool {
-	successor := m.latestByID[holder.ID]
-	return successor.replaces(holder) && successor.Address != holder.Address
-}
-
 // mayGrant reports whether no prior holder of a range holds it any more. The
 // handover token is returned only if there was exactly one.
 func (m *Machine) mayGrant(r Range) (handover string, ok bool) {
 	for _, prior := range r.Prior {
-		ended, priorHandover := m.priorEnded(r, prior)
-		if !ended {
+		end, priorHandover := m.priorEnded(r, prior)
+		if end == notEnded {
 			return "", false
 		}
 		handover = priorHandover
@@ -183,8 +197,9 @@
 	return handover, true
 }
 
-// runReleases asks prior holders to release their keys. It waits while a grant to
-// the holder is in flight, which could arrive after the release. Whichever life of the
+// runReleases asks prior holders to release their keys, also after the expiry of their grants:
+// it proves nothing, and the page may list them as unfenced much later. It waits while a grant
+// to the holder is in flight, which could arrive after the release. Whichever life of the
 // holder answers, no earlier one holds the keys then.
 func (m *Machine) runReleases() {
 	if m.page == nil {
@@ -204,11 +219,25 @@
 	if _, releasing := m.releasing[key]; releasing || len(m.bounds[key].pending) > 0 || m.released[key].done || m.now < m.retryReleaseAt[key] {
 		return
 	}
-	if ended, _ := m.priorEnded(r, prior); ended {
+	if end, _ := m.priorEnded(r, prior); end == endedByProof || m.fenceCutOff(prior) {
+		return
+	}
+	fence, ok := m.takeFence() // The server refuses grants that were sent before, if they arrive later.
+	if !ok {
 		return
 	}
 	m.releasing[key] = m.now
-	call := ReleaseCall{Incarnation: prior.Incarnation, Address: prior.Address}
-	call.From, call.To, call.Fence, call.Server = r.From, r.To, prior.Fence, prior.ID
+	call := ReleaseCall{Incarnation: prior.Incarnation, Address: prior.Address, Timeout: m.releaseTimeout(key)}
+	call.From, call.To, call.Fence, call.Server, call.Held = r.From, r.To, fence, prior.ID, prior.Fence
+	m.sentReleases = append(m.sentReleases, sentRelease{call: call})
 	m.ready.Releases = append(m.ready.Releases, call)
 }
+
+// releaseTimeout returns the timeout of the next release: a short one if the server may be
+// cut off.
+func (m *Machine) releaseTimeout(key holderKey) time.Duration {
+	if row := m.row(key.incarnation); row.unresponsive || row.releaseFailed {
+		return fencingTimeout
+	}
+	return releaseTimeout
+}
--- a/gateway/run/majority_test.go
+++ b/gateway/run/majority_test.go
@@ -18,8 +18,10 @@
 // 95 s and have followed no leader before.
 func newLeaderAmongNewcomers(t *testing.T, now *time.Duration) (*loop, *keys.Machine) {
 	l := newRestorationLoop(t)
-	*now = 100 * time.Second
 	l.clock = func() time.Duration { return *now }
+	*now = 100*time.Second - leader.LeaseTTL // Then the lease of the copy expires.
+	l.enterEra(2)
+	*now = 100 * time.Second
 	l.members, l.knownPeers = make(map[string]member), []string{"a", "b", "c"}
 	l.term = kvstore.Position{Era: 2, Version: 60}
 	l.startLeading(*now)
