gateway/run: a reloaded grace period takes effect, and bounds that can't ask for a restart

Cause: docs/OPERATIONS.md said that bounds take effect on SIGHUP; only those of retries and the time to drain did. The grace period, the longest grant, the shortest lease and the time of a configuration were read at the start, and the log said needs_restart false.

--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -72,6 +72,7 @@
 	dispatcher *dispatch.Dispatcher
 	handler    *front.Handler
 	metrics    *metric.Table
+	bounds     model.Bounds // As last reloaded; used only by the goroutine of run.
 }
 
 // Run serves requests until ctx is done, then shuts down gracefully. Settings that
@@ -88,7 +89,7 @@
 
 func newGateway(ctx context.Context, options Options) *Gateway {
 	bounds := options.Settings.Bounds
-	g := &Gateway{options: options, gate: shutdown.NewGate(), metrics: &metric.Table{}}
+	g := &Gateway{options: options, gate: shutdown.NewGate(), metrics: &metric.Table{}, bounds: bounds}
 	g.shared = sharedState{
 		log:           logbook.New(options.Output, zap.String("vm", options.Settings.VM)),
 		budget:        budget.New(budget.Options{Window: bounds.RetryWindow, Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack}),
@@ -188,14 +189,22 @@
 	}
 }
 
-// reload applies new settings. Bounds of retries take effect immediately. Addresses
-// and the name and zone of the VM require a restart, which the log says.
+// reload applies new settings. Bounds of retries, the time to drain and the grace period
+// take effect immediately. Other bounds, addresses and the name and zone of the VM require
+// a restart, which the log says.
 func (g *Gateway) reload(updated *model.Settings) {
 	old := g.options.Settings
 	g.loop.servers.availability.SetDrainTime(updated.Bounds.DrainTime)
-	restart := updated.Listen != old.Listen || updated.VM != old.VM || updated.Zone != old.Zone || updated.StoreAddress != old.StoreAddress
+	restart := readAtStart(updated.Bounds) != readAtStart(old.Bounds) ||
+		updated.Listen != old.Listen || updated.VM != old.VM || updated.Zone != old.Zone || updated.StoreAddress != old.StoreAddress
 	g.shared.budget.SetOptions(budget.Options{Window: updated.Bounds.RetryWindow, Ratio: updated.Bounds.RetryRatio, Slack: updated.Bounds.RetrySlack})
-	g.shared.log.Event(event.GatewayReloaded, "", zap.Bool("bounds_changed", updated.Bounds != old.Bounds), zap.Bool("needs_restart", restart))
+	g.shared.log.Event(event.GatewayReloaded, "", zap.Bool("bounds_changed", updated.Bounds != g.bounds), zap.Bool("needs_restart", restart))
+	g.bounds = updated.Bounds
+}
+
+// readAtStart returns the bounds that are read only when the process starts.
+func readAtStart(bounds model.Bounds) model.Bounds {
+	return model.Bounds{MaxGrantTTL: bounds.MaxGrantTTL, MinLeaseTTL: bounds.MinLeaseTTL, ConfigurationTime: bounds.ConfigurationTime}
 }
 
 // metricsHandler serves the counters of this gateway and the runtime in the format of
--- a/gateway/run/stop.go
+++ b/gateway/run/stop.go
@@ -37,7 +37,7 @@
 // run longer are interrupted, so that their callers get a response.
 func (g *Gateway) stop(callers *http.Server) {
 	start := time.Now()
-	limit := start.Add(g.options.Settings.Bounds.GracePeriod - stopMargin)
+	limit := g.stopLimit(start)
 	end := limit.Add(-answerTime)
 	g.shared.log.Event(event.GatewayStopping, "", zap.Int64("in_flight", g.handler.InFlight()))
 	now := g.shared.clock()
@@ -60,6 +60,11 @@
 	g.closeConnections(callers, limit)
 }
 
+// stopLimit returns when a process that begins to stop at a time must have ended.
+func (g *Gateway) stopLimit(start time.Time) time.Time {
+	return start.Add(g.bounds.GracePeriod - stopMargin)
+}
+
 // sleepUntil sleeps until a time, or until the limit if that is earlier.
 func sleepUntil(at, limit time.Time) {
 	if limit.Before(at) {
