event: metrics not sent and callers cut off have events of their own

Cause: a failed write of the page of counters was logged as 735 (caller-left: a caller's request), and a Shutdown that failed as a second 704 (gateway-stopped).

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -40,6 +40,8 @@
 	KeysGranted           Number = 744
 	MemoryUsedUp          Number = 745
 	ConnectionsBounded    Number = 746
+	MetricsNotSent        Number = 747
+	CallersCutOff         Number = 748
 
 	BackendSaidLeaving      Number = 750
 	BackendLeavingForgotten Number = 751
@@ -90,6 +92,8 @@
 	{KeysGranted, "keys-granted", Info, "A server accepted a fencing token for some keys for the first time; the fields name the connection, on which alone this token is sent."},
 	{MemoryUsedUp, "memory-used-up", Warn, "The memory for a kind of bytes (request bodies, responses, response headers, messages of other VMs, responses of the store) is used up: requests are refused, or their attempts fail, until some is released. Logged once in ten seconds; the field refused counts."},
 	{ConnectionsBounded, "connections-bounded", Warn, "The connections that the configuration allows to the servers of a service (max_conns) are more than the process's descriptors permit, half of which are for all listed servers together; fewer are opened. The fields give this VM's share and its limit for each server, and how many servers there are. Logged once for each value of max_conns."},
+	{MetricsNotSent, "metrics-not-sent", Info, "The page of counters could not be written; whoever asked for it has closed the connection."},
+	{CallersCutOff, "callers-cut-off", Warn, "The process exits while connections of callers are open on which a request or a response is on its way, or a listener could not be closed; the cause says which. The field in_flight gives the number of requests."},
 	{BackendSaidLeaving, "backend-said-leaving", Info, "A backend server said in a response that it is leaving. This VM sends it no new requests if other servers can take them; the leader is told and moves its keys."},
 	{BackendLeavingForgotten, "backend-leaving-forgotten", Info, "A backend server that said it is leaving has not been listed for two minutes; what it said is forgotten."},
 	{BackendBackoffBegun, "backend-backoff-begun", Info, "A backend server turned a request away and named a time (field left) in which it wants no others from this VM; it gets none. Responses that extend the time are not logged."},
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -217,7 +217,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		if _, err := io.WriteString(w, vars.String()); err != nil {
-			g.shared.log.Event(event.CallerLeft, err.Error(), zap.String("address", g.options.Settings.Listen.Metrics))
+			g.shared.log.Event(event.MetricsNotSent, err.Error(), zap.String("address", g.options.Settings.Listen.Metrics))
 		}
 	})
 }
--- a/gateway/run/stop.go
+++ b/gateway/run/stop.go
@@ -86,7 +86,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
-		g.shared.log.Event(event.GatewayStopped, err.Error(), zap.Int64("in_flight", g.handler.InFlight()))
+		g.shared.log.Event(event.CallersCutOff, err.Error(), zap.Int64("in_flight", g.handler.InFlight()))
 	}
 }
 
