control/load: the most frequent keys of a window are kept, not the first

Cause: HotKeys ignored every key after the first 4096 of a window, so that a hot one behind them was never isolated. Change: space-saving counts: a new key takes the place of the rarest, and counts only its own requests, at least; any key with more than 1/4096 of the requests is kept. Equal counts go by name, so that the order of a map has no influence.

--- a/control/load/hotkeys.go
+++ b/control/load/hotkeys.go
@@ -15,8 +15,8 @@
 	windowsToMerge = 60
 	// coldFraction is the fraction of the hot share below which a key is cold.
 	coldFraction = 0.25
-	// maxTrackedKeys limits the number of keys counted in one window. Further keys
-	// are ignored, so the most frequent ones should be added first.
+	// maxTrackedKeys limits the number of keys counted in one window; the most
+	// frequent ones are.
 	maxTrackedKeys = 4096
 	// minRequests is the minimum number of requests in a window for a key to count
 	// as hot.
@@ -25,7 +25,7 @@
 
 // HotKeys tracks the frequent keys of one service over counting windows.
 type HotKeys struct {
-	counts map[string]uint64 // Requests in the open window.
+	counts *frequentKeys // Requests in the open window.
 	keys   map[string]*keyState
 }
 
@@ -37,33 +37,30 @@
 
 // NewHotKeys returns an empty tracker.
 func NewHotKeys() *HotKeys {
-	return &HotKeys{counts: make(map[string]uint64), keys: make(map[string]*keyState)}
+	return &HotKeys{counts: newFrequentKeys(maxTrackedKeys), keys: make(map[string]*keyState)}
 }
 
 // Add adds a number of requests for a frequent key to the open window.
 func (h *HotKeys) Add(key string, requests uint32) {
-	if _, known := h.counts[key]; !known && len(h.counts) >= maxTrackedKeys {
-		return
-	}
-	h.counts[key] += uint64(requests)
+	h.counts.add(key, uint64(requests))
 }
 
 // CloseWindow closes a window of the given length in which the service had
 // requestsPerSecond, and classifies every key by the hot share (0 to 1).
 func (h *HotKeys) CloseWindow(length time.Duration, requestsPerSecond, hotShare float64) {
 	total := requestsPerSecond * length.Seconds()
-	for key := range h.counts {
+	for key := range h.counts.counts {
 		if h.keys[key] == nil {
 			h.keys[key] = &keyState{}
 		}
 	}
 	for key, state := range h.keys {
-		state.update(h.counts[key], total, hotShare)
+		state.update(h.counts.requests(key), total, hotShare)
 		if state.coldWindows > windowsToMerge {
 			delete(h.keys, key)
 		}
 	}
-	clear(h.counts)
+	h.counts.reset()
 }
 
 func (s *keyState) update(requests uint64, total, hotShare float64) {
