control: a planner forgets units that have ended

Cause: every isolation of a key makes a unit with a new ID; UnitRates held slices up to the highest ID and Planner.lastMoved an entry for each unit ever moved. Change: UnitRates holds the units by ascending ID, and both forget units that are not on the page when a window closes. A unit that has ended counts no more in the service's total.

--- a/control/load/unit_rates.go
+++ b/control/load/unit_rates.go
@@ -9,7 +9,9 @@
 package load
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"guavacrank.example/control/ownership"
@@ -29,12 +31,18 @@
 
 // UnitRates estimates the request rate of each unit of one service.
 type UnitRates struct {
-	windowEnd  time.Duration
-	counts     []uint64  // Requests in the open window, by unit.
-	shortRates []float64 // Short average of requests per second, by unit.
-	rates      []float64 // Long average, reset to the short one when the load changes.
-	windows    int       // Number of closed windows, without the discarded first one.
-	primed     bool      // The first window has been closed and discarded.
+	windowEnd time.Duration
+	units     []unitRate // By ascending ID.
+	windows   int        // Number of closed windows, without the discarded first one.
+	primed    bool       // The first window has been closed and discarded.
+}
+
+// unitRate is the estimate for one unit.
+type unitRate struct {
+	id    ownership.UnitID
+	count uint64  // Requests in the open window.
+	short float64 // Short average of requests per second.
+	long  float64 // Long average, reset to the short one when the load changes.
 }
 
 // NewUnitRates returns estimates without data, whose first window starts at
@@ -45,8 +53,21 @@
 
 // Add adds a number of requests for a unit to the open window.
 func (r *UnitRates) Add(unit ownership.UnitID, requests uint32) {
-	r.grow(int(unit) + 1)
-	r.counts[unit] += uint64(requests)
+	at, known := r.find(unit)
+	if !known {
+		r.units = slices.Insert(r.units, at, unitRate{id: unit})
+	}
+	r.units[at].count += uint64(requests)
+}
+
+// find returns the place of a unit, and whether it is there.
+func (r *UnitRates) find(unit ownership.UnitID) (at int, known bool) {
+	return slices.BinarySearchFunc(r.units, unit, func(u unitRate, id ownership.UnitID) int { return cmp.Compare(u.id, id) })
+}
+
+// Retain forgets all units but those for which keep is true.
+func (r *UnitRates) Retain(keep func(ownership.UnitID) bool) {
+	r.units = slices.DeleteFunc(r.units, func(u unitRate) bool { return !keep(u.id) })
 }
 
 // Advance closes the window if it has ended, and reports whether its counts
@@ -61,30 +82,34 @@
 	r.windowEnd = now + Window
 	if !r.primed {
 		r.primed = true
-		clear(r.counts)
+		for at := range r.units {
+			r.units[at].count = 0
+		}
 		return false
 	}
-	for unit, count := range r.counts {
-		r.updateUnit(unit, float64(count)/length.Seconds())
-		r.counts[unit] = 0
+	for at := range r.units {
+		unit := &r.units[at]
+		unit.update(float64(unit.count)/length.Seconds(), r.windows)
+		unit.count = 0
 	}
 	r.windows++
 	return true
 }
 
-// updateUnit updates the unit's averages with its rate in one closed window.
-func (r *UnitRates) updateUnit(unit int, rate float64) {
-	if r.windows == 0 {
-		r.shortRates[unit] = rate
-		r.rates[unit] = rate
+// update updates the averages with the rate in a closed window, before which so many
+// windows were closed.
+func (u *unitRate) update(rate float64, windows int) {
+	if windows == 0 {
+		u.short = rate
+		u.long = rate
 		return
 	}
-	r.shortRates[unit] += shortWeight * (rate - r.shortRates[unit])
-	r.rates[unit] += (rate - r.rates[unit]) / float64(min(r.windows+1, longWindows))
-	higher := max(r.shortRates[unit], r.rates[unit])
+	u.short += shortWeight * (rate - u.short)
+	u.long += (rate - u.long) / float64(min(windows+1, longWindows))
+	higher := max(u.short, u.long)
 	standardError := math.Sqrt(higher / (Window.Seconds() * effectiveWindows(shortWeight)))
-	if math.Abs(r.shortRates[unit]-r.rates[unit]) > changeThreshold*standardError {
-		r.rates[unit] = r.shortRates[unit]
+	if math.Abs(u.short-u.long) > changeThreshold*standardError {
+		u.long = u.short
 	}
 }
 
@@ -96,19 +121,23 @@
 // one.
 func (r *UnitRates) Windows() int { return r.windows }
 
+// Units returns the number of units that are kept.
+func (r *UnitRates) Units() int { return len(r.units) }
+
 // Rate returns the estimated requests per second of a unit.
 func (r *UnitRates) Rate(unit ownership.UnitID) float64 {
-	if int(unit) >= len(r.rates) {
+	at, known := r.find(unit)
+	if !known {
 		return 0
 	}
-	return r.rates[unit]
+	return r.units[at].long
 }
 
 // Total returns the estimated requests per second of the service.
 func (r *UnitRates) Total() float64 {
 	total := 0.0
-	for _, rate := range r.rates {
-		total += rate
+	for _, unit := range r.units {
+		total += unit.long
 	}
 	return total
 }
@@ -124,11 +153,3 @@
 	}
 	return 1 / math.Sqrt(requests)
 }
-
-func (r *UnitRates) grow(length int) {
-	for len(r.counts) < length {
-		r.counts = append(r.counts, 0)
-		r.shortRates = append(r.shortRates, 0)
-		r.rates = append(r.rates, 0)
-	}
-}
--- a/control/planner/planner.go
+++ b/control/planner/planner.go
@@ -8,6 +8,7 @@
 package planner
 
 import (
+	"maps"
 	"time"
 
 	"guavacrank.example/control/load"
@@ -138,6 +139,7 @@
 		hotShare := float64(p.settings.HotKeyShare) / permille
 		p.keys.CloseWindow(load.Window, p.loads.Total(), hotShare)
 		p.evaluated = false
+		p.forgetEndedUnits(view)
 	}
 	plan := Plan{Moves: p.planMoves(now, view)}
 	if p.evaluated {
@@ -149,6 +151,16 @@
 	return plan
 }
 
+// forgetEndedUnits forgets what is known of units that are no longer on the page.
+func (p *Planner) forgetEndedUnits(view View) {
+	present := make(map[ownership.UnitID]bool, len(view.Page.Units))
+	for _, unit := range view.Page.Units {
+		present[unit.ID] = true
+	}
+	p.loads.Retain(func(unit ownership.UnitID) bool { return present[unit] })
+	maps.DeleteFunc(p.lastMoved, func(unit ownership.UnitID, _ time.Duration) bool { return !present[unit] })
+}
+
 // planMoves plans the required moves, and rebalancing moves within the budget.
 func (p *Planner) planMoves(now time.Duration, view View) []placement.Move {
 	servers := p.placementServers(now, view)
--- a/control/planner/planner_test.go
+++ b/control/planner/planner_test.go
@@ -103,3 +103,26 @@
 	v.Page.Overrides = []ownership.Override{{Key: "k", Unit: 8, Declared: true}}
 	g.Expect(p.Plan(2*load.Window, v).Moves).To(Equal([]placement.Move{{Unit: 8, From: "a", To: "b"}}))
 }
+
+// Each isolation of a key makes a unit with a new ID, and its merge ends the unit.
+func TestUnitsThatHaveEndedTakeNoMemory(t *testing.T) {
+	g := NewWithT(t)
+	p := New(placement.Balanced{}, settings, 0)
+	v := newView(8, 2, 2)
+	last := len(v.Page.Units) - 1
+	for window := range 500 {
+		v.Page.Units[last].ID++ // Another key is isolated instead.
+		v.Page.Units[last].Owner = v.Servers[window%2].Name
+		v.Servers[window%2].KeepsUnits = false // All of its units move.
+		v.Servers[1-window%2].KeepsUnits = true
+		for _, unit := range v.Page.Units {
+			p.AddUnitRequests(unit.ID, 100)
+		}
+		now := time.Duration(window+1) * load.Window
+		for _, move := range p.Plan(now, v).Moves {
+			v.Page.Unit(move.Unit).Owner = move.To
+		}
+	}
+	g.Expect(len(p.lastMoved)).To(BeNumerically("<=", 4*len(v.Page.Units)))
+	g.Expect(p.loads.Units()).To(BeNumerically("<=", 2*len(v.Page.Units)))
+}
