--- a/control/ownership/transition.go
+++ b/control/ownership/transition.go
@@ -75,12 +75,10 @@
 // only after the current owner has stopped. A unit whose previous owner has not
 // stopped yet can't be moved.
 func (p *Page) Move(id UnitID, owner string) error {
-	unit := p.Unit(id)
+	unit, err := p.unitFor(id, owner)
 	switch {
-	case unit == nil:
-		return pageError(p, "units", "%d is unknown", id)
-	case p.Server(owner) == nil:
-		return pageError(p, "servers", "%q is unknown", owner)
+	case err != nil:
+		return err
 	case unit.Previous != "":
 		return pageError(p, "units", "%d still waits for %q to stop", id, unit.Previous)
 	case unit.Owner == owner:
@@ -96,12 +94,9 @@
 // owner. A previous owner that has not stopped yet must still stop first,
 // unless it is the new owner.
 func (p *Page) Reassign(id UnitID, owner string) error {
-	unit := p.Unit(id)
-	switch {
-	case unit == nil:
-		return pageError(p, "units", "%d is unknown", id)
-	case p.Server(owner) == nil:
-		return pageError(p, "servers", "%q is unknown", owner)
+	unit, err := p.unitFor(id, owner)
+	if err != nil {
+		return err
 	}
 	unit.Owner = owner
 	unit.Epoch++
@@ -111,6 +106,18 @@
 	return nil
 }
 
+// unitFor returns a unit that is to get an owner, which must be on the page.
+func (p *Page) unitFor(id UnitID, owner string) (*Unit, error) {
+	unit := p.Unit(id)
+	if unit == nil {
+		return nil, pageError(p, "units", "%d is unknown", id)
+	}
+	if p.Server(owner) == nil {
+		return nil, pageError(p, "servers", "%q is unknown", owner)
+	}
+	return unit, nil
+}
+
 // AddServer adds a backend server with its first grantor.
 func (p *Page) AddServer(name, grantor string) error {
 	i, found := p.serverIndex(name)
