gateway/dispatch: tests begin handovers and divide by key in one way

Change: the fixture's beginHandover and divideByKey serve them; nothing else is changed in what they ask for.

--- a/gateway/dispatch/availability_test.go
+++ b/gateway/dispatch/availability_test.go
@@ -9,8 +9,6 @@
 	. "github.com/onsi/gomega"
 
 	"guavacrank.example/gateway/availability"
-	"guavacrank.example/gateway/keys"
-	"guavacrank.example/gateway/model"
 	"guavacrank.example/traffic/verdict"
 )
 
@@ -28,13 +26,6 @@
 	}
 }
 
-// divideByKey makes a server the owner of all keys.
-func (f *fixture) divideByKey(owner string) {
-	f.service.Partitioned = true
-	f.service.Page = &keys.Page{Ranges: []keys.Range{{From: 0, To: model.Keys - 1, Owner: keys.Holder{Incarnation: model.Incarnation{ID: owner}}}}}
-	f.publish()
-}
-
 func TestLeavingServerGetsNoRequestThatAnotherCanTake(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, true)
--- a/gateway/dispatch/dispatch_test.go
+++ b/gateway/dispatch/dispatch_test.go
@@ -12,8 +12,6 @@
 
 	"guavacrank.example/gateway/budget"
 	"guavacrank.example/gateway/dispatch"
-	"guavacrank.example/gateway/keys"
-	"guavacrank.example/gateway/model"
 	"guavacrank.example/traffic/verdict"
 )
 
@@ -151,16 +149,6 @@
 	})
 }
 
-// page returns a page on which a server owns all keys, after a prior owner if prior is
-// set.
-func page(id string, prior bool) *keys.Page {
-	r := keys.Range{From: 0, To: 65535, Owner: keys.Holder{Incarnation: model.Incarnation{ID: id}}}
-	if prior {
-		r.Prior = []keys.Holder{{}}
-	}
-	return &keys.Page{Ranges: []keys.Range{r}}
-}
-
 func TestDoByKey(t *testing.T) {
 	runOnVirtualClock(t, "waits until the key has an owner and sends only to that owner", func(t *testing.T) {
 		f := newFixture(t, true)
@@ -169,8 +157,7 @@
 		f.service.Page = page("owner", true)
 		f.publish()
 		time.AfterFunc(30*time.Millisecond, func() {
-			f.service.Page = page("owner", false)
-			f.publish()
+			f.divideByKey("owner")
 		})
 		f.Expect(f.do(time.Second).Verdict).To(Equal(verdict.Answered))
 		f.Expect(owner.Load()).To(Equal(int64(1)))
@@ -190,15 +177,10 @@
 
 	runOnVirtualClock(t, "waits longer for a handover whose end is known", func(t *testing.T) {
 		f := newFixture(t, false)
-		f.service.Partitioned = true
 		owner := f.add("owner", respond)
-		f.service.Page = page("owner", true)
-		f.service.HandoverSince = map[uint64]time.Duration{0: f.clock()}
-		f.service.MaxHandover, f.service.MaxWaiting = time.Second, 1
-		f.publish()
+		f.beginHandover(time.Second, 1)
 		time.AfterFunc(400*time.Millisecond, func() {
-			f.service.Page = page("owner", false)
-			f.publish()
+			f.divideByKey("owner")
 		})
 		f.Expect(f.do(2 * time.Second).Verdict).To(Equal(verdict.Answered))
 		f.Expect(owner.Load()).To(Equal(int64(1)))
@@ -206,12 +188,8 @@
 
 	runOnVirtualClock(t, "refuses at once what can't wait for the end of a handover", func(t *testing.T) {
 		f := newFixture(t, false)
-		f.service.Partitioned = true
 		f.add("owner", respond)
-		f.service.Page = page("owner", true)
-		f.service.HandoverSince = map[uint64]time.Duration{0: f.clock()}
-		f.service.MaxHandover, f.service.MaxWaiting = time.Second, 1
-		f.publish()
+		f.beginHandover(time.Second, 1)
 		start := time.Now()
 		f.Expect(f.do(900 * time.Millisecond).Code).To(Equal(verdict.CodeNoOwner))
 		f.Expect(time.Since(start)).To(Equal(70*time.Millisecond), "as if nothing was known")
@@ -219,15 +197,10 @@
 
 	runOnVirtualClock(t, "lets only as many requests wait as the next owner can run", func(t *testing.T) {
 		f := newFixture(t, false)
-		f.service.Partitioned = true
 		f.add("owner", respond)
-		f.service.Page = page("owner", true)
-		f.service.HandoverSince = map[uint64]time.Duration{0: f.clock()}
-		f.service.MaxHandover, f.service.MaxWaiting = time.Second, 2
-		f.publish()
+		f.beginHandover(time.Second, 2)
 		time.AfterFunc(500*time.Millisecond, func() {
-			f.service.Page = page("owner", false)
-			f.publish()
+			f.divideByKey("owner")
 		})
 		results := make(chan dispatch.Result, 6)
 		for range cap(results) {
@@ -256,8 +229,7 @@
 			}
 			respond(w, r)
 		})
-		f.service.Page = page("owner", false)
-		f.publish()
+		f.divideByKey("owner")
 		f.Expect(f.do(time.Second).Verdict).To(Equal(verdict.Answered))
 		f.Expect(owner.Load()).To(Equal(int64(2)))
 
--- a/gateway/dispatch/fixture_test.go
+++ b/gateway/dispatch/fixture_test.go
@@ -17,6 +17,7 @@
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/budget"
 	"guavacrank.example/gateway/dispatch"
+	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/gateway/shutdown"
@@ -152,3 +153,30 @@
 func dropConnection(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
 func block(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+// page returns a page on which a server owns all keys, after a prior owner if prior is
+// set.
+func page(id string, prior bool) *keys.Page {
+	r := keys.Range{From: 0, To: 65535, Owner: keys.Holder{Incarnation: model.Incarnation{ID: id}}}
+	if prior {
+		r.Prior = []keys.Holder{{}}
+	}
+	return &keys.Page{Ranges: []keys.Range{r}}
+}
+
+// divideByKey makes a server the owner of all keys.
+func (f *fixture) divideByKey(owner string) {
+	f.service.Partitioned = true
+	f.service.Page = page(owner, false)
+	f.publish()
+}
+
+// beginHandover begins to hand all keys over to the server "owner", for which so many
+// requests may wait.
+func (f *fixture) beginHandover(longest time.Duration, waiting int) {
+	f.service.Partitioned = true
+	f.service.Page = page("owner", true)
+	f.service.HandoverSince = map[uint64]time.Duration{0: f.clock()}
+	f.service.MaxHandover, f.service.MaxWaiting = longest, waiting
+	f.publish()
+}
--- a/gateway/dispatch/limit_test.go
+++ b/gateway/dispatch/limit_test.go
@@ -8,8 +8,6 @@
 
 	. "github.com/onsi/gomega"
 
-	"guavacrank.example/gateway/keys"
-	"guavacrank.example/gateway/model"
 	"guavacrank.example/traffic/verdict"
 )
 
@@ -23,9 +21,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, true)
 		requests := f.add("a", respondLimited)
-		f.service.Partitioned = true
-		f.service.Page = &keys.Page{Ranges: []keys.Range{{From: 0, To: model.Keys - 1, Owner: keys.Holder{Incarnation: model.Incarnation{ID: "a"}}}}}
-		f.publish()
+		f.divideByKey("a")
 		f.Expect(f.do(time.Second).Verdict).To(Equal(verdict.Answered))
 		begin := time.Now()
 		for range 20 {
--- a/gateway/dispatch/stop_test.go
+++ b/gateway/dispatch/stop_test.go
@@ -67,8 +67,7 @@
 		f.service.Partitioned = true
 		f.route.LatencyObjective = 10 * time.Second
 		owner := f.add("owner", respond)
-		f.service.Page = page("owner", false)
-		f.publish()
+		f.divideByKey("owner")
 		for range 5 {
 			f.Expect(f.do(5 * time.Second).Verdict).To(Equal(verdict.Answered))
 		}
@@ -78,8 +77,7 @@
 		f.beginStop(2 * time.Second)
 		time.AfterFunc(time.Second, f.dispatcher.EndWaits)
 		time.AfterFunc(1500*time.Millisecond, func() {
-			f.service.Page = page("owner", false)
-			f.publish()
+			f.divideByKey("owner")
 		})
 		start := time.Now()
 		f.expectNotSent(f.do(5 * time.Second))
@@ -141,12 +139,8 @@
 func TestStoppingEndsWaits(t *testing.T) {
 	runOnVirtualClock(t, "refuses what waits for a handover when this VM stops", func(t *testing.T) {
 		f := newFixture(t, false)
-		f.service.Partitioned = true
 		f.add("owner", respond)
-		f.service.Page = page("owner", true)
-		f.service.HandoverSince = map[uint64]time.Duration{0: f.clock()}
-		f.service.MaxHandover, f.service.MaxWaiting = 3*time.Second, 1
-		f.publish()
+		f.beginHandover(3*time.Second, 1)
 		time.AfterFunc(200*time.Millisecond, f.dispatcher.EndWaits)
 		start := time.Now()
 		result := f.do(5 * time.Second)
