gateway/front: tests serve raw connections in one way

Cause: two raw servers listened and accepted with the same 15 lines (duplicates: target_test.go ~ wire_test.go). Change: serveConnections serves both.

--- a/gateway/front/target_test.go
+++ b/gateway/front/target_test.go
@@ -35,22 +35,8 @@
 }
 
 func newWire(t testing.TB) *wire {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
 	w := &wire{lines: make(chan [2]string, 1)}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return // The test has ended.
-			}
-			go w.serve(conn)
-		}
-	}()
-	_, w.address = serveCallersFrom(t, rawTimeout, listener.Addr().String())
+	_, w.address = serveCallersFrom(t, rawTimeout, serveConnections(t, w.serve))
 	t.Cleanup(func() {
 		if w.caller != nil {
 			_ = w.caller.Close()
@@ -213,3 +199,23 @@
 		w.check(t, target)
 	})
 }
+
+// serveConnections listens until the end of the test, serves each connection and returns
+// the address.
+func serveConnections(t testing.TB, serve func(net.Conn)) string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return // The test has ended.
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
--- a/gateway/front/wire_test.go
+++ b/gateway/front/wire_test.go
@@ -44,22 +44,8 @@
 }
 
 func newByteWire(t testing.TB) *byteWire {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
 	w := &byteWire{answer: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return // The test has ended.
-			}
-			go w.serve(conn)
-		}
-	}()
-	_, w.address = serveCallersFrom(t, rawTimeout, listener.Addr().String())
+	_, w.address = serveCallersFrom(t, rawTimeout, serveConnections(t, w.serve))
 	return w
 }
 
