--- a/gateway/keys/simulation_calls_test.go
+++ b/gateway/keys/simulation_calls_test.go
@@ -220,9 +220,10 @@
 }
 
 // applyLate has a server apply a grant long after it arrived, whatever fences it
-// has seen since: the platform does not promise that it checks them again.
+// has seen since: the platform does not promise that it checks them again. One that names
+// another server is refused.
 func (sim *simulation) applyLate(server *fakeServer, call keys.GrantCall, arrived time.Duration) {
-	if server.up {
+	if server.up && server.ID == call.Server {
 		server.addRange(call, arrived)
 	}
 }
@@ -246,15 +247,21 @@
 		sim.after(releaseTimeout, func() { m.StepReleased(sim.now, call, keys.ReleaseUnanswered, "") })
 		return
 	}
-	delay := sim.networkDelay()
+	delay, responseTime := sim.networkDelay(), sim.networkDelay()+time.Duration(sim.random.Int64N(int64(sim.maxReleaseTime)))
 	if sim.heldUpReleases {
 		delay += heldUpTime
 	}
+	answered := delay+responseTime <= call.Timeout
+	if !answered {
+		sim.after(call.Timeout, func() { m.StepReleased(sim.now, call, keys.ReleaseUnanswered, "") })
+	}
 	sim.after(delay, func() {
 		sim.applyRelease(server, call)
-		sim.after(sim.networkDelay()+time.Duration(sim.random.Int64N(int64(sim.maxReleaseTime))), func() {
-			m.StepReleased(sim.now, call, keys.Released, fmt.Sprintf("h-%d-%d", call.From, call.Fence))
-		})
+		if answered {
+			sim.after(responseTime, func() {
+				m.StepReleased(sim.now, call, keys.Released, fmt.Sprintf("h-%d-%d", call.From, call.Fence))
+			})
+		}
 	})
 }
 
--- a/gateway/keys/system_fencing.go
+++ b/gateway/keys/system_fencing.go
@@ -17,7 +17,8 @@
 	// fencingTimeout is the timeout of calls to a server that may be cut off. It is short, so
 	// that the server hears of the fence soon after the network lets it.
 	fencingTimeout = 200 * time.Millisecond
-	// eagerFencingTime is for how long fencing calls follow one another without a pause.
+	// eagerFencingTime is for how long fencing calls follow one another without a pause and
+	// time out that soon. Later ones have the timeout of a grant.
 	eagerFencingTime = 20 * time.Second
 	// fencingPause is the pause between two calls after that, and after one that was
 	// refused: the process has probably ended.
@@ -36,7 +37,8 @@
 	done     bool
 }
 
-// fenced reports whether an entry of Page.Unfenced has ended.
+// fenced reports whether an entry of Page.Unfenced has ended. A record of another server at
+// the address does not prove that; such a server answers the call.
 func (m *Machine) fenced(keys UnfencedKeys) bool {
 	row := m.fencing[keys]
 	if row == nil {
@@ -78,7 +80,7 @@
 	if row := m.row(prior.Incarnation); !row.unresponsive && !row.releaseFailed {
 		return false
 	}
-	if m.page.hasOwner(prior.Incarnation) || m.writing != nil && m.writing.hasOwner(prior.Incarnation) {
+	if m.page.hasOwner(prior.endpoint()) || m.writing != nil && m.writing.hasOwner(prior.endpoint()) {
 		return false
 	}
 	all := UnfencedKeys{prior.Incarnation, prior.Address, 0, model.Keys - 1}
@@ -88,10 +90,10 @@
 	return true
 }
 
-// beingFenced reports whether a server gets fencing calls.
-func (m *Machine) beingFenced(server model.Incarnation) bool {
+// beingFenced reports whether a server gets fencing calls, in any of its lives at the address.
+func (m *Machine) beingFenced(server endpoint) bool {
 	for keys := range m.fencing {
-		if keys.Incarnation == server {
+		if keys.endpoint() == server {
 			return true
 		}
 	}
@@ -100,9 +102,9 @@
 
 // fencingInFlight reports whether a fencing call to a server is in flight. It could take
 // away a grant that is sent meanwhile.
-func (m *Machine) fencingInFlight(server model.Incarnation) bool {
+func (m *Machine) fencingInFlight(server endpoint) bool {
 	for keys, row := range m.fencing {
-		if keys.Incarnation == server && row.inFlight {
+		if keys.endpoint() == server && row.inFlight {
 			return true
 		}
 	}
@@ -116,7 +118,8 @@
 		for _, prior := range r.Prior {
 			if prior.Incarnation == keys.Incarnation && prior != unknownHolder && keys.From <= r.From && r.To <= keys.To {
 				key := holderKey{r.From, r.To, prior.Incarnation, prior.Fence}
-				m.released[key] = releaseResult{done: true, ended: ended}
+				handover := m.released[key].handover
+				m.released[key] = releaseResult{done: true, handover: handover, ended: ended}
 			}
 		}
 	}
@@ -133,6 +136,9 @@
 		row.first = fence
 	}
 	call := ReleaseCall{Incarnation: keys.Incarnation, Address: keys.Address, Fencing: true, Timeout: fencingTimeout}
+	if m.now >= row.since+eagerFencingTime {
+		call.Timeout = CallTimeout
+	}
 	call.From, call.To, call.Fence, call.Server, call.Held = keys.From, keys.To, fence, keys.ID, row.first
 	m.sentReleases = append(m.sentReleases, sentRelease{call: call})
 	m.ready.Releases = append(m.ready.Releases, call)
@@ -153,11 +159,11 @@
 		row.done = true
 		m.noteReleased(keys, false)
 		m.row(keys.Incarnation).releaseFailed = false
+	case outcome == HolderEnded && m.now < m.predecessorBound():
+		row.dueAt = m.now + probeInterval // A later life may still get a grant.
 	case outcome == HolderEnded:
 		row.done = true
-		if m.now >= m.predecessorBound() {
-			m.noteReleased(keys, true) // Before, a later life may still get a grant.
-		}
+		m.noteReleased(keys, true)
 	case outcome == ReleaseNoListener || m.now >= row.since+eagerFencingTime:
 		row.dueAt = m.now + fencingPause
 	}
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -120,7 +120,7 @@
 // when its server has accepted newer ones. It is computed on use because the end of earlier
 // leaders may become known later.
 func (m *Machine) latestArrival(row *serverRow, own time.Duration) time.Duration {
-	return max(m.adjustArrival(row, own), m.adjustArrival(row, m.predecessorBound()))
+	return max(m.adjustArrival(row, own), m.predecessorArrival(row))
 }
 
 // latestUnanswered returns the latest time at which an unanswered grant may have
@@ -161,7 +161,7 @@
 	arrived, late := m.latestArrival(row, bound.latestArrival), m.latestArrival(row, bound.latestUnanswered)
 	result, released := m.released[key]
 	switch {
-	case result.ended && m.now >= m.predecessorBound():
+	case result.ended && m.now >= m.predecessorArrival(row):
 		return endedByProof, ""
 	case released && (late == 0 || m.now >= late+m.maxGrantLifetime()):
 		return endedByProof, result.handover
@@ -219,7 +219,9 @@
 	if _, releasing := m.releasing[key]; releasing || len(m.bounds[key].pending) > 0 || m.released[key].done || m.now < m.retryReleaseAt[key] {
 		return
 	}
-	if end, _ := m.priorEnded(r, prior); end == endedByProof || m.fenceCutOff(prior) {
+	end, _ := m.priorEnded(r, prior)
+	ownsAgain := end == endedByExpiry && prior.endpoint() == r.Owner.endpoint()
+	if end == endedByProof || ownsAgain || m.fenceCutOff(prior) {
 		return
 	}
 	fence, ok := m.takeFence() // The server refuses grants that were sent before, if they arrive later.
--- a/gateway/leader/fake_store_test.go
+++ b/gateway/leader/fake_store_test.go
@@ -88,6 +88,13 @@
 	return kvstore.Position{Era: f.era, Version: f.version}, nil
 }
 
+// position returns the store's position.
+func (f *fakeStore) position() kvstore.Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return kvstore.Position{Era: f.era, Version: f.revision}
+}
+
 // notify tells the watch the key's value.
 func (f *fakeStore) notify() {
 	f.mu.Lock()
@@ -169,8 +176,9 @@
 	var campaigns []*leader.Campaign
 	var stops []context.CancelFunc
 	store.watch = func(value []byte) {
+		at := store.position()
 		for _, c := range campaigns {
-			c.Observe(value, kvstore.Position{Era: store.era, Version: store.revision})
+			c.Observe(value, at)
 		}
 	}
 	for i := range count {
