--- a/gateway/keys/fingerprint.go
+++ b/gateway/keys/fingerprint.go
@@ -68,8 +68,14 @@
 	for _, from := range slices.Sorted(maps.Keys(m.changing)) {
 		e.Word(uint64(from))
 	}
-	m.lostGrants.grants.encode(e)
-	e.Time(m.lostGrants.arrival, m.relevance())
+	m.lostGrants.AddTo(e, m.relevance())
+}
+
+// AddTo adds the bound to an encoder. relevance is how long after the arrival it has an
+// effect.
+func (b LostGrantsBound) AddTo(e *StateEncoder, relevance time.Duration) {
+	b.grants.encode(e)
+	e.Time(b.arrival, relevance)
 }
 
 // AddTo adds a page, or nil, to an encoder.
--- a/gateway/keys/state_encoder.go
+++ b/gateway/keys/state_encoder.go
@@ -162,3 +162,6 @@
 	}
 	e.Int(at + 1)
 }
+
+// Now returns the present of the state.
+func (e *StateEncoder) Now() time.Duration { return e.now }
