gateway/explore: mutations of the decision code; guavacrankctl explore

Cause: a search that finds nothing shows nothing unless it can fail. Change: mutations as edits of copies that a build uses in place of the files, so that the code has no switch; a command with bounds as flags.

--- a/cmd/internal/command/table.go
+++ b/cmd/internal/command/table.go
@@ -19,6 +19,7 @@
 		eventsCommand(),
 		traceCommand(),
 		soakCommand(),
+		exploreCommand(),
 		benchCommand(),
 		demoCommand(),
 		standinCommand(),
--- /dev/null
+++ b/gateway/explore/mutation_list_test.go
@@ -0,0 +1,56 @@
+package explore_test
+
+// edit replaces a text that occurs once in a file of gateway/keys.
+type edit struct{ file, old, new string }
+
+// mutation takes a mending out of the product's decision code. The edits are applied to a
+// copy, which a build uses in place of the file: the code itself has no switch.
+type mutation struct {
+	name  string
+	edits []edit
+}
+
+// mutations are the mendings of docs/incidents and the rules of gateway/keys/doc.go.
+var mutations = []mutation{
+	{"prior holders are not waited for", []edit{{"system_prior.go", "if !ended {\n\t\t\treturn \"\", false", "if !ended && r.Size() == 0 {\n\t\t\treturn \"\", false"}}},
+	{"a fence goes over several connections", []edit{
+		{"grants.go", "if g.fence != 0 && !g.spent {", "if g.fence != 0 {"},
+		{"system_renewal.go", "call.Server, call.Connection = r.Owner.ID, grant.connection", "call.Server, call.Connection = r.Owner.ID, 0"},
+	}},
+	{"earlier leaders are not waited for", []edit{{"predecessors.go", "if len(m.predecessors.active) > 0 {\n\t\treturn m.leadingSince", "if m.now >= 0 {\n\t\treturn 0\n\t}\n\tif len(m.predecessors.active) > 0 {\n\t\treturn m.leadingSince"}}},
+	{"the page does not name earlier leaders", []edit{{"system_draft.go", "if !slices.Equal(b.page.Predecessors, b.predecessors.active) {", "if false {"}}},
+	{"late unanswered grants end with a release", []edit{{"system_prior.go", "return late == 0 || m.now >= late+m.maxGrantLifetime(), result.handover", "return late >= 0, result.handover"}}},
+	{"a release is sent while a grant is in flight", []edit{
+		{"system_prior.go", "releasing || len(m.bounds[key].pending) > 0 ||", "releasing ||"},
+		{"system_prior.go", "if len(bound.pending) > 0 {\n\t\treturn false, \"\"\n\t}", ""},
+	}},
+	{"grants that timed out are not in transit", []edit{{"zones.go", "transitTime = 700 * time.Millisecond", "transitTime = 0 * time.Millisecond"}}},
+	{"the clocks of servers are right", []edit{{"machine.go", "clockDriftPercent = 2", "clockDriftPercent = 0"}}},
+	{"no margin for expiry", []edit{{"machine.go", "expiryMargin = 100 * time.Millisecond", "expiryMargin = 0 * time.Millisecond"}}},
+	{"a leader forgets its late calls when it leads again", []edit{
+		{"predecessors.go", "m.predecessors.endedBy = max(m.predecessors.endedBy, m.ownCallsEnd()) // This machine may have led before.", ""},
+		{"system_prior.go", "m.bounds[holderKey{r.From, r.To, prior.Incarnation, prior.Fence}] = m.boundOf(prior)", "_ = at"},
+	}},
+	{"only another leader's end counts when it leads again", []edit{{"predecessors.go", "m.predecessors.endedBy = max(m.predecessors.endedBy, m.ownCallsEnd()) // This machine may have led before.", ""}}},
+	{"read prior holders get no bound", []edit{{"system_prior.go", "m.bounds[holderKey{r.From, r.To, prior.Incarnation, prior.Fence}] = m.boundOf(prior)", "_ = at"}}},
+	{"an era begins with the fences of the earlier one", []edit{{"restoration.go", "return uint64(min(era, maxFenceEra)) << fenceBitsPerEra", "return 0"}}},
+	{"a restored page is taken without consultation", []edit{{"restoration.go", "return !m.consulted && m.era > 0 && (stored == nil || stored.Era < m.era)", "return false"}}},
+	{"holders by lost pages are not waited for", []edit{{"restoration.go", "if b.settlement == settled {\n\t\treturn\n\t}\n\tfor at", "if b.settlement >= settled {\n\t\treturn\n\t}\n\tfor at"}}},
+	{"another server's refusal counts while earlier leaders go on", []edit{
+		{"step.go", "if now < m.predecessorBound() {", "if false {"},
+		{"system_prior.go", "&& m.now >= m.predecessorBound()", ""},
+	}},
+	{"a later life at the same address ends a hold", []edit{{"system_prior.go", "return successor.replaces(holder) && successor.Address != holder.Address", "return successor.replaces(holder)"}}},
+	{"any later life listed at the address ends a hold", []edit{{"system_prior.go", "return successor.replaces(holder) && successor.Address != holder.Address", "return m.replaced(holder)"}}},
+	{"a new leader keeps the fences", []edit{{"system_draft.go", "b.page.Ranges[at].Owner.Fence = fence", "_ = fence"}}},
+	{"a new leader takes fences that the earlier one may have taken", []edit{{"fences.go", "m.lastFence = max(m.lastFence, m.page.Fence)", "m.lastFence = max(m.lastFence, m.page.Ranges[0].Owner.Fence)"}}},
+	{"keys are renewed while they are being moved", []edit{{"system_renewal.go", "if m.writing == nil || !m.changing[r.From] {", "if true {"}}},
+	{"a prior holder is released with the fence of its first grant", []edit{{"system_draft.go", "prior.Fence = b.sentFence(old)", ""}}},
+	{"read prior holders keep the fence that was read", []edit{{"system_prior.go", "prior.Fence = max(prior.Fence, m.fenceOf(before, prior.Incarnation))", ""}}},
+	{"a write without an answer counts as refused", []edit{{"step.go", "m.writeUnknown, m.pageKnown = true, false\n\t\tm.retryStoreAt", "m.writing = nil\n\t\tm.retryStoreAt"}}},
+	{"a later life gets the keys with the earlier one's fence", []edit{{"system_draft.go", "r.Owner = b.holder(later)", "fence := r.Owner.Fence\n\tr.Owner = b.holder(later)\n\tr.Owner.Fence = fence"}}},
+	{"unconfirmed servers are granted keys", []edit{{"system_renewal.go", "return !row.unconfirmed && (row.listed", "return (row.listed"}}},
+	{"reads of an earlier era count", []edit{{"step.go", "if !m.leading || position.Era != m.era {", "if !m.leading {"}}},
+	{"a read counts while a write is under way", []edit{{"step.go", "if m.writing != nil && !m.writeUnknown {\n\t\treturn\n\t}", ""}}},
+	{"the reserve of fences is not kept", []edit{{"fences.go", "if m.page == nil || m.lastFence >= m.page.Fence {", "if m.page == nil {"}}},
+}
--- /dev/null
+++ b/gateway/explore/mutation_test.go
@@ -0,0 +1,139 @@
+package explore_test
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/gateway/explore"
+)
+
+var (
+	findFaults    = flag.Int("find", -1, "search with up to this number of faults, print the result and end")
+	findTime      = flag.Duration("find-time", 5*time.Minute, "longest time of each search")
+	allMutations  = flag.Bool("mutations", false, "search for all mutations and print a table")
+	mutationNamed = flag.String("mutation", "", "search only for mutations whose name contains this")
+)
+
+// found is what a search reports to the test that started it.
+type found struct {
+	explore.Result
+	Text string `json:"text"`
+}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if *findFaults < 0 {
+		os.Exit(m.Run())
+	}
+	bounds := explore.DefaultBounds()
+	bounds.Faults, bounds.Time, bounds.States, bounds.MemoryBytes = *findFaults, *findTime, 1<<30, 4<<30
+	result, err := explore.Explore(context.Background(), bounds, nil)
+	text := &strings.Builder{}
+	if err == nil && result.Schedule != nil {
+		err = result.Schedule.Write(text)
+	}
+	if err == nil {
+		err = json.NewEncoder(os.Stdout).Encode(found{result, text.String()})
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(0)
+}
+
+// keysFolder is where gateway/keys is.
+const keysFolder = "../keys"
+
+// apply returns a mutated copy of each file that a mutation edits.
+func (m mutation) apply(g *WithT) map[string]string {
+	files := make(map[string]string)
+	for _, e := range m.edits {
+		source, known := files[e.file]
+		if !known {
+			content, err := os.ReadFile(filepath.Join(keysFolder, e.file))
+			g.Expect(err).NotTo(HaveOccurred())
+			source = string(content)
+		}
+		g.Expect(strings.Count(source, e.old)).To(Equal(1), "%s: %s: %q", m.name, e.file, e.old)
+		files[e.file] = strings.Replace(source, e.old, e.new, 1)
+	}
+	return files
+}
+
+// overlay writes the mutated files and returns the file that tells a build of them.
+func (m mutation) overlay(g *WithT, folder string) string {
+	replace := make(map[string]string)
+	for name, source := range m.apply(g) {
+		original, err := filepath.Abs(filepath.Join(keysFolder, name))
+		g.Expect(err).NotTo(HaveOccurred())
+		replace[original] = filepath.Join(folder, name)
+		g.Expect(os.WriteFile(replace[original], []byte(source), 0o600)).To(Succeed())
+	}
+	content, err := json.Marshal(map[string]any{"Replace": replace})
+	g.Expect(err).NotTo(HaveOccurred())
+	file := filepath.Join(folder, "overlay.json")
+	g.Expect(os.WriteFile(file, content, 0o600)).To(Succeed())
+	return file
+}
+
+// search builds this package with the mutation and searches with up to a number of faults.
+func (m mutation) search(t *testing.T, faults int) found {
+	g, folder := NewWithT(t), t.TempDir()
+	binary := filepath.Join(folder, "explore.test")
+	output, err := exec.Command("go", "test", "-c", "-overlay", m.overlay(g, folder), "-o", binary, ".").CombinedOutput()
+	g.Expect(err).NotTo(HaveOccurred(), string(output))
+	output, err = exec.Command(binary, fmt.Sprint("-find=", faults), fmt.Sprint("-find-time=", *findTime)).Output()
+	g.Expect(err).NotTo(HaveOccurred(), string(output))
+	var result found
+	g.Expect(json.Unmarshal(output, &result)).To(Succeed())
+	return result
+}
+
+// TestMutationsApply fails when a mending has moved, so that its mutation has to follow.
+func TestMutationsApply(t *testing.T) {
+	g := NewWithT(t)
+	for _, m := range mutations {
+		g.Expect(m.apply(g)).NotTo(BeEmpty())
+	}
+}
+
+// TestFindsAMutation shows that a search can fail.
+func TestFindsAMutation(t *testing.T) {
+	g := NewWithT(t)
+	result := mutations[0].search(t, 1)
+	g.Expect(result.Verdict).To(Equal(explore.Broken))
+	g.Expect(result.Violation.Rule).To(Equal(explore.Holders))
+}
+
+// TestFindsMutations prints the table of docs/design/exploration.md. It takes hours at the
+// most, and only runs when -mutations asks for it.
+func TestFindsMutations(t *testing.T) {
+	if !*allMutations {
+		return
+	}
+	for _, m := range mutations {
+		if !strings.Contains(m.name, *mutationNamed) {
+			continue
+		}
+		r := m.search(t, 2)
+		rule := "not found"
+		if r.Violation != nil {
+			rule = fmt.Sprintf("%s, %d faults", r.Violation.Rule, r.Faults)
+		}
+		fmt.Printf("| %s | %s | %d | %.1f |\n", m.name, rule, r.States, r.Seconds)
+		if *mutationNamed != "" {
+			fmt.Println(r.Text)
+		}
+	}
+}
