--- a/gateway/explore/mutation_test.go
+++ b/gateway/explore/mutation_test.go
@@ -28,12 +28,6 @@
 // releases is broken by testdata/known.
 var heldRules = []explore.Rule{explore.Holders, explore.Fences, explore.Lives, explore.Work, explore.Owned}
 
-// found is what a search reports to the test that started it.
-type found struct {
-	explore.Result
-	Text string `json:"text"`
-}
-
 func TestMain(m *testing.M) {
 	flag.Parse()
 	if *findFaults < 0 {
@@ -43,12 +37,8 @@
 	bounds.Faults, bounds.Time, bounds.States, bounds.MemoryBytes = *findFaults, *findTime, 1<<30, 4<<30
 	bounds.Rules = heldRules
 	result, err := explore.Explore(context.Background(), bounds, nil)
-	text := &strings.Builder{}
-	if err == nil && result.Schedule != nil {
-		err = result.Schedule.Write(text)
-	}
 	if err == nil {
-		err = json.NewEncoder(os.Stdout).Encode(found{result, text.String()})
+		err = json.NewEncoder(os.Stdout).Encode(result)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -93,14 +83,14 @@
 }
 
 // search builds this package with the mutation and searches with up to a number of faults.
-func (m mutation) search(t *testing.T, faults int) found {
+func (m mutation) search(t *testing.T, faults int) explore.Result {
 	g, folder := NewWithT(t), t.TempDir()
 	binary := filepath.Join(folder, "explore.test")
 	output, err := exec.Command("go", "test", "-c", "-overlay", m.overlay(g, folder), "-o", binary, ".").CombinedOutput()
 	g.Expect(err).NotTo(HaveOccurred(), string(output))
 	output, err = exec.Command(binary, fmt.Sprint("-find=", faults), fmt.Sprint("-find-time=", *findTime)).Output()
 	g.Expect(err).NotTo(HaveOccurred(), string(output))
-	var result found
+	var result explore.Result
 	g.Expect(json.Unmarshal(output, &result)).To(Succeed())
 	return result
 }
@@ -138,7 +128,7 @@
 		}
 		fmt.Printf("| %s | %s | %d | %.1f |\n", m.name, rule, r.States, r.Seconds)
 		if *mutationNamed != "" {
-			fmt.Println(r.Text)
+			fmt.Println(text(NewWithT(t), r.Schedule))
 		}
 	}
 }
--- a/gateway/explore/schedule.go
+++ b/gateway/explore/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"slices"
@@ -76,6 +77,22 @@
 	return err
 }
 
+// MarshalText returns the schedule as Write writes it.
+func (s *Schedule) MarshalText() ([]byte, error) {
+	text := &bytes.Buffer{}
+	err := s.Write(text)
+	return text.Bytes(), err
+}
+
+// UnmarshalText reads what MarshalText returned.
+func (s *Schedule) UnmarshalText(text []byte) error {
+	read, err := Read(bytes.NewReader(text))
+	if err == nil {
+		*s = *read
+	}
+	return err
+}
+
 // Play plays the schedule. It returns the rule that is broken, or nil.
 func (s *Schedule) Play() (*Violation, error) { return s.play(nil, nil) }
 
--- a/gateway/explore/search.go
+++ b/gateway/explore/search.go
@@ -48,7 +48,7 @@
 	Seconds   float64    `json:"seconds"`
 	StepsRate float64    `json:"steps_per_second"`
 	Violation *Violation `json:"violation,omitempty"`
-	Schedule  *Schedule  `json:"-"`
+	Schedule  *Schedule  `json:"schedule,omitempty"`
 }
 
 // Progress is told now and then how far a search has come.
