gateway/explore: outages of the store

Cause: a leader decides otherwise while the store is away, and writes of that time may be executed late; the world had no outage. Change: an outage begins as a fault and ends at any later event.

--- a/gateway/explore/answer.go
+++ b/gateway/explore/answer.go
@@ -24,10 +24,8 @@
 		}
 	case probeCall:
 		w.answerProbe(&c)
-	case readCall:
-		w.readPage(&c)
-	case writeCall:
-		w.writePage(&c)
+	case readCall, writeCall:
+		w.callStore(&c)
 	case yieldCall:
 		w.yield(&c)
 	case consultCall:
--- a/gateway/explore/apply.go
+++ b/gateway/explore/apply.go
@@ -23,12 +23,16 @@
 		w.usual()
 	case e.action < thaw:
 		w.applyToCall(e)
+	case e.action == storeReturns:
+		w.endOutage()
 	case e.action < restartSame:
 		w.endIsolation(e)
 	case e.action < kill:
 		w.applyToServer(e)
 	case e.action < restore:
 		w.applyToVM(e)
+	case e.action == outage:
+		w.startOutage()
 	default:
 		w.restoreStore(int(e.subject))
 	}
--- a/gateway/explore/clock.go
+++ b/gateway/explore/clock.go
@@ -73,9 +73,12 @@
 
 // announceServers tells the leaders that the list of servers has changed.
 func (w *world) announceServers() {
+	if w.storeAway {
+		return
+	}
 	list := w.list()
 	for at := range w.vms {
-		if v := &w.vms[at]; v.reachesStore() && v.machine.Leading() {
+		if v := &w.vms[at]; v.reachable() && v.machine.Leading() {
 			w.machine(at).StepServers(w.now, list, true)
 		}
 	}
--- a/gateway/explore/event.go
+++ b/gateway/explore/event.go
@@ -26,6 +26,7 @@
 	answer
 	thaw
 	heal
+	storeReturns
 	// Faults of servers.
 	restartSame
 	restartSameUnlisted
@@ -43,19 +44,20 @@
 	resign
 	leadAgain
 	restore
+	outage
 	actions
 )
 
 // actionNames are the names of actions in a schedule.
 var actionNames = [actions]string{
 	"usual", "lose", "lose-answer", "hold-up", "take-late", "hold-answer", "start-late", "refuse", "end-connection",
-	"start", "arrive", "answer", "thaw", "heal",
+	"start", "arrive", "answer", "thaw", "heal", "store-returns",
 	"restart", "restart-unlisted", "restart-as-other", "restart-as-other-unlisted", "end", "end-dark", "drain", "unlist",
-	"kill", "lose-vm", "freeze", "cut-off", "resign", "lead-again", "restore",
+	"kill", "lose-vm", "freeze", "cut-off", "resign", "lead-again", "restore", "outage",
 }
 
 // free reports whether an action has no price.
-func (a action) free() bool { return a == usual || a >= start && a <= heal }
+func (a action) free() bool { return a == usual || a >= start && a <= storeReturns }
 
 // Event is what happens next in a world.
 type Event struct {
@@ -114,9 +116,14 @@
 	case probeCall:
 		add(lose, refuse)
 	case readCall:
-		add(lose, holdAnswer)
+		if !w.storeAway {
+			add(lose, holdAnswer)
+		}
 	case writeCall:
-		add(lose, loseAnswer, takeLate)
+		if !w.storeAway {
+			add(lose, loseAnswer)
+		}
+		add(takeLate)
 	case yieldCall:
 		add(startLate)
 	}
@@ -155,6 +162,9 @@
 			found = append(found, Event{heal, uint64(at)})
 		}
 	}
+	if w.storeAway {
+		found = append(found, Event{storeReturns, 0})
+	}
 	return found
 }
 
@@ -206,12 +216,12 @@
 
 func (w *world) vmFaults(found []Event) []Event {
 	at := w.elected
-	if w.electionAt != 0 || !w.vms[at].reachesStore() || !w.vms[at].machine.Leading() {
+	if w.electionAt != 0 || !w.vms[at].reachable() || !w.vms[at].machine.Leading() {
 		return found
 	}
-	others := slices.ContainsFunc(w.vms, func(v vm) bool { return v.name != w.vms[at].name && v.reachesStore() })
+	others := slices.ContainsFunc(w.vms, func(v vm) bool { return v.name != w.vms[at].name && v.reachable() })
 	for a := kill; a <= leadAgain; a++ {
-		if a == kill || a == leadAgain || others {
+		if (a == kill || a == leadAgain || others) && !(w.storeAway && a >= cutOff) {
 			found = append(found, Event{a, uint64(at)})
 		}
 	}
@@ -219,6 +229,10 @@
 }
 
 func (w *world) storeFaults(found []Event) []Event {
+	if w.storeAway {
+		return found
+	}
+	found = append(found, Event{outage, 0})
 	for back := range maxStepsBack {
 		if copied := w.store.copies[back]; copied.page != nil {
 			found = append(found, Event{restore, uint64(back)})
--- a/gateway/explore/fair.go
+++ b/gateway/explore/fair.go
@@ -48,6 +48,9 @@
 			w.rejoin(at)
 		}
 	}
+	if w.storeAway {
+		w.endOutage()
+	}
 	for i := range w.calls {
 		if c := &w.calls[i]; c.phase == unstarted {
 			c.phase = prompt
--- a/gateway/explore/fingerprint.go
+++ b/gateway/explore/fingerprint.go
@@ -11,8 +11,9 @@
 func (w *world) fingerprint(e *keys.StateEncoder) keys.Fingerprint {
 	e.Reset(w.now)
 	for at := range w.vms {
-		w.vms[at].encode(e)
+		w.vms[at].encode(e, w.storeAway)
 	}
+	e.Bools(w.storeAway)
 	e.Int(w.elected)
 	e.Time(w.electionAt, 0)
 	e.Int(len(w.servers))
@@ -37,12 +38,12 @@
 	return e.Sum()
 }
 
-func (v *vm) encode(e *keys.StateEncoder) {
+func (v *vm) encode(e *keys.StateEncoder, storeAway bool) {
 	e.Int(v.starts)
 	e.Int(int(v.condition))
 	e.Bools(v.cut)
 	e.Time(v.startedAt, keys.CallTimeout+transitTime)
-	if v.cut || v.condition == frozen {
+	if v.cut || storeAway || v.condition == frozen {
 		e.Time(v.lastContact, predecessorTimeout)
 	}
 	e.Time(v.learnsAt, 0)
--- a/gateway/explore/store.go
+++ b/gateway/explore/store.go
@@ -49,6 +49,18 @@
 	s.era++
 }
 
+// callStore answers a call to the store, if it is there.
+func (w *world) callStore(c *call) {
+	switch {
+	case w.storeAway:
+		w.wait(c, gone)
+	case c.kind == readCall:
+		w.readPage(c)
+	default:
+		w.writePage(c)
+	}
+}
+
 // readPage answers the read of a page.
 func (w *world) readPage(c *call) {
 	w.machine(c.vm).StepRead(w.now, w.store.page, w.position())
@@ -65,6 +77,29 @@
 	w.spread(c.write.Page)
 }
 
+// startOutage begins an outage of the store.
+func (w *world) startOutage() {
+	w.note("the store is away")
+	w.storeAway = true
+	for at := range w.vms {
+		if v := &w.vms[at]; v.reachable() {
+			v.lastContact = w.now
+		}
+	}
+}
+
+// endOutage ends an outage of the store. A leader that goes on keeps its lease.
+func (w *world) endOutage() {
+	w.note("the store is back")
+	w.storeAway = false
+	for at := range w.vms {
+		w.rejoin(at)
+	}
+	if v := &w.vms[w.elected]; v.reachable() && !v.machine.Leading() && w.electionAt == 0 {
+		w.electionAt = w.now + reclaimDelay
+	}
+}
+
 // spread tells the VMs a committed page.
 func (w *world) spread(page *keys.Page) {
 	if w.known == nil || w.known.Stamp.Before(page.Stamp) {
@@ -78,7 +113,7 @@
 func (w *world) restoreStore(stepsBack int) {
 	w.formerLeader = w.vms[w.elected].self()
 	w.store.restore(w.store.copies[stepsBack])
-	if v := &w.vms[w.elected]; v.reachesStore() {
+	if v := &w.vms[w.elected]; v.reachable() {
 		w.machine(w.elected).SetRenewOnly(true)
 	}
 	w.electionAt = w.now + reclaimDelay
--- a/gateway/explore/vm.go
+++ b/gateway/explore/vm.go
@@ -36,7 +36,8 @@
 	condition condition
 	// cut says that the VM reaches neither the store nor other VMs.
 	cut bool
-	// lastContact is when it reached the store last, while it is cut off or frozen.
+	// lastContact is when it reached the store last, while it is cut off or frozen or the
+	// store is away.
 	lastContact time.Duration
 	// learnsAt is when it learns that it does not lead any more, or zero.
 	learnsAt time.Duration
@@ -67,8 +68,9 @@
 	return keys.Leader{VM: v.name, Incarnation: fmt.Sprintf("%s%d", v.name, v.starts), Address: v.name}
 }
 
-// reachesStore reports whether the VM's process runs and reaches the store and other VMs.
-func (v *vm) reachesStore() bool { return v.condition == running && !v.cut }
+// reachable reports whether the VM's process runs and reaches other VMs, and the store unless
+// that is away.
+func (v *vm) reachable() bool { return v.condition == running && !v.cut }
 
 // machine returns a VM's machine for a change.
 func (w *world) machine(at int) *keys.Machine {
@@ -91,7 +93,7 @@
 	m.StepServers(w.now, w.list(), false)
 	w.note(fmt.Sprintf("%s leads in era %d", v.name, w.store.era))
 	for other := range w.vms {
-		if former := &w.vms[other]; other != at && former.reachesStore() && former.machine.Leading() {
+		if former := &w.vms[other]; other != at && former.reachable() && former.machine.Leading() {
 			former.learnsAt = w.now + learningDelay
 		}
 	}
@@ -110,11 +112,11 @@
 func (w *world) elect() {
 	for step := range len(w.vms) {
 		at := (w.elected + 1 + step) % len(w.vms)
-		reclaims := w.vms[w.elected].machine.Leading() && w.vms[w.elected].reachesStore()
+		reclaims := w.vms[w.elected].machine.Leading() && w.vms[w.elected].reachable()
 		if reclaims {
 			at = w.elected
 		}
-		if w.vms[at].reachesStore() {
+		if w.vms[at].reachable() {
 			w.lead(at)
 			return
 		}
@@ -133,9 +135,11 @@
 	}
 }
 
-// isolate freezes a VM or cuts it off from the store.
+// isolate notes that a VM freezes or is cut off from the store.
 func (w *world) isolate(at int) {
-	w.vms[at].lastContact = w.now
+	if !w.storeAway {
+		w.vms[at].lastContact = w.now
+	}
 	if w.elected == at {
 		w.electionAt = w.now + leaseTTL
 	}
@@ -144,7 +148,7 @@
 // rejoin ends the isolation of a VM. If its lease has ended, it learns so later.
 func (w *world) rejoin(at int) {
 	v := &w.vms[at]
-	if !v.reachesStore() || !v.machine.Leading() {
+	if w.storeAway || !v.reachable() || !v.machine.Leading() {
 		return
 	}
 	m := w.machine(at)
@@ -178,7 +182,7 @@
 	for at := range w.vms {
 		happened = w.runVM(at) || happened
 	}
-	if w.electionAt != 0 && w.now >= w.electionAt {
+	if w.electionAt != 0 && w.now >= w.electionAt && !w.storeAway {
 		term := w.terms()
 		w.elect()
 		happened = happened || w.terms() != term
@@ -192,17 +196,18 @@
 	if v.condition != running || !v.machine.Leading() {
 		return false
 	}
+	away := v.cut || w.storeAway
 	switch {
-	case v.learnsAt != 0 && w.now >= v.learnsAt:
+	case v.learnsAt != 0 && w.now >= v.learnsAt && !away:
 		v.learnsAt = 0
 		w.machine(at).Stop()
 		w.note(v.name + " learns of another leader and stops")
 		return true
-	case v.cut && w.now > v.lastContact+predecessorTimeout:
+	case away && w.now > v.lastContact+predecessorTimeout:
 		w.machine(at).Stop()
 		w.note(v.name + " stops: the store was out of reach for too long")
 		return true
-	case v.cut && w.now == v.lastContact+leaseTTL+quantum:
+	case away && w.now == v.lastContact+leaseTTL+quantum:
 		w.machine(at).SetRenewOnly(true)
 	}
 	return false
@@ -232,7 +237,7 @@
 	}
 	for _, leader := range v.machine.Predecessors() {
 		target := w.vmNamed(leader.VM)
-		if target < 0 || !w.vms[target].reachesStore() || w.asks(at, leader) {
+		if target < 0 || !w.vms[target].reachable() || w.asks(at, leader) {
 			continue
 		}
 		w.add(call{kind: yieldCall, vm: at, leader: leader, server: target, term: v.term})
@@ -262,7 +267,7 @@
 // yield has an earlier leader stop and tells the later one.
 func (w *world) yield(c *call) {
 	target, sender := &w.vms[c.server], &w.vms[c.vm]
-	if !target.reachesStore() || !sender.reachesStore() || sender.term != c.term || target.machine.Leading() && target.term > c.term {
+	if !target.reachable() || !sender.reachable() || sender.term != c.term || target.machine.Leading() && target.term > c.term {
 		return
 	}
 	last := w.now + keys.MaxCallDelay
@@ -287,7 +292,7 @@
 	target := w.vmNamed(former.VM)
 	v := &w.vms[target]
 	confirmed := false
-	if v.reachesStore() && v.self() == former && target != c.vm {
+	if v.reachable() && v.self() == former && target != c.vm {
 		last := w.machine(target)
 		confirmed = last.KnowsNewestPage()
 		last.Stop()
--- a/gateway/explore/world.go
+++ b/gateway/explore/world.go
@@ -40,6 +40,8 @@
 	vms     []vm
 	servers []server
 	store   store
+	// storeAway says that the store answers nobody.
+	storeAway bool
 	// calls are in flight, in the order of their decision.
 	calls          []call
 	nextCall       uint64
