gateway/explore: pages spread after a delay; a leader is not its own predecessor

Cause: the world told all VMs of a page at once, so that none was ever lost with its leader, and named a leader that led before to itself, which then asked itself to stop; the product does not (gateway/run/consultation.go).

--- a/gateway/explore/fingerprint.go
+++ b/gateway/explore/fingerprint.go
@@ -83,6 +83,8 @@
 		copied.page.AddTo(e)
 	}
 	w.known.AddTo(e)
+	w.spreading.AddTo(e)
+	e.Due(w.spreadAt)
 	w.lost.AddTo(e, predecessorTimeout)
 	e.Text(w.formerLeader.Incarnation)
 }
--- a/gateway/explore/mutation_test.go
+++ b/gateway/explore/mutation_test.go
@@ -19,7 +19,9 @@
 
 var (
 	findFaults    = flag.Int("find", -1, "search with up to this number of faults, print the result and end")
+	findShare     = flag.Int("find-share", 1, "share of the middle faults that each search takes")
 	findTime      = flag.Duration("find-time", 5*time.Minute, "longest time of each search")
+	mutationFault = flag.Int("mutation-faults", 2, "greatest number of faults in the search for a mutation")
 	allMutations  = flag.Bool("mutations", false, "search for all mutations and print a table")
 	mutationNamed = flag.String("mutation", "", "search only for mutations whose name contains this")
 )
@@ -35,7 +37,7 @@
 	}
 	bounds := explore.DefaultBounds()
 	bounds.Faults, bounds.Time, bounds.States, bounds.MemoryBytes = *findFaults, *findTime, 1<<30, 4<<30
-	bounds.Rules = heldRules
+	bounds.Rules, bounds.Share = heldRules, *findShare
 	result, err := explore.Explore(context.Background(), bounds, nil)
 	if err == nil {
 		err = json.NewEncoder(os.Stdout).Encode(result)
@@ -88,7 +90,7 @@
 	binary := filepath.Join(folder, "explore.test")
 	output, err := exec.Command("go", "test", "-c", "-overlay", m.overlay(g, folder), "-o", binary, ".").CombinedOutput()
 	g.Expect(err).NotTo(HaveOccurred(), string(output))
-	output, err = exec.Command(binary, fmt.Sprint("-find=", faults), fmt.Sprint("-find-time=", *findTime)).Output()
+	output, err = exec.Command(binary, fmt.Sprint("-find=", faults), fmt.Sprint("-find-time=", *findTime), fmt.Sprint("-find-share=", *findShare)).Output()
 	g.Expect(err).NotTo(HaveOccurred(), string(output))
 	var result explore.Result
 	g.Expect(json.Unmarshal(output, &result)).To(Succeed())
@@ -121,7 +123,7 @@
 		if !strings.Contains(m.name, *mutationNamed) {
 			continue
 		}
-		r := m.search(t, 2)
+		r := m.search(t, *mutationFault)
 		rule := "not found"
 		if r.Violation != nil {
 			rule = fmt.Sprintf("%s, %d faults", r.Violation.Rule, r.Faults)
--- a/gateway/explore/store.go
+++ b/gateway/explore/store.go
@@ -12,6 +12,9 @@
 	storeTimeout = time.Second
 	// maxWriteDelay bounds how long after it was sent the store executes a write.
 	maxWriteDelay = 6 * time.Second
+	// spreadDelay is how long after its writing the other VMs know a page. The first grants by
+	// it may be sent before.
+	spreadDelay = 2 * quantum
 	// maxStepsBack is the number of earlier states to which the store can be restored.
 	maxStepsBack = 2
 )
@@ -74,7 +77,8 @@
 		return
 	}
 	w.machine(c.vm).StepWritten(w.now, c.write.Page.WriteID, w.position(), nil)
-	w.spread(c.write.Page)
+	w.lost = w.lost.See(w.now, c.write.Page)
+	w.spreading, w.spreadAt = c.write.Page, w.now+spreadDelay
 }
 
 // startOutage begins an outage of the store.
@@ -108,6 +112,18 @@
 	}
 }
 
+// runSpreading spreads a page when its time has come. It is lost if its writer is.
+func (w *world) runSpreading() {
+	if w.spreading == nil || w.now < w.spreadAt {
+		return
+	}
+	at := w.vmNamed(w.spreading.Writer.VM)
+	if v := &w.vms[at]; v.reachable() && v.self() == w.spreading.Writer {
+		w.spread(w.spreading)
+	}
+	w.spreading = nil
+}
+
 // restoreStore restores the store to the state before some writes. The leader notices it at
 // once and claims the leadership again.
 func (w *world) restoreStore(stepsBack int) {
--- a/gateway/explore/vm.go
+++ b/gateway/explore/vm.go
@@ -178,6 +178,7 @@
 
 // runVMs lets the time of the VMs pass. It reports whether anything happened.
 func (w *world) runVMs() bool {
+	w.runSpreading()
 	happened := false
 	for at := range w.vms {
 		happened = w.runVM(at) || happened
@@ -291,8 +292,12 @@
 	}
 	target := w.vmNamed(former.VM)
 	v := &w.vms[target]
+	if target == c.vm && v.self() == former {
+		m.StepConsulted(w.now, keys.Consultation{Page: w.known}) // Itself, but it did not know the newest page.
+		return
+	}
 	confirmed := false
-	if v.reachable() && v.self() == former && target != c.vm {
+	if v.reachable() && v.self() == former {
 		last := w.machine(target)
 		confirmed = last.KnowsNewestPage()
 		last.Stop()
--- a/gateway/explore/world.go
+++ b/gateway/explore/world.go
@@ -55,6 +55,9 @@
 	// known is the newest page that the VMs know, lost what they know of lost grants.
 	known *keys.Page
 	lost  keys.LostGrantsBound
+	// spreading is a page that its writer tells the VMs at spreadAt, or nil.
+	spreading *keys.Page
+	spreadAt  time.Duration
 	// formerLeader is the leader that led last in an earlier era, or none.
 	formerLeader keys.Leader
 	// broken is the first rule that was broken, if any.
