--- a/cmd/internal/command/explore.go
+++ b/cmd/internal/command/explore.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"runtime/debug"
 	"strings"
 
 	"guavacrank.example/gateway/explore"
@@ -15,6 +16,10 @@
 // errRuleBroken says that a schedule breaks a rule.
 var errRuleBroken = errors.New("a schedule breaks a rule")
 
+// gcPercent lets garbage grow to this percentage of what is in use: nearly everything that a
+// search allocates lives for one step.
+const gcPercent = 400
+
 // megabyte is the unit of the flag -memory.
 const megabyte = 1 << 20
 
@@ -76,6 +81,7 @@
 
 // runExplore searches and prints the result.
 func runExplore(ctx context.Context, env *Environment, bounds explore.Bounds, schedule string, output *outputFlag) error {
+	defer debug.SetGCPercent(debug.SetGCPercent(gcPercent))
 	result, err := explore.Explore(ctx, bounds, func(r explore.Result) {
 		fmt.Fprintf(env.Stderr, "%.0f s: %d faults, %d states, %d steps, longest schedule %d, %.0f %% of the states allowed, %.0f %% of steps led to states visited before\n",
 			r.Seconds, r.Faults, r.States, r.Steps, r.MaxSteps, percent(r.States, bounds.States), percent(r.Revisits, r.Steps))
--- a/gateway/keys/clone.go
+++ b/gateway/keys/clone.go
@@ -64,7 +64,7 @@
 }
 
 func cloneBounds(from map[holderKey]holderBound) map[holderKey]holderBound {
-	bounds := make(map[holderKey]holderBound, len(from))
+	bounds := make(map[holderKey]holderBound)
 	for key, bound := range from {
 		bound.pending = maps.Clone(bound.pending)
 		bounds[key] = bound
--- a/gateway/keys/fingerprint.go
+++ b/gateway/keys/fingerprint.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -65,7 +64,7 @@
 	m.writing.AddTo(e)
 	m.stored.AddTo(e)
 	e.Int(len(m.changing))
-	for _, from := range slices.Sorted(maps.Keys(m.changing)) {
+	for _, from := range sortedKeys(m.changing, cmp.Compare) {
 		e.Word(uint64(from))
 	}
 	m.lostGrants.AddTo(e, m.relevance())
@@ -129,24 +128,39 @@
 		e.Text(leader.Incarnation)
 	}
 	e.Int(len(p.ended))
-	for _, incarnation := range slices.Sorted(maps.Keys(p.ended)) {
+	for _, incarnation := range sortedKeys(p.ended, cmp.Compare) {
 		e.Text(incarnation)
 	}
 	e.Time(p.endedBy, relevance)
 	e.Time(p.outvotedBy, relevance)
 }
 
+// sortedKeys returns the keys of a map in order. Most maps are empty.
+func sortedKeys[K comparable, V any](from map[K]V, order func(a, b K) int) []K {
+	if len(from) == 0 {
+		return nil
+	}
+	found := make([]K, 0, len(from))
+	for key := range from {
+		found = append(found, key)
+	}
+	if len(found) > 1 {
+		slices.SortFunc(found, order)
+	}
+	return found
+}
+
 func compareIncarnations(a, b model.Incarnation) int {
 	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
 }
 
 func (m *Machine) encodeServers(e *StateEncoder) {
 	e.Int(len(m.servers))
-	for _, incarnation := range slices.SortedFunc(maps.Keys(m.servers), compareIncarnations) {
+	for _, incarnation := range sortedKeys(m.servers, compareIncarnations) {
 		m.servers[incarnation].encode(e, m.relevance())
 	}
 	e.Int(len(m.impaired))
-	for _, zone := range slices.Sorted(maps.Keys(m.impaired)) {
+	for _, zone := range sortedKeys(m.impaired, cmp.Compare) {
 		e.Text(zone)
 		e.Time(m.impaired[zone], m.relevance()+CallTimeout)
 	}
@@ -170,7 +184,7 @@
 	}
 	r.encodeResponses(e)
 	e.Int(len(r.granted))
-	for _, from := range slices.Sorted(maps.Keys(r.granted)) {
+	for _, from := range sortedKeys(r.granted, cmp.Compare) {
 		grant := r.granted[from]
 		e.Word(uint64(from))
 		grant.encode(e, r.ID)
@@ -207,7 +221,7 @@
 	e.Int(m.calls)
 	order := func(a, b endpoint) int { return cmp.Or(cmp.Compare(a.id, b.id), cmp.Compare(a.address, b.address)) }
 	e.Int(len(m.endpoints))
-	for _, key := range slices.SortedFunc(maps.Keys(m.endpoints), order) {
+	for _, key := range sortedKeys(m.endpoints, order) {
 		row := m.endpoints[key]
 		e.Text(key.id)
 		e.Text(key.address)
@@ -220,7 +234,7 @@
 // encodeIDs adds the IDs of calls in flight. Their start times have no effect.
 func (m *Machine) encodeIDs(e *StateEncoder, calls map[uint64]time.Duration) {
 	e.Int(len(calls))
-	for _, id := range slices.Sorted(maps.Keys(calls)) {
+	for _, id := range sortedKeys(calls, cmp.Compare) {
 		e.Name(CallScope(m.options.Self.Incarnation), id)
 	}
 }
@@ -238,7 +252,7 @@
 // encodeHolders adds what is known of the prior holders.
 func (m *Machine) encodeHolders(e *StateEncoder) {
 	e.Int(len(m.bounds))
-	for _, key := range slices.SortedFunc(maps.Keys(m.bounds), compareHolders) {
+	for _, key := range sortedKeys(m.bounds, compareHolders) {
 		key.encode(e)
 		bound := m.bounds[key]
 		e.Time(bound.latestArrival, m.relevance())
@@ -246,17 +260,17 @@
 		m.encodeIDs(e, bound.pending)
 	}
 	e.Int(len(m.released))
-	for _, key := range slices.SortedFunc(maps.Keys(m.released), compareHolders) {
+	for _, key := range sortedKeys(m.released, compareHolders) {
 		key.encode(e)
 		result := m.released[key]
 		e.Bools(result.done, result.ended, result.handover != "")
 	}
 	e.Int(len(m.releasing))
-	for _, key := range slices.SortedFunc(maps.Keys(m.releasing), compareHolders) {
+	for _, key := range sortedKeys(m.releasing, compareHolders) {
 		key.encode(e)
 	}
 	e.Int(len(m.retryReleaseAt))
-	for _, key := range slices.SortedFunc(maps.Keys(m.retryReleaseAt), compareHolders) {
+	for _, key := range sortedKeys(m.retryReleaseAt, compareHolders) {
 		key.encode(e)
 		e.Due(m.retryReleaseAt[key])
 	}
@@ -268,7 +282,7 @@
 		return
 	}
 	e.Word(uint64(e.now - m.rates.decayedAt))
-	for _, key := range slices.Sorted(maps.Keys(m.rates.byKey)) {
+	for _, key := range sortedKeys(m.rates.byKey, cmp.Compare) {
 		e.Word(uint64(key))
 		e.Float(m.rates.byKey[key])
 	}
