gateway/explore: the fencing of servers in clones, fingerprints, the world and the mutations

Cause: the explorer was written beside the fencing of servers and the changes of releases. Change: the new state of a machine is copied and seen by its fingerprint; servers of the world refuse grants below the fence of a release, and a release has its own timeout; edits of mutations follow the code.

--- a/gateway/explore/call.go
+++ b/gateway/explore/call.go
@@ -42,9 +42,6 @@
 	gone
 )
 
-// releaseTimeout is that of gateway/run.
-const releaseTimeout = 4 * time.Second
-
 // transitTime bounds how long after its caller gave up a call may arrive.
 const transitTime = 700 * time.Millisecond
 
@@ -81,7 +78,7 @@
 func (c *call) timeout() time.Duration {
 	switch c.kind {
 	case releaseCall:
-		return releaseTimeout
+		return c.release.Timeout
 	case readCall, writeCall:
 		return storeTimeout
 	}
--- a/gateway/explore/fingerprint.go
+++ b/gateway/explore/fingerprint.go
@@ -115,6 +115,9 @@
 		e.Text(r.Incarnation.ID)
 		e.Word(uint64(r.Incarnation.Born)<<32 | uint64(r.From)<<16 | uint64(r.To))
 		e.Fence(r.Fence)
+		e.Fence(r.Held)
+		e.Bools(r.Fencing)
+		e.Word(uint64(r.Timeout))
 	case probeCall:
 		e.Text(c.probe.Incarnation.ID)
 		e.Word(uint64(c.probe.Incarnation.Born))
--- a/gateway/explore/mutation_list_test.go
+++ b/gateway/explore/mutation_list_test.go
@@ -12,17 +12,17 @@
 
 // mutations are the mendings of docs/incidents and the rules of gateway/keys/doc.go.
 var mutations = []mutation{
-	{"prior holders are not waited for", []edit{{"system_prior.go", "if !ended {\n\t\t\treturn \"\", false", "if !ended && r.Size() == 0 {\n\t\t\treturn \"\", false"}}},
+	{"prior holders are not waited for", []edit{{"system_prior.go", "if end == notEnded {\n\t\t\treturn \"\", false", "if end == notEnded && r.Size() == 0 {\n\t\t\treturn \"\", false"}}},
 	{"a fence goes over several connections", []edit{
 		{"grants.go", "if g.fence != 0 && !g.spent {", "if g.fence != 0 {"},
 		{"system_renewal.go", "call.Server, call.Connection = r.Owner.ID, grant.connection", "call.Server, call.Connection = r.Owner.ID, 0"},
 	}},
 	{"earlier leaders are not waited for", []edit{{"predecessors.go", "if len(m.predecessors.active) > 0 {\n\t\treturn m.leadingSince", "if m.now >= 0 {\n\t\treturn 0\n\t}\n\tif len(m.predecessors.active) > 0 {\n\t\treturn m.leadingSince"}}},
 	{"the page does not name earlier leaders", []edit{{"system_draft.go", "if !slices.Equal(b.page.Predecessors, b.predecessors.active) {", "if false {"}}},
-	{"late unanswered grants end with a release", []edit{{"system_prior.go", "return late == 0 || m.now >= late+m.maxGrantLifetime(), result.handover", "return late >= 0, result.handover"}}},
+	{"late unanswered grants end with a release", []edit{{"system_prior.go", "case released && (late == 0 || m.now >= late+m.maxGrantLifetime()):", "case released && late >= 0:"}}},
 	{"a release is sent while a grant is in flight", []edit{
 		{"system_prior.go", "releasing || len(m.bounds[key].pending) > 0 ||", "releasing ||"},
-		{"system_prior.go", "if len(bound.pending) > 0 {\n\t\treturn false, \"\"\n\t}", ""},
+		{"system_prior.go", "if len(bound.pending) > 0 {\n\t\treturn notEnded, \"\"\n\t}", ""},
 	}},
 	{"grants that timed out are not in transit", []edit{{"zones.go", "transitTime = 700 * time.Millisecond", "transitTime = 0 * time.Millisecond"}}},
 	{"the clocks of servers are right", []edit{{"machine.go", "clockDriftPercent = 2", "clockDriftPercent = 0"}}},
@@ -42,14 +42,17 @@
 	{"holders by lost pages are not waited for", []edit{{"restoration.go", "if b.settlement == settled {\n\t\treturn\n\t}\n\tfor at", "if b.settlement >= settled {\n\t\treturn\n\t}\n\tfor at"}}},
 	{"another server's refusal counts while earlier leaders go on", []edit{
 		{"step.go", "if now < m.predecessorBound() {", "if false {"},
-		{"system_prior.go", "&& m.now >= m.predecessorBound()", ""},
+		{"system_prior.go", "case result.ended && m.now >= m.predecessorArrival(row):", "case result.ended:"},
 	}},
-	{"a later life at the same address ends a hold", []edit{{"system_prior.go", "return successor.replaces(holder) && successor.Address != holder.Address", "return successor.replaces(holder)"}}},
-	{"any later life listed at the address ends a hold", []edit{{"system_prior.go", "return successor.replaces(holder) && successor.Address != holder.Address", "return successor == nil && m.now < 0 || m.replaced(holder)"}}},
+	{"a later life that is listed ends a hold", []edit{{"system_prior.go", "case result.ended && m.now", "case (result.ended || m.latestByID[prior.ID].replaces(prior)) && m.now"}}},
+	{"any later life listed at the address ends a hold", []edit{{"system_prior.go", "case result.ended && m.now", "case (result.ended || m.replaced(prior)) && m.now"}}},
 	{"a new leader keeps the fences", []edit{{"system_draft.go", "b.page.Ranges[at].Owner.Fence = fence", "b.page.Ranges[at].Owner.Fence = max(fence*0, b.page.Ranges[at].Owner.Fence)"}}},
 	{"a new leader takes fences that the earlier one may have taken", []edit{{"fences.go", "m.lastFence = max(m.lastFence, m.page.Fence)", "m.lastFence = max(m.lastFence, m.page.Ranges[0].Owner.Fence)"}}},
 	{"keys are renewed while they are being moved", []edit{{"system_renewal.go", "if m.writing == nil || !m.changing[r.From] {", "if true {"}}},
-	{"a prior holder is released with the fence of its first grant", []edit{{"system_draft.go", "prior.Fence = b.sentFence(old)", ""}}},
+	{"a prior holder is released with the fence of its first grant", []edit{
+		{"system_draft.go", "prior.Fence = b.sentFence(old)", ""},
+		{"system_prior.go", "fence, ok := m.takeFence()", "fence, ok := prior.Fence, true"},
+	}},
 	{"read prior holders keep the fence that was read", []edit{{"system_prior.go", "prior.Fence = max(prior.Fence, m.fenceOf(before, prior.Incarnation))", ""}}},
 	{"a write without an answer counts as refused", []edit{{"step.go", "m.writeUnknown, m.pageKnown = true, false\n\t\tm.retryStoreAt", "m.writing = nil\n\t\tm.retryStoreAt"}}},
 	{"a later life gets the keys with the earlier one's fence", []edit{{"system_draft.go", "r.Owner = b.holder(later)", "fence := r.Owner.Fence\n\tr.Owner = b.holder(later)\n\tr.Owner.Fence = fence"}}},
--- a/gateway/explore/server.go
+++ b/gateway/explore/server.go
@@ -126,7 +126,7 @@
 	w.checkHolders()
 }
 
-// release has a server release keys. It returns until when it could have held them.
+// release has a server release keys, and refuse lower fences from then on. It returns until when it could have held them.
 func (w *world) release(at int, c *call) (until time.Duration) {
 	s := &w.servers[at]
 	first, last := sampleRange(c.release.From, c.release.To)
@@ -137,6 +137,7 @@
 			until = max(until, held.until)
 		}
 		s.holds[key] = hold{fence: held.fence}
+		s.seen[key] = max(s.seen[key], c.release.Fence)
 	}
 	return until
 }
--- a/gateway/keys/clone.go
+++ b/gateway/keys/clone.go
@@ -19,6 +19,9 @@
 	copied.released = maps.Clone(m.released)
 	copied.releasing = maps.Clone(m.releasing)
 	copied.retryReleaseAt = maps.Clone(m.retryReleaseAt)
+	copied.fencing = cloneFencing(m.fencing)
+	copied.cutOffPrior = slices.Clone(m.cutOffPrior)
+	copied.sentReleases = slices.Clone(m.sentReleases)
 	copied.endpoints = cloneEndpoints(m.endpoints)
 	copied.ready = m.ready.clone()
 	copied.cloneServers(m)
@@ -63,6 +66,15 @@
 	return rows
 }
 
+func cloneFencing(from map[UnfencedKeys]*fencingRow) map[UnfencedKeys]*fencingRow {
+	rows := make(map[UnfencedKeys]*fencingRow, len(from))
+	for key, row := range from {
+		copied := *row
+		rows[key] = &copied
+	}
+	return rows
+}
+
 func cloneBounds(from map[holderKey]holderBound) map[holderKey]holderBound {
 	bounds := make(map[holderKey]holderBound)
 	for key, bound := range from {
@@ -75,6 +87,7 @@
 func (p predecessors) clone() predecessors {
 	p.active = slices.Clone(p.active)
 	p.ended = maps.Clone(p.ended)
+	p.impaired = maps.Clone(p.impaired)
 	return p
 }
 
--- a/gateway/keys/clone_fields_test.go
+++ b/gateway/keys/clone_fields_test.go
@@ -144,6 +144,7 @@
 	"releaseResult.handover":  "only whether there is one",
 	"Machine.changing[]":      "always true",
 	"predecessors.ended[]":    "always true",
+	"predecessors.impaired[]": "always true",
 	"Leader.VM":               "follows from the incarnation",
 	"Leader.Address":          "follows from the incarnation",
 }
--- a/gateway/keys/fingerprint.go
+++ b/gateway/keys/fingerprint.go
@@ -57,6 +57,7 @@
 	m.encodePages(e)
 	m.predecessors.encode(e, m.relevance())
 	m.encodeHolders(e)
+	m.encodeFencing(e)
 }
 
 func (m *Machine) encodePages(e *StateEncoder) {
@@ -95,6 +96,7 @@
 	for _, leader := range p.Predecessors {
 		e.Text(leader.Incarnation)
 	}
+	encodeUnfenced(e, p.Unfenced)
 	for _, r := range p.Ranges {
 		e.Word(uint64(r.From)<<32 | uint64(r.To)<<16 | uint64(len(r.Prior)))
 		r.Owner.encode(e)
@@ -131,6 +133,10 @@
 	for _, incarnation := range sortedKeys(p.ended, cmp.Compare) {
 		e.Text(incarnation)
 	}
+	e.Int(len(p.impaired))
+	for _, zone := range sortedKeys(p.impaired, cmp.Compare) {
+		e.Text(zone)
+	}
 	e.Time(p.endedBy, relevance)
 	e.Time(p.outvotedBy, relevance)
 }
@@ -173,7 +179,7 @@
 	e.Text(r.Service)
 	e.Int(r.Slots)
 	e.Word(uint64(r.WarmUp))
-	e.Bools(r.Draining, r.listed, r.grantSent, r.acceptedGrant, r.unresponsive, r.unconfirmed, r.probing)
+	e.Bools(r.Draining, r.listed, r.grantSent, r.acceptedGrant, r.unresponsive, r.releaseFailed, r.unconfirmed, r.probing)
 	e.Time(r.refusedSince, relevance)
 	e.Time(r.lastRefusedAt, relevance)
 	e.Time(r.failingSince, relevance)
@@ -276,6 +282,51 @@
 	}
 }
 
+func compareUnfenced(a, b UnfencedKeys) int {
+	return cmp.Or(compareIncarnations(a.Incarnation, b.Incarnation), cmp.Compare(a.Address, b.Address), cmp.Compare(a.From, b.From), cmp.Compare(a.To, b.To))
+}
+
+func (u UnfencedKeys) encode(e *StateEncoder) {
+	encodeIncarnation(e, u.Incarnation)
+	e.Text(u.Address)
+	e.Word(uint64(u.From)<<16 | uint64(u.To))
+}
+
+func encodeUnfenced(e *StateEncoder, unfenced []UnfencedKeys) {
+	e.Int(len(unfenced))
+	for _, u := range unfenced {
+		u.encode(e)
+	}
+}
+
+// encodeFencing adds the calls to servers that have lost keys without being told, and the
+// releases that may still arrive.
+func (m *Machine) encodeFencing(e *StateEncoder) {
+	e.Int(len(m.fencing))
+	for _, key := range sortedKeys(m.fencing, compareUnfenced) {
+		key.encode(e)
+		row := m.fencing[key]
+		e.Time(row.since, fencingMemory)
+		e.Fence(row.first)
+		e.Fence(row.last)
+		e.Bools(row.inFlight, row.done)
+		e.Due(row.dueAt)
+	}
+	encodeUnfenced(e, m.cutOffPrior)
+	e.Int(len(m.sentReleases))
+	for _, sent := range m.sentReleases {
+		encodeIncarnation(e, sent.call.Incarnation)
+		e.Text(sent.call.Server)
+		e.Text(sent.call.Address)
+		e.Word(uint64(sent.call.From)<<16 | uint64(sent.call.To))
+		e.Fence(sent.call.Fence)
+		e.Fence(sent.call.Held)
+		e.Bools(sent.call.Fencing)
+		e.Word(uint64(sent.call.Timeout))
+		e.Due(sent.arrival)
+	}
+}
+
 func (m *Machine) encodeRates(e *StateEncoder) {
 	e.Int(len(m.rates.byKey))
 	if len(m.rates.byKey) == 0 {
