gateway/keys: a new leader's first release to a server does not wait for a second

What callers would see: OWNER, after two leaders in a row were killed while a server is cut off. Cause: a leader that takes over names a prior holder whose keys its predecessor may have given away already. It has not called the server yet, so its first release had the timeout of one to a server that is in reach. On a cut link it ended with the connection's timeout, 0.5 to 1 s later. Where the cut healed meanwhile, nothing told the server of a higher fence until then. Change: releases have the short timeout until the server has accepted a grant of this leader. A server that is draining during a takeover and works on a request for over 0.2 s therefore gives no handover.

--- a/gateway/keys/killed_leader_outage_test.go
+++ b/gateway/keys/killed_leader_outage_test.go
@@ -80,5 +80,27 @@
 			Expect(sim.unowned()).To(BeZero())
 			Expect(later.Page().Unfenced).To(BeEmpty())
 		})
+
+		It(fmt.Sprintf("seed %d: ends with the next leader's kill: the server refuses the grants held up", seed), func() {
+			sim, earlier := startSimulation(seed, 4)
+			server := sim.servers[model.Incarnation{ID: "i-1", Born: 1000}]
+			second, held := sim.killWithGrants(earlier, server)
+			sim.runUntil(func() bool { return namesPrior(second.Page(), server.ID) })
+			sim.storeDown = true
+			sim.setRenewOnly(true)
+			sim.runUntil(func() bool { return sim.unowned() == 0 })
+			sim.unreachable[second] = true
+			second.Stop()
+			sim.endOutage()
+			third := sim.addLeader("c")
+			sim.after(500*time.Millisecond, func() { third.PredecessorEnded("b", sim.now+keys.MaxCallDelay) })
+			sim.runUntil(func() bool { return third.Page() != nil && third.Page().Writer.VM == "c" })
+			sim.run(time.Duration(sim.random.IntN(500)) * time.Millisecond)
+			sim.heal(server, held)
+			sim.run(15 * time.Second)
+			Expect(sim.violations).To(BeEmpty())
+			Expect(sim.unowned()).To(BeZero())
+			Expect(third.Page().Unfenced).To(BeEmpty())
+		})
 	}
 })
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -239,9 +239,9 @@
 }
 
 // releaseTimeout returns the timeout of the next release: a short one if the server may be
-// cut off.
+// cut off, or has not accepted a grant of this leader yet.
 func (m *Machine) releaseTimeout(key holderKey) time.Duration {
-	if row := m.row(key.incarnation); row.unresponsive || row.releaseFailed {
+	if row := m.row(key.incarnation); row.unresponsive || row.releaseFailed || !row.acceptedGrant {
 		return fencingTimeout
 	}
 	return releaseTimeout
