gateway/run: the deadline of calls counts from the tick that decided on them

Cause: the clock was read again after the state machine's tick, so that a freeze between the two gave a decision of the time before it a new deadline. A leader that led again kept the list of prior holders to call from its last tick. Change: the time of the tick is passed on; the list is cleared by Lead. Result: TestCallsThatStartLateKeepTheDeadlineOfTheirDecision asks for it without counting reads of the clock and fails if startCalls reads it; gateway/run passes.

--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -145,6 +145,7 @@
 	clear(m.releasing)
 	clear(m.retryReleaseAt)
 	clear(m.fencing)
+	m.cutOffPrior = m.cutOffPrior[:0]
 	for _, row := range m.servers {
 		row.acceptedGrant = false
 	}
--- a/gateway/run/calls.go
+++ b/gateway/run/calls.go
@@ -15,12 +15,11 @@
 	"guavacrank.example/traffic/elapsed"
 )
 
-// startCalls starts the calls that a state machine requests. The timeouts of grants and
-// releases run from here: a VM that is slow, frozen or suspended must not send them when
-// later leaders count on their having arrived.
-func (l *loop) startCalls(service string, machine *keys.Machine) {
+// startCalls starts the calls on which a state machine decided at a time. The timeouts of
+// grants and releases run from then: a VM that is slow, frozen or suspended must not send them
+// when later leaders count on their having arrived.
+func (l *loop) startCalls(service string, machine *keys.Machine, decidedAt time.Duration) {
 	ready := machine.Ready()
-	decidedAt := l.clock()
 	if ready.Read {
 		go l.readPage(service)
 	}
--- a/gateway/run/late_calls_test.go
+++ b/gateway/run/late_calls_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,18 +54,11 @@
 	g := NewWithT(t)
 	l := newRestorationLoop(t)
 	decidedAt := l.clock()
-	var reads atomic.Int64
-	l.clock = func() time.Duration {
-		if reads.Add(1) == 1 {
-			return decidedAt
-		}
-		return decidedAt + lateStart // The VM was frozen after the decision.
-	}
+	l.clock = func() time.Duration { return decidedAt + lateStart } // The VM was frozen after the decision.
 	ends := make(chan error, 2)
 	l.grantor = contextGrantor{ends: ends}
-	l.startCalls("s", machineWithGrants(decidedAt))
+	l.startCalls("s", machineWithGrants(decidedAt), decidedAt)
 	g.Eventually(ends).Should(Receive(MatchError(context.DeadlineExceeded)))
-	reads.Store(1)
 	l.release("s", keys.ReleaseCall{}, decidedAt+lateStart)
 	g.Expect(ends).To(Receive(MatchError(context.DeadlineExceeded)))
 }
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -53,7 +53,7 @@
 		machine.SetRenewOnly(silence > contactTimeout || l.term.Era < l.era)
 		machine.SetIsolationRuledOut(l.isolationRuledOut)
 		machine.Tick(now)
-		l.startCalls(service, machine)
+		l.startCalls(service, machine, now)
 		l.stopPredecessors(machine)
 		if machine.Isolated() {
 			isolated++
--- a/gateway/run/peer_fuzz_test.go
+++ b/gateway/run/peer_fuzz_test.go
@@ -98,7 +98,7 @@
 func (l *loop) work() {
 	for service, machine := range l.machines {
 		machine.Tick(l.clock())
-		l.startCalls(service, machine)
+		l.startCalls(service, machine, l.clock())
 	}
 	l.sendBatches(l.clock())
 	l.nextReport, l.reportPending = 0, false
