--- a/gateway/leader/fake_store_test.go
+++ b/gateway/leader/fake_store_test.go
@@ -169,7 +169,7 @@
 
 // start runs campaigns that observe when the key is vacant.
 func start(t *testing.T, count int) (*fakeStore, []*leader.Campaign, []context.CancelFunc) {
-	store := &fakeStore{leases: make(map[kvstore.LeaseID]time.Time)}
+	store := &fakeStore{leases: make(map[kvstore.LeaseID]time.Time), ttl: leader.LeaseTTL}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	started := time.Now()
