--- a/gateway/run/reload_test.go
+++ b/gateway/run/reload_test.go
@@ -19,7 +19,7 @@
 )
 
 // ConfigurationKey implements port.Records.
-func (idleRecords) ConfigurationKey() string { return "op/config" }
+func (idleRecords) ConfigurationKey() string { return "configuration" }
 
 // newIdleGateway returns a gateway that is not started, and what ends its log and returns it.
 func newIdleGateway(t *testing.T) (*Gateway, func() string) {
--- a/gateway/succession/majority.go
+++ b/gateway/succession/majority.go
@@ -53,9 +53,8 @@
 
 // Left returns when more than two thirds of the daemons that were known at an election, its
 // winner included, had left the earlier leaders, and how many reports count; false if these
-// are too few. Only
-// reports that were sent after the end of lost leases count: until then a daemon may restart
-// and be counted by a leader of an earlier era (HasMajority).
+// are too few. Only reports that were sent after the end of lost leases count: until then a
+// daemon may restart and be counted by a leader of an earlier era (HasMajority).
 func (e Election) Left(daemons []Reporter) (at time.Duration, reported int, majority bool) {
 	var left []time.Duration
 	for _, r := range daemons {
