--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -316,18 +316,23 @@
 // StepReleased takes the outcome of a release call and the handover token.
 func (m *Machine) StepReleased(now time.Duration, call ReleaseCall, outcome ReleaseOutcome, handover string) {
 	m.now = now
-	key := holderKey{call.From, call.To, call.Incarnation, call.Fence}
+	if call.Fencing {
+		m.stepFenced(call, outcome)
+		return
+	}
+	key := holderKey{call.From, call.To, call.Incarnation, call.Held}
 	row := m.row(call.Incarnation)
 	delete(m.releasing, key)
 	m.repeatGrants(call)
 	switch outcome {
 	case ReleaseUnanswered:
+		row.releaseFailed = true
 		m.retryReleaseAt[key] = now + retryDelay
 	case ReleaseNoListener:
 		row.noteRefused(now)
 		m.retryReleaseAt[key] = now + retryDelay
 	case Released:
-		row.refusedSince = 0
+		row.refusedSince, row.releaseFailed = 0, false
 		m.released[key] = releaseResult{done: true, handover: handover}
 	case HolderEnded:
 		row.noteRefused(now)
--- a/gateway/run/calls.go
+++ b/gateway/run/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,15 +12,15 @@
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/kvstore"
+	"guavacrank.example/traffic/elapsed"
 )
 
-// releaseTimeout is the timeout of a release call. The server responds only after
-// it has finished its work on the keys.
-const releaseTimeout = 4 * time.Second
-
-// startCalls starts the calls that a state machine requests.
+// startCalls starts the calls that a state machine requests. The timeouts of grants and
+// releases run from here: a VM that is slow, frozen or suspended must not send them when
+// later leaders count on their having arrived.
 func (l *loop) startCalls(service string, machine *keys.Machine) {
 	ready := machine.Ready()
+	decidedAt := l.clock()
 	if ready.Read {
 		go l.readPage(service)
 	}
@@ -30,10 +31,10 @@
 		l.consultation.waiting[service] = true
 	}
 	for _, call := range ready.Grants {
-		go l.grant(service, call)
+		go l.grant(service, call, decidedAt+keys.CallTimeout)
 	}
 	for _, call := range ready.Releases {
-		go l.release(service, call)
+		go l.release(service, call, decidedAt+call.Timeout)
 	}
 	for _, call := range ready.Probes {
 		if !l.keepProbeAway(machine, call) {
@@ -78,8 +79,9 @@
 	l.deliver(pageWritten{service, write.Page.WriteID, position, err, value})
 }
 
-func (l *loop) grant(service string, call keys.GrantCall) {
-	ctx, cancel := context.WithTimeout(l.ctx, keys.CallTimeout)
+// grant sends a grant by a deadline of the loop's clock.
+func (l *loop) grant(service string, call keys.GrantCall, deadline time.Duration) {
+	ctx, cancel := elapsed.WithDeadline(l.ctx, l.clock, deadline)
 	defer cancel()
 	connection, err := l.grantor.Grant(ctx, call.Address, call.Grant)
 	l.deliver(grantDone{service, call, grantOutcome(err), connection, err})
@@ -117,8 +119,9 @@
 	}
 }
 
-func (l *loop) release(service string, call keys.ReleaseCall) {
-	ctx, cancel := context.WithTimeout(l.ctx, releaseTimeout)
+// release sends a release by a deadline of the loop's clock.
+func (l *loop) release(service string, call keys.ReleaseCall, deadline time.Duration) {
+	ctx, cancel := elapsed.WithDeadline(l.ctx, l.clock, deadline)
 	defer cancel()
 	handover, err := l.grantor.Release(ctx, call.Address, call.Release)
 	l.deliver(releaseDone{service, call, handover, err})
@@ -184,6 +187,7 @@
 	previous := l.pages[p.service]
 	l.applyPage(p.service, p.value)
 	if next := l.pages[p.service]; next != previous {
+		l.logUnfenced(p.service, pageOf(previous), next.page)
 		l.broadcastPage(p.service, previous, next)
 	}
 }
@@ -206,10 +210,41 @@
 	if machine := l.machines[r.service]; machine != nil {
 		machine.StepReleased(l.clock(), r.call, releaseOutcome(r.err), r.handover)
 	}
+	if r.err != nil && r.call.Fencing {
+		return // It is repeated several times a second.
+	}
 	cause := ""
 	if r.err != nil {
 		cause = r.err.Error()
 	}
 	l.log.Event(event.ReleaseEnded, cause, zap.String("service", r.service), zap.String("server", r.call.Incarnation.ID),
-		zap.Uint16("from", r.call.From), zap.Uint16("to", r.call.To), zap.Uint64("fence", r.call.Fence), zap.Bool("handover", r.handover != ""))
+		zap.Uint16("from", r.call.From), zap.Uint16("to", r.call.To), zap.Uint64("fence", r.call.Fence), zap.Bool("fencing", r.call.Fencing), zap.Bool("handover", r.handover != ""))
+}
+
+// pageOf returns the page of a version, or nil.
+func pageOf(version *versionedPage) *keys.Page {
+	if version == nil {
+		return nil
+	}
+	return version.page
+}
+
+// logUnfenced logs the differences between the servers that two consecutive pages list as
+// not yet fenced.
+func (l *loop) logUnfenced(service string, before, after *keys.Page) {
+	var earlier []keys.UnfencedKeys
+	if before != nil {
+		earlier = before.Unfenced
+	}
+	l.logServers(event.ServerUnfenced, service, after.Unfenced, earlier)
+	l.logServers(event.ServerFenced, service, earlier, after.Unfenced)
+}
+
+// logServers logs an event for each of the keys that others lacks.
+func (l *loop) logServers(number event.Number, service string, unfenced, others []keys.UnfencedKeys) {
+	for _, u := range unfenced {
+		if !slices.Contains(others, u) {
+			l.log.Event(number, "", zap.String("service", service), zap.String("server", u.ID), zap.String("address", u.Address), zap.Uint16("from", u.From), zap.Uint16("to", u.To))
+		}
+	}
 }
