--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -96,6 +96,7 @@
 			}
 		}
 	}
+	page.withoutOwned()
 	m.setPage(page)
 }
 
@@ -142,7 +143,8 @@
 
 // priorEnded reports whether and why a prior holder can't hold a range any more, and
 // returns the handover token that it gave on release. While grants of an earlier leader may
-// arrive, the end of the holder's process proves nothing: a later life may get one.
+// arrive, the end of the holder's process proves nothing: a later life may get one. The list
+// of servers proves nothing either: records may have other writers.
 func (m *Machine) priorEnded(r Range, prior Holder) (end priorEnd, handover string) {
 	if prior == unknownHolder {
 		if m.unknownHoldersEnded() {
@@ -159,7 +161,7 @@
 	arrived, late := m.latestArrival(row, bound.latestArrival), m.latestArrival(row, bound.latestUnanswered)
 	result, released := m.released[key]
 	switch {
-	case (result.ended || m.startedElsewhere(prior)) && m.now >= m.predecessorBound():
+	case result.ended && m.now >= m.predecessorBound():
 		return endedByProof, ""
 	case released && (late == 0 || m.now >= late+m.maxGrantLifetime()):
 		return endedByProof, result.handover
@@ -171,7 +173,7 @@
 }
 
 // replaced reports whether a later incarnation is listed under the holder's ID or
-// at its address. The holder's process has then ended.
+// at its address. The holder's process has then ended, if the record is the later one's own.
 func (m *Machine) replaced(holder Holder) bool {
 	return m.latestByID[holder.ID].replaces(holder) || m.latestByAddress[holder.Address].replaces(holder)
 }
@@ -179,14 +181,6 @@
 // replaces reports whether a row is a later incarnation than a holder.
 func (r *serverRow) replaces(holder Holder) bool { return r != nil && r.Born > holder.Born }
 
-// startedElsewhere reports whether a later incarnation of a holder is listed at another
-// address. All lives under its ID at the holder's address have then ended. One at the same
-// address may have the holder's grants.
-func (m *Machine) startedElsewhere(holder Holder) bool {
-	successor := m.latestByID[holder.ID]
-	return successor.replaces(holder) && successor.Address != holder.Address
-}
-
 // mayGrant reports whether no prior holder of a range holds it any more. The
 // handover token is returned only if there was exactly one.
 func (m *Machine) mayGrant(r Range) (handover string, ok bool) {
@@ -203,8 +197,9 @@
 	return handover, true
 }
 
-// runReleases asks prior holders to release their keys. It waits while a grant to
-// the holder is in flight, which could arrive after the release. Whichever life of the
+// runReleases asks prior holders to release their keys, also after the expiry of their grants:
+// it proves nothing, and the page may list them as unfenced much later. It waits while a grant
+// to the holder is in flight, which could arrive after the release. Whichever life of the
 // holder answers, no earlier one holds the keys then.
 func (m *Machine) runReleases() {
 	if m.page == nil {
@@ -224,16 +219,17 @@
 	if _, releasing := m.releasing[key]; releasing || len(m.bounds[key].pending) > 0 || m.released[key].done || m.now < m.retryReleaseAt[key] {
 		return
 	}
-	if end, _ := m.priorEnded(r, prior); end != notEnded || m.fenceCutOff(prior) {
+	if end, _ := m.priorEnded(r, prior); end == endedByProof || m.fenceCutOff(prior) {
 		return
 	}
-	fence, ok := m.releaseFence(key)
+	fence, ok := m.takeFence() // The server refuses grants that were sent before, if they arrive later.
 	if !ok {
 		return
 	}
 	m.releasing[key] = m.now
-	call := ReleaseCall{Incarnation: prior.Incarnation, Address: prior.Address, Held: prior.Fence, Timeout: m.releaseTimeout(key)}
-	call.From, call.To, call.Fence, call.Server = r.From, r.To, fence, prior.ID
+	call := ReleaseCall{Incarnation: prior.Incarnation, Address: prior.Address, Timeout: m.releaseTimeout(key)}
+	call.From, call.To, call.Fence, call.Server, call.Held = r.From, r.To, fence, prior.ID, prior.Fence
+	m.sentReleases = append(m.sentReleases, sentRelease{call: call})
 	m.ready.Releases = append(m.ready.Releases, call)
 }
 
@@ -245,17 +241,3 @@
 	}
 	return releaseTimeout
 }
-
-// releaseFence returns the fence with which a release is sent, the same for each repetition.
-// It is above all that any leader sent with a grant of the keys, so that the server refuses
-// one of them that arrives later. It returns false if no fence is reserved.
-func (m *Machine) releaseFence(key holderKey) (uint64, bool) {
-	if fence := m.releaseFences[key]; fence != 0 {
-		return fence, true
-	}
-	fence, ok := m.takeFence()
-	if ok {
-		m.releaseFences[key] = fence
-	}
-	return fence, ok
-}
