--- a/traffic/front/verdict_test.go
+++ b/traffic/front/verdict_test.go
@@ -35,13 +35,6 @@
 		Entry("response that stalls in the body", respond("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), 504, "may_have_run", "timeout"),
 	)
 
-	It("is not_run when the server refuses the connection", func() {
-		server := newFakeServer(hang)
-		server.close()
-		got := oneVM(server).order(HeaderDeadline, "200")
-		Expect([]any{got.status, got.verdict, got.code}).To(Equal([]any{502, "not_run", "connect"}))
-	})
-
 	It("closes the caller's connection when a large response is truncated", func() {
 		server := newFakeServer(respondAndClose("HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n" + strings.Repeat("x", 50000)))
 		got := oneVM(server).order()
--- a/traffic/front/virtual_test.go
+++ b/traffic/front/virtual_test.go
@@ -74,3 +74,12 @@
 		v.Expect(took).To(BeNumerically("<", deadline/2), "not at the deadline")
 	})
 }
+
+func TestRefusedConnectionLeadsToNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newVirtualVM(t, hang)
+		v.server.close()
+		got, _ := v.order(HeaderDeadline, "200")
+		v.Expect([]any{got.status, got.verdict, got.code}).To(Equal([]any{502, "not_run", "connect"}))
+	})
+}
