gateway: a VM that gave up the leadership for isolation claims it last

Cause: a leader that most servers don't answer gives up, so that another VM tries; one stays once two others have given up. The VM that had given up claimed the vacant key like the others and could win again and again.

TestVMThatGaveUpLeavesTheLeadershipToTheOthers and TestLowerPrioritiesClaimAfterHigherOnes fail without it.

--- a/gateway/leader/core.go
+++ b/gateway/leader/core.go
@@ -16,14 +16,14 @@
 	// random returns a random time below the given one.
 	random func(time.Duration) time.Duration
 
-	state       State
-	era         kvstore.Era // The store's newest known era.
-	vacant      bool
-	vacantAt    kvstore.Version // With vacant: the version of the key, zero if it does not exist.
-	disabled    bool
-	lowPriority bool
-	lease       kvstore.LeaseID
-	written     []byte // What the leader wrote to the key.
+	state    State
+	era      kvstore.Era // The store's newest known era.
+	vacant   bool
+	vacantAt kvstore.Version // With vacant: the version of the key, zero if it does not exist.
+	disabled bool
+	priority Priority
+	lease    kvstore.LeaseID
+	written  []byte // What the leader wrote to the key.
 	// unresolved is a claim whose write may have been applied.
 	unresolved *claim
 	ttl        time.Duration
@@ -195,10 +195,7 @@
 
 // claimDelay returns how long to wait before a claim.
 func (c *core) claimDelay() time.Duration {
-	if c.lowPriority {
-		return lowPriorityDelay + c.random(claimJitter)
-	}
-	return c.random(claimJitter)
+	return time.Duration(c.priority)*priorityDelay + c.random(claimJitter)
 }
 
 // beginClaim claims the key after the delay if that is still due.
--- a/gateway/leader/core_test.go
+++ b/gateway/leader/core_test.go
@@ -269,9 +269,20 @@
 
 func TestClaimIsDroppedIfAnotherVMHoldsTheKeyAfterItsDelay(t *testing.T) {
 	s := &script{g: NewWithT(t), core: newCore("a")}
-	s.core.lowPriority = true
+	s.core.priority = PriorityLow
 	s.core.observe(s.now, nil, at(1, 5))
-	s.waits(lowPriorityDelay)
+	s.waits(priorityDelay)
 	s.core.observe(s.now, []byte("1/b"), at(1, 6))
 	s.waits(leftoverTTLs * LeaseTTL)
 }
+
+func TestLowerPrioritiesClaimAfterHigherOnes(t *testing.T) {
+	g := NewWithT(t)
+	latest := time.Duration(-1)
+	for _, priority := range []Priority{PriorityNormal, PriorityLow, PriorityLast} {
+		core := newCore("a")
+		core.priority = priority
+		g.Expect(core.claimDelay()).To(BeNumerically(">", latest))
+		latest = core.claimDelay() + claimJitter
+	}
+}
--- a/gateway/leader/leader.go
+++ b/gateway/leader/leader.go
@@ -32,14 +32,26 @@
 	// claimJitter is the maximum random delay before a claim, so that most VMs
 	// learn of the winner before they claim.
 	claimJitter = 150 * time.Millisecond
-	// lowPriorityDelay is how much later VMs with little capacity claim.
-	lowPriorityDelay = 250 * time.Millisecond
+	// priorityDelay is how much later VMs of the next lower priority claim.
+	priorityDelay = 250 * time.Millisecond
 	// retryDelay is the delay after a failed claim.
 	retryDelay = 300 * time.Millisecond
 	// callTimeout limits one call to the store.
 	callTimeout = 700 * time.Millisecond
 )
 
+// Priority says which VMs claim a vacant key first.
+type Priority uint8
+
+// Priorities, the highest first.
+const (
+	PriorityNormal Priority = iota
+	// PriorityLow is that of VMs with little capacity.
+	PriorityLow
+	// PriorityLast is that of VMs that have just given up the leadership.
+	PriorityLast
+)
+
 // Options configure a Campaign.
 type Options struct {
 	Store port.Store
@@ -100,9 +112,9 @@
 	c.update(func(core *core) { core.observe(c.options.Clock(), value, at) })
 }
 
-// SetLowPriority sets whether VMs with more capacity should claim first.
-func (c *Campaign) SetLowPriority(low bool) {
-	c.update(func(core *core) { core.lowPriority = low })
+// SetPriority sets this VM's priority for later claims.
+func (c *Campaign) SetPriority(priority Priority) {
+	c.update(func(core *core) { core.priority = priority })
 }
 
 // State returns the current state.
--- a/gateway/run/isolation.go
+++ b/gateway/run/isolation.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"guavacrank.example/gateway/leader"
 	"guavacrank.example/gateway/peer"
 )
 
@@ -37,6 +38,7 @@
 		return false
 	}
 	l.gaveUpAt = now
+	l.campaign.SetPriority(l.priority(l.maxCapacity()))
 	return true
 }
 
@@ -57,9 +59,29 @@
 	return witnesses >= min(isolationWitnesses, others)
 }
 
+// gaveUpAgo returns when this VM gave up the leadership last, false if it did not recently.
+func (l *loop) gaveUpAgo() (ago time.Duration, recently bool) {
+	ago = l.clock() - l.gaveUpAt
+	return ago, l.gaveUpAt > 0 && ago < isolationMemory
+}
+
 // addGiveUp adds to a report when this VM gave up the leadership last.
 func (l *loop) addGiveUp(report *peer.Report) {
-	if ago := l.clock() - l.gaveUpAt; l.gaveUpAt > 0 && ago < isolationMemory {
+	if ago, recently := l.gaveUpAgo(); recently {
 		report.GaveUp, report.GaveUpAgoMS = true, ago.Milliseconds()
 	}
 }
+
+// priority returns this VM's priority in the next election. One that gave up the leadership
+// leaves it to those that have not tried. maxCapacity is that of hasLowCapacity.
+func (l *loop) priority(maxCapacity float64) leader.Priority {
+	_, gaveUp := l.gaveUpAgo()
+	switch {
+	case gaveUp:
+		return leader.PriorityLast
+	case hasLowCapacity(l.settings.Capacity(), maxCapacity):
+		return leader.PriorityLow
+	default:
+		return leader.PriorityNormal
+	}
+}
--- a/gateway/run/isolation_test.go
+++ b/gateway/run/isolation_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/leader"
 	"guavacrank.example/gateway/peer"
 )
 
@@ -15,6 +16,7 @@
 func newIsolatedLeader(t *testing.T, others ...bool) *loop {
 	l := newRelayLoop(t, 0)
 	l.self.VM = "self"
+	l.campaign = leader.New(leader.Options{})
 	l.leading, l.leadingSince = true, l.clock()-isolationCheckDelay
 	l.machines = map[string]*keys.Machine{"s": nil}
 	l.members["self"] = member{gaveUp: true, gaveUpAt: l.clock() - time.Second}
@@ -70,6 +72,16 @@
 	g.Expect(l.checkIsolation(l.clock()+2*isolationMemory, 1)).To(BeTrue())
 }
 
+func TestVMThatGaveUpLeavesTheLeadershipToTheOthers(t *testing.T) {
+	g := NewWithT(t)
+	l := newIsolatedLeader(t, false, false, false)
+	g.Expect(l.priority(0)).To(Equal(leader.PriorityNormal))
+	g.Expect(l.checkIsolation(l.clock(), 1)).To(BeTrue())
+	g.Expect(l.priority(0)).To(Equal(leader.PriorityLast))
+	l.gaveUpAt = l.clock() - isolationMemory
+	g.Expect(l.priority(0)).To(Equal(leader.PriorityNormal))
+}
+
 func TestReportSaysThatTheSenderGaveUp(t *testing.T) {
 	g := NewWithT(t)
 	l := newIsolatedLeader(t, false)
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -242,7 +242,7 @@
 		MinLeaseTTL: o.Settings.Bounds.MinLeaseTTL,
 		Clock:       shared.clock,
 	})
-	l.campaign.SetLowPriority(hasLowCapacity(o.Settings.Capacity(), 0))
+	l.campaign.SetPriority(l.priority(0))
 	return l
 }
 
--- a/gateway/run/responses.go
+++ b/gateway/run/responses.go
@@ -103,7 +103,7 @@
 		l.followerFailures = 0
 	}
 	l.reportIfUnassigned(now)
-	l.campaign.SetLowPriority(hasLowCapacity(l.settings.Capacity(), response.MaxCapacity))
+	l.campaign.SetPriority(l.priority(response.MaxCapacity))
 	l.applyPages(response.Pages)
 	l.applyAllotments(response.Limits)
 	if len(response.Members) > 0 {
