daemon: keys with empty or dot segments reach their server

Cause: http.ServeMux redirects such paths, on the callers' and the peers' address; the stand-in's servers did the same. Change: all three compare paths themselves.

--- a/backend/standin/process.go
+++ b/backend/standin/process.go
@@ -46,13 +46,8 @@
 		fence:   fence.New(boot),
 	}
 	p.killed, p.cancel = context.WithCancel(context.Background())
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+backend.PathGrant, p.serveGrant)
-	mux.HandleFunc("GET "+backend.PathHealth, p.serveHealth)
-	mux.HandleFunc("GET "+backend.PathLoad, p.serveLoad)
-	mux.HandleFunc("/", p.serveRequest)
 	p.http = &http.Server{
-		Handler:           p.counted(mux),
+		Handler:           p.counted(http.HandlerFunc(p.serve)),
 		ReadHeaderTimeout: time.Minute,
 		ConnContext:       p.connectionOpened,
 		ConnState:         p.connectionChanged,
@@ -60,6 +55,21 @@
 	return p
 }
 
+// serve passes calls of the control interface and requests to their handlers. Requests may
+// have any path, also those that a http.ServeMux would redirect.
+func (p *process) serve(w http.ResponseWriter, r *http.Request) {
+	switch r.Method + " " + r.URL.Path {
+	case http.MethodPost + " " + backend.PathGrant:
+		p.serveGrant(w, r)
+	case http.MethodGet + " " + backend.PathHealth:
+		p.serveHealth(w, r)
+	case http.MethodGet + " " + backend.PathLoad:
+		p.serveLoad(w, r)
+	default:
+		p.serveRequest(w, r)
+	}
+}
+
 // start serves on the listener. The server's lock is held.
 func (p *process) start(listener net.Listener) {
 	faults := p.server.faults
--- a/daemon/servers.go
+++ b/daemon/servers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"guavacrank.example/config"
@@ -110,11 +111,17 @@
 	}
 }
 
+// callerHandler serves callers and the balancer. It is no http.ServeMux, which redirects
+// paths with empty or dot segments: keys may have them.
 func (d *Daemon) callerHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc(PathHealth, d.serveHealth)
-	mux.Handle("/", d.front)
-	return restoreHeaders(d.disableKeepAlives(mux))
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == PathHealth {
+			d.serveHealth(w, r)
+			return
+		}
+		d.front.ServeHTTP(w, r)
+	})
+	return restoreHeaders(d.disableKeepAlives(handler))
 }
 
 // restoreHeaders removes what net/http has added to the headers of each request.
@@ -146,12 +153,19 @@
 	fmt.Fprintln(w, "ready")
 }
 
-// peerHandler serves the fleet's protocol and forwarded requests. Both require the
-// fleet's token.
+// peerHandler serves the fleet's protocol and forwarded requests, with all paths that
+// callers may send. Both require the fleet's token.
 func (d *Daemon) peerHandler() http.Handler {
-	path, handler := d.fleet.Handler()
-	mux := http.NewServeMux()
-	mux.Handle(path, handler)
-	mux.Handle(front.PeerPrefix, d.front.PeerHandler())
-	return mux
+	fleetPrefix, fleetHandler := d.fleet.Handler()
+	forwarded := d.front.PeerHandler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case strings.HasPrefix(r.URL.Path, front.PeerPrefix):
+			forwarded.ServeHTTP(w, r)
+		case strings.HasPrefix(r.URL.Path, fleetPrefix):
+			fleetHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
 }
