gateway: the log and trace show why a server did not get a request

Cause: trace left out every event from 730 on as one of a single request. A refused request's line did not name the servers that it was kept from. Change: only lines that name a request are left out. A request's line names up to four servers that it was kept from, and why (`avoided`). Result: TestFindShowsWhatServersSaidAndGrants fails without the change; dispatch, front, trace and availability pass. Answers to grants, releases and probes are still not read for Server-Leaving.

--- a/gateway/availability/table.go
+++ b/gateway/availability/table.go
@@ -26,6 +26,14 @@
 	reasonCount
 )
 
+// String returns the reason as named in the log.
+func (r Reason) String() string {
+	if r == ReasonLeaving {
+		return "leaving"
+	}
+	return "backoff"
+}
+
 // Table holds what the servers have said. Only the methods of its counters and of the
 // drain time are safe for concurrent use; the servers in it are.
 type Table struct {
--- a/gateway/dispatch/availability.go
+++ b/gateway/dispatch/availability.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"guavacrank.example/gateway/availability"
@@ -15,8 +16,16 @@
 	// callers is spread. minReturnSpread is the shortest time for it.
 	returnSpreadShare = 0.25
 	minReturnSpread   = 100 * time.Millisecond
+	// maxAvoided is the number of avoided servers that a result names.
+	maxAvoided = 4
 )
 
+// AvoidedServer is a server that did not get a request because of what it says of itself.
+type AvoidedServer struct {
+	Server string
+	Reason availability.Reason
+}
+
 // passedOver tells about the servers that a choice passed over.
 type passedOver struct {
 	// leaving and backoff say that servers were passed over for that reason, by any
@@ -55,6 +64,26 @@
 	return left + rand.N(spread)
 }
 
+// noteAvoided records in the result that a server was avoided.
+func (c *call) noteAvoided(server *balance.Server, reason availability.Reason) {
+	noted := AvoidedServer{server.ID, reason}
+	if len(c.result.Avoided) < maxAvoided && !slices.Contains(c.result.Avoided, noted) {
+		c.result.Avoided = append(c.result.Avoided, noted)
+	}
+}
+
+// passLeaving records a server that is leaving.
+func (c *call) passLeaving(server *balance.Server) {
+	c.passed.leaving = true
+	c.noteAvoided(server, availability.ReasonLeaving)
+}
+
+// passBackoff records a server that is backing off.
+func (c *call) passBackoff(server *balance.Server) {
+	c.passed.addBackoff(server)
+	c.noteAvoided(server, availability.ReasonBackoff)
+}
+
 // observe records what the headers of a response say of the server's availability.
 func (c *call) observe(server *balance.Server, head port.ResponseHead) {
 	notice := availability.Notice{
@@ -81,13 +110,14 @@
 func (c *call) passOver(now time.Duration, server *balance.Server) bool {
 	switch server.Availability.Decide(now, c.request.Arrived) {
 	case availability.LastResort:
-		c.passed.leaving, c.passed.lastResort = true, true
+		c.passLeaving(server)
+		c.passed.lastResort = true
 		return true
 	case availability.BackingOff:
-		c.passed.addBackoff(server)
+		c.passBackoff(server)
 		return true
 	case availability.Left:
-		c.passed.leaving = true
+		c.passLeaving(server)
 		return true
 	default:
 		return false
@@ -111,7 +141,7 @@
 // refuseForBackoff ends a request that only a server which is backing off could take.
 func (c *call) refuseForBackoff(server *balance.Server) bool {
 	c.passed.reset()
-	c.passed.addBackoff(server)
+	c.passBackoff(server)
 	return c.finish(verdict.NotRun, verdict.CodeServerBackoff)
 }
 
--- a/gateway/dispatch/availability_test.go
+++ b/gateway/dispatch/availability_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"guavacrank.example/gateway/availability"
+	"guavacrank.example/gateway/dispatch"
 	"guavacrank.example/traffic/verdict"
 )
 
@@ -94,6 +95,7 @@
 			for range 20 {
 				result := f.do(time.Second)
 				f.Expect(result.Code).To(Equal(verdict.CodeServerBackoff))
+				f.Expect(result.Avoided).To(ContainElement(dispatch.AvoidedServer{Server: "a", Reason: availability.ReasonBackoff}))
 				f.Expect(result.RetryAfter).To(And(BeNumerically(">", 9*time.Second), BeNumerically("<=", 12600*time.Millisecond)), "the earliest end")
 			}
 			f.Expect(time.Since(begin)).To(BeZero(), "nothing waits")
--- a/gateway/dispatch/bykey.go
+++ b/gateway/dispatch/bykey.go
@@ -54,7 +54,7 @@
 	now := c.options.Clock()
 	switch server.Availability.Decide(now, c.request.Arrived) {
 	case availability.Left:
-		c.passed.leaving = true
+		c.passLeaving(server)
 		return c.waitForView(changed, time.Hour, verdict.CodeNoOwner)
 	case availability.BackingOff:
 		return c.refuseForBackoff(server)
--- a/gateway/dispatch/request.go
+++ b/gateway/dispatch/request.go
@@ -53,6 +53,8 @@
 	RetryAfter time.Duration
 	// Attempts are the attempts that have ended, in the order of their ends.
 	Attempts []Attempt
+	// Avoided are servers that did not get the request, maxAvoided at most.
+	Avoided []AvoidedServer
 }
 
 // Attempt is one attempt to send a request to a backend server.
--- a/gateway/front/record.go
+++ b/gateway/front/record.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -87,9 +88,21 @@
 	for i, attempt := range result.Attempts {
 		fields = append(fields, zap.String("send_"+strconv.Itoa(i+1), formatAttempt(attempt)))
 	}
+	if len(result.Avoided) > 0 {
+		fields = append(fields, zap.String("avoided", formatAvoided(result.Avoided)))
+	}
 	e.options.Log.Event(number, "", fields...)
 }
 
+// formatAvoided returns the servers that did not get a request and why, for the log.
+func formatAvoided(servers []dispatch.AvoidedServer) string {
+	var texts []string
+	for _, server := range servers {
+		texts = append(texts, server.Server+" "+server.Reason.String())
+	}
+	return strings.Join(texts, ", ")
+}
+
 // formatAttempt returns a short description of an attempt, for the log.
 func formatAttempt(attempt dispatch.Attempt) string {
 	text := fmt.Sprintf("%s in %s after %s: %s %s", attempt.Server, attempt.Zone, attempt.Duration.Round(time.Millisecond), attempt.Verdict, attempt.Code)
--- a/gateway/front/record_test.go
+++ b/gateway/front/record_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"guavacrank.example/gateway/availability"
 	"guavacrank.example/gateway/dispatch"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/traffic/verdict"
@@ -24,3 +25,9 @@
 	queue := h.options.Metrics.Reports()["s"]["idempotent"].Distributions["queue_us"].All
 	g.Expect(time.Duration(queue.P50) * time.Microsecond).To(BeNumerically("~", 20*time.Millisecond, time.Millisecond))
 }
+
+func TestLogNamesTheServersThatDidNotGetARequest(t *testing.T) {
+	g := NewWithT(t)
+	avoided := []dispatch.AvoidedServer{{Server: "i-1", Reason: availability.ReasonLeaving}, {Server: "i-2", Reason: availability.ReasonBackoff}}
+	g.Expect(formatAvoided(avoided)).To(Equal("i-1 leaving, i-2 backoff"))
+}
--- a/gateway/trace/trace.go
+++ b/gateway/trace/trace.go
@@ -111,18 +111,17 @@
 	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time.Before(lines[j].Time) })
 }
 
-// Numbers of events that can be related to a request. Events from
-// firstRequestEvent on concern single requests.
+// Numbers of events that can be related to a request.
 const (
 	firstRelatedEvent = 700
 	pageSeenEvent     = 724 // Logged by every VM; related only on the request's VM.
-	firstRequestEvent = 730
 )
 
 // isRelated reports whether a line is related to the end of the request.
 func (t *Trace) isRelated(line Line) bool {
 	end := t.Outcome
-	if line.Event < firstRelatedEvent || line.Event >= firstRequestEvent || line.Time.After(end.Time) || end.Time.Sub(line.Time) > relatedWindow {
+	_, ofRequest := line.fields["request"]
+	if line.Event < firstRelatedEvent || ofRequest || line.Time.After(end.Time) || end.Time.Sub(line.Time) > relatedWindow {
 		return false
 	}
 	if line.Event == pageSeenEvent && line.VM != end.VM {
--- a/gateway/trace/trace_test.go
+++ b/gateway/trace/trace_test.go
@@ -36,3 +36,23 @@
 	_, err = trace.Find(lines, "r2")
 	g.Expect(err).To(MatchError(trace.ErrNotFound))
 }
+
+const availabilityLogs = `{"ts":"2026-01-01T00:00:08Z","msg":"backend-backoff-begun","vm":"edge-a","server":"i-3","left":2.5,"event":752}
+{"ts":"2026-01-01T00:00:08.5Z","msg":"backend-backoff-begun","vm":"edge-a","server":"i-4","left":2.5,"event":752}
+{"ts":"2026-01-01T00:00:09Z","msg":"keys-granted","vm":"edge-l","service":"s","server":"i-5","from":0,"to":9,"event":744}
+{"ts":"2026-01-01T00:00:09.5Z","msg":"request-not-run","vm":"edge-a","request":"r2","service":"s","key":7,"code":"server_backoff","event":731}
+{"ts":"2026-01-01T00:00:10Z","msg":"request-not-run","vm":"edge-a","request":"r1","service":"s","key":7,"code":"server_backoff","avoided":"i-3 backoff","event":731}
+`
+
+func TestFindShowsWhatServersSaidAndGrants(t *testing.T) {
+	g := NewWithT(t)
+	lines, err := trace.Read(strings.NewReader(availabilityLogs))
+	g.Expect(err).NotTo(HaveOccurred())
+	found, err := trace.Find(lines, "r1")
+	g.Expect(err).NotTo(HaveOccurred())
+	var related []string
+	for _, line := range found.Related {
+		related = append(related, line.Name+" "+line.Text[strings.Index(line.Text, "i-"):][:3])
+	}
+	g.Expect(related).To(Equal([]string{"backend-backoff-begun i-3", "keys-granted i-5"}), "not of other servers, nor other requests")
+}
