platform: a fleet on a virtual clock; the specs of a zone with nobody to ask run on it

Cause: "gets a configuration in time from daemons of other zones" failed beside a load average of 70 (KNOWN-RED.txt): 40 VMs, the store and the servers are one process on the machine's clock, which had no turn for more than a second.

Change: run.Options.Network replaces TCP and the clock of a process; its zero value changes nothing.

--- a/gateway/peer/transport.go
+++ b/gateway/peer/transport.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"guavacrank.example/gateway/memory"
+	"guavacrank.example/traffic/upstream"
 )
 
 // codec is a connect.Codec for plain Go structs, encoded as JSON.
@@ -50,8 +51,13 @@
 
 // NewClient returns a Client.
 func NewClient() *Client {
+	return NewClientOver((&net.Dialer{Timeout: connectTimeout, KeepAlive: -1}).DialContext)
+}
+
+// NewClientOver returns a Client whose connections are opened by dial.
+func NewClientOver(dial upstream.Dial) *Client {
 	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: connectTimeout, KeepAlive: -1}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
--- a/gateway/run/endpoint.go
+++ b/gateway/run/endpoint.go
@@ -26,8 +26,8 @@
 	check func(net.Listener) net.Listener
 }
 
-func (s endpoint) start(failed chan<- error) error {
-	listener, err := net.Listen("tcp4", s.address)
+func (s endpoint) start(network Network, failed chan<- error) error {
+	listener, err := network.listen(s.address)
 	if err != nil {
 		return err
 	}
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -207,7 +207,7 @@
 		views:        shared.views,
 		confirmation: shared.confirmation,
 		clock:        shared.clock,
-		peers:        peer.NewClient(),
+		peers:        o.Network.peers(),
 		self:         self,
 		inputs:       make(chan input, inputQueueSize),
 		ctx:          ctx,
@@ -229,7 +229,7 @@
 		leaderWaitDone: make(chan struct{}),
 	}
 	l.servers = newServerTable(o.Settings, o.HeaderCodec, shared.log)
-	l.servers.memory = shared.memory
+	l.servers.memory, l.servers.dial = shared.memory, o.Network.Dial
 	l.configurationWatcher = newStoreWatcher(o.Store, o.Records.ConfigurationKey(), l.deliver, l.clock)
 	l.leaderWatcher = newStoreWatcher(o.Store, leaderKey, l.deliver, l.clock)
 	l.relay = newRelay()
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -23,7 +23,6 @@
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/gateway/shutdown"
 	"guavacrank.example/gateway/view"
-	"guavacrank.example/traffic/elapsed"
 	"guavacrank.example/traffic/metric"
 )
 
@@ -37,6 +36,8 @@
 	// Memory counts the bytes that are held for others. Store and Grantor should use the
 	// same account; nil creates one.
 	Memory *memory.Account
+	// Network is TCP unless a test sets it.
+	Network Network
 	// Output receives the log.
 	Output io.Writer
 }
@@ -96,7 +97,7 @@
 		views:         view.NewPublisher(),
 		requestedKeys: newRequestedKeys(),
 		confirmation:  &view.Confirmation{},
-		clock:         elapsed.Now,
+		clock:         options.Network.clock(),
 	}
 	g.shared.memory = options.Memory
 	if g.shared.memory == nil {
@@ -148,7 +149,7 @@
 	}
 	failed := make(chan error, len(servers))
 	for _, s := range servers {
-		if err := s.start(failed); err != nil {
+		if err := s.start(g.options.Network, failed); err != nil {
 			return err
 		}
 	}
--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -50,6 +50,7 @@
 	headers  port.HeaderCodec
 	log      *logbook.Logger
 	memory   *memory.Account
+	dial     upstream.Dial // Nil means TCP.
 
 	known bool // Whether the list has been read.
 	// position is the state of the store from which the list was read.
@@ -281,6 +282,7 @@
 			return t.headers.ReadResponse(response.StatusCode, response.Header).KeepAlive
 		},
 		Control: upstream.UserTimeout(unackedTimeout),
+		Dial:    t.dial,
 	}
 }
 
--- a/traffic/framing/listener.go
+++ b/traffic/framing/listener.go
@@ -19,7 +19,15 @@
 // errNotTCP reports a listener for something else than TCP.
 var errNotTCP = errors.New("the connection is not one of TCP")
 
-// Listener is a TCP listener whose connections are checked.
+// streamConn is a connection that can be closed in one direction, as *net.TCPConn can.
+type streamConn interface {
+	net.Conn
+	io.ReaderFrom
+	CloseWrite() error
+}
+
+// Listener is a TCP listener, or one of a test whose connections are like those of TCP,
+// whose connections are checked.
 type Listener struct {
 	net.Listener
 }
@@ -30,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tcp, isTCP := accepted.(*net.TCPConn)
+	tcp, isTCP := accepted.(streamConn)
 	if !isTCP {
 		return nil, errors.Join(errNotTCP, accepted.Close())
 	}
@@ -42,7 +50,7 @@
 // conn passes on the bytes of a connection up to the first fault.
 type conn struct {
 	net.Conn
-	tcp     *net.TCPConn
+	tcp     streamConn
 	scanner scanner
 	heads   sentHeads
 	faulty  bool
