gateway/explore: a killed VM's connections deliver what a cut held up

Change: a server can be cut off from the VMs for up to 6 s. Grants on open connections wait behind the cut: a caller that gives up and a power loss drop them, a killed process's arrive once, at any time up to 2 s after the cut. What follows from one that arrives before any leader can have reached the server has a rule of its own, unreached.

--- a/gateway/explore/apply.go
+++ b/gateway/explore/apply.go
@@ -25,6 +25,9 @@
 		w.applyToCall(e)
 	case e.action == storeReturns:
 		w.endOutage()
+	case e.action == healServer:
+		w.note(e.String() + ": " + w.servers[e.subject].name())
+		w.healServer(int(e.subject))
 	case e.action < restartSame:
 		w.endIsolation(e)
 	case e.action < kill:
@@ -187,6 +190,8 @@
 		s.draining, s.endAt = true, w.now+drainTime
 	case unlist:
 		s.listed, s.listAt = false, w.now+absence
+	case cutServer:
+		w.cutServer(at)
 	}
 	w.announceServers()
 }
@@ -201,6 +206,7 @@
 		w.endVM(at)
 		v.start(w.now)
 	case loseVM:
+		w.powerOff(at)
 		w.endVM(at)
 		v.condition = lost
 	case freeze:
--- a/gateway/explore/fair.go
+++ b/gateway/explore/fair.go
@@ -48,6 +48,11 @@
 			w.rejoin(at)
 		}
 	}
+	for at := range w.servers {
+		if w.servers[at].cut {
+			w.healServer(at)
+		}
+	}
 	if w.storeAway {
 		w.endOutage()
 	}
--- a/gateway/explore/mutation_list_test.go
+++ b/gateway/explore/mutation_list_test.go
@@ -59,5 +59,18 @@
 	{"unconfirmed servers are granted keys", []edit{{"system_renewal.go", "return !row.unconfirmed && (row.listed", "return (row.listed"}}},
 	{"reads of an earlier era count", []edit{{"step.go", "if !m.leading || position.Era != m.era {", "if !m.leading {"}}},
 	{"a read counts while a write is under way", []edit{{"step.go", "if m.writing != nil && !m.writeUnknown {\n\t\treturn\n\t}", ""}}},
+	{"servers that lost keys by expiry alone are not fenced", []edit{{"system_draft.go", "b.recordUnfenced(*r)", ""}}},
+	{"prior holders that do not answer are not fenced", []edit{{"system_prior.go", "|| m.fenceCutOff(prior)", ""}}},
+	{"servers that may be cut off are not fenced", []edit{
+		{"system_draft.go", "b.recordUnfenced(*r)", ""},
+		{"system_prior.go", "|| m.fenceCutOff(prior)", ""},
+	}},
+	{"a release has the fence of the grant that it ends", []edit{{"system_prior.go", "fence, ok := m.takeFence()", "fence, ok := prior.Fence, true"}}},
+	{"fencing calls have no higher fence", []edit{{"system_fencing.go", "fence, ok := m.takeFence()", "fence, ok := uint64(1), true"}}},
+	{"releases and fencing calls have no higher fences", []edit{
+		{"system_prior.go", "fence, ok := m.takeFence()", "fence, ok := prior.Fence, true"},
+		{"system_fencing.go", "fence, ok := m.takeFence()", "fence, ok := uint64(1), true"},
+	}},
+	{"a server that is being fenced gets keys", []edit{{"load.go", "if m.beingFenced(row.endpoint()) {", "if false {"}}},
 	{"the reserve of fences is not kept", []edit{{"fences.go", "if m.page == nil || m.lastFence >= m.page.Fence {", "if m.page == nil {"}}},
 }
