gateway/explore: what a cut held up breaks on today's code is known

Cause: two schedules of two faults break the rule unreached: a killed leader's grant is delivered before its successor's first fencing call.

--- a/gateway/explore/mutation_test.go
+++ b/gateway/explore/mutation_test.go
@@ -27,8 +27,9 @@
 	mutationNamed = flag.String("mutation", "", "search only for mutations whose name contains this")
 )
 
-// heldRules are the rules that no schedule of two faults breaks without a mutation. That of
-// late releases is broken by testdata/known, and with more faults that of lives.
+// heldRules are the rules that no schedule of two faults breaks without a mutation. Those of
+// late releases and of servers that were not reached are broken by testdata/known, and with more
+// faults that of lives.
 var heldRules = []explore.Rule{explore.Holders, explore.Fences, explore.Lives, explore.Releases, explore.Work, explore.Owned}
 
 func TestMain(m *testing.M) {
