gateway: other VMs tell a server that is cut off from the leader the higher fence

After a cut one server is beyond its connection cap and resets the leader's fencing calls for a second, while a connection of the killed leader delivers a grant.

Cause: only the leader told such a server of higher fences, although any VM may, and others reach it while it is cut off from the leader.

Change: a fencing call to a server that may be cut off is relayed (peer's Fence): two other VMs, chosen at random each time, at most every 0.2 s, send the same release; one answer is that of the server. The other calls may still arrive, so that grants are repeated as after one without an answer (ReleasedByOne). A daemon that knows another leadership refuses the request.

Test change: TestFingerprintSeesEveryField altered the fences of a release by one, which leaves their rank as it was now that other fields got other numbers; they are set to zero instead, which any fingerprint has to tell from a fence. It fails if the encoding of Held is left out.

--- a/gateway/keys/clone_fields_test.go
+++ b/gateway/keys/clone_fields_test.go
@@ -191,7 +191,11 @@
 		}
 		before, old := fingerprint(), reflect.New(value.Type()).Elem()
 		old.Set(value)
-		change(value)
+		if ranked[path] {
+			value.SetZero()
+		} else {
+			change(value)
+		}
 		if fingerprint() == before {
 			found = []string{path}
 		}
@@ -224,6 +228,10 @@
 	"LostGrants.WriteID": true, "Holder.Fence": true, "grantRow.term": true, "grantRow.fence": true, "grantRow.connection": true,
 }
 
+// ranked are fences of which only the order counts. They are changed to none, which any
+// fingerprint tells from one.
+var ranked = map[string]bool{"Release.Fence": true, "Release.Held": true}
+
 func TestFingerprintSeesEveryField(t *testing.T) {
 	g := NewWithT(t)
 	m := filledMachine()
--- a/gateway/keys/fingerprint.go
+++ b/gateway/keys/fingerprint.go
@@ -309,8 +309,9 @@
 		e.Time(row.since, fencingMemory)
 		e.Fence(row.first)
 		e.Fence(row.last)
-		e.Bools(row.inFlight, row.done)
+		e.Bools(row.inFlight, row.unanswered, row.done)
 		e.Due(row.dueAt)
+		e.Due(row.relayDueAt)
 	}
 	encodeUnfenced(e, m.cutOffPrior)
 	e.Int(len(m.sentReleases))
@@ -321,7 +322,7 @@
 		e.Word(uint64(sent.call.From)<<16 | uint64(sent.call.To))
 		e.Fence(sent.call.Fence)
 		e.Fence(sent.call.Held)
-		e.Bools(sent.call.Fencing)
+		e.Bools(sent.call.Fencing, sent.call.Relayed)
 		e.Word(uint64(sent.call.Timeout))
 		e.Due(sent.arrival)
 	}
--- a/gateway/keys/late_releases.go
+++ b/gateway/keys/late_releases.go
@@ -18,7 +18,7 @@
 // endRelease records the end of a release call.
 func (m *Machine) endRelease(call ReleaseCall, outcome ReleaseOutcome) {
 	at := slices.IndexFunc(m.sentReleases, func(s sentRelease) bool { return s.call == call && s.arrival == 0 })
-	if at >= 0 && outcome == ReleaseUnanswered {
+	if at >= 0 && (outcome == ReleaseUnanswered || outcome == ReleasedByOne) {
 		m.sentReleases[at].arrival = m.adjustArrival(m.row(call.Incarnation), m.now+transitTime)
 	} else if at >= 0 {
 		m.sentReleases = slices.Delete(m.sentReleases, at, at+1)
--- a/gateway/keys/ready.go
+++ b/gateway/keys/ready.go
@@ -53,6 +53,9 @@
 	// Fencing says that the server holds nothing by what this leader knows, and is only to
 	// refuse earlier grants.
 	Fencing bool
+	// Relayed says that other VMs send the release too: the server may be out of this VM's
+	// reach, or turn its connections away.
+	Relayed bool
 	// Timeout is the timeout of the call.
 	Timeout time.Duration
 	port.Release
--- a/gateway/keys/simulation_calls_test.go
+++ b/gateway/keys/simulation_calls_test.go
@@ -97,6 +97,10 @@
 		sim.answer(timeout, m, call, keys.Unreachable, 0)
 		return
 	}
+	if server.full {
+		sim.answer(2*sim.networkDelay(), m, call, keys.Unreachable, 0)
+		return
+	}
 	if server.Zone == sim.congestedZone && server.delayedCall {
 		sim.answer(timeout, m, call, keys.NotSent, 0)
 		return
@@ -229,13 +233,21 @@
 }
 
 func (sim *simulation) release(m *keys.Machine, call keys.ReleaseCall) {
+	if sim.onRelease != nil {
+		sim.onRelease(call)
+	}
 	server := sim.serverAt(call.Address)
 	if server == nil || sim.random.Float64() < sim.refusedShare {
 		sim.after(sim.networkDelay(), func() { m.StepReleased(sim.now, call, keys.ReleaseNoListener, "") })
 		return
 	}
 	if server.unreachable {
-		sim.after(min(call.Timeout, time.Second), func() { m.StepReleased(sim.now, call, keys.ReleaseUnanswered, "") })
+		outcome := sim.relay(server, call)
+		sim.after(min(call.Timeout, time.Second), func() { m.StepReleased(sim.now, call, outcome, "") })
+		return
+	}
+	if server.full {
+		sim.after(2*sim.networkDelay(), func() { m.StepReleased(sim.now, call, keys.ReleaseUnanswered, "") })
 		return
 	}
 	if server.ID != call.Server {
@@ -265,6 +277,20 @@
 	})
 }
 
+// relay has two other VMs send a relayed release to a server that is unreachable for its
+// leader, and returns the outcome.
+func (sim *simulation) relay(server *fakeServer, call keys.ReleaseCall) keys.ReleaseOutcome {
+	reached := false
+	for range 2 {
+		reached = reached || call.Relayed && sim.random.Float64() < server.othersReach
+	}
+	if !reached || server.full || server.ID != call.Server {
+		return keys.ReleaseUnanswered
+	}
+	sim.after(2*sim.networkDelay(), func() { sim.applyRelease(server, call) })
+	return keys.ReleasedByOne
+}
+
 // applyRelease has a server process a release on its arrival.
 func (sim *simulation) applyRelease(server *fakeServer, call keys.ReleaseCall) {
 	for _, h := range server.heldRanges {
--- a/gateway/keys/simulation_server_test.go
+++ b/gateway/keys/simulation_server_test.go
@@ -15,6 +15,10 @@
 	model.Server
 	up          bool
 	unreachable bool // Calls to it get lost.
+	full        bool // It resets new connections.
+	// othersReach is the share of the other VMs that reach it while it is unreachable for
+	// leaders.
+	othersReach float64
 	silent      bool // It accepts connections and answers nothing.
 	dark        bool // Its process ended without closing its connections.
 	// delayedCall reports that a call to it was delayed by congestion.
--- a/gateway/keys/simulation_test.go
+++ b/gateway/keys/simulation_test.go
@@ -91,6 +91,8 @@
 	ignoreLowReleases bool
 	// onGrant, if set, is called for each grant that is sent.
 	onGrant func(call keys.GrantCall)
+	// onRelease, if set, is called for each release that is sent.
+	onRelease func(call keys.ReleaseCall)
 	// known is the newest page that the VMs know.
 	known *keys.Page
 	// lostGrants is what the VMs know of lost grants.
--- a/gateway/keys/step.go
+++ b/gateway/keys/step.go
@@ -311,6 +311,9 @@
 	Released
 	// HolderEnded means that another server runs at the address.
 	HolderEnded
+	// ReleasedByOne means that the process at the address has answered one call of a relayed
+	// release. The others may still arrive.
+	ReleasedByOne
 )
 
 // StepReleased takes the outcome of a release call and the handover token.
--- a/gateway/keys/system_fencing.go
+++ b/gateway/keys/system_fencing.go
@@ -20,6 +20,8 @@
 	// eagerFencingTime is for how long fencing calls follow one another without a pause and
 	// time out that soon. Later ones have the timeout of a grant.
 	eagerFencingTime = 20 * time.Second
+	// relayInterval is the least time between two fencing calls that are relayed by other VMs.
+	relayInterval = 200 * time.Millisecond
 	// fencingPause is the pause between two calls after that, and after one that was
 	// refused: the process has probably ended.
 	fencingPause = time.Second
@@ -33,8 +35,11 @@
 	first    uint64        // The fence of the first call.
 	last     uint64        // The fence of the last call.
 	inFlight bool
-	dueAt    time.Duration
-	done     bool
+	// unanswered reports that a call was not answered.
+	unanswered bool
+	dueAt      time.Duration
+	relayDueAt time.Duration // When the next call may be relayed by other VMs.
+	done       bool
 }
 
 // fenced reports whether an entry of Page.Unfenced has ended. A record of another server at
@@ -139,11 +144,21 @@
 	if m.now >= row.since+eagerFencingTime {
 		call.Timeout = CallTimeout
 	}
+	if m.mayBeCutOff(keys.Incarnation, row) && m.now >= row.relayDueAt {
+		call.Relayed, row.relayDueAt = true, m.now+relayInterval
+	}
 	call.From, call.To, call.Fence, call.Server, call.Held = keys.From, keys.To, fence, keys.ID, row.first
 	m.sentReleases = append(m.sentReleases, sentRelease{call: call})
 	m.ready.Releases = append(m.ready.Releases, call)
 }
 
+// mayBeCutOff reports whether a server may be out of this VM's reach, or turn its connections
+// away.
+func (m *Machine) mayBeCutOff(server model.Incarnation, calls *fencingRow) bool {
+	row := m.row(server)
+	return calls.unanswered || row.unresponsive || row.releaseFailed
+}
+
 // stepFenced takes the outcome of a fencing call. Another server at the address proves that
 // the process, and with it its connections, has ended.
 func (m *Machine) stepFenced(call ReleaseCall, outcome ReleaseOutcome) {
@@ -154,8 +169,9 @@
 		return
 	}
 	row.inFlight = false
+	row.unanswered = row.unanswered || outcome == ReleaseUnanswered || outcome == ReleaseNoListener
 	switch {
-	case outcome == Released:
+	case outcome == Released || outcome == ReleasedByOne:
 		row.done = true
 		m.noteReleased(keys, false)
 		m.row(keys.Incarnation).releaseFailed = false
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -18,6 +18,7 @@
 	procedureYield  = "/guavacrank.peer.v1.Peer/Yield"
 	procedureSpread = "/guavacrank.peer.v1.Peer/Spread"
 	procedureFollow = "/guavacrank.peer.v1.Peer/Follow"
+	procedureFence  = "/guavacrank.peer.v1.Peer/Fence"
 	// callTimeout is the timeout of a call with a small message.
 	callTimeout = 800 * time.Millisecond
 	// spreadTimeout is the timeout of a Spread with a configuration or a server list.
@@ -324,4 +325,6 @@
 	Spread(ctx context.Context, request *SpreadRequest) (*SpreadResponse, error)
 	// Follow announces a leader.
 	Follow(ctx context.Context, request *FollowRequest) (*FollowResponse, error)
+	// Fence sends a backend server a release for the leader.
+	Fence(ctx context.Context, request *FenceRequest) (*FenceResponse, error)
 }
--- a/gateway/peer/transport.go
+++ b/gateway/peer/transport.go
@@ -32,6 +32,7 @@
 	mux.Handle(procedureYield, unary(procedureYield, service.Yield, options))
 	mux.Handle(procedureSpread, unary(procedureSpread, service.Spread, options))
 	mux.Handle(procedureFollow, unary(procedureFollow, service.Follow, options))
+	mux.Handle(procedureFence, unary(procedureFence, service.Fence, options))
 	return countedMessages{mux, account}
 }
 
@@ -78,6 +79,12 @@
 	return call[FollowRequest, FollowResponse](ctx, c, address, procedureFollow, request)
 }
 
+// Fence calls Service.Fence of the peer at address (IP:port). The receiver waits for the
+// backend server until ctx ends.
+func (c *Client) Fence(ctx context.Context, address string, request *FenceRequest) (*FenceResponse, error) {
+	return call[FenceRequest, FenceResponse](ctx, c, address, procedureFence, request)
+}
+
 func call[Req, Res any](ctx context.Context, c *Client, address, procedure string, message *Req) (*Res, error) {
 	timeout := callTimeout
 	if update, ok := any(message).(*SpreadRequest); ok && (update.Record != nil || update.Servers != nil) {
--- a/gateway/run/announce_test.go
+++ b/gateway/run/announce_test.go
@@ -32,6 +32,10 @@
 	return &peer.FollowResponse{}, nil
 }
 
+func (recordingPeer) Fence(context.Context, *peer.FenceRequest) (*peer.FenceResponse, error) {
+	return &peer.FenceResponse{}, nil
+}
+
 func (p recordingPeer) Spread(_ context.Context, update *peer.SpreadRequest) (*peer.SpreadResponse, error) {
 	p.updates <- update
 	return &peer.SpreadResponse{}, nil
--- a/gateway/run/calls.go
+++ b/gateway/run/calls.go
@@ -33,7 +33,11 @@
 		go l.grant(service, call, decidedAt+keys.CallTimeout)
 	}
 	for _, call := range ready.Releases {
-		go l.release(service, call, decidedAt+call.Timeout)
+		if call.Relayed {
+			l.startRelayed(service, call, decidedAt+call.Timeout)
+		} else {
+			go l.release(service, call, decidedAt+call.Timeout)
+		}
 	}
 	for _, call := range ready.Probes {
 		if !l.keepProbeAway(machine, call) {
@@ -123,7 +127,7 @@
 	ctx, cancel := elapsed.WithDeadline(l.ctx, l.clock, deadline)
 	defer cancel()
 	handover, err := l.grantor.Release(ctx, call.Address, call.Release)
-	l.deliver(releaseDone{service, call, handover, err})
+	l.deliver(releaseDone{service: service, call: call, handover: handover, err: err})
 }
 
 func releaseOutcome(err error) keys.ReleaseOutcome {
@@ -207,9 +211,9 @@
 
 func (r releaseDone) apply(l *loop) {
 	if machine := l.machines[r.service]; machine != nil {
-		machine.StepReleased(l.clock(), r.call, releaseOutcome(r.err), r.handover)
+		machine.StepReleased(l.clock(), r.call, r.outcome(), r.handover)
 	}
-	if r.err != nil && r.call.Fencing {
+	if r.err != nil && r.relayed == 0 && r.call.Fencing {
 		return // It is repeated several times a second.
 	}
 	cause := ""
@@ -217,7 +221,7 @@
 		cause = r.err.Error()
 	}
 	l.log.Event(event.ReleaseEnded, cause, zap.String("service", r.service), zap.String("server", r.call.Incarnation.ID),
-		zap.Uint16("from", r.call.From), zap.Uint16("to", r.call.To), zap.Uint64("fence", r.call.Fence), zap.Bool("fencing", r.call.Fencing), zap.Bool("handover", r.handover != ""))
+		zap.Uint16("from", r.call.From), zap.Uint16("to", r.call.To), zap.Uint64("fence", r.call.Fence), zap.Bool("fencing", r.call.Fencing), zap.Int("relayed", r.relayed), zap.Bool("handover", r.handover != ""))
 }
 
 // pageOf returns the page of a version, or nil.
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -67,6 +67,9 @@
 	call     keys.ReleaseCall
 	handover string
 	err      error
+	// relays is the number of other daemons that were to send the release, relayed that of
+	// those to which the server answered.
+	relays, relayed int
 }
 
 // probeDone is the result of asking a server for its identity.
--- a/gateway/run/peer_fuzz_test.go
+++ b/gateway/run/peer_fuzz_test.go
@@ -109,7 +109,7 @@
 
 // applyMessage applies a message of the kind to a loop, as a peer may send it.
 func applyMessage(l *loop, kind byte, text []byte) {
-	switch kind % 6 {
+	switch kind % 7 {
 	case 0:
 		report := &peer.Report{}
 		if json.Unmarshal(text, report) == nil {
@@ -137,6 +137,11 @@
 		if json.Unmarshal(text, response) == nil {
 			followDone{"127.0.0.1:1", l.term, response, nil}.apply(l)
 		}
+	case 5:
+		request := &peer.FenceRequest{}
+		if json.Unmarshal(text, request) == nil {
+			fenceReceived{request, make(chan bool, 1)}.apply(l)
+		}
 	default:
 		response := &peer.YieldResponse{}
 		if json.Unmarshal(text, response) == nil {
@@ -164,7 +169,8 @@
 	{2, `{"changes":{"source":"","base":0,"change":18446744073709551615,"gone":[{"id":""}]}}`},
 	{3, `{"leader":{"vm":"x"},"term":{"era":18446744073709551615,"version":18446744073709551615},"pages":{"s":{"number":1}},"members":-1}`},
 	{4, `{"former":{"leader":{"vm":"x","incarnation":"x","address":"127.0.0.1:1"},"term":{"version":18446744073709551615}},"pages":[{"service":"s"},{"service":"t","page":{"ranges":[[]]}}],"members":["",""]}`},
-	{5, `{"incarnation":"x","newest_pages":true,"pages":[{"service":"s","page":{"era":18446744073709551615,"number":18446744073709551615}}]}`},
+	{5, `{"leader":{"leader":{"vm":"x"},"term":{"era":18446744073709551615,"version":1}},"address":"","from":65535,"to":0,"fence":18446744073709551615}`},
+	{6, `{"incarnation":"x","newest_pages":true,"pages":[{"service":"s","page":{"era":18446744073709551615,"number":18446744073709551615}}]}`},
 }
 
 func FuzzPeerMessagesEndNoProcess(f *testing.F) {
