gateway/run: the VMs' connections to a server leave room for the leader's calls

Cause: each VM took its share of the cap, but never fewer than 4 connections: 48 VMs may open 192 to a server that accepts 56.

Change: the share has no minimum but 1, as long as the cap has more connections than there are VMs their sum stays below it by a share. The minimum of 4 remains for the bound by the process's descriptors.

--- a/gateway/run/connections.go
+++ b/gateway/run/connections.go
@@ -20,7 +20,7 @@
 	if configured.MaxConnections <= 0 {
 		return min(t.settings.MaxDescriptors/8, bound)
 	}
-	share := max(configured.MaxConnections/(vms+1), minConnections)
+	share := max(configured.MaxConnections/(vms+1), 1) // One share is left for the leader's calls.
 	if share <= bound {
 		delete(t.bounded, service)
 		return share
--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -40,7 +40,7 @@
 	reappearTime = 2100 * time.Millisecond
 	// defaultVMs is the assumed number of VMs until the leader reports it.
 	defaultVMs = 16
-	// minConnections is the minimum connection limit per server.
+	// minConnections is the minimum connection limit per server by the process's descriptors.
 	minConnections = 4
 )
 
