--- a/event/gateway.go
+++ b/event/gateway.go
@@ -76,7 +76,7 @@
 	{KeysPageNotWritten, "keys-page-not-written", Warn, "A change of owners was not confirmed; the page is read again before the next change."},
 	{KeysPageSeen, "keys-page-seen", Info, "A newer version of the page with the owners of keys is in force on this VM."},
 	{GrantFailed, "grant-failed", Warn, "A grant of keys was not confirmed: it was rejected because the server knows a higher fencing token, got no response (it may still be applied later), or was not sent."},
-	{ReleaseEnded, "release-ended", Info, "A call to release keys ended; if it got no response, the keys are not granted again before the grant has expired. With the field fencing the server holds nothing any more and is only told a higher fence."},
+	{ReleaseEnded, "release-ended", Info, "A call to release keys ended; if it got no response, the keys are not granted again before the grant has expired. With the field fencing the server holds nothing any more and is only told a higher fence. The field relayed says how many other VMs it answered."},
 	{PredecessorStopped, "predecessor-stopped", Info, "The previous leader is known to send no more grants; the cause says how."},
 	{PeerUnreachable, "peer-out-of-reach", Warn, "A call between this VM and the leader failed; load balancing and the retry budget use the last known values."},
 	{UpdateNotSent, "news-not-sent", Info, "An update to a page of keys, a configuration or the server list did not reach a daemon at once; the daemon gets it with the response to a report."},
