gateway/explore: a server beyond its cap resets new connections after a cut

Change: the fault cut-server-full; what follows while new connections are reset has the rule capped.

--- a/gateway/explore/answer.go
+++ b/gateway/explore/answer.go
@@ -97,6 +97,11 @@
 	if !w.reach(c, c.grant.Address) {
 		return false
 	}
+	if w.resets(c.vm, c.server) {
+		c.outcome = keys.Disconnected
+		w.end(c)
+		return false
+	}
 	c.connection = w.connect(c.vm, c.server)
 	return true
 }
@@ -148,6 +153,10 @@
 
 // answerRelease releases keys and answers at once.
 func (w *world) answerRelease(c *call) {
+	if w.resets(c.vm, c.server) {
+		w.machine(c.vm).StepReleased(w.now, *c.release, keys.ReleaseUnanswered, "")
+		return
+	}
 	if w.servers[c.server].id != c.release.Server {
 		w.machine(c.vm).StepReleased(w.now, *c.release, keys.HolderEnded, "")
 		return
@@ -163,6 +172,10 @@
 		w.wait(c, gone)
 		return
 	}
+	if w.resets(c.vm, at) {
+		w.machine(c.vm).StepProbed(w.now, *c.probe, "", false)
+		return
+	}
 	if at < 0 {
 		w.machine(c.vm).StepProbed(w.now, *c.probe, "", true)
 		return
--- a/gateway/explore/apply.go
+++ b/gateway/explore/apply.go
@@ -190,8 +190,8 @@
 		s.draining, s.endAt = true, w.now+drainTime
 	case unlist:
 		s.listed, s.listAt = false, w.now+absence
-	case cutServer:
-		w.cutServer(at)
+	case cutServer, cutServerFull:
+		w.cutServer(at, e.action == cutServerFull)
 	}
 	w.announceServers()
 }
--- a/gateway/explore/call.go
+++ b/gateway/explore/call.go
@@ -75,6 +75,7 @@
 	// The following are the answer: of a grant, of a release, of a read.
 	outcome   keys.Outcome
 	workUntil time.Duration
+	works     [samples]bool // The keys on which the server may be at work.
 	page      *keys.Page
 	position  kvstore.Position
 }
--- a/gateway/explore/fingerprint.go
+++ b/gateway/explore/fingerprint.go
@@ -56,9 +56,10 @@
 	e.Text(s.id)
 	e.Text(s.address)
 	e.Word(uint64(s.born))
-	e.Bools(s.up, s.dark, s.draining, s.listed, s.cut)
+	e.Bools(s.up, s.dark, s.draining, s.listed, s.cut, s.full)
 	e.Time(s.healAt, 0)
 	e.Time(s.healedAt, reachTime)
+	e.Time(s.resetUntil, reachTime)
 	e.Time(s.listAt, 0)
 	e.Time(s.unlistAt, 0)
 	e.Time(s.endAt, 0)
@@ -73,7 +74,7 @@
 		}
 		e.Fence(s.holds[key].fence)
 		e.Time(s.holds[key].until, holdRelevance)
-		e.Bools(s.holds[key].unreached)
+		e.Text(string(s.holds[key].rule))
 	}
 }
 
@@ -98,6 +99,7 @@
 	e.Time(c.decided, maxWriteDelay)
 	e.Time(c.arrived, maxTakingDelay)
 	e.Time(c.workUntil, 0)
+	e.Bools(c.works[:]...)
 	e.Time(c.until, 0)
 	e.Int(c.server)
 	e.Int(c.term)
--- a/gateway/explore/server.go
+++ b/gateway/explore/server.go
@@ -41,6 +41,10 @@
 	// is when that ended last.
 	cut              bool
 	healAt, healedAt time.Duration
+	// full says that it is beyond its cap of connections when the cut ends. Then it resets
+	// new ones until resetUntil.
+	full       bool
+	resetUntil time.Duration
 	// listAt and unlistAt are when its record appears and is removed, endAt when its
 	// process ends; zero if not.
 	listAt, unlistAt, endAt time.Duration
@@ -52,8 +56,9 @@
 type hold struct {
 	fence uint64
 	until time.Duration
-	// unreached says that it is by a grant that Unreached is about.
-	unreached bool
+	// rule is the one that is broken if another server holds the key too, or empty for
+	// Holders.
+	rule Rule
 }
 
 // newServer returns the first server at an address.
@@ -127,7 +132,10 @@
 		if held.until <= w.now {
 			held.fence = 0
 		}
-		*held = hold{max(call.Fence, held.fence), max(until, held.until), held.unreached && held.until > until}
+		if held.until <= until {
+			held.rule = ""
+		}
+		*held = hold{max(call.Fence, held.fence), max(until, held.until), held.rule}
 	}
 	w.checkHolders()
 }
@@ -141,6 +149,7 @@
 		if held.until > w.now {
 			w.checkRelease(key, at, held.fence, c)
 			until = max(until, held.until)
+			c.works[key] = true
 		}
 		s.holds[key] = hold{fence: held.fence}
 		s.seen[key] = max(s.seen[key], c.release.Fence)
@@ -167,6 +176,7 @@
 		w.closeConnections(func(c connection) bool { return c.server == at })
 	}
 	w.dropArrivals(at)
+	s.full, s.resetUntil = false, 0
 }
 
 // startServer starts another life at the address of a server that ended.
