--- a/gateway/explore/mutation_list_test.go
+++ b/gateway/explore/mutation_list_test.go
@@ -41,7 +41,7 @@
 	{"a restored page is taken without consultation", []edit{{"restoration.go", "return !m.consulted && m.era > 0 && (stored == nil || stored.Era < m.era)", "return false"}}},
 	{"holders by lost pages are not waited for", []edit{{"restoration.go", "if b.settlement == settled {\n\t\treturn\n\t}\n\tfor at", "if b.settlement >= settled {\n\t\treturn\n\t}\n\tfor at"}}},
 	{"another server's refusal counts while earlier leaders go on", []edit{
-		{"step.go", "if now < m.predecessorBound() {", "if false {"},
+		{"step_released.go", "if now < m.predecessorBound() {", "if false {"},
 		{"system_prior.go", "case result.ended && m.now >= m.predecessorArrival(row):", "case result.ended:"},
 	}},
 	{"a later life that is listed ends a hold", []edit{{"system_prior.go", "case result.ended && m.now", "case (result.ended || m.latestByID[prior.ID].replaces(prior)) && m.now"}}},
