gateway/run: a release is relayed by VMs that have reported lately

Change: relays are chosen among the daemons whose last report was sent within two report intervals, so that a VM that is already frozen is not asked. One that freezes right then remains. Result: TestVMThatHasNotReportedLatelyIsNoRelay; gateway/run's tests of relays pass.

--- a/gateway/run/fence.go
+++ b/gateway/run/fence.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"guavacrank.example/gateway/keys"
@@ -25,9 +24,20 @@
 	reply   chan bool
 }
 
-// chooseRelays returns the addresses of some other daemons, chosen at random.
+// relayReportIntervals is the number of report intervals within which a relay has reported: one
+// that has not may be frozen, and would send the release after its thaw.
+const relayReportIntervals = 2
+
+// chooseRelays returns the addresses of some other daemons that have reported lately, chosen at
+// random.
 func (l *loop) chooseRelays() []string {
-	others := slices.DeleteFunc(slices.Clone(l.knownPeers), func(address string) bool { return address == l.self.Address })
+	earliest := l.clock() - relayReportIntervals*l.reportInterval()
+	var others []string
+	for vm, m := range l.members {
+		if vm != l.self.VM && m.reportedAt-m.transit >= earliest {
+			others = append(others, m.address)
+		}
+	}
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	return others[:min(len(others), relaysPerFence)]
 }
--- a/gateway/run/fence_test.go
+++ b/gateway/run/fence_test.go
@@ -54,7 +54,7 @@
 	server := httptest.NewServer(peer.NewHandler(other, nil))
 	t.Cleanup(server.Close)
 	l.grantor = recordingGrantor{err: errors.New("reset"), releases: make(chan port.Release, 10)}
-	l.knownPeers = []string{l.self.Address, server.Listener.Addr().String()}
+	l.members = map[string]member{"other": {address: server.Listener.Addr().String(), reportedAt: l.clock()}}
 	return l, other
 }
 
@@ -102,16 +102,30 @@
 func TestReleaseIsRelayedByAFewOtherVMs(t *testing.T) {
 	g := NewWithT(t)
 	l := newLeadingLoop(t)
-	l.knownPeers = []string{"a", "b", l.self.Address, "c"}
+	l.members = map[string]member{l.self.VM: {address: l.self.Address, reportedAt: l.clock()}}
+	for _, address := range []string{"a", "b", "c"} {
+		l.members[address] = member{address: address, reportedAt: l.clock()}
+	}
 	for range 20 {
 		relays := l.chooseRelays()
 		g.Expect(relays).To(HaveLen(relaysPerFence))
 		g.Expect(relays).NotTo(ContainElement(l.self.Address))
 	}
-	l.knownPeers = nil
+	l.members = nil
 	g.Expect(l.chooseRelays()).To(BeEmpty())
 }
 
+func TestVMThatHasNotReportedLatelyIsNoRelay(t *testing.T) {
+	g := NewWithT(t)
+	l := newLeadingLoop(t)
+	late := relayReportIntervals*l.reportInterval() + time.Millisecond
+	l.members = map[string]member{
+		"silent": {address: "silent", reportedAt: l.clock() - late},
+		"held":   {address: "held", reportedAt: l.clock(), transit: late},
+	}
+	g.Expect(l.chooseRelays()).To(BeEmpty(), "they may be frozen")
+}
+
 func TestDaemonSendsReleasesForTheLastKnownLeadershipOnly(t *testing.T) {
 	g := NewWithT(t)
 	term := func(version kvstore.Version) peer.Leadership {
