gateway/keys: the test of fingerprints sees the rank of a release's fences again

Cause: since the fences of a release were changed to none only; a reviewer showed that a fingerprint that tells none from some passes. Change: a fingerprint must tell such a fence from none, and from one on the other side of the others.

--- a/gateway/keys/clone_fields_test.go
+++ b/gateway/keys/clone_fields_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -189,13 +190,15 @@
 		if numbered[path] {
 			return nil
 		}
-		before, old := fingerprint(), reflect.New(value.Type()).Elem()
-		old.Set(value)
 		if ranked[path] {
-			value.SetZero()
-		} else {
-			change(value)
+			if !seesRank(value, fingerprint) {
+				found = []string{path}
+			}
+			return found
 		}
+		before, old := fingerprint(), reflect.New(value.Type()).Elem()
+		old.Set(value)
+		change(value)
 		if fingerprint() == before {
 			found = []string{path}
 		}
@@ -204,6 +207,18 @@
 	return found
 }
 
+// seesRank reports whether a fingerprint tells a fence from none and from one that lies on the
+// other side of the other fences: below or above them.
+func seesRank(fence reflect.Value, fingerprint func() Fingerprint) bool {
+	before, old := fingerprint(), fence.Uint()
+	defer fence.SetUint(old)
+	differs := func(other uint64) bool {
+		fence.SetUint(other)
+		return fingerprint() != before
+	}
+	return differs(0) && (differs(1) || differs(math.MaxUint64))
+}
+
 func unseenInMap(path string, value reflect.Value, fingerprint func() Fingerprint) []string {
 	if _, ok := noEffect[path]; ok {
 		return nil
@@ -228,8 +243,7 @@
 	"LostGrants.WriteID": true, "Holder.Fence": true, "grantRow.term": true, "grantRow.fence": true, "grantRow.connection": true,
 }
 
-// ranked are fences of which only the order counts. They are changed to none, which any
-// fingerprint tells from one.
+// ranked are fences of which only the order counts (seesRank).
 var ranked = map[string]bool{"Release.Fence": true, "Release.Held": true}
 
 func TestFingerprintSeesEveryField(t *testing.T) {
