--- a/gateway/run/fence.go
+++ b/gateway/run/fence.go
@@ -14,8 +14,13 @@
 // VMs. A relayed release is sent by some of them too. It does not matter which of them the
 // server answers: it refuses lower fences from then on.
 
-// relaysPerFence is the number of other VMs that send a relayed release.
-const relaysPerFence = 2
+const (
+	// relaysPerFence is the number of other VMs that send a relayed release.
+	relaysPerFence = 2
+	// relayReportIntervals is the number of report intervals within which a relay has reported:
+	// one that has not may be frozen, and would send the release after its thaw.
+	relayReportIntervals = 2
+)
 
 // fenceReceived is a leader's request to send a release. Whether it may be sent is sent to
 // reply.
@@ -24,10 +29,6 @@
 	reply   chan bool
 }
 
-// relayReportIntervals is the number of report intervals within which a relay has reported: one
-// that has not may be frozen, and would send the release after its thaw.
-const relayReportIntervals = 2
-
 // chooseRelays returns the addresses of some other daemons that have reported lately, chosen at
 // random.
 func (l *loop) chooseRelays() []string {
