gateway/run: a server list from another VM is logged with what became of it

Change: event 757 with kind, source, base, revision, the store's version it was read from, and the outcome. No change of logic.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -50,6 +50,7 @@
 	RetryAfterIgnored       Number = 754
 	ServerUnfenced          Number = 755
 	ServerFenced            Number = 756
+	ServerListReceived      Number = 757
 )
 
 // gatewayEvents defines the events of the gateway area.
@@ -101,4 +102,5 @@
 	{RetryAfterIgnored, "retry-after-ignored", Warn, "A backend server turned a request away and named a time that is not valid (the cause quotes it); it was ignored. Logged once for each start of a server."},
 	{ServerUnfenced, "server-unfenced", Warn, "Keys of a backend server were given to others when its grants had expired, without its answer. It may still accept an earlier leader's grant of them, so it is told a higher fence as soon as it can be reached, and gets no keys before."},
 	{ServerFenced, "server-fenced", Info, "A backend server that had lost keys without an answer has been told a higher fence, or has ended. It may get keys again."},
+	{ServerListReceived, "server-list-received", Info, "Another VM sent the server list (kind complete), or changes of it (kind changes). The fields name the list that it continues and the store's version that it was read from; the outcome says whether it is in force, or why not. What changes nothing is not logged."},
 }
--- a/gateway/run/responses.go
+++ b/gateway/run/responses.go
@@ -90,6 +90,9 @@
 	l.setVMs(response.VMs)
 	age := time.Duration(response.ListAgeMS) * time.Millisecond
 	if response.Source != "" && !l.leading && l.relay.accepts(response) {
+		if response.Full || response.Revision > l.relay.seenRevision {
+			l.logServerList(responseKind(response), response.Source, response.Base, response.Revision, response.ReadFrom, l.judgeListOrder(response.ReadFrom))
+		}
 		listed := l.relay.apply(response)
 		if age < l.relayedListTTL() {
 			l.applyRelayedList(now-age, listed)
@@ -116,6 +119,14 @@
 	l.confirmByPeer(response, l.reportSentAt)
 }
 
+// responseKind returns the kind of the server list in a leader's response.
+func responseKind(response *peer.ReportResponse) string {
+	if response.Full {
+		return listComplete
+	}
+	return listChanges
+}
+
 // checkConfigurationVersion relists the configuration if the watch has missed the
 // leader's version.
 func (l *loop) checkConfigurationVersion(now time.Duration, leaderVersion uint64) {
--- a/gateway/run/server_updates.go
+++ b/gateway/run/server_updates.go
@@ -90,12 +90,56 @@
 // ones, the next report brings all.
 func (l *loop) applyServerChanges(changes *peer.ServerChanges) {
 	r := &l.relay
-	if l.leading || changes.Source != r.source || r.seenRevision < changes.Base || r.seenRevision >= changes.Revision {
+	outcome := l.judgeServerChanges(changes)
+	l.logServerList(listChanges, changes.Source, changes.Base, changes.Revision, changes.ReadFrom, outcome)
+	if outcome != listInForce {
 		return
 	}
 	l.applyRelayedList(l.clock(), r.apply(&peer.ReportResponse{Source: changes.Source, Base: changes.Base, Revision: changes.Revision, ReadFrom: changes.ReadFrom, Servers: changes.Servers, Removed: changes.Removed}))
 }
 
+// The kinds of server lists, and what became of one, as named in the log.
+const (
+	listComplete     = "complete"
+	listChanges      = "changes"
+	listInForce      = "in_force"
+	listOtherSource  = "continues_the_list_of_another_leader"
+	listGap          = "continues_a_later_revision"
+	listNotNewer     = "not_newer"
+	listOlderReading = "read_earlier"
+	listOwnReading   = "this_vm_leads"
+)
+
+// judgeServerChanges says what becomes of changes of the leader's list.
+func (l *loop) judgeServerChanges(changes *peer.ServerChanges) string {
+	switch {
+	case l.leading:
+		return listOwnReading
+	case changes.Source != l.relay.source:
+		return listOtherSource
+	case l.relay.seenRevision < changes.Base:
+		return listGap
+	case l.relay.seenRevision >= changes.Revision:
+		return listNotNewer
+	default:
+		return listInForce
+	}
+}
+
+// judgeListOrder says what becomes of a list that was read from the store at a position.
+func (l *loop) judgeListOrder(readFrom kvstore.Position) string {
+	if readFrom.Before(l.servers.position) {
+		return listOlderReading
+	}
+	return listInForce
+}
+
+// logServerList logs what became of a list, or of changes, received from another VM.
+func (l *loop) logServerList(kind, source string, base, revision uint64, readFrom kvstore.Position, outcome string) {
+	l.log.Event(event.ServerListReceived, "", zap.String("kind", kind), zap.String("source", source), zap.Uint64("base", base), zap.Uint64("revision", revision),
+		zap.Uint64("era", uint64(readFrom.Era)), zap.Uint64("read_from", uint64(readFrom.Version)), zap.String("outcome", outcome))
+}
+
 // applyServerList processes a complete server list received from a peer, which was
 // read from the store the given time ago.
 func (l *loop) applyServerList(list *peer.ServerList, age time.Duration) {
@@ -111,6 +155,7 @@
 	if l.leading || list.Source == l.relay.source && list.Revision <= l.relay.seenRevision {
 		return
 	}
+	l.logServerList(listComplete, list.Source, 0, list.Revision, list.ReadFrom, l.judgeListOrder(list.ReadFrom))
 	l.applyRelayedList(l.clock()-age, l.relay.apply(&peer.ReportResponse{Source: list.Source, Revision: list.Revision, ReadFrom: list.ReadFrom, Full: true, Servers: servers}))
 }
 
