--- a/event/gateway.go
+++ b/event/gateway.go
@@ -51,6 +51,8 @@
 	ServerUnfenced          Number = 755
 	ServerFenced            Number = 756
 	ServerListReceived      Number = 757
+	ServerListOutdated      Number = 758
+	ServerListCurrent       Number = 759
 )
 
 // gatewayEvents defines the events of the gateway area.
@@ -102,5 +104,7 @@
 	{RetryAfterIgnored, "retry-after-ignored", Warn, "A backend server turned a request away and named a time that is not valid (the cause quotes it); it was ignored. Logged once for each start of a server."},
 	{ServerUnfenced, "server-unfenced", Warn, "Keys of a backend server were given to others when its grants had expired, without its answer. It may still accept an earlier leader's grant of them, so it is told a higher fence as soon as it can be reached, and gets no keys before."},
 	{ServerFenced, "server-fenced", Info, "A backend server that had lost keys without an answer has been told a higher fence, or has ended. It may get keys again."},
-	{ServerListReceived, "server-list-received", Info, "Another VM sent the server list (kind complete), or changes of it (kind changes). The fields name the list that it continues and the store's version that it was read from; the outcome says whether it is in force, or why not. What changes nothing is not logged."},
+	{ServerListReceived, "server-list-received", Info, "Another VM sent the server list (kind complete), or changes of it (kind changes). The fields name the store's versions between which the changes lie, and how old the list in force was; the outcome says whether the changes are in force, or why not. What changes nothing is not logged."},
+	{ServerListOutdated, "server-list-outdated", Info, "The server list in force is so old, or lacks changes, that servers may have left in time without this VM's knowledge; it asks others for a newer one. The field age gives the time since it was read from the store."},
+	{ServerListCurrent, "server-list-current", Info, "The server list in force is recent again; the field outdated_for gives the time for which it was not."},
 }
--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -10,6 +10,7 @@
 	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/limit"
 	"guavacrank.example/gateway/model"
+	"guavacrank.example/gateway/serverlist"
 	"guavacrank.example/kvstore"
 )
 
@@ -72,12 +73,9 @@
 	Limits []limit.Observation `json:"limits,omitempty"`
 	// Leaving are the listed servers that told the sender that they are leaving.
 	Leaving []model.Incarnation `json:"leaving,omitempty"`
-	// Source and Revision identify the server list that the sender has: the
-	// incarnation of the leader that published it, and the list's revision.
-	Source   string `json:"source,omitempty"`
-	Revision uint64 `json:"change,omitempty"`
-	// ListAgeMS is the time since the sender's server list was read from the store.
-	ListAgeMS int64 `json:"list_age_ms,omitempty"`
+	// ListBase is the position from which on the sender needs changes of the server list;
+	// zero if it needs the complete list.
+	ListBase kvstore.Position `json:"list_base"`
 	// FollowsStore says whether the sender watches the store. Distribution is the
 	// fingerprint of the Distribution that it has.
 	FollowsStore bool   `json:"watch,omitempty"`
@@ -122,21 +120,10 @@
 	MaxCapacity float64 `json:"strongest"`
 	// FollowStore tells the receiver to watch the store itself.
 	FollowStore bool `json:"watch"`
-	// Source and Revision identify the leader's server list. If Full is set,
-	// Servers is the whole list; otherwise Servers and Removed are the changes
-	// since the revision that was reported.
-	Source   string              `json:"source,omitempty"`
-	Revision uint64              `json:"change,omitempty"`
-	Full     bool                `json:"all,omitempty"`
-	Servers  []model.Server      `json:"servers,omitempty"`
-	Removed  []model.Incarnation `json:"gone,omitempty"`
-	// Base is the revision that the changes apply to.
-	Base uint64 `json:"base,omitempty"`
-	// ReadFrom is the state of the store from which the list was read. Lists of all
-	// sources are ordered by it.
-	ReadFrom kvstore.Position `json:"read_from"`
-	// ListAgeMS is the time since the leader read the list from the store.
-	ListAgeMS int64 `json:"list_age_ms"`
+	// Changes are the changes of the server list since the reported ListBase, List is the
+	// complete list. At most one of them is set.
+	Changes *ServerChanges `json:"changes,omitempty"`
+	List    *ServerList    `json:"list,omitempty"`
 	// Era is the newest era of the store that the responding daemon knows.
 	Era kvstore.Era `json:"era,omitempty"`
 	// ConfigurationVersion is the newest version that the leader has. Record is
@@ -158,8 +145,6 @@
 	Pages []StoredPage `json:"pages,omitempty"`
 	// Distribution is the receiver's assignment to store followers if it has changed.
 	Distribution *Distribution `json:"distribution,omitempty"`
-	// List is a store follower's server list if the receiver has an older one.
-	List *ServerList `json:"list,omitempty"`
 }
 
 // Distribution assigns a daemon of a large fleet to store followers, which are the
@@ -186,9 +171,9 @@
 	Page *PageChange `json:"page,omitempty"`
 	// Record is the operators' record of a newer configuration, if any.
 	Record *ConfigurationRecord `json:"record,omitempty"`
-	// Servers is the leader's complete server list, if any.
+	// Servers is the complete server list, if any.
 	Servers *ServerList `json:"servers,omitempty"`
-	// Changes are the newest changes of the leader's server list, if any.
+	// Changes are the newest changes of the server list, if any.
 	Changes *ServerChanges `json:"changes,omitempty"`
 	// Offer is the version of a configuration that the sender has. The response says
 	// whether the receiver lacks it.
@@ -206,28 +191,31 @@
 	Position kvstore.Position `json:"position"`
 }
 
-// ServerList is a leader's complete server list.
+// ListOrigin says when and how a server list was read from the store.
+type ListOrigin struct {
+	// AgeMS is the time since the read, in milliseconds.
+	AgeMS int64 `json:"age_ms,omitempty"`
+	// Settled says that servers which are not listed have left. Otherwise they may
+	// reappear: the reader did not know the list before the store was away.
+	Settled bool `json:"settled,omitempty"`
+}
+
+// ServerList is a complete server list.
 type ServerList struct {
-	// Source is the incarnation of the leader, Revision the revision of its list.
-	Source   string `json:"source"`
-	Revision uint64 `json:"change"`
-	// ReadFrom is the state of the store from which the list was read.
-	ReadFrom kvstore.Position `json:"read_from"`
+	ListOrigin
+	// Position is the state of the store from which the list was read.
+	Position kvstore.Position `json:"position"`
+	// Digest is that of serverlist.List.
+	Digest uint64 `json:"digest"`
 	// Compressed is a JSON array of model.Server in gzip format.
 	Compressed []byte `json:"packed"`
 }
 
-// ServerChanges are the changes of a leader's server list from revision Base to
-// Revision.
+// ServerChanges are changes of the server list. They may be empty: then they say that the
+// list of an earlier position still holds.
 type ServerChanges struct {
-	// Source is the incarnation of the leader, ReadFrom the state of the store from which
-	// it read the list.
-	Source   string              `json:"source"`
-	ReadFrom kvstore.Position    `json:"read_from"`
-	Base     uint64              `json:"base"`
-	Revision uint64              `json:"change"`
-	Servers  []model.Server      `json:"servers,omitempty"`
-	Removed  []model.Incarnation `json:"gone,omitempty"`
+	ListOrigin
+	serverlist.Changes
 }
 
 // PageChange is the difference between two ownership pages. Change turns the page with
--- a/gateway/run/announce_test.go
+++ b/gateway/run/announce_test.go
@@ -11,6 +11,7 @@
 
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
+	"guavacrank.example/kvstore"
 )
 
 // recordingPeer is a peer that records the updates and reports that it receives.
@@ -52,10 +53,18 @@
 	for at := range maxDirectRecipients + 1 {
 		l.members[fmt.Sprint(at)] = member{address: server.Listener.Addr().String(), zone: "a", reportedAt: l.clock()}
 	}
-	l.applyServers(l.clock(), l.servers.ofService("s"))
+	l.beginAnnouncements()
 	return l, recorder
 }
 
+// read processes a read of the store's servers, at a position after that of the list.
+func (l *loop) read(servers ...model.Server) {
+	l.servers.update(l.clock(), servers, false)
+	l.list.Replace(kvstore.Position{Era: 1, Version: l.list.Position().Version + 10}, l.servers.present())
+	l.listedAt = l.clock()
+	l.serversApplied(l.clock())
+}
+
 // Reports of a large fleet are too far apart for the time within which a server that is
 // leaving must get no more requests.
 func TestDrainingServerIsAnnouncedToALargeFleetAtOnce(t *testing.T) {
@@ -63,14 +72,15 @@
 	l, recorder := newLeaderOfLargeFleet(t, 3)
 	listed := l.servers.ofService("s")
 	listed[1].Draining = true
-	l.applyServers(l.clock()+leaderServerPollInterval, listed[:2])
-	var update *peer.SpreadRequest
-	g.Eventually(recorder.updates, time.Second).Should(Receive(&update))
-	g.Expect(update.Changes).NotTo(BeNil())
-	g.Expect(update.Changes.Servers).To(ConsistOf(HaveField("Draining", true)))
-	g.Expect(update.Changes.Removed).To(ConsistOf(listed[2].Incarnation()))
-
-	l.applyServers(l.clock()+2*leaderServerPollInterval, listed[:2])
+	l.read(listed[:2]...)
+	for _, announcement := range []string{"first", "second: the loss of one does no harm"} {
+		var update *peer.SpreadRequest
+		g.Eventually(recorder.updates, time.Second).Should(Receive(&update), announcement)
+		g.Expect(update.Changes).NotTo(BeNil())
+		g.Expect(update.Changes.Servers).To(ConsistOf(HaveField("Draining", true)))
+		g.Expect(update.Changes.Removed).To(ConsistOf(listed[2].Incarnation()))
+		l.read(listed[:2]...)
+	}
 	g.Consistently(recorder.updates, 100*time.Millisecond).ShouldNot(Receive(), "nothing has changed")
 }
 
@@ -79,40 +89,114 @@
 func TestNewLeaderAnnouncesWhatItsFirstReadShows(t *testing.T) {
 	g := NewWithT(t)
 	l, recorder := newLeaderOfLargeFleet(t, 0)
-	l.relay = newRelay()
 	listed := []model.Server{{ID: "a", Service: "s", Address: "a:1"}, {ID: "b", Service: "s", Address: "b:1"}}
-	l.servers.update(l.clock(), listed)
+	l.applyServerListAsFollower(listOfServers(t, 50, listed...))
+	l.beginAnnouncements()
 	l.leaderResponse(&peer.Report{VM: "0"})
 	listed[0].Draining = true
-	l.applyServers(l.clock()+leaderServerPollInterval, listed)
+	l.read(listed...)
+	var update *peer.SpreadRequest
+	g.Eventually(recorder.updates, time.Second).Should(Receive(&update))
+	g.Expect(update.Changes.Servers).To(ConsistOf(HaveField("Draining", true)))
+	g.Expect(update.Changes.Base.Version).To(BeEquivalentTo(50), "the daemons have the list of the previous leader")
+}
+
+// Soon after its election the leader of a large fleet has heard of few daemons. Those that it
+// has answered have the list from before its first read.
+func TestNewLeaderOfALargeFleetAnnouncesWhatItsFirstReadShowsToTheFewThatHaveReported(t *testing.T) {
+	g := NewWithT(t)
+	l, recorder := newLeaderOfLargeFleet(t, 2)
+	l.vms.Store(295)
+	for vm := range l.members {
+		if vm != "0" {
+			delete(l.members, vm)
+		}
+	}
+	listed := l.servers.ofService("s")
+	listed[0].Draining = true
+	l.read(listed...)
 	var update *peer.SpreadRequest
 	g.Eventually(recorder.updates, time.Second).Should(Receive(&update))
 	g.Expect(update.Changes.Servers).To(ConsistOf(HaveField("Draining", true)))
 }
 
-func TestManyServerChangesWaitForTheCompleteList(t *testing.T) {
+func TestLeaderOfALargeFleetAnnouncesThatNothingHasChanged(t *testing.T) {
+	g := NewWithT(t)
+	l, recorder := newLeaderOfLargeFleet(t, 2)
+	now := l.clock()
+	l.clock = func() time.Duration { return now }
+	l.servers.availability.SetDrainTime(3 * time.Second)
+	listed := l.servers.ofService("s")
+	announced := func(vms int64, reads int) int {
+		l.vms.Store(vms)
+		for range reads {
+			now += l.leaderReadInterval()
+			l.read(listed...)
+		}
+		time.Sleep(100 * time.Millisecond)
+		count := len(recorder.updates)
+		for len(recorder.updates) > 0 {
+			g.Expect((<-recorder.updates).Changes.Empty()).To(BeTrue())
+		}
+		return count
+	}
+	g.Expect(announced(50, 10)).To(BeZero(), "the responses to reports bring it in time")
+	g.Expect(announced(295, 10)).To(Equal(5))
+	g.Expect(2*l.leaderReadInterval()+updateTransit).To(BeNumerically("<", l.maxListAge()), "before lists are too old")
+}
+
+func TestManyServerChangesAreAnnouncedByTheCompleteList(t *testing.T) {
 	g := NewWithT(t)
 	l, recorder := newLeaderOfLargeFleet(t, 1)
 	listed := l.servers.ofService("s")
 	for at := range maxListedChanges + 1 {
 		listed = append(listed, model.Server{ID: fmt.Sprintf("n-%d", at), Service: "s", Address: fmt.Sprintf("n:%d", at)})
 	}
-	l.applyServers(l.clock()+leaderServerPollInterval, listed)
-	g.Consistently(recorder.updates, 200*time.Millisecond).ShouldNot(Receive(), "the complete list is smaller, because it is compressed")
+	l.read(listed...)
+	var update *peer.SpreadRequest
+	g.Eventually(recorder.updates, time.Second).Should(Receive(&update))
+	g.Expect(update.Changes).To(BeNil(), "the complete list is smaller, because it is compressed")
+	follower := newRelayLoop(t, 0)
+	follower.applyServerList(update.Servers)
+	g.Expect(follower.servers.ofService("s")).To(HaveLen(maxListedChanges + 2))
 }
 
 func TestServerChangesApplyToTheListThatTheyChange(t *testing.T) {
 	g := NewWithT(t)
-	follower := newRelayLoop(t, 0)
-	follower.relay.apply(&peer.ReportResponse{Source: "leader", Revision: 5, Full: true, Servers: []model.Server{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}}})
-	changes := &peer.ServerChanges{Source: "leader", Base: 5, Revision: 7, Servers: []model.Server{{ID: "a", Service: "s", Draining: true}}, Removed: []model.Incarnation{{ID: "b"}}}
-	follower.applyServerChanges(changes)
+	leader, follower := newRelayLoop(t, 0), newRelayLoop(t, 0)
+	a, b := model.Server{ID: "a", Service: "s"}, model.Server{ID: "b", Service: "s"}
+	leader.read(a, b)
+	follower.applyServerList(leader.completeList())
+	a.Draining = true
+	leader.read(a)
+	first := leader.changesSince(10)
+	follower.applyServerChanges(first)
 	g.Expect(follower.servers.ofService("s")).To(ConsistOf(HaveField("Draining", true)))
-	g.Expect(follower.relay.seenRevision).To(BeEquivalentTo(7))
+	g.Expect(follower.list.Position().Version).To(BeEquivalentTo(20))
 	g.Expect(follower.listedAt).To(Equal(follower.clock()))
+	g.Expect(follower.listOutdated(follower.clock())).To(BeFalse())
+
+	leader.read(a, b)
+	leader.read(b)
+	follower.applyServerChanges(leader.changesSince(30))
+	g.Expect(follower.servers.ofService("s")).To(ConsistOf(HaveField("ID", "a")), "changes since 20 are missing")
+	g.Expect(follower.listOutdated(follower.clock())).To(BeTrue(), "it asks for them")
+	follower.applyServerChanges(leader.changesSince(20))
+	g.Expect(follower.servers.ofService("s")).To(ConsistOf(HaveField("ID", "b")))
+	g.Expect(follower.listOutdated(follower.clock())).To(BeFalse())
+	follower.applyServerChanges(first)
+	g.Expect(follower.servers.ofService("s")).To(ConsistOf(HaveField("ID", "b")), "they were overtaken")
+}
+
+// changesSince returns the changes of the list since a version of the store.
+func (l *loop) changesSince(version kvstore.Version) *peer.ServerChanges {
+	changes, _ := l.list.Since(kvstore.Position{Era: 1, Version: version}, maxListedChanges)
+	return &peer.ServerChanges{ListOrigin: l.listOrigin(), Changes: changes}
+}
 
-	follower.applyServerChanges(&peer.ServerChanges{Source: "leader", Base: 8, Revision: 9, Removed: []model.Incarnation{{ID: "a"}}})
-	g.Expect(follower.servers.ofService("s")).To(HaveLen(1), "changes since 7 are missing; the next report brings them")
-	follower.applyServerChanges(&peer.ServerChanges{Source: "other", Base: 7, Revision: 9, Removed: []model.Incarnation{{ID: "a"}}})
-	g.Expect(follower.servers.ofService("s")).To(HaveLen(1), "these change the list of another leader")
+// applyServerListAsFollower has a leader take a list as it did before it led.
+func (l *loop) applyServerListAsFollower(list *peer.ServerList) {
+	l.leading = false
+	l.applyServerList(list)
+	l.leading = true
 }
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -177,7 +177,7 @@
 	}
 	l.enterEra(leadership.Term.Era)
 	l.setKnownLeader(leadership)
-	l.relay.reportFailures, l.relay.unansweredReports = 0, 0
+	l.reporting.failures, l.reporting.unanswered = 0, 0
 	l.scheduleReport()
 	if l.leading && leadership.Leader != l.self {
 		l.stopLeading("a leader with a later term is known: " + leadership.Leader.VM)
--- a/gateway/run/confirmation.go
+++ b/gateway/run/confirmation.go
@@ -52,8 +52,8 @@
 	}
 	l.askForConfiguration(report.Address)
 	now := l.clock()
-	if now >= l.relay.configurationRelistedAt+relistInterval {
-		l.relay.configurationRelistedAt = now
+	if now >= l.reporting.configurationRelistedAt+relistInterval {
+		l.reporting.configurationRelistedAt = now
 		l.configurationWatcher.relist()
 	}
 }
--- a/gateway/run/confirmation_test.go
+++ b/gateway/run/confirmation_test.go
@@ -129,7 +129,7 @@
 	other, daemon := newRelayLoop(t, 3), newRelayLoop(t, 3)
 	other.configuration, other.confirmedAt = &model.Configuration{Version: 4}, other.clock()
 	daemon.configuration = &model.Configuration{Version: 3}
-	response := other.startupResponse(&peer.Report{ConfigurationVersion: 3, Source: "leader"})
+	response := other.startupResponse(&peer.Report{ConfigurationVersion: 3, ListBase: kvstore.Position{Version: 9}})
 	daemon.confirmByPeer(&response, daemon.clock())
 	g.Expect(daemon.confirmedAgeMS()).To(Equal(neverConfirmed))
 }
@@ -138,7 +138,7 @@
 	g := NewWithT(t)
 	other, daemon := newRelayLoop(t, 3), newRelayLoop(t, 3)
 	other.configuration, other.confirmedAt = &model.Configuration{Version: 3}, other.clock() // It read a restored store.
-	report := &peer.Report{ConfigurationVersion: 5, Source: "leader"}
+	report := &peer.Report{ConfigurationVersion: 5, ListBase: kvstore.Position{Version: 9}}
 	for _, response := range []peer.ReportResponse{other.startupResponse(report), other.followerResponse(report), other.leaderResponse(report)} {
 		daemon.configuration = &model.Configuration{Version: 5}
 		daemon.confirmByPeer(&response, daemon.clock())
--- a/gateway/run/connections_test.go
+++ b/gateway/run/connections_test.go
@@ -44,7 +44,7 @@
 	for at := range servers {
 		listed = append(listed, model.Server{ID: fmt.Sprintf("i-%d", at), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", at), Slots: 4})
 	}
-	table.update(time.Second, listed)
+	table.update(time.Second, listed, false)
 	return table, log, output
 }
 
--- a/gateway/run/fallback.go
+++ b/gateway/run/fallback.go
@@ -10,10 +10,6 @@
 	"guavacrank.example/gateway/peer"
 )
 
-// minListAgeGain is how much more recent a store follower's server list must be than
-// that of the daemon that asks for it.
-const minListAgeGain = 500 * time.Millisecond
-
 // followersToAsk returns the addresses of the store followers that this daemon asks
 // while the leader does not respond. A follower asks only those that come before it, so
 // that the first one of a zone reads the store for all.
@@ -89,37 +85,17 @@
 			response.Record = l.peerRecord()
 		}
 	}
+	few := l.addListChanges(&response, report)
 	if report.OnlyVersion || report.OnlyConfiguration {
 		return response
 	}
 	response.Pages = l.pagesFor(report.Pages)
-	age := l.clock() - l.listedAt
-	if !l.servers.known || time.Duration(report.ListAgeMS)*time.Millisecond < age+minListAgeGain {
-		return response
-	}
-	list, err := l.newestList()
-	if err != nil {
-		l.log.Event(event.UpdateNotSent, err.Error(), zap.String("vm", report.VM))
-		return response
-	}
-	response.Source, response.Revision, response.ListAgeMS = list.Source, list.Revision, age.Milliseconds()
-	response.ReadFrom = list.ReadFrom
-	if report.Source != list.Source || report.Revision < list.Revision {
-		response.List = list
+	if !few {
+		response.List = l.completeList()
 	}
 	return response
 }
 
-// newestList returns this daemon's server list under the identity of the leader that
-// it came from, or under its own if it was read from the store.
-func (l *loop) newestList() (*peer.ServerList, error) {
-	if l.relayedListNewest {
-		return l.relay.receivedList()
-	}
-	l.relay.update(l.servers)
-	return l.relay.fullList(l.source())
-}
-
 // applyFollowerResponse processes the response of a store follower.
 func (l *loop) applyFollowerResponse(response *peer.ReportResponse) {
 	l.followLeader(response.KnownLeader)
@@ -127,15 +103,7 @@
 		l.applyRecord(response.Record)
 	}
 	l.applyPages(response.Pages)
-	age := time.Duration(response.ListAgeMS) * time.Millisecond
-	switch {
-	case response.Source == "" || l.leading || age >= l.relayedListTTL():
-	case response.List != nil:
-		l.applyServerList(response.List, age)
-	case response.Source == l.relay.source && response.Revision == l.relay.seenRevision && !response.ReadFrom.Before(l.servers.position):
-		l.relay.readFrom, l.servers.position = response.ReadFrom, response.ReadFrom
-		l.setRelayedListTime(l.clock() - age)
-	}
+	l.applyListNews(response)
 }
 
 // listReading says when a daemon that does not lead reads the server list from the
@@ -159,7 +127,7 @@
 	switch {
 	case !l.needsStore():
 		return readNever
-	case follower && l.relay.reportFailures > 0:
+	case follower && l.reporting.failures > 0:
 		return readForZone
 	case follower:
 		return readForZoneIfStale
@@ -180,6 +148,6 @@
 	case readForZone:
 		return age >= serverPollInterval
 	default:
-		return age >= l.relayedListTTL()
+		return age >= l.directReadAge()
 	}
 }
--- a/gateway/run/fallback_test.go
+++ b/gateway/run/fallback_test.go
@@ -13,7 +13,7 @@
 func TestFirstFollowerOfAZoneReadsTheStoreForAll(t *testing.T) {
 	g := NewWithT(t)
 	l := newRelayLoop(t, 0)
-	l.relay.reportFailures = 1
+	l.reporting.failures = 1
 	g.Expect(l.chooseListReading()).To(Equal(readIfStale), "a daemon without followers to ask reads the store")
 	l.distribution.Followers = []string{"first", "second"}
 	l.self.Address = "other"
@@ -28,7 +28,7 @@
 	l.self.Address = "first"
 	g.Expect(l.followersToAsk()).To(BeEmpty())
 	g.Expect(l.chooseListReading()).To(Equal(readForZone))
-	l.relay.reportFailures = 0
+	l.reporting.failures = 0
 	g.Expect(l.chooseListReading()).To(Equal(readForZoneIfStale), "a leader that has lost the store may respond with an old list")
 }
 
@@ -55,50 +55,71 @@
 	g := NewWithT(t)
 	follower, daemon := newRelayLoop(t, 3), newRelayLoop(t, 0)
 	follower.listedAt = follower.clock() - time.Second
-	daemon.listedAt = daemon.clock() - time.Second
-	g.Expect(follower.followerResponse(daemon.newFollowerQuery()).List).To(BeNil(), "both lists have the same age")
-
-	daemon.listedAt = daemon.clock() - 3*time.Second
 	response := follower.followerResponse(daemon.newFollowerQuery())
 	g.Expect(response.List).NotTo(BeNil())
 	daemon.applyFollowerResponse(&response)
 	g.Expect(daemon.servers.ofService("s")).To(HaveLen(3))
 	g.Expect(daemon.listedAt).To(Equal(follower.listedAt))
 
-	daemon.listedAt = daemon.clock() - 3*time.Second
+	follower.read(follower.servers.ofService("s")...)
 	response = follower.followerResponse(daemon.newFollowerQuery())
 	g.Expect(response.List).To(BeNil(), "the daemon has this list; only its age is new")
 	daemon.applyFollowerResponse(&response)
 	g.Expect(daemon.listedAt).To(Equal(follower.listedAt))
+
+	response = daemon.followerResponse(follower.newFollowerQuery())
+	g.Expect(response.Changes.Empty()).To(BeTrue())
+	follower.read(follower.servers.ofService("s")[:1]...)
+	response = daemon.followerResponse(follower.newFollowerQuery())
+	g.Expect(response.List).To(BeNil(), "the list is older than that of the sender")
+	g.Expect(response.Changes).To(BeNil())
+}
+
+func TestDaemonAskedForTheVersionOnlyAddsChangesButNoCompleteList(t *testing.T) {
+	g := NewWithT(t)
+	other, daemon := newRelayLoop(t, 3), newRelayLoop(t, 0)
+	query := daemon.newFollowerQuery()
+	query.OnlyConfiguration, query.OnlyVersion = true, true
+	g.Expect(other.followerResponse(query).List).To(BeNil())
+	daemon.applyServerList(other.completeList())
+	other.read(other.servers.ofService("s")[:1]...)
+	query.ListBase = daemon.list.Base()
+	g.Expect(other.followerResponse(query).Changes.Removed).To(HaveLen(2))
 }
 
-func TestFollowerPassesOnTheLeadersListUnderItsIdentity(t *testing.T) {
+func TestFollowerPassesOnTheLeadersList(t *testing.T) {
 	g := NewWithT(t)
 	leader, follower := newRelayLoop(t, 3), newRelayLoop(t, 0)
-	leader.relay.update(leader.servers)
-	list, err := leader.relay.fullList("leader")
-	g.Expect(err).NotTo(HaveOccurred())
-	follower.applyServerList(list, 0)
-	passedOn, err := follower.newestList()
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(passedOn.Source).To(Equal("leader"))
-	g.Expect(passedOn.Revision).To(Equal(list.Revision), "the daemon continues with the leader's changes")
+	follower.applyServerList(leader.completeList())
+	passedOn := follower.completeList()
+	g.Expect(passedOn.Position).To(Equal(leader.list.Position()), "the daemon continues with the leader's changes")
 }
 
 func TestDaemonAsksAFollowerWhileTheLeaderHasNoRecentServerList(t *testing.T) {
 	g := NewWithT(t)
-	l, recorder := newLeaderOfLargeFleet(t, 0)
+	l, recorder := newLeaderOfLargeFleet(t, 1)
 	l.leading = false
+	l.ready.Store(true)
 	l.distribution.Followers = []string{l.members["0"].address}
 	l.campaign = leader.New(leader.Options{})
 	l.configurationWatcher = newStoreWatcher(nil, "", nil, nil)
-	old := l.relayedListTTL().Milliseconds()
-	l.applyLeaderResponse(&peer.ReportResponse{Leading: true, Source: "leader", Revision: 1, Full: true, ListAgeMS: old - 100})
+	l.servers.availability.SetDrainTime(2 * time.Second)
+	now := l.clock()
+	listWithAge := func(age time.Duration) *peer.ReportResponse {
+		changes := l.changesSince(10)
+		changes.Position.Version++
+		changes.AgeMS = age.Milliseconds()
+		return &peer.ReportResponse{Leading: true, Changes: changes}
+	}
+	l.applyLeaderResponse(listWithAge(l.maxListAge() - 100*time.Millisecond))
+	l.refreshList(now)
 	g.Consistently(recorder.queries, 100*time.Millisecond).ShouldNot(Receive())
-	l.applyLeaderResponse(&peer.ReportResponse{Leading: true, Source: "leader", Revision: 1, ListAgeMS: old})
+	l.applyLeaderResponse(listWithAge(l.maxListAge()))
+	l.refreshList(now)
 	var query *peer.Report
 	g.Eventually(recorder.queries, time.Second).Should(Receive(&query))
 	g.Expect(query.ToFollower).To(BeTrue())
+	g.Expect(query.ListBase).To(Equal(l.list.Base()))
 }
 
 // An earlier leader that is a store follower must not take the questions of daemons for
--- a/gateway/run/incarnations_test.go
+++ b/gateway/run/incarnations_test.go
@@ -95,7 +95,7 @@
 	reportDone{&peer.ReportResponse{KnownLeader: present}, nil}.apply(l)
 	g.Expect(l.newReport().Leader).To(Equal(present))
 	g.Expect(l.nextReport).To(BeNumerically("<=", l.clock()+reportJitter))
-	g.Expect(l.relay.reportFailures).To(BeZero(), "the leader responds")
+	g.Expect(l.reporting.failures).To(BeZero(), "the leader responds")
 }
 
 func TestResponseOfAnEarlierLeaderIsNotTakenForThatOfThePresentOne(t *testing.T) {
@@ -107,7 +107,7 @@
 	l.followLeader(earlier)
 	l.followLeader(present)
 	l.knownPeers = []string{"a", "b"}
-	late := peer.ReportResponse{Leading: true, KnownLeader: earlier, Members: []string{"a"}, FollowStore: true, Source: "earlier", Revision: 9, Full: true}
+	late := peer.ReportResponse{Leading: true, KnownLeader: earlier, Members: []string{"a"}, FollowStore: true, List: listOf(t, 5)}
 	reportDone{&late, nil}.apply(l)
 	g.Expect(l.knownPeers).To(HaveLen(2))
 	g.Expect(l.followsStore).To(BeFalse())
@@ -134,8 +134,8 @@
 func TestResponseTimesOfAnEarlierIncarnationAreNotThoseOfTheNext(t *testing.T) {
 	g := NewWithT(t)
 	l := newRelayLoop(t, 0)
-	l.servers.update(l.clock(), []model.Server{{ID: "a", Service: "s", Born: 1}})
-	l.servers.update(l.clock(), []model.Server{{ID: "a", Service: "s", Born: 2}})
+	l.servers.update(l.clock(), []model.Server{{ID: "a", Service: "s", Born: 1}}, false)
+	l.servers.update(l.clock(), []model.Server{{ID: "a", Service: "s", Born: 2}}, false)
 	reports := []peer.ServerReport{{Incarnation: model.Incarnation{ID: "a", Born: 1}, Responses: 9, MeanMS: 4000}, {Incarnation: model.Incarnation{ID: "a", Born: 2}, Responses: 1, MeanMS: 10}}
 	g.Expect(l.reportsOfListed(reports)).To(Equal(reports[1:]))
 }
@@ -184,11 +184,11 @@
 	g := NewWithT(t)
 	l := newRelayLoop(t, 0)
 	server := model.Server{ID: "a", Service: "s", Address: "127.0.0.1:1", Draining: true, Born: 5}
-	l.servers.update(l.clock(), []model.Server{server})
+	l.servers.update(l.clock(), []model.Server{server}, false)
 	row := l.servers.rows[server.Incarnation()]
 	first := l.servers.target(row, model.Service{}, 1)
 	server.Address, server.Draining = "127.0.0.1:2", false
-	g.Expect(l.servers.update(l.clock(), []model.Server{server})).To(BeTrue(), "requests go to the other address")
+	g.Expect(l.servers.update(l.clock(), []model.Server{server}, false)).To(BeTrue(), "requests go to the other address")
 	g.Expect(l.servers.available("s", model.Service{}, 1)).To(BeEmpty())
 	second := l.servers.target(l.servers.rows[server.Incarnation()], model.Service{}, 1)
 	g.Expect(second.Address).To(Equal("127.0.0.1:2"))
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -148,6 +148,7 @@
 	}
 	l.noteImpairedZones(l.leadersImpaired)
 	l.addMachines(now)
+	l.beginAnnouncements()
 }
 
 // resetFleet forgets what an earlier leadership of this process knew of the fleet.
--- a/gateway/run/list_order_test.go
+++ b/gateway/run/list_order_test.go
@@ -24,12 +24,16 @@
 }
 
 // listOf returns a complete list that was read from the store at a version.
-func listOf(t *testing.T, source string, version kvstore.Version, ids ...string) *peer.ServerList {
-	list, err := compressList(source, 1, kvstore.Position{Era: 1, Version: version}, serversNamed(ids...))
+func listOf(t *testing.T, version kvstore.Version, ids ...string) *peer.ServerList {
+	return listOfServers(t, version, serversNamed(ids...)...)
+}
+
+func listOfServers(t *testing.T, version kvstore.Version, servers ...model.Server) *peer.ServerList {
+	text, err := json.Marshal(servers)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return list
+	return &peer.ServerList{Position: kvstore.Position{Era: 1, Version: version}, Compressed: compress(text)}
 }
 
 // listedIDs returns the IDs of the listed servers.
@@ -44,10 +48,10 @@
 func TestLateListOfAnEarlierLeaderDoesNotBringBackAServer(t *testing.T) {
 	g := NewWithT(t)
 	l := newRelayLoop(t, 0)
-	l.applyServerList(listOf(t, "present", 50, "a", "b"), 0)
-	l.applyServerList(listOf(t, "earlier", 40, "a", "b", "left"), 0)
+	l.applyServerList(listOf(t, 50, "a", "b"))
+	l.applyServerList(listOf(t, 40, "a", "b", "left"))
 	g.Expect(listedIDs(l)).To(ConsistOf("a", "b"))
-	l.applyServerList(listOf(t, "next", 50, "a"), 0)
+	l.applyServerList(listOf(t, 50, "a"))
 	g.Expect(listedIDs(l)).To(ConsistOf("a"), "it is as recent")
 }
 
@@ -55,13 +59,17 @@
 	g := NewWithT(t)
 	l := newRestorationLoop(t)
 	l.campaign = leader.New(leader.Options{})
-	l.applyServerList(listOf(t, "earlier", 50, "a"), 0)
-	response := peer.ReportResponse{Leading: true, Source: "present", Revision: 1, Full: true, ReadFrom: kvstore.Position{Era: 1, Version: 40}, Servers: serversNamed("a", "left")}
+	l.applyServerList(listOf(t, 50, "a"))
+	response := peer.ReportResponse{Leading: true, List: listOf(t, 40, "a", "left")}
 	l.applyLeaderResponse(&response)
 	g.Expect(listedIDs(l)).To(ConsistOf("a"))
-	response = peer.ReportResponse{Leading: true, Source: "present", Base: 1, Revision: 2, ReadFrom: kvstore.Position{Era: 1, Version: 60}, Servers: serversNamed("b"), Removed: []model.Incarnation{{ID: "left"}}}
+	present := newRelayLoop(t, 0)
+	present.applyServerList(listOf(t, 40, "a", "left"))
+	present.applyServerList(listOf(t, 60, "a", "b"))
+	response = peer.ReportResponse{Leading: true, Changes: present.changesSince(40)}
 	l.applyLeaderResponse(&response)
-	g.Expect(listedIDs(l)).To(ConsistOf("a", "b"), "its changes apply to the list that it sent")
+	g.Expect(listedIDs(l)).To(ConsistOf("a", "b"), "its changes lead from both lists to its present one")
+	g.Expect(l.list.Base().Version).To(BeEquivalentTo(60))
 }
 
 // recordOfServers decodes the records of servers that are encoded as the model's type.
@@ -76,7 +84,7 @@
 	g := NewWithT(t)
 	l := newRestorationLoop(t)
 	l.records = recordOfServers{}
-	l.applyServerList(listOf(t, "leader", 50, "a"), 0)
+	l.applyServerList(listOf(t, 50, "a"))
 	read := serversRead{position: kvstore.Position{Era: 1, Version: 40}}
 	for _, server := range serversNamed("a", "left") {
 		value, err := json.Marshal(server)
@@ -90,49 +98,48 @@
 	g.Expect(listedIDs(l)).To(ConsistOf("a", "left"))
 }
 
-func TestChangesOfAnotherListAreNotMixedIntoTheReceivedOne(t *testing.T) {
+func TestChangesThatLeadToAnotherListAreFollowedByTheCompleteOne(t *testing.T) {
 	g := NewWithT(t)
-	l := newRestorationLoop(t)
+	l, present := newRestorationLoop(t), newRelayLoop(t, 0)
 	l.campaign = leader.New(leader.Options{})
-	l.applyServerList(listOf(t, "present", 50, "a"), 0)
-	response := peer.ReportResponse{Leading: true, Source: "earlier", Base: 10, Revision: 12, ReadFrom: kvstore.Position{Era: 1, Version: 60}, Servers: serversNamed("x")}
+	l.applyServerList(listOf(t, 50, "a", "only here"))
+	present.applyServerList(listOf(t, 50, "a"))
+	present.applyServerList(listOf(t, 60, "a", "x"))
+	response := peer.ReportResponse{Leading: true, Changes: present.changesSince(50)}
 	l.applyLeaderResponse(&response)
-	g.Expect(listedIDs(l)).To(ConsistOf("a"))
-	g.Expect(l.relay.source).To(Equal("present"), "the next report asks for what is missing")
-
-	changes := &peer.ServerChanges{Source: "present", Base: 1, Revision: 3, ReadFrom: kvstore.Position{Era: 1, Version: 70}, Removed: []model.Incarnation{{ID: "a"}}}
-	l.applyServerChanges(changes)
-	overtaken := peer.ReportResponse{Leading: true, Source: "present", Base: 1, Revision: 2, ReadFrom: kvstore.Position{Era: 1, Version: 65}, Servers: serversNamed("a")}
+	g.Expect(listedIDs(l)).To(ConsistOf("a", "x", "only here"))
+	g.Expect(l.newReport().ListBase).To(BeZero(), "the next report asks for what is right")
+	g.Expect(l.listOutdated(l.clock())).To(BeTrue())
+	l.applyServerList(present.completeList())
+	g.Expect(listedIDs(l)).To(ConsistOf("a", "x"))
+	g.Expect(l.listOutdated(l.clock())).To(BeFalse())
+
+	present.applyServerList(listOf(t, 65, "x"))
+	overtaken := peer.ReportResponse{Leading: true, Changes: present.changesSince(60)}
+	present.applyServerList(listOf(t, 70))
+	l.applyServerChanges(present.changesSince(60))
 	l.applyLeaderResponse(&overtaken)
 	g.Expect(listedIDs(l)).To(BeEmpty(), "the announcement was newer")
-	g.Expect(l.relay.seenRevision).To(BeEquivalentTo(3))
+	g.Expect(l.list.Position().Version).To(BeEquivalentTo(70))
 }
 
 func TestListPassedOnNamesTheStateThatItWasReadFrom(t *testing.T) {
 	g := NewWithT(t)
 	follower := newRelayLoop(t, 0)
-	follower.applyServerList(listOf(t, "leader", 50, "a"), 0)
-	passedOn, err := follower.newestList()
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(passedOn.ReadFrom).To(Equal(kvstore.Position{Era: 1, Version: 50}))
-
-	reader := newRelayLoop(t, 1)
-	reader.servers.position = kvstore.Position{Era: 1, Version: 60}
-	first, err := reader.newestList()
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(first.ReadFrom.Version).To(BeEquivalentTo(60))
-	reader.servers.position.Version = 70
-	again, err := reader.newestList()
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(again.ReadFrom.Version).To(BeEquivalentTo(70), "it was read again without a change")
-	g.Expect(first.ReadFrom.Version).To(BeEquivalentTo(60), "it may be being sent")
+	follower.applyServerList(listOf(t, 50, "a"))
+	first := follower.completeList()
+	g.Expect(first.Position).To(Equal(kvstore.Position{Era: 1, Version: 50}))
+	follower.applyServerList(listOf(t, 70, "a"))
+	again := follower.completeList()
+	g.Expect(again.Position.Version).To(BeEquivalentTo(70), "it was read again without a change")
+	g.Expect(first.Position.Version).To(BeEquivalentTo(50), "it may be being sent")
 }
 
 func TestDaemonWithoutListsOfALeaderReadsTheStoreItself(t *testing.T) {
 	g := NewWithT(t)
 	l := newRelayLoop(t, 0)
-	l.applyServerList(listOf(t, "present", 50, "a"), 0)
+	l.applyServerList(listOf(t, 50, "a"))
 	l.serversRelayedAt.Store(int64(l.clock() - time.Minute))
-	l.applyServerList(listOf(t, "stale", 40, "a"), 0)
+	l.applyServerList(listOf(t, 40, "a"))
 	g.Expect(l.mayReadServers()).To(BeTrue(), "the list that came is older than the one in force")
 }
--- /dev/null
+++ b/gateway/run/list_refresh_test.go
@@ -0,0 +1,150 @@
+package run
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"guavacrank.example/gateway/keys"
+	"guavacrank.example/gateway/leader"
+	"guavacrank.example/gateway/model"
+	"guavacrank.example/gateway/peer"
+	"guavacrank.example/kvstore"
+)
+
+// newOutdatedLoop returns a daemon that follows a leader and whose list was read too long
+// ago, with the peer that it asks, and the time by its clock.
+func newOutdatedLoop(t *testing.T) (*loop, recordingPeer, *time.Duration) {
+	l, recorder := newLeaderOfLargeFleet(t, 3)
+	address := l.members["0"].address
+	now := l.clock()
+	l.leading = false
+	l.clock = func() time.Duration { return now }
+	l.inputs = make(chan input, inputQueueSize)
+	l.campaign = leader.New(leader.Options{})
+	l.ready.Store(true)
+	l.servers.availability.SetDrainTime(2 * time.Second)
+	l.knownLeader.Leader = keys.Leader{VM: "leader", Address: address}
+	now += l.maxListAge()
+	return l, recorder, &now
+}
+
+func TestDaemonWithAnOutdatedListAsksAFollowerFirstAndThenTheLeader(t *testing.T) {
+	g := NewWithT(t)
+	l, recorder, now := newOutdatedLoop(t)
+	l.distribution.Followers = []string{l.knownLeader.Leader.Address}
+	l.refreshList(*now)
+	g.Eventually(recorder.queries, time.Second).Should(Receive())
+	g.Expect(l.refresh.leaderPending).To(BeFalse(), "in a large fleet few ask the leader")
+	l.refreshList(*now)
+	g.Consistently(recorder.queries, 50*time.Millisecond).ShouldNot(Receive(), "not before refreshInterval has passed")
+	*now += refreshInterval
+	l.refreshList(*now)
+	g.Expect(l.refresh.leaderPending).To(BeTrue())
+}
+
+func TestDaemonWithoutFollowersAsksTheLeaderForANewerList(t *testing.T) {
+	g := NewWithT(t)
+	l, recorder, now := newOutdatedLoop(t)
+	l.refreshList(*now)
+	var query *peer.Report
+	g.Eventually(recorder.queries, time.Second).Should(Receive(&query))
+	g.Expect(query.ToFollower).To(BeTrue(), "it is no report: it does not count towards a majority")
+	g.Expect(query.ListBase).To(Equal(l.list.Base()))
+	l.refresh.leaderPending = false
+	present := newRelayLoop(t, 3)
+	present.read(present.servers.ofService("s")[:2]...)
+	leaderAsked{&peer.ReportResponse{Changes: present.changesSince(10)}, nil, *now}.apply(l)
+	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(2))
+	l.refreshList(*now)
+	g.Expect(l.refresh.attempts).To(BeZero())
+}
+
+func TestDaemonThatGetsNoNewerListAsksLessOften(t *testing.T) {
+	g := NewWithT(t)
+	l, _, now := newOutdatedLoop(t)
+	asked := 0
+	for range 100 {
+		before := l.refresh.attempts
+		l.refreshList(*now)
+		asked += l.refresh.attempts - before
+		l.refresh.leaderPending = false
+		*now += 100 * time.Millisecond
+	}
+	most := quickRefreshes + int(10*time.Second/l.maxListAge()) + 1
+	g.Expect(asked).To(BeNumerically("<=", most))
+	g.Expect(asked).To(BeNumerically(">", quickRefreshes))
+}
+
+func TestLeaderReadsTheListItself(t *testing.T) {
+	g := NewWithT(t)
+	l, recorder, now := newOutdatedLoop(t)
+	l.leading = true
+	l.refreshList(*now)
+	g.Consistently(recorder.queries, 50*time.Millisecond).ShouldNot(Receive())
+}
+
+// The longest time that a departure takes to a VM is the sum of these steps
+// (docs/design/departures.md).
+func TestStepsOfADepartureTakeLessThanTheDrainTimeAtAnyFleetSize(t *testing.T) {
+	const (
+		tick         = tickInterval
+		roundTrip    = 100 * time.Millisecond // Between regions, and the time of both loops.
+		storeRead    = 100 * time.Millisecond
+		connecting   = connectTimeout
+		leaderLost   = directReadMargin + minRetryDelay + storeRead // A store follower reads it itself.
+		askedTooSoon = refreshInterval                              // Before the follower had it.
+	)
+	for _, drainTime := range []time.Duration{2 * time.Second, 3 * time.Second} {
+		for _, vms := range []int64{3, 12, 48, 96, 295, 2230, 17000} {
+			g := NewWithT(t)
+			l := newRelayLoop(t, 0)
+			l.servers.availability.SetDrainTime(drainTime)
+			l.vms.Store(vms)
+			lastAge := l.maxListAge() + tick
+			g.Expect(lastAge+leaderLost+askedTooSoon+roundTrip).To(BeNumerically("<=", drainTime-connecting), "%d VMs, drain time %s", vms, drainTime)
+			if l.needsHeartbeats() {
+				usual := l.heartbeatInterval() + l.leaderReadInterval() + updateTransit
+				g.Expect(usual).To(BeNumerically("<", l.maxListAge()), "%d VMs, drain time %s: nobody asks while all goes well", vms, drainTime)
+			}
+		}
+	}
+}
+
+// A VM that was cut off, or that follows a leader with a slow link, must not keep servers
+// that have left while it was.
+func TestServerMissingFromASettledListIsGoneHoweverOldThePreviousListIs(t *testing.T) {
+	g := NewWithT(t)
+	l := newRelayLoop(t, 3)
+	now := l.clock() + maxReadGap + time.Second
+	l.clock = func() time.Duration { return now }
+	list := listOf(t, 50, "i-0")
+	list.Settled = true
+	l.applyServerList(list)
+	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(1))
+}
+
+// After an outage of the store records are missing that come back within reappearTime. A
+// leader that knew the list before keeps these servers; one that did not says so.
+func TestServerMissingFromAListThatIsNotSettledIsKeptUntilItReappears(t *testing.T) {
+	g := NewWithT(t)
+	l := newRelayLoop(t, 3)
+	now := l.clock() + maxReadGap + time.Second
+	l.clock = func() time.Duration { return now }
+	l.applyServerList(listOf(t, 50, "i-0"))
+	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(3))
+	now += reappearTime
+	empty := &peer.ServerChanges{Changes: l.changesSince(50).Changes}
+	empty.Position = kvstore.Position{Era: 1, Version: 60}
+	l.applyServerChanges(empty)
+	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(1), "a list without changes ends the wait too")
+}
+
+func TestReaderIsSettledOnceRecordsThatItDidNotKnowWouldHaveReappeared(t *testing.T) {
+	g := NewWithT(t)
+	l := newRelayLoop(t, 1)
+	first := l.clock()
+	g.Expect(l.servers.settled(first)).To(BeFalse())
+	g.Expect(l.servers.settled(first + reappearTime)).To(BeTrue())
+}
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -17,6 +17,7 @@
 	"guavacrank.example/gateway/peer"
 	"guavacrank.example/gateway/port"
 	"guavacrank.example/gateway/routing"
+	"guavacrank.example/gateway/serverlist"
 	"guavacrank.example/gateway/succession"
 	"guavacrank.example/gateway/view"
 	"guavacrank.example/kvstore"
@@ -124,8 +125,12 @@
 	othersPending     int                       // Number of pending calls to other daemons.
 	fetching          bool                      // Whether one of them is for the configuration.
 	allocator         *limit.Allocator          // On the leader: shares of limited servers.
-	listedAt          time.Duration             // When the newest server list was read from the store.
-	relayedListNewest bool                      // Whether that list came from a peer.
+	list              *serverlist.List          // The server list as exchanged with peers.
+	packed            *packedList               // list in compressed form, created on demand.
+	listedAt          time.Duration             // When list was read from the store.
+	listSettled       bool                      // Whether servers that list lacks have left.
+	refresh           listRefresh               // The attempts to get a newer list.
+	announced         announcements             // On the leader: what it has sent of list.
 	nextLatencyReport time.Duration             // Earliest next report of servers' response times.
 	reportPending     bool
 	newerPending      bool            // Whether a call for a newer configuration is pending.
@@ -147,7 +152,7 @@
 
 	configurationWatcher *storeWatcher
 	leaderWatcher        *storeWatcher
-	relay                relay
+	reporting            reporting
 
 	// The following fields are safe for all goroutines.
 
@@ -216,6 +221,7 @@
 		yieldPending: make(map[string]bool),
 		allocator:    limit.NewAllocator(),
 		members:      make(map[string]member),
+		list:         serverlist.New(),
 
 		recordBatch:     newRecipientBatch(),
 		serverListBatch: newRecipientBatch(),
@@ -232,8 +238,7 @@
 	l.servers.memory, l.servers.dial = shared.memory, o.Network.Dial
 	l.configurationWatcher = newStoreWatcher(o.Store, o.Records.ConfigurationKey(), l.deliver, l.clock)
 	l.leaderWatcher = newStoreWatcher(o.Store, leaderKey, l.deliver, l.clock)
-	l.relay = newRelay()
-	l.serversRelayedAt.Store(-int64(l.relayedListTTL()))
+	l.serversRelayedAt.Store(-int64(l.directReadAge()))
 	l.campaign = leader.New(leader.Options{
 		Store:       o.Store,
 		Key:         leaderKey,
--- a/gateway/run/others.go
+++ b/gateway/run/others.go
@@ -14,9 +14,10 @@
 // The store followers of a zone and the leader can be lost together while the store
 // refuses this daemon. Any other daemon may have a newer configuration, or know who leads.
 // It asks some of them, chosen at random, for their version, and the first one that has a
-// newer one for the configuration. Everything else is too large: if all daemons of a region
-// that reach no leader got server lists from the other region, the link between them
-// would stay full, and the leader out of reach.
+// newer one for the configuration. The answers also bring the changes of the server list.
+// Everything else is too large: if all daemons of a region that reach no leader got complete
+// server lists from the other region, the link between them would stay full, and the leader
+// out of reach.
 
 const (
 	// followerPatience is how long a store follower may take to respond before others
@@ -113,6 +114,7 @@
 		l.confirmByPeer(r.response, r.sentAt)
 	default:
 		l.followLeader(r.response.KnownLeader)
+		l.applyListNews(r.response)
 		l.confirmByPeer(r.response, r.sentAt)
 		if !r.response.InContact {
 			l.askNextOther()
--- a/gateway/run/peer_fuzz_test.go
+++ b/gateway/run/peer_fuzz_test.go
@@ -86,7 +86,7 @@
 		t.Fatal(err)
 	}
 	l.applyConfiguration(kvstore.Entry{Value: record, Version: 1}, sourceStore)
-	l.applyServers(l.clock(), []model.Server{{ID: "i", Service: "s", Address: "127.0.0.1:1", Slots: 4}})
+	l.read(model.Server{ID: "i", Service: "s", Address: "127.0.0.1:1", Slots: 4})
 	if leading {
 		l.startLeading(l.clock())
 	}
--- a/gateway/run/polling.go
+++ b/gateway/run/polling.go
@@ -12,7 +12,7 @@
 	// serverPollInterval is the minimum interval at which a daemon that gets no
 	// server list from a leader reads the servers' records.
 	serverPollInterval = 900 * time.Millisecond
-	// leaderServerPollInterval is the interval at which the leader reads them.
+	// leaderServerPollInterval is the longest interval at which the leader reads them.
 	leaderServerPollInterval = 450 * time.Millisecond
 	// configurationPollInterval is the minimum interval at which the leader reads
 	// the configuration.
@@ -32,9 +32,6 @@
 	maxZoneServerBytesPerSec = 256 << 10
 	// serverRecordBytes is the typical size of a server's record.
 	serverRecordBytes = 200
-	// relayedListMargin is how long a server list received from the leader stays
-	// valid beyond the interval between two reports.
-	relayedListMargin = 1200 * time.Millisecond
 )
 
 // pollServers reads the servers' records periodically. The leader reads them for
@@ -67,7 +64,7 @@
 	case err != nil:
 		return jitter(maxRetryDelay)
 	case l.leadingNow.Load():
-		return leaderServerPollInterval
+		return l.leaderReadInterval()
 	}
 	bytes := time.Duration(totalBytes(read))
 	if reading := listReading(l.listReading.Load()); reading == readForZone || reading == readForZoneIfStale {
@@ -101,9 +98,6 @@
 	return bytes
 }
 
-// relayedListTTL is how long a server list received from the leader is valid.
-func (l *loop) relayedListTTL() time.Duration { return l.reportInterval() + relayedListMargin }
-
 // pollConfiguration reads the configuration periodically on the leader, because a
 // watch may miss a change. The other daemons compare their version with the
 // leader's.
--- a/gateway/run/relay_test.go
+++ b/gateway/run/relay_test.go
@@ -13,7 +13,9 @@
 	"guavacrank.example/gateway/logbook"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
+	"guavacrank.example/gateway/serverlist"
 	"guavacrank.example/gateway/view"
+	"guavacrank.example/kvstore"
 )
 
 // newRelayLoop returns a loop with the given number of listed servers.
@@ -22,7 +24,7 @@
 	t.Cleanup(func() { log.Close(time.Second) })
 	now := 5 * time.Second
 	l := &loop{
-		settings: &model.Settings{}, members: map[string]member{}, relay: newRelay(), log: log,
+		settings: &model.Settings{}, members: map[string]member{}, list: serverlist.New(), log: log,
 		allocator: limit.NewAllocator(), recordBatch: newRecipientBatch(), serverListBatch: newRecipientBatch(), pageBatch: newRecipientBatch(), clock: func() time.Duration { return now },
 		confirmation: &view.Confirmation{},
 	}
@@ -33,7 +35,9 @@
 		listed = append(listed, model.Server{ID: fmt.Sprintf("i-%d", at), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", at), Slots: 4})
 	}
 	if servers > 0 {
-		l.servers.update(now, listed)
+		l.servers.update(now, listed, false)
+		l.list.Replace(kvstore.Position{Era: 1, Version: 10}, listed)
+		l.listedAt = now
 	}
 	return l
 }
@@ -44,37 +48,47 @@
 	g := NewWithT(t)
 	leader := newRelayLoop(t, 3)
 	report := &peer.Report{VM: "a"}
-	g.Expect(leader.leaderResponse(report).Servers).To(HaveLen(3), "in a small fleet the response contains the list")
+	small := newRelayLoop(t, 0)
+	small.applyServerList(leader.leaderResponse(report).List)
+	g.Expect(small.servers.ofService("s")).To(HaveLen(3), "in a small fleet the response contains the list")
 	for at := range maxDirectRecipients + 1 {
 		leader.members[fmt.Sprint(at)] = member{}
 	}
 	response := leader.leaderResponse(report)
-	g.Expect(response.Servers).To(BeEmpty(), "in a large fleet the complete list is sent separately")
-	g.Expect(response.Source).To(BeEmpty(), "the daemon still lacks the list and has to ask again")
+	g.Expect(response.List).To(BeNil(), "in a large fleet the complete list is sent separately")
+	g.Expect(response.Changes).To(BeNil(), "the daemon still lacks the list and has to ask again")
 	g.Expect(leader.serverListBatch.take(leader.clock())).To(HaveKey("a"))
 
-	list, err := leader.relay.fullList(leader.source())
-	g.Expect(err).NotTo(HaveOccurred())
-	again, err := leader.relay.fullList(leader.source())
-	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(again).To(BeIdenticalTo(list), "the list is compressed once per revision")
+	list := leader.completeList()
+	g.Expect(&leader.completeList().Compressed[0]).To(BeIdenticalTo(&list.Compressed[0]), "the list is compressed once for the same contents")
 
 	follower := newRelayLoop(t, 0)
-	follower.applyServerList(list, 0)
+	follower.applyServerList(list)
 	g.Expect(follower.servers.ofService("s")).To(HaveLen(3))
 	next := follower.serverListReport()
-	g.Expect(leader.relay.needsFullList(leader.source(), &next)).To(BeFalse())
-	leader.relay.revision += maxListedChanges + 1
-	g.Expect(leader.relay.needsListSpread(leader.source(), &next)).To(BeTrue(), "many changes use as much bandwidth as the complete list")
-	leader.relay.revision -= maxListedChanges + 1
 	response = leader.leaderResponse(&next)
-	g.Expect(response.Source).To(Equal("leader"))
-	g.Expect(response.Servers).To(BeEmpty(), "there are no changes since the reported revision")
+	g.Expect(response.Changes.Empty()).To(BeTrue(), "there are no changes since the reported position")
+	g.Expect(leader.serverListBatch.pending).To(BeEmpty())
+	leader.listMany(maxListedChanges + 1)
+	leader.serverListBatch.clear()
+	response = leader.leaderResponse(&next)
+	g.Expect(response.Changes).To(BeNil(), "many changes use as much bandwidth as the complete list")
+	g.Expect(response.List).To(BeNil())
+	g.Expect(leader.serverListBatch.pending).To(HaveKey("a"))
+}
+
+// listMany adds servers to the list at a later position.
+func (l *loop) listMany(count int) {
+	servers := l.list.Servers()
+	for at := range count {
+		servers = append(servers, model.Server{ID: fmt.Sprintf("many-%d", at), Service: "s"})
+	}
+	l.list.Replace(kvstore.Position{Era: 1, Version: l.list.Position().Version + 1}, servers)
 }
 
 // serverListReport returns a report with only the sender and its server list.
 func (l *loop) serverListReport() peer.Report {
-	return peer.Report{VM: "a", Source: l.relay.source, Revision: l.relay.seenRevision}
+	return peer.Report{VM: "a", ListBase: l.list.Base()}
 }
 
 // In a large fleet a daemon without ownership pages gets them along the forwarding
@@ -98,33 +112,3 @@
 	report.Pages = map[string]keys.Stamp{"s": {Era: 2, Number: 8}}
 	g.Expect(leader.leaderResponse(report).Pages).To(HaveLen(1), "a daemon with an older version gets the page with the response")
 }
-
-// A server under one ID that restarts again and again, or an entry whose start differs at
-// each write, is another incarnation each time.
-func TestRelayForgetsServersThatWereRemovedLongAgo(t *testing.T) {
-	g := NewWithT(t)
-	leader, follower := newRelayLoop(t, 2), newRelayLoop(t, 0)
-	leader.relay.update(leader.servers)
-	var response peer.ReportResponse
-	leader.relay.addChanges(&response, "leader", &peer.Report{})
-	follower.relay.apply(&response)
-	now := leader.clock()
-	for born := range int64(4 * maxRemoved) {
-		now += time.Second
-		leader.servers.update(now, append(leader.servers.ofService("s")[:0], model.Server{ID: "restarting", Service: "s", Born: born}))
-		leader.relay.update(leader.servers)
-	}
-	g.Expect(len(leader.relay.removed)).To(BeNumerically("<=", maxRemoved))
-	report := follower.serverListReport()
-	response = peer.ReportResponse{}
-	leader.relay.addChanges(&response, "leader", &report)
-	g.Expect(response.Full).To(BeTrue())
-	g.Expect(follower.relay.apply(&response)).To(ConsistOf(HaveField("Born", int64(4*maxRemoved-1))))
-	report = follower.serverListReport()
-	leader.servers.update(now+time.Second, nil)
-	leader.relay.update(leader.servers)
-	response = peer.ReportResponse{}
-	leader.relay.addChanges(&response, "leader", &report)
-	g.Expect(response.Full).To(BeFalse(), "a recent list needs only the changes")
-	g.Expect(follower.relay.apply(&response)).To(BeEmpty())
-}
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -102,7 +102,7 @@
 // without leading is not overloaded: it may be about to lead.
 func (l *loop) reportDelay() time.Duration {
 	delay := l.reportInterval()
-	if doublings := l.relay.unansweredReports - staleThreshold; doublings > 0 {
+	if doublings := l.reporting.unanswered - staleThreshold; doublings > 0 {
 		delay = max(delay, min(delay<<min(doublings, maxDelayDoublings), maxReportDelay))
 	}
 	return delay + rand.N(delay/4)
@@ -113,7 +113,7 @@
 // the data that this VM lacks. It returns "" if there is no target.
 func (l *loop) reportTarget() string {
 	leader, starting := l.knownLeader.Leader.Address, l.starting()
-	useSeed := leader == "" && (starting || l.storeHealth.lost) || starting && l.relay.reportFailures%2 == 1
+	useSeed := leader == "" && (starting || l.storeHealth.lost) || starting && l.reporting.failures%2 == 1
 	if l.leading || !useSeed || len(l.settings.Seeds) == 0 {
 		return leader
 	}
@@ -150,9 +150,7 @@
 		Capacity:     l.settings.Capacity(),
 		Pages:        l.pageStamps(),
 		MemberCount:  len(l.knownPeers),
-		Source:       l.relay.source,
-		Revision:     l.relay.seenRevision,
-		ListAgeMS:    (l.clock() - l.listedAt).Milliseconds(),
+		ListBase:     l.list.Base(),
 		FollowsStore: l.followsStore,
 		Distribution: fingerprint(l.distribution),
 	}
@@ -160,7 +158,7 @@
 		report.ConfigurationVersion = l.configuration.Version
 	}
 	l.addGiveUp(report)
-	report.WantConfiguration = l.configuration == nil || l.relay.staleResponses > staleThreshold
+	report.WantConfiguration = l.configuration == nil || l.reporting.staleResponses > staleThreshold
 	return report
 }
 
@@ -332,18 +330,18 @@
 func (r reportDone) apply(l *loop) {
 	l.reportPending = false
 	if r.err != nil {
-		l.relay.unansweredReports++
+		l.reporting.unanswered++
 		l.reportFailed(r.err.Error())
 		return
 	}
-	l.relay.unansweredReports = 0
+	l.reporting.unanswered = 0
 	switch {
 	case !r.response.Leading:
 		l.applyOtherResponse(r.response)
 	case r.response.KnownLeader.Term.Before(l.knownLeader.Term):
 		// The sender has followed a later leader since; the report to it is due.
 	default:
-		l.relay.reportFailures = 0
+		l.reporting.failures = 0
 		l.applyLeaderResponse(r.response)
 	}
 }
@@ -364,7 +362,7 @@
 // reportFailed counts a report without a response of a leader.
 func (l *loop) reportFailed(cause string) {
 	l.log.Event(event.PeerUnreachable, cause, zap.String("leader", l.knownLeader.Leader.VM))
-	if l.relay.reportFailures++; l.relay.reportFailures >= staleThreshold {
+	if l.reporting.failures++; l.reporting.failures >= staleThreshold {
 		l.relistLeader(l.clock())
 	}
 	l.askFollower()
@@ -377,6 +375,7 @@
 func (tick) apply(l *loop) {
 	l.noteAvailability(l.clock())
 	l.report(l.clock())
+	l.refreshList(l.clock())
 	l.updateWatchers()
 	l.servers.closeIdle(time.Now())
 }
--- a/gateway/run/reports_test.go
+++ b/gateway/run/reports_test.go
@@ -30,11 +30,11 @@
 	for range 50 {
 		g.Expect(l.reportDelay()).To(And(BeNumerically(">=", minReportInterval), BeNumerically("<", minReportInterval*5/4)))
 	}
-	l.relay.unansweredReports = staleThreshold
+	l.reporting.unanswered = staleThreshold
 	g.Expect(l.reportDelay()).To(BeNumerically("<", minReportInterval*5/4), "the loss of a leader must be detected soon")
-	l.relay.unansweredReports = staleThreshold + 1
+	l.reporting.unanswered = staleThreshold + 1
 	g.Expect(l.reportDelay()).To(BeNumerically(">=", 2*minReportInterval))
-	l.relay.unansweredReports = 100
+	l.reporting.unanswered = 100
 	g.Expect(l.reportDelay()).To(And(BeNumerically(">=", maxReportDelay), BeNumerically("<", maxReportDelay*5/4)), "a configuration must be in force everywhere within 2 s")
 	l.vms.Store(300)
 	g.Expect(l.reportDelay()).To(BeNumerically("<", l.reportInterval()*5/4))
@@ -56,7 +56,7 @@
 	l := &loop{settings: &model.Settings{Seeds: []string{"seed"}}}
 	l.knownLeader.Leader.Address = "leader"
 	g.Expect(l.reportTarget()).To(Equal("leader"))
-	l.relay.reportFailures = 1
+	l.reporting.failures = 1
 	g.Expect(l.reportTarget()).To(Equal("seed"), "a starting daemon alternates between leader and seeds after failures")
 	l.stopping = true
 	g.Expect(l.reportTarget()).To(Equal("leader"), "a stopping daemon needs no data from seeds")
@@ -64,11 +64,11 @@
 
 func TestFollowLeaderSchedulesReport(t *testing.T) {
 	g := NewWithT(t)
-	l := &loop{clock: func() time.Duration { return 10 * time.Second }, nextReport: 14 * time.Second, relay: newRelay()}
-	l.relay.reportFailures = 7
+	l := &loop{clock: func() time.Duration { return 10 * time.Second }, nextReport: 14 * time.Second}
+	l.reporting.failures = 7
 	l.followLeader(peer.Leadership{Term: kvstore.Position{Version: 3}})
 	g.Expect(l.nextReport).To(BeNumerically("<=", 10*time.Second+reportJitter), "a new leader gets a report soon")
-	g.Expect(l.relay.reportFailures).To(BeZero())
+	g.Expect(l.reporting.failures).To(BeZero())
 }
 
 func TestHasMajority(t *testing.T) {
--- a/gateway/run/responses.go
+++ b/gateway/run/responses.go
@@ -8,9 +8,6 @@
 	"guavacrank.example/kvstore"
 )
 
-// source identifies this process's server list.
-func (l *loop) source() string { return l.self.Incarnation }
-
 // leaderResponse returns the leader's response to a report.
 func (l *loop) leaderResponse(report *peer.Report) peer.ReportResponse {
 	now := l.clock()
@@ -23,7 +20,6 @@
 		ImpairedZones: l.impairedZones(),
 		MaxCapacity:   l.maxCapacity(),
 		FollowStore:   l.mayFollowStore(report, now),
-		ListAgeMS:     (now - l.servers.readAt).Milliseconds(),
 		Era:           l.era,
 		Distribution:  l.distributionFor(report, now),
 		Limits:        l.allocator.Allotments(now, l.reportInterval()),
@@ -44,17 +40,22 @@
 	} else {
 		response.Pages = l.pagesFor(report.Pages)
 	}
-	if l.servers.known {
-		l.relay.update(l.servers)
-		if len(l.members) > maxDirectRecipients && l.relay.needsListSpread(l.source(), report) {
-			l.serverListBatch.add(report.VM, now)
-		} else {
-			l.relay.addChanges(&response, l.source(), report)
-		}
-	}
+	l.addList(&response, report, now)
 	return response
 }
 
+// addList adds to the response what the sender of a report lacks of the server list. In a
+// large fleet the complete list is sent separately.
+func (l *loop) addList(response *peer.ReportResponse, report *peer.Report, now time.Duration) {
+	switch {
+	case l.addListChanges(response, report):
+	case l.fleetSize() > maxDirectRecipients:
+		l.serverListBatch.add(report.VM, now)
+	default:
+		response.List = l.completeList()
+	}
+}
+
 // pagesFor returns the ownership pages that a daemon with the given ones lacks.
 func (l *loop) pagesFor(known map[string]keys.Stamp) []peer.StoredPage {
 	var missing []peer.StoredPage
@@ -88,18 +89,7 @@
 	l.noteLeaderContact(response)
 	l.leadersImpaired = response.ImpairedZones
 	l.setVMs(response.VMs)
-	age := time.Duration(response.ListAgeMS) * time.Millisecond
-	if response.Source != "" && !l.leading && l.relay.accepts(response) {
-		if response.Full || response.Revision > l.relay.seenRevision {
-			l.logServerList(responseKind(response), response.Source, response.Base, response.Revision, response.ReadFrom, l.judgeListOrder(response.ReadFrom))
-		}
-		listed := l.relay.apply(response)
-		if age < l.relayedListTTL() {
-			l.applyRelayedList(now-age, listed)
-		} else {
-			l.askFollower() // The leader has lost the store.
-		}
-	}
+	l.applyListNews(response)
 	l.followsStore = response.FollowStore
 	if response.Distribution != nil {
 		l.distribution = *response.Distribution
@@ -119,18 +109,10 @@
 	l.confirmByPeer(response, l.reportSentAt)
 }
 
-// responseKind returns the kind of the server list in a leader's response.
-func responseKind(response *peer.ReportResponse) string {
-	if response.Full {
-		return listComplete
-	}
-	return listChanges
-}
-
 // checkConfigurationVersion relists the configuration if the watch has missed the
 // leader's version.
 func (l *loop) checkConfigurationVersion(now time.Duration, leaderVersion uint64) {
-	r := &l.relay
+	r := &l.reporting
 	r.staleResponses++
 	if l.configuration != nil && l.configuration.Version >= leaderVersion {
 		r.staleResponses = 0
@@ -145,8 +127,8 @@
 
 // relistLeader relists the leader's key, at most once per relistInterval.
 func (l *loop) relistLeader(now time.Duration) {
-	if now >= l.relay.leaderRelistedAt+relistInterval {
-		l.relay.leaderRelistedAt = now
+	if now >= l.reporting.leaderRelistedAt+relistInterval {
+		l.reporting.leaderRelistedAt = now
 		l.leaderWatcher.relist()
 	}
 }
--- a/gateway/run/restoration_test.go
+++ b/gateway/run/restoration_test.go
@@ -94,20 +94,20 @@
 	now := l.clock()
 	for range 2 {
 		now += leaderServerPollInterval
-		table.update(now, listed[:2])
+		table.update(now, listed[:2], false)
 	}
 	left := listed[2].Incarnation()
 	table.storeRestored(now)
-	table.update(now+leaderServerPollInterval, listed)
+	table.update(now+leaderServerPollInterval, listed, false)
 	g.Expect(table.ofService("s")).To(HaveLen(2), "the record is that of the copy")
-	table.update(now+expiryHeartbeats*table.settings.HeartbeatInterval, listed)
+	table.update(now+expiryHeartbeats*table.settings.HeartbeatInterval, listed, false)
 	g.Expect(table.ofService("s")).To(HaveLen(3), "it did not expire: the server is alive")
 
-	table.update(now+20*time.Second, listed[:2])
-	table.update(now+20*time.Second+leaderServerPollInterval, listed[:2])
+	table.update(now+20*time.Second, listed[:2], false)
+	table.update(now+20*time.Second+leaderServerPollInterval, listed[:2], false)
 	table.storeRestored(now + 24*time.Second)
 	table.returned(left)
-	table.update(now+24*time.Second, listed)
+	table.update(now+24*time.Second, listed, false)
 	g.Expect(table.ofService("s")).To(HaveLen(3), "the server has written its record since")
 }
 
@@ -117,9 +117,9 @@
 	listed := l.servers.ofService("s")
 	now := l.clock() + leaderServerPollInterval
 	l.servers.storeRestored(now)
-	l.servers.update(now, listed[:1])
+	l.servers.update(now, listed[:1], false)
 	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(3))
-	l.servers.update(now+reappearTime, listed[:1])
+	l.servers.update(now+reappearTime, listed[:1], false)
 	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(1))
 }
 
--- a/gateway/run/server_updates.go
+++ b/gateway/run/server_updates.go
@@ -9,6 +9,7 @@
 	"guavacrank.example/event"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/peer"
+	"guavacrank.example/gateway/serverlist"
 	"guavacrank.example/kvstore"
 )
 
@@ -24,12 +25,13 @@
 		l.log.Event(event.ServersReadDirectly, "", zap.Int("records", len(s.entries)), zap.Int("bytes", totalBytes(s.entries)), zap.Duration("took", s.duration))
 	}
 	listed := l.decodeServers(s.entries)
-	if s.position.Before(l.servers.position) {
+	if s.position.Before(l.list.Position()) {
 		return // A peer's list has overtaken this one.
 	}
-	l.servers.position = s.position
-	l.listedAt, l.relayedListNewest = now-s.duration, false
-	l.applyServers(now, listed)
+	l.viewOutdated = l.servers.update(now, listed, false) || l.viewOutdated
+	l.list.Replace(s.position, l.servers.present())
+	l.listedAt, l.listSettled = now-s.duration, l.servers.settled(now)
+	l.serversApplied(now)
 }
 
 // decodeServers returns the servers that entries name. The others are logged, each once
@@ -52,14 +54,12 @@
 	return listed
 }
 
-// applyServers processes the complete server list, read from the store or received
-// from the leader.
-func (l *loop) applyServers(now time.Duration, listed []model.Server) {
-	l.listSize.Store(int64(len(listed)))
-	l.viewOutdated = l.servers.update(now, listed) || l.viewOutdated
+// serversApplied passes on what a new server list has changed.
+func (l *loop) serversApplied(now time.Duration) {
+	l.listSize.Store(int64(len(l.servers.rows)))
 	l.stepServers(now)
 	if l.leading {
-		l.announceServers()
+		l.announceServers(now)
 	}
 }
 
@@ -70,110 +70,96 @@
 	}
 }
 
-// announceServers sends the changes of the leader's server list to a large fleet, whose
-// reports are too far apart to wait for them.
-func (l *loop) announceServers() {
-	if len(l.members) <= maxDirectRecipients {
-		return
+// applyListNews processes the server list, or its changes, in a response.
+func (l *loop) applyListNews(response *peer.ReportResponse) {
+	if response.Changes != nil {
+		l.applyServerChanges(response.Changes)
 	}
-	base := l.relay.revision
-	l.relay.update(l.servers)
-	count := l.relay.revision - base
-	if base == 0 || count == 0 || count > maxListedChanges {
-		return // Daemons that lack the list or many changes get the complete, compressed list.
+	if response.List != nil {
+		l.applyServerList(response.List)
 	}
-	changed, removed := l.relay.changesSince(base)
-	l.broadcast(peer.SpreadRequest{Changes: &peer.ServerChanges{Source: l.source(), ReadFrom: l.relay.position, Base: base, Revision: l.relay.revision, Servers: changed, Removed: removed}})
 }
 
-// applyServerChanges processes changes of the leader's server list. If it lacks earlier
-// ones, the next report brings all.
+// applyServerChanges processes changes of the server list received from a peer. If earlier
+// ones are missing, it asks for them.
 func (l *loop) applyServerChanges(changes *peer.ServerChanges) {
-	r := &l.relay
-	outcome := l.judgeServerChanges(changes)
-	l.logServerList(listChanges, changes.Source, changes.Base, changes.Revision, changes.ReadFrom, outcome)
-	if outcome != listInForce {
-		return
+	if l.leading {
+		return // It reads the list itself.
 	}
-	l.applyRelayedList(l.clock(), r.apply(&peer.ReportResponse{Source: changes.Source, Base: changes.Base, Revision: changes.Revision, ReadFrom: changes.ReadFrom, Servers: changes.Servers, Removed: changes.Removed}))
-}
-
-// The kinds of server lists, and what became of one, as named in the log.
-const (
-	listComplete     = "complete"
-	listChanges      = "changes"
-	listInForce      = "in_force"
-	listOtherSource  = "continues_the_list_of_another_leader"
-	listGap          = "continues_a_later_revision"
-	listNotNewer     = "not_newer"
-	listOlderReading = "read_earlier"
-	listOwnReading   = "this_vm_leads"
-)
-
-// judgeServerChanges says what becomes of changes of the leader's list.
-func (l *loop) judgeServerChanges(changes *peer.ServerChanges) string {
-	switch {
-	case l.leading:
-		return listOwnReading
-	case changes.Source != l.relay.source:
-		return listOtherSource
-	case l.relay.seenRevision < changes.Base:
-		return listGap
-	case l.relay.seenRevision >= changes.Revision:
-		return listNotNewer
-	default:
-		return listInForce
+	outcome := l.list.Apply(changes.Changes)
+	if !changes.Empty() && outcome != serverlist.SamePosition || !outcome.Current() {
+		l.logServerList(listChanges, changes.Base, changes.Position, len(changes.Servers)+len(changes.Removed), string(outcome))
+	}
+	readAt := l.clock() - time.Duration(changes.AgeMS)*time.Millisecond
+	switch outcome {
+	case serverlist.Gap:
+		l.requestList(changes.Position)
+	case serverlist.SamePosition:
+		l.setRelayedListTime(max(l.listedAt, readAt))
+	case serverlist.InForce, serverlist.Different:
+		l.relayedListApplied(readAt, changes.Settled, changes.Empty())
+	}
+	if outcome == serverlist.Different {
+		l.requestList(changes.Position)
 	}
 }
 
-// judgeListOrder says what becomes of a list that was read from the store at a position.
-func (l *loop) judgeListOrder(readFrom kvstore.Position) string {
-	if readFrom.Before(l.servers.position) {
-		return listOlderReading
+// relayedListApplied puts the list received from a peer in force, which was read at the
+// given time.
+func (l *loop) relayedListApplied(readAt time.Duration, settled, unchanged bool) {
+	now := l.clock()
+	l.listSettled = settled
+	l.setRelayedListTime(readAt)
+	changed := false
+	if unchanged && l.servers.known {
+		changed = l.servers.confirm(now, settled)
+	} else {
+		changed = l.servers.update(now, l.list.Servers(), settled)
 	}
-	return listInForce
+	l.viewOutdated = changed || l.viewOutdated
+	l.serversApplied(now)
 }
 
-// logServerList logs what became of a list, or of changes, received from another VM.
-func (l *loop) logServerList(kind, source string, base, revision uint64, readFrom kvstore.Position, outcome string) {
-	l.log.Event(event.ServerListReceived, "", zap.String("kind", kind), zap.String("source", source), zap.Uint64("base", base), zap.Uint64("revision", revision),
-		zap.Uint64("era", uint64(readFrom.Era)), zap.Uint64("read_from", uint64(readFrom.Version)), zap.String("outcome", outcome))
-}
+// The kinds of messages with a server list, as named in the log.
+const (
+	listComplete = "complete"
+	listChanges  = "changes"
+)
 
-// applyServerList processes a complete server list received from a peer, which was
-// read from the store the given time ago.
-func (l *loop) applyServerList(list *peer.ServerList, age time.Duration) {
+// applyServerList processes a complete server list received from a peer.
+func (l *loop) applyServerList(list *peer.ServerList) {
+	if l.leading || list.Position.Before(l.list.Position()) {
+		return
+	}
+	readAt := l.clock() - time.Duration(list.AgeMS)*time.Millisecond
+	if list.Position == l.list.Base() && list.Digest == l.list.Digest() {
+		l.setRelayedListTime(max(l.listedAt, readAt))
+		return
+	}
 	var servers []model.Server
 	text, err := decompress(list.Compressed)
 	if err == nil {
 		err = json.Unmarshal(text, &servers)
 	}
 	if err != nil {
-		l.log.Event(event.RecordIgnored, err.Error(), zap.String("key", "servers of "+list.Source))
-		return
-	}
-	if l.leading || list.Source == l.relay.source && list.Revision <= l.relay.seenRevision {
+		l.log.Event(event.RecordIgnored, err.Error(), zap.String("key", "servers of a peer"))
 		return
 	}
-	l.logServerList(listComplete, list.Source, 0, list.Revision, list.ReadFrom, l.judgeListOrder(list.ReadFrom))
-	l.applyRelayedList(l.clock()-age, l.relay.apply(&peer.ReportResponse{Source: list.Source, Revision: list.Revision, ReadFrom: list.ReadFrom, Full: true, Servers: servers}))
-}
-
-// applyRelayedList puts the received list in force, which was read from the store at the
-// given time, unless it is older than the list in force.
-func (l *loop) applyRelayedList(readAt time.Duration, listed []model.Server) {
-	if l.relay.readFrom.Before(l.servers.position) {
-		l.relayedListNewest = false
-		return
-	}
-	l.servers.position = l.relay.readFrom
-	l.setRelayedListTime(readAt)
-	l.applyServers(l.clock(), listed)
+	l.logServerList(listComplete, kvstore.Position{}, list.Position, len(servers), string(serverlist.InForce))
+	l.list.Replace(list.Position, servers)
+	l.relayedListApplied(readAt, list.Settled, false)
 }
 
 // setRelayedListTime records when the server list received from a peer was read from
 // the store.
 func (l *loop) setRelayedListTime(at time.Duration) {
-	l.listedAt, l.relayedListNewest = at, true
+	l.listedAt = at
 	l.serversRelayedAt.Store(int64(at))
 }
+
+// logServerList logs what became of a list, or of changes, received from another VM.
+func (l *loop) logServerList(kind string, base, position kvstore.Position, rows int, outcome string) {
+	l.log.Event(event.ServerListReceived, "", zap.String("kind", kind), zap.Uint64("base", uint64(base.Version)),
+		zap.Uint64("era", uint64(position.Era)), zap.Uint64("read_from", uint64(position.Version)), zap.Int("rows", rows),
+		zap.Duration("previous_age", l.clock()-l.listedAt), zap.String("outcome", outcome))
+}
--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -15,7 +15,6 @@
 	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/model"
 	"guavacrank.example/gateway/port"
-	"guavacrank.example/kvstore"
 	"guavacrank.example/traffic/upstream"
 )
 
@@ -31,8 +30,8 @@
 	// settleTime is the time within which a server closes a new connection that
 	// exceeds its connection limit.
 	settleTime = 3 * time.Millisecond
-	// maxReadGap is the maximum time between two reads of the server list that count
-	// as uninterrupted. After a longer gap, absent servers are kept for
+	// maxReadGap is the maximum time between two lists that count as uninterrupted,
+	// unless the later one is settled. After a longer gap, absent servers are kept for
 	// reappearTime.
 	maxReadGap = 2500 * time.Millisecond
 	// reappearTime is how long an absent server is kept after a gap, since its
@@ -53,9 +52,10 @@
 	dial     upstream.Dial // Nil means TCP.
 
 	known bool // Whether the list has been read.
-	// position is the state of the store from which the list was read.
-	position kvstore.Position
-	// uninterrupted says that the last two reads were at most maxReadGap apart.
+	// knownSince is when it was read for the first time.
+	knownSince time.Duration
+	// uninterrupted says that servers which the list lacks have left, apart from those that
+	// are kept.
 	uninterrupted   bool
 	readAt          time.Duration
 	keepAbsentUntil time.Duration
@@ -92,16 +92,12 @@
 	}
 }
 
-// update processes a read of the complete server list. It says whether anything
-// changed that affects request handling.
-func (t *serverTable) update(now time.Duration, listed []model.Server) bool {
-	t.uninterrupted = t.known && !t.restored && now-t.readAt < maxReadGap
-	t.restored = false
-	if t.known && !t.uninterrupted {
-		t.keepAbsentUntil = now + reappearTime
-	}
+// update processes a complete server list. Settled says that servers which it lacks have
+// left, however long ago the previous one was read. It says whether anything changed that
+// affects request handling.
+func (t *serverTable) update(now time.Duration, listed []model.Server, settled bool) bool {
 	changed := !t.known
-	t.known, t.readAt = true, now
+	t.noteList(now, settled)
 	for _, row := range t.rows {
 		row.listed = false
 	}
@@ -114,6 +110,42 @@
 	return t.removeAbsent(now) || changed
 }
 
+// confirm processes a list without changes since the last one, as update does.
+func (t *serverTable) confirm(now time.Duration, settled bool) bool {
+	t.noteList(now, settled)
+	return t.removeAbsent(now)
+}
+
+// noteList records that there is another list.
+func (t *serverTable) noteList(now time.Duration, settled bool) {
+	t.uninterrupted = t.known && !t.restored && (settled || now-t.readAt < maxReadGap)
+	t.restored = false
+	switch {
+	case !t.known:
+		t.knownSince = now
+	case !t.uninterrupted:
+		t.keepAbsentUntil = now + reappearTime
+	}
+	t.known, t.readAt = true, now
+}
+
+// settled says whether servers which the table lacks have left: it was known for long
+// enough for those that may reappear to be kept.
+func (t *serverTable) settled(now time.Duration) bool {
+	return t.known && now-t.knownSince >= reappearTime
+}
+
+// present returns the servers that are not gone.
+func (t *serverTable) present() []model.Server {
+	servers := make([]model.Server, 0, len(t.rows))
+	for _, row := range t.rows {
+		if !row.gone {
+			servers = append(servers, row.Server)
+		}
+	}
+	return servers
+}
+
 // upsert adds or updates a listed server. A server that was draining stays
 // draining. It says whether anything changed that affects request handling.
 func (t *serverTable) upsert(server model.Server) bool {
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -127,7 +127,7 @@
 // it leads, if the leader tells it to, or while neither a leader nor a store follower
 // responds.
 func (l *loop) updateWatchers() {
-	leaderLost := l.knownLeader.Leader.Address == "" || l.relay.reportFailures > 0
+	leaderLost := l.knownLeader.Leader.Address == "" || l.reporting.failures > 0
 	l.leaderWatcher.setActive(l.leading || l.followsStore || leaderLost && l.needsStore())
 	l.configurationWatcher.frequent.Store(l.leading)
 	l.configurationWatcher.setActive(l.leading || l.mayReadConfiguration())
@@ -148,7 +148,7 @@
 		l.applyServerChanges(s.update.Changes)
 	}
 	if s.update.Servers != nil {
-		l.applyServerList(s.update.Servers, 0)
+		l.applyServerList(s.update.Servers)
 	}
 }
 
@@ -224,9 +224,8 @@
 	if pending == nil {
 		return
 	}
-	list, err := l.relay.fullList(l.source())
-	if err != nil {
-		l.log.Event(event.UpdateNotSent, err.Error(), zap.String("news", "servers"))
+	list := l.completeList()
+	if list == nil {
 		return
 	}
 	l.multicast(peer.SpreadRequest{Servers: list}, func(vm string) bool { return pending[vm] })
--- a/gateway/run/start.go
+++ b/gateway/run/start.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"guavacrank.example/gateway/peer"
+	"guavacrank.example/kvstore"
 )
 
 const (
@@ -35,7 +36,7 @@
 // configuration from the store. A starting one waits for a leader's response first.
 func (l *loop) mayReadConfiguration() bool {
 	if l.configuration != nil {
-		return l.followsStore || l.relay.reportFailures >= staleThreshold && l.needsStore()
+		return l.followsStore || l.reporting.failures >= staleThreshold && l.needsStore()
 	}
 	elapsed := l.clock() - l.startedAt
 	return elapsed >= configurationWait || elapsed >= l.leaderWait && !l.leaderResponded.Load() || l.mayReadStoreAtOnce()
@@ -50,7 +51,7 @@
 // reportWhileStarting makes a starting daemon report at once, so that the response
 // brings the data that it lacks without waiting for the next tick.
 func (l *loop) reportWhileStarting() {
-	if l.starting() && l.relay.reportFailures <= eagerAttempts {
+	if l.starting() && l.reporting.failures <= eagerAttempts {
 		l.nextReport = 0
 		tick{}.apply(l)
 	}
@@ -84,13 +85,12 @@
 		return response
 	}
 	response.ConfigurationVersion = l.configuration.Version
-	if !l.servers.known || report.ConfigurationVersion > 0 && report.Source != "" {
+	if !l.servers.known || report.ConfigurationVersion > 0 && report.ListBase != (kvstore.Position{}) {
 		return response
 	}
 	response.Record = l.peerRecord()
 	response.Pages = l.pagesFor(report.Pages)
-	l.relay.update(l.servers)
-	l.relay.addChanges(&response, l.source(), report)
+	response.List = l.completeList()
 	return response
 }
 
@@ -102,8 +102,6 @@
 	l.applyRecord(response.Record)
 	l.applyPages(response.Pages)
 	if !l.servers.known {
-		listed := l.relay.apply(response)
-		l.servers.position = response.ReadFrom
-		l.applyServers(l.clock(), listed)
+		l.applyListNews(response)
 	}
 }
