gateway/run: a VM that was cut off alone does not bring back servers that have left

Servers that had left meanwhile were missing from that read, and since its last one was more than 2.5 s ago it kept them for 2.1 s, as after an outage of the store, in the list that it sent to all VMs. Other VMs had read the store all the time and knew better. And in a zone whose first store follower was cut off from the store, VMs got no newer list for 2.4 s: the others left the read to it. Change: a read after an interruption waits 0.25 s for the lists of others, and a leader takes these while its own is too old. A store follower reads the store itself once two attempts brought no newer list; VMs go on to the next follower after an answer that is not newer, and ask other VMs from the second attempt on.

--- a/gateway/run/fallback.go
+++ b/gateway/run/fallback.go
@@ -61,6 +61,9 @@
 	if r.err == nil {
 		l.followerFailures = 0
 		l.applyFollowerResponse(r.response)
+		if l.listOutdated(l.clock()) {
+			l.nextFollower++ // Another one may have a newer list.
+		}
 		l.confirmByPeer(r.response, r.sentAt)
 		if !r.response.InContact {
 			l.askOthers()
@@ -125,6 +128,8 @@
 func (l *loop) chooseListReading() listReading {
 	follower := slices.Contains(l.distribution.Followers, l.self.Address)
 	switch {
+	case follower && l.refresh.attempts > refreshesBeforeRead:
+		return readForZoneIfStale
 	case !l.needsStore():
 		return readNever
 	case follower && l.reporting.failures > 0:
--- a/gateway/run/inputs.go
+++ b/gateway/run/inputs.go
@@ -33,6 +33,8 @@
 	entries  []kvstore.Entry
 	err      error
 	duration time.Duration
+	// heldFor is how long it waited after that to be applied.
+	heldFor time.Duration
 }
 
 // pageRead is the result of reading an ownership page.
--- a/gateway/run/list_refresh.go
+++ b/gateway/run/list_refresh.go
@@ -33,9 +33,12 @@
 	// updateTransit is the time that an update usually takes to reach all VMs.
 	updateTransit = 250 * time.Millisecond
 	// refreshInterval is the time between two attempts to get a newer list. After
-	// quickRefreshes it is the greatest age of a list: others have none either.
+	// quickRefreshes it is half the greatest age of a list: others have none either.
 	refreshInterval = 200 * time.Millisecond
-	quickRefreshes  = 4
+	quickRefreshes  = 6
+	// refreshesBeforeRead is the number of attempts after which a store follower reads the
+	// store itself: those that should have done so for its zone have not.
+	refreshesBeforeRead = 2
 )
 
 // listRefresh is the state of the attempts to get a newer server list.
@@ -96,7 +99,7 @@
 
 // refreshList asks others for a newer server list if the one in force is outdated.
 func (l *loop) refreshList(now time.Duration) {
-	if l.leading || l.starting() || !l.servers.known || !l.listOutdated(now) {
+	if l.starting() || !l.servers.known || !l.listOutdated(now) {
 		l.endRefresh(now)
 		return
 	}
@@ -126,19 +129,21 @@
 	if l.refresh.attempts < quickRefreshes {
 		return jitter(refreshInterval)
 	}
-	return l.maxListAge()
+	return l.maxListAge() / 2
 }
 
 // askForList asks for a newer list: first a store follower of the zone, so that the leader
-// of a large fleet is asked by few. Later attempts ask the leader too, and other daemons
-// while no follower responds.
+// of a large fleet is asked by few. Later attempts ask the leader and other daemons too.
 func (l *loop) askForList() {
-	first := l.refresh.attempts == 0
-	if !first || len(l.followersToAsk()) == 0 {
+	first, followers := l.refresh.attempts == 0, len(l.followersToAsk()) > 0
+	if followers {
+		l.askFollower()
+	}
+	if !first || !followers {
 		l.askLeader()
 	}
-	if l.refresh.attempts < quickRefreshes && (!first || len(l.followersToAsk()) > 0) {
-		l.askFollower()
+	if !first {
+		l.askOthers()
 	}
 }
 
@@ -152,7 +157,7 @@
 // askLeader asks the leader for what this daemon lacks, unless such a question is pending.
 func (l *loop) askLeader() {
 	address := l.knownLeader.Leader.Address
-	if address == "" || l.refresh.leaderPending {
+	if address == "" || l.leading || l.refresh.leaderPending {
 		return
 	}
 	l.refresh.leaderPending = true
--- a/gateway/run/server_updates.go
+++ b/gateway/run/server_updates.go
@@ -20,9 +20,13 @@
 	if s.err != nil || s.position.Era < l.era {
 		return
 	}
-	l.noteRewrites(s)
-	if !l.leading {
-		l.log.Event(event.ServersReadDirectly, "", zap.Int("records", len(s.entries)), zap.Int("bytes", totalBytes(s.entries)), zap.Duration("took", s.duration))
+	if s.heldFor == 0 {
+		l.noteRewrites(s)
+		l.logDirectRead(s)
+	}
+	if s.heldFor == 0 && l.servers.interrupted(now) {
+		l.hold(s)
+		return
 	}
 	listed := l.decodeServers(s.entries)
 	if s.position.Before(l.list.Position()) {
@@ -30,10 +34,33 @@
 	}
 	l.viewOutdated = l.servers.update(now, listed, false) || l.viewOutdated
 	l.list.Replace(s.position, l.servers.present())
-	l.listedAt, l.listSettled = now-s.duration, l.servers.settled(now)
+	l.listedAt, l.listSettled = now-s.duration-s.heldFor, l.servers.settled(now)
 	l.serversApplied(now)
 }
 
+// logDirectRead logs a read by a VM that does not lead.
+func (l *loop) logDirectRead(s serversRead) {
+	if !l.leading {
+		l.log.Event(event.ServersReadDirectly, "", zap.Int("records", len(s.entries)), zap.Int("bytes", totalBytes(s.entries)), zap.Duration("took", s.duration))
+	}
+}
+
+// holdTime is how long a read after an interruption waits for the lists of others.
+const holdTime = 250 * time.Millisecond
+
+// hold applies a read a little later and asks others for their lists meanwhile. This VM
+// can't tell an outage of the store, after which absent servers may reappear, from a time in
+// which it alone was cut off. A VM that has read the store all the time can.
+func (l *loop) hold(s serversRead) {
+	l.askFollower()
+	l.askOthers()
+	s.heldFor = holdTime
+	go func() {
+		sleep(l.ctx, holdTime)
+		l.deliver(s)
+	}()
+}
+
 // decodeServers returns the servers that entries name. The others are logged, each once
 // for as long as its cause stays the same: their writers may write them again and again.
 func (l *loop) decodeServers(entries []kvstore.Entry) []model.Server {
@@ -80,11 +107,15 @@
 	}
 }
 
+// takesLists reports whether this VM takes lists from others. A leader reads them itself,
+// unless it was cut off.
+func (l *loop) takesLists() bool { return !l.leading || l.listOutdated(l.clock()) }
+
 // applyServerChanges processes changes of the server list received from a peer. If earlier
 // ones are missing, it asks for them.
 func (l *loop) applyServerChanges(changes *peer.ServerChanges) {
-	if l.leading {
-		return // It reads the list itself.
+	if !l.takesLists() {
+		return
 	}
 	outcome := l.list.Apply(changes.Changes)
 	if !changes.Empty() && outcome != serverlist.SamePosition || !outcome.Current() {
@@ -128,7 +159,7 @@
 
 // applyServerList processes a complete server list received from a peer.
 func (l *loop) applyServerList(list *peer.ServerList) {
-	if l.leading || list.Position.Before(l.list.Position()) {
+	if !l.takesLists() || list.Position.Before(l.list.Position()) {
 		return
 	}
 	readAt := l.clock() - time.Duration(list.AgeMS)*time.Millisecond
--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -118,7 +118,7 @@
 
 // noteList records that there is another list.
 func (t *serverTable) noteList(now time.Duration, settled bool) {
-	t.uninterrupted = t.known && !t.restored && (settled || now-t.readAt < maxReadGap)
+	t.uninterrupted = t.known && !t.restored && (settled || !t.interrupted(now))
 	t.restored = false
 	switch {
 	case !t.known:
@@ -129,6 +129,12 @@
 	t.known, t.readAt = true, now
 }
 
+// interrupted says whether the last list is so old that servers may be missing from the
+// next one only for a time.
+func (t *serverTable) interrupted(now time.Duration) bool {
+	return t.known && now-t.readAt >= maxReadGap
+}
+
 // settled says whether servers which the table lacks have left: it was known for long
 // enough for those that may reappear to be kept.
 func (t *serverTable) settled(now time.Duration) bool {
