gateway/run: announcements name the pages and the configuration that every VM should have

An ownership page whose change is lost, with no later one, waits up to 2.95 s at 295 VMs, and requests for its keys get 421 until then. Change: the announcements of a large fleet's leader name the page stamps that it has had for 0.25 s and the configuration that it has had for 1.5 s. Who lacks one reports within 0.15 s. Limits and leaders do not wait for reports (docs/design/departures.md).

--- a/gateway/peer/peer.go
+++ b/gateway/peer/peer.go
@@ -175,6 +175,8 @@
 	Servers *ServerList `json:"servers,omitempty"`
 	// Changes are the newest changes of the server list, if any.
 	Changes *ServerChanges `json:"changes,omitempty"`
+	// Held says what else the sender has, so that receivers ask for what they lack.
+	Held *HeldVersions `json:"held,omitempty"`
 	// Offer is the version of a configuration that the sender has. The response says
 	// whether the receiver lacks it.
 	Offer uint64 `json:"offer,omitempty"`
@@ -191,6 +193,14 @@
 	Position kvstore.Position `json:"position"`
 }
 
+// HeldVersions are versions that a leader has had in force for a while: every daemon should
+// have got them by now.
+type HeldVersions struct {
+	Configuration uint64 `json:"configuration,omitempty"`
+	// Pages maps services to the stamps of their ownership pages.
+	Pages map[string]keys.Stamp `json:"pages,omitempty"`
+}
+
 // ListOrigin says when and how a server list was read from the store.
 type ListOrigin struct {
 	// AgeMS is the time since the read, in milliseconds.
--- a/gateway/run/announcement.go
+++ b/gateway/run/announcement.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"guavacrank.example/event"
+	"guavacrank.example/gateway/keys"
 	"guavacrank.example/gateway/peer"
 	"guavacrank.example/kvstore"
 )
@@ -15,6 +16,9 @@
 // as such. More take as many bytes as the complete, compressed list.
 const maxListedChanges = 100
 
+// configurationTransit is the time that a large configuration may take to reach all daemons.
+const configurationTransit = 1500 * time.Millisecond
+
 // announcements are what this leader has sent of its server list to a large fleet.
 type announcements struct {
 	// earlier and last are the positions of the last two. Each contains the changes since
@@ -45,7 +49,7 @@
 	}
 	l.announced = announcements{earlier: l.announced.last, last: l.list.Position(), next: now + l.heartbeatInterval()}
 	if few {
-		l.broadcast(peer.SpreadRequest{Changes: &peer.ServerChanges{ListOrigin: l.listOrigin(), Changes: changes}})
+		l.broadcast(peer.SpreadRequest{Changes: &peer.ServerChanges{ListOrigin: l.listOrigin(), Changes: changes}, Held: l.heldVersions(now)})
 		return
 	}
 	l.announced.earlier = l.announced.last
@@ -54,6 +58,33 @@
 	}
 }
 
+// heldVersions returns what should have reached every daemon by now.
+func (l *loop) heldVersions(now time.Duration) *peer.HeldVersions {
+	held := &peer.HeldVersions{Pages: make(map[string]keys.Stamp)}
+	if l.configuration != nil && now-l.origin.At >= configurationTransit {
+		held.Configuration = l.configuration.Version
+	}
+	for service, page := range l.pages {
+		if now-page.since >= updateTransit {
+			held.Pages[service] = page.page.Stamp
+		}
+	}
+	return held
+}
+
+// checkHeld makes this daemon report soon if it lacks what the leader has had for a while: the
+// update was lost.
+func (l *loop) checkHeld(held *peer.HeldVersions) {
+	lacking := l.lacks(held.Configuration)
+	for service, stamp := range held.Pages {
+		known := l.pages[service]
+		lacking = lacking || known == nil || known.page.Stamp.Before(stamp)
+	}
+	if lacking && !l.leading {
+		l.scheduleReport()
+	}
+}
+
 // fleetSize returns the number of daemons, as far as it is known: soon after an election
 // few of them have reported to this leader.
 func (l *loop) fleetSize() int { return max(len(l.members), int(l.vms.Load())) }
--- a/gateway/run/beliefs.go
+++ b/gateway/run/beliefs.go
@@ -201,7 +201,7 @@
 // setPage puts an ownership page in force.
 func (l *loop) setPage(service string, page *keys.Page) {
 	lostGrants := l.lostGrants(service).See(l.clock(), page)
-	l.pages[service] = &versionedPage{page: page, handoverSince: l.handoversSince(service, page), lostGrants: lostGrants}
+	l.pages[service] = &versionedPage{page: page, since: l.clock(), handoverSince: l.handoversSince(service, page), lostGrants: lostGrants}
 	l.viewOutdated = true
 	l.log.Event(event.KeysPageSeen, "", append(pageFields(service, page.Stamp),
 		zap.Int("ranges", len(page.Ranges)), zap.Uint64("fence", page.Fence), zap.String("writer", page.Writer.VM))...)
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -171,7 +171,8 @@
 // versionedPage is an ownership page in force.
 type versionedPage struct {
 	page   *keys.Page
-	stored []byte // The encoded page, created on demand.
+	stored []byte        // The encoded page, created on demand.
+	since  time.Duration // When it came into force here.
 	// handoverSince is that of view.Service.
 	handoverSince map[uint64]time.Duration
 	lostGrants    keys.LostGrantsBound
--- a/gateway/run/spread.go
+++ b/gateway/run/spread.go
@@ -150,6 +150,9 @@
 	if s.update.Servers != nil {
 		l.applyServerList(s.update.Servers)
 	}
+	if s.update.Held != nil {
+		l.checkHeld(s.update.Held)
+	}
 }
 
 // applyPageChange applies the change of an ownership page. If it has another base
