gateway/run: a list read again at the same position is no interruption

Cause, by the logs: while no server joins or leaves, the store's position stands still, as records are written again without a change of it. Announcements at the position that a VM had already renewed the list's age, but not the time since its last list. A VM that was then elected took its first read for one after an interruption and kept what was missing for 2.1 s. When it let these servers go, still at the same position, its changes did not name them, and all VMs asked for the complete list. Change: such a list counts as one more list. A change that is found at the position of an earlier list goes to those who have that list.

--- a/gateway/run/list_refresh_test.go
+++ b/gateway/run/list_refresh_test.go
@@ -196,3 +196,21 @@
 	l.self.Address = "other"
 	g.Expect(l.chooseListReading()).To(Equal(readNever), "it asks the followers")
 }
+
+// While nothing is written, lists are read again and again at one position of the store.
+func TestListReadAgainAtTheSamePositionIsNoInterruption(t *testing.T) {
+	g := NewWithT(t)
+	l := newRestorationLoop(t)
+	l.records = recordOfServers{}
+	now := l.clock()
+	l.clock = func() time.Duration { return now }
+	other := newRelayLoop(t, 3)
+	for range 8 {
+		now += maxReadGap / 4
+		l.applyServerChanges(other.changesSince(10))
+		l.applyServerList(other.completeList())
+	}
+	g.Expect(l.listedAt).To(Equal(now))
+	readOf(t, 60, l.servers.ofService("s")[:1]...).apply(l)
+	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(1))
+}
--- a/gateway/run/server_updates.go
+++ b/gateway/run/server_updates.go
@@ -126,7 +126,7 @@
 	case serverlist.Gap:
 		l.requestList(changes.Position)
 	case serverlist.SamePosition:
-		l.setRelayedListTime(max(l.listedAt, readAt))
+		l.relayedListApplied(max(l.listedAt, readAt), changes.Settled, true)
 	case serverlist.InForce, serverlist.Different:
 		l.relayedListApplied(readAt, changes.Settled, changes.Empty())
 	}
@@ -164,7 +164,7 @@
 	}
 	readAt := l.clock() - time.Duration(list.AgeMS)*time.Millisecond
 	if list.Position == l.list.Base() && list.Digest == l.list.Digest() {
-		l.setRelayedListTime(max(l.listedAt, readAt))
+		l.relayedListApplied(max(l.listedAt, readAt), list.Settled, true)
 		return
 	}
 	var servers []model.Server
--- a/gateway/serverlist/changes.go
+++ b/gateway/serverlist/changes.go
@@ -28,12 +28,12 @@
 		return changes, false
 	}
 	for _, r := range l.rows {
-		if base.Before(r.changedAt) {
+		if r.changed.after(base) {
 			changes.Servers = append(changes.Servers, r.Server)
 		}
 	}
-	for incarnation, at := range l.removed {
-		if base.Before(at) {
+	for incarnation, removed := range l.removed {
+		if removed.after(base) {
 			changes.Removed = append(changes.Removed, incarnation)
 		}
 	}
@@ -47,7 +47,7 @@
 const (
 	// InForce: the list is now the one at the position of the changes.
 	InForce Outcome = "in_force"
-	// SamePosition: the list has this position already.
+	// SamePosition: the list is the same, and has this position already.
 	SamePosition Outcome = "same_position"
 	// Older: the list is newer.
 	Older Outcome = "older"
@@ -66,28 +66,26 @@
 	switch {
 	case !l.known || changes.Position.Era != l.position.Era && l.position.Before(changes.Position):
 		return Gap
-	case changes.Position == l.position && changes.Digest != l.digest:
-		l.differs = true
-		return Different
-	case changes.Position == l.position:
-		return SamePosition
 	case changes.Position.Before(l.position):
 		return Older
+	case changes.Position == l.position && changes.Digest == l.digest:
+		l.differs = false
+		return SamePosition
 	case l.position.Before(changes.Base):
 		return Gap
 	}
+	found := mark{at: changes.Position, again: changes.Position == l.position}
 	l.position = changes.Position
 	for _, server := range changes.Servers {
-		l.put(server)
+		l.put(server, found)
 	}
 	for _, incarnation := range changes.Removed {
-		l.remove(incarnation)
+		l.remove(incarnation, found)
 	}
 	l.forgetRemoved()
-	if l.digest != changes.Digest {
-		l.differs = true
+	l.differs = l.digest != changes.Digest
+	if l.differs {
 		return Different
 	}
-	l.differs = false
 	return InForce
 }
--- a/gateway/serverlist/list.go
+++ b/gateway/serverlist/list.go
@@ -19,22 +19,35 @@
 	// begin is the position since which all changes are known.
 	begin   kvstore.Position
 	rows    map[model.Incarnation]row
-	removed map[model.Incarnation]kvstore.Position // By server: where it was found removed.
+	removed map[model.Incarnation]mark // When each was found removed.
 	digest  uint64
 	// differs says that the list is not the one that its latest changes lead to.
 	differs bool
 }
 
-// row is a server with the position at which its last change was found.
+// row is a server with its last change.
 type row struct {
 	model.Server
-	changedAt kvstore.Position
-	digest    uint64
+	changed mark
+	digest  uint64
+}
+
+// mark says when a change was found.
+type mark struct {
+	at kvstore.Position
+	// again says that an earlier list at the same position did not have the change: its
+	// reader kept a server that might have reappeared, or read the pages at other times.
+	again bool
+}
+
+// after reports whether a list at a position may lack the change.
+func (m mark) after(position kvstore.Position) bool {
+	return position.Before(m.at) || m.again && position == m.at
 }
 
 // New returns a list that is not known yet.
 func New() *List {
-	return &List{rows: make(map[model.Incarnation]row), removed: make(map[model.Incarnation]kvstore.Position)}
+	return &List{rows: make(map[model.Incarnation]row), removed: make(map[model.Incarnation]mark)}
 }
 
 // Known reports whether the list holds anything.
@@ -74,43 +87,44 @@
 		l.begin = position
 		clear(l.removed)
 	}
+	found := mark{at: position, again: l.known && position == l.position}
 	l.known, l.position, l.differs = true, position, false
 	listed := make(map[model.Incarnation]bool, len(servers))
 	for _, server := range servers {
 		listed[server.Incarnation()] = true
-		l.put(server)
+		l.put(server, found)
 	}
 	for incarnation := range l.rows {
 		if !listed[incarnation] {
-			l.remove(incarnation)
+			l.remove(incarnation, found)
 		}
 	}
 	l.forgetRemoved()
 }
 
-// put adds or updates a server at the present position.
-func (l *List) put(server model.Server) {
+// put adds or updates a server.
+func (l *List) put(server model.Server, found mark) {
 	server.WarmUp = 0 // It decreases with every read.
 	incarnation := server.Incarnation()
-	previous, found := l.rows[incarnation]
-	if found && previous.Server == server {
+	previous, known := l.rows[incarnation]
+	if known && previous.Server == server {
 		return
 	}
-	next := row{Server: server, changedAt: l.position, digest: digestOf(server)}
+	next := row{Server: server, changed: found, digest: digestOf(server)}
 	l.digest += next.digest - previous.digest
 	l.rows[incarnation] = next
 	delete(l.removed, incarnation)
 }
 
-// remove removes a server at the present position.
-func (l *List) remove(incarnation model.Incarnation) {
-	previous, found := l.rows[incarnation]
-	if !found {
+// remove removes a server.
+func (l *List) remove(incarnation model.Incarnation, found mark) {
+	previous, known := l.rows[incarnation]
+	if !known {
 		return
 	}
 	l.digest -= previous.digest
 	delete(l.rows, incarnation)
-	l.removed[incarnation] = l.position
+	l.removed[incarnation] = found
 }
 
 // forgetRemoved forgets the earlier half of the removed servers if there are more than
@@ -119,9 +133,9 @@
 	if len(l.removed) <= maxRemoved {
 		return
 	}
-	positions := slices.SortedFunc(maps.Values(l.removed), compare)
-	l.begin = positions[len(positions)/2]
-	maps.DeleteFunc(l.removed, func(_ model.Incarnation, at kvstore.Position) bool { return !l.begin.Before(at) })
+	marks := slices.SortedFunc(maps.Values(l.removed), func(x, y mark) int { return compare(x.at, y.at) })
+	l.begin = marks[len(marks)/2].at
+	maps.DeleteFunc(l.removed, func(_ model.Incarnation, m mark) bool { return !m.after(l.begin) })
 }
 
 func compare(x, y kvstore.Position) int {
--- a/gateway/serverlist/list_test.go
+++ b/gateway/serverlist/list_test.go
@@ -132,3 +132,17 @@
 		seen[digestOf(changed)] = true
 	}
 }
+
+func TestChangeThatIsFoundAtThePositionOfAnEarlierListReachesItsReceivers(t *testing.T) {
+	g := NewWithT(t)
+	leader, follower := New(), New()
+	leader.Replace(at(5), named("a", "kept"))
+	follower.Replace(at(5), named("a", "kept"))
+	leader.Replace(at(5), named("a"))
+	changes, known := leader.Since(follower.Base(), 10)
+	g.Expect(known).To(BeTrue())
+	g.Expect(follower.Apply(changes)).To(Equal(InForce))
+	g.Expect(follower.Servers()).To(ConsistOf(named("a")))
+	g.Expect(follower.Apply(changes)).To(Equal(SamePosition))
+	g.Expect(follower.Base()).To(Equal(at(5)))
+}
