--- a/gateway/run/announce_test.go
+++ b/gateway/run/announce_test.go
@@ -48,7 +48,7 @@
 	recorder := recordingPeer{make(chan *peer.SpreadRequest, 100), make(chan *peer.Report, 100)}
 	server := httptest.NewServer(peer.NewHandler(recorder, nil))
 	t.Cleanup(server.Close)
-	l := newRelayLoop(t, servers)
+	l := newTestLoop(t, servers)
 	l.ctx, l.peers, l.leading = context.Background(), peer.NewClient(), true
 	for at := range maxDirectRecipients + 1 {
 		l.members[fmt.Sprint(at)] = member{address: server.Listener.Addr().String(), zone: "a", reportedAt: l.clock()}
@@ -156,14 +156,14 @@
 	var update *peer.SpreadRequest
 	g.Eventually(recorder.updates, time.Second).Should(Receive(&update))
 	g.Expect(update.Changes).To(BeNil(), "the complete list is smaller, because it is compressed")
-	follower := newRelayLoop(t, 0)
+	follower := newTestLoop(t, 0)
 	follower.applyServerList(update.Servers)
 	g.Expect(follower.servers.ofService("s")).To(HaveLen(maxListedChanges + 2))
 }
 
 func TestServerChangesApplyToTheListThatTheyChange(t *testing.T) {
 	g := NewWithT(t)
-	leader, follower := newRelayLoop(t, 0), newRelayLoop(t, 0)
+	leader, follower := newTestLoop(t, 0), newTestLoop(t, 0)
 	a, b := model.Server{ID: "a", Service: "s"}, model.Server{ID: "b", Service: "s"}
 	leader.read(a, b)
 	follower.applyServerList(leader.completeList())
--- a/gateway/run/confirmation_test.go
+++ b/gateway/run/confirmation_test.go
@@ -16,7 +16,7 @@
 
 func TestADaemonIsConfirmedNoLaterThanItsSource(t *testing.T) {
 	g := NewWithT(t)
-	source, daemon := newRelayLoop(t, 0), newRelayLoop(t, 0)
+	source, daemon := newTestLoop(t, 0), newTestLoop(t, 0)
 	source.configuration, daemon.configuration = &model.Configuration{Version: 3}, &model.Configuration{Version: 3}
 	now := source.clock()
 	g.Expect(source.confirmedAgeMS()).To(Equal(neverConfirmed))
@@ -126,7 +126,7 @@
 
 func TestADaemonThatDoesNotLeadDoesNotConfirmAnOlderVersion(t *testing.T) {
 	g := NewWithT(t)
-	other, daemon := newRelayLoop(t, 3), newRelayLoop(t, 3)
+	other, daemon := newTestLoop(t, 3), newTestLoop(t, 3)
 	other.configuration, other.confirmedAt = &model.Configuration{Version: 4}, other.clock()
 	daemon.configuration = &model.Configuration{Version: 3}
 	response := other.startupResponse(&peer.Report{ConfigurationVersion: 3, ListBase: kvstore.Position{Version: 9}})
@@ -136,7 +136,7 @@
 
 func TestAPeerWithAnOlderVersionDoesNotConfirmALaterOne(t *testing.T) {
 	g := NewWithT(t)
-	other, daemon := newRelayLoop(t, 3), newRelayLoop(t, 3)
+	other, daemon := newTestLoop(t, 3), newTestLoop(t, 3)
 	other.configuration, other.confirmedAt = &model.Configuration{Version: 3}, other.clock() // It read a restored store.
 	report := &peer.Report{ConfigurationVersion: 5, ListBase: kvstore.Position{Version: 9}}
 	for _, response := range []peer.ReportResponse{other.startupResponse(report), other.followerResponse(report), other.leaderResponse(report)} {
--- a/gateway/run/distribution_test.go
+++ b/gateway/run/distribution_test.go
@@ -50,7 +50,7 @@
 
 func TestDistributionIsSentOnceAndAfterTheFleetIsKnown(t *testing.T) {
 	g := NewWithT(t)
-	l := newRelayLoop(t, 0)
+	l := newTestLoop(t, 0)
 	members, followers := newFleetMembers(10)
 	l.plan = planDistribution(members, followers, "a-00")
 	report := &peer.Report{VM: "a-01", Address: "a-01", Zone: "a", FollowsStore: true}
--- a/gateway/run/fallback_test.go
+++ b/gateway/run/fallback_test.go
@@ -12,7 +12,7 @@
 
 func TestFirstFollowerOfAZoneReadsTheStoreForAll(t *testing.T) {
 	g := NewWithT(t)
-	l := newRelayLoop(t, 0)
+	l := newTestLoop(t, 0)
 	l.reporting.failures = 1
 	g.Expect(l.chooseListReading()).To(Equal(readIfStale), "a daemon without followers to ask reads the store")
 	l.distribution.Followers = []string{"first", "second"}
@@ -34,7 +34,7 @@
 
 func TestDirectReadsOfAllDaemonsAreSpread(t *testing.T) {
 	g := NewWithT(t)
-	l := newRelayLoop(t, 0)
+	l := newTestLoop(t, 0)
 	l.vms.Store(300)
 	l.listSize.Store(3000)
 	spread := 300 * 3000 * serverRecordBytes / maxFleetServerBytesPerSec * time.Second
@@ -53,7 +53,7 @@
 
 func TestFollowerSendsOnlyAMoreRecentServerList(t *testing.T) {
 	g := NewWithT(t)
-	follower, daemon := newRelayLoop(t, 3), newRelayLoop(t, 0)
+	follower, daemon := newTestLoop(t, 3), newTestLoop(t, 0)
 	follower.listedAt = follower.clock() - time.Second
 	response := follower.followerResponse(daemon.newFollowerQuery())
 	g.Expect(response.List).NotTo(BeNil())
@@ -77,7 +77,7 @@
 
 func TestDaemonAskedForTheVersionOnlyAddsChangesButNoCompleteList(t *testing.T) {
 	g := NewWithT(t)
-	other, daemon := newRelayLoop(t, 3), newRelayLoop(t, 0)
+	other, daemon := newTestLoop(t, 3), newTestLoop(t, 0)
 	query := daemon.newFollowerQuery()
 	query.OnlyConfiguration, query.OnlyVersion = true, true
 	g.Expect(other.followerResponse(query).List).To(BeNil())
@@ -89,7 +89,7 @@
 
 func TestFollowerPassesOnTheLeadersList(t *testing.T) {
 	g := NewWithT(t)
-	leader, follower := newRelayLoop(t, 3), newRelayLoop(t, 0)
+	leader, follower := newTestLoop(t, 3), newTestLoop(t, 0)
 	follower.applyServerList(leader.completeList())
 	passedOn := follower.completeList()
 	g.Expect(passedOn.Position).To(Equal(leader.list.Position()), "the daemon continues with the leader's changes")
@@ -126,7 +126,7 @@
 // reports: it would believe that a majority still follows it.
 func TestAQuestionToAFollowerIsNoReport(t *testing.T) {
 	g := NewWithT(t)
-	l := newRelayLoop(t, 1)
+	l := newTestLoop(t, 1)
 	l.leading = true
 	query := reportReceived{l.newFollowerQuery(), make(chan peer.ReportResponse, 1)}
 	query.apply(l)
--- a/gateway/run/held_versions_test.go
+++ b/gateway/run/held_versions_test.go
@@ -14,7 +14,7 @@
 
 // In a large fleet the next report may be seconds or minutes away.
 func TestDaemonThatMissedAPageOrAConfigurationReportsSoonAfterTheNextAnnouncement(t *testing.T) {
-	leader := newRelayLoop(t, 1)
+	leader := newTestLoop(t, 1)
 	leader.pages = map[string]*versionedPage{"s": {page: page(keys.Stamp{Era: 1, Number: 9})}}
 	leader.configuration, leader.origin = &model.Configuration{Version: 4}, view.Origin{At: leader.clock()}
 	atOnce := leader.heldVersions(leader.clock())
@@ -34,7 +34,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			daemon := newRelayLoop(t, 1)
+			daemon := newTestLoop(t, 1)
 			daemon.nextReport = daemon.clock() + time.Minute
 			daemon.pages = make(map[string]*versionedPage)
 			if c.page != (keys.Stamp{}) {
--- a/gateway/run/incarnations_test.go
+++ b/gateway/run/incarnations_test.go
@@ -133,7 +133,7 @@
 
 func TestResponseTimesOfAnEarlierIncarnationAreNotThoseOfTheNext(t *testing.T) {
 	g := NewWithT(t)
-	l := newRelayLoop(t, 0)
+	l := newTestLoop(t, 0)
 	l.servers.update(l.clock(), []model.Server{{ID: "a", Service: "s", Born: 1}}, false)
 	l.servers.update(l.clock(), []model.Server{{ID: "a", Service: "s", Born: 2}}, false)
 	reports := []peer.ServerReport{{Incarnation: model.Incarnation{ID: "a", Born: 1}, Responses: 9, MeanMS: 4000}, {Incarnation: model.Incarnation{ID: "a", Born: 2}, Responses: 1, MeanMS: 10}}
@@ -182,7 +182,7 @@
 
 func TestServerListedAtAnotherAddressStaysDraining(t *testing.T) {
 	g := NewWithT(t)
-	l := newRelayLoop(t, 0)
+	l := newTestLoop(t, 0)
 	server := model.Server{ID: "a", Service: "s", Address: "127.0.0.1:1", Draining: true, Born: 5}
 	l.servers.update(l.clock(), []model.Server{server}, false)
 	row := l.servers.rows[server.Incarnation()]
--- a/gateway/run/isolation_test.go
+++ b/gateway/run/isolation_test.go
@@ -14,7 +14,7 @@
 // newIsolatedLeader returns a leader for some time whose members are the given VMs; each
 // value says whether the VM gave up the leadership before.
 func newIsolatedLeader(t *testing.T, others ...bool) *loop {
-	l := newRelayLoop(t, 0)
+	l := newTestLoop(t, 0)
 	l.self.VM = "self"
 	l.campaign = leader.New(leader.Options{})
 	l.leading, l.leadingSince = true, l.clock()-isolationCheckDelay
@@ -91,7 +91,7 @@
 	l.addGiveUp(&report)
 	g.Expect(report).To(Equal(peer.Report{GaveUp: true, GaveUpAgoMS: 1000}))
 
-	leader := newRelayLoop(t, 0)
+	leader := newTestLoop(t, 0)
 	report.VM = "a"
 	leader.applyReport(&report)
 	g.Expect(leader.members["a"].gaveUp).To(BeTrue())
--- a/gateway/run/relay_test.go
+++ b/gateway/run/large_fleet_test.go
@@ -18,8 +18,8 @@
 	"guavacrank.example/kvstore"
 )
 
-// newRelayLoop returns a loop with the given number of listed servers.
-func newRelayLoop(t *testing.T, servers int) *loop {
+// newTestLoop returns a loop with the given number of listed servers.
+func newTestLoop(t *testing.T, servers int) *loop {
 	log := logbook.New(io.Discard)
 	t.Cleanup(func() { log.Close(time.Second) })
 	now := 5 * time.Second
@@ -46,9 +46,9 @@
 // response: sending it would keep the leader from responding in time.
 func TestServerListInLargeFleet(t *testing.T) {
 	g := NewWithT(t)
-	leader := newRelayLoop(t, 3)
+	leader := newTestLoop(t, 3)
 	report := &peer.Report{VM: "a"}
-	small := newRelayLoop(t, 0)
+	small := newTestLoop(t, 0)
 	small.applyServerList(leader.leaderResponse(report).List)
 	g.Expect(small.servers.ofService("s")).To(HaveLen(3), "in a small fleet the response contains the list")
 	for at := range maxDirectRecipients + 1 {
@@ -62,7 +62,7 @@
 	list := leader.completeList()
 	g.Expect(&leader.completeList().Compressed[0]).To(BeIdenticalTo(&list.Compressed[0]), "the list is compressed once for the same contents")
 
-	follower := newRelayLoop(t, 0)
+	follower := newTestLoop(t, 0)
 	follower.applyServerList(list)
 	g.Expect(follower.servers.ofService("s")).To(HaveLen(3))
 	next := follower.serverListReport()
@@ -95,7 +95,7 @@
 // tree, and one with an older version gets the page with the response.
 func TestPagesInLargeFleet(t *testing.T) {
 	g := NewWithT(t)
-	leader, follower := newRelayLoop(t, 1), newRelayLoop(t, 0)
+	leader, follower := newTestLoop(t, 1), newTestLoop(t, 0)
 	page := &keys.Page{Stamp: keys.Stamp{Era: 2, Number: 9}, Fence: 3, Ranges: []keys.Range{{From: 0, To: model.Keys - 1, Owner: keys.Holder{Incarnation: model.Incarnation{ID: "i-1"}, Address: "a:1", Fence: 3}}}}
 	leader.pages = map[string]*versionedPage{"s": {page: page}}
 	follower.pages = make(map[string]*versionedPage)
--- a/gateway/run/list_order_test.go
+++ b/gateway/run/list_order_test.go
@@ -47,7 +47,7 @@
 
 func TestLateListOfAnEarlierLeaderDoesNotBringBackAServer(t *testing.T) {
 	g := NewWithT(t)
-	l := newRelayLoop(t, 0)
+	l := newTestLoop(t, 0)
 	l.applyServerList(listOf(t, 50, "a", "b"))
 	l.applyServerList(listOf(t, 40, "a", "b", "left"))
 	g.Expect(listedIDs(l)).To(ConsistOf("a", "b"))
@@ -63,7 +63,7 @@
 	response := peer.ReportResponse{Leading: true, List: listOf(t, 40, "a", "left")}
 	l.applyLeaderResponse(&response)
 	g.Expect(listedIDs(l)).To(ConsistOf("a"))
-	present := newRelayLoop(t, 0)
+	present := newTestLoop(t, 0)
 	present.applyServerList(listOf(t, 40, "a", "left"))
 	present.applyServerList(listOf(t, 60, "a", "b"))
 	response = peer.ReportResponse{Leading: true, Changes: present.changesSince(40)}
@@ -108,7 +108,7 @@
 
 func TestChangesThatLeadToAnotherListAreFollowedByTheCompleteOne(t *testing.T) {
 	g := NewWithT(t)
-	l, present := newRestorationLoop(t), newRelayLoop(t, 0)
+	l, present := newRestorationLoop(t), newTestLoop(t, 0)
 	l.campaign = leader.New(leader.Options{})
 	l.applyServerList(listOf(t, 50, "a", "only here"))
 	present.applyServerList(listOf(t, 50, "a"))
@@ -133,7 +133,7 @@
 
 func TestListPassedOnNamesTheStateThatItWasReadFrom(t *testing.T) {
 	g := NewWithT(t)
-	follower := newRelayLoop(t, 0)
+	follower := newTestLoop(t, 0)
 	follower.applyServerList(listOf(t, 50, "a"))
 	first := follower.completeList()
 	g.Expect(first.Position).To(Equal(kvstore.Position{Era: 1, Version: 50}))
@@ -145,7 +145,7 @@
 
 func TestDaemonWithoutListsOfALeaderReadsTheStoreItself(t *testing.T) {
 	g := NewWithT(t)
-	l := newRelayLoop(t, 0)
+	l := newTestLoop(t, 0)
 	l.applyServerList(listOf(t, 50, "a"))
 	l.serversRelayedAt.Store(int64(l.clock() - time.Minute))
 	l.applyServerList(listOf(t, 40, "a"))
--- a/gateway/run/list_refresh_test.go
+++ b/gateway/run/list_refresh_test.go
@@ -53,7 +53,7 @@
 	g.Expect(query.ToFollower).To(BeTrue(), "it is no report: it does not count towards a majority")
 	g.Expect(query.ListBase).To(Equal(l.list.Base()))
 	l.refresh.leaderPending = false
-	present := newRelayLoop(t, 3)
+	present := newTestLoop(t, 3)
 	present.read(present.servers.ofService("s")[:2]...)
 	leaderAsked{&peer.ReportResponse{Changes: present.changesSince(10)}, nil, *now}.apply(l)
 	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(2))
@@ -99,7 +99,7 @@
 	for _, drainTime := range []time.Duration{2 * time.Second, 3 * time.Second} {
 		for _, vms := range []int64{3, 12, 48, 96, 295, 2230, 17000} {
 			g := NewWithT(t)
-			l := newRelayLoop(t, 0)
+			l := newTestLoop(t, 0)
 			l.servers.availability.SetDrainTime(drainTime)
 			l.vms.Store(vms)
 			lastAge := l.maxListAge() + tick
@@ -116,7 +116,7 @@
 // that have left while it was.
 func TestServerMissingFromASettledListIsGoneHoweverOldThePreviousListIs(t *testing.T) {
 	g := NewWithT(t)
-	l := newRelayLoop(t, 3)
+	l := newTestLoop(t, 3)
 	now := l.clock() + maxReadGap + time.Second
 	l.clock = func() time.Duration { return now }
 	list := listOf(t, 50, "i-0")
@@ -129,7 +129,7 @@
 // leader that knew the list before keeps these servers; one that did not says so.
 func TestServerMissingFromAListThatIsNotSettledIsKeptUntilItReappears(t *testing.T) {
 	g := NewWithT(t)
-	l := newRelayLoop(t, 3)
+	l := newTestLoop(t, 3)
 	now := l.clock() + maxReadGap + time.Second
 	l.clock = func() time.Duration { return now }
 	l.applyServerList(listOf(t, 50, "i-0"))
@@ -143,7 +143,7 @@
 
 func TestReaderIsSettledOnceRecordsThatItDidNotKnowWouldHaveReappeared(t *testing.T) {
 	g := NewWithT(t)
-	l := newRelayLoop(t, 1)
+	l := newTestLoop(t, 1)
 	first := l.clock()
 	g.Expect(l.servers.settled(first)).To(BeFalse())
 	g.Expect(l.servers.settled(first + reappearTime)).To(BeTrue())
@@ -160,7 +160,7 @@
 	read := readOf(t, 60, l.servers.ofService("s")[:1]...)
 	read.apply(l)
 	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(3), "it asks others first")
-	other := newRelayLoop(t, 3)
+	other := newTestLoop(t, 3)
 	other.listSettled = true
 	other.read(other.servers.ofService("s")[:2]...)
 	l.applyServerChanges(other.changesSince(10))
@@ -187,7 +187,7 @@
 
 func TestStoreFollowerWhoseZoneGetsNoNewerListReadsTheStore(t *testing.T) {
 	g := NewWithT(t)
-	l := newRelayLoop(t, 0)
+	l := newTestLoop(t, 0)
 	l.self.Address = "second"
 	l.distribution.Followers = []string{"first", "second"}
 	g.Expect(l.chooseListReading()).To(Equal(readNever))
@@ -204,7 +204,7 @@
 	l.records = recordOfServers{}
 	now := l.clock()
 	l.clock = func() time.Duration { return now }
-	other := newRelayLoop(t, 3)
+	other := newTestLoop(t, 3)
 	for range 8 {
 		now += maxReadGap / 4
 		l.applyServerChanges(other.changesSince(10))
--- a/gateway/run/odd_entries_test.go
+++ b/gateway/run/odd_entries_test.go
@@ -25,7 +25,7 @@
 
 func TestOddEntriesAreLoggedOnceAndForgottenWithTheEntry(t *testing.T) {
 	g := NewWithT(t)
-	l := newRelayLoop(t, 0)
+	l := newTestLoop(t, 0)
 	l.records = oddRecords{}
 	l.ignoredVersions = make(map[string]kvstore.Version)
 	lines := func() int64 { written, dropped := l.log.Counts(); return written + dropped }
@@ -51,7 +51,7 @@
 func TestManyOddEntriesLeaveRoomInTheLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		l := newRelayLoop(t, 0)
+		l := newTestLoop(t, 0)
 		log := logbook.New(io.Discard)
 		t.Cleanup(func() { log.Close(time.Second) })
 		l.records, l.log, l.leading = oddRecords{}, log, true
--- a/gateway/run/others_test.go
+++ b/gateway/run/others_test.go
@@ -12,7 +12,7 @@
 
 func TestAQuestionForAVersionBringsNoData(t *testing.T) {
 	g := NewWithT(t)
-	other, daemon := newRelayLoop(t, 3), newRelayLoop(t, 0)
+	other, daemon := newTestLoop(t, 3), newTestLoop(t, 0)
 	other.configuration, other.record = &model.Configuration{Version: 2}, []byte("{}")
 	daemon.configuration = &model.Configuration{Version: 1}
 	question := daemon.newFollowerQuery()
--- a/gateway/run/restoration_test.go
+++ b/gateway/run/restoration_test.go
@@ -19,7 +19,7 @@
 
 // newRestorationLoop returns a loop that knows era 1 of the store.
 func newRestorationLoop(t *testing.T) *loop {
-	l := newRelayLoop(t, 3)
+	l := newTestLoop(t, 3)
 	l.ctx, l.peers = context.Background(), peer.NewClient()
 	l.pages = make(map[string]*versionedPage)
 	l.machines = make(map[string]*keys.Machine)
