gateway/run: a settled list ends the time for which missing servers are kept

Cause: such a list removed what was missing only where nothing was kept already. Change: it ends the wait. Its sender has those servers in its list that it keeps itself.

--- a/gateway/run/list_refresh_test.go
+++ b/gateway/run/list_refresh_test.go
@@ -244,3 +244,17 @@
 	g.Expect(l.servers.keepAbsentUntil).To(Equal(begin + reappearTime))
 	g.Expect(l.listedAt).To(Equal(begin))
 }
+
+func TestSettledListEndsTheTimeForWhichAnEarlierReadKeptServers(t *testing.T) {
+	g := NewWithT(t)
+	l := newTestLoop(t, 3)
+	now := l.clock() + maxReadGap + time.Second
+	l.clock = func() time.Duration { return now }
+	l.applyServerList(listOf(t, 50, "i-0"))
+	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(3))
+	now += 100 * time.Millisecond
+	list := listOf(t, 60, "i-0", "i-1")
+	list.Settled = true
+	l.applyServerList(list)
+	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(2), "the sender would keep i-2 if it could reappear")
+}
--- a/gateway/run/servers.go
+++ b/gateway/run/servers.go
@@ -125,6 +125,8 @@
 		t.knownSince = now
 	case !t.uninterrupted:
 		t.keepAbsentUntil = now + reappearTime
+	case settled:
+		t.keepAbsentUntil = 0 // The sender of the list keeps those that may reappear.
 	}
 	t.known, t.readAt = true, now
 }
