gateway/run: tests of late lists use a clock that all goroutines may read

Traced to the test by the detector's report. Change: testClock, an atomic, in all tests that advance the clock beside calls.

--- a/gateway/run/announce_test.go
+++ b/gateway/run/announce_test.go
@@ -123,14 +123,13 @@
 func TestLeaderOfALargeFleetAnnouncesThatNothingHasChanged(t *testing.T) {
 	g := NewWithT(t)
 	l, recorder := newLeaderOfLargeFleet(t, 2)
-	now := l.clock()
-	l.clock = func() time.Duration { return now }
+	clock := setClock(l)
 	l.servers.availability.SetDrainTime(3 * time.Second)
 	listed := l.servers.ofService("s")
 	announced := func(vms int64, reads int) int {
 		l.vms.Store(vms)
 		for range reads {
-			now += l.leaderReadInterval()
+			clock.advance(l.leaderReadInterval())
 			l.read(listed...)
 		}
 		time.Sleep(100 * time.Millisecond)
--- a/gateway/run/list_refresh_test.go
+++ b/gateway/run/list_refresh_test.go
@@ -1,6 +1,7 @@
 package run
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,41 +14,55 @@
 	"guavacrank.example/kvstore"
 )
 
+// testClock is a clock that a test advances. It is safe for all goroutines.
+type testClock struct{ elapsed atomic.Int64 }
+
+// setClock gives a loop a clock that shows the same time until it is advanced.
+func setClock(l *loop) *testClock {
+	clock := &testClock{}
+	clock.advance(l.clock())
+	l.clock = clock.now
+	return clock
+}
+
+func (c *testClock) now() time.Duration { return time.Duration(c.elapsed.Load()) }
+
+func (c *testClock) advance(d time.Duration) { c.elapsed.Add(int64(d)) }
+
 // newOutdatedLoop returns a daemon that follows a leader and whose list was read too long
-// ago, with the peer that it asks, and the time by its clock.
-func newOutdatedLoop(t *testing.T) (*loop, recordingPeer, *time.Duration) {
+// ago, with the peer that it asks, and its clock.
+func newOutdatedLoop(t *testing.T) (*loop, recordingPeer, *testClock) {
 	l, recorder := newLeaderOfLargeFleet(t, 3)
 	address := l.members["0"].address
-	now := l.clock()
+	clock := setClock(l)
 	l.leading = false
-	l.clock = func() time.Duration { return now }
 	l.inputs = make(chan input, inputQueueSize)
 	l.campaign = leader.New(leader.Options{})
 	l.ready.Store(true)
 	l.servers.availability.SetDrainTime(2 * time.Second)
 	l.knownLeader.Leader = keys.Leader{VM: "leader", Address: address}
-	now += l.maxListAge()
-	return l, recorder, &now
+	clock.advance(l.maxListAge())
+	return l, recorder, clock
 }
 
 func TestDaemonWithAnOutdatedListAsksAFollowerFirstAndThenTheLeader(t *testing.T) {
 	g := NewWithT(t)
-	l, recorder, now := newOutdatedLoop(t)
+	l, recorder, clock := newOutdatedLoop(t)
 	l.distribution.Followers = []string{l.knownLeader.Leader.Address}
-	l.refreshList(*now)
+	l.refreshList(clock.now())
 	g.Eventually(recorder.queries, time.Second).Should(Receive())
 	g.Expect(l.refresh.leaderPending).To(BeFalse(), "in a large fleet few ask the leader")
-	l.refreshList(*now)
+	l.refreshList(clock.now())
 	g.Consistently(recorder.queries, 50*time.Millisecond).ShouldNot(Receive(), "not before refreshInterval has passed")
-	*now += refreshInterval
-	l.refreshList(*now)
+	clock.advance(refreshInterval)
+	l.refreshList(clock.now())
 	g.Expect(l.refresh.leaderPending).To(BeTrue())
 }
 
 func TestDaemonWithoutFollowersAsksTheLeaderForANewerList(t *testing.T) {
 	g := NewWithT(t)
-	l, recorder, now := newOutdatedLoop(t)
-	l.refreshList(*now)
+	l, recorder, clock := newOutdatedLoop(t)
+	l.refreshList(clock.now())
 	var query *peer.Report
 	g.Eventually(recorder.queries, time.Second).Should(Receive(&query))
 	g.Expect(query.ToFollower).To(BeTrue(), "it is no report: it does not count towards a majority")
@@ -55,22 +70,22 @@
 	l.refresh.leaderPending = false
 	present := newTestLoop(t, 3)
 	present.read(present.servers.ofService("s")[:2]...)
-	leaderAsked{&peer.ReportResponse{Changes: present.changesSince(10)}, nil, *now}.apply(l)
+	leaderAsked{&peer.ReportResponse{Changes: present.changesSince(10)}, nil, clock.now()}.apply(l)
 	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(2))
-	l.refreshList(*now)
+	l.refreshList(clock.now())
 	g.Expect(l.refresh.attempts).To(BeZero())
 }
 
 func TestDaemonThatGetsNoNewerListAsksLessOften(t *testing.T) {
 	g := NewWithT(t)
-	l, _, now := newOutdatedLoop(t)
+	l, _, clock := newOutdatedLoop(t)
 	asked := 0
 	for range 100 {
 		before := l.refresh.attempts
-		l.refreshList(*now)
+		l.refreshList(clock.now())
 		asked += l.refresh.attempts - before
 		l.refresh.leaderPending = false
-		*now += 100 * time.Millisecond
+		clock.advance(100 * time.Millisecond)
 	}
 	most := quickRefreshes + int(10*time.Second/(l.maxListAge()/2)) + 1
 	g.Expect(asked).To(BeNumerically("<=", most))
@@ -79,9 +94,9 @@
 
 func TestLeaderReadsTheListItself(t *testing.T) {
 	g := NewWithT(t)
-	l, recorder, now := newOutdatedLoop(t)
+	l, recorder, clock := newOutdatedLoop(t)
 	l.leading = true
-	l.refreshList(*now)
+	l.refreshList(clock.now())
 	g.Consistently(recorder.queries, 50*time.Millisecond).ShouldNot(Receive())
 }
 
@@ -117,8 +132,8 @@
 func TestServerMissingFromASettledListIsGoneHoweverOldThePreviousListIs(t *testing.T) {
 	g := NewWithT(t)
 	l := newTestLoop(t, 3)
-	now := l.clock() + maxReadGap + time.Second
-	l.clock = func() time.Duration { return now }
+	clock := setClock(l)
+	clock.advance(maxReadGap + time.Second)
 	list := listOf(t, 50, "i-0")
 	list.Settled = true
 	l.applyServerList(list)
@@ -130,11 +145,11 @@
 func TestServerMissingFromAListThatIsNotSettledIsKeptUntilItReappears(t *testing.T) {
 	g := NewWithT(t)
 	l := newTestLoop(t, 3)
-	now := l.clock() + maxReadGap + time.Second
-	l.clock = func() time.Duration { return now }
+	clock := setClock(l)
+	clock.advance(maxReadGap + time.Second)
 	l.applyServerList(listOf(t, 50, "i-0"))
 	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(3))
-	now += reappearTime
+	clock.advance(reappearTime)
 	empty := &peer.ServerChanges{Changes: l.changesSince(50).Changes}
 	empty.Position = kvstore.Position{Era: 1, Version: 60}
 	l.applyServerChanges(empty)
@@ -155,8 +170,8 @@
 	g := NewWithT(t)
 	l := newRestorationLoop(t)
 	l.records, l.leading = recordOfServers{}, true
-	now := l.clock() + maxReadGap + time.Second
-	l.clock = func() time.Duration { return now }
+	clock := setClock(l)
+	clock.advance(maxReadGap + time.Second)
 	read := readOf(t, 60, l.servers.ofService("s")[:1]...)
 	read.apply(l)
 	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(3), "it asks others first")
@@ -176,8 +191,8 @@
 	g := NewWithT(t)
 	l := newRestorationLoop(t)
 	l.records = recordOfServers{}
-	now := l.clock() + maxReadGap + time.Second
-	l.clock = func() time.Duration { return now }
+	clock := setClock(l)
+	clock.advance(maxReadGap + time.Second)
 	read := readOf(t, 60, l.servers.ofService("s")[:1]...)
 	read.apply(l)
 	read.heldFor = holdTime
@@ -202,23 +217,22 @@
 	g := NewWithT(t)
 	l := newRestorationLoop(t)
 	l.records = recordOfServers{}
-	now := l.clock()
-	l.clock = func() time.Duration { return now }
+	clock := setClock(l)
 	other := newTestLoop(t, 3)
 	for range 8 {
-		now += maxReadGap / 4
+		clock.advance(maxReadGap / 4)
 		l.applyServerChanges(other.changesSince(10))
 		l.applyServerList(other.completeList())
 	}
-	g.Expect(l.listedAt).To(Equal(now))
+	g.Expect(l.listedAt).To(Equal(clock.now()))
 	readOf(t, 60, l.servers.ofService("s")[:1]...).apply(l)
 	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(1))
 }
 
 func TestQuestionsThatWaitForVMsThatWereCutOffDoNotKeepAnInterruptedVMFromAskingOthers(t *testing.T) {
 	g := NewWithT(t)
-	l, recorder, now := newOutdatedLoop(t)
-	*now += maxReadGap
+	l, recorder, clock := newOutdatedLoop(t)
+	clock.advance(maxReadGap)
 	l.records = recordOfServers{}
 	l.knownPeers = []string{l.knownLeader.Leader.Address}
 	l.knownLeader.Leader.Address = ""
@@ -233,12 +247,12 @@
 	g := NewWithT(t)
 	l := newRestorationLoop(t)
 	l.records = recordOfServers{}
-	now := l.clock() + maxReadGap + time.Second
-	l.clock = func() time.Duration { return now }
+	clock := setClock(l)
+	clock.advance(maxReadGap + time.Second)
 	read := readOf(t, 60, l.servers.ofService("s")[:1]...)
-	begin := now
+	begin := clock.now()
 	read.apply(l)
-	now += holdTime
+	clock.advance(holdTime)
 	read.heldFor = holdTime
 	read.apply(l)
 	g.Expect(l.servers.keepAbsentUntil).To(Equal(begin + reappearTime))
@@ -248,11 +262,11 @@
 func TestSettledListEndsTheTimeForWhichAnEarlierReadKeptServers(t *testing.T) {
 	g := NewWithT(t)
 	l := newTestLoop(t, 3)
-	now := l.clock() + maxReadGap + time.Second
-	l.clock = func() time.Duration { return now }
+	clock := setClock(l)
+	clock.advance(maxReadGap + time.Second)
 	l.applyServerList(listOf(t, 50, "i-0"))
 	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(3))
-	now += 100 * time.Millisecond
+	clock.advance(100 * time.Millisecond)
 	list := listOf(t, 60, "i-0", "i-1")
 	list.Settled = true
 	l.applyServerList(list)
