gateway/run: event 760 says what the control loop did while it was late

Change: the loop measures the time of each activity between two ticks and logs the longest ones if the ticks were half a second apart or more.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -53,6 +53,7 @@
 	ServerListReceived      Number = 757
 	ServerListOutdated      Number = 758
 	ServerListCurrent       Number = 759
+	ControlLoopLate         Number = 760
 )
 
 // gatewayEvents defines the events of the gateway area.
@@ -107,4 +108,5 @@
 	{ServerListReceived, "server-list-received", Info, "Another VM sent the server list (kind complete), or changes of it (kind changes). The fields name the store's versions between which the changes lie, and how old the list in force was; the outcome says whether the changes are in force, or why not. What changes nothing is not logged."},
 	{ServerListOutdated, "server-list-outdated", Info, "The server list in force is so old, or lacks changes, that servers may have left in time without this VM's knowledge; it asks others for a newer one. The field age gives the time since it was read from the store."},
 	{ServerListCurrent, "server-list-current", Info, "The server list in force is recent again; the field outdated_for gives the time for which it was not."},
+	{ControlLoopLate, "control-loop-late", Warn, "The control loop was late: since_tick passed between two of its ticks (every 100 ms). activities says what it did in that time, longest first; much waiting in few turns means that it got no processor time, or that the VM was suspended; queued is the number of inputs that wait."},
 }
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -276,15 +276,22 @@
 	leadTimer := time.NewTimer(leadInterval) // Fires for the next run of lead.
 	defer leadTimer.Stop()
 	leadTimerArmed := true
+	pace := newPace(l.clock)
 	for {
 		select {
 		case <-l.ctx.Done():
 			return
 		case in := <-l.inputs:
+			pace.end("waiting")
 			in.apply(l)
+			pace.end(activityOf(in))
 		case <-ticker.C:
+			pace.end("waiting")
+			l.notePace(pace)
 			tick{}.apply(l)
+			pace.end("tick")
 		case <-leadTimer.C:
+			pace.end("waiting")
 			leadTimerArmed = false
 		}
 		now := l.clock()
@@ -292,12 +299,14 @@
 		case now >= l.nextLead:
 			l.nextLead = now + leadInterval
 			l.lead()
+			pace.end("lead")
 		case l.leading && !leadTimerArmed:
 			leadTimerArmed = true
 			leadTimer.Reset(l.nextLead - now)
 		}
 		if l.viewOutdated {
 			l.publish()
+			pace.end("publish")
 		}
 		l.confirmation.Confirm(l.confirmedAt) // After the view that it is about.
 	}
