gateway/run: long runs of the leader's work do not starve the control loop's inputs

Cause: the leader's work was due 20 ms after the begin of its last run. Where a run takes longer, as with hundreds of prior holders on a third of a core, each single input was followed by a whole run. Change: leadSchedule gives queued inputs twice as long as the last run took before the next one; with none queued the work runs as before.

--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -47,9 +47,6 @@
 	// Those of decisions on majorities.
 	majorityWindow = succession.MajorityWindow
 	memberTimeout  = succession.MemberTimeout
-	// leadInterval is the minimum time between two runs of the leader's work. It
-	// keeps the leader's load independent of the number of inputs.
-	leadInterval = 20 * time.Millisecond
 	// inputQueueSize is the capacity of the loop's input queue.
 	inputQueueSize = 256
 )
@@ -88,7 +85,7 @@
 	leaseTTL          time.Duration // That of the own lease.
 	lastContact       time.Duration // On the leader: the last contact to the store in its term.
 	eraKnownSince     time.Duration // When era became known.
-	nextLead          time.Duration // Earliest next run of the leader's work.
+	leadSchedule      leadSchedule  // When the leader's work runs next.
 	startedAt         time.Duration
 	leaderWait        time.Duration   // Time to wait for a leader at startup; constant.
 	storeIsNear       bool            // The store's latency is that of the own region.
@@ -296,13 +293,13 @@
 		}
 		now := l.clock()
 		switch {
-		case now >= l.nextLead:
-			l.nextLead = now + leadInterval
+		case l.leadSchedule.due(now, len(l.inputs)):
 			l.lead()
+			l.leadSchedule.ran(now, l.clock())
 			pace.end("lead")
 		case l.leading && !leadTimerArmed:
 			leadTimerArmed = true
-			leadTimer.Reset(l.nextLead - now)
+			leadTimer.Reset(l.leadSchedule.wait(now, len(l.inputs)))
 		}
 		if l.viewOutdated {
 			l.publish()
