gateway/keys: the work after a takeover does not grow with the square of the page

Cause: with hundreds of prior holders that don't answer, a run of the leader's work took longer than its interval on a third of a core. Each ended release searched all releases that may still arrive, each prior holder all ranges for keys that it owns, and each range all fencing calls, also where no renewal was due. Change: releases that may still arrive are kept by the endpoint that they go to, and forgotten with the other unused state; the owners of keys are found once for all prior holders; a renewal that is not due is noticed first. The two mutations of the explorer that edit one of these lines name its new text.

--- a/gateway/explore/mutation_list_test.go
+++ b/gateway/explore/mutation_list_test.go
@@ -60,10 +60,10 @@
 	{"reads of an earlier era count", []edit{{"step.go", "if !m.leading || position.Era != m.era {", "if !m.leading {"}}},
 	{"a read counts while a write is under way", []edit{{"step.go", "if m.writing != nil && !m.writeUnknown {\n\t\treturn\n\t}", ""}}},
 	{"servers that lost keys by expiry alone are not fenced", []edit{{"system_draft.go", "b.recordUnfenced(*r)", ""}}},
-	{"prior holders that do not answer are not fenced", []edit{{"system_prior.go", "|| m.fenceCutOff(prior)", ""}}},
+	{"prior holders that do not answer are not fenced", []edit{{"system_prior.go", "|| m.fenceCutOff(prior, owners)", ""}}},
 	{"servers that may be cut off are not fenced", []edit{
 		{"system_draft.go", "b.recordUnfenced(*r)", ""},
-		{"system_prior.go", "|| m.fenceCutOff(prior)", ""},
+		{"system_prior.go", "|| m.fenceCutOff(prior, owners)", ""},
 	}},
 	{"a release has the fence of the grant that it ends", []edit{{"system_prior.go", "fence, ok := m.takeFence()", "fence, ok := prior.Fence, true"}}},
 	{"fencing calls have no higher fence", []edit{{"system_fencing.go", "fence, ok := m.takeFence()", "fence, ok := uint64(1), true"}}},
--- a/gateway/keys/clone.go
+++ b/gateway/keys/clone.go
@@ -21,7 +21,7 @@
 	copied.retryReleaseAt = maps.Clone(m.retryReleaseAt)
 	copied.fencing = cloneFencing(m.fencing)
 	copied.cutOffPrior = slices.Clone(m.cutOffPrior)
-	copied.sentReleases = slices.Clone(m.sentReleases)
+	copied.sentReleases = m.sentReleases.clone()
 	copied.endpoints = cloneEndpoints(m.endpoints)
 	copied.ready = m.ready.clone()
 	copied.cloneServers(m)
--- a/gateway/keys/endpoints.go
+++ b/gateway/keys/endpoints.go
@@ -1,10 +1,17 @@
 package keys
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // endpoint is an ID at an address. Its calls reach one of the server's lives under that ID.
 type endpoint struct{ id, address string }
 
+func compareEndpoints(x, y endpoint) int {
+	return cmp.Or(cmp.Compare(x.id, y.id), cmp.Compare(x.address, y.address))
+}
+
 // endpoint returns where calls to a holder go.
 func (h Holder) endpoint() endpoint { return endpoint{h.ID, h.Address} }
 
--- a/gateway/keys/fingerprint.go
+++ b/gateway/keys/fingerprint.go
@@ -314,8 +314,17 @@
 		e.Due(row.relayDueAt)
 	}
 	encodeUnfenced(e, m.cutOffPrior)
-	e.Int(len(m.sentReleases))
-	for _, sent := range m.sentReleases {
+	for _, to := range sortedKeys(m.sentReleases, compareEndpoints) {
+		m.encodeSentReleases(e, m.sentReleases[to])
+	}
+}
+
+// encodeSentReleases adds the releases to one endpoint that may still arrive.
+func (m *Machine) encodeSentReleases(e *StateEncoder, sent []sentRelease) {
+	for _, sent := range sent {
+		if sent.ended(m.now) {
+			continue
+		}
 		encodeIncarnation(e, sent.call.Incarnation)
 		e.Text(sent.call.Server)
 		e.Text(sent.call.Address)
--- a/gateway/keys/late_releases_test.go
+++ b/gateway/keys/late_releases_test.go
@@ -18,7 +18,7 @@
 	for outcome, mayArrive := range map[ReleaseOutcome]bool{Released: false, ReleasedByOne: true} {
 		m := NewMachine(Options{})
 		m.now = 10 * time.Second
-		m.sentReleases = []sentRelease{{call: call}}
+		m.sentReleases.add(call)
 		m.endRelease(call, outcome)
 		g.Expect(m.releaseMayArrive(granted)).To(Equal(mayArrive))
 		m.now += time.Minute
--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -97,7 +97,7 @@
 	retryReleaseAt  map[holderKey]time.Duration
 	fencing         map[UnfencedKeys]*fencingRow
 	cutOffPrior     []UnfencedKeys // Of prior holders that may be cut off, since the last runFencing.
-	sentReleases    []sentRelease
+	sentReleases    sentReleases
 	rates           rateTable
 	nextRebalanceAt time.Duration
 	nextPruneAt     time.Duration
@@ -118,6 +118,7 @@
 		releasing:      make(map[holderKey]time.Duration),
 		retryReleaseAt: make(map[holderKey]time.Duration),
 		fencing:        make(map[UnfencedKeys]*fencingRow),
+		sentReleases:   make(sentReleases),
 		rates:          newRateTable(),
 		predecessors:   newPredecessors(),
 	}
--- a/gateway/keys/system_fencing.go
+++ b/gateway/keys/system_fencing.go
@@ -1,6 +1,7 @@
 package keys
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -62,8 +63,12 @@
 	}
 	unfenced := append(slices.Clone(m.page.Unfenced), m.cutOffPrior...)
 	m.cutOffPrior = m.cutOffPrior[:0]
+	needed := make(map[UnfencedKeys]bool, len(unfenced))
+	for _, keys := range unfenced {
+		needed[keys] = true
+	}
 	for keys, row := range m.fencing {
-		if !row.inFlight && !slices.Contains(unfenced, keys) {
+		if !row.inFlight && !needed[keys] {
 			delete(m.fencing, keys)
 		}
 	}
@@ -80,12 +85,13 @@
 }
 
 // fenceCutOff reports whether a prior holder that may be cut off and owns no keys gets one
-// fencing call for all its keys in place of releases, and notes it for runFencing.
-func (m *Machine) fenceCutOff(prior Holder) bool {
+// fencing call for all its keys in place of releases, and notes it for runFencing. owners are
+// the servers that own keys.
+func (m *Machine) fenceCutOff(prior Holder, owners map[endpoint]bool) bool {
 	if row := m.row(prior.Incarnation); !row.unresponsive && !row.releaseFailed {
 		return false
 	}
-	if m.page.hasOwner(prior.endpoint()) || m.writing != nil && m.writing.hasOwner(prior.endpoint()) {
+	if owners[prior.endpoint()] {
 		return false
 	}
 	all := UnfencedKeys{prior.Incarnation, prior.Address, 0, model.Keys - 1}
@@ -95,6 +101,16 @@
 	return true
 }
 
+// owners returns the servers that own keys, or will once the page that is being written is in
+// force, in any of their lives at the address.
+func (m *Machine) owners() map[endpoint]bool {
+	owners := m.page.owners()
+	if m.writing != nil {
+		maps.Copy(owners, m.writing.owners())
+	}
+	return owners
+}
+
 // beingFenced reports whether a server gets fencing calls, in any of its lives at the address.
 func (m *Machine) beingFenced(server endpoint) bool {
 	for keys := range m.fencing {
@@ -148,7 +164,7 @@
 		call.Relayed, row.relayDueAt = true, m.now+relayInterval
 	}
 	call.From, call.To, call.Fence, call.Server, call.Held = keys.From, keys.To, fence, keys.ID, row.first
-	m.sentReleases = append(m.sentReleases, sentRelease{call: call})
+	m.sentReleases.add(call)
 	m.ready.Releases = append(m.ready.Releases, call)
 }
 
--- a/gateway/keys/system_prior.go
+++ b/gateway/keys/system_prior.go
@@ -205,23 +205,26 @@
 	if m.page == nil {
 		return
 	}
+	owners := m.owners()
 	for _, r := range m.page.Ranges {
 		for _, prior := range r.Prior {
 			if prior != unknownHolder {
-				m.release(r, prior)
+				m.release(r, prior, owners)
 			}
 		}
 	}
 }
 
-func (m *Machine) release(r Range, prior Holder) {
+// release asks a prior holder to release its keys, if that is due. owners are the servers
+// that own keys.
+func (m *Machine) release(r Range, prior Holder, owners map[endpoint]bool) {
 	key := holderKey{r.From, r.To, prior.Incarnation, prior.Fence}
 	if _, releasing := m.releasing[key]; releasing || len(m.bounds[key].pending) > 0 || m.released[key].done || m.now < m.retryReleaseAt[key] {
 		return
 	}
 	end, _ := m.priorEnded(r, prior)
 	ownsAgain := end == endedByExpiry && prior.endpoint() == r.Owner.endpoint()
-	if end == endedByProof || ownsAgain || m.fenceCutOff(prior) {
+	if end == endedByProof || ownsAgain || m.fenceCutOff(prior, owners) {
 		return
 	}
 	fence, ok := m.takeFence() // The server refuses grants that were sent before, if they arrive later.
@@ -231,7 +234,7 @@
 	m.releasing[key] = m.now
 	call := ReleaseCall{Incarnation: prior.Incarnation, Address: prior.Address, Timeout: m.releaseTimeout(key)}
 	call.From, call.To, call.Fence, call.Server, call.Held = r.From, r.To, fence, prior.ID, prior.Fence
-	m.sentReleases = append(m.sentReleases, sentRelease{call: call})
+	m.sentReleases.add(call)
 	m.ready.Releases = append(m.ready.Releases, call)
 }
 
--- a/gateway/keys/system_renewal.go
+++ b/gateway/keys/system_renewal.go
@@ -73,14 +73,14 @@
 
 func (m *Machine) renew(r Range, handover string) {
 	row := m.row(r.Owner.Incarnation)
-	if !m.reachesOwner(row) || m.replaced(r.Owner) || m.fencingInFlight(r.Owner.endpoint()) {
-		return
-	}
 	grant, known := row.granted[r.From]
 	if !known || grant.term != r.Owner.Fence || grant.to != r.To {
 		grant = grantRow{term: r.Owner.Fence, to: r.To, handover: handover}
 	}
-	if grant.inFlight || m.now < grant.due || !m.renewFence(&grant) {
+	if grant.inFlight || m.now < grant.due || !m.reachesOwner(row) || m.replaced(r.Owner) || m.fencingInFlight(r.Owner.endpoint()) {
+		return
+	}
+	if !m.renewFence(&grant) {
 		return
 	}
 	grant.inFlight = true
@@ -155,6 +155,9 @@
 			delete(m.servers, incarnation)
 		}
 	}
+	for to, sent := range m.sentReleases {
+		m.sentReleases.set(to, sent, m.now)
+	}
 	for key, row := range m.endpoints {
 		if len(row.inFlight) == 0 && m.now >= row.latestArrival+pruneInterval {
 			delete(m.endpoints, key)
--- a/gateway/keys/unfenced.go
+++ b/gateway/keys/unfenced.go
@@ -79,6 +79,15 @@
 	return slices.ContainsFunc(p.Ranges, func(r Range) bool { return r.Owner.endpoint() == server })
 }
 
+// owners returns the servers that own keys.
+func (p *Page) owners() map[endpoint]bool {
+	owners := make(map[endpoint]bool)
+	for _, r := range p.Ranges {
+		owners[r.Owner.endpoint()] = true
+	}
+	return owners
+}
+
 // dropFenced drops the entries of servers that were told a higher fence or have ended.
 func (b *pageBuilder) dropFenced() {
 	count := len(b.page.Unfenced)
