gateway/keys: pages record the size of the fleet, for a leader after the loss of all VMs

Cause: no VM remembers the last leader, so an unknown one may go on until predecessorTimeout. The rule that two thirds of the fleet have left it could not end that, as no VM remembers the fleet either. Change: pages record the number of daemons, and are written for it once the fleet has grown by a quarter: beside two thirds of the recorded number no majority of the fleet is left then. TestFingerprintSeesEveryField saw fencingRow.last only because of the values that its filling happened to give: it is a fence, of which only the order counts, and so is checked as ranked, like those of Release.

--- a/gateway/keys/clone_fields_test.go
+++ b/gateway/keys/clone_fields_test.go
@@ -244,7 +244,7 @@
 }
 
 // ranked are fences of which only the order counts (seesRank).
-var ranked = map[string]bool{"Release.Fence": true, "Release.Held": true}
+var ranked = map[string]bool{"Release.Fence": true, "Release.Held": true, "fencingRow.first": true, "fencingRow.last": true}
 
 func TestFingerprintSeesEveryField(t *testing.T) {
 	g := NewWithT(t)
--- a/gateway/keys/fingerprint.go
+++ b/gateway/keys/fingerprint.go
@@ -52,6 +52,8 @@
 	if m.longTTLFrom > e.now {
 		e.Word(uint64(m.shortTTL))
 	}
+	e.Int(m.fleet)
+	e.Bools(m.fleetComplete)
 	e.Version(uint64(m.version))
 	e.Bools(m.page != nil && m.fencesLow())
 	m.encodePages(e)
@@ -91,6 +93,7 @@
 	e.Text(p.Writer.Incarnation)
 	e.Name(p.Writer.Incarnation, p.WriteID)
 	e.Word(uint64(p.MaxGrantTTL))
+	e.Int(p.Fleet)
 	p.LostGrants.encode(e)
 	e.Int(len(p.Predecessors))
 	for _, leader := range p.Predecessors {
--- a/gateway/keys/machine.go
+++ b/gateway/keys/machine.go
@@ -62,6 +62,8 @@
 	consulted         bool        // It came in this era.
 	stored            *Page       // While consulting: the page that was read.
 	settlement        settlement
+	fleet             int  // The number of daemons that this leader knows.
+	fleetComplete     bool // This leader has led for so long that others count as lost.
 	predecessors      predecessors
 	lostGrants        LostGrantsBound
 	recordsLostGrants bool // This leader has recorded the lost grants in its term.
@@ -135,6 +137,7 @@
 	m.leading, m.leadingSince = true, now
 	m.era, m.consulting, m.consulted, m.settlement = era, false, false, settled
 	m.recordsLostGrants = false
+	m.fleet, m.fleetComplete = 0, false
 	m.longTTLFrom = 0
 	m.renewOnly, m.adopted = false, false
 	m.predecessors = newPredecessors()
--- a/gateway/keys/page.go
+++ b/gateway/keys/page.go
@@ -29,6 +29,8 @@
 	MaxGrantTTL time.Duration
 	// LostGrants describes the grants of unknown holders; zero without unknown holders.
 	LostGrants LostGrants
+	// Fleet is the number of daemons that the writer knew; zero if unknown.
+	Fleet int
 	// Unfenced lists the keys that servers have lost without being told.
 	Unfenced []UnfencedKeys
 	Ranges   []Range
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -24,6 +24,7 @@
 	b.recordUnknownHolders()
 	b.recordPredecessors()
 	b.extendTTL()
+	b.recordFleet()
 	b.dropFenced()
 	b.dropEndedPrior()
 	b.reassignLost()
@@ -46,7 +47,7 @@
 // draftNeeded reports whether the page may have to change. It is cheap: it does
 // not compute the servers' loads.
 func (m *Machine) draftNeeded() bool {
-	if m.page == nil || len(m.page.Ranges) == 0 || !m.adopted || m.fencesLow() || m.page.Era < m.era || m.now >= m.nextRebalanceAt || !slices.Equal(m.page.Predecessors, m.predecessors.active) {
+	if m.page == nil || len(m.page.Ranges) == 0 || !m.adopted || m.fencesLow() || m.page.Era < m.era || m.fleetOutgrown() || m.now >= m.nextRebalanceAt || !slices.Equal(m.page.Predecessors, m.predecessors.active) {
 		return true
 	}
 	if slices.ContainsFunc(m.page.Unfenced, m.fenced) {
--- a/gateway/run/consultation.go
+++ b/gateway/run/consultation.go
@@ -158,7 +158,7 @@
 // consultSender asks the sender of a report what it knows, if this is awaited: a leader
 // that has just started may not know the fleet.
 func (l *loop) consultSender(report *peer.Report) {
-	if c := l.consultation; c != nil && (len(c.waiting) > 0 || l.fleetAtElection() == 0) {
+	if c := l.consultation; c != nil && (len(c.waiting) > 0 || l.fleetByDaemons() == 0) {
 		l.announceLeadership([]string{report.Address})
 	}
 }
--- a/gateway/run/majority_test.go
+++ b/gateway/run/majority_test.go
@@ -111,3 +111,35 @@
 	l.followLeader(peer.Leadership{Leader: keys.Leader{VM: "later", Incarnation: "later"}, Term: kvstore.Position{Era: 2, Version: 70}})
 	g.Expect(l.newStatus().FirstLeader).To(BeFalse())
 }
+
+func TestLeaderAfterTheLossOfAllDaemonsTakesTheSizeOfTheFleetFromThePage(t *testing.T) {
+	for fleet, majority := range map[int]bool{0: false, 3: true, 4: true, 5: false, 12: false} {
+		g := NewWithT(t)
+		var now time.Duration
+		l, machine := newLeaderAmongNewcomers(t, &now)
+		l.peersAtElection, l.consultation.fleet = nil, 0
+		stored := page(keys.Stamp{Era: 1, Number: 9})
+		stored.Fleet = fleet
+		l.applyPage("s", encoded(t, stored))
+		l.endPredecessorsByMajority(now)
+		wait := predecessorTimeout + time.Second
+		if majority {
+			wait = contactTimeout + keys.MaxCallDelay + time.Second
+		}
+		g.Expect(unknownHolderEndsAfter(l, machine, &now)).To(And(BeNumerically(">", wait), BeNumerically("<", wait+500*time.Millisecond)), "three of %d daemons", fleet)
+	}
+}
+
+func TestLeaderThatHasJustStartedDoesNotCountTheOthersAsLost(t *testing.T) {
+	g := NewWithT(t)
+	var now time.Duration
+	l, _ := newLeaderAmongNewcomers(t, &now)
+	l.peersAtElection = []string{"a", "b", "c", "d", "e", "f"}
+	fleet, complete := l.countFleet(now)
+	g.Expect(fleet).To(Equal(6))
+	g.Expect(complete).To(BeFalse())
+	now += memberTimeout
+	fleet, complete = l.countFleet(now)
+	g.Expect(fleet).To(Equal(3))
+	g.Expect(complete).To(BeTrue())
+}
