gateway/run: what a leader knows of the fleet has a file of its own

Change: members.go has the members and their counts, requested_keys.go the keys of requests; moved without a change, but for the name of fleetToRecord (countFleet).

--- a/gateway/run/announcement.go
+++ b/gateway/run/announcement.go
@@ -85,10 +85,6 @@
 	}
 }
 
-// fleetSize returns the number of daemons, as far as it is known: soon after an election
-// few of them have reported to this leader.
-func (l *loop) fleetSize() int { return max(len(l.members), int(l.vms.Load())) }
-
 // listOrigin describes the list in force.
 func (l *loop) listOrigin() peer.ListOrigin {
 	return peer.ListOrigin{AgeMS: (l.clock() - l.listedAt).Milliseconds(), Settled: l.listSettled}
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -49,7 +49,7 @@
 	l.endPredecessorsByMajority(now)
 	l.decideConsultation(now)
 	isolated := 0
-	fleet, complete := l.countFleet(now)
+	fleet, complete := l.fleetToRecord(now)
 	for service, machine := range l.machines {
 		machine.SetRenewOnly(silence > contactTimeout || l.term.Era < l.era)
 		machine.SetIsolationRuledOut(l.isolationRuledOut)
@@ -78,11 +78,6 @@
 	return succession.HasMajority(now, l.leaseEnd, others)
 }
 
-// reporter returns what decisions on majorities need of a member.
-func (m member) reporter() succession.Reporter {
-	return succession.Reporter{ReportedAt: m.reportedAt, Transit: m.transit, StartedAt: m.startedAt, LeftAt: m.leftAt}
-}
-
 // endPredecessorsByMajority marks earlier leaders as ended once more than two
 // thirds of the daemons that were known at the election have reported to this
 // leader. One that has just started learns their number by consultation. Daemons report
@@ -120,41 +115,6 @@
 	return now <= l.leaseEnd && l.term.Era == l.era && (page == nil || page.page.Era <= l.term.Era)
 }
 
-// fleetAtElection returns the number of daemons that were known at the election, also by the
-// pages of earlier leaders, or zero.
-func (l *loop) fleetAtElection() int { return max(l.fleetByDaemons(), l.recordedFleet()) }
-
-// fleetByDaemons returns the number of daemons that any daemon knew at the election, or zero.
-func (l *loop) fleetByDaemons() int {
-	if l.consultation == nil {
-		return len(l.peersAtElection)
-	}
-	return max(len(l.peersAtElection), l.consultation.fleet)
-}
-
-// recordedFleet returns the largest size of the fleet that an ownership page records, or zero.
-func (l *loop) recordedFleet() int {
-	fleet := 0
-	for _, held := range l.pages {
-		fleet = max(fleet, held.page.Fleet)
-	}
-	for _, machine := range l.machines {
-		if page := machine.Page(); page != nil {
-			fleet = max(fleet, page.Fleet)
-		}
-	}
-	return fleet
-}
-
-// countFleet returns the number of daemons that are not lost, and whether this leader has led
-// for so long that others are.
-func (l *loop) countFleet(now time.Duration) (daemons int, complete bool) {
-	if now-l.leadingSince < memberTimeout {
-		return max(len(l.members), l.fleetByDaemons()), false
-	}
-	return len(l.members), true
-}
-
 // startLeading begins a term. A leader whose term ended with a restoration of the store
 // goes on with what it knows.
 func (l *loop) startLeading(now time.Duration) {
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -175,23 +175,6 @@
 	lostGrants    keys.LostGrantsBound
 }
 
-// member is a daemon that reports to this leader.
-type member struct {
-	address    string
-	process    string // Its incarnation.
-	reportedAt time.Duration
-	leftAt     time.Duration // From then on it has not reported to an earlier leader.
-	startedAt  time.Duration // Of its process.
-	// transit is how long the newest report may have been on its way.
-	transit  time.Duration
-	zone     string
-	capacity float64
-	// gaveUp says that it gave up the leadership at gaveUpAt, because most servers did
-	// not answer.
-	gaveUp   bool
-	gaveUpAt time.Duration
-}
-
 // dependency is the availability of an external service.
 type dependency struct {
 	lost   bool
--- a/gateway/run/majority_test.go
+++ b/gateway/run/majority_test.go
@@ -135,11 +135,11 @@
 	var now time.Duration
 	l, _ := newLeaderAmongNewcomers(t, &now)
 	l.peersAtElection = []string{"a", "b", "c", "d", "e", "f"}
-	fleet, complete := l.countFleet(now)
+	fleet, complete := l.fleetToRecord(now)
 	g.Expect(fleet).To(Equal(6))
 	g.Expect(complete).To(BeFalse())
 	now += memberTimeout
-	fleet, complete = l.countFleet(now)
+	fleet, complete = l.fleetToRecord(now)
 	g.Expect(fleet).To(Equal(3))
 	g.Expect(complete).To(BeTrue())
 }
--- a/gateway/run/reports.go
+++ b/gateway/run/reports.go
@@ -2,8 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"sort"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,35 +30,6 @@
 // maxVMs limits the number of daemons that a leader may report.
 const maxVMs = 1 << 16
 
-// maxRequestedKeys limits the number of keys in a report for each service.
-const maxRequestedKeys = 4000
-
-// requestedKeys collects the keys of requests. It is safe for concurrent use.
-type requestedKeys struct {
-	mu        sync.Mutex
-	byService map[string][]uint16
-}
-
-func newRequestedKeys() *requestedKeys { return &requestedKeys{byService: make(map[string][]uint16)} }
-
-// add adds the key of a request.
-func (k *requestedKeys) add(service string, key uint16) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if len(k.byService[service]) < maxRequestedKeys {
-		k.byService[service] = append(k.byService[service], key)
-	}
-}
-
-// take returns and removes the collected keys.
-func (k *requestedKeys) take() map[string][]uint16 {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	taken := k.byService
-	k.byService = make(map[string][]uint16)
-	return taken
-}
-
 // report sends a report to the leader if one is due. The leader processes its own
 // report directly.
 func (l *loop) report(now time.Duration) {
@@ -199,106 +168,6 @@
 	arrivedAt time.Duration
 }
 
-// leftAt returns a time from which on the sender of a report, which has arrived now, has not
-// reported to an earlier leader.
-func (l *loop) leftAt(report *peer.Report, now time.Duration) time.Duration {
-	if report.FirstLeader {
-		return now - time.Duration(report.UptimeMS)*time.Millisecond
-	}
-	if known, found := l.members[report.VM]; found && known.reportedAt >= l.leadingSince && known.process == report.Incarnation {
-		return known.leftAt
-	}
-	return now
-}
-
-// applyReport processes a daemon's report on the leader.
-func (l *loop) applyReport(report *peer.Report) {
-	now := l.clock()
-	left := l.leftAt(report, now)
-	l.members[report.VM] = member{
-		address:    report.Address,
-		process:    report.Incarnation,
-		reportedAt: now,
-		leftAt:     left,
-		startedAt:  now - time.Duration(report.UptimeMS)*time.Millisecond,
-		transit:    now - l.sentAfter(report),
-		zone:       report.Zone,
-		capacity:   report.Capacity,
-		gaveUp:     report.GaveUp,
-		gaveUpAt:   now - time.Duration(report.GaveUpAgoMS)*time.Millisecond,
-	}
-	for _, observation := range report.Limits {
-		l.applyLimitObservation(now, observation)
-	}
-	l.applyLeaving(now, report.Leaving)
-	for service, requested := range report.RequestedKeys {
-		if machine := l.machines[service]; machine != nil {
-			machine.StepRequests(now, requested)
-		}
-	}
-	for _, server := range l.reportsOfListed(report.Servers) {
-		for _, machine := range l.machines {
-			machine.StepLatency(server.ID, server.Responses, time.Duration(server.MeanMS*float64(time.Millisecond)))
-		}
-	}
-}
-
-// sentAfter returns a time, by this leader's clock, after which a report was sent: it was
-// sent to this leader, and some time after this leader's last response to its sender. The
-// reports that a frozen process finds in its buffers may be old.
-func (l *loop) sentAfter(report *peer.Report) time.Duration {
-	if report.AnsweredAtMS <= 0 {
-		return l.leadingSince
-	}
-	return time.Duration(report.AnsweredAtMS+report.AnsweredAgoMS) * time.Millisecond
-}
-
-// reportsOfListed returns the reports of the servers whose present incarnations they are
-// about.
-func (l *loop) reportsOfListed(reports []peer.ServerReport) []peer.ServerReport {
-	var listed []peer.ServerReport
-	for _, report := range reports {
-		if row := l.servers.rows[report.Incarnation]; row != nil && row.listed {
-			listed = append(listed, report)
-		}
-	}
-	return listed
-}
-
-// countMembers returns the number of active daemons. Until activeMemberTimeout after
-// an election, when some may not have reported yet, it returns at least the number
-// known before the election, or zero for unknown if none was known.
-func (l *loop) countMembers(now time.Duration) int {
-	count := 0
-	for vm, m := range l.members {
-		if now-m.reportedAt > memberTimeout {
-			delete(l.members, vm)
-		}
-		if now-m.reportedAt <= activeMemberTimeout {
-			count++
-		}
-	}
-	if now-l.leadingSince >= activeMemberTimeout {
-		return count
-	}
-	if len(l.peersAtElection) == 0 {
-		return 0
-	}
-	return max(count, len(l.peersAtElection))
-}
-
-// memberAddresses returns the sorted addresses of the active daemons.
-func (l *loop) memberAddresses() []string {
-	addresses := make([]string, 0, len(l.members))
-	for _, m := range l.members {
-		if l.clock()-m.reportedAt <= activeMemberTimeout {
-			addresses = append(addresses, m.address)
-		}
-	}
-	sort.Strings(addresses)
-	return addresses
-}
-
 // setVMs sets the number of active daemons. Zero means unknown and is ignored.
 func (l *loop) setVMs(vms int) {
 	vms = min(vms, maxVMs)
