gateway/keys: the successor of an early resignation waits for the leader before it

Cause: a leader that more than two thirds of the daemons have left may go on for up to 1.5 s, and its calls arrive 1.2 s later. Its successor drops it from the page's predecessors at once and waits for that time itself. If the successor resigns meanwhile, the next leader knows of neither: by the page only the one that has just confirmed its end counts, and it may grant keys 1.2 s too early. Change: a page says within what time of its writing grants of the leaders arrive that it does not name any more. The next leader counts from when its VM saw the page. Result: the new test fails without it (21.5 s where the calls arrive until 22.7 s). go test ./gateway/keys ./gateway/run ./gateway/explore passes.

--- a/gateway/keys/encode.go
+++ b/gateway/keys/encode.go
@@ -21,6 +21,7 @@
 	MaxGrantTTLMillis int64          `json:"longest_hold,omitempty"` // In milliseconds.
 	LostGrants        LostGrants     `json:"lost_grants,omitzero"`
 	PriorGrants       int64          `json:"prior_grants_arrive_within,omitempty"`
+	EarlierGrants     int64          `json:"earlier_grants_arrive_within,omitempty"`
 	Fleet             int            `json:"fleet,omitempty"`
 	Servers           []storedServer `json:"servers"`
 	// Unfenced holds for each entry the server's index and the first and the last key.
@@ -47,7 +48,7 @@
 
 // head returns the stored form without ranges.
 func (p *Page) head() *storedPage {
-	stored := &storedPage{Stamp: p.Stamp, Fence: p.Fence, Writer: p.Writer, Predecessors: p.Predecessors, WriteID: p.WriteID, MaxGrantTTLMillis: p.MaxGrantTTL.Milliseconds(), LostGrants: p.LostGrants, PriorGrants: p.PriorGrantsArriveWithin, Fleet: p.Fleet}
+	stored := &storedPage{Stamp: p.Stamp, Fence: p.Fence, Writer: p.Writer, Predecessors: p.Predecessors, WriteID: p.WriteID, MaxGrantTTLMillis: p.MaxGrantTTL.Milliseconds(), LostGrants: p.LostGrants, PriorGrants: p.PriorGrantsArriveWithin, EarlierGrants: p.EarlierGrantsArriveWithin, Fleet: p.Fleet}
 	for _, u := range p.Unfenced {
 		server := stored.index(Holder{Incarnation: u.Incarnation, Address: u.Address})
 		stored.Unfenced = append(stored.Unfenced, [3]uint64{server, uint64(u.From), uint64(u.To)})
@@ -57,7 +58,7 @@
 
 // page returns the decoded page without ranges.
 func (s *storedPage) page() (Page, error) {
-	page := Page{Stamp: s.Stamp, Fence: s.Fence, Writer: s.Writer, Predecessors: s.Predecessors, WriteID: s.WriteID, MaxGrantTTL: time.Duration(s.MaxGrantTTLMillis) * time.Millisecond, LostGrants: s.LostGrants, PriorGrantsArriveWithin: s.PriorGrants, Fleet: s.Fleet}
+	page := Page{Stamp: s.Stamp, Fence: s.Fence, Writer: s.Writer, Predecessors: s.Predecessors, WriteID: s.WriteID, MaxGrantTTL: time.Duration(s.MaxGrantTTLMillis) * time.Millisecond, LostGrants: s.LostGrants, PriorGrantsArriveWithin: s.PriorGrants, EarlierGrantsArriveWithin: s.EarlierGrants, Fleet: s.Fleet}
 	for at, row := range s.Unfenced {
 		if row[0] >= uint64(len(s.Servers)) || row[1] > row[2] || row[2] >= model.Keys {
 			return Page{}, fmt.Errorf("unfenced keys %d: %w", at, errUnfenced)
--- a/gateway/keys/fingerprint.go
+++ b/gateway/keys/fingerprint.go
@@ -79,6 +79,7 @@
 func (b PriorGrantBounds) AddTo(e *StateEncoder, relevance time.Duration) {
 	e.Word(uint64(b.seen.Era))
 	e.stamp(b.seen.Number)
+	e.Time(b.seenAt, relevance)
 	e.Int(len(b.arrivals))
 	for _, key := range sortedKeys(b.arrivals, compareHolders) {
 		key.encode(e)
@@ -111,6 +112,7 @@
 	e.Name(p.Writer.Incarnation, p.WriteID)
 	e.Word(uint64(p.MaxGrantTTL))
 	e.Word(uint64(p.PriorGrantsArriveWithin))
+	e.Word(uint64(p.EarlierGrantsArriveWithin))
 	e.Int(p.Fleet)
 	p.LostGrants.encode(e)
 	e.Int(len(p.Predecessors))
--- a/gateway/keys/page.go
+++ b/gateway/keys/page.go
@@ -32,6 +32,9 @@
 	// PriorGrantsArriveWithin bounds how long after the writing of the page grants to the
 	// prior holders that the page before it names arrive, in milliseconds; zero if unknown.
 	PriorGrantsArriveWithin int64
+	// EarlierGrantsArriveWithin bounds the same for grants of the leaders before the writer
+	// that have stopped, or are stopping, and so are no Predecessors; zero if all have arrived.
+	EarlierGrantsArriveWithin int64
 	// Fleet is the number of daemons that the writer knew; zero if unknown.
 	Fleet int
 	// Unfenced lists the keys that servers have lost without being told.
--- a/gateway/keys/predecessors.go
+++ b/gateway/keys/predecessors.go
@@ -95,6 +95,7 @@
 		}
 	}
 	m.predecessors.endedBy = max(m.predecessors.endedBy, m.ownCallsEnd()) // This machine may have led before.
+	m.predecessors.endedBy = max(m.predecessors.endedBy, m.earlierGrantsArrival(page))
 }
 
 // runPredecessors records all earlier leaders as stopped once the time is over
--- a/gateway/keys/prior_grants.go
+++ b/gateway/keys/prior_grants.go
@@ -18,7 +18,8 @@
 // PriorGrantBounds is what one VM knows of the arrival of grants to the prior holders that the
 // newest page names, by its own clock.
 type PriorGrantBounds struct {
-	seen     Stamp // Of the newest page.
+	seen     Stamp         // Of the newest page.
+	seenAt   time.Duration // When it was seen.
 	arrivals map[holderKey]time.Duration
 }
 
@@ -31,7 +32,7 @@
 	if within := page.PriorGrantsArriveWithin; within > 0 {
 		told = now + time.Duration(within)*time.Millisecond
 	}
-	next := PriorGrantBounds{page.Stamp, make(map[holderKey]time.Duration)}
+	next := PriorGrantBounds{page.Stamp, now, make(map[holderKey]time.Duration)}
 	for _, r := range page.Ranges {
 		for _, prior := range r.Prior {
 			key := keyOf(r, prior)
@@ -106,3 +107,25 @@
 	}
 	return latest + impairedTransitTime - transitTime
 }
+
+// describeEarlierGrants tells the next leader by when grants of the leaders arrive that are no
+// predecessors any more.
+func (b *pageBuilder) describeEarlierGrants() {
+	b.page.EarlierGrantsArriveWithin = 0
+	if left := max(b.predecessors.endedBy, b.predecessors.outvotedBy) - b.now; left > 0 {
+		b.page.EarlierGrantsArriveWithin = left.Milliseconds() + 1
+	}
+}
+
+// earlierGrantsArrival returns when the grants have arrived of the leaders that were before the
+// writer of a page and that it does not name.
+func (m *Machine) earlierGrantsArrival(page *Page) time.Duration {
+	if page.EarlierGrantsArriveWithin == 0 {
+		return 0
+	}
+	within := time.Duration(page.EarlierGrantsArriveWithin) * time.Millisecond
+	if m.priorGrants.seen == page.Stamp {
+		return m.priorGrants.seenAt + within
+	}
+	return m.now + within
+}
--- a/gateway/keys/prior_grants_test.go
+++ b/gateway/keys/prior_grants_test.go
@@ -108,3 +108,27 @@
 	within := time.Duration(m.Ready().Write.Page.PriorGrantsArriveWithin) * time.Millisecond
 	g.Expect(within).To(BeNumerically(">=", MaxCallDelay-100*time.Millisecond+impairedTransitTime-transitTime))
 }
+
+// Leader a goes on until 21.5 s, as its successor b knows, which resigns in favour of c.
+func TestSuccessorOfAnEarlyResignationWaitsForTheLeaderBeforeIt(t *testing.T) {
+	g := NewWithT(t)
+	began := 20 * time.Second
+	lead := func(name string, now time.Duration, stored *Page, version kvstore.Version) *Machine {
+		m := NewMachine(Options{Service: "s", Self: Leader{VM: name, Incarnation: name}, GrantTTL: 2500 * time.Millisecond, PredecessorTimeout: 12 * time.Second})
+		m.Lead(now, 1)
+		m.StepServers(now, []model.Server{{ID: "i-1", Born: 1, Address: "a:1", Slots: 4}}, true)
+		m.Tick(now)
+		m.StepRead(now, stored, kvstore.Position{Era: 1, Version: version})
+		return m
+	}
+	b := lead("b", began, pageWithPriorHolder(4, 1), 7)
+	lastArrival := began + 1500*time.Millisecond + MaxCallDelay
+	b.PredecessorsOutvoted(lastArrival)
+	b.Tick(began)
+	written := b.Ready().Write.Page
+	g.Expect(written.Predecessors).To(BeEmpty())
+
+	c := lead("c", began+300*time.Millisecond, written, 8)
+	c.PredecessorEnded("b", began+300*time.Millisecond+MaxCallDelay)
+	g.Expect(c.predecessorBound()).To(BeNumerically(">=", lastArrival))
+}
--- a/gateway/keys/system_draft.go
+++ b/gateway/keys/system_draft.go
@@ -41,6 +41,7 @@
 	draft.Writer, draft.WriteID = m.options.Self, m.nextWriteID
 	b.describeLostGrants()
 	b.describePriorGrants()
+	b.describeEarlierGrants()
 	m.writing, m.changing = draft, changedRanges(m.page, draft)
 	m.ready.Write = &PageWrite{Expected: m.version, Page: draft}
 }
