gateway/run: a follower that is about to read the store is asked once more before another

Its log: all VMs of the zone find their list outdated at 5.5 s and ask the first store follower, which reads the store at 5.6 s, 0.1 s after its own list is outdated. vm-19, itself a store follower, then asked another one, which had the old list too, and after two attempts in vain read the store itself at 5.9 s. Change: an outdated answer to the first attempt does not move on to another follower; the second attempt asks the same one, which has read the store by then.

--- a/gateway/run/fallback.go
+++ b/gateway/run/fallback.go
@@ -61,8 +61,8 @@
 	if r.err == nil {
 		l.followerFailures = 0
 		l.applyFollowerResponse(r.response)
-		if l.listOutdated(l.clock()) {
-			l.nextFollower++ // Another one may have a newer list.
+		if l.listOutdated(l.clock()) && l.refresh.attempts != 1 {
+			l.nextFollower++ // Another one may have a newer list. At first this one is about to read it.
 		}
 		l.confirmByPeer(r.response, r.sentAt)
 		if !r.response.InContact {
--- a/gateway/run/list_refresh_test.go
+++ b/gateway/run/list_refresh_test.go
@@ -272,3 +272,18 @@
 	l.applyServerList(list)
 	g.Expect(l.servers.available("s", model.Service{}, 1)).To(HaveLen(2), "the sender would keep i-2 if it could reappear")
 }
+
+// Guards against further VMs of a zone that read the store because they asked its first follower
+// just before that one did.
+func TestFollowerWithAnOutdatedListIsAskedOnceMoreBeforeAnother(t *testing.T) {
+	g := NewWithT(t)
+	l, _, clock := newOutdatedLoop(t)
+	l.distribution.Followers = []string{l.knownLeader.Leader.Address, "127.0.0.1:1"}
+	for attempt, moved := range []int{0, 1} {
+		l.refreshList(clock.now())
+		g.Expect(l.refresh.attempts).To(Equal(attempt + 1))
+		followerResponded{response: &peer.ReportResponse{InContact: true}}.apply(l)
+		g.Expect(l.nextFollower).To(Equal(moved), "attempt %d", attempt+1)
+		clock.advance(2 * refreshInterval)
+	}
+}
