gateway/front: the test of a caller that does not read does not depend on the kernel's buffers

The test took that size for more than the kernel buffers. Change: connections of the test's listener have a send buffer of 64 KB, and the receive buffer is set before the request is sent. Sizes and bounds are as before.

--- a/gateway/front/memory_test.go
+++ b/gateway/front/memory_test.go
@@ -1,10 +1,13 @@
 package front
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -46,7 +49,8 @@
 func serveCallersFrom(t testing.TB, timeLeft time.Duration, address string) (*Handler, string) {
 	h := handlerFor(t, timeLeft, elapsed.Now, upstream.Options{Address: address, MaxConnections: 8})
 	callers := httptest.NewUnstartedServer(h)
-	callers.Listener = framing.Listener{Listener: callers.Listener}
+	callers.Listener.Close()
+	callers.Listener = framing.Listener{Listener: listenWithSmallBuffers(t)}
 	callers.Config.ConnContext = framing.WithConn
 	callers.Config.DisableGeneralOptionsHandler = true
 	callers.Start()
@@ -55,6 +59,24 @@
 	return h, callers.Listener.Addr().String()
 }
 
+// callerBufferBytes is how much the kernel buffers for a caller that does not read.
+const callerBufferBytes = 64 << 10
+
+// listenWithSmallBuffers returns a listener whose connections hold little of a response that is
+// not read, however large the kernel's buffers may grow.
+func listenWithSmallBuffers(t testing.TB) net.Listener {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(fd uintptr) {
+			optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, callerBufferBytes)
+		})
+		return errors.Join(err, optionErr)
+	}}
+	listener, err := config.Listen(context.Background(), "tcp4", "127.0.0.1:0")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	return listener
+}
+
 // handlerFor returns a handler of requests with the given time left for one server.
 func handlerFor(t testing.TB, timeLeft time.Duration, clock func() time.Duration, pool upstream.Options) *Handler {
 	h, views := newHandler(t, timeLeft)
@@ -89,11 +111,13 @@
 func TestACallerThatDoesNotReadItsResponseGivesItsMemoryBackAfterItsTimeout(t *testing.T) {
 	g := NewWithT(t)
 	const timeout, slack = 2 * time.Second, 700 * time.Millisecond
-	// More than the kernel buffers for the connection, less than one response may have.
+	// Less than one response may have, more than callerBufferBytes.
 	h, address := serveCallers(t, timeout, testMemory/17)
-	conn := begin(g, address, "0", "")
+	conn, err := net.Dial("tcp4", address)
+	g.Expect(err).NotTo(HaveOccurred())
 	defer conn.Close()
 	g.Expect(conn.(*net.TCPConn).SetReadBuffer(1 << 10)).To(Succeed())
+	beginOn(g, conn, "0", "")
 	held := func() int64 { return h.options.Memory.Usage()["responses"].Held }
 	g.Eventually(held, timeout).Should(BeNumerically(">=", testMemory/17))
 	g.Eventually(held, timeout+writeGrace+slack).Should(BeZero())
