--- a/gateway/front/memory_test.go
+++ b/gateway/front/memory_test.go
@@ -94,15 +94,7 @@
 	return h
 }
 
-// begin sends the head of a request and the first bytes of its body.
-func begin(g *WithT, address, contentLength, body string) net.Conn {
-	conn, err := net.Dial("tcp4", address)
-	g.Expect(err).NotTo(HaveOccurred())
-	beginOn(g, conn, contentLength, body)
-	return conn
-}
-
-// beginOn is begin on a connection.
+// beginOn sends the head of a request and the first bytes of its body on a connection.
 func beginOn(g *WithT, conn net.Conn, contentLength, body string) {
 	_, err := fmt.Fprintf(conn, "POST /a HTTP/1.1\r\nHost: h.example\r\nContent-Length: %s\r\n\r\n%s", contentLength, body)
 	g.Expect(err).NotTo(HaveOccurred())
