--- a/review/second/refused/main.go
+++ b/review/second/refused/main.go
@@ -57,8 +57,8 @@
 	r.mu.Unlock()
 	request, _ := http.NewRequest(http.MethodPost, "http://"+address+"/orders/new", strings.NewReader("order "+order))
 	request.Host = "shop.example"
-	request.Header.Set("Request-Id", id)
-	request.Header.Set("Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	request.Header.Set(lab.Wire.RequestID, id)
+	request.Header.Set(lab.Wire.TimeLeft, strconv.FormatInt(left.Milliseconds(), 10))
 	r.record.Printf("client sends %s of order %s", id, order)
 	response, err := client.Do(request)
 	if err != nil {
@@ -71,7 +71,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.answers[response.StatusCode]++
-	r.record.Printf("client gets %d to %s, signature %q", response.StatusCode, id, response.Header.Get("Response-Signature"))
+	r.record.Printf("client gets %d to %s, signature %q", response.StatusCode, id, response.Header.Get(lab.Wire.Signature))
 	if response.StatusCode == http.StatusServiceUnavailable && r.attempts[id] > 0 {
 		r.refused = append(r.refused, id)
 	}
@@ -117,7 +117,7 @@
 	}
 	done := make(chan struct{})
 	defer close(done)
-	store.Put("op/config", lab.Configuration(map[string]any{
+	store.Put(lab.Wire.Configuration, lab.Configuration(map[string]any{
 		"orders": lab.Route("/orders/", "non_idempotent", "printer", 1200),
 	}, "printer"))
 	var failing sync.Map
