--- a/review/second/lab/lab.go
+++ b/review/second/lab/lab.go
@@ -128,7 +128,7 @@
 func (g *Gateway) AwaitReady(limit time.Duration) error {
 	client := &http.Client{Timeout: 500 * time.Millisecond}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		response, err := client.Get("http://" + g.Ready + "/v1/ready")
+		response, err := client.Get("http://" + g.Ready + Wire.Ready)
 		if err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
--- a/review/second/lab/wire.go
+++ b/review/second/lab/wire.go
@@ -20,6 +20,7 @@
 	Signature      string `json:"signature"`
 	Configuration  string `json:"configuration"`
 	Servers        string `json:"servers"`
+	Ready          string `json:"ready"`
 }
 
 func readWire() names {
