gateway/answer: a server's status reaches the caller of an order only if its promise is proved

Cause: dispatch.classifyResponse forwarded every signed response, whatever its status promises to the caller.

Change: gateway/answer decides in one place what a server's response proves, which ones reach a caller and which status this VM gives by itself. 408, 429 and 503 without the server's declaration end as 502 `unproved` for non-idempotent requests, which are not sent again. Idempotent requests keep the server's response. The decision rests on the status and the declaration only, so that it holds for keys, uploads, pipelines and early responses alike.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -93,7 +93,7 @@
 	{UpdateNotSent, "news-not-sent", Info, "An update to a page of keys, a configuration or the server list did not reach a daemon at once; the daemon gets it with the response to a report."},
 	{RequestAnswered, "request-answered", Info, "A backend server's complete response was forwarded. Successful requests are sampled by request ID, so that all VMs log the same ones."},
 	{RequestNotRun, "request-not-run", Warn, "A request ended without having run; the code says why. The response told the caller when to retry. The field withheld is the status that the configuration in force called for, had it been known to be the newest."},
-	{RequestMayHaveRun, "request-may-have-run", Warn, "A request ended without a complete response after it may have reached a backend server; the code says why."},
+	{RequestMayHaveRun, "request-may-have-run", Warn, "A request ended without a response for its caller after it may have reached a backend server; the code says why. With unproved, the server's status is in the field send_N and was withheld."},
 	{RequestRejected, "request-rejected", Info, "A request was rejected as invalid: no route, an invalid header, or a body above the size limit. The fields name the configuration it was judged by: version, source, how long it is in force (in_force_for) and when it was last known to be the newest (confirmed_ago; absent if never)."},
 	{CallerLeft, "caller-left", Info, "The caller closed its connection before the response; the backend server's work was canceled."},
 	{GatewayLinesDropped, "gateway-lines-left-out", Warn, "Log lines were dropped because the output queue was full or the rate limit was reached; the field lines gives their number."},
--- a/gateway/dispatch/exchange.go
+++ b/gateway/dispatch/exchange.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strings"
 
+	"guavacrank.example/gateway/answer"
 	"guavacrank.example/gateway/balance"
 	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/port"
@@ -29,8 +30,12 @@
 // is being read, so that an early response is noticed.
 const streamingThreshold = 16 << 10
 
-// errUnsigned reports a response that carries no signature of the server.
-var errUnsigned = errors.New("response carries no server signature")
+var (
+	// errUnsigned reports a response that carries no signature of the server.
+	errUnsigned = errors.New("response carries no server signature")
+	// errUnproved reports a response whose status is withheld from the caller.
+	errUnproved = errors.New("the status promises that the request has not run, and the server does not say so")
+)
 
 // exchange sends the request once and reads the complete response. ctx ends
 // when the request or this attempt is canceled.
@@ -132,30 +137,43 @@
 	if head.Signed || head.NotRun && (head.Server == "" || head.Server == server.ID) {
 		server.Limit.Observe(c.options.Clock(), head.Limited, head.RequestsPerSecond)
 	}
-	switch {
-	case head.NotRun:
-		out.Verdict, out.result = verdict.NotRun, balance.Refused
-		out.Code = verdict.CodeShed
-		if head.Misdirected {
-			out.Code, out.result = verdict.CodeMoved, balance.NotOwner
-		}
-		if head.Misdirected && head.Server != "" && head.Server != server.ID {
-			out.Code, out.result = verdict.CodeConnect, balance.Replaced
-			out.Cause = "server " + head.Server + " now uses the address"
-		}
-	case !head.Signed:
+	switch answer.Judge(c.request.Route.Kind, response.StatusCode, head) {
+	case answer.Refused:
+		out.Verdict = verdict.NotRun
+		out.Code, out.result, out.Cause = refusal(server, head)
+	case answer.Unsigned:
 		out.Verdict, out.Code, out.result = verdict.MayHaveRun, verdict.CodePeer, balance.Incomplete
 		out.Cause = errUnsigned.Error()
-	default:
-		out.Verdict, out.Code, out.result = verdict.Answered, verdict.CodeAnswered, balance.Succeeded
+	case answer.Unproved:
+		out.Verdict, out.Code, out.result = verdict.MayHaveRun, verdict.CodeUnproved, resultOf(response.StatusCode)
+		out.Cause = errUnproved.Error()
+	case answer.Forwarded:
+		out.Verdict, out.Code, out.result = verdict.Answered, verdict.CodeAnswered, resultOf(response.StatusCode)
 		out.response = &Response{Status: response.StatusCode, Header: response.Header, Body: body, Trailer: response.Trailer}
-		if response.StatusCode >= http.StatusInternalServerError {
-			out.result = balance.ServerError
-		}
 	}
 	return out
 }
 
+// refusal returns why a server has not run a request.
+func refusal(server *balance.Server, head port.ResponseHead) (code verdict.Code, result balance.Result, cause string) {
+	switch {
+	case !head.Misdirected:
+		return verdict.CodeShed, balance.Refused, ""
+	case head.Server != "" && head.Server != server.ID:
+		return verdict.CodeConnect, balance.Replaced, "server " + head.Server + " now uses the address"
+	default:
+		return verdict.CodeMoved, balance.NotOwner, ""
+	}
+}
+
+// resultOf returns what the status of a server's own response says about the server.
+func resultOf(status int) balance.Result {
+	if status >= http.StatusInternalServerError {
+		return balance.ServerError
+	}
+	return balance.Succeeded
+}
+
 // classifyFailure returns the outcome of an attempt without a complete response.
 func (c *call) classifyFailure(ctx context.Context, failure *upstream.Failure) outcome {
 	out := outcome{reached: failure.Sent}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"guavacrank.example/event"
+	"guavacrank.example/gateway/answer"
 	"guavacrank.example/gateway/dispatch"
 	"guavacrank.example/gateway/logbook"
 	"guavacrank.example/gateway/memory"
@@ -282,12 +283,8 @@
 	case result.Verdict == verdict.Answered:
 		responseBytes = result.Response.Body.Len()
 		e.writeResponse(result.Response)
-	case result.Verdict == verdict.NotRun:
-		e.writeError(http.StatusServiceUnavailable, result.Verdict, result.Code, result.RetryAfter)
-	case result.Code == verdict.CodeTimeout:
-		e.writeError(http.StatusGatewayTimeout, result.Verdict, result.Code, 0)
 	default:
-		e.writeError(http.StatusBadGateway, result.Verdict, result.Code, 0)
+		e.writeError(result.Verdict, result.Code, result.RetryAfter)
 	}
 	e.record(result, bodyBytes, responseBytes)
 	e.log(result)
@@ -299,12 +296,12 @@
 // refuse responds to a request that this VM does not accept at the moment, and
 // logs it.
 func (e *exchange) refuse(code verdict.Code, retryAfter time.Duration) {
-	e.writeError(http.StatusServiceUnavailable, verdict.NotRun, code, retryAfter)
+	e.writeError(verdict.NotRun, code, retryAfter)
 	e.log(dispatch.Result{Verdict: verdict.NotRun, Code: code, RetryAfter: retryAfter})
 }
 
 // writeError writes this VM's response to a request without a server's response.
-func (e *exchange) writeError(status int, v verdict.Verdict, code verdict.Code, retryAfter time.Duration) {
+func (e *exchange) writeError(v verdict.Verdict, code verdict.Code, retryAfter time.Duration) {
 	header := e.w.Header()
 	header.Set(verdict.Header, v.String())
 	header.Set(verdict.HeaderCode, string(code))
@@ -315,7 +312,7 @@
 	if retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	e.w.WriteHeader(status)
+	e.w.WriteHeader(answer.Status(v, code))
 	e.write(strings.NewReader(v.String() + ": " + string(code) + "\n"))
 }
 
--- a/gateway/front/knowledge.go
+++ b/gateway/front/knowledge.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,7 +22,7 @@
 		e.reject(rejected)
 		return
 	}
-	e.writeError(http.StatusServiceUnavailable, verdict.NotRun, verdict.CodeStore, unconfirmedRetryAfter)
+	e.writeError(verdict.NotRun, verdict.CodeStore, unconfirmedRetryAfter)
 	e.options.Log.Event(event.RequestNotRun, rejected.cause, append(e.configurationFields(),
 		zap.String("request", e.head.ID), zap.String("code", string(verdict.CodeStore)), zap.Int("withheld", rejected.status))...)
 }
--- a/traffic/verdict/code.go
+++ b/traffic/verdict/code.go
@@ -34,6 +34,7 @@
 	CodeReset           Code = "reset"          // The connection ended before a response.
 	CodeTruncated       Code = "truncated"      // The connection ended within the response.
 	CodeUnframed        Code = "unframed"       // The end of the response can't be told from a lost connection.
+	CodeUnproved        Code = "unproved"       // The server's status would promise that the request has not run, without proof.
 	CodeTimeout         Code = "timeout"        // The deadline passed.
 	CodeCallerGone      Code = "caller_gone"    // The caller ended the connection.
 	CodeOnceRunning     Code = "once_running"   // An earlier request with the same idempotency key is under way.
@@ -59,6 +60,7 @@
 	CodeReset:           http.StatusBadGateway,
 	CodeTruncated:       http.StatusBadGateway,
 	CodeUnframed:        http.StatusBadGateway,
+	CodeUnproved:        http.StatusBadGateway,
 	CodePeer:            http.StatusBadGateway,
 	CodeOnceRunning:     http.StatusConflict,
 	CodeOnceFinished:    http.StatusConflict,
