gateway/answer: a signed 421 does not prove that an order has not run

What callers would see: an order that a server has begun and answers 421, signed and without declaring that it has not run, is sent to another server by the gateway itself, or ends as 503: it runs twice.

Change: 421 is proof without a declaration only if it is unsigned, as that of a server that was not meant is. For idempotent requests it stays a reason to ask another server.

--- a/gateway/answer/answer.go
+++ b/gateway/answer/answer.go
@@ -48,7 +48,7 @@
 // gets the server's own status, body and Retry-After.
 func Judge(kind model.Kind, status int, head port.ResponseHead) Judgment {
 	switch {
-	case head.NotRun, head.Misdirected:
+	case refuses(kind, head):
 		return Refused
 	case !head.Signed:
 		return Unsigned
@@ -59,6 +59,12 @@
 	}
 }
 
+// refuses reports whether the server has not run the request. One that is not the server
+// asked says so by its status alone; a signature beside it means that work may have begun.
+func refuses(kind model.Kind, head port.ResponseHead) bool {
+	return head.NotRun || head.Misdirected && (!head.Signed || kind.Idempotent())
+}
+
 // Status returns the status of this VM's own response to a request that ended without a
 // server's response.
 func Status(v verdict.Verdict, code verdict.Code) int {
--- a/gateway/answer/answer_test.go
+++ b/gateway/answer/answer_test.go
@@ -32,7 +32,7 @@
 			judgment := answer.Judge(kind, status, head(status, true, false))
 			g.Expect(judgment == answer.Forwarded).To(Equal(!answer.PromisesNotRun(status)), "%v %d", kind, status)
 		}
-		for _, status := range []int{408, 429, 503} {
+		for _, status := range promises {
 			g.Expect(answer.Judge(kind, status, head(status, true, false))).To(Equal(answer.Unproved), "%v %d", kind, status)
 		}
 	}
@@ -65,11 +65,14 @@
 		}
 	})
 
-	t.Run("takes 421 for a refusal", func(t *testing.T) {
+	t.Run("takes 421 without a signature for a refusal", func(t *testing.T) {
 		g := NewWithT(t)
 		for _, kind := range allKinds {
 			g.Expect(answer.Judge(kind, 421, head(421, false, false))).To(Equal(answer.Refused))
 		}
+		for _, kind := range idempotentKinds {
+			g.Expect(answer.Judge(kind, 421, head(421, true, false))).To(Equal(answer.Refused), "another server may run it")
+		}
 	})
 
 	t.Run("takes no other response without a signature for the server's", func(t *testing.T) {
--- a/gateway/dispatch/unproved_status_test.go
+++ b/gateway/dispatch/unproved_status_test.go
@@ -13,9 +13,8 @@
 	"guavacrank.example/traffic/verdict"
 )
 
-// promisingStatuses are those that callers take for the promise that a request has not run,
-// but for the one of a server that was not meant.
-var promisingStatuses = []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+// promisingStatuses are those that callers take for the promise that a request has not run.
+var promisingStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
 
 // failWith answers a request that the server has begun to run.
 func failWith(status int, body string) http.HandlerFunc {
