gateway/succession: majorities are counted over the daemons that a record in the store names

Cause: a leader without the store renews on while more than half of the daemons that report to it do; its successor took it for outvoted once reports of two thirds of the fleet had come, and counted daemons that were added since and that the first leader never knew. The log of the added leader says so: `predecessor-stopped`, reported 9 of 11, on a side with three old machines.

Change: the store holds the addresses of the daemons that count. Both sides count over them.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -54,6 +54,8 @@
 	ServerListOutdated      Number = 758
 	ServerListCurrent       Number = 759
 	ControlLoopLate         Number = 760
+	FleetRecorded           Number = 761
+	FleetNotRecorded        Number = 762
 	RouteLeftOut            Number = 770
 	EvacuationBegun         Number = 771
 	EvacuationEnded         Number = 772
@@ -116,6 +118,8 @@
 	{ServerListOutdated, "server-list-outdated", Info, "The server list in force is so old, or lacks changes, that servers may have left in time without this VM's knowledge; it asks others for a newer one. The field age gives the time since it was read from the store."},
 	{ServerListCurrent, "server-list-current", Info, "The server list in force is recent again; the field outdated_for gives the time for which it was not."},
 	{ControlLoopLate, "control-loop-late", Warn, "The control loop was late: since_tick passed between two of its ticks (every 100 ms). activities says what it did in that time, longest first; much waiting in few turns means that it got no processor time, or that the VM was suspended; queued is the number of inputs that wait."},
+	{FleetRecorded, "fleet-recorded", Info, "The leader has recorded in the store which daemons count in majorities (field daemons: their number)."},
+	{FleetNotRecorded, "fleet-not-recorded", Warn, "A write of that record was not confirmed; it is read again. Until then only daemons count that both versions name."},
 	{RouteLeftOut, "route-left-out", Warn, "A route of the configuration in force is not served, because it names a region to which no availability zone of the settings belongs; the cause names both. All other routes are served."},
 	{EvacuationBegun, "evacuation-begun", Info, "This VM knows from the server list that operators evacuate an availability zone; the zone's servers get no more requests from it, and the leader moves their keys."},
 	{EvacuationEnded, "evacuation-ended", Info, "This VM knows from the server list that operators have taken the evacuation of an availability zone back; the zone's servers get requests again."},
--- a/gateway/run/incarnations_test.go
+++ b/gateway/run/incarnations_test.go
@@ -119,12 +119,13 @@
 	l := newLeadingLoop(t)
 	now := l.clock()
 	l.leaseEnd = now - 2*time.Second
+	l.fleet.StepRead([]string{"a", "b"}, 5, 1)
 	for _, vm := range []string{"a", "b"} {
-		deliverReport(l, &peer.Report{VM: vm, Leader: l.knownLeader, UptimeMS: 60_000})
+		deliverReport(l, &peer.Report{VM: vm, Address: vm, Leader: l.knownLeader, UptimeMS: 60_000})
 	}
 	g.Expect(l.hasMajority(now)).To(BeTrue())
 	for _, vm := range []string{"a", "b"} {
-		deliverReport(l, &peer.Report{VM: vm, Leader: l.knownLeader, UptimeMS: 1000})
+		deliverReport(l, &peer.Report{VM: vm, Address: vm, Leader: l.knownLeader, UptimeMS: 1000})
 	}
 	g.Expect(l.hasMajority(now)).To(BeFalse(), "before their restart they may have followed a later leader")
 	l.leaseEnd = now
@@ -158,7 +159,8 @@
 	l.clock = func() time.Duration { return now }
 	daemon := newRestorationLoop(t)
 	daemon.campaign = leader.New(leader.Options{})
-	daemon.self = keys.Leader{VM: "a", Incarnation: "a"}
+	daemon.self = keys.Leader{VM: "a", Incarnation: "a", Address: "a"}
+	l.fleet.StepRead([]string{"a"}, 5, 1)
 	daemon.budget = budget.New(budget.Options{Window: time.Second})
 	daemon.followLeader(l.knownLeader)
 	first := deliverReport(l, daemon.newReport())
--- a/gateway/run/leading.go
+++ b/gateway/run/leading.go
@@ -46,6 +46,7 @@
 	}
 	l.addMachines(now)
 	l.sendBatches(now)
+	l.keepFleetRecord(now, silence < contactTimeout)
 	l.endPredecessorsByMajority(now)
 	l.decideConsultation(now)
 	isolated := 0
@@ -72,26 +73,23 @@
 	var others []succession.Reporter
 	for vm, m := range l.members {
 		if vm != l.self.VM {
-			others = append(others, m.reporter())
+			others = append(others, l.reporter(m))
 		}
 	}
 	return succession.HasMajority(now, l.leaseEnd, others)
 }
 
-// endPredecessorsByMajority marks earlier leaders as ended once more than two
-// thirds of the daemons that were known at the election have reported to this
-// leader. One that has just started learns their number by consultation. Daemons report
-// to one leader only, so an earlier leader has lost its majority and stops within
-// majorityWindow, or once its last contact to the store, which was before the election,
-// is contactTimeout ago.
+// endPredecessorsByMajority marks earlier leaders as ended once more than two thirds of the
+// daemons that they may count have reported to this leader. Daemons report to one leader
+// only, so an earlier leader has lost its majority and stops within majorityWindow, or once
+// its last contact to the store, which was before the election, is contactTimeout ago.
 func (l *loop) endPredecessorsByMajority(now time.Duration) {
-	var daemons []succession.Reporter
-	for _, m := range l.members {
-		daemons = append(daemons, m.reporter())
+	if now-l.leadingSince > predecessorTimeout && !l.awaitsPredecessors() {
+		return
 	}
-	election := succession.Election{At: l.leadingSince, LostLeasesEnd: l.lostLeasesEnd(), Fleet: l.fleetAtElection()}
-	left, reported, majority := election.Left(daemons)
-	if !majority {
+	election, known := l.election()
+	left, reported, majority := election.Left(l.reporters())
+	if !known || !majority {
 		return
 	}
 	for service, machine := range l.machines {
@@ -103,6 +101,27 @@
 	}
 }
 
+// awaitsPredecessors reports whether earlier leaders may still send grants.
+func (l *loop) awaitsPredecessors() bool {
+	for _, machine := range l.machines {
+		if len(machine.Predecessors()) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// election returns what is known of the own election, and false until the fleet record was
+// read. Where earlier leaders may have counted by another record than the one that was read,
+// since there is none or the store was restored since, all daemons count.
+func (l *loop) election() (election succession.Election, known bool) {
+	election = succession.Election{At: l.leadingSince, LostLeasesEnd: l.lostLeasesEnd(), Fleet: l.fleetAtElection()}
+	if l.fleet.Size() > 0 && l.fleet.Era() == l.term.Era && l.term.Era == l.era {
+		election.Fleet, election.Recorded = l.fleet.Size(), true
+	}
+	return election, l.fleet.Known()
+}
+
 // lostLeasesEnd returns when all leases that were lost with a restoration of the store
 // would have ended. They were renewed for the last time before it.
 func (l *loop) lostLeasesEnd() time.Duration {
@@ -121,6 +140,7 @@
 	l.enterEra(l.term.Era)
 	l.knewPagesAtEnd = l.knewNewestPages()
 	l.leadingSince, l.peersAtElection, l.isolationRuledOut = now, l.knownPeers, false
+	l.fleet.Begin()
 	if !l.leading {
 		l.resetFleet(now)
 	}
--- a/gateway/run/loop.go
+++ b/gateway/run/loop.go
@@ -28,6 +28,7 @@
 	ownPrefix  = "guavacrank/"
 	leaderKey  = ownPrefix + "leader"
 	pagePrefix = ownPrefix + "keys/"
+	fleetKey   = ownPrefix + "fleet"
 )
 
 const (
@@ -104,6 +105,7 @@
 	knewPagesAtEnd    bool                      // knewNewestPages at the end of the own last term.
 	peersAtElection   []string                  // knownPeers at the start of the own leadership.
 	knownPeers        []string                  // Addresses of all daemons according to the leader.
+	fleet             succession.Fleet          // On the leader: which daemons count in majorities.
 	record            []byte                    // The operators' configuration record.
 	recordPosition    kvstore.Position          // Where record was read in the store.
 	compressed        *peer.ConfigurationRecord // record in compressed form, created on demand.
--- a/gateway/run/lost_lease_test.go
+++ b/gateway/run/lost_lease_test.go
@@ -41,6 +41,9 @@
 	r.next.term = kvstore.Position{Era: 2, Version: 60}
 	r.next.startLeading(r.now)
 	r.next.leaseEnd, r.next.leaseTTL = r.now+longLease, longLease
+	for _, l := range []*loop{r.first, r.next} {
+		l.fleet.StepRead(daemons, 5, 1) // The copy has it, too.
+	}
 	r.machine = keys.NewMachine(keys.Options{Service: "s", Self: r.next.self, GrantTTL: time.Second, PredecessorTimeout: predecessorTimeout})
 	r.next.machines["s"] = r.machine
 	r.machine.Lead(r.now, 2)
--- a/gateway/run/majority_test.go
+++ b/gateway/run/majority_test.go
@@ -26,6 +26,7 @@
 	l.term = kvstore.Position{Era: 2, Version: 60}
 	l.startLeading(*now)
 	l.leaseEnd = *now + leader.LeaseTTL
+	l.fleet.StepRead(nil, 0, 0) // No leader has recorded the fleet.
 	machine := keys.NewMachine(keys.Options{Service: "s", Self: l.self, GrantTTL: time.Second, PredecessorTimeout: predecessorTimeout})
 	l.machines["s"] = machine
 	machine.Lead(*now, 2)
--- a/gateway/run/members.go
+++ b/gateway/run/members.go
@@ -18,6 +18,7 @@
 	address    string
 	process    string // Its incarnation.
 	reportedAt time.Duration
+	joinedAt   time.Duration // When this leader heard of it first.
 	leftAt     time.Duration // From then on it has not reported to an earlier leader.
 	startedAt  time.Duration // Of its process.
 	// transit is how long the newest report may have been on its way.
@@ -30,19 +31,33 @@
 	gaveUpAt time.Duration
 }
 
-// reporter returns what decisions on majorities need of a member.
-func (m member) reporter() succession.Reporter {
-	return succession.Reporter{ReportedAt: m.reportedAt, Transit: m.transit, StartedAt: m.startedAt, LeftAt: m.leftAt}
+// reporters returns what decisions on majorities need of the members.
+func (l *loop) reporters() []succession.Reporter {
+	all := make([]succession.Reporter, 0, len(l.members))
+	for _, m := range l.members {
+		all = append(all, l.reporter(m))
+	}
+	return all
+}
+
+// reporter returns the same of one member.
+func (l *loop) reporter(m member) succession.Reporter {
+	return succession.Reporter{ReportedAt: m.reportedAt, Transit: m.transit, StartedAt: m.startedAt, LeftAt: m.leftAt,
+		JoinedAt: m.joinedAt, Address: m.address, Recorded: l.fleet.Has(m.address), MayBeRecorded: l.fleet.MayHave(m.address)}
 }
 
 // applyReport processes a daemon's report on the leader.
 func (l *loop) applyReport(report *peer.Report) {
 	now := l.clock()
-	left := l.leftAt(report, now)
+	left, joined := l.leftAt(report, now), now
+	if known, found := l.members[report.VM]; found {
+		joined = known.joinedAt
+	}
 	l.members[report.VM] = member{
 		address:    report.Address,
 		process:    report.Incarnation,
 		reportedAt: now,
+		joinedAt:   joined,
 		leftAt:     left,
 		startedAt:  now - time.Duration(report.UptimeMS)*time.Millisecond,
 		transit:    now - l.sentAfter(report),
--- a/gateway/run/reports_test.go
+++ b/gateway/run/reports_test.go
@@ -91,13 +91,16 @@
 	l := &loop{members: map[string]member{}}
 	l.self.VM = "self"
 	now := 20 * time.Second
+	l.fleet.StepRead([]string{"a", "b", "c"}, 5, 1)
 	g.Expect(l.hasMajority(now)).To(BeTrue(), "a single daemon is a majority")
 	for _, vm := range []string{"a", "b", "c"} {
-		l.members[vm] = member{reportedAt: now - 5*time.Second}
+		l.members[vm] = member{address: vm, reportedAt: now - 5*time.Second}
 	}
 	g.Expect(l.hasMajority(now)).To(BeFalse(), "no other daemon reported within majorityWindow")
-	l.members["a"] = member{reportedAt: now - time.Second}
+	l.members["a"] = member{address: "a", reportedAt: now - time.Second}
 	g.Expect(l.hasMajority(now)).To(BeFalse(), "half of the daemons is not a majority")
-	l.members["b"] = member{reportedAt: now - time.Second}
+	l.members["b"] = member{address: "b", reportedAt: now - time.Second}
 	g.Expect(l.hasMajority(now)).To(BeTrue())
+	l.fleet.StepRead([]string{"c"}, 6, 1)
+	g.Expect(l.hasMajority(now)).To(BeFalse(), "a later leader does not count a and b")
 }
--- a/gateway/run/succession_test.go
+++ b/gateway/run/succession_test.go
@@ -237,6 +237,7 @@
 	l.members, l.knownPeers = make(map[string]member), nil
 	l.term = kvstore.Position{Era: 2, Version: 60}
 	l.startLeading(l.clock())
+	l.fleet.StepRead(nil, 0, 0) // No leader has recorded the fleet.
 	machine := keys.NewMachine(keys.Options{Service: "s", Self: l.self, GrantTTL: time.Second, PredecessorTimeout: predecessorTimeout})
 	l.machines["s"] = machine
 	machine.Lead(l.clock(), 2)
--- a/gateway/succession/majority.go
+++ b/gateway/succession/majority.go
@@ -22,19 +22,24 @@
 	Transit   time.Duration
 	StartedAt time.Duration // Of its process.
 	LeftAt    time.Duration // From then on it has not reported to an earlier leader.
+	JoinedAt  time.Duration // When this leader heard of it first.
+	Address   string
+	// Recorded says that the fleet record names it, MayBeRecorded that it may (Fleet).
+	Recorded, MayBeRecorded bool
 }
 
 // HasMajority says whether more than half of the daemons, including the leader's own, have
-// sent a report within MajorityWindow. A process that started after the end of the lease
-// does not count: the one before it may have reported to a later leader.
+// sent a report within MajorityWindow. Daemons that are not recorded are none of them: a later
+// leader does not count them either. A process that started after the end of the lease does
+// not add to the majority: the one before it may have reported to a later leader.
 func HasMajority(now, leaseEnd time.Duration, others []Reporter) bool {
 	recent, all := 1, 1
 	for _, r := range others {
-		if now-r.ReportedAt > MemberTimeout {
+		if now-r.ReportedAt > MemberTimeout || !r.MayBeRecorded {
 			continue
 		}
 		all++
-		if now-r.ReportedAt+r.Transit <= MajorityWindow && r.StartedAt <= leaseEnd {
+		if now-r.ReportedAt+r.Transit <= MajorityWindow && r.StartedAt <= leaseEnd && r.Recorded {
 			recent++
 		}
 	}
@@ -47,18 +52,21 @@
 	// LostLeasesEnd is when all leases that were lost with a restoration of the store would
 	// have ended.
 	LostLeasesEnd time.Duration
-	// Fleet is the number of daemons that were known, zero if unknown.
+	// Fleet is the number of daemons that earlier leaders may count: those that are
+	// recorded, or were known if Recorded is not set. Zero means unknown.
 	Fleet int
+	// Recorded says that only recorded daemons count.
+	Recorded bool
 }
 
-// Left returns when more than two thirds of the daemons that were known at an election, its
-// winner included, had left the earlier leaders, and how many reports count; false if these
+// Left returns when more than two thirds of the daemons that earlier leaders may count, the
+// winner of the election included, had left them, and how many reports count; false if these
 // are too few. Only reports that were sent after the end of lost leases count: until then a
 // daemon may restart and be counted by a leader of an earlier era (HasMajority).
 func (e Election) Left(daemons []Reporter) (at time.Duration, reported int, majority bool) {
 	var left []time.Duration
 	for _, r := range daemons {
-		if r.ReportedAt >= e.At && r.ReportedAt-r.Transit >= e.LostLeasesEnd {
+		if r.ReportedAt >= e.At && r.ReportedAt-r.Transit >= e.LostLeasesEnd && (r.Recorded || !e.Recorded) {
 			left = append(left, r.LeftAt)
 		}
 	}
--- a/gateway/succession/succession_test.go
+++ b/gateway/succession/succession_test.go
@@ -23,8 +23,8 @@
 
 func TestMajorityOfALeaderWithoutTheStore(t *testing.T) {
 	now := 100 * time.Second
-	recent := succession.Reporter{ReportedAt: now, StartedAt: time.Second}
-	silent := succession.Reporter{ReportedAt: now - succession.MajorityWindow - ms}
+	recent := succession.Reporter{ReportedAt: now, StartedAt: time.Second, Recorded: true, MayBeRecorded: true}
+	silent := succession.Reporter{ReportedAt: now - succession.MajorityWindow - ms, MayBeRecorded: true}
 	for name, c := range map[string]struct {
 		others   []succession.Reporter
 		majority bool
@@ -32,9 +32,11 @@
 		"alone":                        {nil, true},
 		"half of the fleet":            {append(reporters(1, recent), reporters(2, silent)...), false},
 		"more than half":               {append(reporters(2, recent), reporters(2, silent)...), true},
-		"report on its way too long":   {reporters(2, succession.Reporter{ReportedAt: now, Transit: succession.MajorityWindow + ms}), false},
-		"started after the lease":      {reporters(2, succession.Reporter{ReportedAt: now, StartedAt: 99*time.Second + ms}), false},
-		"started at the lease's end":   {reporters(2, succession.Reporter{ReportedAt: now, StartedAt: 99 * time.Second}), true},
+		"report on its way too long":   {reporters(2, succession.Reporter{ReportedAt: now, Transit: succession.MajorityWindow + ms, Recorded: true, MayBeRecorded: true}), false},
+		"started after the lease":      {reporters(2, succession.Reporter{ReportedAt: now, StartedAt: 99*time.Second + ms, Recorded: true, MayBeRecorded: true}), false},
+		"started at the lease's end":   {reporters(2, succession.Reporter{ReportedAt: now, StartedAt: 99 * time.Second, Recorded: true, MayBeRecorded: true}), true},
+		"perhaps recorded":             {reporters(2, succession.Reporter{ReportedAt: now, StartedAt: time.Second, MayBeRecorded: true}), false},
+		"recorded ones and others":     {append(append(reporters(2, recent), reporters(2, silent)...), reporters(9, succession.Reporter{ReportedAt: now, StartedAt: time.Second})...), true},
 		"silent for as long as a loss": {reporters(5, succession.Reporter{ReportedAt: now - succession.MemberTimeout - ms}), true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -62,6 +64,14 @@
 		_, _, majority = election.Left(reporters(6, r))
 		g.Expect(majority).To(BeFalse(), name)
 	}
+	election.Recorded = true
+	_, _, majority = election.Left(reporters(6, counted))
+	g.Expect(majority).To(BeFalse(), "they are not recorded")
+	recorded := counted
+	recorded.Recorded = true
+	_, reported, majority = election.Left(append(reporters(6, counted), reporters(5, recorded)...))
+	g.Expect(majority).To(BeTrue())
+	g.Expect(reported).To(Equal(5))
 	election.Fleet = 0
 	_, _, majority = election.Left(reporters(6, counted))
 	g.Expect(majority).To(BeFalse(), "the size of the fleet is unknown")
