gateway/explore: daemons that report, join, leave and are cut off with a leader

Change: with -daemons the world has daemons that only report, and majorities by the product's functions. New faults: cut-off-most, add-daemons, remove-daemons; new rule: leaders. A thawed leader has no majority, as in gateway/run. Mutations may edit gateway/succession.

--- a/cmd/internal/command/explore.go
+++ b/cmd/internal/command/explore.go
@@ -37,6 +37,7 @@
 			output := addOutput(flags)
 			flags.IntVar(&bounds.VMs, "vms", bounds.VMs, "`number` of VMs that may lead, up to 3")
 			flags.IntVar(&bounds.Servers, "servers", bounds.Servers, "`number` of backend servers, up to 3")
+			flags.IntVar(&bounds.Daemons, "daemons", bounds.Daemons, "`number` of daemons that only report to leaders, up to 30; 0 leaves out majorities")
 			flags.IntVar(&bounds.Faults, "faults", bounds.Faults, "greatest `number` of faults in a schedule")
 			flags.IntVar(&bounds.Share, "share", bounds.Share, "follow one of this `number` of faults, except the first and the last one of a schedule")
 			flags.DurationVar(&bounds.Depth, "depth", bounds.Depth, "longest virtual time of a schedule")
--- a/cmd/internal/command/explore_test.go
+++ b/cmd/internal/command/explore_test.go
@@ -26,7 +26,7 @@
 
 	It("exits with 2 and the name of the flag on bad bounds", func() {
 		for flag, value := range map[string]string{
-			"-vms": "0", "-servers": "9", "-faults": "-1", "-share": "0", "-depth": "0s", "-states": "0",
+			"-vms": "0", "-servers": "9", "-daemons": "31", "-faults": "-1", "-share": "0", "-depth": "0s", "-states": "0",
 			"-memory": "0", "-for": "-1s", "-rules": "owners", "-seed": "x",
 		} {
 			r := run("", "explore", flag, value)
--- a/gateway/explore/apply.go
+++ b/gateway/explore/apply.go
@@ -36,6 +36,11 @@
 		w.applyToVM(e)
 	case e.action == outage:
 		w.startOutage()
+	case e.action == cutOffMost:
+		w.note(e.String() + ": " + w.vms[e.subject].name)
+		w.cutOffWithMost(int(e.subject))
+	case e.action > cutOffMost:
+		w.applyToFleet(e)
 	default:
 		w.restoreStore(int(e.subject))
 	}
@@ -169,6 +174,7 @@
 		return
 	}
 	w.vms[at].cut = false
+	w.rejoinFleet(at)
 	w.rejoin(at)
 }
 
--- a/gateway/explore/bounds.go
+++ b/gateway/explore/bounds.go
@@ -50,6 +50,7 @@
 const (
 	maxVMs     = 3
 	maxServers = 3
+	maxDaemons = 30
 	maxFaults  = 8
 )
 
@@ -60,6 +61,8 @@
 		return &BoundError{"vms", fmt.Sprintf("%d is not from 1 to %d", b.VMs, maxVMs)}
 	case b.Servers < 1 || b.Servers > maxServers:
 		return &BoundError{"servers", fmt.Sprintf("%d is not from 1 to %d", b.Servers, maxServers)}
+	case b.Daemons < 0 || b.Daemons > maxDaemons:
+		return &BoundError{"daemons", fmt.Sprintf("%d is not from 0 to %d", b.Daemons, maxDaemons)}
 	case b.Faults < 0 || b.Faults > maxFaults:
 		return &BoundError{"faults", fmt.Sprintf("%d is not from 0 to %d", b.Faults, maxFaults)}
 	case b.Share < 1:
--- a/gateway/explore/checks.go
+++ b/gateway/explore/checks.go
@@ -30,13 +30,16 @@
 	// Work: a server gets a key only when the work on it that another server began has
 	// ended, or the latter's hold has run out.
 	Work Rule = "work"
+	// Leaders: a leader that another one takes for stopped, as a majority has left it, has
+	// stopped.
+	Leaders Rule = "leaders"
 	// Owned: all keys are owned some time after the last fault.
 	Owned Rule = "owned"
 )
 
 // Rules lists all rules.
 func Rules() []Rule {
-	return []Rule{Holders, Fences, Lives, Releases, LateReleases, Unreached, Capped, Work, Owned}
+	return []Rule{Holders, Fences, Lives, Releases, LateReleases, Unreached, Capped, Work, Leaders, Owned}
 }
 
 // Violation is a rule that was broken.
--- a/gateway/explore/event.go
+++ b/gateway/explore/event.go
@@ -48,6 +48,10 @@
 	leadAgain
 	restore
 	outage
+	// Faults of daemons.
+	cutOffMost
+	addDaemons
+	removeDaemons
 	actions
 )
 
@@ -57,6 +61,7 @@
 	"start", "arrive", "answer", "thaw", "heal", "store-returns", "heal-server",
 	"restart", "restart-unlisted", "restart-as-other", "restart-as-other-unlisted", "end", "end-dark", "drain", "unlist", "cut-server", "cut-server-full",
 	"kill", "lose-vm", "freeze", "cut-off", "resign", "lead-again", "restore", "outage",
+	"cut-off-most", "add-daemons", "remove-daemons",
 }
 
 // free reports whether an action has no price.
@@ -88,6 +93,7 @@
 		found = w.serverFaults(found)
 		found = w.vmFaults(found)
 		found = w.storeFaults(found)
+		found = w.fleetFaults(found)
 	}
 	return found
 }
@@ -243,6 +249,9 @@
 			found = append(found, Event{a, uint64(at)})
 		}
 	}
+	if w.fleet.cutWith < 0 && w.fleet.total > 0 && others && !w.storeAway {
+		found = append(found, Event{cutOffMost, uint64(at)})
+	}
 	return found
 }
 
--- a/gateway/explore/explore_test.go
+++ b/gateway/explore/explore_test.go
@@ -54,6 +54,16 @@
 	g.Expect(result.States).To(Equal(250_000))
 }
 
+// TestNoScheduleLetsALeaderGoOnThatIsTakenForStopped has daemons that are added, removed and
+// cut off together with a leader.
+func TestNoScheduleLetsALeaderGoOnThatIsTakenForStopped(t *testing.T) {
+	g := NewWithT(t)
+	bounds := bounded(2, 150_000)
+	bounds.Daemons, bounds.Rules = fleetDaemons, []explore.Rule{explore.Leaders}
+	result := run(t, bounds)
+	g.Expect(result.Verdict).To(Equal(explore.Bounded), text(g, result.Schedule))
+}
+
 func TestThreeVMsAndThreeServers(t *testing.T) {
 	g := NewWithT(t)
 	bounds := bounded(1, 1_000_000)
@@ -92,6 +102,7 @@
 	for name, change := range map[string]func(b *explore.Bounds){
 		"vms":     func(b *explore.Bounds) { b.VMs = 4 },
 		"servers": func(b *explore.Bounds) { b.Servers = 0 },
+		"daemons": func(b *explore.Bounds) { b.Daemons = 31 },
 		"faults":  func(b *explore.Bounds) { b.Faults = -1 },
 		"share":   func(b *explore.Bounds) { b.Share = 0 },
 		"depth":   func(b *explore.Bounds) { b.Depth = 0 },
@@ -169,6 +180,15 @@
 	g.Expect(again).To(Equal(schedule))
 }
 
+func TestAScheduleOfAWorldWithDaemonsIsReadAsItWasWritten(t *testing.T) {
+	g := NewWithT(t)
+	schedule := readFile(g, "testdata/mended/joined-daemons.txt")
+	g.Expect(schedule.Size.Daemons).To(Equal(6))
+	again, err := explore.Read(strings.NewReader(text(g, schedule)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(again).To(Equal(schedule))
+}
+
 func TestADamagedScheduleNamesTheLine(t *testing.T) {
 	g := NewWithT(t)
 	const head = "vms 2\nservers 2\nrule holders\n"
--- a/gateway/explore/fingerprint.go
+++ b/gateway/explore/fingerprint.go
@@ -13,6 +13,10 @@
 	for at := range w.vms {
 		w.vms[at].encode(e, w.storeAway)
 	}
+	if w.fleet.total > 0 {
+		w.fleet.encode(e)
+		e.Time(w.vms[w.elected].electedAt, predecessorTimeout)
+	}
 	e.Bools(w.storeAway)
 	e.Int(w.elected)
 	e.Time(w.electionAt, 0)
--- a/gateway/explore/mutation_list_test.go
+++ b/gateway/explore/mutation_list_test.go
@@ -1,6 +1,6 @@
 package explore_test
 
-// edit replaces a text that occurs once in a file of gateway/keys.
+// edit replaces a text that occurs once in a file, named from gateway/keys.
 type edit struct{ file, old, new string }
 
 // mutation takes a mending out of the product's decision code. The edits are applied to a
@@ -13,6 +13,8 @@
 // mutations are the mendings of docs/incidents and the rules of gateway/keys/doc.go.
 var mutations = []mutation{
 	{"prior holders are not waited for", []edit{{"system_prior.go", "if end == notEnded {\n\t\t\treturn \"\", false", "if end == notEnded && r.Size() == 0 {\n\t\t\treturn \"\", false"}}},
+	{"daemons that are not recorded count as having left a leader", []edit{{"../succession/majority.go", " && (r.Recorded || !e.Recorded) {", " {"}}},
+	{"daemons that are not recorded count for a leader without the store", []edit{{"../succession/majority.go", "r.StartedAt <= leaseEnd && r.Recorded {", "r.StartedAt > 0 {"}, {"../succession/majority.go", " || !r.MayBeRecorded {", " {"}}},
 	{"a fence goes over several connections", []edit{
 		{"grants.go", "if g.fence != 0 && !g.spent {", "if g.fence != 0 {"},
 		{"system_renewal.go", "call.Server, call.Connection = r.Owner.ID, grant.connection", "call.Server, call.Connection = r.Owner.ID, 0"},
--- a/gateway/explore/schedule.go
+++ b/gateway/explore/schedule.go
@@ -62,7 +62,11 @@
 // Write writes the schedule, with all events and what each server holds as comments.
 func (s *Schedule) Write(out io.Writer) error {
 	text := &strings.Builder{}
-	fmt.Fprintf(text, "vms %d\nservers %d\nrule %s\n", s.Size.VMs, s.Size.Servers, s.Rule)
+	fmt.Fprintf(text, "vms %d\nservers %d\n", s.Size.VMs, s.Size.Servers)
+	if s.Size.Daemons > 0 {
+		fmt.Fprintf(text, "daemons %d\n", s.Size.Daemons)
+	}
+	fmt.Fprintf(text, "rule %s\n", s.Rule)
 	broken, err := s.play(func(line string) { fmt.Fprintf(text, "# %s\n", line) }, func(step Step) {
 		fmt.Fprintf(text, "%d %s\n", step.Number, step.Event)
 	})
@@ -171,6 +175,8 @@
 		return readInt(fields[1], &s.Size.VMs)
 	case "servers":
 		return readInt(fields[1], &s.Size.Servers)
+	case "daemons":
+		return readInt(fields[1], &s.Size.Daemons)
 	case "rule":
 		s.Rule = Rule(fields[1])
 		if !slices.Contains(Rules(), s.Rule) {
--- a/gateway/explore/vm.go
+++ b/gateway/explore/vm.go
@@ -42,8 +42,9 @@
 	// learnsAt is when it learns that it does not lead any more, or zero.
 	learnsAt time.Duration
 	// term and era are those of its last election. Terms count the elections.
-	term int
-	era  kvstore.Era
+	term      int
+	era       kvstore.Era
+	electedAt time.Duration
 }
 
 // newVM returns a VM whose process has just started.
@@ -86,7 +87,7 @@
 	w.elected, w.electionAt = at, 0
 	v := &w.vms[at]
 	m := w.machine(at)
-	v.term, v.era, v.learnsAt = w.terms()+1, w.store.era, 0
+	v.term, v.era, v.electedAt, v.learnsAt = w.terms()+1, w.store.era, w.now, 0
 	m.KnowLostGrants(w.lost)
 	m.KnowPriorGrants(w.prior)
 	m.SetRenewOnly(false)
@@ -129,6 +130,7 @@
 	v := &w.vms[at]
 	v.machine, v.shared = keys.NewMachine(keys.Options{Self: v.self()}), false
 	v.cut = false
+	w.rejoinFleet(at)
 	w.closeConnections(func(c connection) bool { return c.vm == at })
 	w.abandonCalls(at)
 	if w.elected == at {
@@ -171,7 +173,11 @@
 func (w *world) thaw(at int) {
 	v := &w.vms[at]
 	v.condition = running
-	if v.machine.Leading() && w.now > v.lastContact+predecessorTimeout {
+	longest := predecessorTimeout
+	if w.fleet.total > 0 {
+		longest = leaseTTL // The reports that it has are too old for a majority.
+	}
+	if v.machine.Leading() && w.now > v.lastContact+longest {
 		w.machine(at).Stop()
 	}
 	w.rejoin(at)
@@ -189,6 +195,7 @@
 		w.elect()
 		happened = happened || w.terms() != term
 	}
+	w.outvotePredecessors()
 	return happened
 }
 
@@ -209,6 +216,10 @@
 		w.machine(at).Stop()
 		w.note(v.name + " stops: the store was out of reach for too long")
 		return true
+	case away && w.now > v.lastContact+leaseTTL && !w.hasMajority(at):
+		w.machine(at).Stop()
+		w.note(v.name + " stops: without the store it has no majority")
+		return true
 	case away && w.now == v.lastContact+leaseTTL+quantum:
 		w.machine(at).SetRenewOnly(true)
 	}
--- a/gateway/explore/world.go
+++ b/gateway/explore/world.go
@@ -31,6 +31,9 @@
 	// VMs is the number of VMs that may lead, and Servers that of the backend servers.
 	VMs     int `json:"vms"`
 	Servers int `json:"servers"`
+	// Daemons is the number of daemons that only report to leaders. With none there are no
+	// majorities.
+	Daemons int `json:"daemons,omitempty"`
 }
 
 // world is the state of everything. A world that was expanded does not change any more:
@@ -39,6 +42,7 @@
 	now     time.Duration
 	vms     []vm
 	servers []server
+	fleet   fleet
 	store   store
 	// storeAway says that the store answers nobody.
 	storeAway bool
@@ -84,7 +88,7 @@
 
 // newWorld returns a world in which the first VM leads and all keys are owned.
 func newWorld(size Size) *world {
-	w := &world{now: beginning}
+	w := &world{now: beginning, fleet: newFleet(size.Daemons)}
 	for at := range size.VMs {
 		w.vms = append(w.vms, newVM(at))
 	}
