gateway/keys: tests share the lost move and the congested leader

Cause: two scenarios stood twice in the tests (duplicates: outage_test.go and takeover_test.go, impaired_predecessor_test.go and relead_test.go).

Change: both use loseMove and startCongested. The steps and checks are the same; loseMove has the check that the leader has written no other page.

--- a/gateway/keys/impaired_predecessor_test.go
+++ b/gateway/keys/impaired_predecessor_test.go
@@ -12,9 +12,9 @@
 	"guavacrank.example/kvstore"
 )
 
-// takeOverFromCongested has a leader find a zone congested, and another one take over when
-// the congestion has just ended and the zone's servers are leaving.
-func takeOverFromCongested(seed uint64, tell func(sim *simulation, earlier, later *keys.Machine)) *simulation {
+// startCongested has a leader find a zone congested. The congestion has just ended, and the
+// zone's servers are leaving.
+func startCongested(seed uint64) (*simulation, *keys.Machine) {
 	sim := newSimulation(seed)
 	for i := range 7 {
 		s := sim.addServer(fmt.Sprintf("i-%d", i), 1000)
@@ -22,7 +22,7 @@
 			s.Zone = "far"
 		}
 	}
-	earlier := sim.addLeader("a")
+	m := sim.addLeader("a")
 	sim.run(3 * time.Second)
 	sim.congestedZone, sim.maxCongestionDelay = "far", 2*time.Second
 	sim.run(1800 * time.Millisecond)
@@ -31,6 +31,12 @@
 		sim.servers[model.Incarnation{ID: fmt.Sprintf("i-%d", i), Born: 1000}].Draining = true
 	}
 	sim.run(time.Duration(sim.random.IntN(600)) * time.Millisecond)
+	return sim, m
+}
+
+// takeOverFromCongested has another leader take over from that of startCongested.
+func takeOverFromCongested(seed uint64, tell func(sim *simulation, earlier, later *keys.Machine)) *simulation {
+	sim, earlier := startCongested(seed)
 	sim.unreachable[earlier] = true // Its successor is told of its end below.
 	earlier.Stop()
 	later := sim.addLeader("b")
--- a/gateway/keys/outage_test.go
+++ b/gateway/keys/outage_test.go
@@ -108,21 +108,7 @@
 		It(fmt.Sprintf("seed %d: releases keys with the fence with which the server holds them", seed), func() {
 			sim, m := startSimulation(seed, 4)
 			leaving := sim.servers[model.Incarnation{ID: "i-1", Born: 1000}]
-			var late *keys.PageWrite
-			sim.onLostWrite = func(write keys.PageWrite) { late = &write }
-			sim.startOutage()
-			leaving.Draining = true
-			for late == nil {
-				sim.run(tickInterval)
-			}
-			sim.run(2 * time.Second)
-			leaving.Draining = false
-			sim.list()
-			sim.endOutage()
-			sim.run(time.Second)
-			clear(sim.connections) // The next grants take a higher fence.
-			sim.run(2 * time.Second)
-			Expect(sim.version).To(Equal(late.Expected), "the leader has written no other page")
+			late := sim.loseMove()
 			sim.page, sim.version = late.Page, sim.version+1
 			sim.maxReleaseTime = 2 * time.Second
 			sim.servers[model.Incarnation{ID: "i-2", Born: 1000}].Draining = true
--- a/gateway/keys/relead_test.go
+++ b/gateway/keys/relead_test.go
@@ -71,22 +71,7 @@
 
 	for seed := range uint64(30) {
 		It(fmt.Sprintf("seed %d: that leads again waits for grants that are late behind a congested link", seed), func() {
-			sim := newSimulation(seed)
-			for i := range 7 {
-				s := sim.addServer(fmt.Sprintf("i-%d", i), 1000)
-				if i < 3 {
-					s.Zone = "far"
-				}
-			}
-			m := sim.addLeader("a")
-			sim.run(3 * time.Second)
-			sim.congestedZone, sim.maxCongestionDelay = "far", 2*time.Second
-			sim.run(1800 * time.Millisecond)
-			sim.congestedZone = ""
-			for i := range 3 {
-				sim.servers[model.Incarnation{ID: fmt.Sprintf("i-%d", i), Born: 1000}].Draining = true
-			}
-			sim.run(time.Duration(sim.random.IntN(600)) * time.Millisecond)
+			sim, m := startCongested(seed)
 			m.Stop()
 			m.Lead(sim.now, sim.era)
 			sim.run(12 * time.Second)
