gateway/succession: a write of the fleet record without an answer does not end a majority

Cause: after a failed write Fleet counted nobody until the record had been read again. A leader that writes it just as the store goes away would have lost its majority and stopped, with keys without an owner until the store's return.

Change: until it is read again, daemons count that the record named before and every write without an answer names, as during the write.

--- a/gateway/succession/fleet.go
+++ b/gateway/succession/fleet.go
@@ -35,7 +35,8 @@
 	recorded []string // Sorted.
 	version  kvstore.Version
 	era      kvstore.Era // In which it was written.
-	known    bool
+	known    bool        // It was read in this term.
+	outdated bool        // It has to be read again.
 	calling  bool
 	nextCall time.Duration
 	// unconfirmed are the daemons named by writes that may still be executed.
@@ -97,7 +98,7 @@
 		return false, nil
 	}
 	f.nextCall = now + checkInterval
-	if !f.known {
+	if !f.known || f.outdated {
 		f.calling = true
 		return true, nil
 	}
@@ -105,7 +106,7 @@
 		return false, nil
 	}
 	present := members()
-	if !f.outdated(now, present) {
+	if !f.lacks(now, present) {
 		return false, nil
 	}
 	return false, f.write(present)
@@ -123,8 +124,8 @@
 	return write
 }
 
-// outdated reports whether daemons are missing in the record, or many recorded ones are gone.
-func (f *Fleet) outdated(now time.Duration, members []Reporter) bool {
+// lacks reports whether daemons are missing in the record, or many recorded ones are gone.
+func (f *Fleet) lacks(now time.Duration, members []Reporter) bool {
 	present := 0
 	for _, member := range members {
 		if contains(f.recorded, member.Address) {
@@ -142,7 +143,7 @@
 	if version != f.version {
 		f.unconfirmed = nil
 	}
-	f.calling, f.known = false, true
+	f.calling, f.known, f.outdated = false, true, false
 	f.recorded, f.version, f.era = daemons, version, era
 }
 
@@ -152,5 +153,6 @@
 	f.nextCall = now + recordInterval
 }
 
-// StepFailed takes the failure of a call. The record has to be read again.
-func (f *Fleet) StepFailed() { f.calling, f.known = false, false }
+// StepFailed takes the failure of a call. The record has to be read again. Until then daemons
+// count that it named before and every write without a response names.
+func (f *Fleet) StepFailed() { f.calling, f.outdated = false, true }
