--- a/gateway/explore/fleet.go
+++ b/gateway/explore/fleet.go
@@ -1,7 +1,6 @@
 package explore
 
 import (
-	"fmt"
 	"time"
 
 	"guavacrank.example/gateway/keys"
@@ -117,13 +116,13 @@
 	recent := succession.Reporter{ReportedAt: w.now, Recorded: true, MayBeRecorded: true}
 	silent := succession.Reporter{ReportedAt: v.lastContact, Recorded: true, MayBeRecorded: true}
 	added := succession.Reporter{ReportedAt: w.now, StartedAt: w.now}
-	heard, new := 0, 0
+	heard, unrecorded := 0, 0
 	if f.cutWith == at {
-		heard, new = f.behind, f.addedBehind
+		heard, unrecorded = f.behind, f.addedBehind
 	}
 	daemons := reporters(heard, recent)
 	daemons = append(daemons, reporters(f.total-heard+len(w.vms)-1, silent)...)
-	daemons = append(daemons, reporters(new, added)...)
+	daemons = append(daemons, reporters(unrecorded, added)...)
 	return succession.HasMajority(w.now, v.lastContact+leaseTTL, daemons)
 }
 
@@ -158,7 +157,7 @@
 	for at := range w.vms {
 		v := &w.vms[at]
 		if at != w.elected && v.cut && v.condition == running && v.machine.Leading() && w.now > stopped+quantum {
-			w.violate(Leaders, "%s, elected in term %d, takes %s for stopped, which renews on", w.vms[w.elected].name, w.vms[w.elected].term, fmt.Sprint(v.name, ", elected in term ", v.term))
+			w.violate(Leaders, "%s (election %d) takes %s (election %d) for stopped, which renews on", w.vms[w.elected].name, w.vms[w.elected].term, v.name, v.term)
 			return
 		}
 	}
--- a/gateway/succession/simulation_test.go
+++ b/gateway/succession/simulation_test.go
@@ -56,13 +56,13 @@
 	daemons  []*simulatedDaemon
 	first    map[string]simulatedMember
 	second   map[string]simulatedMember
-	election,
-	stopped time.Duration // When the first leader stopped, zero if it has not.
-	record  succession.Fleet // As the first leader knows it.
-	read    succession.Fleet // As the second one does.
-	stored  []string         // In the store.
-	version kvstore.Version
-	writes  []simulatedWrite // Those under way.
+	election time.Duration    // Of the second leader, zero before it.
+	stopped  time.Duration    // When the first leader stopped, zero if it has not.
+	record   succession.Fleet // As the first leader knows it.
+	read     succession.Fleet // As the second one does.
+	stored   []string         // In the store.
+	version  kvstore.Version
+	writes   []simulatedWrite // Those under way.
 }
 
 func newSimulation(seed uint64, recorded bool) *simulation {
