--- /dev/null
+++ b/review/third/stoppipe/main.go
@@ -0,0 +1,257 @@
+// Command stoppipe plays a planned stop of a gateway while callers send requests ahead.
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"guavacrank.example/platform/standin"
+	"guavacrank.example/review/third/rig"
+)
+
+const (
+	host      = "docs.example"
+	bodyBytes = 30_000
+	// depth is the number of requests that a caller has outstanding on its connection.
+	depth   = 4
+	callers = 4
+	// workTime is how long the servers take for a request.
+	workTime    = 20 * time.Millisecond
+	sigtermAt   = 500 * time.Millisecond
+	playTime    = 5500 * time.Millisecond
+	segmentSize = 1448
+	windowBytes = 8 << 10
+	// readBytes are read every readPause: about 1.6 MB/s.
+	readBytes = 8 << 10
+	readPause = 5 * time.Millisecond
+	patience  = 8 * time.Second
+)
+
+// runs are the requests that servers have run.
+type runs struct {
+	mu  sync.Mutex
+	ids map[string]bool
+}
+
+func body(id string) []byte { return bytes.Repeat([]byte(id[len(id)-1:]), bodyBytes) }
+
+func (s *runs) handler(record *rig.Record, id string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/health" {
+			w.Header().Set("Instance-Id", id)
+			return
+		}
+		request := r.Header.Get("Request-Id")
+		w.Header().Set("Request-Id", request)
+		if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != id {
+			w.Header().Set("Not-Executed", "1")
+			w.Header().Set("Instance-Id", id)
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		s.mu.Lock()
+		s.ids[request] = true
+		s.mu.Unlock()
+		record.Note("server %s runs %s", id, request)
+		time.Sleep(workTime)
+		w.Header().Set("Response-Signature", id+"."+request)
+		w.Header().Set("Content-Length", fmt.Sprint(bodyBytes))
+		_, _ = w.Write(body(request)) // The gateway may have disconnected.
+	})
+}
+
+func main() {
+	command := flag.String("command", "target/guavacrankd", "the daemon's program")
+	file := flag.String("record", "record.txt", "the record")
+	flag.Parse()
+	rig.Main(func() (int, error) { return play(*command, *file) })
+}
+
+func play(command, file string) (int, error) {
+	record, err := rig.NewRecord(file)
+	if err != nil {
+		return rig.NotRun, err
+	}
+	dir, err := os.MkdirTemp("", "stoppipe")
+	if err != nil {
+		return rig.NotRun, err
+	}
+	defer os.RemoveAll(dir)
+	store := standin.NewStore()
+	storeAddress, err := rig.Serve(store)
+	if err != nil {
+		return rig.NotRun, err
+	}
+	seen := &runs{ids: make(map[string]bool)}
+	stop := make(chan struct{})
+	defer close(stop)
+	for _, id := range []string{"i-1", "i-2"} {
+		address, err := rig.Serve(seen.handler(record, id))
+		if err != nil {
+			return rig.NotRun, err
+		}
+		born := time.Now().UnixMilli()
+		go rig.Beat(store, id, func(seq int) map[string]any {
+			return rig.ServerRecord("docs", address, "za", "ready", 64, seq, born)
+		}, stop)
+	}
+	store.Put("op/config", map[string]any{"version": "00000001",
+		"routes": map[string]any{"read": map[string]any{"hostname": host, "path_prefix": "/read/", "route_type": "idempotent",
+			"timeout_ms": 5000, "target_latency_ms": 600, "priority": 1, "max_attempts": 2, "service": "docs"}},
+		"services": map[string]any{"docs": map[string]any{"health_path": "/health", "max_conns": 440}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 26, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+	settings := rig.Settings{Zone: "za", Regions: map[string]string{"za": "ra"}, FirstStart: true, MemoryMB: 284, Bounds: rig.SmallBounds}
+	var gateways []*rig.Gateway
+	for _, name := range []string{"vm-1", "vm-2"} {
+		g, err := rig.NewGateway(record, dir, command, name, storeAddress, settings)
+		if err != nil {
+			return rig.NotRun, err
+		}
+		if err := g.Start(); err != nil {
+			return rig.NotRun, err
+		}
+		defer g.Kill()
+		gateways = append(gateways, g)
+	}
+	for _, g := range gateways {
+		if err := g.AwaitReady(10 * time.Second); err != nil {
+			return rig.NotRun, err
+		}
+	}
+	time.Sleep(4 * time.Second) // All are in touch.
+	return judge(record, gateways[0], seen)
+}
+
+// dial opens a caller's connection as over Ethernet, with little room for what is not read.
+func dial(address string) (net.Conn, error) {
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentSize)
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
+		})
+	}}
+	return dialer.Dial("tcp4", address)
+}
+
+// slowReader reads a little at a time.
+type slowReader struct{ io.Reader }
+
+func (r slowReader) Read(p []byte) (int, error) {
+	time.Sleep(readPause)
+	return r.Reader.Read(p[:min(len(p), readBytes)])
+}
+
+// caller has some requests outstanding on one connection until a response closes it.
+type caller struct {
+	name   string
+	record *rig.Record
+	conn   net.Conn
+	sent   []string
+	sentAt map[string]time.Time
+	// answered are the requests with a complete answer, cut is the one whose answer was cut, if
+	// any, and cutErr why.
+	answered map[string]bool
+	cut      string
+	cutErr   error
+	closed   bool // By the answer before.
+}
+
+func (c *caller) send() {
+	id := fmt.Sprintf("%s-%04d", c.name, len(c.sent))
+	c.sent = append(c.sent, id)
+	c.sentAt[id] = time.Now()
+	// A failure shows when the answer is read.
+	_, _ = fmt.Fprintf(c.conn, "GET /read/a HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n\r\n", host, id, patience.Milliseconds())
+}
+
+func (c *caller) play(until time.Time) {
+	_ = c.conn.SetReadDeadline(until.Add(patience))
+	reader := bufio.NewReader(slowReader{c.conn})
+	for range depth {
+		c.send()
+	}
+	for next := 0; next < len(c.sent); next++ {
+		id := c.sent[next]
+		closes, err := read(reader, id)
+		if err != nil {
+			c.cut, c.cutErr = id, err
+			c.record.Note("caller %s: the answer to %s ends early: %v", c.name, id, err)
+			return
+		}
+		c.answered[id] = true
+		if closes {
+			c.closed = true
+			c.record.Note("caller %s: the answer to %s closes the connection", c.name, id)
+			return
+		}
+		if time.Now().Before(until) {
+			c.send()
+		}
+	}
+}
+
+// read reads the answer to a request. closes says that it closes the connection.
+func read(reader *bufio.Reader, id string) (closes bool, err error) {
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return false, err
+	}
+	defer response.Body.Close()
+	got, err := io.ReadAll(response.Body)
+	if err != nil {
+		return response.Close, fmt.Errorf("status %d, Connection: close is %v, %d of %d bytes: %w", response.StatusCode, response.Close, len(got), response.ContentLength, err)
+	}
+	if response.StatusCode == http.StatusOK && (response.Header.Get("Request-Id") != id || !bytes.Equal(got, body(id))) {
+		return response.Close, fmt.Errorf("a wrong answer to %s", id)
+	}
+	return response.Close, nil
+}
+
+// judge plays the callers and judges what they get.
+func judge(record *rig.Record, g *rig.Gateway, seen *runs) (int, error) {
+	var all []*caller
+	var playing sync.WaitGroup
+	until := time.Now().Add(playTime)
+	for n := range callers {
+		conn, err := dial(g.Callers)
+		if err != nil {
+			return rig.NotRun, err
+		}
+		defer conn.Close()
+		c := &caller{name: fmt.Sprintf("c%d", n), record: record, conn: conn, sentAt: make(map[string]time.Time), answered: make(map[string]bool)}
+		all = append(all, c)
+		playing.Go(func() { c.play(until) })
+	}
+	time.Sleep(sigtermAt)
+	if rig.Trouble() {
+		g.Signal(syscall.SIGTERM)
+	}
+	playing.Wait()
+	seen.mu.Lock()
+	defer seen.mu.Unlock()
+	lost := 0
+	for _, c := range all {
+		record.Note("caller %s: %d requests sent, %d complete answers", c.name, len(c.sent), len(c.answered))
+		// Those behind the answer that was cut, or that closes, count as not read.
+		if c.cut != "" && seen.ids[c.cut] {
+			lost++
+			record.Note("LOST: %s was passed on to a server %v ago and has no complete answer (%v)", c.cut, time.Since(c.sentAt[c.cut]).Round(time.Millisecond), c.cutErr)
+		}
+		if !rig.Trouble() && len(c.answered) != len(c.sent) {
+			return rig.NotRun, fmt.Errorf("%d of %d requests were answered", len(c.answered), len(c.sent))
+		}
+	}
+	if lost > 0 {
+		return rig.Broken, nil
+	}
+	return rig.Held, nil
+}
