--- a/review/third/rig/rig.go
+++ b/review/third/rig/rig.go
@@ -83,12 +83,12 @@
 
 // Gateway is one gateway process.
 type Gateway struct {
-	Name                            string
+	Name                           string
 	Callers, Ready, Peers, Metrics string
-	settings                        Settings
-	store, command, dir             string
-	record                          *Record
-	output                          *os.File
+	settings                       Settings
+	store, command, dir            string
+	record                         *Record
+	output                         *os.File
 
 	mu      sync.Mutex
 	running *exec.Cmd
--- a/review/third/stoppipe/main.go
+++ b/review/third/stoppipe/main.go
@@ -21,11 +21,17 @@
 const (
 	host      = "docs.example"
 	bodyBytes = 30_000
-	// depth is the number of requests that a caller has outstanding on its connection.
-	depth   = 4
-	callers = 4
+	// behind is the number of idempotent requests that a caller sends behind an order, one each
+	// sendPause, without waiting for the answer to the order, and outstanding the most that it
+	// leaves unanswered at a time.
+	behind      = 16
+	sendPause   = 8 * time.Millisecond
+	outstanding = 10
+	callers     = 12
+	// stagger is the time between the starts of two callers.
+	stagger = 17 * time.Millisecond
 	// workTime is how long the servers take for a request.
-	workTime    = 20 * time.Millisecond
+	workTime    = 40 * time.Millisecond
 	sigtermAt   = 500 * time.Millisecond
 	playTime    = 5500 * time.Millisecond
 	segmentSize = 1448
@@ -33,7 +39,7 @@
 	// readBytes are read every readPause: about 1.6 MB/s.
 	readBytes = 8 << 10
 	readPause = 5 * time.Millisecond
-	patience  = 8 * time.Second
+	patience  = 4 * time.Second
 )
 
 // runs are the requests that servers have run.
@@ -106,7 +112,9 @@
 	}
 	store.Put("op/config", map[string]any{"version": "00000001",
 		"routes": map[string]any{"read": map[string]any{"hostname": host, "path_prefix": "/read/", "route_type": "idempotent",
-			"timeout_ms": 5000, "target_latency_ms": 600, "priority": 1, "max_attempts": 2, "service": "docs"}},
+			"timeout_ms": 5000, "target_latency_ms": 600, "priority": 1, "max_attempts": 2, "service": "docs"},
+			"order": map[string]any{"hostname": host, "path_prefix": "/order/", "route_type": "non_idempotent",
+				"timeout_ms": 2500, "target_latency_ms": 1500, "priority": 1, "max_attempts": 2, "service": "docs"}},
 		"services": map[string]any{"docs": map[string]any{"health_path": "/health", "max_conns": 440}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 26, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
 	settings := rig.Settings{Zone: "za", Regions: map[string]string{"za": "ra"}, FirstStart: true, MemoryMB: 284, Bounds: rig.SmallBounds}
@@ -150,62 +158,105 @@
 	return r.Reader.Read(p[:min(len(p), readBytes)])
 }
 
-// caller has some requests outstanding on one connection until a response closes it.
+// request is a request of a caller and what became of it.
+type request struct {
+	id       string
+	order    bool // It is not idempotent.
+	sentAt   time.Time
+	answered bool
+}
+
+// caller sends an order and idempotent requests behind it, again and again, on one connection
+// until an answer closes it.
 type caller struct {
 	name   string
 	record *rig.Record
 	conn   net.Conn
-	sent   []string
-	sentAt map[string]time.Time
-	// answered are the requests with a complete answer, cut is the one whose answer was cut, if
-	// any, and cutErr why.
-	answered map[string]bool
-	cut      string
-	cutErr   error
-	closed   bool // By the answer before.
+	sent   []*request
+	// cut is the first request without a complete answer on a connection that no answer has
+	// closed, and cutErr why.
+	cut    *request
+	cutErr error
 }
 
-func (c *caller) send() {
-	id := fmt.Sprintf("%s-%04d", c.name, len(c.sent))
-	c.sent = append(c.sent, id)
-	c.sentAt[id] = time.Now()
-	// A failure shows when the answer is read.
-	_, _ = fmt.Fprintf(c.conn, "GET /read/a HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n\r\n", host, id, patience.Milliseconds())
+// send sends a request. A failure shows when the answer is read.
+func (c *caller) send(order bool) *request {
+	r := &request{id: fmt.Sprintf("%s-%04d", c.name, len(c.sent)), order: order, sentAt: time.Now()}
+	line := "GET /read/a HTTP/1.1\r\n"
+	if order {
+		line = "POST /order/a HTTP/1.1\r\nContent-Length: 0\r\n"
+	}
+	c.sent = append(c.sent, r)
+	_, _ = fmt.Fprintf(c.conn, "%sHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n\r\n", line, host, r.id, patience.Milliseconds())
+	return r
 }
 
+// play returns when the time is over, or the connection has ended.
 func (c *caller) play(until time.Time) {
 	_ = c.conn.SetReadDeadline(until.Add(patience))
 	reader := bufio.NewReader(slowReader{c.conn})
-	for range depth {
-		c.send()
-	}
-	for next := 0; next < len(c.sent); next++ {
-		id := c.sent[next]
-		closes, err := read(reader, id)
-		if err != nil {
-			c.cut, c.cutErr = id, err
-			c.record.Note("caller %s: the answer to %s ends early: %v", c.name, id, err)
+	for time.Now().Before(until) {
+		group := make(chan *request, outstanding)
+		closing := make(chan struct{})
+		go c.sendGroup(group, closing)
+		open := c.readGroup(reader, group, closing)
+		for range group { // Those that were sent meanwhile.
+		}
+		if !open {
 			return
 		}
-		c.answered[id] = true
-		if closes {
-			c.closed = true
-			c.record.Note("caller %s: the answer to %s closes the connection", c.name, id)
+	}
+}
+
+// sendGroup sends an order and the requests behind it until the connection closes. It waits
+// while too many are unanswered: those in group and the one that is read.
+func (c *caller) sendGroup(group chan<- *request, closing <-chan struct{}) {
+	defer close(group)
+	group <- c.send(true)
+	for range behind {
+		select {
+		case <-closing:
 			return
+		case <-time.After(sendPause):
 		}
-		if time.Now().Before(until) {
-			c.send()
+		group <- c.send(false)
+	}
+}
+
+// readGroup reads the answers to a group and reports whether the connection is still open. It
+// closes closing as soon as an answer's head says that the connection closes.
+func (c *caller) readGroup(reader *bufio.Reader, group <-chan *request, closing chan<- struct{}) bool {
+	for r := range group {
+		closes, err := read(reader, r.id, closing)
+		switch {
+		case err != nil:
+			c.cut, c.cutErr = r, err
+			c.record.Note("caller %s: the answer to %s (order: %v) ends early: %v", c.name, r.id, r.order, err)
+			if !closes {
+				close(closing)
+			}
+			return false
+		case closes:
+			r.answered = true
+			c.record.Note("caller %s: the answer to %s closes the connection", c.name, r.id)
+			return false
 		}
+		r.answered = true
 	}
+	return true
 }
 
-// read reads the answer to a request. closes says that it closes the connection.
-func read(reader *bufio.Reader, id string) (closes bool, err error) {
+// read reads the answer to a request. closes says that it closes the connection; then closing
+// is closed.
+func read(reader *bufio.Reader, id string, closing chan<- struct{}) (closes bool, err error) {
 	response, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		return false, err
 	}
 	defer response.Body.Close()
+	if response.Close {
+		close(closing)
+	}
 	got, err := io.ReadAll(response.Body)
 	if err != nil {
 		return response.Close, fmt.Errorf("status %d, Connection: close is %v, %d of %d bytes: %w", response.StatusCode, response.Close, len(got), response.ContentLength, err)
@@ -227,9 +278,10 @@
 			return rig.NotRun, err
 		}
 		defer conn.Close()
-		c := &caller{name: fmt.Sprintf("c%d", n), record: record, conn: conn, sentAt: make(map[string]time.Time), answered: make(map[string]bool)}
+		c := &caller{name: fmt.Sprintf("c%d", n), record: record, conn: conn}
 		all = append(all, c)
 		playing.Go(func() { c.play(until) })
+		time.Sleep(stagger)
 	}
 	time.Sleep(sigtermAt)
 	if rig.Trouble() {
@@ -238,18 +290,29 @@
 	playing.Wait()
 	seen.mu.Lock()
 	defer seen.mu.Unlock()
-	lost := 0
+	lost, orders := 0, 0
 	for _, c := range all {
-		record.Note("caller %s: %d requests sent, %d complete answers", c.name, len(c.sent), len(c.answered))
+		answered := 0
+		for _, r := range c.sent {
+			if r.answered {
+				answered++
+			}
+		}
+		record.Note("caller %s: %d requests sent, %d complete answers", c.name, len(c.sent), answered)
+		if !rig.Trouble() && answered != len(c.sent) {
+			return rig.NotRun, fmt.Errorf("%d of %d requests were answered", answered, len(c.sent))
+		}
 		// Those behind the answer that was cut, or that closes, count as not read.
-		if c.cut != "" && seen.ids[c.cut] {
-			lost++
-			record.Note("LOST: %s was passed on to a server %v ago and has no complete answer (%v)", c.cut, time.Since(c.sentAt[c.cut]).Round(time.Millisecond), c.cutErr)
+		if c.cut == nil || !seen.ids[c.cut.id] {
+			continue
 		}
-		if !rig.Trouble() && len(c.answered) != len(c.sent) {
-			return rig.NotRun, fmt.Errorf("%d of %d requests were answered", len(c.answered), len(c.sent))
+		lost++
+		if c.cut.order {
+			orders++
 		}
+		record.Note("LOST: %s (order: %v) was passed on to a server and has no complete answer (%v)", c.cut.id, c.cut.order, c.cutErr)
 	}
+	record.Note("%d requests were lost, %d of them orders", lost, orders)
 	if lost > 0 {
 		return rig.Broken, nil
 	}
--- a/review/third/stopslow/main.go
+++ b/review/third/stopslow/main.go
@@ -122,7 +122,10 @@
 			return rig.NotRun, err
 		}
 	}
-	if os.Getenv("HOLD") != "" { record.Note("callers %s", gateways[0].Callers); time.Sleep(40 * time.Second) }
+	if os.Getenv("HOLD") != "" {
+		record.Note("callers %s", gateways[0].Callers)
+		time.Sleep(40 * time.Second)
+	}
 	time.Sleep(4 * time.Second) // All are in touch.
 	return judge(record, gateways[0], seen)
 }
