--- a/review/third/stoppipe/main.go
+++ b/review/third/stoppipe/main.go
@@ -117,7 +117,7 @@
 				"timeout_ms": 2500, "target_latency_ms": 1500, "priority": 1, "max_attempts": 2, "service": "docs"}},
 		"services": map[string]any{"docs": map[string]any{"health_path": "/health", "max_conns": 440}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 26, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
-	settings := rig.Settings{Zone: "za", Regions: map[string]string{"za": "ra"}, FirstStart: true, MemoryMB: 284, Bounds: rig.SmallBounds}
+	settings := rig.Settings{Zone: "za", Regions: map[string]string{"za": "ra"}, FirstStart: true, MemoryMB: 184, Bounds: rig.GrazBounds}
 	var gateways []*rig.Gateway
 	for _, name := range []string{"vm-1", "vm-2"} {
 		g, err := rig.NewGateway(record, dir, command, name, storeAddress, settings)
@@ -135,7 +135,7 @@
 			return rig.NotRun, err
 		}
 	}
-	time.Sleep(4 * time.Second) // All are in touch.
+	time.Sleep(5 * time.Second) // All are in touch.
 	return judge(record, gateways[0], seen)
 }
 
