gateway/leader: the tests' store refuses a write under an unknown lease

TestLeaderClaimsAgainInTheNextEra failed now and then ("Timed out after 3.001s", no leader). Cause: the stand-in took a write under a lease that a restoration had ended, where the platform answers 404; the record of the earlier era then never expired.

Change: CompareAndSwap answers not found, after the check of the version, as platform/standin and kvstore/memstore do already.

--- a/gateway/leader/fake_store_test.go
+++ b/gateway/leader/fake_store_test.go
@@ -79,6 +79,9 @@
 	if stored != expected {
 		return kvstore.Position{}, &kvstore.Error{Kind: kvstore.KindConflict, Era: f.era}
 	}
+	if _, known := f.leases[lease]; !known && lease != 0 {
+		return kvstore.Position{}, &kvstore.Error{Kind: kvstore.KindNotFound, Era: f.era}
+	}
 	f.revision++
 	f.writes++
 	f.version, f.value, f.holder = f.revision, value, lease
