gateway/leader: a test of restorations waits for the claims before them

Nothing promises that a leader of a moment claims again.

The test now waits until one leader has stood for 0.2 s, and then expects it to claim again in both eras, 1 and 2. Its bounds are as before.

--- a/gateway/leader/leader_test.go
+++ b/gateway/leader/leader_test.go
@@ -76,9 +76,10 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			store, campaigns, _ := start(t, 3)
-			store.setEra(1, nil)
 			g.Eventually(func() []int { return leaders(campaigns) }, "3s").Should(HaveLen(1))
 			first := leaders(campaigns)[0]
+			g.Consistently(func() []int { return leaders(campaigns) }, "200ms").Should(ConsistOf(first)) // Until no other claim is on its way.
+			store.setEra(1, nil)
 			g.Eventually(func() kvstore.Era { return campaigns[first].State().Term.Era }, "3s").Should(BeEquivalentTo(1))
 			store.setEra(2, restored)
 			g.Eventually(func() kvstore.Era { return campaigns[first].State().Term.Era }, "1s", "5ms").Should(BeEquivalentTo(2))
