gateway/pipeline: connections of callers that are closed with unsent bytes are counted and logged

Logs and counters could not tell whether the process had not written them, had written and reset the connection, or the caller had gone.

New: traffic/sockbuf asks the kernel for unacknowledged and unread bytes (traffic/upstream asked for the first by itself); event 749 caller-closed-unsent with both; the counter pipelines.closed_unsent.

--- a/event/gateway.go
+++ b/event/gateway.go
@@ -42,6 +42,7 @@
 	ConnectionsBounded    Number = 746
 	MetricsNotSent        Number = 747
 	CallersCutOff         Number = 748
+	CallerClosedUnsent    Number = 749
 
 	BackendSaidLeaving      Number = 750
 	BackendLeavingForgotten Number = 751
@@ -107,6 +108,7 @@
 	{ConnectionsBounded, "connections-bounded", Warn, "The connections that the configuration allows to the servers of a service (max_conns) are more than the process's descriptors permit, half of which are for all listed servers together; fewer are opened. The fields give this VM's share and its limit for each server, and how many servers there are. Logged once for each value of max_conns."},
 	{MetricsNotSent, "metrics-not-sent", Info, "The page of counters could not be written; whoever asked for it has closed the connection."},
 	{CallersCutOff, "callers-cut-off", Warn, "The process exits while connections of callers are open on which a request or a response is on its way, or a listener could not be closed; the cause says which. The field in_flight gives the number of requests."},
+	{CallerClosedUnsent, "caller-closed-unsent", Info, "A connection of a caller was closed by this VM while bytes of responses (field unsent) were in its send queue. If bytes of the caller are unread (field unread), or come later, the kernel resets the connection and drops what is unsent."},
 	{BackendSaidLeaving, "backend-said-leaving", Info, "A backend server said in a response that it is leaving. This VM sends it no new requests if other servers can take them; the leader is told and moves its keys."},
 	{BackendLeavingForgotten, "backend-leaving-forgotten", Info, "A backend server that said it is leaving has not been listed for two minutes; what it said is forgotten."},
 	{BackendBackoffBegun, "backend-backoff-begun", Info, "A backend server turned a request away and named a time (field left) in which it wants no others from this VM; it gets none. Responses that extend the time are not logged."},
--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"guavacrank.example/traffic/framing"
+	"guavacrank.example/traffic/sockbuf"
 )
 
 const (
@@ -147,6 +148,7 @@
 	}
 	if c.serving || len(c.ahead) == 0 || c.queue.Failed() {
 		c.fail()
+		c.noteUnsent()
 		return c.Conn.Close()
 	}
 	c.closing = true
@@ -157,6 +159,20 @@
 	return nil
 }
 
+// noteUnsent counts and reports a connection that is about to be closed although bytes of
+// responses wait in its send queue.
+func (c *Conn) noteUnsent() {
+	unsent, known := sockbuf.Unacknowledged(c.Conn.Conn)
+	if !known || unsent == 0 {
+		return
+	}
+	c.listener.closedUnsent.Add(1)
+	if c.listener.options.OnUnsent != nil {
+		unread, _ := sockbuf.Unread(c.Conn.Conn) // Zero if unknown.
+		c.listener.options.OnUnsent(Unsent{Bytes: unsent, Unread: unread, Pipelined: c.pipelined.Load()})
+	}
+}
+
 // responded implements served.
 func (c *Conn) responded() {
 	if !c.pipelined.Load() {
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -189,11 +189,16 @@
 // wrapCallers returns the listeners of callers: their connections and the requests that are
 // read ahead on them.
 func (g *Gateway) wrapCallers(listener net.Listener) []net.Listener {
-	callers := pipeline.NewListener(listener, pipeline.Options{MayReadAhead: g.handler.MayReadAhead, Memory: g.shared.memory})
+	callers := pipeline.NewListener(listener, pipeline.Options{MayReadAhead: g.handler.MayReadAhead, Memory: g.shared.memory, OnUnsent: g.logUnsent})
 	g.callers.Store(callers)
 	return []net.Listener{callers, callers.Requests()}
 }
 
+// logUnsent logs the end of a caller's connection with unsent bytes.
+func (g *Gateway) logUnsent(closed pipeline.Unsent) {
+	g.shared.log.Event(event.CallerClosedUnsent, "", zap.Int("unsent", closed.Bytes), zap.Int("unread", closed.Unread), zap.Bool("pipelined", closed.Pipelined))
+}
+
 // serveReady serves the load balancer's readiness check.
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !g.loop.ready.Load() {
--- a/traffic/upstream/receipt.go
+++ b/traffic/upstream/receipt.go
@@ -1,10 +1,9 @@
 package upstream
 
 import (
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"guavacrank.example/traffic/sockbuf"
 )
 
 // receiptWait is how long an acknowledgment is awaited that came with bytes which were read:
@@ -23,16 +22,6 @@
 }
 
 func (c *conn) acknowledged() bool {
-	source, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return true
-	}
-	unacknowledged := 0
-	var ioctlErr error
-	err = raw.Control(func(fd uintptr) { unacknowledged, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return err != nil || ioctlErr != nil || unacknowledged == 0
+	unacknowledged, known := sockbuf.Unacknowledged(c.Conn)
+	return !known || unacknowledged == 0
 }
