gateway/linger: a connection of a caller is read until the caller has closed it

Cause: net/http closes a connection after the response that says so. The same close cut answers on related paths: before a body that is rejected (net/http waits for 0.5 s, but does not read), before what net/http rejects by itself (400, 431, 501), and behind a request read ahead that closes, which was read for 0.5 s only.

Change: gateway/linger lies below all connections of callers and is the one place that decides how they end. Where something was written since the connection was idle, or is not acknowledged, and the caller has not closed, the writing side is shut down and the rest is read until the caller closes, is quiet for 5 s, or 30 s are over. Everything else is closed at once, so that a request that crosses the end of an idle connection stays unread. The stop waits for callers that have not acknowledged all, up to its limit, and 0.5 s at the most for others that don't close. pipeline's own lingering and its 0.5 s are gone.

--- a/gateway/pipeline/conn.go
+++ b/gateway/pipeline/conn.go
@@ -1,24 +1,16 @@
 package pipeline
 
 import (
-	"io"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"guavacrank.example/traffic/framing"
-	"guavacrank.example/traffic/sockbuf"
 )
 
-const (
-	// writeTimeout limits the time to write to a caller that pipelines, where its request
-	// sets no limit.
-	writeTimeout = 10 * time.Second
-	// lingerTime is how long bytes are still read after a response that closes the
-	// connection, so that the rest of the pipeline does not reset it.
-	lingerTime = 500 * time.Millisecond
-)
+// writeTimeout limits the time to write to a caller that pipelines, where its request sets no
+// limit.
+const writeTimeout = 10 * time.Second
 
 // longAgo is a deadline that has passed.
 var longAgo = time.Unix(1, 0)
@@ -28,6 +20,8 @@
 type Conn struct {
 	*framing.Conn
 	listener *Listener
+	// idler, if not nil, is told when all requests have been answered.
+	idler idler
 	// pipelined says that the caller has not waited for a response once.
 	pipelined atomic.Bool
 
@@ -81,8 +75,12 @@
 	closes       bool // Known if complete.
 }
 
+// idler is a connection that ends differently while it is idle, as a linger.Conn does.
+type idler interface{ Idle() }
+
 func newConn(checked *framing.Conn, listener *Listener) *Conn {
 	c := &Conn{Conn: checked, listener: listener}
+	c.idler, _ = checked.Conn.(idler)
 	c.changed.L = &c.mu
 	return c
 }
@@ -148,7 +146,6 @@
 	}
 	if c.serving || len(c.ahead) == 0 || c.queue.Failed() {
 		c.fail()
-		c.noteUnsent()
 		return c.Conn.Close()
 	}
 	c.closing = true
@@ -159,20 +156,6 @@
 	return nil
 }
 
-// noteUnsent counts and reports a connection that is about to be closed although bytes of
-// responses wait in its send queue.
-func (c *Conn) noteUnsent() {
-	unsent, known := sockbuf.Unacknowledged(c.Conn.Conn)
-	if !known || unsent == 0 {
-		return
-	}
-	c.listener.closedUnsent.Add(1)
-	if c.listener.options.OnUnsent != nil {
-		unread, _ := sockbuf.Unread(c.Conn.Conn) // Zero if unknown.
-		c.listener.options.OnUnsent(Unsent{Bytes: unsent, Unread: unread, Pipelined: c.pipelined.Load()})
-	}
-}
-
 // responded implements served.
 func (c *Conn) responded() {
 	if !c.pipelined.Load() {
@@ -240,7 +223,7 @@
 		return
 	}
 	_ = c.CloseWrite() // Fails only if the caller has gone; the reader closes the connection.
-	c.wake()
+	c.wake()           // net/http closes the connection, too.
 }
 
 // fail cancels all requests read ahead. The caller holds mu.
@@ -258,14 +241,3 @@
 	c.woken = true
 	_ = c.Conn.SetReadDeadline(longAgo) // Fails only on a closed connection, whose reads fail.
 }
-
-// linger reads until the caller has closed the connection, or for a while.
-func (c *Conn) linger() error {
-	if err := c.Conn.SetReadDeadline(time.Now().Add(lingerTime)); err != nil {
-		return err
-	}
-	if _, err := io.Copy(io.Discard, struct{ io.Reader }{c.Conn}); err != nil {
-		return err
-	}
-	return net.ErrClosed
-}
--- a/gateway/pipeline/listener.go
+++ b/gateway/pipeline/listener.go
@@ -17,21 +17,6 @@
 	MayReadAhead func(*http.Request) bool
 	// Memory counts the requests read ahead; nil sets no limit.
 	Memory *memory.Account
-	// OnUnsent, if set, is called for each connection that is closed while bytes of responses are
-	// unsent.
-	OnUnsent func(Unsent)
-}
-
-// Unsent describes a connection that is closed while bytes of responses are unsent. Bytes of
-// the caller that are unread then, or that come later, make the kernel reset the connection
-// and drop the unsent ones.
-type Unsent struct {
-	// Bytes is the number of bytes that were written and not acknowledged by the caller's host.
-	Bytes int
-	// Unread is the number of bytes that were received and not read.
-	Unread int
-	// Pipelined says that the caller has sent requests ahead.
-	Pipelined bool
 }
 
 // Counts are the counters of a Listener.
@@ -45,9 +30,6 @@
 	// Open is the number of requests read ahead without a complete response now, and MostOpen its maximum.
 	Open     int64 `json:"open"`
 	MostOpen int64 `json:"most_open"`
-	// ClosedUnsent is the number of connections that were closed while bytes of responses were
-	// unsent.
-	ClosedUnsent int64 `json:"closed_unsent"`
 }
 
 // Listener accepts the connections of callers. The same http.Server must serve it and
@@ -60,7 +42,7 @@
 	closed   chan struct{}
 	close    sync.Once
 
-	connections, readAhead, inTurn, open, mostOpen, closedUnsent atomic.Int64
+	connections, readAhead, inTurn, open, mostOpen atomic.Int64
 }
 
 // NewListener returns a listener whose connections are those of another one.
@@ -87,7 +69,7 @@
 
 // Counts returns the counters.
 func (l *Listener) Counts() Counts {
-	return Counts{l.connections.Load(), l.readAhead.Load(), l.inTurn.Load(), l.open.Load(), l.mostOpen.Load(), l.closedUnsent.Load()}
+	return Counts{l.connections.Load(), l.readAhead.Load(), l.inTurn.Load(), l.open.Load(), l.mostOpen.Load()}
 }
 
 // offer passes a request to the server, if it has not been shut down.
--- a/gateway/pipeline/read.go
+++ b/gateway/pipeline/read.go
@@ -28,11 +28,20 @@
 	case len(p) == 1 && c.isServed():
 		return 0, c.readAhead(p)
 	case !c.pipelined.Load():
-		return c.Conn.Read(p)
+		return c.readFirst(p)
 	}
 	return c.readNext(p)
 }
 
+// readFirst reads while nothing is held or open: for the next request, unless a part of it was
+// read already.
+func (c *Conn) readFirst(p []byte) (int, error) {
+	if c.idler != nil && c.AtBoundary() {
+		c.idler.Idle()
+	}
+	return c.Conn.Read(p)
+}
+
 // isServed reports whether net/http has read a request to its end and nothing beyond.
 func (c *Conn) isServed() bool {
 	return !c.passing && (len(c.held) > 0 || c.AtBoundary())
@@ -77,7 +86,7 @@
 		case open == 0 && len(c.held) > 0:
 			return c.pass(p), nil
 		case open == 0:
-			return c.Conn.Read(p)
+			return c.readFirst(p)
 		}
 		c.handOver()
 		if err := c.readMore(); err != nil {
@@ -96,7 +105,7 @@
 	case closing:
 		return 0, net.ErrClosed
 	case failed:
-		return 0, c.linger()
+		return 0, net.ErrClosed
 	}
 	return open, nil
 }
--- a/gateway/run/run.go
+++ b/gateway/run/run.go
@@ -17,6 +17,7 @@
 	"guavacrank.example/gateway/budget"
 	"guavacrank.example/gateway/dispatch"
 	"guavacrank.example/gateway/front"
+	"guavacrank.example/gateway/linger"
 	"guavacrank.example/gateway/logbook"
 	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/model"
@@ -68,15 +69,16 @@
 
 // Gateway is one gateway process.
 type Gateway struct {
-	options    Options
-	shared     sharedState
-	gate       *shutdown.Gate
-	loop       *loop
-	dispatcher *dispatch.Dispatcher
-	handler    *front.Handler
-	metrics    *metric.Table
-	callers    atomic.Pointer[pipeline.Listener] // Nil before run.
-	bounds     model.Bounds                      // As last reloaded; used only by the goroutine of run.
+	options     Options
+	shared      sharedState
+	gate        *shutdown.Gate
+	loop        *loop
+	dispatcher  *dispatch.Dispatcher
+	handler     *front.Handler
+	metrics     *metric.Table
+	connections *linger.Connections               // Those of callers.
+	callers     atomic.Pointer[pipeline.Listener] // Nil before run.
+	bounds      model.Bounds                      // As last reloaded; used only by the goroutine of run.
 }
 
 // Run serves requests until ctx is done, then shuts down gracefully. Settings that
@@ -107,6 +109,7 @@
 		g.shared.memory = memory.NewAccount(options.Settings.MemoryBytes)
 	}
 	g.shared.memory.OnRefused(newMemoryLog(g.shared).record)
+	g.connections = linger.NewConnections(g.logUnsent)
 	g.loop = newLoop(ctx, options, g.shared)
 	g.dispatcher = dispatch.New(dispatch.Options{
 		HeaderCodec:  options.HeaderCodec,
@@ -189,14 +192,14 @@
 // wrapCallers returns the listeners of callers: their connections and the requests that are
 // read ahead on them.
 func (g *Gateway) wrapCallers(listener net.Listener) []net.Listener {
-	callers := pipeline.NewListener(listener, pipeline.Options{MayReadAhead: g.handler.MayReadAhead, Memory: g.shared.memory, OnUnsent: g.logUnsent})
+	callers := pipeline.NewListener(g.connections.Listen(listener), pipeline.Options{MayReadAhead: g.handler.MayReadAhead, Memory: g.shared.memory})
 	g.callers.Store(callers)
 	return []net.Listener{callers, callers.Requests()}
 }
 
 // logUnsent logs the end of a caller's connection with unsent bytes.
-func (g *Gateway) logUnsent(closed pipeline.Unsent) {
-	g.shared.log.Event(event.CallerClosedUnsent, "", zap.Int("unsent", closed.Bytes), zap.Int("unread", closed.Unread), zap.Bool("pipelined", closed.Pipelined))
+func (g *Gateway) logUnsent(closed linger.Unsent) {
+	g.shared.log.Event(event.CallerClosedUnsent, "", zap.Int("unsent", closed.Bytes), zap.Int("unread", closed.Unread))
 }
 
 // serveReady serves the load balancer's readiness check.
--- a/gateway/run/stats.go
+++ b/gateway/run/stats.go
@@ -4,6 +4,7 @@
 	"runtime"
 
 	"guavacrank.example/gateway/availability"
+	"guavacrank.example/gateway/linger"
 	"guavacrank.example/gateway/memory"
 	"guavacrank.example/gateway/pipeline"
 	"guavacrank.example/traffic/metric"
@@ -19,6 +20,7 @@
 	VMs            int64                               `json:"vms"`
 	Goroutines     int                                 `json:"goroutines"`
 	Memory         map[string]memory.Usage             `json:"memory"`
+	Connections    linger.Counts                       `json:"connections"`
 	Pipelines      pipeline.Counts                     `json:"pipelines"`
 	Availability   availability.Counts                 `json:"availability"`
 	EvacuatedZones []string                            `json:"evacuated_zones"`
@@ -40,6 +42,7 @@
 		VMs:               g.loop.vms.Load(),
 		Goroutines:        runtime.NumGoroutine(),
 		Memory:            g.shared.memory.Usage(),
+		Connections:       g.connections.Counts(),
 		Availability:      g.loop.servers.availability.Counts(),
 		EvacuatedZones:    g.loop.servers.evacuatedNow(),
 		ConnectionsOpened: g.loop.servers.opened.Counts(),
--- a/gateway/run/stop.go
+++ b/gateway/run/stop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -80,14 +82,40 @@
 	}
 }
 
-// closeConnections closes the connections of callers once their responses are written.
+// closeConnections closes the connections of callers once their responses are written, and
+// waits until the callers have them.
 func (g *Gateway) closeConnections(callers *http.Server, limit time.Time) {
 	timeout := max(min(time.Until(limit), closeTimeout), stopPollInterval)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	err := callers.Shutdown(ctx)
+	if unfinished := g.awaitLingering(limit); unfinished > 0 {
+		err = errors.Join(err, unfinishedError{unfinished})
+	}
+	if err != nil {
 		g.shared.log.Event(event.CallersCutOff, err.Error(), zap.Int64("in_flight", g.handler.InFlight()))
 	}
+	g.connections.Abandon()
+}
+
+// unfinishedError reports connections that still linger when the process ends.
+type unfinishedError struct{ connections int }
+
+// Error implements error.
+func (e unfinishedError) Error() string {
+	return fmt.Sprintf("%d callers may not have received all that was written to them", e.connections)
+}
+
+// awaitLingering waits until all callers have the responses that were written to connections
+// which linger, or until the limit. It returns the number of those that may not have.
+func (g *Gateway) awaitLingering(limit time.Time) (unfinished int) {
+	for {
+		unfinished = g.connections.Unfinished()
+		if unfinished == 0 || !time.Now().Before(limit) {
+			return unfinished
+		}
+		time.Sleep(stopPollInterval)
+	}
 }
 
 // notifyStopping tells the loop that the process is stopping. last says that it is
