gateway/run: a stop ends connections once they are finished, not by http.Server.Shutdown

Shutdown closes idle connections, but goes on reading and drops what it reads; a handler whose response fits net/http's buffer has returned before a byte of it is written, so that the count of handlers is zero, and Shutdown was given 0.3 s.

Change: linger.Conn knows by its own reads and writes whether it is idle. The stop closes the listeners, ends the connections that are idle and whose callers have acknowledged all, and waits for the others until its limit. An idle connection ends by a read that is called off: either nothing of the next request has been read, and its caller may send it again, or it is answered. http.Server.Shutdown is not used any more.

--- a/gateway/linger/conn.go
+++ b/gateway/linger/conn.go
@@ -56,6 +56,12 @@
 
 	mu    sync.Mutex
 	state state
+	// idle says that nothing of a request was read since all were answered.
+	idle bool
+	// ending says that the connection ends unless it is found not to be idle any more.
+	ending bool
+	// readDeadline is what was set last. It does not run while the connection is ending.
+	readDeadline time.Time
 	// owed says that something was written since the connection was last idle.
 	owed bool
 	// over says that the caller has closed its sending side, or that the connection broke.
@@ -68,38 +74,54 @@
 func (c *Conn) Idle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.owed = false
+	c.idle, c.owed = true, false
 }
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	if !c.isOpen() {
+	if !c.mayRead() {
 		return 0, net.ErrClosed
 	}
 	n, err := c.stream.Read(p)
-	if isEnd(err) {
-		c.noteEnd()
-	}
-	return n, err
+	return n, c.noteRead(n, err)
 }
 
-// isEnd reports whether the error of a read says that nothing more comes.
-func isEnd(err error) bool { return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) }
-
-func (c *Conn) isOpen() bool {
+// mayRead reports whether the next request may be read.
+func (c *Conn) mayRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state == open
+	return c.state == open && !c.ending
 }
 
-func (c *Conn) noteEnd() {
+// noteRead notes the result of a read and returns its error.
+func (c *Conn) noteRead(n int, err error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.over = true
+	switch {
+	case n > 0:
+		c.received()
+	case isEnd(err):
+		c.over = true
+	case c.ending:
+		return net.ErrClosed
+	}
+	return err
 }
 
+// received notes that a part of a request was read. The caller holds mu.
+func (c *Conn) received() {
+	c.idle = false
+	if c.ending {
+		c.ending = false
+		_ = c.stream.SetReadDeadline(c.readDeadline) // Fails only on a broken connection, whose reads fail.
+	}
+}
+
+// isEnd reports whether the error of a read says that nothing more comes.
+func isEnd(err error) bool { return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) }
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	c.noteWrite()
@@ -122,7 +144,8 @@
 func (c *Conn) SetReadDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != open {
+	c.readDeadline = deadline
+	if c.state != open || c.ending {
 		return nil
 	}
 	return c.stream.SetReadDeadline(deadline)
@@ -204,7 +227,6 @@
 		err := c.discardUntil(now.Add(quietTime))
 		switch {
 		case isEnd(err):
-			c.noteEnd()
 			return
 		case err == nil:
 			continue
@@ -224,20 +246,46 @@
 		return err
 	}
 	n, err := c.stream.Read(discarded[:])
-	if n == 0 {
-		return err
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.over = isEnd(err)
+	if n > 0 {
+		c.heardAt = time.Now()
 	}
+	return err
+}
+
+// endIdle ends the connection if it is idle and its caller has all responses. A request of
+// which a part was read meanwhile is served.
+func (c *Conn) endIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.heardAt = time.Now()
-	return nil
+	if c.state != open || !c.idle || c.ending || c.unacknowledged() > 0 {
+		return
+	}
+	c.ending = true
+	_ = c.stream.SetReadDeadline(longAgo) // Fails only on a broken connection, whose reads fail.
 }
 
-// unfinished reports whether a connection that lingers may still lose a response.
+// unfinished reports whether the end of the process may lose a response or leave a request
+// unanswered.
 func (c *Conn) unfinished(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state == lingering && (now.Sub(c.heardAt) < settleTime || c.unacknowledged() > 0)
+	switch c.state {
+	case open:
+		return !c.ending && (!c.idle || c.unacknowledged() > 0)
+	case lingering:
+		return now.Sub(c.heardAt) < settleTime || c.unacknowledged() > 0
+	}
+	return false
+}
+
+// lingers reports whether the connection lingers.
+func (c *Conn) lingers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == lingering
 }
 
 // abandon closes the connection at once.
--- a/gateway/linger/connections.go
+++ b/gateway/linger/connections.go
@@ -37,8 +37,9 @@
 	onUnsent     func(Unsent)
 	closedUnsent atomic.Int64
 
-	mu   sync.Mutex
-	open map[*Conn]struct{}
+	mu        sync.Mutex
+	listeners []net.Listener
+	open      map[*Conn]struct{}
 }
 
 // NewConnections returns an empty set. onUnsent, if not nil, is called for each connection that is
@@ -50,6 +51,9 @@
 // Listen returns a listener whose connections are those of another one, which must be like those
 // of TCP. Each is a Conn.
 func (c *Connections) Listen(listener net.Listener) net.Listener {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listeners = append(c.listeners, listener)
 	return trackedListener{listener, c}
 }
 
@@ -77,15 +81,34 @@
 	counts := Counts{ClosedUnsent: c.closedUnsent.Load()}
 	for _, conn := range c.all() {
 		counts.Open++
-		if !conn.isOpen() {
+		if conn.lingers() {
 			counts.Lingering++
 		}
 	}
 	return counts
 }
 
-// Unfinished returns the number of connections that linger and whose callers may still lose a
-// response.
+// CloseListeners ends the accepting of connections.
+func (c *Connections) CloseListeners() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var errs []error
+	for _, listener := range c.listeners {
+		errs = append(errs, listener.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// EndIdle ends the connections that are idle and whose callers have all responses. No request is
+// read on them any more, so that their callers know that it has not run.
+func (c *Connections) EndIdle() {
+	for _, conn := range c.all() {
+		conn.endIdle()
+	}
+}
+
+// Unfinished returns the number of connections on which a request is unanswered, or whose
+// callers may still lose a response.
 func (c *Connections) Unfinished() int {
 	now := time.Now()
 	unfinished := 0
@@ -112,7 +135,7 @@
 }
 
 func (c *Connections) add(below stream) *Conn {
-	conn := &Conn{stream: below, connections: c}
+	conn := &Conn{stream: below, connections: c, idle: true}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open[conn] = struct{}{}
--- a/gateway/run/log_events_test.go
+++ b/gateway/run/log_events_test.go
@@ -40,7 +40,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	callers := &http.Server{}
 	served := make(chan error, 1)
-	go func() { served <- callers.Serve(failingListener{listener}) }()
+	go func() { served <- callers.Serve(gateway.connections.Listen(failingListener{listener})) }()
 	response, err := http.Get("http://" + listener.Addr().String())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(response.Body.Close()).To(Succeed())
--- a/gateway/run/stop.go
+++ b/gateway/run/stop.go
@@ -1,7 +1,6 @@
 package run
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -29,9 +28,6 @@
 	// the time before it to write the last responses.
 	stopMargin = 300 * time.Millisecond
 	answerTime = 200 * time.Millisecond
-	// closeTimeout limits the wait for connections on which a request or a response is
-	// on its way when no request is in flight.
-	closeTimeout = 300 * time.Millisecond
 )
 
 // stop serves requests until the load balancer has noticed, then waits until no
@@ -82,34 +78,26 @@
 	}
 }
 
-// closeConnections closes the connections of callers once their responses are written, and
-// waits until the callers have them.
+// closeConnections closes the connections of callers once their requests are answered and the
+// callers have the responses, or at the limit.
 func (g *Gateway) closeConnections(callers *http.Server, limit time.Time) {
-	timeout := max(min(time.Until(limit), closeTimeout), stopPollInterval)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	err := callers.Shutdown(ctx)
-	if unfinished := g.awaitLingering(limit); unfinished > 0 {
+	err := g.connections.CloseListeners()
+	if unfinished := g.endConnections(limit); unfinished > 0 {
 		err = errors.Join(err, unfinishedError{unfinished})
 	}
 	if err != nil {
 		g.shared.log.Event(event.CallersCutOff, err.Error(), zap.Int64("in_flight", g.handler.InFlight()))
 	}
+	_ = callers.Close() // Its listeners are closed.
 	g.connections.Abandon()
 }
 
-// unfinishedError reports connections that still linger when the process ends.
-type unfinishedError struct{ connections int }
-
-// Error implements error.
-func (e unfinishedError) Error() string {
-	return fmt.Sprintf("%d callers may not have received all that was written to them", e.connections)
-}
-
-// awaitLingering waits until all callers have the responses that were written to connections
-// which linger, or until the limit. It returns the number of those that may not have.
-func (g *Gateway) awaitLingering(limit time.Time) (unfinished int) {
+// endConnections ends idle connections until the others are finished, or until the limit. It
+// returns the number of those that are not. http.Server.Shutdown would read requests and drop
+// them.
+func (g *Gateway) endConnections(limit time.Time) (unfinished int) {
 	for {
+		g.connections.EndIdle()
 		unfinished = g.connections.Unfinished()
 		if unfinished == 0 || !time.Now().Before(limit) {
 			return unfinished
@@ -118,6 +106,14 @@
 	}
 }
 
+// unfinishedError reports connections that are open when the process ends.
+type unfinishedError struct{ connections int }
+
+// Error implements error.
+func (e unfinishedError) Error() string {
+	return fmt.Sprintf("%d callers may not have all responses", e.connections)
+}
+
 // notifyStopping tells the loop that the process is stopping. last says that it is
 // about to exit. It waits until the loop has processed the input.
 func (g *Gateway) notifyStopping(last bool) {
