--- a/gateway/linger/conn_test.go
+++ b/gateway/linger/conn_test.go
@@ -72,6 +72,20 @@
 	}
 }
 
+// The caller does not read in time, and goes on sending.
+func TestAResponseThatIsNotWrittenInTimeLeavesThoseBeforeItWhole(t *testing.T) {
+	const bytes = 20_000 // The caller's host does not take it, and the server's does.
+	s := newSite(t)
+	conn := s.dial(t)
+	_, err := io.WriteString(conn, get(fmt.Sprintf("/?bytes=%d", bytes))+get("/?limited&bytes=20000000"))
+	s.Expect(err).NotTo(HaveOccurred())
+	stop := sendOn(conn, get("/behind"))
+	time.Sleep(3 * writeTime)
+	got := answers(conn)
+	stop()
+	s.Expect(got).To(MatchRegexp("^200 with %d, 200 cut at [0-9]+: unexpected EOF$", bytes))
+}
+
 func TestAResponseReachesACallerThatHasClosedItsSendingSide(t *testing.T) {
 	s := newSite(t)
 	conn := s.dial(t)
--- a/gateway/linger/fixture_test.go
+++ b/gateway/linger/fixture_test.go
@@ -30,6 +30,8 @@
 	readPause = time.Millisecond
 	// idleTimeout is that of the server.
 	idleTimeout = 500 * time.Millisecond
+	// writeTime limits the writing of some responses.
+	writeTime = 100 * time.Millisecond
 	// patience limits the time of a caller.
 	patience = 20 * time.Second
 )
@@ -62,8 +64,8 @@
 	return s
 }
 
-// serve answers with the bytes that the query names. It closes the connection if the query
-// says so, and does not read more than 10 bytes of a body.
+// serve answers with the bytes that the query names, within writeTime if it says so. It closes
+// the connection if the query says so, and does not read more than 10 bytes of a body.
 func serve(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	if query.Has("close") {
@@ -77,6 +79,9 @@
 			return
 		}
 	}
+	if query.Has("limited") {
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime)) // Fails only if the caller has left.
+	}
 	n, _ := strconv.Atoi(query.Get("bytes")) // Zero without it.
 	w.Header().Set("Content-Length", strconv.Itoa(n))
 	_, _ = w.Write(make([]byte, n)) // The caller may have left.
