gateway/linger: of a caller that goes on sending only a part is read

Change: 64 KB are read. Then the window of TCP holds the caller up, and the connection is closed once its host has what was written, after 0.5 to 5 s.

--- a/gateway/linger/conn_test.go
+++ b/gateway/linger/conn_test.go
@@ -55,6 +55,20 @@
 	s.Expect(got).To(Equal(long + ", 413 with 0"))
 }
 
+// Reading on would take the VM's link and processor for a body that nobody wants.
+func TestARejectedBodyThatGoesOnIsNotRead(t *testing.T) {
+	s := newSite(t)
+	conn := s.dial(t)
+	_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", 1<<30)
+	s.Expect(err).NotTo(HaveOccurred())
+	begun := time.Now()
+	sent, err := io.Copy(struct{ io.Writer }{conn}, io.LimitReader(zeros{}, 1<<30))
+	s.Expect(err).To(HaveOccurred())
+	s.Expect(sent).To(BeNumerically("<", 32<<20)) // What the buffers of both hosts take.
+	s.Expect(time.Since(begun)).To(BeNumerically("<", quietTime))
+	s.Expect(s.connections.Counts().Open).To(BeZero())
+}
+
 // What net/http rejects by itself is closed at once, with what is behind it unread.
 func TestAMalformedRequestLeavesTheResponsesBeforeItWhole(t *testing.T) {
 	for name, malformed := range map[string]string{
--- a/gateway/linger/ending.go
+++ b/gateway/linger/ending.go
@@ -19,6 +19,9 @@
 	settleTime = 500 * time.Millisecond
 	// discardBytes is the size of a read while a connection lingers.
 	discardBytes = 1 << 10
+	// maxDiscarded limits the bytes that are read then: more than a pipeline has, and little of
+	// a long body.
+	maxDiscarded = 64 << 10
 )
 
 // longAgo is a deadline that has passed.
@@ -88,14 +91,18 @@
 }
 
 // discard reads until the caller has closed the connection, until it has been quiet for
-// quietTime, or until the limit.
+// quietTime, or until the limit. Of a caller that goes on sending it reads a part only.
 func (c *Conn) discard(limit time.Time) {
-	unacknowledged := c.unacknowledged()
+	unacknowledged, discarded := c.unacknowledged(), 0
 	for now := time.Now(); now.Before(limit); now = time.Now() {
-		err := c.discardUntil(now.Add(quietTime))
+		n, err := c.discardUntil(now.Add(quietTime))
+		discarded += n
 		switch {
 		case isEnd(err):
 			return
+		case discarded >= maxDiscarded:
+			c.awaitReceipt(now.Add(quietTime))
+			return
 		case err == nil:
 			continue
 		}
@@ -107,14 +114,25 @@
 	}
 }
 
+// awaitReceipt waits, without reading, until the caller's host has all that was written, or until
+// the limit. The window of TCP holds the caller up.
+func (c *Conn) awaitReceipt(limit time.Time) {
+	for time.Now().Before(limit) {
+		time.Sleep(settleTime)
+		if c.unacknowledged() == 0 {
+			return
+		}
+	}
+}
+
 // isEnd reports whether the error of a read says that nothing more comes.
 func isEnd(err error) bool { return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) }
 
-// discardUntil reads some bytes, or waits for them until a time.
-func (c *Conn) discardUntil(deadline time.Time) error {
+// discardUntil reads some bytes, or waits for them until a time. It returns their number.
+func (c *Conn) discardUntil(deadline time.Time) (int, error) {
 	var discarded [discardBytes]byte
 	if err := c.stream.SetReadDeadline(deadline); err != nil {
-		return err
+		return 0, err
 	}
 	n, err := c.stream.Read(discarded[:])
 	c.mu.Lock()
@@ -123,7 +141,7 @@
 	if n > 0 {
 		c.heardAt = time.Now()
 	}
-	return err
+	return n, err
 }
 
 // endIdle ends the connection if it is idle and its caller has all responses. A request of
--- a/gateway/linger/fixture_test.go
+++ b/gateway/linger/fixture_test.go
@@ -133,6 +133,14 @@
 	return r.Reader.Read(p[:min(len(p), readBytes)])
 }
 
+// zeros is a body without end.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
 // answers returns what a caller that reads slowly gets up to the end of its connection: a
 // status and a length each. The last may be cut.
 func answers(conn net.Conn) string {
