--- a/gateway/linger/fixture_test.go
+++ b/gateway/linger/fixture_test.go
@@ -9,18 +9,15 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"guavacrank.example/traffic/smallwindow"
 )
 
 const (
-	// windowBytes and segmentBytes are those of a caller that has little room for what it has
-	// not read, over a network with usual segments.
-	windowBytes  = 8 << 10
-	segmentBytes = 1448
 	// longBytes is a response that no such caller's host takes at once.
 	longBytes = 300_000
 	// sendPause is the time between two requests of a caller that sends on.
@@ -89,17 +86,11 @@
 
 // dial returns a connection of a caller with little room.
 func (s *site) dial(t *testing.T) *net.TCPConn {
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes)
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
-		})
-	}}
-	conn, err := dialer.Dial("tcp4", s.address)
+	conn, err := smallwindow.Dial(s.address)
 	s.Expect(err).NotTo(HaveOccurred())
 	s.Expect(conn.SetReadDeadline(time.Now().Add(patience))).To(Succeed())
 	t.Cleanup(func() { conn.Close() })
-	return conn.(*net.TCPConn)
+	return conn
 }
 
 func get(target string) string { return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n" }
--- a/gateway/run/stop_test.go
+++ b/gateway/run/stop_test.go
@@ -8,11 +8,12 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"guavacrank.example/traffic/smallwindow"
 )
 
 const (
@@ -103,14 +104,6 @@
 	g.Expect(read.Load()).To(Equal(answered.Load() * int64(len(steadyRequest))))
 }
 
-// limitRoom gives a connection little room for what was not read, and segments as over Ethernet.
-func limitRoom(_, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, 1448)
-		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 8<<10)
-	})
-}
-
 // review/13: the process took itself for idle while responses waited for a caller that reads
 // slowly, and ended before its time was up.
 func TestTheEndWaitsForResponsesThatACallerReadsLate(t *testing.T) {
@@ -131,8 +124,7 @@
 	for _, listener := range gateway.wrapCallers(listener) {
 		go callers.Serve(listener) // Ends with closeConnections.
 	}
-	dialer := net.Dialer{Control: limitRoom}
-	conn, err := dialer.Dial("tcp4", listener.Addr().String())
+	conn, err := smallwindow.Dial(listener.Addr().String())
 	g.Expect(err).NotTo(HaveOccurred())
 	defer conn.Close()
 	for range requests {
--- a/traffic/sockbuf/sockbuf_test.go
+++ b/traffic/sockbuf/sockbuf_test.go
@@ -3,17 +3,11 @@
 import (
 	"io"
 	"net"
-	"syscall"
 	"testing"
 
 	. "github.com/onsi/gomega"
-)
 
-const (
-	// windowBytes is the receive buffer of the caller of a test, and segmentBytes its segments' size:
-	// over loopback a window of less than a segment is used slowly.
-	windowBytes  = 8 << 10
-	segmentBytes = 1448
+	"guavacrank.example/traffic/smallwindow"
 )
 
 // dial returns both ends of a TCP connection whose caller has little room.
@@ -23,13 +17,7 @@
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) {
-			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes)
-			syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
-		})
-	}}
-	caller, err = dialer.Dial("tcp4", listener.Addr().String())
+	caller, err = smallwindow.Dial(listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -70,7 +58,7 @@
 	g := NewWithT(t)
 	caller, accepted := dial(t)
 	unacknowledged := bytesOf(g, Unacknowledged, accepted)
-	const written = 10 * windowBytes
+	const written = 10 * smallwindow.Bytes
 	_, err := accepted.Write(make([]byte, written))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Consistently(unacknowledged, "50ms").Should(BeNumerically(">", 0))
